--- /dev/null
+++ b/crates/siskinyoke-client/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -0,0 +1,15 @@
+//! Controllers of state and the core that joins them, as machines that do no I/O.
+
+pub mod configuration;
+pub mod outbox;
+pub mod platform;
+
+pub use outbox::Action;
+pub use outbox::CallId;
+pub use outbox::DispatchId;
+pub use outbox::DispatchSpec;
+pub use outbox::Outbox;
+pub use platform::OpId;
+pub use platform::PlatformError;
+pub use platform::PlatformReply;
+pub use platform::PlatformRequest;
--- /dev/null
+++ b/crates/siskinyoke-policy/src/lib.rs
@@ -0,0 +1,16 @@
+//! Every decision under load, as pure code: events and the time go in, decisions come out.
+
+pub mod scheduler;
+pub mod simple;
+pub mod work;
+
+pub use scheduler::Decision;
+pub use scheduler::EndpointSpec;
+pub use scheduler::Finish;
+pub use scheduler::LoadReport;
+pub use scheduler::PresetSpec;
+pub use scheduler::Scheduler;
+pub use scheduler::TierWeights;
+pub use simple::Simple;
+pub use work::Work;
+pub use work::WorkId;
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fakes and helpers shared by the system's tests.
