--- a/crates/siskinyoke-control/src/configuration/document.rs
+++ b/crates/siskinyoke-control/src/configuration/document.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use siskinyoke_base::CallClass;
 use siskinyoke_base::DataCentre;
 use siskinyoke_base::EndpointId;
--- a/crates/siskinyoke-control/src/configuration/view.rs
+++ b/crates/siskinyoke-control/src/configuration/view.rs
@@ -1,5 +1,8 @@
 //! One revision of the configuration, indexed for requests.
 
+use super::ConfigurationDoc;
+use super::Role;
+use super::RouteDoc;
 use siskinyoke_base::CallClass;
 use siskinyoke_base::CallHead;
 use siskinyoke_base::Code;
@@ -8,10 +11,6 @@
 use siskinyoke_base::OrganisationId;
 use siskinyoke_base::Route;
 
-use super::ConfigurationDoc;
-use super::Role;
-use super::RouteDoc;
-
 /// A revision of the configuration, by which a request is wholly decided.
 #[derive(Debug, Default)]
 pub struct View {
--- a/crates/siskinyoke-control/src/outbox.rs
+++ b/crates/siskinyoke-control/src/outbox.rs
@@ -1,5 +1,7 @@
 //! What the core wants done by the world around it.
 
+use crate::OpId;
+use crate::PlatformRequest;
 use siskinyoke_base::CallHead;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::InstanceId;
@@ -7,9 +9,6 @@
 use siskinyoke_base::message::Message;
 use siskinyoke_base::message::Part;
 
-use crate::OpId;
-use crate::PlatformRequest;
-
 /// Numbers one caller's exchange within a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
--- a/crates/siskinyoke-control/src/platform.rs
+++ b/crates/siskinyoke-control/src/platform.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use quick_error::quick_error;
+
 use siskinyoke_base::DataCentre;
 use siskinyoke_base::InstanceId;
 use siskinyoke_base::Millis;
--- a/crates/siskinyoke-policy/src/scheduler.rs
+++ b/crates/siskinyoke-policy/src/scheduler.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::Work;
+use crate::WorkId;
 use siskinyoke_base::Code;
 use siskinyoke_base::DataCentre;
 use siskinyoke_base::EndpointId;
@@ -11,9 +13,6 @@
 use siskinyoke_base::message::LeaseDemand;
 use siskinyoke_base::message::Resource;
 
-use crate::Work;
-use crate::WorkId;
-
 /// A policy: lets work in, keeps it waiting, turns it away, places it.
 ///
 /// It is pure: time comes in with each call, and the same calls give the same decisions.
--- a/crates/siskinyoke-policy/src/simple.rs
+++ b/crates/siskinyoke-policy/src/simple.rs
@@ -2,13 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use siskinyoke_base::Code;
-use siskinyoke_base::EndpointId;
-use siskinyoke_base::Millis;
-use siskinyoke_base::OrganisationId;
-use siskinyoke_base::message::LeaseDemand;
-use siskinyoke_base::message::Resource;
-
 use crate::Decision;
 use crate::EndpointSpec;
 use crate::Finish;
@@ -17,6 +10,12 @@
 use crate::Scheduler;
 use crate::Work;
 use crate::WorkId;
+use siskinyoke_base::Code;
+use siskinyoke_base::EndpointId;
+use siskinyoke_base::Millis;
+use siskinyoke_base::OrganisationId;
+use siskinyoke_base::message::LeaseDemand;
+use siskinyoke_base::message::Resource;
 
 /// When to come back after a refusal, where nothing better is known.
 const COME_BACK: Millis = Millis::from_secs(1);
