--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -1,9 +1,14 @@
 //! Controllers of state and the core that joins them, as machines that do no I/O.
 
 pub mod configuration;
+pub mod controller;
 pub mod outbox;
 pub mod platform;
 
+pub use controller::Context;
+pub use controller::Controller;
+pub use controller::Reply;
+pub use controller::Sender;
 pub use outbox::Action;
 pub use outbox::CallId;
 pub use outbox::DispatchId;
