--- a/crates/siskinyoke-base/src/message.rs
+++ b/crates/siskinyoke-base/src/message.rs
@@ -31,11 +31,18 @@
     Forward(Box<Forward>),
     /// The head or a piece of a forwarded request's answer.
     ForwardPiece {
-        /// The sender's number of the forwarded request.
+        /// The receiver's number of the forwarded request.
         id: u64,
+        /// Counts the parts of the answer from 0, so that a lost or doubled one shows.
+        seq: u32,
         /// What came.
         part: Part,
     },
+    /// The owner has taken a forwarded request in.
+    ForwardAck {
+        /// The sender's number of the forwarded request.
+        id: u64,
+    },
     /// The caller of a forwarded request went away.
     ForwardGone {
         /// The number of the forwarded request.
@@ -105,6 +112,8 @@
     pub head: CallHead,
     /// What remains of its need.
     pub remaining: Millis,
+    /// Whether the owner was found by a claim in the platform's service.
+    pub claimed: bool,
 }
 
 /// One part of an answer on its way to the caller.
--- a/crates/siskinyoke-cli/src/lib.rs
+++ b/crates/siskinyoke-cli/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! The parts of the command-line tool.
+
+pub mod caller;
+pub mod context;
--- /dev/null
+++ b/crates/siskinyoke-client/src/client.rs
@@ -0,0 +1,306 @@
+//! The caller's side of a request: locate, send, resend.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use rand::distr::Alphanumeric;
+use ureq::Agent;
+use ureq::Body;
+use ureq::http;
+
+use crate::ClientError;
+use crate::Events;
+use crate::Location;
+use crate::Outcome;
+use crate::Request;
+use siskinyoke_base::CallClass;
+use siskinyoke_base::Kind;
+use siskinyoke_base::Millis;
+
+/// The data of the event that ends a whole stream.
+const TERMINATOR: &str = "[DONE]";
+
+/// Length of a drawn idempotency key; 120 bits are never drawn twice.
+const KEY_LEN: usize = 20;
+
+/// Bounds on a client's patience.
+#[derive(Debug, Clone)]
+pub struct ClientSettings {
+    /// Addresses to ask first.
+    pub addresses: Vec<String>,
+    /// The bearer key.
+    pub key: String,
+    /// The most sendings of one request.
+    pub sendings: u32,
+    /// The longest wait before a resend; a refusal that asks for more is returned.
+    pub wait: Millis,
+    /// The most time for one sending.
+    pub limit: Millis,
+}
+
+/// A caller of the system.
+pub struct Client {
+    agent: Agent,
+    settings: ClientSettings,
+    location: Option<(Location, Instant)>,
+}
+
+impl Client {
+    /// Makes a client.
+    pub fn new(settings: ClientSettings) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(Duration::from_secs(1)))
+            .timeout_global(Some(settings.limit.into()))
+            .max_idle_connections(0)
+            .build();
+        Self {
+            agent: config.into(),
+            settings,
+            location: None,
+        }
+    }
+
+    /// Asks which address to use; a kept answer is used while it may be.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`] if no address answers.
+    pub fn locate(&mut self) -> Result<Location, ClientError> {
+        if let Some((location, at)) = &self.location
+            && at.elapsed() < location.address_keep.into()
+        {
+            return Ok(location.clone());
+        }
+        let mut tried = Vec::new();
+        for address in self.candidates() {
+            match self.locate_at(&address) {
+                Ok(location) => {
+                    self.location = Some((location.clone(), Instant::now()));
+                    return Ok(location);
+                }
+                Err(err) => tried.push(format!("{address}: {err}")),
+            }
+        }
+        Err(ClientError::Unreachable(tried.join("; ")))
+    }
+
+    /// Sends a request and resends it under the same identity until it is answered.
+    ///
+    /// A refusal that says "not run" is tried again elsewhere or later; "unknown" is returned,
+    /// as only the caller knows what to do about it. Each event of a stream goes to `sink` as
+    /// it arrives, once.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`] if no address answers.
+    pub fn send(
+        &mut self,
+        request: &Request,
+        sink: &mut dyn FnMut(&str),
+    ) -> Result<Outcome, ClientError> {
+        let key = request.key.clone().unwrap_or_else(draw_key);
+        let mut location = self.locate()?;
+        let mut given = 0;
+        let mut failure = String::new();
+        for count in 0..self.settings.sendings {
+            let addresses = &location.addresses;
+            let address = addresses[count as usize % addresses.len()].clone();
+            let sending = Sending {
+                request,
+                key: &key,
+                ticket: &location.ticket,
+                count,
+            };
+            let outcome = match self.send_once(&address, &sending, &mut given, sink) {
+                Ok(outcome) => outcome,
+                Err(detail) => {
+                    // Whether it arrived is not known, but under the same identity a resend is
+                    // answered rather than run again.
+                    log::info!("{address}: {detail}; sending again");
+                    failure = format!("{address}: {detail}");
+                    thread::sleep(PAUSE);
+                    continue;
+                }
+            };
+            let last = count + 1 == self.settings.sendings;
+            if outcome.kind != Kind::NotRun || !worth_again(outcome.status) || last {
+                return Ok(outcome);
+            }
+            let wait = outcome.after.unwrap_or_default();
+            if wait > self.settings.wait {
+                return Ok(outcome);
+            }
+            thread::sleep(wait.into());
+            // It was not run, so a fresh ticket is as good, and may lead elsewhere.
+            self.location = None;
+            location = self.locate()?;
+        }
+        Err(ClientError::Unreachable(failure))
+    }
+
+    fn candidates(&self) -> Vec<String> {
+        let kept = self
+            .location
+            .iter()
+            .flat_map(|(location, _)| location.addresses.clone());
+        let mut all: Vec<String> = kept.chain(self.settings.addresses.clone()).collect();
+        let mut seen = Vec::new();
+        all.retain(|address| {
+            let new = !seen.contains(address);
+            seen.push(address.clone());
+            new
+        });
+        all
+    }
+
+    fn locate_at(&self, address: &str) -> Result<Location, String> {
+        let url = format!("http://{address}/v1/locate");
+        let bearer = format!("Bearer {}", self.settings.key);
+        let answer = self.agent.get(&url).header("Authorization", bearer).call();
+        let mut answer = answer.map_err(|err| err.to_string())?;
+        if answer.status() != http::StatusCode::OK {
+            let text = answer.body_mut().read_to_string().unwrap_or_default();
+            return Err(format!("{} {text}", answer.status()));
+        }
+        answer.body_mut().read_json().map_err(|err| err.to_string())
+    }
+
+    fn send_once(
+        &self,
+        address: &str,
+        sending: &Sending<'_>,
+        given: &mut usize,
+        sink: &mut dyn FnMut(&str),
+    ) -> Result<Outcome, String> {
+        let request = sending.build(address, &self.settings.key)?;
+        let answer = self.agent.run(request).map_err(|err| err.to_string())?;
+        let stream = header(&answer, "content-type")
+            .is_some_and(|content| content.starts_with("text/event-stream"));
+        let mut outcome = Outcome {
+            status: answer.status().as_u16(),
+            code: header(&answer, "siskinyoke-code")
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0),
+            kind: kind(header(&answer, "siskinyoke-kind")),
+            body: Vec::new(),
+            after: header(&answer, "retry-after")
+                .and_then(|text| text.parse().ok())
+                .map(Millis::from_secs),
+            address: header(&answer, "siskinyoke-address").map(str::to_owned),
+            sendings: sending.count + 1,
+        };
+        if stream {
+            read_stream(answer, &mut outcome, given, sink)?;
+        } else {
+            let text = answer
+                .into_body()
+                .read_to_string()
+                .map_err(|err| err.to_string())?;
+            outcome.body.push(text);
+        }
+        Ok(outcome)
+    }
+}
+
+/// Pause before a resend after a broken connection.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// One sending of a request.
+struct Sending<'a> {
+    request: &'a Request,
+    key: &'a str,
+    ticket: &'a str,
+    count: u32,
+}
+
+impl Sending<'_> {
+    fn build(&self, address: &str, key: &str) -> Result<http::Request<Vec<u8>>, String> {
+        let mut builder = http::Request::builder()
+            .method(self.request.method.as_str())
+            .uri(format!("http://{address}{}", self.request.path))
+            .header("Authorization", format!("Bearer {key}"))
+            .header("Content-Type", &self.request.content)
+            .header("Idempotency-Key", self.key)
+            .header("Siskinyoke-Ticket", self.ticket)
+            .header("Siskinyoke-Retry", self.count);
+        if let Some(care) = self.request.care {
+            builder = builder.header("Siskinyoke-Care", care_word(care));
+        }
+        if let Some(need) = self.request.need {
+            builder = builder.header("Siskinyoke-Need", need.0);
+        }
+        builder
+            .body(self.request.body.clone())
+            .map_err(|err| err.to_string())
+    }
+}
+
+/// Reads a stream to its end; events that an earlier sending brought are not given again.
+fn read_stream(
+    answer: http::Response<Body>,
+    outcome: &mut Outcome,
+    given: &mut usize,
+    sink: &mut dyn FnMut(&str),
+) -> Result<(), String> {
+    for event in Events::new(answer.into_body().into_reader()) {
+        let event = event?;
+        if event.event == "error" {
+            let error: serde_json::Value = serde_json::from_str(&event.data).unwrap_or_default();
+            let code = error["error"]["code"].as_u64().unwrap_or_default();
+            outcome.code = u16::try_from(code).unwrap_or_default();
+            outcome.kind = kind(error["error"]["type"].as_str());
+            return Ok(());
+        }
+        if event.data == TERMINATOR {
+            outcome.code = siskinyoke_base::Code::Complete.number();
+            outcome.kind = Kind::Done;
+            return Ok(());
+        }
+        if outcome.body.len() >= *given {
+            *given += 1;
+            sink(&event.data);
+        }
+        outcome.body.push(event.data);
+    }
+    Err("the stream ended without its terminator".into())
+}
+
+fn header<'a>(answer: &'a http::Response<Body>, name: &str) -> Option<&'a str> {
+    answer
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+}
+
+/// Reads a kind; an answer without one may have run.
+fn kind(text: Option<&str>) -> Kind {
+    match text {
+        Some("done") => Kind::Done,
+        Some("not-run") => Kind::NotRun,
+        _ => Kind::Unknown,
+    }
+}
+
+/// Tells whether a refusal may turn out otherwise later or elsewhere.
+fn worth_again(status: u16) -> bool {
+    matches!(status, 408 | 409 | 429 | 503)
+}
+
+fn care_word(care: CallClass) -> &'static str {
+    match care {
+        CallClass::Idempotent => "idempotent",
+        CallClass::AtMostOnce => "at-most-once",
+        CallClass::NonIdempotent => "non-idempotent",
+    }
+}
+
+fn draw_key() -> String {
+    rand::rng()
+        .sample_iter(&Alphanumeric)
+        .take(KEY_LEN)
+        .map(char::from)
+        .collect()
+}
--- a/crates/siskinyoke-client/src/lib.rs
+++ b/crates/siskinyoke-client/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! The callers' library: asks which address to use, keeps the answer, sends, resends honestly.
+
+mod client;
+mod error;
+mod events;
+mod location;
+mod outcome;
+mod request;
+
+pub use client::Client;
+pub use client::ClientSettings;
+pub use error::ClientError;
+pub use events::Events;
+pub use location::Location;
+pub use outcome::Outcome;
+pub use request::Request;
--- /dev/null
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -0,0 +1,378 @@
+//! The core of a daemon: every request's way from its caller to an endpoint and back.
+
+mod ask;
+mod calls;
+mod dispatching;
+mod ending;
+mod event;
+mod filters;
+mod forwarding;
+mod forwards;
+mod job;
+mod roster;
+mod settings;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rand::RngCore;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::ask::Ask;
+use self::forwards::Forwards;
+use self::job::Job;
+use self::job::Listener;
+use crate::Action;
+use crate::CallId;
+use crate::Context;
+use crate::DispatchId;
+use crate::Outbox;
+use crate::Sender;
+use crate::claims::Claims;
+use crate::configuration::ConfigurationDoc;
+use crate::configuration::EndpointDoc;
+use crate::configuration::View;
+use crate::ledger::Ledger;
+use crate::threshold::Threshold;
+use siskinyoke_base::DataCentre;
+use siskinyoke_base::EndpointId;
+use siskinyoke_base::Identity;
+use siskinyoke_base::Millis;
+use siskinyoke_base::message::Envelope;
+use siskinyoke_base::message::Message;
+use siskinyoke_policy::Decision;
+use siskinyoke_policy::EndpointSpec;
+use siskinyoke_policy::PresetSpec;
+use siskinyoke_policy::Scheduler;
+use siskinyoke_policy::TierWeights;
+use siskinyoke_policy::WorkId;
+
+pub use self::ending::honest;
+pub use self::event::DispatchNews;
+pub use self::event::Event;
+pub use self::filters::Filter;
+pub use self::roster::FixedRoster;
+pub use self::roster::Roster;
+pub use self::settings::CoreSettings;
+
+/// One daemon's core: events go in, actions come out, nothing else happens.
+///
+/// The same events at the same times with the same seed give the same actions.
+#[derive(Debug)]
+pub struct Core {
+    me: Sender,
+    centre: DataCentre,
+    address: String,
+    settings: CoreSettings,
+    secret: [u8; 32],
+    rng: ChaCha8Rng,
+    out: Outbox,
+    view: Arc<View>,
+    scheduler: Box<dyn Scheduler>,
+    roster: Box<dyn Roster>,
+    ledger: Ledger,
+    claims: Claims,
+    threshold: Threshold,
+    forwards: Forwards,
+    jobs: BTreeMap<WorkId, Job>,
+    runs: BTreeMap<DispatchId, WorkId>,
+    calls: BTreeMap<Listener, Place>,
+    claiming: BTreeMap<Identity, Vec<Ask>>,
+    last: u64,
+    leaving: Option<Leaving>,
+    isolated: bool,
+    due: Millis,
+}
+
+/// Where a caller's request is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Place {
+    /// It waits or runs here.
+    Job(WorkId),
+    /// It was sent on to its owner.
+    Forward(u64),
+    /// It waits for its claim.
+    Claim(Identity),
+}
+
+/// A daemon on its way out.
+#[derive(Debug, Clone, Copy)]
+struct Leaving {
+    /// When the last answer was given.
+    quiet: Millis,
+    /// Whether the process was told to stop.
+    exited: bool,
+}
+
+/// What a core is made with.
+#[derive(Debug)]
+pub struct CoreParts {
+    /// This daemon start.
+    pub me: Sender,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// The address that callers use.
+    pub address: String,
+    /// Bounds.
+    pub settings: CoreSettings,
+    /// The policy.
+    pub scheduler: Box<dyn Scheduler>,
+    /// The other instances.
+    pub roster: Box<dyn Roster>,
+    /// Seed of the random source.
+    pub seed: u64,
+}
+
+impl Core {
+    /// Makes a core that knows no configuration yet.
+    pub fn new(parts: CoreParts) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(parts.seed);
+        let mut secret = [0; 32];
+        rng.fill_bytes(&mut secret);
+        Self {
+            claims: Claims::new(parts.me.clone()),
+            me: parts.me,
+            centre: parts.centre,
+            address: parts.address,
+            ledger: Ledger::new(parts.settings.ledger),
+            settings: parts.settings,
+            secret,
+            rng,
+            out: Outbox::default(),
+            view: Arc::new(View::default()),
+            scheduler: parts.scheduler,
+            roster: parts.roster,
+            threshold: Threshold::default(),
+            forwards: Forwards::default(),
+            jobs: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            claiming: BTreeMap::new(),
+            last: 0,
+            leaving: None,
+            isolated: false,
+            due: Millis::ZERO,
+        }
+    }
+
+    /// Takes an event and returns what is to be done about it.
+    pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        match event {
+            Event::Arrive { call, head } => self.arrive(now, call, *head),
+            Event::Locate { call, bearer } => self.locate(now, call, &bearer),
+            Event::Gone { call } => self.gone(now, &Listener::Call(call)),
+            Event::Dispatch { dispatch, news } => self.dispatch_news(now, dispatch, news),
+            Event::Peer(envelope) => self.peer(now, *envelope),
+            Event::Platform { op, reply } => {
+                let mut cx = Context {
+                    now,
+                    out: &mut self.out,
+                    rng: &mut self.rng,
+                };
+                if self.claims.reply(&mut cx, op, &reply) {
+                    self.claimed(now);
+                }
+            }
+            Event::Load { endpoint, report } => self.scheduler.report(now, &endpoint, &report),
+            Event::Leave => self.leave(now),
+            Event::Tick => {}
+        }
+        self.settle(now);
+        self.out.take()
+    }
+
+    /// Returns when a [`Event::Tick`] is due at the latest.
+    pub fn next(&self, now: Millis) -> Millis {
+        self.threshold.next(now).min(self.due).min(now + TICK)
+    }
+
+    /// Puts a revision of the configuration in force for requests that arrive from now on.
+    ///
+    /// An older revision than the one in force is passed over: an accepted configuration never
+    /// reverts, whatever a lagging source shows.
+    pub fn set_view(&mut self, now: Millis, view: Arc<View>) {
+        if view.revision <= self.view.revision {
+            return;
+        }
+        self.scheduler
+            .set_endpoints(now, &self.endpoint_specs(&view.doc));
+        for (id, doc) in &view.doc.organisations {
+            self.scheduler
+                .set_organisation(id, doc.weight, doc.allowance);
+        }
+        if let Some(preset) = preset_spec(&view.doc) {
+            self.scheduler.set_preset(now, &preset);
+        }
+        self.view = view;
+    }
+
+    /// Replaces what is known of the other instances.
+    pub fn set_roster(&mut self, roster: Box<dyn Roster>) {
+        self.roster = roster;
+    }
+
+    /// Sets whether neither the platform nor any peer was heard for some time.
+    pub fn set_isolated(&mut self, isolated: bool) {
+        self.isolated = isolated;
+    }
+
+    /// Returns the configuration in force.
+    pub fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// Returns this daemon start.
+    pub fn me(&self) -> &Sender {
+        &self.me
+    }
+
+    /// Counts requests accepted and not yet ended.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Counts requests on endpoints of `rank` or a later one.
+    pub fn serving(&self, rank: u8) -> u32 {
+        self.scheduler.serving(rank)
+    }
+
+    /// Returns the ledger of keyed requests.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Returns the rank from which work is barred here.
+    pub fn barred(&self) -> Option<u8> {
+        self.threshold.rank()
+    }
+
+    fn peer(&mut self, now: Millis, envelope: Envelope) {
+        let from = Sender {
+            instance: envelope.from,
+            incarnation: envelope.incarnation,
+        };
+        match envelope.message {
+            Message::Forward(forward) => self.forwarded(now, &from, *forward),
+            Message::ForwardAck { id } => self.forwards.acknowledge(now, id),
+            Message::ForwardPiece { id, seq, part } => self.forward_part(now, id, seq, part),
+            Message::ForwardGone { id } => {
+                self.gone(
+                    now,
+                    &Listener::Peer {
+                        instance: from.instance,
+                        id,
+                    },
+                );
+            }
+            Message::Threshold { rank, span, round } => {
+                let scheduler = self.scheduler.as_mut();
+                self.threshold
+                    .raised(now, &from, (rank, span, round), scheduler, &mut self.out);
+            }
+            Message::ThresholdAck { round, serving } => {
+                self.threshold.acknowledged(&from, round, serving);
+            }
+            _ => {}
+        }
+    }
+
+    /// Does what follows from any event: takes the policy's decisions until none is left.
+    fn settle(&mut self, now: Millis) {
+        self.ledger.expire(now);
+        self.forward_losses(now);
+        for _ in 0..SETTLE_ROUNDS {
+            let live: Vec<Sender> = self.roster.live().into_iter().map(Sender::from).collect();
+            self.threshold
+                .tick(now, self.scheduler.as_mut(), &live, &mut self.out);
+            let mut decisions = Vec::new();
+            self.due = self.scheduler.poll(now, &mut decisions);
+            if decisions.is_empty() {
+                break;
+            }
+            for decision in decisions {
+                self.decide(now, decision);
+            }
+        }
+        self.maybe_exit(now);
+    }
+
+    fn decide(&mut self, now: Millis, decision: Decision) {
+        match decision {
+            Decision::Start { id, endpoint } => self.start_run(now, id, &endpoint),
+            Decision::Refuse { id, code, after } => {
+                let end = siskinyoke_base::message::End::new(code).after(after);
+                self.end(now, id, end);
+            }
+            Decision::Cancel { id } => self.cancel_run(now, id),
+        }
+    }
+
+    fn endpoint_specs(&self, doc: &ConfigurationDoc) -> Vec<EndpointSpec> {
+        let usable = doc
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| !endpoint.leaving);
+        usable
+            .map(|(id, endpoint)| self.endpoint_spec(id, endpoint))
+            .collect()
+    }
+
+    fn endpoint_spec(&self, id: &EndpointId, doc: &EndpointDoc) -> EndpointSpec {
+        let near = doc.centre == self.centre;
+        EndpointSpec {
+            id: id.clone(),
+            centre: doc.centre.clone(),
+            distance: if near { Millis::ZERO } else { CENTRE_DISTANCE },
+            targets: doc.targets.clone(),
+            slots: doc.slots,
+            speed: doc.speed,
+            prefill: doc.prefill,
+        }
+    }
+
+    /// Draws the next number for jobs, dispatches and the like.
+    fn number(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+}
+
+/// How often the core looks at its timers where nothing earlier is due.
+const TICK: Millis = Millis(100);
+
+/// The most rounds of decisions after one event; each round places, refuses or cancels work,
+/// so a policy that never comes to rest would otherwise hold the daemon.
+const SETTLE_ROUNDS: usize = 64;
+
+/// One-way delay to another data centre, before anything is measured.
+const CENTRE_DISTANCE: Millis = Millis(1);
+
+fn preset_spec(doc: &ConfigurationDoc) -> Option<PresetSpec> {
+    let preset = doc.presets.get(&doc.preset)?;
+    let weights = |name| {
+        preset.tiers.get(name).map_or(
+            TierWeights {
+                reserve: 0.0,
+                open: true,
+            },
+            |tier| TierWeights {
+                reserve: tier.reserve,
+                open: tier.open,
+            },
+        )
+    };
+    Some(PresetSpec {
+        name: doc.preset.clone(),
+        tiers: doc.tiers.iter().map(|tier| weights(&tier.name)).collect(),
+        prefill_weight: preset.prefill,
+        shift: preset.shift,
+        queue: preset.queue,
+    })
+}
+
+impl From<CallId> for Listener {
+    fn from(call: CallId) -> Self {
+        Self::Call(call)
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-control/src/core/settings.rs
@@ -0,0 +1,45 @@
+//! The bounds that the core works within.
+
+use crate::ledger::LedgerLimits;
+use siskinyoke_base::Millis;
+
+/// Bounds that the core works within; the daemon's settings may change them.
+#[derive(Debug, Clone)]
+pub struct CoreSettings {
+    /// How long a ticket may be used.
+    ///
+    /// Long enough for a lesson's resends, short enough that the ledger of identities that a
+    /// ticket can still bring back stays small.
+    pub ticket: Millis,
+    /// How long a caller may keep an address.
+    ///
+    /// A leaving instance gets new work for at most this long from callers that honour it.
+    pub address: Millis,
+    /// The most time that one dispatch may take.
+    pub run: Millis,
+    /// How long an owner may stay silent before a forwarded request is given up on.
+    pub silence: Millis,
+    /// The most dispatches of one request, connections refused included.
+    pub attempts: usize,
+    /// How long a leaving daemon stays to answer resends after its last answer.
+    pub linger: Millis,
+    /// Bounds of the ledger.
+    pub ledger: LedgerLimits,
+}
+
+impl Default for CoreSettings {
+    fn default() -> Self {
+        Self {
+            ticket: Millis::from_secs(600),
+            address: Millis::from_secs(5),
+            run: Millis::from_secs(300),
+            silence: Millis::from_secs(4),
+            attempts: 4,
+            linger: Millis::from_secs(2),
+            ledger: LedgerLimits {
+                entries: 100_000,
+                bytes: 16 << 20,
+            },
+        }
+    }
+}
--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -1,9 +1,13 @@
 //! Controllers of state and the core that joins them, as machines that do no I/O.
 
+pub mod claims;
 pub mod configuration;
 pub mod controller;
+pub mod core;
+pub mod ledger;
 pub mod outbox;
 pub mod platform;
+pub mod threshold;
 
 pub use controller::Context;
 pub use controller::Controller;
--- /dev/null
+++ b/crates/siskinyoke-daemon/src/daemon.rs
@@ -0,0 +1,209 @@
+//! Starts a daemon's threads and stops them.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread;
+use std::thread::JoinHandle;
+
+use quick_error::quick_error;
+use rand::RngCore;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime as Tokio;
+
+use crate::Settings;
+use crate::dispatch::DispatchLimits;
+use crate::dispatch::Dispatcher;
+use crate::http::Listener;
+use crate::http::ListenerParts;
+use crate::metrics::Metrics;
+use crate::runtime::Input;
+use crate::runtime::Runtime;
+use siskinyoke_base::Clock;
+use siskinyoke_base::Incarnation;
+use siskinyoke_base::clock::SystemClock;
+use siskinyoke_control::Sender;
+use siskinyoke_control::configuration::ConfigurationDoc;
+use siskinyoke_control::configuration::View;
+use siskinyoke_control::core::Core;
+use siskinyoke_control::core::CoreParts;
+use siskinyoke_control::core::CoreSettings;
+use siskinyoke_control::core::Event;
+use siskinyoke_control::core::FixedRoster;
+use siskinyoke_policy::Simple;
+
+quick_error! {
+    /// A daemon that cannot start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// The address cannot be listened on.
+        Listen(address: String, err: std::io::Error) {
+            display("cannot listen on {address}: {err}; hint: another process may hold it")
+            source(err)
+        }
+        /// A thread or runtime cannot be made.
+        Thread(err: std::io::Error) {
+            display("cannot start a thread: {err}")
+            source(err)
+        }
+        /// The first configuration cannot be used.
+        Bootstrap(detail: String) {
+            display("bootstrap: {detail}")
+        }
+        /// Metrics cannot be set up.
+        Metrics(detail: String) {
+            display("metrics: {detail}")
+        }
+    }
+}
+
+/// A running daemon.
+pub struct Daemon {
+    address: SocketAddr,
+    inputs: mpsc::Sender<Input>,
+    core: JoinHandle<()>,
+    // Keeps the sockets served until the daemon is joined.
+    tokio: Tokio,
+}
+
+impl Daemon {
+    /// Starts a daemon with checked settings.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] if a socket, thread or the first configuration cannot be had.
+    pub fn start(settings: Settings) -> Result<Self, StartError> {
+        let tokio = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(WORKERS)
+            .enable_all()
+            .build()
+            .map_err(StartError::Thread)?;
+        let listen = settings.callers.listen.clone();
+        let socket = tokio
+            .block_on(TcpListener::bind(&listen))
+            .map_err(|err| StartError::Listen(listen.clone(), err))?;
+        let address = socket
+            .local_addr()
+            .map_err(|err| StartError::Listen(listen, err))?;
+        let metrics = Metrics::new().map_err(StartError::Metrics)?;
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
+        let (inputs, receiver) = mpsc::channel();
+        let mut core = make_core(&settings, address);
+        if let Some(path) = &settings.bootstrap {
+            let view = read_bootstrap(Path::new(path))?;
+            core.set_view(clock.now(), Arc::new(view));
+        }
+        let limits = DispatchLimits {
+            connect: settings.work.connect.into(),
+            answer: settings.work.answer,
+        };
+        let dispatcher = Dispatcher::new(tokio.handle().clone(), limits);
+        let runtime = Runtime {
+            core,
+            clock,
+            inputs: inputs.clone(),
+            dispatcher,
+        };
+        let core = thread::Builder::new()
+            .name("core".into())
+            .spawn(move || runtime.run(&receiver))
+            .map_err(StartError::Thread)?;
+        let parts = ListenerParts {
+            inputs: inputs.clone(),
+            metrics,
+            settings: settings.callers,
+        };
+        tokio.spawn(Listener::new(parts).accept(socket));
+        log::info!(
+            "instance={} listens for callers on {address}",
+            settings.instance
+        );
+        Ok(Self {
+            address,
+            inputs,
+            core,
+            tokio,
+        })
+    }
+
+    /// Returns the address that callers connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Asks the daemon to finish what it accepted and stop.
+    pub fn leave(&self) {
+        // A closed channel means that the daemon has stopped already.
+        let _ = self.inputs.send(Input::Event(Event::Leave));
+    }
+
+    /// Makes SIGTERM and SIGINT ask the daemon to leave; a second one changes nothing.
+    pub fn leave_on_signals(&self) {
+        let inputs = self.inputs.clone();
+        let signals = Signals::new([SIGTERM, SIGINT]);
+        let Ok(mut signals) = signals else {
+            log::error!("signals cannot be caught; the daemon cannot leave gracefully");
+            return;
+        };
+        thread::spawn(move || {
+            for _ in signals.forever() {
+                if inputs.send(Input::Event(Event::Leave)).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+
+    /// Waits until the daemon has stopped.
+    pub fn join(self) {
+        if self.core.join().is_err() {
+            log::error!("the core's thread panicked");
+        }
+        // Answers that were given are still on their way through the sockets.
+        self.tokio.shutdown_timeout(FLUSH);
+    }
+}
+
+/// Threads that serve sockets; entry instances are small.
+const WORKERS: usize = 2;
+
+/// How long sockets may take to send what was given to them.
+const FLUSH: std::time::Duration = std::time::Duration::from_secs(1);
+
+fn make_core(settings: &Settings, address: SocketAddr) -> Core {
+    let mut rng = rand::rng();
+    Core::new(CoreParts {
+        me: Sender {
+            instance: settings.instance.clone(),
+            incarnation: Incarnation(rng.next_u64()),
+        },
+        centre: settings.centre.clone(),
+        address: settings
+            .callers
+            .address
+            .clone()
+            .unwrap_or_else(|| address.to_string()),
+        settings: CoreSettings {
+            run: settings.work.run,
+            ..CoreSettings::default()
+        },
+        scheduler: Box::new(Simple::default()),
+        roster: Box::new(FixedRoster::default()),
+        seed: rng.next_u64(),
+    })
+}
+
+fn read_bootstrap(path: &Path) -> Result<View, StartError> {
+    let wrong = |detail: String| StartError::Bootstrap(format!("{}: {detail}", path.display()));
+    let text = std::fs::read_to_string(path).map_err(|err| wrong(err.to_string()))?;
+    let value: serde_json::Value =
+        jsonc_parser::parse_to_serde_value(&text, &jsonc_parser::ParseOptions::default())
+            .map_err(|err| wrong(err.to_string()))?;
+    let doc: ConfigurationDoc =
+        serde_json::from_value(value).map_err(|err| wrong(err.to_string()))?;
+    Ok(View::new(1, doc))
+}
--- /dev/null
+++ b/crates/siskinyoke-daemon/src/runtime.rs
@@ -0,0 +1,186 @@
+//! The stakker thread that owns the core, and the messages that reach it.
+
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::sync::mpsc::RecvTimeoutError;
+use std::time::Duration;
+use std::time::Instant;
+
+use stakker::ActorOwn;
+use stakker::CX;
+use stakker::Stakker;
+use stakker::actor;
+use stakker::call;
+use stakker::ret_nop;
+use tokio::sync::mpsc::Sender as PartSender;
+use tokio::task::AbortHandle;
+
+use crate::dispatch::Dispatcher;
+use siskinyoke_base::Clock;
+use siskinyoke_base::Map;
+use siskinyoke_base::message::Part;
+use siskinyoke_control::Action;
+use siskinyoke_control::CallId;
+use siskinyoke_control::DispatchId;
+use siskinyoke_control::core::Core;
+use siskinyoke_control::core::Event;
+
+/// What reaches the core's thread.
+pub enum Input {
+    /// A caller's exchange opens.
+    Open {
+        /// Its number.
+        call: CallId,
+        /// Where the parts of its answer go.
+        parts: PartSender<Part>,
+        /// The event that it begins with.
+        event: Event,
+    },
+    /// Something else happened.
+    Event(Event),
+    /// A look at the core that changes nothing.
+    Look(Box<dyn FnOnce(&Core) + Send>),
+}
+
+/// Parts of an answer that may wait for a caller who reads slowly; past it the caller counts as
+/// gone, so that one slow reader cannot fill the daemon's memory.
+pub const PARTS_WAITING: usize = 4096;
+
+/// The actor that owns the core.
+struct CoreActor {
+    core: Core,
+    clock: Arc<dyn Clock>,
+    inputs: mpsc::Sender<Input>,
+    calls: Map<CallId, PartSender<Part>>,
+    runs: Map<DispatchId, AbortHandle>,
+    dispatcher: Dispatcher,
+    exiting: bool,
+}
+
+impl CoreActor {
+    #[expect(
+        clippy::unnecessary_wraps,
+        reason = "the actor macro asks for an option"
+    )]
+    fn init(_cx: CX![], parts: Runtime) -> Option<Self> {
+        Some(Self {
+            core: parts.core,
+            clock: parts.clock,
+            inputs: parts.inputs,
+            calls: Map::default(),
+            runs: Map::default(),
+            dispatcher: parts.dispatcher,
+            exiting: false,
+        })
+    }
+
+    fn input(&mut self, cx: CX![], input: Input) {
+        match input {
+            Input::Open { call, parts, event } => {
+                self.calls.insert(call, parts);
+                self.event(event);
+            }
+            Input::Event(event) => {
+                match &event {
+                    Event::Gone { call } => drop(self.calls.remove(call)),
+                    Event::Dispatch { dispatch, news } if news.is_last() => {
+                        self.runs.remove(dispatch);
+                    }
+                    _ => {}
+                }
+                self.event(event);
+            }
+            Input::Look(look) => look(&self.core),
+        }
+        if self.exiting {
+            stakker::stop!(cx);
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        let actions = self.core.handle(self.clock.now(), event);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Answer { call, part } => self.answer(call, part),
+            Action::Dispatch(spec) => {
+                let dispatch = spec.dispatch;
+                let inputs = self.inputs.clone();
+                let handle = self.dispatcher.start(*spec, move |news| {
+                    // A closed channel means that the daemon has stopped.
+                    let _ = inputs.send(Input::Event(Event::Dispatch { dispatch, news }));
+                });
+                self.runs.insert(dispatch, handle);
+            }
+            Action::Cancel { dispatch } => {
+                if let Some(handle) = self.runs.remove(&dispatch) {
+                    handle.abort();
+                }
+            }
+            Action::Send { .. } | Action::Platform { .. } => {}
+            Action::Exit => self.exiting = true,
+        }
+    }
+
+    fn answer(&mut self, call: CallId, part: Part) {
+        let last = matches!(part, Part::End(_));
+        let Some(parts) = self.calls.get(&call) else {
+            return;
+        };
+        let sent = parts.try_send(part).is_ok();
+        if last || !sent {
+            self.calls.remove(&call);
+        }
+        if !sent && !last {
+            // A closed channel means that the daemon has stopped.
+            let _ = self.inputs.send(Input::Event(Event::Gone { call }));
+        }
+    }
+}
+
+/// What the core's thread starts with.
+pub struct Runtime {
+    /// The core.
+    pub core: Core,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The sending side of the core's own channel.
+    pub inputs: mpsc::Sender<Input>,
+    /// Makes dispatches.
+    pub dispatcher: Dispatcher,
+}
+
+impl Runtime {
+    /// Runs the core until it says that the process may stop.
+    pub fn run(self, inputs: &mpsc::Receiver<Input>) {
+        let mut stakker = Stakker::new(Instant::now());
+        let core: ActorOwn<CoreActor> = actor!(stakker, CoreActor::init(self), ret_nop!());
+        loop {
+            stakker.run(Instant::now(), false);
+            if core.is_zombie() {
+                return;
+            }
+            match inputs.recv_timeout(TICK) {
+                Ok(input) => call!([core], input(input)),
+                Err(RecvTimeoutError::Timeout) => {
+                    call!([core], input(Input::Event(Event::Tick)));
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            // What has gathered meanwhile goes in the same round.
+            for input in inputs.try_iter().take(BATCH) {
+                call!([core], input(input));
+            }
+        }
+    }
+}
+
+/// How often the core looks at its timers when nothing happens.
+const TICK: Duration = Duration::from_millis(20);
+
+/// The most inputs of one round.
+const BATCH: usize = 256;
