Keep the configuration in force from a manifest and its pages

One root manifest names immutable pages by their BLAKE3 digests; organisations and endpoints lie in buckets by hash, so that one change rewrites one page. The controller watches the manifest, learns of newer revisions from peers' messages, loads pages from a peer or the service, and swaps its view only as a whole and only upwards. Damaged, missing, older and forked documents are counted and passed over.

Weighed: pages named by the digest of their body alone. Ruled out, because a page that leaves the manifest is to be removed later, and a later change that wrote the same body would name it again just before its removal; the first line of each page therefore names its change.

--- a/crates/siskinyoke-control/src/configuration/mod.rs
+++ b/crates/siskinyoke-control/src/configuration/mod.rs
@@ -1,8 +1,23 @@
 //! Configuration: the operators' documents and the view of them that requests are decided by.
 
+mod alarms;
+mod check;
+mod controller;
+mod digest;
 mod document;
+mod fault;
+mod file;
+mod manifest;
+mod page;
+mod seek;
+mod stored;
 mod view;
 
+pub use alarms::Alarms;
+pub use check::check;
+pub use controller::ConfigurationController;
+pub use controller::Event;
+pub use digest::PageDigest;
 pub use document::ConfigurationDoc;
 pub use document::EndpointDoc;
 pub use document::EndpointKind;
@@ -14,5 +29,13 @@
 pub use document::RouteDoc;
 pub use document::TierDoc;
 pub use document::TierPreset;
+pub use fault::Fault;
+pub use file::read_file;
+pub use manifest::MANIFEST_KEY;
+pub use manifest::Manifest;
+pub use manifest::PageList;
+pub use manifest::RecentChange;
+pub use manifest::RetiredPage;
+pub use stored::Stored;
 pub use view::Resolved;
 pub use view::View;
