Quarantine contents that crash the endpoints they run on

Cause: one request that crashes each endpoint, sent again by its caller under new identities through other instances, takes down the pool one endpoint a sending.

A content in flight when an endpoint's process dies is suspect by its digest, runs again apart, is cleared by a run to its end, and is refused everywhere after a second death. Message::Suspects now carries the endpoints of the deaths and their ages: with a bare count two instances that saw one death made two of it. Ruled out: suspecting every break, as a cut data centre would then run all its requests in single file; a refused connection within 3 s proves the death.

--- a/crates/siskinyoke-base/src/message.rs
+++ b/crates/siskinyoke-base/src/message.rs
@@ -77,8 +77,8 @@
     LeaseGrant(LeaseGrant),
     /// Contents that were in flight when an endpoint's process died.
     Suspects {
-        /// Their digests, and how many deaths each was involved in.
-        digests: Vec<([u8; 32], u8)>,
+        /// What the sender knows of each.
+        suspects: Vec<Suspect>,
     },
     /// Usage of the sender, held for it in case it dies.
     Usage {
@@ -207,6 +207,19 @@
     Gone,
 }
 
+/// What an instance knows of a content that may crash endpoints.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The content's digest.
+    pub digest: [u8; 32],
+    /// Endpoints that died with it in flight, and how long ago.
+    pub deaths: Vec<(crate::EndpointId, Millis)>,
+    /// How long ago it was last seen to run to its end.
+    pub cleared: Option<Millis>,
+    /// How long ago the sender began to run it apart, if it still does.
+    pub trial: Option<Millis>,
+}
+
 /// Demand for shared capacity by one instance.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct LeaseReport {
--- a/crates/siskinyoke-policy/src/lib.rs
+++ b/crates/siskinyoke-policy/src/lib.rs
@@ -1,5 +1,6 @@
 //! Every decision under load, as pure code: events and the time go in, decisions come out.
 
+pub mod quarantine;
 pub mod scheduler;
 pub mod simple;
 pub mod work;
