Prove the request path on scripted scenarios and random histories in virtual time

Cause: numbers of forwarded requests begin anew with each start, and the owner's late answer to the dead start met the same number. Ruled out: key collisions (keys differed), the ledger (the owner gave the right answer). Now parts carry the asker's incarnation. An end without the whole answer now holds at any place. A second head is now dropped, and one that begins something else counts as broken off. A sending that says it is a resend now gets EarlierUnknown where nobody here can know. - a gap in forwarded parts was asked for once for each later part, which multiplied whole answers; now once a second.

--- a/crates/siskinyoke-base/src/code.rs
+++ b/crates/siskinyoke-base/src/code.rs
@@ -138,6 +138,8 @@
     TicketLapsed = 4004, Unknown, 409, "The ticket has lapsed; an earlier sending may have run.";
     /// The claim is held by a daemon that is gone, or its outcome is not known.
     ClaimLost = 4005, Unknown, 409, "Whether this request ran is not known; its claim is another's.";
+    /// This sending was refused, and an earlier one may have run.
+    EarlierUnknown = 4006, Unknown, 503, "This sending was not run, but an earlier one may have; send it again under the same identity.";
 
     /// The change was accepted.
     Accepted = 5000, Done, 200, "The change is accepted.";
@@ -152,6 +154,11 @@
 }
 
 impl Code {
+    /// Tells whether the whole answer goes with it, so that a stream may end as a whole one.
+    pub const fn is_whole(self) -> bool {
+        matches!(self, Self::Complete | Self::EndpointError)
+    }
+
     /// Returns the code's number.
     pub const fn number(self) -> u16 {
         self as u16
--- a/crates/siskinyoke-base/src/message.rs
+++ b/crates/siskinyoke-base/src/message.rs
@@ -31,6 +31,8 @@
     Forward(Box<Forward>),
     /// The head or a piece of a forwarded request's answer.
     ForwardPiece {
+        /// The receiver's start; its numbers begin anew with each.
+        asker: Incarnation,
         /// The receiver's number of the forwarded request.
         id: u64,
         /// Counts the parts of the answer from 0, so that a lost or doubled one shows.
@@ -40,7 +42,9 @@
     },
     /// The owner has taken a forwarded request in.
     ForwardAck {
-        /// The sender's number of the forwarded request.
+        /// The receiver's start; its numbers begin anew with each.
+        asker: Incarnation,
+        /// The receiver's number of the forwarded request.
         id: u64,
     },
     /// The caller of a forwarded request went away.
--- a/crates/siskinyoke-control/src/controller.rs
+++ b/crates/siskinyoke-control/src/controller.rs
@@ -43,7 +43,7 @@
 }
 
 /// Who sent a message.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Sender {
     /// The instance.
     pub instance: InstanceId,
--- a/crates/siskinyoke-control/src/core/ask.rs
+++ b/crates/siskinyoke-control/src/core/ask.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
+use super::ending::Past;
 use super::job::Listener;
 use crate::Sender;
 use crate::configuration::Resolved;
 use crate::configuration::View;
+use siskinyoke_base::CallClass;
 use siskinyoke_base::CallHead;
 use siskinyoke_base::Identity;
 use siskinyoke_base::Millis;
@@ -28,6 +30,27 @@
     pub origin: Origin,
 }
 
+impl Ask {
+    /// Tells whether its caller says that it was sent before.
+    pub fn resent(&self) -> bool {
+        self.head.retry.is_some_and(|count| count > 0)
+    }
+
+    /// Returns what may have happened to it, as long as nothing is known of its identity.
+    ///
+    /// A key without a ticket may have gone to any instance before; a plain client that does
+    /// not count its sendings cannot be told that what must run at most once was not run.
+    pub fn past(&self, class: CallClass) -> Past {
+        let plain = self.head.key.is_some() && self.head.ticket.is_none();
+        let uncounted = plain && class != CallClass::Idempotent && self.head.retry.is_none();
+        if self.resent() || uncounted {
+            Past::Earlier
+        } else {
+            Past::Untouched
+        }
+    }
+}
+
 /// How a request reached this instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Origin {
@@ -76,4 +99,6 @@
     pub resolved: Option<Resolved>,
     /// Its identity, if it came with a key.
     pub identity: Option<Identity>,
+    /// What may have happened to it before.
+    pub past: Past,
 }
--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -7,6 +7,7 @@
 use super::ask::Flow;
 use super::ask::Origin;
 use super::ask::Passed;
+use super::ending::Past;
 use super::ending::honest;
 use super::filters;
 use super::filters::Desk;
@@ -21,6 +22,7 @@
 use crate::claims::ClaimOutcome;
 use crate::configuration::Resolved;
 use crate::ledger::Standing;
+use siskinyoke_base::CallClass;
 use siskinyoke_base::CallHead;
 use siskinyoke_base::Code;
 use siskinyoke_base::Identity;
@@ -93,7 +95,7 @@
             return;
         };
         if let Some(run) = job.run.take() {
-            job.dispatched = true;
+            job.past = Past::Dispatched;
             self.runs.remove(&run.dispatch);
             self.out.push(Action::Cancel {
                 dispatch: run.dispatch,
@@ -101,7 +103,7 @@
             self.scheduler.finished(now, id, Finish::Cancelled);
         }
         self.scheduler.withdraw(now, id);
-        let end = honest(end, job.dispatched);
+        let end = honest(end, job.past);
         log_end(&job, &end);
         let complete = end.code.kind() == Kind::Done;
         let listeners = std::mem::take(&mut job.listeners);
@@ -135,9 +137,15 @@
         }
         match listener {
             Listener::Call(call) => self.out.answer(*call, part),
-            Listener::Peer { instance, id } => {
-                self.out
-                    .send(instance, Message::ForwardPiece { id: *id, seq, part });
+            Listener::Peer { peer, id } => {
+                let asker = peer.incarnation;
+                let message = Message::ForwardPiece {
+                    asker,
+                    id: *id,
+                    seq,
+                    part,
+                };
+                self.out.send(&peer.instance, message);
             }
         }
     }
@@ -162,6 +170,7 @@
             log::info!("leaving: {} requests are open", self.jobs.len());
             self.leaving = Some(Leaving {
                 quiet: now,
+                looked: now,
                 exited: false,
             });
         }
@@ -172,8 +181,12 @@
         let Some(leaving) = &mut self.leaving else {
             return;
         };
+        // A process that stood still wakes with requests waiting in its sockets; leaving at once
+        // would cut them off unread.
+        let stood_still = now.since(leaving.looked) >= STANDSTILL;
+        leaving.looked = now;
         let busy = !self.jobs.is_empty() || !self.forwards.is_empty() || !self.claiming.is_empty();
-        if busy {
+        if busy || stood_still {
             leaving.quiet = now;
         } else if !leaving.exited && now.since(leaving.quiet) >= self.settings.linger {
             leaving.exited = true;
@@ -199,7 +212,7 @@
             arrived: ask.arrived,
             deadline: ask.arrived + remaining,
             run: None,
-            dispatched: false,
+            past: passed.past,
             parts: Vec::new(),
             seq: 0,
             events: 0,
@@ -286,7 +299,10 @@
                 rng: &mut self.rng,
             };
             if !self.claims.begin(&mut cx, &identity) {
-                let end = End::new(Code::NoClaim).after(RETRY_SOON);
+                let end = honest(
+                    End::new(Code::NoClaim).after(RETRY_SOON),
+                    ask.past(CallClass::NonIdempotent),
+                );
                 return self.give(&ask.listener, Part::End(end), 0);
             }
             self.ledger.set(&identity, Standing::Claiming);
@@ -309,7 +325,11 @@
             ClaimOutcome::Forgotten => End::new(Code::ClaimLost),
             ClaimOutcome::Failed => End::new(Code::NoClaim).after(RETRY_SOON),
         };
-        self.give(&ask.listener, Part::End(end), 0);
+        self.give(
+            &ask.listener,
+            Part::End(honest(end, ask.past(CallClass::NonIdempotent))),
+            0,
+        );
     }
 
     fn listener_gone(&mut self, now: Millis, listener: &Listener, id: WorkId) {
@@ -383,6 +403,10 @@
     }
 }
 
+/// How long the core must have had no event to count as having stood still; ticks come far more
+/// often than this.
+const STANDSTILL: Millis = Millis(500);
+
 /// Logs how a request ended; never a caller's key or text.
 fn log_end(job: &Job, end: &End) {
     let name = job.identity.as_ref().map(ToString::to_string);
--- a/crates/siskinyoke-control/src/core/dispatching.rs
+++ b/crates/siskinyoke-control/src/core/dispatching.rs
@@ -1,6 +1,7 @@
 //! Endpoints' side of the core: dispatches, their news, retries and resumes.
 
 use super::Core;
+use super::ending::Past;
 use super::event::DispatchNews;
 use super::filters::RETRY_SOON;
 use super::job::Job;
@@ -58,7 +59,7 @@
             return;
         };
         let Some(run) = job.run.take() else { return };
-        job.dispatched = true;
+        job.past = Past::Dispatched;
         self.runs.remove(&run.dispatch);
         self.out.push(Action::Cancel {
             dispatch: run.dispatch,
@@ -89,14 +90,12 @@
                 content,
                 stream,
             } => {
-                self.head(
-                    id,
-                    Part::Head {
-                        status,
-                        content,
-                        stream,
-                    },
-                );
+                let part = Part::Head {
+                    status,
+                    content,
+                    stream,
+                };
+                self.head(now, id, dispatch, part);
             }
             DispatchNews::Piece(bytes) => {
                 self.scheduler.first_piece(now, id);
@@ -106,20 +105,26 @@
         }
     }
 
-    /// Takes the head of an answer; a resumed stream's second head is dropped.
-    fn head(&mut self, id: WorkId, part: Part) {
+    /// Takes the head of an answer.
+    ///
+    /// Where the listeners have a stream's head already, a second one is dropped; if it begins
+    /// something else than that stream, an error's page for instance, it counts as broken off.
+    fn head(&mut self, now: Millis, id: WorkId, dispatch: DispatchId, part: Part) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        job.dispatched = true;
-        if job.events > 0 {
+        job.past = Past::Dispatched;
+        if job.streaming && job.seq > 0 {
+            if job.parts.first() != Some(&part) {
+                self.out.push(Action::Cancel { dispatch });
+                let end = End::new(Code::Broken).detail("the stream could not be resumed");
+                self.failed(now, id, dispatch, Finish::Broken, &end);
+            }
             return;
         }
         job.parts.clear();
         job.streaming = matches!(part, Part::Head { stream: true, .. });
-        if job.seq == 0 || !job.streaming {
-            self.part(id, part);
-        }
+        self.part(id, part);
     }
 
     /// Holds a part of an answer, and gives it on at once if the answer is a stream.
@@ -150,7 +155,7 @@
             return;
         };
         job.run = None;
-        job.dispatched = true;
+        job.past = Past::Dispatched;
         let output = job.events;
         let code = if job.status() >= 400 {
             Code::EndpointError
@@ -167,7 +172,9 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        job.dispatched |= how != Finish::Unreachable;
+        if how != Finish::Unreachable {
+            job.past = Past::Dispatched;
+        }
         if let Some(run) = job.run.take() {
             job.avoid.push(run.endpoint);
         }
@@ -184,7 +191,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let allowed = !job.dispatched || job.repeatable();
+        let allowed = job.past != Past::Dispatched || job.repeatable();
         let resumable = job.events == 0 || job.avoid_unable();
         if !allowed || !resumable || job.attempts >= attempts {
             return self.end(now, id, end.clone());
--- a/crates/siskinyoke-control/src/core/filters.rs
+++ b/crates/siskinyoke-control/src/core/filters.rs
@@ -4,6 +4,8 @@
 use super::ask::Flow;
 use super::ask::Origin;
 use super::ask::Passed;
+use super::ending::Past;
+use super::ending::honest;
 use super::roster::Roster;
 use super::settings::CoreSettings;
 use crate::Sender;
@@ -14,6 +16,7 @@
 use siskinyoke_base::CallClass;
 use siskinyoke_base::Code;
 use siskinyoke_base::Identity;
+use siskinyoke_base::Kind;
 use siskinyoke_base::Millis;
 use siskinyoke_base::Ticket;
 use siskinyoke_base::message::End;
@@ -67,7 +70,8 @@
         // An instance cut off from the service and from all peers may miss an accepted change
         // and would go on serving under a revision that is no longer in force.
         if ask.view.revision == 0 || desk.isolated {
-            return Flow::End(End::new(Code::NoConfiguration).after(RETRY_SOON));
+            let end = End::new(Code::NoConfiguration).after(RETRY_SOON);
+            return Flow::End(honest(end, ask.past(CallClass::default())));
         }
         Flow::Next(passed)
     }
@@ -94,12 +98,13 @@
 impl Filter for Keyed {
     fn apply(&self, _desk: &mut Desk<'_>, ask: &Ask, passed: Passed) -> Flow {
         let class = class_of(&passed);
-        let resent = ask.head.retry.is_some_and(|count| count > 0);
-        let needed = class == CallClass::NonIdempotent || class == CallClass::AtMostOnce && resent;
+        let needed =
+            class == CallClass::NonIdempotent || class == CallClass::AtMostOnce && ask.resent();
         if ask.head.key.is_none() && needed {
-            return Flow::End(End::new(Code::KeyRequired));
+            return Flow::End(honest(End::new(Code::KeyRequired), ask.past(class)));
         }
-        Flow::Next(passed)
+        let past = ask.past(class);
+        Flow::Next(Passed { past, ..passed })
     }
 }
 
@@ -150,7 +155,7 @@
             .live()
             .first()
             .map(|record| record.caller.clone());
-        Flow::End(end)
+        Flow::End(honest(end, passed.past))
     }
 }
 
@@ -266,7 +271,8 @@
         return Admit.apply(desk, ask, passed);
     }
     if entry.is_none() && !desk.ledger.open(identity, ask.digest, expiry) {
-        return Flow::End(End::new(Code::LedgerFull).after(RETRY_SOON));
+        let end = End::new(Code::LedgerFull).after(RETRY_SOON);
+        return Flow::End(honest(end, passed.past));
     }
     Flow::Claim(identity.clone(), true)
 }
@@ -279,10 +285,11 @@
     identity: &Identity,
     absent: Absent,
 ) -> Flow {
-    let next = Flow::Next(Passed {
+    let next = Passed {
         identity: Some(identity.clone()),
+        past: past_of(desk, ask, passed, identity),
         ..passed.clone()
-    });
+    };
     if let Some(entry) = desk.ledger.get(identity) {
         return held(ask, passed, identity, entry, next);
     }
@@ -291,25 +298,45 @@
         Absent::Open(expiry) => {
             // A leaving daemon takes in nothing that it has not seen.
             if !desk.leaving && !desk.ledger.open(identity, ask.digest, expiry) {
-                return Flow::End(End::new(Code::LedgerFull).after(RETRY_SOON));
+                let end = End::new(Code::LedgerFull).after(RETRY_SOON);
+                return Flow::End(honest(end, next.past));
             }
-            next
+            Flow::Next(next)
         }
     }
 }
 
-fn held(ask: &Ask, passed: &Passed, identity: &Identity, entry: &Entry, next: Flow) -> Flow {
+/// Returns what may have happened to a request whose identity is owned or adopted here.
+///
+/// What must run at most once is dispatched by its owner alone, so the owner's ledger knows all
+/// of its past. What may run again may have been adopted by another instance meanwhile.
+fn past_of(desk: &Desk<'_>, ask: &Ask, passed: &Passed, identity: &Identity) -> Past {
+    let owned = identity.owner == desk.me.incarnation;
+    if owned && class_of(passed) != CallClass::Idempotent {
+        Past::Untouched
+    } else if owned {
+        ask.past(CallClass::Idempotent)
+    } else {
+        Past::Earlier
+    }
+}
+
+fn held(ask: &Ask, passed: &Passed, identity: &Identity, entry: &Entry, next: Passed) -> Flow {
     if entry.digest != ask.digest {
         return Flow::End(End::new(Code::KeyReused));
     }
     match &entry.standing {
-        Standing::Idle => next,
+        Standing::Idle => Flow::Next(next),
         Standing::Claiming => Flow::Claim(identity.clone(), false),
         Standing::Running(work) => Flow::Join(*work),
         Standing::Ended { end, .. } => {
-            let unknown = end.code.kind() == siskinyoke_base::Kind::Unknown;
+            let unknown = end.code.kind() == Kind::Unknown;
             if unknown && class_of(passed) == CallClass::Idempotent {
-                return next;
+                // It may have run before, so no refusal of this sending may say "not run".
+                return Flow::Next(Passed {
+                    past: Past::Earlier,
+                    ..next
+                });
             }
             Flow::Replay(identity.clone())
         }
--- a/crates/siskinyoke-control/src/core/forwarding.rs
+++ b/crates/siskinyoke-control/src/core/forwarding.rs
@@ -23,14 +23,19 @@
     /// once more from its start, and drops what it has already.
     pub(super) fn forwarded(&mut self, now: Millis, from: &Sender, forward: Forward) {
         let listener = Listener::Peer {
-            instance: from.instance.clone(),
+            peer: from.clone(),
             id: forward.id,
         };
         if forward.owner != self.me.incarnation {
             return self.give(&listener, Part::End(End::new(Code::OwnerGone)), 0);
         }
-        self.out
-            .send(&from.instance, Message::ForwardAck { id: forward.id });
+        self.out.send(
+            &from.instance,
+            Message::ForwardAck {
+                asker: from.incarnation,
+                id: forward.id,
+            },
+        );
         if matches!(self.calls.get(&listener), Some(Place::Claim(_))) {
             return;
         }
--- a/crates/siskinyoke-control/src/core/forwards.rs
+++ b/crates/siskinyoke-control/src/core/forwards.rs
@@ -66,12 +66,21 @@
     ) -> Option<Forwarded> {
         let forwarded = self.open.get_mut(&id)?;
         forwarded.heard = now;
+        // An end without the whole answer holds at any place: the owner keeps no parts of what
+        // it could not finish, so asked again it gives nothing but that end, numbered 0.
+        if matches!(part, Part::End(end) if !end.code.is_whole()) {
+            return self.open.remove(&id);
+        }
         if seq < forwarded.seq {
             return None;
         }
         if seq > forwarded.seq {
-            forwarded.asked = now;
-            ask(id, forwarded, now, out);
+            // Every later part shows the same gap; asking for each would answer one lost
+            // message with a storm of whole answers.
+            if now.since(forwarded.asked) >= ASK_AGAIN {
+                forwarded.asked = now;
+                ask(id, forwarded, now, out);
+            }
             return None;
         }
         forwarded.seq += 1;
--- a/crates/siskinyoke-control/src/core/job.rs
+++ b/crates/siskinyoke-control/src/core/job.rs
@@ -2,15 +2,16 @@
 
 use std::sync::Arc;
 
+use super::ending::Past;
 use crate::CallId;
 use crate::DispatchId;
+use crate::Sender;
 use crate::configuration::Resolved;
 use crate::configuration::View;
 use siskinyoke_base::CallClass;
 use siskinyoke_base::CallHead;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::Identity;
-use siskinyoke_base::InstanceId;
 use siskinyoke_base::Millis;
 use siskinyoke_base::message::Part;
 use siskinyoke_policy::Work;
@@ -35,8 +36,8 @@
     pub deadline: Millis,
     /// Where it runs now.
     pub run: Option<Run>,
-    /// Whether a first byte may ever have left for an endpoint.
-    pub dispatched: bool,
+    /// What may have happened to it so far.
+    pub past: Past,
     /// The parts of its answer that are kept.
     pub parts: Vec<Part>,
     /// The number of the next part to give to the listeners.
@@ -67,8 +68,8 @@
     Call(CallId),
     /// A peer whose caller's request was forwarded here.
     Peer {
-        /// The peer.
-        instance: InstanceId,
+        /// The peer's start, as another start of it uses the same numbers for other callers.
+        peer: Sender,
         /// The peer's number of the request.
         id: u64,
     },
--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -26,10 +26,14 @@
 use crate::Action;
 use crate::CallId;
 use crate::Context;
+use crate::Controller;
 use crate::DispatchId;
+use crate::OpId;
 use crate::Outbox;
+use crate::Reply;
 use crate::Sender;
 use crate::claims::Claims;
+use crate::configuration::ConfigurationController;
 use crate::configuration::ConfigurationDoc;
 use crate::configuration::EndpointDoc;
 use crate::configuration::View;
@@ -48,6 +52,7 @@
 use siskinyoke_policy::TierWeights;
 use siskinyoke_policy::WorkId;
 
+pub use self::ending::Past;
 pub use self::ending::honest;
 pub use self::event::DispatchNews;
 pub use self::event::Event;
@@ -69,6 +74,7 @@
     rng: ChaCha8Rng,
     out: Outbox,
     view: Arc<View>,
+    configuration: ConfigurationController,
     scheduler: Box<dyn Scheduler>,
     roster: Box<dyn Roster>,
     ledger: Ledger,
@@ -101,6 +107,8 @@
 struct Leaving {
     /// When the last answer was given.
     quiet: Millis,
+    /// When the core last looked whether it may stop.
+    looked: Millis,
     /// Whether the process was told to stop.
     exited: bool,
 }
@@ -141,6 +149,7 @@
             rng,
             out: Outbox::default(),
             view: Arc::new(View::default()),
+            configuration: ConfigurationController::default(),
             scheduler: parts.scheduler,
             roster: parts.roster,
             threshold: Threshold::default(),
@@ -164,20 +173,12 @@
             Event::Gone { call } => self.gone(now, &Listener::Call(call)),
             Event::Dispatch { dispatch, news } => self.dispatch_news(now, dispatch, news),
             Event::Peer(envelope) => self.peer(now, *envelope),
-            Event::Platform { op, reply } => {
-                let mut cx = Context {
-                    now,
-                    out: &mut self.out,
-                    rng: &mut self.rng,
-                };
-                if self.claims.reply(&mut cx, op, &reply) {
-                    self.claimed(now);
-                }
-            }
+            Event::Platform { op, reply } => self.platform(now, op, &reply),
             Event::Load { endpoint, report } => self.scheduler.report(now, &endpoint, &report),
             Event::Leave => self.leave(now),
             Event::Tick => {}
         }
+        self.control(now);
         self.settle(now);
         self.out.take()
     }
@@ -207,6 +208,16 @@
         self.view = view;
     }
 
+    /// Says whether this daemon is one of the few that watch the configuration at the service.
+    pub fn set_watching(&mut self, now: Millis, watching: bool) {
+        let mut cx = Context {
+            now,
+            out: &mut self.out,
+            rng: &mut self.rng,
+        };
+        self.configuration.set_watching(&mut cx, watching);
+    }
+
     /// Replaces what is known of the other instances.
     pub fn set_roster(&mut self, roster: Box<dyn Roster>) {
         self.roster = roster;
@@ -247,24 +258,74 @@
         self.threshold.rank()
     }
 
+    /// Wraps a message for a peer.
+    pub fn envelope(&self, message: Message) -> Envelope {
+        Envelope {
+            from: self.me.instance.clone(),
+            incarnation: self.me.incarnation,
+            revision: self.configuration.revision(),
+            message,
+        }
+    }
+
+    fn platform(&mut self, now: Millis, op: OpId, reply: &Reply) {
+        let mut cx = Context {
+            now,
+            out: &mut self.out,
+            rng: &mut self.rng,
+        };
+        if self.claims.reply(&mut cx, op, reply) {
+            return self.claimed(now);
+        }
+        self.configuration.reply(&mut cx, op, reply);
+    }
+
+    /// Lets the controllers do what is due.
+    fn control(&mut self, now: Millis) {
+        let mut cx = Context {
+            now,
+            out: &mut self.out,
+            rng: &mut self.rng,
+        };
+        if self.configuration.next() <= now {
+            self.configuration.tick(&mut cx);
+        }
+        if !self.configuration.take_events().is_empty() {
+            self.set_view(now, self.configuration.view().clone());
+        }
+    }
+
     fn peer(&mut self, now: Millis, envelope: Envelope) {
         let from = Sender {
             instance: envelope.from,
             incarnation: envelope.incarnation,
         };
+        let mut cx = Context {
+            now,
+            out: &mut self.out,
+            rng: &mut self.rng,
+        };
+        let revision = envelope.revision;
+        self.configuration
+            .observe_revision(&mut cx, &from.instance, revision);
+        self.configuration
+            .message(&mut cx, &from, &envelope.message);
         match envelope.message {
             Message::Forward(forward) => self.forwarded(now, &from, *forward),
-            Message::ForwardAck { id } => self.forwards.acknowledge(now, id),
-            Message::ForwardPiece { id, seq, part } => self.forward_part(now, id, seq, part),
-            Message::ForwardGone { id } => {
-                self.gone(
-                    now,
-                    &Listener::Peer {
-                        instance: from.instance,
-                        id,
-                    },
-                );
+            Message::ForwardAck { asker, id } if asker == self.me.incarnation => {
+                self.forwards.acknowledge(now, id);
+            }
+            // Numbers begin anew with each start: an answer that an earlier start of this
+            // instance asked for would reach another caller, whose request has its number now.
+            Message::ForwardPiece {
+                asker,
+                id,
+                seq,
+                part,
+            } if asker == self.me.incarnation => {
+                self.forward_part(now, id, seq, part);
             }
+            Message::ForwardGone { id } => self.gone(now, &Listener::Peer { peer: from, id }),
             Message::Threshold { rank, span, round } => {
                 let scheduler = self.scheduler.as_mut();
                 self.threshold
--- a/crates/siskinyoke-daemon/src/http/answer.rs
+++ b/crates/siskinyoke-daemon/src/http/answer.rs
@@ -17,7 +17,6 @@
 
 use super::listener::Exchange;
 use siskinyoke_base::Code;
-use siskinyoke_base::Kind;
 use siskinyoke_base::message::End;
 use siskinyoke_base::message::Part;
 
@@ -55,7 +54,7 @@
             Part::Piece(bytes) => body.push(bytes),
             Part::End(end) => {
                 exchange.ended(end.code);
-                let Some((status, content)) = head.filter(|_| end.code.kind() == Kind::Done) else {
+                let Some((status, content)) = head.filter(|_| end.code.is_whole()) else {
                     return refused(&end);
                 };
                 return whole(status, &content, &body, &end);
@@ -142,7 +141,7 @@
         end.code.number(),
         end.code.kind()
     );
-    if end.code.kind() == Kind::Done {
+    if end.code.is_whole() {
         return note + TERMINATOR;
     }
     format!("{note}event: error\ndata: {}\n\n", error_body(end))
--- a/crates/siskinyoke-daemon/src/http/read.rs
+++ b/crates/siskinyoke-daemon/src/http/read.rs
@@ -145,7 +145,7 @@
         bearer: bearer(headers)?,
         key: text(headers, "idempotency-key")?.map(str::to_owned),
         ticket: text(headers, "siskinyoke-ticket")?.map(str::to_owned),
-        retry: number(headers, "siskinyoke-retry")?,
+        retry: retry(headers)?,
         care: care(headers)?,
         need: number(headers, "siskinyoke-need")?.map(|need| Millis(u64::from(need))),
         stream: false,
@@ -157,6 +157,16 @@
     })
 }
 
+/// Reads how many times the request was sent before.
+///
+/// The published OpenAI client libraries count their resends in a header of their own.
+fn retry(headers: &HeaderMap) -> Result<Option<u32>, End> {
+    match number(headers, "siskinyoke-retry")? {
+        Some(count) => Ok(Some(count)),
+        None => number(headers, "x-stainless-retry-count"),
+    }
+}
+
 fn service(path: &str, query: Option<&str>) -> Option<Target> {
     let rest = path.strip_prefix("/v1/services/")?;
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
--- a/crates/siskinyoke-policy/src/simple.rs
+++ b/crates/siskinyoke-policy/src/simple.rs
@@ -135,16 +135,19 @@
 }
 
 impl Simple {
-    /// Returns the endpoint with the least work that has room.
+    /// Returns the endpoint with the least work that has room; one that failed the work is
+    /// taken only where every other did too.
     fn place(&self, work: &Work) -> Option<EndpointId> {
         let load = |id: &EndpointId| self.running.values().filter(|(at, _)| at == id).count();
-        self.endpoints
-            .values()
-            .filter(|spec| spec.targets.contains(&work.target))
-            .map(|spec| (work.avoid.contains(&spec.id), load(&spec.id), spec))
-            .filter(|(_, load, spec)| *load < spec.slots as usize)
-            .min_by_key(|(avoid, load, spec)| (*avoid, *load, spec.id.clone()))
-            .map(|(_, _, spec)| spec.id.clone())
+        let able = |spec: &&EndpointSpec| spec.targets.contains(&work.target);
+        let fresh = |spec: &&EndpointSpec| !work.avoid.contains(&spec.id);
+        let all = self.endpoints.values().filter(able);
+        let any_fresh = all.clone().any(|spec| fresh(&spec));
+        all.filter(|spec| !any_fresh || fresh(spec))
+            .map(|spec| (load(&spec.id), spec))
+            .filter(|(load, spec)| *load < spec.slots as usize)
+            .min_by_key(|(load, spec)| (*load, spec.id.clone()))
+            .map(|(_, spec)| spec.id.clone())
     }
 
     fn may_shed(&self, now: Millis, rank: u8) -> bool {
--- /dev/null
+++ b/tests/src/configuration.rs
@@ -0,0 +1,86 @@
+//! The configuration of the tests: one model for each kind of work, two unlike endpoints.
+
+use serde_json::json;
+
+use siskinyoke_base::CallClass;
+use siskinyoke_control::configuration::ConfigurationDoc;
+use siskinyoke_control::configuration::View;
+
+/// The bearer key of the tests' only organisation.
+pub const KEY: &str = "test-key";
+
+/// One kind of work: its model, tier rank, whether protected, and class.
+#[derive(Debug, Clone, Copy)]
+pub struct WorkKind {
+    /// Model or service.
+    pub target: &'static str,
+    /// Rank of its tier.
+    pub rank: u8,
+    /// Whether its tier is protected.
+    pub protected: bool,
+    /// How often it may run.
+    pub class: CallClass,
+}
+
+/// The kinds of work, by what the brief says of them.
+pub const KINDS: [WorkKind; 4] = [
+    WorkKind {
+        target: "marking",
+        rank: 0,
+        protected: true,
+        class: CallClass::Idempotent,
+    },
+    WorkKind {
+        target: "paragraph",
+        rank: 1,
+        protected: false,
+        class: CallClass::AtMostOnce,
+    },
+    WorkKind {
+        target: "booking",
+        rank: 1,
+        protected: false,
+        class: CallClass::NonIdempotent,
+    },
+    WorkKind {
+        target: "batch",
+        rank: 2,
+        protected: false,
+        class: CallClass::Idempotent,
+    },
+];
+
+/// Returns the tests' configuration, with `slots` on each of two endpoints.
+///
+/// # Panics
+///
+/// Never: the document is well formed.
+pub fn view(slots: u32) -> View {
+    let tiers = ["marking", "paragraphs", "batch"];
+    let route = |kind: &WorkKind| json!({ "target": kind.target, "tier": tiers[usize::from(kind.rank)], "class": kind.class });
+    let endpoint = |resume: bool| {
+        let targets: Vec<_> = KINDS.iter().map(|kind| kind.target).collect();
+        json!({
+            "address": "127.0.0.1:1", "centre": "a", "kind": "engine",
+            "targets": targets, "slots": slots, "resume": resume,
+        })
+    };
+    let doc = json!({
+        "preset": "ordinary",
+        "tiers": [
+            { "name": "marking", "protected": true, "need": 4000 },
+            { "name": "paragraphs", "need": 2000 },
+            { "name": "batch", "need": 10000 },
+        ],
+        "presets": { "ordinary": { "prefill": 0.5, "shift": 0.1, "queue": 100 } },
+        "endpoints": { "fast": endpoint(true), "slow": endpoint(false) },
+        "organisations": {
+            "school": {
+                "keys": [blake3::hash(KEY.as_bytes()).to_hex().to_string()],
+                "routes": KINDS.iter().map(route).collect::<Vec<_>>(),
+            },
+        },
+    });
+    let doc: ConfigurationDoc = serde_json::from_value(doc).expect("the document is well formed");
+    View::new(1, doc)
+}
--- /dev/null
+++ b/tests/src/endpoint.rs
@@ -0,0 +1,88 @@
+//! An endpoint in virtual time that counts what it ran.
+
+use std::collections::BTreeMap;
+
+use siskinyoke_base::Millis;
+use siskinyoke_control::DispatchSpec;
+use siskinyoke_control::core::DispatchNews;
+
+/// An endpoint that streams numbered events, or answers whole, and counts every run by name.
+#[derive(Debug, Clone)]
+pub struct FakeEndpoint {
+    /// Whether it refuses connections.
+    pub down: bool,
+    /// Whether it takes requests and never answers.
+    pub frozen: bool,
+    /// Break the next answers after this many events.
+    pub break_after: Option<u32>,
+    /// Time to the first event.
+    pub first: Millis,
+    /// Time between events.
+    pub gap: Millis,
+    /// Events of an answer.
+    pub events: u32,
+    /// How often each request was run, by its body; resumes count, as they are dispatches.
+    pub runs: BTreeMap<String, u32>,
+}
+
+impl Default for FakeEndpoint {
+    fn default() -> Self {
+        Self {
+            down: false,
+            frozen: false,
+            break_after: None,
+            first: Millis(50),
+            gap: Millis(10),
+            events: 3,
+            runs: BTreeMap::new(),
+        }
+    }
+}
+
+impl FakeEndpoint {
+    /// Takes a request; returns the news of it, each with its delay.
+    pub fn take(&mut self, spec: &DispatchSpec) -> Vec<(Millis, DispatchNews)> {
+        if self.down {
+            let news = DispatchNews::Unreachable {
+                detail: "connection refused".into(),
+            };
+            return vec![(Millis(1), news)];
+        }
+        let body = String::from_utf8_lossy(&spec.head.body).into_owned();
+        *self.runs.entry(body).or_default() += 1;
+        if self.frozen {
+            return vec![(spec.limit, DispatchNews::TimedOut)];
+        }
+        let content = String::from("text/event-stream");
+        let stream = spec.head.stream;
+        let mut out = vec![(
+            self.first,
+            DispatchNews::Head {
+                status: 200,
+                content,
+                stream,
+            },
+        )];
+        let mut at = self.first;
+        for number in spec.resume..self.events {
+            if self.break_after.is_some_and(|limit| number >= limit) {
+                let detail = String::from("connection reset");
+                out.push((at, DispatchNews::Broken { detail }));
+                return out;
+            }
+            at += self.gap;
+            out.push((
+                at,
+                DispatchNews::Piece(piece(spec.head.body.as_ref(), number)),
+            ));
+        }
+        out.push((at, DispatchNews::Whole));
+        out
+    }
+}
+
+/// Returns an answer's event: it shows whose answer it is and which place it has.
+pub fn piece(body: &[u8], number: u32) -> bytes::Bytes {
+    let text = String::from_utf8_lossy(body);
+    format!("{text}#{number}").into()
+}
