--- a/tests/tests/histories.rs
+++ b/tests/tests/histories.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+
 use siskinyoke_base::Millis;
 use siskinyoke_control::CallId;
 use siskinyoke_control::core::Event;
