--- /dev/null
+++ b/crates/siskinyoke-standin/src/engine/batch.rs
@@ -0,0 +1,144 @@
+//! Continuous batching: slots, the queue before them, and the order of prefill.
+
+use std::collections::VecDeque;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use siskinyoke_base::Clock;
+use siskinyoke_base::Millis;
+use siskinyoke_base::clock::SystemClock;
+
+/// How often a waiting request looks whether its caller is still there.
+const PACE: Duration = Duration::from_millis(10);
+
+/// Load samples kept for metrics that lag.
+const SAMPLES: usize = 65_536;
+
+/// The requests inside an engine.
+#[derive(Debug)]
+pub struct Batch {
+    clock: SystemClock,
+    slots: u32,
+    state: Mutex<State>,
+    freed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    running: u32,
+    queue: VecDeque<u64>,
+    drawn: u64,
+    prefill: Duration,
+    samples: VecDeque<(Millis, Load)>,
+}
+
+/// How busy an engine is.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests in a slot.
+    pub running: u32,
+    /// Requests that wait for one.
+    pub waiting: u32,
+}
+
+/// A place among the running requests, given back when dropped.
+#[derive(Debug)]
+pub struct Slot<'a>(&'a Batch);
+
+impl Batch {
+    /// Makes a batch of so many slots.
+    pub fn new(slots: u32) -> Self {
+        Self {
+            clock: SystemClock::start(),
+            slots,
+            state: Mutex::default(),
+            freed: Condvar::new(),
+        }
+    }
+
+    /// Waits in the order of arrival for a slot; nothing if the caller went away.
+    pub fn enter(&self, alive: &dyn Fn() -> bool) -> Option<Slot<'_>> {
+        let mut state = self.lock();
+        state.drawn += 1;
+        let ticket = state.drawn;
+        state.queue.push_back(ticket);
+        self.sample(&mut state);
+        while state.running >= self.slots || state.queue.front() != Some(&ticket) {
+            let waited = self.freed.wait_timeout(state, PACE);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+            if !alive() {
+                state.queue.retain(|other| *other != ticket);
+                self.sample(&mut state);
+                self.freed.notify_all();
+                return None;
+            }
+        }
+        state.queue.pop_front();
+        state.running += 1;
+        self.sample(&mut state);
+        self.freed.notify_all();
+        Some(Slot(self))
+    }
+
+    /// Works a prompt through after those before it; false if the caller went away.
+    pub fn prefill(&self, work: Duration, alive: &dyn Fn() -> bool) -> bool {
+        let now = Duration::from(self.clock.now());
+        let end = {
+            let mut state = self.lock();
+            state.prefill = state.prefill.max(now) + work;
+            state.prefill
+        };
+        rest(end.saturating_sub(now), alive)
+    }
+
+    /// Returns the load as it was a while ago.
+    pub fn load(&self, lag: Millis) -> Load {
+        let now = self.clock.now();
+        let state = self.lock();
+        let mut past = state.samples.iter().rev();
+        let seen = past.find(|(at, _)| *at + lag <= now);
+        seen.map_or_else(Load::default, |(_, load)| *load)
+    }
+
+    fn sample(&self, state: &mut State) {
+        let load = Load {
+            running: state.running,
+            waiting: u32::try_from(state.queue.len()).unwrap_or(u32::MAX),
+        };
+        state.samples.push_back((self.clock.now(), load));
+        if state.samples.len() > SAMPLES {
+            state.samples.pop_front();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        let mut state = self.0.lock();
+        state.running -= 1;
+        self.0.sample(&mut state);
+        drop(state);
+        self.0.freed.notify_all();
+    }
+}
+
+/// Sleeps for a span in short steps; false as soon as the caller has gone away.
+pub fn rest(mut span: Duration, alive: &dyn Fn() -> bool) -> bool {
+    while !span.is_zero() {
+        let step = span.min(PACE);
+        thread::sleep(step);
+        span -= step;
+        if !alive() {
+            return false;
+        }
+    }
+    alive()
+}
--- /dev/null
+++ b/crates/siskinyoke-standin/src/engine/chat.rs
@@ -0,0 +1,151 @@
+//! The OpenAI-compatible form of a chat completion.
+
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use super::cache::Hit;
+use crate::answer::Answer;
+
+/// The end of every whole stream.
+pub const TERMINATOR: &str = "data: [DONE]\n\n";
+
+/// The time that answers bear, in seconds; it is fixed, so that a resumed stream is the same.
+const CREATED: u64 = 1_767_225_600;
+
+/// `POST /v1/chat/completions`, as far as the stand-in looks at it.
+#[derive(Debug, Deserialize)]
+pub struct ChatRequest {
+    /// The model asked for.
+    pub model: String,
+    /// The conversation.
+    pub messages: Vec<Message>,
+    /// Whether the answer is streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// The most tokens of the answer, in the older form.
+    pub max_tokens: Option<u32>,
+    /// The most tokens of the answer.
+    pub max_completion_tokens: Option<u32>,
+    /// What a stream is to hold besides.
+    #[serde(default)]
+    pub stream_options: StreamOptions,
+}
+
+/// What a stream is to hold besides its pieces.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct StreamOptions {
+    /// Whether it ends with the usage.
+    pub include_usage: bool,
+}
+
+/// One message of a conversation.
+#[derive(Debug, Deserialize)]
+pub struct Message {
+    /// Who speaks.
+    pub role: String,
+    /// What is said: a text, or parts of which some are text.
+    #[serde(default)]
+    pub content: Value,
+}
+
+impl Message {
+    /// Returns the text of the message.
+    pub fn text(&self) -> String {
+        match &self.content {
+            Value::String(text) => text.clone(),
+            Value::Array(parts) => parts
+                .iter()
+                .filter_map(|part| part["text"].as_str())
+                .collect(),
+            _ => String::new(),
+        }
+    }
+}
+
+impl ChatRequest {
+    /// Returns the whole prompt.
+    pub fn prompt(&self) -> String {
+        let lines = self
+            .messages
+            .iter()
+            .map(|message| message.role.clone() + ":" + &message.text());
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
+    /// Returns the last message of the user.
+    pub fn question(&self) -> String {
+        let mut spoken = self.messages.iter().rev();
+        let last = spoken.find(|message| message.role == "user");
+        last.map(Message::text).unwrap_or_default()
+    }
+
+    /// Draws the answer.
+    pub fn answer(&self) -> Answer {
+        let limit = self.max_completion_tokens.or(self.max_tokens);
+        Answer::of(&self.question(), limit)
+    }
+}
+
+/// Writes the answer as one object.
+pub fn whole(request: &ChatRequest, answer: &Answer, hit: Hit) -> Value {
+    json!({
+        "id": answer.id,
+        "object": "chat.completion",
+        "created": CREATED,
+        "model": request.model,
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": answer.text() },
+            "finish_reason": finish(answer),
+        }],
+        "usage": usage(answer, hit),
+    })
+}
+
+/// Writes the answer as server-sent events, the terminator last.
+pub fn events(request: &ChatRequest, answer: &Answer, hit: Hit) -> Vec<String> {
+    let chunk = |delta: Value, reason: Value| {
+        let choice = json!({ "index": 0, "delta": delta, "finish_reason": reason });
+        json!({
+            "id": answer.id,
+            "object": "chat.completion.chunk",
+            "created": CREATED,
+            "model": request.model,
+            "choices": [choice],
+        })
+    };
+    let first = chunk(json!({ "role": "assistant", "content": "" }), Value::Null);
+    let mut chunks = vec![first];
+    for word in &answer.words {
+        chunks.push(chunk(json!({ "content": word }), Value::Null));
+    }
+    chunks.push(chunk(json!({}), finish(answer).into()));
+    if request.stream_options.include_usage {
+        let mut last = chunk(json!({}), Value::Null);
+        last["choices"] = json!([]);
+        last["usage"] = usage(answer, hit);
+        chunks.push(last);
+    }
+    let mut events: Vec<String> = chunks
+        .iter()
+        .map(|chunk| format!("data: {chunk}\n\n"))
+        .collect();
+    events.push(TERMINATOR.to_owned());
+    events
+}
+
+fn finish(answer: &Answer) -> &'static str {
+    if answer.cut { "length" } else { "stop" }
+}
+
+fn usage(answer: &Answer, hit: Hit) -> Value {
+    let completion = answer.words.len();
+    json!({
+        "prompt_tokens": hit.tokens,
+        "completion_tokens": completion,
+        "total_tokens": u64::from(hit.tokens) + completion as u64,
+        "prompt_tokens_details": { "cached_tokens": hit.cached },
+    })
+}
--- /dev/null
+++ b/crates/siskinyoke-standin/src/engine/mod.rs
@@ -0,0 +1,227 @@
+//! A stand-in of a model engine that batches continuously.
+
+pub mod batch;
+pub mod cache;
+pub mod chat;
+pub mod config;
+pub mod control;
+pub mod counts;
+pub mod orders;
+mod run;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+
+use serde_json::json;
+
+use crate::error::StandinError;
+use crate::gate::Gate;
+use crate::web::Exchange;
+use crate::web::Handler;
+use crate::web::Web;
+
+pub use self::config::EngineConfig;
+
+use self::batch::Batch;
+use self::cache::PrefixCache;
+use self::control::Breaks;
+use self::control::EngineControl;
+use self::control::Knobs;
+use self::counts::Counts;
+use self::orders::OrderState;
+
+/// A running stand-in engine; it stops when dropped.
+pub struct Engine {
+    web: Web,
+    shared: Arc<Shared>,
+}
+
+impl Engine {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// [`StandinError::Listen`] if an address cannot be listened on.
+    pub fn start(config: &EngineConfig) -> Result<Self, StandinError> {
+        let shared = Arc::new(Shared::new(config.clone()));
+        let handler = Arc::clone(&shared) as Arc<dyn Handler>;
+        let web = Web::start(&config.listen, &config.control, handler)?;
+        Ok(Self { web, shared })
+    }
+
+    /// Returns the address of the engine.
+    pub fn address(&self) -> SocketAddr {
+        self.web.address()
+    }
+
+    /// Returns the address that stays reachable while the engine is down.
+    pub fn control_address(&self) -> SocketAddr {
+        self.web.control()
+    }
+
+    /// Carries out orders, as `POST /control` does.
+    pub fn control(&self, orders: &EngineControl) {
+        self.shared.control(self.web.gate(), orders);
+    }
+
+    /// Returns what it has seen since it started.
+    pub fn counts(&self) -> Counts {
+        self.shared.lock().counts.clone()
+    }
+
+    /// Returns its real state, as `GET /orders` does.
+    pub fn orders(&self) -> OrderState {
+        self.shared.lock().orders.clone()
+    }
+
+    /// Stops it, cutting every connection.
+    pub fn stop(self) {
+        drop(self);
+    }
+}
+
+struct Shared {
+    config: EngineConfig,
+    batch: Batch,
+    state: Mutex<State>,
+}
+
+struct State {
+    knobs: Knobs,
+    cache: PrefixCache,
+    counts: Counts,
+    orders: OrderState,
+}
+
+impl Handler for Shared {
+    fn handle(&self, exchange: Exchange) {
+        let method = exchange.method();
+        let path = exchange.path().to_owned();
+        match (method.as_str(), path.as_str()) {
+            ("POST", "/v1/chat/completions") => self.chat(exchange),
+            ("GET", "/v1/models") => self.models(exchange),
+            ("GET", "/metrics") => {
+                exchange.reply(200, "text/plain; version=0.0.4", &self.metrics());
+            }
+            ("GET", "/health") => exchange.reply(200, "text/plain", ""),
+            ("GET", "/orders") => {
+                let orders = self.lock().orders.clone();
+                exchange.reply_json(200, &orders);
+            }
+            ("POST", "/orders") => self.order(exchange),
+            ("GET", "/control/counts") => {
+                let counts = self.lock().counts.clone();
+                exchange.reply_json(200, &counts);
+            }
+            ("POST", "/control") => self.controlled(exchange),
+            _ => exchange.reply_error(404, "no such path"),
+        }
+    }
+}
+
+impl Shared {
+    fn new(config: EngineConfig) -> Self {
+        let knobs = Knobs {
+            slow: 1.0,
+            marker: config.crash_marker.clone(),
+            breaks: Breaks::default(),
+            fenced: config.fenced,
+            lag: config.lag,
+        };
+        let orders = OrderState {
+            models: config.models.iter().cloned().collect(),
+            ..OrderState::default()
+        };
+        Self {
+            batch: Batch::new(config.slots),
+            state: Mutex::new(State {
+                knobs,
+                cache: PrefixCache::new(config.cache),
+                counts: Counts::default(),
+                orders,
+            }),
+            config,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn models(&self, exchange: Exchange) {
+        let models = self.lock().orders.models.clone();
+        let data = models
+            .iter()
+            .map(|name| json!({ "id": name, "object": "model" }));
+        let data: Vec<_> = data.collect();
+        exchange.reply_json(200, &json!({ "object": "list", "data": data }));
+    }
+
+    fn metrics(&self) -> String {
+        let (lag, usage, prefilled, cached) = {
+            let state = self.lock();
+            let counts = &state.counts;
+            (
+                state.knobs.lag,
+                state.cache.usage(),
+                counts.prefilled,
+                counts.cached,
+            )
+        };
+        let load = self.batch.load(lag);
+        let model = self.config.models.first().map_or("", String::as_str);
+        let line = |kind: &str, name: &str, value: String| {
+            format!("# TYPE vllm:{name} {kind}\nvllm:{name}{{model_name=\"{model}\"}} {value}\n")
+        };
+        [
+            line("gauge", "num_requests_running", load.running.to_string()),
+            line("gauge", "num_requests_waiting", load.waiting.to_string()),
+            line("gauge", "kv_cache_usage_perc", usage.to_string()),
+            line(
+                "counter",
+                "prefix_cache_queries_total",
+                (prefilled + cached).to_string(),
+            ),
+            line("counter", "prefix_cache_hits_total", cached.to_string()),
+        ]
+        .concat()
+    }
+
+    fn order(&self, mut exchange: Exchange) {
+        let order = match exchange.json() {
+            Ok(order) => order,
+            Err(detail) => return exchange.reply_error(400, &detail),
+        };
+        thread::sleep(self.config.order_time.into());
+        let result = {
+            let mut state = self.lock();
+            let enforced = state.knobs.fenced;
+            state.orders.take(&order, enforced)
+        };
+        match result {
+            Ok(()) => exchange.reply_json(200, &self.lock().orders.clone()),
+            Err(fenced) => exchange.reply_json(409, &fenced),
+        }
+    }
+
+    fn controlled(&self, mut exchange: Exchange) {
+        match exchange.json() {
+            Ok(orders) => {
+                // The answer leaves first: the order may shut the gate before it.
+                let gate = exchange.gate_handle();
+                exchange.reply_json(200, &json!({}));
+                self.control(&gate, &orders);
+            }
+            Err(detail) => exchange.reply_error(400, &detail),
+        }
+    }
+
+    fn control(&self, gate: &Gate, orders: &EngineControl) {
+        self.lock().knobs.apply(orders);
+        gate.order(orders.down, orders.freeze);
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-standin/src/gate.rs
@@ -0,0 +1,340 @@
+//! The door before a stand-in, which can refuse, freeze and cut connections.
+//!
+//! `tiny_http` gives no hold on its sockets, so a stand-in's server listens on an address of its
+//! own and the gate passes bytes between it and the address that others know.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::os::fd::OwnedFd;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
+
+/// Bytes passed on at once; a piece of a stream is far smaller.
+const BUFFER: usize = 16 * 1024;
+
+/// Pause before an address that is still held is tried again.
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
+
+/// Longest span that a fault may last, a day, so that the sum of instants cannot overflow.
+const LONGEST: Millis = Millis::from_secs(86_400);
+
+/// Passes connections to a stand-in's server, and breaks them when told to.
+#[derive(Debug)]
+pub struct Gate {
+    outer: SocketAddr,
+    inner: SocketAddr,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    links: Map<SocketAddr, Link>,
+    down: Option<Instant>,
+    frozen: Option<Instant>,
+    away: bool,
+    stopped: bool,
+}
+
+#[derive(Debug)]
+struct Link {
+    client: TcpStream,
+    server: TcpStream,
+}
+
+impl Link {
+    fn close(&self) {
+        // The other side may have closed already, which is what is wanted.
+        let _ = self.client.shutdown(Shutdown::Both);
+        let _ = self.server.shutdown(Shutdown::Both);
+    }
+}
+
+impl Gate {
+    /// Opens the gate on an address before a server's own.
+    ///
+    /// # Errors
+    ///
+    /// What the system says if the address cannot be listened on.
+    pub fn open(listen: &str, inner: SocketAddr) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(listen)?;
+        let gate = Arc::new(Self {
+            outer: listener.local_addr()?,
+            inner,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        });
+        let own = Arc::clone(&gate);
+        thread::spawn(move || own.accept(listener));
+        Ok(gate)
+    }
+
+    /// Returns the address that others know.
+    pub fn address(&self) -> SocketAddr {
+        self.outer
+    }
+
+    /// Cuts every connection and refuses new ones for a span; returns once they are refused.
+    pub fn down(&self, span: Millis) {
+        let mut state = self.lock();
+        state.down = Some(after(span));
+        close_all(&mut state);
+        drop(state);
+        self.wake();
+        let mut state = self.lock();
+        while let Some(rest) = state.down.and_then(left)
+            && !state.away
+            && !state.stopped
+        {
+            state = self.wait(state, rest);
+        }
+    }
+
+    /// Takes connections again; returns once they are taken.
+    pub fn up(&self) {
+        let mut state = self.lock();
+        state.down = None;
+        self.changed.notify_all();
+        while state.away && !state.stopped {
+            state = self.wait(state, REBIND_PAUSE);
+        }
+    }
+
+    /// Passes nothing on for a span while connections stay open.
+    pub fn freeze(&self, span: Millis) {
+        self.lock().frozen = Some(after(span));
+    }
+
+    /// Passes everything on again.
+    pub fn thaw(&self) {
+        self.lock().frozen = None;
+        self.changed.notify_all();
+    }
+
+    /// Carries out the orders that every stand-in takes; a span of zero ends a fault.
+    pub fn order(&self, down: Option<Millis>, freeze: Option<Millis>) {
+        match down {
+            Some(Millis::ZERO) => self.up(),
+            Some(span) => self.down(span),
+            None => {}
+        }
+        match freeze {
+            Some(Millis::ZERO) => self.thaw(),
+            Some(span) => self.freeze(span),
+            None => {}
+        }
+    }
+
+    /// Cuts the connection that the server sees under an address, behind all that it has sent.
+    ///
+    /// Closing both sides at once would lose what the gate has not passed on yet, which shows as
+    /// a broken stream that is shorter than it was told to be. What has arrived from the server
+    /// can still be read after its side is shut, and only then is the client's side closed.
+    pub fn finish(&self, seen: SocketAddr) {
+        if let Some(link) = self.lock().links.get(&seen) {
+            // The server may have closed already, which is what is wanted.
+            let _ = link.server.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Cuts the connection that the server sees under an address at once.
+    fn cut(&self, seen: SocketAddr) {
+        let link = self.lock().links.remove(&seen);
+        if let Some(link) = link {
+            link.close();
+        }
+    }
+
+    /// Says whether the connection that the server sees under an address is open.
+    pub fn holds(&self, seen: SocketAddr) -> bool {
+        self.lock().links.contains_key(&seen)
+    }
+
+    /// Says whether the gate is closed for good.
+    pub fn stopped(&self) -> bool {
+        self.lock().stopped
+    }
+
+    /// Cuts every connection and closes the gate for good.
+    pub fn stop(&self) {
+        let mut state = self.lock();
+        state.stopped = true;
+        close_all(&mut state);
+        drop(state);
+        self.wake();
+    }
+
+    /// Takes connections until the gate is stopped, away from the address while it is down.
+    fn accept(self: Arc<Self>, first: TcpListener) {
+        let mut listener = Some(first);
+        loop {
+            if self.lock().stopped {
+                return;
+            }
+            if self.is_down() {
+                listener = None;
+                self.set_away(true);
+                self.wait_up();
+                continue;
+            }
+            let Some(open) = &listener else {
+                listener = TcpListener::bind(self.outer).ok();
+                if listener.is_some() {
+                    self.set_away(false);
+                } else {
+                    thread::sleep(REBIND_PAUSE);
+                }
+                continue;
+            };
+            let Ok((client, _)) = open.accept() else {
+                continue;
+            };
+            let gate = Arc::clone(&self);
+            thread::spawn(move || gate.join(client));
+        }
+    }
+
+    /// Joins a client with the server and passes bytes both ways.
+    fn join(self: Arc<Self>, client: TcpStream) {
+        let Ok((seen, link, pair)) = self.link(client) else {
+            return;
+        };
+        {
+            let mut state = self.lock();
+            if state.stopped || state.down.is_some_and(|until| Instant::now() < until) {
+                link.close();
+                return;
+            }
+            state.links.insert(seen, link);
+        }
+        let gate = Arc::clone(&self);
+        let (up, down) = pair;
+        thread::spawn(move || gate.pass(up, seen));
+        self.pass(down, seen);
+    }
+
+    #[expect(
+        clippy::type_complexity,
+        reason = "two ways of one connection, used once"
+    )]
+    fn link(
+        &self,
+        client: TcpStream,
+    ) -> io::Result<(
+        SocketAddr,
+        Link,
+        ((TcpStream, TcpStream), (TcpStream, TcpStream)),
+    )> {
+        let server = TcpStream::connect(self.inner)?;
+        client.set_nodelay(true)?;
+        server.set_nodelay(true)?;
+        let up = (client.try_clone()?, server.try_clone()?);
+        let down = (server.try_clone()?, client.try_clone()?);
+        let seen = server.local_addr()?;
+        Ok((seen, Link { client, server }, (up, down)))
+    }
+
+    /// Passes bytes one way until either side closes, then closes the connection.
+    fn pass(&self, (mut from, mut to): (TcpStream, TcpStream), seen: SocketAddr) {
+        let mut buffer = vec![0; BUFFER];
+        while let Ok(count) = from.read(&mut buffer) {
+            self.wait_thawed();
+            if count == 0 || to.write_all(&buffer[..count]).is_err() {
+                break;
+            }
+        }
+        self.cut(seen);
+    }
+
+    fn is_down(&self) -> bool {
+        let state = self.lock();
+        state.down.is_some_and(|until| Instant::now() < until)
+    }
+
+    fn set_away(&self, away: bool) {
+        self.lock().away = away;
+        self.changed.notify_all();
+    }
+
+    fn wait_up(&self) {
+        let mut state = self.lock();
+        while let Some(rest) = state.down.and_then(left) {
+            if state.stopped {
+                return;
+            }
+            state = self.wait(state, rest);
+        }
+        state.down = None;
+    }
+
+    fn wait_thawed(&self) {
+        let mut state = self.lock();
+        while let Some(rest) = state.frozen.and_then(left) {
+            if state.stopped {
+                return;
+            }
+            state = self.wait(state, rest);
+        }
+    }
+
+    fn wait<'a>(&self, state: MutexGuard<'a, State>, rest: Duration) -> MutexGuard<'a, State> {
+        let waited = self.changed.wait_timeout(state, rest);
+        waited.unwrap_or_else(PoisonError::into_inner).0
+    }
+
+    /// Makes the accepting thread look at the state again, also while it waits for a client.
+    fn wake(&self) {
+        self.changed.notify_all();
+        let _ = TcpStream::connect(self.outer);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Listens so that accepted sockets send small pieces at once.
+///
+/// Without it the system holds a small piece of a stream back until the one before it was
+/// acknowledged, which shows as pieces that arrive in bunches 40 ms apart. An accepted socket
+/// takes the option over from the listening one; the standard library only lets a stream set it.
+///
+/// # Errors
+///
+/// What the system says if the address cannot be listened on.
+pub fn listen_undelayed(address: &str) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    let handle = TcpStream::from(OwnedFd::from(listener.try_clone()?));
+    handle.set_nodelay(true)?;
+    Ok(listener)
+}
+
+fn close_all(state: &mut State) {
+    for (_, link) in state.links.drain() {
+        link.close();
+    }
+}
+
+fn after(span: Millis) -> Instant {
+    Instant::now() + Duration::from(span.min(LONGEST))
+}
+
+fn left(until: Instant) -> Option<Duration> {
+    until
+        .checked_duration_since(Instant::now())
+        .filter(|rest| !rest.is_zero())
+}
--- a/crates/siskinyoke-standin/src/lib.rs
+++ b/crates/siskinyoke-standin/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Small stand-ins for what siskinyoke meets: platform, model engine and plain service.
+
+pub mod answer;
+pub mod engine;
+pub mod error;
+pub mod gate;
+pub mod pieces;
+pub mod platform;
+pub mod service;
+pub mod web;
+
+/// Any free port of this machine.
+pub const ANY_PORT: &str = "127.0.0.1:0";
--- /dev/null
+++ b/crates/siskinyoke-standin/src/main.rs
@@ -0,0 +1,156 @@
+//! The command line of the stand-ins.
+
+use std::process::ExitCode;
+use std::thread;
+
+use clap::Args;
+use clap::Parser;
+use clap::Subcommand;
+
+use siskinyoke_base::Millis;
+use siskinyoke_standin::engine::Engine;
+use siskinyoke_standin::engine::EngineConfig;
+use siskinyoke_standin::error::StandinError;
+use siskinyoke_standin::platform::Platform;
+use siskinyoke_standin::platform::PlatformConfig;
+use siskinyoke_standin::service::Service;
+use siskinyoke_standin::service::ServiceConfig;
+
+/// Small stand-ins for what siskinyoke meets.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs the platform: key-value service and instance list.
+    Platform(Addresses),
+    /// Runs a model engine.
+    Engine(EngineArgs),
+    /// Runs a plain service.
+    Service(ServiceArgs),
+}
+
+#[derive(Debug, Args)]
+struct Addresses {
+    /// Address to listen on; port 0 for any.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: String,
+    /// Address that stays reachable while the stand-in is down.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    control: String,
+}
+
+#[derive(Debug, Args)]
+struct EngineArgs {
+    #[command(flatten)]
+    addresses: Addresses,
+    /// A model that is loaded; may be given several times.
+    #[arg(long = "model", default_value = "small")]
+    models: Vec<String>,
+    /// Requests that run at once.
+    #[arg(long, default_value_t = 16)]
+    slots: u32,
+    /// Tokens a second of each running request.
+    #[arg(long, default_value_t = 100.0)]
+    speed: f64,
+    /// Tokens of prompts a second.
+    #[arg(long, default_value_t = 8000.0)]
+    prefill: f64,
+    /// Blocks that the prefix cache holds.
+    #[arg(long, default_value_t = 4096)]
+    cache: usize,
+    /// How late the metrics are, in milliseconds.
+    #[arg(long, default_value_t = 500)]
+    lag: u64,
+    /// Carry out orders whatever their fencing number.
+    #[arg(long)]
+    unfenced: bool,
+    /// How long an order takes, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    order_time: u64,
+    /// End the process when a request contains this text.
+    #[arg(long)]
+    crash_marker: Option<String>,
+}
+
+#[derive(Debug, Args)]
+struct ServiceArgs {
+    #[command(flatten)]
+    addresses: Addresses,
+    /// How long a call takes, in milliseconds.
+    #[arg(long, default_value_t = 2)]
+    time: u64,
+}
+
+fn main() -> ExitCode {
+    env_logger::init();
+    match run(Cli::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("siskinyoke-standin: {err}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(command: Command) -> Result<(), StandinError> {
+    match command {
+        Command::Platform(args) => platform(args),
+        Command::Engine(args) => engine(args),
+        Command::Service(args) => service(args),
+    }
+}
+
+fn platform(args: Addresses) -> Result<(), StandinError> {
+    let platform = Platform::start(&PlatformConfig {
+        listen: args.listen,
+        control: args.control,
+        ..PlatformConfig::default()
+    })?;
+    println!("{}", platform.address());
+    println!("control {}", platform.control_address());
+    stay()
+}
+
+fn engine(args: EngineArgs) -> Result<(), StandinError> {
+    let engine = Engine::start(&EngineConfig {
+        listen: args.addresses.listen,
+        control: args.addresses.control,
+        models: args.models,
+        slots: args.slots,
+        speed: args.speed,
+        prefill: args.prefill,
+        cache: args.cache,
+        lag: Millis(args.lag),
+        fenced: !args.unfenced,
+        order_time: Millis(args.order_time),
+        crash_marker: args.crash_marker,
+        exit: true,
+        ..EngineConfig::default()
+    })?;
+    println!("{}", engine.address());
+    println!("control {}", engine.control_address());
+    stay()
+}
+
+fn service(args: ServiceArgs) -> Result<(), StandinError> {
+    let service = Service::start(&ServiceConfig {
+        listen: args.addresses.listen,
+        control: args.addresses.control,
+        time: Millis(args.time),
+    })?;
+    println!("{}", service.address());
+    println!("control {}", service.control_address());
+    stay()
+}
+
+/// Serves until the process is ended.
+fn stay() -> ! {
+    loop {
+        thread::park();
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-standin/src/platform/mod.rs
@@ -0,0 +1,348 @@
+//! A stand-in of the platform: key-value service and instance list.
+
+pub mod control;
+pub mod gateway;
+pub mod instances;
+pub mod store;
+pub mod wire;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::json;
+
+use self::control::Faults;
+use self::control::Lapse;
+use self::control::PlatformControl;
+use self::gateway::Refusal;
+use self::instances::InstanceLine;
+use self::instances::InstanceList;
+use self::store::Span;
+use self::store::Store;
+use crate::ANY_PORT;
+use crate::error::StandinError;
+use crate::pieces::Pieces;
+use crate::web::Exchange;
+use crate::web::Handler;
+use crate::web::Web;
+use siskinyoke_base::Clock;
+use siskinyoke_base::Millis;
+use siskinyoke_base::clock::SystemClock;
+
+/// How often a waiting watch looks for lapsed leases and for a caller that went away.
+const WATCH_PACE: Duration = Duration::from_millis(20);
+
+/// How a stand-in platform is started.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlatformConfig {
+    /// Address of the service and the list; port 0 for any.
+    pub listen: String,
+    /// Address that stays reachable while the service is down.
+    pub control: String,
+    /// The instance list at start.
+    pub instances: Vec<InstanceLine>,
+}
+
+impl Default for PlatformConfig {
+    fn default() -> Self {
+        Self {
+            listen: ANY_PORT.to_owned(),
+            control: ANY_PORT.to_owned(),
+            instances: Vec::new(),
+        }
+    }
+}
+
+/// A running stand-in platform; it stops when dropped.
+pub struct Platform {
+    web: Web,
+    shared: Arc<Shared>,
+}
+
+impl Platform {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// [`StandinError::Listen`] if an address cannot be listened on.
+    pub fn start(config: &PlatformConfig) -> Result<Self, StandinError> {
+        let shared = Arc::new(Shared {
+            clock: SystemClock::start(),
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        });
+        shared
+            .lock()
+            .list
+            .set(Millis::ZERO, config.instances.clone());
+        let handler = Arc::clone(&shared) as Arc<dyn Handler>;
+        let web = Web::start(&config.listen, &config.control, handler)?;
+        Ok(Self { web, shared })
+    }
+
+    /// Returns the address of the service and the list.
+    pub fn address(&self) -> SocketAddr {
+        self.web.address()
+    }
+
+    /// Returns the address that stays reachable while the service is down.
+    pub fn control_address(&self) -> SocketAddr {
+        self.web.control()
+    }
+
+    /// Carries out orders, as `POST /control` does.
+    pub fn control(&self, orders: &PlatformControl) {
+        self.shared.control(self.web.gate(), orders);
+    }
+
+    /// Sets the instance list.
+    pub fn set_instances(&self, lines: Vec<InstanceLine>) {
+        let now = self.shared.clock.now();
+        self.shared.lock().list.set(now, lines);
+    }
+
+    /// Returns the calls by kind since the start.
+    pub fn counts(&self) -> BTreeMap<String, u64> {
+        self.shared.lock().counts.clone()
+    }
+
+    /// Stops it, cutting every connection.
+    pub fn stop(self) {
+        drop(self);
+    }
+}
+
+struct Shared {
+    clock: SystemClock,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    store: Store,
+    list: InstanceList,
+    faults: Faults,
+    counts: BTreeMap<String, u64>,
+}
+
+/// How a call ended.
+enum Outcome {
+    Answer(u16, Value),
+    Lost,
+}
+
+impl Handler for Shared {
+    fn handle(&self, mut exchange: Exchange) {
+        let path = exchange.path().to_owned();
+        if path.starts_with("/control") {
+            self.controlled(exchange, &path);
+            return;
+        }
+        let Some(kind) = kind(&path) else {
+            exchange.reply_json(404, &json!({ "error": "not found", "code": 5 }));
+            return;
+        };
+        let slow = {
+            let mut state = self.lock();
+            *state.counts.entry(kind.to_owned()).or_default() += 1;
+            state.faults.slow
+        };
+        thread::sleep(slow.into());
+        if kind == "watch" {
+            self.watch(exchange);
+            return;
+        }
+        match self.call(kind, &mut exchange) {
+            Outcome::Answer(status, value) => exchange.reply_json(status, &value),
+            Outcome::Lost => exchange.cut(),
+        }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.store.expire(self.clock.now());
+        state
+    }
+
+    fn call(&self, kind: &str, exchange: &mut Exchange) -> Outcome {
+        let body = match exchange.body() {
+            Ok(body) => body,
+            Err(err) => return malformed(&err.to_string()),
+        };
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let State { store, list, .. } = &mut *state;
+        let result = match kind {
+            "instances" => Ok(Ok(json!(list.shown(now)))),
+            "range" => read(&body).map(|request| Ok(gateway::range(store, &request))),
+            "put" => read(&body).map(|request| gateway::put(store, request)),
+            "delete" => read(&body).map(|request| Ok(gateway::delete(store, &request))),
+            "txn" => read(&body).map(|request| gateway::txn(store, request)),
+            "grant" => read(&body).map(|request| Ok(gateway::grant(store, now, &request))),
+            "keep" => read(&body).map(|request| Ok(gateway::keep(store, now, &request))),
+            _ => read(&body).map(|request| gateway::revoke(store, &request)),
+        };
+        self.changed.notify_all();
+        let value = match result {
+            Ok(Ok(value)) => value,
+            Ok(Err(refusal)) => return refused(refusal),
+            Err(detail) => return malformed(&detail),
+        };
+        if writes(kind) && state.faults.lost > 0 {
+            state.faults.lost -= 1;
+            return Outcome::Lost;
+        }
+        Outcome::Answer(200, value)
+    }
+
+    /// Sends the changes of a range as they come, until the caller goes away.
+    fn watch(&self, mut exchange: Exchange) {
+        let request: wire::Watch = match exchange.json() {
+            Ok(request) => request,
+            Err(detail) => {
+                exchange.reply_json(400, &json!({ "error": detail, "code": 3 }));
+                return;
+            }
+        };
+        let Ok(pieces) = exchange.pieces("application/json") else {
+            return;
+        };
+        // A caller that goes away ends its watch; there is nobody left to tell.
+        let _ = self.follow(pieces, request.create_request);
+    }
+
+    fn follow(&self, mut pieces: Pieces, request: wire::WatchCreate) -> std::io::Result<()> {
+        let span = Span {
+            key: request.key,
+            end: request.range_end,
+        };
+        let mut state = self.lock();
+        let mut next = match request.start_revision {
+            0 => state.store.revision() + 1,
+            start => start,
+        };
+        let compacted = state.store.compacted();
+        let header = wire::header(state.store.revision());
+        if next <= compacted {
+            drop(state);
+            let line = json!({ "result": { "header": header, "canceled": true,
+                "compact_revision": (compacted + 1).to_string() } });
+            pieces.send(&format!("{line}\n"))?;
+            return pieces.end();
+        }
+        let line = json!({ "result": { "header": header, "created": true } });
+        drop(state);
+        pieces.send(&format!("{line}\n"))?;
+        while pieces.alive() {
+            state = self.lock();
+            let events = state.store.events(&span, next);
+            if events.is_empty() {
+                let waited = self.changed.wait_timeout(state, WATCH_PACE);
+                drop(waited.unwrap_or_else(PoisonError::into_inner));
+                continue;
+            }
+            next = state.store.revision() + 1;
+            let line = gateway::events(&state.store, &events);
+            drop(state);
+            pieces.send(&format!("{line}\n"))?;
+        }
+        Ok(())
+    }
+
+    fn controlled(&self, mut exchange: Exchange, path: &str) {
+        let done = match (exchange.method().as_str(), path) {
+            ("GET", "/control/counts") => json!(self.lock().counts),
+            ("POST", "/control/instances") => match exchange.json() {
+                Ok(lines) => {
+                    let now = self.clock.now();
+                    self.lock().list.set(now, lines);
+                    json!({})
+                }
+                Err(detail) => return exchange.reply_error(400, &detail),
+            },
+            ("POST", "/control") => match exchange.json() {
+                Ok(orders) => {
+                    // The answer leaves first: the order may shut the gate before it.
+                    let gate = exchange.gate_handle();
+                    exchange.reply_json(200, &json!({}));
+                    return self.control(&gate, &orders);
+                }
+                Err(detail) => return exchange.reply_error(400, &detail),
+            },
+            _ => return exchange.reply_error(404, "no such control"),
+        };
+        exchange.reply_json(200, &done);
+    }
+
+    fn control(&self, gate: &crate::gate::Gate, orders: &PlatformControl) {
+        gate.order(orders.down, orders.freeze);
+        let mut state = self.lock();
+        if let Some(slow) = orders.slow {
+            state.faults.slow = slow;
+        }
+        if let Some(count) = orders.lose_answers {
+            state.faults.lost = count;
+        }
+        if let Some(lag) = orders.lag {
+            state.list.set_lag(lag);
+        }
+        match orders.lapse {
+            Some(Lapse::All) => state.store.revoke_all(),
+            Some(Lapse::One(name)) => {
+                state.store.revoke(name);
+            }
+            None => {}
+        }
+        drop(state);
+        self.changed.notify_all();
+    }
+}
+
+fn kind(path: &str) -> Option<&'static str> {
+    match path {
+        "/instances" => Some("instances"),
+        "/v3/kv/range" => Some("range"),
+        "/v3/kv/put" => Some("put"),
+        "/v3/kv/txn" => Some("txn"),
+        "/v3/kv/deleterange" => Some("delete"),
+        "/v3/lease/grant" => Some("grant"),
+        "/v3/lease/keepalive" => Some("keep"),
+        "/v3/lease/revoke" => Some("revoke"),
+        "/v3/watch" => Some("watch"),
+        _ => None,
+    }
+}
+
+fn writes(kind: &str) -> bool {
+    !matches!(kind, "instances" | "range" | "watch")
+}
+
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(body).map_err(|err| err.to_string())
+}
+
+fn malformed(detail: &str) -> Outcome {
+    Outcome::Answer(
+        400,
+        json!({ "error": detail, "code": 3, "message": detail }),
+    )
+}
+
+fn refused(refusal: Refusal) -> Outcome {
+    Outcome::Answer(refusal.status(), refusal.body())
+}
--- /dev/null
+++ b/crates/siskinyoke-standin/src/service.rs
@@ -0,0 +1,187 @@
+//! A stand-in of a plain service, whose every execution bears a serial number.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::ANY_PORT;
+use crate::error::StandinError;
+use crate::gate::Gate;
+use crate::web::Exchange;
+use crate::web::Handler;
+use crate::web::Web;
+use siskinyoke_base::Millis;
+
+/// Names the request towards the service.
+const NAME_HEADER: &str = "X-Request-Id";
+
+/// How a stand-in service is started.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ServiceConfig {
+    /// Address of the service; port 0 for any.
+    pub listen: String,
+    /// Address that stays reachable while the service is down.
+    pub control: String,
+    /// How long a call takes, in milliseconds.
+    pub time: Millis,
+}
+
+impl Default for ServiceConfig {
+    fn default() -> Self {
+        Self {
+            listen: ANY_PORT.to_owned(),
+            control: ANY_PORT.to_owned(),
+            time: Millis(2),
+        }
+    }
+}
+
+/// Orders to the stand-in service; what is left out stays as it is.
+#[derive(Debug, Default, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ServiceControl {
+    /// Cut and refuse connections for this many milliseconds, as a crash does; 0 ends it.
+    pub down: Option<Millis>,
+    /// Pass nothing on for this many milliseconds while connections stay open; 0 ends it.
+    pub freeze: Option<Millis>,
+    /// How long a call takes, in milliseconds.
+    pub time: Option<Millis>,
+    /// Execute this many calls without giving their answer.
+    pub lose_answers: Option<u32>,
+}
+
+/// A running stand-in service; it stops when dropped.
+pub struct Service {
+    web: Web,
+    shared: Arc<Shared>,
+}
+
+impl Service {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// [`StandinError::Listen`] if an address cannot be listened on.
+    pub fn start(config: &ServiceConfig) -> Result<Self, StandinError> {
+        let shared = Arc::new(Shared::default());
+        shared.lock().time = config.time;
+        let handler = Arc::clone(&shared) as Arc<dyn Handler>;
+        let web = Web::start(&config.listen, &config.control, handler)?;
+        Ok(Self { web, shared })
+    }
+
+    /// Returns the address of the service.
+    pub fn address(&self) -> SocketAddr {
+        self.web.address()
+    }
+
+    /// Returns the address that stays reachable while the service is down.
+    pub fn control_address(&self) -> SocketAddr {
+        self.web.control()
+    }
+
+    /// Carries out orders, as `POST /control` does.
+    pub fn control(&self, orders: &ServiceControl) {
+        self.shared.control(self.web.gate(), orders);
+    }
+
+    /// Returns how often each request was executed.
+    pub fn counts(&self) -> BTreeMap<String, u64> {
+        self.shared.lock().counts.clone()
+    }
+
+    /// Stops it, cutting every connection.
+    pub fn stop(self) {
+        drop(self);
+    }
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    time: Millis,
+    lost: u32,
+    serial: u64,
+    counts: BTreeMap<String, u64>,
+}
+
+impl Handler for Shared {
+    fn handle(&self, mut exchange: Exchange) {
+        match (exchange.method().as_str(), exchange.path()) {
+            ("POST", "/control") => self.controlled(exchange),
+            ("GET", "/control/counts") => {
+                let counts = self.lock().counts.clone();
+                exchange.reply_json(200, &counts);
+            }
+            _ => {
+                let Ok(body) = exchange.body() else {
+                    return;
+                };
+                self.execute(exchange, &body);
+            }
+        }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn execute(&self, exchange: Exchange, body: &[u8]) {
+        let name = exchange.header(NAME_HEADER).unwrap_or_default().to_owned();
+        let (serial, time, lost) = {
+            let mut state = self.lock();
+            state.serial += 1;
+            *state.counts.entry(name.clone()).or_default() += 1;
+            let lost = state.lost > 0;
+            state.lost = state.lost.saturating_sub(1);
+            (state.serial, state.time, lost)
+        };
+        thread::sleep(time.into());
+        if lost {
+            return exchange.cut();
+        }
+        let echo = json!({
+            "serial": serial,
+            "request": name,
+            "method": exchange.method(),
+            "path": exchange.url(),
+            "body": String::from_utf8_lossy(body),
+        });
+        exchange.reply_json(200, &echo);
+    }
+
+    fn controlled(&self, mut exchange: Exchange) {
+        match exchange.json() {
+            Ok(orders) => {
+                // The answer leaves first: the order may shut the gate before it.
+                let gate = exchange.gate_handle();
+                exchange.reply_json(200, &json!({}));
+                self.control(&gate, &orders);
+            }
+            Err(detail) => exchange.reply_error(400, &detail),
+        }
+    }
+
+    fn control(&self, gate: &Gate, orders: &ServiceControl) {
+        let mut state = self.lock();
+        state.time = orders.time.unwrap_or(state.time);
+        state.lost = orders.lose_answers.unwrap_or(state.lost);
+        drop(state);
+        gate.order(orders.down, orders.freeze);
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-standin/src/web.rs
@@ -0,0 +1,216 @@
+//! The HTTP server that every stand-in runs on.
+
+use std::io;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use tiny_http::Header;
+use tiny_http::Request;
+use tiny_http::Response;
+use tiny_http::Server;
+
+use crate::error::StandinError;
+use crate::gate::Gate;
+use crate::gate::listen_undelayed;
+use crate::pieces::Pieces;
+
+/// Most bytes of a body that are read; the largest value of the platform fits coded.
+const BODY_LIMIT: u64 = 8 * 1024 * 1024;
+
+/// How often the serving thread looks whether it is to stop.
+const IDLE: Duration = Duration::from_millis(50);
+
+/// Answers exchanges, each on a thread of its own.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one exchange.
+    fn handle(&self, exchange: Exchange);
+}
+
+/// A running server with its gate.
+#[derive(Debug)]
+pub struct Web {
+    gate: Arc<Gate>,
+    control: SocketAddr,
+}
+
+impl Web {
+    /// Starts a server behind a gate; `control` is reachable also while the gate is shut.
+    ///
+    /// # Errors
+    ///
+    /// [`StandinError::Listen`] if one of the addresses cannot be listened on.
+    pub fn start(
+        listen: &str,
+        control: &str,
+        handler: Arc<dyn Handler>,
+    ) -> Result<Self, StandinError> {
+        let inner = listen_undelayed(control).map_err(|err| refused(control, &err))?;
+        let address = inner.local_addr().map_err(|err| refused(control, &err))?;
+        let server = serve(control, inner)?;
+        let gate = Gate::open(listen, address).map_err(|err| refused(listen, &err))?;
+        let own = Arc::clone(&gate);
+        thread::spawn(move || run(&server, &own, &handler));
+        Ok(Self {
+            gate,
+            control: address,
+        })
+    }
+
+    /// Returns the address that others know.
+    pub fn address(&self) -> SocketAddr {
+        self.gate.address()
+    }
+
+    /// Returns the address that is reachable also while the gate is shut.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Returns the gate.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+}
+
+impl Drop for Web {
+    fn drop(&mut self) {
+        self.gate.stop();
+    }
+}
+
+/// One request that waits for its answer.
+pub struct Exchange {
+    request: Request,
+    gate: Arc<Gate>,
+    link: Option<SocketAddr>,
+}
+
+impl Exchange {
+    /// Returns the method in capitals.
+    pub fn method(&self) -> String {
+        self.request.method().to_string()
+    }
+
+    /// Returns path and query.
+    pub fn url(&self) -> &str {
+        self.request.url()
+    }
+
+    /// Returns the path without its query.
+    pub fn path(&self) -> &str {
+        self.url().split('?').next().unwrap_or_default()
+    }
+
+    /// Returns a header's value; its name may be written in any case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.request.headers().iter();
+        let found =
+            headers.find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
+        found.map(|header| header.value.as_str())
+    }
+
+    /// Returns the gate before this server, to be used after the answer.
+    pub fn gate_handle(&self) -> Arc<Gate> {
+        Arc::clone(&self.gate)
+    }
+
+    /// Says whether the caller still holds the connection.
+    pub fn alive(&self) -> bool {
+        self.link.is_none_or(|link| self.gate.holds(link))
+    }
+
+    /// Reads the body.
+    ///
+    /// # Errors
+    ///
+    /// What the system says if the caller broke off.
+    pub fn body(&mut self) -> io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        let reader = self.request.as_reader();
+        reader.take(BODY_LIMIT).read_to_end(&mut body)?;
+        Ok(body)
+    }
+
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// A sentence for the caller.
+    pub fn json<T: DeserializeOwned>(&mut self) -> Result<T, String> {
+        let body = self.body().map_err(|err| err.to_string())?;
+        serde_json::from_slice(&body).map_err(|err| err.to_string())
+    }
+
+    /// Answers with JSON.
+    pub fn reply_json(self, status: u16, value: &impl Serialize) {
+        let text = serde_json::to_string(value).unwrap_or_default();
+        self.reply(status, "application/json", &text);
+    }
+
+    /// Answers with an error in the form that OpenAI-style clients show.
+    pub fn reply_error(self, status: u16, text: &str) {
+        self.reply_json(
+            status,
+            &json!({ "error": { "message": text, "code": status } }),
+        );
+    }
+
+    /// Answers with a text.
+    pub fn reply(self, status: u16, content: &str, text: &str) {
+        let mut response = Response::from_string(text).with_status_code(status);
+        if let Ok(header) = Header::from_bytes("Content-Type", content) {
+            response = response.with_header(header);
+        }
+        // A caller that went away is no fault of the stand-in.
+        let _ = self.request.respond(response);
+    }
+
+    /// Starts an answer in pieces.
+    ///
+    /// # Errors
+    ///
+    /// What the system says if the caller broke off.
+    pub fn pieces(self, content: &str) -> io::Result<Pieces> {
+        Pieces::start(self.request.into_writer(), self.gate, self.link, content)
+    }
+
+    /// Cuts the connection without an answer.
+    pub fn cut(self) {
+        if let Some(link) = self.link {
+            self.gate.finish(link);
+        }
+    }
+}
+
+fn serve(address: &str, listener: TcpListener) -> Result<Server, StandinError> {
+    Server::from_listener(listener, None)
+        .map_err(|err| StandinError::Listen(address.to_owned(), err.to_string()))
+}
+
+fn run(server: &Server, gate: &Arc<Gate>, handler: &Arc<dyn Handler>) {
+    while !gate.stopped() {
+        let Ok(Some(request)) = server.recv_timeout(IDLE) else {
+            continue;
+        };
+        let link = request.remote_addr().copied();
+        let link = link.filter(|seen| gate.holds(*seen));
+        let exchange = Exchange {
+            request,
+            gate: Arc::clone(gate),
+            link,
+        };
+        let handler = Arc::clone(handler);
+        thread::spawn(move || handler.handle(exchange));
+    }
+}
+
+fn refused(address: &str, err: &io::Error) -> StandinError {
+    StandinError::Listen(address.to_owned(), err.to_string())
+}
--- /dev/null
+++ b/tests/tests/standin_engine.rs
@@ -0,0 +1,301 @@
+//! The stand-in engine and service as their callers see them.
+
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::thread;
+
+use serde_json::Value;
+use serde_json::json;
+use ureq::Agent;
+use ureq::Body;
+use ureq::http::Response;
+
+use siskinyoke_base::Millis;
+use siskinyoke_standin::answer::Answer;
+use siskinyoke_standin::engine::Engine;
+use siskinyoke_standin::engine::EngineConfig;
+use siskinyoke_standin::engine::control::Breaks;
+use siskinyoke_standin::engine::control::EngineControl;
+use siskinyoke_standin::service::Service;
+use siskinyoke_standin::service::ServiceConfig;
+use siskinyoke_standin::service::ServiceControl;
+
+const QUESTION: &str = "the boat sailed at dawn";
+
+/// Events of an answer besides its words: the role, the reason of its end, and the terminator.
+const FRAME: usize = 3;
+
+fn engine(config: &EngineConfig) -> Engine {
+    Engine::start(config).expect("a free port")
+}
+
+fn fast() -> EngineConfig {
+    EngineConfig {
+        speed: 2000.0,
+        ..EngineConfig::default()
+    }
+}
+
+fn agent() -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_idle_connections(0)
+        .timeout_global(Some(Millis::from_secs(20).into()))
+        .build();
+    Agent::new_with_config(config)
+}
+
+fn body(content: &str, words: u32, stream: bool) -> Value {
+    json!({
+        "model": "small",
+        "messages": [{ "role": "user", "content": content }],
+        "max_tokens": words,
+        "stream": stream,
+    })
+}
+
+fn send(
+    engine: &Engine,
+    name: &str,
+    resume: usize,
+    body: &Value,
+) -> Result<Response<Body>, ureq::Error> {
+    let request = agent()
+        .post(format!("http://{}/v1/chat/completions", engine.address()))
+        .header("X-Request-Id", name)
+        .header("X-Resume-From", resume.to_string());
+    request.send_json(body)
+}
+
+/// Reads events until the end of the stream, and how the stream ended.
+fn events(response: Response<Body>) -> (Vec<String>, io::Result<()>) {
+    let mut events = Vec::new();
+    for line in BufReader::new(response.into_body().into_reader()).lines() {
+        match line {
+            Ok(line) if line.is_empty() => {}
+            Ok(line) => events.push(line),
+            Err(err) => return (events, Err(err)),
+        }
+    }
+    (events, Ok(()))
+}
+
+fn text(events: &[String]) -> String {
+    let chunks = events.iter().filter_map(|event| {
+        let chunk: Value = serde_json::from_str(event.strip_prefix("data: ")?).ok()?;
+        Some(chunk["choices"][0]["delta"]["content"].as_str()?.to_owned())
+    });
+    chunks.collect()
+}
+
+#[test]
+fn a_stream_is_whole_and_the_callers_own() {
+    let engine = engine(&fast());
+    let response = send(&engine, "a", 0, &body(QUESTION, 12, true)).expect("an answer");
+    let (events, end) = events(response);
+    assert!(end.is_ok());
+    assert_eq!(events.len(), 12 + FRAME);
+    assert_eq!(events.last().map(String::as_str), Some("data: [DONE]"));
+    assert_eq!(text(&events), Answer::of(QUESTION, Some(12)).text());
+    wait_for(|| engine.counts().requests["a"].completed == 1);
+    assert_eq!(engine.counts().requests["a"].dispatched, 1);
+}
+
+#[test]
+fn an_answer_in_one_piece_has_its_usage() {
+    let engine = engine(&fast());
+    let response = send(&engine, "a", 0, &body(QUESTION, 12, false));
+    let answer: Value = response
+        .expect("an answer")
+        .body_mut()
+        .read_json()
+        .expect("JSON");
+    let content = &answer["choices"][0]["message"]["content"];
+    assert_eq!(*content, Answer::of(QUESTION, Some(12)).text());
+    assert_eq!(answer["usage"]["completion_tokens"], 12);
+}
+
+#[test]
+fn a_resumed_stream_doubles_and_loses_nothing() {
+    // A stream breaks half way, and the rest is asked for from the next event on. If the engine
+    // counted other events than the caller did, the text would have a word twice or a hole.
+    let engine = engine(&fast());
+    let ask = body(QUESTION, 20, true);
+    engine.control(&EngineControl {
+        breaks: Some(Breaks {
+            after: 7,
+            requests: 1,
+        }),
+        ..EngineControl::default()
+    });
+    let (mut got, end) = events(send(&engine, "a", 0, &ask).expect("a stream"));
+    assert!(end.is_err(), "a broken stream must not look whole");
+    assert_eq!(got.len(), 7);
+    let (rest, end) = events(send(&engine, "a", got.len(), &ask).expect("a stream"));
+    assert!(end.is_ok());
+    got.extend(rest);
+    let (whole, _) = events(send(&engine, "b", 0, &ask).expect("a stream"));
+    assert_eq!(got, whole);
+    assert_eq!(engine.counts().requests["a"].dispatched, 2);
+}
+
+#[test]
+fn a_marked_request_takes_the_engine_down_with_all_in_flight() {
+    // One request crashes the process, and an innocent one beside it loses its connection too.
+    // Both callers see a broken connection, and new ones are refused until the engine is back.
+    let engine = engine(&EngineConfig {
+        speed: 20.0,
+        crash_marker: Some("poison".to_owned()),
+        crash_span: Millis(300),
+        ..EngineConfig::default()
+    });
+    let innocent = send(&engine, "innocent", 0, &body(QUESTION, 1000, true)).expect("a stream");
+    assert!(send(&engine, "marked", 0, &body("a poison pill", 4, true)).is_err());
+    assert!(events(innocent).1.is_err());
+    assert_eq!(engine.counts().crashes, 1);
+    wait_for(|| send(&engine, "after", 0, &body(QUESTION, 1, true)).is_ok());
+}
+
+#[test]
+fn a_caller_that_goes_away_frees_its_slot() {
+    // A caller gives up in the middle of a long answer. If the engine went on, its only slot
+    // would be held for minutes by an answer that nobody reads.
+    let engine = engine(&EngineConfig {
+        slots: 1,
+        speed: 20.0,
+        ..EngineConfig::default()
+    });
+    let long = send(&engine, "long", 0, &body(QUESTION, 5000, true)).expect("a stream");
+    drop(long);
+    wait_for(|| engine.counts().cancelled == 1);
+    let next = send(&engine, "next", 0, &body(QUESTION, 1, true)).expect("a stream");
+    assert!(events(next).1.is_ok());
+    assert!(engine.counts().wasted > 0);
+}
+
+#[test]
+fn a_frozen_engine_keeps_its_connections_and_goes_on_later() {
+    let engine = engine(&fast());
+    engine.control(&EngineControl {
+        freeze: Some(Millis(200)),
+        ..EngineControl::default()
+    });
+    let response = send(&engine, "a", 0, &body(QUESTION, 3, true)).expect("an answer at last");
+    assert_eq!(events(response).0.len(), 3 + FRAME);
+}
+
+#[test]
+fn a_known_prefix_needs_no_second_prefill() {
+    let engine = engine(&fast());
+    let essay = "all pupils write about the sea. ".repeat(64);
+    for name in ["first", "second"] {
+        let response = send(&engine, name, 0, &body(&essay, 1, true)).expect("a stream");
+        assert!(events(response).1.is_ok());
+    }
+    wait_for(|| engine.counts().completed == 2);
+    let counts = engine.counts();
+    assert_eq!(counts.cached, 512, "all whole blocks of 16 tokens");
+}
+
+#[test]
+fn metrics_show_what_runs_and_what_waits() {
+    let engine = engine(&EngineConfig {
+        slots: 1,
+        speed: 20.0,
+        ..EngineConfig::default()
+    });
+    let ask = body(QUESTION, 5000, true);
+    let running = send(&engine, "a", 0, &ask).expect("a stream");
+    let address = engine.address();
+    let waiting = thread::spawn(move || {
+        let url = format!("http://{address}/v1/chat/completions");
+        agent().post(url).send_json(&ask).is_err()
+    });
+    wait_for(|| {
+        let url = format!("http://{address}/metrics");
+        let page = agent()
+            .get(url)
+            .call()
+            .and_then(|mut page| page.body_mut().read_to_string());
+        let page = page.expect("a page");
+        page.contains("vllm:num_requests_running{model_name=\"small\"} 1\n")
+            && page.contains("vllm:num_requests_waiting{model_name=\"small\"} 1\n")
+    });
+    engine.stop();
+    assert!(waiting.join().expect("the thread"));
+    drop(running);
+}
+
+#[test]
+fn an_old_fencing_number_is_refused_where_fencing_is_enforced() {
+    // A controller pauses, a second one takes over and loads a model, and the first wakes and
+    // sends its old order. An engine that checks the number refuses it.
+    let engine = engine(&fast());
+    assert_eq!(order(&engine, "one", 7), 200);
+    assert_eq!(order(&engine, "two", 8), 200);
+    assert_eq!(order(&engine, "late", 7), 409);
+    let state = engine.orders();
+    assert_eq!(state.fence, 8);
+    assert!(!state.models.contains("late"));
+    assert_eq!(state.history.len(), 2);
+}
+
+#[test]
+fn an_old_fencing_number_passes_where_it_is_ignored() {
+    // The same pause, at an engine that looks at no numbers: the late order is carried out, which
+    // is why whoever orders has to wait the old lease out.
+    let engine = engine(&EngineConfig {
+        fenced: false,
+        ..fast()
+    });
+    assert_eq!(order(&engine, "two", 8), 200);
+    assert_eq!(order(&engine, "late", 7), 200);
+    let state = engine.orders();
+    assert_eq!(state.fence, 8);
+    assert!(state.models.contains("late"));
+}
+
+#[test]
+fn a_service_counts_an_execution_whose_answer_was_cut() {
+    // A booking is made and the connection breaks before the confirmation. A caller that takes
+    // this for "not run" books a second time; the serial numbers show that both ran.
+    let service = Service::start(&ServiceConfig::default()).expect("a free port");
+    service.control(&ServiceControl {
+        lose_answers: Some(1),
+        ..ServiceControl::default()
+    });
+    let book = || {
+        let url = format!("http://{}/seats?hall=2", service.address());
+        let request = agent().post(url).header("X-Request-Id", "seat-4");
+        request.send("two seats")
+    };
+    assert!(book().is_err());
+    let answer: Value = book()
+        .expect("an answer")
+        .body_mut()
+        .read_json()
+        .expect("JSON");
+    assert_eq!(answer["serial"], 2);
+    assert_eq!(answer["path"], "/seats?hall=2");
+    assert_eq!(answer["body"], "two seats");
+    assert_eq!(service.counts()["seat-4"], 2);
+}
+
+fn order(engine: &Engine, model: &str, fence: u64) -> u16 {
+    let order = json!({ "order": "load_model", "name": model, "fence": fence, "id": model });
+    let url = format!("http://{}/orders", engine.address());
+    let response = agent().post(url).send_json(&order).expect("an answer");
+    response.status().as_u16()
+}
+
+/// Tries again until something holds that other threads bring about.
+fn wait_for(mut holds: impl FnMut() -> bool) {
+    for _ in 0..500 {
+        if holds() {
+            return;
+        }
+        thread::sleep(Millis(10).into());
+    }
+    panic!("it never came about");
+}
