Add a load driver that checks each answer, and keep watches from storming

The measures of the path need a load whose arrivals do not wait for answers, and callers that notice a wrong answer. The load is drawn whole from a seed before anything is sent; each request keeps the time at which it was due, so that a slow system cannot thin out what is measured. The driver knows the answer that each request must get from the stand-in engine and compares it.

A watch that the service breaks off is now an error unless the value changed: called unchanged, it would be asked again as fast as the service answers. One that only ran out of time is not. Statuses 408 and 499 of the gateway no longer count as "nothing was written". A streamed answer counts as complete once its last event is sent: callers may close then.

--- a/crates/siskinyoke-daemon/src/platform/etcd.rs
+++ b/crates/siskinyoke-daemon/src/platform/etcd.rs
@@ -6,8 +6,10 @@
 use super::settings::PlatformSettings;
 use super::transport::Effect;
 use super::transport::Transport;
+use super::watch;
 use super::watch::Bookmarks;
 use super::watch::Seen;
+use super::watch::Watched;
 use super::wire::Base64;
 use super::wire::Compare;
 use super::wire::InstanceLine;
@@ -151,12 +153,18 @@
             }
             start
         };
-        if let Some(seen) = super::watch::wait(&self.transport, key, start, limit)? {
+        let watched = watch::wait(&self.transport, key, start, limit)?;
+        if let Watched::Changed(seen) = watched {
             self.bookmarks.note(key, &seen);
             return Ok(PlatformReply::Value(seen.value));
         }
         let seen = self.get(key)?;
         self.bookmarks.note(key, &seen);
+        // Whoever watches asks again at once. A service that ends each watch early would be asked
+        // as fast as it answers, which shows as thousands of calls; an error makes the asker wait.
+        if matches!(watched, Watched::Ended) && seen.version() == known {
+            return Err(PlatformError::Down("the watch ended early".to_owned()));
+        }
         Ok(PlatformReply::Value(seen.value))
     }
 
--- a/crates/siskinyoke-daemon/src/platform/transport.rs
+++ b/crates/siskinyoke-daemon/src/platform/transport.rs
@@ -20,6 +20,10 @@
 /// Share of the time limit that connecting may take, so that another address still has a chance.
 const CONNECT_SHARE: u64 = 2;
 
+/// Statuses by which the gateway says that it no longer waits for the outcome: 408 in its older
+/// versions, 499 in newer ones. Unlike other refusals they say nothing about the write.
+const GIVEN_UP: [u16; 2] = [408, 499];
+
 /// Whether a request changes something.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
@@ -119,7 +123,7 @@
     }
     let text = response.body_mut().read_to_string().unwrap_or_default();
     let detail = format!("HTTP status {status}: {text}");
-    if status.is_client_error() {
+    if status.is_client_error() && !GIVEN_UP.contains(&status.as_u16()) {
         return Err(PlatformError::Down(detail));
     }
     Err(after_sending(detail, effect))
--- a/crates/siskinyoke-daemon/src/platform/watch.rs
+++ b/crates/siskinyoke-daemon/src/platform/watch.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
+use std::time::Instant;
 
 use super::transport::Effect;
 use super::transport::Transport;
@@ -71,8 +73,18 @@
     }
 }
 
-/// Waits for a change of a key from a revision on, and returns the last one of the first message;
-/// nothing if the time ran out or the service ended the watch.
+/// How a watch ended.
+#[derive(Debug)]
+pub enum Watched {
+    /// With a change.
+    Changed(Seen),
+    /// With its time.
+    RanOut,
+    /// Before its time, by the service or the network.
+    Ended,
+}
+
+/// Waits for a change of a key from a revision on.
 ///
 /// # Errors
 ///
@@ -82,33 +94,41 @@
     key: &str,
     start: i64,
     limit: Millis,
-) -> Result<Option<Seen>, PlatformError> {
+) -> Result<Watched, PlatformError> {
     let request = WatchRequest {
         create_request: WatchCreate {
             key: key.into(),
             start_revision: Number(start),
         },
     };
-    let response = transport.open(WATCH, &request, Effect::Read, limit)?;
-    let reader = BufReader::new(response.into_body().into_reader());
-    for line in reader.lines() {
-        // The time limit and a service that goes away both end the watch here; the read that
-        // follows tells them apart.
-        let Ok(line) = line else {
-            return Ok(None);
-        };
-        let Ok(message) = serde_json::from_str::<Streamed<WatchResponse>>(&line) else {
-            return Ok(None);
-        };
+    let begun = Instant::now();
+    let ran_out = || begun.elapsed() >= limit.into();
+    let response = match transport.open(WATCH, &request, Effect::Read, limit) {
+        Ok(response) => response,
+        Err(_) if ran_out() => return Ok(Watched::RanOut),
+        Err(err) => return Err(err),
+    };
+    match read(response.into_body().into_reader()) {
+        Some(seen) => Ok(Watched::Changed(seen)),
+        None if ran_out() => Ok(Watched::RanOut),
+        None => Ok(Watched::Ended),
+    }
+}
+
+/// Returns the last change of the first message that brings any; nothing if the stream ends.
+fn read(reader: impl Read) -> Option<Seen> {
+    for line in BufReader::new(reader).lines() {
+        let message: Streamed<WatchResponse> = serde_json::from_str(&line.ok()?).ok()?;
         if message.result.canceled {
-            return Ok(None);
-        }
-        if let Some(event) = message.result.events.into_iter().last() {
-            let revision = event.kv.mod_revision.0;
-            let value = Versioned::from(event.kv);
-            let value = (value.version > 0).then_some(value);
-            return Ok(Some(Seen { revision, value }));
+            return None;
         }
+        let Some(event) = message.result.events.into_iter().last() else {
+            continue;
+        };
+        let revision = event.kv.mod_revision.0;
+        let value = Versioned::from(event.kv);
+        let value = (value.version > 0).then_some(value);
+        return Some(Seen { revision, value });
     }
-    Ok(None)
+    None
 }
--- a/crates/siskinyoke-standin/src/engine/run.rs
+++ b/crates/siskinyoke-standin/src/engine/run.rs
@@ -96,10 +96,9 @@
                 return End::Cancelled;
             }
         }
-        match pieces.end() {
-            Ok(()) => End::Whole,
-            Err(_) => End::Cancelled,
-        }
+        // The caller has every event; it may close without waiting for the end of the body.
+        let _ = pieces.end();
+        End::Whole
     }
 
     /// Waits for one token; false if the caller has gone away.
--- a/crates/siskinyoke-standin/src/gate.rs
+++ b/crates/siskinyoke-standin/src/gate.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Cuts every connection once.
+    pub fn cut_all(&self) {
+        close_all(&mut self.lock());
+    }
+
     /// Says whether the connection that the server sees under an address is open.
     pub fn holds(&self, seen: SocketAddr) -> bool {
         self.lock().links.contains_key(&seen)
--- a/crates/siskinyoke-standin/src/lib.rs
+++ b/crates/siskinyoke-standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod error;
 pub mod gate;
+pub mod load;
 pub mod pieces;
 pub mod platform;
 pub mod service;
--- /dev/null
+++ b/crates/siskinyoke-standin/src/load/file.rs
@@ -0,0 +1,163 @@
+//! The load file: what is sent, how often and for how long.
+
+use jsonc_parser::ParseOptions;
+use jsonc_parser::parse_to_serde_value;
+use serde::Deserialize;
+
+use crate::error::StandinError;
+use siskinyoke_base::Millis;
+
+/// Most requests of one run, unless the file says less: what one machine can send and keep.
+const MOST: usize = 100_000;
+
+/// A load, as its file describes it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadFile {
+    /// Seed of everything that is drawn.
+    #[serde(default)]
+    pub seed: u64,
+    /// Addresses `host:port`; each request goes to one of them, drawn at random.
+    #[serde(default)]
+    pub addresses: Vec<String>,
+    /// The most time for one request, in milliseconds.
+    #[serde(default = "usual_patience")]
+    pub patience: Millis,
+    /// The most requests in flight; those due beyond it are counted as held back.
+    #[serde(default = "usual_flight")]
+    pub flight: usize,
+    /// The most requests of the whole run.
+    #[serde(default = "most")]
+    pub most: usize,
+    /// Whether to ask each address for a ticket first, as callers of siskinyoke do.
+    #[serde(default)]
+    pub locate: bool,
+    /// Who sends what.
+    pub callers: Vec<CallerMix>,
+    /// The phases, one after another.
+    pub phases: Vec<Phase>,
+}
+
+/// One kind of work within the mix.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerMix {
+    /// Name in the report, for instance the organisation and the tier.
+    pub name: String,
+    /// The bearer key.
+    #[serde(default)]
+    pub key: Option<String>,
+    /// The model asked for.
+    pub model: String,
+    /// How often it is drawn beside the others.
+    #[serde(default = "one")]
+    pub weight: f64,
+    /// Fewest and most tokens of the prompt that no two requests share.
+    pub prompt: [u32; 2],
+    /// Tokens that all prompts of the kind begin with.
+    #[serde(default)]
+    pub prefix: u32,
+    /// Fewest and most tokens of the answer.
+    pub output: [u32; 2],
+    /// Share of requests that stream, in parts of 1.
+    #[serde(default = "one")]
+    pub stream: f64,
+    /// Share of requests that are at-most-once, in parts of 1.
+    #[serde(default)]
+    pub at_most_once: f64,
+    /// Time to a useful answer that is asked for, in milliseconds.
+    #[serde(default)]
+    pub need: Option<Millis>,
+}
+
+/// A stretch of time with one rate.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Phase {
+    /// Name in the report.
+    pub name: String,
+    /// How long it lasts, in milliseconds.
+    pub span: Millis,
+    /// Requests a second, sent whether or not earlier ones were answered.
+    pub rate: f64,
+    /// The kinds of work that are drawn from; all if left out.
+    #[serde(default)]
+    pub callers: Vec<String>,
+}
+
+impl LoadFile {
+    /// Reads a load from JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// [`StandinError::Load`] with the place, or what does not fit together.
+    pub fn parse(text: &str) -> Result<Self, StandinError> {
+        let parsed = parse_to_serde_value(text, &ParseOptions::default());
+        let load: Self = parsed.map_err(|err| StandinError::Load(err.to_string()))?;
+        load.check().map_err(StandinError::Load)?;
+        Ok(load)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if self.callers.is_empty() || self.phases.is_empty() {
+            return Err("callers and phases may not be empty".to_owned());
+        }
+        if self.most > MOST {
+            return Err(format!("most is {}, at most {MOST} is allowed", self.most));
+        }
+        for mix in &self.callers {
+            mix.check()?;
+        }
+        self.phases
+            .iter()
+            .try_for_each(|phase| self.check_phase(phase))
+    }
+
+    fn check_phase(&self, phase: &Phase) -> Result<(), String> {
+        if !phase.rate.is_finite() || phase.rate < 0.0 {
+            return Err(format!("phase {}: rate must be 0 or more", phase.name));
+        }
+        let known = |name: &String| self.callers.iter().any(|mix| mix.name == *name);
+        let unknown = phase.callers.iter().find(|name| !known(name));
+        unknown.map_or(Ok(()), |name| {
+            Err(format!("phase {}: no caller is called {name}", phase.name))
+        })
+    }
+}
+
+impl CallerMix {
+    fn check(&self) -> Result<(), String> {
+        if !self.weight.is_finite() || self.weight <= 0.0 {
+            return Err(format!("caller {}: weight must be over 0", self.name));
+        }
+        for [least, most] in [self.prompt, self.output] {
+            if least > most || least == 0 {
+                return Err(format!(
+                    "caller {}: lengths must be 1 or more, the lesser first",
+                    self.name
+                ));
+            }
+        }
+        let shares = [self.stream, self.at_most_once];
+        if shares.iter().any(|share| !(0.0..=1.0).contains(share)) {
+            return Err(format!("caller {}: shares must lie in 0 to 1", self.name));
+        }
+        Ok(())
+    }
+}
+
+fn usual_patience() -> Millis {
+    Millis::from_secs(30)
+}
+
+fn usual_flight() -> usize {
+    256
+}
+
+fn most() -> usize {
+    MOST
+}
+
+fn one() -> f64 {
+    1.0
+}
--- /dev/null
+++ b/crates/siskinyoke-standin/src/load/shot.rs
@@ -0,0 +1,260 @@
+//! Sends one request and judges its answer.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use ureq::Agent;
+use ureq::Body;
+use ureq::http::Response;
+
+use super::file::CallerMix;
+use super::plan::Shot;
+use super::plan::prefix;
+use crate::answer::Answer;
+use siskinyoke_base::Millis;
+
+/// Text before the data of an event.
+const DATA: &str = "data: ";
+
+/// Data of the event that ends a whole stream.
+const TERMINATOR: &str = "[DONE]";
+
+/// How an answer is to be taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    /// Whole and the caller's own.
+    Whole,
+    /// Refused or ended with an explicit error.
+    Refused,
+    /// No answer, or one that breaks off.
+    Failed,
+    /// Looks whole, but is not the caller's own answer or lacks a part of it.
+    Wrong,
+}
+
+/// What became of one request.
+#[derive(Debug)]
+pub struct Result {
+    /// How the answer is to be taken.
+    pub verdict: Verdict,
+    /// Code and kind, or the HTTP status or error where there is none.
+    pub code: String,
+    /// Time to the first token of a stream.
+    pub first: Option<Duration>,
+    /// Time to the end.
+    pub whole: Duration,
+    /// Times between further tokens.
+    pub gaps: Vec<Duration>,
+}
+
+/// Where and with what patience requests are sent.
+pub struct Sender {
+    agent: Agent,
+}
+
+/// One request on its way.
+struct Flight<'a> {
+    shot: &'a Shot,
+    due: Instant,
+    last: Instant,
+    result: Result,
+    text: String,
+}
+
+impl Sender {
+    /// Prepares sending; each request opens a connection, as the callers of many small
+    /// instances do.
+    pub fn new(patience: Millis) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_idle_connections(0)
+            .timeout_global(Some(patience.into()))
+            .build();
+        Self {
+            agent: Agent::new_with_config(config),
+        }
+    }
+
+    /// Asks an address for a ticket, and how long it may be used; none if it gives none.
+    pub fn locate(&self, address: &str, key: Option<&str>) -> Option<(String, Duration)> {
+        let url = format!("http://{address}/v1/locate");
+        let bearer = format!("Bearer {}", key.unwrap_or_default());
+        let request = self.agent.get(url).header("Authorization", bearer);
+        let answer: Value = request.call().ok()?.body_mut().read_json().ok()?;
+        let ticket = answer["ticket"].as_str()?.to_owned();
+        let keep = answer["ticket_keep_ms"].as_u64()?;
+        Some((ticket, Duration::from_millis(keep)))
+    }
+
+    /// Sends a request that was due at a time, and judges its answer.
+    pub fn send(
+        &self,
+        address: &str,
+        mix: &CallerMix,
+        shot: &Shot,
+        ticket: Option<&str>,
+        due: Instant,
+    ) -> Result {
+        let mut flight = Flight::new(shot, due);
+        match self.open(address, mix, shot, ticket) {
+            Ok(response) => flight.read(response),
+            Err(err) => flight.fail(&err.to_string()),
+        }
+        flight.result.whole = due.elapsed();
+        flight.result
+    }
+
+    fn open(
+        &self,
+        address: &str,
+        mix: &CallerMix,
+        shot: &Shot,
+        ticket: Option<&str>,
+    ) -> std::result::Result<Response<Body>, ureq::Error> {
+        let url = format!("http://{address}/v1/chat/completions");
+        let mut request = self.agent.post(url).header("X-Request-Id", &shot.name);
+        if let Some(key) = &mix.key {
+            request = request.header("Authorization", format!("Bearer {key}"));
+        }
+        if let Some(ticket) = ticket {
+            request = request.header("Siskinyoke-Ticket", ticket);
+        }
+        if shot.once {
+            request = request.header("Siskinyoke-Care", "at-most-once");
+        }
+        if shot.once || ticket.is_some() {
+            request = request.header("Idempotency-Key", &shot.name);
+        }
+        if let Some(need) = mix.need {
+            request = request.header("Siskinyoke-Need", need.0.to_string());
+        }
+        request.send_json(body(mix, shot))
+    }
+}
+
+impl<'a> Flight<'a> {
+    fn new(shot: &'a Shot, due: Instant) -> Self {
+        Self {
+            shot,
+            due,
+            last: due,
+            result: Result {
+                verdict: Verdict::Failed,
+                code: String::new(),
+                first: None,
+                whole: Duration::ZERO,
+                gaps: Vec::new(),
+            },
+            text: String::new(),
+        }
+    }
+
+    fn read(&mut self, response: Response<Body>) {
+        let status = response.status();
+        self.result.code = code(&response);
+        if !status.is_success() {
+            self.result.verdict = Verdict::Refused;
+            return;
+        }
+        if self.shot.stream {
+            self.read_stream(response);
+        } else {
+            self.read_whole(response);
+        }
+    }
+
+    fn read_whole(&mut self, mut response: Response<Body>) {
+        match response.body_mut().read_json::<Value>() {
+            Ok(answer) => {
+                let content = &answer["choices"][0]["message"]["content"];
+                content
+                    .as_str()
+                    .unwrap_or_default()
+                    .clone_into(&mut self.text);
+                self.judge();
+            }
+            Err(err) => self.fail(&err.to_string()),
+        }
+    }
+
+    fn read_stream(&mut self, response: Response<Body>) {
+        for line in BufReader::new(response.into_body().into_reader()).lines() {
+            let line = match line {
+                Ok(line) => line,
+                Err(err) => return self.fail(&err.to_string()),
+            };
+            let Some(data) = line.strip_prefix(DATA) else {
+                continue;
+            };
+            if data == TERMINATOR {
+                return self.judge();
+            }
+            let event: Value = serde_json::from_str(data).unwrap_or_default();
+            if event["error"].is_object() {
+                return self.error(&event["error"]);
+            }
+            self.event(&event);
+        }
+        self.fail("the stream ended without its terminator");
+    }
+
+    fn event(&mut self, event: &Value) {
+        let content = event["choices"][0]["delta"]["content"].as_str();
+        let Some(content) = content.filter(|content| !content.is_empty()) else {
+            return;
+        };
+        let now = Instant::now();
+        if self.result.first.is_none() {
+            self.result.first = Some(now - self.due);
+        } else {
+            self.result.gaps.push(now - self.last);
+        }
+        self.last = now;
+        self.text.push_str(content);
+    }
+
+    /// Takes an explicit error at the end of a stream.
+    fn error(&mut self, error: &Value) {
+        self.result.verdict = Verdict::Refused;
+        let kind = error["type"].as_str().unwrap_or_default();
+        self.result.code = format!("{} {kind}", error["code"]);
+    }
+
+    /// Compares an answer that looks whole with the one that the request must get.
+    fn judge(&mut self) {
+        let wanted = Answer::of(&self.shot.content, Some(self.shot.output));
+        let own = self.text == wanted.text();
+        self.result.verdict = if own { Verdict::Whole } else { Verdict::Wrong };
+    }
+
+    fn fail(&mut self, detail: &str) {
+        self.result.verdict = Verdict::Failed;
+        detail.clone_into(&mut self.result.code);
+    }
+}
+
+fn body(mix: &CallerMix, shot: &Shot) -> Value {
+    let mut messages = Vec::new();
+    if mix.prefix > 0 {
+        messages.push(json!({ "role": "system", "content": prefix(mix) }));
+    }
+    messages.push(json!({ "role": "user", "content": shot.content }));
+    json!({
+        "model": mix.model,
+        "messages": messages,
+        "max_tokens": shot.output,
+        "stream": shot.stream,
+    })
+}
+
+fn code(response: &Response<Body>) -> String {
+    let header = |name| response.headers().get(name)?.to_str().ok();
+    match header("Siskinyoke-Code") {
+        Some(code) => format!("{code} {}", header("Siskinyoke-Kind").unwrap_or_default()),
+        None => format!("http {}", response.status().as_u16()),
+    }
+}
--- a/crates/siskinyoke-standin/src/main.rs
+++ b/crates/siskinyoke-standin/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line of the stand-ins.
 
+use std::fs;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::thread;
 
@@ -11,6 +13,9 @@
 use siskinyoke_standin::engine::Engine;
 use siskinyoke_standin::engine::EngineConfig;
 use siskinyoke_standin::error::StandinError;
+use siskinyoke_standin::load;
+use siskinyoke_standin::load::file::LoadFile;
+use siskinyoke_standin::load::report;
 use siskinyoke_standin::platform::Platform;
 use siskinyoke_standin::platform::PlatformConfig;
 use siskinyoke_standin::service::Service;
@@ -32,6 +37,8 @@
     Engine(EngineArgs),
     /// Runs a plain service.
     Service(ServiceArgs),
+    /// Sends a load and checks each answer.
+    Load(LoadArgs),
 }
 
 #[derive(Debug, Args)]
@@ -86,10 +93,28 @@
     time: u64,
 }
 
+#[derive(Debug, Args)]
+struct LoadArgs {
+    /// The load file, JSON with comments.
+    file: PathBuf,
+    /// Address to send to instead of those in the file; may be given several times.
+    #[arg(long = "address")]
+    addresses: Vec<String>,
+    /// Seed instead of that in the file.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Print the report as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Exit code of a load that got an answer which looks whole and is not the caller's own.
+const WRONG: u8 = 1;
+
 fn main() -> ExitCode {
     env_logger::init();
     match run(Cli::parse().command) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(err) => {
             eprintln!("siskinyoke-standin: {err}");
             ExitCode::from(2)
@@ -97,15 +122,16 @@
     }
 }
 
-fn run(command: Command) -> Result<(), StandinError> {
+fn run(command: Command) -> Result<ExitCode, StandinError> {
     match command {
         Command::Platform(args) => platform(args),
         Command::Engine(args) => engine(args),
         Command::Service(args) => service(args),
+        Command::Load(args) => drive(args),
     }
 }
 
-fn platform(args: Addresses) -> Result<(), StandinError> {
+fn platform(args: Addresses) -> Result<ExitCode, StandinError> {
     let platform = Platform::start(&PlatformConfig {
         listen: args.listen,
         control: args.control,
@@ -116,7 +142,7 @@
     stay()
 }
 
-fn engine(args: EngineArgs) -> Result<(), StandinError> {
+fn engine(args: EngineArgs) -> Result<ExitCode, StandinError> {
     let engine = Engine::start(&EngineConfig {
         listen: args.addresses.listen,
         control: args.addresses.control,
@@ -137,7 +163,7 @@
     stay()
 }
 
-fn service(args: ServiceArgs) -> Result<(), StandinError> {
+fn service(args: ServiceArgs) -> Result<ExitCode, StandinError> {
     let service = Service::start(&ServiceConfig {
         listen: args.addresses.listen,
         control: args.addresses.control,
@@ -148,6 +174,29 @@
     stay()
 }
 
+fn drive(args: LoadArgs) -> Result<ExitCode, StandinError> {
+    let text = fs::read_to_string(&args.file);
+    let text = text.map_err(|err| StandinError::Load(err.to_string()))?;
+    let mut file = LoadFile::parse(&text)?;
+    if !args.addresses.is_empty() {
+        file.addresses = args.addresses;
+    }
+    file.seed = args.seed.unwrap_or(file.seed);
+    let lines = load::run(&file)?;
+    if args.json {
+        let json = serde_json::to_string_pretty(&lines);
+        println!("{}", json.unwrap_or_default());
+    } else {
+        print!("{}", report::table(&lines));
+    }
+    let wrong = lines.iter().any(|line| line.wrong > 0);
+    Ok(if wrong {
+        ExitCode::from(WRONG)
+    } else {
+        ExitCode::SUCCESS
+    })
+}
+
 /// Serves until the process is ended.
 fn stay() -> ! {
     loop {
--- a/crates/siskinyoke-standin/src/platform/control.rs
+++ b/crates/siskinyoke-standin/src/platform/control.rs
@@ -13,6 +13,8 @@
     pub down: Option<Millis>,
     /// Pass nothing on for this many milliseconds while connections stay open; 0 ends it.
     pub freeze: Option<Millis>,
+    /// Cut every connection once, and take new ones.
+    pub cut: bool,
     /// Wait this many milliseconds before each call.
     pub slow: Option<Millis>,
     /// Let this many writes take effect without giving their answer.
--- a/crates/siskinyoke-standin/src/platform/gateway.rs
+++ b/crates/siskinyoke-standin/src/platform/gateway.rs
@@ -136,11 +136,26 @@
     Ok(json!({ "header": wire::header(store.revision()) }))
 }
 
-/// Writes the changes that a watch sends.
-pub fn events(store: &Store, events: &[Event]) -> Value {
+/// Writes the changes that a watch sends, as one line.
+pub fn events(store: &Store, events: &[Event]) -> String {
     let events: Vec<Value> = events.iter().map(event).collect();
     let header = wire::header(store.revision());
-    json!({ "result": { "header": header, "events": events } })
+    line(&json!({ "header": header, "events": events }))
+}
+
+/// Writes the line that begins a watch.
+pub fn created(header: &Value) -> String {
+    line(&json!({ "header": header, "created": true }))
+}
+
+/// Writes the line that refuses a watch whose start is no longer kept.
+pub fn canceled(header: &Value, compacted: i64) -> String {
+    let first = (compacted + 1).to_string();
+    line(&json!({ "header": header, "canceled": true, "compact_revision": first }))
+}
+
+fn line(result: &Value) -> String {
+    format!("{}\n", json!({ "result": result }))
 }
 
 fn event(event: &Event) -> Value {
--- /dev/null
+++ b/tests/tests/standin_load.rs
@@ -0,0 +1,148 @@
+//! The load driver: what it sends, and what it takes for a whole answer.
+
+use std::sync::Arc;
+
+use siskinyoke_standin::ANY_PORT;
+use siskinyoke_standin::answer::Answer;
+use siskinyoke_standin::engine::Engine;
+use siskinyoke_standin::engine::EngineConfig;
+use siskinyoke_standin::engine::control::Breaks;
+use siskinyoke_standin::engine::control::EngineControl;
+use siskinyoke_standin::load;
+use siskinyoke_standin::load::file::LoadFile;
+use siskinyoke_standin::load::plan;
+use siskinyoke_standin::load::report::Line;
+use siskinyoke_standin::web::Exchange;
+use siskinyoke_standin::web::Handler;
+use siskinyoke_standin::web::Web;
+
+const LOAD: &str = r#"{
+    // Short and long work beside each other.
+    "seed": 7,
+    "patience": 10000,
+    "callers": [
+        { "name": "paragraph", "model": "small", "weight": 3,
+          "prompt": [20, 60], "output": [2, 8], "stream": 0.5, "at_most_once": 0.2 },
+        { "name": "composition", "model": "small",
+          "prompt": [400, 900], "prefix": 200, "output": [10, 20] }
+    ],
+    "phases": [
+        { "name": "quiet", "span": 200, "rate": 50 },
+        { "name": "pause", "span": 50, "rate": 0 },
+        { "name": "burst", "span": 100, "rate": 400, "callers": ["paragraph"] }
+    ]
+}"#;
+
+fn load_to(address: &str) -> LoadFile {
+    let mut load = LoadFile::parse(LOAD).expect("a good load");
+    load.addresses = vec![address.to_owned()];
+    load
+}
+
+fn sum(lines: &[Line], count: impl Fn(&Line) -> u64) -> u64 {
+    lines.iter().map(count).sum()
+}
+
+#[test]
+fn a_seed_draws_the_same_load() {
+    let mut load = load_to("none");
+    let shots = plan::plan(&load);
+    assert_eq!(shots, plan::plan(&load));
+    assert!(shots.iter().any(|shot| shot.once));
+    assert!(
+        shots.iter().all(|shot| shot.phase != 1),
+        "nothing is due in the pause"
+    );
+    assert!(shots.iter().all(|shot| shot.phase != 2 || shot.caller == 0));
+    load.seed = 8;
+    assert_ne!(shots, plan::plan(&load));
+    load.most = 5;
+    assert_eq!(plan::plan(&load).len(), 5);
+}
+
+#[test]
+fn a_load_that_does_not_fit_together_is_refused() {
+    for (from, to, told) in [
+        ("[2, 8]", "[8, 2]", "caller paragraph: lengths"),
+        ("\"rate\": 50", "\"rate\": -1", "phase quiet: rate"),
+        (
+            "[\"paragraph\"]",
+            "[\"nobody\"]",
+            "no caller is called nobody",
+        ),
+        ("\"seed\"", "\"sead\"", "unknown field `sead`"),
+    ] {
+        let err = LoadFile::parse(&LOAD.replace(from, to)).expect_err("a fault");
+        assert!(err.to_string().contains(told), "{err}");
+    }
+}
+
+#[test]
+fn every_whole_answer_is_counted_and_timed() {
+    let engine = Engine::start(&fast()).expect("a free port");
+    let load = load_to(&engine.address().to_string());
+    let lines = load::run(&load).expect("a run");
+    let sent = plan::plan(&load).len() as u64;
+    assert_eq!(sum(&lines, |line| line.whole), sent, "{lines:?}");
+    assert_eq!(engine.counts().dispatched, sent);
+    let streamed = sum(&lines, |line| line.first.count);
+    assert!(streamed > 0 && streamed < sent);
+    assert_eq!(sum(&lines, |line| line.total.count), sent);
+}
+
+#[test]
+fn a_broken_stream_is_no_whole_answer() {
+    let engine = Engine::start(&fast()).expect("a free port");
+    engine.control(&EngineControl {
+        breaks: Some(Breaks {
+            after: 2,
+            requests: 3,
+        }),
+        ..EngineControl::default()
+    });
+    let load = load_to(&engine.address().to_string());
+    let lines = load::run(&load).expect("a run");
+    assert_eq!(sum(&lines, |line| line.failed), 3, "{lines:?}");
+    assert_eq!(sum(&lines, |line| line.wrong), 0);
+}
+
+#[test]
+fn an_answer_that_is_another_callers_is_told() {
+    // Two answers are mixed up on their way, and each caller reads a whole, well-formed answer to
+    // someone else's question. Only a check of the content itself tells it from its own.
+    let web = Web::start(ANY_PORT, ANY_PORT, Arc::new(Mixed)).expect("a free port");
+    let lines = load::run(&load_to(&web.address().to_string())).expect("a run");
+    assert_eq!(sum(&lines, |line| line.whole), 0);
+    assert_eq!(
+        sum(&lines, |line| line.wrong),
+        sum(&lines, |line| line.sent),
+        "{lines:?}"
+    );
+}
+
+fn fast() -> EngineConfig {
+    EngineConfig {
+        speed: 5000.0,
+        prefill: 1_000_000.0,
+        ..EngineConfig::default()
+    }
+}
+
+/// Answers everyone with the same text, in the form that they ask for.
+struct Mixed;
+
+impl Handler for Mixed {
+    fn handle(&self, mut exchange: Exchange) {
+        let request: serde_json::Value = exchange.json().expect("JSON");
+        let text = Answer::of("another question", Some(4)).text();
+        let delta = serde_json::json!({ "content": text });
+        if request["stream"] == true {
+            let chunk = serde_json::json!({ "choices": [{ "delta": delta }] });
+            let body = format!("data: {chunk}\n\ndata: [DONE]\n\n");
+            exchange.reply(200, "text/event-stream", &body);
+        } else {
+            let body = serde_json::json!({ "choices": [{ "message": delta }] });
+            exchange.reply_json(200, &body);
+        }
+    }
+}
--- a/tests/tests/standin_platform.rs
+++ b/tests/tests/standin_platform.rs
@@ -273,6 +273,47 @@
     assert_eq!(stands.map(|value| value.version), Some(1));
 }
 
+#[test]
+fn a_watch_that_the_service_breaks_off_is_an_error() {
+    // The service restarts while daemons watch it. If the watch were called unchanged, each of
+    // them would watch again at once, and the service would meet a storm of calls as it comes up.
+    let platform = platform();
+    let mut gateway = gateway_of(&platform);
+    assert!(swapped(&mut gateway, &swap(0, "one")).0);
+    let watching = thread::spawn(move || {
+        gateway.call(&PlatformRequest::Watch {
+            key: KEY.to_owned(),
+            known: 1,
+            limit: Millis::from_secs(20),
+        })
+    });
+    wait_for(|| platform.counts().contains_key("watch"));
+    platform.control(&PlatformControl {
+        cut: true,
+        ..PlatformControl::default()
+    });
+    let broken = watching.join().expect("the watch");
+    assert!(matches!(broken, Err(PlatformError::Down(_))), "{broken:?}");
+}
+
+#[test]
+fn a_slow_service_leaves_a_watch_its_time() {
+    let platform = platform();
+    let mut gateway = gateway_of(&platform);
+    assert!(swapped(&mut gateway, &swap(0, "one")).0);
+    platform.control(&PlatformControl {
+        slow: Some(Millis(300)),
+        ..PlatformControl::default()
+    });
+    let watch = PlatformRequest::Watch {
+        key: KEY.to_owned(),
+        known: 1,
+        limit: Millis(100),
+    };
+    let stands = value(gateway.call(&watch));
+    assert_eq!(stands.map(|value| value.version), Some(1));
+}
+
 #[test]
 fn the_instance_list_lags() {
     // The platform takes an instance away, and its list still shows it as live for a while, so
