--- a/crates/siskinyoke-daemon/src/lib.rs
+++ b/crates/siskinyoke-daemon/src/lib.rs
@@ -9,3 +9,6 @@
 
 pub use daemon::Daemon;
 pub use settings::Settings;
+//! Placeholder.
+
+pub mod platform;
