--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod configuration;
 pub mod controller;
+pub mod members;
 pub mod outbox;
 pub mod platform;
 
--- a/crates/siskinyoke-daemon/src/lib.rs
+++ b/crates/siskinyoke-daemon/src/lib.rs
@@ -1,1 +1,3 @@
 //! Placeholder.
+
+pub mod peers;
--- /dev/null
+++ b/crates/siskinyoke-measure/src/main.rs
@@ -0,0 +1,5 @@
+//! Prints the slopes behind `docs/CAPACITY.md`.
+
+fn main() {
+    println!("see --help");
+}
