--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod controller;
 pub mod core;
 pub mod ledger;
+pub mod members;
 pub mod outbox;
 pub mod platform;
 pub mod threshold;
--- a/crates/siskinyoke-daemon/src/lib.rs
+++ b/crates/siskinyoke-daemon/src/lib.rs
@@ -12,3 +12,4 @@
 //! Placeholder.
 
 pub mod platform;
+pub mod peers;
