Join the decisions under load into one policy, Adaptive

Cause: the daemon needs the product's policy behind the trait; Simple knows no need, fair share, lease or failing endpoint.

Small modules, each with the load pattern it answers: admission by need, tiered queue with fair turns by tokens, allowances, placement by learned speed, prefix affinity with a bound, shares by lease or fallback, health with probation, retry budget, preset ramp, demand for leases.

Border: Work gains `stream` (whether the deadline is for the first piece), as the policy cannot tell otherwise what has to be there in time; Scheduler gains `set_instances` with an empty default.

--- a/crates/siskinyoke-policy/src/lib.rs
+++ b/crates/siskinyoke-policy/src/lib.rs
@@ -1,9 +1,31 @@
 //! Every decision under load, as pure code: events and the time go in, decisions come out.
 
+mod adaptive;
+mod admission;
+mod allowance;
+mod demand;
+mod endpoint;
+mod fair;
+mod flight;
+mod health;
+mod history;
+mod placement;
+mod pool;
+mod prefix;
+mod queue;
+mod ramp;
+mod rate;
+mod refusal;
+mod retry;
+mod share;
+mod speed;
+mod units;
+
 pub mod scheduler;
 pub mod simple;
 pub mod work;
 
+pub use adaptive::Adaptive;
 pub use scheduler::Decision;
 pub use scheduler::EndpointSpec;
 pub use scheduler::Finish;
--- /dev/null
+++ b/crates/siskinyoke-policy/src/pool.rs
@@ -0,0 +1,430 @@
+//! The endpoints with what is on them, and where work would finish first.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rand::Rng;
+
+use crate::EndpointSpec;
+use crate::Finish;
+use crate::Work;
+use crate::WorkId;
+use crate::endpoint::Endpoint;
+use crate::flight::Flight;
+use crate::flight::Flights;
+use crate::placement;
+use crate::placement::Candidate;
+use crate::prefix::Prefixes;
+use crate::rate::Rate;
+use crate::units;
+use siskinyoke_base::EndpointId;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
+use siskinyoke_base::ModelId;
+
+/// How far above the average use an endpoint may be and still draw work by its cached prefixes:
+/// the bound of consistent hashing with bounded loads, which keeps one hot prefix from filling
+/// one endpoint.
+const AFFINITY_BOUND: f64 = 1.25;
+
+/// Work over this many times the average time on an endpoint counts as long.
+const LONG: f64 = 2.0;
+
+/// The share of endpoints from which long work keeps away while others have room.
+const SHORT_ROOM: f64 = 0.25;
+
+/// A silent endpoint is given this many times the expected time to the first piece, and at least
+/// a second, before it counts as frozen: batching alone stretches a first piece three times.
+const PATIENCE: f64 = 4.0;
+const LEAST_PATIENCE: f64 = 1.0;
+
+/// Endpoints and the work on them.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    flights: Flights,
+    prefixes: Prefixes,
+    sizes: Map<ModelId, Sizes>,
+    instances: u32,
+}
+
+/// Sizes of a target's work of late.
+#[derive(Debug, Default)]
+struct Sizes {
+    count: Rate,
+    seconds: Rate,
+}
+
+impl Pool {
+    /// Sets how many instances share the endpoints.
+    pub(crate) fn set_instances(&mut self, count: u32) {
+        self.instances = count;
+    }
+
+    /// Returns how many instances share the endpoints.
+    pub(crate) fn instances(&self) -> u32 {
+        self.instances
+    }
+
+    /// Sets the endpoints that may be used; what was learned of those that stay is kept.
+    pub(crate) fn set_endpoints(&mut self, now: Millis, specs: &[EndpointSpec]) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.listed = false;
+        }
+        for spec in specs {
+            let known = self
+                .endpoints
+                .entry(spec.id.clone())
+                .or_insert_with(|| Endpoint::new(now, spec.clone()));
+            known.spec = spec.clone();
+            known.listed = true;
+        }
+        let flights = &self.flights;
+        self.endpoints
+            .retain(|id, endpoint| endpoint.listed || flights.count(id) > 0);
+    }
+
+    /// Passes over the endpoints that may be used.
+    pub(crate) fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values().filter(|endpoint| endpoint.listed)
+    }
+
+    /// Returns an endpoint for a change.
+    pub(crate) fn endpoint(&mut self, id: &EndpointId) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(id)
+    }
+
+    /// Returns the work on endpoints.
+    pub(crate) fn flights(&self) -> &Flights {
+        &self.flights
+    }
+
+    /// Tells whether any endpoint offers a target.
+    pub(crate) fn offers(&self, target: &ModelId) -> bool {
+        self.endpoints().any(|endpoint| endpoint.offers(target))
+    }
+
+    /// Returns the slots that this daemon may fill with work for a target.
+    pub(crate) fn slots(&self, now: Millis, target: &ModelId) -> u32 {
+        let offering = self.endpoints().filter(|endpoint| endpoint.offers(target));
+        offering
+            .map(|endpoint| endpoint.room(now, self.instances))
+            .sum()
+    }
+
+    /// Tells whether any endpoint has room for a target's work.
+    pub(crate) fn has_room(&self, now: Millis, target: &ModelId) -> bool {
+        let mut offering = self.endpoints().filter(|endpoint| endpoint.offers(target));
+        offering.any(|endpoint| self.free(now, endpoint) > 0)
+    }
+
+    /// Returns the least expected seconds to a useful answer over all endpoints in use.
+    pub(crate) fn useful(&self, now: Millis, work: &Work) -> Option<f64> {
+        let offering = self
+            .endpoints()
+            .filter(|endpoint| endpoint.offers(&work.target));
+        offering
+            .map(|endpoint| {
+                let fresh = self.fresh(work, endpoint);
+                let expected = endpoint.expect(now, work, fresh, 0.0);
+                let doubt = if endpoint.health.doubtful(now) {
+                    10.0
+                } else {
+                    1.0
+                };
+                expected.useful(work) * doubt
+            })
+            .min_by(f64::total_cmp)
+    }
+
+    /// Returns the average expected seconds on an endpoint, by its slots.
+    pub(crate) fn service(&self, now: Millis, work: &Work) -> f64 {
+        let offering = self
+            .endpoints()
+            .filter(|endpoint| endpoint.offers(&work.target));
+        let (mut sum, mut slots) = (0.0, 0.0);
+        for endpoint in offering {
+            let expected = endpoint.expect(now, work, f64::from(work.prompt), 0.0);
+            let weight = f64::from(endpoint.spec.slots) / expected.whole.max(0.001);
+            sum += weight * expected.whole;
+            slots += weight;
+        }
+        if slots > 0.0 { sum / slots } else { 0.0 }
+    }
+
+    /// Learns the size of work that arrives, so that long work can be told from short.
+    pub(crate) fn learn_size(&mut self, now: Millis, target: &ModelId, service: f64) {
+        let sizes = self.sizes.entry(target.clone()).or_default();
+        sizes.count.add(now, 1.0);
+        sizes.seconds.add(now, service);
+    }
+
+    /// Chooses an endpoint with room for the work.
+    pub(crate) fn place(&self, now: Millis, rng: &mut impl Rng, work: &Work) -> Option<Candidate> {
+        if work.apart && self.flights.iter().any(|flight| flight.work.apart) {
+            return None;
+        }
+        let offering: Vec<&Endpoint> = self
+            .endpoints()
+            .filter(|endpoint| endpoint.offers(&work.target))
+            .collect();
+        let average = self.average_use(now, &offering);
+        let lane = self.short_lane(now, work, &offering);
+        let candidates = offering
+            .iter()
+            .filter(|endpoint| self.free(now, endpoint) > 0 && self.may_join(work, endpoint))
+            .map(|endpoint| self.candidate(now, work, endpoint, average, &lane))
+            .collect();
+        placement::choose(rng, candidates)
+    }
+
+    /// Notes that work was dispatched.
+    pub(crate) fn start(&mut self, now: Millis, work: Work, chosen: &Candidate) {
+        self.prefixes.learn(&work.prefix, &chosen.endpoint);
+        if self.flights.count(&chosen.endpoint) == 0
+            && let Some(endpoint) = self.endpoints.get_mut(&chosen.endpoint)
+        {
+            // An endpoint that had nothing to answer was silent for good reason.
+            endpoint.health.alive(now);
+        }
+        self.flights.insert(Flight {
+            work,
+            endpoint: chosen.endpoint.clone(),
+            started: now,
+            first: None,
+            fresh: chosen.fresh,
+            plan: chosen.expected.plan,
+            expected: chosen.expected.first,
+            cancelled: false,
+        });
+    }
+
+    /// Learns of a first piece.
+    pub(crate) fn first_piece(&mut self, now: Millis, id: WorkId) {
+        let Some(flight) = self.flights.get_mut(id) else {
+            return;
+        };
+        if flight.first.is_some() {
+            return;
+        }
+        flight.first = Some(now);
+        let took = now.since(flight.started);
+        let Some(endpoint) = self.endpoints.get_mut(&flight.endpoint) else {
+            return;
+        };
+        endpoint.health.alive(now);
+        if flight.work.stream {
+            endpoint.learn_first(now, &flight.work.target, flight.plan, took);
+        }
+    }
+
+    /// Learns that work left its endpoint.
+    pub(crate) fn finished(&mut self, now: Millis, id: WorkId, finish: Finish) -> Option<Flight> {
+        let flight = self.flights.remove(id)?;
+        let endpoint = self.endpoints.get_mut(&flight.endpoint)?;
+        match finish {
+            Finish::Complete { output } => {
+                endpoint.health.succeed(now);
+                learn(endpoint, now, &flight, output);
+            }
+            Finish::Unreachable | Finish::Broken => {
+                endpoint.health.fail(now);
+                self.prefixes.forget(&flight.work.prefix, &flight.endpoint);
+            }
+            Finish::Cancelled => {}
+        }
+        if !endpoint.listed && self.flights.count(&flight.endpoint) == 0 {
+            self.endpoints.remove(&flight.endpoint);
+        }
+        Some(flight)
+    }
+
+    /// Marks work whose cancel was asked for.
+    pub(crate) fn cancel(&mut self, id: WorkId) {
+        if let Some(flight) = self.flights.get_mut(id) {
+            flight.cancelled = true;
+        }
+    }
+
+    /// Takes endpoints out that have gone silent, and lists their work that may be repeated.
+    ///
+    /// A frozen endpoint accepts connections and never answers: its work would wait until each
+    /// need has passed. Silence counts only from the last sign of life, so that an endpoint which
+    /// is merely slow, and answers others, is not taken out.
+    pub(crate) fn stalled(&mut self, now: Millis) -> Vec<WorkId> {
+        let mut silent = BTreeSet::new();
+        for flight in self.flights.iter() {
+            let Some(endpoint) = self.endpoints.get(&flight.endpoint) else {
+                continue;
+            };
+            let sign = endpoint.health.sign().max(flight.started);
+            let usual = endpoint.expect(now, &flight.work, flight.fresh, 0.0);
+            let least = if flight.work.stream && flight.first.is_none() {
+                flight.expected
+            } else {
+                flight.expected.max(usual.whole)
+            };
+            let patience = units::millis((least * PATIENCE).max(LEAST_PATIENCE));
+            if now >= sign + patience {
+                silent.insert(flight.endpoint.clone());
+            }
+        }
+        for id in &silent {
+            if let Some(endpoint) = self.endpoints.get_mut(id) {
+                endpoint.health.expel(now);
+            }
+        }
+        let waits = |flight: &&Flight| {
+            silent.contains(&flight.endpoint)
+                && flight.work.repeatable()
+                && flight.first.is_none()
+                && !flight.cancelled
+        };
+        let stranded = self.flights.iter().filter(waits);
+        stranded.map(|flight| flight.work.id).collect()
+    }
+
+    /// Returns work to cancel for more urgent `work`: the least prefill lost first.
+    pub(crate) fn victim(&self, now: Millis, work: &Work) -> Option<WorkId> {
+        let fits = |flight: &&Flight| {
+            flight.work.rank > work.rank
+                && flight.work.repeatable()
+                && !flight.cancelled
+                && !work.avoid.contains(&flight.endpoint)
+                && self.usable(now, &flight.endpoint, &work.target)
+        };
+        self.flights
+            .iter()
+            .filter(fits)
+            .min_by(|a, b| {
+                let by_loss = lost(now, a).total_cmp(&lost(now, b));
+                by_loss.then(b.work.rank.cmp(&a.work.rank))
+            })
+            .map(|flight| flight.work.id)
+    }
+
+    fn usable(&self, now: Millis, id: &EndpointId, target: &ModelId) -> bool {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return false;
+        };
+        let limit = endpoint.room(now, self.instances);
+        endpoint.offers(target) && limit > 0 && self.flights.count(id) <= limit
+    }
+
+    fn free(&self, now: Millis, endpoint: &Endpoint) -> u32 {
+        let room = endpoint.room(now, self.instances);
+        room.saturating_sub(self.flights.count(&endpoint.spec.id))
+    }
+
+    /// Tells whether work may run beside what is on the endpoint.
+    ///
+    /// Suspected work may take the endpoint's process down with all that runs there; work that
+    /// cannot be repeated would be lost, so neither joins the other.
+    fn may_join(&self, work: &Work, endpoint: &Endpoint) -> bool {
+        if work.apart {
+            return self
+                .flights
+                .on(&endpoint.spec.id)
+                .all(|flight| flight.work.repeatable());
+        }
+        let with_suspect = self
+            .flights
+            .on(&endpoint.spec.id)
+            .any(|flight| flight.work.apart);
+        work.repeatable() || !with_suspect
+    }
+
+    fn fresh(&self, work: &Work, endpoint: &Endpoint) -> f64 {
+        let held = self.prefixes.held(&work.prefix, &endpoint.spec.id);
+        f64::from(work.prompt) * (1.0 - held)
+    }
+
+    fn candidate(
+        &self,
+        now: Millis,
+        work: &Work,
+        endpoint: &Endpoint,
+        average: f64,
+        lane: &BTreeSet<EndpointId>,
+    ) -> Candidate {
+        let id = &endpoint.spec.id;
+        let usage = self.usage(now, endpoint);
+        let fresh = self.fresh(work, endpoint);
+        let bounded = if usage <= average * AFFINITY_BOUND {
+            fresh
+        } else {
+            f64::from(work.prompt)
+        };
+        let queued = self.flights.on(id).filter(|flight| flight.first.is_none());
+        let queued = queued.map(|flight| flight.fresh).sum();
+        let expected = endpoint.expect(now, work, bounded, queued);
+        let left = work.deadline.since(now).as_secs();
+        let crowded = work.apart && self.flights.count(id) > 0;
+        // Probation is proven with work that can run again if the endpoint fails once more.
+        let doubtful = endpoint.health.doubtful(now) && !work.repeatable();
+        let kept = if lane.contains(id) {
+            expected.whole
+        } else {
+            0.0
+        };
+        Candidate {
+            endpoint: id.clone(),
+            expected,
+            fresh,
+            usage,
+            fits: expected.useful(work) <= left,
+            avoided: crowded || doubtful || work.avoid.contains(id),
+            penalty: kept,
+        }
+    }
+
+    fn usage(&self, now: Millis, endpoint: &Endpoint) -> f64 {
+        let room = endpoint.room(now, self.instances).max(1);
+        f64::from(self.flights.count(&endpoint.spec.id)) / f64::from(room)
+    }
+
+    fn average_use(&self, now: Millis, offering: &[&Endpoint]) -> f64 {
+        let sum: f64 = offering
+            .iter()
+            .map(|endpoint| self.usage(now, endpoint))
+            .sum();
+        sum / f64::from(units::count(offering.len()).max(1))
+    }
+
+    /// Returns the endpoints that long work leaves to short work.
+    ///
+    /// Load pattern: work a hundred times longer than the rest. Its prompt holds up an endpoint
+    /// for seconds and short work behind it misses its need. Every daemon takes the same
+    /// endpoints, the first by name, so that the room is kept without any message.
+    fn short_lane(&self, now: Millis, work: &Work, offering: &[&Endpoint]) -> BTreeSet<EndpointId> {
+        let Some(sizes) = self.sizes.get(&work.target) else {
+            return BTreeSet::new();
+        };
+        let usual = sizes.seconds.value(now) / sizes.count.value(now).max(f64::MIN_POSITIVE);
+        if self.service(now, work) < usual * LONG {
+            return BTreeSet::new();
+        }
+        let len = units::floor(f64::from(units::count(offering.len())) * SHORT_ROOM);
+        let kept = offering.iter().take(len as usize);
+        kept.map(|endpoint| endpoint.spec.id.clone()).collect()
+    }
+}
+
+fn learn(endpoint: &mut Endpoint, now: Millis, flight: &Flight, output: u32) {
+    let target = &flight.work.target;
+    let Some(first) = flight.first.filter(|_| flight.work.stream) else {
+        let took = now.since(flight.started);
+        endpoint.learn_whole(now, target, flight.plan, output, took);
+        return;
+    };
+    endpoint.learn_rest(now, target, output, now.since(first));
+}
+
+/// Returns the prompt tokens that a cancel would throw away.
+fn lost(now: Millis, flight: &Flight) -> f64 {
+    if flight.first.is_some() {
+        return flight.fresh;
+    }
+    let elapsed = now.since(flight.started).as_secs();
+    flight.fresh * (elapsed / flight.expected.max(0.001)).min(1.0)
+}
--- /dev/null
+++ b/crates/siskinyoke-policy/src/refusal.rs
@@ -0,0 +1,46 @@
+//! Refusals, with an honest time to come back.
+
+use rand::Rng;
+
+use crate::units;
+use siskinyoke_base::Code;
+use siskinyoke_base::Millis;
+
+/// When to come back where nothing better is known: about a round of thresholds or leases.
+const USUAL: Millis = Millis::from_secs(1);
+
+/// The shortest time to come back: sooner the same queue would be met.
+const LEAST: Millis = Millis(200);
+
+/// How far times to come back are spread: callers refused in one burst that all return at one
+/// moment are the next burst.
+const SPREAD: f64 = 0.5;
+
+/// A refusal that is still to be told.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Refusal {
+    /// The reason.
+    pub(crate) code: Code,
+    after: Millis,
+}
+
+impl Refusal {
+    /// Makes a refusal without an estimate.
+    pub(crate) fn new(code: Code) -> Self {
+        Self { code, after: USUAL }
+    }
+
+    /// Makes a refusal with an estimate of when there is room.
+    pub(crate) fn after(code: Code, after: Millis) -> Self {
+        Self {
+            code,
+            after: after.max(LEAST),
+        }
+    }
+
+    /// Returns when to come back, spread over the time behind the estimate.
+    pub(crate) fn spread(&self, rng: &mut impl Rng) -> Millis {
+        let extra = self.after.as_secs() * SPREAD * rng.random::<f64>();
+        self.after + units::millis(extra)
+    }
+}
--- a/crates/siskinyoke-policy/src/scheduler.rs
+++ b/crates/siskinyoke-policy/src/scheduler.rs
@@ -17,6 +17,9 @@
 ///
 /// It is pure: time comes in with each call, and the same calls give the same decisions.
 pub trait Scheduler: fmt::Debug + Send {
+    /// Sets how many instances share the endpoints, for local shares without leases.
+    fn set_instances(&mut self, _count: u32) {}
+
     /// Sets the endpoints that may be used; those left out get nothing new.
     fn set_endpoints(&mut self, now: Millis, specs: &[EndpointSpec]);
 
--- a/crates/siskinyoke-policy/src/work.rs
+++ b/crates/siskinyoke-policy/src/work.rs
@@ -24,6 +24,8 @@
     pub arrived: Millis,
     /// Until when the answer is useful: the first token for streams, the whole for others.
     pub deadline: Millis,
+    /// Whether the deadline is for the first piece of a stream rather than the whole answer.
+    pub stream: bool,
     /// The model or service.
     pub target: ModelId,
     /// Estimated prompt tokens.
