--- /dev/null
+++ b/crates/siskinyoke-rig/src/figures.rs
@@ -0,0 +1,174 @@
+//! What a run is judged by.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::bound::reachable;
+use crate::convert;
+use crate::load::Load;
+use crate::request::Fate;
+use crate::request::Request;
+use crate::rival::Rival;
+use crate::run::Outcome;
+use crate::site::Site;
+use siskinyoke_base::CallClass;
+use siskinyoke_base::Millis;
+use siskinyoke_base::ModelId;
+
+/// The figures of one run.
+#[derive(Debug, Clone, Serialize)]
+pub struct Figures {
+    /// The deployment.
+    pub site: &'static str,
+    /// The load.
+    pub load: &'static str,
+    /// Whether the load was kept apart while thresholds were chosen.
+    pub held: bool,
+    /// The policy.
+    pub policy: &'static str,
+    /// Tiers of the model's work.
+    pub tiers: Vec<TierFigures>,
+    /// Useful calls of the plain service, as a part of all.
+    pub service: f64,
+    /// Prompt tokens computed for answers that were late, cut off or never came, as a part of all.
+    pub wasted: f64,
+    /// The least that an organisation got of its fair share.
+    pub least: f64,
+    /// Work that may not be repeated and was dispatched twice.
+    pub doubled: usize,
+    /// Protected requests refused while lower work was served.
+    pub unjust: u32,
+}
+
+/// The figures of one tier.
+#[derive(Debug, Clone, Serialize)]
+pub struct TierFigures {
+    /// Requests.
+    pub requests: usize,
+    /// The part that could be answered in time.
+    pub reachable: f64,
+    /// Goodput as a part of what could be reached.
+    pub goodput: f64,
+    /// Refusals as a part of all requests.
+    pub refused: f64,
+    /// Median and 95th percentile of the time to a refusal, as a part of the need.
+    pub refusal: [f64; 2],
+    /// 50th, 95th and 99th percentile of the time to the first token, in milliseconds.
+    pub first: [u64; 3],
+}
+
+impl Figures {
+    /// Judges a run.
+    pub fn of(site: &Site, load: &Load, rival: Rival, outcome: &Outcome) -> Self {
+        let model = ModelId::new("model");
+        let reach = reachable(site, load, &outcome.requests, &model);
+        let all: Vec<(&Request, &Fate)> = outcome.requests.iter().zip(&outcome.fates).collect();
+        let of_model = |pair: &&(&Request, &Fate)| pair.0.target == model;
+        let tiers = reach.iter().zip(0..).map(|(reach, rank)| {
+            let fits = |pair: &&(&Request, &Fate)| of_model(pair) && pair.0.rank == rank;
+            let pairs: Vec<_> = all.iter().filter(fits).copied().collect();
+            TierFigures::of(*reach, &pairs)
+        });
+        let services: Vec<_> = all.iter().filter(|pair| !of_model(pair)).copied().collect();
+        Self {
+            site: site.name,
+            load: load.name,
+            held: load.held,
+            policy: rival.name(),
+            tiers: tiers.collect(),
+            service: part(&services, |(request, fate)| fate.useful(request)),
+            wasted: wasted(&all),
+            least: least(&all, &model),
+            doubled: all.iter().filter(|pair| doubled(pair)).count(),
+            unjust: outcome.unjust,
+        }
+    }
+}
+
+impl TierFigures {
+    fn of(reachable: f64, pairs: &[(&Request, &Fate)]) -> Self {
+        let useful = part(pairs, |(request, fate)| fate.useful(request));
+        let refusals = pairs.iter().filter_map(|(request, fate)| {
+            let (at, _) = fate.refused?;
+            Some(at.since(request.arrived).as_secs() / request.need.as_secs())
+        });
+        let mut refusals: Vec<f64> = refusals.collect();
+        refusals.sort_by(f64::total_cmp);
+        let firsts = pairs.iter().filter_map(|(request, fate)| {
+            let first = fate.first.filter(|_| fate.done.is_some())?;
+            Some(first.since(request.arrived))
+        });
+        let mut firsts: Vec<Millis> = firsts.collect();
+        firsts.sort();
+        Self {
+            requests: pairs.len(),
+            reachable,
+            goodput: useful / reachable.max(0.01),
+            refused: part(pairs, |(_, fate)| fate.refused.is_some()),
+            refusal: [0.5, 0.95].map(|at| percentile(&refusals, at).unwrap_or(0.0)),
+            first: [0.5, 0.95, 0.99].map(|at| percentile(&firsts, at).map_or(0, |span| span.0)),
+        }
+    }
+}
+
+fn part(pairs: &[(&Request, &Fate)], fits: impl Fn(&(&Request, &Fate)) -> bool) -> f64 {
+    let found = pairs.iter().filter(|pair| fits(pair)).count();
+    convert::number(found) / convert::number(pairs.len().max(1))
+}
+
+fn percentile<T: Copy>(sorted: &[T], at: f64) -> Option<T> {
+    let last = sorted.len().checked_sub(1)?;
+    Some(sorted[convert::index(convert::number(last) * at)])
+}
+
+fn wasted(all: &[(&Request, &Fate)]) -> f64 {
+    let computed: f64 = all.iter().map(|(_, fate)| fate.computed).sum();
+    let lost = all.iter().map(|(request, fate)| {
+        if fate.useful(request) {
+            fate.thrown
+        } else {
+            fate.computed
+        }
+    });
+    lost.sum::<f64>() / computed.max(1.0)
+}
+
+fn doubled(pair: &(&Request, &Fate)) -> bool {
+    pair.0.class != CallClass::Idempotent && pair.1.runs > 1
+}
+
+/// Returns the least part of a fair share that an organisation got: the tokens of all useful
+/// answers of the run are divided by max-min fairness over what each organisation asked for.
+fn least(all: &[(&Request, &Fate)], model: &ModelId) -> f64 {
+    let mut asked: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+    for (request, fate) in all {
+        if request.target != *model {
+            continue;
+        }
+        let tokens = f64::from(request.prompt) + f64::from(request.output);
+        let entry = asked.entry(request.organisation.as_str()).or_default();
+        entry.0 += tokens;
+        if fate.useful(request) {
+            entry.1 += tokens;
+        }
+    }
+    let total: f64 = asked.values().map(|(_, got)| got).sum();
+    let level = water_level(asked.values().map(|(asked, _)| *asked).collect(), total);
+    let parts = asked.values().map(|(asked, got)| got / asked.min(level));
+    parts.fold(1.0, f64::min)
+}
+
+/// Returns the level up to which each demand is met when `total` is divided by max-min fairness.
+fn water_level(mut demands: Vec<f64>, total: f64) -> f64 {
+    demands.sort_by(f64::total_cmp);
+    let mut left = total;
+    for (met, demand) in demands.iter().enumerate() {
+        let others = convert::number(demands.len() - met);
+        if demand * others > left {
+            return left / others;
+        }
+        left -= demand;
+    }
+    f64::INFINITY
+}
--- /dev/null
+++ b/crates/siskinyoke-rig/src/main.rs
@@ -0,0 +1,110 @@
+//! Measures the decisions under load and prints them side by side with baselines.
+
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use clap::Parser;
+
+use siskinyoke_rig::figures::Figures;
+use siskinyoke_rig::load::Load;
+use siskinyoke_rig::rival::Rival;
+use siskinyoke_rig::run;
+use siskinyoke_rig::site::Site;
+use siskinyoke_rig::table;
+
+/// Measures the decisions under load in virtual time.
+#[derive(Debug, Parser)]
+#[command(name = "siskinyoke-rig", version)]
+struct Arguments {
+    /// Only this deployment: muscat or cairo.
+    #[arg(long)]
+    site: Option<String>,
+    /// Only loads whose name begins so.
+    #[arg(long)]
+    load: Option<String>,
+    /// Only this policy.
+    #[arg(long)]
+    policy: Option<Rival>,
+    /// Only loads kept apart while thresholds were chosen (true), or only the others (false).
+    #[arg(long)]
+    held: Option<bool>,
+    /// Prints JSON in place of a table.
+    #[arg(long)]
+    json: bool,
+    /// Runs at once.
+    #[arg(long, default_value_t = 3)]
+    threads: usize,
+}
+
+fn main() {
+    let arguments = Arguments::parse();
+    let jobs = jobs(&arguments);
+    let done = Mutex::new(Vec::new());
+    let next = AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for _ in 0..arguments.threads.max(1) {
+            scope.spawn(|| {
+                while let Some((site, load, rival)) = jobs.get(next.fetch_add(1, Ordering::Relaxed))
+                {
+                    let outcome = run::play(site, load, *rival);
+                    let figures = Figures::of(site, load, *rival, &outcome);
+                    let Ok(mut done) = done.lock() else { return };
+                    done.push(figures);
+                }
+            });
+        }
+    });
+    let figures = done.into_inner().unwrap_or_default();
+    print(&arguments, &sorted(&jobs, figures));
+}
+
+fn jobs(arguments: &Arguments) -> Vec<(Site, Load, Rival)> {
+    let mut jobs = Vec::new();
+    for site in [Site::muscat(), Site::cairo()] {
+        for load in Load::all() {
+            for rival in Rival::ALL {
+                let wanted = arguments
+                    .site
+                    .as_deref()
+                    .is_none_or(|name| name == site.name)
+                    && arguments
+                        .load
+                        .as_deref()
+                        .is_none_or(|name| load.name.starts_with(name))
+                    && arguments.policy.is_none_or(|only| only == rival)
+                    && arguments.held.is_none_or(|held| held == load.held);
+                if wanted {
+                    jobs.push((site.clone(), load.clone(), rival));
+                }
+            }
+        }
+    }
+    jobs
+}
+
+fn sorted(jobs: &[(Site, Load, Rival)], figures: Vec<Figures>) -> Vec<Figures> {
+    let place = |figures: &Figures| {
+        jobs.iter().position(|(site, load, rival)| {
+            site.name == figures.site && load.name == figures.load && rival.name() == figures.policy
+        })
+    };
+    let mut figures = figures;
+    figures.sort_by_key(place);
+    figures
+}
+
+fn print(arguments: &Arguments, figures: &[Figures]) {
+    if arguments.json {
+        match serde_json::to_string_pretty(figures) {
+            Ok(text) => println!("{text}"),
+            Err(error) => eprintln!("the figures cannot be written: {error}"),
+        }
+        return;
+    }
+    println!("{}", table::HEADING);
+    for figures in figures {
+        println!("{}", table::line(figures));
+    }
+}
