--- a/crates/siskinyoke-control/src/core/job.rs
+++ b/crates/siskinyoke-control/src/core/job.rs
@@ -88,6 +88,7 @@
             target: self.head.route.target().clone(),
             prompt: self.head.prompt,
             output: self.head.output,
+            stream: self.head.stream,
             prefix: self.head.prefix.clone(),
             class: self.resolved.class,
             apart: false,
--- a/crates/siskinyoke-daemon/src/http/read.rs
+++ b/crates/siskinyoke-daemon/src/http/read.rs
@@ -159,7 +159,7 @@
 
 /// Reads how many times the request was sent before.
 ///
-/// The published OpenAI client libraries count their resends in a header of their own.
+/// The published `OpenAI` client libraries count their resends in a header of their own.
 fn retry(headers: &HeaderMap) -> Result<Option<u32>, End> {
     match number(headers, "siskinyoke-retry")? {
         Some(count) => Ok(Some(count)),
--- a/crates/siskinyoke-daemon/src/lib.rs
+++ b/crates/siskinyoke-daemon/src/lib.rs
@@ -4,12 +4,10 @@
 pub mod dispatch;
 pub mod http;
 pub mod metrics;
+pub mod peers;
+pub mod platform;
 pub mod runtime;
 pub mod settings;
 
 pub use daemon::Daemon;
 pub use settings::Settings;
-//! Placeholder.
-
-pub mod platform;
-pub mod peers;
--- a/crates/siskinyoke-daemon/src/platform/watch.rs
+++ b/crates/siskinyoke-daemon/src/platform/watch.rs
@@ -102,7 +102,7 @@
         },
     };
     let begun = Instant::now();
-    let ran_out = || begun.elapsed() >= limit.into();
+    let ran_out = || begun.elapsed() >= std::time::Duration::from(limit);
     let response = match transport.open(WATCH, &request, Effect::Read, limit) {
         Ok(response) => response,
         Err(_) if ran_out() => return Ok(Watched::RanOut),
--- a/crates/siskinyoke-policy/src/lib.rs
+++ b/crates/siskinyoke-policy/src/lib.rs
@@ -1,6 +1,5 @@
 //! Every decision under load, as pure code: events and the time go in, decisions come out.
 
-pub mod quarantine;
 mod adaptive;
 mod admission;
 mod allowance;
@@ -13,6 +12,7 @@
 mod placement;
 mod pool;
 mod prefix;
+pub mod quarantine;
 mod queue;
 mod ramp;
 mod rate;
--- a/tests/src/world.rs
+++ b/tests/src/world.rs
@@ -328,9 +328,9 @@
         }
         // A connection keeps the order of its messages, whatever each one's delay.
         let at = self.now + Millis(1 + self.rng.random_range(0..3));
-        let last = self.arrivals.entry((from, index)).or_default();
-        *last = at.max(*last);
-        let delay = *last - self.now;
+        let latest = self.arrivals.entry((from, index)).or_default();
+        *latest = at.max(*latest);
+        let delay = *latest - self.now;
         self.schedule(index, delay, Event::Peer(Box::new(envelope)));
     }
 
