--- a/crates/siskinyoke-base/src/message.rs
+++ b/crates/siskinyoke-base/src/message.rs
@@ -31,11 +31,22 @@
     Forward(Box<Forward>),
     /// The head or a piece of a forwarded request's answer.
     ForwardPiece {
-        /// The sender's number of the forwarded request.
+        /// The receiver's start; its numbers begin anew with each.
+        asker: Incarnation,
+        /// The receiver's number of the forwarded request.
         id: u64,
+        /// Counts the parts of the answer from 0, so that a lost or doubled one shows.
+        seq: u32,
         /// What came.
         part: Part,
     },
+    /// The owner has taken a forwarded request in.
+    ForwardAck {
+        /// The receiver's start; its numbers begin anew with each.
+        asker: Incarnation,
+        /// The receiver's number of the forwarded request.
+        id: u64,
+    },
     /// The caller of a forwarded request went away.
     ForwardGone {
         /// The number of the forwarded request.
@@ -77,8 +88,8 @@
     LeaseGrant(LeaseGrant),
     /// Contents that were in flight when an endpoint's process died.
     Suspects {
-        /// Their digests, and how many deaths each was involved in.
-        digests: Vec<([u8; 32], u8)>,
+        /// What the sender knows of each.
+        suspects: Vec<Suspect>,
     },
     /// Usage of the sender, held for it in case it dies.
     Usage {
@@ -105,6 +116,8 @@
     pub head: CallHead,
     /// What remains of its need.
     pub remaining: Millis,
+    /// Whether the owner was found by a claim in the platform's service.
+    pub claimed: bool,
 }
 
 /// One part of an answer on its way to the caller.
@@ -207,6 +220,19 @@
     Gone,
 }
 
+/// What an instance knows of a content that may crash endpoints.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The content's digest.
+    pub digest: [u8; 32],
+    /// Endpoints that died with it in flight, and how long ago.
+    pub deaths: Vec<(crate::EndpointId, Millis)>,
+    /// How long ago it was last seen to run to its end.
+    pub cleared: Option<Millis>,
+    /// How long ago the sender began to run it apart, if it still does.
+    pub trial: Option<Millis>,
+}
+
 /// Demand for shared capacity by one instance.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct LeaseReport {
