--- a/tests/tests/histories.rs
+++ b/tests/tests/histories.rs
@@ -65,7 +65,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let size = rng.random_range(1..=4);
     let slots = rng.random_range(1..=3);
-    let make: MakeScheduler = if seed % 2 == 0 {
+    let make: MakeScheduler = if seed.is_multiple_of(2) {
         |seed| Box::new(Adaptive::new(seed, 1))
     } else {
         |_| Box::new(Simple::default())
