Carry operators' changes to the service, and prove them under failure

A change is checked as a whole, its pages are written, and one swap of the manifest accepts it. A swap whose answer is lost is judged by the manifest: the change's identity is there, or the version has moved without it, or the same swap is sent again; if the service stays away the outcome is unknown and can be asked for later by the identity. The role is checked again on the configuration that a change is made on.

Weighed: trusting the key's version alone. Ruled out: an answer to an earlier read may come after the swap, so each step has a number and answers to other steps are passed over. Weighed: non-watchers that never ask the service. A fork (two contents of one revision after a restored service) is kept as first seen, with an alarm.

Border: base::Code gains 5005 ServiceOlder.

--- a/crates/siskinyoke-base/src/code.rs
+++ b/crates/siskinyoke-base/src/code.rs
@@ -149,6 +149,8 @@
     ServiceDown = 5003, NotRun, 503, "The platform's service cannot be reached; nothing was changed.";
     /// The change may have taken effect.
     ChangeUnknown = 5004, Unknown, 503, "Whether the change took is not known; ask for it by its identity.";
+    /// The service shows an older configuration than is in force.
+    ServiceOlder = 5005, NotRun, 503, "The service shows an older configuration than is in force; see docs/operators/platform-outage.md.";
 }
 
 impl Code {
--- a/crates/siskinyoke-control/src/configuration/controller.rs
+++ b/crates/siskinyoke-control/src/configuration/controller.rs
@@ -6,15 +6,25 @@
 use bytes::Bytes;
 
 use super::Alarms;
+use super::ChangeRequest;
 use super::Manifest;
+use super::Outcome;
 use super::PageDigest;
 use super::Stored;
 use super::View;
+use super::changes::Changes;
+use super::effect::Effect;
+use super::effect::Known;
 use super::manifest::MANIFEST_KEY;
 use super::manifest::page_key;
 use super::seek::SOURCE_LIMIT;
 use super::seek::Seek;
 use super::seek::Source;
+use super::sources::Sources;
+use super::watch::Ask;
+use super::watch::WATCH_LIMIT;
+use super::watch::Watch;
+use crate::CallId;
 use crate::Context;
 use crate::Controller;
 use crate::OpId;
@@ -27,39 +37,22 @@
 use siskinyoke_base::Millis;
 use siskinyoke_base::message::Message;
 
-/// How long one watch waits at the service; a waiting watch counts as one call.
-const WATCH_LIMIT: Millis = Millis::from_secs(30);
-
-/// How long to wait after a watch that failed, so that an outage is not answered with a storm.
-const WATCH_RETRY: Millis = Millis::from_secs(1);
-
-/// How long a daemon that hears from nobody waits before it asks the service itself.
-const SILENCE: Millis = Millis::from_secs(5);
-
 /// How many pages are asked for at once, from the service.
 const PAGES_AT_ONCE: usize = 8;
 
-/// The most bytes of pages in one answer to a peer, so that it stays one ordinary message.
-const ANSWER_LIMIT: usize = 512 * 1024;
-
-/// How many peers are remembered as sources.
-const SOURCES_MAX: usize = 8;
-
 /// Keeps the configuration in force, and never goes back to an earlier revision.
 #[derive(Debug, Default)]
 pub struct ConfigurationController {
     view: Arc<View>,
     held: Option<Stored>,
     highest: u64,
-    version: u64,
-    watching: bool,
-    watch: Option<OpId>,
-    due: Millis,
+    watch: Watch,
     contact: Millis,
     seek: Option<Seek>,
-    sources: Vec<(InstanceId, u64)>,
+    sources: Sources,
     unreadable: Option<PageDigest>,
     ops: BTreeMap<OpId, Purpose>,
+    changes: Changes,
     events: Vec<Event>,
     alarms: Alarms,
 }
@@ -72,6 +65,13 @@
         /// The revision.
         revision: u64,
     },
+    /// A change, or a question about one, has its outcome.
+    Outcome {
+        /// Who asked.
+        call: CallId,
+        /// The outcome.
+        outcome: Outcome,
+    },
 }
 
 /// What a request to the platform was for.
@@ -85,30 +85,34 @@
 
 impl Controller for ConfigurationController {
     fn tick(&mut self, cx: &mut Context<'_>) {
-        if cx.now >= self.due {
-            self.ask_service(cx);
-        }
+        self.ask_service(cx);
         self.advance(cx);
+        self.settle(cx);
     }
 
     fn next(&self) -> Millis {
         let seek = self.seek.as_ref().map_or(Millis::NEVER, |seek| seek.due);
-        self.due.min(seek)
+        self.watch.due().min(seek).min(self.changes.next())
     }
 
     fn message(&mut self, cx: &mut Context<'_>, from: &Sender, message: &Message) {
         match message {
-            Message::Fetch { pages } => self.answer_fetch(cx, &from.instance, pages),
+            Message::Fetch { pages } => {
+                if let Some(held) = &self.held {
+                    cx.out.send(&from.instance, held.answer(pages));
+                }
+            }
             Message::Documents { manifest, pages } => {
                 self.take_documents(cx, &from.instance, manifest, pages);
             }
             _ => {}
         }
+        self.settle(cx);
     }
 
     fn reply(&mut self, cx: &mut Context<'_>, op: OpId, reply: &Reply) -> bool {
         let Some(purpose) = self.ops.remove(&op) else {
-            return false;
+            return self.reply_change(cx, op, reply);
         };
         if reply.is_ok() {
             self.contact = cx.now;
@@ -118,6 +122,7 @@
             Purpose::Page(page) => self.take_page_reply(cx, page, reply),
         }
         self.advance(cx);
+        self.settle(cx);
         true
     }
 }
@@ -153,12 +158,10 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Says whether this daemon is one of the few that watch the manifest.
-    pub fn set_watching(&mut self, cx: &mut Context<'_>, watching: bool) {
-        if watching && !self.watching {
-            self.due = cx.now;
-        }
-        self.watching = watching;
+    /// Says whether this daemon is one of the [`watchers`](super::watchers), and how many
+    /// instances are live.
+    pub fn set_fleet(&mut self, cx: &mut Context<'_>, watching: bool, live: usize) {
+        self.watch.set(cx, watching, live);
     }
 
     /// Learns the revision that rode on a peer's message.
@@ -167,34 +170,89 @@
         if revision <= self.view.revision {
             return;
         }
-        self.sources.retain(|(peer, _)| peer != from);
-        self.sources.insert(0, (from.clone(), revision));
-        self.sources.truncate(SOURCES_MAX);
+        self.sources.note(from, revision);
         self.highest = self.highest.max(revision);
         match &mut self.seek {
             Some(seek) => seek.revision = seek.revision.max(revision),
             None => self.seek = Some(Seek::new(revision, Source::Peer(from.clone()))),
         }
         self.advance(cx);
+        self.settle(cx);
+    }
+
+    /// Begins a change that an operator asked for; its outcome comes as an [`Event::Outcome`].
+    pub fn begin_change(
+        &mut self,
+        cx: &mut Context<'_>,
+        call: CallId,
+        request: ChangeRequest,
+        operator: &str,
+    ) {
+        let known = known(self.held.as_ref(), self.highest);
+        self.changes.begin(cx, call, request, operator, known);
+        self.settle(cx);
+    }
+
+    /// Asks what became of a change; the answer comes as an [`Event::Outcome`].
+    ///
+    /// `after` is the revision that an unknown outcome named.
+    pub fn look_up(&mut self, cx: &mut Context<'_>, call: CallId, id: &str, after: Option<u64>) {
+        let known = known(self.held.as_ref(), self.highest);
+        self.changes.look_up(cx, call, id, after, known);
+        self.settle(cx);
+    }
+
+    fn reply_change(&mut self, cx: &mut Context<'_>, op: OpId, reply: &Reply) -> bool {
+        let known = known(self.held.as_ref(), self.highest);
+        let ours = self.changes.reply(cx, op, reply, known);
+        if ours && reply.is_ok() {
+            self.contact = cx.now;
+        }
+        self.settle(cx);
+        ours
+    }
+
+    /// Lets the changes go on with what is known now, and does what they want done.
+    fn settle(&mut self, cx: &mut Context<'_>) {
+        loop {
+            let known = known(self.held.as_ref(), self.highest);
+            self.changes.advance(cx, known);
+            let effects = self.changes.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                self.take_effect(cx, effect);
+            }
+        }
+    }
+
+    fn take_effect(&mut self, cx: &mut Context<'_>, effect: Effect) {
+        match effect {
+            Effect::Shown { floor, found } => {
+                self.take_found(floor, found.as_ref());
+                self.advance(cx);
+            }
+            Effect::Accept(stored) => self.install(cx, *stored),
+            Effect::Done(call, outcome) => self.events.push(Event::Outcome { call, outcome }),
+        }
     }
 
-    /// Asks the service for the manifest: by a watch, or once if nobody is heard.
+    /// Asks the service for the manifest, by a watch or once, if it is time.
     fn ask_service(&mut self, cx: &mut Context<'_>) {
-        self.due = cx.now + SILENCE;
-        if self.watching {
-            if self.watch.is_none() {
+        let empty = self.held.is_none();
+        match self.watch.ask(cx, self.contact, empty) {
+            Some(Ask::Watch) => {
                 let request = PlatformRequest::Watch {
                     key: MANIFEST_KEY.to_owned(),
-                    known: self.version,
+                    known: self.watch.known,
                     limit: WATCH_LIMIT,
                 };
-                self.watch = Some(self.request(cx, request));
+                let op = self.request(cx, request);
+                self.watch.sent(op);
             }
-            return;
-        }
-        let silent = cx.now.since(self.contact) >= SILENCE;
-        if self.held.is_none() || silent {
-            self.read_manifest(cx);
+            Some(Ask::Read) => self.read_manifest(cx),
+            None => {}
         }
     }
 
@@ -211,16 +269,7 @@
     }
 
     fn take_manifest_reply(&mut self, cx: &mut Context<'_>, op: OpId, floor: u64, reply: &Reply) {
-        let watched = self.watch == Some(op);
-        if watched {
-            self.watch = None;
-            let wait = if reply.is_ok() {
-                Millis::ZERO
-            } else {
-                WATCH_RETRY
-            };
-            self.due = cx.now + wait;
-        }
+        self.watch.answered(cx.now, op, reply.is_ok());
         match reply {
             Ok(PlatformReply::Value(found)) => self.take_found(floor, found.as_ref()),
             _ => self.fail_source(cx, &Source::Service),
@@ -236,7 +285,7 @@
             self.seek.take_if(|seek| seek.revision == 0);
             return;
         };
-        self.version = found.version;
+        self.watch.known = found.version;
         let Some(manifest) = Manifest::decode(&found.value) else {
             self.alarms.damaged += 1;
             return;
@@ -299,26 +348,6 @@
         }
     }
 
-    fn answer_fetch(&self, cx: &mut Context<'_>, to: &InstanceId, wanted: &[[u8; 32]]) {
-        let Some(held) = &self.held else {
-            return;
-        };
-        let mut room = ANSWER_LIMIT;
-        let mut pages = Vec::new();
-        for digest in wanted {
-            let Some(bytes) = held.pages.get(&PageDigest(*digest)) else {
-                continue;
-            };
-            if !pages.is_empty() && bytes.len() > room {
-                break;
-            }
-            room = room.saturating_sub(bytes.len());
-            pages.push((*digest, bytes.clone()));
-        }
-        let manifest = held.bytes.clone();
-        cx.out.send(to, Message::Documents { manifest, pages });
-    }
-
     fn take_documents(
         &mut self,
         cx: &mut Context<'_>,
@@ -402,34 +431,25 @@
         self.held = Some(stored);
         self.highest = self.highest.max(revision);
         self.events.push(Event::InForce { revision });
-        self.sources.retain(|(_, known)| *known > revision);
+        self.sources.forget(revision);
         if wanted > revision {
-            self.seek = Some(Seek::new(wanted, self.best_source()));
+            self.seek = Some(Seek::new(wanted, self.sources.first()));
             self.advance(cx);
         }
     }
 
-    fn best_source(&self) -> Source {
-        let first = self.sources.first();
-        first.map_or(Source::Service, |(peer, _)| Source::Peer(peer.clone()))
-    }
-
     /// Turns away from a source that failed, to the next one in turn.
     fn fail_source(&mut self, cx: &mut Context<'_>, failed: &Source) {
-        let mut all: Vec<_> = self
-            .sources
-            .iter()
-            .map(|(peer, _)| Source::Peer(peer.clone()))
-            .collect();
-        all.push(Source::Service);
         let Some(seek) = &mut self.seek else {
             return;
         };
         if seek.source != *failed {
             return;
         }
-        let place = all.iter().position(|source| source == failed);
-        let next = place.map_or(0, |place| (place + 1) % all.len());
-        seek.turn_to(all[next].clone(), cx.now);
+        seek.turn_to(self.sources.after(failed), cx.now);
     }
 }
+
+fn known(held: Option<&Stored>, highest: u64) -> Known<'_> {
+    Known { held, highest }
+}
--- a/crates/siskinyoke-control/src/configuration/mod.rs
+++ b/crates/siskinyoke-control/src/configuration/mod.rs
@@ -1,19 +1,29 @@
 //! Configuration: the operators' documents and the view of them that requests are decided by.
 
 mod alarms;
+mod change;
+mod changes;
 mod check;
 mod controller;
 mod digest;
 mod document;
+mod effect;
 mod fault;
 mod file;
+mod lookup;
 mod manifest;
+mod outcome;
 mod page;
+mod pending;
 mod seek;
+mod sources;
 mod stored;
 mod view;
+mod watch;
 
 pub use alarms::Alarms;
+pub use change::Change;
+pub use change::ChangeRequest;
 pub use check::check;
 pub use controller::ConfigurationController;
 pub use controller::Event;
@@ -36,6 +46,9 @@
 pub use manifest::PageList;
 pub use manifest::RecentChange;
 pub use manifest::RetiredPage;
+pub use outcome::Outcome;
 pub use stored::Stored;
 pub use view::Resolved;
 pub use view::View;
+pub use watch::WATCHERS;
+pub use watch::watchers;
--- a/crates/siskinyoke-control/src/configuration/stored.rs
+++ b/crates/siskinyoke-control/src/configuration/stored.rs
@@ -20,6 +20,10 @@
 use super::manifest::page_key;
 use super::page;
 use super::page::PageOrigin;
+use siskinyoke_base::message::Message;
+
+/// The most bytes of pages in one answer to a peer, so that it stays one ordinary message.
+const ANSWER_LIMIT: usize = 512 * 1024;
 
 /// A whole revision, as the platform's service and peers hold it.
 #[derive(Debug, Clone, PartialEq)]
@@ -89,6 +93,24 @@
         values
     }
 
+    /// Returns the answer to a peer that asks for pages; as many as one message may hold.
+    pub fn answer(&self, wanted: &[[u8; 32]]) -> Message {
+        let mut room = ANSWER_LIMIT;
+        let mut pages = Vec::new();
+        for digest in wanted {
+            let Some(bytes) = self.pages.get(&PageDigest(*digest)) else {
+                continue;
+            };
+            if !pages.is_empty() && bytes.len() > room {
+                break;
+            }
+            room = room.saturating_sub(bytes.len());
+            pages.push((*digest, bytes.clone()));
+        }
+        let manifest = self.bytes.clone();
+        Message::Documents { manifest, pages }
+    }
+
     fn read<T: DeserializeOwned>(&self, digest: PageDigest) -> Option<T> {
         page::read(self.pages.get(&digest)?)
     }
--- a/crates/siskinyoke-control/tests/configuration_files.rs
+++ b/crates/siskinyoke-control/tests/configuration/files.rs
@@ -2,7 +2,10 @@
 
 use std::fs;
 
+use datadriven::walk;
+
 use siskinyoke_control::configuration::ConfigurationDoc;
+use siskinyoke_control::configuration::Fault;
 use siskinyoke_control::configuration::PageDigest;
 use siskinyoke_control::configuration::RecentChange;
 use siskinyoke_control::configuration::Stored;
@@ -23,6 +26,24 @@
     assert_eq!(doc.preset, "ordinary");
 }
 
+// What a user would see: a file with several mistakes is refused, and each mistake is named with its
+// line, its field, what was found and what is allowed.
+#[test]
+fn faults_are_named() {
+    walk("tests/configuration/checks", |file| {
+        file.run(|case| {
+            assert_eq!(case.directive, "check", "every block is a check");
+            match read_file(&case.input) {
+                Ok(doc) => format!("passes, preset {}\n", doc.preset),
+                Err(faults) => {
+                    let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
+                    lines.join("\n") + "\n"
+                }
+            }
+        });
+    });
+}
+
 #[test]
 fn pages_hold_the_whole_configuration() {
     let doc = example("local");
