Give operators an administration API and commands, and both deployments

The API is pure: a request's text and the view go in, a change to begin, a question or an answer come out. Every change carries an identity, so that the command-line tool can send it again when its answer is lost; a role is needed for each. The first document of all names its own administrator and is taken only by a service that holds nothing. Exit codes: 0 done, 1 refused, 2 usage or file, 3 unknown.

Weighed: letting a whole document in without the revision it was written for. Ruled out: it would undo in silence what was accepted since.

Border: the tests crate depends on the tool.

--- a/crates/siskinyoke-cli/src/lib.rs
+++ b/crates/siskinyoke-cli/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The command-line tool of siskinyoke.
+
+pub mod operator;
--- a/crates/siskinyoke-control/src/configuration/check.rs
+++ b/crates/siskinyoke-control/src/configuration/check.rs
@@ -23,6 +23,9 @@
 /// The longest name; names stand in metrics and log lines.
 const NAME_MAX: usize = 128;
 
+/// Marks that names of models hold beside letters and digits, such as `qwen/7b:q4`.
+const MODEL_MARKS: &str = "-_.:/";
+
 /// The most slots of one endpoint.
 const SLOTS: RangeInclusive<u32> = 1..=100_000;
 
@@ -141,7 +144,7 @@
         }
         for (place, target) in endpoint.targets.iter().enumerate() {
             let path = format!("{path}.targets[{place}]");
-            self.name(&path, target.as_str());
+            self.name_of(&path, target.as_str(), MODEL_MARKS);
             if self.kind_of(target.as_str()) != Some(endpoint.kind) {
                 let allowed = "a name offered by engines only or by services only";
                 self.fault(path, quote(target.as_str()), allowed);
@@ -233,10 +236,15 @@
         }
     }
 
+    /// Checks a name that stands in paths of the administration API.
     fn name(&mut self, path: &str, name: &str) {
-        let allowed_char = |c: char| c.is_ascii_alphanumeric() || "-_.:/".contains(c);
-        if name.is_empty() || name.len() > NAME_MAX || !name.chars().all(allowed_char) {
-            let allowed = format!("1 to {NAME_MAX} of a-z A-Z 0-9 - _ . : /");
+        self.name_of(path, name, "-_.");
+    }
+
+    fn name_of(&mut self, path: &str, name: &str, marks: &str) {
+        let plain = |c: char| c.is_ascii_alphanumeric() || marks.contains(c);
+        if name.is_empty() || name.len() > NAME_MAX || !name.chars().all(plain) {
+            let allowed = format!("1 to {NAME_MAX} letters, digits or any of {marks}");
             self.fault(path, quote(name), allowed);
         }
     }
--- a/crates/siskinyoke-control/src/configuration/mod.rs
+++ b/crates/siskinyoke-control/src/configuration/mod.rs
@@ -1,5 +1,6 @@
 //! Configuration: the operators' documents and the view of them that requests are decided by.
 
+pub mod admin;
 mod alarms;
 mod change;
 mod changes;
@@ -10,6 +11,7 @@
 mod effect;
 mod fault;
 mod file;
+mod key;
 mod lookup;
 mod manifest;
 mod outcome;
@@ -41,6 +43,8 @@
 pub use document::TierPreset;
 pub use fault::Fault;
 pub use file::read_file;
+pub use key::draw_key;
+pub use key::key_digest;
 pub use manifest::MANIFEST_KEY;
 pub use manifest::Manifest;
 pub use manifest::PageList;
