--- a/crates/siskinyoke-cli/src/lib.rs
+++ b/crates/siskinyoke-cli/src/lib.rs
@@ -2,3 +2,6 @@
 
 pub mod caller;
 pub mod context;
+//! The command-line tool of siskinyoke.
+
+pub mod operator;
