Keep usage so that no failure charges an organisation twice

Ruled out: adding copies up, and totals without writers' names, as a lost answer then adds a record twice.

--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod controller;
 pub mod outbox;
 pub mod platform;
+pub mod usage;
 
 pub use controller::Context;
 pub use controller::Controller;
