--- a/crates/siskinyoke-cli/src/lib.rs
+++ b/crates/siskinyoke-cli/src/lib.rs
@@ -2,6 +2,4 @@
 
 pub mod caller;
 pub mod context;
-//! The command-line tool of siskinyoke.
-
 pub mod operator;
--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -23,6 +23,7 @@
 use crate::claims::ClaimOutcome;
 use crate::configuration::Resolved;
 use crate::ledger::Standing;
+use crate::usage::Cause;
 use siskinyoke_base::CallClass;
 use siskinyoke_base::CallHead;
 use siskinyoke_base::Code;
@@ -35,6 +36,7 @@
 use siskinyoke_base::message::Part;
 use siskinyoke_policy::Finish;
 use siskinyoke_policy::WorkId;
+use siskinyoke_policy::quarantine::Verdict;
 
 impl Core {
     pub(super) fn arrive(&mut self, now: Millis, call: CallId, head: CallHead) {
@@ -102,10 +104,13 @@
                 dispatch: run.dispatch,
             });
             self.scheduler.finished(now, id, Finish::Cancelled);
+            self.quarantine.ended(&job.digest);
+            self.account_waste(&job, Cause::Cancelled);
         }
         self.scheduler.withdraw(now, id);
         let end = honest(end, job.past);
         log_end(&job, &end);
+        self.account(now, id, &job, &end);
         let complete = end.code.kind() == Kind::Done;
         let listeners = std::mem::take(&mut job.listeners);
         for listener in &listeners {
@@ -178,6 +183,7 @@
             self.leaving = Some(Leaving {
                 quiet: now,
                 looked: now,
+                flushed: false,
                 exited: false,
             });
         }
@@ -195,6 +201,16 @@
         let busy = !self.jobs.is_empty() || !self.forwards.is_empty() || !self.claiming.is_empty();
         if busy || stood_still {
             leaving.quiet = now;
+        } else if !leaving.flushed {
+            leaving.flushed = true;
+            let mut cx = Context {
+                now,
+                out: &mut self.out,
+                rng: &mut self.rng,
+            };
+            self.usage.flush(&mut cx);
+        } else if !self.usage.settled() && now.since(leaving.quiet) < self.settings.settle {
+            // Charges that no other holds yet would be lost with this process.
         } else if !leaving.exited && now.since(leaving.quiet) >= self.settings.linger {
             leaving.exited = true;
             self.out.push(Action::Exit);
@@ -205,6 +221,10 @@
         let Some(resolved) = passed.resolved else {
             return;
         };
+        if let Verdict::Refused { after } = self.quarantine.verdict(now, &ask.digest) {
+            let end = honest(End::new(Code::Quarantined).after(after), passed.past);
+            return self.give(&ask.listener, Part::End(end), 0);
+        }
         let id = WorkId(self.number());
         let remaining = match &ask.origin {
             Origin::Peer { remaining, .. } => resolved.need.min(*remaining),
@@ -215,6 +235,7 @@
             resolved,
             view: ask.view,
             identity: passed.identity,
+            digest: ask.digest,
             listeners: vec![ask.listener.clone()],
             arrived: ask.arrived,
             deadline: ask.arrived + remaining,
@@ -231,7 +252,8 @@
             self.ledger.set(identity, Standing::Running(id));
         }
         self.calls.insert(ask.listener, Place::Job(id));
-        let work = job.work(id);
+        let apart = self.quarantine.verdict(now, &job.digest) == Verdict::Apart;
+        let work = job.work(id, apart);
         self.jobs.insert(id, job);
         self.scheduler.arrive(now, work);
     }
--- a/crates/siskinyoke-control/src/core/dispatching.rs
+++ b/crates/siskinyoke-control/src/core/dispatching.rs
@@ -10,6 +10,7 @@
 use crate::DispatchId;
 use crate::DispatchSpec;
 use crate::configuration::EndpointDoc;
+use crate::usage::Cause;
 use siskinyoke_base::Code;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::Millis;
@@ -17,10 +18,15 @@
 use siskinyoke_base::message::Part;
 use siskinyoke_policy::Finish;
 use siskinyoke_policy::WorkId;
+use siskinyoke_policy::quarantine::Verdict;
 
 impl Core {
     /// Sends a job to an endpoint.
     pub(super) fn start_run(&mut self, now: Millis, id: WorkId, endpoint: &EndpointId) {
+        if !self.may_start(now, id, endpoint) {
+            self.scheduler.finished(now, id, Finish::Cancelled);
+            return self.held_back(now, id);
+        }
         let dispatch = DispatchId(self.number());
         let Some(job) = self.jobs.get_mut(&id) else {
             return self.scheduler.finished(now, id, Finish::Cancelled);
@@ -60,11 +66,13 @@
         };
         let Some(run) = job.run.take() else { return };
         job.past = Past::Dispatched;
+        self.quarantine.ended(&job.digest);
         self.runs.remove(&run.dispatch);
         self.out.push(Action::Cancel {
             dispatch: run.dispatch,
         });
         self.scheduler.finished(now, id, Finish::Cancelled);
+        self.account_wasted_run(id, Cause::Cancelled);
         self.again(now, id, &End::new(Code::Cancelled).after(RETRY_SOON));
     }
 
@@ -74,11 +82,17 @@
             return;
         };
         match news {
-            DispatchNews::Unreachable { detail } => {
+            DispatchNews::Unreachable { detail, refused } => {
+                if refused && let Some(endpoint) = self.endpoint_of(id) {
+                    self.quarantine.refused(now, &endpoint);
+                }
                 let end = End::new(Code::NoEndpoint).after(RETRY_SOON).detail(detail);
                 self.failed(now, id, dispatch, Finish::Unreachable, &end);
             }
             DispatchNews::Broken { detail } => {
+                if let Some(endpoint) = self.endpoint_of(id) {
+                    self.suspect(now, id, &endpoint);
+                }
                 let end = End::new(Code::Broken).detail(detail);
                 self.failed(now, id, dispatch, Finish::Broken, &end);
             }
@@ -110,6 +124,9 @@
     /// Where the listeners have a stream's head already, a second one is dropped; if it begins
     /// something else than that stream, an error's page for instance, it counts as broken off.
     fn head(&mut self, now: Millis, id: WorkId, dispatch: DispatchId, part: Part) {
+        if let Some(endpoint) = self.endpoint_of(id) {
+            self.quarantine.reached(now, &endpoint);
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -157,6 +174,7 @@
         job.run = None;
         job.past = Past::Dispatched;
         let output = job.events;
+        self.quarantine.completed(now, &job.digest);
         let code = if job.status() >= 400 {
             Code::EndpointError
         } else {
@@ -179,9 +197,18 @@
             job.avoid.push(run.endpoint);
         }
         self.scheduler.finished(now, id, how);
+        if how == Finish::Broken {
+            self.account_wasted_run(id, Cause::Broken);
+        }
         self.again(now, id, end);
     }
 
+    /// Returns the endpoint that a job runs on.
+    fn endpoint_of(&self, id: WorkId) -> Option<EndpointId> {
+        let run = self.jobs.get(&id)?.run.as_ref()?;
+        Some(run.endpoint.clone())
+    }
+
     /// Lets a job wait for another dispatch, or ends it where none is allowed.
     ///
     /// At-most-once work goes again only if it provably never left; a stream that its caller
@@ -203,7 +230,11 @@
         if !job.streaming {
             job.parts.clear();
         }
-        let work = job.work(id);
+        let verdict = self.quarantine.verdict(now, &job.digest);
+        if matches!(verdict, Verdict::Refused { .. }) {
+            return self.held_back(now, id);
+        }
+        let work = job.work(id, verdict == Verdict::Apart);
         self.scheduler.arrive(now, work);
     }
 }
--- a/crates/siskinyoke-control/src/core/event.rs
+++ b/crates/siskinyoke-control/src/core/event.rs
@@ -49,6 +49,20 @@
         /// The answer.
         reply: Reply,
     },
+    /// An operator's request came, or an organisation's for its bill.
+    Admin {
+        /// The exchange.
+        call: CallId,
+        /// What was sent.
+        head: Box<AdminHead>,
+    },
+    /// A connection to an endpoint that broke off was tried.
+    Probed {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Whether it accepted.
+        reached: bool,
+    },
     /// An endpoint reported its load.
     Load {
         /// The endpoint.
@@ -64,6 +78,30 @@
     Tick,
 }
 
+/// A request to the administration API.
+#[derive(Debug, Clone, Default)]
+pub struct AdminHead {
+    /// The HTTP method.
+    pub method: String,
+    /// Path and query, with a leading slash.
+    pub path: String,
+    /// The `Idempotency-Key` header.
+    pub key: Option<String>,
+    /// Digest of the bearer key.
+    pub bearer: Option<[u8; 32]>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl AdminHead {
+    /// Returns a parameter of the query.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.path.split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+}
+
 /// What happened to a dispatch.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DispatchNews {
@@ -71,6 +109,8 @@
     Unreachable {
         /// What the connection's maker said.
         detail: String,
+        /// Whether the endpoint's host refused: nothing listens there.
+        refused: bool,
     },
     /// The endpoint's answer began.
     Head {
--- a/crates/siskinyoke-control/src/core/job.rs
+++ b/crates/siskinyoke-control/src/core/job.rs
@@ -28,6 +28,8 @@
     pub view: Arc<View>,
     /// Its identity, if it came with a key.
     pub identity: Option<Identity>,
+    /// Digest of its content.
+    pub digest: [u8; 32],
     /// Who gets its answer.
     pub listeners: Vec<Listener>,
     /// When it arrived.
@@ -76,8 +78,8 @@
 }
 
 impl Job {
-    /// Describes the job to the policy.
-    pub fn work(&self, id: WorkId) -> Work {
+    /// Describes the job to the policy; `apart` if it may crash endpoints.
+    pub fn work(&self, id: WorkId, apart: bool) -> Work {
         Work {
             id,
             organisation: self.resolved.organisation.clone(),
@@ -91,7 +93,7 @@
             stream: self.head.stream,
             prefix: self.head.prefix.clone(),
             class: self.resolved.class,
-            apart: false,
+            apart,
             avoid: self.avoid.clone(),
         }
     }
--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -1,5 +1,7 @@
 //! The core of a daemon: every request's way from its caller to an endpoint and back.
 
+mod accounting;
+mod administration;
 mod ask;
 mod calls;
 mod dispatching;
@@ -9,6 +11,7 @@
 mod forwarding;
 mod forwards;
 mod job;
+mod poison;
 mod roster;
 mod settings;
 
@@ -19,6 +22,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use self::administration::Bill;
 use self::ask::Ask;
 use self::forwards::Forwards;
 use self::job::Job;
@@ -36,15 +40,18 @@
 use crate::configuration::ConfigurationController;
 use crate::configuration::ConfigurationDoc;
 use crate::configuration::EndpointDoc;
-use crate::configuration::MANIFEST_KEY;
 use crate::configuration::View;
+use crate::configuration::watchers;
 use crate::ledger::Ledger;
 use crate::members::Members;
 use crate::platform::ListedInstance;
 use crate::threshold::Threshold;
+use crate::usage::Day;
+use crate::usage::Usage;
 use siskinyoke_base::DataCentre;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::Identity;
+use siskinyoke_base::InstanceId;
 use siskinyoke_base::Millis;
 use siskinyoke_base::message::Envelope;
 use siskinyoke_base::message::MemberRecord;
@@ -56,9 +63,11 @@
 use siskinyoke_policy::Scheduler;
 use siskinyoke_policy::TierWeights;
 use siskinyoke_policy::WorkId;
+use siskinyoke_policy::quarantine::Quarantine;
 
 pub use self::ending::Past;
 pub use self::ending::honest;
+pub use self::event::AdminHead;
 pub use self::event::DispatchNews;
 pub use self::event::Event;
 pub use self::filters::Filter;
@@ -92,6 +101,13 @@
     last: u64,
     leaving: Option<Leaving>,
     due: Millis,
+    started: bool,
+    asked: BTreeMap<CallId, String>,
+    bills: Vec<Bill>,
+    usage: Usage,
+    day: Day,
+    quarantine: Quarantine,
+    probing: BTreeMap<EndpointId, Millis>,
 }
 
 /// Where a caller's request is.
@@ -112,6 +128,8 @@
     quiet: Millis,
     /// When the core last looked whether it may stop.
     looked: Millis,
+    /// Whether usage was told to write everything.
+    flushed: bool,
     /// Whether the process was told to stop.
     exited: bool,
 }
@@ -135,6 +153,7 @@
     /// Makes a core that knows no configuration yet.
     pub fn new(parts: CoreParts) -> Self {
         let me = Sender::from(&parts.own);
+        let usage = Usage::new(me.instance.clone(), me.incarnation, Day::default());
         let mut rng = ChaCha8Rng::seed_from_u64(parts.seed);
         let mut secret = [0; 32];
         rng.fill_bytes(&mut secret);
@@ -161,6 +180,13 @@
             last: 0,
             leaving: None,
             due: Millis::ZERO,
+            started: false,
+            asked: BTreeMap::new(),
+            bills: Vec::new(),
+            usage,
+            day: Day::default(),
+            quarantine: Quarantine::default(),
+            probing: BTreeMap::new(),
         }
     }
 
@@ -173,6 +199,8 @@
             Event::Dispatch { dispatch, news } => self.dispatch_news(now, dispatch, news),
             Event::Peer(envelope) => self.peer(now, *envelope),
             Event::Platform { op, reply } => self.platform(now, op, &reply),
+            Event::Admin { call, head } => self.administer(now, call, &head),
+            Event::Probed { endpoint, reached } => self.probed(now, &endpoint, reached),
             Event::Load { endpoint, report } => self.scheduler.report(now, &endpoint, &report),
             Event::Leave => self.leave(now),
             Event::Stranger => self.members.refused(),
@@ -265,8 +293,12 @@
         if self.claims.reply(&mut cx, op, reply) {
             return self.claimed(now);
         }
-        let _ =
-            self.configuration.reply(&mut cx, op, reply) || self.members.reply(&mut cx, op, reply);
+        let taken = self.configuration.reply(&mut cx, op, reply)
+            || self.members.reply(&mut cx, op, reply)
+            || self.usage.reply(&mut cx, op, reply);
+        if !taken {
+            self.bill_reply(op, reply);
+        }
     }
 
     /// Lets the controllers do what is due.
@@ -279,22 +311,36 @@
         if self.members.next() <= now {
             self.members.tick(&mut cx);
         }
-        let watching = self.members.is_chosen(MANIFEST_KEY, WATCHERS);
-        self.configuration.set_watching(&mut cx, watching);
         if self.configuration.next() <= now {
             self.configuration.tick(&mut cx);
         }
-        if !self.members.changes().is_empty() {
-            let count = self.members.live().count();
-            let count = u32::try_from(count).unwrap_or(u32::MAX);
-            self.scheduler.set_instances(count.max(1));
+        if self.usage.next() <= now {
+            self.usage.tick(&mut cx);
+        }
+        if !self.members.changes().is_empty() || !self.started {
+            self.started = true;
+            self.fleet_changed(now);
         }
+        self.configuration_events(now);
         if self.members.superseded() || self.members.recalled() {
             self.leave(now);
         }
-        if !self.configuration.take_events().is_empty() {
-            self.set_view(now, self.configuration.view().clone());
-        }
+        self.watch_suspects(now);
+    }
+
+    /// Tells everyone who needs it which members there are.
+    fn fleet_changed(&mut self, now: Millis) {
+        let live: Vec<InstanceId> = self.members.live().map(|r| r.instance.clone()).collect();
+        let watching = watchers(&live).contains(&self.me.instance);
+        let mut cx = Context {
+            now,
+            out: &mut self.out,
+            rng: &mut self.rng,
+        };
+        self.configuration.set_fleet(&mut cx, watching, live.len());
+        let count = u32::try_from(live.len()).unwrap_or(u32::MAX);
+        self.scheduler.set_instances(count.max(1));
+        self.usage_members();
     }
 
     fn peer(&mut self, now: Millis, envelope: Envelope) {
@@ -313,6 +359,7 @@
         self.configuration
             .message(&mut cx, &from, &envelope.message);
         self.members.message(&mut cx, &from, &envelope.message);
+        self.usage.message(&mut cx, &from, &envelope.message);
         match envelope.message {
             Message::Forward(forward) => self.forwarded(now, &from, *forward),
             Message::ForwardAck { asker, id } if asker == self.me.incarnation => {
@@ -334,6 +381,7 @@
                 self.threshold
                     .raised(now, &from, (rank, span, round), scheduler, &mut self.out);
             }
+            Message::Suspects { suspects } => self.quarantine.heard(now, &suspects),
             Message::ThresholdAck { round, serving } => {
                 self.threshold.acknowledged(&from, round, serving);
             }
@@ -346,9 +394,7 @@
         self.ledger.expire(now);
         self.forward_losses(now);
         for _ in 0..SETTLE_ROUNDS {
-            let peers = self.serving_peers();
-            self.threshold
-                .tick(now, self.scheduler.as_mut(), &peers, &mut self.out);
+            self.look_at_threshold(now);
             let mut decisions = Vec::new();
             self.due = self.scheduler.poll(now, &mut decisions);
             if decisions.is_empty() {
@@ -361,6 +407,16 @@
         self.maybe_exit(now);
     }
 
+    /// Looks at the threshold; in ordinary times there is neither pressure nor a threshold.
+    fn look_at_threshold(&mut self, now: Millis) {
+        if self.threshold.is_idle() && self.scheduler.pressure(now).is_none() {
+            return;
+        }
+        let peers = self.serving_peers();
+        self.threshold
+            .tick(now, self.scheduler.as_mut(), &peers, &mut self.out);
+    }
+
     /// Returns the peers that may be serving: live ones, and suspected ones, which are mostly
     /// slow rather than dead.
     fn serving_peers(&self) -> Vec<Sender> {
@@ -410,10 +466,6 @@
     }
 }
 
-/// How many daemons watch the configuration at the service; the others learn of a change from
-/// the revision on any peer's message. Three may be lost at once without a delay.
-const WATCHERS: usize = 3;
-
 /// How often the core looks at its timers where nothing earlier is due.
 const TICK: Millis = Millis(100);
 
--- a/crates/siskinyoke-control/src/core/settings.rs
+++ b/crates/siskinyoke-control/src/core/settings.rs
@@ -23,6 +23,8 @@
     pub attempts: usize,
     /// How long a leaving daemon stays to answer resends after its last answer.
     pub linger: Millis,
+    /// How long a leaving daemon tries to bring its charges to safety.
+    pub settle: Millis,
     /// Bounds of the ledger.
     pub ledger: LedgerLimits,
 }
@@ -36,6 +38,7 @@
             silence: Millis::from_secs(4),
             attempts: 4,
             linger: Millis::from_secs(2),
+            settle: Millis::from_secs(30),
             ledger: LedgerLimits {
                 entries: 100_000,
                 bytes: 16 << 20,
--- a/crates/siskinyoke-control/src/members/controller.rs
+++ b/crates/siskinyoke-control/src/members/controller.rs
@@ -194,15 +194,6 @@
             .map(|(record, _)| &record.instance)
     }
 
-    /// Tells whether this daemon is one of the `n` live members chosen for a subject.
-    pub fn is_chosen(&self, subject: &str, n: usize) -> bool {
-        let subject = choice::seed(&InstanceId::new(subject));
-        let own = choice::score(self.seed, subject);
-        let live = |(record, _): &(&MemberRecord, u64)| record.state == MemberState::Live;
-        let better = |(_, seed): &(&MemberRecord, u64)| choice::score(*seed, subject) > own;
-        self.all().filter(live).filter(better).count() < n
-    }
-
     /// Returns the `n` live peers that hold this daemon's records, the first choice first.
     pub fn successors(&self, n: usize) -> Vec<&InstanceId> {
         let live = |member: &&Member| member.record.state == MemberState::Live;
--- a/crates/siskinyoke-control/src/outbox.rs
+++ b/crates/siskinyoke-control/src/outbox.rs
@@ -34,6 +34,13 @@
         /// The dispatch.
         dispatch: DispatchId,
     },
+    /// Try to connect to an endpoint, and tell whether it accepts.
+    Probe {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Its address, `host:port`.
+        address: String,
+    },
     /// Send a message to a peer; it may be lost.
     Send {
         /// The peer.
--- a/crates/siskinyoke-control/src/threshold.rs
+++ b/crates/siskinyoke-control/src/threshold.rs
@@ -33,6 +33,8 @@
     mine: Option<Raised>,
     theirs: BTreeMap<InstanceId, Standing>,
     round: u64,
+    /// Whether the scheduler was last given a threshold or a permission.
+    applied: bool,
 }
 
 #[derive(Debug)]
@@ -65,10 +67,16 @@
         self.theirs.retain(|_, standing| now < standing.until);
         self.raise(now, scheduler, peers, out);
         scheduler.set_threshold(now, self.rank());
+        self.applied = self.rank().is_some();
         self.permit(now, scheduler, peers);
         self.report(scheduler, out);
     }
 
+    /// Tells whether no threshold stands, here or from a peer, and no permission.
+    pub fn is_idle(&self) -> bool {
+        self.mine.is_none() && self.theirs.is_empty() && !self.applied
+    }
+
     /// Takes a peer's threshold.
     pub fn raised(
         &mut self,
@@ -85,6 +93,7 @@
         };
         let until = now + span.min(SPAN);
         let serving = scheduler.serving(rank);
+        self.applied = true;
         self.theirs.insert(
             from.instance.clone(),
             Standing {
--- a/crates/siskinyoke-daemon/src/dispatch.rs
+++ b/crates/siskinyoke-daemon/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Dispatches to endpoints, each on a connection of its own.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -81,6 +82,22 @@
     }
 }
 
+impl Dispatcher {
+    /// Tries to connect to an endpoint, and tells whether it accepted.
+    pub fn probe(&self, address: String, tell: impl FnOnce(bool) + Send + 'static) {
+        let limit = self.limits.connect;
+        self.handle.spawn(async move {
+            let reached = timeout(limit, TcpStream::connect(&address)).await;
+            match reached {
+                Ok(Ok(_)) => tell(true),
+                Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => tell(false),
+                // A host that does not answer proves nothing about its process.
+                _ => {}
+            }
+        });
+    }
+}
+
 /// Runs a dispatch and returns its last news.
 async fn run(
     spec: &DispatchSpec,
@@ -91,14 +108,10 @@
     let stream = match timeout(limits.connect, TcpStream::connect(&spec.address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(err)) => {
-            return DispatchNews::Unreachable {
-                detail: err.to_string(),
-            };
+            return unreachable(&err.to_string(), err.kind() == ErrorKind::ConnectionRefused);
         }
         Err(_) => {
-            return DispatchNews::Unreachable {
-                detail: "no connection in time".into(),
-            };
+            return unreachable("no connection in time", false);
         }
     };
     // Pieces are small and each one counts, so none waits for the next.
@@ -106,25 +119,19 @@
     let request = match request(spec) {
         Ok(request) => request,
         Err(err) => {
-            return DispatchNews::Unreachable {
-                detail: err.to_string(),
-            };
+            return unreachable(&err.to_string(), false);
         }
     };
     let (mut sender, connection) = match http1::handshake(TokioIo::new(stream)).await {
         Ok(pair) => pair,
         Err(err) => {
-            return DispatchNews::Unreachable {
-                detail: err.to_string(),
-            };
+            return unreachable(&err.to_string(), false);
         }
     };
     // A process that was frozen since the core decided wakes up here: its caller may long have
     // been answered elsewhere, so the core decides again with the present time.
     if begun.elapsed() > limits.connect + SLACK {
-        return DispatchNews::Unreachable {
-            detail: "held up before sending".into(),
-        };
+        return unreachable("held up before sending", false);
     }
     // It ends when the request and its answer are dropped.
     let connection = AbortOnDrop(tokio::spawn(connection).abort_handle());
@@ -139,6 +146,13 @@
     last
 }
 
+fn unreachable(detail: &str, refused: bool) -> DispatchNews {
+    DispatchNews::Unreachable {
+        detail: detail.to_owned(),
+        refused,
+    }
+}
+
 fn request(spec: &DispatchSpec) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
     let (method, path) = match &spec.head.route {
         Route::Chat { .. } => ("POST", "/v1/chat/completions"),
--- a/crates/siskinyoke-daemon/src/http/answer.rs
+++ b/crates/siskinyoke-daemon/src/http/answer.rs
@@ -54,7 +54,7 @@
             Part::Piece(bytes) => body.push(bytes),
             Part::End(end) => {
                 exchange.ended(end.code);
-                let Some((status, content)) = head.filter(|_| end.code.is_whole()) else {
+                let Some((status, content)) = head else {
                     return refused(&end);
                 };
                 return whole(status, &content, &body, &end);
--- a/crates/siskinyoke-daemon/src/http/listener.rs
+++ b/crates/siskinyoke-daemon/src/http/listener.rs
@@ -215,6 +215,12 @@
             let bearer = read::bearer(request.headers())?;
             Ok(exchange(inner, |call| Event::Locate { call, bearer }).await)
         }
+        Target::Admin => {
+            let (parts, body) = request.into_parts();
+            let body = read_body(inner, body).await?;
+            let head = Box::new(read::admin(&parts, body)?);
+            Ok(exchange(inner, |call| Event::Admin { call, head }).await)
+        }
         Target::Chat => {
             let (parts, body) = request.into_parts();
             let body = read_body(inner, body).await?;
--- a/crates/siskinyoke-daemon/src/http/read.rs
+++ b/crates/siskinyoke-daemon/src/http/read.rs
@@ -4,6 +4,7 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::header;
+use hyper::http::request::Parts;
 use serde::Deserialize;
 
 use siskinyoke_base::CallClass;
@@ -12,6 +13,7 @@
 use siskinyoke_base::Millis;
 use siskinyoke_base::Route;
 use siskinyoke_base::message::End;
+use siskinyoke_control::core::AdminHead;
 
 /// Where a path leads.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,6 +31,8 @@
         /// The rest of path and query, with its slash.
         path: String,
     },
+    /// `/admin/v1/…`, or `GET /v1/usage`.
+    Admin,
     /// `GET /metrics`.
     Metrics,
     /// `GET /healthz`.
@@ -72,6 +76,8 @@
         (&Method::POST, "/v1/chat/completions") => Some(Target::Chat),
         (&Method::GET, "/metrics") => Some(Target::Metrics),
         (&Method::GET, "/healthz") => Some(Target::Health),
+        (&Method::GET, "/v1/usage") => Some(Target::Admin),
+        _ if path.starts_with("/admin/v1/") => Some(Target::Admin),
         _ => service(path, uri.query()),
     };
     found.ok_or_else(|| End::new(Code::UnknownRoute))
@@ -138,6 +144,22 @@
     head(headers, route, body)
 }
 
+/// Reads a request to the administration API.
+///
+/// # Errors
+///
+/// An end with [`Code::Malformed`], naming the place.
+pub fn admin(parts: &Parts, body: Bytes) -> Result<AdminHead, End> {
+    let path = parts.uri.path_and_query().map(ToString::to_string);
+    Ok(AdminHead {
+        method: parts.method.to_string(),
+        path: path.unwrap_or_default(),
+        key: text(&parts.headers, "idempotency-key")?.map(str::to_owned),
+        bearer: bearer(&parts.headers).ok(),
+        body,
+    })
+}
+
 fn head(headers: &HeaderMap, route: Route, body: Bytes) -> Result<CallHead, End> {
     let content = text(headers, header::CONTENT_TYPE.as_str())?.unwrap_or_default();
     Ok(CallHead {
--- a/crates/siskinyoke-daemon/src/runtime.rs
+++ b/crates/siskinyoke-daemon/src/runtime.rs
@@ -5,6 +5,8 @@
 use std::sync::mpsc::RecvTimeoutError;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use stakker::ActorOwn;
 use stakker::CX;
@@ -30,6 +32,7 @@
 use siskinyoke_control::DispatchId;
 use siskinyoke_control::core::Core;
 use siskinyoke_control::core::Event;
+use siskinyoke_control::usage::Day;
 
 /// What reaches the core's thread.
 pub enum Input {
@@ -115,6 +118,7 @@
         if now.since(self.trusted) >= TRUST_PERIOD {
             self.trusted = now;
             self.peers.trust(trust(&self.core));
+            self.core.set_day(today());
         }
         for action in actions {
             self.act(action);
@@ -138,6 +142,13 @@
                     handle.abort();
                 }
             }
+            Action::Probe { endpoint, address } => {
+                let inputs = self.inputs.clone();
+                self.dispatcher.probe(address, move |reached| {
+                    // A closed channel means that the daemon has stopped.
+                    let _ = inputs.send(Input::Event(Event::Probed { endpoint, reached }));
+                });
+            }
             Action::Send { to, message } => self.send(&to, message),
             Action::Platform { op, request } => self.platform.call(op, request),
             Action::Exit => self.exiting = true,
@@ -212,6 +223,17 @@
     }
 }
 
+/// Returns the present day in universal time, which only bills are counted by.
+fn today() -> Day {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Day(u32::try_from(since.as_secs() / SECONDS_A_DAY).unwrap_or_default())
+}
+
+/// Seconds of a day in universal time.
+const SECONDS_A_DAY: u64 = 86_400;
+
 /// Returns which peers are let in, by what the core knows of them.
 fn trust(core: &Core) -> Trust {
     let mut trust = Trust::default();
--- a/tests/src/endpoint.rs
+++ b/tests/src/endpoint.rs
@@ -45,6 +45,7 @@
         if self.down {
             let news = DispatchNews::Unreachable {
                 detail: "connection refused".into(),
+                refused: true,
             };
             return vec![(Millis(1), news)];
         }
--- a/tests/src/world.rs
+++ b/tests/src/world.rs
@@ -280,6 +280,13 @@
                 let incarnation = self.nodes[index].core.me().incarnation;
                 self.dropped.insert((incarnation, dispatch));
             }
+            Action::Probe { endpoint, .. } => {
+                let reached = self
+                    .endpoints
+                    .get(&endpoint)
+                    .is_some_and(|found| !found.down);
+                self.schedule(index, Millis(1), Event::Probed { endpoint, reached });
+            }
             Action::Send { to, message } => {
                 let envelope = self.nodes[index].core.envelope(message);
                 self.carry(index, &to, envelope);
