--- a/crates/siskinyoke-cli/src/context.rs
+++ b/crates/siskinyoke-cli/src/context.rs
@@ -1,11 +1,16 @@
 //! What every command works with.
 
+use std::time::Duration;
+
 use clap::Args;
 
 use siskinyoke_base::Millis;
 use siskinyoke_client::Client;
 use siskinyoke_client::ClientSettings;
 
+/// How long a daemon may take to answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+
 /// Options that every command takes.
 #[derive(Debug, Clone, Args)]
 pub struct Context {
@@ -28,6 +33,33 @@
 }
 
 impl Context {
+    /// Reads a page of a daemon's as JSON.
+    ///
+    /// # Errors
+    ///
+    /// A sentence if the daemon does not answer or refuses.
+    pub fn get(&self, address: &str, path: &str) -> Result<serde_json::Value, String> {
+        let agent: ureq::Agent = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(PATIENCE))
+            .build()
+            .into();
+        let bearer = format!("Bearer {}", self.key.as_deref().unwrap_or_default());
+        let answer = agent
+            .get(format!("http://{address}{path}"))
+            .header("Authorization", bearer);
+        let mut answer = answer.call().map_err(|err| err.to_string())?;
+        let body: serde_json::Value = answer
+            .body_mut()
+            .read_json()
+            .map_err(|err| err.to_string())?;
+        if answer.status().is_success() {
+            return Ok(body);
+        }
+        let text = body["text"].as_str().unwrap_or("it cannot be read");
+        Err(format!("refused with {}: {text}", body["code"]))
+    }
+
     /// Makes a caller's client that sends a request at most `sendings` times.
     pub fn client(&self, sendings: u32, limit: Millis) -> Client {
         Client::new(ClientSettings {
--- a/crates/siskinyoke-cli/src/lib.rs
+++ b/crates/siskinyoke-cli/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod caller;
 pub mod context;
 pub mod operator;
+pub mod status;
--- a/crates/siskinyoke-cli/src/main.rs
+++ b/crates/siskinyoke-cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `siskinyoke`: the command-line tool of callers and operators.
 
+use std::io;
 use std::process::ExitCode;
 
 use clap::Parser;
@@ -8,6 +9,8 @@
 use siskinyoke_base::Kind;
 use siskinyoke_cli::caller;
 use siskinyoke_cli::context::Context;
+use siskinyoke_cli::operator;
+use siskinyoke_cli::status;
 
 /// Exit code for what was refused or not run.
 const EXIT_REFUSED: u8 = 1;
@@ -31,18 +34,53 @@
     Locate,
     /// Send a request and print its answer as it arrives.
     Send(caller::Send),
+    /// Say what each daemon tells of itself.
+    Status,
+    /// Print what was charged.
+    Usage {
+        /// The organisation; all of them if left out.
+        organisation: Option<String>,
+        /// The day, counted from 1 January 1970; today if left out.
+        #[arg(long)]
+        day: Option<u32>,
+    },
+    #[command(flatten)]
+    Operate(operator::Command),
 }
 
 fn main() -> ExitCode {
     env_logger::init();
     let cli = Cli::parse();
+    let context = &cli.context;
     match &cli.command {
-        Command::Locate => finish(caller::locate(&cli.context).map(|()| Kind::Done)),
-        Command::Send(send) => finish(send.run(&cli.context).map(|outcome| outcome.kind)),
+        Command::Locate => finish(caller::locate(context).map(|()| Kind::Done)),
+        Command::Send(send) => finish(send.run(context).map(|outcome| outcome.kind)),
+        Command::Status => finish(status::status(context)),
+        Command::Usage { organisation, day } => {
+            finish(status::usage(context, organisation.as_deref(), *day))
+        }
+        Command::Operate(command) => operate(context, command),
+    }
+}
+
+fn operate(context: &Context, command: &operator::Command) -> ExitCode {
+    let mut out = io::stdout().lock();
+    let mut cx = operator::Context {
+        addresses: &context.addresses,
+        key: context.key.as_deref(),
+        json: context.json,
+        out: &mut out,
+    };
+    match command.run(&mut cx) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("siskinyoke: {err}");
+            ExitCode::from(err.exit_code())
+        }
     }
 }
 
-fn finish(result: Result<Kind, impl std::error::Error>) -> ExitCode {
+fn finish(result: Result<Kind, impl std::fmt::Display>) -> ExitCode {
     match result {
         Ok(Kind::Done) => ExitCode::SUCCESS,
         Ok(Kind::NotRun) => ExitCode::from(EXIT_REFUSED),
