Answer an order to go down before going down

A stand-in that was told to go down over its public address lost the answer to that order in the gate, which shut both sides at once; the caller could not tell whether it was taken. The gate now shuts the server's side, and the client's behind what was sent.

On the way: the three stand-ins share one way of taking orders, the platform reads its instance list from a file at start, and the gateway's other comparisons have a test.

--- a/crates/siskinyoke-standin/src/engine/mod.rs
+++ b/crates/siskinyoke-standin/src/engine/mod.rs
@@ -117,7 +117,7 @@
                 let counts = self.lock().counts.clone();
                 exchange.reply_json(200, &counts);
             }
-            ("POST", "/control") => self.controlled(exchange),
+            ("POST", "/control") => exchange.control(|gate, orders| self.control(gate, orders)),
             _ => exchange.reply_error(404, "no such path"),
         }
     }
@@ -208,18 +208,6 @@
         }
     }
 
-    fn controlled(&self, mut exchange: Exchange) {
-        match exchange.json() {
-            Ok(orders) => {
-                // The answer leaves first: the order may shut the gate before it.
-                let gate = exchange.gate_handle();
-                exchange.reply_json(200, &json!({}));
-                self.control(&gate, &orders);
-            }
-            Err(detail) => exchange.reply_error(400, &detail),
-        }
-    }
-
     fn control(&self, gate: &Gate, orders: &EngineControl) {
         self.lock().knobs.apply(orders);
         gate.order(orders.down, orders.freeze);
--- a/crates/siskinyoke-standin/src/engine/run.rs
+++ b/crates/siskinyoke-standin/src/engine/run.rs
@@ -45,7 +45,7 @@
         };
         let prompt = request.prompt();
         if self.marked(&prompt) {
-            self.crash(&exchange);
+            self.crash(exchange);
             return;
         }
         let hit = self.lock().cache.take(&prompt);
@@ -118,12 +118,12 @@
     }
 
     /// Goes down with everything in flight.
-    fn crash(&self, exchange: &Exchange) {
+    fn crash(&self, exchange: Exchange) {
         if self.config.exit {
             process::exit(CRASHED);
         }
         self.lock().counts.crashes += 1;
-        exchange.gate_handle().down(self.config.crash_span);
+        exchange.crash(self.config.crash_span);
     }
 
     fn count(&self, name: &str, hit: Hit, end: End) {
--- a/crates/siskinyoke-standin/src/error.rs
+++ b/crates/siskinyoke-standin/src/error.rs
@@ -10,9 +10,9 @@
         Listen(address: String, detail: String) {
             display("cannot listen on {address}: {detail}; choose a free address, or port 0")
         }
-        /// A load file cannot be used.
-        Load(detail: String) {
-            display("cannot use the load file: {detail}; see docs/standins.md for its fields")
+        /// A load file or list of instances cannot be used.
+        File(detail: String) {
+            display("cannot use the file: {detail}; see docs/standins.md for its fields")
         }
     }
 }
--- a/crates/siskinyoke-standin/src/gate.rs
+++ b/crates/siskinyoke-standin/src/gate.rs
@@ -87,11 +87,13 @@
         self.outer
     }
 
-    /// Cuts every connection and refuses new ones for a span; returns once they are refused.
+    /// Cuts every connection behind all that the server has sent, and refuses new ones for a span;
+    /// returns once they are refused.
     pub fn down(&self, span: Millis) {
         let mut state = self.lock();
         state.down = Some(after(span));
-        close_all(&mut state);
+        state.frozen = None;
+        shut_all(&state);
         drop(state);
         self.wake();
         let mut state = self.lock();
@@ -157,9 +159,9 @@
         }
     }
 
-    /// Cuts every connection once.
+    /// Cuts every connection once, behind all that the server has sent.
     pub fn cut_all(&self) {
-        close_all(&mut self.lock());
+        shut_all(&self.lock());
     }
 
     /// Notes that the server has begun with a connection, and says whether it is one of the gate's.
@@ -344,6 +346,12 @@
     }
 }
 
+fn shut_all(state: &State) {
+    for link in state.links.values() {
+        link.shut_server();
+    }
+}
+
 fn close_all(state: &mut State) {
     for (_, link) in state.links.drain() {
         link.close();
--- a/crates/siskinyoke-standin/src/load/file.rs
+++ b/crates/siskinyoke-standin/src/load/file.rs
@@ -90,11 +90,11 @@
     ///
     /// # Errors
     ///
-    /// [`StandinError::Load`] with the place, or what does not fit together.
+    /// [`StandinError::File`] with the place, or what does not fit together.
     pub fn parse(text: &str) -> Result<Self, StandinError> {
         let parsed = parse_to_serde_value(text, &ParseOptions::default());
-        let load: Self = parsed.map_err(|err| StandinError::Load(err.to_string()))?;
-        load.check().map_err(StandinError::Load)?;
+        let load: Self = parsed.map_err(|err| StandinError::File(err.to_string()))?;
+        load.check().map_err(StandinError::File)?;
         Ok(load)
     }
 
--- a/crates/siskinyoke-standin/src/load/mod.rs
+++ b/crates/siskinyoke-standin/src/load/mod.rs
@@ -29,10 +29,10 @@
 ///
 /// # Errors
 ///
-/// [`StandinError::Load`] if no address is given.
+/// [`StandinError::File`] if no address is given.
 pub fn run(load: &LoadFile) -> Result<Vec<Line>, StandinError> {
     if load.addresses.is_empty() {
-        return Err(StandinError::Load("no address is given".to_owned()));
+        return Err(StandinError::File("no address is given".to_owned()));
     }
     let sender = Sender::new(load.patience);
     let run = Run {
@@ -93,9 +93,9 @@
         let ticket = self
             .tickets
             .take(self.load, &self.sender, place, shot.caller);
-        let result = self.sender.send(address, mix, shot, ticket.as_deref(), due);
+        let outcome = self.sender.send(address, mix, shot, ticket.as_deref(), due);
         self.flying.fetch_sub(1, Ordering::Relaxed);
-        self.report(|report| report.add(shot.phase, shot.caller, &result));
+        self.report(|report| report.add(shot.phase, shot.caller, &outcome));
     }
 
     fn report(&self, change: impl FnOnce(&mut Report)) {
--- a/crates/siskinyoke-standin/src/load/report.rs
+++ b/crates/siskinyoke-standin/src/load/report.rs
@@ -7,7 +7,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use super::shot::Result;
+use super::shot::Outcome;
 use super::shot::Verdict;
 
 /// Significant digits that a histogram keeps.
@@ -85,19 +85,19 @@
         self.row(phase, caller).held += 1;
     }
 
-    /// Counts a result.
-    pub fn add(&mut self, phase: usize, caller: usize, result: &Result) {
+    /// Counts a outcome.
+    pub fn add(&mut self, phase: usize, caller: usize, outcome: &Outcome) {
         let row = self.row(phase, caller);
-        *row.verdicts.entry(result.verdict).or_default() += 1;
-        *row.codes.entry(result.code.clone()).or_default() += 1;
-        if result.verdict != Verdict::Whole {
+        *row.verdicts.entry(outcome.verdict).or_default() += 1;
+        *row.codes.entry(outcome.code.clone()).or_default() += 1;
+        if outcome.verdict != Verdict::Whole {
             return;
         }
-        record(&mut row.whole, result.whole);
-        if let Some(first) = result.first {
+        record(&mut row.whole, outcome.whole);
+        if let Some(first) = outcome.first {
             record(&mut row.first, first);
         }
-        for gap in &result.gaps {
+        for gap in &outcome.gaps {
             record(&mut row.gap, *gap);
         }
     }
--- a/crates/siskinyoke-standin/src/load/shot.rs
+++ b/crates/siskinyoke-standin/src/load/shot.rs
@@ -38,7 +38,7 @@
 
 /// What became of one request.
 #[derive(Debug)]
-pub struct Result {
+pub struct Outcome {
     /// How the answer is to be taken.
     pub verdict: Verdict,
     /// Code and kind, or the HTTP status or error where there is none.
@@ -61,7 +61,7 @@
     shot: &'a Shot,
     due: Instant,
     last: Instant,
-    result: Result,
+    outcome: Outcome,
     text: String,
 }
 
@@ -98,14 +98,14 @@
         shot: &Shot,
         ticket: Option<&str>,
         due: Instant,
-    ) -> Result {
+    ) -> Outcome {
         let mut flight = Flight::new(shot, due);
         match self.open(address, mix, shot, ticket) {
             Ok(response) => flight.read(response),
             Err(err) => flight.fail(&err.to_string()),
         }
-        flight.result.whole = due.elapsed();
-        flight.result
+        flight.outcome.whole = due.elapsed();
+        flight.outcome
     }
 
     fn open(
@@ -114,7 +114,7 @@
         mix: &CallerMix,
         shot: &Shot,
         ticket: Option<&str>,
-    ) -> std::result::Result<Response<Body>, ureq::Error> {
+    ) -> Result<Response<Body>, ureq::Error> {
         let url = format!("http://{address}/v1/chat/completions");
         let mut request = self.agent.post(url).header("X-Request-Id", &shot.name);
         if let Some(key) = &mix.key {
@@ -142,7 +142,7 @@
             shot,
             due,
             last: due,
-            result: Result {
+            outcome: Outcome {
                 verdict: Verdict::Failed,
                 code: String::new(),
                 first: None,
@@ -155,9 +155,9 @@
 
     fn read(&mut self, response: Response<Body>) {
         let status = response.status();
-        self.result.code = code(&response);
+        self.outcome.code = code(&response);
         if !status.is_success() {
-            self.result.verdict = Verdict::Refused;
+            self.outcome.verdict = Verdict::Refused;
             return;
         }
         if self.shot.stream {
@@ -208,10 +208,10 @@
             return;
         };
         let now = Instant::now();
-        if self.result.first.is_none() {
-            self.result.first = Some(now - self.due);
+        if self.outcome.first.is_none() {
+            self.outcome.first = Some(now - self.due);
         } else {
-            self.result.gaps.push(now - self.last);
+            self.outcome.gaps.push(now - self.last);
         }
         self.last = now;
         self.text.push_str(content);
@@ -219,21 +219,21 @@
 
     /// Takes an explicit error at the end of a stream.
     fn error(&mut self, error: &Value) {
-        self.result.verdict = Verdict::Refused;
+        self.outcome.verdict = Verdict::Refused;
         let kind = error["type"].as_str().unwrap_or_default();
-        self.result.code = format!("{} {kind}", error["code"]);
+        self.outcome.code = format!("{} {kind}", error["code"]);
     }
 
     /// Compares an answer that looks whole with the one that the request must get.
     fn judge(&mut self) {
         let wanted = Answer::of(&self.shot.content, Some(self.shot.output));
         let own = self.text == wanted.text();
-        self.result.verdict = if own { Verdict::Whole } else { Verdict::Wrong };
+        self.outcome.verdict = if own { Verdict::Whole } else { Verdict::Wrong };
     }
 
     fn fail(&mut self, detail: &str) {
-        self.result.verdict = Verdict::Failed;
-        detail.clone_into(&mut self.result.code);
+        self.outcome.verdict = Verdict::Failed;
+        detail.clone_into(&mut self.outcome.code);
     }
 }
 
--- a/crates/siskinyoke-standin/src/main.rs
+++ b/crates/siskinyoke-standin/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the stand-ins.
 
 use std::fs;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::thread;
@@ -18,6 +19,7 @@
 use siskinyoke_standin::load::report;
 use siskinyoke_standin::platform::Platform;
 use siskinyoke_standin::platform::PlatformConfig;
+use siskinyoke_standin::platform::instances::parse_instances;
 use siskinyoke_standin::service::Service;
 use siskinyoke_standin::service::ServiceConfig;
 
@@ -32,7 +34,7 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Runs the platform: key-value service and instance list.
-    Platform(Addresses),
+    Platform(PlatformArgs),
     /// Runs a model engine.
     Engine(EngineArgs),
     /// Runs a plain service.
@@ -51,6 +53,15 @@
     control: String,
 }
 
+#[derive(Debug, Args)]
+struct PlatformArgs {
+    #[command(flatten)]
+    addresses: Addresses,
+    /// File with the instance list at start, JSON with comments.
+    #[arg(long)]
+    instances: Option<PathBuf>,
+}
+
 #[derive(Debug, Args)]
 struct EngineArgs {
     #[command(flatten)]
@@ -131,11 +142,15 @@
     }
 }
 
-fn platform(args: Addresses) -> Result<ExitCode, StandinError> {
+fn platform(args: PlatformArgs) -> Result<ExitCode, StandinError> {
+    let instances = match &args.instances {
+        Some(path) => parse_instances(&read(path)?)?,
+        None => Vec::new(),
+    };
     let platform = Platform::start(&PlatformConfig {
-        listen: args.listen,
-        control: args.control,
-        ..PlatformConfig::default()
+        listen: args.addresses.listen,
+        control: args.addresses.control,
+        instances,
     })?;
     println!("{}", platform.address());
     println!("control {}", platform.control_address());
@@ -175,9 +190,7 @@
 }
 
 fn drive(args: LoadArgs) -> Result<ExitCode, StandinError> {
-    let text = fs::read_to_string(&args.file);
-    let text = text.map_err(|err| StandinError::Load(err.to_string()))?;
-    let mut file = LoadFile::parse(&text)?;
+    let mut file = LoadFile::parse(&read(&args.file)?)?;
     if !args.addresses.is_empty() {
         file.addresses = args.addresses;
     }
@@ -197,6 +210,11 @@
     })
 }
 
+fn read(path: &Path) -> Result<String, StandinError> {
+    let text = fs::read_to_string(path);
+    text.map_err(|err| StandinError::File(format!("{}: {err}", path.display())))
+}
+
 /// Serves until the process is ended.
 fn stay() -> ! {
     loop {
--- a/crates/siskinyoke-standin/src/platform/instances.rs
+++ b/crates/siskinyoke-standin/src/platform/instances.rs
@@ -2,9 +2,12 @@
 
 use std::collections::VecDeque;
 
+use jsonc_parser::ParseOptions;
+use jsonc_parser::parse_to_serde_value;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::error::StandinError;
 use siskinyoke_base::Millis;
 
 /// One line of the instance list.
@@ -24,6 +27,16 @@
     pub leaving: bool,
 }
 
+/// Reads an instance list from JSON with comments.
+///
+/// # Errors
+///
+/// [`StandinError::File`] with the place.
+pub fn parse_instances(text: &str) -> Result<Vec<InstanceLine>, StandinError> {
+    let parsed = parse_to_serde_value(text, &ParseOptions::default());
+    parsed.map_err(|err| StandinError::File(err.to_string()))
+}
+
 /// The instance list with its lag.
 #[derive(Debug, Default)]
 pub struct InstanceList {
--- a/crates/siskinyoke-standin/src/platform/mod.rs
+++ b/crates/siskinyoke-standin/src/platform/mod.rs
@@ -262,29 +262,19 @@
         Ok(())
     }
 
-    fn controlled(&self, mut exchange: Exchange, path: &str) {
-        let done = match (exchange.method().as_str(), path) {
-            ("GET", "/control/counts") => json!(self.lock().counts),
-            ("POST", "/control/instances") => match exchange.json() {
-                Ok(lines) => {
-                    let now = self.clock.now();
-                    self.lock().list.set(now, lines);
-                    json!({})
-                }
-                Err(detail) => return exchange.reply_error(400, &detail),
-            },
-            ("POST", "/control") => match exchange.json() {
-                Ok(orders) => {
-                    // The answer leaves first: the order may shut the gate before it.
-                    let gate = exchange.gate_handle();
-                    exchange.reply_json(200, &json!({}));
-                    return self.control(&gate, &orders);
-                }
-                Err(detail) => return exchange.reply_error(400, &detail),
-            },
-            _ => return exchange.reply_error(404, "no such control"),
-        };
-        exchange.reply_json(200, &done);
+    fn controlled(&self, exchange: Exchange, path: &str) {
+        match (exchange.method().as_str(), path) {
+            ("GET", "/control/counts") => {
+                let counts = self.lock().counts.clone();
+                exchange.reply_json(200, &counts);
+            }
+            ("POST", "/control/instances") => exchange.control(|_, lines: &Vec<InstanceLine>| {
+                let now = self.clock.now();
+                self.lock().list.set(now, lines.clone());
+            }),
+            ("POST", "/control") => exchange.control(|gate, orders| self.control(gate, orders)),
+            _ => exchange.reply_error(404, "no such control"),
+        }
     }
 
     fn control(&self, gate: &Gate, orders: &PlatformControl) {
--- a/crates/siskinyoke-standin/src/service.rs
+++ b/crates/siskinyoke-standin/src/service.rs
@@ -121,7 +121,7 @@
 impl Handler for Shared {
     fn handle(&self, mut exchange: Exchange) {
         match (exchange.method().as_str(), exchange.path()) {
-            ("POST", "/control") => self.controlled(exchange),
+            ("POST", "/control") => exchange.control(|gate, orders| self.control(gate, orders)),
             ("GET", "/control/counts") => {
                 let counts = self.lock().counts.clone();
                 exchange.reply_json(200, &counts);
@@ -165,18 +165,6 @@
         exchange.reply_json(200, &echo);
     }
 
-    fn controlled(&self, mut exchange: Exchange) {
-        match exchange.json() {
-            Ok(orders) => {
-                // The answer leaves first: the order may shut the gate before it.
-                let gate = exchange.gate_handle();
-                exchange.reply_json(200, &json!({}));
-                self.control(&gate, &orders);
-            }
-            Err(detail) => exchange.reply_error(400, &detail),
-        }
-    }
-
     fn control(&self, gate: &Gate, orders: &ServiceControl) {
         let mut state = self.lock();
         state.time = orders.time.unwrap_or(state.time);
--- a/crates/siskinyoke-standin/src/web.rs
+++ b/crates/siskinyoke-standin/src/web.rs
@@ -20,6 +20,7 @@
 use crate::gate::Gate;
 use crate::gate::listen;
 use crate::pieces::Pieces;
+use siskinyoke_base::Millis;
 
 /// Most bytes of a body that are read; the largest value of the platform fits coded.
 const BODY_LIMIT: u64 = 8 * 1024 * 1024;
@@ -116,11 +117,6 @@
         found.map(|header| header.value.as_str())
     }
 
-    /// Returns the gate before this server, to be used after the answer.
-    pub fn gate_handle(&self) -> Arc<Gate> {
-        Arc::clone(&self.gate)
-    }
-
     /// Says whether the caller still holds the connection.
     pub fn alive(&self) -> bool {
         self.link.is_none_or(|link| self.gate.holds(link))
@@ -162,6 +158,23 @@
         );
     }
 
+    /// Answers an order and carries it out, in this sequence: the order may shut the gate.
+    pub fn control<T: DeserializeOwned>(mut self, apply: impl FnOnce(&Gate, &T)) {
+        match self.json() {
+            Ok(orders) => {
+                let gate = Arc::clone(&self.gate);
+                self.reply_json(200, &json!({}));
+                apply(&gate, &orders);
+            }
+            Err(detail) => self.reply_error(400, &detail),
+        }
+    }
+
+    /// Cuts every connection and refuses new ones for a span, as a crash does.
+    pub fn crash(self, span: Millis) {
+        self.gate.down(span);
+    }
+
     /// Answers with a text.
     pub fn reply(self, status: u16, content: &str, text: &str) {
         let mut response = Response::from_string(text).with_status_code(status);
--- a/tests/tests/standin_engine.rs
+++ b/tests/tests/standin_engine.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::net::SocketAddr;
 use std::sync::Barrier;
 use std::thread;
 
@@ -165,6 +166,20 @@
     wait_for(|| send(&engine, "after", 0, &body(QUESTION, 1, true)).is_ok());
 }
 
+#[test]
+fn an_order_to_go_down_is_answered_first() {
+    let engine = engine(&fast());
+    let order = |address: SocketAddr, span: u64| {
+        let url = format!("http://{address}/control");
+        agent().post(url).send_json(json!({ "down": span }))
+    };
+    let told = order(engine.address(), 60_000).expect("an answer");
+    assert_eq!(told.status(), 200);
+    assert!(order(engine.address(), 0).is_err(), "it is down");
+    assert!(order(engine.control_address(), 0).is_ok());
+    wait_for(|| order(engine.address(), 0).is_ok());
+}
+
 #[test]
 fn a_caller_that_goes_away_frees_its_slot() {
     // A caller gives up in the middle of a long answer. If the engine went on, its only slot
--- a/tests/tests/standin_platform.rs
+++ b/tests/tests/standin_platform.rs
@@ -3,6 +3,7 @@
 use std::thread;
 
 use bytes::Bytes;
+use serde_json::Value;
 
 use siskinyoke_base::Millis;
 use siskinyoke_control::PlatformError;
@@ -98,6 +99,32 @@
     assert_eq!(get(&mut gateway, KEY), None);
 }
 
+#[test]
+fn the_gateway_takes_what_etcd_takes() {
+    // Field names in both forms, numbers as strings and plain, and each target of a comparison.
+    let platform = platform();
+    let txn = |compare: &str| {
+        let put = r#"{"request_put":{"key":"Zm9v","value":"YmFy"}}"#;
+        let body = format!(r#"{{"compare":[{{"key":"Zm9v",{compare}}}],"success":[{put}]}}"#);
+        let url = format!("http://{}/v3/kv/txn", platform.address());
+        let mut answer = ureq::post(url).send(body).expect("an answer");
+        let answer: Value = answer.body_mut().read_json().expect("JSON");
+        answer["succeeded"] == true
+    };
+    assert!(txn(
+        r#""target":"CREATE","result":"EQUAL","create_revision":"0""#
+    ));
+    assert!(!txn(r#""target":"CREATE","createRevision":0"#));
+    assert!(txn(r#""target":"VERSION","result":"EQUAL","version":"1""#));
+    assert!(txn(
+        r#""target":"MOD","result":"GREATER","mod_revision":"2""#
+    ));
+    assert!(!txn(r#""target":"MOD","result":"LESS","modRevision":"4""#));
+    assert!(txn(
+        r#""target":"VERSION","result":"NOT_EQUAL","version":"2""#
+    ));
+}
+
 #[test]
 fn lists_keep_to_the_prefix_and_the_limit() {
     let platform = platform();
