Use the stand-ins' threads again

Each connection through the gate made three threads, which a measure of the system would take for its own delay. They are now kept and each job is handed to one that is known to wait.

--- a/crates/siskinyoke-standin/src/gate.rs
+++ b/crates/siskinyoke-standin/src/gate.rs
@@ -26,6 +26,7 @@
 
 use self::link::Link;
 use self::link::Way;
+use crate::workers::Workers;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
@@ -46,10 +47,10 @@
 const LONGEST: Millis = Millis::from_secs(86_400);
 
 /// Passes connections to a stand-in's server, and breaks them when told to.
-#[derive(Debug)]
 pub struct Gate {
     outer: SocketAddr,
     inner: SocketAddr,
+    workers: Arc<Workers>,
     state: Mutex<State>,
     changed: Condvar,
 }
@@ -74,6 +75,7 @@
         let gate = Arc::new(Self {
             outer: listener.local_addr()?,
             inner,
+            workers: Arc::default(),
             state: Mutex::default(),
             changed: Condvar::new(),
         });
@@ -82,6 +84,11 @@
         Ok(gate)
     }
 
+    /// Returns the threads of the stand-in.
+    pub fn workers(&self) -> &Arc<Workers> {
+        &self.workers
+    }
+
     /// Returns the address that others know.
     pub fn address(&self) -> SocketAddr {
         self.outer
@@ -219,7 +226,7 @@
                 continue;
             };
             let gate = Arc::clone(&self);
-            thread::spawn(move || gate.join(client));
+            self.workers.run(move || gate.join(client));
         }
     }
 
@@ -241,7 +248,7 @@
             state.links.insert(seen, link);
         }
         let gate = Arc::clone(&self);
-        thread::spawn(move || gate.pass_up(up, seen));
+        self.workers.run(move || gate.pass_up(up, seen));
         self.pass(down, seen);
     }
 
--- a/crates/siskinyoke-standin/src/lib.rs
+++ b/crates/siskinyoke-standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod platform;
 pub mod service;
 pub mod web;
+pub mod workers;
 
 /// Any free port of this machine.
 pub const ANY_PORT: &str = "127.0.0.1:0";
--- a/crates/siskinyoke-standin/src/web.rs
+++ b/crates/siskinyoke-standin/src/web.rs
@@ -35,7 +35,6 @@
 }
 
 /// A running server with its gate.
-#[derive(Debug)]
 pub struct Web {
     gate: Arc<Gate>,
     control: SocketAddr,
@@ -220,7 +219,7 @@
             link,
         };
         let handler = Arc::clone(handler);
-        thread::spawn(move || handler.handle(exchange));
+        gate.workers().run(move || handler.handle(exchange));
     }
 }
 
