--- a/crates/siskinyoke-standin/src/web.rs
+++ b/crates/siskinyoke-standin/src/web.rs
@@ -18,8 +18,9 @@
 
 use crate::error::StandinError;
 use crate::gate::Gate;
-use crate::gate::listen_undelayed;
+use crate::gate::listen;
 use crate::pieces::Pieces;
+use siskinyoke_base::Millis;
 
 /// Most bytes of a body that are read; the largest value of the platform fits coded.
 const BODY_LIMIT: u64 = 8 * 1024 * 1024;
@@ -34,32 +35,31 @@
 }
 
 /// A running server with its gate.
-#[derive(Debug)]
 pub struct Web {
     gate: Arc<Gate>,
     control: SocketAddr,
 }
 
 impl Web {
-    /// Starts a server behind a gate; `control` is reachable also while the gate is shut.
+    /// Starts a server behind a gate at an address; `control` is reachable also while the gate is shut.
     ///
     /// # Errors
     ///
     /// [`StandinError::Listen`] if one of the addresses cannot be listened on.
     pub fn start(
-        listen: &str,
+        address: &str,
         control: &str,
         handler: Arc<dyn Handler>,
     ) -> Result<Self, StandinError> {
-        let inner = listen_undelayed(control).map_err(|err| refused(control, &err))?;
-        let address = inner.local_addr().map_err(|err| refused(control, &err))?;
+        let inner = listen(control).map_err(|err| refused(control, &err))?;
+        let seen = inner.local_addr().map_err(|err| refused(control, &err))?;
         let server = serve(control, inner)?;
-        let gate = Gate::open(listen, address).map_err(|err| refused(listen, &err))?;
+        let gate = Gate::open(address, seen).map_err(|err| refused(address, &err))?;
         let own = Arc::clone(&gate);
         thread::spawn(move || run(&server, &own, &handler));
         Ok(Self {
             gate,
-            control: address,
+            control: seen,
         })
     }
 
@@ -116,11 +116,6 @@
         found.map(|header| header.value.as_str())
     }
 
-    /// Returns the gate before this server, to be used after the answer.
-    pub fn gate_handle(&self) -> Arc<Gate> {
-        Arc::clone(&self.gate)
-    }
-
     /// Says whether the caller still holds the connection.
     pub fn alive(&self) -> bool {
         self.link.is_none_or(|link| self.gate.holds(link))
@@ -162,6 +157,23 @@
         );
     }
 
+    /// Answers an order and carries it out, in this sequence: the order may shut the gate.
+    pub fn control<T: DeserializeOwned>(mut self, apply: impl FnOnce(&Gate, &T)) {
+        match self.json() {
+            Ok(orders) => {
+                let gate = Arc::clone(&self.gate);
+                self.reply_json(200, &json!({}));
+                apply(&gate, &orders);
+            }
+            Err(detail) => self.reply_error(400, &detail),
+        }
+    }
+
+    /// Cuts every connection and refuses new ones for a span, as a crash does.
+    pub fn crash(self, span: Millis) {
+        self.gate.down(span);
+    }
+
     /// Answers with a text.
     pub fn reply(self, status: u16, content: &str, text: &str) {
         let mut response = Response::from_string(text).with_status_code(status);
@@ -200,14 +212,14 @@
             continue;
         };
         let link = request.remote_addr().copied();
-        let link = link.filter(|seen| gate.holds(*seen));
+        let link = link.filter(|seen| gate.serve(*seen));
         let exchange = Exchange {
             request,
             gate: Arc::clone(gate),
             link,
         };
         let handler = Arc::clone(handler);
-        thread::spawn(move || handler.handle(exchange));
+        gate.workers().run(move || handler.handle(exchange));
     }
 }
 
