--- a/crates/siskinyoke-policy/src/adaptive.rs
+++ b/crates/siskinyoke-policy/src/adaptive.rs
@@ -18,6 +18,8 @@
 use crate::allowance::Allowances;
 use crate::demand;
 use crate::history::History;
+use crate::load::Load;
+use crate::placement::Candidate;
 use crate::pool::Pool;
 use crate::queue::Entry;
 use crate::queue::LaneKey;
@@ -38,15 +40,31 @@
 /// it watches for (a second of silence).
 const TICK: Millis = Millis(100);
 
-/// The part of a protected request's need that is left when lower work is cancelled for it, if
+/// The part of a protected request's slack that is left when lower work is cancelled for it, if
 /// wasted prefill weighs nothing; and how much later that is if it weighs most. Natural ends come
 /// several times a second at today's sizes, so cancelling at once would waste more than it gains.
 const CANCEL_LEFT: f64 = 0.6;
-const CANCEL_LATER: f64 = 0.4;
+const CANCEL_LATER: f64 = 0.3;
 
-/// The part of a protected request's need that is left when it counts as under pressure: time for
+/// The part of a protected request's slack that is left when it counts as under pressure: time for
 /// one round of thresholds between daemons and for short work on endpoints to end.
-const PRESSURE_LEFT: f64 = 0.2;
+const PRESSURE_LEFT: f64 = 0.15;
+
+/// Work that takes this many times less than other work counts as short beside it.
+const SHORT: f64 = 2.0;
+
+/// Slots kept for the swing of short work, in square roots of those it fills: arrivals at random
+/// swing by about one square root, and half of it can wait a moment within its need.
+const SWING: f64 = 0.5;
+
+/// How long after protected work was shed the pressure stands. Without it the threshold would be
+/// lifted by the very refusals that it allowed, lower work would come in, and protected work
+/// would have to wait for it again.
+const PRESSED: Millis = Millis::from_secs(1);
+
+/// Margin on the time to a useful answer when the last moment to begin is set: work begun at that
+/// moment without one misses its need half of the time, and its prefill is wasted.
+const LATEST: f64 = 1.2;
 
 /// Queue lengths beyond which even protected work is refused, once nothing lower is here: memory
 /// has to stay bounded, and this many could not be served within any need.
@@ -65,13 +83,16 @@
     weights: BTreeMap<OrganisationId, u32>,
     allowances: Allowances,
     tokens: BTreeMap<OrganisationId, Rate>,
-    loads: BTreeMap<LaneKey, Rate>,
+    arrivals: BTreeMap<LaneKey, Rate>,
+    loads: BTreeMap<LaneKey, Load>,
     retries: RetryBudget,
     history: History,
     ramp: Ramp,
     threshold: Option<u8>,
     shedding: Option<(u8, Millis)>,
+    shed: Option<(u8, Millis)>,
     refusals: Vec<(WorkId, Refusal)>,
+    offset: f64,
 }
 
 impl Adaptive {
@@ -79,20 +100,25 @@
     pub fn new(seed: u64, instances: u32) -> Self {
         let mut pool = Pool::default();
         pool.set_instances(instances);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let offset = rng.random();
         Self {
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng,
             pool,
             queue: Queue::default(),
             weights: BTreeMap::new(),
             allowances: Allowances::default(),
             tokens: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
             loads: BTreeMap::new(),
             retries: RetryBudget::default(),
             history: History::default(),
             ramp: Ramp::new(),
             threshold: None,
             shedding: None,
+            shed: None,
             refusals: Vec::new(),
+            offset,
         }
     }
 }
@@ -121,9 +147,8 @@
             self.refusals.push((work.id, refusal));
             return;
         }
-        let service = self.pool.service(now, &work);
         let latest = self.latest(now, &work);
-        self.queue.push(work, service, latest);
+        self.queue.push(work, latest);
     }
 
     fn poll(&mut self, now: Millis, out: &mut Vec<Decision>) -> Millis {
@@ -183,10 +208,14 @@
 
     fn pressure(&self, now: Millis) -> Option<u8> {
         let pressed = |entry: &&Entry| {
-            entry.work.protected && left(entry, now) <= need(&entry.work) * PRESSURE_LEFT
+            entry.work.protected
+                && left(entry, now) <= slack(entry) * PRESSURE_LEFT
+                && !self.pool.can_yield(now, &entry.work)
         };
         let waiting = self.queue.entries().filter(pressed);
-        waiting.map(|entry| entry.work.rank).min()
+        let shed = self.shed.filter(|(_, until)| now < *until);
+        let waiting = waiting.map(|entry| entry.work.rank);
+        waiting.chain(shed.map(|(rank, _)| rank)).min()
     }
 
     fn allow_shedding(&mut self, _now: Millis, rank: u8, until: Millis) {
@@ -194,7 +223,7 @@
     }
 
     fn demand(&self, now: Millis) -> Vec<LeaseDemand> {
-        let mut lines = demand::endpoints(now, &self.pool, &self.queue, &self.loads);
+        let mut lines = demand::endpoints(now, &self.pool, &self.queue, &self.loads, self.offset);
         lines.extend(demand::allowances(now, &self.allowances, &self.tokens));
         lines
     }
@@ -269,12 +298,19 @@
     fn check_need(&mut self, now: Millis, work: &Work) -> Result<(), Refusal> {
         let service = self.pool.service(now, work);
         self.pool.learn_size(now, &work.target, service);
-        let excess = self.outlook(now, work, service).excess();
+        let key = LaneKey::of(work);
+        let loads = self.loads.entry(key.clone());
+        let load = loads.or_default();
+        load.add(now, service);
+        let excess = self.outlook(now, work).excess();
         if excess > 0.0 && (!work.protected || self.may_shed(now, work.rank)) {
+            if work.protected {
+                self.shed = Some((work.rank, now + PRESSED));
+            }
             return Err(Refusal::after(Code::Overloaded, units::millis(excess)));
         }
-        let key = LaneKey::of(work);
-        self.loads.entry(key).or_default().add(now, service);
+        let arrivals = self.arrivals.entry(key);
+        arrivals.or_insert_with(Rate::steady).add(now, 1.0);
         Ok(())
     }
 
@@ -309,39 +345,38 @@
     }
 
     /// Estimates what work would find.
-    fn outlook(&self, now: Millis, work: &Work, service: f64) -> Outlook {
+    fn outlook(&self, now: Millis, work: &Work) -> Outlook {
         let target = &work.target;
-        let slots = f64::from(self.pool.slots(now, target));
         let above = self
-            .loads
+            .arrivals
             .iter()
             .filter(|(key, _)| key.rank < work.rank && key.target == *target)
             .map(|(_, rate)| rate.value(now))
             .sum::<f64>();
-        let queued = self.queue.ahead(work.rank, target) + self.line_ahead(work, service);
-        let full = !self.pool.has_room(now, target);
-        let ahead = if full { queued + service } else { queued };
+        let full = !self.pool.has_room(now, target) || !self.may_fill(now, &LaneKey::of(work));
+        let excess = f64::from(self.pool.excess(now, target));
+        let queued = f64::from(self.queue.ahead(work.rank, target)) + self.line_ahead(work);
         Outlook {
-            ahead,
-            slots: slots * self.ramp.usable(work.rank) - above,
+            ahead: queued + if full { 1.0 + excess } else { 0.0 },
+            ends: self.pool.ends(target) * self.ramp.usable(work.rank),
+            above,
             useful: self.pool.useful(now, work).unwrap_or(f64::INFINITY),
             left: work.deadline.since(now).as_secs(),
             caution: self.ramp.prefill_weight(),
         }
     }
 
-    /// Returns the seconds of its own tier that go before work under fair turns: while its own
+    /// Counts the work of its own tier that goes before work under fair turns: while its own
     /// line is served, each other line gets at most its weight's share beside it.
-    fn line_ahead(&self, work: &Work, service: f64) -> f64 {
-        let key = LaneKey::of(work);
+    fn line_ahead(&self, work: &Work) -> f64 {
+        let lines: Vec<_> = self.queue.lines(&LaneKey::of(work)).collect();
         let weight = self.weight(&work.organisation);
-        let lines: Vec<_> = self.queue.lines(&key).collect();
         let own = lines.iter().filter(|(id, _)| **id == work.organisation);
-        let own: f64 = own.map(|(_, seconds)| seconds).sum();
+        let own: f64 = own.map(|(_, count)| f64::from(*count)).sum();
         let others = lines.iter().filter(|(id, _)| **id != work.organisation);
-        let beside = others.map(|(id, seconds)| {
-            let turns = (own + service) * self.weight(id) / weight;
-            seconds.min(turns)
+        let beside = others.map(|(id, count)| {
+            let turns = (own + 1.0) * self.weight(id) / weight;
+            f64::from(*count).min(turns)
         });
         own + beside.sum::<f64>()
     }
@@ -349,7 +384,7 @@
     /// Returns the last moment at which work can begin and still be useful.
     fn latest(&self, now: Millis, work: &Work) -> Millis {
         let useful = self.pool.useful(now, work).unwrap_or_default();
-        work.deadline.since(units::millis(useful))
+        work.deadline.since(units::millis(useful * LATEST))
     }
 
     /// Gives up what can no longer be useful; protected work is put behind instead.
@@ -371,6 +406,7 @@
         for id in late {
             let rank = self.queue.get(id).map_or(u8::MAX, |entry| entry.work.rank);
             if self.may_shed(now, rank) {
+                self.shed = Some((rank, now + PRESSED));
                 self.refuse(id, Refusal::new(Code::Late));
             }
         }
@@ -386,11 +422,14 @@
         }
     }
 
+    /// Starts one request of a lane: the first that would be useful, or else a protected one that
+    /// is late anywhere, whose answer is owed still.
     fn dispatch_one(&mut self, now: Millis, key: &LaneKey, out: &mut Vec<Decision>) -> bool {
         let heads = self.queue.heads(key);
         if heads.is_empty() || !self.may_fill(now, key) {
             return false;
         }
+        let mut owed = None;
         for id in heads {
             let Some(entry) = self.queue.get(id) else {
                 continue;
@@ -398,32 +437,69 @@
             let Some(chosen) = self.pool.place(now, &mut self.rng, &entry.work) else {
                 continue;
             };
-            if !chosen.fits && !entry.work.protected {
-                continue;
+            if chosen.fits {
+                return self.start(now, id, chosen, out);
+            }
+            if entry.work.protected && owed.is_none() {
+                owed = Some((id, chosen));
             }
-            let Some(entry) = self.queue.remove(id) else {
-                continue;
-            };
-            let weight = self.weight(&entry.work.organisation);
-            let tokens = chosen.fresh + f64::from(entry.work.output);
-            self.queue.charge(&entry.work, weight, tokens);
-            self.pool.start(now, entry.work, &chosen);
-            out.push(Decision::Start {
-                id,
-                endpoint: chosen.endpoint,
-            });
-            return true;
         }
-        false
+        owed.is_some_and(|(id, chosen)| self.start(now, id, chosen, out))
     }
 
-    /// Tells whether a lane may take one more slot beside what is kept for the tiers above it.
+    fn start(
+        &mut self,
+        now: Millis,
+        id: WorkId,
+        chosen: Candidate,
+        out: &mut Vec<Decision>,
+    ) -> bool {
+        let Some(entry) = self.queue.remove(id) else {
+            return false;
+        };
+        let weight = self.weight(&entry.work.organisation);
+        let tokens = chosen.fresh + f64::from(entry.work.output);
+        self.queue.charge(&entry.work, weight, tokens);
+        self.pool.start(now, entry.work, &chosen);
+        out.push(Decision::Start {
+            id,
+            endpoint: chosen.endpoint,
+        });
+        true
+    }
+
+    /// Tells whether a lane may take one more slot beside what is kept for others.
     fn may_fill(&self, now: Millis, key: &LaneKey) -> bool {
         let share = self.ramp.usable(key.rank);
-        let slots = f64::from(self.pool.slots(now, &key.target));
-        let usable = units::floor(slots * share);
-        let least = u32::from(share > 0.0);
-        self.pool.flights().count_target(&key.target, key.rank) < usable.max(least)
+        let target = &key.target;
+        if share < 1.0 {
+            let slots = f64::from(self.pool.slots(now, target));
+            let usable = units::floor(slots * share).max(u32::from(share > 0.0));
+            if self.pool.flights().count_target(target, key.rank) >= usable {
+                return false;
+            }
+        }
+        let kept = self.kept_for_short(now, key);
+        kept <= 0.0 || f64::from(self.pool.free_slots(now, target)) > kept
+    }
+
+    /// Returns the slots that a lane leaves free to more urgent lanes of much shorter work.
+    ///
+    /// Load pattern: short work with a short need beside work a hundred times longer. A slot that
+    /// is free for a moment goes to long work and is gone for ten seconds, and short work that
+    /// comes a moment later misses its need. So it keeps the slots that it fills on average, and
+    /// some for its swing, less those that it fills now.
+    fn kept_for_short(&self, now: Millis, key: &LaneKey) -> f64 {
+        let own = self.loads.get(key).map_or(0.0, |load| load.service(now));
+        let above = self.loads.iter().filter(|(other, load)| {
+            other.rank < key.rank && other.target == key.target && load.service(now) * SHORT < own
+        });
+        let kept = above.map(|(other, load)| {
+            let load = load.slots(now);
+            let running = self.pool.flights().count_lane(other);
+            (load + load.sqrt() * SWING - f64::from(running)).max(0.0)
+        });
+        kept.sum()
     }
 
     /// Cancels work stranded on endpoints that have gone silent, so that it can run elsewhere.
@@ -442,7 +518,7 @@
         let pending = pending.count();
         let urgent = self.queue.find(|entry| {
             let late = entry.latest <= now;
-            entry.work.protected && !late && left(entry, now) <= need(&entry.work) * share
+            entry.work.protected && !late && left(entry, now) <= slack(entry) * share
         });
         for id in urgent.into_iter().skip(pending) {
             let Some(entry) = self.queue.get(id) else {
@@ -501,7 +577,7 @@
     entry.latest.since(now).as_secs()
 }
 
-/// Returns a request's whole need in seconds.
-fn need(work: &Work) -> f64 {
-    work.deadline.since(work.arrived).as_secs()
+/// Returns the seconds that work could wait in all and be useful.
+fn slack(entry: &Entry) -> f64 {
+    entry.latest.since(entry.work.arrived).as_secs()
 }
--- a/crates/siskinyoke-policy/src/admission.rs
+++ b/crates/siskinyoke-policy/src/admission.rs
@@ -5,12 +5,18 @@
 //! last of all that they should have gone elsewhere.
 
 /// What work would find if it were let in.
+///
+/// A slot is free as often as work on endpoints ends; the work ahead and what more urgent work
+/// arrives meanwhile take the first ones. Counting ends rather than seconds of service keeps the
+/// estimate right when lengths differ a hundredfold: the many short ones end often.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Outlook {
-    /// Expected seconds on endpoints of the work that goes first.
+    /// Requests that go first, and slots that have to be freed.
     pub(crate) ahead: f64,
-    /// Slots that its tier may count on.
-    pub(crate) slots: f64,
+    /// Requests a second that end on endpoints, as far as its tier may fill their slots.
+    pub(crate) ends: f64,
+    /// Requests a second that arrive for more urgent tiers.
+    pub(crate) above: f64,
     /// Expected seconds to a useful answer once it is on an endpoint.
     pub(crate) useful: f64,
     /// Seconds until the answer is no longer useful.
@@ -19,22 +25,30 @@
     pub(crate) caution: f64,
 }
 
-/// The least slots that an estimate divides by, so that a wait is long rather than endless.
-const LEAST_SLOTS: f64 = 0.05;
+/// The least part of all ends that an estimate leaves to a tier: a burst above fades, and an
+/// endless wait would refuse all of a tier on a rate that is half a minute old.
+const LEAST_PART: f64 = 0.1;
 
-/// Error of the wait's estimate that is allowed for when wasted prefill weighs most: a quarter is
-/// the spread of service times that stays after they are learned.
-const MARGIN: f64 = 0.25;
+/// The part of the estimated wait that counts if wasted prefill weighs nothing, and how much more
+/// counts if it weighs most. Ends are counted over what runs now; short work let in meanwhile ends
+/// itself, so waits turn out about half as long, now and then as long as estimated.
+const BOLD: f64 = 0.6;
+const CAUTIOUS: f64 = 0.3;
 
 impl Outlook {
     /// Returns the expected wait in seconds.
     pub(crate) fn wait(&self) -> f64 {
-        self.ahead / self.slots.max(LEAST_SLOTS)
+        if self.ahead <= 0.0 {
+            return 0.0;
+        }
+        let ends = (self.ends - self.above).max(self.ends * LEAST_PART);
+        self.ahead / ends.max(f64::MIN_POSITIVE)
     }
 
     /// Returns by how many seconds it would come too late; none if it fits.
     pub(crate) fn excess(&self) -> f64 {
-        let needed = (self.wait() + self.useful) * (1.0 + MARGIN * self.caution);
+        let counted = BOLD + CAUTIOUS * self.caution;
+        let needed = self.wait() * counted + self.useful;
         (needed - self.left).max(0.0)
     }
 }
--- a/crates/siskinyoke-policy/src/demand.rs
+++ b/crates/siskinyoke-policy/src/demand.rs
@@ -9,6 +9,7 @@
 
 use crate::allowance::Allowances;
 use crate::endpoint::Endpoint;
+use crate::load::Load;
 use crate::pool::Pool;
 use crate::queue::LaneKey;
 use crate::queue::Queue;
@@ -23,34 +24,53 @@
 const HEADROOM: f64 = 1.2;
 
 /// Returns the demand for each endpoint's slots.
+///
+/// A tier's few slots are dealt out to endpoints by their size from a starting point of the
+/// daemon's own, `offset` in parts of 1: rounding up on each endpoint would ask for twelve slots
+/// where one is needed, and rounding alike would send all daemons to the same endpoints.
 pub(crate) fn endpoints(
     now: Millis,
     pool: &Pool,
     queue: &Queue,
-    loads: &BTreeMap<LaneKey, Rate>,
+    loads: &BTreeMap<LaneKey, Load>,
+    offset: f64,
 ) -> Vec<LeaseDemand> {
     let ranks = loads.keys().map(|key| usize::from(key.rank) + 1).max();
     let ranks = ranks.unwrap_or(1);
-    let lines = pool.endpoints().map(|endpoint| {
-        let mut wanted: Vec<u32> = vec![0; ranks + 1];
-        for (key, rate) in loads {
-            let part = part(pool, endpoint, key);
-            let usual = rate.value(now) * HEADROOM * part;
-            let waiting = f64::from(queue.lane_len(key)) * part;
-            wanted[usize::from(key.rank)] += units::floor((usual.max(waiting)).ceil());
-        }
-        for flight in pool.flights().on(&endpoint.spec.id) {
-            let rank = usize::from(flight.work.rank).min(ranks - 1);
-            wanted[rank] = wanted[rank].max(1);
-        }
-        wanted[ranks] = endpoint.spec.slots;
-        LeaseDemand {
-            resource: Resource::Endpoint(endpoint.spec.id.clone()),
-            wanted,
-            held: pool.flights().count(&endpoint.spec.id),
+    let mut lines: Vec<LeaseDemand> = pool
+        .endpoints()
+        .map(|endpoint| {
+            let mut wanted = vec![0; ranks + 1];
+            wanted[ranks] = endpoint.spec.slots;
+            LeaseDemand {
+                resource: Resource::Endpoint(endpoint.spec.id.clone()),
+                wanted,
+                held: pool.flights().count(&endpoint.spec.id),
+            }
+        })
+        .collect();
+    for (key, load) in loads {
+        let usual = load.slots(now) * HEADROOM;
+        let waiting = f64::from(queue.lane_len(key));
+        deal(pool, key, usual.max(waiting), offset, &mut lines);
+    }
+    lines
+}
+
+/// Deals a lane's slots out to the endpoints that offer its target.
+fn deal(pool: &Pool, key: &LaneKey, total: f64, offset: f64, lines: &mut [LeaseDemand]) {
+    let offers = |endpoint: &Endpoint| endpoint.offers(&key.target);
+    let offering = pool.endpoints().filter(|endpoint| offers(endpoint));
+    let slots: u32 = offering.map(|endpoint| endpoint.spec.slots).sum();
+    let mut at = offset;
+    for (endpoint, line) in pool.endpoints().zip(lines) {
+        if !offers(endpoint) {
+            continue;
         }
-    });
-    lines.collect()
+        let from = units::floor(at);
+        at += total * f64::from(endpoint.spec.slots) / f64::from(slots.max(1));
+        line.wanted[usize::from(key.rank)] += units::floor(at) - from;
+    }
 }
 
 /// Returns the demand for organisations' allowances, in tokens a second.
@@ -69,13 +89,3 @@
     });
     lines.collect()
 }
-
-/// Returns an endpoint's part of all slots for a lane's target.
-fn part(pool: &Pool, endpoint: &Endpoint, key: &LaneKey) -> f64 {
-    if !endpoint.offers(&key.target) {
-        return 0.0;
-    }
-    let offering = pool.endpoints().filter(|other| other.offers(&key.target));
-    let slots: u32 = offering.map(|other| other.spec.slots).sum();
-    f64::from(endpoint.spec.slots) / f64::from(slots.max(1))
-}
--- a/crates/siskinyoke-policy/src/endpoint.rs
+++ b/crates/siskinyoke-policy/src/endpoint.rs
@@ -81,7 +81,7 @@
         if share == 0 {
             return 0;
         }
-        units::floor(f64::from(share) * self.scale).max(1)
+        units::floor((f64::from(share) * self.scale).round()).max(1)
     }
 
     /// Returns how many requests this daemon may have on it.
@@ -89,28 +89,33 @@
         self.health.room(now, self.limit(now, instances))
     }
 
-    /// Estimates the times of work with `fresh` prompt tokens to compute behind `queued` others.
-    pub(crate) fn expect(&self, now: Millis, work: &Work, fresh: f64, queued: f64) -> Expected {
-        let speed = self.speeds.get(&work.target);
-        let first_ratio = speed.map_or(1.0, |speed| speed.first(now));
+    /// Estimates the times of work that computes `prompt` tokens and answers with `output`.
+    pub(crate) fn expect(
+        &self,
+        now: Millis,
+        target: &ModelId,
+        prompt: f64,
+        output: f64,
+    ) -> Expected {
+        let speed = self.speeds.get(target);
         let rest_ratio = speed.map_or(1.0, |speed| speed.rest(now));
         let way = 2.0 * self.spec.distance.as_secs();
-        let plan = LEAST + (fresh + queued) / f64::from(self.spec.prefill.max(1));
-        let first = way + plan * first_ratio;
-        let whole = first + self.rest(work.output) * rest_ratio;
+        let plan = LEAST + prompt / f64::from(self.spec.prefill.max(1));
+        let first = way + speed.map_or(plan, |speed| speed.first(now, plan));
+        let whole = first + self.rest(output) * rest_ratio;
         Expected { plan, first, whole }
     }
 
     /// Learns from the time to a first piece.
     pub(crate) fn learn_first(&mut self, now: Millis, target: &ModelId, plan: f64, took: Millis) {
         let way = 2.0 * self.spec.distance.as_secs();
-        let ratio = (took.as_secs() - way).max(0.0) / plan;
-        self.speed(now, target).learn_first(now, ratio);
+        let took = (took.as_secs() - way).max(0.0);
+        self.speed(now, target).learn_first(now, plan, took);
     }
 
     /// Learns from the time between the first piece and the end of `output` tokens.
     pub(crate) fn learn_rest(&mut self, now: Millis, target: &ModelId, output: u32, took: Millis) {
-        let ratio = took.as_secs() / self.rest(output.max(1));
+        let ratio = took.as_secs() / self.rest(f64::from(output.max(1)));
         self.speed(now, target).learn_rest(now, ratio);
     }
 
@@ -124,9 +129,9 @@
         took: Millis,
     ) {
         let way = 2.0 * self.spec.distance.as_secs();
-        let ratio = (took.as_secs() - way).max(0.0) / (plan + self.rest(output));
+        let ratio = (took.as_secs() - way).max(0.0) / (plan + self.rest(f64::from(output)));
         let speed = self.speed(now, target);
-        speed.learn_first(now, ratio);
+        speed.learn_first(now, plan, plan * ratio);
         speed.learn_rest(now, ratio);
     }
 
@@ -139,8 +144,8 @@
         };
     }
 
-    fn rest(&self, output: u32) -> f64 {
-        f64::from(output) / f64::from(self.spec.speed.max(1))
+    fn rest(&self, output: f64) -> f64 {
+        output / f64::from(self.spec.speed.max(1))
     }
 
     fn speed(&mut self, now: Millis, target: &ModelId) -> &mut Speed {
--- a/crates/siskinyoke-policy/src/flight.rs
+++ b/crates/siskinyoke-policy/src/flight.rs
@@ -4,6 +4,7 @@
 
 use crate::Work;
 use crate::WorkId;
+use crate::queue::LaneKey;
 use crate::units;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::Millis;
@@ -26,6 +27,8 @@
     pub(crate) plan: f64,
     /// Seconds to the first piece as expected.
     pub(crate) expected: f64,
+    /// Expected seconds to its end.
+    pub(crate) whole: f64,
     /// Whether a cancel was asked for.
     pub(crate) cancelled: bool,
 }
@@ -90,6 +93,12 @@
         units::count(self.iter().filter(fits).count())
     }
 
+    /// Counts a lane's work.
+    pub(crate) fn count_lane(&self, key: &LaneKey) -> u32 {
+        let fits = |flight: &&Flight| LaneKey::of(&flight.work) == *key;
+        units::count(self.iter().filter(fits).count())
+    }
+
     /// Tells whether nothing is on an endpoint.
     pub(crate) fn is_empty(&self) -> bool {
         self.flights.is_empty()
--- a/crates/siskinyoke-policy/src/lib.rs
+++ b/crates/siskinyoke-policy/src/lib.rs
@@ -9,6 +9,8 @@
 mod flight;
 mod health;
 mod history;
+mod length;
+mod load;
 mod placement;
 mod pool;
 mod prefix;
--- a/crates/siskinyoke-policy/src/pool.rs
+++ b/crates/siskinyoke-policy/src/pool.rs
@@ -10,8 +10,10 @@
 use crate::Work;
 use crate::WorkId;
 use crate::endpoint::Endpoint;
+use crate::endpoint::Expected;
 use crate::flight::Flight;
 use crate::flight::Flights;
+use crate::length::Lengths;
 use crate::placement;
 use crate::placement::Candidate;
 use crate::prefix::Prefixes;
@@ -38,6 +40,9 @@
 const PATIENCE: f64 = 4.0;
 const LEAST_PATIENCE: f64 = 1.0;
 
+/// The least seconds that work is taken to be on an endpoint, against dividing by nothing.
+const LEAST_TIME: f64 = 0.01;
+
 /// Endpoints and the work on them.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
@@ -45,6 +50,7 @@
     flights: Flights,
     prefixes: Prefixes,
     sizes: Map<ModelId, Sizes>,
+    lengths: Lengths,
     instances: u32,
 }
 
@@ -118,6 +124,31 @@
         offering.any(|endpoint| self.free(now, endpoint) > 0)
     }
 
+    /// Counts the free slots for a target.
+    pub(crate) fn free_slots(&self, now: Millis, target: &ModelId) -> u32 {
+        let offering = self.endpoints().filter(|endpoint| endpoint.offers(target));
+        offering.map(|endpoint| self.free(now, endpoint)).sum()
+    }
+
+    /// Counts the slots that have to be freed before one can be filled again, as a share shrank.
+    pub(crate) fn excess(&self, now: Millis, target: &ModelId) -> u32 {
+        let offering = self.endpoints().filter(|endpoint| endpoint.offers(target));
+        let over = offering.map(|endpoint| {
+            let count = self.flights.count(&endpoint.spec.id);
+            count.saturating_sub(endpoint.room(now, self.instances))
+        });
+        over.sum()
+    }
+
+    /// Returns how many requests a second end on a target's endpoints.
+    pub(crate) fn ends(&self, target: &ModelId) -> f64 {
+        let flights = self.flights.iter();
+        let running = flights.filter(|flight| flight.work.target == *target);
+        running
+            .map(|flight| 1.0 / flight.whole.max(LEAST_TIME))
+            .sum()
+    }
+
     /// Returns the least expected seconds to a useful answer over all endpoints in use.
     pub(crate) fn useful(&self, now: Millis, work: &Work) -> Option<f64> {
         let offering = self
@@ -126,7 +157,7 @@
         offering
             .map(|endpoint| {
                 let fresh = self.fresh(work, endpoint);
-                let expected = endpoint.expect(now, work, fresh, 0.0);
+                let expected = self.expect(now, work, endpoint, fresh);
                 let doubt = if endpoint.health.doubtful(now) {
                     10.0
                 } else {
@@ -144,7 +175,7 @@
             .filter(|endpoint| endpoint.offers(&work.target));
         let (mut sum, mut slots) = (0.0, 0.0);
         for endpoint in offering {
-            let expected = endpoint.expect(now, work, f64::from(work.prompt), 0.0);
+            let expected = self.expect(now, work, endpoint, f64::from(work.prompt));
             let weight = f64::from(endpoint.spec.slots) / expected.whole.max(0.001);
             sum += weight * expected.whole;
             slots += weight;
@@ -195,6 +226,7 @@
             fresh: chosen.fresh,
             plan: chosen.expected.plan,
             expected: chosen.expected.first,
+            whole: chosen.expected.whole,
             cancelled: false,
         });
     }
@@ -226,6 +258,7 @@
             Finish::Complete { output } => {
                 endpoint.health.succeed(now);
                 learn(endpoint, now, &flight, output);
+                self.lengths.learn(&flight.work, output);
             }
             Finish::Unreachable | Finish::Broken => {
                 endpoint.health.fail(now);
@@ -258,7 +291,7 @@
                 continue;
             };
             let sign = endpoint.health.sign().max(flight.started);
-            let usual = endpoint.expect(now, &flight.work, flight.fresh, 0.0);
+            let usual = self.expect(now, &flight.work, endpoint, flight.fresh);
             let least = if flight.work.stream && flight.first.is_none() {
                 flight.expected
             } else {
@@ -284,6 +317,12 @@
         stranded.map(|flight| flight.work.id).collect()
     }
 
+    /// Tells whether lower work here gives way to `work`, or soon will.
+    pub(crate) fn can_yield(&self, now: Millis, work: &Work) -> bool {
+        let giving = |flight: &Flight| flight.cancelled && flight.work.target == work.target;
+        self.flights.iter().any(giving) || self.victim(now, work).is_some()
+    }
+
     /// Returns work to cancel for more urgent `work`: the least prefill lost first.
     pub(crate) fn victim(&self, now: Millis, work: &Work) -> Option<WorkId> {
         let fits = |flight: &&Flight| {
@@ -291,7 +330,7 @@
                 && flight.work.repeatable()
                 && !flight.cancelled
                 && !work.avoid.contains(&flight.endpoint)
-                && self.usable(now, &flight.endpoint, &work.target)
+                && self.usable(now, &flight.endpoint, work)
         };
         self.flights
             .iter()
@@ -303,12 +342,17 @@
             .map(|flight| flight.work.id)
     }
 
-    fn usable(&self, now: Millis, id: &EndpointId, target: &ModelId) -> bool {
+    /// Tells whether work would be useful on an endpoint, if a slot were free there.
+    fn usable(&self, now: Millis, id: &EndpointId, work: &Work) -> bool {
         let Some(endpoint) = self.endpoints.get(id) else {
             return false;
         };
         let limit = endpoint.room(now, self.instances);
-        endpoint.offers(target) && limit > 0 && self.flights.count(id) <= limit
+        if !endpoint.offers(&work.target) || limit == 0 || self.flights.count(id) > limit {
+            return false;
+        }
+        let expected = self.expect(now, work, endpoint, self.fresh(work, endpoint));
+        expected.useful(work) <= work.deadline.since(now).as_secs()
     }
 
     fn free(&self, now: Millis, endpoint: &Endpoint) -> u32 {
@@ -339,6 +383,10 @@
         f64::from(work.prompt) * (1.0 - held)
     }
 
+    fn expect(&self, now: Millis, work: &Work, endpoint: &Endpoint, prompt: f64) -> Expected {
+        endpoint.expect(now, &work.target, prompt, self.lengths.guess(work))
+    }
+
     fn candidate(
         &self,
         now: Millis,
@@ -356,8 +404,8 @@
             f64::from(work.prompt)
         };
         let queued = self.flights.on(id).filter(|flight| flight.first.is_none());
-        let queued = queued.map(|flight| flight.fresh).sum();
-        let expected = endpoint.expect(now, work, bounded, queued);
+        let queued: f64 = queued.map(|flight| flight.fresh).sum();
+        let expected = self.expect(now, work, endpoint, bounded + queued);
         let left = work.deadline.since(now).as_secs();
         let crowded = work.apart && self.flights.count(id) > 0;
         // Probation is proven with work that can run again if the endpoint fails once more.
@@ -395,7 +443,8 @@
     ///
     /// Load pattern: work a hundred times longer than the rest. Its prompt holds up an endpoint
     /// for seconds and short work behind it misses its need. Every daemon takes the same
-    /// endpoints, the first by name, so that the room is kept without any message.
+    /// endpoints, the slowest with prompts, which long work can use least; so the room is kept
+    /// without any message.
     fn short_lane(&self, now: Millis, work: &Work, offering: &[&Endpoint]) -> BTreeSet<EndpointId> {
         let Some(sizes) = self.sizes.get(&work.target) else {
             return BTreeSet::new();
@@ -405,8 +454,13 @@
             return BTreeSet::new();
         }
         let len = units::floor(f64::from(units::count(offering.len())) * SHORT_ROOM);
-        let kept = offering.iter().take(len as usize);
-        kept.map(|endpoint| endpoint.spec.id.clone()).collect()
+        let mut slowest: Vec<(u32, &EndpointId)> = offering
+            .iter()
+            .map(|endpoint| (endpoint.spec.prefill, &endpoint.spec.id))
+            .collect();
+        slowest.sort();
+        let kept = slowest.into_iter().take(len as usize);
+        kept.map(|(_, id)| id.clone()).collect()
     }
 }
 
--- a/crates/siskinyoke-policy/src/queue.rs
+++ b/crates/siskinyoke-policy/src/queue.rs
@@ -20,7 +20,7 @@
 const HEADS: usize = 3;
 
 /// A tier's work for one target.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct LaneKey {
     /// The tier's rank; the most urgent lane comes first.
     pub(crate) rank: u8,
@@ -43,8 +43,6 @@
 pub(crate) struct Entry {
     /// The work.
     pub(crate) work: Work,
-    /// Expected time on an endpoint, in seconds.
-    pub(crate) service: f64,
     /// The last moment at which it can begin and still be useful.
     pub(crate) latest: Millis,
 }
@@ -61,7 +59,6 @@
 #[derive(Debug, Default)]
 struct Line {
     entries: BTreeMap<Place, Entry>,
-    service: f64,
 }
 
 /// All work that waits in one daemon.
@@ -73,15 +70,10 @@
 }
 
 impl Queue {
-    /// Adds work with its expected time on an endpoint and the last moment to begin it.
-    pub(crate) fn push(&mut self, work: Work, service: f64, latest: Millis) {
+    /// Adds work with the last moment to begin it.
+    pub(crate) fn push(&mut self, work: Work, latest: Millis) {
         self.latest.insert((latest, work.id));
-        let entry = Entry {
-            work,
-            service,
-            latest,
-        };
-        self.insert(entry, false);
+        self.insert(Entry { work, latest }, false);
     }
 
     /// Takes work out.
@@ -91,7 +83,6 @@
         let lane = self.lanes.get_mut(&key)?;
         let own = lane.lines.get_mut(&organisation)?;
         let entry = own.entries.remove(&place)?;
-        own.service -= entry.service;
         if own.entries.is_empty() {
             lane.lines.remove(&organisation);
         }
@@ -156,23 +147,22 @@
         lane.turns.charge(&work.organisation, weight, tokens);
     }
 
-    /// Returns the expected seconds on endpoints of a target's work of ranks before `rank`.
-    pub(crate) fn ahead(&self, rank: u8, target: &ModelId) -> f64 {
-        self.lanes
-            .iter()
-            .filter(|(key, _)| key.rank < rank && key.target == *target)
-            .flat_map(|(_, lane)| lane.lines.values())
-            .map(|line| line.service.max(0.0))
+    /// Counts a target's work of ranks before `rank`.
+    pub(crate) fn ahead(&self, rank: u8, target: &ModelId) -> u32 {
+        let before = self.lanes.keys();
+        before
+            .filter(|key| key.rank < rank && key.target == *target)
+            .map(|key| self.lane_len(key))
             .sum()
     }
 
-    /// Returns the expected seconds of each organisation's work in a lane.
-    pub(crate) fn lines(&self, key: &LaneKey) -> impl Iterator<Item = (&OrganisationId, f64)> {
+    /// Counts each organisation's work in a lane.
+    pub(crate) fn lines(&self, key: &LaneKey) -> impl Iterator<Item = (&OrganisationId, u32)> {
         self.lanes
             .get(key)
             .into_iter()
             .flat_map(|lane| lane.lines.iter())
-            .map(|(id, line)| (id, line.service.max(0.0)))
+            .map(|(id, line)| (id, units::count(line.entries.len())))
     }
 
     /// Returns the work to evict first: of the last rank after `rank`, the last to be due.
@@ -232,7 +222,6 @@
         self.index.insert(place.2, found);
         let lane = self.lanes.entry(key).or_default();
         let own = lane.lines.entry(organisation).or_default();
-        own.service += entry.service;
         own.entries.insert(place, entry);
     }
 }
--- a/crates/siskinyoke-policy/src/rate.rs
+++ b/crates/siskinyoke-policy/src/rate.rs
@@ -7,14 +7,37 @@
 /// enough to hold some tens of arrivals at today's rates.
 const HALF: Millis = Millis::from_secs(2);
 
+/// Half-life of rates by which capacity is shared: longer than most work stays on an endpoint, as
+/// shares that follow each swing shrink below what runs, and nothing urgent can start there.
+const STEADY: Millis = Millis::from_secs(15);
+
 /// An amount a second, with the past fading.
-#[derive(Debug, Default, Clone, Copy)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Rate {
     sum: f64,
     seen: Millis,
+    half: Millis,
+}
+
+impl Default for Rate {
+    fn default() -> Self {
+        Self {
+            sum: 0.0,
+            seen: Millis::ZERO,
+            half: HALF,
+        }
+    }
 }
 
 impl Rate {
+    /// Makes a rate that follows slowly.
+    pub(crate) fn steady() -> Self {
+        Self {
+            half: STEADY,
+            ..Self::default()
+        }
+    }
+
     /// Adds an amount.
     pub(crate) fn add(&mut self, now: Millis, amount: f64) {
         self.sum = self.faded(now) + amount;
@@ -23,10 +46,10 @@
 
     /// Returns the amount a second.
     pub(crate) fn value(&self, now: Millis) -> f64 {
-        self.faded(now) * std::f64::consts::LN_2 / HALF.as_secs()
+        self.faded(now) * std::f64::consts::LN_2 / self.half.as_secs()
     }
 
     fn faded(&self, now: Millis) -> f64 {
-        self.sum * units::decay(now.since(self.seen), HALF)
+        self.sum * units::decay(now.since(self.seen), self.half)
     }
 }
--- a/crates/siskinyoke-rig/src/bound.rs
+++ b/crates/siskinyoke-rig/src/bound.rs
@@ -4,6 +4,8 @@
 //! tokens, less while one is slow or frozen. For every window of whole seconds the work of a tier
 //! and those before it that arrives in it has to fit into the window and the longest of its needs
 //! behind it; the largest part that fits no window is out of reach for the last of these tiers.
+//! A request holds its slot while its prompt is computed too: that time counts as the answer tokens
+//! that the slot does not give meanwhile, at the ratio of the endpoint where it costs least.
 //! Prompts count only as far as no earlier request shares their blocks. A policy that picks the
 //! smallest requests can pass this bound by some hundredths; none can beat it by capacity.
 
@@ -20,6 +22,10 @@
 /// Seconds looked at: the span of arrivals and the longest need.
 const SECONDS: usize = 110;
 
+/// Prompt tokens that cost a slot as much time as one answer token in a full batch: prompts run a
+/// hundred times as fast as one answer alone, and sixteen neighbours slow it to a part of 1.6.
+const PROMPT_COST: f64 = 160.0;
+
 /// Returns the part of each tier's requests for `target` that could be answered in time.
 pub fn reachable(site: &Site, load: &Load, requests: &[Request], target: &ModelId) -> Vec<f64> {
     let ranks = requests
@@ -35,7 +41,8 @@
         let own = Work::of_one(requests, rank, target);
         let by_output = work.missed(&work.output, &decode);
         let by_prompt = work.missed(&work.prompt, &prefill);
-        let missed = by_output.max(by_prompt);
+        let by_slots = work.missed(&work.slots(), &decode);
+        let missed = by_output.max(by_prompt).max(by_slots);
         let extra = (missed - missed_before).max(0.0);
         missed_before = missed.max(missed_before);
         let all: f64 = work.output.iter().sum();
@@ -87,6 +94,13 @@
         work
     }
 
+    /// Returns answer tokens with those that slots do not give while they compute prompts.
+    fn slots(&self) -> Vec<f64> {
+        let both = self.output.iter().zip(&self.prompt);
+        both.map(|(output, prompt)| output + prompt / PROMPT_COST)
+            .collect()
+    }
+
     /// Returns the part of all work that fits no window.
     fn missed(&self, work: &[f64], capacity: &[f64]) -> f64 {
         let all: f64 = work.iter().sum();
--- a/crates/siskinyoke-rig/src/run.rs
+++ b/crates/siskinyoke-rig/src/run.rs
@@ -361,7 +361,7 @@
             .sum();
         if raised && serving == 0 {
             for policy in &mut self.policies {
-                policy.allow_shedding(now, rank, now + THRESHOLD_ROUND + THRESHOLD_ROUND);
+                policy.allow_shedding(now, rank, until.min(now + THRESHOLD_ROUND));
             }
         }
     }
