--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod configuration;
 pub mod controller;
 pub mod core;
+pub mod leases;
 pub mod ledger;
 pub mod members;
 pub mod outbox;
