Measure the slopes behind the capacity page

A small binary prints a table for each slope: members in virtual time, the transport over loopback, leases, the configuration, the core and its memory.

--- a/crates/siskinyoke-daemon/src/peers/counters.rs
+++ b/crates/siskinyoke-daemon/src/peers/counters.rs
@@ -3,6 +3,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use quinn::Connection;
+
 use super::Lane;
 
 /// Counts for one lane.
@@ -21,6 +23,17 @@
     refused: AtomicU64,
     forged: AtomicU64,
     handshakes: AtomicU64,
+    wire: LaneCounters,
+}
+
+impl LaneCounters {
+    fn totals(&self) -> Totals {
+        Totals {
+            sent: self.sent.load(Ordering::Relaxed),
+            received: self.received.load(Ordering::Relaxed),
+            dropped: self.dropped.load(Ordering::Relaxed),
+        }
+    }
 }
 
 /// Totals of one lane since the start.
@@ -37,12 +50,7 @@
 impl Counters {
     /// Returns a lane's totals.
     pub fn totals(&self, lane: Lane) -> Totals {
-        let counters = self.lane(lane);
-        Totals {
-            sent: counters.sent.load(Ordering::Relaxed),
-            received: counters.received.load(Ordering::Relaxed),
-            dropped: counters.dropped.load(Ordering::Relaxed),
-        }
+        self.lane(lane).totals()
     }
 
     /// Returns how many connections of strangers were refused.
@@ -60,6 +68,22 @@
         self.handshakes.load(Ordering::Relaxed)
     }
 
+    /// Returns the bytes of datagrams on connections that have ended, with all that the
+    /// transport adds, but for the headers of UDP and IP.
+    pub fn wire(&self) -> Totals {
+        self.wire.totals()
+    }
+
+    pub(super) fn add_wire(&self, connection: &Connection) {
+        let stats = connection.stats();
+        self.wire
+            .sent
+            .fetch_add(stats.udp_tx.bytes, Ordering::Relaxed);
+        self.wire
+            .received
+            .fetch_add(stats.udp_rx.bytes, Ordering::Relaxed);
+    }
+
     pub(super) fn add_sent(&self, lane: Lane, bytes: usize) {
         add(&self.lane(lane).sent, bytes);
     }
--- a/crates/siskinyoke-daemon/src/peers/incoming.rs
+++ b/crates/siskinyoke-daemon/src/peers/incoming.rs
@@ -38,6 +38,7 @@
         let reader = read(Arc::clone(&shared), stream, print, address);
         tokio::spawn(reader);
     }
+    shared.counters.add_wire(&connection);
 }
 
 async fn read(shared: Arc<Shared>, stream: RecvStream, print: [u8; 32], address: SocketAddr) {
--- a/crates/siskinyoke-daemon/src/peers/link.rs
+++ b/crates/siskinyoke-daemon/src/peers/link.rs
@@ -134,6 +134,7 @@
             let session = Session::default();
             let ended = self.carry(&session, &connection, first).await;
             connection.close(0u32.into(), b"");
+            self.shared.counters.add_wire(&connection);
             let worked = session.worked.load(Ordering::Relaxed);
             if !ended && (self.drop_queued() || worked) {
                 self.tell();
--- a/crates/siskinyoke-daemon/src/peers/server.rs
+++ b/crates/siskinyoke-daemon/src/peers/server.rs
@@ -85,7 +85,7 @@
 /// What the tasks of the transport share.
 pub(super) struct Shared {
     pub(super) certificate: Certificate,
-    pub(super) counters: Counters,
+    pub(super) counters: Arc<Counters>,
     pub(super) endpoint: Endpoint,
     pub(super) handle: Handle,
     pub(super) sink: Sink,
@@ -145,7 +145,7 @@
         };
         let shared = Arc::new(Shared {
             certificate,
-            counters: Counters::default(),
+            counters: Arc::default(),
             endpoint,
             handle: runtime.handle().clone(),
             sink,
@@ -204,8 +204,11 @@
     }
 
     /// Sends what is queued, for a second or two at most, and closes all connections.
-    pub fn stop(mut self) {
+    ///
+    /// Returns the counts, which are final then.
+    pub fn stop(mut self) -> Arc<Counters> {
         self.close();
+        Arc::clone(&self.shared.counters)
     }
 
     fn queue(&self, peer: &MemberAddress, lane: Lane, frame: Bytes) -> Queued {
--- a/crates/siskinyoke-measure/src/main.rs
+++ b/crates/siskinyoke-measure/src/main.rs
@@ -1,5 +1,74 @@
 //! Prints the slopes behind `docs/CAPACITY.md`.
 
-fn main() {
-    println!("see --help");
+use clap::Parser;
+use clap::Subcommand;
+use clap::ValueEnum;
+
+use siskinyoke_daemon::peers::PeersError;
+use siskinyoke_measure::documents;
+use siskinyoke_measure::fleet;
+use siskinyoke_measure::limits;
+use siskinyoke_measure::requests;
+use siskinyoke_measure::wire;
+
+/// Measures one slope and prints it as a table.
+#[derive(Debug, Parser)]
+struct Arguments {
+    #[command(subcommand)]
+    slope: Slope,
+}
+
+#[derive(Debug, Subcommand)]
+enum Slope {
+    /// Members, by the size of the fleet, in virtual time.
+    Members {
+        /// Sizes of the fleet.
+        #[arg(default_values_t = [8, 32, 128, 370])]
+        sizes: Vec<usize>,
+    },
+    /// The transport between daemons, over the loopback interface.
+    Wire,
+    /// Capacity leases, by resources and by holders.
+    Leases,
+    /// The core, by members and by endpoints.
+    Requests,
+    /// Memory, one figure for each process, since freed memory is used again.
+    Memory {
+        /// What is weighed.
+        what: What,
+        /// How many of it.
+        size: usize,
+    },
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum What {
+    /// Organisations in the configuration.
+    Configuration,
+    /// Identities in the ledger.
+    Ledger,
+    /// Requests on the way.
+    Requests,
+    /// Members of the fleet.
+    Members,
+}
+
+fn main() -> Result<(), PeersError> {
+    match Arguments::parse().slope {
+        Slope::Members { sizes } => fleet::run(&sizes),
+        Slope::Wire => wire::run(&[4, 8, 16, 32], &[1, 100, 1_000])?,
+        Slope::Leases => limits::run(&[5, 20, 100, 600], &[8, 32, 128, 370]),
+        Slope::Requests => {
+            requests::run(&[8, 32, 128, 370], &[12, 75, 300]);
+            requests::demand(&[12, 75, 300, 600]);
+            requests::in_force(&[1_000, 5_000, 21_000]);
+        }
+        Slope::Memory { what, size } => match what {
+            What::Configuration => documents::run(&[size]),
+            What::Ledger => requests::ledger(&[size]),
+            What::Requests => requests::memory(&[size]),
+            What::Members => fleet::memory_of(size),
+        },
+    }
+    Ok(())
 }
--- a/crates/siskinyoke-measure/src/network.rs
+++ b/crates/siskinyoke-measure/src/network.rs
@@ -12,6 +12,7 @@
 use siskinyoke_base::InstanceId;
 use siskinyoke_base::Millis;
 use siskinyoke_base::message::Envelope;
+use siskinyoke_base::message::MemberDigest;
 use siskinyoke_base::message::MemberRecord;
 use siskinyoke_base::message::MemberState;
 use siskinyoke_base::message::Message;
@@ -197,6 +198,23 @@
         self.push(self.now, to, Event::Deliver(Box::new(envelope)));
     }
 
+    /// Tells a node of `count` members at once, as though they had made contact.
+    pub fn introduce(&mut self, to: &InstanceId, count: usize) {
+        for number in 1..count {
+            let own = record(&Self::name(number), Incarnation(number as u64));
+            let envelope = Envelope {
+                from: own.instance.clone(),
+                incarnation: own.incarnation,
+                revision: 1,
+                message: Message::Members(MemberDigest {
+                    members: vec![own],
+                    ping: false,
+                }),
+            };
+            self.handle(to, Event::Deliver(Box::new(envelope)));
+        }
+    }
+
     /// Runs for a span.
     pub fn run(&mut self, span: Millis) {
         let end = self.now + span;
