--- a/crates/siskinyoke-cli/src/lib.rs
+++ b/crates/siskinyoke-cli/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod caller;
 pub mod context;
+pub mod operator;
--- a/crates/siskinyoke-control/src/configuration/mod.rs
+++ b/crates/siskinyoke-control/src/configuration/mod.rs
@@ -1,19 +1,31 @@
 //! Configuration: the operators' documents and the view of them that requests are decided by.
 
+pub mod admin;
 mod alarms;
+mod change;
+mod changes;
 mod check;
 mod controller;
 mod digest;
 mod document;
+mod effect;
 mod fault;
 mod file;
+mod key;
+mod lookup;
 mod manifest;
+mod outcome;
 mod page;
+mod pending;
 mod seek;
+mod sources;
 mod stored;
 mod view;
+mod watch;
 
 pub use alarms::Alarms;
+pub use change::Change;
+pub use change::ChangeRequest;
 pub use check::check;
 pub use controller::ConfigurationController;
 pub use controller::Event;
@@ -31,11 +43,16 @@
 pub use document::TierPreset;
 pub use fault::Fault;
 pub use file::read_file;
+pub use key::draw_key;
+pub use key::key_digest;
 pub use manifest::MANIFEST_KEY;
 pub use manifest::Manifest;
 pub use manifest::PageList;
 pub use manifest::RecentChange;
 pub use manifest::RetiredPage;
+pub use outcome::Outcome;
 pub use stored::Stored;
 pub use view::Resolved;
 pub use view::View;
+pub use watch::WATCHERS;
+pub use watch::watchers;
--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod outbox;
 pub mod platform;
 pub mod threshold;
+pub mod usage;
 
 pub use controller::Context;
 pub use controller::Controller;
