--- a/crates/siskinyoke-control/src/configuration/change.rs
+++ b/crates/siskinyoke-control/src/configuration/change.rs
@@ -19,6 +19,10 @@
 /// The longest identity of a change.
 const ID_MAX: usize = 64;
 
+/// Hexadecimal digits of the digest of a change's content: 128 bits never meet by chance, and a
+/// full one would take half of a manifest's list of changes.
+const CONTENT_DIGITS: usize = 32;
+
 /// A change with the identity that its sender drew.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -140,14 +144,16 @@
         faults
     }
 
-    /// Returns a digest of what is asked, whoever asks and however often.
+    /// Returns a short digest of what is asked, whoever asks and however often.
     ///
     /// # Panics
     ///
     /// Never: a change is plain JSON.
-    pub fn content(&self) -> PageDigest {
+    pub fn content(&self) -> String {
         let text = serde_json::to_vec(&self.change).expect("a change is plain JSON");
-        PageDigest::of(&text)
+        let mut digest = PageDigest::of(&text).to_string();
+        digest.truncate(CONTENT_DIGITS);
+        digest
     }
 }
 
--- a/crates/siskinyoke-control/src/configuration/changes.rs
+++ b/crates/siskinyoke-control/src/configuration/changes.rs
@@ -18,6 +18,7 @@
 use super::pending::Pending;
 use super::pending::Step;
 use super::pending::Verdict;
+use super::sweep::Sweep;
 use crate::CallId;
 use crate::Context;
 use crate::OpId;
@@ -51,6 +52,7 @@
     lookups: BTreeMap<OpId, Lookup>,
     ops: BTreeMap<OpId, (u64, Task)>,
     round: u64,
+    sweep: Sweep,
     effects: Vec<Effect>,
 }
 
@@ -60,7 +62,6 @@
     Manifest { floor: u64 },
     Page(PageDigest),
     Swap,
-    Retire(PageDigest),
 }
 
 impl Changes {
@@ -142,6 +143,9 @@
         reply: &Reply,
         known: Known<'_>,
     ) -> bool {
+        if self.sweep.reply(cx, op, reply) {
+            return true;
+        }
         if let Some(lookup) = self.lookups.remove(&op) {
             self.answer_lookup(&lookup, reply);
             return true;
@@ -149,10 +153,6 @@
         let Some((round, task)) = self.ops.remove(&op) else {
             return false;
         };
-        if let Task::Retire(page) = task {
-            self.take_retired(cx, page, reply);
-            return true;
-        }
         // A slow answer to an earlier step, or to a change given up, says nothing of this step:
         // an old read taken for the check of a swap would call an accepted change lost.
         let front = self.queue.pop_front_if(|pending| pending.round == round);
@@ -316,7 +316,7 @@
     }
 
     fn start_writing(&mut self, cx: &mut Context<'_>, pending: Pending, attempt: Attempt) {
-        self.retire(cx, &attempt);
+        self.sweep.retire(cx, &attempt);
         let left: BTreeSet<_> = attempt.fresh.iter().map(|(page, _)| *page).collect();
         let step = if left.is_empty() {
             Step::Swap(Box::new(attempt))
@@ -326,32 +326,6 @@
         self.enter(cx, pending, step);
     }
 
-    /// Removes pages that left the manifest many revisions ago.
-    ///
-    /// They are removed before the swap: if this daemon dies in between, the manifest still
-    /// lists them, and the next change removes them again.
-    fn retire(&mut self, cx: &mut Context<'_>, attempt: &Attempt) {
-        for page in &attempt.old {
-            self.remove(cx, *page, 1);
-        }
-    }
-
-    fn remove(&mut self, cx: &mut Context<'_>, page: PageDigest, expected: u64) {
-        let key = page_key(page);
-        let request = PlatformRequest::Remove { key, expected };
-        self.send(cx, 0, request, Task::Retire(page));
-    }
-
-    fn take_retired(&mut self, cx: &mut Context<'_>, page: PageDigest, reply: &Reply) {
-        if let Ok(PlatformReply::Swapped {
-            done: false,
-            current: Some(current),
-        }) = reply
-        {
-            self.remove(cx, page, current.version);
-        }
-    }
-
     fn take_page(&mut self, cx: &mut Context<'_>, mut pending: Pending, page: PageDigest) {
         let Step::Write(attempt, mut left) = mem::replace(&mut pending.step, Step::Read) else {
             return;
@@ -399,7 +373,7 @@
         match attempt.verdict(manifest.as_ref(), version) {
             Verdict::Landed => self.accept(pending.call, *attempt),
             Verdict::Lost => {
-                self.discard(cx, &attempt);
+                self.sweep.discard(cx, &attempt);
                 let revision = manifest.map_or(0, |manifest| manifest.revision);
                 self.done(pending.call, Outcome::Conflict { revision });
             }
@@ -411,16 +385,6 @@
         }
     }
 
-    /// Removes the pages of an attempt that can never take.
-    fn discard(&mut self, cx: &mut Context<'_>, attempt: &Attempt) {
-        if attempt.restored {
-            return;
-        }
-        for (page, _) in &attempt.fresh {
-            self.remove(cx, *page, 1);
-        }
-    }
-
     fn accept(&mut self, call: CallId, attempt: Attempt) {
         let revision = attempt.next.manifest.revision;
         self.effects.push(Effect::Accept(Box::new(attempt.next)));
--- a/crates/siskinyoke-control/src/configuration/manifest.rs
+++ b/crates/siskinyoke-control/src/configuration/manifest.rs
@@ -18,7 +18,7 @@
 /// How many changes the manifest remembers.
 ///
 /// At the 2,000 changes a day of the size to come this is three hours, far longer than an
-/// operator waits for an unknown outcome, and under 40 KB of the manifest.
+/// operator waits for an unknown outcome, and about 30 KB of the manifest.
 pub const RECENT_CHANGES: usize = 256;
 
 /// How many revisions a page outlives its last use by.
@@ -64,8 +64,8 @@
     pub id: String,
     /// The revision that it made.
     pub revision: u64,
-    /// Digest of what was asked, so that one identity never stands for two changes.
-    pub content: PageDigest,
+    /// Short digest of what was asked, so that one identity never stands for two changes.
+    pub content: String,
     /// The operator who made it.
     pub operator: String,
 }
--- a/crates/siskinyoke-control/src/configuration/page.rs
+++ b/crates/siskinyoke-control/src/configuration/page.rs
@@ -14,9 +14,9 @@
 
 /// How many entries a bucket holds before the number of buckets doubles.
 ///
-/// A change sends every daemon one page and the manifest. At 21,000 organisations of about
-/// 1 KB, 32 a bucket make both about 40 KB, which is where their sum is least.
-const BUCKET_ENTRIES: usize = 32;
+/// A change sends every daemon one page and the manifest. More entries make longer pages, fewer
+/// make a longer manifest; docs/design/configuration.md has the figures.
+const BUCKET_ENTRIES: usize = 64;
 
 /// The most buckets; their digests keep the manifest under 300 KB.
 const BUCKETS_MAX: usize = 4096;
--- a/crates/siskinyoke-control/src/configuration/seek.rs
+++ b/crates/siskinyoke-control/src/configuration/seek.rs
@@ -82,6 +82,9 @@
         if PageDigest::of(&bytes) != page {
             return false;
         }
+        if !self.missing().contains(&page) {
+            return true;
+        }
         self.pages.insert(page, bytes);
         self.progress();
         true
--- a/crates/siskinyoke-control/src/configuration/watch.rs
+++ b/crates/siskinyoke-control/src/configuration/watch.rs
@@ -4,6 +4,8 @@
 
 use crate::Context;
 use crate::OpId;
+use crate::PlatformReply;
+use crate::Reply;
 use siskinyoke_base::InstanceId;
 use siskinyoke_base::Millis;
 
@@ -107,12 +109,17 @@
     }
 
     /// Notes the answer to a request, which may have been the watch.
-    pub fn answered(&mut self, now: Millis, op: OpId, well: bool) {
+    pub fn answered(&mut self, now: Millis, op: OpId, reply: &Reply) {
         if self.waiting != Some(op) {
             return;
         }
         self.waiting = None;
-        self.due = if well { now } else { now + WATCH_RETRY };
+        self.due = now;
+        match reply {
+            Ok(PlatformReply::Value(Some(found))) => self.known = found.version,
+            Ok(_) => {}
+            Err(_) => self.due = now + WATCH_RETRY,
+        }
     }
 
     fn draw_poll(&mut self, cx: &mut Context<'_>) {
--- a/crates/siskinyoke-control/tests/configuration/files.rs
+++ b/crates/siskinyoke-control/tests/configuration/files.rs
@@ -88,7 +88,7 @@
     let change = RecentChange {
         id: "first".to_owned(),
         revision: 1,
-        content: PageDigest::of(b"first"),
+        content: "first".to_owned(),
         operator: "root".to_owned(),
     };
     let stored = Stored::following(None, &doc, change);
--- a/crates/siskinyoke-control/tests/configuration/scenarios.rs
+++ b/crates/siskinyoke-control/tests/configuration/scenarios.rs
@@ -10,6 +10,7 @@
 use crate::world::World;
 use crate::world::local_example;
 use siskinyoke_base::EndpointId;
+use siskinyoke_base::Millis;
 use siskinyoke_base::OrganisationId;
 use siskinyoke_control::configuration::Change;
 use siskinyoke_control::configuration::MANIFEST_KEY;
@@ -162,9 +163,15 @@
         let view = controller.view();
         let weights: Vec<u32> = view.doc.organisations.values().map(|o| o.weight).collect();
         let alarms = controller.alarms();
+        let current = controller.is_current(Millis(now));
+        let contact = if current {
+            ""
+        } else {
+            "; cannot know what is in force"
+        };
         world.log.push(format!(
             "{now:>6} {name} holds revision {} of {}, preset {:?}, weights {weights:?}; \
-             older {}, forked {}, damaged {}, missing {}",
+             older {}, forked {}, damaged {}, missing {}{contact}",
             view.revision,
             controller.highest(),
             view.doc.preset,
--- a/crates/siskinyoke-control/tests/configuration/world.rs
+++ b/crates/siskinyoke-control/tests/configuration/world.rs
@@ -31,7 +31,6 @@
 use siskinyoke_control::configuration::MANIFEST_KEY;
 use siskinyoke_control::configuration::Manifest;
 use siskinyoke_control::configuration::Outcome;
-use siskinyoke_control::configuration::PageDigest;
 use siskinyoke_control::configuration::RecentChange;
 use siskinyoke_control::configuration::Stored;
 use siskinyoke_control::configuration::read_file;
@@ -126,7 +125,7 @@
         let change = RecentChange {
             id: "first".to_owned(),
             revision: 1,
-            content: PageDigest::of(b"first"),
+            content: "first".to_owned(),
             operator: "root".to_owned(),
         };
         let stored = Stored::following(None, &local_example(), change);
