--- a/crates/siskinyoke-control/src/configuration/changes.rs
+++ b/crates/siskinyoke-control/src/configuration/changes.rs
@@ -297,17 +297,16 @@
         let base = known.held.filter(|_| found.is_some());
         let same = base.map(|base| &base.bytes) == found.map(|found| &found.value);
         let current = shown >= floor;
-        let built = if current && same {
-            pending.build(base, version)
-        } else if current && shown != known.revision() {
+        let built = if current && shown != known.revision() {
             return self.enter(cx, pending, Step::Load(shown));
-        } else if let (true, Some(held)) = (pending.restores() && !current, known.held) {
-            pending.restore(held, shown, version)
+        } else if pending.restores() {
+            pending.restore(known, shown, same, version)
+        } else if current && same {
+            pending.build(base, version)
         } else {
             // The service shows less than was already accepted, or another history. A change
             // built on it would revert what is in force, so none is made here.
-            let highest = known.highest;
-            Err(Outcome::ServiceOlder { shown, highest })
+            Err(known.older(shown))
         };
         match built {
             Ok(attempt) => self.start_writing(cx, pending, attempt),
--- a/crates/siskinyoke-control/src/configuration/effect.rs
+++ b/crates/siskinyoke-control/src/configuration/effect.rs
@@ -15,6 +15,12 @@
 }
 
 impl Known<'_> {
+    /// Returns the outcome when the service shows an older or another configuration.
+    pub fn older(&self, shown: u64) -> Outcome {
+        let highest = self.highest;
+        Outcome::ServiceOlder { shown, highest }
+    }
+
     /// Returns the revision held.
     pub fn revision(&self) -> u64 {
         self.held.map_or(0, |held| held.manifest.revision)
--- a/crates/siskinyoke-control/src/configuration/pending.rs
+++ b/crates/siskinyoke-control/src/configuration/pending.rs
@@ -174,12 +174,25 @@
         })
     }
 
-    /// Builds the writing back of what is held into a service that shows `shown`.
+    /// Builds the writing back of what is held, with all its pages, into a service that shows
+    /// revision `shown`, or the very same manifest.
     ///
     /// # Errors
     ///
-    /// The outcome if there is nothing to write back or the operator may not.
-    pub fn restore(&self, held: &Stored, shown: u64, version: u64) -> Result<Attempt, Outcome> {
+    /// The outcome if this daemon does not hold the highest revision, if the service shows
+    /// another content of it, or if the operator may not.
+    pub fn restore(
+        &self,
+        known: Known<'_>,
+        shown: u64,
+        same: bool,
+        version: u64,
+    ) -> Result<Attempt, Outcome> {
+        let held = known.held.filter(|held| {
+            let revision = held.manifest.revision;
+            revision >= known.highest && (same || shown < revision)
+        });
+        let held = held.ok_or_else(|| known.older(shown))?;
         let doc = held.document().unwrap_or_default();
         self.allowed(&doc)?;
         let pages = held.pages.iter();
--- a/crates/siskinyoke-control/tests/configuration/main.rs
+++ b/crates/siskinyoke-control/tests/configuration/main.rs
@@ -5,4 +5,5 @@
 mod files;
 mod history;
 mod scenarios;
+mod spread;
 mod world;
--- a/tests/tests/configuration_operators/main.rs
+++ b/tests/tests/configuration_operators/main.rs
@@ -17,6 +17,8 @@
 /// The command line, as far as operators' commands go.
 #[derive(Debug, Parser)]
 struct Line {
+    #[arg(long)]
+    address: Vec<String>,
     #[arg(long)]
     json: bool,
     #[command(subcommand)]
@@ -52,6 +54,31 @@
     });
 }
 
+// What a user would see: a command copied from an operators' page is not known to the tool.
+#[test]
+fn commands_of_the_pages_are_known() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/operators");
+    let mut count = 0;
+    for page in [
+        "configuration",
+        "organisations",
+        "platform-outage",
+        "presets",
+    ] {
+        let text = fs::read_to_string(format!("{root}/{page}.md")).expect("the page is there");
+        let lines = text
+            .lines()
+            .filter(|line| line.starts_with("    siskinyoke "));
+        for line in lines.filter(|line| !line.contains("siskinyoke check")) {
+            let typed = line.split('>').next().unwrap_or_default();
+            let parsed = Line::try_parse_from(typed.split_whitespace());
+            assert!(parsed.is_ok(), "{page}: {line}: {parsed:?}");
+            count += 1;
+        }
+    }
+    assert!(count > 20, "only {count} commands were found");
+}
+
 fn run(server: &Server, key: &str, line: &str) -> String {
     let root = concat!(env!("CARGO_MANIFEST_DIR"), "/..");
     let words = line.split_whitespace().map(|word| {
@@ -68,7 +95,8 @@
         Err(error) => return format!("{error}exit code {}\n", error.exit_code()),
     };
     let mut out = Vec::new();
-    let addresses = [server.address.clone()];
+    let mut addresses = parsed.address;
+    addresses.push(server.address.clone());
     let mut cx = Context {
         addresses: &addresses,
         key: Some(key),
