--- a/crates/siskinyoke-control/src/configuration/changes.rs
+++ b/crates/siskinyoke-control/src/configuration/changes.rs
@@ -196,6 +196,14 @@
         self.queue.push_front(pending);
     }
 
+    /// Puts the step just entered off, so that a service that loses every answer is not asked
+    /// hundreds of times a second.
+    fn delay(&mut self, span: Millis) {
+        if let Some(pending) = self.queue.front_mut() {
+            pending.due += span;
+        }
+    }
+
     /// Tells the outcome of every change whose time is up.
     fn give_up(&mut self, cx: &Context<'_>) {
         let queue = mem::take(&mut self.queue);
@@ -376,7 +384,11 @@
                 let revision = manifest.map_or(0, |manifest| manifest.revision);
                 self.done(pending.call, Outcome::Conflict { revision });
             }
-            Verdict::Open => self.enter(cx, pending, Step::Swap(attempt)),
+            Verdict::Open => {
+                let again = u64::from(pending.unsure.saturating_sub(1));
+                self.enter(cx, pending, Step::Swap(attempt));
+                self.delay(Millis(STEP_RETRY.0 * again));
+            }
             Verdict::Forgotten => {
                 let base = attempt.base;
                 self.done(pending.call, Outcome::Unknown { base });
