--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod configuration;
 pub mod controller;
+pub mod orders;
 pub mod outbox;
 pub mod platform;
 pub mod usage;
--- a/crates/siskinyoke-control/src/outbox.rs
+++ b/crates/siskinyoke-control/src/outbox.rs
@@ -2,6 +2,7 @@
 
 use crate::OpId;
 use crate::PlatformRequest;
+use crate::orders::OrderSpec;
 use siskinyoke_base::CallHead;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::InstanceId;
@@ -48,6 +49,8 @@
         /// The request.
         request: PlatformRequest,
     },
+    /// Send an order to an endpoint.
+    Order(Box<OrderSpec>),
     /// Everything accepted is finished; stop the process.
     Exit,
 }
