--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod leases;
 pub mod ledger;
 pub mod members;
+pub mod orders;
 pub mod outbox;
 pub mod platform;
 pub mod threshold;
