--- a/crates/siskinyoke-daemon/src/daemon.rs
+++ b/crates/siskinyoke-daemon/src/daemon.rs
@@ -73,6 +73,7 @@
 /// A running daemon.
 pub struct Daemon {
     address: SocketAddr,
+    peer_address: SocketAddr,
     inputs: mpsc::Sender<Input>,
     core: JoinHandle<()>,
     // Keeps the sockets served until the daemon is joined.
@@ -102,8 +103,11 @@
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
         let (inputs, receiver) = mpsc::channel();
         let certificate = Certificate::generate().map_err(StartError::Peers)?;
-        let core = make_core(&settings, address, certificate.fingerprint());
         let peers = start_peers(&settings, certificate, &inputs)?;
+        let peer_address = peers
+            .local_address()
+            .map_err(|err| StartError::Listen(settings.peers.listen.to_string(), err))?;
+        let core = make_core(&settings, address, peer_address, peers.local_fingerprint());
         let platform = start_platform(settings.platform.clone(), &inputs);
         let limits = DispatchLimits {
             connect: settings.work.connect.into(),
@@ -134,6 +138,7 @@
         );
         Ok(Self {
             address,
+            peer_address,
             inputs,
             core,
             tokio,
@@ -145,6 +150,11 @@
         self.address
     }
 
+    /// Returns the address that peers connect to.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Asks the daemon to finish what it accepted and stop.
     pub fn leave(&self) {
         // A closed channel means that the daemon has stopped already.
@@ -184,7 +194,12 @@
 /// How long sockets may take to send what was given to them.
 const FLUSH: std::time::Duration = std::time::Duration::from_secs(1);
 
-fn make_core(settings: &Settings, address: SocketAddr, fingerprint: [u8; 32]) -> Core {
+fn make_core(
+    settings: &Settings,
+    address: SocketAddr,
+    peer_address: SocketAddr,
+    fingerprint: [u8; 32],
+) -> Core {
     let mut rng = rand::rng();
     let peer = settings.peers.address.clone();
     let caller = settings.callers.address.clone();
@@ -193,7 +208,7 @@
         incarnation: Incarnation(rng.next_u64()),
         beat: 0,
         state: MemberState::Live,
-        peer: peer.unwrap_or_else(|| settings.peers.listen.to_string()),
+        peer: peer.unwrap_or_else(|| peer_address.to_string()),
         caller: caller.unwrap_or_else(|| address.to_string()),
         centre: settings.centre.clone(),
         fingerprint,
--- a/crates/siskinyoke-standin/src/error.rs
+++ b/crates/siskinyoke-standin/src/error.rs
@@ -14,5 +14,9 @@
         File(detail: String) {
             display("cannot use the file: {detail}; see docs/standins.md for its fields")
         }
+        /// A fleet in one process did not come up.
+        Fleet(detail: String) {
+            display("the fleet did not come up: {detail}; hint: see the daemons' log")
+        }
     }
 }
--- a/crates/siskinyoke-standin/src/lib.rs
+++ b/crates/siskinyoke-standin/src/lib.rs
@@ -3,11 +3,13 @@
 pub mod answer;
 pub mod engine;
 pub mod error;
+pub mod fleet;
 pub mod gate;
 pub mod load;
 pub mod pieces;
 pub mod platform;
 pub mod service;
+pub mod trial;
 pub mod web;
 pub mod workers;
 
--- a/crates/siskinyoke-standin/src/main.rs
+++ b/crates/siskinyoke-standin/src/main.rs
@@ -22,6 +22,7 @@
 use siskinyoke_standin::platform::instances::parse_instances;
 use siskinyoke_standin::service::Service;
 use siskinyoke_standin::service::ServiceConfig;
+use siskinyoke_standin::trial;
 
 /// Small stand-ins for what siskinyoke meets.
 #[derive(Debug, Parser)]
@@ -39,6 +40,8 @@
     Engine(EngineArgs),
     /// Runs a plain service.
     Service(ServiceArgs),
+    /// Runs the whole path in one process and prints what each part did.
+    Trial,
     /// Sends a load and checks each answer.
     Load(LoadArgs),
 }
@@ -138,6 +141,7 @@
         Command::Platform(args) => platform(args),
         Command::Engine(args) => engine(args),
         Command::Service(args) => service(args),
+        Command::Trial => trial::run().map(|whole| ExitCode::from(u8::from(!whole))),
         Command::Load(args) => drive(args),
     }
 }
--- /dev/null
+++ b/crates/siskinyoke-standin/src/trial.rs
@@ -0,0 +1,105 @@
+//! The whole path in one process: sends work through three daemons and prints what each part did.
+
+use std::io;
+use std::io::Write;
+
+use crate::error::StandinError;
+use crate::fleet::Fleet;
+use crate::fleet::MODEL;
+use crate::fleet::SERVICE;
+use crate::fleet::status;
+use siskinyoke_base::Kind;
+use siskinyoke_client::Client;
+use siskinyoke_client::Request;
+
+/// Daemons of the trial.
+const INSTANCES: usize = 3;
+
+/// Tokens of each answer.
+const OUTPUT: u32 = 24;
+
+/// Runs the trial; returns whether every request got its whole answer.
+///
+/// # Errors
+///
+/// [`StandinError`] if a part cannot be started.
+pub fn run() -> Result<bool, StandinError> {
+    println!("starting a platform, two engines, a plain service and {INSTANCES} daemons …");
+    let fleet = Fleet::start(INSTANCES)?;
+    let mut whole = true;
+    for place in 0..INSTANCES {
+        let mut client = fleet.client(place);
+        println!(
+            "\nasking {} to mark a composition:",
+            fleet.addresses()[place]
+        );
+        let request = Request::chat(MODEL, &format!("composition {place}"), true, OUTPUT);
+        whole &= send(&mut client, &request);
+        let request = Request::service(SERVICE, "POST", "/submissions", b"{}".to_vec());
+        whole &= send(&mut client, &request);
+    }
+    report(&fleet);
+    println!("\nleaving …");
+    fleet.leave();
+    println!(
+        "{}",
+        if whole {
+            "every answer came whole"
+        } else {
+            "an answer is missing"
+        }
+    );
+    Ok(whole)
+}
+
+fn send(client: &mut Client, request: &Request) -> bool {
+    let outcome = client.send(request, &mut |data| {
+        let event: serde_json::Value = serde_json::from_str(data).unwrap_or_default();
+        print!(
+            "{}",
+            event["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or_default()
+        );
+        // Without a reader there is nobody to show it to.
+        let _ = io::stdout().flush();
+    });
+    match outcome {
+        Ok(outcome) => {
+            let place = if outcome.body.len() == 1 {
+                &outcome.body[0]
+            } else {
+                ""
+            };
+            println!("{place}\n  code {} ({})", outcome.code, outcome.kind);
+            outcome.kind == Kind::Done
+        }
+        Err(err) => {
+            println!("  {err}");
+            false
+        }
+    }
+}
+
+fn report(fleet: &Fleet) {
+    println!("\nwhat each part did:");
+    println!("  platform: calls {:?}", fleet.platform.counts());
+    for (place, engine) in fleet.engines.iter().enumerate() {
+        let counts = engine.counts();
+        println!(
+            "  engine {place}: dispatched {}, completed {}, cancelled {}",
+            counts.dispatched, counts.completed, counts.cancelled
+        );
+    }
+    println!(
+        "  service: calls {}",
+        fleet.service.counts().values().sum::<u64>()
+    );
+    for address in fleet.addresses() {
+        let status = status(&address);
+        println!(
+            "  daemon {}: revision {}, preset {}, keyed requests {}",
+            status["instance"], status["revision"], status["preset"], status["keyed_requests"]
+        );
+    }
+}
