Count a stream by the code at its end

The head of a stream bears 1001, which only says that it has begun, so the load driver counted whole streams of siskinyoke as unknown. It now takes the code from the comment before the end.

--- a/crates/siskinyoke-standin/src/load/shot.rs
+++ b/crates/siskinyoke-standin/src/load/shot.rs
@@ -20,6 +20,9 @@
 /// Text before the data of an event.
 const DATA: &str = "data: ";
 
+/// Text before the code at the end of a stream.
+const NOTE: &str = ": siskinyoke code=";
+
 /// Data of the event that ends a whole stream.
 const TERMINATOR: &str = "[DONE]";
 
@@ -188,6 +191,7 @@
                 Err(err) => return self.fail(&err.to_string()),
             };
             let Some(data) = line.strip_prefix(DATA) else {
+                self.note(&line);
                 continue;
             };
             if data == TERMINATOR {
@@ -202,6 +206,15 @@
         self.fail("the stream ended without its terminator");
     }
 
+    /// Takes the code that siskinyoke tells in a comment before the end; the one in the head of a
+    /// stream only says that it has begun.
+    fn note(&mut self, line: &str) {
+        let note = line.strip_prefix(NOTE);
+        if let Some((code, kind)) = note.and_then(|note| note.split_once(" kind=")) {
+            self.outcome.code = format!("{code} {kind}");
+        }
+    }
+
     fn event(&mut self, event: &Value) {
         let content = event["choices"][0]["delta"]["content"].as_str();
         let Some(content) = content.filter(|content| !content.is_empty()) else {
--- a/tests/tests/standin_load.rs
+++ b/tests/tests/standin_load.rs
@@ -113,6 +113,14 @@
     let web = Web::start(ANY_PORT, ANY_PORT, Arc::new(Mixed)).expect("a free port");
     let lines = load::run(&load_to(&web.address().to_string())).expect("a run");
     assert_eq!(sum(&lines, |line| line.whole), 0);
+    assert!(
+        sum(&lines, |line| line
+            .codes
+            .get("1000 done")
+            .copied()
+            .unwrap_or(0))
+            > 0
+    );
     assert_eq!(
         sum(&lines, |line| line.wrong),
         sum(&lines, |line| line.sent),
@@ -138,7 +146,8 @@
         let delta = serde_json::json!({ "content": text });
         if request["stream"] == true {
             let chunk = serde_json::json!({ "choices": [{ "delta": delta }] });
-            let body = format!("data: {chunk}\n\ndata: [DONE]\n\n");
+            let note = ": siskinyoke code=1000 kind=done";
+            let body = format!("data: {chunk}\n\n{note}\n\ndata: [DONE]\n\n");
             exchange.reply(200, "text/event-stream", &body);
         } else {
             let body = serde_json::json!({ "choices": [{ "message": delta }] });
