Keep the last daemon in service while the service answers it, and ask a new peer at once

A daemon whose watch waited heard nothing for half a minute and, its peers gone, said that it could not know what is in force; it now asks the service when it hears nobody. Two changes that share an identity but not their content write different pages, so that the loser never removes the winner's; one change sent by two operators is still one change.

--- a/crates/siskinyoke-control/src/configuration/loader.rs
+++ b/crates/siskinyoke-control/src/configuration/loader.rs
@@ -94,11 +94,12 @@
         if revision <= self.known().revision() {
             return;
         }
-        self.sources.note(from, revision);
+        let new = self.sources.note(from, revision);
         self.highest = self.highest.max(revision);
+        let source = Source::Peer(from.clone());
         match &mut self.seek {
-            Some(seek) => seek.revision = seek.revision.max(revision),
-            None => self.seek = Some(Seek::new(revision, Source::Peer(from.clone()))),
+            Some(seek) => seek.hear(revision, new.then_some(source), cx.now),
+            None => self.seek = Some(Seek::new(revision, source)),
         }
         self.advance(cx);
     }
--- a/crates/siskinyoke-control/src/configuration/manifest.rs
+++ b/crates/siskinyoke-control/src/configuration/manifest.rs
@@ -108,6 +108,13 @@
     }
 }
 
+impl RecentChange {
+    /// Tells whether both are one change, whichever daemon and operator sent it.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.id == other.id && self.revision == other.revision && self.content == other.content
+    }
+}
+
 impl PageList {
     /// Returns every page once.
     pub fn all(&self) -> BTreeSet<PageDigest> {
--- a/crates/siskinyoke-control/src/configuration/page.rs
+++ b/crates/siskinyoke-control/src/configuration/page.rs
@@ -32,6 +32,8 @@
     pub revision: u64,
     /// The identity of the change.
     pub change: &'a str,
+    /// Digest of what was asked, should an identity be used for two changes.
+    pub content: &'a str,
 }
 
 /// Writes a page, or takes the old one if its body is the same.
--- a/crates/siskinyoke-control/src/configuration/pending.rs
+++ b/crates/siskinyoke-control/src/configuration/pending.rs
@@ -91,6 +91,12 @@
 }
 
 impl Attempt {
+    /// Tells whether this attempt makes a change.
+    pub fn makes(&self, made: &RecentChange) -> bool {
+        let ours = self.next.manifest.recent.back();
+        ours.is_some_and(|ours| ours.is_same(made))
+    }
+
     /// Judges by the manifest that the service holds, under its key's version.
     ///
     /// A swap compares the key's version. So once the version has moved without this change's
@@ -108,7 +114,7 @@
         let revision = self.next.manifest.revision;
         if manifest.revision >= revision {
             return match manifest.made(revision) {
-                Some(made) if self.next.manifest.recent.back() == Some(made) => Verdict::Landed,
+                Some(made) if self.makes(made) => Verdict::Landed,
                 Some(_) => Verdict::Lost,
                 None => Verdict::Forgotten,
             };
@@ -244,7 +250,7 @@
             return None;
         }
         let made = held.manifest.made(revision)?;
-        if attempt.next.manifest.recent.back() == Some(made) {
+        if attempt.makes(made) {
             return Some(Outcome::Accepted { revision });
         }
         Some(Outcome::Conflict {
--- a/crates/siskinyoke-control/src/configuration/seek.rs
+++ b/crates/siskinyoke-control/src/configuration/seek.rs
@@ -114,6 +114,18 @@
         })
     }
 
+    /// Learns of a revision; a source that was not known yet ends the wait after a failure.
+    pub fn hear(&mut self, revision: u64, source: Option<Source>, now: Millis) {
+        self.revision = self.revision.max(revision);
+        if let Some(source) = source
+            && self.failures > 0
+            && !self.asked
+        {
+            self.source = source;
+            self.due = now;
+        }
+    }
+
     /// Gives the source up and turns to another, after a wait that grows with each failure.
     pub fn turn_to(&mut self, source: Source, now: Millis) {
         self.failures += 1;
--- a/crates/siskinyoke-control/src/configuration/sources.rs
+++ b/crates/siskinyoke-control/src/configuration/sources.rs
@@ -13,11 +13,14 @@
 }
 
 impl Sources {
-    /// Notes a peer with its revision.
-    pub fn note(&mut self, peer: &InstanceId, revision: u64) {
+    /// Notes a peer with its revision; returns whether the peer was not noted before.
+    pub fn note(&mut self, peer: &InstanceId, revision: u64) -> bool {
+        let before = self.peers.len();
         self.peers.retain(|(known, _)| known != peer);
+        let new = self.peers.len() == before;
         self.peers.insert(0, (peer.clone(), revision));
         self.peers.truncate(SOURCES_MAX);
+        new
     }
 
     /// Forgets the peers that hold nothing newer than `revision`.
--- a/crates/siskinyoke-control/src/configuration/stored.rs
+++ b/crates/siskinyoke-control/src/configuration/stored.rs
@@ -43,6 +43,7 @@
             origin: PageOrigin {
                 revision: change.revision,
                 change: &change.id,
+                content: &change.content,
             },
             base,
             pages: BTreeMap::new(),
--- a/crates/siskinyoke-control/src/configuration/watch.rs
+++ b/crates/siskinyoke-control/src/configuration/watch.rs
@@ -91,11 +91,19 @@
         if cx.now < self.due {
             return None;
         }
-        self.due = cx.now + SILENCE;
+        // A watch that waits says nothing for half a minute. The last daemon that is left would
+        // take that for being cut off, and refuse work although the service is well.
+        let silent = cx.now.since(heard) >= SILENCE;
         if self.watching {
-            return self.waiting.is_none().then_some(Ask::Watch);
+            let idle = self.waiting.is_none();
+            self.due = cx.now + if silent && idle { WATCH_RETRY } else { SILENCE };
+            return match (silent, idle) {
+                (true, _) => Some(Ask::Read),
+                (false, true) => Some(Ask::Watch),
+                (false, false) => None,
+            };
         }
-        let silent = cx.now.since(heard) >= SILENCE;
+        self.due = cx.now + SILENCE;
         if cx.now >= self.poll {
             self.draw_poll(cx);
             return Some(Ask::Read);
