Tell a swap that certainly did not take as refused, and keep a loading that goes on

A swap answered with "not done" by a service that shows an older or damaged manifest was told as unknown; nothing can have taken, so it is told as 5005. A change accepted while a newer revision was being loaded made the loader begin anew, or forget the newer one when the accepted one came late; it goes on now. Both found by reading, not by a test.

--- a/crates/siskinyoke-control/src/configuration/changes.rs
+++ b/crates/siskinyoke-control/src/configuration/changes.rs
@@ -11,7 +11,7 @@
 use super::PageDigest;
 use super::effect::Effect;
 use super::effect::Known;
-use super::lookup::Lookup;
+use super::lookup::Lookups;
 use super::manifest::MANIFEST_KEY;
 use super::manifest::page_key;
 use super::pending::Attempt;
@@ -49,7 +49,7 @@
 #[derive(Debug, Default)]
 pub struct Changes {
     queue: VecDeque<Pending>,
-    lookups: BTreeMap<OpId, Lookup>,
+    lookups: Lookups,
     ops: BTreeMap<OpId, (u64, Task)>,
     round: u64,
     sweep: Sweep,
@@ -106,20 +106,8 @@
         after: Option<u64>,
         known: Known<'_>,
     ) {
-        let held = known.held.and_then(|held| held.manifest.change(id));
-        if let Some(made) = held {
-            let revision = made.revision;
-            return self.done(call, Outcome::Accepted { revision });
-        }
-        let key = MANIFEST_KEY.to_owned();
-        let op = cx.out.platform(PlatformRequest::Get { key });
-        let lookup = Lookup {
-            call,
-            id: id.to_owned(),
-            after,
-            floor: known.highest,
-        };
-        self.lookups.insert(op, lookup);
+        let effects = &mut self.effects;
+        self.lookups.begin(cx, call, id, after, known, effects);
     }
 
     /// Returns when [`Changes::advance`] is to be called next.
@@ -143,11 +131,7 @@
         reply: &Reply,
         known: Known<'_>,
     ) -> bool {
-        if self.sweep.reply(cx, op, reply) {
-            return true;
-        }
-        if let Some(lookup) = self.lookups.remove(&op) {
-            self.answer_lookup(&lookup, reply);
+        if self.sweep.reply(cx, op, reply) || self.lookups.reply(op, reply, &mut self.effects) {
             return true;
         }
         let Some((round, task)) = self.ops.remove(&op) else {
@@ -171,6 +155,9 @@
             return;
         };
         if let Some(outcome) = pending.seen_elsewhere(known) {
+            if let (Outcome::Conflict { .. }, Some(attempt)) = (&outcome, pending.attempt()) {
+                self.sweep.discard(cx, attempt);
+            }
             self.done(pending.call, outcome);
             return self.advance(cx, known);
         }
@@ -269,12 +256,14 @@
             (Task::Manifest { floor }, Ok(PlatformReply::Value(found))) => {
                 self.show(floor, found.as_ref());
                 match mem::replace(&mut pending.step, Step::Read) {
-                    Step::Verify(attempt) => self.judge(cx, pending, attempt, found.as_ref()),
+                    Step::Verify(attempt) => {
+                        self.judge(cx, pending, attempt, found.as_ref(), known);
+                    }
                     _ => self.take_base(cx, pending, found.as_ref(), floor, known),
                 }
             }
             (Task::Page(page), Ok(_)) => self.take_page(cx, pending, page),
-            (Task::Swap, reply) => self.take_swap(cx, pending, reply),
+            (Task::Swap, reply) => self.take_swap(cx, pending, reply, known),
             _ => self.queue.push_front(pending),
         }
     }
@@ -345,15 +334,22 @@
         self.queue.push_front(pending);
     }
 
-    fn take_swap(&mut self, cx: &mut Context<'_>, mut pending: Pending, reply: &Reply) {
+    fn take_swap(
+        &mut self,
+        cx: &mut Context<'_>,
+        mut pending: Pending,
+        reply: &Reply,
+        known: Known<'_>,
+    ) {
         let Step::Swap(attempt) = mem::replace(&mut pending.step, Step::Read) else {
             return;
         };
         match reply {
             Ok(PlatformReply::Swapped { done: true, .. }) => self.accept(pending.call, *attempt),
             Ok(PlatformReply::Swapped { current, .. }) => {
+                pending.unsure -= 1;
                 self.show(0, current.as_ref());
-                self.judge(cx, pending, attempt, current.as_ref());
+                self.judge(cx, pending, attempt, current.as_ref(), known);
             }
             // It certainly did not take; the same swap is sent again when the step is due.
             Err(PlatformError::Down(_)) => {
@@ -374,6 +370,7 @@
         pending: Pending,
         attempt: Box<Attempt>,
         found: Option<&Versioned>,
+        known: Known<'_>,
     ) {
         let version = found.map_or(0, |found| found.version);
         let manifest = found.and_then(|found| Manifest::decode(&found.value));
@@ -389,6 +386,10 @@
                 self.enter(cx, pending, Step::Swap(attempt));
                 self.delay(Millis(STEP_RETRY.0 * again));
             }
+            Verdict::Forgotten if pending.unsure == 0 => {
+                let shown = manifest.map_or(0, |manifest| manifest.revision);
+                self.done(pending.call, known.older(shown));
+            }
             Verdict::Forgotten => {
                 let base = attempt.base;
                 self.done(pending.call, Outcome::Unknown { base });
@@ -402,17 +403,6 @@
         self.done(call, Outcome::Accepted { revision });
     }
 
-    fn answer_lookup(&mut self, lookup: &Lookup, reply: &Reply) {
-        let outcome = match reply {
-            Ok(PlatformReply::Value(found)) => {
-                self.show(lookup.floor, found.as_ref());
-                lookup.judge(found.as_ref())
-            }
-            _ => lookup.unknown(),
-        };
-        self.done(lookup.call, outcome);
-    }
-
     fn done(&mut self, call: CallId, outcome: Outcome) {
         self.effects.push(Effect::Done(call, outcome));
     }
--- a/crates/siskinyoke-control/src/configuration/loader.rs
+++ b/crates/siskinyoke-control/src/configuration/loader.rs
@@ -205,24 +205,23 @@
     /// Holds a whole revision from now on, unless a higher one is held.
     pub fn install(&mut self, cx: &mut Context<'_>, stored: Stored) {
         let revision = stored.manifest.revision;
-        let wanted = self.seek.take().map_or(0, |seek| seek.revision);
+        if revision <= self.known().revision() {
+            return;
+        }
         let doc = stored.document();
         let Some(doc) = doc.filter(|doc| doc.presets.contains_key(&doc.preset)) else {
             self.alarms.damaged += 1;
             self.unreadable = Some(PageDigest::of(&stored.bytes));
+            self.seek = None;
             return;
         };
-        if revision <= self.known().revision() {
-            return;
-        }
         self.held = Some(stored);
         self.installed.push((revision, doc));
         self.highest = self.highest.max(revision);
         self.sources.forget(revision);
-        if wanted > revision {
-            self.seek = Some(Seek::new(wanted, self.sources.first()));
-            self.advance(cx);
-        }
+        let newer = self.seek.take().filter(|seek| seek.revision > revision);
+        self.seek = newer.map(|seek| seek.after(revision, self.sources.first()));
+        self.advance(cx);
     }
 
     /// Considers a manifest, and begins to load it if it is newer than what is held.
--- a/crates/siskinyoke-control/src/configuration/pending.rs
+++ b/crates/siskinyoke-control/src/configuration/pending.rs
@@ -231,20 +231,24 @@
 
     /// Returns the outcome when the time is up.
     pub fn given_up(&self) -> Outcome {
-        match &self.step {
-            Step::Swap(attempt) | Step::Verify(attempt) if self.unsure > 0 => {
-                Outcome::Unknown { base: attempt.base }
-            }
+        match self.attempt() {
+            Some(attempt) if self.unsure > 0 => Outcome::Unknown { base: attempt.base },
             _ => Outcome::ServiceDown,
         }
     }
 
+    /// Returns the attempt whose swap may have been sent.
+    pub fn attempt(&self) -> Option<&Attempt> {
+        match &self.step {
+            Step::Swap(attempt) | Step::Verify(attempt) => Some(attempt),
+            _ => None,
+        }
+    }
+
     /// Judges a swap of unknown effect by what came from peers, while the service stays away.
     pub fn seen_elsewhere(&self, known: Known<'_>) -> Option<Outcome> {
         let held = known.held?;
-        let (Step::Swap(attempt) | Step::Verify(attempt)) = &self.step else {
-            return None;
-        };
+        let attempt = self.attempt()?;
         let revision = attempt.next.manifest.revision;
         if attempt.restored || held.manifest.revision < revision {
             return None;
--- a/crates/siskinyoke-control/src/configuration/seek.rs
+++ b/crates/siskinyoke-control/src/configuration/seek.rs
@@ -114,6 +114,15 @@
         })
     }
 
+    /// Goes on once `revision` is held: with its manifest if that is newer, else from the start.
+    pub fn after(self, revision: u64, source: Source) -> Self {
+        let loading = self.manifest.as_ref();
+        if loading.is_some_and(|(manifest, _)| manifest.revision > revision) {
+            return self;
+        }
+        Self::new(self.revision, source)
+    }
+
     /// Learns of a revision; a source that was not known yet ends the wait after a failure.
     pub fn hear(&mut self, revision: u64, source: Option<Source>, now: Millis) {
         self.revision = self.revision.max(revision);
