--- a/crates/siskinyoke-control/tests/configuration/scenarios.rs
+++ b/crates/siskinyoke-control/tests/configuration/scenarios.rs
@@ -69,6 +69,7 @@
         ["ask", id, "at", name] => world.look_up(name, id, None),
         ["ask", id, "at", name, "after", base] => world.look_up(name, id, Some(number(base))),
         ["change", id, "at", name, rest @ ..] => begin(world, id, name, rest),
+        ["switch", count, "times", "at", name] => switch_often(world, number(count), name),
         ["show"] => show(world),
         [] => {}
         other => panic!("no such line: {other:?}"),
@@ -123,6 +124,20 @@
     world.change_by(operator, at, id, expected, change);
 }
 
+/// Switches the preset to and fro, without a word of it in the output.
+fn switch_often(world: &mut World, count: u64, at: &str) {
+    let said = world.log.len();
+    for turn in 0..count {
+        let name = if turn % 2 == 0 { "peak" } else { "ordinary" };
+        let change = Change::SwitchPreset {
+            name: name.to_owned(),
+        };
+        world.change(at, &format!("turn-{}-{turn}", world.now), None, change);
+        world.run(100);
+    }
+    world.log.truncate(said);
+}
+
 /// Lets the service show what its manifest was after an earlier write, as a restored copy does.
 fn show_older(world: &mut World, place: u64) {
     let history = &world.platform.history[MANIFEST_KEY];
