--- a/crates/siskinyoke-policy/src/adaptive.rs
+++ b/crates/siskinyoke-policy/src/adaptive.rs
@@ -15,6 +15,7 @@
 use crate::Work;
 use crate::WorkId;
 use crate::admission::Outlook;
+use crate::admission::Trust;
 use crate::allowance::Allowances;
 use crate::demand;
 use crate::history::History;
@@ -26,6 +27,7 @@
 use crate::queue::Queue;
 use crate::ramp::Ramp;
 use crate::rate::Rate;
+use crate::refusal::Place;
 use crate::refusal::Refusal;
 use crate::retry::RetryBudget;
 use crate::units;
@@ -62,6 +64,12 @@
 /// would have to wait for it again.
 const PRESSED: Millis = Millis::from_secs(1);
 
+/// The part of the slots that has to be free for late work to begin, and after how many times its
+/// need it begins at the next one: rounds of thresholds end within a second or two, so a late
+/// request either is shed by then or nothing more urgent waits.
+const IDLE: f64 = 0.25;
+const LONGEST_LATE: f64 = 3.0;
+
 /// Margin on the time to a useful answer when the last moment to begin is set: work begun at that
 /// moment without one misses its need half of the time, and its prefill is wasted.
 const LATEST: f64 = 1.2;
@@ -85,6 +93,8 @@
     tokens: BTreeMap<OrganisationId, Rate>,
     arrivals: BTreeMap<LaneKey, Rate>,
     loads: BTreeMap<LaneKey, Load>,
+    trusts: BTreeMap<LaneKey, Trust>,
+    places: BTreeMap<LaneKey, Place>,
     retries: RetryBudget,
     history: History,
     ramp: Ramp,
@@ -111,6 +121,8 @@
             tokens: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             loads: BTreeMap::new(),
+            trusts: BTreeMap::new(),
+            places: BTreeMap::new(),
             retries: RetryBudget::default(),
             history: History::default(),
             ramp: Ramp::new(),
@@ -148,7 +160,8 @@
             return;
         }
         let latest = self.latest(now, &work);
-        self.queue.push(work, latest);
+        let wait = self.outlook(now, &work).wait();
+        self.queue.push(work, latest, wait);
     }
 
     fn poll(&mut self, now: Millis, out: &mut Vec<Decision>) -> Millis {
@@ -302,12 +315,15 @@
         let loads = self.loads.entry(key.clone());
         let load = loads.or_default();
         load.add(now, service);
-        let excess = self.outlook(now, work).excess();
+        let outlook = self.outlook(now, work);
+        let excess = outlook.excess();
         if excess > 0.0 && (!work.protected || self.may_shed(now, work.rank)) {
             if work.protected {
                 self.shed = Some((work.rank, now + PRESSED));
             }
-            return Err(Refusal::after(Code::Overloaded, units::millis(excess)));
+            let place = self.places.entry(key).or_default();
+            let after = place.next(now, units::millis(excess), outlook.gap());
+            return Err(Refusal::after(Code::Overloaded, after));
         }
         let arrivals = self.arrivals.entry(key);
         arrivals.or_insert_with(Rate::steady).add(now, 1.0);
@@ -363,6 +379,7 @@
             useful: self.pool.useful(now, work).unwrap_or(f64::INFINITY),
             left: work.deadline.since(now).as_secs(),
             caution: self.ramp.prefill_weight(),
+            trust: self.trust(&LaneKey::of(work)),
         }
     }
 
@@ -393,8 +410,9 @@
             let protected = self.queue.get(id).is_some_and(|entry| entry.work.protected);
             if protected {
                 self.queue.defer(id);
-            } else {
-                self.refuse(id, Refusal::new(Code::Late));
+            } else if let Some(entry) = self.queue.remove(id) {
+                self.learn_wait(now, &entry);
+                self.refusals.push((id, Refusal::new(Code::Late)));
             }
         }
         if self.shedding.is_none_or(|(_, until)| now >= until) {
@@ -440,13 +458,29 @@
             if chosen.fits {
                 return self.start(now, id, chosen, out);
             }
-            if entry.work.protected && owed.is_none() {
+            if owed.is_none() && self.is_owed(now, entry) {
                 owed = Some((id, chosen));
             }
         }
         owed.is_some_and(|(id, chosen)| self.start(now, id, chosen, out))
     }
 
+    /// Tells whether protected work that would be late is to be begun all the same.
+    ///
+    /// Begun at once, late work after a burst fills the slots that work in time needs, which is
+    /// late in turn. So it takes slots that are idle, or any once it has waited long; meanwhile
+    /// the pressure that it makes lets the daemons agree to shed it.
+    fn is_owed(&self, now: Millis, entry: &Entry) -> bool {
+        let work = &entry.work;
+        if !work.protected {
+            return false;
+        }
+        let slots = f64::from(self.pool.slots(now, &work.target));
+        let free = f64::from(self.pool.free_slots(now, &work.target));
+        let waited = now.since(work.arrived).as_secs();
+        free >= slots * IDLE || waited >= need(work) * LONGEST_LATE
+    }
+
     fn start(
         &mut self,
         now: Millis,
@@ -457,6 +491,7 @@
         let Some(entry) = self.queue.remove(id) else {
             return false;
         };
+        self.learn_wait(now, &entry);
         let weight = self.weight(&entry.work.organisation);
         let tokens = chosen.fresh + f64::from(entry.work.output);
         self.queue.charge(&entry.work, weight, tokens);
@@ -480,7 +515,7 @@
             }
         }
         let kept = self.kept_for_short(now, key);
-        kept <= 0.0 || f64::from(self.pool.free_slots(now, target)) > kept
+        kept <= 0.0 || f64::from(self.pool.free_slots(now, target)) >= kept + 1.0
     }
 
     /// Returns the slots that a lane leaves free to more urgent lanes of much shorter work.
@@ -567,6 +602,17 @@
         allowed && self.serving(rank + 1) == 0 && self.queue.count_from(rank + 1) == 0
     }
 
+    /// Learns how long work waited against the estimate.
+    fn learn_wait(&mut self, now: Millis, entry: &Entry) {
+        let waited = now.since(entry.work.arrived).as_secs();
+        let trust = self.trusts.entry(LaneKey::of(&entry.work)).or_default();
+        trust.learn(entry.wait, waited);
+    }
+
+    fn trust(&self, key: &LaneKey) -> f64 {
+        self.trusts.get(key).map_or(1.0, Trust::ratio)
+    }
+
     fn weight(&self, id: &OrganisationId) -> f64 {
         f64::from(self.weights.get(id).copied().unwrap_or(1))
     }
@@ -577,6 +623,11 @@
     entry.latest.since(now).as_secs()
 }
 
+/// Returns a request's whole need in seconds.
+fn need(work: &Work) -> f64 {
+    work.deadline.since(work.arrived).as_secs()
+}
+
 /// Returns the seconds that work could wait in all and be useful.
 fn slack(entry: &Entry) -> f64 {
     entry.latest.since(entry.work.arrived).as_secs()
--- a/crates/siskinyoke-policy/src/admission.rs
+++ b/crates/siskinyoke-policy/src/admission.rs
@@ -23,17 +23,17 @@
     pub(crate) left: f64,
     /// How much wasted prefill weighs, from 0 to 1.
     pub(crate) caution: f64,
+    /// How long waits turned out against their estimates.
+    pub(crate) trust: f64,
 }
 
 /// The least part of all ends that an estimate leaves to a tier: a burst above fades, and an
 /// endless wait would refuse all of a tier on a rate that is half a minute old.
 const LEAST_PART: f64 = 0.1;
 
-/// The part of the estimated wait that counts if wasted prefill weighs nothing, and how much more
-/// counts if it weighs most. Ends are counted over what runs now; short work let in meanwhile ends
-/// itself, so waits turn out about half as long, now and then as long as estimated.
-const BOLD: f64 = 0.6;
-const CAUTIOUS: f64 = 0.3;
+/// Margin on the wait if wasted prefill weighs most: work that is let in and comes too late has
+/// its prompt computed for nothing.
+const MARGIN: f64 = 0.25;
 
 impl Outlook {
     /// Returns the expected wait in seconds.
@@ -41,14 +41,59 @@
         if self.ahead <= 0.0 {
             return 0.0;
         }
+        self.ahead * self.gap()
+    }
+
+    /// Returns the seconds between two slots that are free for its tier.
+    pub(crate) fn gap(&self) -> f64 {
         let ends = (self.ends - self.above).max(self.ends * LEAST_PART);
-        self.ahead / ends.max(f64::MIN_POSITIVE)
+        1.0 / ends.max(f64::MIN_POSITIVE)
     }
 
     /// Returns by how many seconds it would come too late; none if it fits.
     pub(crate) fn excess(&self) -> f64 {
-        let counted = BOLD + CAUTIOUS * self.caution;
+        let counted = self.trust * (1.0 + MARGIN * self.caution);
         let needed = self.wait() * counted + self.useful;
         (needed - self.left).max(0.0)
     }
 }
+
+/// Learned ratio of waits to their estimates.
+///
+/// Ends are counted over what runs now. Short work that is let in meanwhile ends itself, so waits
+/// may turn out half as long as estimated, and work would be refused that would have been in time.
+#[derive(Debug)]
+pub(crate) struct Trust {
+    ratio: f64,
+}
+
+/// Weight of one wait: some twenty change the view.
+const GAIN: f64 = 0.05;
+
+/// Bounds of the ratio, so that a minute without load does not let in a whole burst.
+const BOUNDS: (f64, f64) = (0.4, 1.5);
+
+/// Waits estimated below this many seconds teach nothing: rounding makes up most of them.
+const LEAST_WAIT: f64 = 0.05;
+
+impl Default for Trust {
+    fn default() -> Self {
+        Self { ratio: 1.0 }
+    }
+}
+
+impl Trust {
+    /// Returns the ratio.
+    pub(crate) fn ratio(&self) -> f64 {
+        self.ratio
+    }
+
+    /// Learns how long work waited that was expected to wait for `expected` seconds.
+    pub(crate) fn learn(&mut self, expected: f64, waited: f64) {
+        if expected < LEAST_WAIT {
+            return;
+        }
+        let sample = (waited / expected).clamp(BOUNDS.0, BOUNDS.1);
+        self.ratio += GAIN * (sample - self.ratio);
+    }
+}
--- a/crates/siskinyoke-policy/src/queue.rs
+++ b/crates/siskinyoke-policy/src/queue.rs
@@ -45,6 +45,8 @@
     pub(crate) work: Work,
     /// The last moment at which it can begin and still be useful.
     pub(crate) latest: Millis,
+    /// Seconds that it was expected to wait.
+    pub(crate) wait: f64,
 }
 
 /// Place in an organisation's line: late work behind all that is still useful, then by need.
@@ -70,10 +72,11 @@
 }
 
 impl Queue {
-    /// Adds work with the last moment to begin it.
-    pub(crate) fn push(&mut self, work: Work, latest: Millis) {
+    /// Adds work with the last moment to begin it and the seconds that it is expected to wait.
+    pub(crate) fn push(&mut self, work: Work, latest: Millis, wait: f64) {
         self.latest.insert((latest, work.id));
-        self.insert(Entry { work, latest }, false);
+        let entry = Entry { work, latest, wait };
+        self.insert(entry, false);
     }
 
     /// Takes work out.
--- a/crates/siskinyoke-rig/src/figures.rs
+++ b/crates/siskinyoke-rig/src/figures.rs
@@ -86,7 +86,48 @@
     }
 }
 
+impl Figures {
+    /// Returns the averages of runs that differ in their seeds alone; breaches are summed.
+    pub fn mean(runs: &[Self]) -> Option<Self> {
+        let first = runs.first()?;
+        let mean = |value: &dyn Fn(&Self) -> f64| {
+            runs.iter().map(value).sum::<f64>() / convert::number(runs.len())
+        };
+        let tiers = (0..first.tiers.len()).map(|rank| {
+            let of_rank: Vec<&TierFigures> = runs.iter().map(|run| &run.tiers[rank]).collect();
+            TierFigures::mean(&of_rank)
+        });
+        Some(Self {
+            tiers: tiers.collect(),
+            service: mean(&|run| run.service),
+            wasted: mean(&|run| run.wasted),
+            least: runs.iter().map(|run| run.least).fold(1.0, f64::min),
+            doubled: runs.iter().map(|run| run.doubled).sum(),
+            unjust: runs.iter().map(|run| run.unjust).sum(),
+            ..first.clone()
+        })
+    }
+}
+
 impl TierFigures {
+    fn mean(runs: &[&Self]) -> Self {
+        let mean = |value: &dyn Fn(&Self) -> f64| {
+            runs.iter().map(|run| value(run)).sum::<f64>() / convert::number(runs.len())
+        };
+        let milliseconds = |at: usize| {
+            let sum: u64 = runs.iter().map(|run| run.first[at]).sum();
+            sum / runs.len() as u64
+        };
+        Self {
+            requests: runs.iter().map(|run| run.requests).sum(),
+            reachable: mean(&|run| run.reachable),
+            goodput: mean(&|run| run.goodput),
+            refused: mean(&|run| run.refused),
+            refusal: [mean(&|run| run.refusal[0]), mean(&|run| run.refusal[1])],
+            first: [milliseconds(0), milliseconds(1), milliseconds(2)],
+        }
+    }
+
     fn of(reachable: f64, pairs: &[(&Request, &Fate)]) -> Self {
         let useful = part(pairs, |(request, fate)| fate.useful(request));
         let refusals = pairs.iter().filter_map(|(request, fate)| {
--- a/crates/siskinyoke-rig/src/main.rs
+++ b/crates/siskinyoke-rig/src/main.rs
@@ -14,6 +14,9 @@
 use siskinyoke_rig::site::Site;
 use siskinyoke_rig::table;
 
+/// Distance between the seeds of two runs; the loads kept apart begin at another seed.
+const SEED_STEP: u64 = 1000;
+
 /// Measures the decisions under load in virtual time.
 #[derive(Debug, Parser)]
 #[command(name = "siskinyoke-rig", version)]
@@ -33,6 +36,9 @@
     /// Prints JSON in place of a table.
     #[arg(long)]
     json: bool,
+    /// Runs of each load that differ in their seeds; their figures are averaged.
+    #[arg(long, default_value_t = 3)]
+    seeds: u64,
     /// Runs at once.
     #[arg(long, default_value_t = 3)]
     threads: usize,
@@ -48,10 +54,11 @@
             scope.spawn(|| {
                 while let Some((site, load, rival)) = jobs.get(next.fetch_add(1, Ordering::Relaxed))
                 {
-                    let outcome = run::play(site, load, *rival);
-                    let figures = Figures::of(site, load, *rival, &outcome);
+                    let runs: Vec<Figures> = (0..arguments.seeds.max(1))
+                        .map(|seed| play(site, load, *rival, seed))
+                        .collect();
                     let Ok(mut done) = done.lock() else { return };
-                    done.push(figures);
+                    done.extend(Figures::mean(&runs));
                 }
             });
         }
@@ -60,6 +67,14 @@
     print(&arguments, &sorted(&jobs, figures));
 }
 
+/// Plays a load with another seed.
+fn play(site: &Site, load: &Load, rival: Rival, seed: u64) -> Figures {
+    let mut load = load.clone();
+    load.seed += seed * SEED_STEP;
+    let outcome = run::play(site, &load, rival);
+    Figures::of(site, &load, rival, &outcome)
+}
+
 fn jobs(arguments: &Arguments) -> Vec<(Site, Load, Rival)> {
     let mut jobs = Vec::new();
     for site in [Site::muscat(), Site::cairo()] {
