Count service-level burn over two windows and keep it past a daemon's end

Cause: operators cannot see which tier and organisation misses its need, how fast, and where it comes from; counters in a daemon's memory go with it.

Counts by tier and organisation in slots of five minutes, with a row for an endpoint only for what went wrong there; burn rates over ten minutes and an hour, and an alarm only when both agree. Each daemon keeps a copy in the service under a lease that goes by itself, one batch in five minutes. A report adds up the daemons that answer and the copies of those that do not, each start once, and names the unreached. Ruled out: a row for each organisation on each endpoint, as thousands of names would fill the memory.

--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -1,5 +1,6 @@
 //! Controllers of state and the core that joins them, as machines that do no I/O.
 
+pub mod burn;
 pub mod configuration;
 pub mod controller;
 pub mod orders;
--- a/crates/siskinyoke-control/src/usage.rs
+++ b/crates/siskinyoke-control/src/usage.rs
@@ -6,10 +6,12 @@
 
 mod book;
 mod compactor;
+mod day;
 mod holders;
 mod line;
 mod reader;
 mod recent;
+mod reply;
 mod statement;
 pub mod stored;
 
@@ -28,14 +30,18 @@
 use crate::Reply;
 use crate::Sender;
 pub use compactor::OPEN_DAYS;
+pub use day::DateError;
+pub use day::Day;
 use holders::Holders;
 pub use line::Cause;
-pub use line::Day;
 pub use line::Line;
 pub use line::LineKey;
 pub use reader::Reader;
 pub use recent::Charged;
 use recent::Recent;
+pub use reply::RequestsReply;
+pub use reply::UsageReply;
+pub use reply::UsageRow;
 
 use siskinyoke_base::DataCentre;
 use siskinyoke_base::Identity;
--- a/crates/siskinyoke-control/src/usage/line.rs
+++ b/crates/siskinyoke-control/src/usage/line.rs
@@ -1,7 +1,5 @@
 //! One line of usage: its key, its counters, and the causes of waste.
 
-use std::fmt;
-
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -9,27 +7,6 @@
 use siskinyoke_base::OrganisationId;
 use siskinyoke_base::TierName;
 
-/// A day, counted from 1 January 1970 in universal time.
-#[derive(
-    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Day(pub u32);
-
-impl Day {
-    /// Returns the day `count` days before this one.
-    #[must_use]
-    pub const fn before(self, count: u32) -> Self {
-        Self(self.0.saturating_sub(count))
-    }
-}
-
-impl fmt::Display for Day {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:06}", self.0)
-    }
-}
-
 /// What a line counts.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LineKey {
--- a/crates/siskinyoke-control/src/usage/recent.rs
+++ b/crates/siskinyoke-control/src/usage/recent.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use serde::Deserialize;
 use serde::Serialize;
 
 use super::LineKey;
@@ -19,7 +20,7 @@
 const MOST: usize = 16_384;
 
 /// One request that was charged.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Charged {
     /// Its identity.
     pub identity: Identity,
--- a/crates/siskinyoke-control/tests/usage_fakes/mod.rs
+++ b/crates/siskinyoke-control/tests/usage_fakes/mod.rs
@@ -23,6 +23,8 @@
     Down,
     /// Everything takes effect and every answer is lost.
     Deaf,
+    /// As it should, but the answers to writes are lost.
+    DeafToWrites,
 }
 
 /// The service.
@@ -48,7 +50,11 @@
     pub fn call(&mut self, now: Millis, request: &PlatformRequest) -> Reply {
         self.lapse(now);
         match self.mode {
-            Mode::Up => Ok(self.apply(now, request)),
+            Mode::DeafToWrites if matches!(request, PlatformRequest::Swap { .. }) => {
+                self.apply(now, request);
+                Err(PlatformError::Lost("test".to_owned()))
+            }
+            Mode::Up | Mode::DeafToWrites => Ok(self.apply(now, request)),
             Mode::Down => Err(PlatformError::Down("test".to_owned())),
             Mode::Deaf => {
                 self.apply(now, request);
