--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -1,11 +1,17 @@
 //! Controllers of state and the core that joins them, as machines that do no I/O.
 
 pub mod burn;
+pub mod claims;
 pub mod configuration;
 pub mod controller;
+pub mod core;
+pub mod leases;
+pub mod ledger;
+pub mod members;
 pub mod orders;
 pub mod outbox;
 pub mod platform;
+pub mod threshold;
 pub mod usage;
 
 pub use controller::Context;
--- /dev/null
+++ b/crates/siskinyoke-standin/src/gate.rs
@@ -0,0 +1,376 @@
+//! The door before a stand-in, which can refuse, freeze and cut connections.
+//!
+//! `tiny_http` gives no hold on its sockets, so a stand-in's server listens on an address of its
+//! own and the gate passes bytes between it and the address that others know.
+
+mod link;
+mod listen;
+
+pub use self::listen::listen;
+
+use std::io;
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use self::link::Link;
+use self::link::Way;
+use crate::workers::Workers;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
+
+/// Bytes passed on at once; a piece of a stream is far smaller.
+const BUFFER: usize = 16 * 1024;
+
+/// Pause before an address that is still held is tried again.
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
+
+/// Wait before a server that has not begun with a connection is nudged: some times as long as it
+/// takes to begin.
+const NUDGE: Duration = Duration::from_millis(20);
+
+/// Longest wait before a further nudge.
+const LONGEST_NUDGE: Duration = Duration::from_secs(1);
+
+/// Longest span that a fault may last, a day, so that the sum of instants cannot overflow.
+const LONGEST: Millis = Millis::from_secs(86_400);
+
+/// Passes connections to a stand-in's server, and breaks them when told to.
+pub struct Gate {
+    outer: SocketAddr,
+    inner: SocketAddr,
+    workers: Arc<Workers>,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    links: Map<SocketAddr, Link>,
+    down: Option<Instant>,
+    frozen: Option<Instant>,
+    away: bool,
+    stopped: bool,
+}
+
+impl Gate {
+    /// Opens the gate on an address before a server's own.
+    ///
+    /// # Errors
+    ///
+    /// What the system says if the address cannot be listened on.
+    pub fn open(address: &str, inner: SocketAddr) -> io::Result<Arc<Self>> {
+        let listener = self::listen(address)?;
+        let gate = Arc::new(Self {
+            outer: listener.local_addr()?,
+            inner,
+            workers: Arc::default(),
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        });
+        let own = Arc::clone(&gate);
+        thread::spawn(move || own.accept(listener));
+        Ok(gate)
+    }
+
+    /// Returns the threads of the stand-in.
+    pub fn workers(&self) -> &Arc<Workers> {
+        &self.workers
+    }
+
+    /// Returns the address that others know.
+    pub fn address(&self) -> SocketAddr {
+        self.outer
+    }
+
+    /// Cuts every connection behind all that the server has sent, and refuses new ones for a span;
+    /// returns once they are refused.
+    pub fn down(&self, span: Millis) {
+        let mut state = self.lock();
+        state.down = Some(after(span));
+        state.frozen = None;
+        shut_all(&state);
+        drop(state);
+        self.wake();
+        let mut state = self.lock();
+        while let Some(rest) = state.down.and_then(left)
+            && !state.away
+            && !state.stopped
+        {
+            state = self.wait(state, rest);
+        }
+    }
+
+    /// Takes connections again; returns once they are taken.
+    pub fn up(&self) {
+        let mut state = self.lock();
+        state.down = None;
+        self.changed.notify_all();
+        while state.away && !state.stopped {
+            state = self.wait(state, REBIND_PAUSE);
+        }
+    }
+
+    /// Passes nothing on for a span while connections stay open.
+    pub fn freeze(&self, span: Millis) {
+        self.lock().frozen = Some(after(span));
+    }
+
+    /// Passes everything on again.
+    pub fn thaw(&self) {
+        self.lock().frozen = None;
+        self.changed.notify_all();
+    }
+
+    /// Carries out the orders that every stand-in takes; a span of zero ends a fault.
+    pub fn order(&self, down: Option<Millis>, freeze: Option<Millis>) {
+        match down {
+            Some(Millis::ZERO) => self.up(),
+            Some(span) => self.down(span),
+            None => {}
+        }
+        match freeze {
+            Some(Millis::ZERO) => self.thaw(),
+            Some(span) => self.freeze(span),
+            None => {}
+        }
+    }
+
+    /// Cuts the connection that the server sees under an address, behind all that it has sent.
+    ///
+    /// Closing both sides at once would lose what the gate has not passed on yet, which shows as
+    /// a broken stream that is shorter than it was told to be. What has arrived from the server
+    /// can still be read after its side is shut, and only then is the client's side closed.
+    pub fn finish(&self, seen: SocketAddr) {
+        if let Some(link) = self.lock().links.get(&seen) {
+            link.shut_server();
+        }
+    }
+
+    /// Cuts the connection that the server sees under an address at once.
+    fn cut(&self, seen: SocketAddr) {
+        let link = self.lock().links.remove(&seen);
+        if let Some(link) = link {
+            link.close();
+        }
+    }
+
+    /// Cuts every connection once, behind all that the server has sent.
+    pub fn cut_all(&self) {
+        shut_all(&self.lock());
+    }
+
+    /// Notes that the server has begun with a connection, and says whether it is one of the gate's.
+    pub fn serve(&self, seen: SocketAddr) -> bool {
+        let mut state = self.lock();
+        let link = state.links.get_mut(&seen);
+        link.is_some_and(|link| {
+            link.served = true;
+            true
+        })
+    }
+
+    /// Says whether the connection that the server sees under an address is open.
+    pub fn holds(&self, seen: SocketAddr) -> bool {
+        self.lock().links.contains_key(&seen)
+    }
+
+    /// Says whether the gate is closed for good.
+    pub fn stopped(&self) -> bool {
+        self.lock().stopped
+    }
+
+    /// Cuts every connection and closes the gate for good.
+    pub fn stop(&self) {
+        let mut state = self.lock();
+        state.stopped = true;
+        close_all(&mut state);
+        drop(state);
+        self.wake();
+    }
+
+    /// Takes connections until the gate is stopped, away from the address while it is down.
+    fn accept(self: Arc<Self>, first: TcpListener) {
+        let mut listener = Some(first);
+        loop {
+            if self.lock().stopped {
+                return;
+            }
+            if self.is_down() {
+                listener = None;
+                self.set_away(true);
+                self.wait_up();
+                continue;
+            }
+            let Some(open) = &listener else {
+                listener = listen(&self.outer.to_string()).ok();
+                if listener.is_some() {
+                    self.set_away(false);
+                } else {
+                    thread::sleep(REBIND_PAUSE);
+                }
+                continue;
+            };
+            let Ok((client, _)) = open.accept() else {
+                continue;
+            };
+            let gate = Arc::clone(&self);
+            self.workers.run(move || gate.join(client));
+        }
+    }
+
+    /// Joins a client with the server and passes bytes both ways.
+    fn join(self: Arc<Self>, client: TcpStream) {
+        // Without a connection to the server the client sees its own closed.
+        let Ok(link) = Link::open(client, self.inner) else {
+            return;
+        };
+        let (Ok(seen), Ok(up), Ok(down)) = (link.seen(), link.up(), link.down()) else {
+            return;
+        };
+        {
+            let mut state = self.lock();
+            if state.stopped || state.down.and_then(left).is_some() {
+                link.close();
+                return;
+            }
+            state.links.insert(seen, link);
+        }
+        let gate = Arc::clone(&self);
+        self.workers.run(move || gate.pass_up(up, seen));
+        self.pass(down, seen);
+    }
+
+    /// Passes bytes one way until either side closes, then closes the connection.
+    fn pass(&self, mut way: Way, seen: SocketAddr) {
+        let mut buffer = vec![0; BUFFER];
+        while let Ok(count) = way.from.read(&mut buffer) {
+            self.wait_thawed();
+            if count == 0 || way.to.write_all(&buffer[..count]).is_err() {
+                break;
+            }
+        }
+        self.cut(seen);
+    }
+
+    /// Passes a client's bytes on, and nudges the server until it has begun with them.
+    ///
+    /// `tiny_http` may queue two new connections for the same idle thread. The second is then not
+    /// read until any other connection ends, which shows as a first token that comes as late as
+    /// someone else's stream is long. A connection that opens and closes at once gets a thread,
+    /// which takes the queued one up when it is done.
+    fn pass_up(&self, mut way: Way, seen: SocketAddr) {
+        let mut buffer = vec![0; BUFFER];
+        let mut pause = NUDGE;
+        let mut sent = false;
+        while !self.served(seen) && way.set_pause(Some(pause)) {
+            match way.from.read(&mut buffer) {
+                Ok(count) if count > 0 => {
+                    self.wait_thawed();
+                    if way.to.write_all(&buffer[..count]).is_err() {
+                        return self.cut(seen);
+                    }
+                    sent = true;
+                    pause = NUDGE;
+                }
+                Err(err) if err.kind() == ErrorKind::WouldBlock => {
+                    if sent {
+                        drop(TcpStream::connect(self.inner));
+                    }
+                    pause = (pause * 2).min(LONGEST_NUDGE);
+                }
+                // A process that was stopped and goes on finds its waits interrupted.
+                Err(err) if err.kind() == ErrorKind::Interrupted => {}
+                _ => return self.cut(seen),
+            }
+        }
+        if way.set_pause(None) {
+            self.pass(way, seen);
+        }
+    }
+
+    /// Says whether there is no need to wait for the server: it has begun, or the link is gone.
+    fn served(&self, seen: SocketAddr) -> bool {
+        let state = self.lock();
+        state.links.get(&seen).is_none_or(|link| link.served)
+    }
+
+    fn is_down(&self) -> bool {
+        let state = self.lock();
+        state.down.and_then(left).is_some()
+    }
+
+    fn set_away(&self, away: bool) {
+        self.lock().away = away;
+        self.changed.notify_all();
+    }
+
+    fn wait_up(&self) {
+        let mut state = self.lock();
+        while let Some(rest) = state.down.and_then(left) {
+            if state.stopped {
+                return;
+            }
+            state = self.wait(state, rest);
+        }
+        state.down = None;
+    }
+
+    fn wait_thawed(&self) {
+        let mut state = self.lock();
+        while let Some(rest) = state.frozen.and_then(left) {
+            if state.stopped {
+                return;
+            }
+            state = self.wait(state, rest);
+        }
+    }
+
+    fn wait<'a>(&self, state: MutexGuard<'a, State>, rest: Duration) -> MutexGuard<'a, State> {
+        let waited = self.changed.wait_timeout(state, rest);
+        waited.unwrap_or_else(PoisonError::into_inner).0
+    }
+
+    /// Makes the accepting thread look at the state again, also while it waits for a client.
+    fn wake(&self) {
+        self.changed.notify_all();
+        let _ = TcpStream::connect(self.outer);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn shut_all(state: &State) {
+    for link in state.links.values() {
+        link.shut_server();
+    }
+}
+
+fn close_all(state: &mut State) {
+    for (_, link) in state.links.drain() {
+        link.close();
+    }
+}
+
+fn after(span: Millis) -> Instant {
+    Instant::now() + Duration::from(span.min(LONGEST))
+}
+
+fn left(until: Instant) -> Option<Duration> {
+    until
+        .checked_duration_since(Instant::now())
+        .filter(|rest| !rest.is_zero())
+}
