--- a/crates/siskinyoke-cli/src/lib.rs
+++ b/crates/siskinyoke-cli/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod caller;
 pub mod context;
 pub mod operator;
+pub mod report;
 pub mod status;
--- a/crates/siskinyoke-control/src/usage.rs
+++ b/crates/siskinyoke-control/src/usage.rs
@@ -6,6 +6,7 @@
 
 mod book;
 mod compactor;
+mod day;
 mod holders;
 mod line;
 mod reader;
@@ -28,9 +29,10 @@
 use crate::Reply;
 use crate::Sender;
 pub use compactor::OPEN_DAYS;
+pub use day::DateError;
+pub use day::Day;
 use holders::Holders;
 pub use line::Cause;
-pub use line::Day;
 pub use line::Line;
 pub use line::LineKey;
 pub use reader::Reader;
