Take messages only from peers whose start is in the view

Ruled out: a stale permission (no threshold stood). The transport already refuses such a peer; the core now does too.

--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -365,6 +365,12 @@
             .message(&mut cx, &from, &envelope.message);
         self.members.message(&mut cx, &from, &envelope.message);
         self.usage.message(&mut cx, &from, &envelope.message);
+        // Guards against a peer whose start is not in the view yet: protected work could be shed
+        // here while that peer serves lower work, as nobody would ask it. The transport refuses
+        // it too, as its certificate is known from its record only.
+        if self.members.find(from.incarnation).is_none() {
+            return;
+        }
         match envelope.message {
             Message::Forward(forward) => self.forwarded(now, &from, *forward),
             Message::ForwardAck { asker, id } if asker == self.me.incarnation => {
