Answer the innocent too when a poisoned request meets whole cores

Cause: a new test with whole cores (one poison, 18 drafts, 3 instances, 6 endpoints) lost drafts.

A run apart is now announced to the peers 100 ms before it begins; of two that announce the same the one of the later name gives way. The core keeps the place that the scheduler gave until the run may begin. Ruled out: back to the queue, as each return took a retry and tokens, and drafts were refused within a second. News of suspects leaves with the event that made it, not with the next one. Border: Suspect::trial names the endpoint; Quarantine::new takes the instance, heard the peer; core's poison, dispatching and calls call them.

--- a/crates/siskinyoke-base/src/message.rs
+++ b/crates/siskinyoke-base/src/message.rs
@@ -229,8 +229,8 @@
     pub deaths: Vec<(crate::EndpointId, Millis)>,
     /// How long ago it was last seen to run to its end.
     pub cleared: Option<Millis>,
-    /// How long ago the sender began to run it apart, if it still does.
-    pub trial: Option<Millis>,
+    /// Where the sender runs it apart or is about to, and since how long.
+    pub trial: Option<(crate::EndpointId, Millis)>,
 }
 
 /// Demand for shared capacity by one instance.
--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -104,9 +104,12 @@
                 dispatch: run.dispatch,
             });
             self.scheduler.finished(now, id, Finish::Cancelled);
-            self.quarantine.ended(&job.digest);
+            self.quarantine.ended(now, &job.digest);
             self.account_waste(&job, Cause::Cancelled);
         }
+        if self.parked.remove(&id).is_some() {
+            self.scheduler.finished(now, id, Finish::Cancelled);
+        }
         self.scheduler.withdraw(now, id);
         let end = honest(end, job.past);
         log_end(&job, &end);
--- a/crates/siskinyoke-control/src/core/dispatching.rs
+++ b/crates/siskinyoke-control/src/core/dispatching.rs
@@ -24,8 +24,7 @@
     /// Sends a job to an endpoint.
     pub(super) fn start_run(&mut self, now: Millis, id: WorkId, endpoint: &EndpointId) {
         if !self.may_start(now, id, endpoint) {
-            self.scheduler.finished(now, id, Finish::Cancelled);
-            return self.held_back(now, id);
+            return self.held_back(now, id, endpoint);
         }
         let dispatch = DispatchId(self.number());
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -64,9 +63,15 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let Some(run) = job.run.take() else { return };
+        let Some(run) = job.run.take() else {
+            if self.parked.remove(&id).is_some() {
+                self.scheduler.finished(now, id, Finish::Cancelled);
+                self.again(now, id, &End::new(Code::Shed).after(RETRY_SOON));
+            }
+            return;
+        };
         job.past = Past::Dispatched;
-        self.quarantine.ended(&job.digest);
+        self.quarantine.ended(now, &job.digest);
         self.runs.remove(&run.dispatch);
         self.out.push(Action::Cancel {
             dispatch: run.dispatch,
@@ -196,6 +201,11 @@
         if let Some(run) = job.run.take() {
             job.avoid.push(run.endpoint);
         }
+        // Guards against a run apart that ends without a break, as where the endpoint was down
+        // already: while it counts as under way its own request would wait for it.
+        if end.code != Code::Broken {
+            self.quarantine.ended(now, &job.digest);
+        }
         self.scheduler.finished(now, id, how);
         if how == Finish::Broken {
             self.account_wasted_run(id, Cause::Broken);
@@ -231,8 +241,8 @@
             job.parts.clear();
         }
         let verdict = self.quarantine.verdict(now, &job.digest);
-        if matches!(verdict, Verdict::Refused { .. }) {
-            return self.held_back(now, id);
+        if let Verdict::Refused { after } = verdict {
+            return self.end(now, id, End::new(Code::Quarantined).after(after));
         }
         let work = job.work(id, verdict == Verdict::Apart);
         self.scheduler.arrive(now, work);
--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -111,6 +111,7 @@
     day: Day,
     quarantine: Quarantine,
     probing: BTreeMap<EndpointId, Millis>,
+    parked: BTreeMap<WorkId, (EndpointId, Millis)>,
 }
 
 /// Where a caller's request is.
@@ -157,6 +158,7 @@
     pub fn new(parts: CoreParts) -> Self {
         let me = Sender::from(&parts.own);
         let usage = Usage::new(me.instance.clone(), me.incarnation, Day::default());
+        let quarantine = Quarantine::new(me.instance.clone());
         let mut rng = ChaCha8Rng::seed_from_u64(parts.seed);
         let mut secret = [0; 32];
         rng.fill_bytes(&mut secret);
@@ -189,8 +191,9 @@
             bills: Vec::new(),
             usage,
             day: Day::default(),
-            quarantine: Quarantine::default(),
+            quarantine,
             probing: BTreeMap::new(),
+            parked: BTreeMap::new(),
         }
     }
 
@@ -212,6 +215,7 @@
         }
         self.control(now);
         self.settle(now);
+        self.tell_suspects(now);
         self.out.take()
     }
 
@@ -386,7 +390,9 @@
                 self.threshold
                     .raised(now, &from, (rank, span, round), scheduler, &mut self.out);
             }
-            Message::Suspects { suspects } => self.quarantine.heard(now, &suspects),
+            Message::Suspects { suspects } => {
+                self.quarantine.heard(now, &from.instance, &suspects);
+            }
             Message::ThresholdAck { round, serving } => {
                 self.threshold.acknowledged(&from, round, serving);
             }
--- a/crates/siskinyoke-policy/src/quarantine.rs
+++ b/crates/siskinyoke-policy/src/quarantine.rs
@@ -14,6 +14,7 @@
 
 use siskinyoke_base::CallClass;
 use siskinyoke_base::EndpointId;
+use siskinyoke_base::InstanceId;
 use siskinyoke_base::Millis;
 use siskinyoke_base::message::Suspect;
 
@@ -62,19 +63,30 @@
 /// One death makes everything in flight suspect, a second one convicts only what was in flight
 /// in both and did not run to its end in between. So an endpoint that dies for a reason of its
 /// own costs its requests a run apart, and nothing more.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantine {
+    me: InstanceId,
     entries: BTreeMap<Digest, Entry>,
-    trials: BTreeMap<EndpointId, Digest>,
     breaks: Breaks,
 }
 
 impl Quarantine {
+    /// Starts with nothing known.
+    pub fn new(me: InstanceId) -> Self {
+        Self {
+            me,
+            entries: BTreeMap::new(),
+            breaks: Breaks::default(),
+        }
+    }
+
     /// Learns that a dispatch broke off; whether the process died is known only later.
     pub fn broke(&mut self, now: Millis, endpoint: &EndpointId, request: InFlight) {
         // The run apart is over, but its content stays held until the cause is known: a copy that
         // began now would take down a third endpoint.
-        self.trials.retain(|_, digest| *digest != request.digest);
+        if let Some(entry) = self.entries.get_mut(&request.digest) {
+            entry.broke();
+        }
         self.breaks.broke(now, endpoint, request);
     }
 
@@ -99,7 +111,7 @@
             return self.endpoint_died(now, endpoint, &requests);
         }
         for request in requests {
-            self.end_trial(&request.digest);
+            self.end_trial(now, &request.digest);
         }
         Vec::new()
     }
@@ -120,7 +132,7 @@
     ) -> Vec<Digest> {
         let mut again = Vec::new();
         for request in requests {
-            self.end_trial(&request.digest);
+            self.end_trial(now, &request.digest);
             let entry = self.entries.entry(request.digest).or_default();
             entry.died(now, endpoint);
             entry.tell(now);
@@ -135,7 +147,7 @@
 
     /// Learns that a content ran to its end, which clears it unless it is convicted.
     pub fn completed(&mut self, now: Millis, digest: &Digest) {
-        self.end_trial(digest);
+        self.end_trial(now, digest);
         self.breaks.forget(digest);
         let Some(entry) = self.entries.get_mut(digest) else {
             return;
@@ -158,22 +170,33 @@
 
     /// Begins to run a suspect apart; returns false if it must not run on this endpoint now.
     ///
-    /// Guards against two suspects on one endpoint: a crash would convict both, and one of them
-    /// is innocent. One at a time for each endpoint, so many suspects spread over all endpoints.
+    /// The first call announces the run to the peers, and a later one begins it. Guards against two
+    /// suspects on one endpoint: a crash would convict both, and one of them is innocent. One at a
+    /// time for each endpoint, so many suspects spread over all endpoints.
     pub fn begin(&mut self, now: Millis, digest: &Digest, endpoint: &EndpointId) -> bool {
-        if self.verdict(now, digest) != Verdict::Apart || self.occupied(now, endpoint) {
+        if self.verdict(now, digest) != Verdict::Apart {
             return false;
         }
-        self.trials.insert(endpoint.clone(), *digest);
-        let entry = self.entries.entry(*digest).or_default();
-        entry.begin(now);
-        entry.tell(now);
-        true
+        if self.announced(digest) == Some(endpoint) {
+            let entry = self.entries.get_mut(digest);
+            return entry.is_some_and(|entry| entry.begin(now, endpoint));
+        }
+        let taken = |entry: &Entry| entry.occupies(now, endpoint);
+        if !self.entries.values().any(taken) {
+            let entry = self.entries.entry(*digest).or_default();
+            entry.announce(now, endpoint);
+        }
+        false
+    }
+
+    /// Returns the endpoint for which a run apart of the content is announced.
+    pub fn announced(&self, digest: &Digest) -> Option<&EndpointId> {
+        self.entries.get(digest).and_then(Entry::announced)
     }
 
     /// Learns that a run apart ended without telling anything, as when it was cancelled.
-    pub fn ended(&mut self, digest: &Digest) {
-        self.end_trial(digest);
+    pub fn ended(&mut self, now: Millis, digest: &Digest) {
+        self.end_trial(now, digest);
     }
 
     /// Returns the endpoints that a content is known to have died on; it should avoid them.
@@ -184,10 +207,15 @@
     }
 
     /// Takes news from a peer.
-    pub fn heard(&mut self, now: Millis, suspects: &[Suspect]) {
+    pub fn heard(&mut self, now: Millis, peer: &InstanceId, suspects: &[Suspect]) {
         for suspect in suspects {
             let entry = self.entries.entry(suspect.digest).or_default();
-            entry.heard(now, suspect);
+            entry.heard(now, peer, suspect);
+            if let Some((endpoint, _)) = &suspect.trial
+                && *peer < self.me
+            {
+                self.give_way(now, &suspect.digest, endpoint);
+            }
         }
         self.bound(now);
     }
@@ -212,6 +240,9 @@
     /// Forgets what has expired, and returns when [`Quarantine::news`] is next due.
     pub fn tick(&mut self, now: Millis) -> Millis {
         self.breaks.expire(now);
+        for entry in self.entries.values_mut() {
+            entry.lapse(now);
+        }
         self.entries.retain(|_, entry| !entry.expired(now));
         let due = self.entries.values().filter_map(Entry::next);
         due.min().unwrap_or(Millis::NEVER)
@@ -227,18 +258,19 @@
         self.entries.is_empty()
     }
 
-    /// Tells whether another suspect runs on an endpoint; one that ended untold holds it for as
-    /// long as its copies would wait for it.
-    fn occupied(&self, now: Millis, endpoint: &EndpointId) -> bool {
-        let running = self.trials.get(endpoint);
-        let entry = running.and_then(|digest| self.entries.get(digest));
-        entry.is_some_and(|entry| entry.running(now))
+    /// Withdraws what is announced here of a content or for an endpoint, as a peer of an earlier
+    /// name has announced the same; it keeps its own when it hears of this one's.
+    fn give_way(&mut self, now: Millis, digest: &Digest, endpoint: &EndpointId) {
+        for (own, entry) in &mut self.entries {
+            if own == digest || entry.announced() == Some(endpoint) {
+                entry.withdraw(now);
+            }
+        }
     }
 
-    fn end_trial(&mut self, digest: &Digest) {
-        self.trials.retain(|_, running| running != digest);
+    fn end_trial(&mut self, now: Millis, digest: &Digest) {
         if let Some(entry) = self.entries.get_mut(digest) {
-            entry.end();
+            entry.end(now);
         }
     }
 
--- a/crates/siskinyoke-policy/src/quarantine/entry.rs
+++ b/crates/siskinyoke-policy/src/quarantine/entry.rs
@@ -3,6 +3,7 @@
 use super::Digest;
 use super::Verdict;
 use siskinyoke_base::EndpointId;
+use siskinyoke_base::InstanceId;
 use siskinyoke_base::Millis;
 use siskinyoke_base::message::Suspect;
 
@@ -21,6 +22,15 @@
 /// that a run that ended untold, as when its instance died, holds nobody back for long.
 const TRIAL_SPAN: Millis = Millis::from_secs(30);
 
+/// Time between the announcement of a run apart and its begin, in milliseconds.
+///
+/// Guards against two instances that choose one endpoint for two suspects at the same moment: a
+/// crash there would convict both. Within it the news has gone both ways between data centres.
+const NOTICE: Millis = Millis(100);
+
+/// How long an announcement stands without a begin.
+const ANNOUNCED_SPAN: Millis = Millis::from_secs(2);
+
 /// Deaths that convict.
 const CONVICTING: usize = 2;
 
@@ -29,8 +39,8 @@
 pub struct Entry {
     deaths: Vec<Death>,
     cleared: Option<Millis>,
-    own: Option<Millis>,
-    other: Option<Millis>,
+    own: Option<Trial>,
+    other: Option<OtherTrial>,
     refused: Option<Millis>,
     telling: Option<Telling>,
 }
@@ -41,6 +51,32 @@
     at: Millis,
 }
 
+/// This instance's run apart.
+#[derive(Debug)]
+struct Trial {
+    endpoint: EndpointId,
+    at: Millis,
+    stage: Stage,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// It is announced and has not begun.
+    Announced,
+    /// It is under way.
+    Begun,
+    /// It broke off, and why is not known yet.
+    Broken,
+}
+
+/// A peer's run apart.
+#[derive(Debug)]
+struct OtherTrial {
+    peer: InstanceId,
+    endpoint: EndpointId,
+    until: Millis,
+}
+
 #[derive(Debug)]
 struct Telling {
     due: Millis,
@@ -54,7 +90,7 @@
     }
 
     /// Merges what a peer knows; the same news twice changes nothing.
-    pub fn heard(&mut self, now: Millis, suspect: &Suspect) {
+    pub fn heard(&mut self, now: Millis, peer: &InstanceId, suspect: &Suspect) {
         let cleared = suspect.cleared.map(|age| now.since(age));
         // A death told again after the content was cleared must not make it suspect again.
         self.cleared = self.cleared.max(cleared);
@@ -65,8 +101,15 @@
         for (endpoint, age) in &suspect.deaths {
             self.add(endpoint, now.since(*age));
         }
-        let trial = suspect.trial.map(|age| now.since(age) + TRIAL_SPAN);
-        self.other = trial.or(self.other.filter(|_| suspect.cleared.is_none()));
+        let same = |other: &mut OtherTrial| other.peer == *peer || suspect.cleared.is_some();
+        self.other.take_if(same);
+        if let Some((endpoint, age)) = &suspect.trial {
+            self.other = Some(OtherTrial {
+                peer: peer.clone(),
+                endpoint: endpoint.clone(),
+                until: now.since(*age) + TRIAL_SPAN,
+            });
+        }
     }
 
     /// Clears the content, as it ran to its end; returns false if it is convicted.
@@ -89,8 +132,7 @@
         }
         // Guards against copies sent through several instances: each would take down an endpoint
         // of its own before the first one's death is known.
-        let own = self.own.map(|at| at + TRIAL_SPAN);
-        if let Some(until) = own.max(self.other).filter(|until| now < *until) {
+        if let Some(until) = self.waits(now) {
             return Verdict::Wait { until };
         }
         if self.deaths.iter().any(|death| self.counts(now, death)) {
@@ -99,19 +141,73 @@
         Verdict::Free
     }
 
-    /// Begins this instance's run apart.
-    pub fn begin(&mut self, now: Millis) {
-        self.own = Some(now);
+    /// Announces a run apart on an endpoint.
+    pub fn announce(&mut self, now: Millis, endpoint: &EndpointId) {
+        self.own = Some(Trial {
+            endpoint: endpoint.clone(),
+            at: now,
+            stage: Stage::Announced,
+        });
+        self.tell(now);
+    }
+
+    /// Begins the run apart on the endpoint for which it was announced, if that was long enough
+    /// ago; returns false if it was not.
+    pub fn begin(&mut self, now: Millis, endpoint: &EndpointId) -> bool {
+        let due = |own: &&mut Trial| own.endpoint == *endpoint && now >= own.at + NOTICE;
+        let Some(own) = self.own.as_mut().filter(due) else {
+            return false;
+        };
+        own.stage = Stage::Begun;
+        true
+    }
+
+    /// Returns the endpoint for which a run apart is announced.
+    pub fn announced(&self) -> Option<&EndpointId> {
+        let own = self.own.as_ref()?;
+        (own.stage == Stage::Announced).then_some(&own.endpoint)
+    }
+
+    /// Drops an announcement, as a peer's comes first or nothing came of it.
+    pub fn withdraw(&mut self, now: Millis) {
+        if self.announced().is_some() {
+            self.own = None;
+            self.tell(now);
+        }
+    }
+
+    /// Drops an announcement from which nothing came in time.
+    pub fn lapse(&mut self, now: Millis) {
+        if self
+            .own
+            .as_ref()
+            .is_some_and(|own| now >= own.at + ANNOUNCED_SPAN)
+        {
+            self.withdraw(now);
+        }
+    }
+
+    /// Learns that the run apart broke off.
+    pub fn broke(&mut self) {
+        if let Some(own) = &mut self.own {
+            own.stage = Stage::Broken;
+        }
     }
 
     /// Ends this instance's run apart.
-    pub fn end(&mut self) {
-        self.own = None;
+    pub fn end(&mut self, now: Millis) {
+        if self.own.take().is_some() {
+            self.tell(now);
+        }
     }
 
-    /// Tells whether this instance's run apart is under way.
-    pub fn running(&self, now: Millis) -> bool {
-        self.own.is_some_and(|at| now < at + TRIAL_SPAN)
+    /// Tells whether a run apart takes an endpoint, here or at a peer.
+    pub fn occupies(&self, now: Millis, endpoint: &EndpointId) -> bool {
+        let own = self.own.as_ref().is_some_and(|own| {
+            own.endpoint == *endpoint && own.stage != Stage::Broken && now < own.at + TRIAL_SPAN
+        });
+        let at = |other: &OtherTrial| other.endpoint == *endpoint && now < other.until;
+        own || self.other.as_ref().is_some_and(at)
     }
 
     /// Returns the endpoints that died with it.
@@ -156,7 +252,10 @@
                 .map(|death| (death.endpoint.clone(), now.since(death.at)))
                 .collect(),
             cleared: self.cleared.map(|at| now.since(at)),
-            trial: self.own.map(|at| now.since(at)),
+            trial: self
+                .own
+                .as_ref()
+                .map(|own| (own.endpoint.clone(), now.since(own.at))),
         }
     }
 
@@ -175,6 +274,18 @@
         (refused, last.unwrap_or_default())
     }
 
+    /// Returns until when another run apart of the content is waited for.
+    fn waits(&self, now: Millis) -> Option<Millis> {
+        let other = self.other.as_ref().map(|other| other.until);
+        let until = match &self.own {
+            // Of two announcements one was withdrawn; this one stands.
+            Some(own) if own.stage == Stage::Announced => return None,
+            Some(own) => Some(own.at + TRIAL_SPAN).max(other),
+            None => other,
+        };
+        until.filter(|until| now < *until)
+    }
+
     fn add(&mut self, endpoint: &EndpointId, at: Millis) {
         let same = |death: &Death| {
             death.endpoint == *endpoint && death.at.since(at).max(at.since(death.at)) <= SAME_DEATH
--- a/crates/siskinyoke-policy/tests/quarantine.rs
+++ b/crates/siskinyoke-policy/tests/quarantine.rs
@@ -2,6 +2,7 @@
 
 use siskinyoke_base::CallClass;
 use siskinyoke_base::EndpointId;
+use siskinyoke_base::InstanceId;
 use siskinyoke_base::Millis;
 use siskinyoke_policy::quarantine::Digest;
 use siskinyoke_policy::quarantine::InFlight;
@@ -33,6 +34,20 @@
     InFlight { digest, class }
 }
 
+fn name(instance: usize) -> InstanceId {
+    InstanceId::new(&format!("entry-{instance}"))
+}
+
+fn start(instance: usize) -> Quarantine {
+    Quarantine::new(name(instance))
+}
+
+/// Announces a run apart and begins it as soon as it may begin.
+fn begin(quarantine: &mut Quarantine, now: Millis, content: Digest, place: usize) -> bool {
+    let place = endpoint(place);
+    quarantine.begin(now, &content, &place) || quarantine.begin(now + Millis(100), &content, &place)
+}
+
 /// Instances that share a pool, and a network between them that may lose news.
 struct Fleet {
     now: Millis,
@@ -45,7 +60,7 @@
     fn new(instances: usize, endpoints: usize) -> Self {
         Self {
             now: at(1),
-            instances: (0..instances).map(|_| Quarantine::default()).collect(),
+            instances: (0..instances).map(start).collect(),
             alive: vec![true; endpoints],
             answered: 0,
         }
@@ -61,7 +76,7 @@
             for from in 0..self.instances.len() {
                 let news = self.instances[from].news(self.now);
                 for to in (0..self.instances.len()).filter(|to| *to != from && round >= lost) {
-                    self.instances[to].heard(self.now, &news);
+                    self.instances[to].heard(self.now, &name(from), &news);
                 }
             }
             self.now += at(2);
@@ -89,9 +104,8 @@
     /// Runs a suspect apart wherever it may, if it may.
     fn apart(&mut self, instance: usize, content: Digest) -> Vec<Digest> {
         let quarantine = &mut self.instances[instance];
-        let fits = |place: &usize| {
-            self.alive[*place] && quarantine.begin(self.now, &content, &endpoint(*place))
-        };
+        let fits =
+            |place: &usize| self.alive[*place] && begin(quarantine, self.now, content, *place);
         let place = (0..self.alive.len()).find(fits);
         place.map_or_else(Vec::new, |place| self.run(instance, place, &[content]))
     }
@@ -134,7 +148,7 @@
 /// answered, and still refused afterwards, as two breaks were taken for two crashes.
 #[test]
 fn a_lost_machine_makes_nothing_suspect() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = start(0);
     for place in 0..2 {
         let now = at(10 + 30 * place as u64);
         quarantine.broke(now, &endpoint(place), request(digest(1)));
@@ -150,7 +164,7 @@
 /// waits for an engine of its own, although nothing died.
 #[test]
 fn a_cut_connection_is_not_a_death() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = start(0);
     quarantine.broke(at(1), &endpoint(0), request(digest(1)));
     assert!(quarantine.reached(at(1), &endpoint(0)).is_empty());
     assert_eq!(quarantine.verdict(at(1), &digest(1)), Verdict::Free);
@@ -180,7 +194,7 @@
     let age = fleet.now.since(at(7));
     let mut old = late[0].clone();
     old.deaths[0].1 += age;
-    fleet.instances[1].heard(fleet.now, &[old]);
+    fleet.instances[1].heard(fleet.now, &name(0), &[old]);
     assert_eq!(
         fleet.instances[1].verdict(fleet.now, &digest(1)),
         Verdict::Free
@@ -191,23 +205,23 @@
 /// convicted, and the innocent one's caller is refused for half an hour.
 #[test]
 fn two_suspects_never_share_an_endpoint() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = start(0);
     let both = [request(POISON), request(digest(1))];
     quarantine.endpoint_died(at(1), &endpoint(0), &both);
-    assert!(quarantine.begin(at(1), &POISON, &endpoint(1)));
-    assert!(!quarantine.begin(at(1), &digest(1), &endpoint(1)));
-    assert!(quarantine.begin(at(1), &digest(1), &endpoint(2)));
+    assert!(begin(&mut quarantine, at(1), POISON, 1));
+    assert!(!begin(&mut quarantine, at(1), digest(1), 1));
+    assert!(begin(&mut quarantine, at(1), digest(1), 2));
     // An end that nobody tells of does not keep the endpoint for ever.
-    let mut untold = Quarantine::default();
+    let mut untold = start(0);
     untold.endpoint_died(at(1), &endpoint(0), &both);
-    assert!(untold.begin(at(1), &POISON, &endpoint(1)));
-    assert!(!untold.begin(at(30), &digest(1), &endpoint(1)));
-    assert!(untold.begin(at(31), &digest(1), &endpoint(1)));
+    assert!(begin(&mut untold, at(1), POISON, 1));
+    assert!(!begin(&mut untold, at(30), digest(1), 1));
+    assert!(begin(&mut untold, at(31), digest(1), 1));
     // A copy of the suspect waits for the first one's end, here and at peers.
-    let mut peer = Quarantine::default();
-    peer.heard(at(1), &quarantine.news(at(1)));
+    let mut peer = start(0);
+    peer.heard(at(1), &name(1), &quarantine.news(at(1)));
     assert!(matches!(peer.verdict(at(1), &POISON), Verdict::Wait { .. }));
-    assert!(!quarantine.begin(at(1), &POISON, &endpoint(3)));
+    assert!(!begin(&mut quarantine, at(1), POISON, 3));
     quarantine.broke(at(2), &endpoint(1), request(POISON));
     let unsettled = quarantine.verdict(at(2), &POISON);
     assert!(matches!(unsettled, Verdict::Wait { .. }));
@@ -218,11 +232,44 @@
     assert_eq!(quarantine.verdict(at(2), &digest(1)), Verdict::Free);
 }
 
+/// Two instances choose the same engine for two suspects at the same moment, or run two copies of
+/// one. The engine dies, and the innocent one is convicted; or two engines die at once.
+#[test]
+fn announcements_keep_instances_apart() {
+    for (contents, places) in [([POISON, digest(1)], [1, 1]), ([POISON, POISON], [1, 2])] {
+        let mut fleet = Fleet::new(2, 4);
+        let [now, then] = [at(1), at(1) + Millis(100)];
+        let begun = |fleet: &mut Fleet, at: usize, now: Millis| {
+            fleet.instances[at].begin(now, &contents[at], &endpoint(places[at]))
+        };
+        for (number, content) in contents.into_iter().enumerate() {
+            fleet.instances[number].endpoint_died(now, &endpoint(0), &[request(content)]);
+            assert!(!begun(&mut fleet, number, now));
+            assert!(!begun(&mut fleet, number, now + Millis(50)), "too soon");
+        }
+        // Their announcements cross on the way.
+        let news = [0, 1].map(|from: usize| fleet.instances[from].news(now));
+        fleet.instances[1].heard(now, &name(0), &news[0]);
+        fleet.instances[0].heard(now, &name(1), &news[1]);
+        assert!(!begun(&mut fleet, 1, then), "the second gives way");
+        assert!(begun(&mut fleet, 0, then));
+        let elsewhere = begin(&mut fleet.instances[1], then, contents[1], 3);
+        assert_eq!(elsewhere, contents[1] != POISON);
+    }
+    // An announcement from which nothing comes frees the engine, and the content.
+    let mut quarantine = start(0);
+    quarantine.endpoint_died(at(1), &endpoint(0), &[request(POISON)]);
+    quarantine.endpoint_died(at(1), &endpoint(0), &[request(digest(1))]);
+    assert!(!quarantine.begin(at(1), &POISON, &endpoint(1)));
+    quarantine.tick(at(3));
+    assert!(begin(&mut quarantine, at(3), digest(1), 1));
+}
+
 /// A booking that may run once was on an engine that died. Run again by the system it could book
 /// a room twice; it is only remembered, for its caller's own resend.
 #[test]
 fn at_most_once_work_is_never_run_again() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = start(0);
     let requests = [once(digest(1)), request(digest(2))];
     let again = quarantine.endpoint_died(at(1), &endpoint(0), &requests);
     assert_eq!(again, [digest(2)]);
@@ -234,11 +281,11 @@
 /// content at once; after the refusal has passed, the content takes down two more endpoints.
 #[test]
 fn a_conviction_outlives_instances_and_ends_in_suspicion() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = start(0);
     quarantine.endpoint_died(at(1), &endpoint(0), &[request(POISON)]);
     quarantine.endpoint_died(at(100), &endpoint(1), &[request(POISON)]);
-    let mut fresh = Quarantine::default();
-    fresh.heard(at(1_000), &quarantine.snapshot(at(1_000)));
+    let mut fresh = start(0);
+    fresh.heard(at(1_000), &name(1), &quarantine.snapshot(at(1_000)));
     let after = at(900);
     assert_eq!(
         fresh.verdict(at(1_000), &POISON),
@@ -257,7 +304,7 @@
 /// the instance's memory is full of them or the convicted ones are pushed out.
 #[test]
 fn memory_is_bounded_and_keeps_convictions() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = start(0);
     quarantine.endpoint_died(at(1), &endpoint(0), &[request(POISON)]);
     quarantine.endpoint_died(at(2), &endpoint(1), &[request(POISON)]);
     for n in 0..2 * MAX_ENTRIES as u64 {
