Split the policy by what its parts decide

The checks before work may wait (intake), what happens while it waits (dispatch), the state that both look at, the forecast of the load, and the word on shedding are now files of their own; so are the silence of endpoints and the endpoints left to short work.

One change of behaviour: a preset that closes a protected tier closes it only as far as all later tiers are closed, since a switch may not shed it while lower work is let in.

--- a/crates/siskinyoke-policy/src/demand.rs
+++ b/crates/siskinyoke-policy/src/demand.rs
@@ -5,18 +5,13 @@
 //! runs and waits by tier; its last entry, behind every tier, is a wish for spare room, so that
 //! what nobody needs is spread and the next burst finds room before the next round.
 
-use std::collections::BTreeMap;
-
-use crate::allowance::Allowances;
 use crate::endpoint::Endpoint;
-use crate::load::Load;
+use crate::intake::Intake;
 use crate::pool::Pool;
 use crate::queue::LaneKey;
-use crate::queue::Queue;
-use crate::rate::Rate;
+use crate::state::State;
 use crate::units;
 use siskinyoke_base::Millis;
-use siskinyoke_base::OrganisationId;
 use siskinyoke_base::message::LeaseDemand;
 use siskinyoke_base::message::Resource;
 
@@ -28,14 +23,10 @@
 /// A tier's few slots are dealt out to endpoints by their size from a starting point of the
 /// daemon's own, `offset` in parts of 1: rounding up on each endpoint would ask for twelve slots
 /// where one is needed, and rounding alike would send all daemons to the same endpoints.
-pub(crate) fn endpoints(
-    now: Millis,
-    pool: &Pool,
-    queue: &Queue,
-    loads: &BTreeMap<LaneKey, Load>,
-    offset: f64,
-) -> Vec<LeaseDemand> {
-    let ranks = loads.keys().map(|key| usize::from(key.rank) + 1).max();
+pub(crate) fn endpoints(now: Millis, state: &State, offset: f64) -> Vec<LeaseDemand> {
+    let pool = &state.pool;
+    let ranks = state.forecast.loads();
+    let ranks = ranks.map(|(key, _)| usize::from(key.rank) + 1).max();
     let ranks = ranks.unwrap_or(1);
     let mut lines: Vec<LeaseDemand> = pool
         .endpoints()
@@ -49,9 +40,9 @@
             }
         })
         .collect();
-    for (key, load) in loads {
+    for (key, load) in state.forecast.loads() {
         let usual = load.slots(now) * HEADROOM;
-        let waiting = f64::from(queue.lane_len(key));
+        let waiting = f64::from(state.queue.lane_len(key));
         deal(pool, key, usual.max(waiting), offset, &mut lines);
     }
     lines
@@ -74,13 +65,12 @@
 }
 
 /// Returns the demand for organisations' allowances, in tokens a second.
-pub(crate) fn allowances(
-    now: Millis,
-    allowances: &Allowances,
-    tokens: &BTreeMap<OrganisationId, Rate>,
-) -> Vec<LeaseDemand> {
-    let lines = allowances.iter().map(|(id, rate)| {
-        let usual = tokens.get(id).map_or(0.0, |tokens| tokens.value(now));
+pub(crate) fn allowances(now: Millis, intake: &Intake) -> Vec<LeaseDemand> {
+    let lines = intake.allowances.iter().map(|(id, rate)| {
+        let usual = intake
+            .tokens
+            .get(id)
+            .map_or(0.0, |tokens| tokens.value(now));
         LeaseDemand {
             resource: Resource::Allowance(id.clone()),
             wanted: vec![units::floor((usual * HEADROOM).ceil()), rate],
--- a/crates/siskinyoke-policy/src/endpoint.rs
+++ b/crates/siskinyoke-policy/src/endpoint.rs
@@ -5,6 +5,7 @@
 use crate::EndpointSpec;
 use crate::LoadReport;
 use crate::Work;
+use crate::flight::Flight;
 use crate::health::Health;
 use crate::share::Share;
 use crate::speed::Speed;
@@ -113,21 +114,25 @@
         self.speed(now, target).learn_first(now, plan, took);
     }
 
+    /// Learns from a whole answer of `output` tokens.
+    pub(crate) fn learn(&mut self, now: Millis, flight: &Flight, output: u32) {
+        let target = &flight.work.target;
+        let Some(first) = flight.first.filter(|_| flight.work.stream) else {
+            let took = now.since(flight.started);
+            self.learn_whole(now, target, flight.plan, output, took);
+            return;
+        };
+        self.learn_rest(now, target, output, now.since(first));
+    }
+
     /// Learns from the time between the first piece and the end of `output` tokens.
-    pub(crate) fn learn_rest(&mut self, now: Millis, target: &ModelId, output: u32, took: Millis) {
+    fn learn_rest(&mut self, now: Millis, target: &ModelId, output: u32, took: Millis) {
         let ratio = took.as_secs() / self.rest(f64::from(output.max(1)));
         self.speed(now, target).learn_rest(now, ratio);
     }
 
     /// Learns from the whole time of an answer that came in one piece.
-    pub(crate) fn learn_whole(
-        &mut self,
-        now: Millis,
-        target: &ModelId,
-        plan: f64,
-        output: u32,
-        took: Millis,
-    ) {
+    fn learn_whole(&mut self, now: Millis, target: &ModelId, plan: f64, output: u32, took: Millis) {
         let way = 2.0 * self.spec.distance.as_secs();
         let ratio = (took.as_secs() - way).max(0.0) / (plan + self.rest(f64::from(output)));
         let speed = self.speed(now, target);
--- a/crates/siskinyoke-policy/src/flight.rs
+++ b/crates/siskinyoke-policy/src/flight.rs
@@ -10,6 +10,9 @@
 use siskinyoke_base::Millis;
 use siskinyoke_base::ModelId;
 
+/// The least seconds that a first piece is taken to need, against dividing by nothing.
+const LEAST_TIME: f64 = 0.001;
+
 /// Work on an endpoint.
 #[derive(Debug)]
 pub(crate) struct Flight {
@@ -33,6 +36,17 @@
     pub(crate) cancelled: bool,
 }
 
+impl Flight {
+    /// Returns the prompt tokens that a cancel would throw away.
+    pub(crate) fn lost(&self, now: Millis) -> f64 {
+        if self.first.is_some() {
+            return self.fresh;
+        }
+        let elapsed = now.since(self.started).as_secs();
+        self.fresh * (elapsed / self.expected.max(LEAST_TIME)).min(1.0)
+    }
+}
+
 /// All work on endpoints.
 #[derive(Debug, Default)]
 pub(crate) struct Flights {
--- a/crates/siskinyoke-policy/src/pool.rs
+++ b/crates/siskinyoke-policy/src/pool.rs
@@ -14,10 +14,12 @@
 use crate::flight::Flight;
 use crate::flight::Flights;
 use crate::length::Lengths;
+use crate::load::Load;
 use crate::placement;
 use crate::placement::Candidate;
 use crate::prefix::Prefixes;
-use crate::rate::Rate;
+use crate::short_lane;
+use crate::silence;
 use crate::units;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::Map;
@@ -32,14 +34,6 @@
 /// Work over this many times the average time on an endpoint counts as long.
 const LONG: f64 = 2.0;
 
-/// The share of endpoints from which long work keeps away while others have room.
-const SHORT_ROOM: f64 = 0.25;
-
-/// A silent endpoint is given this many times the expected time to the first piece, and at least
-/// a second, before it counts as frozen: batching alone stretches a first piece three times.
-const PATIENCE: f64 = 4.0;
-const LEAST_PATIENCE: f64 = 1.0;
-
 /// The least seconds that work is taken to be on an endpoint, against dividing by nothing.
 const LEAST_TIME: f64 = 0.01;
 
@@ -49,18 +43,11 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     flights: Flights,
     prefixes: Prefixes,
-    sizes: Map<ModelId, Sizes>,
+    sizes: Map<ModelId, Load>,
     lengths: Lengths,
     instances: u32,
 }
 
-/// Sizes of a target's work of late.
-#[derive(Debug, Default)]
-struct Sizes {
-    count: Rate,
-    seconds: Rate,
-}
-
 impl Pool {
     /// Sets how many instances share the endpoints.
     pub(crate) fn set_instances(&mut self, count: u32) {
@@ -186,8 +173,7 @@
     /// Learns the size of work that arrives, so that long work can be told from short.
     pub(crate) fn learn_size(&mut self, now: Millis, target: &ModelId, service: f64) {
         let sizes = self.sizes.entry(target.clone()).or_default();
-        sizes.count.add(now, 1.0);
-        sizes.seconds.add(now, service);
+        sizes.add(now, service);
     }
 
     /// Chooses an endpoint with room for the work.
@@ -257,7 +243,7 @@
         match finish {
             Finish::Complete { output } => {
                 endpoint.health.succeed(now);
-                learn(endpoint, now, &flight, output);
+                endpoint.learn(now, &flight, output);
                 self.lengths.learn(&flight.work, output);
             }
             Finish::Unreachable | Finish::Broken => {
@@ -280,25 +266,14 @@
     }
 
     /// Takes endpoints out that have gone silent, and lists their work that may be repeated.
-    ///
-    /// A frozen endpoint accepts connections and never answers: its work would wait until each
-    /// need has passed. Silence counts only from the last sign of life, so that an endpoint which
-    /// is merely slow, and answers others, is not taken out.
     pub(crate) fn stalled(&mut self, now: Millis) -> Vec<WorkId> {
         let mut silent = BTreeSet::new();
         for flight in self.flights.iter() {
             let Some(endpoint) = self.endpoints.get(&flight.endpoint) else {
                 continue;
             };
-            let sign = endpoint.health.sign().max(flight.started);
             let usual = self.expect(now, &flight.work, endpoint, flight.fresh);
-            let least = if flight.work.stream && flight.first.is_none() {
-                flight.expected
-            } else {
-                flight.expected.max(usual.whole)
-            };
-            let patience = units::millis((least * PATIENCE).max(LEAST_PATIENCE));
-            if now >= sign + patience {
+            if silence::is_overdue(now, flight, usual, endpoint.health.sign()) {
                 silent.insert(flight.endpoint.clone());
             }
         }
@@ -336,7 +311,7 @@
             .iter()
             .filter(fits)
             .min_by(|a, b| {
-                let by_loss = lost(now, a).total_cmp(&lost(now, b));
+                let by_loss = a.lost(now).total_cmp(&b.lost(now));
                 by_loss.then(b.work.rank.cmp(&a.work.rank))
             })
             .map(|flight| flight.work.id)
@@ -440,45 +415,12 @@
     }
 
     /// Returns the endpoints that long work leaves to short work.
-    ///
-    /// Load pattern: work a hundred times longer than the rest. Its prompt holds up an endpoint
-    /// for seconds and short work behind it misses its need. Every daemon takes the same
-    /// endpoints, the slowest with prompts, which long work can use least; so the room is kept
-    /// without any message.
     fn short_lane(&self, now: Millis, work: &Work, offering: &[&Endpoint]) -> BTreeSet<EndpointId> {
-        let Some(sizes) = self.sizes.get(&work.target) else {
-            return BTreeSet::new();
-        };
-        let usual = sizes.seconds.value(now) / sizes.count.value(now).max(f64::MIN_POSITIVE);
+        let usual = self.sizes.get(&work.target);
+        let usual = usual.map_or(f64::INFINITY, |sizes| sizes.service(now));
         if self.service(now, work) < usual * LONG {
             return BTreeSet::new();
         }
-        let len = units::floor(f64::from(units::count(offering.len())) * SHORT_ROOM);
-        let mut slowest: Vec<(u32, &EndpointId)> = offering
-            .iter()
-            .map(|endpoint| (endpoint.spec.prefill, &endpoint.spec.id))
-            .collect();
-        slowest.sort();
-        let kept = slowest.into_iter().take(len as usize);
-        kept.map(|(_, id)| id.clone()).collect()
-    }
-}
-
-fn learn(endpoint: &mut Endpoint, now: Millis, flight: &Flight, output: u32) {
-    let target = &flight.work.target;
-    let Some(first) = flight.first.filter(|_| flight.work.stream) else {
-        let took = now.since(flight.started);
-        endpoint.learn_whole(now, target, flight.plan, output, took);
-        return;
-    };
-    endpoint.learn_rest(now, target, output, now.since(first));
-}
-
-/// Returns the prompt tokens that a cancel would throw away.
-fn lost(now: Millis, flight: &Flight) -> f64 {
-    if flight.first.is_some() {
-        return flight.fresh;
+        short_lane::endpoints(offering.iter().map(|endpoint| &endpoint.spec))
     }
-    let elapsed = now.since(flight.started).as_secs();
-    flight.fresh * (elapsed / flight.expected.max(0.001)).min(1.0)
 }
--- a/crates/siskinyoke-policy/src/queue.rs
+++ b/crates/siskinyoke-policy/src/queue.rs
@@ -10,6 +10,7 @@
 use crate::WorkId;
 use crate::fair::Turns;
 use crate::units;
+use crate::weights::Weights;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 use siskinyoke_base::ModelId;
@@ -36,6 +37,11 @@
             target: work.target.clone(),
         }
     }
+
+    /// Tells whether it holds more urgent work for the same target.
+    pub(crate) fn is_above(&self, other: &Self) -> bool {
+        self.rank < other.rank && self.target == other.target
+    }
 }
 
 /// Work that waits.
@@ -63,6 +69,12 @@
     entries: BTreeMap<Place, Entry>,
 }
 
+impl Line {
+    fn len(&self) -> f64 {
+        f64::from(units::count(self.entries.len()))
+    }
+}
+
 /// All work that waits in one daemon.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
@@ -150,25 +162,29 @@
         lane.turns.charge(&work.organisation, weight, tokens);
     }
 
-    /// Counts a target's work of ranks before `rank`.
-    pub(crate) fn ahead(&self, rank: u8, target: &ModelId) -> u32 {
-        let before = self.lanes.keys();
-        before
-            .filter(|key| key.rank < rank && key.target == *target)
-            .map(|key| self.lane_len(key))
-            .sum()
-    }
-
-    /// Counts each organisation's work in a lane.
-    pub(crate) fn lines(&self, key: &LaneKey) -> impl Iterator<Item = (&OrganisationId, u32)> {
-        self.lanes
-            .get(key)
-            .into_iter()
-            .flat_map(|lane| lane.lines.iter())
-            .map(|(id, line)| (id, units::count(line.entries.len())))
+    /// Counts the work that goes before some work: that of more urgent tiers, and of its own tier
+    /// under fair turns.
+    ///
+    /// While its own line is served, each other line gets at most its weight's share beside it.
+    pub(crate) fn before(&self, work: &Work, weights: &Weights) -> f64 {
+        let key = LaneKey::of(work);
+        let above = self.lanes.keys().filter(|other| other.is_above(&key));
+        let above: u32 = above.map(|other| self.lane_len(other)).sum();
+        let lane = self.lanes.get(&key);
+        let lines = || lane.into_iter().flat_map(|lane| lane.lines.iter());
+        let own = lines().find(|(id, _)| **id == work.organisation);
+        let own = own.map_or(0.0, |(_, line)| line.len());
+        let weight = weights.get(&work.organisation);
+        let others = lines().filter(|(id, _)| **id != work.organisation);
+        let beside = others.map(|(id, line)| {
+            let turns = (own + 1.0) * weights.get(id) / weight;
+            line.len().min(turns)
+        });
+        f64::from(above) + own + beside.sum::<f64>()
     }
 
-    /// Returns the work to evict first: of the last rank after `rank`, the last to be due.
+    /// Returns the work to evict first: of the last rank after `rank`, the last to be due; never
+    /// protected work.
     pub(crate) fn last(&self, rank: u8) -> Option<WorkId> {
         let lanes = self.lanes.iter().rev();
         lanes
@@ -177,6 +193,7 @@
                 let waiting = lane.lines.values();
                 waiting
                     .filter_map(|line| line.entries.last_key_value())
+                    .filter(|(_, entry)| !entry.work.protected)
                     .map(|(place, _)| (key.rank, place.1, place.2))
             })
             .max()
--- a/crates/siskinyoke-policy/src/ramp.rs
+++ b/crates/siskinyoke-policy/src/ramp.rs
@@ -76,6 +76,13 @@
             .map_or(1.0, |shares| shares.open)
     }
 
+    /// Returns the largest part that is let in of a rank or any later one.
+    pub(crate) fn open_from(&self, rank: u8) -> f64 {
+        let from = usize::from(rank).min(self.now.len());
+        let later = self.now[from..].iter().map(|shares| shares.open);
+        later.reduce(f64::max).unwrap_or(1.0)
+    }
+
     /// Returns the most requests that may wait.
     pub(crate) fn queue(&self) -> u32 {
         self.target
