--- a/crates/siskinyoke-control/src/claims.rs
+++ b/crates/siskinyoke-control/src/claims.rs
@@ -13,6 +13,7 @@
 use crate::PlatformRequest;
 use crate::Reply;
 use crate::Sender;
+use crate::usage::Day;
 use siskinyoke_base::Identity;
 use siskinyoke_base::Millis;
 
@@ -23,6 +24,15 @@
 /// hundred writes a second that the service gives.
 const CLAIM_RATE: f64 = 10.0;
 
+/// Days for which a claim is kept: a caller may send the same key again for at least so long.
+const CLAIM_DAYS: u32 = 2;
+
+/// Span between two sweeps of old claims.
+const SWEEP_GAP: Millis = Millis::from_secs(60);
+
+/// The most claims looked at in one sweep, so that a sweep stays one small call.
+const SWEEP_CLAIMS: u32 = 200;
+
 /// Claims that may be made at once after a quiet time.
 const CLAIM_BURST: f64 = 20.0;
 
@@ -35,6 +45,9 @@
     me: Sender,
     pending: BTreeMap<OpId, Pending>,
     outcomes: Vec<(Identity, ClaimOutcome)>,
+    today: Day,
+    sweeping: Option<OpId>,
+    swept: Millis,
     tokens: f64,
     filled: Millis,
 }
@@ -57,6 +70,8 @@
 struct ClaimDoc {
     instance: String,
     incarnation: u64,
+    /// The day of the claim, in universal time; 0 if it was not known.
+    day: u32,
     /// Tells one claim of a daemon start from an earlier one for the same key.
     nonce: u64,
 }
@@ -76,6 +91,9 @@
             me,
             pending: BTreeMap::new(),
             outcomes: Vec::new(),
+            today: Day::default(),
+            sweeping: None,
+            swept: Millis::ZERO,
             tokens: CLAIM_BURST,
             filled: Millis::ZERO,
         }
@@ -89,6 +107,7 @@
         let doc = ClaimDoc {
             instance: self.me.instance.as_str().to_owned(),
             incarnation: self.me.incarnation.0,
+            day: self.today.0,
             nonce: cx.rng.next_u64(),
         };
         let request = PlatformRequest::Swap {
@@ -109,8 +128,31 @@
         true
     }
 
+    /// Sets the present day.
+    pub fn set_day(&mut self, today: Day) {
+        self.today = today;
+    }
+
+    /// Removes claims that no caller may come back for; called by one daemon of the fleet.
+    ///
+    /// Without it the service's keys grow with every plain request that was ever claimed.
+    pub fn sweep(&mut self, cx: &mut Context<'_>) {
+        if cx.now.since(self.swept) < SWEEP_GAP || self.today == Day::default() {
+            return;
+        }
+        self.swept = cx.now;
+        let prefix = CLAIM_PREFIX.to_owned();
+        let limit = SWEEP_CLAIMS;
+        self.sweeping = Some(cx.out.platform(PlatformRequest::List { prefix, limit }));
+    }
+
     /// Takes the platform's answer; returns false if the request was another controller's.
     pub fn reply(&mut self, cx: &mut Context<'_>, op: OpId, reply: &Reply) -> bool {
+        if self.sweeping == Some(op) {
+            self.sweeping = None;
+            self.remove_old(cx, reply);
+            return true;
+        }
         let Some(pending) = self.pending.remove(&op) else {
             return false;
         };
@@ -147,6 +189,22 @@
         std::mem::take(&mut self.outcomes)
     }
 
+    fn remove_old(&self, cx: &mut Context<'_>, reply: &Reply) {
+        let Ok(PlatformReply::Values(values)) = reply else {
+            return;
+        };
+        for value in values {
+            let Ok(doc) = serde_json::from_slice::<ClaimDoc>(&value.value) else {
+                continue;
+            };
+            if doc.day > 0 && doc.day + CLAIM_DAYS < self.today.0 {
+                let (key, expected) = (value.key.clone(), value.version);
+                // Nobody waits for the answer: what was not removed is found next time.
+                cx.out.platform(PlatformRequest::Remove { key, expected });
+            }
+        }
+    }
+
     fn judge(&self, pending: &Pending, value: &Bytes) -> ClaimOutcome {
         let Ok(doc) = serde_json::from_slice::<ClaimDoc>(value) else {
             return ClaimOutcome::Failed;
--- a/crates/siskinyoke-control/src/core/accounting.rs
+++ b/crates/siskinyoke-control/src/core/accounting.rs
@@ -37,6 +37,7 @@
     pub fn set_day(&mut self, day: Day) {
         self.day = self.day.max(day);
         self.usage.set_day(day);
+        self.claims.set_day(day);
     }
 
     /// Charges a complete answer.
--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -104,6 +104,7 @@
     leaving: Option<Leaving>,
     due: Millis,
     started: bool,
+    sweeper: bool,
     asked: BTreeMap<CallId, String>,
     bills: Vec<Bill>,
     leases: Leases,
@@ -187,6 +188,7 @@
             leaving: None,
             due: Millis::ZERO,
             started: false,
+            sweeper: false,
             asked: BTreeMap::new(),
             bills: Vec::new(),
             usage,
@@ -325,6 +327,9 @@
         if self.usage.next() <= now {
             self.usage.tick(&mut cx);
         }
+        if self.sweeper {
+            self.claims.sweep(&mut cx);
+        }
         if !self.members.changes().is_empty() || !self.started {
             self.started = true;
             self.fleet_changed(now);
@@ -340,7 +345,9 @@
     /// Tells everyone who needs it which members there are.
     fn fleet_changed(&mut self, now: Millis) {
         let live: Vec<InstanceId> = self.members.live().map(|r| r.instance.clone()).collect();
-        let watching = watchers(&live).contains(&self.me.instance);
+        let watchers = watchers(&live);
+        let watching = watchers.contains(&self.me.instance);
+        self.sweeper = watchers.first() == Some(&self.me.instance);
         let mut cx = Context {
             now,
             out: &mut self.out,
--- a/crates/siskinyoke-daemon/src/daemon.rs
+++ b/crates/siskinyoke-daemon/src/daemon.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::mpsc;
 use std::thread;
 use std::thread::JoinHandle;
@@ -19,6 +21,7 @@
 use crate::dispatch::Dispatcher;
 use crate::http::Listener;
 use crate::http::ListenerParts;
+use crate::loads;
 use crate::metrics::Metrics;
 use crate::peers::Certificate;
 use crate::peers::PeerEvent;
@@ -33,10 +36,12 @@
 use crate::runtime::Runtime;
 use crate::settings::SeedSettings;
 use siskinyoke_base::Clock;
+use siskinyoke_base::EndpointId;
 use siskinyoke_base::Incarnation;
 use siskinyoke_base::clock::SystemClock;
 use siskinyoke_base::message::MemberRecord;
 use siskinyoke_base::message::MemberState;
+use siskinyoke_control::configuration::EndpointKind;
 use siskinyoke_control::core::Core;
 use siskinyoke_control::core::CoreParts;
 use siskinyoke_control::core::CoreSettings;
@@ -126,6 +131,7 @@
             .name("core".into())
             .spawn(move || runtime.run(&receiver))
             .map_err(StartError::Thread)?;
+        tokio.spawn(poll_loads(inputs.clone()));
         let parts = ListenerParts {
             inputs: inputs.clone(),
             metrics,
@@ -259,6 +265,32 @@
     Peers::start(&peers, certificate, Box::new(sink)).map_err(StartError::Peers)
 }
 
+/// Reads load reports of the engines in the configuration in force.
+async fn poll_loads(inputs: mpsc::Sender<Input>) {
+    let known: Arc<Mutex<Vec<(EndpointId, String)>>> = Arc::default();
+    let shown = known.clone();
+    let asking = inputs.clone();
+    let endpoints: loads::Endpoints = Arc::new(move || {
+        let known = known.clone();
+        let look = move |core: &Core| {
+            let docs = core.view().doc.endpoints.iter();
+            let engines = docs.filter(|(_, doc)| doc.kind == EndpointKind::Engine);
+            let list = engines
+                .map(|(id, doc)| (id.clone(), doc.address.clone()))
+                .collect();
+            *known.lock().unwrap_or_else(PoisonError::into_inner) = list;
+        };
+        // The answer comes a moment later, so each reading uses the list of the one before.
+        let _ = asking.send(Input::Look(Box::new(look)));
+        shown.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    });
+    loads::poll(endpoints, move |endpoint, report| {
+        // A closed channel means that the daemon has stopped.
+        let _ = inputs.send(Input::Event(Event::Load { endpoint, report }));
+    })
+    .await;
+}
+
 fn start_platform(settings: PlatformSettings, inputs: &mpsc::Sender<Input>) -> PlatformPool {
     let inputs = inputs.clone();
     let make: MakeService = Arc::new(move || Box::new(EtcdGateway::new(&settings)));
--- a/crates/siskinyoke-daemon/src/lib.rs
+++ b/crates/siskinyoke-daemon/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod daemon;
 pub mod dispatch;
 pub mod http;
+pub mod loads;
 pub mod metrics;
 pub mod peers;
 pub mod platform;
