--- a/crates/siskinyoke-daemon/src/loads.rs
+++ b/crates/siskinyoke-daemon/src/loads.rs
@@ -35,7 +35,6 @@
 /// Metric of requests that run, as the engines publish it but for the colon.
 ///
 /// The library that reads the page passes over names with a colon, which the format allows.
-
 const RUNNING: &str = "vllm_num_requests_running";
 
 /// Metric of requests that wait inside the engine.
