Refuse bad input with its code, and a resend honestly

Cause of the mend: the listener refuses before anybody has looked the identity up, and said "not run" (2003, 2004 and the rest) to a resend whose first sending may have run on another instance. Now every refusal of the listener goes through core::honest. Only a sending that counts itself the first (Siskinyoke-Retry: 0), or that names no key and no count, can be told "not run"; all others get 4006. Ruled out: doing so for 2003 and 2004 only; a body over one instance's limit may have run at another, and a daemon that stops answers 3003 from the same place. An answer that cannot be written now carries code and kind as well.

Fleet::start_with starts the fleet with other limits.

--- a/crates/siskinyoke-daemon/src/http/answer.rs
+++ b/crates/siskinyoke-daemon/src/http/answer.rs
@@ -173,8 +173,7 @@
     builder.body(body).unwrap_or_else(|err| {
         // An endpoint's content type that is no header value comes here.
         log::warn!("an answer cannot be written: {err}");
-        let mut response = Response::new(Full::new(Bytes::new()).boxed());
-        *response.status_mut() = StatusCode::BAD_GATEWAY;
-        response
+        let end = End::new(Code::Broken).detail("the endpoint's answer cannot be passed on");
+        refused(&end)
     })
 }
--- a/crates/siskinyoke-daemon/src/http/listener.rs
+++ b/crates/siskinyoke-daemon/src/http/listener.rs
@@ -40,6 +40,7 @@
 use siskinyoke_control::CallId;
 use siskinyoke_control::core::Core;
 use siskinyoke_control::core::Event;
+use siskinyoke_control::core::honest;
 
 /// Connections above the limit that are still told why they are refused.
 const REFUSING: usize = 64;
@@ -179,12 +180,14 @@
     request: Request<Incoming>,
     refused: bool,
 ) -> Response<AnswerBody> {
+    let past = read::past(request.headers());
     let answer = if refused {
         Err(End::new(Code::TooManyConnections).after(Millis::from_secs(1)))
     } else {
         route(&inner, request).await
     };
     answer.unwrap_or_else(|end| {
+        let end = honest(end, past);
         inner.metrics.answered(end.code);
         answer::refused(&end)
     })
@@ -213,13 +216,13 @@
         Target::Models => models(inner, read::bearer(request.headers())?).await,
         Target::Locate => {
             let bearer = read::bearer(request.headers())?;
-            Ok(exchange(inner, |call| Event::Locate { call, bearer }).await)
+            exchange(inner, |call| Event::Locate { call, bearer }).await
         }
         Target::Admin => {
             let (parts, body) = request.into_parts();
             let body = read_body(inner, body).await?;
             let head = Box::new(read::admin(&parts, body)?);
-            Ok(exchange(inner, |call| Event::Admin { call, head }).await)
+            exchange(inner, |call| Event::Admin { call, head }).await
         }
         Target::Chat => {
             let (parts, body) = request.into_parts();
@@ -237,11 +240,14 @@
 
 async fn submit(inner: &Arc<Inner>, head: CallHead) -> Result<Response<AnswerBody>, End> {
     let head = Box::new(head);
-    Ok(exchange(inner, |call| Event::Arrive { call, head }).await)
+    exchange(inner, |call| Event::Arrive { call, head }).await
 }
 
 /// Opens an exchange with the core and writes its answer.
-async fn exchange(inner: &Arc<Inner>, event: impl FnOnce(CallId) -> Event) -> Response<AnswerBody> {
+async fn exchange(
+    inner: &Arc<Inner>,
+    event: impl FnOnce(CallId) -> Event,
+) -> Result<Response<AnswerBody>, End> {
     let call = CallId(inner.calls.fetch_add(1, Ordering::Relaxed));
     let (sender, parts) = channel(PARTS_WAITING);
     let exchange = Exchange {
@@ -257,9 +263,9 @@
         event: event(call),
     };
     if inner.inputs.send(input).is_err() {
-        return answer::refused(&End::new(Code::Leaving).after(Millis::from_secs(1)));
+        return Err(End::new(Code::Leaving).after(Millis::from_secs(1)));
     }
-    answer::write(exchange, parts).await
+    Ok(answer::write(exchange, parts).await)
 }
 
 /// Lists the models and services that the caller's organisation may call.
--- a/crates/siskinyoke-daemon/src/http/read.rs
+++ b/crates/siskinyoke-daemon/src/http/read.rs
@@ -14,6 +14,7 @@
 use siskinyoke_base::Route;
 use siskinyoke_base::message::End;
 use siskinyoke_control::core::AdminHead;
+use siskinyoke_control::core::Past;
 
 /// Where a path leads.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -95,6 +96,21 @@
     Ok(*blake3::hash(key.trim().as_bytes()).as_bytes())
 }
 
+/// Tells what may have happened to a request that is refused before the core sees it.
+///
+/// Guards against a "not run" that did run: a caller sends again, to this instance or another,
+/// what may be running, and the resend arrives too slowly or on one connection too many. Nobody
+/// has looked its identity up by then, so only a caller that says this is its first sending, or
+/// that named nothing by which another sending could be the same request, can be told so.
+pub fn past(headers: &HeaderMap) -> Past {
+    let keyed = headers.contains_key("idempotency-key");
+    match retry(headers) {
+        Ok(Some(0)) => Past::Untouched,
+        Ok(None) if !keyed => Past::Untouched,
+        _ => Past::Earlier,
+    }
+}
+
 /// Reads a chat request.
 ///
 /// # Errors
--- a/crates/siskinyoke-standin/src/fleet.rs
+++ b/crates/siskinyoke-standin/src/fleet.rs
@@ -58,12 +58,21 @@
     ///
     /// [`StandinError`] if a part cannot be started or the configuration is not in force in time.
     pub fn start(instances: usize) -> Result<Self, StandinError> {
+        Self::start_with(instances, &json!({}))
+    }
+
+    /// Starts everything with limits of the callers' listener other than the usual ones.
+    ///
+    /// # Errors
+    ///
+    /// [`StandinError`] if a part cannot be started or the configuration is not in force in time.
+    pub fn start_with(instances: usize, limits: &Value) -> Result<Self, StandinError> {
         let platform = Platform::start(&PlatformConfig::default())?;
         let engines = vec![engine(120.0, 16)?, engine(40.0, 4)?];
         let service = Service::start(&ServiceConfig::default())?;
         let mut daemons = Vec::new();
         for number in 1..=instances {
-            daemons.push(daemon(number, &platform)?);
+            daemons.push(daemon(number, &platform, limits)?);
         }
         let fleet = Self {
             platform,
@@ -238,12 +247,16 @@
     })
 }
 
-fn daemon(number: usize, platform: &Platform) -> Result<Daemon, StandinError> {
+fn daemon(number: usize, platform: &Platform, limits: &Value) -> Result<Daemon, StandinError> {
     let address = platform.address();
+    let mut callers = json!({ "listen": "127.0.0.1:0" });
+    for (name, value) in limits.as_object().into_iter().flatten() {
+        callers[name] = value.clone();
+    }
     let settings = json!({
         "instance": instance_name(number),
         "centre": centre_name(number),
-        "callers": { "listen": "127.0.0.1:0" },
+        "callers": callers,
         "peers": { "listen": "127.0.0.1:0" },
         "platform": {
             "kv": [address.to_string()],
