Measure fair shares by tier and time in the rig

Cause: the least share was taken over all tiers and the whole run, so an organisation whose lower tier was shed for everybody's marking seemed cheated (Cairo at 3 times capacity 35%, where each tier is shared at 91%). Now the shares of each tier and each five seconds are summed.

--- a/crates/siskinyoke-rig/src/figures.rs
+++ b/crates/siskinyoke-rig/src/figures.rs
@@ -16,6 +16,9 @@
 use siskinyoke_base::Millis;
 use siskinyoke_base::ModelId;
 
+/// Time over which shares are compared.
+const FAIR_SPAN: Millis = Millis::from_secs(5);
+
 /// The figures of one run.
 #[derive(Debug, Clone, Serialize)]
 pub struct Figures {
@@ -179,27 +182,46 @@
     pair.0.class != CallClass::Idempotent && pair.1.runs > 1
 }
 
-/// Returns the least part of a fair share that an organisation got: the tokens of all useful
-/// answers of the run are divided by max-min fairness over what each organisation asked for.
+/// Returns the least part of a fair share that an organisation got.
+///
+/// For each tier and each five seconds of arrivals, the tokens of useful answers are divided by
+/// max-min fairness over what each organisation asked for; its fair share is the sum of these.
+/// Tiers come first, so an organisation whose work is mostly deferrable has no claim on another's
+/// marking; and while a burst lets nobody's work in, nobody's share grows.
 fn least(all: &[(&Request, &Fate)], model: &ModelId) -> f64 {
-    let mut asked: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+    let mut groups: BTreeMap<(u8, u64), BTreeMap<&str, Share>> = BTreeMap::new();
     for (request, fate) in all {
         if request.target != *model {
             continue;
         }
         let tokens = f64::from(request.prompt) + f64::from(request.output);
-        let entry = asked.entry(request.organisation.as_str()).or_default();
-        entry.0 += tokens;
-        if fate.useful(request) {
-            entry.1 += tokens;
+        let key = (request.rank, request.arrived.0 / FAIR_SPAN.0);
+        let group = groups.entry(key).or_default();
+        let share = group.entry(request.organisation.as_str()).or_default();
+        share.fair += tokens;
+        share.got += if fate.useful(request) { tokens } else { 0.0 };
+    }
+    let mut shares: BTreeMap<&str, Share> = BTreeMap::new();
+    for group in groups.into_values() {
+        let total: f64 = group.values().map(|share| share.got).sum();
+        let level = water_level(group.values().map(|share| share.fair).collect(), total);
+        for (organisation, share) in group {
+            let sum = shares.entry(organisation).or_default();
+            sum.fair += share.fair.min(level);
+            sum.got += share.got;
         }
     }
-    let total: f64 = asked.values().map(|(_, got)| got).sum();
-    let level = water_level(asked.values().map(|(asked, _)| *asked).collect(), total);
-    let parts = asked.values().map(|(asked, got)| got / asked.min(level));
+    let parts = shares.values().map(|share| share.got / share.fair.max(1.0));
     parts.fold(1.0, f64::min)
 }
 
+/// Tokens that an organisation got, and what was or would be its part.
+#[derive(Debug, Default)]
+struct Share {
+    fair: f64,
+    got: f64,
+}
+
 /// Returns the level up to which each demand is met when `total` is divided by max-min fairness.
 fn water_level(mut demands: Vec<f64>, total: f64) -> f64 {
     demands.sort_by(f64::total_cmp);
