Give orders to engines from pools in the configuration

The stand-in takes the product's orders and tells its real state.

Rival weighed: orders through the dispatch path; ruled out, as a dispatch may be repeated on another endpoint and an order may not.

--- a/crates/siskinyoke-control/src/configuration/check.rs
+++ b/crates/siskinyoke-control/src/configuration/check.rs
@@ -12,6 +12,7 @@
 use super::Role;
 use super::RouteDoc;
 use super::TierPreset;
+use siskinyoke_base::EndpointId;
 use siskinyoke_base::Millis;
 
 /// The most tiers; a rank travels in one byte, and nobody can weigh more.
@@ -48,6 +49,7 @@
     checker.endpoints();
     checker.organisations();
     checker.operators();
+    checker.pools();
     checker.faults
 }
 
@@ -223,6 +225,27 @@
         }
     }
 
+    fn pools(&mut self) {
+        let mut pools: BTreeMap<&EndpointId, &str> = BTreeMap::new();
+        for (name, plan) in &self.doc.pools {
+            self.name(&format!("pools.{name}"), name);
+            if plan.loads == 0 {
+                let allowed = "1 or more, or nothing would ever be loaded";
+                self.fault(format!("pools.{name}.loads"), "0", allowed);
+            }
+            for endpoint in plan.endpoints.keys() {
+                let path = format!("pools.{name}.endpoints.{endpoint}");
+                let doc = self.doc.endpoints.get(endpoint);
+                if doc.is_none_or(|doc| doc.kind != EndpointKind::Engine) {
+                    self.fault(path, quote(endpoint.as_str()), "the name of an engine");
+                } else if let Some(other) = pools.insert(endpoint, name) {
+                    let found = format!("an engine of the pool {other}");
+                    self.fault(path, found, "an engine of one pool only");
+                }
+            }
+        }
+    }
+
     /// Checks a digest of a key, and that it stands for one organisation or operator only.
     fn key(&mut self, path: String, digest: &'a str) {
         let hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
--- a/crates/siskinyoke-control/src/configuration/document.rs
+++ b/crates/siskinyoke-control/src/configuration/document.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::orders::PoolPlan;
 use siskinyoke_base::CallClass;
 use siskinyoke_base::DataCentre;
 use siskinyoke_base::EndpointId;
@@ -29,6 +30,8 @@
     pub organisations: BTreeMap<OrganisationId, OrganisationDoc>,
     /// Operators by name.
     pub operators: BTreeMap<String, OperatorDoc>,
+    /// What the engines of each pool should run; an engine is in one pool at most.
+    pub pools: BTreeMap<String, PoolPlan>,
 }
 
 /// A tier of work.
--- a/crates/siskinyoke-control/src/configuration/file.rs
+++ b/crates/siskinyoke-control/src/configuration/file.rs
@@ -21,7 +21,7 @@
 use siskinyoke_base::OrganisationId;
 
 /// The fields of a configuration file.
-const FIELDS: &str = "preset, tiers, presets, endpoints, organisations, operators";
+const FIELDS: &str = "preset, tiers, presets, endpoints, organisations, operators, pools";
 
 /// Reads and checks a configuration file.
 ///
@@ -74,6 +74,7 @@
                 "endpoints" => doc.endpoints = self.entries(prop, EndpointId::new),
                 "organisations" => doc.organisations = self.entries(prop, OrganisationId::new),
                 "operators" => doc.operators = self.entries(prop, str::to_owned),
+                "pools" => doc.pools = self.entries(prop, str::to_owned),
                 _ => {
                     let found = "a field that is not known";
                     self.fault(name, prop.range().start, found, FIELDS);
--- a/crates/siskinyoke-control/src/configuration/manifest.rs
+++ b/crates/siskinyoke-control/src/configuration/manifest.rs
@@ -51,6 +51,8 @@
     pub presets: PageDigest,
     /// The operators.
     pub operators: PageDigest,
+    /// What the engines of each pool should run.
+    pub pools: PageDigest,
     /// The endpoints, in buckets by the hash of their names.
     pub endpoints: Vec<PageDigest>,
     /// The organisations, in buckets by the hash of their names.
@@ -118,7 +120,7 @@
 impl PageList {
     /// Returns every page once.
     pub fn all(&self) -> BTreeSet<PageDigest> {
-        let single = [self.tiers, self.presets, self.operators];
+        let single = [self.tiers, self.presets, self.operators, self.pools];
         single
             .into_iter()
             .chain(self.endpoints.iter().copied())
--- a/crates/siskinyoke-control/src/configuration/stored.rs
+++ b/crates/siskinyoke-control/src/configuration/stored.rs
@@ -53,6 +53,7 @@
             tiers: writer.write(&doc.tiers, list.map(|list| list.tiers)),
             presets: writer.write(&doc.presets, list.map(|list| list.presets)),
             operators: writer.write(&doc.operators, list.map(|list| list.operators)),
+            pools: writer.write(&doc.pools, list.map(|list| list.pools)),
             endpoints: writer.buckets(&doc.endpoints, list.map(|list| &list.endpoints)),
             organisations: writer.buckets(&doc.organisations, list.map(|list| &list.organisations)),
         };
@@ -81,6 +82,7 @@
             endpoints: self.join(&list.endpoints)?,
             organisations: self.join(&list.organisations)?,
             operators: self.read(list.operators)?,
+            pools: self.read(list.pools)?,
         })
     }
 
--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -23,6 +23,7 @@
 use crate::claims::ClaimOutcome;
 use crate::configuration::Resolved;
 use crate::ledger::Standing;
+use crate::orders::Orders;
 use crate::usage::Cause;
 use siskinyoke_base::CallClass;
 use siskinyoke_base::CallHead;
@@ -182,6 +183,7 @@
                 rng: &mut self.rng,
             };
             self.members.leave(&mut cx);
+            self.orders.values_mut().for_each(Orders::leave);
             log::info!("leaving: {} requests are open", self.jobs.len());
             self.leaving = Some(Leaving {
                 quiet: now,
@@ -201,7 +203,10 @@
         // would cut them off unread.
         let stood_still = now.since(leaving.looked) >= STANDSTILL;
         leaving.looked = now;
-        let busy = !self.jobs.is_empty() || !self.forwards.is_empty() || !self.claiming.is_empty();
+        let busy = !self.orders.values().all(Orders::settled)
+            || !self.jobs.is_empty()
+            || !self.forwards.is_empty()
+            || !self.claiming.is_empty();
         if busy || stood_still {
             leaving.quiet = now;
         } else if !leaving.flushed {
--- a/crates/siskinyoke-control/src/core/event.rs
+++ b/crates/siskinyoke-control/src/core/event.rs
@@ -6,6 +6,8 @@
 use crate::DispatchId;
 use crate::OpId;
 use crate::Reply;
+use crate::orders::OrderId;
+use crate::orders::OrderResult;
 use siskinyoke_base::CallHead;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::message::Envelope;
@@ -56,6 +58,15 @@
         /// What was sent.
         head: Box<AdminHead>,
     },
+    /// An order to an endpoint was carried out, or was not.
+    Ordered {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The order.
+        id: OrderId,
+        /// What became of it.
+        result: OrderResult,
+    },
     /// A connection to an endpoint that broke off was tried.
     Probed {
         /// The endpoint.
--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod forwards;
 mod heard;
 mod job;
+mod ordering;
 mod poison;
 mod roster;
 mod settings;
@@ -48,6 +49,7 @@
 use crate::leases::Leases;
 use crate::ledger::Ledger;
 use crate::members::Members;
+use crate::orders::Orders;
 use crate::platform::ListedInstance;
 use crate::threshold::Threshold;
 use crate::usage::Day;
@@ -110,6 +112,7 @@
     sweeper: bool,
     asked: BTreeMap<CallId, String>,
     bills: Vec<Bill>,
+    orders: BTreeMap<String, Orders>,
     leases: Leases,
     usage: Usage,
     day: Day,
@@ -195,6 +198,7 @@
             sweeper: false,
             asked: BTreeMap::new(),
             bills: Vec::new(),
+            orders: BTreeMap::new(),
             usage,
             day: Day::default(),
             quarantine,
@@ -213,6 +217,11 @@
             Event::Peer(envelope) => self.peer(now, *envelope),
             Event::Platform { op, reply } => self.platform(now, op, &reply),
             Event::Admin { call, head } => self.administer(now, call, &head),
+            Event::Ordered {
+                endpoint,
+                id,
+                result,
+            } => self.ordered(now, &endpoint, id, &result),
             Event::Probed { endpoint, reached } => self.probed(now, &endpoint, reached),
             Event::Load { endpoint, report } => self.scheduler.report(now, &endpoint, &report),
             Event::Leave => self.leave(now),
@@ -248,6 +257,7 @@
             self.scheduler.set_preset(now, &preset);
         }
         self.view = view;
+        self.plan_orders();
     }
 
     /// Returns the configuration in force.
@@ -310,7 +320,7 @@
         let taken = self.configuration.reply(&mut cx, op, reply)
             || self.members.reply(&mut cx, op, reply)
             || self.usage.reply(&mut cx, op, reply);
-        if !taken {
+        if !taken && !self.order_reply(now, op, reply) {
             self.bill_reply(op, reply);
         }
     }
@@ -344,6 +354,7 @@
         }
         self.watch_suspects(now);
         self.share(now);
+        self.order(now);
     }
 
     /// Tells everyone who needs it which members there are.
@@ -361,6 +372,7 @@
         let count = u32::try_from(live.len()).unwrap_or(u32::MAX);
         self.scheduler.set_instances(count.max(1));
         self.usage_members();
+        self.order_members(&live);
     }
 
     fn peer(&mut self, now: Millis, envelope: Envelope) {
--- a/crates/siskinyoke-control/src/orders.rs
+++ b/crates/siskinyoke-control/src/orders.rs
@@ -122,6 +122,11 @@
         self.wanted = first.any(|(_, id)| **id == self.instance);
     }
 
+    /// Tells whether an endpoint is one of this pool's.
+    pub fn has(&self, endpoint: &EndpointId) -> bool {
+        self.sites.contains_key(endpoint)
+    }
+
     /// Stops giving orders; the lease is given up when those under way have ended.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/crates/siskinyoke-control/src/orders/order.rs
+++ b/crates/siskinyoke-control/src/orders/order.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 
 use quick_error::quick_error;
+use serde::Deserialize;
+use serde::Serialize;
 
 use super::EndpointState;
 use super::EngineRole;
@@ -26,7 +28,8 @@
 }
 
 /// What an endpoint is to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Order {
     /// Say what it runs; changes nothing.
     Inspect,
--- a/crates/siskinyoke-control/src/orders/plan.rs
+++ b/crates/siskinyoke-control/src/orders/plan.rs
@@ -36,7 +36,7 @@
 }
 
 /// A model on an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ModelState {
     /// Version of its weights.
--- a/crates/siskinyoke-daemon/src/lib.rs
+++ b/crates/siskinyoke-daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod loads;
 pub mod metrics;
+pub mod orders;
 pub mod peers;
 pub mod platform;
 pub mod runtime;
--- a/crates/siskinyoke-daemon/src/runtime.rs
+++ b/crates/siskinyoke-daemon/src/runtime.rs
@@ -18,6 +18,7 @@
 use tokio::task::AbortHandle;
 
 use crate::dispatch::Dispatcher;
+use crate::orders;
 use crate::peers::Peers;
 use crate::peers::Trust;
 use crate::platform::PlatformPool;
@@ -151,8 +152,18 @@
             }
             Action::Send { to, message } => self.send(&to, message),
             Action::Platform { op, request } => self.platform.call(op, request),
-            // No controller of orders runs in the core yet, so none comes.
-            Action::Order(order) => log::error!("an order to {} has no sender", order.endpoint),
+            Action::Order(spec) => {
+                let inputs = self.inputs.clone();
+                orders::send(*spec, self.clock.clone(), move |spec, result| {
+                    let (endpoint, id) = (spec.endpoint, spec.id);
+                    // A closed channel means that the daemon has stopped.
+                    let _ = inputs.send(Input::Event(Event::Ordered {
+                        endpoint,
+                        id,
+                        result,
+                    }));
+                });
+            }
             Action::Exit => self.exiting = true,
         }
     }
--- a/crates/siskinyoke-measure/src/documents.rs
+++ b/crates/siskinyoke-measure/src/documents.rs
@@ -36,6 +36,7 @@
         queue: 2_000,
     };
     ConfigurationDoc {
+        pools: BTreeMap::new(),
         preset: "ordinary".to_owned(),
         tiers: tiers
             .iter()
--- a/crates/siskinyoke-standin/src/engine/mod.rs
+++ b/crates/siskinyoke-standin/src/engine/mod.rs
@@ -132,10 +132,7 @@
             fenced: config.fenced,
             lag: config.lag,
         };
-        let orders = OrderState {
-            models: config.models.iter().cloned().collect(),
-            ..OrderState::default()
-        };
+        let orders = OrderState::new(&config.models);
         Self {
             batch: Batch::new(config.slots),
             state: Mutex::new(State {
@@ -153,7 +150,7 @@
     }
 
     fn models(&self, exchange: Exchange) {
-        let models = self.lock().orders.models.clone();
+        let models: Vec<_> = self.lock().orders.state.models.keys().cloned().collect();
         let data = models
             .iter()
             .map(|name| json!({ "id": name, "object": "model" }));
--- a/crates/siskinyoke-standin/src/engine/run.rs
+++ b/crates/siskinyoke-standin/src/engine/run.rs
@@ -36,7 +36,13 @@
             Ok(request) => request,
             Err(detail) => return exchange.reply_error(400, &detail),
         };
-        if !self.lock().orders.models.contains(&request.model) {
+        if !self
+            .lock()
+            .orders
+            .state
+            .models
+            .contains_key(&request.model.as_str().into())
+        {
             return exchange.reply_error(404, "the model is not loaded here");
         }
         let Some(slot) = self.batch.enter(&|| exchange.alive()) else {
--- a/crates/siskinyoke-standin/src/fleet.rs
+++ b/crates/siskinyoke-standin/src/fleet.rs
@@ -104,14 +104,23 @@
         self.daemons.iter().map(Daemon::address).collect()
     }
 
-    /// Puts a whole configuration in force through the first daemon.
+    /// Puts the first configuration in force through the first daemon.
     ///
     /// # Errors
     ///
     /// [`StandinError::Fleet`] if it is not accepted in time.
     pub fn apply(&self, configuration: &Value) -> Result<(), StandinError> {
+        self.apply_after(0, configuration)
+    }
+
+    /// Puts a whole configuration in force after a revision, through the first daemon.
+    ///
+    /// # Errors
+    ///
+    /// [`StandinError::Fleet`] if it is not accepted in time.
+    pub fn apply_after(&self, revision: u64, configuration: &Value) -> Result<(), StandinError> {
         let address = self.daemons[0].address();
-        let url = format!("http://{address}/admin/v1/apply?revision=0");
+        let url = format!("http://{address}/admin/v1/apply?revision={revision}");
         let body = configuration.to_string();
         let begun = Instant::now();
         let mut last = String::new();
@@ -121,7 +130,7 @@
                 .http_status_as_error(false)
                 .build()
                 .header("Authorization", format!("Bearer {OPERATOR_KEY}"))
-                .header("Idempotency-Key", "first-configuration")
+                .header("Idempotency-Key", format!("configuration-after-{revision}"))
                 .send(&body);
             match sent {
                 Ok(answer) if answer.status().is_success() => return Ok(()),
--- a/tests/tests/standin_engine.rs
+++ b/tests/tests/standin_engine.rs
@@ -297,7 +297,7 @@
     assert_eq!(order(&engine, "late", 7), 409);
     let state = engine.orders();
     assert_eq!(state.fence, 8);
-    assert!(!state.models.contains("late"));
+    assert!(!state.state.models.contains_key(&"late".into()));
     assert_eq!(state.history.len(), 2);
 }
 
@@ -313,7 +313,7 @@
     assert_eq!(order(&engine, "late", 7), 200);
     let state = engine.orders();
     assert_eq!(state.fence, 8);
-    assert!(state.models.contains("late"));
+    assert!(state.state.models.contains_key(&"late".into()));
 }
 
 #[test]
@@ -343,7 +343,9 @@
 }
 
 fn order(engine: &Engine, model: &str, fence: u64) -> u16 {
-    let order = json!({ "order": "load_model", "name": model, "fence": fence, "id": model });
+    let order = json!({
+        "order": { "load": { "model": model, "version": "v1" } }, "fence": fence, "id": model,
+    });
     let url = format!("http://{}/orders", engine.address());
     let response = agent().post(url).send_json(&order).expect("an answer");
     response.status().as_u16()
