Take out the endpoints left to short work

The slots kept free by `forecast` carry the load pattern of short work beside long alone; their test stays and fails without them.

--- a/crates/siskinyoke-policy/src/intake.rs
+++ b/crates/siskinyoke-policy/src/intake.rs
@@ -123,7 +123,6 @@
 fn check_need(now: Millis, work: &Work, state: &mut State) -> Result<(), Refusal> {
     let key = LaneKey::of(work);
     let service = state.pool.service(now, work);
-    state.pool.learn_size(now, &work.target, service);
     state.forecast.offer(now, &key, service);
     let outlook = state.outlook(now, work);
     let excess = outlook.excess();
--- a/crates/siskinyoke-policy/src/lib.rs
+++ b/crates/siskinyoke-policy/src/lib.rs
@@ -24,7 +24,6 @@
 mod retry;
 mod share;
 mod shedding;
-mod short_lane;
 mod silence;
 mod speed;
 mod state;
--- a/crates/siskinyoke-policy/src/placement.rs
+++ b/crates/siskinyoke-policy/src/placement.rs
@@ -31,13 +31,11 @@
     pub(crate) fits: bool,
     /// Whether the work has failed there.
     pub(crate) avoided: bool,
-    /// Extra seconds for what this placement does to other work.
-    pub(crate) penalty: f64,
 }
 
 impl Candidate {
     fn cost(&self) -> f64 {
-        self.expected.whole * (1.0 + CROWD * self.usage) + self.penalty
+        self.expected.whole * (1.0 + CROWD * self.usage)
     }
 }
 
--- a/crates/siskinyoke-policy/src/pool.rs
+++ b/crates/siskinyoke-policy/src/pool.rs
@@ -14,15 +14,12 @@
 use crate::flight::Flight;
 use crate::flight::Flights;
 use crate::length::Lengths;
-use crate::load::Load;
 use crate::placement;
 use crate::placement::Candidate;
 use crate::prefix::Prefixes;
-use crate::short_lane;
 use crate::silence;
 use crate::units;
 use siskinyoke_base::EndpointId;
-use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 use siskinyoke_base::ModelId;
 
@@ -31,9 +28,6 @@
 /// one endpoint.
 const AFFINITY_BOUND: f64 = 1.25;
 
-/// Work over this many times the average time on an endpoint counts as long.
-const LONG: f64 = 2.0;
-
 /// The least seconds that work is taken to be on an endpoint, against dividing by nothing.
 const LEAST_TIME: f64 = 0.01;
 
@@ -43,7 +37,6 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     flights: Flights,
     prefixes: Prefixes,
-    sizes: Map<ModelId, Load>,
     lengths: Lengths,
     instances: u32,
 }
@@ -170,12 +163,6 @@
         if slots > 0.0 { sum / slots } else { 0.0 }
     }
 
-    /// Learns the size of work that arrives, so that long work can be told from short.
-    pub(crate) fn learn_size(&mut self, now: Millis, target: &ModelId, service: f64) {
-        let sizes = self.sizes.entry(target.clone()).or_default();
-        sizes.add(now, service);
-    }
-
     /// Chooses an endpoint with room for the work.
     pub(crate) fn place(&self, now: Millis, rng: &mut impl Rng, work: &Work) -> Option<Candidate> {
         if work.apart && self.flights.iter().any(|flight| flight.work.apart) {
@@ -186,11 +173,10 @@
             .filter(|endpoint| endpoint.offers(&work.target))
             .collect();
         let average = self.average_use(now, &offering);
-        let lane = self.short_lane(now, work, &offering);
         let candidates = offering
             .iter()
             .filter(|endpoint| self.free(now, endpoint) > 0 && self.may_join(work, endpoint))
-            .map(|endpoint| self.candidate(now, work, endpoint, average, &lane))
+            .map(|endpoint| self.candidate(now, work, endpoint, average))
             .collect();
         placement::choose(rng, candidates)
     }
@@ -362,14 +348,7 @@
         endpoint.expect(now, &work.target, prompt, self.lengths.guess(work))
     }
 
-    fn candidate(
-        &self,
-        now: Millis,
-        work: &Work,
-        endpoint: &Endpoint,
-        average: f64,
-        lane: &BTreeSet<EndpointId>,
-    ) -> Candidate {
+    fn candidate(&self, now: Millis, work: &Work, endpoint: &Endpoint, average: f64) -> Candidate {
         let id = &endpoint.spec.id;
         let usage = self.usage(now, endpoint);
         let fresh = self.fresh(work, endpoint);
@@ -385,11 +364,6 @@
         let crowded = work.apart && self.flights.count(id) > 0;
         // Probation is proven with work that can run again if the endpoint fails once more.
         let doubtful = endpoint.health.doubtful(now) && !work.repeatable();
-        let kept = if lane.contains(id) {
-            expected.whole
-        } else {
-            0.0
-        };
         Candidate {
             endpoint: id.clone(),
             expected,
@@ -397,7 +371,6 @@
             usage,
             fits: expected.useful(work) <= left,
             avoided: crowded || doubtful || work.avoid.contains(id),
-            penalty: kept,
         }
     }
 
@@ -413,14 +386,4 @@
             .sum();
         sum / f64::from(units::count(offering.len()).max(1))
     }
-
-    /// Returns the endpoints that long work leaves to short work.
-    fn short_lane(&self, now: Millis, work: &Work, offering: &[&Endpoint]) -> BTreeSet<EndpointId> {
-        let usual = self.sizes.get(&work.target);
-        let usual = usual.map_or(f64::INFINITY, |sizes| sizes.service(now));
-        if self.service(now, work) < usual * LONG {
-            return BTreeSet::new();
-        }
-        short_lane::endpoints(offering.iter().map(|endpoint| &endpoint.spec))
-    }
 }
