--- a/crates/siskinyoke-policy/tests/random.rs
+++ b/crates/siskinyoke-policy/tests/random.rs
@@ -4,11 +4,13 @@
 
 use arbtest::arbitrary::Result;
 use arbtest::arbitrary::Unstructured;
-use arbtest::arbtest;
 use bench::Bench;
 use bench::preset;
 use bench::secs;
 use bench::work;
+use rand::RngCore;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use siskinyoke_base::CallClass;
 use siskinyoke_base::Code;
@@ -20,6 +22,9 @@
 /// The bound of the queue, apart from protected work beyond it.
 const QUEUE: u32 = 6;
 
+/// Histories tried; each of the guards below is found missing within the first fifty.
+const HISTORIES: u64 = 60;
+
 /// Codes by which work is shed for load; others tell of a failure after a dispatch.
 const SHED: [Code; 5] = [
     Code::Overloaded,
@@ -108,24 +113,29 @@
     // Arrivals, failures, thresholds and allowances to shed come in any order. Whatever the order,
     // at-most-once work is dispatched once and never cancelled, protected work is not shed while
     // lower work runs here, the queue is bounded, and all that was let in ends in the end.
-    arbtest(|u| {
-        let mut bench = Bench::new(&[("a", 2), ("b", 3)]);
-        bench.policy.set_preset(Millis::ZERO, &preset(QUEUE, 0.5));
-        for id in 0..40 {
-            let seen = bench.refusals.len();
-            step(u, &mut bench, id)?;
-            check(&bench, seen);
-        }
-        bench.policy.set_threshold(bench.now, None);
-        let end = bench.now + secs(120.0);
-        bench.run_until(end);
-        let waiting: u32 = bench.policy.waiting().iter().sum();
-        assert_eq!(waiting, 0, "work waits for ever");
-        for id in bench.works.keys() {
-            let ended = bench.done.contains_key(id) || bench.refusals.contains_key(id);
-            assert!(ended, "{id:?} has no end");
-        }
-        Ok(())
-    })
-    .budget_ms(2000);
+    for seed in 0..HISTORIES {
+        let mut bytes = [0; 4096];
+        ChaCha8Rng::seed_from_u64(seed).fill_bytes(&mut bytes);
+        history(&mut Unstructured::new(&bytes)).expect("4096 bytes are enough");
+    }
+}
+
+fn history(u: &mut Unstructured<'_>) -> Result<()> {
+    let mut bench = Bench::new(&[("a", 2), ("b", 3)]);
+    bench.policy.set_preset(Millis::ZERO, &preset(QUEUE, 0.5));
+    for id in 0..40 {
+        let seen = bench.refusals.len();
+        step(u, &mut bench, id)?;
+        check(&bench, seen);
+    }
+    bench.policy.set_threshold(bench.now, None);
+    let end = bench.now + secs(120.0);
+    bench.run_until(end);
+    let waiting: u32 = bench.policy.waiting().iter().sum();
+    assert_eq!(waiting, 0, "work waits for ever");
+    for id in bench.works.keys() {
+        let ended = bench.done.contains_key(id) || bench.refusals.contains_key(id);
+        assert!(ended, "{id:?} has no end");
+    }
+    Ok(())
 }
