--- a/crates/siskinyoke-measure/src/fleet.rs
+++ b/crates/siskinyoke-measure/src/fleet.rs
@@ -91,3 +91,63 @@
     println!("| members | bytes | bytes each |\n|---|---|---|");
     println!("| {size} | {bytes} | {} |", bytes / size as u64);
 }
+
+/// Prints how long a fleet takes over the death of an eighth of it at once, and over half of it
+/// being cut off for an hour.
+pub fn failures(sizes: &[usize]) {
+    println!(
+        "| members | die at once | s until all are gone for all others | wrongly gone | s until halves are whole again |"
+    );
+    println!("|---|---|---|---|---|");
+    for size in sizes {
+        let (dead, span, wrong) = deaths(*size);
+        let healed = cut(*size);
+        println!("| {size} | {dead} | {span:.1} | {wrong} | {healed:.1} |");
+    }
+}
+
+fn deaths(size: usize) -> (usize, f64, usize) {
+    let mut network = settled(size);
+    let dead: Vec<InstanceId> = (0..size / 8).map(|n| Network::name(n * 8)).collect();
+    let start = network.now;
+    for name in &dead {
+        network.kill(name);
+    }
+    let others = size - dead.len();
+    let known = |network: &Network| {
+        let seen = |name: &InstanceId| network.seen_as(name, MemberState::Gone) == others;
+        dead.iter().all(seen)
+    };
+    while !known(&network) && network.now.since(start) < SETTLE {
+        network.run(Millis(500));
+    }
+    let span = network.now.since(start).as_secs();
+    let changes = network.nodes().flat_map(|node| &node.changes);
+    let gone = changes.filter(|(_, after)| after.state == MemberState::Gone);
+    let wrong = gone.filter(|(_, after)| !dead.contains(&after.instance));
+    (dead.len(), span, wrong.count())
+}
+
+fn cut(size: usize) -> f64 {
+    let mut network = settled(size);
+    let half: Vec<InstanceId> = (0..size / 2).map(Network::name).collect();
+    for name in &half {
+        network.cut(name, 1);
+    }
+    network.run(Millis::from_secs(3_600));
+    for name in &half {
+        network.cut(name, 0);
+    }
+    let start = network.now;
+    let whole = |network: &Network| network.nodes().all(|n| n.members.live().count() == size);
+    while !whole(&network) && network.now.since(start) < SETTLE {
+        network.run(Millis(500));
+    }
+    network.now.since(start).as_secs()
+}
+
+fn settled(size: usize) -> Network {
+    let mut network = Network::fleet(size, 1);
+    network.run(SETTLE);
+    network
+}
--- a/crates/siskinyoke-measure/src/main.rs
+++ b/crates/siskinyoke-measure/src/main.rs
@@ -27,6 +27,12 @@
         #[arg(default_values_t = [8, 32, 128, 370])]
         sizes: Vec<usize>,
     },
+    /// Members when many fail at once, in virtual time.
+    Failures {
+        /// Sizes of the fleet.
+        #[arg(default_values_t = [16, 32, 128])]
+        sizes: Vec<usize>,
+    },
     /// The transport between daemons, over the loopback interface.
     Wire,
     /// Capacity leases, by resources and by holders.
@@ -72,6 +78,7 @@
 fn main() -> Result<(), PeersError> {
     match Arguments::parse().slope {
         Slope::Members { sizes } => fleet::run(&sizes),
+        Slope::Failures { sizes } => fleet::failures(&sizes),
         Slope::Wire => wire::run(&[4, 8, 16, 32], &[1, 100, 1_000])?,
         Slope::Leases => limits::run(&[5, 20, 100, 600], &[8, 32, 128, 370]),
         Slope::Requests => {
