--- a/crates/siskinyoke-control/src/configuration/changes.rs
+++ b/crates/siskinyoke-control/src/configuration/changes.rs
@@ -11,13 +11,14 @@
 use super::PageDigest;
 use super::effect::Effect;
 use super::effect::Known;
-use super::lookup::Lookup;
+use super::lookup::Lookups;
 use super::manifest::MANIFEST_KEY;
 use super::manifest::page_key;
 use super::pending::Attempt;
 use super::pending::Pending;
 use super::pending::Step;
 use super::pending::Verdict;
+use super::sweep::Sweep;
 use crate::CallId;
 use crate::Context;
 use crate::OpId;
@@ -48,9 +49,10 @@
 #[derive(Debug, Default)]
 pub struct Changes {
     queue: VecDeque<Pending>,
-    lookups: BTreeMap<OpId, Lookup>,
+    lookups: Lookups,
     ops: BTreeMap<OpId, (u64, Task)>,
     round: u64,
+    sweep: Sweep,
     effects: Vec<Effect>,
 }
 
@@ -60,7 +62,6 @@
     Manifest { floor: u64 },
     Page(PageDigest),
     Swap,
-    Retire(PageDigest),
 }
 
 impl Changes {
@@ -105,20 +106,8 @@
         after: Option<u64>,
         known: Known<'_>,
     ) {
-        let held = known.held.and_then(|held| held.manifest.change(id));
-        if let Some(made) = held {
-            let revision = made.revision;
-            return self.done(call, Outcome::Accepted { revision });
-        }
-        let key = MANIFEST_KEY.to_owned();
-        let op = cx.out.platform(PlatformRequest::Get { key });
-        let lookup = Lookup {
-            call,
-            id: id.to_owned(),
-            after,
-            floor: known.highest,
-        };
-        self.lookups.insert(op, lookup);
+        let effects = &mut self.effects;
+        self.lookups.begin(cx, call, id, after, known, effects);
     }
 
     /// Returns when [`Changes::advance`] is to be called next.
@@ -142,17 +131,12 @@
         reply: &Reply,
         known: Known<'_>,
     ) -> bool {
-        if let Some(lookup) = self.lookups.remove(&op) {
-            self.answer_lookup(&lookup, reply);
+        if self.sweep.reply(cx, op, reply) || self.lookups.reply(op, reply, &mut self.effects) {
             return true;
         }
         let Some((round, task)) = self.ops.remove(&op) else {
             return false;
         };
-        if let Task::Retire(page) = task {
-            self.take_retired(cx, page, reply);
-            return true;
-        }
         // A slow answer to an earlier step, or to a change given up, says nothing of this step:
         // an old read taken for the check of a swap would call an accepted change lost.
         let front = self.queue.pop_front_if(|pending| pending.round == round);
@@ -171,6 +155,9 @@
             return;
         };
         if let Some(outcome) = pending.seen_elsewhere(known) {
+            if let (Outcome::Conflict { .. }, Some(attempt)) = (&outcome, pending.attempt()) {
+                self.sweep.discard(cx, attempt);
+            }
             self.done(pending.call, outcome);
             return self.advance(cx, known);
         }
@@ -196,6 +183,14 @@
         self.queue.push_front(pending);
     }
 
+    /// Puts the step just entered off, so that a service that loses every answer is not asked
+    /// hundreds of times a second.
+    fn delay(&mut self, span: Millis) {
+        if let Some(pending) = self.queue.front_mut() {
+            pending.due += span;
+        }
+    }
+
     /// Tells the outcome of every change whose time is up.
     fn give_up(&mut self, cx: &Context<'_>) {
         let queue = mem::take(&mut self.queue);
@@ -261,12 +256,14 @@
             (Task::Manifest { floor }, Ok(PlatformReply::Value(found))) => {
                 self.show(floor, found.as_ref());
                 match mem::replace(&mut pending.step, Step::Read) {
-                    Step::Verify(attempt) => self.judge(cx, pending, attempt, found.as_ref()),
+                    Step::Verify(attempt) => {
+                        self.judge(cx, pending, attempt, found.as_ref(), known);
+                    }
                     _ => self.take_base(cx, pending, found.as_ref(), floor, known),
                 }
             }
             (Task::Page(page), Ok(_)) => self.take_page(cx, pending, page),
-            (Task::Swap, reply) => self.take_swap(cx, pending, reply),
+            (Task::Swap, reply) => self.take_swap(cx, pending, reply, known),
             _ => self.queue.push_front(pending),
         }
     }
@@ -297,17 +294,16 @@
         let base = known.held.filter(|_| found.is_some());
         let same = base.map(|base| &base.bytes) == found.map(|found| &found.value);
         let current = shown >= floor;
-        let built = if current && same {
-            pending.build(base, version)
-        } else if current && shown != known.revision() {
+        let built = if current && shown != known.revision() {
             return self.enter(cx, pending, Step::Load(shown));
-        } else if let (true, Some(held)) = (pending.restores() && !current, known.held) {
-            pending.restore(held, shown, version)
+        } else if pending.restores() {
+            pending.restore(known, shown, same, version)
+        } else if current && same {
+            pending.build(base, version)
         } else {
             // The service shows less than was already accepted, or another history. A change
             // built on it would revert what is in force, so none is made here.
-            let highest = known.highest;
-            Err(Outcome::ServiceOlder { shown, highest })
+            Err(known.older(shown))
         };
         match built {
             Ok(attempt) => self.start_writing(cx, pending, attempt),
@@ -316,7 +312,7 @@
     }
 
     fn start_writing(&mut self, cx: &mut Context<'_>, pending: Pending, attempt: Attempt) {
-        self.retire(cx, &attempt);
+        self.sweep.retire(cx, &attempt);
         let left: BTreeSet<_> = attempt.fresh.iter().map(|(page, _)| *page).collect();
         let step = if left.is_empty() {
             Step::Swap(Box::new(attempt))
@@ -326,32 +322,6 @@
         self.enter(cx, pending, step);
     }
 
-    /// Removes pages that left the manifest many revisions ago.
-    ///
-    /// They are removed before the swap: if this daemon dies in between, the manifest still
-    /// lists them, and the next change removes them again.
-    fn retire(&mut self, cx: &mut Context<'_>, attempt: &Attempt) {
-        for page in &attempt.old {
-            self.remove(cx, *page, 1);
-        }
-    }
-
-    fn remove(&mut self, cx: &mut Context<'_>, page: PageDigest, expected: u64) {
-        let key = page_key(page);
-        let request = PlatformRequest::Remove { key, expected };
-        self.send(cx, 0, request, Task::Retire(page));
-    }
-
-    fn take_retired(&mut self, cx: &mut Context<'_>, page: PageDigest, reply: &Reply) {
-        if let Ok(PlatformReply::Swapped {
-            done: false,
-            current: Some(current),
-        }) = reply
-        {
-            self.remove(cx, page, current.version);
-        }
-    }
-
     fn take_page(&mut self, cx: &mut Context<'_>, mut pending: Pending, page: PageDigest) {
         let Step::Write(attempt, mut left) = mem::replace(&mut pending.step, Step::Read) else {
             return;
@@ -364,15 +334,22 @@
         self.queue.push_front(pending);
     }
 
-    fn take_swap(&mut self, cx: &mut Context<'_>, mut pending: Pending, reply: &Reply) {
+    fn take_swap(
+        &mut self,
+        cx: &mut Context<'_>,
+        mut pending: Pending,
+        reply: &Reply,
+        known: Known<'_>,
+    ) {
         let Step::Swap(attempt) = mem::replace(&mut pending.step, Step::Read) else {
             return;
         };
         match reply {
             Ok(PlatformReply::Swapped { done: true, .. }) => self.accept(pending.call, *attempt),
             Ok(PlatformReply::Swapped { current, .. }) => {
+                pending.unsure -= 1;
                 self.show(0, current.as_ref());
-                self.judge(cx, pending, attempt, current.as_ref());
+                self.judge(cx, pending, attempt, current.as_ref(), known);
             }
             // It certainly did not take; the same swap is sent again when the step is due.
             Err(PlatformError::Down(_)) => {
@@ -393,17 +370,26 @@
         pending: Pending,
         attempt: Box<Attempt>,
         found: Option<&Versioned>,
+        known: Known<'_>,
     ) {
         let version = found.map_or(0, |found| found.version);
         let manifest = found.and_then(|found| Manifest::decode(&found.value));
         match attempt.verdict(manifest.as_ref(), version) {
             Verdict::Landed => self.accept(pending.call, *attempt),
             Verdict::Lost => {
-                self.discard(cx, &attempt);
+                self.sweep.discard(cx, &attempt);
                 let revision = manifest.map_or(0, |manifest| manifest.revision);
                 self.done(pending.call, Outcome::Conflict { revision });
             }
-            Verdict::Open => self.enter(cx, pending, Step::Swap(attempt)),
+            Verdict::Open => {
+                let again = u64::from(pending.unsure.saturating_sub(1));
+                self.enter(cx, pending, Step::Swap(attempt));
+                self.delay(Millis(STEP_RETRY.0 * again));
+            }
+            Verdict::Forgotten if pending.unsure == 0 => {
+                let shown = manifest.map_or(0, |manifest| manifest.revision);
+                self.done(pending.call, known.older(shown));
+            }
             Verdict::Forgotten => {
                 let base = attempt.base;
                 self.done(pending.call, Outcome::Unknown { base });
@@ -411,33 +397,12 @@
         }
     }
 
-    /// Removes the pages of an attempt that can never take.
-    fn discard(&mut self, cx: &mut Context<'_>, attempt: &Attempt) {
-        if attempt.restored {
-            return;
-        }
-        for (page, _) in &attempt.fresh {
-            self.remove(cx, *page, 1);
-        }
-    }
-
     fn accept(&mut self, call: CallId, attempt: Attempt) {
         let revision = attempt.next.manifest.revision;
         self.effects.push(Effect::Accept(Box::new(attempt.next)));
         self.done(call, Outcome::Accepted { revision });
     }
 
-    fn answer_lookup(&mut self, lookup: &Lookup, reply: &Reply) {
-        let outcome = match reply {
-            Ok(PlatformReply::Value(found)) => {
-                self.show(lookup.floor, found.as_ref());
-                lookup.judge(found.as_ref())
-            }
-            _ => lookup.unknown(),
-        };
-        self.done(lookup.call, outcome);
-    }
-
     fn done(&mut self, call: CallId, outcome: Outcome) {
         self.effects.push(Effect::Done(call, outcome));
     }
--- a/crates/siskinyoke-control/src/configuration/manifest.rs
+++ b/crates/siskinyoke-control/src/configuration/manifest.rs
@@ -18,7 +18,7 @@
 /// How many changes the manifest remembers.
 ///
 /// At the 2,000 changes a day of the size to come this is three hours, far longer than an
-/// operator waits for an unknown outcome, and under 40 KB of the manifest.
+/// operator waits for an unknown outcome, and about 30 KB of the manifest.
 pub const RECENT_CHANGES: usize = 256;
 
 /// How many revisions a page outlives its last use by.
@@ -64,8 +64,8 @@
     pub id: String,
     /// The revision that it made.
     pub revision: u64,
-    /// Digest of what was asked, so that one identity never stands for two changes.
-    pub content: PageDigest,
+    /// Short digest of what was asked, so that one identity never stands for two changes.
+    pub content: String,
     /// The operator who made it.
     pub operator: String,
 }
@@ -108,6 +108,13 @@
     }
 }
 
+impl RecentChange {
+    /// Tells whether both are one change, whichever daemon and operator sent it.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.id == other.id && self.revision == other.revision && self.content == other.content
+    }
+}
+
 impl PageList {
     /// Returns every page once.
     pub fn all(&self) -> BTreeSet<PageDigest> {
--- a/crates/siskinyoke-control/src/configuration/pending.rs
+++ b/crates/siskinyoke-control/src/configuration/pending.rs
@@ -91,6 +91,12 @@
 }
 
 impl Attempt {
+    /// Tells whether this attempt makes a change.
+    pub fn makes(&self, made: &RecentChange) -> bool {
+        let ours = self.next.manifest.recent.back();
+        ours.is_some_and(|ours| ours.is_same(made))
+    }
+
     /// Judges by the manifest that the service holds, under its key's version.
     ///
     /// A swap compares the key's version. So once the version has moved without this change's
@@ -108,7 +114,7 @@
         let revision = self.next.manifest.revision;
         if manifest.revision >= revision {
             return match manifest.made(revision) {
-                Some(made) if self.next.manifest.recent.back() == Some(made) => Verdict::Landed,
+                Some(made) if self.makes(made) => Verdict::Landed,
                 Some(_) => Verdict::Lost,
                 None => Verdict::Forgotten,
             };
@@ -174,12 +180,25 @@
         })
     }
 
-    /// Builds the writing back of what is held into a service that shows `shown`.
+    /// Builds the writing back of what is held, with all its pages, into a service that shows
+    /// revision `shown`, or the very same manifest.
     ///
     /// # Errors
     ///
-    /// The outcome if there is nothing to write back or the operator may not.
-    pub fn restore(&self, held: &Stored, shown: u64, version: u64) -> Result<Attempt, Outcome> {
+    /// The outcome if this daemon does not hold the highest revision, if the service shows
+    /// another content of it, or if the operator may not.
+    pub fn restore(
+        &self,
+        known: Known<'_>,
+        shown: u64,
+        same: bool,
+        version: u64,
+    ) -> Result<Attempt, Outcome> {
+        let held = known.held.filter(|held| {
+            let revision = held.manifest.revision;
+            revision >= known.highest && (same || shown < revision)
+        });
+        let held = held.ok_or_else(|| known.older(shown))?;
         let doc = held.document().unwrap_or_default();
         self.allowed(&doc)?;
         let pages = held.pages.iter();
@@ -212,26 +231,30 @@
 
     /// Returns the outcome when the time is up.
     pub fn given_up(&self) -> Outcome {
-        match &self.step {
-            Step::Swap(attempt) | Step::Verify(attempt) if self.unsure > 0 => {
-                Outcome::Unknown { base: attempt.base }
-            }
+        match self.attempt() {
+            Some(attempt) if self.unsure > 0 => Outcome::Unknown { base: attempt.base },
             _ => Outcome::ServiceDown,
         }
     }
 
+    /// Returns the attempt whose swap may have been sent.
+    pub fn attempt(&self) -> Option<&Attempt> {
+        match &self.step {
+            Step::Swap(attempt) | Step::Verify(attempt) => Some(attempt),
+            _ => None,
+        }
+    }
+
     /// Judges a swap of unknown effect by what came from peers, while the service stays away.
     pub fn seen_elsewhere(&self, known: Known<'_>) -> Option<Outcome> {
         let held = known.held?;
-        let (Step::Swap(attempt) | Step::Verify(attempt)) = &self.step else {
-            return None;
-        };
+        let attempt = self.attempt()?;
         let revision = attempt.next.manifest.revision;
         if attempt.restored || held.manifest.revision < revision {
             return None;
         }
         let made = held.manifest.made(revision)?;
-        if attempt.next.manifest.recent.back() == Some(made) {
+        if attempt.makes(made) {
             return Some(Outcome::Accepted { revision });
         }
         Some(Outcome::Conflict {
--- a/crates/siskinyoke-control/src/configuration/watch.rs
+++ b/crates/siskinyoke-control/src/configuration/watch.rs
@@ -4,6 +4,8 @@
 
 use crate::Context;
 use crate::OpId;
+use crate::PlatformReply;
+use crate::Reply;
 use siskinyoke_base::InstanceId;
 use siskinyoke_base::Millis;
 
@@ -89,11 +91,19 @@
         if cx.now < self.due {
             return None;
         }
-        self.due = cx.now + SILENCE;
+        // A watch that waits says nothing for half a minute. The last daemon that is left would
+        // take that for being cut off, and refuse work although the service is well.
+        let silent = cx.now.since(heard) >= SILENCE;
         if self.watching {
-            return self.waiting.is_none().then_some(Ask::Watch);
+            let idle = self.waiting.is_none();
+            self.due = cx.now + if silent && idle { WATCH_RETRY } else { SILENCE };
+            return match (silent, idle) {
+                (true, _) => Some(Ask::Read),
+                (false, true) => Some(Ask::Watch),
+                (false, false) => None,
+            };
         }
-        let silent = cx.now.since(heard) >= SILENCE;
+        self.due = cx.now + SILENCE;
         if cx.now >= self.poll {
             self.draw_poll(cx);
             return Some(Ask::Read);
@@ -107,12 +117,17 @@
     }
 
     /// Notes the answer to a request, which may have been the watch.
-    pub fn answered(&mut self, now: Millis, op: OpId, well: bool) {
+    pub fn answered(&mut self, now: Millis, op: OpId, reply: &Reply) {
         if self.waiting != Some(op) {
             return;
         }
         self.waiting = None;
-        self.due = if well { now } else { now + WATCH_RETRY };
+        self.due = now;
+        match reply {
+            Ok(PlatformReply::Value(Some(found))) => self.known = found.version,
+            Ok(_) => {}
+            Err(_) => self.due = now + WATCH_RETRY,
+        }
     }
 
     fn draw_poll(&mut self, cx: &mut Context<'_>) {
--- a/crates/siskinyoke-control/src/lib.rs
+++ b/crates/siskinyoke-control/src/lib.rs
@@ -1,5 +1,6 @@
 //! Controllers of state and the core that joins them, as machines that do no I/O.
 
+pub mod burn;
 pub mod claims;
 pub mod configuration;
 pub mod controller;
@@ -7,6 +8,7 @@
 pub mod leases;
 pub mod ledger;
 pub mod members;
+pub mod orders;
 pub mod outbox;
 pub mod platform;
 pub mod threshold;
--- a/crates/siskinyoke-daemon/src/daemon.rs
+++ b/crates/siskinyoke-daemon/src/daemon.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::mpsc;
 use std::thread;
 use std::thread::JoinHandle;
@@ -19,6 +21,7 @@
 use crate::dispatch::Dispatcher;
 use crate::http::Listener;
 use crate::http::ListenerParts;
+use crate::loads;
 use crate::metrics::Metrics;
 use crate::peers::Certificate;
 use crate::peers::PeerEvent;
@@ -33,10 +36,12 @@
 use crate::runtime::Runtime;
 use crate::settings::SeedSettings;
 use siskinyoke_base::Clock;
+use siskinyoke_base::EndpointId;
 use siskinyoke_base::Incarnation;
 use siskinyoke_base::clock::SystemClock;
 use siskinyoke_base::message::MemberRecord;
 use siskinyoke_base::message::MemberState;
+use siskinyoke_control::configuration::EndpointKind;
 use siskinyoke_control::core::Core;
 use siskinyoke_control::core::CoreParts;
 use siskinyoke_control::core::CoreSettings;
@@ -73,6 +78,7 @@
 /// A running daemon.
 pub struct Daemon {
     address: SocketAddr,
+    peer_address: SocketAddr,
     inputs: mpsc::Sender<Input>,
     core: JoinHandle<()>,
     // Keeps the sockets served until the daemon is joined.
@@ -102,8 +108,11 @@
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
         let (inputs, receiver) = mpsc::channel();
         let certificate = Certificate::generate().map_err(StartError::Peers)?;
-        let core = make_core(&settings, address, certificate.fingerprint());
         let peers = start_peers(&settings, certificate, &inputs)?;
+        let peer_address = peers
+            .local_address()
+            .map_err(|err| StartError::Listen(settings.peers.listen.to_string(), err))?;
+        let core = make_core(&settings, address, peer_address, peers.local_fingerprint());
         let platform = start_platform(settings.platform.clone(), &inputs);
         let limits = DispatchLimits {
             connect: settings.work.connect.into(),
@@ -122,6 +131,7 @@
             .name("core".into())
             .spawn(move || runtime.run(&receiver))
             .map_err(StartError::Thread)?;
+        tokio.spawn(poll_loads(inputs.clone()));
         let parts = ListenerParts {
             inputs: inputs.clone(),
             metrics,
@@ -134,6 +144,7 @@
         );
         Ok(Self {
             address,
+            peer_address,
             inputs,
             core,
             tokio,
@@ -145,6 +156,11 @@
         self.address
     }
 
+    /// Returns the address that peers connect to.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Asks the daemon to finish what it accepted and stop.
     pub fn leave(&self) {
         // A closed channel means that the daemon has stopped already.
@@ -184,7 +200,12 @@
 /// How long sockets may take to send what was given to them.
 const FLUSH: std::time::Duration = std::time::Duration::from_secs(1);
 
-fn make_core(settings: &Settings, address: SocketAddr, fingerprint: [u8; 32]) -> Core {
+fn make_core(
+    settings: &Settings,
+    address: SocketAddr,
+    peer_address: SocketAddr,
+    fingerprint: [u8; 32],
+) -> Core {
     let mut rng = rand::rng();
     let peer = settings.peers.address.clone();
     let caller = settings.callers.address.clone();
@@ -193,7 +214,7 @@
         incarnation: Incarnation(rng.next_u64()),
         beat: 0,
         state: MemberState::Live,
-        peer: peer.unwrap_or_else(|| settings.peers.listen.to_string()),
+        peer: peer.unwrap_or_else(|| peer_address.to_string()),
         caller: caller.unwrap_or_else(|| address.to_string()),
         centre: settings.centre.clone(),
         fingerprint,
@@ -244,6 +265,32 @@
     Peers::start(&peers, certificate, Box::new(sink)).map_err(StartError::Peers)
 }
 
+/// Reads load reports of the engines in the configuration in force.
+async fn poll_loads(inputs: mpsc::Sender<Input>) {
+    let known: Arc<Mutex<Vec<(EndpointId, String)>>> = Arc::default();
+    let shown = known.clone();
+    let asking = inputs.clone();
+    let endpoints: loads::Endpoints = Arc::new(move || {
+        let known = known.clone();
+        let look = move |core: &Core| {
+            let docs = core.view().doc.endpoints.iter();
+            let engines = docs.filter(|(_, doc)| doc.kind == EndpointKind::Engine);
+            let list = engines
+                .map(|(id, doc)| (id.clone(), doc.address.clone()))
+                .collect();
+            *known.lock().unwrap_or_else(PoisonError::into_inner) = list;
+        };
+        // The answer comes a moment later, so each reading uses the list of the one before.
+        let _ = asking.send(Input::Look(Box::new(look)));
+        shown.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    });
+    loads::poll(endpoints, move |endpoint, report| {
+        // A closed channel means that the daemon has stopped.
+        let _ = inputs.send(Input::Event(Event::Load { endpoint, report }));
+    })
+    .await;
+}
+
 fn start_platform(settings: PlatformSettings, inputs: &mpsc::Sender<Input>) -> PlatformPool {
     let inputs = inputs.clone();
     let make: MakeService = Arc::new(move || Box::new(EtcdGateway::new(&settings)));
--- a/crates/siskinyoke-policy/src/flight.rs
+++ b/crates/siskinyoke-policy/src/flight.rs
@@ -4,11 +4,15 @@
 
 use crate::Work;
 use crate::WorkId;
+use crate::queue::LaneKey;
 use crate::units;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::Millis;
 use siskinyoke_base::ModelId;
 
+/// The least seconds that a first piece is taken to need, against dividing by nothing.
+const LEAST_TIME: f64 = 0.001;
+
 /// Work on an endpoint.
 #[derive(Debug)]
 pub(crate) struct Flight {
@@ -26,10 +30,23 @@
     pub(crate) plan: f64,
     /// Seconds to the first piece as expected.
     pub(crate) expected: f64,
+    /// Expected seconds to its end.
+    pub(crate) whole: f64,
     /// Whether a cancel was asked for.
     pub(crate) cancelled: bool,
 }
 
+impl Flight {
+    /// Returns the prompt tokens that a cancel would throw away.
+    pub(crate) fn lost(&self, now: Millis) -> f64 {
+        if self.first.is_some() {
+            return self.fresh;
+        }
+        let elapsed = now.since(self.started).as_secs();
+        self.fresh * (elapsed / self.expected.max(LEAST_TIME)).min(1.0)
+    }
+}
+
 /// All work on endpoints.
 #[derive(Debug, Default)]
 pub(crate) struct Flights {
@@ -90,6 +107,12 @@
         units::count(self.iter().filter(fits).count())
     }
 
+    /// Counts a lane's work.
+    pub(crate) fn count_lane(&self, key: &LaneKey) -> u32 {
+        let fits = |flight: &&Flight| LaneKey::of(&flight.work) == *key;
+        units::count(self.iter().filter(fits).count())
+    }
+
     /// Tells whether nothing is on an endpoint.
     pub(crate) fn is_empty(&self) -> bool {
         self.flights.is_empty()
--- a/crates/siskinyoke-policy/src/pool.rs
+++ b/crates/siskinyoke-policy/src/pool.rs
@@ -10,12 +10,16 @@
 use crate::Work;
 use crate::WorkId;
 use crate::endpoint::Endpoint;
+use crate::endpoint::Expected;
 use crate::flight::Flight;
 use crate::flight::Flights;
+use crate::length::Lengths;
+use crate::load::Load;
 use crate::placement;
 use crate::placement::Candidate;
 use crate::prefix::Prefixes;
-use crate::rate::Rate;
+use crate::short_lane;
+use crate::silence;
 use crate::units;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::Map;
@@ -30,13 +34,8 @@
 /// Work over this many times the average time on an endpoint counts as long.
 const LONG: f64 = 2.0;
 
-/// The share of endpoints from which long work keeps away while others have room.
-const SHORT_ROOM: f64 = 0.25;
-
-/// A silent endpoint is given this many times the expected time to the first piece, and at least
-/// a second, before it counts as frozen: batching alone stretches a first piece three times.
-const PATIENCE: f64 = 4.0;
-const LEAST_PATIENCE: f64 = 1.0;
+/// The least seconds that work is taken to be on an endpoint, against dividing by nothing.
+const LEAST_TIME: f64 = 0.01;
 
 /// Endpoints and the work on them.
 #[derive(Debug, Default)]
@@ -44,17 +43,11 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     flights: Flights,
     prefixes: Prefixes,
-    sizes: Map<ModelId, Sizes>,
+    sizes: Map<ModelId, Load>,
+    lengths: Lengths,
     instances: u32,
 }
 
-/// Sizes of a target's work of late.
-#[derive(Debug, Default)]
-struct Sizes {
-    count: Rate,
-    seconds: Rate,
-}
-
 impl Pool {
     /// Sets how many instances share the endpoints.
     pub(crate) fn set_instances(&mut self, count: u32) {
@@ -118,6 +111,31 @@
         offering.any(|endpoint| self.free(now, endpoint) > 0)
     }
 
+    /// Counts the free slots for a target.
+    pub(crate) fn free_slots(&self, now: Millis, target: &ModelId) -> u32 {
+        let offering = self.endpoints().filter(|endpoint| endpoint.offers(target));
+        offering.map(|endpoint| self.free(now, endpoint)).sum()
+    }
+
+    /// Counts the slots that have to be freed before one can be filled again, as a share shrank.
+    pub(crate) fn excess(&self, now: Millis, target: &ModelId) -> u32 {
+        let offering = self.endpoints().filter(|endpoint| endpoint.offers(target));
+        let over = offering.map(|endpoint| {
+            let count = self.flights.count(&endpoint.spec.id);
+            count.saturating_sub(endpoint.room(now, self.instances))
+        });
+        over.sum()
+    }
+
+    /// Returns how many requests a second end on a target's endpoints.
+    pub(crate) fn ends(&self, target: &ModelId) -> f64 {
+        let flights = self.flights.iter();
+        let running = flights.filter(|flight| flight.work.target == *target);
+        running
+            .map(|flight| 1.0 / flight.whole.max(LEAST_TIME))
+            .sum()
+    }
+
     /// Returns the least expected seconds to a useful answer over all endpoints in use.
     pub(crate) fn useful(&self, now: Millis, work: &Work) -> Option<f64> {
         let offering = self
@@ -126,7 +144,7 @@
         offering
             .map(|endpoint| {
                 let fresh = self.fresh(work, endpoint);
-                let expected = endpoint.expect(now, work, fresh, 0.0);
+                let expected = self.expect(now, work, endpoint, fresh);
                 let doubt = if endpoint.health.doubtful(now) {
                     10.0
                 } else {
@@ -144,7 +162,7 @@
             .filter(|endpoint| endpoint.offers(&work.target));
         let (mut sum, mut slots) = (0.0, 0.0);
         for endpoint in offering {
-            let expected = endpoint.expect(now, work, f64::from(work.prompt), 0.0);
+            let expected = self.expect(now, work, endpoint, f64::from(work.prompt));
             let weight = f64::from(endpoint.spec.slots) / expected.whole.max(0.001);
             sum += weight * expected.whole;
             slots += weight;
@@ -155,8 +173,7 @@
     /// Learns the size of work that arrives, so that long work can be told from short.
     pub(crate) fn learn_size(&mut self, now: Millis, target: &ModelId, service: f64) {
         let sizes = self.sizes.entry(target.clone()).or_default();
-        sizes.count.add(now, 1.0);
-        sizes.seconds.add(now, service);
+        sizes.add(now, service);
     }
 
     /// Chooses an endpoint with room for the work.
@@ -195,6 +212,7 @@
             fresh: chosen.fresh,
             plan: chosen.expected.plan,
             expected: chosen.expected.first,
+            whole: chosen.expected.whole,
             cancelled: false,
         });
     }
@@ -225,7 +243,8 @@
         match finish {
             Finish::Complete { output } => {
                 endpoint.health.succeed(now);
-                learn(endpoint, now, &flight, output);
+                endpoint.learn(now, &flight, output);
+                self.lengths.learn(&flight.work, output);
             }
             Finish::Unreachable | Finish::Broken => {
                 endpoint.health.fail(now);
@@ -247,25 +266,14 @@
     }
 
     /// Takes endpoints out that have gone silent, and lists their work that may be repeated.
-    ///
-    /// A frozen endpoint accepts connections and never answers: its work would wait until each
-    /// need has passed. Silence counts only from the last sign of life, so that an endpoint which
-    /// is merely slow, and answers others, is not taken out.
     pub(crate) fn stalled(&mut self, now: Millis) -> Vec<WorkId> {
         let mut silent = BTreeSet::new();
         for flight in self.flights.iter() {
             let Some(endpoint) = self.endpoints.get(&flight.endpoint) else {
                 continue;
             };
-            let sign = endpoint.health.sign().max(flight.started);
-            let usual = endpoint.expect(now, &flight.work, flight.fresh, 0.0);
-            let least = if flight.work.stream && flight.first.is_none() {
-                flight.expected
-            } else {
-                flight.expected.max(usual.whole)
-            };
-            let patience = units::millis((least * PATIENCE).max(LEAST_PATIENCE));
-            if now >= sign + patience {
+            let usual = self.expect(now, &flight.work, endpoint, flight.fresh);
+            if silence::is_overdue(now, flight, usual, endpoint.health.sign()) {
                 silent.insert(flight.endpoint.clone());
             }
         }
@@ -284,6 +292,12 @@
         stranded.map(|flight| flight.work.id).collect()
     }
 
+    /// Tells whether lower work here gives way to `work`, or soon will.
+    pub(crate) fn can_yield(&self, now: Millis, work: &Work) -> bool {
+        let giving = |flight: &Flight| flight.cancelled && flight.work.target == work.target;
+        self.flights.iter().any(giving) || self.victim(now, work).is_some()
+    }
+
     /// Returns work to cancel for more urgent `work`: the least prefill lost first.
     pub(crate) fn victim(&self, now: Millis, work: &Work) -> Option<WorkId> {
         let fits = |flight: &&Flight| {
@@ -291,24 +305,29 @@
                 && flight.work.repeatable()
                 && !flight.cancelled
                 && !work.avoid.contains(&flight.endpoint)
-                && self.usable(now, &flight.endpoint, &work.target)
+                && self.usable(now, &flight.endpoint, work)
         };
         self.flights
             .iter()
             .filter(fits)
             .min_by(|a, b| {
-                let by_loss = lost(now, a).total_cmp(&lost(now, b));
+                let by_loss = a.lost(now).total_cmp(&b.lost(now));
                 by_loss.then(b.work.rank.cmp(&a.work.rank))
             })
             .map(|flight| flight.work.id)
     }
 
-    fn usable(&self, now: Millis, id: &EndpointId, target: &ModelId) -> bool {
+    /// Tells whether work would be useful on an endpoint, if a slot were free there.
+    fn usable(&self, now: Millis, id: &EndpointId, work: &Work) -> bool {
         let Some(endpoint) = self.endpoints.get(id) else {
             return false;
         };
         let limit = endpoint.room(now, self.instances);
-        endpoint.offers(target) && limit > 0 && self.flights.count(id) <= limit
+        if !endpoint.offers(&work.target) || limit == 0 || self.flights.count(id) > limit {
+            return false;
+        }
+        let expected = self.expect(now, work, endpoint, self.fresh(work, endpoint));
+        expected.useful(work) <= work.deadline.since(now).as_secs()
     }
 
     fn free(&self, now: Millis, endpoint: &Endpoint) -> u32 {
@@ -339,6 +358,10 @@
         f64::from(work.prompt) * (1.0 - held)
     }
 
+    fn expect(&self, now: Millis, work: &Work, endpoint: &Endpoint, prompt: f64) -> Expected {
+        endpoint.expect(now, &work.target, prompt, self.lengths.guess(work))
+    }
+
     fn candidate(
         &self,
         now: Millis,
@@ -356,8 +379,8 @@
             f64::from(work.prompt)
         };
         let queued = self.flights.on(id).filter(|flight| flight.first.is_none());
-        let queued = queued.map(|flight| flight.fresh).sum();
-        let expected = endpoint.expect(now, work, bounded, queued);
+        let queued: f64 = queued.map(|flight| flight.fresh).sum();
+        let expected = self.expect(now, work, endpoint, bounded + queued);
         let left = work.deadline.since(now).as_secs();
         let crowded = work.apart && self.flights.count(id) > 0;
         // Probation is proven with work that can run again if the endpoint fails once more.
@@ -392,39 +415,12 @@
     }
 
     /// Returns the endpoints that long work leaves to short work.
-    ///
-    /// Load pattern: work a hundred times longer than the rest. Its prompt holds up an endpoint
-    /// for seconds and short work behind it misses its need. Every daemon takes the same
-    /// endpoints, the first by name, so that the room is kept without any message.
     fn short_lane(&self, now: Millis, work: &Work, offering: &[&Endpoint]) -> BTreeSet<EndpointId> {
-        let Some(sizes) = self.sizes.get(&work.target) else {
-            return BTreeSet::new();
-        };
-        let usual = sizes.seconds.value(now) / sizes.count.value(now).max(f64::MIN_POSITIVE);
+        let usual = self.sizes.get(&work.target);
+        let usual = usual.map_or(f64::INFINITY, |sizes| sizes.service(now));
         if self.service(now, work) < usual * LONG {
             return BTreeSet::new();
         }
-        let len = units::floor(f64::from(units::count(offering.len())) * SHORT_ROOM);
-        let kept = offering.iter().take(len as usize);
-        kept.map(|endpoint| endpoint.spec.id.clone()).collect()
-    }
-}
-
-fn learn(endpoint: &mut Endpoint, now: Millis, flight: &Flight, output: u32) {
-    let target = &flight.work.target;
-    let Some(first) = flight.first.filter(|_| flight.work.stream) else {
-        let took = now.since(flight.started);
-        endpoint.learn_whole(now, target, flight.plan, output, took);
-        return;
-    };
-    endpoint.learn_rest(now, target, output, now.since(first));
-}
-
-/// Returns the prompt tokens that a cancel would throw away.
-fn lost(now: Millis, flight: &Flight) -> f64 {
-    if flight.first.is_some() {
-        return flight.fresh;
+        short_lane::endpoints(offering.iter().map(|endpoint| &endpoint.spec))
     }
-    let elapsed = now.since(flight.started).as_secs();
-    flight.fresh * (elapsed / flight.expected.max(0.001)).min(1.0)
 }
--- a/crates/siskinyoke-policy/src/queue.rs
+++ b/crates/siskinyoke-policy/src/queue.rs
@@ -10,6 +10,7 @@
 use crate::WorkId;
 use crate::fair::Turns;
 use crate::units;
+use crate::weights::Weights;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 use siskinyoke_base::ModelId;
@@ -20,7 +21,7 @@
 const HEADS: usize = 3;
 
 /// A tier's work for one target.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct LaneKey {
     /// The tier's rank; the most urgent lane comes first.
     pub(crate) rank: u8,
@@ -36,6 +37,11 @@
             target: work.target.clone(),
         }
     }
+
+    /// Tells whether it holds more urgent work for the same target.
+    pub(crate) fn is_above(&self, other: &Self) -> bool {
+        self.rank < other.rank && self.target == other.target
+    }
 }
 
 /// Work that waits.
@@ -43,10 +49,10 @@
 pub(crate) struct Entry {
     /// The work.
     pub(crate) work: Work,
-    /// Expected time on an endpoint, in seconds.
-    pub(crate) service: f64,
     /// The last moment at which it can begin and still be useful.
     pub(crate) latest: Millis,
+    /// Seconds that it was expected to wait.
+    pub(crate) wait: f64,
 }
 
 /// Place in an organisation's line: late work behind all that is still useful, then by need.
@@ -61,7 +67,12 @@
 #[derive(Debug, Default)]
 struct Line {
     entries: BTreeMap<Place, Entry>,
-    service: f64,
+}
+
+impl Line {
+    fn len(&self) -> f64 {
+        f64::from(units::count(self.entries.len()))
+    }
 }
 
 /// All work that waits in one daemon.
@@ -73,14 +84,10 @@
 }
 
 impl Queue {
-    /// Adds work with its expected time on an endpoint and the last moment to begin it.
-    pub(crate) fn push(&mut self, work: Work, service: f64, latest: Millis) {
+    /// Adds work with the last moment to begin it and the seconds that it is expected to wait.
+    pub(crate) fn push(&mut self, work: Work, latest: Millis, wait: f64) {
         self.latest.insert((latest, work.id));
-        let entry = Entry {
-            work,
-            service,
-            latest,
-        };
+        let entry = Entry { work, latest, wait };
         self.insert(entry, false);
     }
 
@@ -91,7 +98,6 @@
         let lane = self.lanes.get_mut(&key)?;
         let own = lane.lines.get_mut(&organisation)?;
         let entry = own.entries.remove(&place)?;
-        own.service -= entry.service;
         if own.entries.is_empty() {
             lane.lines.remove(&organisation);
         }
@@ -156,26 +162,29 @@
         lane.turns.charge(&work.organisation, weight, tokens);
     }
 
-    /// Returns the expected seconds on endpoints of a target's work of ranks before `rank`.
-    pub(crate) fn ahead(&self, rank: u8, target: &ModelId) -> f64 {
-        self.lanes
-            .iter()
-            .filter(|(key, _)| key.rank < rank && key.target == *target)
-            .flat_map(|(_, lane)| lane.lines.values())
-            .map(|line| line.service.max(0.0))
-            .sum()
-    }
-
-    /// Returns the expected seconds of each organisation's work in a lane.
-    pub(crate) fn lines(&self, key: &LaneKey) -> impl Iterator<Item = (&OrganisationId, f64)> {
-        self.lanes
-            .get(key)
-            .into_iter()
-            .flat_map(|lane| lane.lines.iter())
-            .map(|(id, line)| (id, line.service.max(0.0)))
+    /// Counts the work that goes before some work: that of more urgent tiers, and of its own tier
+    /// under fair turns.
+    ///
+    /// While its own line is served, each other line gets at most its weight's share beside it.
+    pub(crate) fn before(&self, work: &Work, weights: &Weights) -> f64 {
+        let key = LaneKey::of(work);
+        let above = self.lanes.keys().filter(|other| other.is_above(&key));
+        let above: u32 = above.map(|other| self.lane_len(other)).sum();
+        let lane = self.lanes.get(&key);
+        let lines = || lane.into_iter().flat_map(|lane| lane.lines.iter());
+        let own = lines().find(|(id, _)| **id == work.organisation);
+        let own = own.map_or(0.0, |(_, line)| line.len());
+        let weight = weights.get(&work.organisation);
+        let others = lines().filter(|(id, _)| **id != work.organisation);
+        let beside = others.map(|(id, line)| {
+            let turns = (own + 1.0) * weights.get(id) / weight;
+            line.len().min(turns)
+        });
+        f64::from(above) + own + beside.sum::<f64>()
     }
 
-    /// Returns the work to evict first: of the last rank after `rank`, the last to be due.
+    /// Returns the work to evict first: of the last rank after `rank`, the last to be due; never
+    /// protected work.
     pub(crate) fn last(&self, rank: u8) -> Option<WorkId> {
         let lanes = self.lanes.iter().rev();
         lanes
@@ -184,6 +193,7 @@
                 let waiting = lane.lines.values();
                 waiting
                     .filter_map(|line| line.entries.last_key_value())
+                    .filter(|(_, entry)| !entry.work.protected)
                     .map(|(place, _)| (key.rank, place.1, place.2))
             })
             .max()
@@ -232,7 +242,6 @@
         self.index.insert(place.2, found);
         let lane = self.lanes.entry(key).or_default();
         let own = lane.lines.entry(organisation).or_default();
-        own.service += entry.service;
         own.entries.insert(place, entry);
     }
 }
--- a/crates/siskinyoke-standin/src/load/shot.rs
+++ b/crates/siskinyoke-standin/src/load/shot.rs
@@ -20,6 +20,9 @@
 /// Text before the data of an event.
 const DATA: &str = "data: ";
 
+/// Text before the code at the end of a stream.
+const NOTE: &str = ": siskinyoke code=";
+
 /// Data of the event that ends a whole stream.
 const TERMINATOR: &str = "[DONE]";
 
@@ -38,7 +41,7 @@
 
 /// What became of one request.
 #[derive(Debug)]
-pub struct Result {
+pub struct Outcome {
     /// How the answer is to be taken.
     pub verdict: Verdict,
     /// Code and kind, or the HTTP status or error where there is none.
@@ -61,7 +64,7 @@
     shot: &'a Shot,
     due: Instant,
     last: Instant,
-    result: Result,
+    outcome: Outcome,
     text: String,
 }
 
@@ -98,14 +101,14 @@
         shot: &Shot,
         ticket: Option<&str>,
         due: Instant,
-    ) -> Result {
+    ) -> Outcome {
         let mut flight = Flight::new(shot, due);
         match self.open(address, mix, shot, ticket) {
             Ok(response) => flight.read(response),
             Err(err) => flight.fail(&err.to_string()),
         }
-        flight.result.whole = due.elapsed();
-        flight.result
+        flight.outcome.whole = due.elapsed();
+        flight.outcome
     }
 
     fn open(
@@ -114,7 +117,7 @@
         mix: &CallerMix,
         shot: &Shot,
         ticket: Option<&str>,
-    ) -> std::result::Result<Response<Body>, ureq::Error> {
+    ) -> Result<Response<Body>, ureq::Error> {
         let url = format!("http://{address}/v1/chat/completions");
         let mut request = self.agent.post(url).header("X-Request-Id", &shot.name);
         if let Some(key) = &mix.key {
@@ -142,7 +145,7 @@
             shot,
             due,
             last: due,
-            result: Result {
+            outcome: Outcome {
                 verdict: Verdict::Failed,
                 code: String::new(),
                 first: None,
@@ -155,9 +158,9 @@
 
     fn read(&mut self, response: Response<Body>) {
         let status = response.status();
-        self.result.code = code(&response);
+        self.outcome.code = code(&response);
         if !status.is_success() {
-            self.result.verdict = Verdict::Refused;
+            self.outcome.verdict = Verdict::Refused;
             return;
         }
         if self.shot.stream {
@@ -188,6 +191,7 @@
                 Err(err) => return self.fail(&err.to_string()),
             };
             let Some(data) = line.strip_prefix(DATA) else {
+                self.note(&line);
                 continue;
             };
             if data == TERMINATOR {
@@ -202,16 +206,25 @@
         self.fail("the stream ended without its terminator");
     }
 
+    /// Takes the code that siskinyoke tells in a comment before the end; the one in the head of a
+    /// stream only says that it has begun.
+    fn note(&mut self, line: &str) {
+        let note = line.strip_prefix(NOTE);
+        if let Some((code, kind)) = note.and_then(|note| note.split_once(" kind=")) {
+            self.outcome.code = format!("{code} {kind}");
+        }
+    }
+
     fn event(&mut self, event: &Value) {
         let content = event["choices"][0]["delta"]["content"].as_str();
         let Some(content) = content.filter(|content| !content.is_empty()) else {
             return;
         };
         let now = Instant::now();
-        if self.result.first.is_none() {
-            self.result.first = Some(now - self.due);
+        if self.outcome.first.is_none() {
+            self.outcome.first = Some(now - self.due);
         } else {
-            self.result.gaps.push(now - self.last);
+            self.outcome.gaps.push(now - self.last);
         }
         self.last = now;
         self.text.push_str(content);
@@ -219,21 +232,21 @@
 
     /// Takes an explicit error at the end of a stream.
     fn error(&mut self, error: &Value) {
-        self.result.verdict = Verdict::Refused;
+        self.outcome.verdict = Verdict::Refused;
         let kind = error["type"].as_str().unwrap_or_default();
-        self.result.code = format!("{} {kind}", error["code"]);
+        self.outcome.code = format!("{} {kind}", error["code"]);
     }
 
     /// Compares an answer that looks whole with the one that the request must get.
     fn judge(&mut self) {
         let wanted = Answer::of(&self.shot.content, Some(self.shot.output));
         let own = self.text == wanted.text();
-        self.result.verdict = if own { Verdict::Whole } else { Verdict::Wrong };
+        self.outcome.verdict = if own { Verdict::Whole } else { Verdict::Wrong };
     }
 
     fn fail(&mut self, detail: &str) {
-        self.result.verdict = Verdict::Failed;
-        detail.clone_into(&mut self.result.code);
+        self.outcome.verdict = Verdict::Failed;
+        detail.clone_into(&mut self.outcome.code);
     }
 }
 
--- a/crates/siskinyoke-standin/src/main.rs
+++ b/crates/siskinyoke-standin/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the stand-ins.
 
 use std::fs;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::thread;
@@ -18,8 +19,10 @@
 use siskinyoke_standin::load::report;
 use siskinyoke_standin::platform::Platform;
 use siskinyoke_standin::platform::PlatformConfig;
+use siskinyoke_standin::platform::instances::parse_instances;
 use siskinyoke_standin::service::Service;
 use siskinyoke_standin::service::ServiceConfig;
+use siskinyoke_standin::trial;
 
 /// Small stand-ins for what siskinyoke meets.
 #[derive(Debug, Parser)]
@@ -32,11 +35,13 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Runs the platform: key-value service and instance list.
-    Platform(Addresses),
+    Platform(PlatformArgs),
     /// Runs a model engine.
     Engine(EngineArgs),
     /// Runs a plain service.
     Service(ServiceArgs),
+    /// Runs the whole path in one process and prints what each part did.
+    Trial,
     /// Sends a load and checks each answer.
     Load(LoadArgs),
 }
@@ -51,6 +56,15 @@
     control: String,
 }
 
+#[derive(Debug, Args)]
+struct PlatformArgs {
+    #[command(flatten)]
+    addresses: Addresses,
+    /// File with the instance list at start, JSON with comments.
+    #[arg(long)]
+    instances: Option<PathBuf>,
+}
+
 #[derive(Debug, Args)]
 struct EngineArgs {
     #[command(flatten)]
@@ -127,15 +141,20 @@
         Command::Platform(args) => platform(args),
         Command::Engine(args) => engine(args),
         Command::Service(args) => service(args),
+        Command::Trial => trial::run().map(|whole| ExitCode::from(u8::from(!whole))),
         Command::Load(args) => drive(args),
     }
 }
 
-fn platform(args: Addresses) -> Result<ExitCode, StandinError> {
+fn platform(args: PlatformArgs) -> Result<ExitCode, StandinError> {
+    let instances = match &args.instances {
+        Some(path) => parse_instances(&read(path)?)?,
+        None => Vec::new(),
+    };
     let platform = Platform::start(&PlatformConfig {
-        listen: args.listen,
-        control: args.control,
-        ..PlatformConfig::default()
+        listen: args.addresses.listen,
+        control: args.addresses.control,
+        instances,
     })?;
     println!("{}", platform.address());
     println!("control {}", platform.control_address());
@@ -175,9 +194,7 @@
 }
 
 fn drive(args: LoadArgs) -> Result<ExitCode, StandinError> {
-    let text = fs::read_to_string(&args.file);
-    let text = text.map_err(|err| StandinError::Load(err.to_string()))?;
-    let mut file = LoadFile::parse(&text)?;
+    let mut file = LoadFile::parse(&read(&args.file)?)?;
     if !args.addresses.is_empty() {
         file.addresses = args.addresses;
     }
@@ -197,6 +214,11 @@
     })
 }
 
+fn read(path: &Path) -> Result<String, StandinError> {
+    let text = fs::read_to_string(path);
+    text.map_err(|err| StandinError::File(format!("{}: {err}", path.display())))
+}
+
 /// Serves until the process is ended.
 fn stay() -> ! {
     loop {
