--- a/crates/siskinyoke-control/tests/usage.rs
+++ b/crates/siskinyoke-control/tests/usage.rs
@@ -71,6 +71,7 @@
     rng: ChaCha8Rng,
     keys: u64,
     mourning: bool,
+    bytes: usize,
 }
 
 impl World {
@@ -83,6 +84,7 @@
             rng: ChaCha8Rng::seed_from_u64(7),
             keys: 0,
             mourning: false,
+            bytes: 0,
         };
         (0..nodes).for_each(|number| world.start(number));
         world.members();
@@ -205,6 +207,7 @@
 
     fn deliver(&mut self, from: usize, to: &InstanceId, message: Message) {
         let sender = self.nodes[from].sender.clone();
+        self.bytes += stored::encode(&message).len();
         let there = |node: &&mut Node| node.sender.instance == *to && node.state != State::Dead;
         if let Some(node) = self.nodes.iter_mut().find(there) {
             node.inbox.push((sender, message));
@@ -446,6 +449,30 @@
     println!("largest page: {} bytes", world.service.largest);
 }
 
+/// The fleet grows, and with it each daemon's messages, or the calls to the service until it
+/// refuses them. The load is a daemon's part of what is expected in two years, 19 requests a
+/// second of a thousand organisations, so that nearly each one changes a line of its own.
+#[test]
+fn costs_do_not_grow_with_the_fleet() {
+    for size in [3_u32, 8, 32] {
+        let mut world = World::new(size as usize);
+        let secs = 120;
+        for second in 0..secs {
+            for number in 0..19 * size {
+                let organisation = (second * 7 + number * 31) % 1_000;
+                world.charge((number % size) as usize, organisation as usize);
+            }
+            world.run(1);
+        }
+        let each = f64::from(size * secs);
+        let bytes = f64::from(u32::try_from(world.bytes).unwrap()) / each;
+        let calls = f64::from(world.service.calls) / f64::from(secs);
+        println!("{size} daemons: {bytes:.0} B/s to peers each, {calls:.2} calls/s in all");
+        assert!(bytes < 7_000.0, "a daemon's budget: {bytes}");
+        assert!(calls < 20.0, "{calls}");
+    }
+}
+
 /// One step of a random history.
 fn step(world: &mut World, u: &mut Unstructured<'_>) -> Draw<()> {
     let node = u.choose_index(world.nodes.len())?;
--- a/crates/siskinyoke-control/tests/usage_fakes/mod.rs
+++ b/crates/siskinyoke-control/tests/usage_fakes/mod.rs
@@ -34,6 +34,7 @@
     pub keys: BTreeMap<String, Held>,
     pub leases: BTreeMap<i64, (Millis, Millis)>,
     pub writes: u64,
+    pub calls: u32,
     pub largest: usize,
 }
 
@@ -49,6 +50,7 @@
     /// Answers a request.
     pub fn call(&mut self, now: Millis, request: &PlatformRequest) -> Reply {
         self.lapse(now);
+        self.calls += 1;
         match self.mode {
             Mode::DeafToWrites if matches!(request, PlatformRequest::Swap { .. }) => {
                 self.apply(now, request);
