--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod filters;
 mod forwarding;
 mod forwards;
+mod heard;
 mod job;
 mod poison;
 mod roster;
@@ -26,6 +27,7 @@
 use self::administration::Bill;
 use self::ask::Ask;
 use self::forwards::Forwards;
+use self::heard::Heard;
 use self::job::Job;
 use self::job::Listener;
 use crate::Action;
@@ -96,6 +98,7 @@
     claims: Claims,
     threshold: Threshold,
     forwards: Forwards,
+    heard: Heard,
     jobs: BTreeMap<WorkId, Job>,
     runs: BTreeMap<DispatchId, WorkId>,
     calls: BTreeMap<Listener, Place>,
@@ -104,6 +107,7 @@
     leaving: Option<Leaving>,
     due: Millis,
     started: bool,
+    sweeper: bool,
     asked: BTreeMap<CallId, String>,
     bills: Vec<Bill>,
     leases: Leases,
@@ -179,6 +183,7 @@
             members: Members::new(parts.own, parts.seeds),
             threshold: Threshold::default(),
             forwards: Forwards::default(),
+            heard: Heard::default(),
             jobs: BTreeMap::new(),
             runs: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -187,6 +192,7 @@
             leaving: None,
             due: Millis::ZERO,
             started: false,
+            sweeper: false,
             asked: BTreeMap::new(),
             bills: Vec::new(),
             usage,
@@ -325,6 +331,9 @@
         if self.usage.next() <= now {
             self.usage.tick(&mut cx);
         }
+        if self.sweeper {
+            self.claims.sweep(&mut cx);
+        }
         if !self.members.changes().is_empty() || !self.started {
             self.started = true;
             self.fleet_changed(now);
@@ -340,7 +349,9 @@
     /// Tells everyone who needs it which members there are.
     fn fleet_changed(&mut self, now: Millis) {
         let live: Vec<InstanceId> = self.members.live().map(|r| r.instance.clone()).collect();
-        let watching = watchers(&live).contains(&self.me.instance);
+        let watchers = watchers(&live);
+        let watching = watchers.contains(&self.me.instance);
+        self.sweeper = watchers.first() == Some(&self.me.instance);
         let mut cx = Context {
             now,
             out: &mut self.out,
@@ -357,6 +368,7 @@
             instance: envelope.from,
             incarnation: envelope.incarnation,
         };
+        self.heard.note(now, &from);
         let mut cx = Context {
             now,
             out: &mut self.out,
@@ -369,6 +381,12 @@
             .message(&mut cx, &from, &envelope.message);
         self.members.message(&mut cx, &from, &envelope.message);
         self.usage.message(&mut cx, &from, &envelope.message);
+        // Guards against a peer whose start is not in the view yet: protected work could be shed
+        // here while that peer serves lower work, as nobody would ask it. The transport refuses
+        // it too, as its certificate is known from its record only.
+        if self.members.find(from.incarnation).is_none() {
+            return;
+        }
         match envelope.message {
             Message::Forward(forward) => self.forwarded(now, &from, *forward),
             Message::ForwardAck { asker, id } if asker == self.me.incarnation => {
@@ -423,17 +441,23 @@
         if self.threshold.is_idle() && self.scheduler.pressure(now).is_none() {
             return;
         }
-        let peers = self.serving_peers();
+        let peers = self.serving_peers(now);
         self.threshold
             .tick(now, self.scheduler.as_mut(), &peers, &mut self.out);
     }
 
-    /// Returns the peers that may be serving: live ones, and suspected ones, which are mostly
-    /// slow rather than dead.
-    fn serving_peers(&self) -> Vec<Sender> {
-        let peers = self.members.peers();
-        let serving = peers.filter(|record| record.state < MemberState::Gone);
-        serving.map(Sender::from).collect()
+    /// Returns the peers that may be serving: live ones, suspected ones, which are mostly slow
+    /// rather than dead, and all that spoke lately.
+    fn serving_peers(&self, now: Millis) -> Vec<Sender> {
+        let held = self.members.peers();
+        let held = held.filter(|record| record.state < MemberState::Gone);
+        let mut peers: Vec<_> = held.map(Sender::from).collect();
+        for heard in self.heard.recent(now) {
+            if peers.iter().all(|peer| peer.instance != heard.instance) {
+                peers.push(heard);
+            }
+        }
+        peers
     }
 
     fn decide(&mut self, now: Millis, decision: Decision) {
