Tell every fault of a settings file at once, and check files without starting

siskinyoked told the first fault that serde met, without its line. Settings are now checked against a table of their fields: every unknown, missing, repeated or wrong field with its line, what was found and what is allowed, exit code 2. The reading of lines, duplicates and paths moved out of the configuration's reader into SourceFile, and the forms of names and addresses into words.rs, so that both checks share them.

A daemon that listens on every address and is told no other would announce 0.0.0.0, where each caller and peer reaches only itself: that is a fault now. Ruled out: collecting serde's errors field by field, as a wrong object still hides what stands beside it.

With the guard on addresses taken out: "an_address_that_nobody_could_use_is_a_fault FAILED ... line 9: peers.address: found nothing, where listen takes every address" (the callers' line is missing).

--- a/crates/siskinyoke-cli/src/lib.rs
+++ b/crates/siskinyoke-cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! The parts of the command-line tool.
 
 pub mod caller;
+pub mod check;
 pub mod context;
 pub mod operator;
 pub mod status;
--- a/crates/siskinyoke-cli/src/main.rs
+++ b/crates/siskinyoke-cli/src/main.rs
@@ -8,6 +8,7 @@
 
 use siskinyoke_base::Kind;
 use siskinyoke_cli::caller;
+use siskinyoke_cli::check;
 use siskinyoke_cli::context::Context;
 use siskinyoke_cli::operator;
 use siskinyoke_cli::status;
@@ -15,6 +16,9 @@
 /// Exit code for what was refused or not run.
 const EXIT_REFUSED: u8 = 1;
 
+/// Exit code for a file that cannot be used.
+const EXIT_INVALID: u8 = 2;
+
 /// Exit code for an outcome that is not known.
 const EXIT_UNKNOWN: u8 = 3;
 
@@ -34,6 +38,8 @@
     Locate,
     /// Send a request and print its answer as it arrives.
     Send(caller::Send),
+    /// Check a settings file or a configuration without starting or sending anything.
+    Check(check::Check),
     /// Say what each daemon tells of itself.
     Status,
     /// Print what was charged.
@@ -55,6 +61,7 @@
     match &cli.command {
         Command::Locate => finish(caller::locate(context).map(|()| Kind::Done)),
         Command::Send(send) => finish(send.run(context).map(|outcome| outcome.kind)),
+        Command::Check(check) => checked(check.run(context)),
         Command::Status => finish(status::status(context)),
         Command::Usage { organisation, day } => {
             finish(status::usage(context, organisation.as_deref(), *day))
@@ -80,6 +87,17 @@
     }
 }
 
+fn checked(result: Result<bool, operator::OperatorError>) -> ExitCode {
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_INVALID),
+        Err(err) => {
+            eprintln!("siskinyoke: {err}");
+            ExitCode::from(EXIT_INVALID)
+        }
+    }
+}
+
 fn finish(result: Result<Kind, impl std::fmt::Display>) -> ExitCode {
     match result {
         Ok(Kind::Done) => ExitCode::SUCCESS,
--- a/crates/siskinyoke-cli/src/operator/mod.rs
+++ b/crates/siskinyoke-cli/src/operator/mod.rs
@@ -19,6 +19,7 @@
 
 pub use context::Context;
 pub use error::OperatorError;
+pub use file::read_text;
 
 /// The operators' commands.
 #[derive(Debug, Subcommand)]
--- a/crates/siskinyoke-control/src/configuration/check.rs
+++ b/crates/siskinyoke-control/src/configuration/check.rs
@@ -12,6 +12,10 @@
 use super::Role;
 use super::RouteDoc;
 use super::TierPreset;
+use super::words::NAME_MARKS;
+use super::words::NAME_MAX;
+use super::words::is_address;
+use super::words::is_name;
 use siskinyoke_base::Millis;
 
 /// The most tiers; a rank travels in one byte, and nobody can weigh more.
@@ -20,9 +24,6 @@
 /// The longest need: a day, past which an answer is a batch job's.
 const NEED_MAX: Millis = Millis::from_secs(24 * 60 * 60);
 
-/// The longest name; names stand in metrics and log lines.
-const NAME_MAX: usize = 128;
-
 /// Marks that names of models hold beside letters and digits, such as `qwen/7b:q4`.
 const MODEL_MARKS: &str = "-_.:/";
 
@@ -238,12 +239,11 @@
 
     /// Checks a name that stands in paths of the administration API.
     fn name(&mut self, path: &str, name: &str) {
-        self.name_of(path, name, "-_.");
+        self.name_of(path, name, NAME_MARKS);
     }
 
     fn name_of(&mut self, path: &str, name: &str, marks: &str) {
-        let plain = |c: char| c.is_ascii_alphanumeric() || marks.contains(c);
-        if name.is_empty() || name.len() > NAME_MAX || !name.chars().all(plain) {
+        if !is_name(name, marks) {
             let allowed = format!("1 to {NAME_MAX} letters, digits or any of {marks}");
             self.fault(path, quote(name), allowed);
         }
@@ -300,14 +300,6 @@
     earlier.target == later.target && method && path
 }
 
-fn is_address(text: &str) -> bool {
-    let Some((host, port)) = text.rsplit_once(':') else {
-        return false;
-    };
-    let plain = |c: char| !c.is_whitespace() && c != '/';
-    !host.is_empty() && host.chars().all(plain) && port.parse::<u16>().is_ok_and(|port| port > 0)
-}
-
 fn quote(text: &str) -> String {
     format!("{text:?}")
 }
--- a/crates/siskinyoke-control/src/configuration/file.rs
+++ b/crates/siskinyoke-control/src/configuration/file.rs
@@ -1,21 +1,18 @@
 //! The reading of a configuration file: JSON with comments, every fault with its line.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
-use jsonc_parser::CollectOptions;
 use jsonc_parser::ParseOptions;
 use jsonc_parser::ast::Object;
 use jsonc_parser::ast::ObjectProp;
 use jsonc_parser::ast::Value;
 use jsonc_parser::common::Ranged;
-use jsonc_parser::errors::ParseError;
-use jsonc_parser::parse_to_ast;
 use jsonc_parser::parse_to_serde_value;
 use serde::de::DeserializeOwned;
 
 use super::ConfigurationDoc;
 use super::Fault;
+use super::SourceFile;
 use super::check::check;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::OrganisationId;
@@ -29,24 +26,18 @@
 ///
 /// Every fault that was found, in the order of the file.
 pub fn read_file(text: &str) -> Result<ConfigurationDoc, Vec<Fault>> {
-    let options = ParseOptions::default();
-    let parsed = parse_to_ast(text, &CollectOptions::default(), &options)
-        .map_err(|error| vec![syntax_fault(&error)])?;
-    let Some(Value::Object(root)) = &parsed.value else {
-        let fault = Fault::new("(file)", "no object", "an object with the documents");
-        return Err(vec![fault]);
-    };
+    let allowed = "an object with the documents";
+    let file = SourceFile::parse(text, allowed).map_err(|fault| vec![fault])?;
     let mut reader = Reader {
-        text,
-        faults: Vec::new(),
+        faults: file.duplicates(),
+        file: &file,
     };
-    reader.duplicates("", &Value::Object(root.clone()));
-    let doc = reader.document(root);
+    let doc = reader.document(file.root());
     let mut faults = reader.faults;
     if faults.is_empty() {
         faults = check(&doc);
         for fault in &mut faults {
-            fault.line = Some(line_at(text, locate(root, &fault.path)));
+            fault.line = Some(file.line_of(&fault.path));
         }
     }
     if faults.is_empty() {
@@ -58,7 +49,7 @@
 
 /// Reads the parts of a file one by one, so that one fault does not hide the others.
 struct Reader<'a> {
-    text: &'a str,
+    file: &'a SourceFile<'a>,
     faults: Vec<Fault>,
 }
 
@@ -117,7 +108,7 @@
 
     fn part<T: DeserializeOwned>(&mut self, path: &str, value: &Value<'_>) -> Option<T> {
         let range = value.range();
-        let part = &self.text[range.start..range.end];
+        let part = self.file.part(range.start, range.end);
         match parse_to_serde_value(part, &ParseOptions::default()) {
             Ok(part) => Some(part),
             Err(error) => {
@@ -134,91 +125,8 @@
         }
     }
 
-    /// Finds names that stand twice in one object; of these the later would win in silence.
-    fn duplicates(&mut self, path: &str, value: &Value<'_>) {
-        match value {
-            Value::Object(object) => {
-                let mut seen = BTreeSet::new();
-                for prop in &object.properties {
-                    let name = prop.name.as_str();
-                    let path = if path.is_empty() {
-                        name.to_owned()
-                    } else {
-                        format!("{path}.{name}")
-                    };
-                    if !seen.insert(name) {
-                        let start = prop.range().start;
-                        self.fault(
-                            &path,
-                            start,
-                            "a second field of this name",
-                            "each name once",
-                        );
-                    }
-                    self.duplicates(&path, &prop.value);
-                }
-            }
-            Value::Array(array) => {
-                for (place, value) in array.elements.iter().enumerate() {
-                    self.duplicates(&format!("{path}[{place}]"), value);
-                }
-            }
-            _ => {}
-        }
-    }
-
     fn fault(&mut self, path: &str, start: usize, found: &str, allowed: &str) {
-        let mut fault = Fault::new(path, found, allowed);
-        fault.line = Some(line_at(self.text, start));
+        let fault = self.file.fault(path, start, found, allowed);
         self.faults.push(fault);
     }
 }
-
-fn syntax_fault(error: &ParseError) -> Fault {
-    let mut fault = Fault::new("(file)", error.kind().to_string(), "JSON with comments");
-    fault.line = Some(error.line_display());
-    fault
-}
-
-fn line_at(text: &str, start: usize) -> usize {
-    let before = text.get(..start).unwrap_or(text);
-    before.split('\n').count()
-}
-
-/// Finds where a path begins in the file, or the nearest thing around it that is there.
-fn locate(root: &Object<'_>, path: &str) -> usize {
-    let mut start = root.range.start;
-    let mut object = root;
-    let mut rest = path;
-    loop {
-        // Names of entries may hold dots, so the longest field that fits is taken.
-        let fitting = object.properties.iter().filter(|prop| {
-            let tail = rest.strip_prefix(prop.name.as_str());
-            tail.is_some_and(|tail| tail.is_empty() || tail.starts_with(['.', '[']))
-        });
-        let Some(prop) = fitting.max_by_key(|prop| prop.name.as_str().len()) else {
-            return start;
-        };
-        start = prop.range().start;
-        rest = &rest[prop.name.as_str().len()..];
-        let mut value = &prop.value;
-        while let Some((place, tail)) = index(rest) {
-            let Some(element) = value.as_array().and_then(|list| list.elements.get(place)) else {
-                return start;
-            };
-            value = element;
-            start = value.range().start;
-            rest = tail;
-        }
-        rest = rest.strip_prefix('.').unwrap_or(rest);
-        match value.as_object() {
-            Some(next) if !rest.is_empty() => object = next,
-            _ => return start,
-        }
-    }
-}
-
-fn index(rest: &str) -> Option<(usize, &str)> {
-    let (place, tail) = rest.strip_prefix('[')?.split_once(']')?;
-    Some((place.parse().ok()?, tail))
-}
--- a/crates/siskinyoke-daemon/src/settings.rs
+++ b/crates/siskinyoke-daemon/src/settings.rs
@@ -1,5 +1,8 @@
 //! Settings of a daemon, JSON with comments.
 
+mod fields;
+mod form;
+
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -8,10 +11,14 @@
 use quick_error::quick_error;
 use serde::Deserialize;
 
+use self::fields::FIELDS;
 use crate::platform::PlatformSettings;
 use siskinyoke_base::DataCentre;
 use siskinyoke_base::InstanceId;
 use siskinyoke_base::Millis;
+use siskinyoke_control::configuration::Fault;
+use siskinyoke_control::configuration::SourceFile;
+use siskinyoke_control::configuration::join_path;
 
 /// Everything a daemon is told at its start.
 #[derive(Debug, Clone, Deserialize)]
@@ -117,13 +124,9 @@
             display("{path}: cannot be read: {err}; hint: name the file with --settings")
             source(err)
         }
-        /// The text is not JSON with comments.
-        Syntax(path: String, detail: String) {
-            display("{path}: {detail}")
-        }
-        /// A field is missing, unknown or of the wrong type.
-        Field(path: String, detail: String) {
-            display("{path}: {detail}")
+        /// Something in it is not allowed.
+        Faults(path: String, faults: Vec<Fault>) {
+            display("{}", lines(path, faults))
         }
     }
 }
@@ -147,11 +150,80 @@
     ///
     /// [`SettingsError`] says what was found and what is allowed.
     pub fn parse(name: &str, text: &str) -> Result<Self, SettingsError> {
-        let value: serde_json::Value = parse_to_serde_value(text, &ParseOptions::default())
-            .map_err(|err| SettingsError::Syntax(name.to_owned(), err.to_string()))?;
-        serde_json::from_value(value)
-            .map_err(|err| SettingsError::Field(name.to_owned(), err.to_string()))
+        Self::check(text).map_err(|faults| SettingsError::Faults(name.to_owned(), faults))
     }
+
+    /// Checks settings as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Every fault, in the order of the file.
+    pub fn check(text: &str) -> Result<Self, Vec<Fault>> {
+        let file = SourceFile::parse(text, OBJECT).map_err(|fault| vec![fault])?;
+        let mut faults = form::check(&file, FIELDS);
+        if faults.is_empty() {
+            let settings = read(text).map_err(|fault| vec![fault])?;
+            faults = settings.unreachable(&file);
+            if faults.is_empty() {
+                return Ok(settings);
+            }
+        }
+        faults.sort_by_key(|fault| fault.line);
+        Err(faults)
+    }
+
+    /// Finds addresses that a daemon listens on and nobody could connect to.
+    ///
+    /// Guards against a daemon that listens on every address and tells others `0.0.0.0`: it
+    /// would look well, and each of its callers and peers would connect to itself.
+    fn unreachable(&self, file: &SourceFile<'_>) -> Vec<Fault> {
+        let callers = self.callers.listen.parse::<SocketAddr>();
+        let callers = callers.is_ok_and(|address| address.ip().is_unspecified());
+        let peers = self.peers.listen.ip().is_unspecified();
+        let parts = [
+            ("callers", callers && self.callers.address.is_none()),
+            ("peers", peers && self.peers.address.is_none()),
+        ];
+        let wrong = parts.iter().filter(|(_, wrong)| *wrong);
+        let fault = |(part, _): &(&str, bool)| {
+            let path = join_path(part, "address");
+            let found = "nothing, where listen takes every address";
+            let mut fault = Fault::new(path, found, "an address that others can connect to");
+            fault.line = Some(file.line_of(&join_path(part, "listen")));
+            fault
+        };
+        wrong.map(fault).collect()
+    }
+}
+
+/// What a settings file has to hold.
+const OBJECT: &str = "an object with fields";
+
+/// Tells whether a file is meant as settings rather than as a configuration, by its fields.
+pub fn is_settings(text: &str) -> bool {
+    let Ok(file) = SourceFile::parse(text, OBJECT) else {
+        return false;
+    };
+    let known = |name: &str| FIELDS.iter().any(|field| field.name == name);
+    let names = &file.root().properties;
+    names.iter().any(|prop| known(prop.name.as_str()))
+}
+
+/// Reads settings whose fields are checked.
+fn read(text: &str) -> Result<Settings, Fault> {
+    parse_to_serde_value(text, &ParseOptions::default()).map_err(|error| {
+        let mut fault = Fault::new("(file)", error.kind().to_string(), "settings");
+        fault.line = Some(error.line_display());
+        fault
+    })
+}
+
+fn lines(path: &str, faults: &[Fault]) -> String {
+    let lines: Vec<_> = faults
+        .iter()
+        .map(|fault| format!("{path}: {fault}"))
+        .collect();
+    lines.join("\n")
 }
 
 fn usual_connections() -> usize {
