--- a/crates/siskinyoke-control/src/configuration/check.rs
+++ b/crates/siskinyoke-control/src/configuration/check.rs
@@ -12,11 +12,11 @@
 use super::Role;
 use super::RouteDoc;
 use super::TierPreset;
-use siskinyoke_base::EndpointId;
 use super::words::NAME_MARKS;
 use super::words::NAME_MAX;
 use super::words::is_address;
 use super::words::is_name;
+use siskinyoke_base::EndpointId;
 use siskinyoke_base::Millis;
 
 /// The most tiers; a rank travels in one byte, and nobody can weigh more.
