--- a/crates/siskinyoke-cli/src/context.rs
+++ b/crates/siskinyoke-cli/src/context.rs
@@ -4,6 +4,7 @@
 
 use clap::Args;
 
+use crate::report::Daemons;
 use siskinyoke_base::Millis;
 use siskinyoke_client::Client;
 use siskinyoke_client::ClientSettings;
@@ -71,3 +72,9 @@
         })
     }
 }
+
+impl Daemons for Context {
+    fn get(&self, address: &str, path: &str) -> Result<serde_json::Value, String> {
+        Self::get(self, address, path)
+    }
+}
--- a/crates/siskinyoke-cli/src/main.rs
+++ b/crates/siskinyoke-cli/src/main.rs
@@ -11,6 +11,7 @@
 use siskinyoke_cli::check;
 use siskinyoke_cli::context::Context;
 use siskinyoke_cli::operator;
+use siskinyoke_cli::report;
 use siskinyoke_cli::status;
 
 /// Exit code for what was refused or not run.
@@ -43,13 +44,9 @@
     /// Say what each daemon tells of itself.
     Status,
     /// Print what was charged.
-    Usage {
-        /// The organisation; all of them if left out.
-        organisation: Option<String>,
-        /// The day, counted from 1 January 1970; today if left out.
-        #[arg(long)]
-        day: Option<u32>,
-    },
+    Usage(report::UsageArgs),
+    /// Report how fast the tiers' error budgets burn.
+    Burn(report::BurnArgs),
     #[command(flatten)]
     Operate(operator::Command),
 }
@@ -63,9 +60,24 @@
         Command::Send(send) => finish(send.run(context).map(|outcome| outcome.kind)),
         Command::Check(check) => checked(check.run(context)),
         Command::Status => finish(status::status(context)),
-        Command::Usage { organisation, day } => {
-            finish(status::usage(context, organisation.as_deref(), *day))
-        }
+        Command::Usage(args) => finish(
+            args.run(
+                context,
+                &context.addresses,
+                context.json,
+                &mut io::stdout().lock(),
+            )
+            .map(|()| Kind::Done),
+        ),
+        Command::Burn(args) => finish(
+            args.run(
+                context,
+                &context.addresses,
+                context.json,
+                &mut io::stdout().lock(),
+            )
+            .map(|()| Kind::Done),
+        ),
         Command::Operate(command) => operate(context, command),
     }
 }
--- a/crates/siskinyoke-cli/src/status.rs
+++ b/crates/siskinyoke-cli/src/status.rs
@@ -1,4 +1,4 @@
-//! Commands that look at daemons: `status` and `usage`.
+//! The command `status`.
 
 use crate::context::Context;
 use siskinyoke_base::Kind;
@@ -25,34 +25,6 @@
     Ok(Kind::Done)
 }
 
-/// Prints what an organisation, or every one, was charged on a day.
-///
-/// # Errors
-///
-/// A sentence if no daemon answers.
-pub fn usage(
-    context: &Context,
-    organisation: Option<&str>,
-    day: Option<u32>,
-) -> Result<Kind, String> {
-    let query = day.map(|day| format!("?day={day}")).unwrap_or_default();
-    let path = match organisation {
-        Some(name) => format!("/admin/v1/usage/{name}{query}"),
-        None => format!("/admin/v1/usage{query}"),
-    };
-    let mut failure = String::from("no address is given");
-    for address in &context.addresses {
-        match context.get(address, &path) {
-            Ok(bill) => {
-                print_bill(context, &bill);
-                return Ok(Kind::Done);
-            }
-            Err(err) => failure = format!("{address}: {err}"),
-        }
-    }
-    Err(failure)
-}
-
 fn print_status(context: &Context, address: &str, status: &serde_json::Value) {
     if context.json {
         println!("{status}");
@@ -77,29 +49,3 @@
         );
     }
 }
-
-fn print_bill(context: &Context, bill: &serde_json::Value) {
-    if context.json {
-        println!("{bill}");
-        return;
-    }
-    println!(
-        "organisation / tier / model: requests, prompt and output tokens, wasted prompt tokens"
-    );
-    for line in bill["lines"].as_array().into_iter().flatten() {
-        let (key, counters) = (&line["line"], &line["counters"]);
-        println!(
-            "{} / {} / {}: {} {} {} {}",
-            key["organisation"].as_str().unwrap_or("?"),
-            key["tier"].as_str().unwrap_or("?"),
-            key["model"].as_str().unwrap_or("?"),
-            counters["requests"],
-            counters["prompt"],
-            counters["output"],
-            counters["wasted"],
-        );
-    }
-    if bill["damaged"] != 0 {
-        println!("incomplete: {} values could not be read", bill["damaged"]);
-    }
-}
--- a/crates/siskinyoke-control/src/core/accounting.rs
+++ b/crates/siskinyoke-control/src/core/accounting.rs
@@ -4,6 +4,7 @@
 
 use super::Core;
 use super::job::Job;
+use crate::burn::Slot;
 use crate::usage::Cause;
 use crate::usage::Charge;
 use crate::usage::Day;
@@ -32,9 +33,14 @@
     usage: Option<Tokens>,
 }
 
+/// Seconds of a day in universal time.
+const SECS_A_DAY: u64 = 86_400;
+
 impl Core {
-    /// Sets the present day, which usage is counted by.
-    pub fn set_day(&mut self, day: Day) {
+    /// Sets the present time, in seconds since 1 January 1970; only bills and reports use it.
+    pub fn set_time(&mut self, secs: u64) {
+        let day = Day(u32::try_from(secs / SECS_A_DAY).unwrap_or(u32::MAX));
+        self.burn.set_slot(Slot::at(secs));
         self.day = self.day.max(day);
         self.usage.set_day(day);
         self.claims.set_day(day);
@@ -69,10 +75,12 @@
 
     /// Books the prompt work of a job's dispatch that was thrown away.
     pub(super) fn account_wasted_run(&mut self, id: WorkId, cause: Cause) {
-        if let Some(job) = self.jobs.get(&id) {
-            self.usage
-                .waste(&line_key(job), cause, u64::from(job.head.prompt));
-        }
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.account_waste(&job, cause);
+        self.burn_waste(&job);
+        self.jobs.insert(id, job);
     }
 
     /// Tells the usage's controller which members there are.
--- a/crates/siskinyoke-control/src/core/administration.rs
+++ b/crates/siskinyoke-control/src/core/administration.rs
@@ -50,6 +50,9 @@
         if path == "/v1/usage" {
             return self.bill(call, head, "");
         }
+        if path == "/admin/v1/burn" {
+            return self.burn_asked(call, head.bearer.as_ref());
+        }
         if path == "/admin/v1/status" {
             return self.status(now, call, head);
         }
@@ -201,7 +204,7 @@
         self.answer_admin(call, &answer);
     }
 
-    fn answer_admin(&mut self, call: CallId, answer: &AdminAnswer) {
+    pub(super) fn answer_admin(&mut self, call: CallId, answer: &AdminAnswer) {
         let status = answer.code.status();
         let content = String::from("application/json");
         self.out.answer(
--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -107,6 +107,7 @@
             self.scheduler.finished(now, id, Finish::Cancelled);
             self.quarantine.ended(now, &job.digest);
             self.account_waste(&job, Cause::Cancelled);
+            self.burn_waste(&job);
         }
         if self.parked.remove(&id).is_some() {
             self.scheduler.finished(now, id, Finish::Cancelled);
@@ -115,6 +116,7 @@
         let end = honest(end, job.past);
         log_end(&job, &end);
         self.account(now, id, &job, &end);
+        self.burn_end(now, &job, &end);
         let complete = end.code.kind() == Kind::Done;
         let listeners = std::mem::take(&mut job.listeners);
         for listener in &listeners {
@@ -217,6 +219,7 @@
                 rng: &mut self.rng,
             };
             self.usage.flush(&mut cx);
+            self.burn.flush(&mut cx);
         } else if !self.usage.settled() && now.since(leaving.quiet) < self.settings.settle {
             // Charges that no other holds yet would be lost with this process.
         } else if !leaving.exited && now.since(leaving.quiet) >= self.settings.linger {
@@ -253,6 +256,8 @@
             seq: 0,
             events: 0,
             streaming: false,
+            first: None,
+            last: None,
             attempts: 0,
             avoid: Vec::new(),
         };
--- a/crates/siskinyoke-control/src/core/dispatching.rs
+++ b/crates/siskinyoke-control/src/core/dispatching.rs
@@ -50,6 +50,7 @@
             limit: self.settings.run,
         };
         job.attempts += 1;
+        job.last = Some(endpoint.clone());
         job.run = Some(Run {
             dispatch,
             endpoint: endpoint.clone(),
@@ -118,6 +119,9 @@
             }
             DispatchNews::Piece(bytes) => {
                 self.scheduler.first_piece(now, id);
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.first.get_or_insert(now);
+                }
                 self.part(id, Part::Piece(bytes));
             }
             DispatchNews::Whole => self.whole(now, id, dispatch),
--- a/crates/siskinyoke-control/src/core/job.rs
+++ b/crates/siskinyoke-control/src/core/job.rs
@@ -13,6 +13,7 @@
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::Identity;
 use siskinyoke_base::Millis;
+use siskinyoke_base::TierName;
 use siskinyoke_base::message::Part;
 use siskinyoke_policy::Work;
 use siskinyoke_policy::WorkId;
@@ -48,6 +49,10 @@
     pub events: u32,
     /// Whether its answer is given on as it comes rather than whole.
     pub streaming: bool,
+    /// When the first piece of its answer came.
+    pub first: Option<Millis>,
+    /// The endpoint that had it last.
+    pub last: Option<EndpointId>,
     /// Dispatches so far, connections refused included.
     pub attempts: usize,
     /// Endpoints that failed it.
@@ -111,6 +116,12 @@
         }
     }
 
+    /// Returns its tier's name.
+    pub fn tier(&self) -> Option<&TierName> {
+        let tier = self.view.doc.tiers.get(usize::from(self.resolved.rank));
+        tier.map(|tier| &tier.name)
+    }
+
     /// Returns the HTTP status of its answer so far.
     pub fn status(&self) -> u16 {
         match self.parts.first() {
--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -3,6 +3,7 @@
 mod accounting;
 mod administration;
 mod ask;
+mod burning;
 mod calls;
 mod dispatching;
 mod ending;
@@ -40,6 +41,8 @@
 use crate::Outbox;
 use crate::Reply;
 use crate::Sender;
+use crate::burn::Burn;
+use crate::burn::Slot;
 use crate::claims::Claims;
 use crate::configuration::ConfigurationController;
 use crate::configuration::ConfigurationDoc;
@@ -114,6 +117,8 @@
     bills: Vec<Bill>,
     orders: BTreeMap<String, Orders>,
     leases: Leases,
+    burn: Burn,
+    burns: BTreeMap<OpId, CallId>,
     usage: Usage,
     day: Day,
     quarantine: Quarantine,
@@ -171,6 +176,7 @@
         rng.fill_bytes(&mut secret);
         Self {
             claims: Claims::new(me.clone()),
+            burn: Burn::new(me.clone(), Slot::default()),
             leases: Leases::new(me.clone()),
             me,
             centre: parts.own.centre.clone(),
@@ -199,6 +205,7 @@
             asked: BTreeMap::new(),
             bills: Vec::new(),
             orders: BTreeMap::new(),
+            burns: BTreeMap::new(),
             usage,
             day: Day::default(),
             quarantine,
@@ -258,6 +265,7 @@
         }
         self.view = view;
         self.plan_orders();
+        self.burn_target();
     }
 
     /// Returns the configuration in force.
@@ -319,8 +327,9 @@
         }
         let taken = self.configuration.reply(&mut cx, op, reply)
             || self.members.reply(&mut cx, op, reply)
-            || self.usage.reply(&mut cx, op, reply);
-        if !taken && !self.order_reply(now, op, reply) {
+            || self.usage.reply(&mut cx, op, reply)
+            || self.burn.reply(&mut cx, op, reply);
+        if !taken && !self.order_reply(now, op, reply) && !self.burn_reply(op, reply) {
             self.bill_reply(op, reply);
         }
     }
@@ -341,6 +350,9 @@
         if self.usage.next() <= now {
             self.usage.tick(&mut cx);
         }
+        if self.burn.next() <= now {
+            self.burn.tick(&mut cx);
+        }
         if self.sweeper {
             self.claims.sweep(&mut cx);
         }
--- a/crates/siskinyoke-daemon/src/runtime.rs
+++ b/crates/siskinyoke-daemon/src/runtime.rs
@@ -33,7 +33,6 @@
 use siskinyoke_control::DispatchId;
 use siskinyoke_control::core::Core;
 use siskinyoke_control::core::Event;
-use siskinyoke_control::usage::Day;
 
 /// What reaches the core's thread.
 pub enum Input {
@@ -119,7 +118,7 @@
         if now.since(self.trusted) >= TRUST_PERIOD {
             self.trusted = now;
             self.peers.trust(trust(&self.core));
-            self.core.set_day(today());
+            self.core.set_time(unix_secs());
         }
         for action in actions {
             self.act(action);
@@ -236,17 +235,12 @@
     }
 }
 
-/// Returns the present day in universal time, which only bills are counted by.
-fn today() -> Day {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    Day(u32::try_from(since.as_secs() / SECONDS_A_DAY).unwrap_or_default())
+/// Returns the seconds since 1 January 1970.
+fn unix_secs() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_secs()
 }
 
-/// Seconds of a day in universal time.
-const SECONDS_A_DAY: u64 = 86_400;
-
 /// Returns which peers are let in, by what the core knows of them.
 fn trust(core: &Core) -> Trust {
     let mut trust = Trust::default();
