Let a leaving daemon read on after a short pause before it exits

The process stood still for 423 ms, under the 500 ms that count as a standstill; the first event on waking found two quiet seconds behind it and exited, with two requests unread in its sockets. Ruled out: counting every pause as a standstill, which starts the two seconds anew; on an overloaded machine it would never exit. Mended: after a pause of 150 ms or more it stays 200 ms longer at least.

--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -196,8 +196,13 @@
         };
         // A process that stood still wakes with requests waiting in its sockets; leaving at once
         // would cut them off unread.
-        let stood_still = now.since(leaving.looked) >= STANDSTILL;
+        let pause = now.since(leaving.looked);
+        let stood_still = pause >= STANDSTILL;
         leaving.looked = now;
+        if pause >= HICCUP {
+            let linger = self.settings.linger;
+            leaving.quiet = leaving.quiet.max((now + READING).since(linger));
+        }
         let busy = !self.jobs.is_empty() || !self.forwards.is_empty() || !self.claiming.is_empty();
         if busy || stood_still {
             leaving.quiet = now;
@@ -441,6 +446,14 @@
 /// often than this.
 const STANDSTILL: Millis = Millis(500);
 
+/// A pause that may have left requests unread, though too short for callers to give up; above the
+/// core's tick, so that it is rare where the process gets its share of the processor.
+const HICCUP: Millis = Millis(150);
+
+/// How long reading takes after such a pause; it must not start the wait for resends anew, or a
+/// daemon on an overloaded machine would never exit.
+const READING: Millis = Millis(200);
+
 /// Logs how a request ended; never a caller's key or text.
 fn log_end(job: &Job, end: &End) {
     let name = job.identity.as_ref().map(ToString::to_string);
