Let no leaving daemon hold charges for another

Cause: three instances left during an outage of the service. Each counted its charges as safe with the two others, which held them in memory and left as well. Ruled out: a lost write's answer; the service held nothing of these lines at any time. Mended: a leaving instance is no holder any more, so the last ones wait for the service.

--- a/crates/siskinyoke-control/src/core/accounting.rs
+++ b/crates/siskinyoke-control/src/core/accounting.rs
@@ -77,10 +77,13 @@
     /// Tells the usage's controller which members there are.
     pub(super) fn usage_members(&mut self) {
         let own = self.members.own();
+        // Guards against charges that only leaving daemons hold: where a whole fleet stops during
+        // an outage, each would count on the others and all copies would go with them. So one
+        // that is leaving holds for nobody, and what is held of it is written as if it were gone.
         let peers = self
             .members
             .peers()
-            .filter(|record| record.state < MemberState::Gone);
+            .filter(|record| record.state < MemberState::Leaving);
         let members: Vec<Member> = std::iter::once(own)
             .chain(peers)
             .map(|record| Member {
