Hold a poisonous content back between two proofs, on all instances, and keep the innocent

Four faults that the poisoned histories showed, each in the time before a cause is proved: 1. A resend through another instance within the quarter of a second until the proof found it knowing nothing. Peers are asked to wait at the break itself. 3. An instance that started after the news went round knew of no conviction. Newcomers are told. 4. Ruled out: a wait in the policy's queue, as it knows nothing of endpoints taken by suspects.

--- a/crates/siskinyoke-control/src/core/dispatching.rs
+++ b/crates/siskinyoke-control/src/core/dispatching.rs
@@ -28,6 +28,7 @@
             return self.held_back(now, id);
         }
         let dispatch = DispatchId(self.number());
+        let apart = self.is_apart(now, id);
         let Some(job) = self.jobs.get_mut(&id) else {
             return self.scheduler.finished(now, id, Finish::Cancelled);
         };
@@ -54,6 +55,7 @@
         job.run = Some(Run {
             dispatch,
             endpoint: endpoint.clone(),
+            apart,
         });
         self.runs.insert(dispatch, id);
         self.out.push(Action::Dispatch(Box::new(spec)));
--- a/crates/siskinyoke-control/src/core/job.rs
+++ b/crates/siskinyoke-control/src/core/job.rs
@@ -61,6 +61,8 @@
     pub dispatch: DispatchId,
     /// The endpoint.
     pub endpoint: EndpointId,
+    /// Whether it may crash the endpoint and runs apart from others like it.
+    pub apart: bool,
 }
 
 /// Who gets an answer.
--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -18,6 +18,7 @@
 mod sharing;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use rand::RngCore;
@@ -114,6 +115,7 @@
     day: Day,
     quarantine: Quarantine,
     probing: BTreeMap<EndpointId, Millis>,
+    held: BTreeSet<WorkId>,
 }
 
 /// Where a caller's request is.
@@ -195,6 +197,7 @@
             day: Day::default(),
             quarantine: Quarantine::default(),
             probing: BTreeMap::new(),
+            held: BTreeSet::new(),
         }
     }
 
@@ -325,10 +328,12 @@
         if self.usage.next() <= now {
             self.usage.tick(&mut cx);
         }
-        if !self.members.changes().is_empty() || !self.started {
+        let changes = self.members.changes();
+        if !changes.is_empty() || !self.started {
             self.started = true;
             self.fleet_changed(now);
         }
+        self.tell_newcomers(now, &changes);
         self.configuration_events(now);
         if self.members.superseded() || self.members.recalled() {
             self.leave(now);
@@ -403,6 +408,7 @@
     fn settle(&mut self, now: Millis) {
         self.ledger.expire(now);
         self.forward_losses(now);
+        self.resume_held(now);
         for _ in 0..SETTLE_ROUNDS {
             self.look_at_threshold(now);
             let mut decisions = Vec::new();
--- a/crates/siskinyoke-policy/src/quarantine.rs
+++ b/crates/siskinyoke-policy/src/quarantine.rs
@@ -29,6 +29,10 @@
 /// Time between two sendings of one piece of news, in milliseconds; longer than a short cut.
 const TELL_GAP: Millis = Millis(1_500);
 
+/// How soon to ask again about a content whose second break is not explained yet; the tries to
+/// connect that explain it are this far apart.
+const PROOF_GAP: Millis = Millis(200);
+
 /// What is to be done with a content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -152,6 +156,11 @@
             // Guards the time between a break and the proof of its cause: a resend that came in
             // it would run among others, and a second crash would take all of them along.
             Verdict::Free if self.breaks.holds(now, digest) => Verdict::Apart,
+            // Guards the time between the proofs of two deaths: the run apart ended with the
+            // second one, and the first proof would let the content go on to a third endpoint.
+            Verdict::Apart if self.breaks.holds(now, digest) => Verdict::Wait {
+                until: now + PROOF_GAP,
+            },
             verdict => verdict,
         }
     }
