Never run what a peer was told would not run

Cause: an owner was frozen while a peer asked for one booking again and again under one number. It woke past the booking's need, refused it as late, found the next asking in its socket and took it in as new. Ruled out: the ledger (a refused identity is idle again on purpose, so that its caller may send it once more); the time left, which the peer counts and the owner starts from the asking's arrival. Also: what the quarantine holds ends at once where no endpoint is left for it.

--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -144,6 +144,11 @@
         match listener {
             Listener::Call(call) => self.out.answer(*call, part),
             Listener::Peer { peer, id } => {
+                if let Part::End(end) = &part
+                    && end.code.kind() == Kind::NotRun
+                {
+                    self.refusals.note(listener, end);
+                }
                 let asker = peer.incarnation;
                 let message = Message::ForwardPiece {
                     asker,
--- a/crates/siskinyoke-control/src/core/forwarding.rs
+++ b/crates/siskinyoke-control/src/core/forwarding.rs
@@ -8,7 +8,9 @@
 use super::job::Listener;
 use super::roster::Roster;
 use crate::Sender;
+use crate::ledger::Standing;
 use siskinyoke_base::CallClass;
+use siskinyoke_base::CallHead;
 use siskinyoke_base::Code;
 use siskinyoke_base::Identity;
 use siskinyoke_base::Millis;
@@ -37,6 +39,12 @@
                 id: forward.id,
             },
         );
+        // Unless another sending of it has run since: that answer is its own.
+        if let Some(end) = self.refusals.get(&listener).cloned()
+            && self.is_idle(&forward.head)
+        {
+            return self.give(&listener, Part::End(end), 0);
+        }
         if matches!(self.calls.get(&listener), Some(Place::Claim(_))) {
             return;
         }
@@ -59,6 +67,22 @@
         );
     }
 
+    /// Tells whether a request that this daemon start owns was never dispatched.
+    fn is_idle(&self, head: &CallHead) -> bool {
+        let organisation = self.view.caller(&head.bearer).cloned();
+        let (Some(organisation), Some(key)) = (organisation, head.key.clone()) else {
+            return true;
+        };
+        let owner = self.me.incarnation;
+        let identity = Identity {
+            organisation,
+            owner,
+            key,
+        };
+        let entry = self.ledger.get(&identity);
+        entry.is_none_or(|entry| matches!(entry.standing, Standing::Idle))
+    }
+
     /// Gives a part of an owner's answer to the caller here.
     pub(super) fn forward_part(&mut self, now: Millis, id: u64, seq: u32, part: Part) {
         let Some(forwarded) = self.forwards.take(now, id, seq, &part, &mut self.out) else {
--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -13,6 +13,7 @@
 mod heard;
 mod job;
 mod poison;
+mod refusals;
 mod roster;
 mod settings;
 mod sharing;
@@ -31,6 +32,7 @@
 use self::heard::Heard;
 use self::job::Job;
 use self::job::Listener;
+use self::refusals::Refusals;
 use crate::Action;
 use crate::CallId;
 use crate::Context;
@@ -100,6 +102,7 @@
     threshold: Threshold,
     forwards: Forwards,
     heard: Heard,
+    refusals: Refusals,
     jobs: BTreeMap<WorkId, Job>,
     runs: BTreeMap<DispatchId, WorkId>,
     calls: BTreeMap<Listener, Place>,
@@ -183,6 +186,7 @@
             threshold: Threshold::default(),
             forwards: Forwards::default(),
             heard: Heard::default(),
+            refusals: Refusals::default(),
             jobs: BTreeMap::new(),
             runs: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -407,6 +411,7 @@
     /// Does what follows from any event: takes the policy's decisions until none is left.
     fn settle(&mut self, now: Millis) {
         self.ledger.expire(now);
+        self.refusals.expire(now);
         self.forward_losses(now);
         self.resume_held(now);
         for _ in 0..SETTLE_ROUNDS {
--- a/crates/siskinyoke-control/src/core/poison.rs
+++ b/crates/siskinyoke-control/src/core/poison.rs
@@ -119,7 +119,8 @@
             self.quarantine.verdict(now, &job.digest),
             Verdict::Refused { .. }
         );
-        if refused || !job.repeatable() || now >= job.deadline {
+        let hopeless = self.fit(job).next().is_none();
+        if refused || hopeless || !job.repeatable() || now >= job.deadline {
             return self.quarantined(now, id);
         }
         self.held.insert(id);
@@ -148,12 +149,17 @@
             let runs = self.jobs.values().filter_map(|job| job.run.as_ref());
             runs.filter(|run| run.apart).any(|run| run.endpoint == *id)
         };
+        self.fit(job).any(|id| !running(id))
+    }
+
+    /// Returns the endpoints that a job may run on.
+    fn fit<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = &'a EndpointId> {
         let target = job.head.route.target();
         let all = self.view.doc.endpoints.iter();
-        let mut fit = all.filter(|(id, doc)| {
+        let fit = all.filter(move |(id, doc)| {
             !doc.leaving && doc.targets.contains(target) && !job.avoid.contains(id)
         });
-        fit.any(|(id, _)| !running(id))
+        fit.map(|(id, _)| id)
     }
 
     /// Ends a job that the quarantine does not let run in time.
