--- a/tests/src/changes.rs
+++ b/tests/src/changes.rs
@@ -114,6 +114,11 @@
         counts
     }
 
+    /// Returns the body of an answer.
+    pub fn body(&self, call: CallId) -> Option<&serde_json::Value> {
+        self.asked.get(&call).map(|asked| &asked.body)
+    }
+
     /// Checks, once everything has come to rest, that every view holds all accepted changes.
     pub fn finish<'a>(&self, views: impl Iterator<Item = &'a View>) -> Vec<String> {
         let mut breaches = Vec::new();
--- a/tests/src/operators.rs
+++ b/tests/src/operators.rs
@@ -20,6 +20,12 @@
     let head = head("POST", "/admin/v1/apply?revision=0", "first", body);
     world.schedule(0, Millis::ZERO, admin(call, head));
     world.run(Millis::from_secs(3));
+    let body = world.changes.body(call);
+    let accepted = body.is_some_and(|body| body["revision"] == 1);
+    if !accepted {
+        let line = format!("the first document was not taken: {body:?}");
+        world.history.breaches.push(line);
+    }
 }
 
 /// Asks an instance for a change.
