--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -150,6 +150,11 @@
         match listener {
             Listener::Call(call) => self.out.answer(*call, part),
             Listener::Peer { peer, id } => {
+                if let Part::End(end) = &part
+                    && end.code.kind() == Kind::NotRun
+                {
+                    self.refusals.note(listener, end);
+                }
                 let asker = peer.incarnation;
                 let message = Message::ForwardPiece {
                     asker,
@@ -203,8 +208,13 @@
         };
         // A process that stood still wakes with requests waiting in its sockets; leaving at once
         // would cut them off unread.
-        let stood_still = now.since(leaving.looked) >= STANDSTILL;
+        let pause = now.since(leaving.looked);
+        let stood_still = pause >= STANDSTILL;
         leaving.looked = now;
+        if pause >= HICCUP {
+            let linger = self.settings.linger;
+            leaving.quiet = leaving.quiet.max((now + READING).since(linger));
+        }
         let busy = !self.orders.values().all(Orders::settled)
             || !self.jobs.is_empty()
             || !self.forwards.is_empty()
@@ -265,7 +275,7 @@
             self.ledger.set(identity, Standing::Running(id));
         }
         self.calls.insert(ask.listener, Place::Job(id));
-        let apart = self.quarantine.verdict(now, &job.digest) == Verdict::Apart;
+        let apart = self.quarantine.verdict(now, &job.digest) != Verdict::Free;
         let work = job.work(id, apart);
         self.jobs.insert(id, job);
         self.scheduler.arrive(now, work);
@@ -454,6 +464,14 @@
 /// often than this.
 const STANDSTILL: Millis = Millis(500);
 
+/// A pause that may have left requests unread, though too short for callers to give up; above the
+/// core's tick, so that it is rare where the process gets its share of the processor.
+const HICCUP: Millis = Millis(150);
+
+/// How long reading takes after such a pause; it must not start the wait for resends anew, or a
+/// daemon on an overloaded machine would never exit.
+const READING: Millis = Millis(200);
+
 /// Logs how a request ended; never a caller's key or text.
 fn log_end(job: &Job, end: &End) {
     let name = job.identity.as_ref().map(ToString::to_string);
--- a/crates/siskinyoke-control/src/core/dispatching.rs
+++ b/crates/siskinyoke-control/src/core/dispatching.rs
@@ -227,7 +227,7 @@
     ///
     /// At-most-once work goes again only if it provably never left; a stream that its caller
     /// has in part goes on only where an endpoint can resume it.
-    fn again(&mut self, now: Millis, id: WorkId, end: &End) {
+    pub(super) fn again(&mut self, now: Millis, id: WorkId, end: &End) {
         let attempts = self.settings.attempts;
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
@@ -248,7 +248,7 @@
         if let Verdict::Refused { after } = verdict {
             return self.end(now, id, End::new(Code::Quarantined).after(after));
         }
-        let work = job.work(id, verdict == Verdict::Apart);
+        let work = job.work(id, verdict != Verdict::Free);
         self.scheduler.arrive(now, work);
     }
 }
--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -15,6 +15,7 @@
 mod job;
 mod ordering;
 mod poison;
+mod refusals;
 mod roster;
 mod settings;
 mod sharing;
@@ -32,6 +33,7 @@
 use self::heard::Heard;
 use self::job::Job;
 use self::job::Listener;
+use self::refusals::Refusals;
 use crate::Action;
 use crate::CallId;
 use crate::Context;
@@ -104,6 +106,7 @@
     threshold: Threshold,
     forwards: Forwards,
     heard: Heard,
+    refusals: Refusals,
     jobs: BTreeMap<WorkId, Job>,
     runs: BTreeMap<DispatchId, WorkId>,
     calls: BTreeMap<Listener, Place>,
@@ -193,6 +196,7 @@
             threshold: Threshold::default(),
             forwards: Forwards::default(),
             heard: Heard::default(),
+            refusals: Refusals::default(),
             jobs: BTreeMap::new(),
             runs: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -356,10 +360,12 @@
         if self.sweeper {
             self.claims.sweep(&mut cx);
         }
-        if !self.members.changes().is_empty() || !self.started {
+        let changes = self.members.changes();
+        if !changes.is_empty() || !self.started {
             self.started = true;
             self.fleet_changed(now);
         }
+        self.tell_newcomers(now, &changes);
         self.configuration_events(now);
         if self.members.superseded() || self.members.recalled() {
             self.leave(now);
@@ -445,6 +451,7 @@
     /// Does what follows from any event: takes the policy's decisions until none is left.
     fn settle(&mut self, now: Millis) {
         self.ledger.expire(now);
+        self.refusals.expire(now);
         self.forward_losses(now);
         for _ in 0..SETTLE_ROUNDS {
             self.look_at_threshold(now);
--- a/crates/siskinyoke-control/src/core/poison.rs
+++ b/crates/siskinyoke-control/src/core/poison.rs
@@ -8,7 +8,10 @@
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::Millis;
 use siskinyoke_base::message::End;
+use siskinyoke_base::message::MemberRecord;
+use siskinyoke_base::message::MemberState;
 use siskinyoke_base::message::Message;
+use siskinyoke_base::message::Suspect;
 use siskinyoke_policy::Finish;
 use siskinyoke_policy::WorkId;
 use siskinyoke_policy::quarantine::InFlight;
@@ -33,6 +36,47 @@
                 class: job.resolved.class,
             };
             self.quarantine.broke(now, endpoint, request);
+            self.warn(request.digest, endpoint);
+        }
+    }
+
+    /// Asks all peers to wait with a content until the cause of a break is known here.
+    ///
+    /// Guards against a caller that sends its request again through another instance as soon as
+    /// it fails: the cause is known a quarter of a second later, and until then each instance
+    /// would let the content take down an endpoint of its own.
+    fn warn(&mut self, digest: [u8; 32], endpoint: &EndpointId) {
+        let suspect = Suspect {
+            digest,
+            deaths: Vec::new(),
+            cleared: None,
+            trial: Some((endpoint.clone(), WARNED)),
+        };
+        self.tell_all(&[suspect]);
+    }
+
+    /// Tells peers that have just come, or come back, of all suspects.
+    ///
+    /// Guards against a content that is refused everywhere but by an instance which started, or
+    /// was cut off, when the news went round: it would take down two more endpoints there.
+    pub(super) fn tell_newcomers(
+        &mut self,
+        now: Millis,
+        changes: &[(Option<MemberRecord>, MemberRecord)],
+    ) {
+        let suspects = self.quarantine.snapshot(now);
+        if suspects.is_empty() {
+            return;
+        }
+        for (before, after) in changes {
+            let known = before.as_ref().is_some_and(|before| {
+                before.incarnation == after.incarnation && before.state == MemberState::Live
+            });
+            if after.state == MemberState::Live && !known {
+                let suspects = suspects.clone();
+                self.out
+                    .send(&after.instance, Message::Suspects { suspects });
+            }
         }
     }
 
@@ -73,24 +117,34 @@
             .map(|(id, (endpoint, _))| (id, endpoint))
             .collect();
         for (id, endpoint) in due {
-            self.start_run(now, id, &endpoint);
+            if self.is_drained(&endpoint) {
+                self.scheduler.finished(now, id, Finish::Cancelled);
+                self.again(now, id, &End::new(Code::NoEndpoint).after(RETRY_SOON));
+            } else {
+                self.start_run(now, id, &endpoint);
+            }
         }
     }
 
+    /// Tells whether an endpoint was drained, or removed, while a job waited for its place on it.
+    fn is_drained(&self, endpoint: &EndpointId) -> bool {
+        let doc = self.view.doc.endpoints.get(endpoint);
+        doc.is_none_or(|doc| doc.leaving)
+    }
+
     /// Tells news of suspects to all peers at once.
     pub(super) fn tell_suspects(&mut self, now: Millis) {
         let suspects = self.quarantine.news(now);
-        if suspects.is_empty() {
-            return;
+        if !suspects.is_empty() {
+            self.tell_all(&suspects);
         }
-        let others = self.members.others();
-        let peers: Vec<_> = others
-            .into_iter()
-            .map(|record| record.instance.clone())
-            .collect();
-        for peer in peers {
-            let suspects = suspects.clone();
-            self.out.send(&peer, Message::Suspects { suspects });
+    }
+
+    fn tell_all(&mut self, suspects: &[Suspect]) {
+        for record in self.members.others() {
+            let suspects = suspects.to_vec();
+            self.out
+                .send(&record.instance, Message::Suspects { suspects });
         }
     }
 
@@ -119,3 +173,7 @@
 
 /// How long to wait for word of a connection that was tried, before it is tried again.
 const PROBE_GAP: Millis = Millis::from_secs(1);
+
+/// The age of the run that a warning tells of: peers wait for half a minute from its beginning,
+/// so this leaves the three seconds within which the cause of a break is found or given up.
+const WARNED: Millis = Millis::from_secs(27);
