Count free slots against what waits, and print single figures side by side

Cause: a second request that arrived in the same moment at an idle daemon saw one request ahead and nothing on endpoints that could end, and was refused although six slots were free. The new test without the fix: "refused: {WorkId(1): (Millis(0), Overloaded, Millis(31583)), ..}".

--- a/crates/siskinyoke-policy/src/pool.rs
+++ b/crates/siskinyoke-policy/src/pool.rs
@@ -98,12 +98,6 @@
             .sum()
     }
 
-    /// Tells whether any endpoint has room for a target's work.
-    pub(crate) fn has_room(&self, now: Millis, target: &ModelId) -> bool {
-        let mut offering = self.endpoints().filter(|endpoint| endpoint.offers(target));
-        offering.any(|endpoint| self.free(now, endpoint) > 0)
-    }
-
     /// Counts the free slots for a target.
     pub(crate) fn free_slots(&self, now: Millis, target: &ModelId) -> u32 {
         let offering = self.endpoints().filter(|endpoint| endpoint.offers(target));
--- a/crates/siskinyoke-policy/src/state.rs
+++ b/crates/siskinyoke-policy/src/state.rs
@@ -45,11 +45,19 @@
     /// Estimates what work would find if it were let in.
     pub(crate) fn outlook(&self, now: Millis, work: &Work) -> Outlook {
         let key = LaneKey::of(work);
-        let full = !self.pool.has_room(now, &work.target) || !self.may_fill(now, &key);
-        let freed = f64::from(self.pool.excess(now, &work.target)) + 1.0;
         let queued = self.queue.before(work, &self.weights);
+        // Free slots go to what waits first. Without them a second request that arrives in the
+        // same moment at an idle daemon would see one ahead and nothing that ends, for ever.
+        let ahead = if self.may_fill(now, &key) {
+            let free = f64::from(self.pool.free_slots(now, &work.target));
+            let freed = f64::from(self.pool.excess(now, &work.target));
+            let short = queued + 1.0 - free;
+            if free > 0.0 { short } else { short + freed }
+        } else {
+            queued + 1.0
+        };
         Outlook {
-            ahead: if full { queued + freed } else { queued },
+            ahead: ahead.max(0.0),
             ends: self.pool.ends(&work.target) * self.ramp.usable(work.rank),
             above: self.forecast.above(now, &key),
             useful: self.pool.useful(now, work).unwrap_or(f64::INFINITY),
--- a/crates/siskinyoke-policy/tests/overload.rs
+++ b/crates/siskinyoke-policy/tests/overload.rs
@@ -9,6 +9,7 @@
 use siskinyoke_base::CallClass;
 use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
+use siskinyoke_policy::Scheduler;
 use siskinyoke_policy::Work;
 
 fn query(id: u64, now: Millis) -> Work {
@@ -49,6 +50,22 @@
     assert_eq!(answered + bench.refusals.len(), 200);
 }
 
+#[test]
+fn one_moment_fills_an_idle_endpoint() {
+    // Three questions arrive at an idle daemon before it looks at any. Counted as waiting behind
+    // one another with nothing on the endpoint that could end, the second and the third would be
+    // refused, although five slots are free.
+    let mut bench = Bench::new(&[("one", 5)]);
+    for id in 0..3 {
+        let query = query(id, bench.now);
+        bench.works.insert(query.id, query.clone());
+        bench.policy.arrive(bench.now, query);
+    }
+    bench.run_until(secs(2.0));
+    assert!(bench.refusals.is_empty(), "refused: {:?}", bench.refusals);
+    assert!((0..3).all(|id| bench.useful(id)));
+}
+
 #[test]
 fn refusals_say_when_to_come_back() {
     // Thirty callers send at once where seven can be answered in time; the others come back when
--- a/crates/siskinyoke-rig/src/lib.rs
+++ b/crates/siskinyoke-rig/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod figures;
 pub mod load;
+pub mod matrix;
 pub mod plain;
 pub mod request;
 pub mod rival;
--- a/crates/siskinyoke-rig/src/main.rs
+++ b/crates/siskinyoke-rig/src/main.rs
@@ -9,6 +9,8 @@
 
 use siskinyoke_rig::figures::Figures;
 use siskinyoke_rig::load::Load;
+use siskinyoke_rig::matrix::Figure;
+use siskinyoke_rig::matrix::matrix;
 use siskinyoke_rig::rival::Rival;
 use siskinyoke_rig::run;
 use siskinyoke_rig::site::Site;
@@ -36,6 +38,9 @@
     /// Prints JSON in place of a table.
     #[arg(long)]
     json: bool,
+    /// Prints these figures alone, all policies side by side.
+    #[arg(long)]
+    figure: Vec<Figure>,
     /// Runs of each load that differ in their seeds; their figures are averaged.
     #[arg(long, default_value_t = 3)]
     seeds: u64,
@@ -118,6 +123,12 @@
         }
         return;
     }
+    for figure in &arguments.figure {
+        println!("{figure:?}\n\n{}", matrix(figures, *figure));
+    }
+    if !arguments.figure.is_empty() {
+        return;
+    }
     println!("{}", table::HEADING);
     for figures in figures {
         println!("{}", table::line(figures));
