Let a first request wait for its share of slots

Cause: a daemon without load holds a lease for no slot when its first request comes. Nothing runs there, so the wait was estimated as endless and the request refused: "refused: {WorkId(0): (Millis(0), Overloaded, Millis(30603))}". Where nothing runs nothing is known of ends, and the next round of leases brings a slot.

--- a/crates/siskinyoke-policy/src/admission.rs
+++ b/crates/siskinyoke-policy/src/admission.rs
@@ -38,7 +38,9 @@
 impl Outlook {
     /// Returns the expected wait in seconds.
     pub(crate) fn wait(&self) -> f64 {
-        if self.ahead <= 0.0 {
+        // Where nothing runs yet nothing is known of ends: a daemon whose share is still zero has
+        // its share by the next round of leases, and would otherwise refuse its first requests.
+        if self.ahead <= 0.0 || self.ends <= 0.0 {
             return 0.0;
         }
         self.ahead * self.gap()
--- a/crates/siskinyoke-policy/tests/endpoints.rs
+++ b/crates/siskinyoke-policy/tests/endpoints.rs
@@ -146,3 +146,19 @@
     bench.poll();
     assert_eq!(bench.starts.len(), 5);
 }
+
+#[test]
+fn first_request_waits_for_a_share() {
+    // A daemon had no load, so its lease is for no slot when its first request comes. Nothing runs
+    // there whose end could be waited for; taken as an endless wait, the request would be refused,
+    // although the next round of leases brings a slot.
+    let mut bench = Bench::new(&[("a", 8)]);
+    let resource = siskinyoke_base::message::Resource::Endpoint("a".into());
+    bench.policy.grant(bench.now, &resource, 0, secs(2.0));
+    bench.send(work(0, 1, bench.now, secs(4.0)));
+    assert!(bench.refusals.is_empty(), "refused: {:?}", bench.refusals);
+    bench.run_until(secs(0.5));
+    bench.policy.grant(bench.now, &resource, 2, secs(2.5));
+    bench.run_until(secs(3.0));
+    assert!(bench.useful(0));
+}
