Sharpen the test of a slow endpoint

With few slots the learned speed was seen missing by one request only (16 where 15 were allowed), as full slots alone keep work away. With slots to spare the slow endpoint gets none of a hundred, and 19 without what is learned; five are allowed.

--- a/crates/siskinyoke-policy/tests/endpoints.rs
+++ b/crates/siskinyoke-policy/tests/endpoints.rs
@@ -27,12 +27,12 @@
 fn slow_endpoint_is_eased_out_and_back_in() {
     // One of two endpoints turns eight times slower without saying so. Without learned speeds half
     // of the requests go on to it and wait; without forgetting it gets none after it is mended.
-    let mut bench = Bench::new(&[("a", 16), ("b", 16)]);
+    let mut bench = Bench::new(&[("a", 200), ("b", 200)]);
     bench.slow("a", 8.0);
     let id = send_until(&mut bench, 0, secs(10.0));
     send_until(&mut bench, id, secs(20.0));
     let slow = bench.starts_on("a", secs(10.0));
-    assert!(slow <= 15, "the slow endpoint got {slow} of 100 requests");
+    assert!(slow <= 5, "the slow endpoint got {slow} of 100 requests");
     bench.slow("a", 1.0);
     let id = send_until(&mut bench, 1000, secs(60.0));
     send_until(&mut bench, id, secs(70.0));
