--- a/crates/siskinyoke-measure/src/main.rs
+++ b/crates/siskinyoke-measure/src/main.rs
@@ -47,6 +47,9 @@
         /// Loads of each daemon, in requests a second.
         #[arg(long, default_values_t = [0, 5])]
         loads: Vec<u64>,
+        /// Endpoints in the configuration.
+        #[arg(long, default_value_t = service::ENDPOINTS)]
+        endpoints: usize,
     },
     /// Time until an accepted change is in force everywhere.
     InForce {
@@ -86,7 +89,11 @@
             requests::demand(&[12, 75, 300, 600]);
             requests::in_force(&[1_000, 5_000, 21_000]);
         }
-        Slope::Service { sizes, loads } => service::run(&sizes, &loads),
+        Slope::Service {
+            sizes,
+            loads,
+            endpoints,
+        } => service::run(&sizes, &loads, endpoints),
         Slope::InForce { sizes } => service::in_force(&sizes),
         Slope::Memory { what, size } => match what {
             What::Configuration => documents::run(&[size]),
