--- a/crates/siskinyoke-daemon/src/daemon.rs
+++ b/crates/siskinyoke-daemon/src/daemon.rs
@@ -142,6 +142,10 @@
             "instance={} listens for callers on {address}",
             settings.instance
         );
+        log::info!(
+            "instance={} listens for peers on {peer_address}",
+            settings.instance
+        );
         Ok(Self {
             address,
             peer_address,
--- a/crates/siskinyoke-daemon/src/settings.rs
+++ b/crates/siskinyoke-daemon/src/settings.rs
@@ -100,8 +100,6 @@
     pub connect: Millis,
     /// The most bytes of an answer that is not streamed.
     pub answer: usize,
-    /// The most time that a leaving daemon waits for requests in progress, in milliseconds.
-    pub drain: Millis,
 }
 
 impl Default for WorkSettings {
@@ -110,7 +108,6 @@
             run: Millis::from_secs(300),
             connect: Millis::from_secs(1),
             answer: 8 << 20,
-            drain: Millis::from_secs(900),
         }
     }
 }
--- a/crates/siskinyoke-daemon/src/settings/fields.rs
+++ b/crates/siskinyoke-daemon/src/settings/fields.rs
@@ -60,7 +60,6 @@
     optional("run", Form::Number(1..=DAY)),
     optional("connect", Form::Number(1..=MINUTE)),
     optional("answer", Form::Number(1..=BODY_MAX)),
-    optional("drain", Form::Number(0..=DAY)),
 ];
 
 const fn needed(name: &'static str, form: Form) -> Field {
--- a/crates/siskinyoke-daemon/tests/settings.rs
+++ b/crates/siskinyoke-daemon/tests/settings.rs
@@ -61,7 +61,7 @@
   "platform": {
     "kv": ["10.0.0.9:7001"], "instances": "http://10.0.0.9:7001/instances", "limit": 500
   },
-  "work": { "run": 60000, "connect": 500, "answer": 1000000, "drain": 60000 }
+  "work": { "run": 60000, "connect": 500, "answer": 1000000 }
 }"#;
 
 #[test]
--- a/crates/siskinyoke-standin/src/fleet.rs
+++ b/crates/siskinyoke-standin/src/fleet.rs
@@ -179,49 +179,7 @@
 
     /// Returns the fleet's configuration.
     pub fn configuration(&self) -> Value {
-        let digest = |key: &str| blake3::hash(key.as_bytes()).to_hex().to_string();
-        let engine = |engine: &Engine, slots: u32, speed: u32| {
-            json!({
-                "address": engine.address().to_string(), "centre": "muscat-a", "kind": "engine",
-                "targets": [MODEL], "slots": slots, "speed": speed, "resume": true,
-            })
-        };
-        json!({
-            "preset": "ordinary",
-            "tiers": [
-                { "name": "marking", "protected": true, "need": 30_000 },
-                { "name": "batch", "need": 60_000 },
-            ],
-            "presets": {
-                "ordinary": { "prefill": 0.5, "shift": 0.1, "queue": 1000 },
-                "peak": {
-                    "prefill": 0.5, "shift": 0.1, "queue": 1000,
-                    "tiers": { "batch": { "open": false } },
-                },
-            },
-            "endpoints": {
-                "fast": engine(&self.engines[0], 16, 120),
-                "slow": engine(&self.engines[1], 4, 40),
-                "portal-1": {
-                    "address": self.service.address().to_string(), "centre": "muscat-b",
-                    "kind": "service", "targets": [SERVICE], "slots": 16, "speed": 100,
-                },
-            },
-            "organisations": {
-                "school": {
-                    "keys": [digest(CALLER_KEY)],
-                    "routes": [
-                        { "target": MODEL, "class": "at-most-once", "tier": "marking" },
-                        {
-                            "target": SERVICE, "method": "POST", "class": "non-idempotent",
-                            "tier": "marking",
-                        },
-                        { "target": SERVICE, "tier": "batch" },
-                    ],
-                },
-            },
-            "operators": { "root": { "key": digest(OPERATOR_KEY), "role": "administrator" } },
-        })
+        configuration(&self.engines, &self.service)
     }
 
     fn lines(&self) -> Vec<InstanceLine> {
@@ -236,6 +194,53 @@
     }
 }
 
+/// Returns a configuration for a fast and a slow engine and a plain service.
+pub fn configuration(engines: &[Engine], service: &Service) -> Value {
+    let digest = |key: &str| blake3::hash(key.as_bytes()).to_hex().to_string();
+    let engine = |engine: &Engine, slots: u32, speed: u32| {
+        json!({
+            "address": engine.address().to_string(), "centre": "muscat-a", "kind": "engine",
+            "targets": [MODEL], "slots": slots, "speed": speed, "resume": true,
+        })
+    };
+    json!({
+        "preset": "ordinary",
+        "tiers": [
+            { "name": "marking", "protected": true, "need": 30_000 },
+            { "name": "batch", "need": 60_000 },
+        ],
+        "presets": {
+            "ordinary": { "prefill": 0.5, "shift": 0.1, "queue": 1000 },
+            "peak": {
+                "prefill": 0.5, "shift": 0.1, "queue": 1000,
+                "tiers": { "batch": { "open": false } },
+            },
+        },
+        "endpoints": {
+            "fast": engine(&engines[0], 16, 120),
+            "slow": engine(&engines[1], 4, 40),
+            "portal-1": {
+                "address": service.address().to_string(), "centre": "muscat-b",
+                "kind": "service", "targets": [SERVICE], "slots": 16, "speed": 100,
+            },
+        },
+        "organisations": {
+            "school": {
+                "keys": [digest(CALLER_KEY)],
+                "routes": [
+                    { "target": MODEL, "class": "at-most-once", "tier": "marking" },
+                    {
+                        "target": SERVICE, "method": "POST", "class": "non-idempotent",
+                        "tier": "marking",
+                    },
+                    { "target": SERVICE, "tier": "batch" },
+                ],
+            },
+        },
+        "operators": { "root": { "key": digest(OPERATOR_KEY), "role": "administrator" } },
+    })
+}
+
 /// Reads a daemon's status; null if it does not answer.
 pub fn status(address: &SocketAddr) -> Value {
     let answer = ureq::get(format!("http://{address}/admin/v1/status"))
