Measure what the daemon adds, and what slow senders do to tiny_http

`siskinyoke-standin overhead` sends the same streams straight to the engine and through a siskinyoked process, in blocks that alternate in one run, at 1, 16 and 128 in flight.

--- a/crates/siskinyoke-standin/src/lib.rs
+++ b/crates/siskinyoke-standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod gate;
 pub mod load;
+pub mod overhead;
 pub mod pieces;
 pub mod platform;
 pub mod service;
--- a/crates/siskinyoke-standin/src/main.rs
+++ b/crates/siskinyoke-standin/src/main.rs
@@ -17,6 +17,7 @@
 use siskinyoke_standin::load;
 use siskinyoke_standin::load::file::LoadFile;
 use siskinyoke_standin::load::report;
+use siskinyoke_standin::overhead;
 use siskinyoke_standin::platform::Platform;
 use siskinyoke_standin::platform::PlatformConfig;
 use siskinyoke_standin::platform::instances::parse_instances;
@@ -44,6 +45,10 @@
     Trial,
     /// Sends a load and checks each answer.
     Load(LoadArgs),
+    /// Measures what a daemon adds beside a client straight to the engine.
+    Overhead,
+    /// Shows what slow senders do to `tiny_http` and to a daemon.
+    SlowSenders,
 }
 
 #[derive(Debug, Args)]
@@ -143,6 +148,8 @@
         Command::Service(args) => service(args),
         Command::Trial => trial::run().map(|whole| ExitCode::from(u8::from(!whole))),
         Command::Load(args) => drive(args),
+        Command::Overhead => overhead::run().map(|()| ExitCode::SUCCESS),
+        Command::SlowSenders => overhead::slow_senders().map(|()| ExitCode::SUCCESS),
     }
 }
 
