--- a/crates/siskinyoke-control/src/core/refusals.rs
+++ b/crates/siskinyoke-control/src/core/refusals.rs
@@ -44,7 +44,7 @@
 
     /// Forgets old refusals.
     pub fn expire(&mut self, now: Millis) {
-        self.awake = self.awake + now.since(self.seen).min(LOOK);
+        self.awake += now.since(self.seen).min(LOOK);
         self.seen = now;
         while let Some((expiry, listener)) = self.order.front() {
             if *expiry > self.awake {
