End a run apart that told nothing, and let held work wait for its endpoints

Mended: a run apart ends when its endpoint cannot be reached or is silent. Also taken back: ending held work at once where every endpoint had failed it.

--- a/crates/siskinyoke-control/src/core/dispatching.rs
+++ b/crates/siskinyoke-control/src/core/dispatching.rs
@@ -88,6 +88,7 @@
                 if refused && let Some(endpoint) = self.endpoint_of(id) {
                     self.quarantine.refused(now, &endpoint);
                 }
+                self.trial_ended(id);
                 let end = End::new(Code::NoEndpoint).after(RETRY_SOON).detail(detail);
                 self.failed(now, id, dispatch, Finish::Unreachable, &end);
             }
@@ -99,6 +100,7 @@
                 self.failed(now, id, dispatch, Finish::Broken, &end);
             }
             DispatchNews::TimedOut => {
+                self.trial_ended(id);
                 self.failed(now, id, dispatch, Finish::Broken, &End::new(Code::TimedOut));
             }
             DispatchNews::Head {
--- a/crates/siskinyoke-control/src/core/poison.rs
+++ b/crates/siskinyoke-control/src/core/poison.rs
@@ -88,6 +88,16 @@
         }
     }
 
+    /// Notes that a run told nothing of its content.
+    ///
+    /// Guards against a suspect that waits half a minute for its own run apart, which is over: it
+    /// shows where an endpoint that is down or silent was chosen for that run.
+    pub(super) fn trial_ended(&mut self, id: WorkId) {
+        if let Some(job) = self.jobs.get(&id) {
+            self.quarantine.ended(&job.digest);
+        }
+    }
+
     /// Decides whether a job may start on an endpoint as far as the quarantine is concerned.
     pub(super) fn may_start(&mut self, now: Millis, id: WorkId, endpoint: &EndpointId) -> bool {
         let Some(job) = self.jobs.get(&id) else {
@@ -119,8 +129,7 @@
             self.quarantine.verdict(now, &job.digest),
             Verdict::Refused { .. }
         );
-        let hopeless = self.fit(job).next().is_none();
-        if refused || hopeless || !job.repeatable() || now >= job.deadline {
+        if refused || !job.repeatable() || now >= job.deadline {
             return self.quarantined(now, id);
         }
         self.held.insert(id);
@@ -149,17 +158,12 @@
             let runs = self.jobs.values().filter_map(|job| job.run.as_ref());
             runs.filter(|run| run.apart).any(|run| run.endpoint == *id)
         };
-        self.fit(job).any(|id| !running(id))
-    }
-
-    /// Returns the endpoints that a job may run on.
-    fn fit<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = &'a EndpointId> {
         let target = job.head.route.target();
         let all = self.view.doc.endpoints.iter();
-        let fit = all.filter(move |(id, doc)| {
+        let mut fit = all.filter(|(id, doc)| {
             !doc.leaving && doc.targets.contains(target) && !job.avoid.contains(id)
         });
-        fit.map(|(id, _)| id)
+        fit.any(|(id, _)| !running(id))
     }
 
     /// Ends a job that the quarantine does not let run in time.
