--- a/crates/siskinyoke-measure/src/lib.rs
+++ b/crates/siskinyoke-measure/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cost;
 pub mod documents;
 pub mod fleet;
+pub mod holder;
 pub mod limits;
 pub mod network;
 pub mod requests;
--- a/crates/siskinyoke-measure/src/main.rs
+++ b/crates/siskinyoke-measure/src/main.rs
@@ -7,6 +7,7 @@
 use siskinyoke_daemon::peers::PeersError;
 use siskinyoke_measure::documents;
 use siskinyoke_measure::fleet;
+use siskinyoke_measure::holder;
 use siskinyoke_measure::limits;
 use siskinyoke_measure::requests;
 use siskinyoke_measure::service;
@@ -51,6 +52,12 @@
         #[arg(long, default_value_t = service::ENDPOINTS)]
         endpoints: usize,
     },
+    /// The holder of a pool's orders, by endpoints.
+    Orders {
+        /// Numbers of endpoints.
+        #[arg(default_values_t = [12, 75, 300, 600])]
+        sizes: Vec<usize>,
+    },
     /// Time until an accepted change is in force everywhere.
     InForce {
         /// Sizes of the fleet.
@@ -94,6 +101,7 @@
             loads,
             endpoints,
         } => service::run(&sizes, &loads, endpoints),
+        Slope::Orders { sizes } => holder::run(&sizes),
         Slope::InForce { sizes } => service::in_force(&sizes),
         Slope::Memory { what, size } => match what {
             What::Configuration => documents::run(&[size]),
