Send callers away from a leaving instance, and be honest to resends in every filter

- A resend with a key or route that was taken away, or a ticket that cannot be read, is told that an earlier sending may have run.

--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -88,6 +88,10 @@
             End::new(Code::NoConfiguration).after(RETRY_SOON)
         } else if self.view.caller(bearer).is_none() {
             End::new(Code::WrongKey)
+        } else if self.leaving.is_some() {
+            // Its ticket would bring each new request back here, to be refused from wherever
+            // it was sent, until this daemon is gone.
+            filters::leaving(&self.members)
         } else {
             self.give_location(now, call);
             End::new(Code::Complete)
@@ -438,9 +442,9 @@
         let others = self.members.others().into_iter();
         let named = others.choose_multiple(&mut self.rng, OTHERS_NAMED);
         let others = named.into_iter().map(|record| record.caller.clone());
-        let own = self.leaving.is_none().then(|| self.address.clone());
+        let own = std::iter::once(self.address.clone());
         let body = serde_json::json!({
-            "addresses": own.into_iter().chain(others).collect::<Vec<_>>(),
+            "addresses": own.chain(others).collect::<Vec<_>>(),
             "address_keep_ms": self.settings.address.0,
             "ticket": ticket.to_string(),
             "ticket_keep_ms": self.settings.ticket.0,
--- a/crates/siskinyoke-control/src/core/filters.rs
+++ b/crates/siskinyoke-control/src/core/filters.rs
@@ -71,7 +71,8 @@
         // and would go on serving under a revision that is no longer in force.
         if ask.view.revision == 0 || desk.isolated {
             let end = End::new(Code::NoConfiguration).after(RETRY_SOON);
-            return Flow::End(honest(end, ask.past(CallClass::default())));
+            // Nothing is known of its class here, so the more careful one counts.
+            return Flow::End(honest(end, ask.past(CallClass::NonIdempotent)));
         }
         Flow::Next(passed)
     }
@@ -87,7 +88,8 @@
                 resolved: Some(resolved),
                 ..passed
             }),
-            Err(code) => Flow::End(End::new(code)),
+            // A key or route that was taken away since does not unmake an earlier sending.
+            Err(code) => Flow::End(honest(End::new(code), ask.past(CallClass::default()))),
         }
     }
 }
@@ -149,13 +151,17 @@
         if !desk.leaving {
             return Flow::Next(passed);
         }
-        let mut end = End::new(Code::Leaving).after(Millis::ZERO);
-        end.address = desk
-            .roster
-            .others()
-            .first()
-            .map(|record| record.caller.clone());
-        Flow::End(honest(end, passed.past))
+        Flow::End(honest(leaving(desk.roster), passed.past))
+    }
+}
+
+/// Returns the refusal of a leaving daemon, with another address to use.
+pub fn leaving(roster: &dyn Roster) -> End {
+    let others = roster.others();
+    let end = End::new(Code::Leaving).after(Millis::ZERO);
+    End {
+        address: others.first().map(|record| record.caller.clone()),
+        ..end
     }
 }
 
@@ -188,7 +194,10 @@
     resolved: &Resolved,
 ) -> Flow {
     let Ok(ticket) = Ticket::parse(text) else {
-        return Flow::End(End::new(Code::WrongTicket));
+        return Flow::End(honest(
+            End::new(Code::WrongTicket),
+            ask.past(resolved.class),
+        ));
     };
     if ticket.owner != desk.me.incarnation {
         let owner = Sender {
@@ -198,7 +207,10 @@
         return elsewhere(desk, ask, passed, identity, owner, resolved);
     }
     if !ticket.verify(desk.secret) {
-        return Flow::End(End::new(Code::WrongTicket));
+        return Flow::End(honest(
+            End::new(Code::WrongTicket),
+            ask.past(resolved.class),
+        ));
     }
     if desk.now < ticket.expiry {
         return look_up(
--- a/crates/siskinyoke-control/src/threshold.rs
+++ b/crates/siskinyoke-control/src/threshold.rs
@@ -43,7 +43,8 @@
     rank: u8,
     round: u64,
     sent: Millis,
-    acks: BTreeMap<InstanceId, u32>,
+    /// By the peer's start: what an earlier start of it said does not speak for the present one.
+    acks: BTreeMap<Sender, u32>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -111,7 +112,7 @@
     pub fn acknowledged(&mut self, from: &Sender, round: u64, serving: u32) {
         let Some(mine) = &mut self.mine else { return };
         if mine.round == round {
-            mine.acks.insert(from.instance.clone(), serving);
+            mine.acks.insert(from.clone(), serving);
         }
     }
 
@@ -188,7 +189,7 @@
         let Some(mine) = &self.mine else {
             return scheduler.allow_shedding(now, 0, now);
         };
-        let clear = |peer: &Sender| mine.acks.get(&peer.instance) == Some(&0);
+        let clear = |peer: &Sender| mine.acks.get(peer) == Some(&0);
         let all_clear = scheduler.serving(mine.rank) == 0 && peers.iter().all(clear);
         // A permission ends as soon as it is no longer covered: a peer that counted as dead and
         // wakes may still be serving lower work, which shows in its next acknowledgement.
