--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -275,6 +275,7 @@
             first: None,
             last: None,
             attempts: 0,
+            misses: 0,
             avoid: Vec::new(),
         };
         if let Some(identity) = &job.identity {
--- a/crates/siskinyoke-control/src/core/dispatching.rs
+++ b/crates/siskinyoke-control/src/core/dispatching.rs
@@ -49,7 +49,6 @@
             resume: job.events,
             limit: self.settings.run,
         };
-        job.attempts += 1;
         job.last = Some(endpoint.clone());
         job.run = Some(Run {
             dispatch,
@@ -72,6 +71,7 @@
             return;
         };
         job.past = Past::Dispatched;
+        job.attempts += 1;
         self.quarantine.ended(now, &job.digest);
         self.runs.remove(&run.dispatch);
         self.out.push(Action::Cancel {
@@ -199,10 +199,15 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        if how != Finish::Unreachable {
+        if how == Finish::Unreachable {
+            job.misses += 1;
+        } else {
             job.past = Past::Dispatched;
+            job.attempts += 1;
         }
-        if let Some(run) = job.run.take() {
+        if let Some(run) = job.run.take()
+            && !job.avoid.contains(&run.endpoint)
+        {
             job.avoid.push(run.endpoint);
         }
         // Guards against a run apart that ends without a break, as where the endpoint was down
@@ -229,12 +234,13 @@
     /// has in part goes on only where an endpoint can resume it.
     pub(super) fn again(&mut self, now: Millis, id: WorkId, end: &End) {
         let attempts = self.settings.attempts;
+        let misses = self.settings.misses;
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         let allowed = job.past != Past::Dispatched || job.repeatable();
         let resumable = job.events == 0 || job.avoid_unable();
-        if !allowed || !resumable || job.attempts >= attempts {
+        if !allowed || !resumable || job.attempts >= attempts || job.misses >= misses {
             return self.end(now, id, end.clone());
         }
         if job.events > 0 {
--- a/crates/siskinyoke-control/src/core/job.rs
+++ b/crates/siskinyoke-control/src/core/job.rs
@@ -53,8 +53,10 @@
     pub first: Option<Millis>,
     /// The endpoint that had it last.
     pub last: Option<EndpointId>,
-    /// Dispatches so far, connections refused included.
+    /// Dispatches so far of which a first byte may have left.
     pub attempts: usize,
+    /// Dispatches so far that met no connection.
+    pub misses: usize,
     /// Endpoints that failed it.
     pub avoid: Vec<EndpointId>,
 }
--- a/crates/siskinyoke-control/src/core/poison.rs
+++ b/crates/siskinyoke-control/src/core/poison.rs
@@ -16,6 +16,7 @@
 use siskinyoke_policy::WorkId;
 use siskinyoke_policy::quarantine::InFlight;
 use siskinyoke_policy::quarantine::Verdict;
+use siskinyoke_policy::quarantine::WARNED;
 
 impl Core {
     /// Learns whether a connection to an endpoint that broke off can be made.
@@ -173,7 +174,3 @@
 
 /// How long to wait for word of a connection that was tried, before it is tried again.
 const PROBE_GAP: Millis = Millis::from_secs(1);
-
-/// The age of the run that a warning tells of: peers wait for half a minute from its beginning,
-/// so this leaves the three seconds within which the cause of a break is found or given up.
-const WARNED: Millis = Millis::from_secs(27);
--- a/crates/siskinyoke-control/src/core/settings.rs
+++ b/crates/siskinyoke-control/src/core/settings.rs
@@ -19,8 +19,11 @@
     pub run: Millis,
     /// How long an owner may stay silent before a forwarded request is given up on.
     pub silence: Millis,
-    /// The most dispatches of one request, connections refused included.
+    /// The most dispatches of one request of which a first byte may have left.
     pub attempts: usize,
+    /// The most dispatches of one request that meet no connection: they cost an endpoint nothing,
+    /// and several endpoints may be down at once.
+    pub misses: usize,
     /// How long a leaving daemon stays to answer resends after its last answer.
     pub linger: Millis,
     /// How long a leaving daemon tries to bring its charges to safety.
@@ -37,6 +40,7 @@
             run: Millis::from_secs(300),
             silence: Millis::from_secs(4),
             attempts: 4,
+            misses: 12,
             linger: Millis::from_secs(2),
             settle: Millis::from_secs(30),
             ledger: LedgerLimits {
--- a/crates/siskinyoke-policy/src/quarantine.rs
+++ b/crates/siskinyoke-policy/src/quarantine.rs
@@ -34,6 +34,10 @@
 /// connect that explain it are this far apart.
 const PROOF_GAP: Millis = Millis(200);
 
+/// The age of the run that a warning tells of: peers wait for half a minute from its beginning,
+/// so this leaves the three seconds within which the cause of a break is found or given up.
+pub const WARNED: Millis = Millis::from_secs(27);
+
 /// What is to be done with a content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -231,10 +235,12 @@
 
     /// Returns the news to send to all peers now; empty if there is none.
     pub fn news(&mut self, now: Millis) -> Vec<Suspect> {
+        let breaks = &self.breaks;
         let due = self.entries.iter_mut().filter(|(_, entry)| entry.due(now));
         due.map(|(digest, entry)| {
             entry.told(now, TELL_GAP, TELLINGS);
-            entry.suspect(now, *digest)
+            let suspect = entry.suspect(now, *digest);
+            warned(suspect, breaks.open(digest))
         })
         .collect()
     }
@@ -242,8 +248,11 @@
     /// Returns all that is known, for a peer that has just started.
     pub fn snapshot(&self, now: Millis) -> Vec<Suspect> {
         let all = self.entries.iter();
-        all.map(|(digest, entry)| entry.suspect(now, *digest))
-            .collect()
+        all.map(|(digest, entry)| {
+            let suspect = entry.suspect(now, *digest);
+            warned(suspect, self.breaks.open(digest))
+        })
+        .collect()
     }
 
     /// Forgets what has expired, and returns when [`Quarantine::news`] is next due.
@@ -305,3 +314,16 @@
         }
     }
 }
+
+/// Asks peers to wait with a content whose last break is not explained yet.
+///
+/// Guards against the news of a first death that takes back the warning of the second one: a peer
+/// would find nothing under way and let the content take down a third endpoint, in the quarter of
+/// a second until the second death is proved.
+fn warned(suspect: Suspect, open: Option<&EndpointId>) -> Suspect {
+    let warning = open.map(|endpoint| (endpoint.clone(), WARNED));
+    Suspect {
+        trial: suspect.trial.or(warning),
+        ..suspect
+    }
+}
--- a/crates/siskinyoke-policy/src/quarantine/breaks.rs
+++ b/crates/siskinyoke-policy/src/quarantine/breaks.rs
@@ -74,6 +74,14 @@
             .collect()
     }
 
+    /// Returns an endpoint that broke off with a content, if the cause is not known yet.
+    pub fn open(&self, digest: &Digest) -> Option<&EndpointId> {
+        let holds =
+            |breaks: &Vec<Break>| breaks.iter().any(|entry| entry.request.digest == *digest);
+        let open = self.pending.iter().find(|(_, breaks)| holds(breaks));
+        open.map(|(endpoint, _)| endpoint)
+    }
+
     /// Tells whether a content broke off and the cause is not known yet.
     pub fn holds(&self, now: Millis, digest: &Digest) -> bool {
         let fresh =
--- a/tests/tests/histories.rs
+++ b/tests/tests/histories.rs
@@ -9,6 +9,7 @@
 use siskinyoke_base::CallClass;
 use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
+use siskinyoke_base::message::Part;
 use siskinyoke_control::CallId;
 use siskinyoke_control::configuration::View;
 use siskinyoke_control::core::Event;
@@ -21,6 +22,7 @@
 use siskinyoke_tests::configuration::KINDS;
 use siskinyoke_tests::configuration::WorkKind;
 use siskinyoke_tests::endpoint::POISON;
+use siskinyoke_tests::history::Sending;
 use siskinyoke_tests::operators;
 use siskinyoke_tests::script::Order;
 use siskinyoke_tests::script::send;
@@ -375,10 +377,30 @@
         let hit = all.filter(|(_, sending)| sending.hits == 1);
         let hit = hit.filter(|(_, sending)| sending.class == CallClass::Idempotent);
         let lost = hit.filter(|(_, sending)| sending.end != Some(Code::Complete));
+        let lost = lost.filter(|(_, sending)| !self.cannot_resume(sending));
         lost.map(|(call, sending)| format!("{call:?} innocent, got {:?}", sending.end))
             .collect()
     }
 
+    /// Tells whether a stream had begun and every endpoint that can resume one has died: it ends
+    /// as an explicit error then, as it could only be given again from its start.
+    fn cannot_resume(&self, sending: &Sending) -> bool {
+        let begun = sending
+            .parts
+            .iter()
+            .any(|part| matches!(part, Part::Piece(_)));
+        let able = self
+            .world
+            .endpoints
+            .iter()
+            .filter(|(id, _)| id.as_str() != "slow");
+        begun
+            && sending.end == Some(Code::Broken)
+            && able
+                .into_iter()
+                .all(|(_, endpoint)| !endpoint.deaths.is_empty())
+    }
+
     /// Heals everything, so that what was accepted can come to its end.
     fn mend(&mut self) {
         self.world.cuts.clear();
