--- a/crates/siskinyoke-cli/src/main.rs
+++ b/crates/siskinyoke-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `siskinyoke`: the command-line tool of callers and operators.
 
 use std::io;
+use std::io::Write;
 use std::process::ExitCode;
 
 use clap::Parser;
@@ -12,6 +13,7 @@
 use siskinyoke_cli::context::Context;
 use siskinyoke_cli::operator;
 use siskinyoke_cli::report;
+use siskinyoke_cli::report::ReportError;
 use siskinyoke_cli::status;
 
 /// Exit code for what was refused or not run.
@@ -60,28 +62,25 @@
         Command::Send(send) => finish(send.run(context).map(|outcome| outcome.kind)),
         Command::Check(check) => checked(check.run(context)),
         Command::Status => finish(status::status(context)),
-        Command::Usage(args) => finish(
-            args.run(
-                context,
-                &context.addresses,
-                context.json,
-                &mut io::stdout().lock(),
-            )
-            .map(|()| Kind::Done),
-        ),
-        Command::Burn(args) => finish(
-            args.run(
-                context,
-                &context.addresses,
-                context.json,
-                &mut io::stdout().lock(),
-            )
-            .map(|()| Kind::Done),
-        ),
+        Command::Usage(args) => finish(reported(context, |addresses, json, out| {
+            args.run(context, addresses, json, out)
+        })),
+        Command::Burn(args) => finish(reported(context, |addresses, json, out| {
+            args.run(context, addresses, json, out)
+        })),
         Command::Operate(command) => operate(context, command),
     }
 }
 
+/// Makes a report and writes it to the standard output.
+fn reported(
+    context: &Context,
+    run: impl FnOnce(&[String], bool, &mut dyn Write) -> Result<(), ReportError>,
+) -> Result<Kind, ReportError> {
+    run(&context.addresses, context.json, &mut io::stdout().lock())?;
+    Ok(Kind::Done)
+}
+
 fn operate(context: &Context, command: &operator::Command) -> ExitCode {
     let mut out = io::stdout().lock();
     let mut cx = operator::Context {
--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -1,9 +1,6 @@
 //! Callers' side of the core: arrivals, claims, answers, departures.
 
-use rand::seq::IteratorRandom;
-
 use super::Core;
-use super::Leaving;
 use super::Place;
 use super::ask::Ask;
 use super::ask::Flow;
@@ -25,7 +22,6 @@
 use crate::claims::ClaimOutcome;
 use crate::configuration::Resolved;
 use crate::ledger::Standing;
-use crate::orders::Orders;
 use crate::usage::Cause;
 use siskinyoke_base::CallClass;
 use siskinyoke_base::CallHead;
@@ -33,7 +29,6 @@
 use siskinyoke_base::Identity;
 use siskinyoke_base::Kind;
 use siskinyoke_base::Millis;
-use siskinyoke_base::Ticket;
 use siskinyoke_base::message::End;
 use siskinyoke_base::message::Message;
 use siskinyoke_base::message::Part;
@@ -82,23 +77,6 @@
         }
     }
 
-    /// Answers which address to use, with a ticket of this daemon start.
-    pub(super) fn locate(&mut self, now: Millis, call: CallId, bearer: &[u8; 32]) {
-        let end = if self.view.revision == 0 {
-            End::new(Code::NoConfiguration).after(RETRY_SOON)
-        } else if self.view.caller(bearer).is_none() {
-            End::new(Code::WrongKey)
-        } else if self.leaving.is_some() {
-            // Its ticket would bring each new request back here, to be refused from wherever
-            // it was sent, until this daemon is gone.
-            filters::leaving(&self.members)
-        } else {
-            self.give_location(now, call);
-            End::new(Code::Complete)
-        };
-        self.out.answer(call, Part::End(end));
-    }
-
     /// Ends a request: tells its listeners, records what became of it.
     pub(super) fn end(&mut self, now: Millis, id: WorkId, end: End) {
         let Some(mut job) = self.jobs.remove(&id) else {
@@ -188,62 +166,6 @@
         }
     }
 
-    pub(super) fn leave(&mut self, now: Millis) {
-        if self.leaving.is_none() {
-            let mut cx = Context {
-                now,
-                out: &mut self.out,
-                rng: &mut self.rng,
-            };
-            self.members.leave(&mut cx);
-            self.orders.values_mut().for_each(Orders::leave);
-            log::info!("leaving: {} requests are open", self.jobs.len());
-            self.leaving = Some(Leaving {
-                quiet: now,
-                looked: now,
-                flushed: false,
-                exited: false,
-            });
-        }
-    }
-
-    /// Stops the process once everything accepted is finished.
-    pub(super) fn maybe_exit(&mut self, now: Millis) {
-        let Some(leaving) = &mut self.leaving else {
-            return;
-        };
-        // A process that stood still wakes with requests waiting in its sockets; leaving at once
-        // would cut them off unread.
-        let pause = now.since(leaving.looked);
-        let stood_still = pause >= STANDSTILL;
-        leaving.looked = now;
-        if pause >= HICCUP {
-            let linger = self.settings.linger;
-            leaving.quiet = leaving.quiet.max((now + READING).since(linger));
-        }
-        let busy = !self.orders.values().all(Orders::settled)
-            || !self.jobs.is_empty()
-            || !self.forwards.is_empty()
-            || !self.claiming.is_empty();
-        if busy || stood_still {
-            leaving.quiet = now;
-        } else if !leaving.flushed {
-            leaving.flushed = true;
-            let mut cx = Context {
-                now,
-                out: &mut self.out,
-                rng: &mut self.rng,
-            };
-            self.usage.flush(&mut cx);
-            self.burn.flush(&mut cx);
-        } else if !self.usage.settled() && now.since(leaving.quiet) < self.settings.settle {
-            // Charges that no other holds yet would be lost with this process.
-        } else if !leaving.exited && now.since(leaving.quiet) >= self.settings.linger {
-            leaving.exited = true;
-            self.out.push(Action::Exit);
-        }
-    }
-
     fn let_in(&mut self, now: Millis, ask: Ask, passed: Passed) {
         let Some(resolved) = passed.resolved else {
             return;
@@ -436,51 +358,8 @@
         };
         self.ledger.end(identity, end, parts);
     }
-
-    fn give_location(&mut self, now: Millis, call: CallId) {
-        let expiry = now + self.settings.ticket;
-        let ticket = Ticket::seal(&self.me.instance, self.me.incarnation, expiry, &self.secret);
-        let others = self.members.others().into_iter();
-        let named = others.choose_multiple(&mut self.rng, OTHERS_NAMED);
-        let others = named.into_iter().map(|record| record.caller.clone());
-        let own = std::iter::once(self.address.clone());
-        let body = serde_json::json!({
-            "addresses": own.chain(others).collect::<Vec<_>>(),
-            "address_keep_ms": self.settings.address.0,
-            "ticket": ticket.to_string(),
-            "ticket_keep_ms": self.settings.ticket.0,
-            "instance": self.me.instance,
-            "revision": self.view.revision,
-        });
-        let content = "application/json".to_owned();
-        self.out.answer(
-            call,
-            Part::Head {
-                status: 200,
-                content,
-                stream: false,
-            },
-        );
-        self.out.answer(call, Part::Piece(body.to_string().into()));
-    }
 }
 
-/// Other addresses that a caller is told, picked at random: enough to go on when several are gone
-/// at once, and a page of some hundred bytes however many instances there are.
-const OTHERS_NAMED: usize = 7;
-
-/// How long the core must have had no event to count as having stood still; ticks come far more
-/// often than this.
-const STANDSTILL: Millis = Millis(500);
-
-/// A pause that may have left requests unread, though too short for callers to give up; above the
-/// core's tick, so that it is rare where the process gets its share of the processor.
-const HICCUP: Millis = Millis(150);
-
-/// How long reading takes after such a pause; it must not start the wait for resends anew, or a
-/// daemon on an overloaded machine would never exit.
-const READING: Millis = Millis(200);
-
 /// Logs how a request ended; never a caller's key or text.
 fn log_end(job: &Job, end: &End) {
     let name = job.identity.as_ref().map(ToString::to_string);
--- a/crates/siskinyoke-control/src/core/mod.rs
+++ b/crates/siskinyoke-control/src/core/mod.rs
@@ -14,6 +14,8 @@
 mod forwards;
 mod heard;
 mod job;
+mod leaving;
+mod locating;
 mod ordering;
 mod poison;
 mod refusals;
@@ -34,6 +36,7 @@
 use self::heard::Heard;
 use self::job::Job;
 use self::job::Listener;
+use self::leaving::Leaving;
 use self::refusals::Refusals;
 use crate::Action;
 use crate::CallId;
@@ -136,19 +139,6 @@
     Claim(Identity),
 }
 
-/// A daemon on its way out.
-#[derive(Debug, Clone, Copy)]
-struct Leaving {
-    /// When the last answer was given.
-    quiet: Millis,
-    /// When the core last looked whether it may stop.
-    looked: Millis,
-    /// Whether usage was told to write everything.
-    flushed: bool,
-    /// Whether the process was told to stop.
-    exited: bool,
-}
-
 /// What a core is made with.
 #[derive(Debug)]
 pub struct CoreParts {
--- a/crates/siskinyoke-control/src/core/sharing.rs
+++ b/crates/siskinyoke-control/src/core/sharing.rs
@@ -5,6 +5,7 @@
 use crate::Sender;
 use crate::configuration::View;
 use crate::leases::LeaseView;
+use crate::leases::Leases;
 use crate::members::Members;
 use siskinyoke_base::EndpointId;
 use siskinyoke_base::InstanceId;
@@ -48,23 +49,25 @@
     /// Reports demand if a report is due, and hands new leases to the policy.
     pub(super) fn share(&mut self, now: Millis) {
         if self.leases.next() <= now {
-            let mut cx = Context {
-                now,
-                out: &mut self.out,
-                rng: &mut self.rng,
-            };
-            let shares = Shares {
-                members: &self.members,
-                view: &self.view,
-                scheduler: self.scheduler.as_ref(),
-            };
-            self.leases.tick(&mut cx, &shares);
+            self.with_shares(now, |leases, cx, shares| leases.tick(cx, shares));
         }
         self.take_leases(now);
     }
 
     /// Takes a peer's report or grant.
     pub(super) fn lease_message(&mut self, now: Millis, from: &Sender, message: &Message) {
+        self.with_shares(now, |leases, cx, shares| {
+            leases.message(cx, from, message, shares);
+        });
+        self.take_leases(now);
+    }
+
+    /// Calls the leases' controller with what it is lent of the core.
+    fn with_shares(
+        &mut self,
+        now: Millis,
+        call: impl FnOnce(&mut Leases, &mut Context<'_>, &Shares<'_>),
+    ) {
         let mut cx = Context {
             now,
             out: &mut self.out,
@@ -75,8 +78,7 @@
             view: &self.view,
             scheduler: self.scheduler.as_ref(),
         };
-        self.leases.message(&mut cx, from, message, &shares);
-        self.take_leases(now);
+        call(&mut self.leases, &mut cx, &shares);
     }
 
     fn take_leases(&mut self, now: Millis) {
