Keep a stand-in's port taken while it is down

Cause of a flaky run (standin_platform: a_service_that_is_down_took_nothing and a_slow_service_leaves_a_watch_its_time failed once of some thirty at a load of 15 to 18): suspected, not shown: the freed port was given to another test's server meanwhile. The address is now bound and not listened on while the stand-in is down, which refuses connections as before.

--- a/crates/siskinyoke-standin/src/gate.rs
+++ b/crates/siskinyoke-standin/src/gate.rs
@@ -6,6 +6,7 @@
 mod link;
 mod listen;
 
+use self::listen::Reserved;
 pub use self::listen::listen;
 
 use std::io;
@@ -203,18 +204,23 @@
     /// Takes connections until the gate is stopped, away from the address while it is down.
     fn accept(self: Arc<Self>, first: TcpListener) {
         let mut listener = Some(first);
+        let mut reserved = None;
         loop {
             if self.lock().stopped {
                 return;
             }
             if self.is_down() {
                 listener = None;
+                reserved = Reserved::new(&self.outer.to_string()).ok();
                 self.set_away(true);
                 self.wait_up();
                 continue;
             }
             let Some(open) = &listener else {
-                listener = listen(&self.outer.to_string()).ok();
+                listener = match reserved.take() {
+                    Some(reserved) => reserved.listen().ok(),
+                    None => listen(&self.outer.to_string()).ok(),
+                };
                 if listener.is_some() {
                     self.set_away(false);
                 } else {
