--- a/crates/siskinyoke-cli/src/status.rs
+++ b/crates/siskinyoke-cli/src/status.rs
@@ -1,5 +1,11 @@
 //! The command `status`.
 
+use std::fmt::Write as _;
+use std::io;
+use std::io::Write;
+
+use serde_json::Value;
+
 use crate::context::Context;
 use siskinyoke_base::Kind;
 
@@ -10,42 +16,49 @@
 /// A sentence if no daemon answers.
 pub fn status(context: &Context) -> Result<Kind, String> {
     let mut reached = 0;
+    let mut text = String::new();
     for address in &context.addresses {
         match context.get(address, "/admin/v1/status") {
             Ok(status) => {
                 reached += 1;
-                print_status(context, address, &status);
+                text += &describe(context, address, &status);
+            }
+            Err(err) => {
+                // Writing to a text never fails.
+                let _ = writeln!(text, "{address}: {err}");
             }
-            Err(err) => println!("{address}: {err}"),
         }
     }
+    // A reader that has seen enough closes the pipe, which is no fault.
+    let _ = io::stdout().write_all(text.as_bytes());
     if reached == 0 {
         return Err("no daemon answers; hint: give addresses with --address".into());
     }
     Ok(Kind::Done)
 }
 
-fn print_status(context: &Context, address: &str, status: &serde_json::Value) {
+/// Describes a daemon in a line, and each member that it sees in a line below.
+fn describe(context: &Context, address: &str, status: &Value) -> String {
     if context.json {
-        println!("{status}");
-        return;
+        return format!("{status}\n");
     }
-    println!(
-        "{address}: {} revision {} preset {} jobs {} leaving {} isolated {}",
-        status["instance"].as_str().unwrap_or("?"),
+    let mut text = format!(
+        "{address}: {} revision {} preset {} jobs {} leaving {} isolated {}\n",
+        word(&status["instance"]),
         status["revision"],
-        status["preset"].as_str().unwrap_or("?"),
+        word(&status["preset"]),
         status["jobs"],
         status["leaving"],
         status["isolated"],
     );
     for member in status["members"].as_array().into_iter().flatten() {
-        println!(
-            "  {} {} {} {}",
-            member["instance"].as_str().unwrap_or("?"),
-            member["centre"].as_str().unwrap_or("?"),
-            member["state"].as_str().unwrap_or("?"),
-            member["caller"].as_str().unwrap_or("?"),
-        );
+        let fields = ["instance", "centre", "state", "caller"].map(|name| word(&member[name]));
+        // Writing to a text never fails.
+        let _ = writeln!(text, "  {}", fields.join(" "));
     }
+    text
+}
+
+fn word(value: &Value) -> &str {
+    value.as_str().unwrap_or("?")
 }
--- a/crates/siskinyoke-control/src/core/accounting.rs
+++ b/crates/siskinyoke-control/src/core/accounting.rs
@@ -1,5 +1,7 @@
 //! What finished requests are charged, and what prompt work was thrown away.
 
+use std::borrow::Cow;
+
 use serde::Deserialize;
 
 use super::Core;
@@ -36,6 +38,27 @@
 /// Seconds of a day in universal time.
 const SECS_A_DAY: u64 = 86_400;
 
+/// The part of a stream's event that carries text.
+#[derive(Debug, Deserialize)]
+struct Chunk<'a> {
+    #[serde(borrow, default)]
+    choices: Vec<Choice<'a>>,
+}
+
+/// One answer in an event.
+#[derive(Debug, Deserialize)]
+struct Choice<'a> {
+    #[serde(borrow, default)]
+    delta: Delta<'a>,
+}
+
+/// What an event adds to an answer.
+#[derive(Debug, Default, Deserialize)]
+struct Delta<'a> {
+    #[serde(borrow, default)]
+    content: Option<Cow<'a, str>>,
+}
+
 impl Core {
     /// Sets the present time, in seconds since 1 January 1970; only bills and reports use it.
     pub fn set_time(&mut self, secs: u64) {
@@ -122,10 +145,28 @@
     });
     counted.unwrap_or(Tokens {
         prompt: u64::from(job.head.prompt),
-        output: u64::from(job.events),
+        output: u64::from(job.tokens),
     })
 }
 
+/// Tells whether an event of a stream carries text of the answer.
+///
+/// Guards the bill: the events that open a stream with the speaker's role and close it with a
+/// reason are no tokens, and would be charged with every streamed answer.
+pub(super) fn carries_text(event: &[u8]) -> bool {
+    let Some(data) = event.strip_prefix(b"data: ") else {
+        return false;
+    };
+    let Ok(chunk) = serde_json::from_slice::<Chunk<'_>>(data) else {
+        return false;
+    };
+    let texts = chunk
+        .choices
+        .iter()
+        .filter_map(|choice| choice.delta.content.as_ref());
+    texts.into_iter().any(|text| !text.is_empty())
+}
+
 /// Reads the counts from a body, or from the data of an event.
 fn counted(bytes: &[u8]) -> Option<Tokens> {
     let text = bytes.strip_prefix(b"data: ").unwrap_or(bytes);
--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -193,6 +193,7 @@
             parts: Vec::new(),
             seq: 0,
             events: 0,
+            tokens: 0,
             streaming: false,
             first: None,
             last: None,
--- a/crates/siskinyoke-control/src/core/dispatching.rs
+++ b/crates/siskinyoke-control/src/core/dispatching.rs
@@ -1,6 +1,7 @@
 //! Endpoints' side of the core: dispatches, their news, retries and resumes.
 
 use super::Core;
+use super::accounting::carries_text;
 use super::ending::Past;
 use super::event::DispatchNews;
 use super::filters::RETRY_SOON;
@@ -164,7 +165,10 @@
         }
         let seq = job.seq;
         job.seq += 1;
-        job.events += u32::from(matches!(part, Part::Piece(_)));
+        if let Part::Piece(bytes) = &part {
+            job.events += 1;
+            job.tokens += u32::from(carries_text(bytes));
+        }
         let listeners = job.listeners.clone();
         // Without a key nobody can come back for the answer, so only its count is kept.
         if job.identity.is_some() || matches!(part, Part::Head { .. }) {
--- a/crates/siskinyoke-control/src/core/job.rs
+++ b/crates/siskinyoke-control/src/core/job.rs
@@ -47,6 +47,8 @@
     pub seq: u32,
     /// Whole events of a stream that the listeners have.
     pub events: u32,
+    /// Events of a stream that carry text, which stand for its tokens where nothing counts them.
+    pub tokens: u32,
     /// Whether its answer is given on as it comes rather than whole.
     pub streaming: bool,
     /// When the first piece of its answer came.
