Hand on what a leaving instance holds for those that are gone

It now hands on what it holds of starts that are gone; merging takes the larger counter, so doubled word changes nothing. Ruled out: a lost answer of the service (none was given).

--- a/crates/siskinyoke-base/src/message.rs
+++ b/crates/siskinyoke-base/src/message.rs
@@ -101,6 +101,13 @@
         /// Counts the sender's records.
         round: u64,
     },
+    /// Usage of a start that is gone, which the sender held for it and may not hold much longer.
+    UsageHandover {
+        /// The start that counted it.
+        writer: Incarnation,
+        /// Its counters, as in a usage record.
+        record: Bytes,
+    },
     /// The answer to a usage record.
     UsageAck {
         /// The round held.
--- a/crates/siskinyoke-control/src/usage.rs
+++ b/crates/siskinyoke-control/src/usage.rs
@@ -255,16 +255,44 @@
         }
     }
 
-    fn take(&mut self, from: &Sender, record: &Bytes) -> bool {
+    /// Hands what is held of starts that are gone to this daemon's own holders as it leaves.
+    ///
+    /// Guards against an outage of the service in which a writer and then its holders leave one
+    /// after another: the last of them would take the charges along. It shows as answers that
+    /// are not on the bill. Merging takes the larger counter, so doubled word changes nothing.
+    fn hand_over(&self, cx: &mut Context<'_>) {
+        if !self.leaving {
+            return;
+        }
+        let unsaved = |held: &Held| held.gone && !held.book.clean();
+        for ((writer, day), held) in self.held.iter().filter(|(_, held)| unsaved(held)) {
+            let line = |(key, line): (&LineKey, Line)| HeldLine {
+                day: *day,
+                key: key.clone(),
+                line,
+            };
+            let lines: Vec<HeldLine> = held.book.lines().map(line).collect();
+            for part in lines.chunks(HOLD_LINES) {
+                let record = stored::encode(&part.to_vec());
+                for to in self.holders.instances() {
+                    let (writer, record) = (*writer, record.clone());
+                    cx.out.send(to, Message::UsageHandover { writer, record });
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, from: &Sender, writer: Incarnation, record: &Bytes) -> bool {
         let Some(lines) = stored::decode::<Vec<HeldLine>>(record) else {
             log::warn!("a usage record from {} cannot be read", from.instance);
             return false;
         };
-        let (writer, me) = (from.incarnation, self.me.incarnation);
+        let me = self.me.incarnation;
+        let gone = writer != from.incarnation;
         for line in lines {
             let held = self.held.entry((writer, line.day)).or_insert_with(|| Held {
                 book: Book::new(line.day, writer, me),
-                gone: false,
+                gone,
             });
             held.book.change(&line.key, |mine| mine.merge(&line.line));
         }
@@ -305,6 +333,7 @@
     fn tick(&mut self, cx: &mut Context<'_>) {
         if cx.now >= self.hold {
             self.send(cx);
+            self.hand_over(cx);
             self.hold = cx.now + if self.leaving { URGENT_GAP } else { HOLD_GAP };
         }
         if cx.now >= self.write {
@@ -327,7 +356,10 @@
 
     fn message(&mut self, cx: &mut Context<'_>, from: &Sender, message: &Message) {
         match message {
-            Message::Usage { record, round } if self.take(from, record) => {
+            Message::UsageHandover { writer, record } => {
+                self.take(from, *writer, record);
+            }
+            Message::Usage { record, round } if self.take(from, from.incarnation, record) => {
                 let round = *round;
                 cx.out.send(&from.instance, Message::UsageAck { round });
             }
--- a/crates/siskinyoke-control/src/usage/book.rs
+++ b/crates/siskinyoke-control/src/usage/book.rs
@@ -89,6 +89,11 @@
             .map_or_else(Line::default, |slot| slot.line)
     }
 
+    /// Returns all lines in the order of their keys.
+    pub fn lines(&self) -> impl Iterator<Item = (&LineKey, Line)> {
+        self.lines.iter().map(|(key, slot)| (key, slot.line))
+    }
+
     /// Tells whether the service is known to hold everything.
     pub fn clean(&self) -> bool {
         let settled = |page: &Page| matches!(page.state, State::Clean | State::Closed);
--- a/crates/siskinyoke-control/src/usage/holders.rs
+++ b/crates/siskinyoke-control/src/usage/holders.rs
@@ -40,6 +40,11 @@
 }
 
 impl Holders {
+    /// Returns the instances that hold this daemon's usage.
+    pub fn instances(&self) -> impl Iterator<Item = &InstanceId> {
+        self.chosen.iter().map(|holder| &holder.instance)
+    }
+
     /// Notes that a line has changed.
     pub fn changed(&mut self, day: Day, key: &LineKey) {
         self.last += 1;
