Book waste in one place, and ask the members without building an address

Wasted prompt work was booked in the usage and in the burn report by two calls at each place; one call now does both. Whether an owner is known was answered by building its whole address, for each open forwarded request on each event. No time was measured.

--- a/crates/siskinyoke-control/src/core/accounting.rs
+++ b/crates/siskinyoke-control/src/core/accounting.rs
@@ -94,6 +94,7 @@
     pub(super) fn account_waste(&mut self, job: &Job, cause: Cause) {
         self.usage
             .waste(&line_key(job), cause, u64::from(job.head.prompt));
+        self.burn_waste(job);
     }
 
     /// Books the prompt work of a job's dispatch that was thrown away.
@@ -102,7 +103,6 @@
             return;
         };
         self.account_waste(&job, cause);
-        self.burn_waste(&job);
         self.jobs.insert(id, job);
     }
 
--- a/crates/siskinyoke-control/src/core/calls.rs
+++ b/crates/siskinyoke-control/src/core/calls.rs
@@ -91,7 +91,6 @@
             self.scheduler.finished(now, id, Finish::Cancelled);
             self.quarantine.ended(now, &job.digest);
             self.account_waste(&job, Cause::Cancelled);
-            self.burn_waste(&job);
         }
         if self.parked.remove(&id).is_some() {
             self.scheduler.finished(now, id, Finish::Cancelled);
--- a/crates/siskinyoke-control/src/core/roster.rs
+++ b/crates/siskinyoke-control/src/core/roster.rs
@@ -27,7 +27,7 @@
     }
 
     fn is_over(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
-        self.is_gone(incarnation) || self.address(instance).is_none()
+        self.is_gone(incarnation) || !self.knows(instance)
     }
 }
 
--- a/crates/siskinyoke-control/src/members/controller.rs
+++ b/crates/siskinyoke-control/src/members/controller.rs
@@ -208,6 +208,11 @@
         self.table.take_changes()
     }
 
+    /// Tells whether it is known where an instance may be reached.
+    pub fn knows(&self, instance: &InstanceId) -> bool {
+        self.table.get(instance).is_some() || self.roster.get(instance).is_some()
+    }
+
     /// Returns where a peer is reached.
     pub fn address(&self, instance: &InstanceId) -> Option<MemberAddress> {
         let held = self.table.get(instance).map(|member| &member.record);
