--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/ask.rs
@@ -0,0 +1,56 @@
+//! What a decision needs to know of one request.
+
+use std::sync::Arc;
+
+use siskinyoke_base::Millis;
+
+use crate::EndpointKey;
+use crate::Route;
+
+/// Names one admitted request within an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// How urgent a request is; the smaller goes first.
+///
+/// The organisation's priority goes before the route's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Rank(pub u16);
+
+impl Rank {
+    /// Joins the two priorities into one rank.
+    pub fn new(organisation: Option<u8>, route: u8) -> Self {
+        let first = organisation.unwrap_or(route);
+        Self(u16::from(first) << 8 | u16::from(route))
+    }
+}
+
+/// One request as the decisions see it.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// The service that has to run it.
+    pub service: Arc<str>,
+    /// The route it came by.
+    pub route: Arc<Route>,
+    /// How urgent it is.
+    pub rank: Rank,
+    /// When it arrived.
+    pub arrived: Millis,
+    /// When the caller, or the route, stops waiting for it.
+    pub until: Millis,
+    /// Work in units that grow with the time on an endpoint: prompt and output tokens, weighed.
+    pub size: f64,
+    /// Identifies what runs: the same for each resend of the same work.
+    pub fingerprint: u64,
+    /// Endpoints it was given to, reached or not.
+    pub tried: Vec<EndpointKey>,
+    /// How many of them were reached.
+    pub sent: u32,
+}
+
+impl Ask {
+    /// Returns the time that is left before nobody waits any more.
+    pub fn left(&self, now: Millis) -> Millis {
+        self.until.since(now)
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -0,0 +1,461 @@
+//! One instance's state: what it believes, what waits and what runs.
+
+use std::sync::Arc;
+
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
+
+use crate::Ask;
+use crate::Configuration;
+use crate::Kind;
+use crate::Organisation;
+use crate::Outcome;
+use crate::Rank;
+use crate::Reason;
+use crate::Refusal;
+use crate::Report;
+use crate::Route;
+use crate::Scheduler;
+use crate::Ticket;
+use crate::allowance::Allowances;
+use crate::budget::Budget;
+use crate::directory;
+use crate::peers::Heard;
+use crate::peers::Peers;
+use crate::registry::Registry;
+use crate::scheduler::Decision;
+use crate::suspects::Suspects;
+
+/// Suspect work and addresses told in one report, so that it fits a datagram.
+const TOLD: usize = 8;
+
+/// When a caller should come back that was refused as no configuration is known.
+const UNREADY: Millis = Millis(300);
+
+/// When a caller should come back whose work crashed endpoints: not soon.
+const SUSPECT: Millis = Millis::from_secs(30);
+
+/// What an instance is, fixed for the life of its process.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Its name.
+    pub name: String,
+    /// Its data centre.
+    pub centre: String,
+    /// Where callers reach it.
+    pub front: String,
+    /// Where peers reach it.
+    pub inner: String,
+    /// Differs for each start; a later one is higher.
+    pub start: u64,
+    /// The part of a service's requests that may be sent again, over all instances.
+    pub retries: f64,
+    /// Retries allowed beside that part, over all instances.
+    pub floor: f64,
+}
+
+/// What a caller asks for, before anything is decided.
+#[derive(Debug, Clone, Copy)]
+pub struct Request<'a> {
+    /// The host it names.
+    pub host: &'a str,
+    /// Its path.
+    pub path: &'a str,
+    /// Its key, if it has one.
+    pub key: Option<&'a str>,
+    /// How long its caller waits, if it says so.
+    pub deadline: Option<Millis>,
+    /// Prompt and output tokens, if it names them.
+    pub tokens: Option<(u64, u64)>,
+    /// An evenly spread number of its own, to split traffic by.
+    pub draw: u64,
+}
+
+/// A request that may go on: who sent it and how it is to be served.
+#[derive(Debug, Clone)]
+pub struct Pass {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that has to run it.
+    pub service: Arc<str>,
+    /// Its organisation, where one is needed.
+    pub organisation: Option<Arc<Organisation>>,
+    /// How urgent it is.
+    pub rank: Rank,
+    /// When it arrived.
+    pub arrived: Millis,
+    /// When nobody waits for it any more.
+    pub until: Millis,
+    /// Its size for placing and pacing.
+    pub size: f64,
+    /// What it takes of its organisation's allowance.
+    pub units: f64,
+}
+
+/// One instance's state.
+#[derive(Debug)]
+pub struct Core {
+    me: Identity,
+    configuration: Option<Arc<Configuration>>,
+    registry: Registry,
+    scheduler: Scheduler,
+    peers: Peers,
+    allowances: Allowances,
+    budgets: Map<Arc<str>, Budget>,
+    suspects: Suspects,
+    leaving: bool,
+    number: u64,
+}
+
+impl Core {
+    /// Makes the state of an instance that knows nothing yet.
+    pub fn new(me: Identity) -> Self {
+        let scheduler = Scheduler::new(&me.centre);
+        Self {
+            me,
+            configuration: None,
+            registry: Registry::default(),
+            scheduler,
+            peers: Peers::default(),
+            allowances: Allowances::default(),
+            budgets: Map::default(),
+            suspects: Suspects::default(),
+            leaving: false,
+            number: 0,
+        }
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    ///
+    /// Returns whether it is in force now and was not before.
+    pub fn configure(&mut self, now: Millis, configuration: Configuration) -> bool {
+        if self.version() >= configuration.version {
+            return false;
+        }
+        self.allowances.configure(now, configuration.organisations());
+        self.configuration = Some(Arc::new(configuration));
+        true
+    }
+
+    /// Returns the version in force, 0 for none.
+    pub fn version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |known| known.version)
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Returns the endpoints that are known.
+    pub fn registry(&mut self) -> &mut Registry {
+        &mut self.registry
+    }
+
+    /// Returns the other instances.
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Returns the queues.
+    pub fn scheduler(&self) -> &Scheduler {
+        &self.scheduler
+    }
+
+    /// Returns whether callers may be sent here.
+    pub fn ready(&self) -> bool {
+        self.configuration.is_some() && !self.leaving && self.registry.all().next().is_some()
+    }
+
+    /// Starts to leave: no callers are sent here any more.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns whether this instance is leaving.
+    pub fn leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Passes a request through the filters that need only its head.
+    ///
+    /// # Errors
+    ///
+    /// The refusal; the request has not run and never will.
+    pub fn pass(&mut self, now: Millis, request: Request<'_>) -> Result<Pass, Refusal> {
+        let Some(configuration) = self.configuration.clone() else {
+            return Err(Refusal { reason: Reason::Unready, after: UNREADY });
+        };
+        let route = find_route(&configuration, request)?;
+        let organisation = authenticate(&configuration, &route, request)?;
+        let pass = measure(now, route, organisation, request)?;
+        self.budget(&pass.service).request(now);
+        self.take_allowance(now, &pass)?;
+        Ok(pass)
+    }
+
+    /// Lets a whole request wait for an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// The refusal; the request has not run, and its allowance is given back.
+    pub fn admit(&mut self, now: Millis, pass: &Pass, print: u64) -> Result<Ticket, Refusal> {
+        let result = if self.suspects.refuses(now, print) {
+            Err(Refusal { reason: Reason::Suspect, after: SUSPECT })
+        } else {
+            let ask = ask(pass, print);
+            self.scheduler.admit(now, ask, &self.registry, &self.peers)
+        };
+        if result.is_err() {
+            self.give_back(pass);
+        }
+        result
+    }
+
+    /// Gives back the allowance of a request that did not run.
+    pub fn give_back(&mut self, pass: &Pass) {
+        if let Some(organisation) = &pass.organisation {
+            self.allowances.give_back(organisation, pass.units);
+        }
+    }
+
+    /// Decides what can be decided now.
+    pub fn decide(&mut self, now: Millis) -> Vec<Decision> {
+        self.scheduler.decide(now, &self.registry, &self.peers)
+    }
+
+    /// Takes note of how a stay ended, and lets the request wait for another endpoint if
+    /// `more` is set and both its route and the retry budget allow one.
+    pub fn ended(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        outcome: Outcome,
+        more: bool,
+    ) -> Option<Ticket> {
+        let ask = self.scheduler.ended(now, ticket, outcome)?;
+        match outcome {
+            Outcome::Broken => self.suspects.crashed(now, ask.fingerprint),
+            Outcome::Done { .. } => self.suspects.cleared(ask.fingerprint),
+            _ => {}
+        }
+        if !more || !self.may_retry(now, &ask, outcome) {
+            return None;
+        }
+        Some(self.scheduler.again(ask))
+    }
+
+    /// Takes out a request, waiting or running, whose caller left.
+    pub fn cancel(&mut self, now: Millis, ticket: Ticket) {
+        self.scheduler.cancel(ticket);
+        self.scheduler.ended(now, ticket, Outcome::Left);
+    }
+
+    /// Returns whether a running request whose endpoint is silent may be given up for another.
+    ///
+    /// It takes the retry from the budget, so that the endpoint is left only if another may follow.
+    pub fn spare(&mut self, now: Millis, ticket: Ticket) -> bool {
+        let Some(ask) = self.scheduler.running(ticket).cloned() else { return false };
+        ask.route.idempotent()
+            && ask.sent + 1 < ask.route.attempts
+            && now < ask.until
+            && self.budget(&ask.service).take(now)
+    }
+
+    /// Takes in a peer's report; returns whether the peer, or its start, is new.
+    pub fn heard(&mut self, now: Millis, report: Report) -> bool {
+        if report.name == self.me.name {
+            return false;
+        }
+        let start = report.start;
+        for key in &report.leavers {
+            self.registry.left(now, *key);
+        }
+        for (print, crashes) in &report.suspects {
+            self.suspects.heard(now, *print, *crashes);
+        }
+        let spent = report.spent.clone();
+        match self.peers.heard(now, report) {
+            Heard::Old => return false,
+            Heard::First(before) => {
+                if let Some(before) = before {
+                    self.allowances.forget(before);
+                }
+                self.allowances.heard(now, start, &spent);
+                return true;
+            }
+            Heard::Next => self.allowances.heard(now, start, &spent),
+        }
+        false
+    }
+
+    /// Does what is due with time: drops what is gone.
+    pub fn sweep(&mut self, now: Millis) {
+        self.registry.sweep(now);
+        for start in self.peers.sweep(now) {
+            self.allowances.forget(start);
+        }
+        self.scheduler.forget(&self.registry);
+    }
+
+    /// Makes the next report to peers.
+    pub fn report(&mut self, now: Millis) -> Report {
+        self.number += 1;
+        self.draft(now)
+    }
+
+    /// Chooses the instances that a caller of a data centre is told to use.
+    pub fn addresses(&self, now: Millis, centre: &str) -> Vec<String> {
+        let own = self.draft(now);
+        let peers = self.peers.fresh(now).map(|peer| &peer.report);
+        directory::choose(centre, peers.chain(std::iter::once(&own)))
+    }
+
+    fn draft(&self, now: Millis) -> Report {
+        Report {
+            name: self.me.name.clone(),
+            start: self.me.start,
+            number: self.number,
+            front: self.me.front.clone(),
+            inner: self.me.inner.clone(),
+            centre: self.me.centre.clone(),
+            ready: self.ready(),
+            leaving: self.leaving,
+            configuration: self.version(),
+            running: self.scheduler.counts(),
+            waiting: self.scheduler.summary(now),
+            spent: self.allowances.spent(),
+            leavers: self.registry.news(),
+            suspects: self.suspects.news(TOLD),
+            peers: self.inner_addresses(now),
+        }
+    }
+
+    // A few peers, others with each report, so that all get to know all.
+    fn inner_addresses(&self, now: Millis) -> Vec<String> {
+        let all: Vec<&String> = self.peers.fresh(now).map(|peer| &peer.report.inner).collect();
+        let skip = usize::try_from(self.number).unwrap_or(0) % all.len().max(1);
+        all.iter().cycle().skip(skip).take(all.len().min(TOLD)).map(|it| (*it).clone()).collect()
+    }
+
+    fn budget(&mut self, service: &Arc<str>) -> &mut Budget {
+        let ratio = self.me.retries * 0.8;
+        let floor = self.me.floor;
+        self.budgets.entry(service.clone()).or_insert_with(|| Budget::new(ratio, floor))
+    }
+
+    fn take_allowance(&mut self, now: Millis, pass: &Pass) -> Result<(), Refusal> {
+        let Some(organisation) = &pass.organisation else { return Ok(()) };
+        let share = self.peers.share(now);
+        self.allowances
+            .take(now, organisation, pass.units, share)
+            .map_err(|after| Refusal { reason: Reason::Allowance, after })
+    }
+
+    fn may_retry(&mut self, now: Millis, ask: &Ask, outcome: Outcome) -> bool {
+        let unsent = outcome == Outcome::Unreached;
+        let unrun = unsent || matches!(outcome, Outcome::Full | Outcome::Moved);
+        if !unrun && !ask.route.idempotent() {
+            return false;
+        }
+        if !unrun && self.suspects.refuses(now, ask.fingerprint) {
+            return false;
+        }
+        if now >= ask.until {
+            return false;
+        }
+        if unsent {
+            return ask.tried.len() < UNSENT;
+        }
+        if outcome == Outcome::Silent {
+            return true;
+        }
+        ask.sent < ask.route.attempts && self.budget(&ask.service).take(now)
+    }
+}
+
+/// Endpoints tried for one request when none can be reached; no part of it was sent to them.
+const UNSENT: usize = 4;
+
+fn find_route(configuration: &Configuration, request: Request<'_>) -> Result<Arc<Route>, Refusal> {
+    let route = configuration.route(request.host, request.path);
+    route.cloned().ok_or(Refusal { reason: Reason::NoRoute, after: Millis::ZERO })
+}
+
+fn authenticate(
+    configuration: &Configuration,
+    route: &Route,
+    request: Request<'_>,
+) -> Result<Option<Arc<Organisation>>, Refusal> {
+    if !configuration.keyed() {
+        return Ok(None);
+    }
+    let holder = request.key.and_then(|key| configuration.holder(key));
+    if holder.is_none() && !route.exempt {
+        return Err(Refusal { reason: Reason::NoKey, after: Millis::ZERO });
+    }
+    Ok(holder.cloned())
+}
+
+fn measure(
+    now: Millis,
+    route: Arc<Route>,
+    organisation: Option<Arc<Organisation>>,
+    request: Request<'_>,
+) -> Result<Pass, Refusal> {
+    let Some(service) = route.target(request.draw).cloned() else {
+        return Err(Refusal { reason: Reason::NoEndpoint, after: Millis(1000) });
+    };
+    let span = request.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let rank = Rank::new(organisation.as_ref().and_then(|it| it.priority), route.priority);
+    Ok(Pass {
+        service,
+        rank,
+        arrived: now,
+        until: now + span,
+        size: size(request.tokens),
+        units: units(organisation.as_deref(), request.tokens),
+        organisation,
+        route,
+    })
+}
+
+/// The time that a token of output takes, in tokens of prompt.
+///
+/// Engines read tens of tokens of a prompt in a millisecond and write one in some four.
+const OUTPUT: f64 = 100.0;
+
+#[expect(clippy::cast_precision_loss, reason = "token counts stay far below 2^52")]
+fn size(tokens: Option<(u64, u64)>) -> f64 {
+    tokens.map_or(1.0, |(input, output)| input as f64 + OUTPUT * output as f64)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "token counts stay far below 2^52")]
+fn units(organisation: Option<&Organisation>, tokens: Option<(u64, u64)>) -> f64 {
+    match organisation {
+        Some(it) if it.tokens => tokens.map_or(it.plain, |(input, output)| (input + output) as f64),
+        Some(_) => 1.0,
+        None => 0.0,
+    }
+}
+
+fn ask(pass: &Pass, fingerprint: u64) -> Ask {
+    Ask {
+        service: pass.service.clone(),
+        route: pass.route.clone(),
+        rank: pass.rank,
+        arrived: pass.arrived,
+        until: pass.until,
+        size: pass.size,
+        fingerprint,
+        tried: Vec::new(),
+        sent: 0,
+    }
+}
+
+impl Pass {
+    /// Returns whether the answer comes as events.
+    pub fn streams(&self) -> bool {
+        self.route.kind == Kind::Stream
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/directory.rs
@@ -0,0 +1,28 @@
+//! Which instances a caller is told to use.
+
+use crate::Report;
+
+/// The fewest instances named to a caller, where there are so many.
+///
+/// Callers keep the answer for seconds: with one name only, its end would leave them with none.
+const FEWEST: usize = 2;
+
+/// The most instances named to a caller.
+const MOST: usize = 64;
+
+/// Chooses the instances a caller of a data centre is told to use, this one included.
+///
+/// Instances of the caller's own data centre come alone where there are two or more, as bytes
+/// between data centres cost most. Instances that leave or are not ready are left out.
+pub fn choose<'a>(centre: &str, reports: impl Iterator<Item = &'a Report>) -> Vec<String> {
+    let ready: Vec<&Report> = reports.filter(|it| it.ready && !it.leaving).collect();
+    let near: Vec<&&Report> = ready.iter().filter(|it| it.centre == centre).collect();
+    let mut fronts: Vec<String> = if near.len() >= FEWEST {
+        near.iter().map(|it| it.front.clone()).collect()
+    } else {
+        ready.iter().map(|it| it.front.clone()).collect()
+    };
+    fronts.sort();
+    fronts.truncate(MOST);
+    fronts
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -0,0 +1,103 @@
+//! What this instance has seen of an endpoint: whether it answers, and how fast.
+
+use siskinyoke_base::Millis;
+
+use crate::Outcome;
+
+/// How much a new observation counts in a running mean.
+///
+/// A tenth follows a change within some ten requests, half a second of work on a busy endpoint.
+const WEIGHT: f64 = 0.1;
+
+/// How long an endpoint that could not be reached rests at first.
+///
+/// About the time in which a crashed process is noticed by all; it doubles with each strike.
+const REST: Millis = Millis(200);
+
+/// The longest rest: the usual time in which a crashed endpoint is back.
+const LONGEST: Millis = Millis(2_000);
+
+/// How long an endpoint rests that said it had no room: a fifth of a usual run.
+const FULL: Millis = Millis(40);
+
+/// How long an address rests that another endpoint has taken over: the entry follows in that time.
+const MOVED: Millis = Millis(3_000);
+
+/// What this instance has seen of one endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct Health {
+    rests: Millis,
+    strikes: u32,
+    failures: f64,
+    pace: Option<f64>,
+}
+
+impl Health {
+    /// Takes note of how a stay ended; `size` is the request's, `now` the end.
+    pub fn ended(&mut self, now: Millis, size: f64, outcome: Outcome) {
+        match outcome {
+            Outcome::Done { took, .. } => self.succeeded(size, took),
+            Outcome::Failed => self.failures += (1.0 - self.failures) * WEIGHT,
+            Outcome::Full => self.rest(now + FULL),
+            Outcome::Moved => self.rest(now + MOVED),
+            Outcome::Unreached | Outcome::Silent => self.strike(now),
+            Outcome::Broken => self.broken(now),
+            Outcome::Left => {}
+        }
+    }
+
+    /// Returns whether the endpoint rests.
+    pub fn resting(&self, now: Millis) -> bool {
+        now < self.rests
+    }
+
+    /// Returns when the rest ends.
+    pub fn rested(&self) -> Millis {
+        self.rests
+    }
+
+    /// Returns the part of its requests that failed lately.
+    pub fn failures(&self) -> f64 {
+        self.failures
+    }
+
+    /// Returns the time it takes for a unit of work, in ms, if it was seen.
+    pub fn pace(&self) -> Option<f64> {
+        self.pace
+    }
+
+    fn succeeded(&mut self, size: f64, took: Millis) {
+        self.strikes = 0;
+        self.failures -= self.failures * WEIGHT;
+        let pace = took.as_secs() * 1000.0 / size.max(1.0);
+        self.pace = Some(match self.pace {
+            Some(old) => old + (pace - old) * WEIGHT,
+            None => pace,
+        });
+    }
+
+    // A single broken answer is often a fault of that answer; only a second one in a row
+    // says that the endpoint is down, and resting a sound one wastes its slots.
+    fn broken(&mut self, now: Millis) {
+        self.failures += (1.0 - self.failures) * WEIGHT;
+        self.strikes += 1;
+        if self.strikes >= 2 {
+            self.rest_long(now);
+        }
+    }
+
+    fn strike(&mut self, now: Millis) {
+        self.failures += (1.0 - self.failures) * WEIGHT;
+        self.strikes += 1;
+        self.rest_long(now);
+    }
+
+    fn rest_long(&mut self, now: Millis) {
+        let doubled = REST.0 << self.strikes.saturating_sub(1).min(6);
+        self.rest(now + Millis(doubled.min(LONGEST.0)));
+    }
+
+    fn rest(&mut self, until: Millis) {
+        self.rests = self.rests.max(until);
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -0,0 +1,51 @@
+//! Decides which request runs on which endpoint, when it waits, and when it is refused.
+//!
+//! Everything here is pure: events and the time go in, decisions come out. No socket, no thread,
+//! no wall clock and no header of any wire is known here.
+
+pub mod allowance;
+pub mod ask;
+pub mod budget;
+pub mod configuration;
+pub mod core;
+pub mod directory;
+pub mod endpoint;
+pub mod health;
+pub mod load;
+pub mod outcome;
+pub mod peers;
+pub mod queue;
+pub mod refusal;
+pub mod registry;
+pub mod report;
+pub mod scheduler;
+pub mod suspects;
+
+pub use ask::Ask;
+pub use ask::Rank;
+pub use ask::Ticket;
+pub use configuration::Configuration;
+pub use configuration::Kind;
+pub use configuration::Limits;
+pub use configuration::Organisation;
+pub use configuration::Route;
+pub use configuration::Service;
+pub use core::Core;
+pub use endpoint::Endpoint;
+pub use endpoint::EndpointKey;
+pub use outcome::Outcome;
+pub use refusal::Reason;
+pub use refusal::Refusal;
+pub use report::Report;
+pub use scheduler::Decision;
+pub use scheduler::Scheduler;
+
+use std::hash::Hash;
+use std::hash::Hasher;
+
+/// Returns a hash that is the same in every instance, for names that travel in reports.
+pub fn stable_hash(value: &impl Hash) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/outcome.rs
@@ -0,0 +1,29 @@
+//! How a request's stay at an endpoint ended.
+
+use siskinyoke_base::Millis;
+
+/// How a request's stay at an endpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// A whole answer arrived.
+    Done {
+        /// From the sending to the first part of the answer.
+        first: Millis,
+        /// From the sending to its end.
+        took: Millis,
+    },
+    /// The endpoint answered with a failure of its own after it ran the request.
+    Failed,
+    /// The endpoint had no room and did not run it.
+    Full,
+    /// Another endpoint holds that address now; nothing ran.
+    Moved,
+    /// No connection could be made; nothing was sent.
+    Unreached,
+    /// The connection broke after something was sent; it may have run.
+    Broken,
+    /// Nothing came for so long that the attempt was given up.
+    Silent,
+    /// The caller left, or its time ran out.
+    Left,
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -0,0 +1,140 @@
+//! The other instances, as their reports show them.
+
+use std::collections::BTreeMap;
+
+use siskinyoke_base::Millis;
+
+use crate::EndpointKey;
+use crate::Report;
+use crate::report::Waiting;
+
+/// How old a report may be before its sender's running requests are no longer counted.
+///
+/// Idle instances report ten times a second, so this is four lost reports in a row.
+const FRESH: Millis = Millis(450);
+
+/// How old a report may be before its sender's waiting requests are no longer given way to.
+///
+/// Under pressure reports come every ten or twenty ms. A place left free for a peer that does not
+/// take it is lost for this time at most.
+const COURTEOUS: Millis = Millis(80);
+
+/// How long a silent instance is remembered as one that may go on alone.
+const REMEMBERED: Millis = Millis::from_secs(12);
+
+/// One peer.
+#[derive(Debug)]
+pub struct Peer {
+    /// Its latest report.
+    pub report: Report,
+    /// When that came.
+    pub heard: Millis,
+}
+
+impl Peer {
+    /// Returns whether the peer is heard of at present.
+    pub fn fresh(&self, now: Millis) -> bool {
+        now.since(self.heard) <= FRESH
+    }
+}
+
+/// What a new report brought.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Nothing: it is older than what is known.
+    Old,
+    /// The next report of a known peer.
+    Next,
+    /// The first report of a peer, or of its new start; the start before it, if any, is over.
+    First(Option<u64>),
+}
+
+/// The other instances, as their reports show them.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: BTreeMap<String, Peer>,
+}
+
+impl Peers {
+    /// Takes in a report.
+    pub fn heard(&mut self, now: Millis, report: Report) -> Heard {
+        let old = self.known.get(&report.name);
+        let news = match old {
+            None => Heard::First(None),
+            Some(peer) if peer.report.start == report.start => {
+                if peer.report.number >= report.number {
+                    return Heard::Old;
+                }
+                Heard::Next
+            }
+            // Starts are told by the time of day, which may step back between two of them; so an
+            // earlier one is believed too, once the later one is silent.
+            Some(peer) if report.start < peer.report.start && peer.fresh(now) => return Heard::Old,
+            Some(peer) => Heard::First(Some(peer.report.start)),
+        };
+        self.known.insert(report.name.clone(), Peer { report, heard: now });
+        news
+    }
+
+    /// Drops peers that left, or that were silent for long, and returns their starts.
+    pub fn sweep(&mut self, now: Millis) -> Vec<u64> {
+        let mut gone = Vec::new();
+        self.known.retain(|_, peer| {
+            let silent = now.since(peer.heard);
+            let keep = silent < REMEMBERED && !(peer.report.leaving && silent > FRESH);
+            if !keep {
+                gone.push(peer.report.start);
+            }
+            keep
+        });
+        gone
+    }
+
+    /// Returns the peers that are heard at present.
+    pub fn fresh(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+        self.known.values().filter(move |peer| peer.fresh(now))
+    }
+
+    /// Returns the requests that peers run at an endpoint.
+    pub fn running(&self, now: Millis, key: EndpointKey) -> u32 {
+        self.fresh(now)
+            .flat_map(|peer| &peer.report.running)
+            .filter(|row| row.0 == key)
+            .map(|row| u32::from(row.1))
+            .sum()
+    }
+
+    /// Returns what waits at peers for a service, each row with the age of its first request.
+    pub fn waiting(&self, now: Millis, service: u32) -> impl Iterator<Item = Waiting> {
+        self.known
+            .values()
+            .filter(move |peer| now.since(peer.heard) <= COURTEOUS)
+            .flat_map(move |peer| {
+                let age = u32::try_from(now.since(peer.heard).0).unwrap_or(u32::MAX);
+                peer.report.waiting.iter().map(move |row| Waiting {
+                    oldest: row.oldest.saturating_add(age),
+                    ..*row
+                })
+            })
+            .filter(move |row| row.service == service)
+    }
+
+    /// Returns the part of the fleet that this instance can speak for, from 0 to 1.
+    ///
+    /// 1 while every peer is heard. Cut off from all, it is one part of them all.
+    pub fn share(&self, now: Millis) -> f64 {
+        let known = self.known.len() + 1;
+        let heard = self.fresh(now).count() + 1;
+        ratio(heard, known)
+    }
+
+    /// Returns the number of instances that are heard, this one with them.
+    pub fn count(&self, now: Millis) -> usize {
+        self.fresh(now).count() + 1
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "fleets are far below 2^52")]
+fn ratio(part: usize, whole: usize) -> f64 {
+    part as f64 / whole as f64
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/queue.rs
@@ -0,0 +1,62 @@
+//! Requests of one service that wait for a place, the most urgent first.
+
+use std::collections::BTreeMap;
+
+use siskinyoke_base::Millis;
+
+use crate::Rank;
+use crate::Ticket;
+use crate::report::Waiting;
+
+/// Where a request stands in the queue: rank, then arrival, then ticket.
+pub type Place = (Rank, Millis, Ticket);
+
+/// Requests of one service that wait for a place.
+#[derive(Debug, Default)]
+pub struct Queue {
+    places: BTreeMap<Place, ()>,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub fn push(&mut self, place: Place) {
+        self.places.insert(place, ());
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, place: Place) {
+        self.places.remove(&place);
+    }
+
+    /// Returns how many wait that go before a new request of this rank.
+    pub fn ahead(&self, rank: Rank) -> usize {
+        self.places.range(..(Rank(rank.0.saturating_add(1)), Millis::ZERO, Ticket(0))).count()
+    }
+
+    /// Returns the places in order.
+    pub fn iter(&self) -> impl Iterator<Item = Place> {
+        self.places.keys().copied()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Sums up what waits, by rank.
+    pub fn summary(&self, now: Millis, service: u32) -> Vec<Waiting> {
+        let mut rows: Vec<Waiting> = Vec::new();
+        for (rank, arrived, _) in self.places.keys() {
+            match rows.last_mut() {
+                Some(row) if row.rank == rank.0 => row.count = row.count.saturating_add(1),
+                _ => rows.push(Waiting {
+                    service,
+                    rank: rank.0,
+                    count: 1,
+                    oldest: u32::try_from(now.since(*arrived).0).unwrap_or(u32::MAX),
+                }),
+            }
+        }
+        rows
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -0,0 +1,331 @@
+//! The queues before the endpoints: who waits, who goes where, who is refused.
+//!
+//! Endpoints run what arrives in order of arrival and know no priorities, so order exists only
+//! here. An endpoint is never given more than it runs at once, counted over all instances, and
+//! what cannot start waits in the order of its rank. Every instance decides alone, from the same
+//! reports, whose request the next free place is for: the most urgent, then the longest waiting.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
+
+use crate::Ask;
+use crate::Endpoint;
+use crate::EndpointKey;
+use crate::Kind;
+use crate::Outcome;
+use crate::Rank;
+use crate::Reason;
+use crate::Refusal;
+use crate::Ticket;
+use crate::health::Health;
+use crate::load::Load;
+use crate::peers::Peers;
+use crate::queue::Place;
+use crate::queue::Queue;
+use crate::registry::Registry;
+use crate::report::Waiting;
+use crate::report::short;
+
+/// The part of the latency objective that deferrable work may wait for.
+///
+/// Beyond it the answer would be late, and a late answer to deferrable work takes the place of
+/// one that could be on time.
+const PATIENCE: f64 = 0.7;
+
+/// How much longer than now it may take for a caller to come back, at least.
+const SOONEST: Millis = Millis(50);
+
+/// How much worse an endpoint in another data centre is taken to be, as a part of its pace.
+///
+/// Enough to decide between equals, too little to leave a faster one idle.
+const FAR: f64 = 0.08;
+
+/// How much a failure weighs against an endpoint when one is chosen.
+const FAILING: f64 = 3.0;
+
+/// What was decided of a waiting request.
+#[derive(Debug, Clone)]
+pub enum Decision {
+    /// It goes to this endpoint now.
+    Start(Ticket, Arc<Endpoint>),
+    /// It is turned away unrun.
+    Refuse(Ticket, Refusal),
+}
+
+/// The queues before the endpoints.
+#[derive(Debug, Default)]
+pub struct Scheduler {
+    centre: Arc<str>,
+    queues: BTreeMap<Arc<str>, Queue>,
+    waiting: Map<Ticket, Ask>,
+    running: Map<Ticket, (EndpointKey, Ask)>,
+    counts: BTreeMap<EndpointKey, u16>,
+    health: Map<EndpointKey, Health>,
+    loads: Map<Arc<str>, Load>,
+    last: u64,
+}
+
+impl Scheduler {
+    /// Makes empty queues for an instance in a data centre.
+    pub fn new(centre: &str) -> Self {
+        Self { centre: centre.into(), ..Self::default() }
+    }
+
+    /// Lets a request wait, or refuses it at once if it would wait too long.
+    ///
+    /// # Errors
+    ///
+    /// The refusal; nothing is kept of the request.
+    pub fn admit(
+        &mut self,
+        now: Millis,
+        ask: Ask,
+        registry: &Registry,
+        peers: &Peers,
+    ) -> Result<Ticket, Refusal> {
+        let places = self.places(&ask.service, registry);
+        if places == 0 {
+            return Err(Refusal { reason: Reason::NoEndpoint, after: Millis(500) });
+        }
+        let load = self.loads.entry(ask.service.clone()).or_default();
+        let own = self.queues.get(&ask.service).map_or(0, |queue| queue.ahead(ask.rank));
+        let others: usize = peers
+            .waiting(now, short(&ask.service))
+            .filter(|row| row.rank <= ask.rank.0)
+            .map(|row| usize::from(row.count))
+            .sum();
+        let ahead = own + others;
+        let wait = load.wait(ahead, places);
+        let bearable = patience(&ask, *load);
+        if ahead > 0 && wait > bearable {
+            let after = wait.since(bearable).max(SOONEST);
+            return Err(Refusal { reason: Reason::Overload, after });
+        }
+        Ok(self.enqueue(ask))
+    }
+
+    /// Lets a request wait for another endpoint after one did not serve it.
+    pub fn again(&mut self, ask: Ask) -> Ticket {
+        self.enqueue(ask)
+    }
+
+    /// Decides what can be decided now.
+    pub fn decide(&mut self, now: Millis, registry: &Registry, peers: &Peers) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.start(now, &service, registry, peers, &mut decisions);
+            self.expire(now, &service, &mut decisions);
+        }
+        self.queues.retain(|_, queue| !queue.is_empty());
+        decisions
+    }
+
+    /// Takes note that a request's stay at its endpoint ended, and returns the request.
+    pub fn ended(&mut self, now: Millis, ticket: Ticket, outcome: Outcome) -> Option<Ask> {
+        let (key, mut ask) = self.running.remove(&ticket)?;
+        ask.sent += u32::from(outcome != Outcome::Unreached);
+        if let Some(count) = self.counts.get_mut(&key) {
+            *count = count.saturating_sub(1);
+        }
+        self.counts.retain(|_, count| *count > 0);
+        self.health.entry(key).or_default().ended(now, ask.size, outcome);
+        if let Outcome::Done { first, took } = outcome {
+            self.loads.entry(ask.service.clone()).or_default().finished(first, took);
+        }
+        Some(ask)
+    }
+
+    /// Takes a waiting request out, as its caller left.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        let Some(ask) = self.waiting.remove(&ticket) else { return };
+        if let Some(queue) = self.queues.get_mut(&ask.service) {
+            queue.remove(place(ticket, &ask));
+        }
+    }
+
+    /// Returns the request that waits under a ticket.
+    pub fn ask(&self, ticket: Ticket) -> Option<&Ask> {
+        self.waiting.get(&ticket)
+    }
+
+    /// Returns the request that runs under a ticket.
+    pub fn running(&self, ticket: Ticket) -> Option<&Ask> {
+        self.running.get(&ticket).map(|row| &row.1)
+    }
+
+    /// Returns this instance's requests at each endpoint.
+    pub fn counts(&self) -> Vec<(EndpointKey, u16)> {
+        self.counts.iter().map(|(key, count)| (*key, *count)).collect()
+    }
+
+    /// Sums up what waits here.
+    pub fn summary(&self, now: Millis) -> Vec<Waiting> {
+        self.queues
+            .iter()
+            .flat_map(|(service, queue)| queue.summary(now, short(service)))
+            .collect()
+    }
+
+    /// Returns how many requests wait and how many run.
+    pub fn size(&self) -> (usize, usize) {
+        (self.waiting.len(), self.running.len())
+    }
+
+    /// Returns how a service's requests fared lately.
+    pub fn load(&self, service: &str) -> Load {
+        self.loads.get(service).copied().unwrap_or_default()
+    }
+
+    /// Forgets endpoints that are gone.
+    pub fn forget(&mut self, registry: &Registry) {
+        let known: Vec<EndpointKey> = registry.all().map(|endpoint| endpoint.key()).collect();
+        self.health.retain(|key, _| known.contains(key));
+    }
+
+    fn enqueue(&mut self, ask: Ask) -> Ticket {
+        self.last += 1;
+        let ticket = Ticket(self.last);
+        let queue = self.queues.entry(ask.service.clone()).or_default();
+        queue.push(place(ticket, &ask));
+        self.waiting.insert(ticket, ask);
+        ticket
+    }
+
+    fn places(&self, service: &str, registry: &Registry) -> u32 {
+        registry.fit(service).map(|endpoint| endpoint.slots).sum()
+    }
+
+    fn start(
+        &mut self,
+        now: Millis,
+        service: &Arc<str>,
+        registry: &Registry,
+        peers: &Peers,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let mut free = self.free(now, service, registry, peers);
+        let mut spare: u32 = free.iter().map(|row| row.1).sum();
+        let rows: Vec<Waiting> = peers.waiting(now, short(service)).collect();
+        let waiting: Vec<Place> = self.queues[service].iter().collect();
+        for (rank, arrived, ticket) in waiting {
+            if spare <= before(&rows, rank, now.since(arrived)) {
+                break;
+            }
+            let Some(at) = self.best(ticket, &free) else { continue };
+            let endpoint = free[at].0.clone();
+            free[at].1 -= 1;
+            spare -= 1;
+            self.begin(ticket, &endpoint);
+            decisions.push(Decision::Start(ticket, endpoint));
+        }
+    }
+
+    // The endpoints with free places, as far as all instances' reports tell.
+    fn free(
+        &self,
+        now: Millis,
+        service: &str,
+        registry: &Registry,
+        peers: &Peers,
+    ) -> Vec<(Arc<Endpoint>, u32)> {
+        registry
+            .fit(service)
+            .filter_map(|endpoint| {
+                let key = endpoint.key();
+                if self.health.get(&key).is_some_and(|health| health.resting(now)) {
+                    return None;
+                }
+                let taken = u32::from(self.counts.get(&key).copied().unwrap_or(0))
+                    + peers.running(now, key);
+                let left = endpoint.slots.saturating_sub(taken);
+                (left > 0).then(|| (endpoint.clone(), left))
+            })
+            .collect()
+    }
+
+    // The free endpoint where the request is expected to be done first.
+    fn best(&self, ticket: Ticket, free: &[(Arc<Endpoint>, u32)]) -> Option<usize> {
+        let ask = &self.waiting[&ticket];
+        let mut best: Option<(f64, usize)> = None;
+        for (at, (endpoint, left)) in free.iter().enumerate() {
+            if *left == 0 || ask.tried.contains(&endpoint.key()) {
+                continue;
+            }
+            let cost = self.cost(endpoint, *left);
+            if best.is_none_or(|known| cost < known.0) {
+                best = Some((cost, at));
+            }
+        }
+        best.map(|known| known.1)
+    }
+
+    fn cost(&self, endpoint: &Endpoint, left: u32) -> f64 {
+        let health = self.health.get(&endpoint.key());
+        let pace = health.and_then(Health::pace).unwrap_or(0.0);
+        let failures = health.map_or(0.0, Health::failures);
+        let taken = f64::from(endpoint.slots.saturating_sub(left) + 1) / f64::from(endpoint.slots);
+        let far = if endpoint.centre == self.centre { 0.0 } else { FAR };
+        (pace + 0.001) * (1.0 + taken * 0.3 + far + failures * FAILING)
+    }
+
+    fn begin(&mut self, ticket: Ticket, endpoint: &Arc<Endpoint>) {
+        let Some(mut ask) = self.waiting.remove(&ticket) else { return };
+        if let Some(queue) = self.queues.get_mut(&ask.service) {
+            queue.remove(place(ticket, &ask));
+        }
+        let key = endpoint.key();
+        ask.tried.push(key);
+        *self.counts.entry(key).or_default() += 1;
+        self.running.insert(ticket, (key, ask));
+    }
+
+    fn expire(&mut self, now: Millis, service: &Arc<str>, decisions: &mut Vec<Decision>) {
+        let load = self.load(service);
+        let waiting: Vec<Place> = self.queues[service].iter().collect();
+        for (_, arrived, ticket) in waiting {
+            let ask = &self.waiting[&ticket];
+            if now < arrived + patience(ask, load) {
+                continue;
+            }
+            let after = load.stay().max(SOONEST);
+            self.cancel(ticket);
+            decisions.push(Decision::Refuse(ticket, Refusal { reason: Reason::Waited, after }));
+        }
+    }
+}
+
+/// Returns how long a request may wait and still be of use.
+///
+/// The most urgent work, and what lost its first endpoint, is served even late, up to the time
+/// that its own run needs. Deferrable
+/// work waits only as long as its answer can still be on time.
+fn patience(ask: &Ask, load: Load) -> Millis {
+    let whole = ask.until.since(ask.arrived);
+    if ask.route.priority == 0 || !ask.tried.is_empty() {
+        return whole.since(load.stay());
+    }
+    let run = if ask.route.kind == Kind::Stream { load.first() } else { load.stay() };
+    let slack = ask.route.aim.since(run).as_secs() * 1000.0 * PATIENCE;
+    whole.since(run).min(crate::load::millis(slack))
+}
+
+// Counts the peers' requests that the next free places are for, before one of ours.
+fn before(rows: &[Waiting], rank: Rank, waited: Millis) -> u32 {
+    rows.iter()
+        .map(|row| {
+            if row.rank < rank.0 {
+                u32::from(row.count)
+            } else {
+                u32::from(row.rank == rank.0 && u64::from(row.oldest) > waited.0)
+            }
+        })
+        .sum()
+}
+
+fn place(ticket: Ticket, ask: &Ask) -> Place {
+    (ask.rank, ask.arrived, ticket)
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/answer.rs
@@ -0,0 +1,103 @@
+//! Bodies of answers to callers: whole ones, or streams that may break off.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http::Response;
+use http::header;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use quick_error::quick_error;
+use tokio::sync::mpsc::Receiver;
+
+use siskinyoke_dispatch::Reason;
+use siskinyoke_dispatch::Refusal;
+use siskinyoke_platform::answer;
+
+quick_error! {
+    /// A stream that cannot be finished.
+    ///
+    /// It makes the server close the connection without the end mark, so that the caller sees
+    /// that its answer is not whole.
+    #[derive(Debug)]
+    pub enum CutError {
+        /// The endpoint broke off, and no other could go on.
+        Cut {
+            display("the answer broke off")
+        }
+    }
+}
+
+/// The body of an answer to a caller.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// A whole body.
+    Whole(Option<Bytes>),
+    /// A stream that a job feeds; nothing marks its sound end.
+    ///
+    /// If the job ends without that mark, for whatever reason, the answer must not look whole.
+    Stream(Receiver<Option<Bytes>>),
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = CutError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
+            Self::Stream(receiver) => {
+                receiver.poll_recv(context).map(|piece| match piece {
+                    Some(Some(bytes)) => Some(Ok(Frame::data(bytes))),
+                    Some(None) => None,
+                    None => Some(Err(CutError::Cut)),
+                })
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                let length = bytes.as_ref().map_or(0, Bytes::len);
+                SizeHint::with_exact(u64::try_from(length).unwrap_or(0))
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Makes an answer of our own with a short text.
+pub fn plain(status: http::StatusCode, text: &str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(Some(Bytes::from(format!("{text}\n")))));
+    *response.status_mut() = status;
+    response
+}
+
+/// Makes an answer of our own with a JSON body.
+pub fn json(body: Vec<u8>) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(Some(body.into())));
+    let value = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
+
+/// Makes the answer to a request that was turned away unrun.
+pub fn refuse(refusal: Refusal) -> Response<AnswerBody> {
+    let mut response = plain(answer::refusal(refusal.reason), refusal.reason.as_str());
+    if !matches!(refusal.reason, Reason::NoRoute | Reason::NoKey) {
+        let value = answer::retry_after(refusal.after);
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/attempt.rs
@@ -0,0 +1,95 @@
+//! One sending of a request to one endpoint.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde_json::json;
+
+use siskinyoke_dispatch::Endpoint;
+
+use crate::connection::Connection;
+use crate::connection::Sent;
+use crate::shell::Shell;
+
+/// A request as it goes to endpoints.
+#[derive(Debug, Clone)]
+pub struct Parcel {
+    /// The method.
+    pub method: Method,
+    /// The path with its query, as the caller sent it.
+    pub target: http::Uri,
+    /// The headers, but for what differs with each sending.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// What came of a sending.
+#[derive(Debug)]
+pub enum Reply {
+    /// The head of an answer, and the connection that brings its body.
+    Head(Response<Incoming>, Connection),
+    /// No connection could be made; nothing was sent.
+    Unreached,
+    /// The connection broke after something had left.
+    Broken,
+}
+
+/// Sends a request to an endpoint and waits for the head of its answer.
+///
+/// `headers` are those of this sending. A kept connection that the endpoint had closed in the
+/// meantime gives the request back unsent; then a new one is opened.
+pub async fn send(
+    shell: &Rc<Shell>,
+    endpoint: &Endpoint,
+    parcel: &Parcel,
+    headers: HeaderMap,
+) -> Reply {
+    let mut request = Request::new(Full::new(parcel.body.clone()));
+    *request.method_mut() = parcel.method.clone();
+    *request.uri_mut() = parcel.target.clone();
+    *request.headers_mut() = headers;
+    while let Some(mut kept) = shell.pool.take(shell.now(), endpoint.key()) {
+        match kept.send(request).await {
+            Sent::Head(response) => return Reply::Head(response, kept),
+            Sent::Unsent(back) => request = *back,
+            Sent::Broken(err) => return broken(shell, endpoint, &err),
+        }
+    }
+    let Some(mut connection) = open(shell, endpoint).await else {
+        return Reply::Unreached;
+    };
+    match connection.send(request).await {
+        Sent::Head(response) => Reply::Head(response, connection),
+        Sent::Unsent(_) => Reply::Unreached,
+        Sent::Broken(err) => broken(shell, endpoint, &err),
+    }
+}
+
+async fn open(shell: &Shell, endpoint: &Endpoint) -> Option<Connection> {
+    let Ok(address) = endpoint.address.parse::<SocketAddr>() else {
+        shell.log("endpoint_address", json!({ "endpoint": &*endpoint.id, "address": &*endpoint.address, "hint": "not IP:PORT" }));
+        return None;
+    };
+    match Connection::open(address).await {
+        Ok(connection) => Some(connection),
+        Err(err) => {
+            let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
+            shell.log("endpoint_unreached", fields);
+            None
+        }
+    }
+}
+
+fn broken(shell: &Shell, endpoint: &Endpoint, err: &hyper::Error) -> Reply {
+    let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
+    shell.log("endpoint_broken", fields);
+    Reply::Broken
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -0,0 +1,114 @@
+//! Starts an instance and runs it until it is told to stop.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde_json::json;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::core::Identity;
+
+use crate::gossip::Gossip;
+use crate::inner;
+use crate::journal::Journal;
+use crate::listener;
+use crate::listener::Page;
+use crate::presence;
+use crate::reload;
+use crate::settings::Settings;
+use crate::shell::Shell;
+use crate::signals;
+use crate::watcher;
+
+/// How often waiting requests are looked at while any wait.
+const TICK: Millis = Millis(10);
+
+/// How often what is gone is dropped, and log lines are handed to their writer.
+const SWEEP: Millis = Millis(200);
+
+/// The most instances that a deployment is expected to have; retries beside the budget's part
+/// are shared out among so many.
+const INSTANCES: f64 = 12.0;
+
+/// Runs an instance until it is told to stop.
+///
+/// One thread serves everything: an instance has a part of one core, and handing work between
+/// threads costs more than it gains there.
+///
+/// # Errors
+///
+/// What kept it from starting.
+pub fn run(settings: Settings, path: PathBuf) -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(settings, path))
+}
+
+async fn serve(settings: Settings, path: PathBuf) -> Result<(), Box<dyn std::error::Error>> {
+    let listen = settings.listen.clone();
+    let gossip = Rc::new(Gossip::bind(listen.peers).await?);
+    let metrics = std::net::SocketAddr::new(settings.ip, settings.metrics);
+    let pages = [
+        (listen.callers, Page::Callers),
+        (listen.health, Page::Health),
+        (listen.directory, Page::Directory),
+        (listen.peers, Page::Inner),
+        (metrics, Page::Metrics),
+    ];
+    let identity = identity(&settings);
+    let journal = Journal::start(std::io::stdout());
+    let shell = Rc::new(Shell::new(settings, identity, journal)?);
+    shell.log("start", json!({ "version": env!("CARGO_PKG_VERSION") }));
+    for (address, page) in pages {
+        let listener = listener::bind(address).await?;
+        spawn_local(listener::accept(shell.clone(), listener, page));
+    }
+    spawn_local(gossip.clone().tell(shell.clone()));
+    spawn_local(gossip.clone().hear(shell.clone()));
+    spawn_local(watcher::follow(shell.clone(), gossip));
+    spawn_local(presence::keep(shell.clone()));
+    spawn_local(inner::ask_around(shell.clone()));
+    spawn_local(reload::follow(shell.clone(), path.clone()));
+    spawn_local(signals::reload_on_signal(shell.clone(), path));
+    spawn_local(tick(shell.clone()));
+    spawn_local(sweep(shell.clone()));
+    signals::stop_on_signal(shell).await?;
+    Ok(())
+}
+
+fn identity(settings: &Settings) -> Identity {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Identity {
+        name: settings.instance.clone(),
+        centre: settings.centre.clone(),
+        front: settings.listen.callers.to_string(),
+        inner: settings.listen.peers.to_string(),
+        start: u64::try_from(now.as_millis()).unwrap_or(0),
+        retries: settings.bounds.retry_ratio,
+        floor: settings.bounds.retry_slack / 2.0 / INSTANCES,
+    }
+}
+
+// Lets the time act on waiting requests; without any it sleeps.
+async fn tick(shell: Rc<Shell>) {
+    loop {
+        shell.queued.notified().await;
+        sleep(TICK.into()).await;
+        shell.decide();
+    }
+}
+
+async fn sweep(shell: Rc<Shell>) {
+    loop {
+        sleep(SWEEP.into()).await;
+        let now = shell.now();
+        shell.core.borrow_mut().sweep(now);
+        shell.pool.sweep(now);
+        shell.flush();
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -0,0 +1,179 @@
+//! Tells the peers how things stand here, and hears how they stand there.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Report;
+
+use crate::inner;
+use crate::shell::Shell;
+
+/// How often an instance reports that has nothing new to say.
+const BEAT: Millis = Millis(100);
+
+/// The shortest time between reports while requests wait.
+///
+/// A place that came free is worth a request within that time; ten milliseconds are a thirtieth
+/// of a usual stay.
+const PRESSED: Millis = Millis(10);
+
+/// The shortest time between reports while none waits: places are plenty then.
+const CALM: Millis = Millis(40);
+
+/// How often addresses are tried whose instance was not heard of.
+const SEARCH: Millis = Millis(500);
+
+/// The longest report that is sent, in bytes; longer ones may be cut up on their way.
+const LARGEST: usize = 8 * 1024;
+
+/// How old a configuration here may be against a peer's before it is fetched from there.
+///
+/// The store brings it within milliseconds where it can be reached.
+const BEHIND: Millis = Millis(150);
+
+/// The exchange of reports.
+#[derive(Debug)]
+pub struct Gossip {
+    socket: UdpSocket,
+    listed: RefCell<BTreeMap<String, SocketAddr>>,
+    told: RefCell<BTreeSet<SocketAddr>>,
+}
+
+impl Gossip {
+    /// Binds the exchange's socket.
+    ///
+    /// # Errors
+    ///
+    /// The system's reason, with the address.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(address).await.map_err(|err| {
+            std::io::Error::new(err.kind(), format!("cannot hear peers on {address}: {err}"))
+        })?;
+        Ok(Self { socket, listed: RefCell::default(), told: RefCell::default() })
+    }
+
+    /// Takes note of an instance's entry in the store.
+    pub fn listed(&self, name: &str, value: Option<&[u8]>) {
+        let address = value.and_then(|it| std::str::from_utf8(it).ok()?.parse().ok());
+        let mut listed = self.listed.borrow_mut();
+        match address {
+            Some(address) => listed.insert(name.to_owned(), address),
+            None => listed.remove(name),
+        };
+    }
+
+    /// Reports for as long as the process runs.
+    pub async fn tell(self: Rc<Self>, shell: Rc<Shell>) {
+        let mut searched = Millis::ZERO;
+        loop {
+            let now = shell.now();
+            let search = now.since(searched) >= SEARCH;
+            if search {
+                searched = now;
+            }
+            self.report(&shell, search).await;
+            let spacing = if pressed(&shell, now) { PRESSED } else { CALM };
+            sleep(spacing.into()).await;
+            // Elapsed or changed: either way the next report is due.
+            let rest = Duration::from(BEAT.since(spacing));
+            drop(timeout(rest, shell.changed.notified()).await);
+        }
+    }
+
+    /// Hears reports for as long as the process runs.
+    pub async fn hear(self: Rc<Self>, shell: Rc<Shell>) {
+        let mut buffer = vec![0; LARGEST];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, from)) => self.take(&shell, &buffer[..length], from),
+                Err(err) => {
+                    shell.log("peers_unheard", json!({ "error": err.to_string() }));
+                    sleep(BEAT.into()).await;
+                }
+            }
+        }
+    }
+
+    fn take(&self, shell: &Rc<Shell>, bytes: &[u8], from: SocketAddr) {
+        let report: Report = match postcard::from_bytes(bytes) {
+            Ok(report) => report,
+            Err(err) => {
+                let fields = json!({ "from": from.to_string(), "error": err.to_string() });
+                shell.log("report_unreadable", fields);
+                return;
+            }
+        };
+        let told = report.peers.iter().filter_map(|it| it.parse::<SocketAddr>().ok());
+        self.told.borrow_mut().extend(told);
+        let version = report.configuration;
+        let fields = json!({ "peer": report.name, "start": report.start, "from": from.to_string() });
+        let first = shell.core.borrow_mut().heard(shell.now(), report);
+        if first {
+            shell.log("peer", fields);
+        }
+        if version > shell.core.borrow().version() {
+            inner::catch_up(shell, from, version, BEHIND);
+        }
+        if shell.core.borrow().scheduler().size().0 > 0 {
+            shell.decide();
+        }
+    }
+
+    async fn report(&self, shell: &Shell, search: bool) {
+        let now = shell.now();
+        let report = shell.core.borrow_mut().report(now);
+        let bytes = match postcard::to_allocvec(&report) {
+            Ok(bytes) if bytes.len() <= LARGEST => bytes,
+            Ok(bytes) => {
+                shell.log("report_too_long", json!({ "bytes": bytes.len() }));
+                return;
+            }
+            Err(err) => {
+                shell.log("report_unwritable", json!({ "error": err.to_string() }));
+                return;
+            }
+        };
+        for address in self.addresses(shell, now, search) {
+            // A peer that cannot be reached shows by its silence; the next report is soon.
+            if let Err(err) = self.socket.try_send_to(&bytes, address)
+                && search
+            {
+                let fields = json!({ "to": address.to_string(), "error": err.to_string() });
+                shell.log("report_unsent", fields);
+            }
+        }
+    }
+
+    fn addresses(&self, shell: &Shell, now: Millis, search: bool) -> BTreeSet<SocketAddr> {
+        let core = shell.core.borrow();
+        let mut all: BTreeSet<SocketAddr> = core
+            .peers()
+            .fresh(now)
+            .filter_map(|peer| peer.report.inner.parse().ok())
+            .collect();
+        let settings = shell.settings();
+        if search {
+            all.extend(self.listed.borrow().values());
+            all.append(&mut self.told.borrow_mut());
+            all.extend(&settings.seeds);
+        }
+        all.remove(&settings.listen.peers);
+        all
+    }
+}
+
+fn pressed(shell: &Shell, now: Millis) -> bool {
+    let core = shell.core.borrow();
+    core.scheduler().size().0 > 0
+        || core.peers().fresh(now).any(|peer| !peer.report.waiting.is_empty())
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -0,0 +1,392 @@
+//! One request from its admission to its last byte.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::Reason;
+use siskinyoke_dispatch::Refusal;
+use siskinyoke_dispatch::core::Pass;
+use siskinyoke_platform::answer as wire;
+use siskinyoke_platform::request;
+
+use crate::answer;
+use crate::answer::AnswerBody;
+use crate::attempt;
+use crate::attempt::Parcel;
+use crate::attempt::Reply;
+use crate::connection::Connection;
+use crate::events::Events;
+use crate::pool;
+use crate::shell::Shell;
+use crate::shell::Word;
+use crate::stay::Stay;
+use crate::stay::name;
+
+/// Bytes of a whole answer that are held before they are passed on.
+///
+/// Held back, an answer that breaks off can still be asked for again or fail cleanly.
+const WHOLE: usize = 1024 * 1024;
+
+/// How many times the usual time an endpoint may stay silent before its try is given up.
+///
+/// Six times the mean lies beyond 99 of 100 sound answers of the services that were measured.
+const SILENCE: u64 = 6;
+
+/// The shortest silence for which a try is given up: shorter ones come from pauses of a process.
+const SHORTEST: Millis = Millis(400);
+
+/// The silence in the middle of a stream after which another endpoint goes on.
+///
+/// Callers give a stream up after two seconds; the other endpoint needs the rest of that.
+const PAUSE: Millis = Millis(1_000);
+
+/// Returned to a caller whose request may have run, but brought no answer.
+const MAY_HAVE_RUN: &str = "no_answer: the request may have run";
+
+/// The way back to the caller.
+#[derive(Debug)]
+pub struct Caller {
+    /// Takes the head of the answer, or a whole one.
+    pub head: Option<oneshot::Sender<Head>>,
+    /// Takes the pieces of a stream; closed when the caller is gone.
+    pub pieces: mpsc::Sender<Option<Bytes>>,
+}
+
+/// What the caller is told first.
+#[derive(Debug)]
+pub enum Head {
+    /// A whole answer.
+    Whole(Response<AnswerBody>),
+    /// A stream begins.
+    Stream(StatusCode, HeaderMap),
+}
+
+/// One request from its admission to its last byte.
+#[derive(Debug)]
+pub struct Job {
+    /// What all tasks share.
+    pub shell: Rc<Shell>,
+    /// The request as the decisions see it.
+    pub pass: Pass,
+    /// The request as endpoints see it.
+    pub parcel: Parcel,
+    /// Its identity.
+    pub id: Option<String>,
+    /// The way back to the caller.
+    pub caller: Caller,
+    /// The events passed on so far.
+    pub events: Events,
+    /// Whether it may have run.
+    pub ran: bool,
+    /// An endpoint's own failure, to be passed on if no other endpoint does better.
+    pub failure: Option<Response<AnswerBody>>,
+}
+
+enum Step {
+    // The answer is whole.
+    Finished(Outcome),
+    // The endpoint did not bring a whole answer; another might.
+    Again(Outcome),
+}
+
+impl Job {
+    /// Serves the request until its answer is whole, its time is up, or its caller left.
+    pub async fn run(mut self, stay: Stay, word: oneshot::Receiver<Word>) {
+        let pieces = self.caller.pieces.clone();
+        let left = Duration::from(self.pass.until.since(self.shell.now()));
+        let outcome = tokio::select! {
+            biased;
+            () = pieces.closed() => "caller_left",
+            done = timeout(left, self.serve(stay, word)) => done.unwrap_or("late"),
+        };
+        if outcome == "late" {
+            self.expired();
+        }
+        self.note(outcome);
+        self.shell.decide();
+    }
+
+    async fn serve(&mut self, stay: Stay, word: oneshot::Receiver<Word>) -> &'static str {
+        let mut turn = (stay, word);
+        loop {
+            let (stay, word) = turn;
+            let endpoint = match word.await {
+                Ok(Ok(endpoint)) => endpoint,
+                Ok(Err(refusal)) => {
+                    stay.refused();
+                    return self.refused(refusal);
+                }
+                Err(_) => return self.failed(Outcome::Left),
+            };
+            self.shell.metrics.waited(self.shell.now().since(self.pass.arrived));
+            let (outcome, more) = match self.attempt(&endpoint, &stay).await {
+                Step::Finished(outcome) => (outcome, false),
+                Step::Again(outcome) => (outcome, true),
+            };
+            self.trace(&endpoint, outcome);
+            match stay.end(outcome, more) {
+                Some(ticket) => {
+                    turn = (Stay::new(&self.shell, ticket), self.shell.wait(ticket));
+                    self.shell.decide();
+                }
+                None if more => return self.failed(outcome),
+                None => return self.finished(),
+            }
+        }
+    }
+
+    async fn attempt(&mut self, endpoint: &Arc<Endpoint>, stay: &Stay) -> Step {
+        let start = self.shell.now();
+        let ran = std::mem::replace(&mut self.ran, true);
+        let shell = self.shell.clone();
+        let headers = self.headers(endpoint, start);
+        let reply = {
+            let mut sending = pin!(attempt::send(&shell, endpoint, &self.parcel, headers));
+            match timeout(self.silence(), &mut sending).await {
+                Ok(reply) => reply,
+                Err(_) if stay.spare() => return Step::Again(Outcome::Silent),
+                Err(_) => sending.await,
+            }
+        };
+        let (response, connection) = match reply {
+            Reply::Head(response, connection) => (response, connection),
+            Reply::Unreached => {
+                self.ran = ran;
+                return Step::Again(Outcome::Unreached);
+            }
+            Reply::Broken => return Step::Again(Outcome::Broken),
+        };
+        let verdict = wire::decode(response.status(), response.headers(), self.id.as_deref());
+        match verdict {
+            wire::Verdict::Foreign => Step::Again(Outcome::Broken),
+            wire::Verdict::Full | wire::Verdict::Moved => {
+                self.ran = ran;
+                drain(&self.shell, endpoint, response, connection);
+                let full = verdict == wire::Verdict::Full;
+                Step::Again(if full { Outcome::Full } else { Outcome::Moved })
+            }
+            wire::Verdict::Answer if self.pass.streams() && response.status().is_success() => {
+                self.stream(endpoint, stay, start, response, connection).await
+            }
+            wire::Verdict::Answer => self.whole(endpoint, start, response, connection).await,
+        }
+    }
+
+    fn headers(&self, endpoint: &Endpoint, now: Millis) -> HeaderMap {
+        let mut headers = self.parcel.headers.clone();
+        request::address(&mut headers, endpoint, self.pass.until.since(now));
+        if let Some(event) = self.events.last() {
+            request::resume(&mut headers, event);
+        }
+        headers
+    }
+
+    async fn whole(
+        &mut self,
+        endpoint: &Arc<Endpoint>,
+        start: Millis,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> Step {
+        let (parts, body) = response.into_parts();
+        let Ok(collected) = Limited::new(body, WHOLE).collect().await else {
+            return Step::Again(Outcome::Broken);
+        };
+        reuse(&self.shell, endpoint, &parts.headers, connection);
+        let mut answer = Response::new(AnswerBody::Whole(Some(collected.to_bytes())));
+        *answer.status_mut() = parts.status;
+        *answer.headers_mut() = wire::forward(&parts.headers);
+        self.failure = Some(answer);
+        if wire::failed(parts.status) {
+            return Step::Again(Outcome::Failed);
+        }
+        let took = self.shell.now().since(start);
+        Step::Finished(Outcome::Done { first: took, took })
+    }
+
+    async fn stream(
+        &mut self,
+        endpoint: &Arc<Endpoint>,
+        stay: &Stay,
+        start: Millis,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> Step {
+        let (parts, mut body) = response.into_parts();
+        let mut first = None;
+        let mut silence = self.silence();
+        loop {
+            let frame = {
+                let mut next = pin!(body.frame());
+                match timeout(silence, &mut next).await {
+                    Ok(frame) => frame,
+                    Err(_) if stay.spare() => return self.abandon(Outcome::Silent),
+                    Err(_) => next.await,
+                }
+            };
+            let piece = match frame {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    let Some(whole) = self.events.push(&data) else { continue };
+                    whole
+                }
+                Some(Err(_)) => return self.abandon(Outcome::Broken),
+                None => break,
+            };
+            first.get_or_insert(self.shell.now().since(start));
+            silence = PAUSE.into();
+            self.pass_on(&parts, piece).await;
+        }
+        let rest = self.events.finish();
+        self.pass_on(&parts, rest).await;
+        reuse(&self.shell, endpoint, &parts.headers, connection);
+        let took = self.shell.now().since(start);
+        Step::Finished(Outcome::Done { first: first.unwrap_or(took), took })
+    }
+
+    fn abandon(&mut self, outcome: Outcome) -> Step {
+        self.events.abandon();
+        Step::Again(outcome)
+    }
+
+    // A caller that is gone closes the channel, which ends the job; so a failed send needs no word.
+    async fn pass_on(&mut self, parts: &http::response::Parts, piece: Bytes) {
+        if let Some(head) = self.caller.head.take() {
+            let headers = wire::forward(&parts.headers);
+            drop(head.send(Head::Stream(parts.status, headers)));
+        }
+        if !piece.is_empty() {
+            drop(self.caller.pieces.send(Some(piece)).await);
+        }
+    }
+
+    fn silence(&self) -> Duration {
+        let load = self.shell.core.borrow().scheduler().load(&self.pass.service);
+        let usual = if self.pass.streams() { load.first() } else { load.stay() };
+        Millis(usual.0 * SILENCE).max(SHORTEST).into()
+    }
+
+    fn finished(&mut self) -> &'static str {
+        if let Some(answer) = self.failure.take()
+            && self.caller.head.is_some()
+        {
+            self.tell(answer);
+            return "answered";
+        }
+        drop(self.caller.pieces.try_send(None));
+        "streamed"
+    }
+
+    fn refused(&mut self, refusal: Refusal) -> &'static str {
+        if self.ran {
+            return self.failed(Outcome::Left);
+        }
+        self.shell.core.borrow_mut().give_back(&self.pass);
+        self.tell(answer::refuse(refusal));
+        refusal.reason.as_str()
+    }
+
+    // No endpoint brought a whole answer, and no other may be asked.
+    fn failed(&mut self, outcome: Outcome) -> &'static str {
+        if self.caller.head.is_none() {
+            return "cut";
+        }
+        if let Some(answer) = self.failure.take() {
+            self.tell(answer);
+            return "endpoint_failed";
+        }
+        if !self.ran {
+            let load = self.shell.core.borrow().scheduler().load(&self.pass.service);
+            let full = outcome == Outcome::Full;
+            let reason = if full { Reason::Rejected } else { Reason::NoEndpoint };
+            return self.refused(Refusal { reason, after: load.stay() });
+        }
+        self.tell(answer::plain(StatusCode::BAD_GATEWAY, MAY_HAVE_RUN));
+        "no_answer"
+    }
+
+    fn expired(&mut self) {
+        if self.caller.head.is_none() {
+            return;
+        }
+        if self.ran {
+            self.tell(answer::plain(StatusCode::GATEWAY_TIMEOUT, MAY_HAVE_RUN));
+        } else {
+            self.refused(Refusal { reason: Reason::Waited, after: SHORTEST });
+        }
+    }
+
+    fn tell(&mut self, answer: Response<AnswerBody>) {
+        if let Some(head) = self.caller.head.take() {
+            drop(head.send(Head::Whole(answer)));
+        }
+    }
+
+    fn trace(&self, endpoint: &Endpoint, outcome: Outcome) {
+        let fields = json!({
+            "id": self.id,
+            "endpoint": &*endpoint.id,
+            "born": endpoint.born,
+            "outcome": name(outcome),
+            "since_arrival_ms": self.shell.now().since(self.pass.arrived).0,
+        });
+        self.shell.log("attempt", fields);
+    }
+
+    fn note(&self, outcome: &'static str) {
+        let took = self.shell.now().since(self.pass.arrived);
+        self.shell.metrics.answered(self.pass.route.priority, outcome, took);
+        let fields = json!({
+            "id": self.id,
+            "route": &*self.pass.route.name,
+            "rank": self.pass.rank.0,
+            "outcome": outcome,
+            "took_ms": took.0,
+            "left_ms": self.pass.until.since(self.shell.now()).0,
+            "configuration": self.shell.core.borrow().version(),
+        });
+        self.shell.log("answer", fields);
+    }
+}
+
+// Keeps a connection whose answer is over, if its endpoint keeps it too.
+fn reuse(shell: &Rc<Shell>, endpoint: &Endpoint, headers: &HeaderMap, connection: Connection) {
+    if !wire::closes(headers) {
+        pool::keep(shell, endpoint.key(), connection, wire::keep(headers));
+    }
+}
+
+// Reads the short body of an answer that says "not run", so that its connection can be kept.
+fn drain(
+    shell: &Rc<Shell>,
+    endpoint: &Arc<Endpoint>,
+    response: Response<Incoming>,
+    connection: Connection,
+) {
+    let shell = shell.clone();
+    let endpoint = endpoint.clone();
+    tokio::task::spawn_local(async move {
+        let (parts, body) = response.into_parts();
+        let reading = Limited::new(body, WHOLE).collect();
+        if let Ok(Ok(_)) = timeout(SHORTEST.into(), reading).await {
+            reuse(&shell, &endpoint, &parts.headers, connection);
+        }
+    });
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/metrics.rs
@@ -0,0 +1,94 @@
+//! Metrics through OpenTelemetry, on a page that Prometheus reads.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use siskinyoke_base::Millis;
+
+/// Upper bounds of the latency histograms' buckets, in seconds: from a plain lookup to a long
+/// stream.
+const SECONDS: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0];
+
+/// The metrics of one instance.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    answers: Counter<u64>,
+    attempts: Counter<u64>,
+    latency: Histogram<f64>,
+    waited: Histogram<f64>,
+    state: Gauge<f64>,
+    // Kept alive, as its readers stop when it is dropped.
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Makes the metrics of one instance.
+    ///
+    /// # Errors
+    ///
+    /// The exporter's message if it cannot be set up.
+    pub fn new() -> Result<Self, String> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|err| err.to_string())?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("siskinyoke");
+        let seconds = |name: &'static str| {
+            meter.f64_histogram(name).with_boundaries(SECONDS.to_vec()).with_unit("s").build()
+        };
+        Ok(Self {
+            registry,
+            answers: meter.u64_counter("siskinyoke_answers").build(),
+            attempts: meter.u64_counter("siskinyoke_attempts").build(),
+            latency: seconds("siskinyoke_latency"),
+            waited: seconds("siskinyoke_queue_wait"),
+            state: meter.f64_gauge("siskinyoke_state").build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answer by its tier and outcome, with the time it took.
+    pub fn answered(&self, tier: u8, outcome: &'static str, took: Millis) {
+        let attributes =
+            [KeyValue::new("tier", i64::from(tier)), KeyValue::new("outcome", outcome)];
+        self.answers.add(1, &attributes);
+        self.latency.record(took.as_secs(), &attributes);
+    }
+
+    /// Counts a sending to an endpoint by its outcome.
+    pub fn attempted(&self, outcome: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records how long a request waited for its endpoint.
+    pub fn waited(&self, span: Millis) {
+        self.waited.record(span.as_secs(), &[]);
+    }
+
+    /// Sets a figure of the present state, named by `what`.
+    pub fn state(&self, what: &'static str, value: f64) {
+        self.state.record(value, &[KeyValue::new("what", what)]);
+    }
+
+    /// Writes the page.
+    ///
+    /// # Errors
+    ///
+    /// The encoder's message.
+    pub fn page(&self) -> Result<Vec<u8>, String> {
+        let mut page = Vec::new();
+        let families = self.registry.gather();
+        TextEncoder::new().encode(&families, &mut page).map_err(|err| err.to_string())?;
+        Ok(page)
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/presence.rs
@@ -0,0 +1,70 @@
+//! Keeps this instance's entry in the store, so that the others find it.
+
+use std::rc::Rc;
+
+use serde_json::json;
+use tokio::time::sleep;
+
+use siskinyoke_base::Millis;
+use siskinyoke_platform::names;
+use siskinyoke_platform::store;
+
+use crate::shell::Shell;
+use crate::store::Client;
+use crate::store::StoreError;
+
+/// How long the entry outlives this process.
+///
+/// It is only a place to look for others; who is alive shows in their reports.
+const LEASE: Millis = Millis(6_000);
+
+/// How often the lease is renewed: twice may fail.
+const RENEW: Millis = Millis(2_000);
+
+/// How long a call may take.
+const LIMIT: Millis = Millis(1_500);
+
+/// Keeps this instance's entry for as long as the process runs.
+pub async fn keep(shell: Rc<Shell>) {
+    let mut client = Client::default();
+    let mut lease = None;
+    loop {
+        let result = match lease {
+            None => enter(&shell, &mut client).await.map(Some),
+            Some(lease) => renew(&shell, &mut client, lease).await,
+        };
+        match result {
+            Ok(kept) => lease = kept,
+            Err(err) => shell.log("presence_failed", json!({ "error": err.to_string() })),
+        }
+        if lease.is_some() && shell.core.borrow().leaving() {
+            return;
+        }
+        sleep(RENEW.into()).await;
+    }
+}
+
+async fn enter(shell: &Shell, client: &mut Client) -> Result<u64, StoreError> {
+    let settings = shell.settings();
+    let body = client.call(settings.store, &store::grant(LEASE), LIMIT).await?;
+    let lease = store::decode_grant(&body)?;
+    let key = format!("{}{}", names::INSTANCE_PREFIX, settings.instance);
+    let value = settings.listen.peers.to_string();
+    client.call(settings.store, &store::put(&key, value.as_bytes(), lease), LIMIT).await?;
+    shell.log("presence", json!({ "lease": lease }));
+    Ok(lease)
+}
+
+// Returns the lease, or nothing if it has ended and the entry is to be written anew.
+async fn renew(
+    shell: &Shell,
+    client: &mut Client,
+    lease: u64,
+) -> Result<Option<u64>, StoreError> {
+    let address = shell.settings().store;
+    match client.call(address, &store::renew(lease), LIMIT).await {
+        Ok(_) => Ok(Some(lease)),
+        Err(StoreError::Status(http::StatusCode::NOT_FOUND)) => Ok(None),
+        Err(err) => Err(err),
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/reload.rs
@@ -0,0 +1,34 @@
+//! Takes over changes of the settings file, with or without a signal.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::settings::Settings;
+use crate::shell::Shell;
+
+/// How often the file is looked at; it may change without a signal.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Looks at the settings file for as long as the process runs.
+pub async fn follow(shell: Rc<Shell>, path: PathBuf) {
+    loop {
+        sleep(LOOK).await;
+        reload(&shell, &path);
+    }
+}
+
+/// Takes over the settings file if it changed; a faulty one is logged and changes nothing.
+pub fn reload(shell: &Shell, path: &std::path::Path) {
+    match Settings::load(path) {
+        Ok(settings) if settings == **shell.settings.borrow() => {}
+        Ok(settings) => {
+            shell.log("settings_changed", json!({ "store": settings.store.to_string() }));
+            *shell.settings.borrow_mut() = Rc::new(settings);
+        }
+        Err(err) => shell.log("settings_faulty", json!({ "error": err.to_string() })),
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -0,0 +1,151 @@
+//! The settings of an instance: JSON with comments, checked before anything starts.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use jsonc_parser::ParseOptions;
+use jsonc_parser::parse_to_serde_value;
+use quick_error::quick_error;
+use serde::Deserialize;
+
+use siskinyoke_base::Millis;
+
+quick_error! {
+    /// What is wrong with a settings file.
+    #[derive(Debug)]
+    pub enum SettingsError {
+        /// The file cannot be read.
+        Read(err: std::io::Error) {
+            display("cannot be read: {err} (does the file exist, and may this user read it?)")
+            source(err)
+            from()
+        }
+        /// It is not JSON with comments.
+        Syntax(text: String) {
+            display("is not JSON with comments: {text}")
+        }
+        /// A field is missing or of another type.
+        Field(err: serde_json::Error) {
+            display("{err} (see docs/operators/on-the-platform.md for every field)")
+            source(err)
+            from()
+        }
+        /// A value lies outside what can work.
+        Value(field: &'static str, hint: &'static str) {
+            display("'{field}' cannot be used: {hint}")
+        }
+    }
+}
+
+/// Where an instance listens.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For questions whether it takes callers.
+    pub health: SocketAddr,
+    /// For questions which instances to use.
+    pub directory: SocketAddr,
+    /// For its peers, over TCP and UDP.
+    pub peers: SocketAddr,
+}
+
+/// Bounds that all instances keep together.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Bounds {
+    /// The time from the signal to stop to a kill, in seconds.
+    pub grace_s: f64,
+    /// The part of a service's requests that may be sent again.
+    pub retry_ratio: f64,
+    /// Retries allowed beside that part in ten seconds.
+    pub retry_slack: f64,
+    /// The longest that callers keep a directory's answer, in seconds.
+    pub keep_s: f64,
+}
+
+/// The settings of an instance.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Settings {
+    /// Its name.
+    pub instance: String,
+    /// Its IP address.
+    pub ip: std::net::IpAddr,
+    /// Its data centre.
+    pub centre: String,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Where some other instances listen for peers; they may be gone.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The port of its metrics page.
+    pub metrics: u16,
+    /// The memory it may use, in MB.
+    pub memory_mb: u64,
+    /// Bounds that all instances keep together.
+    pub bounds: Bounds,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with it, with the field and a hint.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        Self::parse(&fs::read_to_string(path)?)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with it, with the field and a hint.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let value: serde_json::Value = parse_to_serde_value(text, &ParseOptions::default())
+            .map_err(|err| SettingsError::Syntax(err.to_string()))?;
+        let settings: Self = serde_json::from_value(value)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Returns the time from the signal to stop to a kill.
+    pub fn grace(&self) -> Millis {
+        seconds(self.bounds.grace_s)
+    }
+
+    /// Returns the longest that callers keep a directory's answer.
+    pub fn keep(&self) -> Millis {
+        seconds(self.bounds.keep_s)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        if self.instance.is_empty() {
+            return Err(SettingsError::Value("instance", "give each instance a name of its own"));
+        }
+        if self.memory_mb < 16 {
+            return Err(SettingsError::Value("memory_mb", "an instance needs 16 MB or more"));
+        }
+        if !(1.0..=3600.0).contains(&self.bounds.grace_s) {
+            return Err(SettingsError::Value("bounds.grace_s", "give 1 to 3600 seconds"));
+        }
+        if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
+            return Err(SettingsError::Value("bounds.retry_ratio", "give a part from 0 to 1"));
+        }
+        if !(0.0..=1e6).contains(&self.bounds.retry_slack) {
+            return Err(SettingsError::Value("bounds.retry_slack", "give 0 or more"));
+        }
+        if !(0.1..=3600.0).contains(&self.bounds.keep_s) {
+            return Err(SettingsError::Value("bounds.keep_s", "give 0.1 to 3600 seconds"));
+        }
+        Ok(())
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "checked to lie below an hour")]
+#[expect(clippy::cast_sign_loss, reason = "checked to be positive")]
+fn seconds(value: f64) -> Millis {
+    Millis((value * 1000.0) as u64)
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -0,0 +1,156 @@
+//! What all tasks of an instance share, on its one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use siskinyoke_base::Clock;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Core;
+use siskinyoke_dispatch::Decision;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::Refusal;
+use siskinyoke_dispatch::Ticket;
+use siskinyoke_dispatch::core::Identity;
+
+use crate::clock::BootClock;
+use crate::journal::Journal;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::settings::Settings;
+
+/// What a waiting request is told.
+pub type Word = Result<Arc<Endpoint>, Refusal>;
+
+/// What instances hand to each other as it stood in the store.
+#[derive(Debug, Default)]
+pub struct Raw {
+    /// The operators' configuration.
+    pub configuration: Vec<u8>,
+    /// The endpoints' entries by identity.
+    pub endpoints: Map<String, Vec<u8>>,
+}
+
+/// What all tasks of an instance share, on its one thread.
+#[derive(Debug)]
+pub struct Shell {
+    /// The state that decides.
+    pub core: RefCell<Core>,
+    /// The settings at present.
+    pub settings: RefCell<Rc<Settings>>,
+    /// Connections to endpoints.
+    pub pool: Pool,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// What was read from the store, to be handed to peers.
+    pub raw: RefCell<Raw>,
+    /// Whether the store answers.
+    pub stored: Cell<bool>,
+    /// Wakes the sender of reports.
+    pub changed: Notify,
+    /// Wakes the timer of waiting requests.
+    pub queued: Notify,
+    /// Wakes all who must know that the instance is leaving.
+    pub leaving: Notify,
+    /// Whether a configuration is being fetched from a peer.
+    pub catching: Cell<bool>,
+    /// Bytes of bodies that are held at present.
+    pub held: Cell<usize>,
+    /// Requests that are being served at present.
+    pub serving: Cell<usize>,
+    /// When the last request arrived.
+    pub busy: Cell<Millis>,
+    waiters: RefCell<Map<Ticket, oneshot::Sender<Word>>>,
+    journal: RefCell<Journal>,
+    clock: BootClock,
+}
+
+impl Shell {
+    /// Makes the shared state of an instance.
+    ///
+    /// # Errors
+    ///
+    /// What keeps the metrics from being set up.
+    pub fn new(settings: Settings, identity: Identity, journal: Journal) -> Result<Self, String> {
+        Ok(Self {
+            core: RefCell::new(Core::new(identity)),
+            settings: RefCell::new(Rc::new(settings)),
+            pool: Pool::default(),
+            metrics: Metrics::new()?,
+            raw: RefCell::default(),
+            stored: Cell::new(false),
+            changed: Notify::new(),
+            queued: Notify::new(),
+            leaving: Notify::new(),
+            catching: Cell::new(false),
+            held: Cell::new(0),
+            serving: Cell::new(0),
+            busy: Cell::new(Millis::ZERO),
+            waiters: RefCell::default(),
+            journal: RefCell::new(journal),
+            clock: BootClock,
+        })
+    }
+
+    /// Returns the present time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Returns the settings at present.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Writes a log line.
+    pub fn log(&self, event: &str, fields: Value) {
+        self.journal.borrow_mut().line(self.now(), event, fields);
+    }
+
+    /// Hands gathered log lines to their writer.
+    pub fn flush(&self) {
+        self.journal.borrow_mut().flush();
+    }
+
+    /// Waits for what is decided of a request.
+    pub fn wait(&self, ticket: Ticket) -> oneshot::Receiver<Word> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, sender);
+        receiver
+    }
+
+    /// Takes out a request, waiting or running, whose caller left.
+    pub fn cancel(&self, ticket: Ticket) {
+        self.waiters.borrow_mut().remove(&ticket);
+        self.core.borrow_mut().cancel(self.now(), ticket);
+        self.changed.notify_one();
+    }
+
+    /// Decides what can be decided now and tells those who wait.
+    pub fn decide(&self) {
+        let decisions = self.core.borrow_mut().decide(self.now());
+        for decision in decisions {
+            let (ticket, word) = match decision {
+                Decision::Start(ticket, endpoint) => (ticket, Ok(endpoint)),
+                Decision::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            // A waiter that is gone has its guard end the stay.
+            if let Some(waiter) = self.waiters.borrow_mut().remove(&ticket)
+                && waiter.send(word).is_err()
+            {
+                self.log("word_unheard", json!({ "ticket": ticket.0 }));
+            }
+        }
+        self.changed.notify_one();
+        if self.core.borrow().scheduler().size().0 > 0 {
+            self.queued.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/small.rs
@@ -0,0 +1,72 @@
+//! The short answers beside callers' work: readiness, directory, metrics.
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+
+use siskinyoke_base::Millis;
+use siskinyoke_platform::directory;
+use siskinyoke_platform::names;
+
+use crate::answer;
+use crate::answer::AnswerBody;
+use crate::shell::Shell;
+
+/// How long callers should keep the directory's answer.
+///
+/// An instance that leaves goes on serving for longer; one that died is avoided by its callers
+/// after one failure. Shorter answers cost a question each for no gain.
+const KEEP: Millis = Millis(2_000);
+
+/// Answers whether this instance takes callers.
+pub fn health(shell: &Shell, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() != names::READY_PATH {
+        return answer::plain(StatusCode::NOT_FOUND, "no such page");
+    }
+    if shell.core.borrow().ready() {
+        answer::plain(StatusCode::OK, "ready")
+    } else {
+        answer::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+    }
+}
+
+/// Answers which instances a caller should use.
+pub fn directory(shell: &Shell, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() != names::DIRECTORY_PATH {
+        return answer::plain(StatusCode::NOT_FOUND, "no such page");
+    }
+    let centre = directory::centre(request.uri().query().unwrap_or(""));
+    let addresses = shell.core.borrow().addresses(shell.now(), centre);
+    if addresses.is_empty() {
+        return answer::plain(StatusCode::SERVICE_UNAVAILABLE, "no instance is ready");
+    }
+    let keep = KEEP.min(shell.settings().keep());
+    answer::json(directory::encode(&addresses, keep))
+}
+
+/// Answers with the metrics page.
+pub fn metrics(shell: &Shell, _: &Request<Incoming>) -> Response<AnswerBody> {
+    let core = shell.core.borrow();
+    let (waiting, running) = core.scheduler().size();
+    shell.metrics.state("waiting", count(waiting));
+    shell.metrics.state("running", count(running));
+    shell.metrics.state("peers", count(core.peers().count(shell.now()) - 1));
+    shell.metrics.state("store", f64::from(u8::from(shell.stored.get())));
+    #[expect(clippy::cast_precision_loss, reason = "versions stay far below 2^52")]
+    shell.metrics.state("configuration", core.version() as f64);
+    match shell.metrics.page() {
+        Ok(page) => {
+            let mut response = Response::new(AnswerBody::Whole(Some(page.into())));
+            let value = http::HeaderValue::from_static("text/plain; version=0.0.4");
+            response.headers_mut().insert(http::header::CONTENT_TYPE, value);
+            response
+        }
+        Err(err) => answer::plain(StatusCode::INTERNAL_SERVER_ERROR, &err),
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+fn count(value: usize) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/stay.rs
@@ -0,0 +1,65 @@
+//! Guards that keep the counts right however a request ends.
+
+use std::rc::Rc;
+
+use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::Ticket;
+
+use crate::shell::Shell;
+
+/// A request that waits, or one that runs on an endpoint.
+///
+/// A caller may leave at any await. Without the guard its place would stay taken for ever, and
+/// the endpoint would seem fuller than it is until the process ends.
+#[derive(Debug)]
+pub struct Stay {
+    shell: Rc<Shell>,
+    ticket: Option<Ticket>,
+}
+
+impl Stay {
+    /// Guards a request that was let in.
+    pub fn new(shell: &Rc<Shell>, ticket: Ticket) -> Self {
+        Self { shell: shell.clone(), ticket: Some(ticket) }
+    }
+
+    /// Takes note that the request was refused: nothing is left to end.
+    pub fn refused(mut self) {
+        self.ticket = None;
+    }
+
+    /// Ends a running stay; returns a ticket to wait with if it may go on elsewhere.
+    pub fn end(mut self, outcome: Outcome, more: bool) -> Option<Ticket> {
+        let ticket = self.ticket.take()?;
+        self.shell.metrics.attempted(name(outcome));
+        self.shell.core.borrow_mut().ended(self.shell.now(), ticket, outcome, more)
+    }
+
+    /// Returns whether a try that stays silent may be given up for another endpoint.
+    pub fn spare(&self) -> bool {
+        let Some(ticket) = self.ticket else { return false };
+        self.shell.core.borrow_mut().spare(self.shell.now(), ticket)
+    }
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket.take() else { return };
+        self.shell.cancel(ticket);
+        self.shell.decide();
+    }
+}
+
+/// Returns an outcome's name in logs and metrics.
+pub fn name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done { .. } => "done",
+        Outcome::Failed => "failed",
+        Outcome::Full => "full",
+        Outcome::Moved => "moved",
+        Outcome::Unreached => "unreached",
+        Outcome::Broken => "broken",
+        Outcome::Silent => "silent",
+        Outcome::Left => "left",
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/store.rs
@@ -0,0 +1,127 @@
+//! The client of the platform's store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use quick_error::quick_error;
+use tokio::time::timeout;
+
+use siskinyoke_base::Millis;
+use siskinyoke_platform::FormatError;
+use siskinyoke_platform::store::Call;
+
+use crate::connection::ConnectError;
+use crate::connection::Connection;
+use crate::connection::Sent;
+
+quick_error! {
+    /// Why a call of the store brought no answer to use.
+    #[derive(Debug)]
+    pub enum StoreError {
+        /// No connection could be made.
+        Connect(err: ConnectError) {
+            display("{err}")
+            source(err)
+            from()
+        }
+        /// The connection broke; a write may have taken effect.
+        Broken(err: hyper::Error) {
+            display("the connection broke: {err}")
+            source(err)
+            from()
+        }
+        /// No answer came in time; a write may have taken effect.
+        Silent {
+            display("no answer in time")
+        }
+        /// It answered with a failure.
+        Status(status: StatusCode) {
+            display("answered {status}")
+        }
+        /// Its answer cannot be understood.
+        Format(err: FormatError) {
+            display("{err}")
+            source(err)
+            from()
+        }
+    }
+}
+
+/// A client of the store that keeps one connection.
+#[derive(Debug, Default)]
+pub struct Client {
+    kept: Option<(SocketAddr, Connection)>,
+}
+
+impl Client {
+    /// Makes a call and returns the body of a success.
+    ///
+    /// A call whose connection was found closed before anything was sent is made once more.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none; the connection is not used again after a doubt.
+    pub async fn call(
+        &mut self,
+        address: SocketAddr,
+        call: &Call,
+        limit: Millis,
+    ) -> Result<Bytes, StoreError> {
+        let limit = Duration::from(limit);
+        let result = timeout(limit, self.exchange(address, call)).await;
+        let Ok(result) = result else {
+            self.kept = None;
+            return Err(StoreError::Silent);
+        };
+        if !matches!(result, Ok(_) | Err(StoreError::Status(_))) {
+            self.kept = None;
+        }
+        result
+    }
+
+    async fn exchange(&mut self, address: SocketAddr, call: &Call) -> Result<Bytes, StoreError> {
+        let (at, mut connection) = match self.kept.take() {
+            Some((at, kept)) if at == address && kept.ready() => (at, kept),
+            _ => (address, Connection::open(address).await?),
+        };
+        let response = match connection.send(encode(address, call)).await {
+            Sent::Head(response) => response,
+            Sent::Broken(err) => return Err(err.into()),
+            Sent::Unsent(request) => {
+                connection = Connection::open(address).await?;
+                match connection.send(*request).await {
+                    Sent::Head(response) => response,
+                    Sent::Broken(err) => return Err(err.into()),
+                    Sent::Unsent(_) => return Err(StoreError::Silent),
+                }
+            }
+        };
+        let status = response.status();
+        let body = response.into_body().collect().await?.to_bytes();
+        if connection.settle().await {
+            self.kept = Some((at, connection));
+        }
+        if status.is_success() { Ok(body) } else { Err(StoreError::Status(status)) }
+    }
+}
+
+fn encode(address: SocketAddr, call: &Call) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(call.body.clone())));
+    *request.method_mut() = call.method.parse().unwrap_or_default();
+    // Paths are made of fixed words and numbers; one that is no path asks for the root.
+    *request.uri_mut() = call.path.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    if let Ok(host) = http::HeaderValue::from_str(&address.to_string()) {
+        headers.insert(http::header::HOST, host);
+    }
+    if !call.body.is_empty() {
+        let json = http::HeaderValue::from_static("application/json");
+        headers.insert(http::header::CONTENT_TYPE, json);
+    }
+    request
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -0,0 +1,223 @@
+//! Follows the store: the configuration, the endpoints and the other instances.
+
+use std::rc::Rc;
+
+use serde_json::json;
+use tokio::time::sleep;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_platform::configuration;
+use siskinyoke_platform::endpoint;
+use siskinyoke_platform::names;
+use siskinyoke_platform::store;
+use siskinyoke_platform::store::Batch;
+use siskinyoke_platform::store::Item;
+
+use crate::gossip::Gossip;
+use crate::shell::Shell;
+use crate::store::Client;
+use crate::store::StoreError;
+
+/// How long the store may hold a watch before it answers that nothing changed.
+///
+/// A connection may go silent for good; this and the margin bound how long that goes unnoticed,
+/// inside the two seconds in which a configuration has to be in force plus its stretch.
+const WATCH: Millis = Millis(2_000);
+
+/// How much longer than that its answer may take.
+const MARGIN: Millis = Millis(700);
+
+/// How long a read may take: a hundred times the store's usual four milliseconds.
+const READ: Millis = Millis(1_000);
+
+/// The first pause after a failed call; it doubles up to the longest.
+const PAUSE: Millis = Millis(100);
+
+/// The longest pause after failed calls, so that the return of the store is noticed soon.
+const LONGEST: Millis = Millis(500);
+
+/// Everything is watched in one call, as each waiting call costs one.
+const ALL: &str = "";
+
+/// Follows the store for as long as the process runs.
+pub async fn follow(shell: Rc<Shell>, gossip: Rc<Gossip>) {
+    let mut watcher = Watcher { shell, gossip, client: Client::default(), revision: None };
+    let mut pause = PAUSE;
+    loop {
+        match watcher.step().await {
+            Ok(()) => pause = PAUSE,
+            Err(err) => {
+                watcher.failed(&err);
+                sleep(pause.into()).await;
+                pause = Millis(pause.0 * 2).min(LONGEST);
+            }
+        }
+    }
+}
+
+struct Watcher {
+    shell: Rc<Shell>,
+    gossip: Rc<Gossip>,
+    client: Client,
+    // Where the watch goes on; without it everything is read anew.
+    revision: Option<u64>,
+}
+
+impl Watcher {
+    async fn step(&mut self) -> Result<(), StoreError> {
+        match self.revision {
+            None => self.read().await,
+            Some(revision) => self.watch(revision).await,
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), StoreError> {
+        let mut items = Vec::new();
+        let mut after = String::new();
+        let mut revision = u64::MAX;
+        loop {
+            let page = self.page(&after).await?;
+            // Pages are no snapshot: the watch starts where the first of them stood.
+            revision = revision.min(page.revision);
+            after = page.items.last().map(|item| item.key.clone()).unwrap_or_default();
+            items.extend(page.items);
+            if !page.more || after.is_empty() {
+                break;
+            }
+        }
+        self.answered();
+        self.replace(items);
+        self.revision = Some(revision);
+        Ok(())
+    }
+
+    async fn page(&mut self, after: &str) -> Result<Batch, StoreError> {
+        let address = self.shell.settings().store;
+        let body = self.client.call(address, &store::range(ALL, after), READ).await?;
+        Ok(store::decode_range(&body)?)
+    }
+
+    async fn watch(&mut self, revision: u64) -> Result<(), StoreError> {
+        let address = self.shell.settings().store;
+        let call = store::watch(ALL, revision, WATCH);
+        let body = self.client.call(address, &call, WATCH + MARGIN).await?;
+        let batch = store::decode_watch(&body)?;
+        self.answered();
+        self.revision = Some(batch.revision.max(revision));
+        if !batch.items.is_empty() {
+            for item in batch.items {
+                self.change(item);
+            }
+            self.shell.decide();
+        }
+        Ok(())
+    }
+
+    fn replace(&mut self, items: Vec<Item>) {
+        let now = self.shell.now();
+        let mut endpoints = Vec::new();
+        let mut raw = Vec::new();
+        for item in items {
+            let Some(value) = &item.value else { continue };
+            match endpoint::id(&item.key) {
+                Some(id) => {
+                    endpoints.extend(self.endpoint(id, value));
+                    raw.push((id.to_owned(), value.clone()));
+                }
+                None => self.change(item),
+            }
+        }
+        let count = endpoints.len();
+        self.shell.core.borrow_mut().registry().replace(now, endpoints);
+        self.shell.raw.borrow_mut().endpoints = raw.into_iter().collect();
+        self.shell.log("store_read", json!({ "endpoints": count }));
+        self.shell.decide();
+    }
+
+    fn change(&mut self, item: Item) {
+        if let Some(id) = endpoint::id(&item.key) {
+            self.change_endpoint(id, item.value);
+        } else if item.key == names::CONFIGURATION_KEY {
+            if let Some(value) = item.value {
+                adopt(&self.shell, &value, "store");
+            }
+        } else if let Some(name) = item.key.strip_prefix(names::INSTANCE_PREFIX) {
+            self.gossip.listed(name, item.value.as_deref());
+        }
+    }
+
+    fn change_endpoint(&mut self, id: &str, value: Option<Vec<u8>>) {
+        let now = self.shell.now();
+        let Some(value) = value else {
+            self.shell.core.borrow_mut().registry().remove(now, id);
+            self.shell.raw.borrow_mut().endpoints.remove(id);
+            self.shell.log("endpoint_gone", json!({ "endpoint": id }));
+            return;
+        };
+        if let Some(endpoint) = self.endpoint(id, &value) {
+            let fields = json!({
+                "endpoint": id,
+                "born": endpoint.born,
+                "service": &*endpoint.service,
+                "draining": endpoint.draining,
+            });
+            self.shell.log("endpoint", fields);
+            self.shell.core.borrow_mut().registry().put(now, endpoint);
+            self.shell.raw.borrow_mut().endpoints.insert(id.to_owned(), value);
+        }
+    }
+
+    fn endpoint(&self, id: &str, value: &[u8]) -> Option<Endpoint> {
+        decode_endpoint(&self.shell, id, value)
+    }
+
+    fn answered(&mut self) {
+        self.shell.core.borrow_mut().registry().store_back(self.shell.now());
+        if !self.shell.stored.replace(true) {
+            self.shell.log("store_regained", json!({}));
+        }
+    }
+
+    fn failed(&mut self, err: &StoreError) {
+        // After a doubt, or where the history is gone, only a whole reading tells what holds.
+        self.revision = None;
+        self.shell.core.borrow_mut().registry().store_lost(self.shell.now());
+        if self.shell.stored.replace(false) {
+            self.shell.log("store_lost", json!({ "error": err.to_string() }));
+        }
+    }
+}
+
+/// Decodes an endpoint's entry; one that cannot be understood is logged and names none.
+pub fn decode_endpoint(shell: &Shell, id: &str, value: &[u8]) -> Option<Endpoint> {
+    match endpoint::decode(id, value) {
+        Ok(endpoint) => Some(endpoint),
+        Err(err) => {
+            let fields = json!({ "endpoint": id, "error": err.to_string() });
+            shell.log("endpoint_unreadable", fields);
+            None
+        }
+    }
+}
+
+/// Puts a configuration in force, unless it is no newer than the one that is.
+pub fn adopt(shell: &Shell, bytes: &[u8], source: &str) {
+    let configuration = match configuration::decode(bytes) {
+        Ok(configuration) => configuration,
+        Err(err) => {
+            let fields = json!({ "source": source, "error": err.to_string() });
+            shell.log("configuration_unreadable", fields);
+            return;
+        }
+    };
+    let version = configuration.version;
+    let before = shell.core.borrow().version();
+    if !shell.core.borrow_mut().configure(shell.now(), configuration) {
+        return;
+    }
+    shell.raw.borrow_mut().configuration = bytes.to_vec();
+    let fields = json!({ "version": version, "before": before, "source": source });
+    shell.log("configuration", fields);
+    shell.changed.notify_one();
+}
