--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -18,6 +18,7 @@
 use crate::Scheduler;
 use crate::Ticket;
 use crate::allowance::Allowances;
+use crate::allowance::Measure;
 use crate::budget::Budget;
 use crate::directory;
 use crate::peers::Heard;
@@ -50,8 +51,10 @@
     pub start: u64,
     /// The part of a service's requests that may be sent again, over all instances.
     pub retries: f64,
-    /// Retries allowed beside that part, over all instances.
+    /// Retries allowed beside that part, for this instance.
     pub floor: f64,
+    /// How allowances are measured.
+    pub measure: Measure,
 }
 
 /// What a caller asks for, before anything is decided.
@@ -112,16 +115,16 @@
     pub fn new(me: Identity) -> Self {
         let scheduler = Scheduler::new(&me.centre);
         Self {
-            me,
             configuration: None,
             registry: Registry::default(),
             scheduler,
             peers: Peers::default(),
-            allowances: Allowances::default(),
+            allowances: Allowances::new(me.measure),
             budgets: Map::default(),
             suspects: Suspects::default(),
             leaving: false,
             number: 0,
+            me,
         }
     }
 
@@ -207,15 +210,15 @@
             self.scheduler.admit(now, ask, &self.registry, &self.peers)
         };
         if result.is_err() {
-            self.give_back(pass);
+            self.give_back(now, pass);
         }
         result
     }
 
     /// Gives back the allowance of a request that did not run.
-    pub fn give_back(&mut self, pass: &Pass) {
+    pub fn give_back(&mut self, now: Millis, pass: &Pass) {
         if let Some(organisation) = &pass.organisation {
-            self.allowances.give_back(organisation, pass.units);
+            self.allowances.give_back(now, organisation, pass.units);
         }
     }
 
@@ -267,7 +270,7 @@
         if report.name == self.me.name {
             return false;
         }
-        let start = report.start;
+        let source = report.source();
         for key in &report.leavers {
             self.registry.left(now, *key);
         }
@@ -281,10 +284,10 @@
                 if let Some(before) = before {
                     self.allowances.forget(before);
                 }
-                self.allowances.heard(now, start, &spent);
+                self.allowances.heard(now, source, &spent);
                 return true;
             }
-            Heard::Next => self.allowances.heard(now, start, &spent),
+            Heard::Next => self.allowances.heard(now, source, &spent),
         }
         false
     }
@@ -292,8 +295,8 @@
     /// Does what is due with time: drops what is gone.
     pub fn sweep(&mut self, now: Millis) {
         self.registry.sweep(now);
-        for start in self.peers.sweep(now) {
-            self.allowances.forget(start);
+        for source in self.peers.sweep(now) {
+            self.allowances.forget(source);
         }
         self.scheduler.forget(&self.registry);
     }
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -70,20 +70,20 @@
             // Starts are told by the time of day, which may step back between two of them; so an
             // earlier one is believed too, once the later one is silent.
             Some(peer) if report.start < peer.report.start && peer.fresh(now) => return Heard::Old,
-            Some(peer) => Heard::First(Some(peer.report.start)),
+            Some(peer) => Heard::First(Some(peer.report.source())),
         };
         self.known.insert(report.name.clone(), Peer { report, heard: now });
         news
     }
 
-    /// Drops peers that left, or that were silent for long, and returns their starts.
+    /// Drops peers that left, or that were silent for long, and returns their sources.
     pub fn sweep(&mut self, now: Millis) -> Vec<u64> {
         let mut gone = Vec::new();
         self.known.retain(|_, peer| {
             let silent = now.since(peer.heard);
             let keep = silent < REMEMBERED && !(peer.report.leaving && silent > FRESH);
             if !keep {
-                gone.push(peer.report.start);
+                gone.push(peer.report.source());
             }
             keep
         });
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -41,6 +41,15 @@
     pub peers: Vec<String>,
 }
 
+impl Report {
+    /// Returns what names the start of the process that sent it, among all instances.
+    ///
+    /// Several processes may start in the same millisecond, so the name belongs to it.
+    pub fn source(&self) -> u64 {
+        stable_hash(&(&self.name, self.start))
+    }
+}
+
 /// The waiting requests of one service and rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Waiting {
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::allowance::Measure;
 use siskinyoke_dispatch::core::Identity;
 
 use crate::gossip::Gossip;
@@ -91,6 +92,11 @@
         start: u64::try_from(now.as_millis()).unwrap_or(0),
         retries: settings.bounds.retry_ratio,
         floor: settings.bounds.retry_slack / 2.0 / INSTANCES,
+        measure: Measure {
+            window: settings.quota_window(),
+            overage: settings.bounds.quota_overage,
+            slack: settings.bounds.quota_slack,
+        },
     }
 }
 
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -298,7 +298,8 @@
         if self.ran {
             return self.failed(Outcome::Left);
         }
-        self.shell.core.borrow_mut().give_back(&self.pass);
+        let now = self.shell.now();
+        self.shell.core.borrow_mut().give_back(now, &self.pass);
         self.tell(answer::refuse(refusal));
         refusal.reason.as_str()
     }
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -60,6 +60,12 @@
     pub retry_ratio: f64,
     /// Retries allowed beside that part in ten seconds.
     pub retry_slack: f64,
+    /// The window over which allowances are measured, in seconds.
+    pub quota_window_s: f64,
+    /// The part by which an allowance may be exceeded.
+    pub quota_overage: f64,
+    /// Units by which an allowance may be exceeded besides.
+    pub quota_slack: f64,
     /// The longest that callers keep a directory's answer, in seconds.
     pub keep_s: f64,
 }
@@ -116,6 +122,11 @@
         seconds(self.bounds.grace_s)
     }
 
+    /// Returns the window over which allowances are measured.
+    pub fn quota_window(&self) -> Millis {
+        seconds(self.bounds.quota_window_s)
+    }
+
     /// Returns the longest that callers keep a directory's answer.
     pub fn keep(&self) -> Millis {
         seconds(self.bounds.keep_s)
@@ -137,6 +148,15 @@
         if !(0.0..=1e6).contains(&self.bounds.retry_slack) {
             return Err(SettingsError::Value("bounds.retry_slack", "give 0 or more"));
         }
+        if !(1.0..=3600.0).contains(&self.bounds.quota_window_s) {
+            return Err(SettingsError::Value("bounds.quota_window_s", "give 1 to 3600 seconds"));
+        }
+        if !(0.0..=1.0).contains(&self.bounds.quota_overage) {
+            return Err(SettingsError::Value("bounds.quota_overage", "give a part from 0 to 1"));
+        }
+        if !(0.0..=1e12).contains(&self.bounds.quota_slack) {
+            return Err(SettingsError::Value("bounds.quota_slack", "give 0 or more units"));
+        }
         if !(0.1..=3600.0).contains(&self.bounds.keep_s) {
             return Err(SettingsError::Value("bounds.keep_s", "give 0.1 to 3600 seconds"));
         }
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -37,6 +37,9 @@
 /// The longest pause after failed calls, so that the return of the store is noticed soon.
 const LONGEST: Millis = Millis(500);
 
+/// Organisations that are named in the log line of a new configuration.
+const LOGGED: usize = 8;
+
 /// Everything is watched in one call, as each waiting call costs one.
 const ALL: &str = "";
 
@@ -212,12 +215,18 @@
         }
     };
     let version = configuration.version;
+    let allowances: Vec<_> = configuration
+        .organisations()
+        .iter()
+        .take(LOGGED)
+        .map(|it| json!([&*it.name, it.priority, it.rate, it.burst]))
+        .collect();
     let before = shell.core.borrow().version();
     if !shell.core.borrow_mut().configure(shell.now(), configuration) {
         return;
     }
     shell.raw.borrow_mut().configuration = bytes.to_vec();
-    let fields = json!({ "version": version, "before": before, "source": source });
+    let fields = json!({ "version": version, "before": before, "source": source, "allowances": allowances });
     shell.log("configuration", fields);
     shell.changed.notify_one();
 }
