Give allowances a bucket that a kill of all instances cannot overdraw

All instances were killed at 13 s; before, a hot organisation had used its whole window in 4 s, and the new processes granted the window's filling again. A bucket of one burst plus a filling of (limit - burst) / window, empty at start, is bounded in any window whatever is forgotten.

--- a/crates/siskinyoke-dispatch/src/allowance.rs
+++ b/crates/siskinyoke-dispatch/src/allowance.rs
@@ -1,6 +1,5 @@
 //! What each organisation may use, over all instances together.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use siskinyoke_base::Map;
@@ -9,17 +8,11 @@
 use crate::Organisation;
 use crate::report::short;
 
-/// The length of one slot of the sliding window.
-///
-/// Use is forgotten a slot at a time, so the limit is late by this at most: a thirtieth of the
-/// window.
-const SLOT: Millis = Millis(250);
-
 /// The part of the operators' tolerance that is used.
 ///
-/// The other half covers what peers grant between two of their reports, and what an instance that
-/// died had granted since its last one.
-const USED: f64 = 0.5;
+/// The rest covers what peers grant between two of their reports, and one request of each
+/// instance that a bucket lets in on credit.
+const USED: f64 = 0.75;
 
 /// How the operators measure allowances.
 #[derive(Debug, Clone, Copy)]
@@ -32,93 +25,71 @@
     pub slack: f64,
 }
 
-/// One organisation's use over the sliding window, by all instances that are heard.
+/// One organisation's token bucket, less what every instance that is heard reports as used.
+///
+/// It fills so fast that a full burst and the filling of one window make just the operators'
+/// limit. It is empty when a process starts: were all instances killed at once, what they granted
+/// before and what they grant after still keeps to one burst and one filling in any window.
 #[derive(Debug)]
-struct Meter {
-    limit: f64,
-    used: VecDeque<(Millis, f64)>,
-    sum: f64,
+struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    filled: Millis,
     own: f64,
 }
 
-impl Meter {
-    fn add(&mut self, now: Millis, units: f64) {
-        let slot = Millis(now.0 - now.0 % SLOT.0);
-        match self.used.back_mut() {
-            Some(last) if last.0 == slot => last.1 += units,
-            _ => self.used.push_back((slot, units)),
-        }
-        self.sum += units;
-    }
-
-    fn expire(&mut self, now: Millis, window: Millis) {
-        while let Some((slot, units)) = self.used.front().copied() {
-            if now.since(slot) < window + SLOT {
-                break;
-            }
-            self.sum -= units;
-            self.used.pop_front();
-        }
-    }
-
-    // The time until so many units have left the window.
-    fn wait(&self, now: Millis, window: Millis, units: f64) -> Millis {
-        let mut left = units;
-        for (slot, used) in &self.used {
-            left -= used;
-            if left <= 0.0 {
-                return (*slot + window + SLOT).since(now);
-            }
-        }
-        window
+impl Bucket {
+    // A part of the fleet fills its part of the bucket, as the rest goes on filling the rest.
+    fn refill(&mut self, now: Millis, share: f64) {
+        let span = now.since(self.filled).as_secs();
+        self.level = (self.level + self.rate * share * span).min(self.burst * share);
+        self.filled = now;
     }
 }
 
-/// The allowances of all organisations, over a sliding window.
+/// The allowances of all organisations.
 ///
 /// Every instance counts the use of all: its own at once, that of its peers when their next
-/// report comes. Reports are tens of milliseconds old, so the sum overshoots by what arrives in
-/// that time. A bucket that fills at the allowed rate would refuse up to a quarter of what the
-/// operators' window allows.
+/// report comes, some tens of milliseconds later.
 #[derive(Debug)]
 pub struct Allowances {
     measure: Measure,
-    meters: Map<u32, Meter>,
+    buckets: Map<u32, Bucket>,
     heard: Map<(u64, u32), u64>,
-    started: Option<Millis>,
 }
 
 impl Allowances {
     /// Makes the allowances of an instance that knows no organisation yet.
     pub fn new(measure: Measure) -> Self {
-        Self { measure, meters: Map::default(), heard: Map::default(), started: None }
+        Self { measure, buckets: Map::default(), heard: Map::default() }
     }
 
-    /// Takes over the organisations of a configuration; the use of those that stay is kept.
+    /// Takes over the organisations of a configuration; levels of those that stay are kept.
     pub fn configure(&mut self, now: Millis, organisations: &[Arc<Organisation>]) {
-        let started = *self.started.get_or_insert(now);
-        let mut meters = Map::default();
+        let mut buckets = Map::default();
         for organisation in organisations {
             let key = short(&organisation.name);
-            let old = self.meters.remove(&key);
+            let old = self.buckets.remove(&key);
             if organisation.rate <= 0.0 {
                 continue;
             }
-            let limit = self.limit(organisation);
-            let meter = match old {
-                Some(meter) => Meter { limit, ..meter },
-                None => self.fresh(limit, started),
+            let rate = self.rate(organisation);
+            let burst = organisation.burst;
+            let bucket = match old {
+                Some(bucket) => Bucket { rate, burst, level: bucket.level.min(burst), ..bucket },
+                None => Bucket { rate, burst, level: 0.0, filled: now, own: 0.0 },
             };
-            meters.insert(key, meter);
+            buckets.insert(key, bucket);
         }
-        self.meters = meters;
+        self.buckets = buckets;
     }
 
     /// Takes units for a request, or says when there will be enough.
     ///
-    /// `share` is the part of the fleet that this instance can speak for: 1 while it hears all
-    /// its peers. Cut off from them it may use only its own part of the limit, as the others go
-    /// on granting on their side of the cut.
+    /// A bucket that holds anything lets one request in on credit, so that one larger than the
+    /// burst is not refused for ever. `share` is the part of the fleet that this instance can
+    /// speak for: 1 while it hears all its peers.
     ///
     /// # Errors
     ///
@@ -130,36 +101,35 @@
         units: f64,
         share: f64,
     ) -> Result<(), Millis> {
-        let window = self.measure.window;
-        let Some(meter) = self.meters.get_mut(&short(&organisation.name)) else {
+        let Some(bucket) = self.buckets.get_mut(&short(&organisation.name)) else {
             return Ok(());
         };
-        meter.expire(now, window);
-        let limit = meter.limit * share;
-        if meter.sum + units > limit && meter.sum > 0.0 {
-            return Err(meter.wait(now, window, meter.sum + units - limit).max(Millis(1)));
+        bucket.refill(now, share);
+        if bucket.level <= 0.0 {
+            let wait = (units - bucket.level) / (bucket.rate * share).max(1.0);
+            return Err(Millis(whole(wait * 1000.0) + 1));
         }
-        meter.add(now, units);
-        meter.own += units;
+        bucket.level -= units;
+        bucket.own += units;
         Ok(())
     }
 
     /// Gives back units of a request that never ran.
-    pub fn give_back(&mut self, now: Millis, organisation: &Organisation, units: f64) {
-        if let Some(meter) = self.meters.get_mut(&short(&organisation.name)) {
-            meter.add(now, -units);
-            meter.own -= units;
+    pub fn give_back(&mut self, organisation: &Organisation, units: f64) {
+        if let Some(bucket) = self.buckets.get_mut(&short(&organisation.name)) {
+            bucket.level = (bucket.level + units).min(bucket.burst);
+            bucket.own -= units;
         }
     }
 
-    /// Adds what a peer used since its last report.
-    pub fn heard(&mut self, now: Millis, peer: u64, spent: &[(u32, u64)]) {
+    /// Takes off what a peer used since its last report.
+    pub fn heard(&mut self, peer: u64, spent: &[(u32, u64)]) {
         for (key, total) in spent {
             let known = self.heard.insert((peer, *key), *total);
             let Some(known) = known else { continue };
-            let Some(meter) = self.meters.get_mut(key) else { continue };
-            meter.expire(now, self.measure.window);
-            meter.add(now, float(*total) - float(known));
+            if let Some(bucket) = self.buckets.get_mut(key) {
+                bucket.level = (bucket.level - float(*total) + float(known)).min(bucket.burst);
+            }
         }
     }
 
@@ -171,30 +141,17 @@
     /// Returns the units this instance has used by organisation since its start.
     pub fn spent(&self) -> Vec<(u32, u64)> {
         let mut spent: Vec<_> =
-            self.meters.iter().map(|(key, meter)| (*key, whole(meter.own))).collect();
+            self.buckets.iter().map(|(key, bucket)| (*key, whole(bucket.own))).collect();
         spent.sort_unstable();
         spent
     }
 
-    fn limit(&self, organisation: &Organisation) -> f64 {
+    // The filling that makes, with one burst, the operators' limit for a window.
+    fn rate(&self, organisation: &Organisation) -> f64 {
         let measure = self.measure;
         let nominal = organisation.rate * measure.window.as_secs() + organisation.burst;
-        nominal * (1.0 + measure.overage * USED) + measure.slack * USED
-    }
-
-    // A process that starts cannot know what was granted in the window before: all instances may
-    // have been killed at once, and empty meters would grant the whole window twice. So the window
-    // before its start counts as evenly used in full; it frees itself within one window, and
-    // at the usual use nothing is refused.
-    fn fresh(&self, limit: f64, started: Millis) -> Meter {
-        let mut meter = Meter { limit, used: VecDeque::new(), sum: 0.0, own: 0.0 };
-        let slots = self.measure.window.0 / SLOT.0;
-        let part = limit / float(slots.max(1));
-        for slot in 0..slots {
-            let at = started.0.saturating_sub(self.measure.window.0) + slot * SLOT.0;
-            meter.add(Millis(at), part);
-        }
-        meter
+        let limit = nominal * (1.0 + measure.overage * USED) + measure.slack * USED;
+        (limit - organisation.burst) / measure.window.as_secs()
     }
 }
 
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -210,15 +210,15 @@
             self.scheduler.admit(now, ask, &self.registry, &self.peers)
         };
         if result.is_err() {
-            self.give_back(now, pass);
+            self.give_back(pass);
         }
         result
     }
 
     /// Gives back the allowance of a request that did not run.
-    pub fn give_back(&mut self, now: Millis, pass: &Pass) {
+    pub fn give_back(&mut self, pass: &Pass) {
         if let Some(organisation) = &pass.organisation {
-            self.allowances.give_back(now, organisation, pass.units);
+            self.allowances.give_back(organisation, pass.units);
         }
     }
 
@@ -284,10 +284,10 @@
                 if let Some(before) = before {
                     self.allowances.forget(before);
                 }
-                self.allowances.heard(now, source, &spent);
+                self.allowances.heard(source, &spent);
                 return true;
             }
-            Heard::Next => self.allowances.heard(now, source, &spent),
+            Heard::Next => self.allowances.heard(source, &spent),
         }
         false
     }
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -197,7 +197,7 @@
     pass: &Pass,
     fault: &BodyFault,
 ) -> Response<AnswerBody> {
-    shell.core.borrow_mut().give_back(shell.now(), pass);
+    shell.core.borrow_mut().give_back(pass);
     let (status, text) = match fault {
         BodyFault::Large => (StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit"),
         BodyFault::Slow => (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time"),
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -298,8 +298,7 @@
         if self.ran {
             return self.failed(Outcome::Left);
         }
-        let now = self.shell.now();
-        self.shell.core.borrow_mut().give_back(now, &self.pass);
+        self.shell.core.borrow_mut().give_back(&self.pass);
         self.tell(answer::refuse(refusal));
         refusal.reason.as_str()
     }
