Count what peers used before they were first heard

Ruled out: credit of one request an instance (24 k tokens), report age (2 k). Now the store's list tells how many share an allowance, a listed instance is looked up at once, and the first report of a peer no older than this process counts whole.

--- a/crates/siskinyoke-dispatch/src/allowance.rs
+++ b/crates/siskinyoke-dispatch/src/allowance.rs
@@ -123,9 +123,14 @@
     }
 
     /// Takes off what a peer used since its last report.
-    pub fn heard(&mut self, peer: u64, spent: &[(u32, u64)]) {
+    ///
+    /// Of the first report all is taken off if the peer is `young`, no older than this instance:
+    /// after a kill of all, instances grant for some time before they hear of each other. What an
+    /// older peer used before is not ours to count, as our buckets began empty.
+    pub fn heard(&mut self, peer: u64, young: bool, spent: &[(u32, u64)]) {
         for (key, total) in spent {
             let known = self.heard.insert((peer, *key), *total);
+            let known = if young { known.or(Some(0)) } else { known };
             let Some(known) = known else { continue };
             if let Some(bucket) = self.buckets.get_mut(key) {
                 bucket.level = (bucket.level - float(*total) + float(known)).min(bucket.burst);
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -108,8 +108,12 @@
     suspects: Suspects,
     leaving: bool,
     number: u64,
+    started: Option<Millis>,
 }
 
+/// By how much longer than this instance a peer may run and still count as no older.
+const TOGETHER: Millis = Millis(1_500);
+
 impl Core {
     /// Makes the state of an instance that knows nothing yet.
     pub fn new(me: Identity) -> Self {
@@ -124,6 +128,7 @@
             suspects: Suspects::default(),
             leaving: false,
             number: 0,
+            started: None,
             me,
         }
     }
@@ -135,6 +140,7 @@
         if self.version() >= configuration.version {
             return false;
         }
+        self.started.get_or_insert(now);
         self.allowances.configure(now, configuration.organisations());
         self.configuration = Some(Arc::new(configuration));
         true
@@ -160,6 +166,11 @@
         &self.peers
     }
 
+    /// Takes note of how many instances the store lists.
+    pub fn listed(&mut self, count: usize) {
+        self.peers.listed(count);
+    }
+
     /// Returns the queues.
     pub fn scheduler(&self) -> &Scheduler {
         &self.scheduler
@@ -278,16 +289,17 @@
             self.suspects.heard(now, *print, *crashes);
         }
         let spent = report.spent.clone();
+        let young = Millis(report.age) <= self.age(now) + TOGETHER;
         match self.peers.heard(now, report) {
             Heard::Old => return false,
             Heard::First(before) => {
                 if let Some(before) = before {
                     self.allowances.forget(before);
                 }
-                self.allowances.heard(source, &spent);
+                self.allowances.heard(source, young, &spent);
                 return true;
             }
-            Heard::Next => self.allowances.heard(source, &spent),
+            Heard::Next => self.allowances.heard(source, young, &spent),
         }
         false
     }
@@ -314,10 +326,15 @@
         directory::choose(centre, peers.chain(std::iter::once(&own)))
     }
 
+    fn age(&self, now: Millis) -> Millis {
+        self.started.map_or(Millis::ZERO, |started| now.since(started))
+    }
+
     fn draft(&self, now: Millis) -> Report {
         Report {
             name: self.me.name.clone(),
             start: self.me.start,
+            age: self.age(now).0,
             number: self.number,
             front: self.me.front.clone(),
             inner: self.me.inner.clone(),
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -53,9 +53,15 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     known: BTreeMap<String, Peer>,
+    listed: usize,
 }
 
 impl Peers {
+    /// Takes note of how many instances the store lists, this one included.
+    pub fn listed(&mut self, count: usize) {
+        self.listed = count;
+    }
+
     /// Takes in a report.
     pub fn heard(&mut self, now: Millis, report: Report) -> Heard {
         let old = self.known.get(&report.name);
@@ -121,9 +127,10 @@
 
     /// Returns the part of the fleet that this instance can speak for, from 0 to 1.
     ///
-    /// 1 while every peer is heard. Cut off from all, it is one part of them all.
+    /// 1 while every peer is heard. Cut off from all, it is one part of them all. The store's list
+    /// counts too: a process that has just started hears nobody yet, and is not alone for that.
     pub fn share(&self, now: Millis) -> f64 {
-        let known = self.known.len() + 1;
+        let known = (self.known.len() + 1).max(self.listed);
         let heard = self.fresh(now).count() + 1;
         ratio(heard, known)
     }
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -13,6 +13,8 @@
     pub name: String,
     /// Differs for each start of its process; a higher one is a later start.
     pub start: u64,
+    /// How long its process has run, in ms.
+    pub age: u64,
     /// Counts its reports; an older one that arrives late is dropped.
     pub number: u64,
     /// Where callers reach it.
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Tells the peers how things stand here, and hears how they stand there.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -47,6 +48,7 @@
     socket: UdpSocket,
     listed: RefCell<BTreeMap<String, SocketAddr>>,
     told: RefCell<BTreeSet<SocketAddr>>,
+    searching: Cell<bool>,
 }
 
 impl Gossip {
@@ -59,17 +61,23 @@
         let socket = UdpSocket::bind(address).await.map_err(|err| {
             std::io::Error::new(err.kind(), format!("cannot hear peers on {address}: {err}"))
         })?;
-        Ok(Self { socket, listed: RefCell::default(), told: RefCell::default() })
+        Ok(Self { socket, listed: RefCell::default(), told: RefCell::default(), searching: Cell::new(false) })
     }
 
     /// Takes note of an instance's entry in the store.
-    pub fn listed(&self, name: &str, value: Option<&[u8]>) {
+    ///
+    /// A new entry is looked up at once: until instances hear of each other, each can only guess
+    /// what the others use.
+    pub fn listed(&self, shell: &Shell, name: &str, value: Option<&[u8]>) {
         let address = value.and_then(|it| std::str::from_utf8(it).ok()?.parse().ok());
         let mut listed = self.listed.borrow_mut();
         match address {
             Some(address) => listed.insert(name.to_owned(), address),
             None => listed.remove(name),
         };
+        shell.core.borrow_mut().listed(listed.len());
+        self.searching.set(true);
+        shell.changed.notify_one();
     }
 
     /// Reports for as long as the process runs.
@@ -77,7 +85,7 @@
         let mut searched = Millis::ZERO;
         loop {
             let now = shell.now();
-            let search = now.since(searched) >= SEARCH;
+            let search = self.searching.replace(false) || now.since(searched) >= SEARCH;
             if search {
                 searched = now;
             }
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -146,7 +146,7 @@
                 adopt(&self.shell, &value, "store");
             }
         } else if let Some(name) = item.key.strip_prefix(names::INSTANCE_PREFIX) {
-            self.gossip.listed(name, item.value.as_deref());
+            self.gossip.listed(&self.shell, name, item.value.as_deref());
         }
     }
 
