--- a/crates/siskinyoke-dispatch/src/allowance.rs
+++ b/crates/siskinyoke-dispatch/src/allowance.rs
@@ -2,11 +2,10 @@
 
 use std::sync::Arc;
 
-use siskinyoke_base::Map;
-use siskinyoke_base::Millis;
-
 use crate::Organisation;
 use crate::report::short;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
 
 /// The part of the operators' tolerance that is used.
 ///
@@ -62,7 +61,11 @@
 impl Allowances {
     /// Makes the allowances of an instance that knows no organisation yet.
     pub fn new(measure: Measure) -> Self {
-        Self { measure, buckets: Map::default(), heard: Map::default() }
+        Self {
+            measure,
+            buckets: Map::default(),
+            heard: Map::default(),
+        }
     }
 
     /// Takes over the organisations of a configuration; levels of those that stay are kept.
@@ -77,8 +80,19 @@
             let rate = self.rate(organisation);
             let burst = organisation.burst;
             let bucket = match old {
-                Some(bucket) => Bucket { rate, burst, level: bucket.level.min(burst), ..bucket },
-                None => Bucket { rate, burst, level: 0.0, filled: now, own: 0.0 },
+                Some(bucket) => Bucket {
+                    rate,
+                    burst,
+                    level: bucket.level.min(burst),
+                    ..bucket
+                },
+                None => Bucket {
+                    rate,
+                    burst,
+                    level: 0.0,
+                    filled: now,
+                    own: 0.0,
+                },
             };
             buckets.insert(key, bucket);
         }
@@ -145,8 +159,11 @@
 
     /// Returns the units this instance has used by organisation since its start.
     pub fn spent(&self) -> Vec<(u32, u64)> {
-        let mut spent: Vec<_> =
-            self.buckets.iter().map(|(key, bucket)| (*key, whole(bucket.own))).collect();
+        let mut spent: Vec<_> = self
+            .buckets
+            .iter()
+            .map(|(key, bucket)| (*key, whole(bucket.own)))
+            .collect();
         spent.sort_unstable();
         spent
     }
@@ -160,7 +177,10 @@
     }
 }
 
-#[expect(clippy::cast_possible_truncation, reason = "values stay far below 2^52")]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "values stay far below 2^52"
+)]
 #[expect(clippy::cast_sign_loss, reason = "negative values become zero")]
 fn whole(value: f64) -> u64 {
     value.max(0.0) as u64
--- a/crates/siskinyoke-dispatch/src/ask.rs
+++ b/crates/siskinyoke-dispatch/src/ask.rs
@@ -2,10 +2,9 @@
 
 use std::sync::Arc;
 
-use siskinyoke_base::Millis;
-
 use crate::EndpointKey;
 use crate::Route;
+use siskinyoke_base::Millis;
 
 /// Names one admitted request within an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/siskinyoke-dispatch/src/budget.rs
+++ b/crates/siskinyoke-dispatch/src/budget.rs
@@ -25,7 +25,12 @@
 impl Budget {
     /// Makes a budget of a part of the requests plus a floor for quiet times.
     pub fn new(ratio: f64, floor: f64) -> Self {
-        Self { ratio, floor, requests: VecDeque::new(), retries: VecDeque::new() }
+        Self {
+            ratio,
+            floor,
+            requests: VecDeque::new(),
+            retries: VecDeque::new(),
+        }
     }
 
     /// Counts a request.
@@ -53,7 +58,10 @@
     }
 }
 
-#[expect(clippy::cast_precision_loss, reason = "a window holds thousands, not 2^52")]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a window holds thousands, not 2^52"
+)]
 fn count(times: &VecDeque<Millis>) -> f64 {
     times.len() as f64
 }
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -2,9 +2,6 @@
 
 use std::sync::Arc;
 
-use siskinyoke_base::Map;
-use siskinyoke_base::Millis;
-
 use crate::Ask;
 use crate::Configuration;
 use crate::Kind;
@@ -26,6 +23,8 @@
 use crate::registry::Registry;
 use crate::scheduler::Decision;
 use crate::suspects::Suspects;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
 
 /// Suspect work and addresses told in one report, so that it fits a datagram.
 const TOLD: usize = 8;
@@ -141,7 +140,8 @@
             return false;
         }
         self.started.get_or_insert(now);
-        self.allowances.configure(now, configuration.organisations());
+        self.allowances
+            .configure(now, configuration.organisations());
         self.configuration = Some(Arc::new(configuration));
         true
     }
@@ -198,7 +198,10 @@
     /// The refusal; the request has not run and never will.
     pub fn pass(&mut self, now: Millis, request: Request<'_>) -> Result<Pass, Refusal> {
         let Some(configuration) = self.configuration.clone() else {
-            return Err(Refusal { reason: Reason::Unready, after: UNREADY });
+            return Err(Refusal {
+                reason: Reason::Unready,
+                after: UNREADY,
+            });
         };
         let route = find_route(&configuration, request)?;
         let organisation = authenticate(&configuration, &route, request)?;
@@ -215,7 +218,10 @@
     /// The refusal; the request has not run, and its allowance is given back.
     pub fn admit(&mut self, now: Millis, pass: &Pass, print: u64) -> Result<Ticket, Refusal> {
         let result = if self.suspects.refuses(now, print) {
-            Err(Refusal { reason: Reason::Suspect, after: SUSPECT })
+            Err(Refusal {
+                reason: Reason::Suspect,
+                after: SUSPECT,
+            })
         } else {
             let ask = ask(pass, print);
             self.scheduler.admit(now, ask, &self.registry, &self.peers)
@@ -269,7 +275,9 @@
     ///
     /// It takes the retry from the budget, so that the endpoint is left only if another may follow.
     pub fn spare(&mut self, now: Millis, ticket: Ticket) -> bool {
-        let Some(ask) = self.scheduler.running(ticket).cloned() else { return false };
+        let Some(ask) = self.scheduler.running(ticket).cloned() else {
+            return false;
+        };
         ask.route.idempotent()
             && ask.sent + 1 < ask.route.attempts
             && now < ask.until
@@ -327,7 +335,8 @@
     }
 
     fn age(&self, now: Millis) -> Millis {
-        self.started.map_or(Millis::ZERO, |started| now.since(started))
+        self.started
+            .map_or(Millis::ZERO, |started| now.since(started))
     }
 
     fn draft(&self, now: Millis) -> Report {
@@ -353,23 +362,39 @@
 
     // A few peers, others with each report, so that all get to know all.
     fn inner_addresses(&self, now: Millis) -> Vec<String> {
-        let all: Vec<&String> = self.peers.fresh(now).map(|peer| &peer.report.inner).collect();
+        let all: Vec<&String> = self
+            .peers
+            .fresh(now)
+            .map(|peer| &peer.report.inner)
+            .collect();
         let skip = usize::try_from(self.number).unwrap_or(0) % all.len().max(1);
-        all.iter().cycle().skip(skip).take(all.len().min(TOLD)).map(|it| (*it).clone()).collect()
+        all.iter()
+            .cycle()
+            .skip(skip)
+            .take(all.len().min(TOLD))
+            .map(|it| (*it).clone())
+            .collect()
     }
 
     fn budget(&mut self, service: &Arc<str>) -> &mut Budget {
         let ratio = self.me.retries * 0.8;
         let floor = self.me.floor;
-        self.budgets.entry(service.clone()).or_insert_with(|| Budget::new(ratio, floor))
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(ratio, floor))
     }
 
     fn take_allowance(&mut self, now: Millis, pass: &Pass) -> Result<(), Refusal> {
-        let Some(organisation) = &pass.organisation else { return Ok(()) };
+        let Some(organisation) = &pass.organisation else {
+            return Ok(());
+        };
         let share = self.peers.share(now);
         self.allowances
             .take(now, organisation, pass.units, share)
-            .map_err(|after| Refusal { reason: Reason::Allowance, after })
+            .map_err(|after| Refusal {
+                reason: Reason::Allowance,
+                after,
+            })
     }
 
     fn may_retry(&mut self, now: Millis, ask: &Ask, outcome: Outcome) -> bool {
@@ -399,7 +424,10 @@
 
 fn find_route(configuration: &Configuration, request: Request<'_>) -> Result<Arc<Route>, Refusal> {
     let route = configuration.route(request.host, request.path);
-    route.cloned().ok_or(Refusal { reason: Reason::NoRoute, after: Millis::ZERO })
+    route.cloned().ok_or(Refusal {
+        reason: Reason::NoRoute,
+        after: Millis::ZERO,
+    })
 }
 
 fn authenticate(
@@ -412,7 +440,10 @@
     }
     let holder = request.key.and_then(|key| configuration.holder(key));
     if holder.is_none() && !route.exempt {
-        return Err(Refusal { reason: Reason::NoKey, after: Millis::ZERO });
+        return Err(Refusal {
+            reason: Reason::NoKey,
+            after: Millis::ZERO,
+        });
     }
     Ok(holder.cloned())
 }
@@ -424,10 +455,16 @@
     request: Request<'_>,
 ) -> Result<Pass, Refusal> {
     let Some(service) = route.target(request.draw).cloned() else {
-        return Err(Refusal { reason: Reason::NoEndpoint, after: Millis(1000) });
+        return Err(Refusal {
+            reason: Reason::NoEndpoint,
+            after: Millis(1000),
+        });
     };
     let span = request.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let rank = Rank::new(organisation.as_ref().and_then(|it| it.priority), route.priority);
+    let rank = Rank::new(
+        organisation.as_ref().and_then(|it| it.priority),
+        route.priority,
+    );
     Ok(Pass {
         service,
         rank,
@@ -445,12 +482,18 @@
 /// Engines read tens of tokens of a prompt in a millisecond and write one in some four.
 const OUTPUT: f64 = 100.0;
 
-#[expect(clippy::cast_precision_loss, reason = "token counts stay far below 2^52")]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts stay far below 2^52"
+)]
 fn size(tokens: Option<(u64, u64)>) -> f64 {
     tokens.map_or(1.0, |(input, output)| input as f64 + OUTPUT * output as f64)
 }
 
-#[expect(clippy::cast_precision_loss, reason = "token counts stay far below 2^52")]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts stay far below 2^52"
+)]
 fn units(organisation: Option<&Organisation>, tokens: Option<(u64, u64)>) -> f64 {
     match organisation {
         Some(it) if it.tokens => tokens.map_or(it.plain, |(input, output)| (input + output) as f64),
--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -1,8 +1,7 @@
 //! What this instance has seen of an endpoint: whether it answers, and how fast.
 
-use siskinyoke_base::Millis;
-
 use crate::Outcome;
+use siskinyoke_base::Millis;
 
 /// How much a new observation counts in a running mean.
 ///
--- a/crates/siskinyoke-dispatch/src/load.rs
+++ b/crates/siskinyoke-dispatch/src/load.rs
@@ -19,7 +19,10 @@
 
 impl Default for Load {
     fn default() -> Self {
-        Self { stay: UNSEEN, first: UNSEEN / 4.0 }
+        Self {
+            stay: UNSEEN,
+            first: UNSEEN / 4.0,
+        }
     }
 }
 
@@ -53,7 +56,10 @@
     }
 }
 
-#[expect(clippy::cast_possible_truncation, reason = "spans stay far below 2^52 ms")]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "spans stay far below 2^52 ms"
+)]
 #[expect(clippy::cast_sign_loss, reason = "means of positive values")]
 pub(crate) fn millis(value: f64) -> Millis {
     Millis(value.max(0.0) as u64)
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -2,11 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use siskinyoke_base::Millis;
-
 use crate::EndpointKey;
 use crate::Report;
 use crate::report::Waiting;
+use siskinyoke_base::Millis;
 
 /// How old a report may be before its sender's running requests are no longer counted.
 ///
@@ -78,7 +77,8 @@
             Some(peer) if report.start < peer.report.start && peer.fresh(now) => return Heard::Old,
             Some(peer) => Heard::First(Some(peer.report.source())),
         };
-        self.known.insert(report.name.clone(), Peer { report, heard: now });
+        self.known
+            .insert(report.name.clone(), Peer { report, heard: now });
         news
     }
 
--- a/crates/siskinyoke-dispatch/src/queue.rs
+++ b/crates/siskinyoke-dispatch/src/queue.rs
@@ -1,12 +1,11 @@
 //! Requests of one service that wait for a place, the most urgent first.
 
-use std::collections::BTreeMap;
-
-use siskinyoke_base::Millis;
+use std::collections::BTreeSet;
 
 use crate::Rank;
 use crate::Ticket;
 use crate::report::Waiting;
+use siskinyoke_base::Millis;
 
 /// Where a request stands in the queue: rank, then arrival, then ticket.
 pub type Place = (Rank, Millis, Ticket);
@@ -14,13 +13,13 @@
 /// Requests of one service that wait for a place.
 #[derive(Debug, Default)]
 pub struct Queue {
-    places: BTreeMap<Place, ()>,
+    places: BTreeSet<Place>,
 }
 
 impl Queue {
     /// Adds a request.
     pub fn push(&mut self, place: Place) {
-        self.places.insert(place, ());
+        self.places.insert(place);
     }
 
     /// Takes a request out.
@@ -30,12 +29,14 @@
 
     /// Returns how many wait that go before a new request of this rank.
     pub fn ahead(&self, rank: Rank) -> usize {
-        self.places.range(..(Rank(rank.0.saturating_add(1)), Millis::ZERO, Ticket(0))).count()
+        self.places
+            .range(..(Rank(rank.0.saturating_add(1)), Millis::ZERO, Ticket(0)))
+            .count()
     }
 
     /// Returns the places in order.
     pub fn iter(&self) -> impl Iterator<Item = Place> {
-        self.places.keys().copied()
+        self.places.iter().copied()
     }
 
     /// Returns whether nothing waits.
@@ -46,7 +47,7 @@
     /// Sums up what waits, by rank.
     pub fn summary(&self, now: Millis, service: u32) -> Vec<Waiting> {
         let mut rows: Vec<Waiting> = Vec::new();
-        for (rank, arrived, _) in self.places.keys() {
+        for (rank, arrived, _) in &self.places {
             match rows.last_mut() {
                 Some(row) if row.rank == rank.0 => row.count = row.count.saturating_add(1),
                 _ => rows.push(Waiting {
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -3,11 +3,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use siskinyoke_base::Map;
-use siskinyoke_base::Millis;
-
 use crate::Endpoint;
 use crate::EndpointKey;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
 
 /// How long endpoints may be missing after the store came back from an outage.
 ///
@@ -55,14 +54,19 @@
             self.leavers.insert(endpoint.key(), now);
         }
         let id = endpoint.id.clone();
-        let entry = Entry { endpoint: Arc::new(endpoint), missing: None };
+        let entry = Entry {
+            endpoint: Arc::new(endpoint),
+            missing: None,
+        };
         self.entries.insert(id, entry);
     }
 
     /// Takes note that an endpoint's entry is gone.
     pub fn remove(&mut self, now: Millis, id: &str) {
         let grace = self.grace(now);
-        let Some(entry) = self.entries.get_mut(id) else { return };
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
         let until = entry.missing.unwrap_or(now + grace);
         entry.missing = Some(until);
         self.sweep(now);
@@ -70,7 +74,10 @@
 
     /// Replaces everything by what a whole reading of the store found.
     pub fn replace(&mut self, now: Millis, endpoints: Vec<Endpoint>) {
-        let found: Vec<Arc<str>> = endpoints.iter().map(|endpoint| endpoint.id.clone()).collect();
+        let found: Vec<Arc<str>> = endpoints
+            .iter()
+            .map(|endpoint| endpoint.id.clone())
+            .collect();
         for endpoint in endpoints {
             self.put(now, endpoint);
         }
@@ -92,7 +99,8 @@
 
     /// Drops entries whose time is over.
     pub fn sweep(&mut self, now: Millis) {
-        self.entries.retain(|_, entry| entry.missing.is_none_or(|until| now < until));
+        self.entries
+            .retain(|_, entry| entry.missing.is_none_or(|until| now < until));
     }
 
     /// Returns the endpoints of a service that may get new work, in a fixed order.
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -66,7 +66,6 @@
 }
 
 /// Returns a name's hash as it stands in reports.
-#[expect(clippy::cast_possible_truncation, reason = "the upper half of the hash is enough")]
 pub fn short(name: &str) -> u32 {
     (stable_hash(&name) >> 32) as u32
 }
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -8,9 +8,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use siskinyoke_base::Map;
-use siskinyoke_base::Millis;
-
 use crate::Ask;
 use crate::Endpoint;
 use crate::EndpointKey;
@@ -28,6 +25,8 @@
 use crate::registry::Registry;
 use crate::report::Waiting;
 use crate::report::short;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
 
 /// The part of the latency objective that deferrable work may wait for.
 ///
@@ -71,7 +70,10 @@
 impl Scheduler {
     /// Makes empty queues for an instance in a data centre.
     pub fn new(centre: &str) -> Self {
-        Self { centre: centre.into(), ..Self::default() }
+        Self {
+            centre: centre.into(),
+            ..Self::default()
+        }
     }
 
     /// Lets a request wait, or refuses it at once if it would wait too long.
@@ -86,12 +88,18 @@
         registry: &Registry,
         peers: &Peers,
     ) -> Result<Ticket, Refusal> {
-        let places = self.places(&ask.service, registry);
+        let places = places(&ask.service, registry);
         if places == 0 {
-            return Err(Refusal { reason: Reason::NoEndpoint, after: Millis(500) });
+            return Err(Refusal {
+                reason: Reason::NoEndpoint,
+                after: Millis(500),
+            });
         }
         let load = self.loads.entry(ask.service.clone()).or_default();
-        let own = self.queues.get(&ask.service).map_or(0, |queue| queue.ahead(ask.rank));
+        let own = self
+            .queues
+            .get(&ask.service)
+            .map_or(0, |queue| queue.ahead(ask.rank));
         let others: usize = peers
             .waiting(now, short(&ask.service))
             .filter(|row| row.rank <= ask.rank.0)
@@ -102,7 +110,10 @@
         let bearable = patience(&ask, *load);
         if ahead > 0 && wait > bearable {
             let after = wait.since(bearable).max(SOONEST);
-            return Err(Refusal { reason: Reason::Overload, after });
+            return Err(Refusal {
+                reason: Reason::Overload,
+                after,
+            });
         }
         Ok(self.enqueue(ask))
     }
@@ -132,16 +143,24 @@
             *count = count.saturating_sub(1);
         }
         self.counts.retain(|_, count| *count > 0);
-        self.health.entry(key).or_default().ended(now, ask.size, outcome);
+        self.health
+            .entry(key)
+            .or_default()
+            .ended(now, ask.size, outcome);
         if let Outcome::Done { first, took } = outcome {
-            self.loads.entry(ask.service.clone()).or_default().finished(first, took);
+            self.loads
+                .entry(ask.service.clone())
+                .or_default()
+                .finished(first, took);
         }
         Some(ask)
     }
 
     /// Takes a waiting request out, as its caller left.
     pub fn cancel(&mut self, ticket: Ticket) {
-        let Some(ask) = self.waiting.remove(&ticket) else { return };
+        let Some(ask) = self.waiting.remove(&ticket) else {
+            return;
+        };
         if let Some(queue) = self.queues.get_mut(&ask.service) {
             queue.remove(place(ticket, &ask));
         }
@@ -159,7 +178,10 @@
 
     /// Returns this instance's requests at each endpoint.
     pub fn counts(&self) -> Vec<(EndpointKey, u16)> {
-        self.counts.iter().map(|(key, count)| (*key, *count)).collect()
+        self.counts
+            .iter()
+            .map(|(key, count)| (*key, *count))
+            .collect()
     }
 
     /// Sums up what waits here.
@@ -195,10 +217,6 @@
         ticket
     }
 
-    fn places(&self, service: &str, registry: &Registry) -> u32 {
-        registry.fit(service).map(|endpoint| endpoint.slots).sum()
-    }
-
     fn start(
         &mut self,
         now: Millis,
@@ -215,7 +233,9 @@
             if spare <= before(&rows, rank, now.since(arrived)) {
                 break;
             }
-            let Some(at) = self.best(ticket, &free) else { continue };
+            let Some(at) = self.best(ticket, &free) else {
+                continue;
+            };
             let endpoint = free[at].0.clone();
             free[at].1 -= 1;
             spare -= 1;
@@ -236,7 +256,11 @@
             .fit(service)
             .filter_map(|endpoint| {
                 let key = endpoint.key();
-                if self.health.get(&key).is_some_and(|health| health.resting(now)) {
+                if self
+                    .health
+                    .get(&key)
+                    .is_some_and(|health| health.resting(now))
+                {
                     return None;
                 }
                 let taken = u32::from(self.counts.get(&key).copied().unwrap_or(0))
@@ -268,12 +292,18 @@
         let pace = health.and_then(Health::pace).unwrap_or(0.0);
         let failures = health.map_or(0.0, Health::failures);
         let taken = f64::from(endpoint.slots.saturating_sub(left) + 1) / f64::from(endpoint.slots);
-        let far = if endpoint.centre == self.centre { 0.0 } else { FAR };
+        let far = if endpoint.centre == self.centre {
+            0.0
+        } else {
+            FAR
+        };
         (pace + 0.001) * (1.0 + taken * 0.3 + far + failures * FAILING)
     }
 
     fn begin(&mut self, ticket: Ticket, endpoint: &Arc<Endpoint>) {
-        let Some(mut ask) = self.waiting.remove(&ticket) else { return };
+        let Some(mut ask) = self.waiting.remove(&ticket) else {
+            return;
+        };
         if let Some(queue) = self.queues.get_mut(&ask.service) {
             queue.remove(place(ticket, &ask));
         }
@@ -293,7 +323,13 @@
             }
             let after = load.stay().max(SOONEST);
             self.cancel(ticket);
-            decisions.push(Decision::Refuse(ticket, Refusal { reason: Reason::Waited, after }));
+            decisions.push(Decision::Refuse(
+                ticket,
+                Refusal {
+                    reason: Reason::Waited,
+                    after,
+                },
+            ));
         }
     }
 }
@@ -308,7 +344,11 @@
     if ask.route.priority == 0 || !ask.tried.is_empty() {
         return whole.since(load.stay());
     }
-    let run = if ask.route.kind == Kind::Stream { load.first() } else { load.stay() };
+    let run = if ask.route.kind == Kind::Stream {
+        load.first()
+    } else {
+        load.stay()
+    };
     let slack = ask.route.aim.since(run).as_secs() * 1000.0 * PATIENCE;
     whole.since(run).min(crate::load::millis(slack))
 }
@@ -326,6 +366,10 @@
         .sum()
 }
 
+fn places(service: &str, registry: &Registry) -> u32 {
+    registry.fit(service).map(|endpoint| endpoint.slots).sum()
+}
+
 fn place(ticket: Ticket, ask: &Ask) -> Place {
     (ask.rank, ask.arrived, ticket)
 }
--- a/crates/siskinyoke-dispatch/src/suspects.rs
+++ b/crates/siskinyoke-dispatch/src/suspects.rs
@@ -31,13 +31,20 @@
 impl Suspects {
     /// Counts a crash of an endpoint that ran this work.
     pub fn crashed(&mut self, now: Millis, fingerprint: u64) {
-        let crashes = self.known.get(&fingerprint).map_or(0, |suspect| suspect.crashes);
+        let crashes = self
+            .known
+            .get(&fingerprint)
+            .map_or(0, |suspect| suspect.crashes);
         self.learn(now, fingerprint, crashes.saturating_add(1));
     }
 
     /// Takes over a peer's count, if it is higher.
     pub fn heard(&mut self, now: Millis, fingerprint: u64, crashes: u8) {
-        if self.known.get(&fingerprint).is_none_or(|known| known.crashes < crashes) {
+        if self
+            .known
+            .get(&fingerprint)
+            .is_none_or(|known| known.crashes < crashes)
+        {
             self.learn(now, fingerprint, crashes);
         }
     }
@@ -58,15 +65,22 @@
     pub fn news(&self, most: usize) -> Vec<(u64, u8)> {
         let mut all: Vec<_> = self.known.iter().collect();
         all.sort_by_key(|(print, suspect)| (std::cmp::Reverse(suspect.last), **print));
-        all.iter().take(most).map(|(print, suspect)| (**print, suspect.crashes)).collect()
+        all.iter()
+            .take(most)
+            .map(|(print, suspect)| (**print, suspect.crashes))
+            .collect()
     }
 
     fn learn(&mut self, now: Millis, fingerprint: u64, crashes: u8) {
-        self.known.insert(fingerprint, Suspect { crashes, last: now });
+        self.known
+            .insert(fingerprint, Suspect { crashes, last: now });
         if self.known.len() <= KEPT {
             return;
         }
-        let oldest = self.known.iter().min_by_key(|(print, suspect)| (suspect.last, **print));
+        let oldest = self
+            .known
+            .iter()
+            .min_by_key(|(print, suspect)| (suspect.last, **print));
         if let Some(print) = oldest.map(|(print, _)| *print) {
             self.known.remove(&print);
         }
--- a/crates/siskinyoke-gateway/src/answer.rs
+++ b/crates/siskinyoke-gateway/src/answer.rs
@@ -52,13 +52,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
-            Self::Stream(receiver) => {
-                receiver.poll_recv(context).map(|piece| match piece {
-                    Some(Some(bytes)) => Some(Ok(Frame::data(bytes))),
-                    Some(None) => None,
-                    None => Some(Err(CutError::Cut)),
-                })
-            }
+            Self::Stream(receiver) => receiver.poll_recv(context).map(|piece| match piece {
+                Some(Some(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(None) => None,
+                None => Some(Err(CutError::Cut)),
+            }),
         }
     }
 
--- a/crates/siskinyoke-gateway/src/attempt.rs
+++ b/crates/siskinyoke-gateway/src/attempt.rs
@@ -12,11 +12,10 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
-use siskinyoke_dispatch::Endpoint;
-
 use crate::connection::Connection;
 use crate::connection::Sent;
 use crate::shell::Shell;
+use siskinyoke_dispatch::Endpoint;
 
 /// A request as it goes to endpoints.
 #[derive(Debug, Clone)]
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -16,14 +16,6 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use siskinyoke_base::Millis;
-use siskinyoke_dispatch::Reason;
-use siskinyoke_dispatch::Refusal;
-use siskinyoke_dispatch::core::Pass;
-use siskinyoke_dispatch::core::Request as Wanted;
-use siskinyoke_dispatch::stable_hash;
-use siskinyoke_platform::request;
-
 use crate::answer;
 use crate::answer::AnswerBody;
 use crate::attempt::Parcel;
@@ -33,6 +25,13 @@
 use crate::job::Job;
 use crate::shell::Shell;
 use crate::stay::Stay;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Reason;
+use siskinyoke_dispatch::Refusal;
+use siskinyoke_dispatch::core::Pass;
+use siskinyoke_dispatch::core::Request as Wanted;
+use siskinyoke_dispatch::stable_hash;
+use siskinyoke_platform::request;
 
 /// Pieces of a stream that wait for a slow caller before its endpoint is read no further.
 const PIECES: usize = 8;
@@ -54,7 +53,9 @@
     let mut response = answer(&shell, request).await;
     if shell.core.borrow().leaving() {
         let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(http::header::CONNECTION, close);
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
     }
     response
 }
@@ -113,7 +114,10 @@
         pass,
         parcel,
         id,
-        caller: Caller { head: Some(head_sender), pieces: piece_sender },
+        caller: Caller {
+            head: Some(head_sender),
+            pieces: piece_sender,
+        },
         events: Events::default(),
         ran: false,
         failure: None,
@@ -133,7 +137,11 @@
 }
 
 async fn collect(shell: &Shell, pass: &Pass, body: Incoming) -> Result<Bytes, BodyFault> {
-    let limit = shell.core.borrow().configuration().map_or(0, |it| it.limits.body);
+    let limit = shell
+        .core
+        .borrow()
+        .configuration()
+        .map_or(0, |it| it.limits.body);
     let expected = body.size_hint().lower();
     if expected > u64::try_from(limit).unwrap_or(u64::MAX) {
         return Err(BodyFault::Large);
@@ -187,7 +195,9 @@
         "peers": core.peers().count(shell.now()),
     });
     shell.log("refusal", fields);
-    shell.metrics.answered(u8::MAX, refusal.reason.as_str(), Millis::ZERO);
+    shell
+        .metrics
+        .answered(u8::MAX, refusal.reason.as_str(), Millis::ZERO);
     answer::refuse(refusal)
 }
 
@@ -200,10 +210,20 @@
     shell.core.borrow_mut().give_back(pass);
     let (status, text) = match fault {
         BodyFault::Large => (StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit"),
-        BodyFault::Slow => (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time"),
+        BodyFault::Slow => (
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not arrive in time",
+        ),
         BodyFault::Broken => (StatusCode::BAD_REQUEST, "the body broke off"),
         BodyFault::Crowded => {
-            return refuse(shell, id, Refusal { reason: Reason::Overload, after: CROWDED });
+            return refuse(
+                shell,
+                id,
+                Refusal {
+                    reason: Reason::Overload,
+                    after: CROWDED,
+                },
+            );
         }
     };
     shell.log("body_refused", json!({ "id": id, "why": text }));
--- a/crates/siskinyoke-gateway/src/events.rs
+++ b/crates/siskinyoke-gateway/src/events.rs
@@ -42,8 +42,14 @@
 }
 
 fn end_of_last(bytes: &[u8]) -> Option<usize> {
-    let plain = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let returns = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    let plain = bytes
+        .windows(2)
+        .rposition(|pair| pair == b"\n\n")
+        .map(|at| at + 2);
+    let returns = bytes
+        .windows(4)
+        .rposition(|four| four == b"\r\n\r\n")
+        .map(|at| at + 4);
     plain.max(returns)
 }
 
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -11,10 +11,6 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use siskinyoke_base::Millis;
-use siskinyoke_dispatch::allowance::Measure;
-use siskinyoke_dispatch::core::Identity;
-
 use crate::gossip::Gossip;
 use crate::inner;
 use crate::journal::Journal;
@@ -26,6 +22,9 @@
 use crate::shell::Shell;
 use crate::signals;
 use crate::watcher;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::allowance::Measure;
+use siskinyoke_dispatch::core::Identity;
 
 /// How often waiting requests are looked at while any wait.
 const TICK: Millis = Millis(10);
@@ -83,7 +82,9 @@
 }
 
 fn identity(settings: &Settings) -> Identity {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     Identity {
         name: settings.instance.clone(),
         centre: settings.centre.clone(),
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -13,11 +13,10 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use siskinyoke_base::Millis;
-use siskinyoke_dispatch::Report;
-
 use crate::inner;
 use crate::shell::Shell;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Report;
 
 /// How often an instance reports that has nothing new to say.
 const BEAT: Millis = Millis(100);
@@ -61,7 +60,12 @@
         let socket = UdpSocket::bind(address).await.map_err(|err| {
             std::io::Error::new(err.kind(), format!("cannot hear peers on {address}: {err}"))
         })?;
-        Ok(Self { socket, listed: RefCell::default(), told: RefCell::default(), searching: Cell::new(false) })
+        Ok(Self {
+            socket,
+            listed: RefCell::default(),
+            told: RefCell::default(),
+            searching: Cell::new(false),
+        })
     }
 
     /// Takes note of an instance's entry in the store.
@@ -89,7 +93,7 @@
             if search {
                 searched = now;
             }
-            self.report(&shell, search).await;
+            self.report(&shell, search);
             let spacing = if pressed(&shell, now) { PRESSED } else { CALM };
             sleep(spacing.into()).await;
             // Elapsed or changed: either way the next report is due.
@@ -121,10 +125,14 @@
                 return;
             }
         };
-        let told = report.peers.iter().filter_map(|it| it.parse::<SocketAddr>().ok());
+        let told = report
+            .peers
+            .iter()
+            .filter_map(|it| it.parse::<SocketAddr>().ok());
         self.told.borrow_mut().extend(told);
         let version = report.configuration;
-        let fields = json!({ "peer": report.name, "start": report.start, "from": from.to_string() });
+        let fields =
+            json!({ "peer": report.name, "start": report.start, "from": from.to_string() });
         let first = shell.core.borrow_mut().heard(shell.now(), report);
         if first {
             shell.log("peer", fields);
@@ -137,7 +145,7 @@
         }
     }
 
-    async fn report(&self, shell: &Shell, search: bool) {
+    fn report(&self, shell: &Shell, search: bool) {
         let now = shell.now();
         let report = shell.core.borrow_mut().report(now);
         let bytes = match postcard::to_allocvec(&report) {
@@ -183,5 +191,8 @@
 fn pressed(shell: &Shell, now: Millis) -> bool {
     let core = shell.core.borrow();
     core.scheduler().size().0 > 0
-        || core.peers().fresh(now).any(|peer| !peer.report.waiting.is_empty())
+        || core
+            .peers()
+            .fresh(now)
+            .any(|peer| !peer.report.waiting.is_empty())
 }
--- a/crates/siskinyoke-gateway/src/inner.rs
+++ b/crates/siskinyoke-gateway/src/inner.rs
@@ -10,14 +10,13 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use siskinyoke_base::Millis;
-use siskinyoke_platform::store::Call;
-
 use crate::answer;
 use crate::answer::AnswerBody;
 use crate::shell::Shell;
 use crate::store::Client;
 use crate::watcher;
+use siskinyoke_base::Millis;
+use siskinyoke_platform::store::Call;
 
 /// How long a peer may take to hand over what it has.
 const LIMIT: Millis = Millis(1_000);
@@ -37,7 +36,11 @@
     let raw = shell.raw.borrow();
     let handover = Handover {
         configuration: raw.configuration.clone(),
-        endpoints: raw.endpoints.iter().map(|(id, value)| (id.clone(), value.clone())).collect(),
+        endpoints: raw
+            .endpoints
+            .iter()
+            .map(|(id, value)| (id.clone(), value.clone()))
+            .collect(),
     };
     match postcard::to_allocvec(&handover) {
         Ok(bytes) => Response::new(AnswerBody::Whole(Some(bytes.into()))),
@@ -70,7 +73,10 @@
         }
         let peers: Vec<SocketAddr> = {
             let core = shell.core.borrow();
-            let inner = core.peers().fresh(shell.now()).map(|peer| peer.report.inner.clone());
+            let inner = core
+                .peers()
+                .fresh(shell.now())
+                .map(|peer| peer.report.inner.clone());
             inner.filter_map(|it| it.parse().ok()).collect()
         };
         turn += 1;
@@ -81,7 +87,11 @@
 }
 
 async fn fetch(shell: &Shell, from: SocketAddr) {
-    let call = Call { method: "GET", path: "/state".to_owned(), body: Vec::new() };
+    let call = Call {
+        method: "GET",
+        path: "/state".to_owned(),
+        body: Vec::new(),
+    };
     let body = match Client::default().call(from, &call, LIMIT).await {
         Ok(body) => body,
         Err(err) => {
@@ -109,7 +119,9 @@
 // Adds endpoints that are new to us; what the peer does not name may still be there.
 fn learn(shell: &Shell, endpoints: Vec<(String, Vec<u8>)>) {
     for (id, value) in endpoints {
-        let Some(endpoint) = watcher::decode_endpoint(shell, &id, &value) else { continue };
+        let Some(endpoint) = watcher::decode_endpoint(shell, &id, &value) else {
+            continue;
+        };
         let mut core = shell.core.borrow_mut();
         let known = core.registry().all().any(|it| it.key() == endpoint.key());
         if !known || endpoint.draining {
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -17,15 +17,6 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use siskinyoke_base::Millis;
-use siskinyoke_dispatch::Endpoint;
-use siskinyoke_dispatch::Outcome;
-use siskinyoke_dispatch::Reason;
-use siskinyoke_dispatch::Refusal;
-use siskinyoke_dispatch::core::Pass;
-use siskinyoke_platform::answer as wire;
-use siskinyoke_platform::request;
-
 use crate::answer;
 use crate::answer::AnswerBody;
 use crate::attempt;
@@ -38,6 +29,14 @@
 use crate::shell::Word;
 use crate::stay::Stay;
 use crate::stay::name;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::Reason;
+use siskinyoke_dispatch::Refusal;
+use siskinyoke_dispatch::core::Pass;
+use siskinyoke_platform::answer as wire;
+use siskinyoke_platform::request;
 
 /// Bytes of a whole answer that are held before they are passed on.
 ///
@@ -135,7 +134,9 @@
                 }
                 Err(_) => return self.failed(Outcome::Left),
             };
-            self.shell.metrics.waited(self.shell.now().since(self.pass.arrived));
+            self.shell
+                .metrics
+                .waited(self.shell.now().since(self.pass.arrived));
             let (outcome, more) = match self.attempt(&endpoint, &stay).await {
                 Step::Finished(outcome) => (outcome, false),
                 Step::Again(outcome) => (outcome, true),
@@ -183,7 +184,8 @@
                 Step::Again(if full { Outcome::Full } else { Outcome::Moved })
             }
             wire::Verdict::Answer if self.pass.streams() && response.status().is_success() => {
-                self.stream(endpoint, stay, start, response, connection).await
+                self.stream(endpoint, stay, start, response, connection)
+                    .await
             }
             wire::Verdict::Answer => self.whole(endpoint, start, response, connection).await,
         }
@@ -243,8 +245,12 @@
             };
             let piece = match frame {
                 Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    let Some(whole) = self.events.push(&data) else { continue };
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    let Some(whole) = self.events.push(&data) else {
+                        continue;
+                    };
                     whole
                 }
                 Some(Err(_)) => return self.abandon(Outcome::Broken),
@@ -258,7 +264,10 @@
         self.pass_on(&parts, rest).await;
         reuse(&self.shell, endpoint, &parts.headers, connection);
         let took = self.shell.now().since(start);
-        Step::Finished(Outcome::Done { first: first.unwrap_or(took), took })
+        Step::Finished(Outcome::Done {
+            first: first.unwrap_or(took),
+            took,
+        })
     }
 
     fn abandon(&mut self, outcome: Outcome) -> Step {
@@ -278,8 +287,17 @@
     }
 
     fn silence(&self) -> Duration {
-        let load = self.shell.core.borrow().scheduler().load(&self.pass.service);
-        let usual = if self.pass.streams() { load.first() } else { load.stay() };
+        let load = self
+            .shell
+            .core
+            .borrow()
+            .scheduler()
+            .load(&self.pass.service);
+        let usual = if self.pass.streams() {
+            load.first()
+        } else {
+            load.stay()
+        };
         Millis(usual.0 * SILENCE).max(SHORTEST).into()
     }
 
@@ -313,10 +331,22 @@
             return "endpoint_failed";
         }
         if !self.ran {
-            let load = self.shell.core.borrow().scheduler().load(&self.pass.service);
+            let load = self
+                .shell
+                .core
+                .borrow()
+                .scheduler()
+                .load(&self.pass.service);
             let full = outcome == Outcome::Full;
-            let reason = if full { Reason::Rejected } else { Reason::NoEndpoint };
-            return self.refused(Refusal { reason, after: load.stay() });
+            let reason = if full {
+                Reason::Rejected
+            } else {
+                Reason::NoEndpoint
+            };
+            return self.refused(Refusal {
+                reason,
+                after: load.stay(),
+            });
         }
         self.tell(answer::plain(StatusCode::BAD_GATEWAY, MAY_HAVE_RUN));
         "no_answer"
@@ -329,7 +359,10 @@
         if self.ran {
             self.tell(answer::plain(StatusCode::GATEWAY_TIMEOUT, MAY_HAVE_RUN));
         } else {
-            self.refused(Refusal { reason: Reason::Waited, after: SHORTEST });
+            self.refused(Refusal {
+                reason: Reason::Waited,
+                after: SHORTEST,
+            });
         }
     }
 
@@ -352,7 +385,9 @@
 
     fn note(&self, outcome: &'static str) {
         let took = self.shell.now().since(self.pass.arrived);
-        self.shell.metrics.answered(self.pass.route.priority, outcome, took);
+        self.shell
+            .metrics
+            .answered(self.pass.route.priority, outcome, took);
         let fields = json!({
             "id": self.id,
             "route": &*self.pass.route.name,
--- a/crates/siskinyoke-gateway/src/journal.rs
+++ b/crates/siskinyoke-gateway/src/journal.rs
@@ -30,6 +30,7 @@
 pub struct Journal {
     lines: SyncSender<Vec<u8>>,
     chunk: Vec<u8>,
+    gathered: u64,
     second: u64,
     written: u32,
     dropped: u64,
@@ -40,7 +41,14 @@
     pub fn start(out: impl Write + Send + 'static) -> Self {
         let (lines, chunks) = sync_channel(CHUNKS);
         thread::spawn(move || write_all(out, &chunks));
-        Self { lines, chunk: Vec::new(), second: 0, written: 0, dropped: 0 }
+        Self {
+            lines,
+            chunk: Vec::new(),
+            gathered: 0,
+            second: 0,
+            written: 0,
+            dropped: 0,
+        }
     }
 
     /// Adds a line: what happened, when, and what it depended on.
@@ -59,6 +67,7 @@
         }
         self.chunk.extend_from_slice(fields.to_string().as_bytes());
         self.chunk.push(b'\n');
+        self.gathered += 1;
         if self.chunk.len() >= CHUNK {
             self.flush();
         }
@@ -70,9 +79,9 @@
             return;
         }
         let chunk = std::mem::take(&mut self.chunk);
-        let lines = chunk.iter().filter(|byte| **byte == b'\n').count();
+        let lines = std::mem::take(&mut self.gathered);
         if self.lines.try_send(chunk).is_err() {
-            self.dropped += u64::try_from(lines).unwrap_or(0);
+            self.dropped += lines;
         }
     }
 
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -19,12 +18,11 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use siskinyoke_base::Millis;
-
 use crate::answer::AnswerBody;
 use crate::callers;
 use crate::shell::Shell;
 use crate::small;
+use siskinyoke_base::Millis;
 
 /// How long connections stay open after this instance began to leave.
 ///
@@ -69,7 +67,8 @@
                 tokio::task::spawn_local(connection(shell.clone(), stream, page));
             }
             Err(err) => {
-                let fields = json!({ "error": err.to_string(), "hint": "are descriptors used up?" });
+                let fields =
+                    json!({ "error": err.to_string(), "hint": "are descriptors used up?" });
                 shell.log("accept_failed", fields);
                 sleep(PAUSE).await;
             }
@@ -83,9 +82,9 @@
 ///
 /// The system's reason, with the address.
 pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|err| std::io::Error::new(err.kind(), format!("cannot listen on {address}: {err}")))
+    TcpListener::bind(address).await.map_err(|err| {
+        std::io::Error::new(err.kind(), format!("cannot listen on {address}: {err}"))
+    })
 }
 
 async fn connection(shell: Rc<Shell>, stream: TcpStream, page: Page) {
@@ -105,7 +104,10 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(HEAD).half_close(false).pipeline_flush(true);
+    builder
+        .max_buf_size(HEAD)
+        .half_close(false)
+        .pipeline_flush(true);
     let mut serving = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut leaving = pin!(departed(shell.clone(), page));
     let mut closing = false;
@@ -126,11 +128,7 @@
     drop(open);
 }
 
-async fn serve(
-    shell: &Rc<Shell>,
-    request: Request<Incoming>,
-    page: Page,
-) -> Response<AnswerBody> {
+async fn serve(shell: &Rc<Shell>, request: Request<Incoming>, page: Page) -> Response<AnswerBody> {
     match page {
         Page::Callers => callers::serve(shell.clone(), request).await,
         Page::Health => small::health(shell, &request),
@@ -141,27 +139,33 @@
 }
 
 // Ends when connections of this kind are to be closed, as this instance leaves.
-fn departed(shell: Rc<Shell>, page: Page) -> impl Future<Output = ()> {
-    async move {
-        if page != Page::Callers {
-            return std::future::pending().await;
-        }
-        while !shell.core.borrow().leaving() {
-            shell.leaving.notified().await;
-        }
-        sleep(LINGER.into()).await;
+async fn departed(shell: Rc<Shell>, page: Page) {
+    if page != Page::Callers {
+        return std::future::pending().await;
     }
+    while !shell.core.borrow().leaving() {
+        shell.leaving.notified().await;
+    }
+    sleep(LINGER.into()).await;
 }
 
 // Ends when the connection was idle for as long as the configuration allows.
 async fn idle(shell: &Shell, quiet: &Quiet) {
     loop {
-        let limit = shell.core.borrow().configuration().map_or(IDLE, |it| it.limits.idle);
+        let limit = shell
+            .core
+            .borrow()
+            .configuration()
+            .map_or(IDLE, |it| it.limits.idle);
         let quiet_for = shell.now().since(quiet.since.get());
         if !quiet.busy.get() && quiet_for >= limit {
             return;
         }
-        let left = if quiet.busy.get() { limit } else { limit.since(quiet_for) };
+        let left = if quiet.busy.get() {
+            limit
+        } else {
+            limit.since(quiet_for)
+        };
         sleep(left.max(Millis(10)).into()).await;
     }
 }
@@ -175,7 +179,10 @@
 
 impl Quiet {
     fn new(now: Millis) -> Self {
-        Self { since: Cell::new(now), busy: Cell::new(false) }
+        Self {
+            since: Cell::new(now),
+            busy: Cell::new(false),
+        }
     }
 
     fn begin(&self) {
@@ -197,13 +204,20 @@
 impl Open {
     fn new(shell: &Rc<Shell>, page: Page) -> Self {
         let counted = page == Page::Callers;
-        shell.serving.set(shell.serving.get() + usize::from(counted));
-        Self { shell: shell.clone(), counted }
+        shell
+            .serving
+            .set(shell.serving.get() + usize::from(counted));
+        Self {
+            shell: shell.clone(),
+            counted,
+        }
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.shell.serving.set(self.shell.serving.get() - usize::from(self.counted));
+        self.shell
+            .serving
+            .set(self.shell.serving.get() - usize::from(self.counted));
     }
 }
--- a/crates/siskinyoke-gateway/src/main.rs
+++ b/crates/siskinyoke-gateway/src/main.rs
@@ -30,7 +30,11 @@
         }
     };
     if options.check {
-        println!("{}: settings of {} are sound", options.settings.display(), settings.instance);
+        println!(
+            "{}: settings of {} are sound",
+            options.settings.display(),
+            settings.instance
+        );
         return ExitCode::SUCCESS;
     }
     match gateway::run(settings, options.settings) {
--- a/crates/siskinyoke-gateway/src/metrics.rs
+++ b/crates/siskinyoke-gateway/src/metrics.rs
@@ -44,7 +44,11 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("siskinyoke");
         let seconds = |name: &'static str| {
-            meter.f64_histogram(name).with_boundaries(SECONDS.to_vec()).with_unit("s").build()
+            meter
+                .f64_histogram(name)
+                .with_boundaries(SECONDS.to_vec())
+                .with_unit("s")
+                .build()
         };
         Ok(Self {
             registry,
@@ -59,8 +63,10 @@
 
     /// Counts an answer by its tier and outcome, with the time it took.
     pub fn answered(&self, tier: u8, outcome: &'static str, took: Millis) {
-        let attributes =
-            [KeyValue::new("tier", i64::from(tier)), KeyValue::new("outcome", outcome)];
+        let attributes = [
+            KeyValue::new("tier", i64::from(tier)),
+            KeyValue::new("outcome", outcome),
+        ];
         self.answers.add(1, &attributes);
         self.latency.record(took.as_secs(), &attributes);
     }
@@ -88,7 +94,9 @@
     pub fn page(&self) -> Result<Vec<u8>, String> {
         let mut page = Vec::new();
         let families = self.registry.gather();
-        TextEncoder::new().encode(&families, &mut page).map_err(|err| err.to_string())?;
+        TextEncoder::new()
+            .encode(&families, &mut page)
+            .map_err(|err| err.to_string())?;
         Ok(page)
     }
 }
--- a/crates/siskinyoke-gateway/src/pool.rs
+++ b/crates/siskinyoke-gateway/src/pool.rs
@@ -6,13 +6,12 @@
 
 use tokio::time::timeout;
 
+use crate::connection::Connection;
+use crate::shell::Shell;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::EndpointKey;
 
-use crate::connection::Connection;
-use crate::shell::Shell;
-
 /// How long before an endpoint closes an idle connection we stop using it.
 ///
 /// Work that crosses the close may have run and cannot be sent again; the margin covers the way
@@ -60,12 +59,21 @@
     }
 
     fn put(&self, key: EndpointKey, connection: Connection, until: Millis) {
-        self.idle.borrow_mut().entry(key).or_default().push(Idle { connection, until });
+        self.idle
+            .borrow_mut()
+            .entry(key)
+            .or_default()
+            .push(Idle { connection, until });
     }
 }
 
 /// Keeps a connection for later, once its last answer is over.
-pub fn keep(shell: &Rc<Shell>, key: EndpointKey, mut connection: Connection, named: Option<Millis>) {
+pub fn keep(
+    shell: &Rc<Shell>,
+    key: EndpointKey,
+    mut connection: Connection,
+    named: Option<Millis>,
+) {
     let until = shell.now() + named.map_or(UNNAMED, |span| span.since(MARGIN));
     if connection.ready() {
         shell.pool.put(key, connection, until);
--- a/crates/siskinyoke-gateway/src/presence.rs
+++ b/crates/siskinyoke-gateway/src/presence.rs
@@ -5,13 +5,12 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use siskinyoke_base::Millis;
-use siskinyoke_platform::names;
-use siskinyoke_platform::store;
-
 use crate::shell::Shell;
 use crate::store::Client;
 use crate::store::StoreError;
+use siskinyoke_base::Millis;
+use siskinyoke_platform::names;
+use siskinyoke_platform::store;
 
 /// How long the entry outlives this process.
 ///
@@ -46,21 +45,25 @@
 
 async fn enter(shell: &Shell, client: &mut Client) -> Result<u64, StoreError> {
     let settings = shell.settings();
-    let body = client.call(settings.store, &store::grant(LEASE), LIMIT).await?;
+    let body = client
+        .call(settings.store, &store::grant(LEASE), LIMIT)
+        .await?;
     let lease = store::decode_grant(&body)?;
     let key = format!("{}{}", names::INSTANCE_PREFIX, settings.instance);
     let value = settings.listen.peers.to_string();
-    client.call(settings.store, &store::put(&key, value.as_bytes(), lease), LIMIT).await?;
+    client
+        .call(
+            settings.store,
+            &store::put(&key, value.as_bytes(), lease),
+            LIMIT,
+        )
+        .await?;
     shell.log("presence", json!({ "lease": lease }));
     Ok(lease)
 }
 
 // Returns the lease, or nothing if it has ended and the entry is to be written anew.
-async fn renew(
-    shell: &Shell,
-    client: &mut Client,
-    lease: u64,
-) -> Result<Option<u64>, StoreError> {
+async fn renew(shell: &Shell, client: &mut Client, lease: u64) -> Result<Option<u64>, StoreError> {
     let address = shell.settings().store;
     match client.call(address, &store::renew(lease), LIMIT).await {
         Ok(_) => Ok(Some(lease)),
--- a/crates/siskinyoke-gateway/src/reload.rs
+++ b/crates/siskinyoke-gateway/src/reload.rs
@@ -26,7 +26,10 @@
     match Settings::load(path) {
         Ok(settings) if settings == **shell.settings.borrow() => {}
         Ok(settings) => {
-            shell.log("settings_changed", json!({ "store": settings.store.to_string() }));
+            shell.log(
+                "settings_changed",
+                json!({ "store": settings.store.to_string() }),
+            );
             *shell.settings.borrow_mut() = Rc::new(settings);
         }
         Err(err) => shell.log("settings_faulty", json!({ "error": err.to_string() })),
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -134,37 +134,64 @@
 
     fn check(&self) -> Result<(), SettingsError> {
         if self.instance.is_empty() {
-            return Err(SettingsError::Value("instance", "give each instance a name of its own"));
+            return Err(SettingsError::Value(
+                "instance",
+                "give each instance a name of its own",
+            ));
         }
         if self.memory_mb < 16 {
-            return Err(SettingsError::Value("memory_mb", "an instance needs 16 MB or more"));
+            return Err(SettingsError::Value(
+                "memory_mb",
+                "an instance needs 16 MB or more",
+            ));
         }
         if !(1.0..=3600.0).contains(&self.bounds.grace_s) {
-            return Err(SettingsError::Value("bounds.grace_s", "give 1 to 3600 seconds"));
+            return Err(SettingsError::Value(
+                "bounds.grace_s",
+                "give 1 to 3600 seconds",
+            ));
         }
         if !(0.0..=1.0).contains(&self.bounds.retry_ratio) {
-            return Err(SettingsError::Value("bounds.retry_ratio", "give a part from 0 to 1"));
+            return Err(SettingsError::Value(
+                "bounds.retry_ratio",
+                "give a part from 0 to 1",
+            ));
         }
         if !(0.0..=1e6).contains(&self.bounds.retry_slack) {
             return Err(SettingsError::Value("bounds.retry_slack", "give 0 or more"));
         }
         if !(1.0..=3600.0).contains(&self.bounds.quota_window_s) {
-            return Err(SettingsError::Value("bounds.quota_window_s", "give 1 to 3600 seconds"));
+            return Err(SettingsError::Value(
+                "bounds.quota_window_s",
+                "give 1 to 3600 seconds",
+            ));
         }
         if !(0.0..=1.0).contains(&self.bounds.quota_overage) {
-            return Err(SettingsError::Value("bounds.quota_overage", "give a part from 0 to 1"));
+            return Err(SettingsError::Value(
+                "bounds.quota_overage",
+                "give a part from 0 to 1",
+            ));
         }
         if !(0.0..=1e12).contains(&self.bounds.quota_slack) {
-            return Err(SettingsError::Value("bounds.quota_slack", "give 0 or more units"));
+            return Err(SettingsError::Value(
+                "bounds.quota_slack",
+                "give 0 or more units",
+            ));
         }
         if !(0.1..=3600.0).contains(&self.bounds.keep_s) {
-            return Err(SettingsError::Value("bounds.keep_s", "give 0.1 to 3600 seconds"));
+            return Err(SettingsError::Value(
+                "bounds.keep_s",
+                "give 0.1 to 3600 seconds",
+            ));
         }
         Ok(())
     }
 }
 
-#[expect(clippy::cast_possible_truncation, reason = "checked to lie below an hour")]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "checked to lie below an hour"
+)]
 #[expect(clippy::cast_sign_loss, reason = "checked to be positive")]
 fn seconds(value: f64) -> Millis {
     Millis((value * 1000.0) as u64)
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -10,6 +10,11 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use crate::clock::BootClock;
+use crate::journal::Journal;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::settings::Settings;
 use siskinyoke_base::Clock;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
@@ -20,12 +25,6 @@
 use siskinyoke_dispatch::Ticket;
 use siskinyoke_dispatch::core::Identity;
 
-use crate::clock::BootClock;
-use crate::journal::Journal;
-use crate::metrics::Metrics;
-use crate::pool::Pool;
-use crate::settings::Settings;
-
 /// What a waiting request is told.
 pub type Word = Result<Arc<Endpoint>, Refusal>;
 
--- a/crates/siskinyoke-gateway/src/signals.rs
+++ b/crates/siskinyoke-gateway/src/signals.rs
@@ -8,11 +8,10 @@
 use tokio::signal::unix::signal;
 use tokio::time::sleep;
 
-use siskinyoke_base::Millis;
-
 use crate::listener::LINGER;
 use crate::reload;
 use crate::shell::Shell;
+use siskinyoke_base::Millis;
 
 /// How long before the kill this process ends by itself, so that its last log lines get out.
 const SPARE: Millis = Millis(250);
--- a/crates/siskinyoke-gateway/src/small.rs
+++ b/crates/siskinyoke-gateway/src/small.rs
@@ -5,13 +5,12 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 
-use siskinyoke_base::Millis;
-use siskinyoke_platform::directory;
-use siskinyoke_platform::names;
-
 use crate::answer;
 use crate::answer::AnswerBody;
 use crate::shell::Shell;
+use siskinyoke_base::Millis;
+use siskinyoke_platform::directory;
+use siskinyoke_platform::names;
 
 /// How long callers should keep the directory's answer.
 ///
@@ -51,15 +50,21 @@
     let (waiting, running) = core.scheduler().size();
     shell.metrics.state("waiting", count(waiting));
     shell.metrics.state("running", count(running));
-    shell.metrics.state("peers", count(core.peers().count(shell.now()) - 1));
-    shell.metrics.state("store", f64::from(u8::from(shell.stored.get())));
+    shell
+        .metrics
+        .state("peers", count(core.peers().count(shell.now()) - 1));
+    shell
+        .metrics
+        .state("store", f64::from(u8::from(shell.stored.get())));
     #[expect(clippy::cast_precision_loss, reason = "versions stay far below 2^52")]
     shell.metrics.state("configuration", core.version() as f64);
     match shell.metrics.page() {
         Ok(page) => {
             let mut response = Response::new(AnswerBody::Whole(Some(page.into())));
             let value = http::HeaderValue::from_static("text/plain; version=0.0.4");
-            response.headers_mut().insert(http::header::CONTENT_TYPE, value);
+            response
+                .headers_mut()
+                .insert(http::header::CONTENT_TYPE, value);
             response
         }
         Err(err) => answer::plain(StatusCode::INTERNAL_SERVER_ERROR, &err),
--- a/crates/siskinyoke-gateway/src/stay.rs
+++ b/crates/siskinyoke-gateway/src/stay.rs
@@ -2,11 +2,10 @@
 
 use std::rc::Rc;
 
+use crate::shell::Shell;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::Ticket;
 
-use crate::shell::Shell;
-
 /// A request that waits, or one that runs on an endpoint.
 ///
 /// A caller may leave at any await. Without the guard its place would stay taken for ever, and
@@ -20,7 +19,10 @@
 impl Stay {
     /// Guards a request that was let in.
     pub fn new(shell: &Rc<Shell>, ticket: Ticket) -> Self {
-        Self { shell: shell.clone(), ticket: Some(ticket) }
+        Self {
+            shell: shell.clone(),
+            ticket: Some(ticket),
+        }
     }
 
     /// Takes note that the request was refused: nothing is left to end.
@@ -32,19 +34,26 @@
     pub fn end(mut self, outcome: Outcome, more: bool) -> Option<Ticket> {
         let ticket = self.ticket.take()?;
         self.shell.metrics.attempted(name(outcome));
-        self.shell.core.borrow_mut().ended(self.shell.now(), ticket, outcome, more)
+        self.shell
+            .core
+            .borrow_mut()
+            .ended(self.shell.now(), ticket, outcome, more)
     }
 
     /// Returns whether a try that stays silent may be given up for another endpoint.
     pub fn spare(&self) -> bool {
-        let Some(ticket) = self.ticket else { return false };
+        let Some(ticket) = self.ticket else {
+            return false;
+        };
         self.shell.core.borrow_mut().spare(self.shell.now(), ticket)
     }
 }
 
 impl Drop for Stay {
     fn drop(&mut self) {
-        let Some(ticket) = self.ticket.take() else { return };
+        let Some(ticket) = self.ticket.take() else {
+            return;
+        };
         self.shell.cancel(ticket);
         self.shell.decide();
     }
--- a/crates/siskinyoke-gateway/src/store.rs
+++ b/crates/siskinyoke-gateway/src/store.rs
@@ -11,13 +11,12 @@
 use quick_error::quick_error;
 use tokio::time::timeout;
 
-use siskinyoke_base::Millis;
-use siskinyoke_platform::FormatError;
-use siskinyoke_platform::store::Call;
-
 use crate::connection::ConnectError;
 use crate::connection::Connection;
 use crate::connection::Sent;
+use siskinyoke_base::Millis;
+use siskinyoke_platform::FormatError;
+use siskinyoke_platform::store::Call;
 
 quick_error! {
     /// Why a call of the store brought no answer to use.
@@ -106,7 +105,11 @@
         if connection.settle().await {
             self.kept = Some((at, connection));
         }
-        if status.is_success() { Ok(body) } else { Err(StoreError::Status(status)) }
+        if status.is_success() {
+            Ok(body)
+        } else {
+            Err(StoreError::Status(status))
+        }
     }
 }
 
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -5,6 +5,10 @@
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::gossip::Gossip;
+use crate::shell::Shell;
+use crate::store::Client;
+use crate::store::StoreError;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_platform::configuration;
@@ -14,11 +18,6 @@
 use siskinyoke_platform::store::Batch;
 use siskinyoke_platform::store::Item;
 
-use crate::gossip::Gossip;
-use crate::shell::Shell;
-use crate::store::Client;
-use crate::store::StoreError;
-
 /// How long the store may hold a watch before it answers that nothing changed.
 ///
 /// A connection may go silent for good; this and the margin bound how long that goes unnoticed,
@@ -45,7 +44,12 @@
 
 /// Follows the store for as long as the process runs.
 pub async fn follow(shell: Rc<Shell>, gossip: Rc<Gossip>) {
-    let mut watcher = Watcher { shell, gossip, client: Client::default(), revision: None };
+    let mut watcher = Watcher {
+        shell,
+        gossip,
+        client: Client::default(),
+        revision: None,
+    };
     let mut pause = PAUSE;
     loop {
         match watcher.step().await {
@@ -83,7 +87,11 @@
             let page = self.page(&after).await?;
             // Pages are no snapshot: the watch starts where the first of them stood.
             revision = revision.min(page.revision);
-            after = page.items.last().map(|item| item.key.clone()).unwrap_or_default();
+            after = page
+                .items
+                .last()
+                .map(|item| item.key.clone())
+                .unwrap_or_default();
             items.extend(page.items);
             if !page.more || after.is_empty() {
                 break;
@@ -97,7 +105,10 @@
 
     async fn page(&mut self, after: &str) -> Result<Batch, StoreError> {
         let address = self.shell.settings().store;
-        let body = self.client.call(address, &store::range(ALL, after), READ).await?;
+        let body = self
+            .client
+            .call(address, &store::range(ALL, after), READ)
+            .await?;
         Ok(store::decode_range(&body)?)
     }
 
@@ -132,7 +143,11 @@
             }
         }
         let count = endpoints.len();
-        self.shell.core.borrow_mut().registry().replace(now, endpoints);
+        self.shell
+            .core
+            .borrow_mut()
+            .registry()
+            .replace(now, endpoints);
         self.shell.raw.borrow_mut().endpoints = raw.into_iter().collect();
         self.shell.log("store_read", json!({ "endpoints": count }));
         self.shell.decide();
@@ -167,7 +182,11 @@
             });
             self.shell.log("endpoint", fields);
             self.shell.core.borrow_mut().registry().put(now, endpoint);
-            self.shell.raw.borrow_mut().endpoints.insert(id.to_owned(), value);
+            self.shell
+                .raw
+                .borrow_mut()
+                .endpoints
+                .insert(id.to_owned(), value);
         }
     }
 
@@ -176,7 +195,11 @@
     }
 
     fn answered(&mut self) {
-        self.shell.core.borrow_mut().registry().store_back(self.shell.now());
+        self.shell
+            .core
+            .borrow_mut()
+            .registry()
+            .store_back(self.shell.now());
         if !self.shell.stored.replace(true) {
             self.shell.log("store_regained", json!({}));
         }
@@ -185,9 +208,14 @@
     fn failed(&mut self, err: &StoreError) {
         // After a doubt, or where the history is gone, only a whole reading tells what holds.
         self.revision = None;
-        self.shell.core.borrow_mut().registry().store_lost(self.shell.now());
+        self.shell
+            .core
+            .borrow_mut()
+            .registry()
+            .store_lost(self.shell.now());
         if self.shell.stored.replace(false) {
-            self.shell.log("store_lost", json!({ "error": err.to_string() }));
+            self.shell
+                .log("store_lost", json!({ "error": err.to_string() }));
         }
     }
 }
@@ -222,11 +250,16 @@
         .map(|it| json!([&*it.name, it.priority, it.rate, it.burst]))
         .collect();
     let before = shell.core.borrow().version();
-    if !shell.core.borrow_mut().configure(shell.now(), configuration) {
+    if !shell
+        .core
+        .borrow_mut()
+        .configure(shell.now(), configuration)
+    {
         return;
     }
     shell.raw.borrow_mut().configuration = bytes.to_vec();
-    let fields = json!({ "version": version, "before": before, "source": source, "allowances": allowances });
+    let fields =
+        json!({ "version": version, "before": before, "source": source, "allowances": allowances });
     shell.log("configuration", fields);
     shell.changed.notify_one();
 }
