--- /dev/null
+++ b/crates/siskinyoke-dispatch/tests/allowance.rs
@@ -0,0 +1,200 @@
+//! Allowances that all instances share.
+
+mod common;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Core;
+use siskinyoke_dispatch::Reason;
+
+use common::MEASURE;
+use common::configuration;
+use common::endpoint;
+use common::identity;
+use common::organisation;
+use common::report;
+use common::request;
+
+const RATE: f64 = 100_000.0;
+const BURST: f64 = 100_000.0;
+
+/// Some instances that take as much as they are allowed, and tell each other every 40 ms.
+struct Fleet {
+    cores: Vec<Core>,
+    grants: Vec<(u64, f64)>,
+    // Instances do not hear each other before this time.
+    deaf: u64,
+}
+
+impl Fleet {
+    fn start(count: usize, now: u64, deaf: u64) -> Self {
+        let mut fleet = Self {
+            cores: Vec::new(),
+            grants: Vec::new(),
+            deaf: now + deaf,
+        };
+        fleet.restart(count, now, deaf);
+        fleet
+    }
+
+    fn restart(&mut self, count: usize, now: u64, deaf: u64) {
+        self.deaf = now + deaf;
+        // All start in the same millisecond, as after a kill of all.
+        let make = |at| {
+            let mut core = Core::new(identity(&format!("i{at}"), now));
+            core.configure(Millis(now), configuration(1, organisation(RATE, BURST)));
+            core.registry().put(Millis(now), endpoint("e1", 1_000));
+            core.listed(count);
+            core
+        };
+        self.cores = (0..count).map(make).collect();
+    }
+
+    // Every instance tries a request each `gap` ms, from `from` to `to`.
+    fn saturate(&mut self, from: u64, to: u64, gap: u64) {
+        for now in from..to {
+            if now % 40 == 0 && now >= self.deaf {
+                self.exchange(now);
+            }
+            if now % gap != 0 {
+                continue;
+            }
+            for core in &mut self.cores {
+                if core.pass(Millis(now), request("/safe/x")).is_ok() {
+                    self.grants.push((now, 1_000.0));
+                }
+            }
+        }
+    }
+
+    fn exchange(&mut self, now: u64) {
+        let reports: Vec<_> = self
+            .cores
+            .iter_mut()
+            .map(|core| core.report(Millis(now)))
+            .collect();
+        for core in &mut self.cores {
+            for report in &reports {
+                core.heard(Millis(now), report.clone());
+            }
+        }
+    }
+
+    // The most that was granted in any window.
+    fn most(&self) -> f64 {
+        let sum = |from: u64| -> f64 {
+            let window = from..from + MEASURE.window.0;
+            let inside = self.grants.iter().filter(|it| window.contains(&it.0));
+            inside.map(|it| it.1).sum()
+        };
+        self.grants.iter().map(|it| sum(it.0)).fold(0.0, f64::max)
+    }
+}
+
+fn allowed() -> f64 {
+    (RATE * 8.0 + BURST) * 1.1 + MEASURE.slack
+}
+
+#[test]
+fn all_instances_together_keep_to_the_allowance_and_use_most_of_it() {
+    let mut fleet = Fleet::start(7, 0, 0);
+    fleet.saturate(0, 30_000, 5);
+    assert!(
+        fleet.most() <= allowed(),
+        "{} of {}",
+        fleet.most(),
+        allowed()
+    );
+    assert!(
+        fleet.most() >= 0.9 * (RATE * 8.0 + BURST),
+        "{}",
+        fleet.most()
+    );
+}
+
+// One organisation sends many times its allowance. All instances are killed in the middle and
+// start again in the same millisecond, knowing nothing; for 400 ms they do not hear each other.
+// Each granted as if it were alone, and counters of processes that had started in the same
+// millisecond were taken for one another's: the organisation got a tenth more than is tolerated.
+#[test]
+fn a_kill_of_all_instances_grants_nothing_twice() {
+    let mut fleet = Fleet::start(8, 0, 400);
+    fleet.saturate(0, 4_000, 5);
+    fleet.restart(8, 4_700, 400);
+    fleet.saturate(4_700, 16_000, 5);
+    assert!(
+        fleet.most() <= allowed(),
+        "{} of {}",
+        fleet.most(),
+        allowed()
+    );
+}
+
+// Half of the instances are cut off from the other half, and callers reach both. Each side
+// granted the whole allowance: the organisation got it twice.
+#[test]
+fn sides_of_a_cut_share_the_allowance() {
+    let mut fleet = Fleet::start(6, 0, 0);
+    fleet.saturate(0, 9_000, 5);
+    let mut far = Fleet {
+        cores: fleet.cores.split_off(3),
+        grants: Vec::new(),
+        deaf: 0,
+    };
+    for from in (9_000..20_000).step_by(40) {
+        fleet.saturate(from, from + 40, 5);
+        far.saturate(from, from + 40, 5);
+    }
+    fleet.grants.append(&mut far.grants);
+    assert!(
+        fleet.most() <= allowed(),
+        "{} of {}",
+        fleet.most(),
+        allowed()
+    );
+}
+
+#[test]
+fn a_refusal_for_the_allowance_says_when_there_will_be_enough() {
+    let mut core = Core::new(identity("i", 1));
+    core.configure(Millis(0), configuration(1, organisation(1_000.0, 1_000.0)));
+    let mut now = Millis(1_000);
+    let refusal = loop {
+        if let Err(refusal) = core.pass(now, request("/safe/x")) {
+            break refusal;
+        }
+    };
+    assert_eq!(refusal.reason, Reason::Allowance);
+    now += refusal.after;
+    assert!(core.pass(now, request("/safe/x")).is_ok());
+}
+
+// A lower limit is put in force while the organisation sends far more than it.
+#[test]
+fn a_lower_limit_binds_at_once() {
+    let mut core = Core::new(identity("i", 1));
+    core.configure(Millis(0), configuration(1, organisation(RATE, BURST)));
+    core.configure(Millis(10_000), configuration(2, organisation(0.0001, 10.0)));
+    let passed = (0..100)
+        .filter(|at| core.pass(Millis(10_000 + at), request("/safe/x")).is_ok())
+        .count();
+    assert!(passed <= 15, "{passed}");
+}
+
+#[test]
+fn units_of_a_request_that_never_ran_are_given_back() {
+    let mut core = Core::new(identity("i", 1));
+    core.configure(Millis(0), configuration(1, organisation(1_000.0, 1_000.0)));
+    for _ in 0..1_000 {
+        let Ok(pass) = core.pass(Millis(500), request("/safe/x")) else {
+            panic!("refused although all was given back");
+        };
+        core.give_back(&pass);
+    }
+}
+
+// Two processes start in the same millisecond. Their counters of use were kept under that time
+// alone, so each report of one was read as a jump of the other's.
+#[test]
+fn processes_that_start_in_the_same_millisecond_are_told_apart() {
+    assert_ne!(report("i1", 1).source(), report("i2", 1).source());
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -0,0 +1,172 @@
+//! Small things that several tests of the decisions need.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::sync::Arc;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Ask;
+use siskinyoke_dispatch::Configuration;
+use siskinyoke_dispatch::Core;
+use siskinyoke_dispatch::Decision;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::Kind;
+use siskinyoke_dispatch::Limits;
+use siskinyoke_dispatch::Organisation;
+use siskinyoke_dispatch::Rank;
+use siskinyoke_dispatch::Report;
+use siskinyoke_dispatch::Route;
+use siskinyoke_dispatch::Service;
+use siskinyoke_dispatch::allowance::Measure;
+use siskinyoke_dispatch::core::Identity;
+use siskinyoke_dispatch::core::Request;
+
+/// The window, overage and slack of the tests' allowances.
+pub const MEASURE: Measure = Measure {
+    window: Millis(8_000),
+    overage: 0.1,
+    slack: 110_000.0,
+};
+
+pub fn route(kind: Kind, priority: u8) -> Route {
+    Route {
+        name: "r".into(),
+        prefix: "/p/".into(),
+        kind,
+        timeout: Millis(5_000),
+        aim: Millis(500),
+        priority,
+        targets: vec![("lm".into(), 1)],
+        attempts: 2,
+        exempt: false,
+        resumable: kind == Kind::Stream,
+    }
+}
+
+pub fn ask(kind: Kind, priority: u8, arrived: u64) -> Ask {
+    let route = route(kind, priority);
+    Ask {
+        service: "lm".into(),
+        rank: Rank::new(None, priority),
+        arrived: Millis(arrived),
+        until: Millis(arrived) + route.timeout,
+        route: Arc::new(route),
+        size: 1.0,
+        fingerprint: arrived,
+        tried: Vec::new(),
+        sent: 0,
+    }
+}
+
+pub fn endpoint(id: &str, slots: u32) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        born: 1,
+        service: "lm".into(),
+        address: "10.0.0.1:80".into(),
+        centre: "a".into(),
+        slots,
+        draining: false,
+    }
+}
+
+pub fn identity(name: &str, start: u64) -> Identity {
+    Identity {
+        name: name.to_owned(),
+        centre: "a".to_owned(),
+        front: format!("{name}:1"),
+        inner: format!("{name}:2"),
+        start,
+        retries: 0.2,
+        floor: 2.0,
+        measure: MEASURE,
+    }
+}
+
+pub fn organisation(rate: f64, burst: f64) -> Organisation {
+    Organisation {
+        name: "school".into(),
+        priority: None,
+        rate,
+        burst,
+        tokens: true,
+        plain: 200.0,
+    }
+}
+
+/// A configuration with one route of each kind and one organisation with the key `k`.
+pub fn configuration(version: u64, organisation: Organisation) -> Configuration {
+    let limits = Limits {
+        head: 16_384,
+        body: 1_000_000,
+        arrival: Millis(3_000),
+        idle: Millis(15_000),
+    };
+    let mut configuration = Configuration::new(version, limits);
+    for (kind, prefix) in [
+        (Kind::Safe, "/safe/"),
+        (Kind::Unsafe, "/unsafe/"),
+        (Kind::Stream, "/stream/"),
+    ] {
+        let route = Route {
+            prefix: prefix.into(),
+            ..route(kind, 1)
+        };
+        configuration.add_route("host", route);
+    }
+    configuration.add_service(Service {
+        name: "lm".into(),
+        connections: 100,
+    });
+    configuration.add_organisation(organisation, &["k".to_owned()]);
+    configuration
+}
+
+/// An instance with a configuration and one endpoint of so many slots.
+pub fn core(name: &str, slots: u32) -> Core {
+    let mut core = Core::new(identity(name, 1));
+    core.configure(Millis(0), configuration(1, organisation(0.0, 0.0)));
+    core.registry().put(Millis(0), endpoint("e1", slots));
+    core
+}
+
+pub fn request(path: &str) -> Request<'_> {
+    Request {
+        host: "host",
+        path,
+        key: Some("k"),
+        deadline: Some(Millis(5_000)),
+        tokens: Some((900, 100)),
+        draw: 0,
+    }
+}
+
+/// An empty report of a peer.
+pub fn report(name: &str, number: u64) -> Report {
+    Report {
+        name: name.to_owned(),
+        start: 1,
+        age: 0,
+        number,
+        front: format!("{name}:1"),
+        inner: format!("{name}:2"),
+        centre: "a".to_owned(),
+        ready: true,
+        leaving: false,
+        configuration: 1,
+        running: Vec::new(),
+        waiting: Vec::new(),
+        spent: Vec::new(),
+        leavers: Vec::new(),
+        suspects: Vec::new(),
+        peers: Vec::new(),
+    }
+}
+
+/// Counts the decisions to start.
+pub fn starts(decisions: &[Decision]) -> usize {
+    decisions
+        .iter()
+        .filter(|it| matches!(it, Decision::Start(..)))
+        .count()
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/tests/configuration.rs
@@ -0,0 +1,91 @@
+//! Which route takes a request, and which configuration is in force.
+
+mod common;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Core;
+use siskinyoke_dispatch::Kind;
+use siskinyoke_dispatch::Reason;
+use siskinyoke_dispatch::Route;
+use siskinyoke_dispatch::core::Request;
+
+use common::configuration;
+use common::core;
+use common::identity;
+use common::organisation;
+use common::request;
+use common::route;
+
+#[test]
+fn the_longest_prefix_takes_a_request() {
+    let mut configuration = configuration(1, organisation(0.0, 0.0));
+    for prefix in ["/a/", "/a/b/c/", "/a/b/"] {
+        let name = prefix.into();
+        let prefix = prefix.into();
+        configuration.add_route(
+            "host",
+            Route {
+                name,
+                prefix,
+                ..route(Kind::Safe, 0)
+            },
+        );
+    }
+    let name = |path| {
+        configuration
+            .route("host", path)
+            .map(|it| it.name.to_string())
+    };
+    assert_eq!(name("/a/b/c/d"), Some("/a/b/c/".to_owned()));
+    assert_eq!(name("/a/b/x"), Some("/a/b/".to_owned()));
+    assert_eq!(name("/a/bc"), Some("/a/".to_owned()));
+    assert_eq!(name("/b/"), None);
+    assert!(configuration.route("other", "/a/").is_none());
+}
+
+#[test]
+fn traffic_is_split_by_weight() {
+    let split = Route {
+        targets: vec![("x".into(), 90), ("y".into(), 10)],
+        ..route(Kind::Safe, 0)
+    };
+    let to_y = (0..1_000)
+        .filter(|draw| split.target(*draw).is_some_and(|it| &**it == "y"))
+        .count();
+    assert_eq!(to_y, 100);
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let mut core = core("i", 1);
+    assert!(core.configure(Millis(1), configuration(7, organisation(0.0, 0.0))));
+    assert!(!core.configure(Millis(2), configuration(6, organisation(0.0, 0.0))));
+    assert_eq!(core.version(), 7);
+}
+
+#[test]
+fn nothing_is_denied_before_a_configuration_is_known() {
+    let mut core = Core::new(identity("i", 1));
+    let refusal = core.pass(Millis(0), request("/nowhere/")).unwrap_err();
+    assert_eq!(refusal.reason, Reason::Unready);
+}
+
+#[test]
+fn unknown_routes_and_keys_are_refused() {
+    let mut core = core("i", 1);
+    let reason = |it: Result<_, siskinyoke_dispatch::Refusal>| it.map(drop).unwrap_err().reason;
+    assert_eq!(
+        reason(core.pass(Millis(0), request("/nowhere/"))),
+        Reason::NoRoute
+    );
+    let stranger = Request {
+        key: Some("x"),
+        ..request("/safe/x")
+    };
+    assert_eq!(reason(core.pass(Millis(0), stranger)), Reason::NoKey);
+    let nobody = Request {
+        key: None,
+        ..request("/safe/x")
+    };
+    assert_eq!(reason(core.pass(Millis(0), nobody)), Reason::NoKey);
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/tests/scheduler.rs
@@ -0,0 +1,263 @@
+//! Order, places and refusals before the endpoints.
+
+mod common;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Decision;
+use siskinyoke_dispatch::Kind;
+use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::Reason;
+use siskinyoke_dispatch::Scheduler;
+use siskinyoke_dispatch::Ticket;
+use siskinyoke_dispatch::peers::Peers;
+use siskinyoke_dispatch::registry::Registry;
+use siskinyoke_dispatch::report::Waiting;
+use siskinyoke_dispatch::report::short;
+
+use common::ask;
+use common::core;
+use common::endpoint;
+use common::report;
+use common::request;
+use common::starts;
+
+fn registry(endpoints: &[(&str, u32)]) -> Registry {
+    let mut registry = Registry::default();
+    for (id, slots) in endpoints {
+        registry.put(Millis(0), endpoint(id, *slots));
+    }
+    registry
+}
+
+fn done() -> Outcome {
+    Outcome::Done {
+        first: Millis(50),
+        took: Millis(200),
+    }
+}
+
+fn started(decisions: &[Decision]) -> Vec<Ticket> {
+    decisions
+        .iter()
+        .filter_map(|it| match it {
+            Decision::Start(ticket, _) => Some(*ticket),
+            Decision::Refuse(..) => None,
+        })
+        .collect()
+}
+
+#[test]
+fn urgent_work_goes_first_and_equal_work_in_order_of_arrival() {
+    let registry = registry(&[("e", 2)]);
+    let peers = Peers::default();
+    let mut scheduler = Scheduler::new("a");
+    let mut admit = |priority, at| {
+        let ask = ask(Kind::Safe, priority, at);
+        scheduler.admit(Millis(at), ask, &registry, &peers).unwrap()
+    };
+    let late = admit(2, 0);
+    let urgent = admit(0, 2);
+    let early = admit(1, 1);
+    let decisions = scheduler.decide(Millis(3), &registry, &peers);
+    assert_eq!(started(&decisions), [urgent, early]);
+    scheduler.ended(Millis(10), urgent, done());
+    let decisions = scheduler.decide(Millis(10), &registry, &peers);
+    assert_eq!(started(&decisions), [late]);
+}
+
+// Endpoints run what arrives in order of arrival. If instances send more than an endpoint runs at
+// once, urgent work waits inside it behind whatever came before.
+#[test]
+fn an_endpoint_is_given_no_more_than_it_runs_counted_over_all_instances() {
+    let registry = registry(&[("e", 4)]);
+    let mut peers = Peers::default();
+    let mut told = report("peer", 1);
+    told.running = vec![(endpoint("e", 4).key(), 3)];
+    peers.heard(Millis(0), told);
+    let mut scheduler = Scheduler::new("a");
+    for at in 0..3 {
+        scheduler
+            .admit(Millis(at), ask(Kind::Safe, 0, at), &registry, &peers)
+            .unwrap();
+    }
+    assert_eq!(starts(&scheduler.decide(Millis(3), &registry, &peers)), 1);
+    // A peer that falls silent no longer counts, so its places come free.
+    assert_eq!(starts(&scheduler.decide(Millis(600), &registry, &peers)), 2);
+}
+
+// A place comes free. Two instances hold waiting work; the one with less urgent work saw the
+// place first and took it, and the urgent request waited for another.
+#[test]
+fn a_free_place_is_left_to_more_urgent_work_elsewhere() {
+    let registry = registry(&[("e", 1)]);
+    let mut peers = Peers::default();
+    let mut told = report("peer", 1);
+    told.waiting = vec![Waiting {
+        service: short("lm"),
+        rank: 0,
+        count: 1,
+        oldest: 5,
+    }];
+    peers.heard(Millis(0), told);
+    let mut scheduler = Scheduler::new("a");
+    scheduler
+        .admit(Millis(0), ask(Kind::Safe, 1, 0), &registry, &peers)
+        .unwrap();
+    assert_eq!(starts(&scheduler.decide(Millis(1), &registry, &peers)), 0);
+    // The peer does not take it; a place is not kept for a silent one for long.
+    assert_eq!(starts(&scheduler.decide(Millis(100), &registry, &peers)), 1);
+}
+
+#[test]
+fn deferrable_work_that_would_be_late_is_refused_at_once_with_a_time_to_return() {
+    let registry = registry(&[("e", 1)]);
+    let peers = Peers::default();
+    let mut scheduler = Scheduler::new("a");
+    let refusal = (0..50)
+        .find_map(|at| {
+            scheduler
+                .admit(Millis(at), ask(Kind::Safe, 1, at), &registry, &peers)
+                .err()
+        })
+        .expect("a long queue refuses");
+    assert_eq!(refusal.reason, Reason::Overload);
+    assert!(refusal.after > Millis::ZERO);
+    // The most urgent work is let in all the same.
+    assert!(
+        scheduler
+            .admit(Millis(60), ask(Kind::Safe, 0, 60), &registry, &peers)
+            .is_ok()
+    );
+}
+
+#[test]
+fn waiting_work_that_can_no_longer_be_on_time_is_refused() {
+    let registry = registry(&[("e", 1)]);
+    let peers = Peers::default();
+    let mut scheduler = Scheduler::new("a");
+    scheduler
+        .admit(Millis(0), ask(Kind::Safe, 0, 0), &registry, &peers)
+        .unwrap();
+    let waits = scheduler
+        .admit(Millis(0), ask(Kind::Safe, 1, 0), &registry, &peers)
+        .unwrap();
+    scheduler.decide(Millis(1), &registry, &peers);
+    let decisions = scheduler.decide(Millis(600), &registry, &peers);
+    let refused = decisions.iter().any(|it| {
+        matches!(it, Decision::Refuse(ticket, refusal)
+            if *ticket == waits && refusal.reason == Reason::Waited)
+    });
+    assert!(refused, "{decisions:?}");
+}
+
+#[test]
+fn a_caller_that_leaves_frees_its_place() {
+    let mut core = core("i", 1);
+    let pass = core.pass(Millis(0), request("/safe/x")).unwrap();
+    let first = core.admit(Millis(0), &pass, 1).unwrap();
+    let second = core.admit(Millis(0), &pass, 2).unwrap();
+    assert_eq!(started(&core.decide(Millis(0))), [first]);
+    core.cancel(Millis(5), first);
+    assert_eq!(started(&core.decide(Millis(5))), [second]);
+}
+
+// A non-idempotent request was sent, and the connection broke. Sent to another endpoint, a
+// booking would stand twice.
+#[test]
+fn what_may_have_run_goes_to_no_other_endpoint_unless_it_is_idempotent() {
+    for (path, again) in [("/unsafe/x", false), ("/safe/x", true), ("/stream/x", true)] {
+        let mut core = core("i", 1);
+        core.registry().put(Millis(0), endpoint("e2", 1));
+        let pass = core.pass(Millis(0), request(path)).unwrap();
+        let ticket = core.admit(Millis(0), &pass, 1).unwrap();
+        core.decide(Millis(0));
+        let next = core.ended(Millis(5), ticket, Outcome::Broken, true);
+        assert_eq!(next.is_some(), again, "{path}");
+    }
+}
+
+#[test]
+fn what_surely_did_not_run_goes_to_another_endpoint() {
+    for outcome in [Outcome::Unreached, Outcome::Full, Outcome::Moved] {
+        let mut core = core("i", 1);
+        core.registry().put(Millis(0), endpoint("e2", 1));
+        let pass = core.pass(Millis(0), request("/unsafe/x")).unwrap();
+        let ticket = core.admit(Millis(0), &pass, 1).unwrap();
+        let Some(Decision::Start(_, first)) = core.decide(Millis(0)).pop() else {
+            panic!("nothing started");
+        };
+        let next = core.ended(Millis(5), ticket, outcome, true);
+        assert!(next.is_some(), "{outcome:?}");
+        let Some(Decision::Start(_, second)) = core.decide(Millis(5)).pop() else {
+            panic!("nothing started after {outcome:?}");
+        };
+        assert_ne!(first.id, second.id);
+    }
+}
+
+#[test]
+fn a_request_reaches_no_more_endpoints_than_its_route_allows() {
+    let mut core = core("i", 1);
+    for id in ["e2", "e3", "e4"] {
+        core.registry().put(Millis(0), endpoint(id, 1));
+    }
+    let pass = core.pass(Millis(0), request("/safe/x")).unwrap();
+    let mut ticket = core.admit(Millis(0), &pass, 1).unwrap();
+    let mut sent = 0;
+    loop {
+        sent += starts(&core.decide(Millis(sent as u64)));
+        match core.ended(Millis(sent as u64), ticket, Outcome::Failed, true) {
+            Some(next) => ticket = next,
+            None => break,
+        }
+    }
+    assert_eq!(sent, 2);
+}
+
+// A failing service answers everything with errors. Retries without a bound would double its
+// load when it can carry least.
+#[test]
+fn retries_keep_to_their_part_of_the_requests() {
+    let mut core = core("i", 1_000);
+    core.registry().put(Millis(0), endpoint("e2", 1_000));
+    let mut again = 0;
+    for at in 0..400_u64 {
+        let now = Millis(at * 10);
+        let pass = core.pass(now, request("/safe/x")).unwrap();
+        let ticket = core.admit(now, &pass, at).unwrap();
+        core.decide(now);
+        if let Some(next) = core.ended(now, ticket, Outcome::Failed, true) {
+            again += 1;
+            core.cancel(now, next);
+        }
+    }
+    assert!(again <= 400 / 5 + 2, "{again}");
+    assert!(again >= 400 / 10, "{again}");
+}
+
+// One request crashes each endpoint that runs it, and its caller sends it again and again.
+#[test]
+fn work_that_crashed_two_endpoints_runs_no_more_here_or_at_peers() {
+    let mut one = core("i1", 10);
+    let mut other = core("i2", 10);
+    for id in ["e2", "e3"] {
+        one.registry().put(Millis(0), endpoint(id, 10));
+    }
+    let pass = one.pass(Millis(0), request("/safe/x")).unwrap();
+    let ticket = one.admit(Millis(0), &pass, 77).unwrap();
+    one.decide(Millis(0));
+    let next = one.ended(Millis(1), ticket, Outcome::Broken, true).unwrap();
+    one.decide(Millis(1));
+    assert!(one.ended(Millis(2), next, Outcome::Broken, true).is_none());
+    assert_eq!(
+        one.admit(Millis(3), &pass, 77).unwrap_err().reason,
+        Reason::Suspect
+    );
+    let told = one.report(Millis(3));
+    other.heard(Millis(3), told);
+    assert_eq!(
+        other.admit(Millis(3), &pass, 77).unwrap_err().reason,
+        Reason::Suspect
+    );
+    assert!(other.admit(Millis(3), &pass, 78).is_ok());
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/settings.rs
@@ -0,0 +1,76 @@
+//! The settings file: the platform's template filled in, and faulty ones.
+
+use siskinyoke_gateway::settings::Settings;
+
+const TEMPLATE: &str = include_str!("../../../platform/settings.jsonc");
+
+// Fills in the template as the platform does, from the values that its pages show.
+fn filled() -> String {
+    let values = [
+        ("NodeName", "\"front-muscat-a-1\""),
+        ("Ip", "\"10.1.0.25\""),
+        ("Zone", "\"muscat-a\""),
+        ("Region", "\"muscat\""),
+        ("Listen.Front", "\"10.1.0.25:8221\""),
+        ("Listen.ReadyAddr", "\"10.1.0.25:8224\""),
+        ("Listen.Directory", "\"10.1.0.25:8220\""),
+        ("Listen.Control", "\"10.1.0.25:8229\""),
+        ("Seeds", "[\"10.1.0.25:8229\",\"10.2.0.17:8229\"]"),
+        ("Platform.Address", "\"10.200.1.7:8225\""),
+        ("Limits.MemoryMb", "110"),
+        ("Bounds.GraceS", "8"),
+        ("Bounds.RetryBudgetRatio", "0.2"),
+        ("Bounds.BudgetSlack", "54"),
+        ("Bounds.QuotaWindowS", "8"),
+        ("Bounds.QuotaOverage", "0.1"),
+        ("Bounds.QuotaSlack", "110000"),
+        ("Bounds.ttl_max_s", "5"),
+    ];
+    let mut text = TEMPLATE.to_owned();
+    for (name, value) in values {
+        text = text.replace(&format!("{{{{{name}|json}}}}"), value);
+    }
+    assert!(
+        !text.contains("{{"),
+        "a placeholder is not filled in: {text}"
+    );
+    text
+}
+
+#[test]
+fn the_platforms_template_makes_sound_settings() {
+    let settings = Settings::parse(&filled()).unwrap();
+    assert_eq!(settings.instance, "front-muscat-a-1");
+    assert_eq!(settings.listen.callers.port(), 8221);
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.grace().0, 8_000);
+    assert_eq!(settings.quota_window().0, 8_000);
+}
+
+#[test]
+fn unknown_fields_are_ignored() {
+    let text = filled().replace("\"metrics\"", "\"later\": {\"x\": 1}, \"metrics\"");
+    assert!(Settings::parse(&text).is_ok());
+}
+
+#[test]
+fn a_faulty_file_is_refused_with_the_field_and_a_hint() {
+    let cases = [
+        ("\"10.1.0.25:8221\"", "\"8221\"", "invalid socket address"),
+        ("\"store\": \"10.200.1.7:8225\",", "", "store"),
+        (
+            "\"retry_ratio\": 0.2",
+            "\"retry_ratio\": 7",
+            "bounds.retry_ratio",
+        ),
+        ("\"grace_s\": 8", "\"grace_s\": 0", "bounds.grace_s"),
+        ("\"memory_mb\": 110", "\"memory_mb\": 1", "memory_mb"),
+        ("\"front-muscat-a-1\"", "\"\"", "instance"),
+        ("{", "", "JSON"),
+    ];
+    for (from, to, said) in cases {
+        let text = filled().replacen(from, to, 1);
+        let err = Settings::parse(&text).unwrap_err().to_string();
+        assert!(err.contains(said), "{to}: {err}");
+    }
+}
