--- a/crates/siskinyoke-dispatch/src/ask.rs
+++ b/crates/siskinyoke-dispatch/src/ask.rs
@@ -4,6 +4,9 @@
 
 use crate::EndpointKey;
 use crate::Route;
+use serde::Deserialize;
+use serde::Serialize;
+
 use siskinyoke_base::Millis;
 
 /// Names one admitted request within an instance.
@@ -24,6 +27,18 @@
     }
 }
 
+/// Which of two waiting requests goes first: by rank, then what can still be on time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Order(pub u32);
+
+impl Order {
+    /// Joins a rank and whether the answer would be late by now.
+    pub fn new(rank: Rank, late: bool) -> Self {
+        Self(u32::from(rank.0) << 1 | u32::from(late))
+    }
+}
+
 /// One request as the decisions see it.
 #[derive(Debug, Clone)]
 pub struct Ask {
@@ -45,9 +60,16 @@
     pub tried: Vec<EndpointKey>,
     /// How many of them were reached.
     pub sent: u32,
+    /// Whether its answer would be late by now; it goes after what can still be on time.
+    pub late: bool,
 }
 
 impl Ask {
+    /// Returns its order among waiting requests.
+    pub fn order(&self) -> Order {
+        Order::new(self.rank, self.late)
+    }
+
     /// Returns the time that is left before nobody waits any more.
     pub fn left(&self, now: Millis) -> Millis {
         self.until.since(now)
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -21,6 +21,7 @@
 use crate::peers::Heard;
 use crate::peers::Peers;
 use crate::registry::Registry;
+use crate::report::About;
 use crate::scheduler::Decision;
 use crate::suspects::Suspects;
 use siskinyoke_base::Map;
@@ -46,8 +47,8 @@
     pub front: String,
     /// Where peers reach it.
     pub inner: String,
-    /// Differs for each start; a later one is higher.
-    pub start: u64,
+    /// Names this start of its process; drawn at random.
+    pub source: u64,
     /// The part of a service's requests that may be sent again, over all instances.
     pub retries: f64,
     /// Retries allowed beside that part, for this instance.
@@ -273,7 +274,8 @@
 
     /// Returns whether a running request whose endpoint is silent may be given up for another.
     ///
-    /// It takes the retry from the budget, so that the endpoint is left only if another may follow.
+    /// Only where another has a place for it: an endpoint's silence alone is no reason to end its
+    /// work. It takes the retry from the budget, so that another surely may follow.
     pub fn spare(&mut self, now: Millis, ticket: Ticket) -> bool {
         let Some(ask) = self.scheduler.running(ticket).cloned() else {
             return false;
@@ -281,25 +283,25 @@
         ask.route.idempotent()
             && ask.sent + 1 < ask.route.attempts
             && now < ask.until
+            && self
+                .scheduler
+                .elsewhere(now, &ask, &self.registry, &self.peers)
             && self.budget(&ask.service).take(now)
     }
 
     /// Takes in a peer's report; returns whether the peer, or its start, is new.
     pub fn heard(&mut self, now: Millis, report: Report) -> bool {
-        if report.name == self.me.name {
-            return false;
-        }
-        let source = report.source();
-        for key in &report.leavers {
-            self.registry.left(now, *key);
-        }
-        for (print, crashes) in &report.suspects {
-            self.suspects.heard(now, *print, *crashes);
+        let source = report.source;
+        if let Some(about) = &report.about {
+            if about.name == self.me.name {
+                return false;
+            }
+            self.learn(now, about);
         }
         let spent = report.spent.clone();
         let young = Millis(report.age) <= self.age(now) + TOGETHER;
         match self.peers.heard(now, report) {
-            Heard::Old => return false,
+            Heard::Nothing => return false,
             Heard::First(before) => {
                 if let Some(before) = before {
                     self.allowances.forget(before);
@@ -312,6 +314,15 @@
         false
     }
 
+    fn learn(&mut self, now: Millis, about: &About) {
+        for key in &about.leavers {
+            self.registry.left(now, *key);
+        }
+        for (print, crashes) in &about.suspects {
+            self.suspects.heard(now, *print, *crashes);
+        }
+    }
+
     /// Does what is due with time: drops what is gone.
     pub fn sweep(&mut self, now: Millis) {
         self.registry.sweep(now);
@@ -321,17 +332,34 @@
         self.scheduler.forget(&self.registry);
     }
 
-    /// Makes the next report to peers.
-    pub fn report(&mut self, now: Millis) -> Report {
+    /// Makes the next report to peers, with what seldom changes if `whole` is set.
+    pub fn report(&mut self, now: Millis, whole: bool) -> Report {
         self.number += 1;
-        self.draft(now)
+        Report {
+            source: self.me.source,
+            age: self.age(now).0,
+            number: self.number,
+            ready: self.ready(),
+            leaving: self.leaving,
+            configuration: self.version(),
+            running: self.scheduler.counts(),
+            waiting: self.scheduler.summary(now),
+            spent: self.allowances.spent(),
+            about: whole.then(|| self.about(now)),
+        }
     }
 
     /// Chooses the instances that a caller of a data centre is told to use.
     pub fn addresses(&self, now: Millis, centre: &str) -> Vec<String> {
-        let own = self.draft(now);
-        let peers = self.peers.fresh(now).map(|peer| &peer.report);
-        directory::choose(centre, peers.chain(std::iter::once(&own)))
+        let own = self.about(now);
+        let peers = self
+            .peers
+            .fresh(now)
+            .filter(|it| it.report.ready && !it.report.leaving);
+        let ready = peers
+            .map(|peer| &peer.about)
+            .chain(self.ready().then_some(&own));
+        directory::choose(centre, ready)
     }
 
     fn age(&self, now: Millis) -> Millis {
@@ -339,21 +367,12 @@
             .map_or(Millis::ZERO, |started| now.since(started))
     }
 
-    fn draft(&self, now: Millis) -> Report {
-        Report {
+    fn about(&self, now: Millis) -> About {
+        About {
             name: self.me.name.clone(),
-            start: self.me.start,
-            age: self.age(now).0,
-            number: self.number,
             front: self.me.front.clone(),
             inner: self.me.inner.clone(),
             centre: self.me.centre.clone(),
-            ready: self.ready(),
-            leaving: self.leaving,
-            configuration: self.version(),
-            running: self.scheduler.counts(),
-            waiting: self.scheduler.summary(now),
-            spent: self.allowances.spent(),
             leavers: self.registry.news(),
             suspects: self.suspects.news(TOLD),
             peers: self.inner_addresses(now),
@@ -365,7 +384,7 @@
         let all: Vec<&String> = self
             .peers
             .fresh(now)
-            .map(|peer| &peer.report.inner)
+            .map(|peer| &peer.about.inner)
             .collect();
         let skip = usize::try_from(self.number).unwrap_or(0) % all.len().max(1);
         all.iter()
@@ -513,6 +532,7 @@
         fingerprint,
         tried: Vec::new(),
         sent: 0,
+        late: false,
     }
 }
 
--- a/crates/siskinyoke-dispatch/src/directory.rs
+++ b/crates/siskinyoke-dispatch/src/directory.rs
@@ -1,6 +1,6 @@
 //! Which instances a caller is told to use.
 
-use crate::Report;
+use crate::report::About;
 
 /// The fewest instances named to a caller, where there are so many.
 ///
@@ -10,13 +10,13 @@
 /// The most instances named to a caller.
 const MOST: usize = 64;
 
-/// Chooses the instances a caller of a data centre is told to use, this one included.
+/// Chooses among the ready instances those that a caller of a data centre is told to use.
 ///
 /// Instances of the caller's own data centre come alone where there are two or more, as bytes
-/// between data centres cost most. Instances that leave or are not ready are left out.
-pub fn choose<'a>(centre: &str, reports: impl Iterator<Item = &'a Report>) -> Vec<String> {
-    let ready: Vec<&Report> = reports.filter(|it| it.ready && !it.leaving).collect();
-    let near: Vec<&&Report> = ready.iter().filter(|it| it.centre == centre).collect();
+/// between data centres cost most.
+pub fn choose<'a>(centre: &str, ready: impl Iterator<Item = &'a About>) -> Vec<String> {
+    let ready: Vec<&About> = ready.collect();
+    let near: Vec<&&About> = ready.iter().filter(|it| it.centre == centre).collect();
     let mut fronts: Vec<String> = if near.len() >= FEWEST {
         near.iter().map(|it| it.front.clone()).collect()
     } else {
--- a/crates/siskinyoke-dispatch/src/endpoint.rs
+++ b/crates/siskinyoke-dispatch/src/endpoint.rs
@@ -15,6 +15,17 @@
 #[serde(transparent)]
 pub struct EndpointKey(pub u64);
 
+impl EndpointKey {
+    /// Returns the key as it stands in reports, which are sent many times a second.
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "half of a hash tells endpoints apart"
+    )]
+    pub fn short(self) -> u32 {
+        self.0 as u32
+    }
+}
+
 /// One endpoint as it describes itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Endpoint {
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -4,6 +4,7 @@
 
 use crate::EndpointKey;
 use crate::Report;
+use crate::report::About;
 use crate::report::Waiting;
 use siskinyoke_base::Millis;
 
@@ -26,6 +27,8 @@
 pub struct Peer {
     /// Its latest report.
     pub report: Report,
+    /// What it told last of itself.
+    pub about: About,
     /// When that came.
     pub heard: Millis,
 }
@@ -40,18 +43,18 @@
 /// What a new report brought.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Heard {
-    /// Nothing: it is older than what is known.
-    Old,
+    /// Nothing: it is older than what is known, or from a peer that has not said who it is.
+    Nothing,
     /// The next report of a known peer.
     Next,
-    /// The first report of a peer, or of its new start; the start before it, if any, is over.
+    /// The first report of a peer's start; the start before it, if any, is over.
     First(Option<u64>),
 }
 
 /// The other instances, as their reports show them.
 #[derive(Debug, Default)]
 pub struct Peers {
-    known: BTreeMap<String, Peer>,
+    known: BTreeMap<u64, Peer>,
     listed: usize,
 }
 
@@ -62,24 +65,42 @@
     }
 
     /// Takes in a report.
-    pub fn heard(&mut self, now: Millis, report: Report) -> Heard {
-        let old = self.known.get(&report.name);
-        let news = match old {
-            None => Heard::First(None),
-            Some(peer) if peer.report.start == report.start => {
-                if peer.report.number >= report.number {
-                    return Heard::Old;
-                }
-                Heard::Next
+    pub fn heard(&mut self, now: Millis, mut report: Report) -> Heard {
+        let about = report.about.take();
+        if let Some(peer) = self.known.get_mut(&report.source) {
+            if peer.report.number >= report.number {
+                return Heard::Nothing;
             }
-            // Starts are told by the time of day, which may step back between two of them; so an
-            // earlier one is believed too, once the later one is silent.
-            Some(peer) if report.start < peer.report.start && peer.fresh(now) => return Heard::Old,
-            Some(peer) => Heard::First(Some(peer.report.source())),
+            peer.about = about.unwrap_or_else(|| peer.about.clone());
+            peer.report = report;
+            peer.heard = now;
+            return Heard::Next;
+        }
+        let Some(about) = about else {
+            return Heard::Nothing;
         };
-        self.known
-            .insert(report.name.clone(), Peer { report, heard: now });
-        news
+        let before = self
+            .known
+            .values()
+            .find(|peer| peer.about.name == about.name);
+        // The last report of the start before may come late. Ages tell the two apart, and need
+        // no time of day, which may step back between two starts.
+        if before.is_some_and(|peer| peer.fresh(now) && peer.report.age < report.age) {
+            return Heard::Nothing;
+        }
+        let before = before.map(|peer| peer.report.source);
+        if let Some(source) = before {
+            self.known.remove(&source);
+        }
+        self.known.insert(
+            report.source,
+            Peer {
+                report,
+                about,
+                heard: now,
+            },
+        );
+        Heard::First(before)
     }
 
     /// Drops peers that left, or that were silent for long, and returns their sources.
@@ -89,7 +110,7 @@
             let silent = now.since(peer.heard);
             let keep = silent < REMEMBERED && !(peer.report.leaving && silent > FRESH);
             if !keep {
-                gone.push(peer.report.source());
+                gone.push(peer.report.source);
             }
             keep
         });
@@ -105,7 +126,7 @@
     pub fn running(&self, now: Millis, key: EndpointKey) -> u32 {
         self.fresh(now)
             .flat_map(|peer| &peer.report.running)
-            .filter(|row| row.0 == key)
+            .filter(|row| row.0 == key.short())
             .map(|row| u32::from(row.1))
             .sum()
     }
--- a/crates/siskinyoke-dispatch/src/queue.rs
+++ b/crates/siskinyoke-dispatch/src/queue.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeSet;
 
-use crate::Rank;
 use crate::Ticket;
+use crate::ask::Order;
 use crate::report::Waiting;
 use siskinyoke_base::Millis;
 
-/// Where a request stands in the queue: rank, then arrival, then ticket.
-pub type Place = (Rank, Millis, Ticket);
+/// Where a request stands in the queue: order, then arrival, then ticket.
+pub type Place = (Order, Millis, Ticket);
 
 /// Requests of one service that wait for a place.
 #[derive(Debug, Default)]
@@ -27,11 +27,10 @@
         self.places.remove(&place);
     }
 
-    /// Returns how many wait that go before a new request of this rank.
-    pub fn ahead(&self, rank: Rank) -> usize {
-        self.places
-            .range(..(Rank(rank.0.saturating_add(1)), Millis::ZERO, Ticket(0)))
-            .count()
+    /// Returns how many wait that go before a new request of this order.
+    pub fn ahead(&self, order: Order) -> usize {
+        let end = (Order(order.0.saturating_add(1)), Millis::ZERO, Ticket(0));
+        self.places.range(..end).count()
     }
 
     /// Returns the places in order.
@@ -44,15 +43,15 @@
         self.places.is_empty()
     }
 
-    /// Sums up what waits, by rank.
+    /// Sums up what waits, by order.
     pub fn summary(&self, now: Millis, service: u32) -> Vec<Waiting> {
         let mut rows: Vec<Waiting> = Vec::new();
-        for (rank, arrived, _) in &self.places {
+        for (order, arrived, _) in &self.places {
             match rows.last_mut() {
-                Some(row) if row.rank == rank.0 => row.count = row.count.saturating_add(1),
+                Some(row) if row.order == *order => row.count = row.count.saturating_add(1),
                 _ => rows.push(Waiting {
                     service,
-                    rank: rank.0,
+                    order: *order,
                     count: 1,
                     oldest: u32::try_from(now.since(*arrived).0).unwrap_or(u32::MAX),
                 }),
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -4,37 +4,45 @@
 use serde::Serialize;
 
 use crate::EndpointKey;
+use crate::ask::Order;
 use crate::stable_hash;
 
-/// One instance's present state, as told to its peers.
+/// One instance's present state, as told to its peers many times a second.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
-    /// The instance's name.
-    pub name: String,
-    /// Differs for each start of its process; a higher one is a later start.
-    pub start: u64,
-    /// How long its process has run, in ms.
+    /// Names the start of the process that sent it; drawn at random.
+    pub source: u64,
+    /// How long the process has run, in ms.
     pub age: u64,
     /// Counts its reports; an older one that arrives late is dropped.
     pub number: u64,
-    /// Where callers reach it.
-    pub front: String,
-    /// Where peers reach it.
-    pub inner: String,
-    /// Its data centre.
-    pub centre: String,
     /// Whether it takes callers.
     pub ready: bool,
     /// Whether it is leaving.
     pub leaving: bool,
     /// The version of the configuration it has in force.
     pub configuration: u64,
-    /// Its requests at each endpoint.
-    pub running: Vec<(EndpointKey, u16)>,
-    /// Its waiting requests by service and rank.
+    /// Its requests at each endpoint, whose key is shortened.
+    pub running: Vec<(u32, u16)>,
+    /// Its waiting requests by service and order.
     pub waiting: Vec<Waiting>,
     /// Units used by organisation since its start.
     pub spent: Vec<(u32, u64)>,
+    /// What changes seldom, in a few reports a second.
+    pub about: Option<About>,
+}
+
+/// What an instance tells of itself now and then.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct About {
+    /// Its name.
+    pub name: String,
+    /// Where callers reach it.
+    pub front: String,
+    /// Where peers reach it.
+    pub inner: String,
+    /// Its data centre.
+    pub centre: String,
     /// Endpoints it knows to be leaving or gone.
     pub leavers: Vec<EndpointKey>,
     /// Work that crashed endpoints, with the number of crashes.
@@ -43,22 +51,13 @@
     pub peers: Vec<String>,
 }
 
-impl Report {
-    /// Returns what names the start of the process that sent it, among all instances.
-    ///
-    /// Several processes may start in the same millisecond, so the name belongs to it.
-    pub fn source(&self) -> u64 {
-        stable_hash(&(&self.name, self.start))
-    }
-}
-
-/// The waiting requests of one service and rank.
+/// The waiting requests of one service and order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Waiting {
     /// The service, hashed.
     pub service: u32,
-    /// Their rank.
-    pub rank: u16,
+    /// Their order: the smaller goes first.
+    pub order: Order,
     /// How many wait.
     pub count: u16,
     /// How long the first of them has waited, in ms.
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -13,10 +13,10 @@
 use crate::EndpointKey;
 use crate::Kind;
 use crate::Outcome;
-use crate::Rank;
 use crate::Reason;
 use crate::Refusal;
 use crate::Ticket;
+use crate::ask::Order;
 use crate::health::Health;
 use crate::load::Load;
 use crate::peers::Peers;
@@ -34,6 +34,12 @@
 /// one that could be on time.
 const PATIENCE: f64 = 0.7;
 
+/// Requests that may wait for a late answer, for each place of their service.
+///
+/// They take only places that nothing else wants, between two peaks of the load; two for a place
+/// are served within some two usual stays then.
+const LATE: usize = 2;
+
 /// How much longer than now it may take for a caller to come back, at least.
 const SOONEST: Millis = Millis(50);
 
@@ -95,24 +101,19 @@
                 after: Millis(500),
             });
         }
-        let load = self.loads.entry(ask.service.clone()).or_default();
-        let own = self
-            .queues
-            .get(&ask.service)
-            .map_or(0, |queue| queue.ahead(ask.rank));
-        let others: usize = peers
-            .waiting(now, short(&ask.service))
-            .filter(|row| row.rank <= ask.rank.0)
-            .map(|row| usize::from(row.count))
-            .sum();
-        let ahead = own + others;
+        let load = self.load(&ask.service);
+        let ahead = self.ahead(now, &ask, peers);
         let wait = load.wait(ahead, places);
-        let bearable = patience(&ask, *load);
-        if ahead > 0 && wait > bearable {
+        let bearable = patience(&ask, load);
+        if ahead == 0 || wait <= bearable {
+            return Ok(self.enqueue(ask));
+        }
+        let ask = Ask { late: true, ..ask };
+        if urgent(&ask) || self.ahead(now, &ask, peers) >= LATE * to_usize(places) {
             let after = wait.since(bearable).max(SOONEST);
             return Err(Refusal {
                 reason: Reason::Overload,
-                after,
+                after: spread(after, &ask),
             });
         }
         Ok(self.enqueue(ask))
@@ -120,7 +121,7 @@
 
     /// Lets a request wait for another endpoint after one did not serve it.
     pub fn again(&mut self, ask: Ask) -> Ticket {
-        self.enqueue(ask)
+        self.enqueue(Ask { late: false, ..ask })
     }
 
     /// Decides what can be decided now.
@@ -129,7 +130,8 @@
         let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
         for service in services {
             self.start(now, &service, registry, peers, &mut decisions);
-            self.expire(now, &service, &mut decisions);
+            let places = places(&service, registry);
+            self.expire(now, &service, places, &mut decisions);
         }
         self.queues.retain(|_, queue| !queue.is_empty());
         decisions
@@ -176,12 +178,16 @@
         self.running.get(&ticket).map(|row| &row.1)
     }
 
+    /// Returns whether an endpoint that was not tried has a place for a request.
+    pub fn elsewhere(&self, now: Millis, ask: &Ask, registry: &Registry, peers: &Peers) -> bool {
+        let free = self.free(now, &ask.service, registry, peers);
+        free.iter().any(|row| !ask.tried.contains(&row.0.key()))
+    }
+
     /// Returns this instance's requests at each endpoint.
-    pub fn counts(&self) -> Vec<(EndpointKey, u16)> {
-        self.counts
-            .iter()
-            .map(|(key, count)| (*key, *count))
-            .collect()
+    pub fn counts(&self) -> Vec<(u32, u16)> {
+        let counts = self.counts.iter();
+        counts.map(|(key, count)| (key.short(), *count)).collect()
     }
 
     /// Sums up what waits here.
@@ -229,8 +235,8 @@
         let mut spare: u32 = free.iter().map(|row| row.1).sum();
         let rows: Vec<Waiting> = peers.waiting(now, short(service)).collect();
         let waiting: Vec<Place> = self.queues[service].iter().collect();
-        for (rank, arrived, ticket) in waiting {
-            if spare <= before(&rows, rank, now.since(arrived)) {
+        for (order, arrived, ticket) in waiting {
+            if spare <= before(&rows, order, now.since(arrived)) {
                 break;
             }
             let Some(at) = self.best(ticket, &free) else {
@@ -313,15 +319,35 @@
         self.running.insert(ticket, (key, ask));
     }
 
-    fn expire(&mut self, now: Millis, service: &Arc<str>, decisions: &mut Vec<Decision>) {
+    fn expire(
+        &mut self,
+        now: Millis,
+        service: &Arc<str>,
+        places: u32,
+        decisions: &mut Vec<Decision>,
+    ) {
         let load = self.load(service);
         let waiting: Vec<Place> = self.queues[service].iter().collect();
+        let mut late = waiting
+            .iter()
+            .filter(|place| self.waiting[&place.2].late)
+            .count();
         for (_, arrived, ticket) in waiting {
             let ask = &self.waiting[&ticket];
-            if now < arrived + patience(ask, load) {
+            let bearable = if ask.late {
+                endurance(ask, load)
+            } else {
+                patience(ask, load)
+            };
+            if now < arrived + bearable {
+                continue;
+            }
+            if !ask.late && !urgent(ask) && late < LATE * to_usize(places) {
+                late += 1;
+                self.put_off(ticket);
                 continue;
             }
-            let after = load.stay().max(SOONEST);
+            let after = spread(load.stay().max(SOONEST), ask);
             self.cancel(ticket);
             decisions.push(Decision::Refuse(
                 ticket,
@@ -332,6 +358,33 @@
             ));
         }
     }
+
+    // Moves a request behind what can still be on time.
+    fn put_off(&mut self, ticket: Ticket) {
+        let Some(ask) = self.waiting.get_mut(&ticket) else {
+            return;
+        };
+        let Some(queue) = self.queues.get_mut(&ask.service) else {
+            return;
+        };
+        queue.remove(place(ticket, ask));
+        ask.late = true;
+        queue.push(place(ticket, ask));
+    }
+
+    // Counts what goes before a request, here and at peers.
+    fn ahead(&self, now: Millis, ask: &Ask, peers: &Peers) -> usize {
+        let own = self
+            .queues
+            .get(&ask.service)
+            .map_or(0, |queue| queue.ahead(ask.order()));
+        let others: usize = peers
+            .waiting(now, short(&ask.service))
+            .filter(|row| row.order <= ask.order())
+            .map(|row| usize::from(row.count))
+            .sum();
+        own + others
+    }
 }
 
 /// Returns how long a request may wait and still be of use.
@@ -341,7 +394,7 @@
 /// work waits only as long as its answer can still be on time.
 fn patience(ask: &Ask, load: Load) -> Millis {
     let whole = ask.until.since(ask.arrived);
-    if ask.route.priority == 0 || !ask.tried.is_empty() {
+    if urgent(ask) {
         return whole.since(load.stay());
     }
     let run = if ask.route.kind == Kind::Stream {
@@ -353,14 +406,35 @@
     whole.since(run).min(crate::load::millis(slack))
 }
 
+/// Returns how long a request may wait whose answer will be late.
+fn endurance(ask: &Ask, load: Load) -> Millis {
+    let whole = ask.until.since(ask.arrived);
+    Millis(whole.0 / 2).min(whole.since(load.stay()))
+}
+
+// Whether a request waits as long as its caller does, in the order of its arrival.
+fn urgent(ask: &Ask) -> bool {
+    ask.route.priority == 0 || !ask.tried.is_empty()
+}
+
+// Spreads returns over half as much time again, so that callers refused together do not return
+// together.
+fn spread(after: Millis, ask: &Ask) -> Millis {
+    after + Millis(after.0 * (ask.fingerprint % 64) / 128)
+}
+
+fn to_usize(places: u32) -> usize {
+    usize::try_from(places).unwrap_or(usize::MAX)
+}
+
 // Counts the peers' requests that the next free places are for, before one of ours.
-fn before(rows: &[Waiting], rank: Rank, waited: Millis) -> u32 {
+fn before(rows: &[Waiting], order: Order, waited: Millis) -> u32 {
     rows.iter()
         .map(|row| {
-            if row.rank < rank.0 {
+            if row.order < order {
                 u32::from(row.count)
             } else {
-                u32::from(row.rank == rank.0 && u64::from(row.oldest) > waited.0)
+                u32::from(row.order == order && u64::from(row.oldest) > waited.0)
             }
         })
         .sum()
@@ -371,5 +445,5 @@
 }
 
 fn place(ticket: Ticket, ask: &Ask) -> Place {
-    (ask.rank, ask.arrived, ticket)
+    (ask.order(), ask.arrived, ticket)
 }
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -2,8 +2,6 @@
 
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use serde_json::json;
 use tokio::runtime::Builder;
@@ -82,15 +80,12 @@
 }
 
 fn identity(settings: &Settings) -> Identity {
-    let now = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
     Identity {
         name: settings.instance.clone(),
         centre: settings.centre.clone(),
         front: settings.listen.callers.to_string(),
         inner: settings.listen.peers.to_string(),
-        start: u64::try_from(now.as_millis()).unwrap_or(0),
+        source: rand::random(),
         retries: settings.bounds.retry_ratio,
         floor: settings.bounds.retry_slack / 2.0 / INSTANCES,
         measure: Measure {
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -125,17 +125,21 @@
                 return;
             }
         };
-        let told = report
-            .peers
-            .iter()
-            .filter_map(|it| it.parse::<SocketAddr>().ok());
-        self.told.borrow_mut().extend(told);
+        let mut name = String::new();
+        if let Some(about) = &report.about {
+            let told = about
+                .peers
+                .iter()
+                .filter_map(|it| it.parse::<SocketAddr>().ok());
+            self.told.borrow_mut().extend(told);
+            name.clone_from(&about.name);
+        }
         let version = report.configuration;
-        let fields =
-            json!({ "peer": report.name, "start": report.start, "from": from.to_string() });
+        let fields = json!({ "peer": name, "age_ms": report.age, "from": from.to_string() });
         let first = shell.core.borrow_mut().heard(shell.now(), report);
         if first {
             shell.log("peer", fields);
+            self.searching.set(true);
         }
         if version > shell.core.borrow().version() {
             inner::catch_up(shell, from, version, BEHIND);
@@ -147,7 +151,7 @@
 
     fn report(&self, shell: &Shell, search: bool) {
         let now = shell.now();
-        let report = shell.core.borrow_mut().report(now);
+        let report = shell.core.borrow_mut().report(now, search);
         let bytes = match postcard::to_allocvec(&report) {
             Ok(bytes) if bytes.len() <= LARGEST => bytes,
             Ok(bytes) => {
@@ -175,7 +179,7 @@
         let mut all: BTreeSet<SocketAddr> = core
             .peers()
             .fresh(now)
-            .filter_map(|peer| peer.report.inner.parse().ok())
+            .filter_map(|peer| peer.about.inner.parse().ok())
             .collect();
         let settings = shell.settings();
         if search {
--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/whole/endpoint.rs
@@ -0,0 +1,200 @@
+//! A stand-in of an endpoint that does what a request's path asks for.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+/// A request as it reached an endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct Arrival {
+    /// The request line.
+    pub line: String,
+    /// Its headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Arrival {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|row| row.0 == name)
+            .map(|row| &*row.1)
+    }
+
+    fn does(&self, what: &str) -> bool {
+        self.line.contains(what)
+    }
+}
+
+/// A stand-in of an endpoint that does what a request's path asks for.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    pub id: String,
+    pub address: SocketAddr,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+    left: Arc<Mutex<u32>>,
+}
+
+impl Endpoint {
+    pub fn start(id: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let endpoint = Self {
+            id: id.to_owned(),
+            address: listener.local_addr().unwrap(),
+            arrivals: Arc::default(),
+            left: Arc::default(),
+        };
+        let serving = endpoint.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let endpoint = serving.clone();
+                // A connection that ends in the middle of a call is part of the tests.
+                thread::spawn(move || drop(endpoint.serve(stream)));
+            }
+        });
+        endpoint
+    }
+
+    /// The entry by which it makes itself known.
+    pub fn entry(&self, state: &str) -> String {
+        format!(
+            r#"{{"Service":"lm","Address":"{}","Zone":"a","Slots":4,"State":"{state}","born":1}}"#,
+            self.address
+        )
+    }
+
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
+    /// How often a connection was closed while a request was at work.
+    pub fn left(&self) -> u32 {
+        *self.left.lock().unwrap()
+    }
+
+    fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
+        let mut reader = BufReader::new(stream.try_clone()?);
+        let mut out = stream;
+        while let Some(mut arrival) = read_head(&mut reader)? {
+            let early = arrival.does("early");
+            if early {
+                out.write_all(&self.answer(&arrival, "early"))?;
+            }
+            let length = arrival
+                .header("content-length")
+                .map_or(0, |it| it.parse().unwrap());
+            arrival.body = vec![0; length];
+            reader.read_exact(&mut arrival.body)?;
+            self.arrivals.lock().unwrap().push(arrival.clone());
+            if !early && !self.act(&arrival, &mut out)? {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    // Answers, and returns whether the connection is kept.
+    fn act(&self, arrival: &Arrival, out: &mut TcpStream) -> std::io::Result<bool> {
+        if arrival.does("cut") {
+            return Ok(false);
+        }
+        if arrival.does("full") && self.id == "e1" {
+            out.write_all(
+                b"HTTP/1.1 503 Full\r\nSiskinyoke-Not-Executed: 1\r\ncontent-length: 0\r\n\r\n",
+            )?;
+            return Ok(true);
+        }
+        if arrival.does("extra") {
+            out.write_all(&self.answer(arrival, "first"))?;
+            out.write_all(&self.answer(arrival, "second"))?;
+            return Ok(true);
+        }
+        if arrival.does("slow") {
+            self.await_leave(out)?;
+            return Ok(false);
+        }
+        if arrival.does("nap") {
+            thread::sleep(Duration::from_millis(1_500));
+        }
+        if arrival.does("events") {
+            return self.stream(arrival, out);
+        }
+        out.write_all(&self.answer(arrival, "whole"))?;
+        Ok(true)
+    }
+
+    fn answer(&self, arrival: &Arrival, body: &str) -> Vec<u8> {
+        let id = arrival.header("siskinyoke-request-id").unwrap_or("");
+        let length = body.len();
+        format!(
+            "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
+             content-length: {length}\r\n\r\n{body}",
+            self.id
+        )
+        .into_bytes()
+    }
+
+    // Four events; the first sending breaks off in the middle of the third.
+    fn stream(&self, arrival: &Arrival, out: &mut TcpStream) -> std::io::Result<bool> {
+        let id = arrival.header("siskinyoke-request-id").unwrap_or("");
+        let after: u32 = arrival
+            .header("last-event-id")
+            .map_or(0, |it| it.parse().unwrap());
+        write!(
+            out,
+            "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            self.id
+        )?;
+        for number in after + 1..=4 {
+            let event = format!("id: {number}\ndata: {number}\n\n");
+            if number == 3 && after == 0 {
+                chunk(out, &event[..8])?;
+                return Ok(false);
+            }
+            chunk(out, &event)?;
+        }
+        out.write_all(b"0\r\n\r\n")?;
+        Ok(true)
+    }
+
+    fn await_leave(&self, out: &mut TcpStream) -> std::io::Result<()> {
+        let mut byte = [0];
+        if out.read(&mut byte)? == 0 {
+            *self.left.lock().unwrap() += 1;
+        }
+        Ok(())
+    }
+}
+
+fn chunk(out: &mut TcpStream, text: &str) -> std::io::Result<()> {
+    write!(out, "{:x}\r\n{text}\r\n", text.len())?;
+    out.flush()
+}
+
+fn read_head(reader: &mut BufReader<TcpStream>) -> std::io::Result<Option<Arrival>> {
+    let mut arrival = Arrival::default();
+    if reader.read_line(&mut arrival.line)? == 0 {
+        return Ok(None);
+    }
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let Some((name, value)) = line.trim_end().split_once(": ") else {
+            return Ok(Some(arrival));
+        };
+        arrival
+            .headers
+            .push((name.to_ascii_lowercase(), value.to_owned()));
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/whole/instance.rs
@@ -0,0 +1,192 @@
+//! A gateway that runs as a process of its own, and calls to it.
+
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+/// A gateway that runs as a process of its own, killed when it is dropped.
+#[derive(Debug)]
+pub struct Instance {
+    child: Child,
+    settings: PathBuf,
+    pub callers: SocketAddr,
+    pub health: SocketAddr,
+    pub directory: SocketAddr,
+    pub metrics: SocketAddr,
+}
+
+impl Instance {
+    pub fn start(name: &str, store: SocketAddr) -> Self {
+        let [callers, health, directory, peers, metrics] = own_addresses();
+        let settings = std::env::temp_dir().join(format!("{name}-{}.jsonc", callers.ip()));
+        let text = format!(
+            r#"{{ "instance": "{name}", "ip": "{}", "centre": "a", "metrics": {},
+                "listen": {{ "callers": "{callers}", "health": "{health}",
+                             "directory": "{directory}", "peers": "{peers}" }},
+                "store": "{store}", "memory_mb": 110, // as on the platform
+                "bounds": {{ "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 54,
+                             "quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 110000,
+                             "keep_s": 5 }} }}"#,
+            callers.ip(),
+            metrics.port()
+        );
+        fs::write(&settings, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"))
+            .arg("--settings")
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        Self {
+            child,
+            settings,
+            callers,
+            health,
+            directory,
+            metrics,
+        }
+    }
+
+    /// Waits until it takes callers.
+    pub fn ready(self) -> Self {
+        until("ready", || {
+            self.status(self.health, "/api/readyz") == Some(200)
+        });
+        self
+    }
+
+    pub fn status(&self, address: SocketAddr, path: &str) -> Option<u16> {
+        let answer = get(address, path)?;
+        answer.split(' ').nth(1)?.parse().ok()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).unwrap();
+        kill_process(Pid::from_raw(pid).unwrap(), signal).unwrap();
+    }
+
+    /// Waits for its end and returns what it logged.
+    pub fn log(mut self) -> String {
+        let mut text = String::new();
+        self.child
+            .stdout
+            .take()
+            .unwrap()
+            .read_to_string(&mut text)
+            .unwrap();
+        assert!(self.child.wait().unwrap().success());
+        text
+    }
+
+    pub fn open(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.callers).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_secs(10)))
+            .unwrap();
+        stream
+    }
+
+    /// Sends a request over a connection of its own and returns all that comes back.
+    pub fn call(&self, id: &str, path: &str, more: &str, body: &str) -> String {
+        let mut stream = self.open();
+        send(
+            &mut stream,
+            id,
+            path,
+            &format!("connection: close\r\n{more}"),
+            body,
+        );
+        let mut answer = String::new();
+        // An answer that is cut off ends here, too; the tests look at what came.
+        drop(stream.read_to_string(&mut answer));
+        answer
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        drop(self.child.kill());
+        drop(self.child.wait());
+        drop(fs::remove_file(&self.settings));
+    }
+}
+
+/// Sends a request with the key and host that the tests' configuration knows.
+pub fn send(stream: &mut TcpStream, id: &str, path: &str, more: &str, body: &str) {
+    let length = body.len();
+    write!(
+        stream,
+        "POST {path} HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer k1\r\n\
+         siskinyoke-request-id: {id}\r\nsiskinyoke-deadline-ms: 4000\r\n\
+         content-length: {length}\r\n{more}\r\n{body}"
+    )
+    .unwrap();
+}
+
+/// Reads one answer whose body has a length.
+pub fn read_answer(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    loop {
+        stream.read_exact(&mut byte).unwrap();
+        text.push(byte[0]);
+        if text.ends_with(b"\r\n\r\n") {
+            break;
+        }
+    }
+    let mut text = String::from_utf8(text).unwrap();
+    let length = text
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .map_or(0, |it| it.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).unwrap();
+    text.push_str(&String::from_utf8(body).unwrap());
+    text
+}
+
+pub fn get(address: SocketAddr, path: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+    )
+    .ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
+}
+
+/// Waits for something to come true; half a minute means that it never does.
+pub fn until(what: &str, mut done: impl FnMut() -> bool) {
+    for _ in 0..3_000 {
+        if done() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("not in half a minute: {what}");
+}
+
+// Each instance has a loopback address of its own, so that no two ever want the same port.
+fn own_addresses() -> [SocketAddr; 5] {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let process = u8::try_from(std::process::id() % 200).unwrap() + 20;
+    let ip = Ipv4Addr::new(127, process, NEXT.fetch_add(1, Ordering::Relaxed), 1);
+    [8221, 8224, 8220, 8229, 9464].map(|port| SocketAddr::new(ip.into(), port))
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -0,0 +1,336 @@
+//! The whole path, with the gateway as a process of its own between small stand-ins.
+
+#![allow(unreachable_pub, reason = "the modules are this test's own")]
+
+mod endpoint;
+mod instance;
+mod store;
+
+use std::io::Read;
+use std::time::Duration;
+
+use rustix::process::Signal;
+
+use endpoint::Endpoint;
+use instance::Instance;
+use instance::get;
+use instance::read_answer;
+use instance::send;
+use instance::until;
+use store::Mood;
+use store::Store;
+
+const CONFIGURATION: &str = r#"{"Version":VERSION,"Routes":[
+ {"Name":"safe","Host":"h.example","Prefix":"/safe/","Kind":"safe","TimeoutMs":4000,
+  "TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2},
+ {"Name":"once","Host":"h.example","Prefix":"/once/","Kind":"unsafe","TimeoutMs":4000,
+  "TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2},
+ {"Name":"short","Host":"h.example","Prefix":"/short/","Kind":"unsafe","TimeoutMs":300,
+  "TargetLatencyMs":200,"Priority":0,"Service":"lm","MaxAttempts":1},
+ {"Name":"stream","Host":"h.example","Prefix":"/stream/","Kind":"stream","TimeoutMs":4000,
+  "TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2,"Resumable":true},
+ {"Name":"single","Host":"h.example","Prefix":"/single/","Kind":"stream","TimeoutMs":4000,
+  "TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2}],
+ "Services":[{"Name":"lm","MaxConns":100}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,
+  "IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"school","ApiKeys":["KEY"]}]}"#;
+
+struct World {
+    store: Store,
+    endpoints: Vec<Endpoint>,
+    instance: Instance,
+}
+
+fn configuration(version: u32, key: &str) -> String {
+    CONFIGURATION
+        .replace("VERSION", &version.to_string())
+        .replace("KEY", key)
+}
+
+fn world(endpoints: &[&str]) -> World {
+    let store = Store::start();
+    store.put("op/config", &configuration(3, "k1"));
+    // Entries of other writers must not keep the sound ones from being used.
+    store.put("servers/odd", "{\"Service\":7}");
+    store.put("servers/odder", "\u{0}");
+    let endpoints: Vec<_> = endpoints.iter().map(|id| Endpoint::start(id)).collect();
+    for endpoint in &endpoints {
+        store.put(
+            &format!("servers/{}", endpoint.id),
+            &endpoint.entry("ready"),
+        );
+    }
+    let instance = Instance::start("i1", store.address).ready();
+    World {
+        store,
+        endpoints,
+        instance,
+    }
+}
+
+fn arrived(world: &World) -> usize {
+    world.endpoints.iter().map(|it| it.arrivals().len()).sum()
+}
+
+#[test]
+fn a_request_reaches_an_endpoint_and_its_answer_comes_back_unchanged() {
+    let world = world(&["e1"]);
+    let forged = "siskinyoke-hold: h\r\nsiskinyoke-tenant: other\r\nx-own: kept\r\n";
+    let answer = world.instance.call("r1", "/safe/a?b=c", forged, "body");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("siskinyoke-response-seal: e1"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\nwhole"), "{answer}");
+    let arrival = world.endpoints[0].arrivals().pop().unwrap();
+    assert_eq!(arrival.line, "POST /safe/a?b=c HTTP/1.1\r\n");
+    assert_eq!(arrival.body, b"body");
+    assert_eq!(arrival.header("siskinyoke-request-id"), Some("r1"));
+    assert_eq!(arrival.header("siskinyoke-target-instance"), Some("e1"));
+    assert_eq!(arrival.header("siskinyoke-tenant"), Some("school"));
+    assert_eq!(arrival.header("x-own"), Some("kept"));
+    assert_eq!(arrival.header("authorization"), None);
+    assert_eq!(arrival.header("siskinyoke-hold"), None);
+    let left: u32 = arrival
+        .header("siskinyoke-deadline-ms")
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(left <= 4_000);
+}
+
+#[test]
+fn what_cannot_be_served_is_refused_with_a_clear_status() {
+    let world = world(&["e1"]);
+    let status = |path: &str, body: &str| {
+        let answer = world.instance.call("r", path, "", body);
+        answer[9..12].to_owned()
+    };
+    assert_eq!(status("/nowhere/", ""), "404");
+    assert_eq!(status("/safe/a", &"x".repeat(1_001)), "413");
+    assert_eq!(arrived(&world), 0);
+}
+
+// An endpoint answers a request and sends a second answer after it. The next caller over the
+// same connection would get it.
+#[test]
+fn a_second_answer_reaches_nobody() {
+    let world = world(&["e1"]);
+    for number in 0..5 {
+        let id = format!("r{number}");
+        let answer = world.instance.call(&id, "/safe/extra", "", "");
+        assert!(
+            answer.contains(&format!("siskinyoke-request-id: {id}\r\n")),
+            "{answer}"
+        );
+        assert!(answer.ends_with("first"), "{answer}");
+    }
+}
+
+// An endpoint answers before it has read the body, keeps the connection and reads on. Anything
+// else than the rest of that body would be read as a part of it.
+#[test]
+fn an_endpoint_that_answers_early_still_gets_the_whole_body() {
+    let world = world(&["e1"]);
+    for _ in 0..5 {
+        let answer = world
+            .instance
+            .call("r", "/safe/early", "", "the whole body");
+        assert!(answer.ends_with("early"), "{answer}");
+    }
+    until("all bodies arrived", || arrived(&world) == 5);
+    for arrival in world.endpoints[0].arrivals() {
+        assert_eq!(arrival.body, b"the whole body");
+        assert!(
+            arrival.line.starts_with("POST /safe/early"),
+            "{}",
+            arrival.line
+        );
+    }
+}
+
+// An endpoint dies in the middle of an event. The caller sees one stream without a gap.
+#[test]
+fn a_stream_goes_on_at_another_endpoint() {
+    let world = world(&["e1", "e2"]);
+    let answer = world.instance.call("r1", "/stream/events", "", "");
+    let events: Vec<_> = answer
+        .lines()
+        .filter(|line| line.starts_with("data: "))
+        .collect();
+    assert_eq!(events, ["data: 1", "data: 2", "data: 3", "data: 4"]);
+    assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    let resumed: Vec<_> = world
+        .endpoints
+        .iter()
+        .flat_map(Endpoint::arrivals)
+        .filter_map(|it| it.header("last-event-id").map(ToOwned::to_owned))
+        .collect();
+    assert_eq!(resumed, ["2"]);
+}
+
+// A stream that may not be resumed breaks off. It must not look whole, and must not run again.
+#[test]
+fn a_stream_that_cannot_go_on_does_not_look_whole() {
+    let world = world(&["e1", "e2"]);
+    let answer = world.instance.call("r1", "/single/events", "", "");
+    assert!(answer.contains("data: 2"), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(arrived(&world), 1);
+}
+
+// The connection breaks after a booking was sent. It may stand, so nobody is told that it has
+// not run, and it is sent nowhere else.
+#[test]
+fn what_may_have_run_is_neither_repeated_nor_denied() {
+    let world = world(&["e1", "e2"]);
+    let answer = world.instance.call("r1", "/once/cut", "", "");
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(!answer.contains("response-seal"), "{answer}");
+    assert_eq!(arrived(&world), 1);
+}
+
+#[test]
+fn a_full_endpoint_is_not_asked_twice_and_another_serves() {
+    let world = world(&["e1", "e2"]);
+    for _ in 0..6 {
+        let answer = world.instance.call("r1", "/once/full", "", "");
+        assert!(answer.ends_with("whole"), "{answer}");
+    }
+}
+
+#[test]
+fn a_route_s_time_ends_a_request_with_an_answer() {
+    let world = world(&["e1"]);
+    let answer = world.instance.call("r1", "/short/slow", "", "");
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+}
+
+// A caller gives up. Its endpoint would go on working for nobody.
+#[test]
+fn a_caller_that_leaves_is_followed_by_its_request() {
+    let world = world(&["e1"]);
+    let mut stream = world.instance.open();
+    send(&mut stream, "r1", "/safe/slow", "", "");
+    until("the request arrived", || arrived(&world) == 1);
+    drop(stream);
+    until("its endpoint was told", || world.endpoints[0].left() == 1);
+}
+
+#[test]
+fn a_revoked_key_is_refused_over_an_open_connection() {
+    let world = world(&["e1"]);
+    let mut stream = world.instance.open();
+    send(&mut stream, "r1", "/safe/a", "", "");
+    assert!(read_answer(&mut stream).starts_with("HTTP/1.1 200"));
+    world.store.put("op/config", &configuration(4, "k2"));
+    until("the key is refused", || {
+        send(&mut stream, "r2", "/safe/a", "", "");
+        read_answer(&mut stream).starts_with("HTTP/1.1 401")
+    });
+    // An older version that comes late changes nothing.
+    world.store.put("op/config", &configuration(3, "k1"));
+    world.store.put("servers/later", "x");
+    std::thread::sleep(Duration::from_millis(100));
+    send(&mut stream, "r3", "/safe/a", "", "");
+    assert!(read_answer(&mut stream).starts_with("HTTP/1.1 401"));
+}
+
+#[test]
+fn a_draining_endpoint_gets_no_new_work() {
+    let world = world(&["e1", "e2"]);
+    world
+        .store
+        .put("servers/e1", &world.endpoints[0].entry("draining"));
+    until("only e2 serves", || {
+        let answer = world.instance.call("r", "/safe/a", "", "");
+        answer.contains("response-seal: e2")
+    });
+    let before = world.endpoints[0].arrivals().len();
+    for _ in 0..20 {
+        world.instance.call("r", "/safe/a", "", "");
+    }
+    assert_eq!(world.endpoints[0].arrivals().len(), before);
+}
+
+// The store is away, and its history is gone when it returns. Work goes on meanwhile, and what
+// changed is taken up from a whole reading.
+#[test]
+fn an_outage_of_the_store_stops_nothing() {
+    let world = world(&["e1", "e2"]);
+    world.store.set_mood(Mood::Busy);
+    for _ in 0..5 {
+        let answer = world.instance.call("r", "/safe/a", "", "");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    world.store.remove("servers/e1");
+    world.store.forget_history();
+    world.store.set_mood(Mood::Well);
+    until("only e2 serves", || {
+        let before = world.endpoints[0].arrivals().len();
+        for _ in 0..8 {
+            world.instance.call("r", "/safe/a", "", "");
+        }
+        world.endpoints[0].arrivals().len() == before
+    });
+}
+
+#[test]
+fn instances_find_each_other_and_are_named_to_callers() {
+    let world = world(&["e1"]);
+    let other = Instance::start("i2", world.store.address).ready();
+    until("both are named", || {
+        let answer = get(world.instance.directory, "/api/resolve?Name=h&Zone=a").unwrap();
+        answer.contains(&other.callers.to_string())
+            && answer.contains(&world.instance.callers.to_string())
+    });
+    assert_eq!(
+        world.store.keys("instances/"),
+        ["instances/i1", "instances/i2"]
+    );
+    let page = get(other.metrics, "/metrics").unwrap();
+    assert!(page.contains("siskinyoke_state"), "{page}");
+}
+
+// An instance is told to stop while it serves. The request ends whole; new callers are sent
+// elsewhere, and the log tells what happened.
+#[test]
+fn an_instance_that_leaves_finishes_what_it_serves() {
+    let world = world(&["e1"]);
+    let mut stream = world.instance.open();
+    send(&mut stream, "r1", "/safe/nap", "", "");
+    until("the request arrived", || arrived(&world) == 1);
+    world.instance.signal(Signal::TERM);
+    let health = world.instance.health;
+    until("not ready", || {
+        world.instance.status(health, "/api/readyz") == Some(503)
+    });
+    let answer = read_answer(&mut stream);
+    assert!(answer.ends_with("whole"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    let mut rest = String::new();
+    stream.read_to_string(&mut rest).unwrap();
+    assert!(rest.is_empty(), "{rest}");
+    let log = world.instance.log();
+    for event in [
+        "start",
+        "store_regained",
+        "attempt",
+        "answer",
+        "leaving",
+        "stop",
+    ] {
+        assert!(
+            log.contains(&format!("\"event\":\"{event}\"")),
+            "{event}: {log}"
+        );
+    }
+}
+
+#[test]
+fn a_reload_signal_does_not_end_the_process() {
+    let world = world(&["e1"]);
+    world.instance.signal(Signal::HUP);
+    std::thread::sleep(Duration::from_millis(50));
+    let answer = world.instance.call("r", "/safe/a", "", "");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/whole/store.rs
@@ -0,0 +1,207 @@
+//! A small stand-in of the platform's store, in memory.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use serde_json::json;
+use tiny_http::Request;
+use tiny_http::Response;
+use tiny_http::Server;
+
+/// What the store does to the calls that reach it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mood {
+    /// It serves them.
+    Well,
+    /// It answers 503 to all.
+    Busy,
+}
+
+#[derive(Debug)]
+struct State {
+    items: BTreeMap<String, (u64, String)>,
+    changes: Vec<Value>,
+    revision: u64,
+    mood: Mood,
+    // Changes up to this revision are forgotten.
+    forgotten: u64,
+}
+
+/// A small stand-in of the platform's store, in memory.
+#[derive(Debug, Clone)]
+pub struct Store {
+    shared: Arc<(Mutex<State>, Condvar)>,
+    pub address: SocketAddr,
+}
+
+impl Store {
+    pub fn start() -> Self {
+        let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
+        let address = server.server_addr().to_ip().unwrap();
+        let state = State {
+            items: BTreeMap::new(),
+            changes: Vec::new(),
+            revision: 10,
+            mood: Mood::Well,
+            forgotten: 0,
+        };
+        let store = Self {
+            shared: Arc::new((Mutex::new(state), Condvar::new())),
+            address,
+        };
+        let serving = store.clone();
+        thread::spawn(move || {
+            for request in server.incoming_requests() {
+                let store = serving.clone();
+                thread::spawn(move || store.serve(request));
+            }
+        });
+        store
+    }
+
+    pub fn put(&self, key: &str, value: &str) {
+        let value = STANDARD.encode(value);
+        let (state, changed) = &*self.shared;
+        state.lock().unwrap().put(key, &value);
+        changed.notify_all();
+    }
+
+    pub fn remove(&self, key: &str) {
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        state
+            .changes
+            .push(json!({ "Key": key, "Revision": revision, "Deleted": true }));
+        changed.notify_all();
+    }
+
+    pub fn set_mood(&self, mood: Mood) {
+        let (state, changed) = &*self.shared;
+        state.lock().unwrap().mood = mood;
+        changed.notify_all();
+    }
+
+    pub fn forget_history(&self) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.forgotten = state.revision;
+        self.shared.1.notify_all();
+    }
+
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.shared.0.lock().unwrap();
+        state
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    fn serve(&self, mut request: Request) {
+        let (path, query) = split(request.url());
+        let mut body = String::new();
+        request.as_reader().read_to_string(&mut body).unwrap();
+        let (status, answer) = if self.mood() == Mood::Busy {
+            (503, json!({}))
+        } else {
+            self.answer(&path, &query, &body)
+        };
+        let response = Response::from_string(answer.to_string()).with_status_code(status);
+        // A caller that is gone needs no answer.
+        drop(request.respond(response));
+    }
+
+    fn answer(&self, path: &str, query: &BTreeMap<String, String>, body: &str) -> (u16, Value) {
+        match path {
+            "/api/kv-range" => (200, self.range(&query["Prefix"])),
+            "/api/kv-watch" => self.watch(query),
+            "/api/kv-lease" => (200, json!({ "Lease": 7, "TtlMs": 6000 })),
+            "/api/kv-txn" => (200, self.write(body)),
+            path if path.starts_with("/api/kv-keep/") => (200, json!({ "TtlMs": 6000 })),
+            _ => (404, json!({})),
+        }
+    }
+
+    fn range(&self, prefix: &str) -> Value {
+        let state = self.shared.0.lock().unwrap();
+        let items: Vec<_> = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix))
+            .map(|(key, (revision, value))| row(key, *revision, value))
+            .collect();
+        json!({ "Items": items, "HasMore": false, "At": state.revision })
+    }
+
+    fn watch(&self, query: &BTreeMap<String, String>) -> (u16, Value) {
+        let after: u64 = query["After"].parse().unwrap();
+        let wait: u64 = query["WaitMs"].parse().unwrap();
+        let (state, changed) = &*self.shared;
+        let state = state.lock().unwrap();
+        let quiet = |state: &mut State| {
+            state.revision <= after && state.mood == Mood::Well && state.forgotten <= after
+        };
+        let (state, _) = changed
+            .wait_timeout_while(state, Duration::from_millis(wait), quiet)
+            .unwrap();
+        if state.mood == Mood::Busy {
+            return (503, json!({}));
+        }
+        if state.forgotten > after {
+            return (410, json!({}));
+        }
+        let later = |it: &&Value| it["Revision"].as_u64().unwrap() > after;
+        let events: Vec<_> = state.changes.iter().filter(later).cloned().collect();
+        (200, json!({ "events": events, "At": state.revision }))
+    }
+
+    fn write(&self, body: &str) -> Value {
+        let body: Value = serde_json::from_str(body).unwrap();
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().unwrap();
+        for put in body["Puts"].as_array().unwrap() {
+            state.put(put["Key"].as_str().unwrap(), put["Value"].as_str().unwrap());
+        }
+        changed.notify_all();
+        json!({ "Revision": state.revision })
+    }
+
+    fn mood(&self) -> Mood {
+        self.shared.0.lock().unwrap().mood
+    }
+}
+
+impl State {
+    fn put(&mut self, key: &str, value: &str) {
+        self.revision += 1;
+        self.items
+            .insert(key.to_owned(), (self.revision, value.to_owned()));
+        self.changes.push(row(key, self.revision, value));
+    }
+}
+
+fn row(key: &str, revision: u64, value: &str) -> Value {
+    json!({ "Key": key, "Value": value, "Revision": revision, "Created": revision, "Lease": 0 })
+}
+
+fn split(url: &str) -> (String, BTreeMap<String, String>) {
+    let (path, query) = url.split_once('?').unwrap_or((url, ""));
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    (
+        path.to_owned(),
+        pairs
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect(),
+    )
+}
