--- a/crates/siskinyoke-dispatch/src/configuration.rs
+++ b/crates/siskinyoke-dispatch/src/configuration.rs
@@ -5,6 +5,9 @@
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
+/// The shortest silence after which callers leave a stream.
+const SILENCE: Millis = Millis(2_000);
+
 /// What may be repeated of a request, and what its answer looks like.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -29,6 +32,8 @@
     pub timeout: Millis,
     /// The latency objective: to the whole answer, or to a stream's first event.
     pub aim: Millis,
+    /// The longest pause between a stream's events for which its answer is on time.
+    pub gap: Millis,
     /// The priority, 0 first; an organisation's own priority goes before it.
     pub priority: u8,
     /// The services that serve it, with weights.
@@ -51,6 +56,21 @@
         }
     }
 
+    /// Returns how long a caller waits for the first part of an answer.
+    ///
+    /// Callers leave a stream that is silent for two seconds, four times its objective or eight
+    /// times its longest pause, whichever is longest, as their platform tells them to. What waits
+    /// here for longer would hold a place in the queue for nobody.
+    pub fn bearable(&self) -> Millis {
+        if self.kind != Kind::Stream {
+            return self.timeout;
+        }
+        let silence = SILENCE
+            .max(Millis(self.aim.0 * 4))
+            .max(Millis(self.gap.0 * 8));
+        silence.min(self.timeout)
+    }
+
     /// Picks the service for a request, spreading by weight; `draw` is any evenly spread number.
     pub fn target(&self, draw: u64) -> Option<&Arc<str>> {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.1)).sum();
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -393,9 +393,9 @@
 /// that its own run needs. Deferrable
 /// work waits only as long as its answer can still be on time.
 fn patience(ask: &Ask, load: Load) -> Millis {
-    let whole = ask.until.since(ask.arrived);
+    let whole = longest(ask, load);
     if urgent(ask) {
-        return whole.since(load.stay());
+        return whole;
     }
     let run = if ask.route.kind == Kind::Stream {
         load.first()
@@ -403,13 +403,19 @@
         load.stay()
     };
     let slack = ask.route.aim.since(run).as_secs() * 1000.0 * PATIENCE;
-    whole.since(run).min(crate::load::millis(slack))
+    whole.min(crate::load::millis(slack))
 }
 
-/// Returns how long a request may wait whose answer will be late.
+/// Returns how long a request may wait whose answer will be late: half of its time, so that its
+/// caller has the other half to come back in.
 fn endurance(ask: &Ask, load: Load) -> Millis {
-    let whole = ask.until.since(ask.arrived);
-    Millis(whole.0 / 2).min(whole.since(load.stay()))
+    Millis(ask.until.since(ask.arrived).0 / 2).min(longest(ask, load))
+}
+
+// The longest wait after which the caller is still there for the answer.
+fn longest(ask: &Ask, load: Load) -> Millis {
+    let whole = ask.until.since(ask.arrived).since(load.stay());
+    whole.min(ask.route.bearable().since(load.first()))
 }
 
 // Whether a request waits as long as its caller does, in the order of its arrival.
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -37,6 +37,7 @@
         kind,
         timeout: Millis(5_000),
         aim: Millis(500),
+        gap: Millis(400),
         priority,
         targets: vec![("lm".into(), 1)],
         attempts: 2,
