--- a/crates/siskinyoke-dispatch/src/allowance.rs
+++ b/crates/siskinyoke-dispatch/src/allowance.rs
@@ -13,6 +13,12 @@
 /// instance that a bucket lets in on credit.
 const USED: f64 = 0.75;
 
+/// The part of a burst that a process finds in the bucket when it starts.
+///
+/// Nothing at all refuses the first requests after a restart of all instances, though nobody sends
+/// beyond its allowance. More would be granted twice if somebody does.
+const START: f64 = 0.15;
+
 /// How the operators measure allowances.
 #[derive(Debug, Clone, Copy)]
 pub struct Measure {
@@ -27,7 +33,7 @@
 /// One organisation's token bucket, less what every instance that is heard reports as used.
 ///
 /// It fills so fast that a full burst and the filling of one window make just the operators'
-/// limit. It is empty when a process starts: were all instances killed at once, what they granted
+/// limit. It is all but empty when a process starts: were all instances killed at once, what they granted
 /// before and what they grant after still keeps to one burst and one filling in any window.
 #[derive(Debug)]
 struct Bucket {
@@ -69,7 +75,9 @@
     }
 
     /// Takes over the organisations of a configuration; levels of those that stay are kept.
-    pub fn configure(&mut self, now: Millis, organisations: &[Arc<Organisation>]) {
+    ///
+    /// `share` is the part of the fleet that this instance can speak for.
+    pub fn configure(&mut self, now: Millis, organisations: &[Arc<Organisation>], share: f64) {
         let mut buckets = Map::default();
         for organisation in organisations {
             let key = short(&organisation.name);
@@ -89,7 +97,7 @@
                 None => Bucket {
                     rate,
                     burst,
-                    level: 0.0,
+                    level: burst * START * share,
                     filled: now,
                     own: 0.0,
                 },
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -141,8 +141,9 @@
             return false;
         }
         self.started.get_or_insert(now);
+        let share = self.peers.share(now);
         self.allowances
-            .configure(now, configuration.organisations());
+            .configure(now, configuration.organisations(), share);
         self.configuration = Some(Arc::new(configuration));
         true
     }
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -46,7 +46,7 @@
 /// How much worse an endpoint in another data centre is taken to be, as a part of its pace.
 ///
 /// Enough to decide between equals, too little to leave a faster one idle.
-const FAR: f64 = 0.08;
+const FAR: f64 = 0.3;
 
 /// How much a failure weighs against an endpoint when one is chosen.
 const FAILING: f64 = 3.0;
