--- a/crates/siskinyoke-dispatch/src/budget.rs
+++ b/crates/siskinyoke-dispatch/src/budget.rs
@@ -17,17 +17,15 @@
 #[derive(Debug)]
 pub struct Budget {
     ratio: f64,
-    floor: f64,
     requests: VecDeque<Millis>,
     retries: VecDeque<Millis>,
 }
 
 impl Budget {
-    /// Makes a budget of a part of the requests plus a floor for quiet times.
-    pub fn new(ratio: f64, floor: f64) -> Self {
+    /// Makes a budget of a part of the requests.
+    pub fn new(ratio: f64) -> Self {
         Self {
             ratio,
-            floor,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
         }
@@ -39,11 +37,11 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry if the budget has it.
-    pub fn take(&mut self, now: Millis) -> bool {
+    /// Takes one retry if the budget, with a `floor` for quiet times, has it.
+    pub fn take(&mut self, now: Millis, floor: f64) -> bool {
         expire(&mut self.requests, now);
         expire(&mut self.retries, now);
-        let allowed = self.ratio * count(&self.requests) + self.floor;
+        let allowed = self.ratio * count(&self.requests) + floor;
         if count(&self.retries) + 1.0 > allowed {
             return false;
         }
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -17,11 +17,14 @@
 use crate::allowance::Allowances;
 use crate::allowance::Measure;
 use crate::budget::Budget;
+use crate::cells;
 use crate::directory;
+use crate::listing::Listing;
 use crate::peers::Heard;
 use crate::peers::Peers;
 use crate::registry::Registry;
 use crate::report::About;
+use crate::report::Place;
 use crate::scheduler::Decision;
 use crate::suspects::Suspects;
 use siskinyoke_base::Map;
@@ -36,22 +39,23 @@
 /// When a caller should come back whose work crashed endpoints: not soon.
 const SUSPECT: Millis = Millis::from_secs(30);
 
+/// The fewest instances among which the retries beside the budget's ratio are shared out.
+///
+/// A few more than the smallest deployments have, as the list may lag behind machines added.
+const FLEET: usize = 12;
+
 /// What an instance is, fixed for the life of its process.
 #[derive(Debug, Clone)]
 pub struct Identity {
     /// Its name.
     pub name: String,
-    /// Its data centre.
-    pub centre: String,
-    /// Where callers reach it.
-    pub front: String,
-    /// Where peers reach it.
-    pub inner: String,
+    /// Where it is found.
+    pub place: Place,
     /// Names this start of its process; drawn at random.
     pub source: u64,
     /// The part of a service's requests that may be sent again, over all instances.
     pub retries: f64,
-    /// Retries allowed beside that part, for this instance.
+    /// Retries allowed beside that part, over all instances.
     pub floor: f64,
     /// How allowances are measured.
     pub measure: Measure,
@@ -103,6 +107,8 @@
     registry: Registry,
     scheduler: Scheduler,
     peers: Peers,
+    instances: Listing<Place>,
+    cellmates: Vec<String>,
     allowances: Allowances,
     budgets: Map<Arc<str>, Budget>,
     suspects: Suspects,
@@ -117,12 +123,14 @@
 impl Core {
     /// Makes the state of an instance that knows nothing yet.
     pub fn new(me: Identity) -> Self {
-        let scheduler = Scheduler::new(&me.centre);
+        let scheduler = Scheduler::new(&me.place.centre);
         Self {
             configuration: None,
             registry: Registry::default(),
             scheduler,
             peers: Peers::default(),
+            instances: Listing::default(),
+            cellmates: Vec::new(),
             allowances: Allowances::new(me.measure),
             budgets: Map::default(),
             suspects: Suspects::default(),
@@ -168,9 +176,41 @@
         &self.peers
     }
 
-    /// Takes note of how many instances the store lists.
-    pub fn listed(&mut self, count: usize) {
-        self.peers.listed(count);
+    /// Takes note of an instance's entry in the store.
+    pub fn list(&mut self, name: &str, place: Place) {
+        self.instances.put(name, place);
+        self.settle();
+    }
+
+    /// Takes note that an instance's entry is gone.
+    pub fn unlist(&mut self, now: Millis, name: &str) {
+        self.instances.remove(now, name);
+        self.settle();
+    }
+
+    /// Takes note of the instances that a whole reading of the store found.
+    pub fn keep_listed(&mut self, now: Millis, found: &[String]) {
+        self.instances.keep(now, found);
+        self.settle();
+    }
+
+    /// Takes note that the store could not be reached.
+    pub fn store_lost(&mut self) {
+        self.registry.store_lost();
+        self.instances.store_lost();
+    }
+
+    /// Takes note that the store answers again.
+    pub fn store_back(&mut self, now: Millis) {
+        self.registry.store_back(now);
+        self.instances.store_back(now);
+    }
+
+    /// Returns the listed instances, with whether each belongs to this one's cell.
+    pub fn listed(&self) -> impl Iterator<Item = (&Place, bool)> {
+        let mine = |name: &str| self.cellmates.iter().any(|it| it == name);
+        let others = self.instances.iter().filter(|row| row.0 != self.me.name);
+        others.map(move |(name, place)| (place, mine(name)))
     }
 
     /// Returns the queues.
@@ -287,17 +327,26 @@
             && self
                 .scheduler
                 .elsewhere(now, &ask, &self.registry, &self.peers)
-            && self.budget(&ask.service).take(now)
+            && {
+                let floor = self.floor();
+                self.budget(&ask.service).take(now, floor)
+            }
     }
 
     /// Takes in a peer's report; returns whether the peer, or its start, is new.
     pub fn heard(&mut self, now: Millis, report: Report) -> bool {
         let source = report.source;
+        let mut mate = true;
         if let Some(about) = &report.about {
             if about.name == self.me.name {
                 return false;
             }
             self.learn(now, about);
+            mate = self.cells() == 1 || self.cellmates.contains(&about.name);
+        }
+        if !mate {
+            self.peers.dismiss(source);
+            return false;
         }
         let spent = report.spent.clone();
         let young = Millis(report.age) <= self.age(now) + TOGETHER;
@@ -327,6 +376,9 @@
     /// Does what is due with time: drops what is gone.
     pub fn sweep(&mut self, now: Millis) {
         self.registry.sweep(now);
+        if self.instances.sweep(now) {
+            self.settle();
+        }
         for source in self.peers.sweep(now) {
             self.allowances.forget(source);
         }
@@ -357,12 +409,43 @@
             .peers
             .fresh(now)
             .filter(|it| it.report.ready && !it.report.leaving);
-        let ready = peers
-            .map(|peer| &peer.about)
-            .chain(self.ready().then_some(&own));
+        let mates = peers.map(|peer| &peer.about.place);
+        let others = self.listed().filter(|row| !row.1).map(|row| row.0);
+        let others = others.filter(|_| self.cells() > 1);
+        let ready = mates
+            .chain(self.ready().then_some(&own.place))
+            .chain(others);
         directory::choose(centre, ready)
     }
 
+    fn cells(&self) -> usize {
+        cells::count(self.instances.iter().count())
+    }
+
+    // Finds out which cell of the fleet this instance belongs to.
+    fn settle(&mut self) {
+        self.peers.listed(self.instances.iter().count());
+        let cells = self.cells();
+        let members = self
+            .instances
+            .iter()
+            .map(|(name, place)| (&*place.centre, name));
+        let assigned = cells::assign(members, cells);
+        let own = assigned.get(&*self.me.name).copied().unwrap_or(0);
+        let mates = assigned
+            .iter()
+            .filter(|row| *row.1 == own)
+            .map(|row| (*row.0).to_owned());
+        self.cellmates = mates.collect();
+        self.registry.settle(own, cells);
+    }
+
+    // The part of the retries beside the budget's ratio that is this instance's.
+    fn floor(&self) -> f64 {
+        let fleet = self.instances.iter().count().max(FLEET);
+        self.me.floor / 2.0 / f64::from(u32::try_from(fleet).unwrap_or(u32::MAX))
+    }
+
     fn age(&self, now: Millis) -> Millis {
         self.started
             .map_or(Millis::ZERO, |started| now.since(started))
@@ -371,9 +454,7 @@
     fn about(&self, now: Millis) -> About {
         About {
             name: self.me.name.clone(),
-            front: self.me.front.clone(),
-            inner: self.me.inner.clone(),
-            centre: self.me.centre.clone(),
+            place: self.me.place.clone(),
             leavers: self.registry.news(),
             suspects: self.suspects.news(TOLD),
             peers: self.inner_addresses(now),
@@ -385,7 +466,7 @@
         let all: Vec<&String> = self
             .peers
             .fresh(now)
-            .map(|peer| &peer.about.inner)
+            .map(|peer| &peer.about.place.inner)
             .collect();
         let skip = usize::try_from(self.number).unwrap_or(0) % all.len().max(1);
         all.iter()
@@ -398,10 +479,9 @@
 
     fn budget(&mut self, service: &Arc<str>) -> &mut Budget {
         let ratio = self.me.retries * 0.8;
-        let floor = self.me.floor;
         self.budgets
             .entry(service.clone())
-            .or_insert_with(|| Budget::new(ratio, floor))
+            .or_insert_with(|| Budget::new(ratio))
     }
 
     fn take_allowance(&mut self, now: Millis, pass: &Pass) -> Result<(), Refusal> {
@@ -435,7 +515,8 @@
         if outcome == Outcome::Silent {
             return true;
         }
-        ask.sent < ask.route.attempts && self.budget(&ask.service).take(now)
+        let floor = self.floor();
+        ask.sent < ask.route.attempts && self.budget(&ask.service).take(now, floor)
     }
 }
 
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod allowance;
 pub mod ask;
 pub mod budget;
+pub mod cells;
 pub mod configuration;
 pub mod core;
 pub mod directory;
 pub mod endpoint;
 pub mod health;
+pub mod listing;
 pub mod load;
 pub mod outcome;
 pub mod peers;
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/listing.rs
@@ -0,0 +1,106 @@
+//! Entries of the store that live as long as their writer renews them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use siskinyoke_base::Millis;
+
+/// How long entries may be missing after the store came back from an outage.
+///
+/// Their leases may have run out while the store was away; living writers are back within two
+/// seconds of its return. Dropping their entries at once would refuse all work for that time.
+const RETURN: Millis = Millis(2_300);
+
+#[derive(Debug, Clone)]
+struct Entry<T> {
+    value: T,
+    // Set while the entry is missing from the store: believed until then.
+    missing: Option<Millis>,
+}
+
+/// Entries of the store that live as long as their writer renews them.
+#[derive(Debug)]
+pub struct Listing<T> {
+    entries: BTreeMap<Arc<str>, Entry<T>>,
+    away: bool,
+    back: Option<Millis>,
+}
+
+impl<T> Default for Listing<T> {
+    fn default() -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            away: false,
+            back: None,
+        }
+    }
+}
+
+impl<T> Listing<T> {
+    /// Takes note that the store could not be reached.
+    pub fn store_lost(&mut self) {
+        self.away = true;
+        self.back = None;
+    }
+
+    /// Takes note that the store answers again.
+    pub fn store_back(&mut self, now: Millis) {
+        if self.away {
+            self.away = false;
+            self.back = Some(now);
+        }
+    }
+
+    /// Adds an entry or replaces it.
+    pub fn put(&mut self, name: &str, value: T) {
+        self.entries.insert(
+            name.into(),
+            Entry {
+                value,
+                missing: None,
+            },
+        );
+    }
+
+    /// Takes note that an entry is gone.
+    pub fn remove(&mut self, now: Millis, name: &str) {
+        let grace = self.grace(now);
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        entry.missing.get_or_insert(now + grace);
+        self.sweep(now);
+    }
+
+    /// Takes note of what a whole reading of the store found.
+    pub fn keep(&mut self, now: Millis, found: &[String]) {
+        let gone = |name: &&Arc<str>| !found.iter().any(|it| **it == ***name);
+        let missing: Vec<Arc<str>> = self.entries.keys().filter(gone).cloned().collect();
+        for name in missing {
+            self.remove(now, &name);
+        }
+    }
+
+    /// Drops entries whose time is over, and returns whether there were any.
+    pub fn sweep(&mut self, now: Millis) -> bool {
+        let before = self.entries.len();
+        self.entries
+            .retain(|_, entry| entry.missing.is_none_or(|until| now < until));
+        self.entries.len() < before
+    }
+
+    /// Returns the entries, in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &T)> {
+        self.entries
+            .iter()
+            .map(|(name, entry)| (&**name, &entry.value))
+    }
+
+    fn grace(&self, now: Millis) -> Millis {
+        match self.back {
+            _ if self.away => RETURN,
+            Some(back) => RETURN.since(now.since(back)),
+            None => Millis::ZERO,
+        }
+    }
+}
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -103,6 +103,11 @@
         Heard::First(before)
     }
 
+    /// Forgets a peer that is none of this instance's cell.
+    pub fn dismiss(&mut self, source: u64) {
+        self.known.remove(&source);
+    }
+
     /// Drops peers that left, or that were silent for long, and returns their sources.
     pub fn sweep(&mut self, now: Millis) -> Vec<u64> {
         let mut gone = Vec::new();
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -1,119 +1,97 @@
-//! The endpoints that are known, and which of them may get new work.
+//! The endpoints that are known, and which of them may get new work from here.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::Endpoint;
-use crate::EndpointKey;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
-/// How long endpoints may be missing after the store came back from an outage.
-///
-/// Their leases may have run out while the store was away; living ones are back within two
-/// seconds of its return. Dropping them at once would refuse all work for that time.
-const RETURN: Millis = Millis(2_300);
+use crate::Endpoint;
+use crate::EndpointKey;
+use crate::cells;
+use crate::listing::Listing;
 
 /// How many endpoints known to have left are told to peers; the latest are enough, as the store
 /// tells the same within seconds.
 const TOLD: usize = 16;
 
-#[derive(Debug, Clone)]
-struct Entry {
-    endpoint: Arc<Endpoint>,
-    // Set while the entry is missing from the store: used until then.
-    missing: Option<Millis>,
-}
+/// The endpoints that each cell needs of a service, so that a failed request has another to go to.
+const FEWEST: usize = 2;
 
 /// The endpoints that are known, by the key they have in the store.
 #[derive(Debug, Default)]
 pub struct Registry {
-    entries: BTreeMap<Arc<str>, Entry>,
+    listing: Listing<Arc<Endpoint>>,
     leavers: Map<EndpointKey, Millis>,
-    away: Option<Millis>,
-    back: Option<Millis>,
+    cell: usize,
+    cells: usize,
+    // The endpoints that may get new work from here, by service.
+    fit: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>>,
 }
 
 impl Registry {
     /// Takes note that the store could not be reached.
-    pub fn store_lost(&mut self, now: Millis) {
-        self.away.get_or_insert(now);
-        self.back = None;
+    pub fn store_lost(&mut self) {
+        self.listing.store_lost();
     }
 
     /// Takes note that the store answers again.
     pub fn store_back(&mut self, now: Millis) {
-        if self.away.take().is_some() {
-            self.back = Some(now);
+        self.listing.store_back(now);
+    }
+
+    /// Takes note of which cell of how many this instance belongs to.
+    pub fn settle(&mut self, cell: usize, cells: usize) {
+        if (self.cell, self.cells) != (cell, cells) {
+            (self.cell, self.cells) = (cell, cells);
+            self.choose();
         }
     }
 
     /// Adds an endpoint or replaces what it said of itself.
     pub fn put(&mut self, now: Millis, endpoint: Endpoint) {
-        if endpoint.draining {
-            self.leavers.insert(endpoint.key(), now);
-        }
-        let id = endpoint.id.clone();
-        let entry = Entry {
-            endpoint: Arc::new(endpoint),
-            missing: None,
-        };
-        self.entries.insert(id, entry);
+        self.add(now, endpoint);
+        self.choose();
     }
 
     /// Takes note that an endpoint's entry is gone.
     pub fn remove(&mut self, now: Millis, id: &str) {
-        let grace = self.grace(now);
-        let Some(entry) = self.entries.get_mut(id) else {
-            return;
-        };
-        let until = entry.missing.unwrap_or(now + grace);
-        entry.missing = Some(until);
-        self.sweep(now);
+        self.listing.remove(now, id);
+        self.choose();
     }
 
     /// Replaces everything by what a whole reading of the store found.
     pub fn replace(&mut self, now: Millis, endpoints: Vec<Endpoint>) {
-        let found: Vec<Arc<str>> = endpoints
-            .iter()
-            .map(|endpoint| endpoint.id.clone())
-            .collect();
+        let found: Vec<String> = endpoints.iter().map(|it| it.id.to_string()).collect();
         for endpoint in endpoints {
-            self.put(now, endpoint);
-        }
-        let missing: Vec<Arc<str>> = self
-            .entries
-            .keys()
-            .filter(|id| !found.contains(id))
-            .cloned()
-            .collect();
-        for id in missing {
-            self.remove(now, &id);
+            self.add(now, endpoint);
         }
+        self.listing.keep(now, &found);
+        self.choose();
     }
 
     /// Takes over from a peer that an endpoint is leaving or gone.
     pub fn left(&mut self, now: Millis, key: EndpointKey) {
-        self.leavers.entry(key).or_insert(now);
+        if self.leavers.insert(key, now).is_none() {
+            self.choose();
+        }
     }
 
     /// Drops entries whose time is over.
     pub fn sweep(&mut self, now: Millis) {
-        self.entries
-            .retain(|_, entry| entry.missing.is_none_or(|until| now < until));
+        if self.listing.sweep(now) {
+            self.choose();
+        }
     }
 
-    /// Returns the endpoints of a service that may get new work, in a fixed order.
-    pub fn fit<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Endpoint>> {
-        self.entries
-            .values()
-            .map(|entry| &entry.endpoint)
-            .filter(move |endpoint| &*endpoint.service == service && !self.leaving(endpoint))
+    /// Returns the endpoints of a service that may get new work from here, in a fixed order.
+    pub fn fit(&self, service: &str) -> &[Arc<Endpoint>] {
+        self.fit.get(service).map_or(&[], Vec::as_slice)
     }
 
     /// Returns all endpoints that are known.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
-        self.entries.values().map(|entry| &entry.endpoint)
+        self.listing.iter().map(|row| row.1)
     }
 
     /// Returns the endpoints known to be leaving or gone that peers should hear of.
@@ -123,17 +101,81 @@
         all.into_iter().take(TOLD).map(|(_, key)| key).collect()
     }
 
+    fn add(&mut self, now: Millis, endpoint: Endpoint) {
+        if endpoint.draining {
+            self.leavers.insert(endpoint.key(), now);
+        }
+        let id = endpoint.id.clone();
+        self.listing.put(&id, Arc::new(endpoint));
+    }
+
+    fn choose(&mut self) {
+        let mut services: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>> = BTreeMap::new();
+        for endpoint in self.listing.iter().map(|row| row.1) {
+            if !self.leaving(endpoint) {
+                services
+                    .entry(endpoint.service.clone())
+                    .or_default()
+                    .push(endpoint.clone());
+            }
+        }
+        for endpoints in services.values_mut() {
+            *endpoints = self.own(endpoints);
+        }
+        self.fit = services;
+    }
+
+    // The endpoints of a service that belong to this instance's cell.
+    fn own(&self, endpoints: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
+        if self.cells <= 1 {
+            return endpoints.to_vec();
+        }
+        if endpoints.len() < FEWEST * self.cells {
+            return self.shared(endpoints);
+        }
+        let members = endpoints.iter().map(|it| (&*it.centre, &*it.id));
+        let assigned = cells::assign(members, self.cells);
+        let mine = |it: &&Arc<Endpoint>| assigned.get(&*it.id) == Some(&self.cell);
+        endpoints.iter().filter(mine).cloned().collect()
+    }
+
+    // Too few endpoints for each cell to have its own: cells share them. Each takes half as much
+    // again as its even part, as the cells' peaks seldom meet.
+    fn shared(&self, endpoints: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
+        let count = endpoints.len();
+        let all: Vec<Vec<usize>> = (0..self.cells)
+            .map(|cell| few(cell, self.cells, count))
+            .collect();
+        few(self.cell, self.cells, count)
+            .into_iter()
+            .map(|at| {
+                let users = all.iter().filter(|few| few.contains(&at)).count();
+                let users = u32::try_from(users).unwrap_or(u32::MAX);
+                let endpoint = &endpoints[at];
+                let part = (endpoint.slots * 3).div_ceil(users * 2).max(2);
+                Arc::new(Endpoint {
+                    slots: part.min(endpoint.slots),
+                    ..(**endpoint).clone()
+                })
+            })
+            .collect()
+    }
+
     // A start that once said it was leaving stays leaving, whatever an older entry says later.
     fn leaving(&self, endpoint: &Endpoint) -> bool {
         endpoint.draining || self.leavers.contains_key(&endpoint.key())
     }
+}
 
-    fn grace(&self, now: Millis) -> Millis {
-        let recent = self.back.is_some_and(|back| now.since(back) < RETURN);
-        match (self.away, self.back) {
-            (Some(_), _) => RETURN,
-            (None, Some(back)) if recent => RETURN.since(now.since(back)),
-            _ => Millis::ZERO,
+// The places of a cell's endpoints among a few: each one in some cell, and for each cell two.
+fn few(cell: usize, cells: usize, count: usize) -> Vec<usize> {
+    let mut few: Vec<usize> = (cell..count).step_by(cells).collect();
+    let first = few.first().copied().unwrap_or(cell % count);
+    let more = (0..count).map(|step| (first + step) % count);
+    for at in more.take(FEWEST) {
+        if few.len() < FEWEST && !few.contains(&at) {
+            few.push(at);
         }
     }
+    few
 }
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -32,17 +32,24 @@
     pub about: Option<About>,
 }
 
-/// What an instance tells of itself now and then.
+/// Where an instance is found.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct About {
-    /// Its name.
-    pub name: String,
+pub struct Place {
     /// Where callers reach it.
     pub front: String,
     /// Where peers reach it.
     pub inner: String,
     /// Its data centre.
     pub centre: String,
+}
+
+/// What an instance tells of itself now and then.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct About {
+    /// Its name.
+    pub name: String,
+    /// Where it is found.
+    pub place: Place,
     /// Endpoints it knows to be leaving or gone.
     pub leavers: Vec<EndpointKey>,
     /// Work that crashed endpoints, with the number of crashes.
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -260,6 +260,7 @@
     ) -> Vec<(Arc<Endpoint>, u32)> {
         registry
             .fit(service)
+            .iter()
             .filter_map(|endpoint| {
                 let key = endpoint.key();
                 if self
@@ -447,7 +448,11 @@
 }
 
 fn places(service: &str, registry: &Registry) -> u32 {
-    registry.fit(service).map(|endpoint| endpoint.slots).sum()
+    registry
+        .fit(service)
+        .iter()
+        .map(|endpoint| endpoint.slots)
+        .sum()
 }
 
 fn place(ticket: Ticket, ask: &Ask) -> Place {
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -30,10 +30,6 @@
 /// How often what is gone is dropped, and log lines are handed to their writer.
 const SWEEP: Millis = Millis(200);
 
-/// The most instances that a deployment is expected to have; retries beside the budget's part
-/// are shared out among so many.
-const INSTANCES: f64 = 12.0;
-
 /// Runs an instance until it is told to stop.
 ///
 /// One thread serves everything: an instance has a part of one core, and handing work between
@@ -82,12 +78,10 @@
 fn identity(settings: &Settings) -> Identity {
     Identity {
         name: settings.instance.clone(),
-        centre: settings.centre.clone(),
-        front: settings.listen.callers.to_string(),
-        inner: settings.listen.peers.to_string(),
+        place: settings.place(),
         source: rand::random(),
         retries: settings.bounds.retry_ratio,
-        floor: settings.bounds.retry_slack / 2.0 / INSTANCES,
+        floor: settings.bounds.retry_slack,
         measure: Measure {
             window: settings.quota_window(),
             overage: settings.bounds.quota_overage,
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -2,12 +2,12 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom;
 use serde_json::json;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -16,6 +16,7 @@
 use crate::inner;
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Report;
 
 /// How often an instance reports that has nothing new to say.
@@ -36,6 +37,9 @@
 /// The longest report that is sent, in bytes; longer ones may be cut up on their way.
 const LARGEST: usize = 8 * 1024;
 
+/// Instances of other cells that are told in each search.
+const OTHERS: usize = 3;
+
 /// How old a configuration here may be against a peer's before it is fetched from there.
 ///
 /// The store brings it within milliseconds where it can be reached.
@@ -45,7 +49,6 @@
 #[derive(Debug)]
 pub struct Gossip {
     socket: UdpSocket,
-    listed: RefCell<BTreeMap<String, SocketAddr>>,
     told: RefCell<BTreeSet<SocketAddr>>,
     searching: Cell<bool>,
 }
@@ -62,24 +65,15 @@
         })?;
         Ok(Self {
             socket,
-            listed: RefCell::default(),
             told: RefCell::default(),
             searching: Cell::new(false),
         })
     }
 
-    /// Takes note of an instance's entry in the store.
+    /// Looks for peers at once.
     ///
-    /// A new entry is looked up at once: until instances hear of each other, each can only guess
-    /// what the others use.
-    pub fn listed(&self, shell: &Shell, name: &str, value: Option<&[u8]>) {
-        let address = value.and_then(|it| std::str::from_utf8(it).ok()?.parse().ok());
-        let mut listed = self.listed.borrow_mut();
-        match address {
-            Some(address) => listed.insert(name.to_owned(), address),
-            None => listed.remove(name),
-        };
-        shell.core.borrow_mut().listed(listed.len());
+    /// Until instances hear of each other, each can only guess what the others use.
+    pub fn search(&self, shell: &Shell) {
         self.searching.set(true);
         shell.changed.notify_one();
     }
@@ -179,19 +173,32 @@
         let mut all: BTreeSet<SocketAddr> = core
             .peers()
             .fresh(now)
-            .filter_map(|peer| peer.about.inner.parse().ok())
+            .filter_map(|peer| peer.about.place.inner.parse().ok())
             .collect();
         let settings = shell.settings();
         if search {
-            all.extend(self.listed.borrow().values());
-            all.append(&mut self.told.borrow_mut());
-            all.extend(&settings.seeds);
+            all.extend(listed(&core));
+            if core.listed().next().is_none() {
+                all.append(&mut self.told.borrow_mut());
+                all.extend(&settings.seeds);
+            }
         }
         all.remove(&settings.listen.peers);
         all
     }
 }
 
+// The listed instances of this one's cell, and a few others by chance: so news of work that
+// crashes endpoints reaches all cells in some rounds.
+fn listed(core: &Core) -> Vec<SocketAddr> {
+    let (mates, others): (Vec<_>, Vec<_>) = core.listed().partition(|row| row.1);
+    let some = others.choose_multiple(&mut rand::rng(), OTHERS);
+    let places = mates.iter().chain(some).map(|row| row.0);
+    places
+        .filter_map(|place| place.inner.parse().ok())
+        .collect()
+}
+
 fn pressed(shell: &Shell, now: Millis) -> bool {
     let core = shell.core.borrow();
     core.scheduler().size().0 > 0
--- a/crates/siskinyoke-gateway/src/inner.rs
+++ b/crates/siskinyoke-gateway/src/inner.rs
@@ -76,7 +76,7 @@
             let inner = core
                 .peers()
                 .fresh(shell.now())
-                .map(|peer| peer.about.inner.clone());
+                .map(|peer| peer.about.place.inner.clone());
             inner.filter_map(|it| it.parse().ok()).collect()
         };
         turn += 1;
--- a/crates/siskinyoke-gateway/src/presence.rs
+++ b/crates/siskinyoke-gateway/src/presence.rs
@@ -15,10 +15,10 @@
 /// How long the entry outlives this process.
 ///
 /// It is only a place to look for others; who is alive shows in their reports.
-const LEASE: Millis = Millis(6_000);
+const LEASE: Millis = Millis(4_500);
 
 /// How often the lease is renewed: twice may fail.
-const RENEW: Millis = Millis(2_000);
+const RENEW: Millis = Millis(1_500);
 
 /// How long a call may take.
 const LIMIT: Millis = Millis(1_500);
@@ -36,10 +36,14 @@
             Ok(kept) => lease = kept,
             Err(err) => shell.log("presence_failed", json!({ "error": err.to_string() })),
         }
-        if lease.is_some() && shell.core.borrow().leaving() {
+        tokio::select! {
+            () = sleep(RENEW.into()) => {}
+            () = shell.leaving.notified() => {}
+        }
+        if shell.core.borrow().leaving() {
+            leave(&shell, &mut client, lease).await;
             return;
         }
-        sleep(RENEW.into()).await;
     }
 }
 
@@ -50,7 +54,7 @@
         .await?;
     let lease = store::decode_grant(&body)?;
     let key = format!("{}{}", names::INSTANCE_PREFIX, settings.instance);
-    let value = settings.listen.peers.to_string();
+    let value = json!(settings.place()).to_string();
     client
         .call(
             settings.store,
@@ -62,6 +66,15 @@
     Ok(lease)
 }
 
+// Takes the entry away, so that callers are sent here no more; else the lease does so in time.
+async fn leave(shell: &Shell, client: &mut Client, lease: Option<u64>) {
+    let Some(lease) = lease else { return };
+    let address = shell.settings().store;
+    if let Err(err) = client.call(address, &store::end(lease), LIMIT).await {
+        shell.log("presence_failed", json!({ "error": err.to_string() }));
+    }
+}
+
 // Returns the lease, or nothing if it has ended and the entry is to be written anew.
 async fn renew(shell: &Shell, client: &mut Client, lease: u64) -> Result<Option<u64>, StoreError> {
     let address = shell.settings().store;
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::report::Place;
 
 quick_error! {
     /// What is wrong with a settings file.
@@ -117,6 +118,15 @@
         Ok(settings)
     }
 
+    /// Returns where this instance is found.
+    pub fn place(&self) -> Place {
+        Place {
+            front: self.listen.callers.to_string(),
+            inner: self.listen.peers.to_string(),
+            centre: self.centre.clone(),
+        }
+    }
+
     /// Returns the time from the signal to stop to a kill.
     pub fn grace(&self) -> Millis {
         seconds(self.bounds.grace_s)
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -132,6 +132,7 @@
         let now = self.shell.now();
         let mut endpoints = Vec::new();
         let mut raw = Vec::new();
+        let mut instances = Vec::new();
         for item in items {
             let Some(value) = &item.value else { continue };
             match endpoint::id(&item.key) {
@@ -139,7 +140,11 @@
                     endpoints.extend(self.endpoint(id, value));
                     raw.push((id.to_owned(), value.clone()));
                 }
-                None => self.change(item),
+                None => {
+                    let instance = item.key.strip_prefix(names::INSTANCE_PREFIX);
+                    instances.extend(instance.map(ToOwned::to_owned));
+                    self.change(item);
+                }
             }
         }
         let count = endpoints.len();
@@ -148,6 +153,7 @@
             .borrow_mut()
             .registry()
             .replace(now, endpoints);
+        self.shell.core.borrow_mut().keep_listed(now, &instances);
         self.shell.raw.borrow_mut().endpoints = raw.into_iter().collect();
         self.shell.log("store_read", json!({ "endpoints": count }));
         self.shell.decide();
@@ -161,7 +167,7 @@
                 adopt(&self.shell, &value, "store");
             }
         } else if let Some(name) = item.key.strip_prefix(names::INSTANCE_PREFIX) {
-            self.gossip.listed(&self.shell, name, item.value.as_deref());
+            self.change_instance(name, item.value.as_deref());
         }
     }
 
@@ -190,16 +196,26 @@
         }
     }
 
+    fn change_instance(&self, name: &str, value: Option<&[u8]>) {
+        let mut core = self.shell.core.borrow_mut();
+        match value.map(serde_json::from_slice) {
+            Some(Ok(place)) => core.list(name, place),
+            Some(Err(err)) => {
+                drop(core);
+                let fields = json!({ "instance": name, "error": err.to_string() });
+                self.shell.log("instance_unreadable", fields);
+            }
+            None => core.unlist(self.shell.now(), name),
+        }
+        self.gossip.search(&self.shell);
+    }
+
     fn endpoint(&self, id: &str, value: &[u8]) -> Option<Endpoint> {
         decode_endpoint(&self.shell, id, value)
     }
 
     fn answered(&mut self) {
-        self.shell
-            .core
-            .borrow_mut()
-            .registry()
-            .store_back(self.shell.now());
+        self.shell.core.borrow_mut().store_back(self.shell.now());
         if !self.shell.stored.replace(true) {
             self.shell.log("store_regained", json!({}));
         }
@@ -208,11 +224,7 @@
     fn failed(&mut self, err: &StoreError) {
         // After a doubt, or where the history is gone, only a whole reading tells what holds.
         self.revision = None;
-        self.shell
-            .core
-            .borrow_mut()
-            .registry()
-            .store_lost(self.shell.now());
+        self.shell.core.borrow_mut().store_lost();
         if self.shell.stored.replace(false) {
             self.shell
                 .log("store_lost", json!({ "error": err.to_string() }));
