--- a/crates/siskinyoke-dispatch/src/cells.rs
+++ b/crates/siskinyoke-dispatch/src/cells.rs
@@ -6,51 +6,67 @@
 //! and tell only each other. Callers spread over all instances, so each cell gets its part of the
 //! work. What a cell lacks against the whole is only that a place in one cannot help another.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::stable_hash;
 
-/// The instances of a cell.
+/// The fewest instances that a cell has on average.
 ///
-/// Nine hear of each other at the cost measured for fleets of that size, and hold some ten
-/// endpoints of a usual fleet, so that a peak of one is borne by the others.
-const SIZE: usize = 9;
+/// The number of cells is a power of two, so cells have six to twelve instances on average: few
+/// enough to hear each other at little cost, enough to hold a score of endpoints between them.
+/// Powers of two are far apart, so that restarts of some instances seldom change the number.
+const SMALLEST: usize = 6;
 
 /// Returns the number of cells for a fleet of so many instances.
 pub fn count(instances: usize) -> usize {
-    ((instances + SIZE / 2) / SIZE).max(1)
+    let most = instances / SMALLEST;
+    if most < 2 {
+        return 1;
+    }
+    1 << most.ilog2()
+}
+
+/// Returns the cell of an instance.
+///
+/// It depends on nothing but its name, so that no restart of another moves it.
+pub fn home(name: &str, cells: usize) -> usize {
+    usize::try_from(stable_hash(&name) >> 32).unwrap_or(0) % cells.max(1)
 }
 
-/// Assigns members to cells, the same in every instance that knows the same members.
+/// Assigns endpoints to cells, the same in every instance that knows the same.
 ///
-/// A member is a data centre and a name. Each cell gets nearly the same number of each data
-/// centre's members, so that one centre's peak is borne by all cells. A member that comes or goes
-/// may move others; for the length of a stay their counts are then too low by what runs there.
-pub fn assign<'a>(
-    members: impl Iterator<Item = (&'a str, &'a str)>,
-    cells: usize,
-) -> BTreeMap<&'a str, usize> {
-    let mut centres: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
-    for (centre, name) in members {
-        centres.entry(centre).or_default().push(name);
+/// An endpoint is a data centre and a name. Each cell gets endpoints in proportion to its number
+/// of instances, in `sizes`, and so to its part of the callers. Rendezvous hashing with a bound for
+/// each cell: an endpoint that comes or goes moves few others.
+pub fn assign<'a>(endpoints: &[(&'a str, &'a str)], sizes: &[usize]) -> BTreeMap<&'a str, usize> {
+    let mut centres: BTreeMap<&str, usize> = BTreeMap::new();
+    for (centre, _) in endpoints {
+        *centres.entry(centre).or_default() += 1;
     }
+    let mut total = vec![0; sizes.len()];
+    let mut near: BTreeMap<(&str, usize), usize> = BTreeMap::new();
     let mut assigned = BTreeMap::new();
-    let mut sizes = vec![0; cells];
-    for (centre, mut names) in centres {
-        names.sort_unstable();
-        let most = names.len().div_ceil(cells);
-        let mut taken = vec![0; cells];
-        for name in names {
-            let open = (0..cells).filter(|cell| taken[*cell] < most);
-            let liked = |cell: &usize| (Reverse(sizes[*cell]), stable_hash(&(centre, name, cell)));
-            let Some(cell) = open.max_by_key(liked) else {
-                continue;
-            };
-            taken[cell] += 1;
-            sizes[cell] += 1;
-            assigned.insert(name, cell);
-        }
+    for (centre, name) in endpoints {
+        let open = |cell: &usize| total[*cell] < bound(endpoints.len(), *cell, sizes);
+        let even = |cell: &usize| {
+            let taken = near.get(&(*centre, *cell)).copied().unwrap_or(0);
+            open(cell) && taken < bound(centres[centre], *cell, sizes)
+        };
+        let liked = |cell: &usize| stable_hash(&(name, cell));
+        let cells = 0..sizes.len();
+        let best = cells.clone().filter(even).max_by_key(liked);
+        let Some(cell) = best.or_else(|| cells.filter(open).max_by_key(liked)) else {
+            continue;
+        };
+        total[cell] += 1;
+        *near.entry((centre, cell)).or_default() += 1;
+        assigned.insert(*name, cell);
     }
     assigned
 }
+
+// The most members of so many that a cell may have.
+fn bound(members: usize, cell: usize, sizes: &[usize]) -> usize {
+    let all: usize = sizes.iter().sum();
+    (members * sizes[cell]).div_ceil(all.max(1))
+}
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -1,5 +1,7 @@
 //! One instance's state: what it believes, what waits and what runs.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::Ask;
@@ -44,6 +46,12 @@
 /// A few more than the smallest deployments have, as the list may lag behind machines added.
 const FLEET: usize = 12;
 
+/// How long an instance that went still counts for the making of cells.
+///
+/// A restart takes some seconds. If cells changed with each one, a rolling restart of the fleet
+/// would move endpoints several times a second, and no count of what runs there would hold.
+const RESTART: Millis = Millis::from_secs(15);
+
 /// What an instance is, fixed for the life of its process.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -108,7 +116,10 @@
     scheduler: Scheduler,
     peers: Peers,
     instances: Listing<Place>,
-    cellmates: Vec<String>,
+    // Instances that went, with when: most of them are back in a moment.
+    departed: BTreeMap<String, Millis>,
+    cell: usize,
+    cells: usize,
     allowances: Allowances,
     budgets: Map<Arc<str>, Budget>,
     suspects: Suspects,
@@ -130,7 +141,9 @@
             scheduler,
             peers: Peers::default(),
             instances: Listing::default(),
-            cellmates: Vec::new(),
+            departed: BTreeMap::new(),
+            cell: 0,
+            cells: 1,
             allowances: Allowances::new(me.measure),
             budgets: Map::default(),
             suspects: Suspects::default(),
@@ -178,12 +191,14 @@
 
     /// Takes note of an instance's entry in the store.
     pub fn list(&mut self, name: &str, place: Place) {
+        self.departed.remove(name);
         self.instances.put(name, place);
         self.settle();
     }
 
     /// Takes note that an instance's entry is gone.
     pub fn unlist(&mut self, now: Millis, name: &str) {
+        self.departed.insert(name.to_owned(), now);
         self.instances.remove(now, name);
         self.settle();
     }
@@ -208,9 +223,8 @@
 
     /// Returns the listed instances, with whether each belongs to this one's cell.
     pub fn listed(&self) -> impl Iterator<Item = (&Place, bool)> {
-        let mine = |name: &str| self.cellmates.iter().any(|it| it == name);
         let others = self.instances.iter().filter(|row| row.0 != self.me.name);
-        others.map(move |(name, place)| (place, mine(name)))
+        others.map(|(name, place)| (place, self.mate(name)))
     }
 
     /// Returns the queues.
@@ -342,7 +356,7 @@
                 return false;
             }
             self.learn(now, about);
-            mate = self.cells() == 1 || self.cellmates.contains(&about.name);
+            mate = self.mate(&about.name);
         }
         if !mate {
             self.peers.dismiss(source);
@@ -376,7 +390,9 @@
     /// Does what is due with time: drops what is gone.
     pub fn sweep(&mut self, now: Millis) {
         self.registry.sweep(now);
-        if self.instances.sweep(now) {
+        let before = self.departed.len();
+        self.departed.retain(|_, since| now.since(*since) < RESTART);
+        if self.instances.sweep(now) || self.departed.len() < before {
             self.settle();
         }
         for source in self.peers.sweep(now) {
@@ -411,33 +427,40 @@
             .filter(|it| it.report.ready && !it.report.leaving);
         let mates = peers.map(|peer| &peer.about.place);
         let others = self.listed().filter(|row| !row.1).map(|row| row.0);
-        let others = others.filter(|_| self.cells() > 1);
+        let others = others.filter(|_| self.cells > 1);
         let ready = mates
             .chain(self.ready().then_some(&own.place))
             .chain(others);
         directory::choose(centre, ready)
     }
 
-    fn cells(&self) -> usize {
-        cells::count(self.instances.iter().count())
+    // The instances that cells are made of: those listed, and those that may be restarting.
+    fn fleet(&self) -> BTreeSet<&str> {
+        let listed = self.instances.iter().map(|row| row.0);
+        listed
+            .chain(self.departed.keys().map(String::as_str))
+            .collect()
     }
 
     // Finds out which cell of the fleet this instance belongs to.
     fn settle(&mut self) {
         self.peers.listed(self.instances.iter().count());
-        let cells = self.cells();
-        let members = self
-            .instances
-            .iter()
-            .map(|(name, place)| (&*place.centre, name));
-        let assigned = cells::assign(members, cells);
-        let own = assigned.get(&*self.me.name).copied().unwrap_or(0);
-        let mates = assigned
-            .iter()
-            .filter(|row| *row.1 == own)
-            .map(|row| (*row.0).to_owned());
-        self.cellmates = mates.collect();
-        self.registry.settle(own, cells);
+        let cells = cells::count(self.fleet().len());
+        let mut sizes = vec![0; cells];
+        for name in self.fleet() {
+            sizes[cells::home(name, cells)] += 1;
+        }
+        self.cell = cells::home(&self.me.name, cells);
+        self.cells = cells;
+        self.registry.settle(self.cell, sizes);
+        if cells > 1 {
+            let own = self.cell;
+            self.peers.retain(|name| cells::home(name, cells) == own);
+        }
+    }
+
+    fn mate(&self, name: &str) -> bool {
+        cells::home(name, self.cells) == self.cell
     }
 
     // The part of the retries beside the budget's ratio that is this instance's.
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -24,7 +24,8 @@
     listing: Listing<Arc<Endpoint>>,
     leavers: Map<EndpointKey, Millis>,
     cell: usize,
-    cells: usize,
+    // The number of instances in each cell.
+    cells: Vec<usize>,
     // The endpoints that may get new work from here, by service.
     fit: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>>,
 }
@@ -40,10 +41,11 @@
         self.listing.store_back(now);
     }
 
-    /// Takes note of which cell of how many this instance belongs to.
-    pub fn settle(&mut self, cell: usize, cells: usize) {
-        if (self.cell, self.cells) != (cell, cells) {
-            (self.cell, self.cells) = (cell, cells);
+    /// Takes note of this instance's cell, and of the number of instances in each.
+    pub fn settle(&mut self, cell: usize, cells: Vec<usize>) {
+        if self.cell != cell || self.cells != cells {
+            self.cell = cell;
+            self.cells = cells;
             self.choose();
         }
     }
@@ -127,14 +129,14 @@
 
     // The endpoints of a service that belong to this instance's cell.
     fn own(&self, endpoints: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
-        if self.cells <= 1 {
+        if self.cells.len() <= 1 {
             return endpoints.to_vec();
         }
-        if endpoints.len() < FEWEST * self.cells {
+        if endpoints.len() < FEWEST * self.cells.len() {
             return self.shared(endpoints);
         }
-        let members = endpoints.iter().map(|it| (&*it.centre, &*it.id));
-        let assigned = cells::assign(members, self.cells);
+        let rows: Vec<_> = endpoints.iter().map(|it| (&*it.centre, &*it.id)).collect();
+        let assigned = cells::assign(&rows, &self.cells);
         let mine = |it: &&Arc<Endpoint>| assigned.get(&*it.id) == Some(&self.cell);
         endpoints.iter().filter(mine).cloned().collect()
     }
@@ -143,10 +145,9 @@
     // again as its even part, as the cells' peaks seldom meet.
     fn shared(&self, endpoints: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
         let count = endpoints.len();
-        let all: Vec<Vec<usize>> = (0..self.cells)
-            .map(|cell| few(cell, self.cells, count))
-            .collect();
-        few(self.cell, self.cells, count)
+        let cells = self.cells.len();
+        let all: Vec<Vec<usize>> = (0..cells).map(|cell| few(cell, cells, count)).collect();
+        few(self.cell, cells, count)
             .into_iter()
             .map(|at| {
                 let users = all.iter().filter(|few| few.contains(&at)).count();
