--- a/crates/siskinyoke-dispatch/src/allowance.rs
+++ b/crates/siskinyoke-dispatch/src/allowance.rs
@@ -9,8 +9,8 @@
 
 /// The part of the operators' tolerance that is used.
 ///
-/// The rest covers what peers grant between two of their reports, and one request of each
-/// instance that a bucket lets in on credit.
+/// The rest covers what peers grant between two of their reports, and what a request takes beyond
+/// what the bucket held.
 const USED: f64 = 0.75;
 
 /// The part of a burst that a process finds in the bucket when it starts.
@@ -30,6 +30,20 @@
     pub slack: f64,
 }
 
+/// How long an instance does not see what another took: a report's spacing and its way.
+const BLIND: Millis = Millis(60);
+
+/// What a request wants of its organisation's allowance.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted {
+    /// The units it takes.
+    pub units: f64,
+    /// The number of instances that take from the same bucket.
+    pub crowd: f64,
+    /// A number of its own, evenly spread from 0 to 1.
+    pub chance: f64,
+}
+
 /// One organisation's token bucket, less what every instance that is heard reports as used.
 ///
 /// It fills so fast that a full burst and the filling of one window make just the operators'
@@ -42,6 +56,8 @@
     level: f64,
     filled: Millis,
     own: f64,
+    // Units that were asked for here, each counted for about a second.
+    demand: f64,
 }
 
 impl Bucket {
@@ -49,6 +65,7 @@
     fn refill(&mut self, now: Millis, share: f64) {
         let span = now.since(self.filled).as_secs();
         self.level = (self.level + self.rate * share * span).min(self.burst * share);
+        self.demand *= (-span).exp();
         self.filled = now;
     }
 }
@@ -100,6 +117,7 @@
                     level: burst * START * share,
                     filled: now,
                     own: 0.0,
+                    demand: 0.0,
                 },
             };
             buckets.insert(key, bucket);
@@ -109,9 +127,13 @@
 
     /// Takes units for a request, or says when there will be enough.
     ///
-    /// A bucket that holds anything lets one request in on credit, so that one larger than the
-    /// burst is not refused for ever. `share` is the part of the fleet that this instance can
-    /// speak for: 1 while it hears all its peers.
+    /// `share` is the part of the fleet that this instance can speak for: 1 while it hears all
+    /// its peers. `crowd` is the number of instances that take from the same bucket, and `chance` a
+    /// number of the request's own, evenly spread from 0 to 1.
+    ///
+    /// Each instance sees what another took only with its next report, so what little a bucket
+    /// holds would be taken by all of them at the same moment. Where more is asked for in that
+    /// time than there is, each lets in just so large a part that the sum is what there is.
     ///
     /// # Errors
     ///
@@ -120,19 +142,22 @@
         &mut self,
         now: Millis,
         organisation: &Organisation,
-        units: f64,
+        wanted: Wanted,
         share: f64,
     ) -> Result<(), Millis> {
         let Some(bucket) = self.buckets.get_mut(&short(&organisation.name)) else {
             return Ok(());
         };
         bucket.refill(now, share);
-        if bucket.level <= 0.0 {
-            let wait = (units - bucket.level) / (bucket.rate * share).max(1.0);
+        bucket.demand += wanted.units;
+        let asked = bucket.demand * wanted.crowd * BLIND.as_secs();
+        if bucket.level <= 0.0 || wanted.chance * asked > bucket.level {
+            let needed = (wanted.units - bucket.level).max(wanted.units * wanted.chance);
+            let wait = needed / (bucket.rate * share).max(1.0);
             return Err(Millis(whole(wait * 1000.0) + 1));
         }
-        bucket.level -= units;
-        bucket.own += units;
+        bucket.level -= wanted.units;
+        bucket.own += wanted.units;
         Ok(())
     }
 
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -18,6 +18,7 @@
 use crate::Ticket;
 use crate::allowance::Allowances;
 use crate::allowance::Measure;
+use crate::allowance::Wanted;
 use crate::budget::Budget;
 use crate::cells;
 use crate::directory;
@@ -263,7 +264,7 @@
         let organisation = authenticate(&configuration, &route, request)?;
         let pass = measure(now, route, organisation, request)?;
         self.budget(&pass.service).request(now);
-        self.take_allowance(now, &pass)?;
+        self.take_allowance(now, &pass, chance(request.draw))?;
         Ok(pass)
     }
 
@@ -507,13 +508,19 @@
             .or_insert_with(|| Budget::new(ratio))
     }
 
-    fn take_allowance(&mut self, now: Millis, pass: &Pass) -> Result<(), Refusal> {
+    fn take_allowance(&mut self, now: Millis, pass: &Pass, chance: f64) -> Result<(), Refusal> {
         let Some(organisation) = &pass.organisation else {
             return Ok(());
         };
         let share = self.peers.share(now);
+        let crowd = f64::from(u32::try_from(self.peers.count(now)).unwrap_or(u32::MAX));
+        let wanted = Wanted {
+            units: pass.units,
+            crowd,
+            chance,
+        };
         self.allowances
-            .take(now, organisation, pass.units, share)
+            .take(now, organisation, wanted, share)
             .map_err(|after| Refusal {
                 reason: Reason::Allowance,
                 after,
@@ -543,6 +550,12 @@
     }
 }
 
+// Turns an evenly spread number into one from 0 to 1, by its upper half.
+fn chance(draw: u64) -> f64 {
+    let upper = u32::try_from(draw >> 32).unwrap_or(u32::MAX);
+    f64::from(upper) / f64::from(u32::MAX)
+}
+
 /// Endpoints tried for one request when none can be reached; no part of it was sent to them.
 const UNSENT: usize = 4;
 
--- a/crates/siskinyoke-dispatch/tests/allowance.rs
+++ b/crates/siskinyoke-dispatch/tests/allowance.rs
@@ -5,6 +5,8 @@
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Reason;
+use siskinyoke_dispatch::core::Request;
+use siskinyoke_dispatch::stable_hash;
 
 use common::MEASURE;
 use common::configuration;
@@ -60,8 +62,18 @@
             if now % gap != 0 {
                 continue;
             }
-            for core in &mut self.cores {
-                if core.pass(Millis(now), request("/safe/x")).is_ok() {
+            for (at, core) in self.cores.iter_mut().enumerate() {
+                let draw = stable_hash(&(at, now));
+                if core
+                    .pass(
+                        Millis(now),
+                        Request {
+                            draw,
+                            ..request("/safe/x")
+                        },
+                    )
+                    .is_ok()
+                {
                     self.grants.push((now, 1_000.0));
                 }
             }
@@ -193,3 +205,30 @@
         core.give_back(&pass);
     }
 }
+
+// One organisation sends many times its allowance, in large requests. All instances saw the same
+// little in the bucket and took it at the same moment, each a whole request: the organisation got
+// more than is tolerated.
+#[test]
+fn a_crowd_does_not_take_the_same_units_at_the_same_moment() {
+    let mut fleet = Fleet::start(11, 0, 0);
+    let mut wanted = request("/safe/x");
+    wanted.tokens = Some((37_000, 0));
+    for now in (0..20_000).step_by(50) {
+        if now % 100 == 0 {
+            fleet.exchange(now);
+        }
+        for (at, core) in fleet.cores.iter_mut().enumerate() {
+            wanted.draw = stable_hash(&(at, now));
+            if core.pass(Millis(now), wanted).is_ok() {
+                fleet.grants.push((now, 37_000.0));
+            }
+        }
+    }
+    assert!(
+        fleet.most() <= allowed(),
+        "{} of {}",
+        fleet.most(),
+        allowed()
+    );
+}
