A randomized soak with real processes, and the stand-ins in one place for it and the tests

Three instances, four endpoints, loopback proxies before store and endpoints; stops, kills, restarts, reloads, silences, one-way cuts, resets, store outages and changes overlap.

--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -1,40 +1,20 @@
 //! The whole path, with the gateway as a process of its own between small stand-ins.
 
-#![allow(unreachable_pub, reason = "the modules are this test's own")]
-
-mod endpoint;
-mod instance;
-mod store;
-
 use std::io::Read;
+use std::path::Path;
 use std::time::Duration;
 
 use rustix::process::Signal;
 
-use endpoint::Endpoint;
-use instance::Instance;
-use instance::get;
-use instance::read_answer;
-use instance::send;
-use instance::until;
-use store::Mood;
-use store::Store;
-
-const CONFIGURATION: &str = r#"{"Version":VERSION,"Routes":[
- {"Name":"safe","Host":"h.example","Prefix":"/safe/","Kind":"safe","TimeoutMs":4000,
-  "TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2},
- {"Name":"once","Host":"h.example","Prefix":"/once/","Kind":"unsafe","TimeoutMs":4000,
-  "TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2},
- {"Name":"short","Host":"h.example","Prefix":"/short/","Kind":"unsafe","TimeoutMs":300,
-  "TargetLatencyMs":200,"Priority":0,"Service":"lm","MaxAttempts":1},
- {"Name":"stream","Host":"h.example","Prefix":"/stream/","Kind":"stream","TimeoutMs":4000,
-  "TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2,"Resumable":true},
- {"Name":"single","Host":"h.example","Prefix":"/single/","Kind":"stream","TimeoutMs":4000,
-  "TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2}],
- "Services":[{"Name":"lm","MaxConns":100}],
- "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,
-  "IdleTimeoutMs":15000},
- "Tenants":[{"Name":"school","ApiKeys":["KEY"]}]}"#;
+use siskinyoke_soak::Endpoint;
+use siskinyoke_soak::Instance;
+use siskinyoke_soak::Store;
+use siskinyoke_soak::configuration;
+use siskinyoke_soak::instance::get;
+use siskinyoke_soak::instance::read_answer;
+use siskinyoke_soak::instance::send;
+use siskinyoke_soak::instance::until;
+use siskinyoke_soak::store::Mood;
 
 struct World {
     store: Store,
@@ -42,15 +22,13 @@
     instance: Instance,
 }
 
-fn configuration(version: u32, key: &str) -> String {
-    CONFIGURATION
-        .replace("VERSION", &version.to_string())
-        .replace("KEY", key)
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"))
 }
 
 fn world(endpoints: &[&str]) -> World {
     let store = Store::start();
-    store.put("op/config", &configuration(3, "k1"));
+    store.put("op/config", &configuration::text(3, "k1"));
     // Entries of other writers must not keep the sound ones from being used.
     store.put("servers/odd", "{\"Service\":7}");
     store.put("servers/odder", "\u{0}");
@@ -61,7 +39,7 @@
             &endpoint.entry("ready"),
         );
     }
-    let instance = Instance::start("i1", store.address).ready();
+    let instance = Instance::start(program(), "i1", store.address).ready();
     World {
         store,
         endpoints,
@@ -159,6 +137,11 @@
         .collect();
     assert_eq!(events, ["data: 1", "data: 2", "data: 3", "data: 4"]);
     assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(
+        answer.matches("id: ").count(),
+        4 + 1,
+        "one a event, one in the head: {answer}"
+    );
     let resumed: Vec<_> = world
         .endpoints
         .iter()
@@ -222,13 +205,13 @@
     let mut stream = world.instance.open();
     send(&mut stream, "r1", "/safe/a", "", "");
     assert!(read_answer(&mut stream).starts_with("HTTP/1.1 200"));
-    world.store.put("op/config", &configuration(4, "k2"));
+    world.store.put("op/config", &configuration::text(4, "k2"));
     until("the key is refused", || {
         send(&mut stream, "r2", "/safe/a", "", "");
         read_answer(&mut stream).starts_with("HTTP/1.1 401")
     });
     // An older version that comes late changes nothing.
-    world.store.put("op/config", &configuration(3, "k1"));
+    world.store.put("op/config", &configuration::text(3, "k1"));
     world.store.put("servers/later", "x");
     std::thread::sleep(Duration::from_millis(100));
     send(&mut stream, "r3", "/safe/a", "", "");
@@ -280,7 +263,7 @@
 #[test]
 fn instances_find_each_other_and_are_named_to_callers() {
     let world = world(&["e1"]);
-    let other = Instance::start("i2", world.store.address).ready();
+    let other = Instance::start(program(), "i2", world.store.address).ready();
     until("both are named", || {
         let answer = get(world.instance.directory, "/api/resolve?Name=h&Zone=a").unwrap();
         answer.contains(&other.callers.to_string())
--- /dev/null
+++ b/soak/src/checker.rs
@@ -0,0 +1,132 @@
+//! What callers got, checked against what endpoints saw.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use crate::Endpoint;
+
+/// What may be repeated of a request of the soak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Care {
+    /// It may run more than once.
+    Safe,
+    /// It runs once at most.
+    Once,
+    /// A stream that may go on elsewhere.
+    Stream,
+}
+
+/// What a caller got.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    /// The request's identity.
+    pub id: String,
+    /// What may be repeated of it.
+    pub care: Care,
+    /// All bytes that came back.
+    pub answer: String,
+}
+
+impl Outcome {
+    /// Returns the answer's status, if one came.
+    pub fn status(&self) -> Option<u16> {
+        self.answer.get(9..12)?.parse().ok()
+    }
+}
+
+/// Gathers what callers got.
+#[derive(Debug, Default)]
+pub struct Checker {
+    outcomes: Mutex<Vec<Outcome>>,
+}
+
+impl Checker {
+    /// Adds what a caller got.
+    ///
+    /// # Panics
+    ///
+    /// If a caller's thread panicked before.
+    pub fn add(&self, outcome: Outcome) {
+        self.outcomes.lock().unwrap().push(outcome);
+    }
+
+    /// Returns how many answers were successes, and how many callers got anything else.
+    ///
+    /// # Panics
+    ///
+    /// If a caller's thread panicked before.
+    pub fn counts(&self) -> (usize, usize) {
+        let outcomes = self.outcomes.lock().unwrap();
+        let good = outcomes
+            .iter()
+            .filter(|it| it.status() == Some(200))
+            .count();
+        (good, outcomes.len() - good)
+    }
+
+    /// Returns each broken promise, in words.
+    ///
+    /// # Panics
+    ///
+    /// If a caller's thread panicked before.
+    pub fn broken(&self, endpoints: &[Endpoint]) -> Vec<String> {
+        let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+        for arrival in endpoints.iter().flat_map(Endpoint::arrivals) {
+            if let Some(id) = arrival.header("siskinyoke-request-id") {
+                *runs.entry(id.to_owned()).or_default() += 1;
+            }
+        }
+        let outcomes = self.outcomes.lock().unwrap();
+        outcomes
+            .iter()
+            .flat_map(|it| check(it, runs.get(&it.id).copied().unwrap_or(0)))
+            .collect()
+    }
+}
+
+fn check(outcome: &Outcome, runs: usize) -> Vec<String> {
+    let Outcome { id, care, answer } = outcome;
+    let mut broken = Vec::new();
+    if *care == Care::Once && runs > 1 {
+        broken.push(format!("{id} runs once at most and ran {runs} times"));
+    }
+    let status = outcome.status();
+    if runs > 0 && *care == Care::Once && matches!(status, Some(408 | 421 | 429 | 503)) {
+        broken.push(format!(
+            "{id} was told that it had not run and ran: {answer:?}"
+        ));
+    }
+    if matches!(status, Some(400..=407 | 409..=420)) {
+        broken.push(format!(
+            "{id} was denied though all configurations allow it: {answer:?}"
+        ));
+    }
+    if status != Some(200) {
+        return broken;
+    }
+    if !answer.contains(&format!("siskinyoke-request-id: {id}\r\n")) {
+        broken.push(format!(
+            "{id} got the answer to another request: {answer:?}"
+        ));
+    }
+    if *care == Care::Stream {
+        broken.extend(check_stream(id, answer));
+    }
+    broken
+}
+
+// The events come in order without a gap, and an end mark only after the last.
+fn check_stream(id: &str, answer: &str) -> Option<String> {
+    let events: Vec<&str> = answer
+        .lines()
+        .filter_map(|it| it.strip_prefix("data: "))
+        .collect();
+    let whole = ["1", "2", "3", "4"];
+    let ended = answer.ends_with("0\r\n\r\n");
+    let sound = if ended {
+        events == whole
+    } else {
+        whole.starts_with(&events)
+    };
+    (!sound).then(|| format!("{id} got a stream with a gap, or a false end: {answer:?}"))
+}
--- a/crates/siskinyoke-gateway/tests/whole/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -24,6 +24,7 @@
 }
 
 impl Arrival {
+    /// Returns a header's value, by its name in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers
             .iter()
@@ -39,13 +40,20 @@
 /// A stand-in of an endpoint that does what a request's path asks for.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
+    /// Its identity.
     pub id: String,
+    /// Where it listens.
     pub address: SocketAddr,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     left: Arc<Mutex<u32>>,
 }
 
 impl Endpoint {
+    /// Starts an endpoint.
+    ///
+    /// # Panics
+    ///
+    /// If no port is free.
     pub fn start(id: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let endpoint = Self {
@@ -67,17 +75,30 @@
 
     /// The entry by which it makes itself known.
     pub fn entry(&self, state: &str) -> String {
+        self.entry_at(self.address, state)
+    }
+
+    /// The entry of an endpoint that is reached by way of another address.
+    pub fn entry_at(&self, address: SocketAddr, state: &str) -> String {
         format!(
-            r#"{{"Service":"lm","Address":"{}","Zone":"a","Slots":4,"State":"{state}","born":1}}"#,
-            self.address
+            r#"{{"Service":"lm","Address":"{address}","Zone":"a","Slots":4,"State":"{state}","born":1}}"#
         )
     }
 
+    /// Returns the requests that reached it.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads panicked before.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().unwrap().clone()
     }
 
     /// How often a connection was closed while a request was at work.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads panicked before.
     pub fn left(&self) -> u32 {
         *self.left.lock().unwrap()
     }
--- a/crates/siskinyoke-gateway/tests/whole/instance.rs
+++ b/soak/src/instance.rs
@@ -6,6 +6,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -14,6 +15,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use rustix::io::Errno;
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
@@ -22,15 +24,25 @@
 #[derive(Debug)]
 pub struct Instance {
     child: Child,
+    program: PathBuf,
     settings: PathBuf,
+    /// Where callers reach it.
     pub callers: SocketAddr,
+    /// Where it says whether it is ready.
     pub health: SocketAddr,
+    /// Where it names instances.
     pub directory: SocketAddr,
+    /// Where its metrics are.
     pub metrics: SocketAddr,
 }
 
 impl Instance {
-    pub fn start(name: &str, store: SocketAddr) -> Self {
+    /// Starts a process of this program, over a store.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be started.
+    pub fn start(program: &Path, name: &str, store: SocketAddr) -> Self {
         let [callers, health, directory, peers, metrics] = own_addresses();
         let settings = std::env::temp_dir().join(format!("{name}-{}.jsonc", callers.ip()));
         let text = format!(
@@ -45,14 +57,11 @@
             metrics.port()
         );
         fs::write(&settings, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"))
-            .arg("--settings")
-            .arg(&settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let child = spawn(program, &settings);
+        let program = program.to_owned();
         Self {
             child,
+            program,
             settings,
             callers,
             health,
@@ -61,7 +70,49 @@
         }
     }
 
+    /// Kills it.
+    pub fn kill(&mut self) {
+        // It may have ended by itself.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+
+    /// Starts it again under its name and addresses.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.program, &self.settings);
+    }
+
+    /// Starts it again if it has ended.
+    pub fn restart_if_gone(&mut self) {
+        if matches!(self.child.try_wait(), Ok(Some(_))) {
+            self.restart();
+        }
+    }
+
+    /// Returns whether it answers a request with a success.
+    pub fn serves(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.callers) else {
+            return false;
+        };
+        let limit = Some(Duration::from_secs(2));
+        if stream.set_read_timeout(limit).is_err() {
+            return false;
+        }
+        let head = "GET /safe/a HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer k1\r\n\
+                    siskinyoke-request-id: probe\r\nconnection: close\r\n\r\n";
+        let mut answer = String::new();
+        let done = stream.write_all(head.as_bytes());
+        done.and_then(|()| stream.read_to_string(&mut answer))
+            .is_ok()
+            && answer.starts_with("HTTP/1.1 200")
+    }
+
     /// Waits until it takes callers.
+    ///
+    /// # Panics
+    ///
+    /// If it does not within half a minute.
+    #[must_use]
     pub fn ready(self) -> Self {
         until("ready", || {
             self.status(self.health, "/api/readyz") == Some(200)
@@ -69,17 +120,30 @@
         self
     }
 
+    /// Returns the status of a page.
     pub fn status(&self, address: SocketAddr, path: &str) -> Option<u16> {
         let answer = get(address, path)?;
         answer.split(' ').nth(1)?.parse().ok()
     }
 
+    /// Sends it a signal; one that has ended gets none.
+    ///
+    /// # Panics
+    ///
+    /// If its number is no process number.
     pub fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).unwrap();
-        kill_process(Pid::from_raw(pid).unwrap(), signal).unwrap();
+        // A child that ended stays a process of this number until it is waited for.
+        if let Err(err) = kill_process(Pid::from_raw(pid).unwrap(), signal) {
+            assert_eq!(err, Errno::SRCH);
+        }
     }
 
     /// Waits for its end and returns what it logged.
+    ///
+    /// # Panics
+    ///
+    /// If it ended with a failure.
     pub fn log(mut self) -> String {
         let mut text = String::new();
         self.child
@@ -92,6 +156,11 @@
         text
     }
 
+    /// Opens a connection of a caller.
+    ///
+    /// # Panics
+    ///
+    /// If it takes none.
     pub fn open(&self) -> TcpStream {
         let stream = TcpStream::connect(self.callers).unwrap();
         stream
@@ -119,14 +188,17 @@
 
 impl Drop for Instance {
     fn drop(&mut self) {
-        // It may have ended by itself.
-        drop(self.child.kill());
-        drop(self.child.wait());
+        self.kill();
+        // The file may be gone.
         drop(fs::remove_file(&self.settings));
     }
 }
 
 /// Sends a request with the key and host that the tests' configuration knows.
+///
+/// # Panics
+///
+/// If the connection is closed.
 pub fn send(stream: &mut TcpStream, id: &str, path: &str, more: &str, body: &str) {
     let length = body.len();
     write!(
@@ -139,6 +211,10 @@
 }
 
 /// Reads one answer whose body has a length.
+///
+/// # Panics
+///
+/// If none comes.
 pub fn read_answer(stream: &mut TcpStream) -> String {
     let mut text = Vec::new();
     let mut byte = [0];
@@ -160,6 +236,7 @@
     text
 }
 
+/// Gets a page, if it is there.
 pub fn get(address: SocketAddr, path: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
     write!(
@@ -172,7 +249,11 @@
     Some(answer)
 }
 
-/// Waits for something to come true; half a minute means that it never does.
+/// Waits for something to come true.
+///
+/// # Panics
+///
+/// If it does not within half a minute.
 pub fn until(what: &str, mut done: impl FnMut() -> bool) {
     for _ in 0..3_000 {
         if done() {
@@ -183,6 +264,15 @@
     panic!("not in half a minute: {what}");
 }
 
+fn spawn(program: &Path, settings: &Path) -> Child {
+    let mut command = Command::new(program);
+    command
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::piped());
+    command.spawn().unwrap()
+}
+
 // Each instance has a loopback address of its own, so that no two ever want the same port.
 fn own_addresses() -> [SocketAddr; 5] {
     static NEXT: AtomicU8 = AtomicU8::new(1);
--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,15 @@
+//! Small stand-ins around real gateway processes, and a randomized soak that harms them.
+
+pub mod checker;
+pub mod client;
+pub mod configuration;
+pub mod endpoint;
+pub mod instance;
+pub mod proxy;
+pub mod run;
+pub mod store;
+
+pub use endpoint::Endpoint;
+pub use instance::Instance;
+pub use proxy::Proxy;
+pub use store::Store;
--- /dev/null
+++ b/soak/src/run.rs
@@ -0,0 +1,213 @@
+//! One seeded run: real processes, callers, and faults that overlap.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+
+use crate::Endpoint;
+use crate::Instance;
+use crate::Proxy;
+use crate::Store;
+use crate::checker::Checker;
+use crate::client;
+use crate::configuration;
+use crate::proxy::Harm;
+use crate::store::Mood;
+
+/// How many processes, endpoints and callers a run has.
+const INSTANCES: usize = 3;
+const ENDPOINTS: usize = 4;
+const CALLERS: u64 = 6;
+
+/// Faults in a run, and the longest pause between two.
+const FAULTS: usize = 25;
+const PAUSE: u64 = 250;
+
+/// What a run showed.
+#[derive(Debug)]
+pub struct Verdict {
+    /// Answers that were successes.
+    pub good: usize,
+    /// Callers that got anything else.
+    pub other: usize,
+    /// Each broken promise, in words.
+    pub broken: Vec<String>,
+}
+
+struct World {
+    store: Store,
+    endpoints: Vec<Endpoint>,
+    endpoint_proxies: Vec<Proxy>,
+    store_proxies: Vec<Proxy>,
+    instances: Vec<Instance>,
+    version: u64,
+}
+
+/// Plays the run of a seed with gateway processes of this program.
+///
+/// # Panics
+///
+/// If the machine cannot run it: no ports, no processes.
+pub fn play(seed: u64, program: &Path) -> Verdict {
+    let mut world = World::start(program);
+    let checker = Arc::new(Checker::default());
+    let stop = Arc::new(AtomicBool::new(false));
+    let addresses: Vec<SocketAddr> = world.instances.iter().map(|it| it.callers).collect();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let (checker, stop, addresses) = (checker.clone(), stop.clone(), addresses.clone());
+            thread::spawn(move || client::send_all(seed, number, &addresses, &checker, &stop))
+        })
+        .collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    for _ in 0..FAULTS {
+        world.harm(&mut rng);
+        thread::sleep(Duration::from_millis(rng.random_range(0..PAUSE)));
+    }
+    world.heal();
+    let mut broken = world.recover();
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        if caller.join().is_err() {
+            broken.push("a caller of the soak failed".to_owned());
+        }
+    }
+    broken.extend(checker.broken(&world.endpoints));
+    let (good, other) = checker.counts();
+    Verdict {
+        good,
+        other,
+        broken,
+    }
+}
+
+impl World {
+    fn start(program: &Path) -> Self {
+        let store = Store::start();
+        store.put("op/config", &configuration::text(3, "k1"));
+        let names = (0..ENDPOINTS).map(|at| format!("e{at}"));
+        let endpoints: Vec<Endpoint> = names.map(|id| Endpoint::start(&id)).collect();
+        let endpoint_proxies: Vec<Proxy> = endpoints
+            .iter()
+            .map(|it| Proxy::start(it.address))
+            .collect();
+        for (endpoint, proxy) in endpoints.iter().zip(&endpoint_proxies) {
+            let entry = endpoint.entry_at(proxy.address, "ready");
+            store.put(&format!("servers/{}", endpoint.id), &entry);
+        }
+        let store_proxies: Vec<Proxy> = (0..INSTANCES)
+            .map(|_| Proxy::start(store.address))
+            .collect();
+        let instances = store_proxies
+            .iter()
+            .enumerate()
+            .map(|(at, proxy)| Instance::start(program, &format!("i{at}"), proxy.address).ready())
+            .collect();
+        Self {
+            store,
+            endpoints,
+            endpoint_proxies,
+            store_proxies,
+            instances,
+            version: 3,
+        }
+    }
+
+    fn harm(&mut self, rng: &mut ChaCha8Rng) {
+        let at = rng.random_range(0..INSTANCES);
+        match rng.random_range(0..10) {
+            0 => self.instances[at].signal(Signal::STOP),
+            1 | 2 => self.instances.iter().for_each(|it| it.signal(Signal::CONT)),
+            3 => {
+                self.instances[at].kill();
+                self.instances[at].restart();
+            }
+            4 => self.instances[at].signal(Signal::TERM),
+            5 => {
+                self.instances
+                    .iter_mut()
+                    .for_each(Instance::restart_if_gone);
+                self.instances[at].signal(Signal::HUP);
+            }
+            6 => set_one(&self.store_proxies, rng),
+            7 => set_one(&self.endpoint_proxies, rng),
+            8 => self
+                .store
+                .set_mood(if rng.random() { Mood::Busy } else { Mood::Well }),
+            _ => self.change(rng),
+        }
+    }
+
+    // The configuration or an endpoint's state changes, or the store forgets its history.
+    fn change(&mut self, rng: &mut ChaCha8Rng) {
+        let endpoint = rng.random_range(0..ENDPOINTS);
+        let state = if endpoint > 1 && rng.random() {
+            "draining"
+        } else {
+            "ready"
+        };
+        let (id, proxy) = (
+            &self.endpoints[endpoint].id,
+            &self.endpoint_proxies[endpoint],
+        );
+        let entry = self.endpoints[endpoint].entry_at(proxy.address, state);
+        self.store.put(&format!("servers/{id}"), &entry);
+        self.version += 1;
+        self.store
+            .put("op/config", &configuration::text(self.version, "k1"));
+        if rng.random() {
+            self.store.forget_history();
+        }
+    }
+
+    fn heal(&mut self) {
+        self.store.set_mood(Mood::Well);
+        for proxy in self.store_proxies.iter().chain(&self.endpoint_proxies) {
+            proxy.set(Harm::None);
+        }
+        for instance in &mut self.instances {
+            instance.signal(Signal::CONT);
+            instance.restart_if_gone();
+        }
+    }
+
+    // After all faults every instance serves again within some seconds.
+    fn recover(&mut self) -> Vec<String> {
+        let mut broken = Vec::new();
+        for number in 0..INSTANCES {
+            let served = (0..200).any(|_| {
+                thread::sleep(Duration::from_millis(50));
+                self.instances[number].restart_if_gone();
+                self.instances[number].serves()
+            });
+            if !served {
+                broken.push(format!("instance {number} serves no more after the faults"));
+            }
+        }
+        broken
+    }
+}
+
+fn set_one(proxies: &[Proxy], rng: &mut ChaCha8Rng) {
+    let harms = [
+        Harm::None,
+        Harm::None,
+        Harm::Delay(30),
+        Harm::Silence,
+        Harm::OneWay,
+        Harm::Reset,
+    ];
+    if let (Some(proxy), Some(harm)) = (proxies.choose(rng), harms.choose(rng)) {
+        proxy.set(*harm);
+    }
+}
--- a/crates/siskinyoke-gateway/tests/whole/store.rs
+++ b/soak/src/store.rs
@@ -39,10 +39,16 @@
 #[derive(Debug, Clone)]
 pub struct Store {
     shared: Arc<(Mutex<State>, Condvar)>,
+    /// Where it listens.
     pub address: SocketAddr,
 }
 
 impl Store {
+    /// Starts an empty store.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads panicked before.
     pub fn start() -> Self {
         let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
         let address = server.server_addr().to_ip().unwrap();
@@ -67,6 +73,11 @@
         store
     }
 
+    /// Writes a value, as operators and endpoints do.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads panicked before.
     pub fn put(&self, key: &str, value: &str) {
         let value = STANDARD.encode(value);
         let (state, changed) = &*self.shared;
@@ -74,6 +85,11 @@
         changed.notify_all();
     }
 
+    /// Removes a key.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads panicked before.
     pub fn remove(&self, key: &str) {
         let (state, changed) = &*self.shared;
         let mut state = state.lock().unwrap();
@@ -86,18 +102,33 @@
         changed.notify_all();
     }
 
+    /// Sets what it does to calls from now on.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads panicked before.
     pub fn set_mood(&self, mood: Mood) {
         let (state, changed) = &*self.shared;
         state.lock().unwrap().mood = mood;
         changed.notify_all();
     }
 
+    /// Forgets all changes so far.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads panicked before.
     pub fn forget_history(&self) {
         let mut state = self.shared.0.lock().unwrap();
         state.forgotten = state.revision;
         self.shared.1.notify_all();
     }
 
+    /// Returns the keys under a prefix.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads panicked before.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.shared.0.lock().unwrap();
         state
