--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -445,7 +445,7 @@
 
     // Finds out which cell of the fleet this instance belongs to.
     fn settle(&mut self) {
-        self.peers.listed(self.instances.iter().count());
+        self.peers.listed(self.fleet().len());
         let cells = cells::count(self.fleet().len());
         let mut sizes = vec![0; cells];
         for name in self.fleet() {
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -59,7 +59,7 @@
 }
 
 impl Peers {
-    /// Takes note of how many instances the store lists, this one included.
+    /// Takes note of how many instances there are by the store's list, this one included.
     pub fn listed(&mut self, count: usize) {
         self.listed = count;
     }
--- a/crates/siskinyoke-dispatch/tests/cells.rs
+++ b/crates/siskinyoke-dispatch/tests/cells.rs
@@ -80,6 +80,22 @@
     assert_eq!(core.registry().fit("lm"), before);
 }
 
+// The store turns a quarter of a large fleet away, and their entries run out while they serve on.
+// The others took the fleet for smaller and their part of every allowance for larger: together
+// they granted a third too much.
+#[test]
+fn instances_whose_entries_ran_out_still_have_their_part() {
+    let mut core = core("i0", 1);
+    for (centre, name) in members(68) {
+        core.list(&name, place(&name, &centre));
+    }
+    let before = core.peers().share(Millis(0));
+    for number in 50..68 {
+        core.unlist(Millis(5_000), &format!("i{number}"));
+    }
+    assert!((core.peers().share(Millis(9_000)) - before).abs() < 1e-9);
+}
+
 #[test]
 fn every_endpoint_belongs_to_some_cell_and_none_is_given_more_than_it_runs() {
     for count in [2, 4, 15, 89] {
