--- a/crates/siskinyoke-dispatch/src/cells.rs
+++ b/crates/siskinyoke-dispatch/src/cells.rs
@@ -47,17 +47,20 @@
     let mut near: BTreeMap<(&str, usize), usize> = BTreeMap::new();
     let mut assigned = BTreeMap::new();
     for (centre, name) in endpoints {
-        let open = |cell: &usize| total[*cell] < bound(endpoints.len(), *cell, sizes);
+        let most = |members: usize, cell: &usize, up: bool| bound(members, *cell, sizes, up);
+        let open = |cell: &usize, up: bool| total[*cell] < most(endpoints.len(), cell, up);
         let even = |cell: &usize| {
             let taken = near.get(&(*centre, *cell)).copied().unwrap_or(0);
-            open(cell) && taken < bound(centres[centre], *cell, sizes)
+            taken < most(centres[centre], cell, true)
         };
         let liked = |cell: &usize| stable_hash(&(name, cell));
-        let cells = 0..sizes.len();
-        let best = cells.clone().filter(even).max_by_key(liked);
-        let Some(cell) = best.or_else(|| cells.filter(open).max_by_key(liked)) else {
-            continue;
+        let best = |fits: &dyn Fn(&usize) -> bool| {
+            (0..sizes.len()).filter(|cell| fits(cell)).max_by_key(liked)
         };
+        let cell = best(&|cell| open(cell, false) && even(cell))
+            .or_else(|| best(&|cell| open(cell, false)))
+            .or_else(|| best(&|cell| open(cell, true)));
+        let Some(cell) = cell else { continue };
         total[cell] += 1;
         *near.entry((centre, cell)).or_default() += 1;
         assigned.insert(*name, cell);
@@ -65,8 +68,13 @@
     assigned
 }
 
-// The most members of so many that a cell may have.
-fn bound(members: usize, cell: usize, sizes: &[usize]) -> usize {
+// The part of so many members that is a cell's, rounded down or up.
+fn bound(members: usize, cell: usize, sizes: &[usize], up: bool) -> usize {
     let all: usize = sizes.iter().sum();
-    (members * sizes[cell]).div_ceil(all.max(1))
+    let part = members * sizes[cell];
+    if up {
+        part.div_ceil(all.max(1))
+    } else {
+        part / all.max(1)
+    }
 }
--- a/crates/siskinyoke-dispatch/tests/cells.rs
+++ b/crates/siskinyoke-dispatch/tests/cells.rs
@@ -45,7 +45,7 @@
     for (cell, size) in cells.iter().enumerate() {
         let got = assigned.values().filter(|it| **it == cell).count();
         let due = 89 * size / 68;
-        assert!(got <= due + 1 && got + 3 >= due, "{got} of {due}");
+        assert!(got <= due + 1 && got >= due, "{got} of {due}");
     }
 }
 
