--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -130,8 +130,7 @@
         let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
         for service in services {
             self.start(now, &service, registry, peers, &mut decisions);
-            let places = places(&service, registry);
-            self.expire(now, &service, places, &mut decisions);
+            self.expire(now, &service, registry, &mut decisions);
         }
         self.queues.retain(|_, queue| !queue.is_empty());
         decisions
@@ -324,9 +323,10 @@
         &mut self,
         now: Millis,
         service: &Arc<str>,
-        places: u32,
+        registry: &Registry,
         decisions: &mut Vec<Decision>,
     ) {
+        let places = places(service, registry);
         let load = self.load(service);
         let waiting: Vec<Place> = self.queues[service].iter().collect();
         let mut late = waiting
@@ -335,6 +335,15 @@
             .count();
         for (_, arrived, ticket) in waiting {
             let ask = &self.waiting[&ticket];
+            if spent(ask, registry.fit(service)) {
+                let refusal = Refusal {
+                    reason: Reason::NoEndpoint,
+                    after: load.stay(),
+                };
+                self.cancel(ticket);
+                decisions.push(Decision::Refuse(ticket, refusal));
+                continue;
+            }
             let bearable = if ask.late {
                 endurance(ask, load)
             } else {
@@ -419,6 +428,11 @@
     whole.min(ask.route.bearable().since(load.first()))
 }
 
+// Whether every endpoint that could take a request was tried for it: no wait can help then.
+fn spent(ask: &Ask, fit: &[Arc<Endpoint>]) -> bool {
+    !ask.tried.is_empty() && fit.iter().all(|it| ask.tried.contains(&it.key()))
+}
+
 // Whether a request waits as long as its caller does, in the order of its arrival.
 fn urgent(ask: &Ask) -> bool {
     ask.route.priority == 0 || !ask.tried.is_empty()
--- a/crates/siskinyoke-dispatch/tests/scheduler.rs
+++ b/crates/siskinyoke-dispatch/tests/scheduler.rs
@@ -188,6 +188,21 @@
     }
 }
 
+// The only endpoint breaks off, and no other could serve. Held until its caller's deadline, the
+// request would keep its caller from trying anything else.
+#[test]
+fn a_request_that_no_endpoint_can_serve_any_more_is_answered_at_once() {
+    let mut core = core("i", 1);
+    let pass = core.pass(Millis(0), request("/safe/x")).unwrap();
+    let ticket = core.admit(Millis(0), &pass, 1).unwrap();
+    core.decide(Millis(0));
+    core.ended(Millis(5), ticket, Outcome::Broken, true)
+        .unwrap();
+    let decisions = core.decide(Millis(5));
+    let refused = |it: &Decision| matches!(it, Decision::Refuse(_, refusal) if refusal.reason == Reason::NoEndpoint);
+    assert!(decisions.iter().any(refused), "{decisions:?}");
+}
+
 #[test]
 fn what_surely_did_not_run_goes_to_another_endpoint() {
     for outcome in [Outcome::Unreached, Outcome::Full, Outcome::Moved] {
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -192,11 +192,26 @@
 #[test]
 fn a_caller_that_leaves_is_followed_by_its_request() {
     let world = world(&["e1"]);
-    let mut stream = world.instance.open();
-    send(&mut stream, "r1", "/safe/slow", "", "");
-    until("the request arrived", || arrived(&world) == 1);
-    drop(stream);
-    until("its endpoint was told", || world.endpoints[0].left() == 1);
+    for number in 1..6 {
+        let mut stream = world.instance.open();
+        send(&mut stream, "r1", "/safe/slow", "", "");
+        until("the request arrived", || arrived(&world) == number);
+        drop(stream);
+        until("its endpoint was told", || {
+            world.endpoints[0].left() as usize == number
+        });
+    }
+    // The endpoint runs four at once: the places of those that left are free again.
+    let answer = world.instance.call("r", "/safe/a", "", "");
+    assert!(answer.ends_with("whole"), "{answer}");
+}
+
+// The only endpoint breaks off, and no other could serve. The caller is not told that nothing ran.
+#[test]
+fn what_ran_at_the_only_endpoint_is_not_denied() {
+    let world = world(&["e1"]);
+    let answer = world.instance.call("r1", "/safe/cut", "", "");
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
 }
 
 #[test]
@@ -224,12 +239,14 @@
     world
         .store
         .put("servers/e1", &world.endpoints[0].entry("draining"));
-    until("only e2 serves", || {
-        let answers = (0..8).map(|_| world.instance.call("r", "/safe/a", "", ""));
-        answers
-            .filter(|it| it.contains("response-seal: e2"))
-            .count()
-            == 8
+    // Changes come in their order: whoever has this version knows of the drain before it.
+    world.store.put("op/config", &configuration::text(4, "k1"));
+    until("the version is in force", || {
+        let page = get(world.instance.metrics, "/metrics").unwrap_or_default();
+        let version = page
+            .lines()
+            .find(|it| it.contains("what=\"configuration\""));
+        version.is_some_and(|it| it.ends_with(" 4"))
     });
     let before = world.endpoints[0].arrivals().len();
     for _ in 0..20 {
