--- a/crates/siskinyoke-cli/src/lib.rs
+++ b/crates/siskinyoke-cli/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod check;
 pub mod context;
+pub mod explain;
 pub mod operator;
 pub mod report;
 pub mod status;
--- a/crates/siskinyoke-cli/src/main.rs
+++ b/crates/siskinyoke-cli/src/main.rs
@@ -11,6 +11,7 @@
 use siskinyoke_cli::caller;
 use siskinyoke_cli::check;
 use siskinyoke_cli::context::Context;
+use siskinyoke_cli::explain;
 use siskinyoke_cli::operator;
 use siskinyoke_cli::report;
 use siskinyoke_cli::report::ReportError;
@@ -45,6 +46,8 @@
     Check(check::Check),
     /// Say what each daemon tells of itself.
     Status,
+    /// Tell the story of one request from the gateways' logs.
+    Explain(explain::Explain),
     /// Print what was charged.
     Usage(report::UsageArgs),
     /// Report how fast the tiers' error budgets burn.
@@ -61,6 +64,9 @@
         Command::Locate => finish(caller::locate(context).map(|()| Kind::Done)),
         Command::Send(send) => finish(send.run(context).map(|outcome| outcome.kind)),
         Command::Check(check) => checked(check.run(context)),
+        Command::Explain(explain) => {
+            finish(explain.run(&mut io::stdout().lock()).map(|()| Kind::Done))
+        }
         Command::Status => finish(status::status(context)),
         Command::Usage(args) => finish(reported(context, |addresses, json, out| {
             args.run(context, addresses, json, out)
