--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/core/identity.rs
@@ -0,0 +1,21 @@
+//! What an instance is.
+
+use crate::allowance::Measure;
+use crate::report::Place;
+
+/// What an instance is, fixed for the life of its process.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Its name.
+    pub name: String,
+    /// Where it is found.
+    pub place: Place,
+    /// Names this start of its process; drawn at random.
+    pub source: u64,
+    /// The part of a service's requests that may be sent again, over all instances.
+    pub retries: f64,
+    /// Retries allowed beside that part, over all instances.
+    pub floor: f64,
+    /// How allowances are measured.
+    pub measure: Measure,
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/core/pass.rs
@@ -0,0 +1,162 @@
+//! The filters that need only a request's head.
+
+use std::sync::Arc;
+
+use crate::Ask;
+use crate::Configuration;
+use crate::Kind;
+use crate::Organisation;
+use crate::Rank;
+use crate::Reason;
+use crate::Refusal;
+use crate::Route;
+use siskinyoke_base::Millis;
+
+/// The time that a token of output takes, in tokens of prompt.
+///
+/// Engines read tens of tokens of a prompt in a millisecond and write one in some four.
+const OUTPUT: f64 = 100.0;
+
+/// What a caller asks for, before anything is decided.
+#[derive(Debug, Clone, Copy)]
+pub struct Request<'a> {
+    /// The host it names.
+    pub host: &'a str,
+    /// Its path.
+    pub path: &'a str,
+    /// Its key, if it has one.
+    pub key: Option<&'a str>,
+    /// How long its caller waits, if it says so.
+    pub deadline: Option<Millis>,
+    /// Prompt and output tokens, if it names them.
+    pub tokens: Option<(u64, u64)>,
+    /// An evenly spread number of its own, to split traffic by.
+    pub draw: u64,
+}
+
+/// A request that may go on: who sent it and how it is to be served.
+#[derive(Debug, Clone)]
+pub struct Pass {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that has to run it.
+    pub service: Arc<str>,
+    /// Its organisation, where one is needed.
+    pub organisation: Option<Arc<Organisation>>,
+    /// How urgent it is.
+    pub rank: Rank,
+    /// When it arrived.
+    pub arrived: Millis,
+    /// When nobody waits for it any more.
+    pub until: Millis,
+    /// Its size for placing and pacing.
+    pub size: f64,
+    /// What it takes of its organisation's allowance.
+    pub units: f64,
+}
+
+impl Pass {
+    /// Returns whether the answer comes as events.
+    pub fn streams(&self) -> bool {
+        self.route.kind == Kind::Stream
+    }
+}
+
+// Turns an evenly spread number into one from 0 to 1, by its upper half.
+pub(super) fn chance(draw: u64) -> f64 {
+    let upper = u32::try_from(draw >> 32).unwrap_or(u32::MAX);
+    f64::from(upper) / f64::from(u32::MAX)
+}
+
+pub(super) fn find_route(
+    configuration: &Configuration,
+    request: Request<'_>,
+) -> Result<Arc<Route>, Refusal> {
+    let route = configuration.route(request.host, request.path);
+    route.cloned().ok_or(Refusal {
+        reason: Reason::NoRoute,
+        after: Millis::ZERO,
+    })
+}
+
+pub(super) fn authenticate(
+    configuration: &Configuration,
+    route: &Route,
+    request: Request<'_>,
+) -> Result<Option<Arc<Organisation>>, Refusal> {
+    if !configuration.keyed() {
+        return Ok(None);
+    }
+    let holder = request.key.and_then(|key| configuration.holder(key));
+    if holder.is_none() && !route.exempt {
+        return Err(Refusal {
+            reason: Reason::NoKey,
+            after: Millis::ZERO,
+        });
+    }
+    Ok(holder.cloned())
+}
+
+pub(super) fn measure(
+    now: Millis,
+    route: Arc<Route>,
+    organisation: Option<Arc<Organisation>>,
+    request: Request<'_>,
+) -> Result<Pass, Refusal> {
+    let Some(service) = route.target(request.draw).cloned() else {
+        return Err(Refusal {
+            reason: Reason::NoEndpoint,
+            after: Millis(1000),
+        });
+    };
+    let span = request.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let rank = Rank::new(
+        organisation.as_ref().and_then(|it| it.priority),
+        route.priority,
+    );
+    Ok(Pass {
+        service,
+        rank,
+        arrived: now,
+        until: now + span,
+        size: size(request.tokens),
+        units: units(organisation.as_deref(), request.tokens),
+        organisation,
+        route,
+    })
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts stay far below 2^52"
+)]
+fn size(tokens: Option<(u64, u64)>) -> f64 {
+    tokens.map_or(1.0, |(input, output)| input as f64 + OUTPUT * output as f64)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts stay far below 2^52"
+)]
+fn units(organisation: Option<&Organisation>, tokens: Option<(u64, u64)>) -> f64 {
+    match organisation {
+        Some(it) if it.tokens => tokens.map_or(it.plain, |(input, output)| (input + output) as f64),
+        Some(_) => 1.0,
+        None => 0.0,
+    }
+}
+
+pub(super) fn ask(pass: &Pass, fingerprint: u64) -> Ask {
+    Ask {
+        service: pass.service.clone(),
+        route: pass.route.clone(),
+        rank: pass.rank,
+        arrived: pass.arrived,
+        until: pass.until,
+        size: pass.size,
+        fingerprint,
+        tried: Vec::new(),
+        sent: 0,
+        late: false,
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/core/talk.rs
@@ -0,0 +1,97 @@
+//! What this instance tells its peers, and what it takes from them.
+
+use crate::Report;
+use crate::core::Core;
+use crate::peers::Heard;
+use crate::report::About;
+use siskinyoke_base::Millis;
+
+/// Suspect work and addresses told in one report, so that it fits a datagram.
+const TOLD: usize = 8;
+
+/// How long the use of an organisation stands in each report after it changed.
+///
+/// Some reports are lost; five in a row are not, and the rest stands in every whole report.
+const RECENT: Millis = Millis(250);
+
+/// By how much longer than this instance a peer may run and still count as no older.
+const TOGETHER: Millis = Millis(1_500);
+
+impl Core {
+    /// Takes in a peer's report; returns whether the peer, or its start, is new.
+    pub fn heard(&mut self, now: Millis, report: Report) -> bool {
+        let source = report.source;
+        let mut mate = true;
+        if let Some(about) = &report.about {
+            if about.name == self.me.name {
+                return false;
+            }
+            self.learn(now, about);
+            mate = self.mate(&about.name);
+        }
+        if !mate {
+            self.peers.dismiss(source);
+            return false;
+        }
+        let spent = report.spent.clone();
+        let young = Millis(report.age) <= self.age(now) + TOGETHER;
+        match self.peers.heard(now, report) {
+            Heard::Nothing => return false,
+            Heard::First(before) => {
+                if let Some(before) = before {
+                    self.allowances.forget(before);
+                }
+                self.allowances.heard(source, young, &spent);
+                return true;
+            }
+            Heard::Next => self.allowances.heard(source, young, &spent),
+        }
+        false
+    }
+
+    pub(super) fn learn(&mut self, now: Millis, about: &About) {
+        for key in &about.leavers {
+            self.registry.left(now, *key);
+        }
+        for (print, crashes) in &about.suspects {
+            self.suspects.heard(now, *print, *crashes);
+        }
+    }
+
+    /// Makes the next report to peers, with what seldom changes if `whole` is set.
+    pub fn report(&mut self, now: Millis, whole: bool) -> Report {
+        self.number += 1;
+        let since = if whole {
+            Millis::ZERO
+        } else {
+            Millis(now.0.saturating_sub(RECENT.0))
+        };
+        Report {
+            source: self.me.source,
+            age: self.age(now).0,
+            number: self.number,
+            ready: self.ready(),
+            leaving: self.leaving,
+            configuration: self.version(),
+            running: self.scheduler.counts(),
+            waiting: self.scheduler.summary(now),
+            spent: self.allowances.spent(since),
+            about: whole.then(|| self.about(now)),
+        }
+    }
+
+    pub(super) fn about(&self, now: Millis) -> About {
+        About {
+            name: self.me.name.clone(),
+            place: self.me.place.clone(),
+            leavers: self.registry.news(),
+            suspects: self.suspects.news(TOLD),
+            peers: self.inner_addresses(now),
+        }
+    }
+
+    pub(super) fn age(&self, now: Millis) -> Millis {
+        self.started
+            .map_or(Millis::ZERO, |started| now.since(started))
+    }
+}
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod report;
 pub mod scheduler;
 pub mod suspects;
+mod wait;
 
 pub use ask::Ask;
 pub use ask::Rank;
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -11,7 +11,6 @@
 use crate::Ask;
 use crate::Endpoint;
 use crate::EndpointKey;
-use crate::Kind;
 use crate::Outcome;
 use crate::Reason;
 use crate::Refusal;
@@ -25,15 +24,10 @@
 use crate::registry::Registry;
 use crate::report::Waiting;
 use crate::report::short;
+use crate::wait;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
-/// The part of the latency objective that deferrable work may wait for.
-///
-/// Beyond it the answer would be late, and a late answer to deferrable work takes the place of
-/// one that could be on time.
-const PATIENCE: f64 = 0.7;
-
 /// Requests that may wait for a late answer, for each place of their service.
 ///
 /// They take only places that nothing else wants, between two peaks of the load; two for a place
@@ -104,16 +98,16 @@
         let load = self.load(&ask.service);
         let ahead = self.ahead(now, &ask, peers);
         let wait = load.wait(ahead, places);
-        let bearable = patience(&ask, load);
+        let bearable = wait::patience(&ask, load);
         if ahead == 0 || wait <= bearable {
             return Ok(self.enqueue(ask));
         }
         let ask = Ask { late: true, ..ask };
-        if urgent(&ask) || self.ahead(now, &ask, peers) >= LATE * to_usize(places) {
+        if wait::urgent(&ask) || self.ahead(now, &ask, peers) >= LATE * to_usize(places) {
             let after = wait.since(bearable).max(SOONEST);
             return Err(Refusal {
                 reason: Reason::Overload,
-                after: spread(after, &ask),
+                after: wait::spread(after, &ask),
             });
         }
         Ok(self.enqueue(ask))
@@ -335,7 +329,7 @@
             .count();
         for (_, arrived, ticket) in waiting {
             let ask = &self.waiting[&ticket];
-            if spent(ask, registry.fit(service)) {
+            if wait::spent(ask, registry.fit(service)) {
                 let refusal = Refusal {
                     reason: Reason::NoEndpoint,
                     after: load.stay(),
@@ -345,19 +339,19 @@
                 continue;
             }
             let bearable = if ask.late {
-                endurance(ask, load)
+                wait::endurance(ask, load)
             } else {
-                patience(ask, load)
+                wait::patience(ask, load)
             };
             if now < arrived + bearable {
                 continue;
             }
-            if !ask.late && !urgent(ask) && late < LATE * to_usize(places) {
+            if !ask.late && !wait::urgent(ask) && late < LATE * to_usize(places) {
                 late += 1;
                 self.put_off(ticket);
                 continue;
             }
-            let after = spread(load.stay().max(SOONEST), ask);
+            let after = wait::spread(load.stay().max(SOONEST), ask);
             self.cancel(ticket);
             decisions.push(Decision::Refuse(
                 ticket,
@@ -397,53 +391,6 @@
     }
 }
 
-/// Returns how long a request may wait and still be of use.
-///
-/// The most urgent work, and what lost its first endpoint, is served even late, up to the time
-/// that its own run needs. Deferrable
-/// work waits only as long as its answer can still be on time.
-fn patience(ask: &Ask, load: Load) -> Millis {
-    let whole = longest(ask, load);
-    if urgent(ask) {
-        return whole;
-    }
-    let run = if ask.route.kind == Kind::Stream {
-        load.first()
-    } else {
-        load.stay()
-    };
-    let slack = ask.route.aim.since(run).as_secs() * 1000.0 * PATIENCE;
-    whole.min(crate::load::millis(slack))
-}
-
-/// Returns how long a request may wait whose answer will be late: half of its time, so that its
-/// caller has the other half to come back in.
-fn endurance(ask: &Ask, load: Load) -> Millis {
-    Millis(ask.until.since(ask.arrived).0 / 2).min(longest(ask, load))
-}
-
-// The longest wait after which the caller is still there for the answer.
-fn longest(ask: &Ask, load: Load) -> Millis {
-    let whole = ask.until.since(ask.arrived).since(load.stay());
-    whole.min(ask.route.bearable().since(load.first()))
-}
-
-// Whether every endpoint that could take a request was tried for it: no wait can help then.
-fn spent(ask: &Ask, fit: &[Arc<Endpoint>]) -> bool {
-    !ask.tried.is_empty() && fit.iter().all(|it| ask.tried.contains(&it.key()))
-}
-
-// Whether a request waits as long as its caller does, in the order of its arrival.
-fn urgent(ask: &Ask) -> bool {
-    ask.route.priority == 0 || !ask.tried.is_empty()
-}
-
-// Spreads returns over half as much time again, so that callers refused together do not return
-// together.
-fn spread(after: Millis, ask: &Ask) -> Millis {
-    after + Millis(after.0 * (ask.fingerprint % 64) / 128)
-}
-
 fn to_usize(places: u32) -> usize {
     usize::try_from(places).unwrap_or(usize::MAX)
 }
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/wait.rs
@@ -0,0 +1,63 @@
+//! How long a request may wait, and when a refused one should return.
+
+use std::sync::Arc;
+
+use crate::Ask;
+use crate::Endpoint;
+use crate::Kind;
+use crate::load::Load;
+use crate::load::millis;
+use siskinyoke_base::Millis;
+
+/// The part of the latency objective that deferrable work may wait for.
+///
+/// Beyond it the answer would be late, and a late answer to deferrable work takes the place of
+/// one that could be on time.
+const PATIENCE: f64 = 0.7;
+
+/// Returns how long a request may wait and still be of use.
+///
+/// The most urgent work, and what lost its first endpoint, is served even late, up to the time
+/// that its own run needs. Deferrable
+/// work waits only as long as its answer can still be on time.
+pub(crate) fn patience(ask: &Ask, load: Load) -> Millis {
+    let whole = longest(ask, load);
+    if urgent(ask) {
+        return whole;
+    }
+    let run = if ask.route.kind == Kind::Stream {
+        load.first()
+    } else {
+        load.stay()
+    };
+    let slack = ask.route.aim.since(run).as_secs() * 1000.0 * PATIENCE;
+    whole.min(millis(slack))
+}
+
+/// Returns how long a request may wait whose answer will be late: half of its time, so that its
+/// caller has the other half to come back in.
+pub(crate) fn endurance(ask: &Ask, load: Load) -> Millis {
+    Millis(ask.until.since(ask.arrived).0 / 2).min(longest(ask, load))
+}
+
+// The longest wait after which the caller is still there for the answer.
+pub(crate) fn longest(ask: &Ask, load: Load) -> Millis {
+    let whole = ask.until.since(ask.arrived).since(load.stay());
+    whole.min(ask.route.bearable().since(load.first()))
+}
+
+// Whether every endpoint that could take a request was tried for it: no wait can help then.
+pub(crate) fn spent(ask: &Ask, fit: &[Arc<Endpoint>]) -> bool {
+    !ask.tried.is_empty() && fit.iter().all(|it| ask.tried.contains(&it.key()))
+}
+
+// Whether a request waits as long as its caller does, in the order of its arrival.
+pub(crate) fn urgent(ask: &Ask) -> bool {
+    ask.route.priority == 0 || !ask.tried.is_empty()
+}
+
+// Spreads returns over half as much time again, so that callers refused together do not return
+// together.
+pub(crate) fn spread(after: Millis, ask: &Ask) -> Millis {
+    after + Millis(after.0 * (ask.fingerprint % 64) / 128)
+}
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -183,18 +183,7 @@
 }
 
 fn refuse(shell: &Shell, id: Option<&str>, refusal: Refusal) -> Response<AnswerBody> {
-    let core = shell.core.borrow();
-    let (waiting, running) = core.scheduler().size();
-    let fields = json!({
-        "id": id,
-        "reason": refusal.reason.as_str(),
-        "after_ms": refusal.after.0,
-        "waiting": waiting,
-        "running": running,
-        "configuration": core.version(),
-        "peers": core.peers().count(shell.now()),
-    });
-    shell.log("refusal", fields);
+    shell.log_refusal(id, refusal);
     shell
         .metrics
         .answered(u8::MAX, refusal.reason.as_str(), Millis::ZERO);
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -1,5 +1,7 @@
 //! One request from its admission to its last byte.
 
+mod ending;
+
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,12 +14,10 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::answer;
 use crate::answer::AnswerBody;
 use crate::attempt;
 use crate::attempt::Parcel;
@@ -28,12 +28,9 @@
 use crate::shell::Shell;
 use crate::shell::Word;
 use crate::stay::Stay;
-use crate::stay::name;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
-use siskinyoke_dispatch::Reason;
-use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::core::Pass;
 use siskinyoke_platform::answer as wire;
 use siskinyoke_platform::request;
@@ -56,9 +53,6 @@
 /// Callers give a stream up after two seconds; the other endpoint needs the rest of that.
 const PAUSE: Millis = Millis(1_000);
 
-/// Returned to a caller whose request may have run, but brought no answer.
-const MAY_HAVE_RUN: &str = "no_answer: the request may have run";
-
 /// The way back to the caller.
 #[derive(Debug)]
 pub struct Caller {
@@ -179,7 +173,7 @@
             wire::Verdict::Foreign => Step::Again(Outcome::Broken),
             wire::Verdict::Full | wire::Verdict::Moved => {
                 self.ran = ran;
-                drain(&self.shell, endpoint, response, connection);
+                pool::drain(&self.shell, endpoint, response, connection);
                 let full = verdict == wire::Verdict::Full;
                 Step::Again(if full { Outcome::Full } else { Outcome::Moved })
             }
@@ -211,7 +205,7 @@
         let Ok(collected) = Limited::new(body, WHOLE).collect().await else {
             return Step::Again(Outcome::Broken);
         };
-        reuse(&self.shell, endpoint, &parts.headers, connection);
+        pool::reuse(&self.shell, endpoint, &parts.headers, connection);
         let mut answer = Response::new(AnswerBody::Whole(Some(collected.to_bytes())));
         *answer.status_mut() = parts.status;
         *answer.headers_mut() = wire::forward(&parts.headers);
@@ -262,7 +256,7 @@
         }
         let rest = self.events.finish();
         self.pass_on(&parts, rest).await;
-        reuse(&self.shell, endpoint, &parts.headers, connection);
+        pool::reuse(&self.shell, endpoint, &parts.headers, connection);
         let took = self.shell.now().since(start);
         Step::Finished(Outcome::Done {
             first: first.unwrap_or(took),
@@ -300,128 +294,4 @@
         };
         Millis(usual.0 * SILENCE).max(SHORTEST).into()
     }
-
-    fn finished(&mut self) -> &'static str {
-        if let Some(answer) = self.failure.take()
-            && self.caller.head.is_some()
-        {
-            self.tell(answer);
-            return "answered";
-        }
-        drop(self.caller.pieces.try_send(None));
-        "streamed"
-    }
-
-    fn refused(&mut self, refusal: Refusal) -> &'static str {
-        if self.ran {
-            return self.failed(Outcome::Left);
-        }
-        self.shell.core.borrow_mut().give_back(&self.pass);
-        self.tell(answer::refuse(refusal));
-        refusal.reason.as_str()
-    }
-
-    // No endpoint brought a whole answer, and no other may be asked.
-    fn failed(&mut self, outcome: Outcome) -> &'static str {
-        if self.caller.head.is_none() {
-            return "cut";
-        }
-        if let Some(answer) = self.failure.take() {
-            self.tell(answer);
-            return "endpoint_failed";
-        }
-        if !self.ran {
-            let load = self
-                .shell
-                .core
-                .borrow()
-                .scheduler()
-                .load(&self.pass.service);
-            let full = outcome == Outcome::Full;
-            let reason = if full {
-                Reason::Rejected
-            } else {
-                Reason::NoEndpoint
-            };
-            return self.refused(Refusal {
-                reason,
-                after: load.stay(),
-            });
-        }
-        self.tell(answer::plain(StatusCode::BAD_GATEWAY, MAY_HAVE_RUN));
-        "no_answer"
-    }
-
-    fn expired(&mut self) {
-        if self.caller.head.is_none() {
-            return;
-        }
-        if self.ran {
-            self.tell(answer::plain(StatusCode::GATEWAY_TIMEOUT, MAY_HAVE_RUN));
-        } else {
-            self.refused(Refusal {
-                reason: Reason::Waited,
-                after: SHORTEST,
-            });
-        }
-    }
-
-    fn tell(&mut self, answer: Response<AnswerBody>) {
-        if let Some(head) = self.caller.head.take() {
-            drop(head.send(Head::Whole(answer)));
-        }
-    }
-
-    fn trace(&self, endpoint: &Endpoint, outcome: Outcome) {
-        let fields = json!({
-            "id": self.id,
-            "endpoint": &*endpoint.id,
-            "born": endpoint.born,
-            "outcome": name(outcome),
-            "since_arrival_ms": self.shell.now().since(self.pass.arrived).0,
-        });
-        self.shell.log("attempt", fields);
-    }
-
-    fn note(&self, outcome: &'static str) {
-        let took = self.shell.now().since(self.pass.arrived);
-        self.shell
-            .metrics
-            .answered(self.pass.route.priority, outcome, took);
-        let fields = json!({
-            "id": self.id,
-            "route": &*self.pass.route.name,
-            "rank": self.pass.rank.0,
-            "outcome": outcome,
-            "took_ms": took.0,
-            "left_ms": self.pass.until.since(self.shell.now()).0,
-            "configuration": self.shell.core.borrow().version(),
-        });
-        self.shell.log("answer", fields);
-    }
-}
-
-// Keeps a connection whose answer is over, if its endpoint keeps it too.
-fn reuse(shell: &Rc<Shell>, endpoint: &Endpoint, headers: &HeaderMap, connection: Connection) {
-    if !wire::closes(headers) {
-        pool::keep(shell, endpoint.key(), connection, wire::keep(headers));
-    }
-}
-
-// Reads the short body of an answer that says "not run", so that its connection can be kept.
-fn drain(
-    shell: &Rc<Shell>,
-    endpoint: &Arc<Endpoint>,
-    response: Response<Incoming>,
-    connection: Connection,
-) {
-    let shell = shell.clone();
-    let endpoint = endpoint.clone();
-    tokio::task::spawn_local(async move {
-        let (parts, body) = response.into_parts();
-        let reading = Limited::new(body, WHOLE).collect();
-        if let Ok(Ok(_)) = timeout(SHORTEST.into(), reading).await {
-            reuse(&shell, &endpoint, &parts.headers, connection);
-        }
-    });
 }
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/job/ending.rs
@@ -0,0 +1,121 @@
+//! How a request ends: what its caller is told, and what is logged and counted.
+
+use http::Response;
+use http::StatusCode;
+use serde_json::json;
+
+use crate::answer;
+use crate::answer::AnswerBody;
+use crate::job::Head;
+use crate::job::Job;
+use crate::job::SHORTEST;
+use crate::stay::name;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::Reason;
+use siskinyoke_dispatch::Refusal;
+
+/// Returned to a caller whose request may have run, but brought no answer.
+const MAY_HAVE_RUN: &str = "no_answer: the request may have run";
+
+impl Job {
+    pub(super) fn finished(&mut self) -> &'static str {
+        if let Some(answer) = self.failure.take()
+            && self.caller.head.is_some()
+        {
+            self.tell(answer);
+            return "answered";
+        }
+        drop(self.caller.pieces.try_send(None));
+        "streamed"
+    }
+
+    pub(super) fn refused(&mut self, refusal: Refusal) -> &'static str {
+        if self.ran {
+            return self.failed(Outcome::Left);
+        }
+        self.shell.core.borrow_mut().give_back(&self.pass);
+        self.shell.log_refusal(self.id.as_deref(), refusal);
+        self.tell(answer::refuse(refusal));
+        refusal.reason.as_str()
+    }
+
+    // No endpoint brought a whole answer, and no other may be asked.
+    pub(super) fn failed(&mut self, outcome: Outcome) -> &'static str {
+        if self.caller.head.is_none() {
+            return "cut";
+        }
+        if let Some(answer) = self.failure.take() {
+            self.tell(answer);
+            return "endpoint_failed";
+        }
+        if !self.ran {
+            let load = self
+                .shell
+                .core
+                .borrow()
+                .scheduler()
+                .load(&self.pass.service);
+            let full = outcome == Outcome::Full;
+            let reason = if full {
+                Reason::Rejected
+            } else {
+                Reason::NoEndpoint
+            };
+            return self.refused(Refusal {
+                reason,
+                after: load.stay(),
+            });
+        }
+        self.tell(answer::plain(StatusCode::BAD_GATEWAY, MAY_HAVE_RUN));
+        "no_answer"
+    }
+
+    pub(super) fn expired(&mut self) {
+        if self.caller.head.is_none() {
+            return;
+        }
+        if self.ran {
+            self.tell(answer::plain(StatusCode::GATEWAY_TIMEOUT, MAY_HAVE_RUN));
+        } else {
+            self.refused(Refusal {
+                reason: Reason::Waited,
+                after: SHORTEST,
+            });
+        }
+    }
+
+    pub(super) fn tell(&mut self, answer: Response<AnswerBody>) {
+        if let Some(head) = self.caller.head.take() {
+            drop(head.send(Head::Whole(answer)));
+        }
+    }
+
+    pub(super) fn trace(&self, endpoint: &Endpoint, outcome: Outcome) {
+        let fields = json!({
+            "id": self.id,
+            "endpoint": &*endpoint.id,
+            "born": endpoint.born,
+            "outcome": name(outcome),
+            "since_arrival_ms": self.shell.now().since(self.pass.arrived).0,
+        });
+        self.shell.log("attempt", fields);
+    }
+
+    pub(super) fn note(&self, outcome: &'static str) {
+        let took = self.shell.now().since(self.pass.arrived);
+        self.shell
+            .metrics
+            .answered(self.pass.route.priority, outcome, took);
+        let fields = json!({
+            "id": self.id,
+            "route": &*self.pass.route.name,
+            "rank": self.pass.rank.0,
+            "outcome": outcome,
+            "took_ms": took.0,
+            "left_ms": self.pass.until.since(self.shell.now()).0,
+            "configuration": self.shell.core.borrow().version(),
+        });
+        self.shell.log("answer", fields);
+    }
+}
--- a/crates/siskinyoke-gateway/src/pool.rs
+++ b/crates/siskinyoke-gateway/src/pool.rs
@@ -2,15 +2,23 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::connection::Connection;
 use crate::shell::Shell;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::EndpointKey;
+use siskinyoke_platform::answer as wire;
 
 /// How long before an endpoint closes an idle connection we stop using it.
 ///
@@ -24,6 +32,9 @@
 /// How long a connection may take to be ready again after its answer ended.
 const SETTLE: Duration = Duration::from_millis(500);
 
+/// The longest body of an answer that says "not run", in bytes.
+const SHORT: usize = 64 * 1024;
+
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
@@ -67,13 +78,33 @@
     }
 }
 
-/// Keeps a connection for later, once its last answer is over.
-pub fn keep(
+/// Keeps a connection whose answer is over, if its endpoint keeps it too.
+pub fn reuse(shell: &Rc<Shell>, endpoint: &Endpoint, headers: &HeaderMap, connection: Connection) {
+    if !wire::closes(headers) {
+        keep(shell, endpoint.key(), connection, wire::keep(headers));
+    }
+}
+
+/// Reads the short body of an answer that says "not run", so that its connection can be kept.
+pub fn drain(
     shell: &Rc<Shell>,
-    key: EndpointKey,
-    mut connection: Connection,
-    named: Option<Millis>,
+    endpoint: &Arc<Endpoint>,
+    response: Response<Incoming>,
+    connection: Connection,
 ) {
+    let shell = shell.clone();
+    let endpoint = endpoint.clone();
+    tokio::task::spawn_local(async move {
+        let (parts, body) = response.into_parts();
+        let reading = Limited::new(body, SHORT).collect();
+        if let Ok(Ok(_)) = timeout(SETTLE, reading).await {
+            reuse(&shell, &endpoint, &parts.headers, connection);
+        }
+    });
+}
+
+// Keeps a connection for later, once its last answer is over.
+fn keep(shell: &Rc<Shell>, key: EndpointKey, mut connection: Connection, named: Option<Millis>) {
     let until = shell.now() + named.map_or(UNNAMED, |span| span.since(MARGIN));
     if connection.ready() {
         shell.pool.put(key, connection, until);
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -113,6 +113,25 @@
         self.journal.borrow_mut().line(self.now(), event, fields);
     }
 
+    /// Writes the line of a refusal, with what decided it.
+    pub fn log_refusal(&self, id: Option<&str>, refusal: Refusal) {
+        let now = self.now();
+        let core = self.core.borrow();
+        let (waiting, running) = core.scheduler().size();
+        let fields = json!({
+            "id": id,
+            "reason": refusal.reason.as_str(),
+            "after_ms": refusal.after.0,
+            "waiting": waiting,
+            "running": running,
+            "peers": core.peers().count(now) - 1,
+            "allowance_share": core.peers().share(now),
+            "configuration": core.version(),
+            "store": self.stored.get(),
+        });
+        self.log("refusal", fields);
+    }
+
     /// Hands gathered log lines to their writer.
     pub fn flush(&self) {
         self.journal.borrow_mut().flush();
