--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -120,6 +120,7 @@
         },
         events: Events::default(),
         ran: false,
+        endpoint: None,
         failure: None,
     };
     tokio::task::spawn_local(job.run(stay, word));
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -129,6 +129,9 @@
             name.clone_from(&about.name);
         }
         let version = report.configuration;
+        if version == 0 && report.about.is_some() {
+            self.introduce(shell, from);
+        }
         let fields = json!({ "peer": name, "age_ms": report.age, "from": from.to_string() });
         let first = shell.core.borrow_mut().heard(shell.now(), report);
         if first {
@@ -144,8 +147,12 @@
     }
 
     fn report(&self, shell: &Shell, search: bool) {
-        let now = shell.now();
-        let report = shell.core.borrow_mut().report(now, search);
+        let addresses = self.addresses(shell, shell.now(), search);
+        self.send(shell, &addresses, search);
+    }
+
+    fn send(&self, shell: &Shell, to: &BTreeSet<SocketAddr>, whole: bool) {
+        let report = shell.core.borrow_mut().report(shell.now(), whole);
         let bytes = match postcard::to_allocvec(&report) {
             Ok(bytes) if bytes.len() <= LARGEST => bytes,
             Ok(bytes) => {
@@ -157,10 +164,10 @@
                 return;
             }
         };
-        for address in self.addresses(shell, now, search) {
+        for address in to {
             // A peer that cannot be reached shows by its silence; the next report is soon.
-            if let Err(err) = self.socket.try_send_to(&bytes, address)
-                && search
+            if let Err(err) = self.socket.try_send_to(&bytes, *address)
+                && whole
             {
                 let fields = json!({ "to": address.to_string(), "error": err.to_string() });
                 shell.log("report_unsent", fields);
@@ -168,6 +175,14 @@
         }
     }
 
+    // Answers an instance that knows no configuration yet, so that it can take ours. It may have
+    // started while the store is away, and belong to another cell, whose instances it cannot find.
+    fn introduce(&self, shell: &Shell, to: SocketAddr) {
+        if shell.core.borrow().version() > 0 {
+            self.send(shell, &BTreeSet::from([to]), true);
+        }
+    }
+
     fn addresses(&self, shell: &Shell, now: Millis, search: bool) -> BTreeSet<SocketAddr> {
         let core = shell.core.borrow();
         let mut all: BTreeSet<SocketAddr> = core
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -88,6 +88,8 @@
     pub events: Events,
     /// Whether it may have run.
     pub ran: bool,
+    /// The endpoint it was given to last.
+    pub endpoint: Option<Arc<Endpoint>>,
     /// An endpoint's own failure, to be passed on if no other endpoint does better.
     pub failure: Option<Response<AnswerBody>>,
 }
@@ -149,6 +151,7 @@
 
     async fn attempt(&mut self, endpoint: &Arc<Endpoint>, stay: &Stay) -> Step {
         let start = self.shell.now();
+        self.endpoint = Some(endpoint.clone());
         let ran = std::mem::replace(&mut self.ran, true);
         let shell = self.shell.clone();
         let headers = self.headers(endpoint, start);
--- a/crates/siskinyoke-gateway/src/job/ending.rs
+++ b/crates/siskinyoke-gateway/src/job/ending.rs
@@ -112,6 +112,7 @@
             "route": &*self.pass.route.name,
             "rank": self.pass.rank.0,
             "outcome": outcome,
+            "endpoint": self.endpoint.as_ref().map(|it| it.id.to_string()),
             "took_ms": took.0,
             "left_ms": self.pass.until.since(self.shell.now()).0,
             "configuration": self.shell.core.borrow().version(),
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -294,6 +294,18 @@
     assert!(page.contains("siskinyoke_state"), "{page}");
 }
 
+// An instance starts while the store is away. It takes configuration and endpoints from a peer that
+// its settings name, and serves.
+#[test]
+fn an_instance_that_starts_without_the_store_learns_from_a_peer() {
+    let world = world(&["e1"]);
+    world.store.set_mood(Mood::Busy);
+    let seeds = [world.instance.peers];
+    let other = Instance::start_with(program(), "i2", world.store.address, &seeds).ready();
+    let answer = other.call("r1", "/safe/a", "", "");
+    assert!(answer.ends_with("whole"), "{answer}");
+}
+
 // An instance is told to stop while it serves. The request ends whole; new callers are sent
 // elsewhere, and the log tells what happened.
 #[test]
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -32,6 +32,8 @@
     pub health: SocketAddr,
     /// Where it names instances.
     pub directory: SocketAddr,
+    /// Where peers reach it.
+    pub peers: SocketAddr,
     /// Where its metrics are.
     pub metrics: SocketAddr,
 }
@@ -43,18 +45,28 @@
     ///
     /// If it cannot be started.
     pub fn start(program: &Path, name: &str, store: SocketAddr) -> Self {
+        Self::start_with(program, name, store, &[])
+    }
+
+    /// Starts a process that knows some peers from its settings.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be started.
+    pub fn start_with(program: &Path, name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
         let [callers, health, directory, peers, metrics] = own_addresses();
         let settings = std::env::temp_dir().join(format!("{name}-{}.jsonc", callers.ip()));
         let text = format!(
             r#"{{ "instance": "{name}", "ip": "{}", "centre": "a", "metrics": {},
                 "listen": {{ "callers": "{callers}", "health": "{health}",
                              "directory": "{directory}", "peers": "{peers}" }},
-                "store": "{store}", "memory_mb": 110, // as on the platform
+                "store": "{store}", "seeds": {}, "memory_mb": 110, // as on the platform
                 "bounds": {{ "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 54,
                              "quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 110000,
                              "keep_s": 5 }} }}"#,
             callers.ip(),
-            metrics.port()
+            metrics.port(),
+            serde_json::json!(seeds)
         );
         fs::write(&settings, text).unwrap();
         let child = spawn(program, &settings);
@@ -66,6 +78,7 @@
             callers,
             health,
             directory,
+            peers,
             metrics,
         }
     }
