--- a/crates/siskinyoke-dispatch/src/ask.rs
+++ b/crates/siskinyoke-dispatch/src/ask.rs
@@ -69,9 +69,4 @@
     pub fn order(&self) -> Order {
         Order::new(self.rank, self.late)
     }
-
-    /// Returns the time that is left before nobody waits any more.
-    pub fn left(&self, now: Millis) -> Millis {
-        self.until.since(now)
-    }
 }
--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -50,11 +50,6 @@
         now < self.rests
     }
 
-    /// Returns when the rest ends.
-    pub fn rested(&self) -> Millis {
-        self.rests
-    }
-
     /// Returns the part of its requests that failed lately.
     pub fn failures(&self) -> f64 {
         self.failures
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -14,6 +14,9 @@
 /// tells the same within seconds.
 const TOLD: usize = 16;
 
+/// How long a start that left is remembered: no entry of it comes that late.
+const REMEMBERED: Millis = Millis::from_secs(600);
+
 /// The endpoints that each cell needs of a service, so that a failed request has another to go to.
 const FEWEST: usize = 2;
 
@@ -80,6 +83,7 @@
 
     /// Drops entries whose time is over.
     pub fn sweep(&mut self, now: Millis) {
+        self.leavers.retain(|_, at| now.since(*at) < REMEMBERED);
         if self.listing.sweep(now) {
             self.choose();
         }
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -34,6 +34,9 @@
 /// are served within some two usual stays then.
 const LATE: usize = 2;
 
+/// When a caller should come back whose service has no endpoint: new ones are known within that.
+const ABSENT: Millis = Millis(500);
+
 /// How much longer than now it may take for a caller to come back, at least.
 const SOONEST: Millis = Millis(50);
 
@@ -92,7 +95,7 @@
         if places == 0 {
             return Err(Refusal {
                 reason: Reason::NoEndpoint,
-                after: Millis(500),
+                after: ABSENT,
             });
         }
         let load = self.load(&ask.service);
@@ -161,11 +164,6 @@
         }
     }
 
-    /// Returns the request that waits under a ticket.
-    pub fn ask(&self, ticket: Ticket) -> Option<&Ask> {
-        self.waiting.get(&ticket)
-    }
-
     /// Returns the request that runs under a ticket.
     pub fn running(&self, ticket: Ticket) -> Option<&Ask> {
         self.running.get(&ticket).map(|row| &row.1)
--- a/crates/siskinyoke-gateway/src/attempt.rs
+++ b/crates/siskinyoke-gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 
 use crate::connection::Connection;
 use crate::connection::Sent;
+use crate::held::Held;
 use crate::shell::Shell;
 use siskinyoke_dispatch::Endpoint;
 
@@ -28,6 +29,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Counts the body's bytes until the last copy is gone.
+    pub held: Rc<Held>,
 }
 
 /// What came of a sending.
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -20,6 +20,7 @@
 use crate::answer::AnswerBody;
 use crate::attempt::Parcel;
 use crate::events::Events;
+use crate::held::Held;
 use crate::job::Caller;
 use crate::job::Head;
 use crate::job::Job;
@@ -77,8 +78,8 @@
         Ok(pass) => pass,
         Err(refusal) => return refuse(shell, id.as_deref(), refusal),
     };
-    let body = match collect(shell, &pass, body).await {
-        Ok(body) => body,
+    let (body, counted) = match collect(shell, &pass, body).await {
+        Ok(taken) => taken,
         Err(fault) => return refuse_body(shell, id.as_deref(), &pass, &fault),
     };
     let organisation = pass.organisation.as_ref().map(|it| it.name.clone());
@@ -88,6 +89,7 @@
         target: parts.uri,
         headers: request::forward(&parts.headers, organisation.as_deref()),
         body,
+        held: Rc::new(counted),
     };
     admit(shell, id, pass, parcel, print).await
 }
@@ -137,50 +139,34 @@
     }
 }
 
-async fn collect(shell: &Shell, pass: &Pass, body: Incoming) -> Result<Bytes, BodyFault> {
+async fn collect(
+    shell: &Rc<Shell>,
+    pass: &Pass,
+    body: Incoming,
+) -> Result<(Bytes, Held), BodyFault> {
     let limit = shell
         .core
         .borrow()
         .configuration()
         .map_or(0, |it| it.limits.body);
-    let expected = body.size_hint().lower();
-    if expected > u64::try_from(limit).unwrap_or(u64::MAX) {
+    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if expected > limit {
         return Err(BodyFault::Large);
     }
-    // A quarter of the memory for bodies leaves the rest for connections and answers.
-    let room = shell.settings().memory_mb * 1024 * 1024 / 4;
-    if u64::try_from(shell.held.get()).unwrap_or(u64::MAX) + expected > room {
-        return Err(BodyFault::Crowded);
-    }
-    let held = Held::take(shell, usize::try_from(expected).unwrap_or(usize::MAX));
+    let expecting = Held::take(shell, expected).ok_or(BodyFault::Crowded)?;
     let left = Duration::from(pass.until.since(shell.now()));
     let collected = timeout(left, Limited::new(body, limit).collect()).await;
-    drop(held);
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => Err(BodyFault::Large),
-        Ok(Err(_)) => Err(BodyFault::Broken),
-        Err(_) => Err(BodyFault::Slow),
-    }
-}
-
-/// Counts the bytes of a body while it arrives.
-struct Held<'a> {
-    shell: &'a Shell,
-    bytes: usize,
-}
-
-impl<'a> Held<'a> {
-    fn take(shell: &'a Shell, bytes: usize) -> Self {
-        shell.held.set(shell.held.get() + bytes);
-        Self { shell, bytes }
-    }
-}
-
-impl Drop for Held<'_> {
-    fn drop(&mut self) {
-        self.shell.held.set(self.shell.held.get() - self.bytes);
-    }
+    drop(expecting);
+    let body = match collected {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+            return Err(BodyFault::Large);
+        }
+        Ok(Err(_)) => return Err(BodyFault::Broken),
+        Err(_) => return Err(BodyFault::Slow),
+    };
+    let held = Held::take(shell, body.len()).ok_or(BodyFault::Crowded)?;
+    Ok((body, held))
 }
 
 fn refuse(shell: &Shell, id: Option<&str>, refusal: Refusal) -> Response<AnswerBody> {
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod gateway;
 pub mod gossip;
+pub mod held;
 pub mod inner;
 pub mod job;
 pub mod journal;
--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/held.rs
@@ -0,0 +1,49 @@
+//! The bound on bodies in memory.
+
+use std::rc::Rc;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::allowance::Measure;
+use siskinyoke_dispatch::core::Identity;
+use siskinyoke_gateway::held::Held;
+use siskinyoke_gateway::journal::Journal;
+use siskinyoke_gateway::settings::Settings;
+use siskinyoke_gateway::shell::Shell;
+
+const SETTINGS: &str = r#"{ "instance": "i", "ip": "127.0.0.1", "centre": "a", "metrics": 1,
+    "listen": { "callers": "127.0.0.1:1", "health": "127.0.0.1:2", "directory": "127.0.0.1:3",
+                "peers": "127.0.0.1:4" },
+    "store": "127.0.0.1:5", "memory_mb": 16,
+    "bounds": { "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 54, "quota_window_s": 8,
+                "quota_overage": 0.1, "quota_slack": 110000, "keep_s": 5 } }"#;
+
+const MB: usize = 1024 * 1024;
+
+fn shell() -> Rc<Shell> {
+    let settings = Settings::parse(SETTINGS).unwrap();
+    let identity = Identity {
+        name: settings.instance.clone(),
+        place: settings.place(),
+        source: 1,
+        retries: 0.2,
+        floor: 54.0,
+        measure: Measure {
+            window: Millis(8_000),
+            overage: 0.1,
+            slack: 0.0,
+        },
+    };
+    Rc::new(Shell::new(settings, identity, Journal::start(std::io::sink())).unwrap())
+}
+
+// Hundreds of large requests wait for places. Each is allowed by itself; together their bodies
+// would pass the memory of the process, which ends and cuts off all that it serves.
+#[test]
+fn waiting_bodies_fill_a_quarter_of_the_memory_at_most() {
+    let shell = shell();
+    let first = Held::take(&shell, 3 * MB);
+    assert!(first.is_some());
+    assert!(Held::take(&shell, 2 * MB).is_none());
+    drop(first);
+    assert!(Held::take(&shell, 2 * MB).is_some());
+}
