Let a slow caller have its end mark, pass large answers on, and end no stream with another answer

Found by reading the change: the end mark of a stream was dropped if its caller was eight pieces behind; an answer over 1 MB was taken for a broken one and lost; a 404 on a resumed stream ended it as whole.

--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -123,7 +123,7 @@
         events: Events::default(),
         ran: false,
         endpoint: None,
-        failure: None,
+        answer: None,
     };
     tokio::task::spawn_local(job.run(stay, word));
     match head.await {
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -90,8 +90,8 @@
     pub ran: bool,
     /// The endpoint it was given to last.
     pub endpoint: Option<Arc<Endpoint>>,
-    /// An endpoint's own failure, to be passed on if no other endpoint does better.
-    pub failure: Option<Response<AnswerBody>>,
+    /// An endpoint's whole answer; a failure is passed on if no other endpoint does better.
+    pub answer: Option<Response<AnswerBody>>,
 }
 
 enum Step {
@@ -99,6 +99,8 @@
     Finished(Outcome),
     // The endpoint did not bring a whole answer; another might.
     Again(Outcome),
+    // It broke off, and no other may go on.
+    Cut,
 }
 
 impl Job {
@@ -136,6 +138,10 @@
             let (outcome, more) = match self.attempt(&endpoint, &stay).await {
                 Step::Finished(outcome) => (outcome, false),
                 Step::Again(outcome) => (outcome, true),
+                Step::Cut => {
+                    stay.end(Outcome::Broken, false);
+                    return self.failed(Outcome::Broken);
+                }
             };
             self.trace(&endpoint, outcome);
             match stay.end(outcome, more) {
@@ -144,7 +150,7 @@
                     self.shell.decide();
                 }
                 None if more => return self.failed(outcome),
-                None => return self.finished(),
+                None => return self.finished().await,
             }
         }
     }
@@ -204,22 +210,52 @@
         response: Response<Incoming>,
         connection: Connection,
     ) -> Step {
-        let (parts, body) = response.into_parts();
-        let Ok(collected) = Limited::new(body, WHOLE).collect().await else {
-            return Step::Again(Outcome::Broken);
-        };
+        let (parts, mut body) = response.into_parts();
+        let mut held = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return Step::Again(Outcome::Broken);
+            };
+            held.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+            if held.len() > WHOLE {
+                return self.relay(&parts, held.freeze(), body, start).await;
+            }
+        }
         pool::reuse(&self.shell, endpoint, &parts.headers, connection);
-        let mut answer = Response::new(AnswerBody::Whole(Some(collected.to_bytes())));
+        let mut answer = Response::new(AnswerBody::Whole(Some(held.freeze())));
         *answer.status_mut() = parts.status;
         *answer.headers_mut() = wire::forward(&parts.headers);
-        self.failure = Some(answer);
-        if wire::failed(parts.status) {
+        self.answer = Some(answer);
+        // Where a stream has begun, only the rest of its events can end it.
+        if wire::failed(parts.status) || self.caller.head.is_none() {
             return Step::Again(Outcome::Failed);
         }
         let took = self.shell.now().since(start);
         Step::Finished(Outcome::Done { first: took, took })
     }
 
+    // Passes an answer on as it comes that is too long to be held. What was passed on cannot be
+    // taken back, so no other endpoint may go on when it breaks.
+    async fn relay(
+        &mut self,
+        parts: &http::response::Parts,
+        held: Bytes,
+        mut body: Incoming,
+        start: Millis,
+    ) -> Step {
+        let first = self.shell.now().since(start);
+        self.pass_on(parts, held).await;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return Step::Cut;
+            };
+            let piece = frame.into_data().unwrap_or_default();
+            self.pass_on(parts, piece).await;
+        }
+        let took = self.shell.now().since(start);
+        Step::Finished(Outcome::Done { first, took })
+    }
+
     async fn stream(
         &mut self,
         endpoint: &Arc<Endpoint>,
--- a/crates/siskinyoke-gateway/src/job/ending.rs
+++ b/crates/siskinyoke-gateway/src/job/ending.rs
@@ -19,14 +19,16 @@
 const MAY_HAVE_RUN: &str = "no_answer: the request may have run";
 
 impl Job {
-    pub(super) fn finished(&mut self) -> &'static str {
-        if let Some(answer) = self.failure.take()
+    pub(super) async fn finished(&mut self) -> &'static str {
+        if let Some(answer) = self.answer.take()
             && self.caller.head.is_some()
         {
             self.tell(answer);
             return "answered";
         }
-        drop(self.caller.pieces.try_send(None));
+        // The end mark waits for its turn behind the pieces of a slow caller; without it the answer
+        // looks broken off. A caller that is gone needs none.
+        drop(self.caller.pieces.send(None).await);
         "streamed"
     }
 
@@ -45,7 +47,7 @@
         if self.caller.head.is_none() {
             return "cut";
         }
-        if let Some(answer) = self.failure.take() {
+        if let Some(answer) = self.answer.take() {
             self.tell(answer);
             return "endpoint_failed";
         }
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -10,6 +10,8 @@
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
+use siskinyoke_soak::endpoint::LARGE;
+use siskinyoke_soak::endpoint::MANY;
 use siskinyoke_soak::instance::get;
 use siskinyoke_soak::instance::read_answer;
 use siskinyoke_soak::instance::send;
@@ -151,6 +153,51 @@
     assert_eq!(resumed, ["2"]);
 }
 
+// A stream breaks off, and the endpoint that should go on answers that it knows nothing of it. That
+// answer ended the stream with an end mark, as if the events so far were all.
+#[test]
+fn a_stream_that_is_not_gone_on_with_does_not_look_whole() {
+    let world = world(&["e1", "e2"]);
+    let answer = world.instance.call("r1", "/stream/events/lost", "", "");
+    assert!(answer.contains("data: 2"), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
+// A caller reads slowly, and the buffers on the way fill. The end mark found no room behind the last
+// events and was dropped, so that a whole stream looked broken off.
+#[test]
+fn a_slow_caller_gets_the_end_of_its_stream() {
+    let world = world(&["e1"]);
+    let mut stream = world.instance.open();
+    send(
+        &mut stream,
+        "r1",
+        "/single/many",
+        "connection: close\r\n",
+        "",
+    );
+    until("the request arrived", || arrived(&world) == 1);
+    std::thread::sleep(Duration::from_millis(500));
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert_eq!(answer.matches("id: ").count(), MANY + 1);
+    assert!(answer.ends_with("0\r\n\r\n"));
+}
+
+// An answer is longer than what is held back. Taken for a broken one, it ran and was lost.
+#[test]
+fn a_large_answer_is_passed_on_as_it_comes() {
+    let world = world(&["e1"]);
+    let answer = world.instance.call("r1", "/once/large", "", "");
+    assert!(
+        answer.starts_with("HTTP/1.1 200"),
+        "{}",
+        &answer[..100.min(answer.len())]
+    );
+    assert!(answer.matches('x').count() >= LARGE);
+    assert_eq!(arrived(&world), 1);
+}
+
 // A stream that may not be resumed breaks off. It must not look whole, and must not run again.
 #[test]
 fn a_stream_that_cannot_go_on_does_not_look_whole() {
@@ -286,10 +333,9 @@
         answer.contains(&other.callers.to_string())
             && answer.contains(&world.instance.callers.to_string())
     });
-    assert_eq!(
-        world.store.keys("instances/"),
-        ["instances/i1", "instances/i2"]
-    );
+    until("both have their entries", || {
+        world.store.keys("instances/") == ["instances/i1", "instances/i2"]
+    });
     let page = get(other.metrics, "/metrics").unwrap();
     assert!(page.contains("siskinyoke_state"), "{page}");
 }
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -12,6 +12,12 @@
 use std::thread;
 use std::time::Duration;
 
+/// The bytes of a large answer.
+pub const LARGE: usize = 3 * 1024 * 1024;
+
+/// The events of a long stream.
+pub const MANY: usize = 1_000;
+
 /// A request as it reached an endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct Arrival {
@@ -147,6 +153,21 @@
         if arrival.does("nap") {
             thread::sleep(Duration::from_millis(1_500));
         }
+        if arrival.does("large") {
+            out.write_all(&self.answer(arrival, &"x".repeat(LARGE)))?;
+            return Ok(true);
+        }
+        if arrival.does("lost") && arrival.header("last-event-id").is_some() {
+            let id = arrival.header("siskinyoke-request-id").unwrap_or("");
+            write!(
+                out,
+                "HTTP/1.1 404 Gone\r\nSiskinyoke-Request-Id: {id}\r\ncontent-length: 0\r\n\r\n"
+            )?;
+            return Ok(true);
+        }
+        if arrival.does("many") {
+            return self.many(arrival, out);
+        }
         if arrival.does("events") {
             return self.stream(arrival, out);
         }
@@ -189,6 +210,25 @@
         Ok(true)
     }
 
+    // Many long events, more than the buffers on their way hold.
+    fn many(&self, arrival: &Arrival, out: &mut TcpStream) -> std::io::Result<bool> {
+        let id = arrival.header("siskinyoke-request-id").unwrap_or("");
+        write!(
+            out,
+            "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            self.id
+        )?;
+        for number in 0..MANY {
+            chunk(
+                out,
+                &format!("id: {number}\ndata: {}\n\n", "x".repeat(16 * 1024)),
+            )?;
+        }
+        out.write_all(b"0\r\n\r\n")?;
+        Ok(true)
+    }
+
     fn await_leave(&self, out: &mut TcpStream) -> std::io::Result<()> {
         let mut byte = [0];
         if out.read(&mut byte)? == 0 {
