--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -32,6 +32,7 @@
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::core::Pass;
+use siskinyoke_dispatch::load::Load;
 use siskinyoke_platform::answer as wire;
 use siskinyoke_platform::request;
 
@@ -319,13 +320,14 @@
         }
     }
 
+    // How the service's requests fared lately.
+    fn load(&self) -> Load {
+        let core = self.shell.core.borrow();
+        core.scheduler().load(&self.pass.service)
+    }
+
     fn silence(&self) -> Duration {
-        let load = self
-            .shell
-            .core
-            .borrow()
-            .scheduler()
-            .load(&self.pass.service);
+        let load = self.load();
         let usual = if self.pass.streams() {
             load.first()
         } else {
--- a/crates/siskinyoke-gateway/src/job/ending.rs
+++ b/crates/siskinyoke-gateway/src/job/ending.rs
@@ -52,12 +52,6 @@
             return "endpoint_failed";
         }
         if !self.ran {
-            let load = self
-                .shell
-                .core
-                .borrow()
-                .scheduler()
-                .load(&self.pass.service);
             let full = outcome == Outcome::Full;
             let reason = if full {
                 Reason::Rejected
@@ -66,7 +60,7 @@
             };
             return self.refused(Refusal {
                 reason,
-                after: load.stay(),
+                after: self.load().stay(),
             });
         }
         self.tell(answer::plain(StatusCode::BAD_GATEWAY, MAY_HAVE_RUN));
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -188,16 +188,10 @@
 
     // Four events; the first sending breaks off in the middle of the third.
     fn stream(&self, arrival: &Arrival, out: &mut TcpStream) -> std::io::Result<bool> {
-        let id = arrival.header("siskinyoke-request-id").unwrap_or("");
         let after: u32 = arrival
             .header("last-event-id")
             .map_or(0, |it| it.parse().unwrap());
-        write!(
-            out,
-            "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
-             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
-            self.id
-        )?;
+        self.begin(arrival, out)?;
         for number in after + 1..=4 {
             let event = format!("id: {number}\ndata: {number}\n\n");
             if number == 3 && after == 0 {
@@ -212,13 +206,7 @@
 
     // Many long events, more than the buffers on their way hold.
     fn many(&self, arrival: &Arrival, out: &mut TcpStream) -> std::io::Result<bool> {
-        let id = arrival.header("siskinyoke-request-id").unwrap_or("");
-        write!(
-            out,
-            "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
-             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
-            self.id
-        )?;
+        self.begin(arrival, out)?;
         for number in 0..MANY {
             chunk(
                 out,
@@ -229,6 +217,17 @@
         Ok(true)
     }
 
+    // Sends the head of a stream.
+    fn begin(&self, arrival: &Arrival, out: &mut TcpStream) -> std::io::Result<()> {
+        let id = arrival.header("siskinyoke-request-id").unwrap_or("");
+        write!(
+            out,
+            "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            self.id
+        )
+    }
+
     fn await_leave(&self, out: &mut TcpStream) -> std::io::Result<()> {
         let mut byte = [0];
         if out.read(&mut byte)? == 0 {
