--- a/crates/siskinyoke-base/src/code.rs
+++ b/crates/siskinyoke-base/src/code.rs
@@ -126,6 +126,9 @@
     /// Too many identities are held already.
     LedgerFull = 3011, NotRun, 503, "Too many keyed requests are held here; use another address.";
 
+    /// An endpoint turned it away unrun, and no other may be asked.
+    Rejected = 3012, NotRun, 503, "The endpoint had no room, and no other may be asked; come back later.";
+
     /// The endpoint broke off and it may have run.
     Broken = 4000, Unknown, 502, "The endpoint broke off; the request may have run.";
     /// The endpoint took too long and it may have run.
--- a/crates/siskinyoke-gateway/src/answer.rs
+++ b/crates/siskinyoke-gateway/src/answer.rs
@@ -13,10 +13,6 @@
 use quick_error::quick_error;
 use tokio::sync::mpsc::Receiver;
 
-use siskinyoke_dispatch::Reason;
-use siskinyoke_dispatch::Refusal;
-use siskinyoke_platform::answer;
-
 quick_error! {
     /// A stream that cannot be finished.
     ///
@@ -90,12 +86,7 @@
     response
 }
 
-/// Makes the answer to a request that was turned away unrun.
-pub fn refuse(refusal: Refusal) -> Response<AnswerBody> {
-    let mut response = plain(answer::refusal(refusal.reason), refusal.reason.as_str());
-    if !matches!(refusal.reason, Reason::NoRoute | Reason::NoKey) {
-        let value = answer::retry_after(refusal.after);
-        response.headers_mut().insert(header::RETRY_AFTER, value);
-    }
-    response
+/// Makes an answer of our own from one with a plain body.
+pub fn own(response: Response<Vec<u8>>) -> Response<AnswerBody> {
+    response.map(|body| AnswerBody::Whole(Some(body.into())))
 }
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http::StatusCode;
+use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Body;
@@ -26,13 +26,14 @@
 use crate::job::Job;
 use crate::shell::Shell;
 use crate::stay::Stay;
+use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Reason;
 use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::core::Pass;
 use siskinyoke_dispatch::core::Request as Wanted;
 use siskinyoke_dispatch::stable_hash;
-use siskinyoke_platform::request;
+use siskinyoke_interface::FormatError;
 
 /// Pieces of a stream that wait for a slow caller before its endpoint is read no further.
 const PIECES: usize = 8;
@@ -63,33 +64,80 @@
 
 async fn answer(shell: &Rc<Shell>, request: Request<Incoming>) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
-    let head = request::decode(&parts.headers);
+    let exchange = &shell.interface.exchange;
+    if !exchange.in_body(&parts) {
+        let (id, passed) = match decode(shell, &parts, &[]) {
+            Ok(passed) => passed,
+            Err(err) => return unreadable(shell, &err),
+        };
+        let pass = match passed {
+            Ok(pass) => pass,
+            Err(refusal) => return refuse(shell, id.as_deref(), refusal),
+        };
+        let left = pass.until.since(shell.now());
+        return match collect(shell, left, body).await {
+            Ok((body, held)) => enter(shell, parts, id, pass, body, held).await,
+            Err(fault) => {
+                shell.core.borrow_mut().give_back(&pass);
+                refuse_body(shell, id.as_deref(), &fault)
+            }
+        };
+    }
+    let (body, held) = match collect(shell, arrival(shell), body).await {
+        Ok(taken) => taken,
+        Err(fault) => return refuse_body(shell, None, &fault),
+    };
+    match decode(shell, &parts, &body) {
+        Ok((id, Ok(pass))) => enter(shell, parts, id, pass, body, held).await,
+        Ok((id, Err(refusal))) => refuse(shell, id.as_deref(), refusal),
+        Err(err) => unreadable(shell, &err),
+    }
+}
+
+// How long a request may take to arrive that can only be understood whole.
+fn arrival(shell: &Shell) -> Millis {
+    let core = shell.core.borrow();
+    core.configuration()
+        .map_or(Millis::ZERO, |it| it.limits.arrival)
+}
+
+// Understands a request and lets it through the filters that need no more than its head.
+fn decode(
+    shell: &Shell,
+    parts: &Parts,
+    body: &[u8],
+) -> Result<(Option<String>, Result<Pass, Refusal>), FormatError> {
+    let head = shell.interface.exchange.decode(parts, body)?;
     let id = head.id.map(ToOwned::to_owned);
     let wanted = Wanted {
         host: head.host,
-        path: parts.uri.path(),
-        key: head.key,
+        path: &head.path,
+        key: head.key.as_deref(),
         deadline: head.deadline,
         tokens: head.tokens,
         draw: stable_hash(&head.id),
     };
     let passed = shell.core.borrow_mut().pass(shell.now(), wanted);
-    let pass = match passed {
-        Ok(pass) => pass,
-        Err(refusal) => return refuse(shell, id.as_deref(), refusal),
-    };
-    let (body, counted) = match collect(shell, &pass, body).await {
-        Ok(taken) => taken,
-        Err(fault) => return refuse_body(shell, id.as_deref(), &pass, &fault),
-    };
+    Ok((id, passed))
+}
+
+async fn enter(
+    shell: &Rc<Shell>,
+    parts: Parts,
+    id: Option<String>,
+    pass: Pass,
+    body: Bytes,
+    held: Held,
+) -> Response<AnswerBody> {
+    let exchange = &shell.interface.exchange;
     let organisation = pass.organisation.as_ref().map(|it| it.name.clone());
     let print = stable_hash(&(parts.uri.path(), organisation.as_deref(), &body[..]));
     let parcel = Parcel {
         method: parts.method,
-        target: parts.uri,
-        headers: request::forward(&parts.headers, organisation.as_deref()),
+        target: exchange.target(&parts.uri),
+        headers: exchange.request(&parts.headers, organisation.as_deref()),
         body,
-        held: Rc::new(counted),
+        held: Rc::new(held),
     };
     admit(shell, id, pass, parcel, print).await
 }
@@ -135,13 +183,13 @@
             response
         }
         // The job ended without a word, by a fault of ours.
-        Err(_) => answer::plain(StatusCode::BAD_GATEWAY, "fault: the request may have run"),
+        Err(_) => answer::own(shell.interface.exchange.fail(Code::Broken)),
     }
 }
 
 async fn collect(
     shell: &Rc<Shell>,
-    pass: &Pass,
+    left: Millis,
     body: Incoming,
 ) -> Result<(Bytes, Held), BodyFault> {
     let limit = shell
@@ -154,8 +202,7 @@
         return Err(BodyFault::Large);
     }
     let expecting = Held::take(shell, expected).ok_or(BodyFault::Crowded)?;
-    let left = Duration::from(pass.until.since(shell.now()));
-    let collected = timeout(left, Limited::new(body, limit).collect()).await;
+    let collected = timeout(Duration::from(left), Limited::new(body, limit).collect()).await;
     drop(expecting);
     let body = match collected {
         Ok(Ok(collected)) => collected.to_bytes(),
@@ -174,23 +221,19 @@
     shell
         .metrics
         .answered(u8::MAX, refusal.reason.as_str(), Millis::ZERO);
-    answer::refuse(refusal)
+    answer::own(shell.interface.exchange.refuse(refusal))
 }
 
-fn refuse_body(
-    shell: &Shell,
-    id: Option<&str>,
-    pass: &Pass,
-    fault: &BodyFault,
-) -> Response<AnswerBody> {
-    shell.core.borrow_mut().give_back(pass);
-    let (status, text) = match fault {
-        BodyFault::Large => (StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit"),
-        BodyFault::Slow => (
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive in time",
-        ),
-        BodyFault::Broken => (StatusCode::BAD_REQUEST, "the body broke off"),
+fn unreadable(shell: &Shell, err: &FormatError) -> Response<AnswerBody> {
+    shell.log("request_unreadable", json!({ "error": err.to_string() }));
+    answer::own(shell.interface.exchange.fail(Code::Malformed))
+}
+
+fn refuse_body(shell: &Shell, id: Option<&str>, fault: &BodyFault) -> Response<AnswerBody> {
+    let code = match fault {
+        BodyFault::Large => Code::BodyTooLarge,
+        BodyFault::Slow => Code::SlowSender,
+        BodyFault::Broken => Code::Malformed,
         BodyFault::Crowded => {
             return refuse(
                 shell,
@@ -202,6 +245,6 @@
             );
         }
     };
-    shell.log("body_refused", json!({ "id": id, "why": text }));
-    answer::plain(status, text)
+    shell.log("body_refused", json!({ "id": id, "why": code.text() }));
+    answer::own(shell.interface.exchange.fail(code))
 }
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -56,7 +56,12 @@
     ];
     let identity = identity(&settings);
     let journal = Journal::start(std::io::stdout());
-    let shell = Rc::new(Shell::new(settings, identity, journal)?);
+    let shell = Rc::new(Shell::new(
+        settings.interface.open(),
+        settings,
+        identity,
+        journal,
+    )?);
     shell.log("start", json!({ "version": env!("CARGO_PKG_VERSION") }));
     for (address, page) in pages {
         let listener = listener::bind(address).await?;
--- a/crates/siskinyoke-gateway/src/inner.rs
+++ b/crates/siskinyoke-gateway/src/inner.rs
@@ -16,7 +16,7 @@
 use crate::store::Client;
 use crate::watcher;
 use siskinyoke_base::Millis;
-use siskinyoke_platform::store::Call;
+use siskinyoke_interface::Call;
 
 /// How long a peer may take to hand over what it has.
 const LIMIT: Millis = Millis(1_000);
@@ -87,11 +87,7 @@
 }
 
 async fn fetch(shell: &Shell, from: SocketAddr) {
-    let call = Call {
-        method: "GET",
-        path: "/state".to_owned(),
-        body: Vec::new(),
-    };
+    let call = Call::get("/state");
     let body = match Client::default().call(from, &call, LIMIT).await {
         Ok(body) => body,
         Err(err) => {
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -33,8 +33,7 @@
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::core::Pass;
 use siskinyoke_dispatch::load::Load;
-use siskinyoke_platform::answer as wire;
-use siskinyoke_platform::request;
+use siskinyoke_interface::Verdict;
 
 /// Bytes of a whole answer that are held before they are passed on.
 ///
@@ -178,28 +177,33 @@
             }
             Reply::Broken => return Step::Again(Outcome::Broken),
         };
-        let verdict = wire::decode(response.status(), response.headers(), self.id.as_deref());
+        let verdict = shell.interface.exchange.verdict(
+            response.status(),
+            response.headers(),
+            self.id.as_deref(),
+        );
         match verdict {
-            wire::Verdict::Foreign => Step::Again(Outcome::Broken),
-            wire::Verdict::Full | wire::Verdict::Moved => {
+            Verdict::Foreign => Step::Again(Outcome::Broken),
+            Verdict::Full | Verdict::Moved => {
                 self.ran = ran;
                 pool::drain(&self.shell, endpoint, response, connection);
-                let full = verdict == wire::Verdict::Full;
+                let full = verdict == Verdict::Full;
                 Step::Again(if full { Outcome::Full } else { Outcome::Moved })
             }
-            wire::Verdict::Answer if self.pass.streams() && response.status().is_success() => {
+            Verdict::Answer if self.pass.streams() && response.status().is_success() => {
                 self.stream(endpoint, stay, start, response, connection)
                     .await
             }
-            wire::Verdict::Answer => self.whole(endpoint, start, response, connection).await,
+            Verdict::Answer => self.whole(endpoint, start, response, connection).await,
         }
     }
 
     fn headers(&self, endpoint: &Endpoint, now: Millis) -> HeaderMap {
+        let exchange = &self.shell.interface.exchange;
         let mut headers = self.parcel.headers.clone();
-        request::address(&mut headers, endpoint, self.pass.until.since(now));
+        exchange.address(&mut headers, endpoint, self.pass.until.since(now));
         if let Some(event) = self.events.last() {
-            request::resume(&mut headers, event);
+            exchange.resume(&mut headers, event);
         }
         headers
     }
@@ -225,10 +229,10 @@
         pool::reuse(&self.shell, endpoint, &parts.headers, connection);
         let mut answer = Response::new(AnswerBody::Whole(Some(held.freeze())));
         *answer.status_mut() = parts.status;
-        *answer.headers_mut() = wire::forward(&parts.headers);
+        *answer.headers_mut() = self.translate(&parts);
         self.answer = Some(answer);
         // Where a stream has begun, only the rest of its events can end it.
-        if wire::failed(parts.status) || self.caller.head.is_none() {
+        if parts.status.is_server_error() || self.caller.head.is_none() {
             return Step::Again(Outcome::Failed);
         }
         let took = self.shell.now().since(start);
@@ -312,7 +316,7 @@
     // A caller that is gone closes the channel, which ends the job; so a failed send needs no word.
     async fn pass_on(&mut self, parts: &http::response::Parts, piece: Bytes) {
         if let Some(head) = self.caller.head.take() {
-            let headers = wire::forward(&parts.headers);
+            let headers = self.translate(parts);
             drop(head.send(Head::Stream(parts.status, headers)));
         }
         if !piece.is_empty() {
@@ -320,6 +324,11 @@
         }
     }
 
+    fn translate(&self, parts: &http::response::Parts) -> HeaderMap {
+        let exchange = &self.shell.interface.exchange;
+        exchange.answer(parts.status, &parts.headers)
+    }
+
     // How the service's requests fared lately.
     fn load(&self) -> Load {
         let core = self.shell.core.borrow();
--- a/crates/siskinyoke-gateway/src/job/ending.rs
+++ b/crates/siskinyoke-gateway/src/job/ending.rs
@@ -1,7 +1,6 @@
 //! How a request ends: what its caller is told, and what is logged and counted.
 
 use http::Response;
-use http::StatusCode;
 use serde_json::json;
 
 use crate::answer;
@@ -10,14 +9,12 @@
 use crate::job::Job;
 use crate::job::SHORTEST;
 use crate::stay::name;
+use siskinyoke_base::Code;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::Reason;
 use siskinyoke_dispatch::Refusal;
 
-/// Returned to a caller whose request may have run, but brought no answer.
-const MAY_HAVE_RUN: &str = "no_answer: the request may have run";
-
 impl Job {
     pub(super) async fn finished(&mut self) -> &'static str {
         if let Some(answer) = self.answer.take()
@@ -38,7 +35,7 @@
         }
         self.shell.core.borrow_mut().give_back(&self.pass);
         self.shell.log_refusal(self.id.as_deref(), refusal);
-        self.tell(answer::refuse(refusal));
+        self.tell(answer::own(self.shell.interface.exchange.refuse(refusal)));
         refusal.reason.as_str()
     }
 
@@ -63,7 +60,7 @@
                 after: self.load().stay(),
             });
         }
-        self.tell(answer::plain(StatusCode::BAD_GATEWAY, MAY_HAVE_RUN));
+        self.tell(self.failure(Code::Broken));
         "no_answer"
     }
 
@@ -72,7 +69,7 @@
             return;
         }
         if self.ran {
-            self.tell(answer::plain(StatusCode::GATEWAY_TIMEOUT, MAY_HAVE_RUN));
+            self.tell(self.failure(Code::TimedOut));
         } else {
             self.refused(Refusal {
                 reason: Reason::Waited,
@@ -81,6 +78,10 @@
         }
     }
 
+    fn failure(&self, code: Code) -> Response<AnswerBody> {
+        answer::own(self.shell.interface.exchange.fail(code))
+    }
+
     pub(super) fn tell(&mut self, answer: Response<AnswerBody>) {
         if let Some(head) = self.caller.head.take() {
             drop(head.send(Head::Whole(answer)));
--- a/crates/siskinyoke-gateway/src/pool.rs
+++ b/crates/siskinyoke-gateway/src/pool.rs
@@ -18,7 +18,7 @@
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::EndpointKey;
-use siskinyoke_platform::answer as wire;
+use siskinyoke_interface::headers;
 
 /// How long before an endpoint closes an idle connection we stop using it.
 ///
@@ -79,9 +79,9 @@
 }
 
 /// Keeps a connection whose answer is over, if its endpoint keeps it too.
-pub fn reuse(shell: &Rc<Shell>, endpoint: &Endpoint, headers: &HeaderMap, connection: Connection) {
-    if !wire::closes(headers) {
-        keep(shell, endpoint.key(), connection, wire::keep(headers));
+pub fn reuse(shell: &Rc<Shell>, endpoint: &Endpoint, head: &HeaderMap, connection: Connection) {
+    if !headers::closes(head) {
+        keep(shell, endpoint.key(), connection, headers::keep(head));
     }
 }
 
--- a/crates/siskinyoke-gateway/src/presence.rs
+++ b/crates/siskinyoke-gateway/src/presence.rs
@@ -9,8 +9,6 @@
 use crate::store::Client;
 use crate::store::StoreError;
 use siskinyoke_base::Millis;
-use siskinyoke_platform::names;
-use siskinyoke_platform::store;
 
 /// How long the entry outlives this process.
 ///
@@ -50,15 +48,15 @@
 async fn enter(shell: &Shell, client: &mut Client) -> Result<u64, StoreError> {
     let settings = shell.settings();
     let body = client
-        .call(settings.store, &store::grant(LEASE), LIMIT)
+        .call(settings.store, &shell.interface.store.grant(LEASE), LIMIT)
         .await?;
-    let lease = store::decode_grant(&body)?;
-    let key = format!("{}{}", names::INSTANCE_PREFIX, settings.instance);
+    let lease = shell.interface.store.decode_grant(&body)?;
+    let key = shell.interface.documents.instance_key(&settings.instance);
     let value = json!(settings.place()).to_string();
     client
         .call(
             settings.store,
-            &store::put(&key, value.as_bytes(), lease),
+            &shell.interface.store.put(&key, value.as_bytes(), lease),
             LIMIT,
         )
         .await?;
@@ -70,7 +68,10 @@
 async fn leave(shell: &Shell, client: &mut Client, lease: Option<u64>) {
     let Some(lease) = lease else { return };
     let address = shell.settings().store;
-    if let Err(err) = client.call(address, &store::end(lease), LIMIT).await {
+    if let Err(err) = client
+        .call(address, &shell.interface.store.end(lease), LIMIT)
+        .await
+    {
         shell.log("presence_failed", json!({ "error": err.to_string() }));
     }
 }
@@ -78,8 +79,12 @@
 // Returns the lease, or nothing if it has ended and the entry is to be written anew.
 async fn renew(shell: &Shell, client: &mut Client, lease: u64) -> Result<Option<u64>, StoreError> {
     let address = shell.settings().store;
-    match client.call(address, &store::renew(lease), LIMIT).await {
-        Ok(_) => Ok(Some(lease)),
+    let call = shell.interface.store.renew(lease);
+    match client.call(address, &call, LIMIT).await {
+        Ok(body) => {
+            let holds = shell.interface.store.decode_renew(&body)?;
+            Ok(holds.then_some(lease))
+        }
         Err(StoreError::Status(http::StatusCode::NOT_FOUND)) => Ok(None),
         Err(err) => Err(err),
     }
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -11,6 +11,7 @@
 
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::report::Place;
+use siskinyoke_interface::Interface;
 
 quick_error! {
     /// What is wrong with a settings file.
@@ -71,9 +72,33 @@
     pub keep_s: f64,
 }
 
+/// How callers, endpoints, operators and the store are spoken to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Wire {
+    /// The product's own form.
+    #[default]
+    Own,
+    /// The users' platform.
+    Platform,
+}
+
+impl Wire {
+    /// Returns the interface that speaks this way.
+    pub fn open(self) -> Interface {
+        match self {
+            Self::Own => siskinyoke_native::interface(),
+            Self::Platform => siskinyoke_platform::interface(),
+        }
+    }
+}
+
 /// The settings of an instance.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Settings {
+    /// How callers, endpoints, operators and the store are spoken to; fixed for a process.
+    #[serde(default)]
+    pub interface: Wire,
     /// Its name.
     pub instance: String,
     /// Its IP address.
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -24,6 +24,7 @@
 use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::Ticket;
 use siskinyoke_dispatch::core::Identity;
+use siskinyoke_interface::Interface;
 
 /// What a waiting request is told.
 pub type Word = Result<Arc<Endpoint>, Refusal>;
@@ -42,6 +43,8 @@
 pub struct Shell {
     /// The state that decides.
     pub core: RefCell<Core>,
+    /// How callers, endpoints, operators and the store are spoken to.
+    pub interface: Interface,
     /// The settings at present.
     pub settings: RefCell<Rc<Settings>>,
     /// Connections to endpoints.
@@ -77,8 +80,14 @@
     /// # Errors
     ///
     /// What keeps the metrics from being set up.
-    pub fn new(settings: Settings, identity: Identity, journal: Journal) -> Result<Self, String> {
+    pub fn new(
+        interface: Interface,
+        settings: Settings,
+        identity: Identity,
+        journal: Journal,
+    ) -> Result<Self, String> {
         Ok(Self {
+            interface,
             core: RefCell::new(Core::new(identity)),
             settings: RefCell::new(Rc::new(settings)),
             pool: Pool::default(),
--- a/crates/siskinyoke-gateway/src/small.rs
+++ b/crates/siskinyoke-gateway/src/small.rs
@@ -9,8 +9,6 @@
 use crate::answer::AnswerBody;
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
-use siskinyoke_platform::directory;
-use siskinyoke_platform::names;
 
 /// How long callers should keep the directory's answer.
 ///
@@ -20,7 +18,7 @@
 
 /// Answers whether this instance takes callers.
 pub fn health(shell: &Shell, request: &Request<Incoming>) -> Response<AnswerBody> {
-    if request.uri().path() != names::READY_PATH {
+    if request.uri().path() != shell.interface.pages.ready_path() {
         return answer::plain(StatusCode::NOT_FOUND, "no such page");
     }
     if shell.core.borrow().ready() {
@@ -32,16 +30,19 @@
 
 /// Answers which instances a caller should use.
 pub fn directory(shell: &Shell, request: &Request<Incoming>) -> Response<AnswerBody> {
-    if request.uri().path() != names::DIRECTORY_PATH {
+    if request.uri().path() != shell.interface.pages.directory_path() {
         return answer::plain(StatusCode::NOT_FOUND, "no such page");
     }
-    let centre = directory::centre(request.uri().query().unwrap_or(""));
+    let centre = shell
+        .interface
+        .pages
+        .centre(request.uri().query().unwrap_or(""));
     let addresses = shell.core.borrow().addresses(shell.now(), centre);
     if addresses.is_empty() {
         return answer::plain(StatusCode::SERVICE_UNAVAILABLE, "no instance is ready");
     }
     let keep = KEEP.min(shell.settings().keep());
-    answer::json(directory::encode(&addresses, keep))
+    answer::json(shell.interface.pages.directory(&addresses, keep))
 }
 
 /// Answers with the metrics page.
--- a/crates/siskinyoke-gateway/src/store.rs
+++ b/crates/siskinyoke-gateway/src/store.rs
@@ -1,9 +1,11 @@
 //! The client of the platform's store.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -15,8 +17,10 @@
 use crate::connection::Connection;
 use crate::connection::Sent;
 use siskinyoke_base::Millis;
-use siskinyoke_platform::FormatError;
-use siskinyoke_platform::store::Call;
+use siskinyoke_interface::Batch;
+use siskinyoke_interface::Call;
+use siskinyoke_interface::FormatError;
+use siskinyoke_interface::Store;
 
 quick_error! {
     /// Why a call of the store brought no answer to use.
@@ -71,8 +75,42 @@
         call: &Call,
         limit: Millis,
     ) -> Result<Bytes, StoreError> {
+        let whole = |bytes: &[u8], ended: bool| Ok(ended.then(|| Bytes::copy_from_slice(bytes)));
+        self.within(address, call, limit, whole).await
+    }
+
+    /// Waits for changes until the store says that they are whole.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call`]; the limit is no failure where watches are quiet while nothing changes.
+    pub async fn watch(
+        &mut self,
+        address: SocketAddr,
+        call: &Call,
+        limit: Millis,
+        store: &dyn Store,
+    ) -> Result<Batch, StoreError> {
+        let heard = Cell::new(false);
+        let read = |bytes: &[u8], ended: bool| {
+            heard.set(true);
+            store.decode_watch(bytes, ended)
+        };
+        match self.within(address, call, limit, read).await {
+            Err(StoreError::Silent) if store.quiet_watch() && heard.get() => Ok(Batch::default()),
+            other => other,
+        }
+    }
+
+    async fn within<T>(
+        &mut self,
+        address: SocketAddr,
+        call: &Call,
+        limit: Millis,
+        read: impl Fn(&[u8], bool) -> Result<Option<T>, FormatError>,
+    ) -> Result<T, StoreError> {
         let limit = Duration::from(limit);
-        let result = timeout(limit, self.exchange(address, call)).await;
+        let result = timeout(limit, self.exchange(address, call, read)).await;
         let Ok(result) = result else {
             self.kept = None;
             return Err(StoreError::Silent);
@@ -83,7 +121,12 @@
         result
     }
 
-    async fn exchange(&mut self, address: SocketAddr, call: &Call) -> Result<Bytes, StoreError> {
+    async fn exchange<T>(
+        &mut self,
+        address: SocketAddr,
+        call: &Call,
+        read: impl Fn(&[u8], bool) -> Result<Option<T>, FormatError>,
+    ) -> Result<T, StoreError> {
         let (at, mut connection) = match self.kept.take() {
             Some((at, kept)) if at == address && kept.ready() => (at, kept),
             _ => (address, Connection::open(address).await?),
@@ -101,15 +144,23 @@
             }
         };
         let status = response.status();
-        let body = response.into_body().collect().await?.to_bytes();
+        let mut body = response.into_body();
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            bytes.extend_from_slice(frame?.data_ref().unwrap_or(&Bytes::new()));
+            if status.is_success()
+                && let Some(answer) = read(&bytes, false)?
+            {
+                return Ok(answer);
+            }
+        }
         if connection.settle().await {
             self.kept = Some((at, connection));
         }
-        if status.is_success() {
-            Ok(body)
-        } else {
-            Err(StoreError::Status(status))
+        if !status.is_success() {
+            return Err(StoreError::Status(status));
         }
+        read(&bytes, true)?.ok_or(StoreError::Silent)
     }
 }
 
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -11,12 +11,9 @@
 use crate::store::StoreError;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
-use siskinyoke_platform::configuration;
-use siskinyoke_platform::endpoint;
-use siskinyoke_platform::names;
-use siskinyoke_platform::store;
-use siskinyoke_platform::store::Batch;
-use siskinyoke_platform::store::Item;
+use siskinyoke_interface::Batch;
+use siskinyoke_interface::Entry;
+use siskinyoke_interface::Item;
 
 /// How long the store may hold a watch before it answers that nothing changed.
 ///
@@ -46,9 +43,6 @@
 /// Organisations that are named in the log line of a new configuration.
 const LOGGED: usize = 8;
 
-/// Everything is watched in one call, as each waiting call costs one.
-const ALL: &str = "";
-
 /// Follows the store for as long as the process runs.
 pub async fn follow(shell: Rc<Shell>, gossip: Rc<Gossip>) {
     let mut watcher = Watcher {
@@ -112,18 +106,21 @@
 
     async fn page(&mut self, after: &str) -> Result<Batch, StoreError> {
         let address = self.shell.settings().store;
-        let body = self
-            .client
-            .call(address, &store::range(ALL, after), READ)
-            .await?;
-        Ok(store::decode_range(&body)?)
+        let store = &self.shell.interface.store;
+        let body = self.client.call(address, &store.range(after), READ).await?;
+        Ok(store.decode_range(&body)?)
     }
 
     async fn watch(&mut self, revision: u64) -> Result<(), StoreError> {
         let address = self.shell.settings().store;
-        let call = store::watch(ALL, revision, WATCH);
-        let body = self.client.call(address, &call, WATCH + MARGIN).await?;
-        let batch = store::decode_watch(&body)?;
+        let store = &*self.shell.interface.store;
+        let limit = if store.quiet_watch() {
+            WATCH
+        } else {
+            WATCH + MARGIN
+        };
+        let call = store.watch(revision, WATCH);
+        let batch = self.client.watch(address, &call, limit, store).await?;
         self.answered();
         self.revision = Some(batch.revision.max(revision));
         if !batch.items.is_empty() {
@@ -143,13 +140,15 @@
         let mut instances = Vec::new();
         for item in items {
             let Some(value) = &item.value else { continue };
-            if let Some(id) = endpoint::id(&item.key) {
-                endpoints.extend(self.endpoint(id, value));
-                raw.push((id.to_owned(), value.clone()));
-                continue;
+            match self.shell.interface.documents.entry(&item.key) {
+                Entry::Endpoint(id) => {
+                    endpoints.extend(self.endpoint(id, value));
+                    raw.push((id.to_owned(), value.clone()));
+                    continue;
+                }
+                Entry::Instance(name) => instances.push(name.to_owned()),
+                Entry::Configuration | Entry::Other => {}
             }
-            let instance = item.key.strip_prefix(names::INSTANCE_PREFIX);
-            instances.extend(instance.map(ToOwned::to_owned));
             self.change(item);
         }
         let count = endpoints.len();
@@ -165,14 +164,16 @@
     }
 
     fn change(&mut self, item: Item) {
-        if let Some(id) = endpoint::id(&item.key) {
-            self.change_endpoint(id, item.value);
-        } else if item.key == names::CONFIGURATION_KEY {
-            if let Some(value) = item.value {
-                adopt(&self.shell, &value, "store");
+        let shell = self.shell.clone();
+        match shell.interface.documents.entry(&item.key) {
+            Entry::Endpoint(id) => self.change_endpoint(id, item.value),
+            Entry::Instance(name) => self.change_instance(name, item.value.as_deref()),
+            Entry::Configuration => {
+                if let Some(value) = item.value {
+                    adopt(&shell, &value, "store");
+                }
             }
-        } else if let Some(name) = item.key.strip_prefix(names::INSTANCE_PREFIX) {
-            self.change_instance(name, item.value.as_deref());
+            Entry::Other => {}
         }
     }
 
@@ -239,7 +240,7 @@
 
 /// Decodes an endpoint's entry; one that cannot be understood is logged and names none.
 pub fn decode_endpoint(shell: &Shell, id: &str, value: &[u8]) -> Option<Endpoint> {
-    match endpoint::decode(id, value) {
+    match shell.interface.documents.endpoint(id, value) {
         Ok(endpoint) => Some(endpoint),
         Err(err) => {
             let fields = json!({ "endpoint": id, "error": err.to_string() });
@@ -251,7 +252,7 @@
 
 /// Puts a configuration in force, unless it is no newer than the one that is.
 pub fn adopt(shell: &Shell, bytes: &[u8], source: &str) {
-    let configuration = match configuration::decode(bytes) {
+    let configuration = match shell.interface.documents.configuration(bytes) {
         Ok(configuration) => configuration,
         Err(err) => {
             let fields = json!({ "source": source, "error": err.to_string() });
--- a/crates/siskinyoke-gateway/tests/held.rs
+++ b/crates/siskinyoke-gateway/tests/held.rs
@@ -33,7 +33,9 @@
             slack: 0.0,
         },
     };
-    Rc::new(Shell::new(settings, identity, Journal::start(std::io::sink())).unwrap())
+    let interface = settings.interface.open();
+    let journal = Journal::start(std::io::sink());
+    Rc::new(Shell::new(interface, settings, identity, journal).unwrap())
 }
 
 // Hundreds of large requests wait for places. Each is allowed by itself; together their bodies
--- /dev/null
+++ b/crates/siskinyoke-interface/src/exchange.rs
@@ -0,0 +1,87 @@
+//! Heads of requests and answers, towards callers and towards endpoints.
+
+use std::borrow::Cow;
+use std::fmt::Debug;
+
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http::request::Parts;
+
+use crate::FormatError;
+use siskinyoke_base::Code;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::Refusal;
+
+/// What a caller's request says, beside what is only passed on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Head<'a> {
+    /// The identity of this attempt.
+    pub id: Option<&'a str>,
+    /// The host it is for, without a port.
+    pub host: &'a str,
+    /// The path by which its route is found.
+    pub path: Cow<'a, str>,
+    /// Its key, in the form in which the configuration holds keys.
+    pub key: Option<Cow<'a, str>>,
+    /// How long the caller waits.
+    pub deadline: Option<Millis>,
+    /// Prompt tokens, and the most output tokens.
+    pub tokens: Option<(u64, u64)>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The endpoint's own answer, whatever its status.
+    Answer,
+    /// It had no room and did not run the request.
+    Full,
+    /// The endpoint that was meant is not at this address; nothing ran.
+    Moved,
+    /// It is the answer to another request, or no answer in the protocol.
+    Foreign,
+}
+
+/// Heads of requests and answers.
+pub trait Exchange: Debug {
+    /// Returns whether a request can only be understood with its body.
+    fn in_body(&self, _: &Parts) -> bool {
+        false
+    }
+
+    /// Decodes a caller's request; `body` is empty unless its head says too little.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with a body that had to be understood.
+    fn decode<'a>(&self, parts: &'a Parts, body: &[u8]) -> Result<Head<'a>, FormatError>;
+
+    /// Returns the path with its query under which an endpoint is asked.
+    fn target(&self, uri: &Uri) -> Uri {
+        uri.clone()
+    }
+
+    /// Turns a caller's headers into those for endpoints, but for what differs with each sending.
+    fn request(&self, headers: &HeaderMap, organisation: Option<&str>) -> HeaderMap;
+
+    /// Sets what differs with each sending: the one endpoint meant, and the time that is left.
+    fn address(&self, headers: &mut HeaderMap, endpoint: &Endpoint, left: Millis);
+
+    /// Asks an endpoint to go on after an event of a stream.
+    fn resume(&self, headers: &mut HeaderMap, event: &str);
+
+    /// Decodes the head of an endpoint's answer to the request with this identity.
+    fn verdict(&self, status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> Verdict;
+
+    /// Turns an endpoint's headers into those for the caller.
+    fn answer(&self, status: StatusCode, headers: &HeaderMap) -> HeaderMap;
+
+    /// Makes the answer to a request that was turned away unrun.
+    fn refuse(&self, refusal: Refusal) -> Response<Vec<u8>>;
+
+    /// Makes any other answer of our own; the code says whether the request may have run.
+    fn fail(&self, code: Code) -> Response<Vec<u8>>;
+}
--- /dev/null
+++ b/crates/siskinyoke-interface/src/pages.rs
@@ -0,0 +1,20 @@
+//! The short pages beside callers' work.
+
+use std::fmt::Debug;
+
+use siskinyoke_base::Millis;
+
+/// The short pages beside callers' work.
+pub trait Pages: Debug {
+    /// The path that says whether an instance takes callers.
+    fn ready_path(&self) -> &'static str;
+
+    /// The path that names the instances to use.
+    fn directory_path(&self) -> &'static str;
+
+    /// Returns the data centre that a caller names in its query, empty if it names none.
+    fn centre<'a>(&self, query: &'a str) -> &'a str;
+
+    /// Encodes the instances to use, and how long to keep them.
+    fn directory(&self, addresses: &[String], keep: Millis) -> Vec<u8>;
+}
--- /dev/null
+++ b/crates/siskinyoke-native/src/documents.rs
@@ -0,0 +1,80 @@
+//! What the store holds, by key.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::configuration;
+use crate::names;
+use siskinyoke_dispatch::Configuration;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_interface::Documents;
+use siskinyoke_interface::Entry;
+use siskinyoke_interface::FormatError;
+
+/// What the store holds, by key.
+#[derive(Debug, Clone, Copy)]
+pub struct Keys;
+
+/// An endpoint's entry, written by operators or by the endpoint itself under a lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointEntry {
+    /// The service that it serves.
+    pub service: Arc<str>,
+    /// Its IP address and port.
+    pub address: Arc<str>,
+    /// Its data centre.
+    #[serde(default = "nowhere")]
+    pub centre: Arc<str>,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    #[serde(default)]
+    pub draining: bool,
+    /// The start of its process in Unix ms, where it is known; another start forgets the past.
+    #[serde(default)]
+    pub born: u64,
+}
+
+impl Documents for Keys {
+    fn entry<'a>(&self, key: &'a str) -> Entry<'a> {
+        if key == names::CONFIGURATION_KEY {
+            return Entry::Configuration;
+        }
+        if let Some(id) = key.strip_prefix(names::ENDPOINT_PREFIX) {
+            return Entry::Endpoint(id);
+        }
+        let instance = key.strip_prefix(names::INSTANCE_PREFIX);
+        instance.map_or(Entry::Other, Entry::Instance)
+    }
+
+    fn instance_key(&self, name: &str) -> String {
+        format!("{}{name}", names::INSTANCE_PREFIX)
+    }
+
+    fn configuration(&self, bytes: &[u8]) -> Result<Configuration, FormatError> {
+        configuration::Document::parse(bytes)?.resolve()
+    }
+
+    fn endpoint(&self, id: &str, bytes: &[u8]) -> Result<Endpoint, FormatError> {
+        let entry: EndpointEntry = serde_json::from_slice(bytes)?;
+        if entry.slots == 0 {
+            return Err(FormatError::Value("slots".into(), "give 1 or more"));
+        }
+        Ok(Endpoint {
+            id: id.into(),
+            born: entry.born,
+            service: entry.service,
+            address: entry.address,
+            centre: entry.centre,
+            slots: entry.slots,
+            draining: entry.draining,
+        })
+    }
+}
+
+fn nowhere() -> Arc<str> {
+    "".into()
+}
--- /dev/null
+++ b/crates/siskinyoke-native/src/etcd.rs
@@ -0,0 +1,253 @@
+//! The calls of etcd's published v3 JSON gateway.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::names;
+use siskinyoke_base::Millis;
+use siskinyoke_interface::Batch;
+use siskinyoke_interface::Call;
+use siskinyoke_interface::FormatError;
+use siskinyoke_interface::Item;
+use siskinyoke_interface::Store;
+
+const RANGE: &str = "/v3/kv/range";
+const PUT: &str = "/v3/kv/put";
+const TXN: &str = "/v3/kv/txn";
+const WATCH: &str = "/v3/watch";
+const GRANT: &str = "/v3/lease/grant";
+const KEEP: &str = "/v3/lease/keepalive";
+const REVOKE: &str = "/v3/lease/revoke";
+
+/// The most items of one page: at some 200 bytes each far below a megabyte.
+const PAGE: u32 = 1_000;
+
+/// The calls of etcd's published v3 JSON gateway.
+#[derive(Debug, Clone, Copy)]
+pub struct Etcd;
+
+impl Store for Etcd {
+    fn range(&self, after: &str) -> Call {
+        // The next key after any other is that key with a zero byte.
+        let from = if after.is_empty() {
+            names::PREFIX.to_owned()
+        } else {
+            format!("{after}\0")
+        };
+        let body = json!({ "key": code(&from), "range_end": code(END), "limit": PAGE.to_string() });
+        Call::post(RANGE, &body)
+    }
+
+    fn decode_range(&self, bytes: &[u8]) -> Result<Batch, FormatError> {
+        let page: Page = serde_json::from_slice(bytes)?;
+        let rows = page.kvs.into_iter();
+        Ok(Batch {
+            items: rows
+                .map(|row| row.decode(false))
+                .collect::<Result<_, _>>()?,
+            revision: number(&page.header.revision)?,
+            more: page.more,
+        })
+    }
+
+    fn watch(&self, revision: u64, _: Millis) -> Call {
+        let body = json!({
+            "create_request": {
+                "key": code(names::PREFIX),
+                "range_end": code(END),
+                "start_revision": (revision + 1).to_string(),
+            }
+        });
+        Call::post(WATCH, &body)
+    }
+
+    fn decode_watch(&self, bytes: &[u8], ended: bool) -> Result<Option<Batch>, FormatError> {
+        let mut batch = Batch::default();
+        for line in bytes.split_inclusive(|byte| *byte == b'\n') {
+            // Half a message waits for its rest.
+            if line.last() != Some(&b'\n') && !ended {
+                break;
+            }
+            let message: Message = serde_json::from_slice(line)?;
+            if message.result.canceled {
+                return Err(FormatError::Forgotten);
+            }
+            for event in message.result.events {
+                let item = event.kv.decode(event.kind == "DELETE")?;
+                batch.revision = batch.revision.max(item.revision);
+                batch.items.push(item);
+            }
+        }
+        if batch.items.is_empty() && !ended {
+            return Ok(None);
+        }
+        Ok(Some(batch))
+    }
+
+    fn quiet_watch(&self) -> bool {
+        true
+    }
+
+    fn grant(&self, ttl: Millis) -> Call {
+        // Its spans are whole seconds.
+        let seconds = ttl.0.div_ceil(1_000);
+        Call::post(GRANT, &json!({ "TTL": seconds.to_string() }))
+    }
+
+    fn decode_grant(&self, bytes: &[u8]) -> Result<u64, FormatError> {
+        let lease: Lease = serde_json::from_slice(bytes)?;
+        number(&lease.id)
+    }
+
+    fn renew(&self, lease: u64) -> Call {
+        Call::post(KEEP, &json!({ "ID": lease.to_string() }))
+    }
+
+    fn decode_renew(&self, bytes: &[u8]) -> Result<bool, FormatError> {
+        let kept: Kept = serde_json::from_slice(bytes)?;
+        Ok(number(&kept.result.ttl)? > 0)
+    }
+
+    fn end(&self, lease: u64) -> Call {
+        Call::post(REVOKE, &json!({ "ID": lease.to_string() }))
+    }
+
+    fn put(&self, key: &str, value: &[u8], lease: u64) -> Call {
+        let value = STANDARD.encode(value);
+        let body = json!({ "key": code(key), "value": value, "lease": lease.to_string() });
+        Call::post(PUT, &body)
+    }
+}
+
+/// Reads one key.
+pub fn get(key: &str) -> Call {
+    Call::post(RANGE, &json!({ "key": code(key) }))
+}
+
+/// Writes a key unless it changed after a revision; 0 stands for a key that is not there.
+///
+/// Two operators who change the same document at once cannot undo each other unseen.
+pub fn swap(key: &str, value: &[u8], revision: u64) -> Call {
+    let value = STANDARD.encode(value);
+    let body = json!({
+        "compare": [{
+            "key": code(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": revision.to_string(),
+        }],
+        "success": [{ "request_put": { "key": code(key), "value": value } }],
+    });
+    Call::post(TXN, &body)
+}
+
+/// Removes a key.
+pub fn remove(key: &str) -> Call {
+    Call::post("/v3/kv/deleterange", &json!({ "key": code(key) }))
+}
+
+/// Decodes whether a swap took effect.
+///
+/// # Errors
+///
+/// What is wrong with the answer.
+pub fn decode_swap(bytes: &[u8]) -> Result<bool, FormatError> {
+    let swapped: Swapped = serde_json::from_slice(bytes)?;
+    Ok(swapped.succeeded)
+}
+
+/// The first key after all of ours: a slash is followed by a zero.
+const END: &str = "siskinyoke0";
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Header {
+    revision: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Page {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    kvs: Vec<Row>,
+    #[serde(default)]
+    more: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Row {
+    key: String,
+    value: String,
+    mod_revision: String,
+}
+
+impl Row {
+    fn decode(self, removed: bool) -> Result<Item, FormatError> {
+        let key = STANDARD.decode(self.key)?;
+        let value = STANDARD.decode(self.value)?;
+        Ok(Item {
+            key: String::from_utf8_lossy(&key).into_owned(),
+            revision: number(&self.mod_revision)?,
+            value: (!removed).then_some(value),
+        })
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    result: Watched,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Watched {
+    canceled: bool,
+    events: Vec<Event>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Event {
+    // Left out for a write.
+    #[serde(rename = "type")]
+    kind: String,
+    kv: Row,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Lease {
+    #[serde(rename = "ID")]
+    id: String,
+    // Left out once it has ended.
+    #[serde(rename = "TTL")]
+    ttl: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Kept {
+    result: Lease,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Swapped {
+    succeeded: bool,
+}
+
+fn code(key: &str) -> String {
+    STANDARD.encode(key)
+}
+
+// Numbers come as text, and zero is left out.
+fn number(text: &str) -> Result<u64, FormatError> {
+    if text.is_empty() {
+        return Ok(0);
+    }
+    text.parse()
+        .map_err(|_| FormatError::Value(text.to_owned(), "a whole number was expected"))
+}
--- /dev/null
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -0,0 +1,228 @@
+//! Requests and answers: OpenAI-style chat, plain services, result codes.
+
+use std::borrow::Cow;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use http::request::Parts;
+use serde::Deserialize;
+use serde_json::json;
+use serde_json::value::RawValue;
+
+use crate::configuration::ANY;
+use crate::names;
+use siskinyoke_base::Code;
+use siskinyoke_base::Kind;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::Reason;
+use siskinyoke_dispatch::Refusal;
+use siskinyoke_interface::Exchange;
+use siskinyoke_interface::FormatError;
+use siskinyoke_interface::Head;
+use siskinyoke_interface::Verdict;
+use siskinyoke_interface::headers;
+
+/// Tokens of an answer whose request sets no limit.
+const OUTPUT: u64 = 256;
+
+/// Bytes of text that make one token, as a rough mean over Arabic and English.
+const TOKEN: usize = 4;
+
+/// Headers of callers that never reach an endpoint: keys, and what only we may say.
+const DROPPED: [HeaderName; 4] = [
+    header::AUTHORIZATION,
+    header::HOST,
+    names::ORGANISATION,
+    names::ENDPOINT,
+];
+
+/// Requests and answers of the product's own interface.
+#[derive(Debug, Clone, Copy)]
+pub struct Own;
+
+/// The fields of a chat request that matter to a scheduler.
+#[derive(Debug, Deserialize)]
+struct Chat<'a> {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    #[serde(borrow)]
+    messages: &'a RawValue,
+}
+
+impl Exchange for Own {
+    fn in_body(&self, parts: &Parts) -> bool {
+        parts.uri.path() == names::CHAT_PATH
+    }
+
+    fn decode<'a>(&self, parts: &'a Parts, body: &[u8]) -> Result<Head<'a>, FormatError> {
+        let head = &parts.headers;
+        let (path, tokens) = if self.in_body(parts) {
+            let chat: Chat<'_> = serde_json::from_slice(body)?;
+            (
+                names::model_path(&chat.model, chat.stream).into(),
+                Some(chat.tokens()),
+            )
+        } else {
+            let tokens = headers::text(head, &names::TOKENS).and_then(pair);
+            (parts.uri.path().into(), tokens)
+        };
+        Ok(Head {
+            id: headers::text(head, &names::REQUEST_ID),
+            host: ANY,
+            path,
+            key: headers::bearer(head).map(|key| Cow::Owned(names::digest(key))),
+            deadline: headers::text(head, &names::NEED)
+                .and_then(|it| it.trim().parse().ok())
+                .map(Millis),
+            tokens,
+        })
+    }
+
+    // Services are asked for what follows their name.
+    fn target(&self, uri: &Uri) -> Uri {
+        let Some(named) = uri.path().strip_prefix(names::SERVICE_PATH) else {
+            return uri.clone();
+        };
+        let rest = named.split_once('/').map_or("", |pair| pair.1);
+        let query = uri.query().map_or(String::new(), |it| format!("?{it}"));
+        format!("/{rest}{query}")
+            .parse()
+            .unwrap_or_else(|_| uri.clone())
+    }
+
+    fn request(&self, headers: &HeaderMap, organisation: Option<&str>) -> HeaderMap {
+        let mut out = headers::end_to_end(headers, &DROPPED);
+        if let Some(value) = organisation.and_then(|name| HeaderValue::from_str(name).ok()) {
+            out.insert(names::ORGANISATION, value);
+        }
+        out
+    }
+
+    fn address(&self, headers: &mut HeaderMap, endpoint: &Endpoint, left: Millis) {
+        if let Ok(value) = HeaderValue::from_str(&endpoint.id) {
+            headers.insert(names::ENDPOINT, value);
+        }
+        if let Ok(value) = HeaderValue::from_str(&endpoint.address) {
+            headers.insert(header::HOST, value);
+        }
+        headers.insert(names::NEED, HeaderValue::from(left.0));
+    }
+
+    fn resume(&self, headers: &mut HeaderMap, event: &str) {
+        if let Ok(value) = HeaderValue::from_str(event) {
+            headers.insert(names::LAST_EVENT, value);
+        }
+    }
+
+    // Of refusals only 429 says by the standard that nothing ran; 503 may come from a proxy that had
+    // already passed the request on.
+    fn verdict(&self, status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> Verdict {
+        let echoed = headers::text(headers, &names::REQUEST_ID);
+        if echoed.is_some() && id.is_some() && echoed != id {
+            return Verdict::Foreign;
+        }
+        match status {
+            StatusCode::MISDIRECTED_REQUEST => Verdict::Moved,
+            StatusCode::TOO_MANY_REQUESTS => Verdict::Full,
+            _ => Verdict::Answer,
+        }
+    }
+
+    fn answer(&self, status: StatusCode, headers: &HeaderMap) -> HeaderMap {
+        let mut out = headers::end_to_end(headers, &[names::CODE, names::KIND]);
+        let content = headers::text(headers, &header::CONTENT_TYPE).unwrap_or("");
+        let code = if status.is_server_error() {
+            Code::EndpointError
+        } else if content.starts_with("text/event-stream") {
+            Code::Streaming
+        } else {
+            Code::Complete
+        };
+        mark(&mut out, code);
+        out
+    }
+
+    fn refuse(&self, refusal: Refusal) -> Response<Vec<u8>> {
+        let code = code(refusal.reason);
+        let after = (code.kind() == Kind::NotRun && code.status() > 404).then_some(refusal.after);
+        own(code, after)
+    }
+
+    fn fail(&self, code: Code) -> Response<Vec<u8>> {
+        own(code, None)
+    }
+}
+
+impl Chat<'_> {
+    fn tokens(&self) -> (u64, u64) {
+        let prompt = self.messages.get().len() / TOKEN;
+        let output = self.max_completion_tokens.or(self.max_tokens);
+        (
+            u64::try_from(prompt).unwrap_or(u64::MAX),
+            output.unwrap_or(OUTPUT),
+        )
+    }
+}
+
+/// Returns the result code of a refusal.
+pub fn code(reason: Reason) -> Code {
+    match reason {
+        Reason::Unready => Code::NoConfiguration,
+        Reason::NoRoute => Code::UnknownRoute,
+        Reason::NoKey => Code::WrongKey,
+        Reason::Allowance => Code::OverAllowance,
+        Reason::Overload => Code::Overloaded,
+        Reason::Waited => Code::Late,
+        Reason::Displaced => Code::Shed,
+        Reason::NoEndpoint => Code::NoEndpoint,
+        Reason::Suspect => Code::Quarantined,
+        Reason::Leaving => Code::Leaving,
+        Reason::Rejected => Code::Rejected,
+    }
+}
+
+fn own(code: Code, after: Option<Millis>) -> Response<Vec<u8>> {
+    let body = json!({
+        "error": {
+            "message": code.text(),
+            "type": code.kind().as_str(),
+            "code": code.number(),
+            "retry_after_ms": after.map(|span| span.0),
+        }
+    });
+    let mut response = Response::new(body.to_string().into_bytes());
+    *response.status_mut() = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    mark(headers, code);
+    if let Some(after) = after {
+        // Clients of this interface read whole seconds; the body has the exact time.
+        headers.insert(
+            header::RETRY_AFTER,
+            HeaderValue::from(after.0.div_ceil(1_000)),
+        );
+    }
+    response
+}
+
+fn mark(headers: &mut HeaderMap, code: Code) {
+    headers.insert(names::CODE, HeaderValue::from(code.number()));
+    headers.insert(names::KIND, HeaderValue::from_static(code.kind().as_str()));
+}
+
+fn pair(text: &str) -> Option<(u64, u64)> {
+    let (input, output) = text.split_once(',')?;
+    Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
+}
--- /dev/null
+++ b/crates/siskinyoke-native/src/lib.rs
@@ -0,0 +1,22 @@
+//! The product's own interface: OpenAI-style requests, plain services, and etcd as the store.
+//!
+//! It names and decodes; it decides nothing.
+
+pub mod configuration;
+pub mod documents;
+pub mod etcd;
+pub mod exchange;
+pub mod names;
+pub mod pages;
+
+use siskinyoke_interface::Interface;
+
+/// Returns the product's own interface.
+pub fn interface() -> Interface {
+    Interface {
+        exchange: Box::new(exchange::Own),
+        store: Box::new(etcd::Etcd),
+        documents: Box::new(documents::Keys),
+        pages: Box::new(pages::Paths),
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-native/src/pages.rs
@@ -0,0 +1,34 @@
+//! The short pages beside callers' work.
+
+use serde_json::json;
+
+use crate::names;
+use siskinyoke_base::Millis;
+use siskinyoke_interface::Pages;
+
+/// The short pages beside callers' work.
+#[derive(Debug, Clone, Copy)]
+pub struct Paths;
+
+impl Pages for Paths {
+    fn ready_path(&self) -> &'static str {
+        names::READY_PATH
+    }
+
+    fn directory_path(&self) -> &'static str {
+        names::LOCATE_PATH
+    }
+
+    fn centre<'a>(&self, query: &'a str) -> &'a str {
+        query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix("centre="))
+            .unwrap_or("")
+    }
+
+    fn directory(&self, addresses: &[String], keep: Millis) -> Vec<u8> {
+        json!({ "addresses": addresses, "keep_ms": keep.0 })
+            .to_string()
+            .into_bytes()
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-native/tests/exchange.rs
@@ -0,0 +1,152 @@
+//! Requests and answers of the product's own interface.
+
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http::request::Parts;
+
+use siskinyoke_base::Code;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::Reason;
+use siskinyoke_dispatch::Refusal;
+use siskinyoke_interface::Exchange;
+use siskinyoke_interface::Verdict;
+use siskinyoke_native::exchange::Own;
+use siskinyoke_native::names::digest;
+
+const BODY: &[u8] = br#"{ "model": "qalam-small", "stream": true, "max_tokens": 20, "n": 1,
+    "messages": [{ "role": "user", "content": "A paragraph." }] }"#;
+
+fn parts(path: &str, rows: &[(&str, &str)]) -> Parts {
+    let mut builder = Request::post(path);
+    for (name, value) in rows {
+        builder = builder.header(*name, *value);
+    }
+    builder.body(()).unwrap().into_parts().0
+}
+
+fn endpoint() -> Endpoint {
+    Endpoint {
+        id: "fast-1".into(),
+        born: 0,
+        service: "qalam".into(),
+        address: "10.0.0.1:8000".into(),
+        centre: "a".into(),
+        slots: 1,
+        draining: false,
+    }
+}
+
+#[test]
+fn a_chat_request_is_understood_by_its_body() {
+    let parts = parts(
+        "/v1/chat/completions",
+        &[
+            ("authorization", "Bearer one"),
+            ("siskinyoke-need", "900"),
+            ("x-request-id", "r1"),
+        ],
+    );
+    assert!(Own.in_body(&parts));
+    let head = Own.decode(&parts, BODY).unwrap();
+    assert_eq!(head.path, "/v1/models/qalam-small/stream/");
+    assert_eq!(head.tokens, Some((12, 20)));
+    assert_eq!(head.deadline, Some(Millis(900)));
+    assert_eq!(head.id, Some("r1"));
+    assert_eq!(head.key.as_deref(), Some(digest("one").as_str()));
+}
+
+#[test]
+fn a_chat_request_without_a_model_is_refused_with_the_field() {
+    let parts = parts("/v1/chat/completions", &[]);
+    let err = Own.decode(&parts, br#"{ "messages": [] }"#).unwrap_err();
+    assert!(err.to_string().contains("missing field `model`"), "{err}");
+    assert_eq!(Own.fail(Code::Malformed).status(), StatusCode::BAD_REQUEST);
+}
+
+#[test]
+fn a_services_request_is_understood_by_its_path_and_asked_for_without_its_name() {
+    let parts = parts("/v1/services/portal/marks/7?a=b", &[]);
+    assert!(!Own.in_body(&parts));
+    let head = Own.decode(&parts, b"").unwrap();
+    assert_eq!(head.path, "/v1/services/portal/marks/7");
+    assert_eq!(Own.target(&parts.uri), "/marks/7?a=b");
+}
+
+// A caller sets the headers by which instances tell endpoints who asks and who is meant. It would
+// be charged to another organisation, and its key would lie in an endpoint's logs.
+#[test]
+fn a_callers_key_and_forged_headers_never_reach_an_endpoint() {
+    let parts = parts(
+        "/v1/services/portal/",
+        &[
+            ("authorization", "Bearer one"),
+            ("siskinyoke-organisation", "other"),
+            ("siskinyoke-endpoint", "other"),
+            ("connection", "x-hop"),
+            ("x-hop", "1"),
+            ("x-own", "kept"),
+        ],
+    );
+    let mut out = Own.request(&parts.headers, Some("school"));
+    Own.address(&mut out, &endpoint(), Millis(450));
+    let mut rows: Vec<_> = out
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.to_str().unwrap()))
+        .collect();
+    rows.sort_unstable();
+    assert_eq!(
+        rows,
+        [
+            ("host", "10.0.0.1:8000"),
+            ("siskinyoke-endpoint", "fast-1"),
+            ("siskinyoke-need", "450"),
+            ("siskinyoke-organisation", "school"),
+            ("x-own", "kept"),
+        ]
+    );
+}
+
+// A proxy before an engine answers 503 after it passed the request on. Called "not run", a booking
+// would be sent again and two troupes stand in one room.
+#[test]
+fn only_statuses_that_say_so_mean_that_nothing_ran() {
+    let none = HeaderMap::new();
+    let verdict = |status| Own.verdict(status, &none, Some("r1"));
+    assert_eq!(verdict(StatusCode::TOO_MANY_REQUESTS), Verdict::Full);
+    assert_eq!(verdict(StatusCode::MISDIRECTED_REQUEST), Verdict::Moved);
+    assert_eq!(verdict(StatusCode::SERVICE_UNAVAILABLE), Verdict::Answer);
+}
+
+#[test]
+fn an_answer_that_names_another_request_is_foreign() {
+    let mut headers = HeaderMap::new();
+    headers.insert("x-request-id", "r2".parse().unwrap());
+    let verdict = Own.verdict(StatusCode::OK, &headers, Some("r1"));
+    assert_eq!(verdict, Verdict::Foreign);
+}
+
+#[test]
+fn a_refusal_bears_its_code_and_when_to_come_back() {
+    let response = Own.refuse(Refusal {
+        reason: Reason::Overload,
+        after: Millis(1_250),
+    });
+    assert_eq!(response.status(), StatusCode::TOO_MANY_REQUESTS);
+    assert_eq!(response.headers()["siskinyoke-code"], "3000");
+    assert_eq!(response.headers()["siskinyoke-kind"], "not-run");
+    assert_eq!(response.headers()["retry-after"], "2");
+    let body: serde_json::Value = serde_json::from_slice(response.body()).unwrap();
+    assert_eq!(body["error"]["retry_after_ms"], 1_250);
+}
+
+#[test]
+fn a_wrong_key_is_not_told_to_come_back() {
+    let response = Own.refuse(Refusal {
+        reason: Reason::NoKey,
+        after: Millis::ZERO,
+    });
+    assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
+    assert!(!response.headers().contains_key("retry-after"));
+}
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -57,7 +57,7 @@
         let [callers, health, directory, peers, metrics] = own_addresses();
         let settings = std::env::temp_dir().join(format!("{name}-{}.jsonc", callers.ip()));
         let text = format!(
-            r#"{{ "instance": "{name}", "ip": "{}", "centre": "a", "metrics": {},
+            r#"{{ "interface": "platform", "instance": "{name}", "ip": "{}", "centre": "a", "metrics": {},
                 "listen": {{ "callers": "{callers}", "health": "{health}",
                              "directory": "{directory}", "peers": "{peers}" }},
                 "store": "{store}", "seeds": {}, "memory_mb": 110, // as on the platform
