--- a/crates/siskinyoke-cli/src/report/answers.rs
+++ b/crates/siskinyoke-cli/src/report/answers.rs
@@ -70,7 +70,8 @@
     };
     Some(Answer {
         age: last.saturating_sub(row.at),
-        tier: row.number("rank")?,
+        // The organisation's tier stands before the route's in a rank.
+        tier: row.number("rank")? >> 8,
         organisation: row.field("organisation").unwrap_or(""),
         fate,
         units: row
--- a/crates/siskinyoke-cli/src/status.rs
+++ b/crates/siskinyoke-cli/src/status.rs
@@ -61,7 +61,7 @@
         parts.push(format!("{what} {value}"));
     }
     parts.sort();
-    let answers: f64 = counted(scrape, "siskinyoke_answers_total");
+    let answers = counted(scrape, "siskinyoke_answers_total");
     parts.push(format!("answers {answers}"));
     parts.join(", ")
 }
@@ -73,5 +73,5 @@
             Value::Counter(value) | Value::Untyped(value) => Some(value),
             _ => None,
         })
-        .sum()
+        .fold(0.0, |sum, value| sum + value)
 }
--- a/crates/siskinyoke-cli/tests/report.rs
+++ b/crates/siskinyoke-cli/tests/report.rs
@@ -11,7 +11,7 @@
 fn line(minutes: u64, outcome: &str, first: u64, organisation: &str) -> String {
     let at = 7_200_000 - minutes * 60_000;
     format!(
-        r#"{{"at_ms":{at},"event":"answer","id":"r","rank":1,"outcome":"{outcome}","first_ms":{first},"took_ms":2000,"aim_ms":500,"organisation":"{organisation}","units":10.0}}"#
+        r#"{{"at_ms":{at},"event":"answer","id":"r","rank":257,"outcome":"{outcome}","first_ms":{first},"took_ms":2000,"aim_ms":500,"organisation":"{organisation}","units":10.0}}"#
     )
 }
 
