--- a/crates/siskinyoke-dispatch/src/core/fleet.rs
+++ b/crates/siskinyoke-dispatch/src/core/fleet.rs
@@ -13,6 +13,26 @@
 /// A few more than the smallest deployments have, as the list may lag behind machines added.
 const FLEET: usize = 12;
 
+/// The most instances of a fleet that renews its leases and looks for changes as often as it can.
+///
+/// Each instance's calls of the store cost the same, so that a large fleet has to make fewer of them.
+const SMALL: usize = 16;
+
+/// How long an entry outlives its instance, in a small fleet and in a large one.
+///
+/// It is only a place to look for others; who is alive shows in their reports, and in other cells
+/// within this time.
+const LEASE: [Millis; 2] = [Millis(4_500), Millis(7_500)];
+
+/// How long changes of the store are gathered before the next look, in a small fleet and in a large
+/// one.
+///
+/// Changes come in bursts: when a fleet starts, each instance's entry is a change that every other
+/// one is told. Half a second at a time, seventy instances make less than half of the calls (8,200
+/// on a quiet day before). What cannot wait, configurations and endpoints that leave, is told by
+/// peers as well.
+const GATHER: [Millis; 2] = [Millis(500), Millis(1_000)];
+
 /// How long an instance that went still counts for the making of cells.
 ///
 /// A restart takes some seconds. If cells changed with each one, a rolling restart of the fleet
@@ -77,6 +97,16 @@
         directory::choose(centre, ready)
     }
 
+    /// Returns how long this instance's entry should outlive it.
+    pub fn lease(&self) -> Millis {
+        LEASE[usize::from(self.fleet().len() > SMALL)]
+    }
+
+    /// Returns how long changes of the store should be gathered before the next look.
+    pub fn gather(&self) -> Millis {
+        GATHER[usize::from(self.fleet().len() > SMALL)]
+    }
+
     // A few peers, others with each report, so that all get to know all.
     pub(super) fn inner_addresses(&self, now: Millis) -> Vec<String> {
         let all: Vec<&String> = self
--- a/crates/siskinyoke-dispatch/tests/cells.rs
+++ b/crates/siskinyoke-dispatch/tests/cells.rs
@@ -10,6 +10,7 @@
 use crate::common::place;
 use crate::common::report;
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::cells;
 use siskinyoke_dispatch::registry::Registry;
@@ -148,3 +149,22 @@
     let pass = core.pass(Millis(0), common::request("/safe/x")).unwrap();
     assert!(core.admit(Millis(0), &pass, 55).is_err());
 }
+
+// Seventy instances that renew their leases and look for changes as often as seven make ten times the
+// calls, which the operators pay for one by one.
+#[test]
+fn a_large_fleet_calls_the_store_less_often() {
+    let mut core = core("i0", 1);
+    let fleet = |core: &mut Core, count| {
+        for at in 0..count {
+            core.list(&format!("i{at}"), place(&format!("i{at}"), "a"));
+        }
+    };
+    fleet(&mut core, 16);
+    assert_eq!((core.lease(), core.gather()), (Millis(4_500), Millis(500)));
+    fleet(&mut core, 17);
+    assert_eq!(
+        (core.lease(), core.gather()),
+        (Millis(7_500), Millis(1_000))
+    );
+}
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -24,13 +24,6 @@
 /// How much longer than that its answer may take.
 const MARGIN: Millis = Millis(700);
 
-/// How long to wait after changes before the next watch.
-///
-/// Changes come in bursts: when a fleet starts, each instance's entry is a change that every other
-/// one is told. Taken half a second at a time, seventy instances make less than half of the calls
-/// (8,200 on a quiet day before), and a configuration is still in force within two seconds.
-const GATHER: Millis = Millis(500);
-
 /// How long a read may take: a hundred times the store's usual four milliseconds.
 const READ: Millis = Millis(1_000);
 
@@ -128,7 +121,8 @@
                 self.change(item);
             }
             self.shell.decide();
-            sleep(GATHER.into()).await;
+            let gather = self.shell.core.borrow().gather();
+            sleep(gather.into()).await;
         }
         Ok(())
     }
