Hold heads to the operators' limit

Cause: heads were bounded by the library's 64 KiB alone; the configuration's limit was read and not used. Change: a head over the limit is answered 431 before anything else is decided. Test: one of 17,000 bytes is refused and reaches no endpoint, one of 15,000 passes (failed before with 200). Not tried: the limit on the time that a head may take; a connection that sends nothing whole is closed when it has been idle for too long.

--- a/crates/siskinyoke-base/src/code.rs
+++ b/crates/siskinyoke-base/src/code.rs
@@ -76,6 +76,8 @@
     Malformed = 2000, NotRun, 400, "The request cannot be read; see the detail for the place.";
     /// The body is over the limit.
     BodyTooLarge = 2001, NotRun, 413, "The body is over the limit; send less at once.";
+    /// The header section is over the limit.
+    HeadTooLarge = 2002, NotRun, 431, "The header section is over the limit.";
     /// The sender was too slow.
     SlowSender = 2003, NotRun, 408, "The request did not arrive in time; send it again.";
     /// No key, or one that is not known.
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -28,6 +28,7 @@
 use crate::stay::Stay;
 use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Limits;
 use siskinyoke_dispatch::Reason;
 use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::core::Pass;
@@ -65,6 +66,10 @@
 async fn answer(shell: &Rc<Shell>, request: Request<Incoming>) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
     let exchange = &shell.interface.exchange;
+    if limit(shell, |it| it.head).is_some_and(|most| head_size(&parts) > most) {
+        shell.log("head_refused", json!({ "bytes": head_size(&parts) }));
+        return answer::own(exchange.fail(Code::HeadTooLarge));
+    }
     if !exchange.in_body(&parts) {
         let (id, passed) = match decode(shell, &parts, &[]) {
             Ok(passed) => passed,
@@ -83,7 +88,13 @@
             }
         };
     }
-    let (body, held) = match collect(shell, arrival(shell), body).await {
+    let (body, held) = match collect(
+        shell,
+        limit(shell, |it| it.arrival).unwrap_or(Millis::ZERO),
+        body,
+    )
+    .await
+    {
         Ok(taken) => taken,
         Err(fault) => return refuse_body(shell, None, &fault),
     };
@@ -94,11 +105,23 @@
     }
 }
 
-// How long a request may take to arrive that can only be understood whole.
-fn arrival(shell: &Shell) -> Millis {
+// Returns a limit on callers, if a configuration is known.
+fn limit<T>(shell: &Shell, which: impl Fn(&Limits) -> T) -> Option<T> {
     let core = shell.core.borrow();
-    core.configuration()
-        .map_or(Millis::ZERO, |it| it.limits.arrival)
+    core.configuration().map(|it| which(&it.limits))
+}
+
+// The bytes of a head, with those between its parts.
+fn head_size(parts: &Parts) -> usize {
+    const LINE: usize = "  HTTP/1.1\r\n".len();
+    const ROW: usize = ": \r\n".len();
+    let target = parts.uri.path_and_query();
+    let target = target.map_or(0, |it| it.as_str().len());
+    let line = parts.method.as_str().len() + target + LINE;
+    let rows = parts.headers.iter();
+    rows.fold(line, |sum, row| {
+        sum + row.0.as_str().len() + row.1.len() + ROW
+    })
 }
 
 // Understands a request and lets it through the filters that need no more than its head.
@@ -193,17 +216,13 @@
     left: Millis,
     body: Incoming,
 ) -> Result<(Bytes, Held), BodyFault> {
-    let limit = shell
-        .core
-        .borrow()
-        .configuration()
-        .map_or(0, |it| it.limits.body);
+    let most = limit(shell, |it| it.body).unwrap_or(0);
     let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if expected > limit {
+    if expected > most {
         return Err(BodyFault::Large);
     }
     let expecting = Held::take(shell, expected).ok_or(BodyFault::Crowded)?;
-    let collected = timeout(Duration::from(left), Limited::new(body, limit).collect()).await;
+    let collected = timeout(Duration::from(left), Limited::new(body, most).collect()).await;
     drop(expecting);
     let body = match collected {
         Ok(Ok(collected)) => collected.to_bytes(),
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -214,6 +214,19 @@
     assert_eq!(arrived(&world), 1);
 }
 
+// A caller sends a head of any length, as a faulty client's cookies do. Thousands of them fill the memory
+// of a small instance, which ends and cuts off all that it serves.
+#[test]
+fn a_head_over_the_operators_limit_is_refused() {
+    let world = world(&["e1"]);
+    let row = |length| format!("x-own: {}\r\n", "x".repeat(length));
+    let answer = world.instance.call("r1", "/safe/a", &row(15_000), "");
+    assert!(answer.ends_with("whole"), "{answer}");
+    let answer = world.instance.call("r2", "/safe/a", &row(17_000), "");
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    assert_eq!(arrived(&world), 1);
+}
+
 // The connection breaks after a booking was sent. It may stand, so nobody is told that it has
 // not run, and it is sent nowhere else.
 #[test]
