--- /dev/null
+++ b/crates/siskinyoke-cli/src/operate/endpoint.rs
@@ -0,0 +1,144 @@
+//! Commands about endpoints.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::path::PathBuf;
+
+use clap::Subcommand;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::parse_to_serde_value;
+
+use super::OperateError;
+use super::item;
+use super::json;
+use super::read;
+use super::store_fault;
+use super::write;
+use crate::context::Context;
+use siskinyoke_interface::FormatError;
+use siskinyoke_interface::Store;
+use siskinyoke_native::documents::EndpointEntry;
+use siskinyoke_native::etcd;
+use siskinyoke_native::etcd::Etcd;
+use siskinyoke_native::names;
+
+/// What can be done with endpoints.
+#[derive(Debug, Subcommand)]
+pub enum Endpoint {
+    /// Print all.
+    List,
+    /// Write each endpoint of a file: names with entries.
+    Apply {
+        /// JSON with comments.
+        file: PathBuf,
+    },
+    /// Give one no new work; what it runs goes on.
+    Drain {
+        /// Its name.
+        name: String,
+    },
+    /// Give one work again.
+    Undrain {
+        /// Its name.
+        name: String,
+    },
+    /// Remove one.
+    Remove {
+        /// Its name.
+        name: String,
+    },
+}
+
+impl Endpoint {
+    /// Runs the command and returns what it prints.
+    ///
+    /// # Errors
+    ///
+    /// Why it changed nothing, or that a write may have taken effect.
+    pub fn run(&self, context: &Context) -> Result<String, OperateError> {
+        match self {
+            Self::List => list(context),
+            Self::Apply { file } => apply_endpoints(context, file),
+            Self::Drain { name } => drain(context, name, true),
+            Self::Undrain { name } => drain(context, name, false),
+            Self::Remove { name } => {
+                item(
+                    context,
+                    &endpoint_key(name),
+                    "see `siskinyoke endpoint list`",
+                )?;
+                context.call(&etcd::remove(&endpoint_key(name)))?;
+                Ok(format!("{name} is removed"))
+            }
+        }
+    }
+}
+
+fn list(context: &Context) -> Result<String, OperateError> {
+    let mut lines = Vec::new();
+    let mut after = String::new();
+    loop {
+        let body = context.call(&Etcd.range(&after))?;
+        let page = Etcd.decode_range(&body).map_err(store_fault)?;
+        after = page
+            .items
+            .last()
+            .map(|it| it.key.clone())
+            .unwrap_or_default();
+        for item in &page.items {
+            if let Some(name) = item.key.strip_prefix(names::ENDPOINT_PREFIX) {
+                let value = item.value.as_deref().unwrap_or_default();
+                lines.push(format!("{name}: {}", String::from_utf8_lossy(value)));
+            }
+        }
+        if !page.more || after.is_empty() {
+            return Ok(lines.join("\n"));
+        }
+    }
+}
+
+fn apply_endpoints(context: &Context, file: &Path) -> Result<String, OperateError> {
+    let bytes = read(file)?;
+    let fault = |err| OperateError::Format(file.display().to_string(), err);
+    let text = String::from_utf8_lossy(&bytes);
+    let value: serde_json::Value = parse_to_serde_value(&text, &ParseOptions::default())
+        .map_err(|err| fault(FormatError::Syntax(err.to_string())))?;
+    let entries: BTreeMap<String, EndpointEntry> =
+        serde_json::from_value(value).map_err(|err| fault(err.into()))?;
+    for (name, entry) in &entries {
+        if entry.slots == 0 {
+            let field = format!("{name}.slots");
+            return Err(fault(FormatError::Value(field, "give 1 or more")));
+        }
+    }
+    for (name, entry) in &entries {
+        put(context, name, entry)?;
+    }
+    Ok(format!("{} endpoints are written", entries.len()))
+}
+
+fn drain(context: &Context, name: &str, draining: bool) -> Result<String, OperateError> {
+    let key = endpoint_key(name);
+    let item = item(context, &key, "see `siskinyoke endpoint list`")?;
+    let value = item.value.as_deref().unwrap_or_default();
+    let entry: EndpointEntry = serde_json::from_slice(value)
+        .map_err(|err| OperateError::Format(name.to_owned(), err.into()))?;
+    let entry = EndpointEntry { draining, ..entry };
+    write(context, &key, json(&entry).as_bytes(), item.revision, 0)?;
+    let word = if draining { "drains" } else { "takes work" };
+    Ok(format!("{name} {word}"))
+}
+
+fn put(context: &Context, name: &str, entry: &EndpointEntry) -> Result<(), OperateError> {
+    let key = endpoint_key(name);
+    let revision = match item(context, &key, "") {
+        Ok(item) => item.revision,
+        Err(OperateError::Unknown(..)) => 0,
+        Err(err) => return Err(err),
+    };
+    write(context, &key, json(entry).as_bytes(), revision, 0)
+}
+
+fn endpoint_key(name: &str) -> String {
+    format!("{}{name}", names::ENDPOINT_PREFIX)
+}
--- a/crates/siskinyoke-cli/src/operate.rs
+++ b/crates/siskinyoke-cli/src/operate/mod.rs
@@ -2,25 +2,26 @@
 //!
 //! They speak with the store itself; whoever may reach it may change what it holds.
 
-use std::collections::BTreeMap;
+mod endpoint;
+mod error;
+
 use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
 
 use clap::Subcommand;
-use jsonc_parser::ParseOptions;
-use jsonc_parser::parse_to_serde_value;
-use quick_error::quick_error;
 use rand::Rng;
 use rand::distr::Alphanumeric;
 use serde::Serialize;
 
+pub use endpoint::Endpoint;
+pub use error::OperateError;
+
 use crate::context::Context;
 use siskinyoke_interface::FormatError;
 use siskinyoke_interface::Item;
 use siskinyoke_interface::Store;
 use siskinyoke_native::configuration::Document;
-use siskinyoke_native::documents::EndpointEntry;
 use siskinyoke_native::etcd;
 use siskinyoke_native::etcd::Etcd;
 use siskinyoke_native::names;
@@ -28,37 +29,6 @@
 /// Characters of a drawn key: 190 bits.
 const KEY: usize = 32;
 
-quick_error! {
-    /// Why a command of an operator changed nothing, unless it says otherwise.
-    #[derive(Debug)]
-    pub enum OperateError {
-        /// A file cannot be read.
-        Read(path: PathBuf, err: std::io::Error) {
-            display("{}: {err}", path.display())
-            source(err)
-        }
-        /// A document cannot be used.
-        Format(what: String, err: FormatError) {
-            display("{what}: {err}")
-            source(err)
-        }
-        /// Something is not there.
-        Unknown(what: String, hint: &'static str) {
-            display("{what} is not known; {hint}")
-        }
-        /// Another operator changed it meanwhile.
-        Conflict(revision: u64) {
-            display("another change came first (revision {revision} is in force): \
-                     show the configuration and make the change again")
-        }
-        /// The store did not answer; a write may have taken effect.
-        Store(detail: String) {
-            display("{detail}; show what is in force before sending it again")
-            from()
-        }
-    }
-}
-
 /// Operators' commands.
 #[derive(Debug, Subcommand)]
 pub enum Operate {
@@ -99,33 +69,6 @@
     },
 }
 
-/// What can be done with endpoints.
-#[derive(Debug, Subcommand)]
-pub enum Endpoint {
-    /// Print all.
-    List,
-    /// Write each endpoint of a file: names with entries.
-    Apply {
-        /// JSON with comments.
-        file: PathBuf,
-    },
-    /// Give one no new work; what it runs goes on.
-    Drain {
-        /// Its name.
-        name: String,
-    },
-    /// Give one work again.
-    Undrain {
-        /// Its name.
-        name: String,
-    },
-    /// Remove one.
-    Remove {
-        /// Its name.
-        name: String,
-    },
-}
-
 impl Operate {
     /// Runs the command and returns what it prints.
     ///
@@ -144,26 +87,6 @@
     }
 }
 
-impl Endpoint {
-    fn run(&self, context: &Context) -> Result<String, OperateError> {
-        match self {
-            Self::List => list(context),
-            Self::Apply { file } => apply_endpoints(context, file),
-            Self::Drain { name } => drain(context, name, true),
-            Self::Undrain { name } => drain(context, name, false),
-            Self::Remove { name } => {
-                item(
-                    context,
-                    &endpoint_key(name),
-                    "see `siskinyoke endpoint list`",
-                )?;
-                context.call(&etcd::remove(&endpoint_key(name)))?;
-                Ok(format!("{name} is removed"))
-            }
-        }
-    }
-}
-
 fn show(context: &Context) -> Result<String, OperateError> {
     let item = in_force(context)?;
     Ok(String::from_utf8_lossy(&item.value.unwrap_or_default()).into_owned())
@@ -243,71 +166,6 @@
     ))
 }
 
-fn list(context: &Context) -> Result<String, OperateError> {
-    let mut lines = Vec::new();
-    let mut after = String::new();
-    loop {
-        let body = context.call(&Etcd.range(&after))?;
-        let page = Etcd.decode_range(&body).map_err(store_fault)?;
-        after = page
-            .items
-            .last()
-            .map(|it| it.key.clone())
-            .unwrap_or_default();
-        for item in &page.items {
-            if let Some(name) = item.key.strip_prefix(names::ENDPOINT_PREFIX) {
-                let value = item.value.as_deref().unwrap_or_default();
-                lines.push(format!("{name}: {}", String::from_utf8_lossy(value)));
-            }
-        }
-        if !page.more || after.is_empty() {
-            return Ok(lines.join("\n"));
-        }
-    }
-}
-
-fn apply_endpoints(context: &Context, file: &Path) -> Result<String, OperateError> {
-    let bytes = read(file)?;
-    let fault = |err| OperateError::Format(file.display().to_string(), err);
-    let text = String::from_utf8_lossy(&bytes);
-    let value: serde_json::Value = parse_to_serde_value(&text, &ParseOptions::default())
-        .map_err(|err| fault(FormatError::Syntax(err.to_string())))?;
-    let entries: BTreeMap<String, EndpointEntry> =
-        serde_json::from_value(value).map_err(|err| fault(err.into()))?;
-    for (name, entry) in &entries {
-        if entry.slots == 0 {
-            let field = format!("{name}.slots");
-            return Err(fault(FormatError::Value(field, "give 1 or more")));
-        }
-    }
-    for (name, entry) in &entries {
-        put(context, name, entry)?;
-    }
-    Ok(format!("{} endpoints are written", entries.len()))
-}
-
-fn drain(context: &Context, name: &str, draining: bool) -> Result<String, OperateError> {
-    let key = endpoint_key(name);
-    let item = item(context, &key, "see `siskinyoke endpoint list`")?;
-    let value = item.value.as_deref().unwrap_or_default();
-    let entry: EndpointEntry = serde_json::from_slice(value)
-        .map_err(|err| OperateError::Format(name.to_owned(), err.into()))?;
-    let entry = EndpointEntry { draining, ..entry };
-    write(context, &key, json(&entry).as_bytes(), item.revision, 0)?;
-    let word = if draining { "drains" } else { "takes work" };
-    Ok(format!("{name} {word}"))
-}
-
-fn put(context: &Context, name: &str, entry: &EndpointEntry) -> Result<(), OperateError> {
-    let key = endpoint_key(name);
-    let revision = match item(context, &key, "") {
-        Ok(item) => item.revision,
-        Err(OperateError::Unknown(..)) => 0,
-        Err(err) => return Err(err),
-    };
-    write(context, &key, json(entry).as_bytes(), revision, 0)
-}
-
 fn key(context: &Context) -> String {
     let drawn = rand::rng().sample_iter(&Alphanumeric).take(KEY);
     let key: String = drawn.map(char::from).collect();
@@ -357,10 +215,6 @@
         .map_err(|err| OperateError::Format("the configuration in force".to_owned(), err))
 }
 
-fn endpoint_key(name: &str) -> String {
-    format!("{}{name}", names::ENDPOINT_PREFIX)
-}
-
 // Replaces the value of a field where it stands first.
 fn replace(text: &str, field: &str, from: &str, to: &str) -> String {
     let name = format!("\"{field}\"");
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod load;
 pub mod outcome;
 pub mod peers;
+pub mod placing;
 pub mod queue;
 pub mod refusal;
 pub mod registry;
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/placing.rs
@@ -0,0 +1,89 @@
+//! Which of the free endpoints a request should go to, by what this instance has seen of them.
+
+use std::sync::Arc;
+
+use crate::Ask;
+use crate::Endpoint;
+use crate::EndpointKey;
+use crate::Outcome;
+use crate::health::Health;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
+
+/// How much worse an endpoint in another data centre is taken to be, as a part of its pace.
+///
+/// Enough to decide between equals, too little to leave a faster one idle.
+const FAR: f64 = 0.3;
+
+/// How much worse an endpoint is taken to be whose places are all taken, as a part of its pace.
+///
+/// Some endpoints slow down when they are nearly full; it spreads work over equals.
+const CROWDED: f64 = 0.3;
+
+/// How much a failure weighs against an endpoint when one is chosen.
+const FAILING: f64 = 3.0;
+
+/// The pace that is added to each, in ms for a unit of work, so that the weights above also decide
+/// between endpoints that were not seen yet.
+const LEAST: f64 = 0.001;
+
+/// What this instance has seen of the endpoints.
+#[derive(Debug, Default)]
+pub struct Placing {
+    centre: Arc<str>,
+    health: Map<EndpointKey, Health>,
+}
+
+impl Placing {
+    /// Knows nothing yet of the endpoints; the instance lies in a data centre.
+    pub fn new(centre: &str) -> Self {
+        Self {
+            centre: centre.into(),
+            health: Map::default(),
+        }
+    }
+
+    /// Takes note of how a stay of a request of this size ended.
+    pub fn ended(&mut self, now: Millis, key: EndpointKey, size: f64, outcome: Outcome) {
+        self.health
+            .entry(key)
+            .or_default()
+            .ended(now, size, outcome);
+    }
+
+    /// Returns whether an endpoint rests after failures.
+    pub fn resting(&self, now: Millis, key: EndpointKey) -> bool {
+        let health = self.health.get(&key);
+        health.is_some_and(|health| health.resting(now))
+    }
+
+    /// Finds the endpoint where a request is expected to be done first, among those with free places
+    /// that it was not given to before.
+    pub fn best(&self, ask: &Ask, free: &[(Arc<Endpoint>, u32)]) -> Option<usize> {
+        let fit = free
+            .iter()
+            .enumerate()
+            .filter(|(_, (endpoint, left))| *left > 0 && !ask.tried.contains(&endpoint.key()));
+        fit.map(|(at, (endpoint, left))| (at, self.cost(endpoint, *left)))
+            .min_by(|one, other| one.1.total_cmp(&other.1))
+            .map(|(at, _)| at)
+    }
+
+    /// Forgets endpoints that are not among the known ones.
+    pub fn forget(&mut self, known: &[EndpointKey]) {
+        self.health.retain(|key, _| known.contains(key));
+    }
+
+    fn cost(&self, endpoint: &Endpoint, left: u32) -> f64 {
+        let health = self.health.get(&endpoint.key());
+        let pace = health.and_then(Health::pace).unwrap_or(0.0);
+        let failures = health.map_or(0.0, Health::failures);
+        let taken = f64::from(endpoint.slots.saturating_sub(left) + 1) / f64::from(endpoint.slots);
+        let far = if endpoint.centre == self.centre {
+            0.0
+        } else {
+            FAR
+        };
+        (pace + LEAST) * (1.0 + taken * CROWDED + far + failures * FAILING)
+    }
+}
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -16,9 +16,9 @@
 use crate::Refusal;
 use crate::Ticket;
 use crate::ask::Order;
-use crate::health::Health;
 use crate::load::Load;
 use crate::peers::Peers;
+use crate::placing::Placing;
 use crate::queue::Place;
 use crate::queue::Queue;
 use crate::registry::Registry;
@@ -40,14 +40,6 @@
 /// How much longer than now it may take for a caller to come back, at least.
 const SOONEST: Millis = Millis(50);
 
-/// How much worse an endpoint in another data centre is taken to be, as a part of its pace.
-///
-/// Enough to decide between equals, too little to leave a faster one idle.
-const FAR: f64 = 0.3;
-
-/// How much a failure weighs against an endpoint when one is chosen.
-const FAILING: f64 = 3.0;
-
 /// What was decided of a waiting request.
 #[derive(Debug, Clone)]
 pub enum Decision {
@@ -60,12 +52,11 @@
 /// The queues before the endpoints.
 #[derive(Debug, Default)]
 pub struct Scheduler {
-    centre: Arc<str>,
+    placing: Placing,
     queues: BTreeMap<Arc<str>, Queue>,
     waiting: Map<Ticket, Ask>,
     running: Map<Ticket, (EndpointKey, Ask)>,
     counts: BTreeMap<EndpointKey, u16>,
-    health: Map<EndpointKey, Health>,
     loads: Map<Arc<str>, Load>,
     last: u64,
 }
@@ -74,7 +65,7 @@
     /// Makes empty queues for an instance in a data centre.
     pub fn new(centre: &str) -> Self {
         Self {
-            centre: centre.into(),
+            placing: Placing::new(centre),
             ..Self::default()
         }
     }
@@ -141,10 +132,7 @@
             *count = count.saturating_sub(1);
         }
         self.counts.retain(|_, count| *count > 0);
-        self.health
-            .entry(key)
-            .or_default()
-            .ended(now, ask.size, outcome);
+        self.placing.ended(now, key, ask.size, outcome);
         if let Outcome::Done { first, took } = outcome {
             self.loads
                 .entry(ask.service.clone())
@@ -212,7 +200,7 @@
     /// Forgets endpoints that are gone.
     pub fn forget(&mut self, registry: &Registry) {
         let known: Vec<EndpointKey> = registry.all().map(|endpoint| endpoint.key()).collect();
-        self.health.retain(|key, _| known.contains(key));
+        self.placing.forget(&known);
     }
 
     fn enqueue(&mut self, ask: Ask) -> Ticket {
@@ -240,7 +228,7 @@
             if spare <= before(&rows, order, now.since(arrived)) {
                 break;
             }
-            let Some(at) = self.best(ticket, &free) else {
+            let Some(at) = self.placing.best(&self.waiting[&ticket], &free) else {
                 continue;
             };
             let endpoint = free[at].0.clone();
@@ -264,11 +252,7 @@
             .iter()
             .filter_map(|endpoint| {
                 let key = endpoint.key();
-                if self
-                    .health
-                    .get(&key)
-                    .is_some_and(|health| health.resting(now))
-                {
+                if self.placing.resting(now, key) {
                     return None;
                 }
                 let taken = u32::from(self.counts.get(&key).copied().unwrap_or(0))
@@ -279,35 +263,6 @@
             .collect()
     }
 
-    // The free endpoint where the request is expected to be done first.
-    fn best(&self, ticket: Ticket, free: &[(Arc<Endpoint>, u32)]) -> Option<usize> {
-        let ask = &self.waiting[&ticket];
-        let mut best: Option<(f64, usize)> = None;
-        for (at, (endpoint, left)) in free.iter().enumerate() {
-            if *left == 0 || ask.tried.contains(&endpoint.key()) {
-                continue;
-            }
-            let cost = self.cost(endpoint, *left);
-            if best.is_none_or(|known| cost < known.0) {
-                best = Some((cost, at));
-            }
-        }
-        best.map(|known| known.1)
-    }
-
-    fn cost(&self, endpoint: &Endpoint, left: u32) -> f64 {
-        let health = self.health.get(&endpoint.key());
-        let pace = health.and_then(Health::pace).unwrap_or(0.0);
-        let failures = health.map_or(0.0, Health::failures);
-        let taken = f64::from(endpoint.slots.saturating_sub(left) + 1) / f64::from(endpoint.slots);
-        let far = if endpoint.centre == self.centre {
-            0.0
-        } else {
-            FAR
-        };
-        (pace + 0.001) * (1.0 + taken * 0.3 + far + failures * FAILING)
-    }
-
     fn begin(&mut self, ticket: Ticket, endpoint: &Arc<Endpoint>) {
         let Some(mut ask) = self.waiting.remove(&ticket) else {
             return;
