Leases of 7.5 s everywhere, watches of 7 s in large fleets; refusals name the organisation

Each instance entered itself a second time when it learned of the fleet's size, and half of the calls are watches. Change: one span of lease whatever the size (an entry matters only to callers of other cells), renewed every 2.5 s; a watch is held for 7 s in large fleets. Also: the refusal of a request under an allowance names its organisation, and a request is told that no configuration is known before its body is read. A test of the walks failed once: its instances had not heard each other yet (peers=0 in the line it printed); it waits for that now.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -111,6 +111,18 @@
         self.configuration.as_ref()
     }
 
+    /// Returns the configuration in force, or the refusal of whoever asks before one is known.
+    ///
+    /// # Errors
+    ///
+    /// The refusal; the request has not run and never will.
+    pub fn in_force(&self) -> Result<&Arc<Configuration>, Refusal> {
+        self.configuration.as_ref().ok_or(Refusal {
+            reason: Reason::Unready,
+            after: UNREADY,
+        })
+    }
+
     /// Returns the endpoints that are known.
     pub fn registry(&mut self) -> &mut Registry {
         &mut self.registry
@@ -147,12 +159,7 @@
     ///
     /// The refusal; the request has not run and never will.
     pub fn pass(&mut self, now: Millis, request: Request<'_>) -> Result<Pass, Refusal> {
-        let Some(configuration) = self.configuration.clone() else {
-            return Err(Refusal {
-                reason: Reason::Unready,
-                after: UNREADY,
-            });
-        };
+        let configuration = self.in_force()?.clone();
         let route = pass::find_route(&configuration, request)?;
         let organisation = pass::authenticate(&configuration, &route, request)?;
         let pass = pass::measure(now, route, organisation, request)?;
--- a/crates/siskinyoke-dispatch/src/core/fleet.rs
+++ b/crates/siskinyoke-dispatch/src/core/fleet.rs
@@ -13,16 +13,16 @@
 /// A few more than the smallest deployments have, as the list may lag behind machines added.
 const FLEET: usize = 12;
 
-/// The most instances of a fleet that renews its leases and looks for changes as often as it can.
+/// The most instances of a fleet that looks for changes of the store as often as it can.
 ///
-/// Each instance's calls of the store cost the same, so that a large fleet has to make fewer of them.
+/// Each instance's calls cost the same, so that a large fleet has to make fewer of them.
 const SMALL: usize = 16;
 
-/// How long an entry outlives its instance, in a small fleet and in a large one.
+/// How long the store may hold a watch before it answers that nothing changed, in a small fleet and
+/// in a large one.
 ///
-/// It is only a place to look for others; who is alive shows in their reports, and in other cells
-/// within this time.
-const LEASE: [Millis; 2] = [Millis(4_500), Millis(7_500)];
+/// A connection may go silent for good; this bounds how long that goes unnoticed.
+const WATCH: [Millis; 2] = [Millis(3_500), Millis(7_000)];
 
 /// How long changes of the store are gathered before the next look, in a small fleet and in a large
 /// one.
@@ -97,14 +97,18 @@
         directory::choose(centre, ready)
     }
 
-    /// Returns how long this instance's entry should outlive it.
-    pub fn lease(&self) -> Millis {
-        LEASE[usize::from(self.fleet().len() > SMALL)]
+    /// Returns how long the store may hold a watch.
+    pub fn watch(&self) -> Millis {
+        WATCH[self.large()]
     }
 
     /// Returns how long changes of the store should be gathered before the next look.
     pub fn gather(&self) -> Millis {
-        GATHER[usize::from(self.fleet().len() > SMALL)]
+        GATHER[self.large()]
+    }
+
+    fn large(&self) -> usize {
+        usize::from(self.fleet().len() > SMALL)
     }
 
     // A few peers, others with each report, so that all get to know all.
--- a/crates/siskinyoke-dispatch/tests/cells.rs
+++ b/crates/siskinyoke-dispatch/tests/cells.rs
@@ -150,8 +150,8 @@
     assert!(core.admit(Millis(0), &pass, 55).is_err());
 }
 
-// Seventy instances that renew their leases and look for changes as often as seven make ten times the
-// calls, which the operators pay for one by one.
+// Seventy instances that look for changes of the store as often as seven make ten times the calls, which
+// the operators pay for one by one.
 #[test]
 fn a_large_fleet_calls_the_store_less_often() {
     let mut core = core("i0", 1);
@@ -161,10 +161,10 @@
         }
     };
     fleet(&mut core, 16);
-    assert_eq!((core.lease(), core.gather()), (Millis(4_500), Millis(500)));
+    assert_eq!((core.watch(), core.gather()), (Millis(3_500), Millis(500)));
     fleet(&mut core, 17);
     assert_eq!(
-        (core.lease(), core.gather()),
-        (Millis(7_500), Millis(1_000))
+        (core.watch(), core.gather()),
+        (Millis(7_000), Millis(1_000))
     );
 }
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -1,6 +1,7 @@
 //! Takes a caller's request in, and brings its answer back.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,11 +25,13 @@
 use crate::job::Caller;
 use crate::job::Head;
 use crate::job::Job;
+use crate::shell::Known;
 use crate::shell::Shell;
 use crate::stay::Stay;
 use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Limits;
+use siskinyoke_dispatch::Organisation;
 use siskinyoke_dispatch::Reason;
 use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::core::Pass;
@@ -50,6 +53,13 @@
     Crowded,
 }
 
+/// A request as its head and the filters have it.
+struct Decoded {
+    id: Option<String>,
+    holder: Option<Arc<Organisation>>,
+    passed: Result<Pass, Refusal>,
+}
+
 /// Serves one request of a caller.
 pub async fn serve(shell: Rc<Shell>, request: Request<Incoming>) -> Response<AnswerBody> {
     shell.busy.set(shell.now());
@@ -65,50 +75,87 @@
 
 async fn answer(shell: &Rc<Shell>, request: Request<Incoming>) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
-    let exchange = &shell.interface.exchange;
-    if limit(shell, |it| it.head).is_some_and(|most| head_size(&parts) > most) {
+    let in_force = shell.core.borrow().in_force().map(|it| it.limits);
+    let limits = match in_force {
+        Ok(limits) => limits,
+        Err(refusal) => return refuse_unknown(shell, &parts, refusal),
+    };
+    if head_size(&parts) > limits.head {
         shell.log("head_refused", json!({ "bytes": head_size(&parts) }));
-        return answer::own(exchange.fail(Code::HeadTooLarge));
+        return answer::own(shell.interface.exchange.fail(Code::HeadTooLarge));
     }
-    if !exchange.in_body(&parts) {
-        let (id, passed) = match decode(shell, &parts, &[]) {
-            Ok(passed) => passed,
-            Err(err) => return unreadable(shell, &err),
-        };
-        let pass = match passed {
-            Ok(pass) => pass,
-            Err(refusal) => return refuse(shell, id.as_deref(), refusal, None),
-        };
-        let left = pass.until.since(shell.now());
-        return match collect(shell, left, body).await {
-            Ok((body, held)) => enter(shell, parts, id, pass, body, held).await,
-            Err(fault) => {
-                shell.core.borrow_mut().give_back(&pass);
-                refuse_body(shell, id.as_deref(), &fault)
-            }
-        };
+    if shell.interface.exchange.in_body(&parts) {
+        answer_by_body(shell, parts, body, limits).await
+    } else {
+        answer_by_head(shell, parts, body, limits).await
     }
-    let (body, held) = match collect(
-        shell,
-        limit(shell, |it| it.arrival).unwrap_or(Millis::ZERO),
-        body,
-    )
-    .await
-    {
+}
+
+// Decides by the head alone, so that no body is read for a request that is turned away.
+async fn answer_by_head(
+    shell: &Rc<Shell>,
+    parts: Parts,
+    body: Incoming,
+    limits: Limits,
+) -> Response<AnswerBody> {
+    let Decoded { id, holder, passed } = match decode(shell, &parts, &[]) {
+        Ok(decoded) => decoded,
+        Err(err) => return unreadable(shell, &err),
+    };
+    let pass = match passed {
+        Ok(pass) => pass,
+        Err(refusal) => return refuse_head(shell, id.as_deref(), holder.as_deref(), refusal),
+    };
+    let left = pass.until.since(shell.now());
+    match collect(shell, limits.body, left, body).await {
+        Ok((body, held)) => enter(shell, parts, id, pass, body, held).await,
+        Err(fault) => {
+            shell.core.borrow_mut().give_back(&pass);
+            refuse_body(shell, id.as_deref(), &fault)
+        }
+    }
+}
+
+// Reads the whole request first, as its head does not say what it wants.
+async fn answer_by_body(
+    shell: &Rc<Shell>,
+    parts: Parts,
+    body: Incoming,
+    limits: Limits,
+) -> Response<AnswerBody> {
+    let (body, held) = match collect(shell, limits.body, limits.arrival, body).await {
         Ok(taken) => taken,
         Err(fault) => return refuse_body(shell, None, &fault),
     };
-    match decode(shell, &parts, &body) {
-        Ok((id, Ok(pass))) => enter(shell, parts, id, pass, body, held).await,
-        Ok((id, Err(refusal))) => refuse(shell, id.as_deref(), refusal, None),
-        Err(err) => unreadable(shell, &err),
+    let Decoded { id, holder, passed } = match decode(shell, &parts, &body) {
+        Ok(decoded) => decoded,
+        Err(err) => return unreadable(shell, &err),
+    };
+    match passed {
+        Ok(pass) => enter(shell, parts, id, pass, body, held).await,
+        Err(refusal) => refuse_head(shell, id.as_deref(), holder.as_deref(), refusal),
     }
 }
 
-// Returns a limit on callers, if a configuration is known.
-fn limit<T>(shell: &Shell, which: impl Fn(&Limits) -> T) -> Option<T> {
-    let core = shell.core.borrow();
-    core.configuration().map(|it| which(&it.limits))
+// Turns a request away of which nothing can be decided yet.
+fn refuse_unknown(shell: &Shell, parts: &Parts, refusal: Refusal) -> Response<AnswerBody> {
+    let id = shell.interface.exchange.id(parts);
+    refuse_head(shell, id, None, refusal)
+}
+
+// Turns a request away that did not pass the filters.
+fn refuse_head(
+    shell: &Shell,
+    id: Option<&str>,
+    holder: Option<&Organisation>,
+    refusal: Refusal,
+) -> Response<AnswerBody> {
+    let request = Known {
+        id,
+        organisation: holder.map(|it| &*it.name),
+        ..Known::default()
+    };
+    refuse(shell, request, refusal)
 }
 
 // The bytes of a head, with those between its parts.
@@ -125,11 +172,7 @@
 }
 
 // Understands a request and lets it through the filters that need no more than its head.
-fn decode(
-    shell: &Shell,
-    parts: &Parts,
-    body: &[u8],
-) -> Result<(Option<String>, Result<Pass, Refusal>), FormatError> {
+fn decode(shell: &Shell, parts: &Parts, body: &[u8]) -> Result<Decoded, FormatError> {
     let head = shell.interface.exchange.decode(parts, body)?;
     let id = head.id.map(ToOwned::to_owned);
     let wanted = Wanted {
@@ -140,8 +183,13 @@
         tokens: head.tokens,
         draw: stable_hash(&head.id),
     };
-    let passed = shell.core.borrow_mut().pass(shell.now(), wanted);
-    Ok((id, passed))
+    let mut core = shell.core.borrow_mut();
+    let passed = core.pass(shell.now(), wanted);
+    let holder = head.key.as_deref().and_then(|key| {
+        let configuration = core.configuration()?;
+        configuration.holder(key).cloned()
+    });
+    Ok(Decoded { id, holder, passed })
 }
 
 async fn enter(
@@ -175,7 +223,7 @@
     let admitted = shell.core.borrow_mut().admit(shell.now(), &pass, print);
     let ticket = match admitted {
         Ok(ticket) => ticket,
-        Err(refusal) => return refuse(shell, id.as_deref(), refusal, Some(&pass)),
+        Err(refusal) => return refuse(shell, Known::passed(id.as_deref(), &pass), refusal),
     };
     let stay = Stay::new(shell, ticket);
     let word = shell.wait(ticket);
@@ -213,10 +261,10 @@
 
 async fn collect(
     shell: &Rc<Shell>,
+    most: usize,
     left: Millis,
     body: Incoming,
 ) -> Result<(Bytes, Held), BodyFault> {
-    let most = limit(shell, |it| it.body).unwrap_or(0);
     let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if expected > most {
         return Err(BodyFault::Large);
@@ -236,13 +284,8 @@
     Ok((body, held))
 }
 
-fn refuse(
-    shell: &Shell,
-    id: Option<&str>,
-    refusal: Refusal,
-    pass: Option<&Pass>,
-) -> Response<AnswerBody> {
-    shell.log_refusal(id, refusal, pass, false);
+fn refuse(shell: &Shell, request: Known<'_>, refusal: Refusal) -> Response<AnswerBody> {
+    shell.log_refusal(request, refusal);
     shell
         .metrics
         .answered(u8::MAX, refusal.reason.as_str(), Millis::ZERO);
@@ -260,15 +303,11 @@
         BodyFault::Slow => Code::SlowSender,
         BodyFault::Broken => Code::Malformed,
         BodyFault::Crowded => {
-            return refuse(
-                shell,
-                id,
-                Refusal {
-                    reason: Reason::Overload,
-                    after: CROWDED,
-                },
-                None,
-            );
+            let refusal = Refusal {
+                reason: Reason::Overload,
+                after: CROWDED,
+            };
+            return refuse_head(shell, id, None, refusal);
         }
     };
     shell.log("body_refused", json!({ "id": id, "why": code.text() }));
--- a/crates/siskinyoke-gateway/src/job/ending.rs
+++ b/crates/siskinyoke-gateway/src/job/ending.rs
@@ -8,6 +8,7 @@
 use crate::job::Head;
 use crate::job::Job;
 use crate::job::SHORTEST;
+use crate::shell::Known;
 use crate::stay::name;
 use siskinyoke_base::Code;
 use siskinyoke_dispatch::Endpoint;
@@ -34,8 +35,11 @@
             return self.failed(Outcome::Left);
         }
         self.shell.core.borrow_mut().give_back(&self.pass);
-        self.shell
-            .log_refusal(self.id.as_deref(), refusal, Some(&self.pass), true);
+        let request = Known {
+            admitted: true,
+            ..Known::passed(self.id.as_deref(), &self.pass)
+        };
+        self.shell.log_refusal(request, refusal);
         self.tell(answer::own(self.shell.interface.exchange.refuse(refusal)));
         refusal.reason.as_str()
     }
--- a/crates/siskinyoke-gateway/src/presence.rs
+++ b/crates/siskinyoke-gateway/src/presence.rs
@@ -10,8 +10,14 @@
 use crate::store::StoreError;
 use siskinyoke_base::Millis;
 
-/// The renewals in the span of a lease: one may fail without the entry being lost.
-const RENEWALS: u64 = 3;
+/// How long the entry outlives this process.
+///
+/// It is only a place to look for others; who is alive shows in their reports, but for those of other
+/// cells in a large fleet, which callers are still told of for that long.
+const LEASE: Millis = Millis(7_500);
+
+/// How often the lease is renewed: twice may fail.
+const RENEW: Millis = Millis(2_500);
 
 /// How long to wait after a failed call, so that the entry is back soon after the store.
 const RETRY: Millis = Millis(1_000);
@@ -19,23 +25,15 @@
 /// How long a call may take.
 const LIMIT: Millis = Millis(1_500);
 
-/// A lease and the span for which it was granted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Lease {
-    id: u64,
-    span: Millis,
-}
-
 /// Keeps this instance's entry for as long as the process runs.
 pub async fn keep(shell: Rc<Shell>) {
     let mut client = Client::default();
     let mut lease = None;
     loop {
-        let span = shell.core.borrow().lease();
-        let pause = match step(&shell, &mut client, lease, span).await {
+        let pause = match step(&shell, &mut client, lease).await {
             Ok(kept) => {
                 lease = Some(kept);
-                Millis(kept.span.0 / RENEWALS)
+                RENEW
             }
             Err(err) => {
                 shell.log("presence_failed", json!({ "error": err.to_string() }));
@@ -53,71 +51,49 @@
     }
 }
 
-// Enters the instance or renews its lease; one of another span than wanted is replaced.
-async fn step(
-    shell: &Shell,
-    client: &mut Client,
-    lease: Option<Lease>,
-    span: Millis,
-) -> Result<Lease, StoreError> {
-    let Some(held) = lease else {
-        return enter(shell, client, span).await;
-    };
-    if held.span != span {
-        let entered = enter(shell, client, span).await?;
-        end(shell, client, held).await?;
-        return Ok(entered);
-    }
-    // One that has ended took the entry with it, which nobody else can find meanwhile.
-    match renew(shell, client, held).await? {
-        Some(kept) => Ok(kept),
-        None => enter(shell, client, span).await,
+// Renews the lease. One that has ended took the entry with it, which is then written anew at once, as
+// nobody else can find this instance meanwhile.
+async fn step(shell: &Shell, client: &mut Client, lease: Option<u64>) -> Result<u64, StoreError> {
+    if let Some(lease) = lease
+        && renew(shell, client, lease).await?
+    {
+        return Ok(lease);
     }
+    enter(shell, client).await
 }
 
-async fn enter(shell: &Shell, client: &mut Client, span: Millis) -> Result<Lease, StoreError> {
+async fn enter(shell: &Shell, client: &mut Client) -> Result<u64, StoreError> {
     let settings = shell.settings();
     let store = &shell.interface.store;
     let body = client
-        .call(settings.store, &store.grant(span), LIMIT)
+        .call(settings.store, &store.grant(LEASE), LIMIT)
         .await?;
-    let id = store.decode_grant(&body)?;
+    let lease = store.decode_grant(&body)?;
     let key = shell.interface.documents.instance_key(&settings.instance);
     let value = json!(settings.place()).to_string();
-    let call = store.put(&key, value.as_bytes(), id);
+    let call = store.put(&key, value.as_bytes(), lease);
     client.call(settings.store, &call, LIMIT).await?;
-    shell.log("presence", json!({ "lease": id, "span_ms": span.0 }));
-    Ok(Lease { id, span })
+    shell.log("presence", json!({ "lease": lease }));
+    Ok(lease)
 }
 
 // Takes the entry away, so that callers are sent here no more; else the lease does so in time.
-async fn leave(shell: &Shell, client: &mut Client, lease: Option<Lease>) {
+async fn leave(shell: &Shell, client: &mut Client, lease: Option<u64>) {
     let Some(lease) = lease else { return };
-    if let Err(err) = end(shell, client, lease).await {
+    let address = shell.settings().store;
+    let call = shell.interface.store.end(lease);
+    if let Err(err) = client.call(address, &call, LIMIT).await {
         shell.log("presence_failed", json!({ "error": err.to_string() }));
     }
 }
 
-async fn end(shell: &Shell, client: &mut Client, lease: Lease) -> Result<(), StoreError> {
-    let call = shell.interface.store.end(lease.id);
+// Returns whether the lease still holds.
+async fn renew(shell: &Shell, client: &mut Client, lease: u64) -> Result<bool, StoreError> {
     let address = shell.settings().store;
-    client.call(address, &call, LIMIT).await.map(drop)
-}
-
-// Returns the lease, or nothing if it has ended and the entry is to be written anew.
-async fn renew(
-    shell: &Shell,
-    client: &mut Client,
-    lease: Lease,
-) -> Result<Option<Lease>, StoreError> {
-    let address = shell.settings().store;
-    let call = shell.interface.store.renew(lease.id);
+    let call = shell.interface.store.renew(lease);
     match client.call(address, &call, LIMIT).await {
-        Ok(body) => {
-            let holds = shell.interface.store.decode_renew(&body)?;
-            Ok(holds.then_some(lease))
-        }
-        Err(StoreError::Status(http::StatusCode::NOT_FOUND)) => Ok(None),
+        Ok(body) => Ok(shell.interface.store.decode_renew(&body)?),
+        Err(StoreError::Status(http::StatusCode::NOT_FOUND)) => Ok(false),
         Err(err) => Err(err),
     }
 }
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -30,6 +30,31 @@
 /// What a waiting request is told.
 pub type Word = Result<Arc<Endpoint>, Refusal>;
 
+/// What is known of a request that is turned away, for its log line.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Known<'a> {
+    /// Its identity.
+    pub id: Option<&'a str>,
+    /// Its organisation.
+    pub organisation: Option<&'a str>,
+    /// What the filters found, if it passed them.
+    pub pass: Option<&'a Pass>,
+    /// Whether it was let in, so that it has an answer's line besides.
+    pub admitted: bool,
+}
+
+impl<'a> Known<'a> {
+    /// What is known of a request that passed the filters.
+    pub fn passed(id: Option<&'a str>, pass: &'a Pass) -> Self {
+        Self {
+            id,
+            organisation: pass.organisation.as_ref().map(|it| &*it.name),
+            pass: Some(pass),
+            admitted: false,
+        }
+    }
+}
+
 /// What instances hand to each other as it stood in the store.
 #[derive(Debug, Default)]
 pub struct Raw {
@@ -124,24 +149,16 @@
     }
 
     /// Writes the line of a refusal, with what decided it.
-    ///
-    /// `pass` is what is known of the request; one that was `admitted` has an answer's line besides.
-    pub fn log_refusal(
-        &self,
-        id: Option<&str>,
-        refusal: Refusal,
-        pass: Option<&Pass>,
-        admitted: bool,
-    ) {
+    pub fn log_refusal(&self, request: Known<'_>, refusal: Refusal) {
         let now = self.now();
         let core = self.core.borrow();
         let (waiting, running) = core.scheduler().size();
         let fields = json!({
-            "id": id,
-            "admitted": admitted,
-            "rank": pass.map(|it| it.rank.0),
-            "organisation": pass.and_then(|it| it.organisation.as_ref()).map(|it| &*it.name),
-            "units": pass.map(|it| it.units),
+            "id": request.id,
+            "admitted": request.admitted,
+            "rank": request.pass.map(|it| it.rank.0),
+            "organisation": request.organisation,
+            "units": request.pass.map(|it| it.units),
             "reason": refusal.reason.as_str(),
             "after_ms": refusal.after.0,
             "waiting": waiting,
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -15,13 +15,7 @@
 use siskinyoke_interface::Entry;
 use siskinyoke_interface::Item;
 
-/// How long the store may hold a watch before it answers that nothing changed.
-///
-/// A connection may go silent for good; this and the margin bound how long that goes unnoticed,
-/// inside the two seconds in which a configuration has to be in force plus its stretch.
-const WATCH: Millis = Millis(3_500);
-
-/// How much longer than that its answer may take.
+/// How much longer than the store holds a watch its answer may take.
 const MARGIN: Millis = Millis(700);
 
 /// How long a read may take: a hundred times the store's usual four milliseconds.
@@ -107,12 +101,13 @@
     async fn watch(&mut self, revision: u64) -> Result<(), StoreError> {
         let address = self.shell.settings().store;
         let store = &*self.shell.interface.store;
+        let held = self.shell.core.borrow().watch();
         let limit = if store.quiet_watch() {
-            WATCH
+            held
         } else {
-            WATCH + MARGIN
+            held + MARGIN
         };
-        let call = store.watch(revision, WATCH);
+        let call = store.watch(revision, held);
         let batch = self.client.watch(address, &call, limit, store).await?;
         self.answered();
         self.revision = Some(batch.revision.max(revision));
--- a/crates/siskinyoke-gateway/tests/walks.rs
+++ b/crates/siskinyoke-gateway/tests/walks.rs
@@ -13,6 +13,8 @@
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
+use siskinyoke_soak::instance::get;
+use siskinyoke_soak::instance::until;
 
 struct World {
     store: Store,
@@ -32,7 +34,15 @@
         }
         let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
         let start = |name| Instance::start(program, name, store.address).ready();
-        let instances = ["i1", "i2"].map(start).into();
+        let instances: Vec<Instance> = ["i1", "i2"].map(start).into();
+        // Alone, each would speak for its part of the allowances only.
+        for instance in &instances {
+            until("the instances hear each other", || {
+                let page = get(instance.metrics, "/metrics").unwrap_or_default();
+                page.lines()
+                    .any(|line| line.contains("what=\"peers\"") && line.ends_with(" 1"))
+            });
+        }
         Self {
             store,
             _endpoints: endpoints,
@@ -81,6 +91,7 @@
     let refusal = line(&story, &["refusal", "reason=\"allowance\""]);
     assert!(refusal.contains("configuration=7"), "{refusal}");
     assert!(refusal.contains("allowance_share=1.0"), "{refusal}");
+    assert!(refusal.contains("organisation=\"school\""), "{refusal}");
     assert!(refusal.contains("running=0"), "{refusal}");
     line(
         &story,
--- a/crates/siskinyoke-interface/src/exchange.rs
+++ b/crates/siskinyoke-interface/src/exchange.rs
@@ -52,6 +52,9 @@
         false
     }
 
+    /// Returns the identity of a request, for logs.
+    fn id<'a>(&self, parts: &'a Parts) -> Option<&'a str>;
+
     /// Decodes a caller's request; `body` is empty unless its head says too little.
     ///
     /// # Errors
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -63,6 +63,10 @@
         parts.uri.path() == names::CHAT_PATH
     }
 
+    fn id<'a>(&self, parts: &'a Parts) -> Option<&'a str> {
+        headers::text(&parts.headers, &names::REQUEST_ID)
+    }
+
     fn decode<'a>(&self, parts: &'a Parts, body: &[u8]) -> Result<Head<'a>, FormatError> {
         let head = &parts.headers;
         let (path, tokens) = if self.in_body(parts) {
@@ -76,7 +80,7 @@
             (parts.uri.path().into(), tokens)
         };
         Ok(Head {
-            id: headers::text(head, &names::REQUEST_ID),
+            id: self.id(parts),
             host: ANY,
             path,
             key: headers::bearer(head).map(|key| Cow::Owned(names::digest(key))),
--- a/crates/siskinyoke-standin/src/fleet.rs
+++ b/crates/siskinyoke-standin/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -65,6 +66,8 @@
     pub engines: Vec<Engine>,
     /// The plain service.
     pub service: Service,
+    /// Where callers reach each instance.
+    pub callers: Vec<SocketAddr>,
     /// Where each instance says which ones to use.
     pub directories: Vec<SocketAddr>,
     files: Vec<PathBuf>,
@@ -78,29 +81,53 @@
     ///
     /// [`StandinError`] if a part cannot be started or does not serve in time.
     pub fn start(instances: usize) -> Result<Self, StandinError> {
+        let mut fleet = Self::empty()?;
+        let digest = blake3::hash(KEY.as_bytes()).to_hex();
+        let configuration = CONFIGURATION.replace("KEY", &digest);
+        fleet.etcd.put("siskinyoke/configuration", &configuration);
+        for number in 1..=instances {
+            fleet.start_instance(number)?;
+        }
+        fleet.wait()?;
+        Ok(fleet)
+    }
+
+    /// Starts everything with one instance and no configuration, and waits until it listens.
+    ///
+    /// # Errors
+    ///
+    /// [`StandinError`] if a part cannot be started or does not listen in time.
+    pub fn unconfigured() -> Result<Self, StandinError> {
+        let mut fleet = Self::empty()?;
+        fleet.start_instance(1)?;
+        for _ in 0..LOOKS {
+            if TcpStream::connect(fleet.callers[0]).is_ok() {
+                return Ok(fleet);
+            }
+            thread::sleep(LOOK);
+        }
+        Err(StandinError::Fleet(
+            "the instance does not listen".to_owned(),
+        ))
+    }
+
+    fn empty() -> Result<Self, StandinError> {
         let etcd = Etcd::start(&EtcdConfig::default())?;
         let engines = vec![engine(120.0, 16)?, engine(40.0, 4)?];
         let service = Service::start(&ServiceConfig::default())?;
-        let digest = blake3::hash(KEY.as_bytes()).to_hex();
-        let configuration = CONFIGURATION.replace("KEY", &digest);
-        etcd.put("siskinyoke/configuration", &configuration);
         for (at, engine) in engines.iter().enumerate() {
             put(&etcd, &format!("engine-{at}"), "engines", engine.address());
         }
         put(&etcd, "portal", SERVICE, service.address());
-        let mut fleet = Self {
+        Ok(Self {
             etcd,
             engines,
             service,
+            callers: Vec::new(),
             directories: Vec::new(),
             files: Vec::new(),
             ended: Arc::default(),
-        };
-        for number in 1..=instances {
-            fleet.start_instance(number)?;
-        }
-        fleet.wait()?;
-        Ok(fleet)
+        })
     }
 
     /// Makes a client that asks an instance where to go.
@@ -135,6 +162,7 @@
         let fault = |err: String| StandinError::Fleet(format!("{}: {err}", path.display()));
         fs::write(&path, settings.to_string()).map_err(|err| fault(err.to_string()))?;
         let settings = Settings::load(&path).map_err(|err| fault(err.to_string()))?;
+        self.callers.push(callers);
         self.directories.push(directory);
         self.files.push(path.clone());
         let ended = Arc::clone(&self.ended);
--- a/crates/siskinyoke-standin/tests/fleet.rs
+++ b/crates/siskinyoke-standin/tests/fleet.rs
@@ -49,6 +49,10 @@
 // Sends without the client's care, as any HTTP client does.
 fn post(fleet: &Fleet, path: &str, key: &str, body: &str) -> Response<Body> {
     let address = fleet.client(0).locate().unwrap().addresses[0].clone();
+    post_to(&address, path, key, body)
+}
+
+fn post_to(address: &str, path: &str, key: &str, body: &str) -> Response<Body> {
     let config = Agent::config_builder()
         .http_status_as_error(false)
         .timeout_global(Some(Duration::from_secs(20)))
@@ -132,6 +136,18 @@
     }
 }
 
+// The store is empty on a first start. A caller told that its request came too slowly would look for
+// the fault in its own line.
+#[test]
+fn an_instance_without_a_configuration_says_so() {
+    let fleet = Fleet::unconfigured().expect("a fleet");
+    let path = "/v1/chat/completions";
+    let body = r#"{ "model": "qalam-small", "messages": [] }"#;
+    let answer = post_to(&fleet.callers[0].to_string(), path, KEY, body);
+    assert_eq!(answer.status().as_u16(), 503);
+    assert_eq!(code(&answer), (Code::NoConfiguration.number(), "not-run"));
+}
+
 // An engine dies in the middle of a composition. Its caller would get a word twice, a hole, or
 // nothing; the other engine goes on after the last event that came.
 #[test]
