--- a/crates/siskinyoke-client/src/client.rs
+++ b/crates/siskinyoke-client/src/client.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rand::Rng;
-use rand::distr::Alphanumeric;
 use ureq::Agent;
 use ureq::Body;
 use ureq::http;
@@ -15,14 +13,17 @@
 use crate::Location;
 use crate::Outcome;
 use crate::Request;
+use crate::sending::Failure;
+use crate::sending::Sending;
+use crate::sending::draw_id;
 use siskinyoke_base::Kind;
 use siskinyoke_base::Millis;
 
 /// The data of the event that ends a whole stream.
 const TERMINATOR: &str = "[DONE]";
 
-/// Length of a drawn identity; 120 bits are never drawn twice.
-const ID_LEN: usize = 20;
+/// Pause before a resend for which no time was named.
+const PAUSE: Millis = Millis(100);
 
 /// Bounds on a client's patience.
 #[derive(Debug, Clone)]
@@ -210,69 +211,6 @@
     }
 }
 
-/// Pause before a resend for which no time was named.
-const PAUSE: Millis = Millis(100);
-
-/// One sending of a request.
-struct Sending<'a> {
-    request: &'a Request,
-    id: &'a str,
-    count: u32,
-}
-
-/// Why a sending brought no answer.
-enum Failure {
-    /// Nothing was sent.
-    Unsent(String),
-    /// Something was sent, and it may have run.
-    Lost(String),
-}
-
-impl Failure {
-    fn of(err: ureq::Error) -> Self {
-        let text = err.to_string();
-        match err {
-            ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Self::Unsent(text),
-            ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
-                Self::Unsent(text)
-            }
-            ureq::Error::Io(err) if err.kind() == std::io::ErrorKind::ConnectionRefused => {
-                Self::Unsent(text)
-            }
-            _ => Self::Lost(text),
-        }
-    }
-}
-
-impl Sending<'_> {
-    fn build(&self, address: &str, key: &str) -> Result<http::Request<Vec<u8>>, String> {
-        let mut builder = http::Request::builder()
-            .method(self.request.method.as_str())
-            .uri(format!("http://{address}{}", self.request.path))
-            .header("Authorization", format!("Bearer {key}"))
-            .header("Content-Type", &self.request.content)
-            .header("X-Request-Id", self.id);
-        if let Some(need) = self.request.need {
-            builder = builder.header("Siskinyoke-Need", need.0);
-        }
-        builder
-            .body(self.request.body.clone())
-            .map_err(|err| err.to_string())
-    }
-
-    fn unknown(&self) -> Outcome {
-        Outcome {
-            status: 0,
-            code: 0,
-            kind: Kind::Unknown,
-            body: Vec::new(),
-            after: None,
-            id: self.id.to_owned(),
-            sendings: self.count + 1,
-        }
-    }
-}
-
 /// Reads a stream to its end; events that an earlier sending brought are not given again.
 fn read_stream(
     answer: http::Response<Body>,
@@ -323,11 +261,3 @@
 fn worth_again(status: u16) -> bool {
     matches!(status, 408 | 409 | 429 | 503)
 }
-
-fn draw_id() -> String {
-    rand::rng()
-        .sample_iter(&Alphanumeric)
-        .take(ID_LEN)
-        .map(char::from)
-        .collect()
-}
--- a/crates/siskinyoke-client/src/lib.rs
+++ b/crates/siskinyoke-client/src/lib.rs
@@ -6,6 +6,7 @@
 mod location;
 mod outcome;
 mod request;
+mod sending;
 
 pub use client::Client;
 pub use client::ClientSettings;
--- /dev/null
+++ b/crates/siskinyoke-client/src/sending.rs
@@ -0,0 +1,87 @@
+//! One sending of a request, and why it may bring no answer.
+
+use rand::Rng;
+use rand::distr::Alphanumeric;
+use ureq::http;
+
+use crate::Outcome;
+use crate::Request;
+use siskinyoke_base::Kind;
+
+/// Length of a drawn identity; 120 bits are never drawn twice.
+const ID_LEN: usize = 20;
+
+/// One sending of a request.
+pub struct Sending<'a> {
+    /// What is sent.
+    pub request: &'a Request,
+    /// Its identity in logs.
+    pub id: &'a str,
+    /// How many times it was sent before.
+    pub count: u32,
+}
+
+/// Why a sending brought no answer.
+pub enum Failure {
+    /// Nothing was sent.
+    Unsent(String),
+    /// Something was sent, and it may have run.
+    Lost(String),
+}
+
+impl Failure {
+    /// Tells what an error of the library means.
+    pub fn of(err: ureq::Error) -> Self {
+        let text = err.to_string();
+        match err {
+            ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Self::Unsent(text),
+            ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
+                Self::Unsent(text)
+            }
+            ureq::Error::Io(err) if err.kind() == std::io::ErrorKind::ConnectionRefused => {
+                Self::Unsent(text)
+            }
+            _ => Self::Lost(text),
+        }
+    }
+}
+
+impl Sending<'_> {
+    /// Builds the request for an address.
+    pub fn build(&self, address: &str, key: &str) -> Result<http::Request<Vec<u8>>, String> {
+        let mut builder = http::Request::builder()
+            .method(self.request.method.as_str())
+            .uri(format!("http://{address}{}", self.request.path))
+            .header("Authorization", format!("Bearer {key}"))
+            .header("Content-Type", &self.request.content)
+            .header("X-Request-Id", self.id);
+        if let Some(need) = self.request.need {
+            builder = builder.header("Siskinyoke-Need", need.0);
+        }
+        builder
+            .body(self.request.body.clone())
+            .map_err(|err| err.to_string())
+    }
+
+    /// Returns the outcome of a sending that may have run.
+    pub fn unknown(&self) -> Outcome {
+        Outcome {
+            status: 0,
+            code: 0,
+            kind: Kind::Unknown,
+            body: Vec::new(),
+            after: None,
+            id: self.id.to_owned(),
+            sendings: self.count + 1,
+        }
+    }
+}
+
+/// Draws an identity.
+pub fn draw_id() -> String {
+    rand::rng()
+        .sample_iter(&Alphanumeric)
+        .take(ID_LEN)
+        .map(char::from)
+        .collect()
+}
--- /dev/null
+++ b/crates/siskinyoke-standin/src/etcd/server.rs
@@ -0,0 +1,235 @@
+//! Answers the calls of the gateway, and does wrong what it was told to.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::json;
+
+use super::control::EtcdControl;
+use super::control::Faults;
+use super::control::Lapse;
+use super::gateway;
+use super::gateway::Refusal;
+use super::store::Span;
+use super::store::Store;
+use super::wire;
+use crate::gate::Gate;
+use crate::pieces::Pieces;
+use crate::web::Exchange;
+use crate::web::Handler;
+use siskinyoke_base::Clock;
+use siskinyoke_base::clock::SystemClock;
+
+/// How often a waiting watch looks for lapsed leases and for a caller that went away.
+const WATCH_PACE: Duration = Duration::from_millis(20);
+
+/// What the threads of a stand-in share.
+pub(super) struct Shared {
+    pub(super) clock: SystemClock,
+    pub(super) state: Mutex<State>,
+    pub(super) changed: Condvar,
+}
+
+#[derive(Default)]
+pub(super) struct State {
+    pub(super) store: Store,
+    pub(super) faults: Faults,
+    pub(super) counts: BTreeMap<String, u64>,
+}
+
+/// How a call ended.
+enum Outcome {
+    Answer(u16, Value),
+    Lost,
+}
+
+impl Handler for Shared {
+    fn handle(&self, mut exchange: Exchange) {
+        let path = exchange.path().to_owned();
+        if path.starts_with("/control") {
+            self.controlled(exchange, &path);
+            return;
+        }
+        let Some(kind) = kind(&path) else {
+            exchange.reply_json(404, &json!({ "error": "not found", "code": 5 }));
+            return;
+        };
+        let slow = {
+            let mut state = self.lock();
+            *state.counts.entry(kind.to_owned()).or_default() += 1;
+            state.faults.slow
+        };
+        thread::sleep(slow.into());
+        if kind == "watch" {
+            self.watch(exchange);
+            return;
+        }
+        match self.call(kind, &mut exchange) {
+            Outcome::Answer(status, value) => exchange.reply_json(status, &value),
+            Outcome::Lost => exchange.cut(),
+        }
+    }
+}
+
+impl Shared {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.store.expire(self.clock.now());
+        state
+    }
+
+    fn call(&self, kind: &str, exchange: &mut Exchange) -> Outcome {
+        let body = match exchange.body() {
+            Ok(body) => body,
+            Err(err) => return malformed(&err.to_string()),
+        };
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let store = &mut state.store;
+        let result = match kind {
+            "range" => read(&body).map(|request| Ok(gateway::range(store, &request))),
+            "put" => read(&body).map(|request| gateway::put(store, request)),
+            "delete" => read(&body).map(|request| Ok(gateway::delete(store, &request))),
+            "txn" => read(&body).map(|request| gateway::txn(store, request)),
+            "grant" => read(&body).map(|request| Ok(gateway::grant(store, now, &request))),
+            "keep" => read(&body).map(|request| Ok(gateway::keep(store, now, &request))),
+            _ => read(&body).map(|request| gateway::revoke(store, &request)),
+        };
+        self.changed.notify_all();
+        let value = match result {
+            Ok(Ok(value)) => value,
+            Ok(Err(refusal)) => return refused(refusal),
+            Err(detail) => return malformed(&detail),
+        };
+        if writes(kind) && state.faults.lost > 0 {
+            state.faults.lost -= 1;
+            return Outcome::Lost;
+        }
+        Outcome::Answer(200, value)
+    }
+
+    /// Sends the changes of a range as they come, until the caller goes away.
+    fn watch(&self, mut exchange: Exchange) {
+        let request: wire::Watch = match exchange.json() {
+            Ok(request) => request,
+            Err(detail) => {
+                exchange.reply_json(400, &json!({ "error": detail, "code": 3 }));
+                return;
+            }
+        };
+        let Ok(pieces) = exchange.pieces("application/json") else {
+            return;
+        };
+        // A caller that goes away ends its watch; there is nobody left to tell.
+        let _ = self.follow(pieces, request.create_request);
+    }
+
+    fn follow(&self, mut pieces: Pieces, request: wire::WatchCreate) -> io::Result<()> {
+        let span = Span {
+            key: request.key,
+            end: request.range_end,
+        };
+        let (mut next, compacted, header) = {
+            let store = &self.lock().store;
+            let next = match request.start_revision {
+                0 => store.revision() + 1,
+                start => start,
+            };
+            (next, store.compacted(), wire::header(store.revision()))
+        };
+        if next <= compacted {
+            pieces.send(&gateway::canceled(&header, compacted))?;
+            return pieces.end();
+        }
+        pieces.send(&gateway::created(&header))?;
+        while pieces.alive() {
+            let state = self.lock();
+            let events = state.store.events(&span, next);
+            if events.is_empty() {
+                let waited = self.changed.wait_timeout(state, WATCH_PACE);
+                drop(waited.unwrap_or_else(PoisonError::into_inner));
+                continue;
+            }
+            next = state.store.revision() + 1;
+            let line = gateway::events(&state.store, &events);
+            drop(state);
+            pieces.send(&line)?;
+        }
+        Ok(())
+    }
+
+    fn controlled(&self, exchange: Exchange, path: &str) {
+        match (exchange.method().as_str(), path) {
+            ("GET", "/control/counts") => {
+                let counts = self.lock().counts.clone();
+                exchange.reply_json(200, &counts);
+            }
+            ("POST", "/control") => exchange.control(|gate, orders| self.control(gate, orders)),
+            _ => exchange.reply_error(404, "no such control"),
+        }
+    }
+
+    pub(super) fn control(&self, gate: &Gate, orders: &EtcdControl) {
+        gate.order(orders.down, orders.freeze);
+        if orders.cut {
+            gate.cut_all();
+        }
+        let mut state = self.lock();
+        if let Some(slow) = orders.slow {
+            state.faults.slow = slow;
+        }
+        if let Some(count) = orders.lose_answers {
+            state.faults.lost = count;
+        }
+        match orders.lapse {
+            Some(Lapse::All) => state.store.revoke_all(),
+            Some(Lapse::One(name)) => {
+                state.store.revoke(name);
+            }
+            None => {}
+        }
+        drop(state);
+        self.changed.notify_all();
+    }
+}
+
+fn kind(path: &str) -> Option<&'static str> {
+    match path {
+        "/v3/kv/range" => Some("range"),
+        "/v3/kv/put" => Some("put"),
+        "/v3/kv/txn" => Some("txn"),
+        "/v3/kv/deleterange" => Some("delete"),
+        "/v3/lease/grant" => Some("grant"),
+        "/v3/lease/keepalive" => Some("keep"),
+        "/v3/lease/revoke" => Some("revoke"),
+        "/v3/watch" => Some("watch"),
+        _ => None,
+    }
+}
+
+fn writes(kind: &str) -> bool {
+    !matches!(kind, "range" | "watch")
+}
+
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(body).map_err(|err| err.to_string())
+}
+
+fn malformed(detail: &str) -> Outcome {
+    Outcome::Answer(
+        400,
+        json!({ "error": detail, "code": 3, "message": detail }),
+    )
+}
+
+fn refused(refusal: Refusal) -> Outcome {
+    Outcome::Answer(refusal.status(), refusal.body())
+}
