--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -3,12 +3,12 @@
 mod fleet;
 mod identity;
 mod pass;
+mod retry;
 mod talk;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::Ask;
 use crate::Configuration;
 use crate::Outcome;
 use crate::Reason;
@@ -31,11 +31,6 @@
 pub use self::pass::Pass;
 pub use self::pass::Request;
 
-/// The part of the operators' retry ratio that is used.
-///
-/// Instances count in windows of their own; a fifth covers where these differ from the operators'.
-const RETRIES: f64 = 0.8;
-
 /// When a caller should come back that was refused as no configuration is known.
 const UNREADY: Millis = Millis(300);
 
@@ -245,22 +240,6 @@
         self.scheduler.ended(now, ticket, Outcome::Left);
     }
 
-    /// Returns whether a running request whose endpoint is silent may be given up for another.
-    ///
-    /// Only where another has a place for it: an endpoint's silence alone is no reason to end its
-    /// work. It takes the retry from the budget, so that another surely may follow.
-    pub fn spare(&mut self, now: Millis, ticket: Ticket) -> bool {
-        let Some(ask) = self.scheduler.running(ticket).cloned() else {
-            return false;
-        };
-        let allowed = ask.route.idempotent() && ask.sent + 1 < ask.route.attempts;
-        let elsewhere = self
-            .scheduler
-            .elsewhere(now, &ask, &self.registry, &self.peers);
-        let floor = self.floor();
-        allowed && elsewhere && now < ask.until && self.budget(&ask.service).take(now, floor)
-    }
-
     /// Does what is due with time: drops what is gone.
     pub fn sweep(&mut self, now: Millis) {
         self.registry.sweep(now);
@@ -271,13 +250,6 @@
         self.scheduler.forget(&self.registry);
     }
 
-    fn budget(&mut self, service: &Arc<str>) -> &mut Budget {
-        let ratio = self.me.retries * RETRIES;
-        self.budgets
-            .entry(service.clone())
-            .or_insert_with(|| Budget::new(ratio))
-    }
-
     fn take_allowance(&mut self, now: Millis, pass: &Pass, chance: f64) -> Result<(), Refusal> {
         let Some(organisation) = &pass.organisation else {
             return Ok(());
@@ -296,29 +268,4 @@
                 after,
             })
     }
-
-    fn may_retry(&mut self, now: Millis, ask: &Ask, outcome: Outcome) -> bool {
-        let unsent = outcome == Outcome::Unreached;
-        let unrun = unsent || matches!(outcome, Outcome::Full | Outcome::Moved);
-        if !unrun && !ask.route.idempotent() {
-            return false;
-        }
-        if !unrun && self.suspects.refuses(now, ask.fingerprint) {
-            return false;
-        }
-        if now >= ask.until {
-            return false;
-        }
-        if unsent {
-            return ask.tried.len() < UNSENT;
-        }
-        if outcome == Outcome::Silent {
-            return true;
-        }
-        let floor = self.floor();
-        ask.sent < ask.route.attempts && self.budget(&ask.service).take(now, floor)
-    }
 }
-
-/// Endpoints tried for one request when none can be reached; no part of it was sent to them.
-const UNSENT: usize = 4;
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -0,0 +1,65 @@
+//! Whether a request may go to another endpoint.
+
+use std::sync::Arc;
+
+use crate::Ask;
+use crate::Outcome;
+use crate::Ticket;
+use crate::budget::Budget;
+use crate::core::Core;
+use siskinyoke_base::Millis;
+
+/// The part of the operators' retry ratio that is used.
+///
+/// Instances count in windows of their own; a fifth covers where these differ from the operators'.
+const RETRIES: f64 = 0.8;
+
+/// Endpoints tried for one request when none can be reached; no part of it was sent to them.
+const UNSENT: usize = 4;
+
+impl Core {
+    /// Returns whether a running request whose endpoint is silent may be given up for another.
+    ///
+    /// Only where another has a place for it: an endpoint's silence alone is no reason to end its
+    /// work. It takes the retry from the budget, so that another surely may follow.
+    pub fn spare(&mut self, now: Millis, ticket: Ticket) -> bool {
+        let Some(ask) = self.scheduler.running(ticket).cloned() else {
+            return false;
+        };
+        let allowed = ask.route.idempotent() && ask.sent + 1 < ask.route.attempts;
+        let elsewhere = self
+            .scheduler
+            .elsewhere(now, &ask, &self.registry, &self.peers);
+        let floor = self.floor();
+        allowed && elsewhere && now < ask.until && self.budget(&ask.service).take(now, floor)
+    }
+
+    pub(super) fn budget(&mut self, service: &Arc<str>) -> &mut Budget {
+        let ratio = self.me.retries * RETRIES;
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(ratio))
+    }
+
+    pub(super) fn may_retry(&mut self, now: Millis, ask: &Ask, outcome: Outcome) -> bool {
+        let unsent = outcome == Outcome::Unreached;
+        let unrun = unsent || matches!(outcome, Outcome::Full | Outcome::Moved);
+        if !unrun && !ask.route.idempotent() {
+            return false;
+        }
+        if !unrun && self.suspects.refuses(now, ask.fingerprint) {
+            return false;
+        }
+        if now >= ask.until {
+            return false;
+        }
+        if unsent {
+            return ask.tried.len() < UNSENT;
+        }
+        if outcome == Outcome::Silent {
+            return true;
+        }
+        let floor = self.floor();
+        ask.sent < ask.route.attempts && self.budget(&ask.service).take(now, floor)
+    }
+}
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -5,6 +5,8 @@
 //! what cannot start waits in the order of its rank. Every instance decides alone, from the same
 //! reports, whose request the next free place is for: the most urgent, then the longest waiting.
 
+mod expiry;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -28,15 +30,15 @@
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
+/// When a caller should come back whose service has no endpoint: new ones are known within that.
+const ABSENT: Millis = Millis(500);
+
 /// Requests that may wait for a late answer, for each place of their service.
 ///
 /// They take only places that nothing else wants, between two peaks of the load; two for a place
 /// are served within some two usual stays then.
 const LATE: usize = 2;
 
-/// When a caller should come back whose service has no endpoint: new ones are known within that.
-const ABSENT: Millis = Millis(500);
-
 /// How much longer than now it may take for a caller to come back, at least.
 const SOONEST: Millis = Millis(50);
 
@@ -276,69 +278,6 @@
         self.running.insert(ticket, (key, ask));
     }
 
-    fn expire(
-        &mut self,
-        now: Millis,
-        service: &Arc<str>,
-        registry: &Registry,
-        decisions: &mut Vec<Decision>,
-    ) {
-        let places = places(service, registry);
-        let load = self.load(service);
-        let waiting: Vec<Place> = self.queues[service].iter().collect();
-        let mut late = waiting
-            .iter()
-            .filter(|place| self.waiting[&place.2].late)
-            .count();
-        for (_, arrived, ticket) in waiting {
-            let ask = &self.waiting[&ticket];
-            if wait::spent(ask, registry.fit(service)) {
-                let refusal = Refusal {
-                    reason: Reason::NoEndpoint,
-                    after: load.stay(),
-                };
-                self.cancel(ticket);
-                decisions.push(Decision::Refuse(ticket, refusal));
-                continue;
-            }
-            let bearable = if ask.late {
-                wait::endurance(ask, load)
-            } else {
-                wait::patience(ask, load)
-            };
-            if now < arrived + bearable {
-                continue;
-            }
-            if !ask.late && !wait::urgent(ask) && late < LATE * to_usize(places) {
-                late += 1;
-                self.put_off(ticket);
-                continue;
-            }
-            let after = wait::spread(load.stay().max(SOONEST), ask);
-            self.cancel(ticket);
-            decisions.push(Decision::Refuse(
-                ticket,
-                Refusal {
-                    reason: Reason::Waited,
-                    after,
-                },
-            ));
-        }
-    }
-
-    // Moves a request behind what can still be on time.
-    fn put_off(&mut self, ticket: Ticket) {
-        let Some(ask) = self.waiting.get_mut(&ticket) else {
-            return;
-        };
-        let Some(queue) = self.queues.get_mut(&ask.service) else {
-            return;
-        };
-        queue.remove(place(ticket, ask));
-        ask.late = true;
-        queue.push(place(ticket, ask));
-    }
-
     // Counts what goes before a request, here and at peers.
     fn ahead(&self, now: Millis, ask: &Ask, peers: &Peers) -> usize {
         let own = self
