--- a/crates/siskinyoke-base/src/clock.rs
+++ b/crates/siskinyoke-base/src/clock.rs
@@ -23,8 +23,6 @@
 impl Millis {
     /// The start of the process, or an empty span.
     pub const ZERO: Self = Self(0);
-    /// A point that is never reached.
-    pub const NEVER: Self = Self(u64::MAX);
 
     /// Makes a span of whole seconds.
     pub const fn from_secs(secs: u64) -> Self {
--- a/crates/siskinyoke-base/src/code.rs
+++ b/crates/siskinyoke-base/src/code.rs
@@ -91,8 +91,6 @@
     Shed = 3001, NotRun, 429, "More urgent work took its place; come back later.";
     /// It waited past its need.
     Late = 3002, NotRun, 503, "It waited past its need and was given up; come back later.";
-    /// The instance is leaving.
-    Leaving = 3003, NotRun, 503, "This instance is leaving; use another address.";
     /// The organisation's allowance is used up.
     OverAllowance = 3004, NotRun, 429, "The organisation's allowance is used up; come back later.";
     /// No configuration is known yet, or it may be out of date.
@@ -111,11 +109,6 @@
 }
 
 impl Code {
-    /// Tells whether the whole answer goes with it, so that a stream may end as a whole one.
-    pub const fn is_whole(self) -> bool {
-        matches!(self, Self::Complete | Self::EndpointError)
-    }
-
     /// Returns the code's number.
     pub const fn number(self) -> u16 {
         self as u16
--- a/crates/siskinyoke-cli/src/report/answers.rs
+++ b/crates/siskinyoke-cli/src/report/answers.rs
@@ -1,5 +1,6 @@
 //! What became of each request, by the logs of all instances.
 
+use super::ReportError;
 use crate::logs::Log;
 use crate::logs::Row;
 
@@ -35,7 +36,11 @@
 }
 
 /// Returns what became of each request, and how many lines were left out or damaged.
-pub fn read(logs: &[(String, Log)]) -> (Vec<Answer<'_>>, u64) {
+///
+/// # Errors
+///
+/// [`ReportError::Empty`] if no line tells of an answer.
+pub fn read(logs: &[(String, Log)]) -> Result<(Vec<Answer<'_>>, u64), ReportError> {
     let mut answers = Vec::new();
     let mut missing = 0;
     for (_, log) in logs {
@@ -46,7 +51,10 @@
             answers.extend(answer(row, last));
         }
     }
-    (answers, missing)
+    if answers.is_empty() {
+        return Err(ReportError::Empty);
+    }
+    Ok((answers, missing))
 }
 
 fn answer(row: &Row, last: u64) -> Option<Answer<'_>> {
--- a/crates/siskinyoke-cli/src/report/burn.rs
+++ b/crates/siskinyoke-cli/src/report/burn.rs
@@ -143,10 +143,7 @@
             return Err(ReportError::Objective);
         }
         let logs = read_all(&self.logs)?;
-        let (answers, missing) = answers::read(&logs);
-        if answers.is_empty() {
-            return Err(ReportError::Empty);
-        }
+        let (answers, missing) = answers::read(&logs)?;
         let lines = lines(&answers);
         if let Some(path) = &self.html {
             fs::write(path, self.page(&answers, &lines, missing)?)?;
--- a/crates/siskinyoke-cli/src/report/usage.rs
+++ b/crates/siskinyoke-cli/src/report/usage.rs
@@ -56,10 +56,7 @@
     /// [`ReportError`] if a log cannot be read, tells of no answer, or the report cannot be written.
     pub fn run(&self, json: bool, out: &mut dyn Write) -> Result<(), ReportError> {
         let logs = read_all(&self.logs)?;
-        let (answers, missing) = answers::read(&logs);
-        if answers.is_empty() {
-            return Err(ReportError::Empty);
-        }
+        let (answers, missing) = answers::read(&logs)?;
         let lines = lines(&answers);
         if let Some(path) = &self.html {
             fs::write(path, page(&lines, missing)?)?;
--- a/crates/siskinyoke-dispatch/src/refusal.rs
+++ b/crates/siskinyoke-dispatch/src/refusal.rs
@@ -23,13 +23,16 @@
     NoEndpoint,
     /// The same work crashed endpoints before.
     Suspect,
-    /// This instance is leaving.
-    Leaving,
     /// An endpoint turned it away unrun, and no other may be asked.
     Rejected,
 }
 
 impl Reason {
+    /// Returns whether the same request would be turned away whenever it came back.
+    pub fn lasting(self) -> bool {
+        matches!(self, Self::NoRoute | Self::NoKey)
+    }
+
     /// Returns the reason's name in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -42,7 +45,6 @@
             Self::Displaced => "displaced",
             Self::NoEndpoint => "no_endpoint",
             Self::Suspect => "suspect",
-            Self::Leaving => "leaving",
             Self::Rejected => "rejected",
         }
     }
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -53,13 +53,6 @@
     Crowded,
 }
 
-/// A request as its head and the filters have it.
-struct Decoded {
-    id: Option<String>,
-    holder: Option<Arc<Organisation>>,
-    passed: Result<Pass, Refusal>,
-}
-
 /// Serves one request of a caller.
 pub async fn serve(shell: Rc<Shell>, request: Request<Incoming>) -> Response<AnswerBody> {
     shell.busy.set(shell.now());
@@ -78,10 +71,14 @@
     let in_force = shell.core.borrow().in_force().map(|it| it.limits);
     let limits = match in_force {
         Ok(limits) => limits,
-        Err(refusal) => return refuse_unknown(shell, &parts, refusal),
+        Err(refusal) => {
+            let id = shell.interface.exchange.id(&parts);
+            return refuse(shell, Known::named(id), refusal);
+        }
     };
-    if head_size(&parts) > limits.head {
-        shell.log("head_refused", json!({ "bytes": head_size(&parts) }));
+    let size = head_size(&parts);
+    if size > limits.head {
+        shell.log("head_refused", json!({ "bytes": size }));
         return answer::own(shell.interface.exchange.fail(Code::HeadTooLarge));
     }
     if shell.interface.exchange.in_body(&parts) {
@@ -98,13 +95,9 @@
     body: Incoming,
     limits: Limits,
 ) -> Response<AnswerBody> {
-    let Decoded { id, holder, passed } = match decode(shell, &parts, &[]) {
-        Ok(decoded) => decoded,
-        Err(err) => return unreadable(shell, &err),
-    };
-    let pass = match passed {
-        Ok(pass) => pass,
-        Err(refusal) => return refuse_head(shell, id.as_deref(), holder.as_deref(), refusal),
+    let (id, pass) = match filter(shell, &parts, &[]) {
+        Ok(passed) => passed,
+        Err(refused) => return *refused,
     };
     let left = pass.until.since(shell.now());
     match collect(shell, limits.body, left, body).await {
@@ -127,37 +120,12 @@
         Ok(taken) => taken,
         Err(fault) => return refuse_body(shell, None, &fault),
     };
-    let Decoded { id, holder, passed } = match decode(shell, &parts, &body) {
-        Ok(decoded) => decoded,
-        Err(err) => return unreadable(shell, &err),
-    };
-    match passed {
-        Ok(pass) => enter(shell, parts, id, pass, body, held).await,
-        Err(refusal) => refuse_head(shell, id.as_deref(), holder.as_deref(), refusal),
+    match filter(shell, &parts, &body) {
+        Ok((id, pass)) => enter(shell, parts, id, pass, body, held).await,
+        Err(refused) => *refused,
     }
 }
 
-// Turns a request away of which nothing can be decided yet.
-fn refuse_unknown(shell: &Shell, parts: &Parts, refusal: Refusal) -> Response<AnswerBody> {
-    let id = shell.interface.exchange.id(parts);
-    refuse_head(shell, id, None, refusal)
-}
-
-// Turns a request away that did not pass the filters.
-fn refuse_head(
-    shell: &Shell,
-    id: Option<&str>,
-    holder: Option<&Organisation>,
-    refusal: Refusal,
-) -> Response<AnswerBody> {
-    let request = Known {
-        id,
-        organisation: holder.map(|it| &*it.name),
-        ..Known::default()
-    };
-    refuse(shell, request, refusal)
-}
-
 // The bytes of a head, with those between its parts.
 fn head_size(parts: &Parts) -> usize {
     const LINE: usize = "  HTTP/1.1\r\n".len();
@@ -171,10 +139,17 @@
     })
 }
 
-// Understands a request and lets it through the filters that need no more than its head.
-fn decode(shell: &Shell, parts: &Parts, body: &[u8]) -> Result<Decoded, FormatError> {
-    let head = shell.interface.exchange.decode(parts, body)?;
-    let id = head.id.map(ToOwned::to_owned);
+// Understands a request and lets it through the filters that need no more than its head; else returns
+// what its caller is told.
+fn filter(
+    shell: &Shell,
+    parts: &Parts,
+    body: &[u8],
+) -> Result<(Option<String>, Pass), Box<Response<AnswerBody>>> {
+    let head = match shell.interface.exchange.decode(parts, body) {
+        Ok(head) => head,
+        Err(err) => return Err(Box::new(unreadable(shell, &err))),
+    };
     let wanted = Wanted {
         host: head.host,
         path: &head.path,
@@ -183,13 +158,23 @@
         tokens: head.tokens,
         draw: stable_hash(&head.id),
     };
-    let mut core = shell.core.borrow_mut();
-    let passed = core.pass(shell.now(), wanted);
-    let holder = head.key.as_deref().and_then(|key| {
-        let configuration = core.configuration()?;
-        configuration.holder(key).cloned()
-    });
-    Ok(Decoded { id, holder, passed })
+    let passed = shell.core.borrow_mut().pass(shell.now(), wanted);
+    let refusal = match passed {
+        Ok(pass) => return Ok((head.id.map(ToOwned::to_owned), pass)),
+        Err(refusal) => refusal,
+    };
+    let holder = head.key.and_then(|key| holder(shell, &key));
+    let request = Known {
+        id: head.id,
+        organisation: holder.as_ref().map(|it| &*it.name),
+        ..Known::default()
+    };
+    Err(Box::new(refuse(shell, request, refusal)))
+}
+
+fn holder(shell: &Shell, key: &str) -> Option<Arc<Organisation>> {
+    let core = shell.core.borrow();
+    core.configuration()?.holder(key).cloned()
 }
 
 async fn enter(
@@ -307,7 +292,7 @@
                 reason: Reason::Overload,
                 after: CROWDED,
             };
-            return refuse_head(shell, id, None, refusal);
+            return refuse(shell, Known::named(id), refusal);
         }
     };
     shell.log("body_refused", json!({ "id": id, "why": code.text() }));
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -44,6 +44,14 @@
 }
 
 impl<'a> Known<'a> {
+    /// What is known of a request of which only the identity counts.
+    pub fn named(id: Option<&'a str>) -> Self {
+        Self {
+            id,
+            ..Self::default()
+        }
+    }
+
     /// What is known of a request that passed the filters.
     pub fn passed(id: Option<&'a str>, pass: &'a Pass) -> Self {
         Self {
--- a/crates/siskinyoke-gateway/src/store.rs
+++ b/crates/siskinyoke-gateway/src/store.rs
@@ -1,4 +1,4 @@
-//! The client of the platform's store.
+//! The client of the store.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
--- a/crates/siskinyoke-interface/src/documents.rs
+++ b/crates/siskinyoke-interface/src/documents.rs
@@ -19,13 +19,39 @@
     Other,
 }
 
+/// Where the documents lie in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Keys {
+    /// The key of the operators' configuration.
+    pub configuration: &'static str,
+    /// The prefix of the endpoints' entries; their identity follows.
+    pub endpoints: &'static str,
+    /// The prefix of the instances' entries; their name follows.
+    pub instances: &'static str,
+}
+
 /// The documents in the store.
 pub trait Documents: Debug {
+    /// Returns where they lie.
+    fn keys(&self) -> Keys;
+
     /// Says what an item is by its key.
-    fn entry<'a>(&self, key: &'a str) -> Entry<'a>;
+    fn entry<'a>(&self, key: &'a str) -> Entry<'a> {
+        let keys = self.keys();
+        if key == keys.configuration {
+            return Entry::Configuration;
+        }
+        if let Some(id) = key.strip_prefix(keys.endpoints) {
+            return Entry::Endpoint(id);
+        }
+        let instance = key.strip_prefix(keys.instances);
+        instance.map_or(Entry::Other, Entry::Instance)
+    }
 
     /// Returns the key of an instance's entry.
-    fn instance_key(&self, name: &str) -> String;
+    fn instance_key(&self, name: &str) -> String {
+        format!("{}{name}", self.keys().instances)
+    }
 
     /// Decodes the operators' configuration.
     ///
--- a/crates/siskinyoke-interface/src/headers.rs
+++ b/crates/siskinyoke-interface/src/headers.rs
@@ -56,6 +56,12 @@
     scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
 }
 
+/// Reads two numbers with a comma between them.
+pub fn pair(text: &str) -> Option<(u64, u64)> {
+    let (first, second) = text.split_once(',')?;
+    Some((first.trim().parse().ok()?, second.trim().parse().ok()?))
+}
+
 /// Returns a span as a header in seconds with three decimals.
 pub fn seconds(span: Millis) -> HeaderValue {
     let text = format!("{:.3}", span.as_secs());
--- a/crates/siskinyoke-native/src/documents.rs
+++ b/crates/siskinyoke-native/src/documents.rs
@@ -10,12 +10,12 @@
 use siskinyoke_dispatch::Configuration;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_interface::Documents;
-use siskinyoke_interface::Entry;
 use siskinyoke_interface::FormatError;
+use siskinyoke_interface::Keys;
 
 /// What the store holds, by key.
 #[derive(Debug, Clone, Copy)]
-pub struct Keys;
+pub struct Stored;
 
 /// An endpoint's entry, written by operators or by the endpoint itself under a lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,20 +38,13 @@
     pub born: u64,
 }
 
-impl Documents for Keys {
-    fn entry<'a>(&self, key: &'a str) -> Entry<'a> {
-        if key == names::CONFIGURATION_KEY {
-            return Entry::Configuration;
+impl Documents for Stored {
+    fn keys(&self) -> Keys {
+        Keys {
+            configuration: names::CONFIGURATION_KEY,
+            endpoints: names::ENDPOINT_PREFIX,
+            instances: names::INSTANCE_PREFIX,
         }
-        if let Some(id) = key.strip_prefix(names::ENDPOINT_PREFIX) {
-            return Entry::Endpoint(id);
-        }
-        let instance = key.strip_prefix(names::INSTANCE_PREFIX);
-        instance.map_or(Entry::Other, Entry::Instance)
-    }
-
-    fn instance_key(&self, name: &str) -> String {
-        format!("{}{name}", names::INSTANCE_PREFIX)
     }
 
     fn configuration(&self, bytes: &[u8]) -> Result<Configuration, FormatError> {
--- a/crates/siskinyoke-native/src/etcd.rs
+++ b/crates/siskinyoke-native/src/etcd.rs
@@ -16,6 +16,7 @@
 const RANGE: &str = "/v3/kv/range";
 const PUT: &str = "/v3/kv/put";
 const TXN: &str = "/v3/kv/txn";
+const DELETE: &str = "/v3/kv/deleterange";
 const WATCH: &str = "/v3/watch";
 const GRANT: &str = "/v3/lease/grant";
 const KEEP: &str = "/v3/lease/keepalive";
@@ -145,7 +146,7 @@
 
 /// Removes a key.
 pub fn remove(key: &str) -> Call {
-    Call::post("/v3/kv/deleterange", &json!({ "key": code(key) }))
+    Call::post(DELETE, &json!({ "key": code(key) }))
 }
 
 /// Decodes whether a swap took effect.
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -17,7 +17,6 @@
 use crate::configuration::ANY;
 use crate::names;
 use siskinyoke_base::Code;
-use siskinyoke_base::Kind;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Reason;
@@ -76,7 +75,7 @@
                 Some(chat.tokens()),
             )
         } else {
-            let tokens = headers::text(head, &names::TOKENS).and_then(pair);
+            let tokens = headers::text(head, &names::TOKENS).and_then(headers::pair);
             (parts.uri.path().into(), tokens)
         };
         Ok(Head {
@@ -156,9 +155,8 @@
     }
 
     fn refuse(&self, refusal: Refusal) -> Response<Vec<u8>> {
-        let code = code(refusal.reason);
-        let after = (code.kind() == Kind::NotRun && code.status() > 404).then_some(refusal.after);
-        own(code, after)
+        let after = (!refusal.reason.lasting()).then_some(refusal.after);
+        own(code(refusal.reason), after)
     }
 
     fn fail(&self, code: Code) -> Response<Vec<u8>> {
@@ -189,7 +187,6 @@
         Reason::Displaced => Code::Shed,
         Reason::NoEndpoint => Code::NoEndpoint,
         Reason::Suspect => Code::Quarantined,
-        Reason::Leaving => Code::Leaving,
         Reason::Rejected => Code::Rejected,
     }
 }
@@ -225,8 +222,3 @@
     headers.insert(names::CODE, HeaderValue::from(code.number()));
     headers.insert(names::KIND, HeaderValue::from_static(code.kind().as_str()));
 }
-
-fn pair(text: &str) -> Option<(u64, u64)> {
-    let (input, output) = text.split_once(',')?;
-    Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
-}
--- a/crates/siskinyoke-native/src/lib.rs
+++ b/crates/siskinyoke-native/src/lib.rs
@@ -16,7 +16,7 @@
     Interface {
         exchange: Box::new(exchange::Own),
         store: Box::new(etcd::Etcd),
-        documents: Box::new(documents::Keys),
+        documents: Box::new(documents::Stored),
         pages: Box::new(pages::Paths),
     }
 }
--- a/crates/siskinyoke-native/tests/documents.rs
+++ b/crates/siskinyoke-native/tests/documents.rs
@@ -9,7 +9,7 @@
 use siskinyoke_interface::Entry;
 use siskinyoke_interface::FormatError;
 use siskinyoke_native::configuration::Document;
-use siskinyoke_native::documents::Keys;
+use siskinyoke_native::documents::Stored;
 
 const TEXT: &str = r#"{
     "revision": 4,
@@ -33,7 +33,7 @@
 }"#;
 
 fn read(text: &str) -> Result<Configuration, FormatError> {
-    Keys.configuration(text.as_bytes())
+    Stored.configuration(text.as_bytes())
 }
 
 #[test]
@@ -126,22 +126,25 @@
 
 #[test]
 fn keys_say_what_an_item_is() {
-    assert_eq!(Keys.entry("siskinyoke/configuration"), Entry::Configuration);
     assert_eq!(
-        Keys.entry("siskinyoke/endpoints/fast-1"),
+        Stored.entry("siskinyoke/configuration"),
+        Entry::Configuration
+    );
+    assert_eq!(
+        Stored.entry("siskinyoke/endpoints/fast-1"),
         Entry::Endpoint("fast-1")
     );
-    let key = Keys.instance_key("front-1");
-    assert_eq!(Keys.entry(&key), Entry::Instance("front-1"));
-    assert_eq!(Keys.entry("siskinyoke/other"), Entry::Other);
+    let key = Stored.instance_key("front-1");
+    assert_eq!(Stored.entry(&key), Entry::Instance("front-1"));
+    assert_eq!(Stored.entry("siskinyoke/other"), Entry::Other);
 }
 
 #[test]
 fn an_endpoint_without_slots_or_with_a_mistyped_field_is_none() {
     let sound = br#"{ "service": "qalam", "address": "10.0.0.1:8000", "slots": 8 }"#;
-    assert_eq!(Keys.endpoint("e", sound).unwrap().slots, 8);
+    assert_eq!(Stored.endpoint("e", sound).unwrap().slots, 8);
     let none = br#"{ "service": "qalam", "address": "10.0.0.1:8000", "slots": 0 }"#;
-    assert!(Keys.endpoint("e", none).is_err());
+    assert!(Stored.endpoint("e", none).is_err());
     let odd = br#"{ "service": "qalam", "address": "10.0.0.1:8000", "slots": 8, "drain": true }"#;
-    assert!(Keys.endpoint("e", odd).is_err());
+    assert!(Stored.endpoint("e", odd).is_err());
 }
