--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ask;
 pub mod budget;
 pub mod cells;
+pub mod cold_start;
 pub mod configuration;
 pub mod core;
 mod cost;
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/first_read.rs
@@ -0,0 +1,87 @@
+//! The first reading of the store, asked for again while it stays unanswered.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::store::Client;
+use crate::store::StoreError;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::cold_start::MOST_CALLS;
+use siskinyoke_dispatch::cold_start::REPEAT;
+use siskinyoke_interface::Call;
+
+/// An answer, with the connection over which it came.
+pub type Answered = (Bytes, Client);
+
+/// Calls that are in flight for one reading.
+#[derive(Debug, Default)]
+pub struct FirstRead {
+    calls: JoinSet<Result<Answered, StoreError>>,
+    made: u32,
+}
+
+impl FirstRead {
+    /// Makes a call, and again over other connections while it stays unanswered. The first success counts.
+    ///
+    /// # Errors
+    ///
+    /// Why the last call failed, if none is in flight any more, or that none was answered in time.
+    pub async fn call(
+        &mut self,
+        address: SocketAddr,
+        call: &Call,
+        limit: Millis,
+    ) -> Result<Answered, StoreError> {
+        let answered = timeout(limit.into(), self.race(address, call, limit)).await;
+        // Dropping the set ends the calls that lost.
+        self.calls = JoinSet::new();
+        answered.unwrap_or(Err(StoreError::Silent))
+    }
+
+    /// Returns how many calls were made.
+    pub fn made(&self) -> u32 {
+        self.made
+    }
+
+    async fn race(
+        &mut self,
+        address: SocketAddr,
+        call: &Call,
+        limit: Millis,
+    ) -> Result<Answered, StoreError> {
+        loop {
+            if self.made < MOST_CALLS {
+                self.made += 1;
+                self.calls.spawn_local(once(address, call.clone(), limit));
+            }
+            if let Some(result) = self.answered().await {
+                return result;
+            }
+        }
+    }
+
+    // Waits until a call succeeded or all failed, or until it is time for the next one.
+    async fn answered(&mut self) -> Option<Result<Answered, StoreError>> {
+        let mut again = std::pin::pin!(sleep(REPEAT.into()));
+        loop {
+            let result = tokio::select! {
+                result = self.calls.join_next() => result?,
+                () = &mut again => return None,
+            };
+            let result = result.unwrap_or(Err(StoreError::Silent));
+            if result.is_ok() || self.calls.is_empty() {
+                return Some(result);
+            }
+        }
+    }
+}
+
+async fn once(address: SocketAddr, call: Call, limit: Millis) -> Result<Answered, StoreError> {
+    let mut client = Client::default();
+    let body = client.call(address, &call, limit).await?;
+    Ok((body, client))
+}
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod connection;
 pub mod events;
+pub mod first_read;
 pub mod gateway;
 pub mod gossip;
 pub mod held;
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -1,5 +1,6 @@
 //! Follows the store: the configuration, the endpoints and the other instances.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -7,6 +8,7 @@
 use tokio::time::sleep;
 
 use crate::beliefs;
+use crate::first_read::FirstRead;
 use crate::replica::Update;
 use crate::shell::Shell;
 use crate::store::Client;
@@ -14,6 +16,7 @@
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::watchers::Duty;
 use siskinyoke_interface::Batch;
+use siskinyoke_interface::Call;
 use siskinyoke_interface::Consistency;
 use siskinyoke_interface::Entry;
 use siskinyoke_interface::FormatError;
@@ -136,19 +139,43 @@
     }
 
     async fn page(&mut self, after: &str, consistency: Consistency) -> Result<Batch, StoreError> {
-        let address = self.shell.settings().store;
-        let store = &self.shell.interface.store;
+        let shell = self.shell.clone();
+        let address = shell.settings().store;
+        let store = &shell.interface.store;
         let call = store.range(after, consistency);
-        let result = self.client.call(address, &call, READ).await;
-        let kind = match consistency {
-            Consistency::Linearizable => "read",
-            Consistency::Serializable => "read_cached",
+        // Only the cheap kind of reading is made more than once.
+        let body = if consistency == Consistency::Serializable && after.is_empty() {
+            self.first_page(address, &call).await?
+        } else {
+            let result = self.client.call(address, &call, READ).await;
+            let kind = match consistency {
+                Consistency::Linearizable => "read",
+                Consistency::Serializable => "read_cached",
+            };
+            shell.metrics.called(kind, result.is_ok());
+            result?
         };
-        self.shell.metrics.called(kind, result.is_ok());
-        let body: Bytes = result?;
         Ok(store.decode_range(&body)?)
     }
 
+    async fn first_page(&mut self, address: SocketAddr, call: &Call) -> Result<Bytes, StoreError> {
+        let mut read = FirstRead::default();
+        let result = read.call(address, call, READ).await;
+        let unanswered = read.made() - u32::from(result.is_ok());
+        for _ in 0..unanswered {
+            self.shell.metrics.called("read_cached", false);
+        }
+        if unanswered > 0 {
+            let fields = json!({ "unanswered": unanswered, "answered": result.is_ok() });
+            self.shell.log("store_read_repeated", fields);
+        }
+        let (body, client) = result?;
+        self.shell.metrics.called("read_cached", true);
+        // The other pages and the watch go over the connection that works.
+        self.client = client;
+        Ok(body)
+    }
+
     async fn watch(&mut self, revision: u64) -> Result<(), StoreError> {
         let address = self.shell.settings().store;
         let store = &*self.shell.interface.store;
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -23,6 +23,8 @@
     Well,
     /// It answers 503 to all.
     Busy,
+    /// It takes calls and never answers them.
+    Silent,
 }
 
 #[derive(Debug)]
@@ -143,6 +145,11 @@
         let (path, query) = split(request.url());
         let mut body = String::new();
         request.as_reader().read_to_string(&mut body).unwrap();
+        if self.mood() == Mood::Silent {
+            // A request that is dropped would be answered; without its writer nothing is.
+            drop(request.into_writer());
+            return;
+        }
         let (status, answer) = if self.mood() == Mood::Busy {
             (503, json!({}))
         } else {
