Requests that arrive before the first configuration are held for a quarter of their time, not rejected at once

Cause: callers have one retry. Rejected with 300 ms to return, both tries met an instance that knew nothing yet.

All that are held are let in before the first is placed, so that the most urgent goes first. What is rejected after that is told to come back after as long as the instance has been waiting, 0.3 to 2 s. A held request that turns out to be refused (no route, no key) has cost its bytes in memory and its caller that wait.

Times count from a request's arrival, not from when it came to the filters: an endpoint is never given more than is left.

--- a/crates/siskinyoke-dispatch/src/cold_start.rs
+++ b/crates/siskinyoke-dispatch/src/cold_start.rs
@@ -1,7 +1,8 @@
 //! What an instance does before it knows a configuration.
 //!
 //! The load: all instances stop under full traffic and start again while the store is still silent. Their
-//! callers come back at once, each with one retry or two.
+//! callers come back at once, each with one retry or two. A request that is rejected then spends a retry on an
+//! instance that may be ready a moment later.
 
 use siskinyoke_base::Millis;
 
@@ -12,3 +13,31 @@
 
 /// The most calls of one first reading that are in flight at once.
 pub const MOST_CALLS: u32 = 5;
+
+/// The part of its caller's time for which a request is held, as a divisor.
+///
+/// What is left allows for a retry at another instance, and for the answer.
+const HELD_PART: u64 = 4;
+
+/// The longest time for which a request is held.
+const LONGEST_HOLD: Millis = Millis(1_500);
+
+/// The time for which a request is held whose caller does not say how long it waits.
+const USUAL_HOLD: Millis = Millis(250);
+
+/// The bounds of the time after which a rejected caller should come back.
+pub const SOONEST: Millis = Millis(300);
+const LATEST: Millis = Millis(2_000);
+
+/// Returns how long a request may be held for the first configuration, from its arrival.
+pub fn hold(deadline: Option<Millis>) -> Millis {
+    let part = deadline.map_or(USUAL_HOLD, |it| Millis(it.0 / HELD_PART));
+    part.min(LONGEST_HOLD)
+}
+
+/// Returns when a caller should come back that is rejected by an instance of this age.
+///
+/// How long the store stays silent is unknown: an outage is expected to last for as long again as it has.
+pub fn retry_after(age: Millis) -> Millis {
+    age.max(SOONEST).min(LATEST)
+}
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -21,6 +21,7 @@
 use crate::allowance::Allowances;
 use crate::allowance::Wanted;
 use crate::budget::Budget;
+use crate::cold_start;
 use crate::listing::Listing;
 use crate::peers::Peers;
 use crate::registry::Registry;
@@ -34,9 +35,6 @@
 pub use self::pass::Pass;
 pub use self::pass::Request;
 
-/// When a caller should come back that was refused as no configuration is known.
-const UNREADY: Millis = Millis(300);
-
 /// When a caller should come back whose work crashed endpoints: not soon.
 const SUSPECT: Millis = Millis::from_secs(30);
 
@@ -119,7 +117,7 @@
     pub fn in_force(&self) -> Result<&Arc<Configuration>, Refusal> {
         self.configuration.as_ref().ok_or(Refusal {
             reason: Reason::Unready,
-            after: UNREADY,
+            after: cold_start::SOONEST,
         })
     }
 
--- a/crates/siskinyoke-dispatch/src/core/pass.rs
+++ b/crates/siskinyoke-dispatch/src/core/pass.rs
@@ -21,6 +21,8 @@
     pub host: &'a str,
     /// Its path.
     pub path: &'a str,
+    /// How long it was held before it came to the filters.
+    pub held: Millis,
     /// Its key, if it has one.
     pub key: Option<&'a str>,
     /// How long its caller waits, if it says so.
@@ -114,6 +116,7 @@
         });
     };
     let span = request.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let arrived = now.since(request.held);
     let rank = Rank::new(
         organisation.as_ref().and_then(|it| it.priority),
         route.priority,
@@ -121,8 +124,8 @@
     Ok(Pass {
         service,
         rank,
-        arrived: now,
-        until: now + span,
+        arrived,
+        until: arrived + span,
         work: Work::new(request.tokens, request.estimate),
         units: units(organisation.as_deref(), request.tokens),
         organisation,
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -143,6 +143,7 @@
     Request {
         host: "host",
         path,
+        held: Millis::ZERO,
         key: Some("k"),
         deadline: Some(Millis(5_000)),
         tokens: Some((900, 100)),
--- a/crates/siskinyoke-dispatch/tests/load/world.rs
+++ b/crates/siskinyoke-dispatch/tests/load/world.rs
@@ -170,6 +170,7 @@
         let wanted = Request {
             host: "host",
             path: &path,
+            held: Millis::ZERO,
             key: None,
             deadline: Some(Millis(NEED)),
             tokens: Some((prompt as u64, 3_800)),
--- a/crates/siskinyoke-gateway/src/attempt.rs
+++ b/crates/siskinyoke-gateway/src/attempt.rs
@@ -29,6 +29,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// Identifies what runs: the same for each resend of the same work.
+    pub fingerprint: u64,
     /// Counts the body's bytes until the last copy is gone.
     pub held: Rc<Held>,
 }
--- a/crates/siskinyoke-gateway/src/beliefs.rs
+++ b/crates/siskinyoke-gateway/src/beliefs.rs
@@ -147,5 +147,6 @@
     let fields =
         json!({ "version": version, "before": before, "source": source, "allowances": allowances });
     shell.log("configuration", fields);
+    shell.configured.notify_waiters();
     shell.changed.notify_one();
 }
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -1,5 +1,7 @@
 //! Takes a caller's request in, and brings its answer back.
 
+mod early;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +17,7 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use crate::answer;
@@ -55,6 +58,14 @@
     Crowded,
 }
 
+/// When a request arrived.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    at: Millis,
+    // Whether it was held until a configuration was known.
+    held: bool,
+}
+
 /// Serves one request of a caller.
 pub async fn serve(shell: Rc<Shell>, request: Request<Incoming>) -> Response<AnswerBody> {
     shell.busy.set(shell.now());
@@ -70,24 +81,59 @@
 
 async fn answer(shell: &Rc<Shell>, request: Request<Incoming>) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
-    let in_force = shell.core.borrow().in_force().map(|it| it.limits);
-    let limits = match in_force {
-        Ok(limits) => limits,
+    let arrival = Arrival {
+        at: shell.now(),
+        held: false,
+    };
+    let limits = shell.core.borrow().configuration().map(|it| it.limits);
+    let Some(limits) = limits else {
+        return answer_early(shell, parts, body, arrival).await;
+    };
+    if let Some(refused) = refuse_head(shell, &parts, limits) {
+        return refused;
+    }
+    if shell.interface.exchange.in_body(&parts) {
+        answer_by_body(shell, parts, body, limits, arrival).await
+    } else {
+        answer_by_head(shell, parts, body, limits, arrival).await
+    }
+}
+
+// Nothing can be checked of a request that arrives before the configuration, so it is held whole first.
+async fn answer_early(
+    shell: &Rc<Shell>,
+    parts: Parts,
+    body: Incoming,
+    arrival: Arrival,
+) -> Response<AnswerBody> {
+    let (limits, body, held) = match early::hold(shell, &parts, body).await {
+        Ok(taken) => taken,
         Err(refusal) => {
             let id = shell.interface.exchange.id(&parts);
             return refuse(shell, Known::named(id), refusal);
         }
     };
-    let size = head_size(&parts);
-    if size > limits.head {
-        shell.log("head_refused", json!({ "bytes": size }));
-        return answer::own(shell.interface.exchange.fail(Code::HeadTooLarge));
+    if let Some(refused) = refuse_head(shell, &parts, limits) {
+        return refused;
     }
-    if shell.interface.exchange.in_body(&parts) {
-        answer_by_body(shell, parts, body, limits).await
-    } else {
-        answer_by_head(shell, parts, body, limits).await
+    if body.len() > limits.body {
+        return refuse_body(shell, None, &BodyFault::Large);
     }
+    let arrival = Arrival {
+        held: true,
+        ..arrival
+    };
+    answer_whole(shell, parts, body, held, arrival).await
+}
+
+fn refuse_head(shell: &Shell, parts: &Parts, limits: Limits) -> Option<Response<AnswerBody>> {
+    let size = head_size(parts);
+    if size <= limits.head {
+        return None;
+    }
+    shell.log("head_refused", json!({ "bytes": size }));
+    let answer = shell.interface.exchange.fail(Code::HeadTooLarge);
+    Some(answer::own(answer))
 }
 
 // Decides by the head alone, so that no body is read for a request that is turned away.
@@ -96,14 +142,18 @@
     parts: Parts,
     body: Incoming,
     limits: Limits,
+    arrival: Arrival,
 ) -> Response<AnswerBody> {
-    let (id, pass) = match filter(shell, &parts, &[]).await {
+    let (id, pass) = match filter(shell, &parts, &[], arrival).await {
         Ok(passed) => passed,
         Err(refused) => return *refused,
     };
     let left = pass.until.since(shell.now());
     match collect(shell, limits.body, left, body).await {
-        Ok((body, held)) => enter(shell, parts, id, pass, body, held).await,
+        Ok((body, held)) => {
+            let parcel = parcel(shell, parts, &pass, body, held);
+            admit(shell, id, pass, parcel, arrival).await
+        }
         Err(fault) => {
             shell.core.borrow_mut().give_back(&pass);
             refuse_body(shell, id.as_deref(), &fault)
@@ -117,13 +167,27 @@
     parts: Parts,
     body: Incoming,
     limits: Limits,
+    arrival: Arrival,
 ) -> Response<AnswerBody> {
     let (body, held) = match collect(shell, limits.body, limits.arrival, body).await {
         Ok(taken) => taken,
         Err(fault) => return refuse_body(shell, None, &fault),
     };
-    match filter(shell, &parts, &body).await {
-        Ok((id, pass)) => enter(shell, parts, id, pass, body, held).await,
+    answer_whole(shell, parts, body, held, arrival).await
+}
+
+async fn answer_whole(
+    shell: &Rc<Shell>,
+    parts: Parts,
+    body: Bytes,
+    held: Held,
+    arrival: Arrival,
+) -> Response<AnswerBody> {
+    match filter(shell, &parts, &body, arrival).await {
+        Ok((id, pass)) => {
+            let parcel = parcel(shell, parts, &pass, body, held);
+            admit(shell, id, pass, parcel, arrival).await
+        }
         Err(refused) => *refused,
     }
 }
@@ -147,6 +211,7 @@
     shell: &Shell,
     parts: &Parts,
     body: &[u8],
+    arrival: Arrival,
 ) -> Result<(Option<String>, Pass), Box<Response<AnswerBody>>> {
     let head = match shell.interface.exchange.decode(parts, body) {
         Ok(head) => head,
@@ -155,6 +220,7 @@
     let wanted = Wanted {
         host: head.host,
         path: &head.path,
+        held: shell.now().since(arrival.at),
         key: head.key.as_deref(),
         deadline: head.deadline,
         tokens: head.tokens,
@@ -199,25 +265,17 @@
     core.configuration()?.holder(key).cloned()
 }
 
-async fn enter(
-    shell: &Rc<Shell>,
-    parts: Parts,
-    id: Option<String>,
-    pass: Pass,
-    body: Bytes,
-    held: Held,
-) -> Response<AnswerBody> {
+fn parcel(shell: &Shell, parts: Parts, pass: &Pass, body: Bytes, held: Held) -> Parcel {
     let exchange = &shell.interface.exchange;
-    let organisation = pass.organisation.as_ref().map(|it| it.name.clone());
-    let print = stable_hash(&(parts.uri.path(), organisation.as_deref(), &body[..]));
-    let parcel = Parcel {
+    let organisation = pass.organisation.as_ref().map(|it| &*it.name);
+    Parcel {
+        fingerprint: stable_hash(&(parts.uri.path(), organisation, &body[..])),
         method: parts.method,
         target: exchange.target(&parts.uri),
-        headers: exchange.request(&parts.headers, organisation.as_deref()),
+        headers: exchange.request(&parts.headers, organisation),
         body,
         held: Rc::new(held),
-    };
-    admit(shell, id, pass, parcel, print).await
+    }
 }
 
 async fn admit(
@@ -225,15 +283,23 @@
     id: Option<String>,
     pass: Pass,
     parcel: Parcel,
-    print: u64,
+    arrival: Arrival,
 ) -> Response<AnswerBody> {
-    let admitted = shell.core.borrow_mut().admit(shell.now(), &pass, print);
+    let fingerprint = parcel.fingerprint;
+    let admitted = shell
+        .core
+        .borrow_mut()
+        .admit(shell.now(), &pass, fingerprint);
     let ticket = match admitted {
         Ok(ticket) => ticket,
         Err(refusal) => return refuse(shell, Known::passed(id.as_deref(), &pass), refusal),
     };
     let stay = Stay::new(shell, ticket);
     let word = shell.wait(ticket);
+    if arrival.held {
+        // All that were held are let in before the first is placed, so that the most urgent goes first.
+        yield_now().await;
+    }
     shell.decide();
     let (head_sender, head) = oneshot::channel();
     let (piece_sender, pieces) = mpsc::channel(PIECES);
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -95,6 +95,10 @@
     pub lending: Lending,
     /// Takes from peers what they know of the store.
     pub peer: RefCell<Client>,
+    /// When the process started.
+    pub started: Millis,
+    /// Wakes requests that are held until a configuration is known.
+    pub configured: Notify,
     /// Wakes the sender of reports.
     pub changed: Notify,
     /// Whether peers are to be looked for with the next report.
@@ -148,6 +152,8 @@
             socket: OnceCell::new(),
             lending: Lending::default(),
             peer: RefCell::default(),
+            started: BootClock.now(),
+            configured: Notify::new(),
             changed: Notify::new(),
             searching: Cell::new(false),
             renew: Notify::new(),
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -1,6 +1,7 @@
 //! The whole path, with the gateway as a process of its own between small stand-ins.
 
 use std::io::Read;
+use std::net::TcpStream;
 use std::path::Path;
 use std::time::Duration;
 
@@ -49,6 +50,29 @@
     }
 }
 
+// An instance that has just started, and a store that answers nothing.
+fn silent_world() -> World {
+    let store = Store::start();
+    store.put("op/config", &configuration::text(3, "k1"));
+    let endpoint = Endpoint::start("e1");
+    store.put("servers/e1", &endpoint.entry("ready"));
+    store.set_mood(Mood::Silent);
+    let instance = Instance::start(program(), "i1", store.address);
+    World {
+        store,
+        endpoints: vec![endpoint],
+        instance,
+    }
+}
+
+// Opens a connection to an instance that may not listen yet.
+fn patient_open(instance: &Instance) -> TcpStream {
+    until("it listens", || {
+        TcpStream::connect(instance.callers).is_ok()
+    });
+    instance.open()
+}
+
 fn arrived(world: &World) -> usize {
     world.endpoints.iter().map(|it| it.arrivals().len()).sum()
 }
@@ -371,6 +395,87 @@
     assert!(answer.ends_with("whole"), "{answer}");
 }
 
+// An instance starts while the store is silent, and a request comes before it knows anything. The request was
+// rejected although the store was back a moment later.
+#[test]
+fn a_request_before_the_first_configuration_is_held_and_served_once() {
+    let world = silent_world();
+    let mut stream = patient_open(&world.instance);
+    send(
+        &mut stream,
+        "r1",
+        "/safe/a",
+        "siskinyoke-deadline-ms: 60000\r\n",
+        "body",
+    );
+    world.store.set_mood(Mood::Well);
+    let answer = read_answer(&mut stream);
+    assert!(answer.ends_with("whole"), "{answer}");
+    let arrivals = world.endpoints[0].arrivals();
+    assert_eq!(arrivals.len(), 1);
+    assert_eq!(arrivals[0].body, b"body");
+}
+
+// A held request whose route or key turns out to be unknown is rejected as any other.
+#[test]
+fn a_held_request_is_checked_once_the_configuration_is_known() {
+    let world = silent_world();
+    let mut stream = patient_open(&world.instance);
+    send(
+        &mut stream,
+        "r1",
+        "/nowhere/",
+        "siskinyoke-deadline-ms: 60000\r\n",
+        "",
+    );
+    world.store.set_mood(Mood::Well);
+    let answer = read_answer(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+    assert_eq!(arrived(&world), 0);
+}
+
+// The caller of a held request leaves. Run all the same, it would take a slot from somebody who waits.
+#[test]
+fn a_held_request_whose_caller_left_never_runs() {
+    let world = silent_world();
+    let mut stream = patient_open(&world.instance);
+    send(
+        &mut stream,
+        "r1",
+        "/safe/a",
+        "siskinyoke-deadline-ms: 60000\r\n",
+        "",
+    );
+    drop(stream);
+    std::thread::sleep(Duration::from_millis(100));
+    world.store.set_mood(Mood::Well);
+    let world = World {
+        instance: world.instance.ready(),
+        ..world
+    };
+    let answer = world.instance.call("r2", "/safe/b", "", "");
+    assert!(answer.ends_with("whole"), "{answer}");
+    assert_eq!(arrived(&world), 1);
+}
+
+// The store stays silent. A request that is held until its caller has no time left cannot be retried.
+#[test]
+fn a_held_request_is_rejected_with_a_retry_after_while_its_caller_still_waits() {
+    let world = silent_world();
+    let mut stream = patient_open(&world.instance);
+    send(
+        &mut stream,
+        "r1",
+        "/safe/a",
+        "siskinyoke-deadline-ms: 400\r\n",
+        "",
+    );
+    let answer = read_answer(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after: "), "{answer}");
+    assert_eq!(arrived(&world), 0);
+}
+
 // An instance is told to stop while it serves. The request ends whole; new callers are sent
 // elsewhere, and the log tells what happened.
 #[test]
--- a/crates/siskinyoke-interface/src/exchange.rs
+++ b/crates/siskinyoke-interface/src/exchange.rs
@@ -57,6 +57,9 @@
     /// Returns the identity of a request, for logs.
     fn id<'a>(&self, parts: &'a Parts) -> Option<&'a str>;
 
+    /// Returns how long a request's caller waits, if it says so.
+    fn deadline(&self, parts: &Parts) -> Option<Millis>;
+
     /// Decodes a caller's request; `body` is empty unless its head says too little.
     ///
     /// # Errors
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -66,6 +66,11 @@
         headers::text(&parts.headers, &names::REQUEST_ID)
     }
 
+    fn deadline(&self, parts: &Parts) -> Option<Millis> {
+        let value = headers::text(&parts.headers, &names::NEED)?;
+        value.trim().parse().ok().map(Millis)
+    }
+
     fn decode<'a>(&self, parts: &'a Parts, body: &[u8]) -> Result<Head<'a>, FormatError> {
         let head = &parts.headers;
         let (path, tokens) = if self.in_body(parts) {
@@ -83,9 +88,7 @@
             host: ANY,
             path,
             key: headers::bearer(head).map(|key| Cow::Owned(names::digest(key))),
-            deadline: headers::text(head, &names::NEED)
-                .and_then(|it| it.trim().parse().ok())
-                .map(Millis),
+            deadline: self.deadline(parts),
             tokens,
             estimate: headers::text(head, &names::ESTIMATE).and_then(|it| it.trim().parse().ok()),
         })
