--- a/crates/siskinyoke-dispatch/src/ask.rs
+++ b/crates/siskinyoke-dispatch/src/ask.rs
@@ -68,6 +68,8 @@
     pub late: bool,
     /// Whether it was let in only because another cell may have a place for it.
     pub pressed: bool,
+    /// Whether it is for the version on trial, or runs there.
+    pub canary: bool,
 }
 
 impl Ask {
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -5,6 +5,7 @@
 mod lending;
 mod pass;
 mod retry;
+mod rollouts;
 mod store;
 mod talk;
 
@@ -34,6 +35,8 @@
 pub use self::identity::Identity;
 pub use self::pass::Pass;
 pub use self::pass::Request;
+pub use self::rollouts::Due;
+pub use self::rollouts::Shift;
 
 /// When a caller should come back whose work crashed endpoints: not soon.
 const SUSPECT: Millis = Millis::from_secs(30);
@@ -200,7 +203,10 @@
                 after: SUSPECT,
             })
         } else {
-            let ask = pass::ask(pass, print);
+            let mut ask = pass::ask(pass, print);
+            let exposure = self.me.exposure;
+            let rollout = self.registry.rollout(&ask.service);
+            ask.canary = rollout.is_some_and(|it| it.draw(now, exposure));
             self.scheduler.admit(now, ask, &self.registry, &self.peers)
         };
         if result.is_err() {
@@ -244,6 +250,7 @@
         more: bool,
     ) -> Option<Ticket> {
         let ask = self.scheduler.ended(now, ticket, outcome)?;
+        self.sample(now, &ask, outcome);
         match outcome {
             Outcome::Broken => {
                 if let Some(key) = ask.tried.last() {
--- a/crates/siskinyoke-dispatch/src/core/identity.rs
+++ b/crates/siskinyoke-dispatch/src/core/identity.rs
@@ -16,6 +16,8 @@
     pub retries: f64,
     /// Retries allowed beside that part, over all instances.
     pub floor: f64,
+    /// The part of a service's requests that a version on trial may get, over all instances.
+    pub exposure: f64,
     /// How allowances are measured.
     pub measure: Measure,
 }
--- a/crates/siskinyoke-dispatch/src/core/pass.rs
+++ b/crates/siskinyoke-dispatch/src/core/pass.rs
@@ -159,5 +159,6 @@
         sent: 0,
         late: false,
         pressed: false,
+        canary: false,
     }
 }
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -0,0 +1,134 @@
+//! Rollouts, as this instance takes part in them.
+
+use std::sync::Arc;
+
+use crate::Ask;
+use crate::Outcome;
+use crate::Report;
+use crate::core::Core;
+use crate::load::float;
+use crate::report::short;
+use crate::rollout::Order;
+use crate::rollout::Phase;
+use crate::rollout::Sample;
+use crate::rollout::State;
+use crate::stable_hash;
+use siskinyoke_base::Millis;
+
+/// How many times longer than usual an answer takes that counts as bad.
+///
+/// Endpoints of one version differ threefold; those of a bad one take several times as long.
+const SLOW: f64 = 3.0;
+
+/// A change of where a service's traffic goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shift {
+    /// The service.
+    pub service: Arc<str>,
+    /// The version that was ordered.
+    pub version: Arc<str>,
+    /// Where the traffic goes now.
+    pub phase: Phase,
+}
+
+/// A state of an order that this instance is to write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Due {
+    /// The order.
+    pub order: Order,
+    /// Its state.
+    pub state: State,
+    /// The revision that the status must still have, 0 if there must be none.
+    pub expected: u64,
+}
+
+impl Core {
+    /// Lets the time act on rollouts, and returns whose traffic goes elsewhere now.
+    pub fn advance_rollouts(&mut self, now: Millis) -> Vec<Shift> {
+        let changed = self.registry.advance(now);
+        let rollouts = self.registry.rollouts();
+        let changed = rollouts.filter(|it| changed.contains(&it.order().service));
+        changed
+            .map(|it| Shift {
+                service: it.order().service.clone(),
+                version: it.order().version.clone(),
+                phase: it.phase(),
+            })
+            .collect()
+    }
+
+    /// Returns the states that this instance is to write.
+    ///
+    /// Instances that watch the store do so, those of one shard after those of another.
+    pub fn due_states(&self, now: Millis) -> Vec<Due> {
+        if self.leaving || self.watcher(now) != self.me.name {
+            return Vec::new();
+        }
+        let rollouts = self.registry.rollouts();
+        let due = rollouts.filter_map(|it| {
+            Some(Due {
+                order: it.order().clone(),
+                state: it.due(now, self.cell)?,
+                expected: it.status_revision(),
+            })
+        });
+        due.collect()
+    }
+
+    pub(super) fn begin_rollout(&mut self, now: Millis, order: Order) {
+        let draw = stable_hash(&(self.me.source, order.revision)) >> 32;
+        let draw = f64::from(u32::try_from(draw).unwrap_or(u32::MAX)) / f64::from(u32::MAX);
+        self.registry.order(now, order, draw);
+    }
+
+    // Reports of other shards count for no endpoint, but what they know of a rollout counts for all.
+    pub(super) fn hear_canaries(&mut self, now: Millis, report: &Report, shard: bool) {
+        for canary in &report.canaries {
+            let mut rollouts = self.registry.rollouts_mut();
+            let rollout = rollouts.find(|it| short(&it.order().service) == canary.service);
+            if let Some(rollout) = rollout {
+                rollout.heard(now, report.source, canary, shard);
+            }
+        }
+    }
+
+    // Counts the answer of a service whose order is not decided yet.
+    pub(super) fn sample(&mut self, now: Millis, ask: &Ask, outcome: Outcome) {
+        let rollout = self.registry.rollout(&ask.service);
+        let Some(version) = rollout
+            .filter(|it| it.judging())
+            .map(|it| it.order().version.clone())
+        else {
+            return;
+        };
+        let Some(key) = ask.tried.last() else {
+            return;
+        };
+        let Some(endpoint) = self.registry.all().find(|it| it.key() == *key) else {
+            return;
+        };
+        let new = endpoint.version == version;
+        let load = self.scheduler.load(&ask.service);
+        let bad = match outcome {
+            Outcome::Failed | Outcome::Broken | Outcome::Silent => true,
+            Outcome::Done { took, parts: 0, .. } => float(took) > SLOW * float(load.stay()),
+            Outcome::Done {
+                first, took, parts, ..
+            } => {
+                let rest = float(took.since(first));
+                let late = float(first) > SLOW * float(load.first_of(&ask.work));
+                late || rest > SLOW * float(load.rest(f64::from(parts))).max(1.0)
+            }
+            Outcome::Full | Outcome::Moved | Outcome::Unreached | Outcome::Left => return,
+        };
+        let sample = Sample {
+            route: short(&ask.route.name),
+            new,
+            bad,
+            endpoint: key.short(),
+        };
+        if let Some(rollout) = self.registry.rollout(&ask.service) {
+            rollout.answered(now, sample);
+        }
+    }
+}
--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -66,13 +66,21 @@
                     self.depart(now, &name);
                     fleet = true;
                 }
+                News::Order(order) => self.begin_rollout(now, order),
+                News::OrderGone(service) => {
+                    if let Some(rollout) = self.registry.rollout(&service) {
+                        rollout.withdraw();
+                    }
+                }
+                News::Status(service, status) => self.registry.status(&service, status),
                 News::Endpoint(_) | News::EndpointGone(_) => endpoints.push(item),
             }
         }
         if fleet {
             self.settle();
         }
-        if !endpoints.is_empty() {
+        // An order stands before the entries of the endpoints that it brings.
+        if !endpoints.is_empty() || self.registry.rollouts().next().is_some() {
             self.registry.change(now, endpoints);
         }
     }
--- a/crates/siskinyoke-dispatch/src/core/talk.rs
+++ b/crates/siskinyoke-dispatch/src/core/talk.rs
@@ -4,6 +4,7 @@
 use crate::core::Core;
 use crate::peers::Heard;
 use crate::report::About;
+use crate::report::Canary;
 use siskinyoke_base::Millis;
 
 /// Suspect work and addresses told in one report, so that it fits a datagram.
@@ -29,6 +30,7 @@
             self.learn(now, about);
             mate = self.mate(&about.name);
         }
+        self.hear_canaries(now, &report, mate);
         if !mate {
             self.peers.dismiss(source);
             return false;
@@ -81,10 +83,16 @@
             running: self.scheduler.counts(),
             waiting: self.scheduler.summary(now),
             spent: self.allowances.spent(since),
+            canaries: self.canaries(now),
             about: whole.then(|| self.about(now)),
         }
     }
 
+    fn canaries(&self, now: Millis) -> Vec<Canary> {
+        let rollouts = self.registry.rollouts().filter(|it| it.tells());
+        rollouts.map(|it| it.tell(now)).collect()
+    }
+
     pub(super) fn about(&self, now: Millis) -> About {
         About {
             name: self.me.name.clone(),
--- a/crates/siskinyoke-dispatch/src/endpoint.rs
+++ b/crates/siskinyoke-dispatch/src/endpoint.rs
@@ -35,6 +35,8 @@
     pub born: u64,
     /// The service it belongs to.
     pub service: Arc<str>,
+    /// The version of its software; empty where it does not say.
+    pub version: Arc<str>,
     /// Where it listens.
     pub address: Arc<str>,
     /// Its data centre.
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod refusal;
 pub mod registry;
 pub mod report;
+pub mod rollout;
 pub mod scheduler;
 pub mod silence;
 pub mod suspects;
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -9,6 +9,10 @@
 use crate::cells;
 use crate::listing::Listing;
 use crate::report::short;
+use crate::rollout::Order;
+use crate::rollout::Rollout;
+use crate::rollout::Status;
+use crate::rollout::Use;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
@@ -32,6 +36,9 @@
     cells: Vec<usize>,
     // The endpoints that may get new work from here, by service.
     fit: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>>,
+    // Those that get what is drawn for the version on trial.
+    canaries: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>>,
+    rollouts: BTreeMap<Arc<str>, Rollout>,
 }
 
 impl Registry {
@@ -66,7 +73,11 @@
             match item {
                 News::Endpoint(endpoint) => self.add(now, endpoint),
                 News::EndpointGone(id) => self.listing.remove(now, &id),
-                News::Instance(..) | News::InstanceGone(_) => {}
+                News::Instance(..)
+                | News::InstanceGone(_)
+                | News::Order(_)
+                | News::OrderGone(_)
+                | News::Status(..) => {}
             }
         }
         self.choose();
@@ -98,6 +109,56 @@
         self.fit.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the endpoints that get what is drawn for the version on trial.
+    pub fn canaries(&self, service: &str) -> &[Arc<Endpoint>] {
+        self.canaries.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes in an order to move a service's traffic; `draw` is an even number from 0 to 1.
+    pub fn order(&mut self, now: Millis, order: Order, draw: f64) {
+        let known = self.rollouts.get(&order.service);
+        if known.is_some_and(|it| it.order().revision >= order.revision) {
+            return;
+        }
+        let service = order.service.clone();
+        let before = self.rollouts.remove(&service);
+        let rollout = Rollout::begin(now, order, before, draw);
+        self.rollouts.insert(service, rollout);
+    }
+
+    /// Takes in how far the order for a service has come.
+    pub fn status(&mut self, service: &str, status: Status) {
+        if let Some(rollout) = self.rollouts.get_mut(service) {
+            rollout.take_status(status);
+        }
+    }
+
+    /// Returns the rollout of a service.
+    pub fn rollout(&mut self, service: &str) -> Option<&mut Rollout> {
+        self.rollouts.get_mut(service)
+    }
+
+    /// Returns all rollouts, to be told of what was seen.
+    pub fn rollouts_mut(&mut self) -> impl Iterator<Item = &mut Rollout> {
+        self.rollouts.values_mut()
+    }
+
+    /// Returns all rollouts.
+    pub fn rollouts(&self) -> impl Iterator<Item = &Rollout> {
+        self.rollouts.values()
+    }
+
+    /// Lets the time act on rollouts, and returns the services whose traffic goes elsewhere now.
+    pub fn advance(&mut self, now: Millis) -> Vec<Arc<str>> {
+        let rollouts = self.rollouts.iter_mut();
+        let changed = rollouts.filter_map(|row| row.1.advance(now).then(|| row.0.clone()));
+        let changed: Vec<_> = changed.collect();
+        if !changed.is_empty() {
+            self.choose();
+        }
+        changed
+    }
+
     /// Returns whether the fleet is divided into cells with endpoints of their own.
     pub fn divided(&self) -> bool {
         self.cells.len() > 1
@@ -145,7 +206,20 @@
                     .push(endpoint.clone());
             }
         }
-        for endpoints in services.values_mut() {
+        self.canaries.clear();
+        for (service, rollout) in &mut self.rollouts {
+            let endpoints = services.get(service).into_iter().flatten();
+            rollout.take_endpoints(endpoints.map(|it| &**it));
+        }
+        for (service, endpoints) in &mut services {
+            if let Some(rollout) = self.rollouts.get(service) {
+                let mut new = endpoints.clone();
+                new.retain(|it| rollout.usage(it) == Use::Canary);
+                let mut new = self.own(&new);
+                new.truncate(rollout.canaries());
+                endpoints.retain(|it| rollout.usage(it) == Use::Full);
+                self.canaries.insert(service.clone(), new);
+            }
             *endpoints = self.own(endpoints);
         }
         self.fit = services;
@@ -153,7 +227,7 @@
 
     // The endpoints of a service that belong to this instance's cell.
     fn own(&self, endpoints: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
-        if self.cells.len() <= 1 {
+        if self.cells.len() <= 1 || endpoints.is_empty() {
             return endpoints.to_vec();
         }
         if endpoints.len() < FEWEST * self.cells.len() {
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -32,6 +32,8 @@
     pub waiting: Vec<Waiting>,
     /// Units used by organisation since its start, less those that other cells gave.
     pub spent: Vec<(u32, i64)>,
+    /// The answers of versions on trial, while there are any.
+    pub canaries: Vec<Canary>,
     /// What changes seldom, in a few reports a second.
     pub about: Option<About>,
 }
@@ -90,6 +92,34 @@
     pub work: u32,
 }
 
+/// What an instance saw of a version on trial.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Canary {
+    /// The service, hashed.
+    pub service: u32,
+    /// The store's revision of the order.
+    pub order: u64,
+    /// How long the order has been known, in ms.
+    pub age: u64,
+    /// Whether the version was found to be bad.
+    pub condemned: bool,
+    /// The answers by route.
+    pub samples: Vec<CanaryRow>,
+}
+
+/// The answers of both versions on one route, faded with their age, in sixteenths: all and bad ones.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CanaryRow {
+    /// The route, hashed.
+    pub route: u32,
+    /// Those of the new version.
+    pub new: (u16, u16),
+    /// Those of the standing version.
+    pub standing: (u16, u16),
+    /// Some endpoints of the new version that gave bad ones, by shortened key.
+    pub endpoints: Vec<u32>,
+}
+
 /// Returns a name's hash as it stands in reports.
 pub fn short(name: &str) -> u32 {
     (stable_hash(&name) >> 32) as u32
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/rollout.rs
@@ -0,0 +1,375 @@
+//! Moves a service's traffic to endpoints of another version, and back if that version is bad.
+//!
+//! The load: new endpoints start beside the old ones and would get their even part of the traffic at once. If
+//! their version fails or is slow, a large part of all requests is lost before anybody notices.
+//!
+//! Every instance decides by the same rules from what the store says: which version is on trial, and what the
+//! outcome is. A canary share of the requests goes to the version on trial; its answers are compared with those
+//! of the standing version at the same time. There is no coordinator: whoever sees enough evidence writes the
+//! outcome under a condition on the status that it knows, so that no two outcomes can stand.
+
+mod judge;
+mod order;
+mod status;
+
+use std::sync::Arc;
+
+use crate::Endpoint;
+use crate::load::float;
+use crate::load::millis;
+use crate::report::Canary;
+use crate::report::short;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
+
+pub use self::judge::Sample;
+pub use self::judge::Tally;
+pub use self::order::Order;
+pub use self::status::State;
+pub use self::status::Status;
+
+/// The part of the operators' bound on exposure that the canary share takes.
+const MARGIN: f64 = 0.5;
+
+/// The part of an order's time after which traffic begins to move to the new version, unless that is bad.
+const RAMP: f64 = 0.55;
+
+/// The part of an order's time after which all traffic has moved.
+///
+/// It moves by and by, as some versions are bad under load only.
+const MOVED: f64 = 0.75;
+
+/// The part of an order's time after which the new version is in force.
+///
+/// Old endpoints stop without draining then; until then what they run can end.
+const COMPLETE: f64 = 0.93;
+
+/// Endpoints to which an instance sends the canary share.
+///
+/// Few, so that they are loaded as they will be; more than one, so that one that fails does not condemn all.
+const CANARIES: usize = 2;
+
+/// The part of the standing endpoints' slots that those of the new version must have for traffic to move.
+const ENOUGH: f64 = 0.5;
+
+/// How long old endpoints are left out after the new version is in force.
+///
+/// By then their entries are gone. Endpoints of any version that start later are of the operators' choice.
+const SETTLED: Millis = Millis::from_secs(20);
+
+/// How long an instance waits for the one whose turn it is to write, by its own position in turn.
+const TURN: Millis = Millis(250);
+
+/// Where the traffic of a service goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// To the standing version, and a canary share to a few endpoints of the new one.
+    Trial,
+    /// To both, by and by more to the new one.
+    Ramp,
+    /// To the new version, which is not yet in force.
+    Moved,
+    /// To the new version alone.
+    Completed,
+    /// To all versions but the new one.
+    RolledBack,
+    /// To whatever there is: the new version has been in force for long.
+    Settled,
+}
+
+impl Phase {
+    /// Returns the word for log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Trial => "trial",
+            Self::Ramp => "ramp",
+            Self::Moved => "moved",
+            Self::Completed => "completed",
+            Self::RolledBack => "rolled_back",
+            Self::Settled => "settled",
+        }
+    }
+}
+
+/// What an endpoint may get of its service's requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Use {
+    /// All that comes.
+    Full,
+    /// What is drawn for the new version.
+    Canary,
+    /// Nothing.
+    None,
+}
+
+/// The rollout of one service, as this instance sees it.
+#[derive(Debug)]
+pub struct Rollout {
+    order: Order,
+    status: Option<Status>,
+    // When the order was placed, as far as this instance and its peers know.
+    begun: Millis,
+    // Versions that were ordered before and never came into force.
+    banned: Vec<Arc<str>>,
+    // Whether endpoints of another version were there while the order stood.
+    standing: bool,
+    // Slots of the endpoints of the new version and of the others.
+    slots: [u32; 2],
+    // Whether this instance or one of its peers found the new version to be bad.
+    condemned: bool,
+    // When the outcome was first known here.
+    ended: Option<Millis>,
+    // Requests that may go to the new version, with fractions.
+    credit: f64,
+    tally: Tally,
+    told: Map<u64, Canary>,
+    phase: Phase,
+}
+
+impl Rollout {
+    /// Begins a rollout; `before` is the one that it replaces, and `draw` an even number from 0 to 1.
+    ///
+    /// Each instance counts the canary share of its own requests, beginning with a random fraction: over all
+    /// instances the share holds, whatever the size of the fleet and however often they restart.
+    pub fn begin(now: Millis, order: Order, before: Option<Self>, draw: f64) -> Self {
+        let mut banned = Vec::new();
+        if let Some(before) = before {
+            banned = before.banned;
+            if !matches!(before.phase, Phase::Completed | Phase::Settled) {
+                banned.push(before.order.version);
+            }
+        }
+        banned.retain(|it| *it != order.version);
+        Self {
+            order,
+            status: None,
+            begun: now,
+            banned,
+            standing: false,
+            slots: [0, 0],
+            condemned: false,
+            ended: None,
+            credit: draw,
+            tally: Tally::default(),
+            told: Map::default(),
+            phase: Phase::Trial,
+        }
+    }
+
+    /// Returns the order.
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// Returns where the traffic goes.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Returns the revision of the status that is known, 0 for none.
+    pub fn status_revision(&self) -> u64 {
+        self.status.as_ref().map_or(0, |it| it.revision)
+    }
+
+    /// Takes in the status that the store holds; one of an earlier order says nothing of this one.
+    pub fn take_status(&mut self, status: Status) {
+        self.status = Some(status);
+    }
+
+    /// Takes note of the service's endpoints.
+    pub fn take_endpoints<'a>(&mut self, mut endpoints: impl Iterator<Item = &'a Endpoint>) {
+        self.slots = [0, 0];
+        for endpoint in &mut endpoints {
+            let new = endpoint.version == self.order.version;
+            if !new && self.banned.contains(&endpoint.version) {
+                continue;
+            }
+            self.standing |= !new;
+            self.slots[usize::from(!new)] += endpoint.slots;
+        }
+    }
+
+    /// Takes note that the operators withdrew the order: the new version gets nothing more.
+    pub fn withdraw(&mut self) {
+        self.condemned = true;
+    }
+
+    /// Takes in what a peer says of its own answers; those of another `shard` are not counted here.
+    pub fn heard(&mut self, now: Millis, source: u64, canary: &Canary, shard: bool) {
+        if canary.order != self.order.revision {
+            return;
+        }
+        // The peer that has known the order for longest is nearest to the truth.
+        self.begun = self.begun.min(now.since(Millis(canary.age)));
+        self.condemned |= canary.condemned;
+        if shard {
+            self.told.insert(source, canary.clone());
+            self.judge(now);
+        }
+    }
+
+    /// Returns what peers are told.
+    pub fn tell(&self, now: Millis) -> Canary {
+        Canary {
+            service: short(&self.order.service),
+            order: self.order.revision,
+            age: now.since(self.begun).0,
+            condemned: self.condemned,
+            samples: self.tally.samples(now),
+        }
+    }
+
+    /// Returns whether peers have something to hear.
+    pub fn tells(&self) -> bool {
+        self.judging() || (self.condemned && !self.decided())
+    }
+
+    /// Counts a request, and returns whether it is for the new version; `bound` is the largest part of
+    /// requests that one on trial may get.
+    pub fn draw(&mut self, now: Millis, bound: f64) -> bool {
+        if !matches!(self.phase, Phase::Trial | Phase::Ramp) || self.slots[0] == 0 {
+            return false;
+        }
+        self.credit = (self.credit + self.share(now, bound * MARGIN)).min(2.0);
+        if self.credit < 1.0 {
+            return false;
+        }
+        self.credit -= 1.0;
+        true
+    }
+
+    /// Returns whether answers are compared.
+    pub fn judging(&self) -> bool {
+        matches!(self.phase, Phase::Trial | Phase::Ramp | Phase::Moved)
+    }
+
+    /// Takes note of an answer, good or bad, of a route.
+    pub fn answered(&mut self, now: Millis, sample: Sample) {
+        if self.judging() {
+            self.tally.add(now, sample);
+            self.judge(now);
+        }
+    }
+
+    /// Returns what an endpoint may get.
+    pub fn usage(&self, endpoint: &Endpoint) -> Use {
+        let new = endpoint.version == self.order.version;
+        if !new && self.banned.contains(&endpoint.version) {
+            return Use::None;
+        }
+        match (self.phase, new) {
+            (Phase::Trial | Phase::Ramp, true) => Use::Canary,
+            (Phase::Moved | Phase::Completed, false) | (Phase::RolledBack, true) => Use::None,
+            _ => Use::Full,
+        }
+    }
+
+    /// Returns how many endpoints of the new version share what is drawn for it.
+    pub fn canaries(&self) -> usize {
+        if self.phase == Phase::Trial {
+            CANARIES
+        } else {
+            usize::MAX
+        }
+    }
+
+    /// Works out where the traffic goes now, and returns whether that changed.
+    pub fn advance(&mut self, now: Millis) -> bool {
+        let phase = self.next(now);
+        if matches!(phase, Phase::Completed | Phase::RolledBack) {
+            self.ended.get_or_insert(now);
+        }
+        let changed = phase != self.phase;
+        self.phase = phase;
+        changed
+    }
+
+    /// Returns the state that is to be written, by an instance of this position in turn.
+    pub fn due(&self, now: Millis, position: usize) -> Option<State> {
+        if self.decided() {
+            return None;
+        }
+        let turn = Millis(TURN.0 * u64::try_from(position).unwrap_or(0));
+        let age = now.since(self.begun).since(turn);
+        if self.condemned {
+            return Some(State::RolledBack);
+        }
+        if self.phase == Phase::Moved && age >= self.part(COMPLETE) {
+            return Some(State::Completed);
+        }
+        // Its endpoints never came, or too few of them.
+        if self.phase != Phase::Moved && age >= self.order.span {
+            return Some(State::RolledBack);
+        }
+        let running = self.current().is_some();
+        (!running && age > Millis::ZERO).then_some(State::Running)
+    }
+
+    fn next(&self, now: Millis) -> Phase {
+        match self.current() {
+            _ if self.phase == Phase::Settled => return Phase::Settled,
+            Some(State::Completed) => return self.completed(now),
+            Some(State::RolledBack) => return Phase::RolledBack,
+            Some(State::Running) | None => {}
+        }
+        if self.condemned {
+            return Phase::RolledBack;
+        }
+        // An order for the version that is in force changes nothing.
+        if !self.standing {
+            return Phase::Moved;
+        }
+        let age = now.since(self.begun);
+        let [new, standing] = self.slots.map(f64::from);
+        if new < standing * ENOUGH || age < self.part(RAMP) {
+            return Phase::Trial;
+        }
+        if age < self.part(MOVED) {
+            Phase::Ramp
+        } else {
+            Phase::Moved
+        }
+    }
+
+    fn completed(&self, now: Millis) -> Phase {
+        if self.ended.is_some_and(|it| now.since(it) >= SETTLED) {
+            Phase::Settled
+        } else {
+            Phase::Completed
+        }
+    }
+
+    // The part of the requests that is drawn for the new version.
+    fn share(&self, now: Millis, canary: f64) -> f64 {
+        if self.phase == Phase::Trial {
+            return canary;
+        }
+        let [begin, end] = [RAMP, MOVED].map(|it| float(self.part(it)));
+        let age = float(now.since(self.begun));
+        ((age - begin) / (end - begin)).clamp(canary, 1.0)
+    }
+
+    // The state of this order, as far as the store tells.
+    fn current(&self) -> Option<State> {
+        let status = self.status.as_ref()?;
+        let ours = status.revision > self.order.revision && status.version == self.order.version;
+        ours.then_some(status.state)
+    }
+
+    fn decided(&self) -> bool {
+        matches!(self.current(), Some(State::Completed | State::RolledBack))
+    }
+
+    fn part(&self, part: f64) -> Millis {
+        millis(float(self.order.span) * part)
+    }
+
+    fn judge(&mut self, now: Millis) {
+        if self.condemned || !self.standing || self.decided() {
+            return;
+        }
+        let own = self.tally.samples(now);
+        let told = self.told.values().flat_map(|it| &it.samples);
+        self.condemned = judge::bad(own.iter().chain(told));
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/rollout/judge.rs
@@ -0,0 +1,188 @@
+//! Whether a version on trial is worse than the standing one.
+//!
+//! A sequential likelihood-ratio test compares the share of bad answers of the new version with that of the
+//! standing one, over the same seconds and the same route, so that faults, slow data centres and long prompts that
+//! meet both versions condemn neither.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::load::float;
+use crate::report::CanaryRow;
+use siskinyoke_base::Millis;
+
+/// How long an answer counts.
+const MEMORY: Millis = Millis::from_secs(6);
+
+/// By how much more of its answers, among those that would be good, a bad version spoils at least.
+const WORSE: f64 = 0.15;
+
+/// The share of bad answers of a standing version that is taken at least.
+const USUAL: f64 = 0.02;
+
+/// The logarithm of the odds at which a version is condemned: ten thousand to one.
+///
+/// Each shard of a large fleet judges by itself, again with each answer.
+const ODDS: f64 = 9.2;
+
+/// Endpoints of the new version that must have given bad answers.
+///
+/// One that crashed or lies in a cut data centre says nothing of its version.
+const ENDPOINTS: usize = 2;
+
+/// Endpoints with bad answers that are named to peers.
+const NAMED: usize = 4;
+
+/// Fractions of an answer in which faded counts are told.
+const SIXTEENTHS: f64 = 16.0;
+
+/// One answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Sample {
+    /// The hash of its route.
+    pub route: u32,
+    /// Whether an endpoint of the new version gave it.
+    pub new: bool,
+    /// Whether it failed, or took several times as long as is usual.
+    pub bad: bool,
+    /// The endpoint's shortened key.
+    pub endpoint: u32,
+}
+
+/// The answers of both versions by route, as this instance saw them lately.
+#[derive(Debug, Default)]
+pub struct Tally {
+    routes: BTreeMap<u32, Route>,
+}
+
+#[derive(Debug, Default)]
+struct Route {
+    at: Millis,
+    new: Counts,
+    standing: Counts,
+    endpoints: BTreeSet<u32>,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Counts {
+    all: f64,
+    bad: f64,
+}
+
+impl Tally {
+    /// Counts an answer.
+    pub fn add(&mut self, now: Millis, sample: Sample) {
+        let route = self.routes.entry(sample.route).or_default();
+        route.fade(now);
+        let counts = if sample.new {
+            &mut route.new
+        } else {
+            &mut route.standing
+        };
+        counts.all += 1.0;
+        counts.bad += f64::from(u8::from(sample.bad));
+        if sample.new && sample.bad && route.endpoints.len() < NAMED {
+            route.endpoints.insert(sample.endpoint);
+        }
+    }
+
+    /// Returns the counts as peers are told them.
+    pub fn samples(&self, now: Millis) -> Vec<CanaryRow> {
+        let rows = self.routes.iter().map(|(route, counts)| {
+            let left = left(now.since(counts.at));
+            CanaryRow {
+                route: *route,
+                new: counts.new.told(left),
+                standing: counts.standing.told(left),
+                endpoints: counts.endpoints.iter().copied().collect(),
+            }
+        });
+        rows.collect()
+    }
+}
+
+impl Route {
+    fn fade(&mut self, now: Millis) {
+        let left = left(now.since(self.at));
+        self.at = now;
+        self.new.fade(left);
+        self.standing.fade(left);
+    }
+}
+
+impl Counts {
+    fn fade(&mut self, left: f64) {
+        self.all *= left;
+        self.bad *= left;
+    }
+
+    fn told(self, left: f64) -> (u16, u16) {
+        (sixteenths(self.all * left), sixteenths(self.bad * left))
+    }
+
+    fn add(&mut self, told: (u16, u16)) {
+        self.all += f64::from(told.0) / SIXTEENTHS;
+        self.bad += f64::from(told.1) / SIXTEENTHS;
+    }
+}
+
+/// Returns whether the answers of several instances condemn the new version, on one route or over all.
+pub fn bad<'a>(rows: impl Iterator<Item = &'a CanaryRow>) -> bool {
+    let mut routes: BTreeMap<u32, Evidence> = BTreeMap::new();
+    let mut all = Evidence::default();
+    for row in rows {
+        routes.entry(row.route).or_default().add(row);
+        all.add(row);
+    }
+    all.condemns() || routes.values().any(Evidence::condemns)
+}
+
+#[derive(Debug, Default)]
+struct Evidence {
+    new: Counts,
+    standing: Counts,
+    endpoints: BTreeSet<u32>,
+}
+
+impl Evidence {
+    fn add(&mut self, row: &CanaryRow) {
+        self.new.add(row.new);
+        self.standing.add(row.standing);
+        self.endpoints.extend(&row.endpoints);
+    }
+
+    fn condemns(&self) -> bool {
+        self.endpoints.len() >= ENDPOINTS && self.odds() >= ODDS
+    }
+
+    // The logarithm of the odds that the new version is worse, by its answers.
+    fn odds(&self) -> f64 {
+        let usual = self.usual();
+        let worse = usual + WORSE * (1.0 - usual);
+        let bad = (worse / usual).ln();
+        let good = ((1.0 - worse) / (1.0 - usual)).ln();
+        self.new.bad * bad + (self.new.all - self.new.bad).max(0.0) * good
+    }
+
+    // The share of bad answers of the standing version, with one standard error.
+    fn usual(&self) -> f64 {
+        let all = self.standing.all + 1.0;
+        let share = (self.standing.bad + 0.5) / all;
+        let error = (share * (1.0 - share).max(0.0) / all).sqrt();
+        (share + error).clamp(USUAL, 0.9)
+    }
+}
+
+// What is left of an answer that came so long ago.
+fn left(age: Millis) -> f64 {
+    (-float(age) / float(MEMORY)).exp()
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "held to what the field holds"
+)]
+fn sixteenths(count: f64) -> u16 {
+    (count * SIXTEENTHS).clamp(0.0, f64::from(u16::MAX)) as u16
+}
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -150,6 +150,7 @@
         self.enqueue(Ask {
             late: false,
             pressed: false,
+            canary: false,
             ..ask
         })
     }
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -180,7 +180,7 @@
             found: true,
         };
         self.answers.insert(ask.service.clone(), found);
-        self.begin(now, ticket, endpoint, 0.0);
+        self.begin(now, ticket, endpoint, 0.0, false);
         true
     }
 
@@ -262,5 +262,6 @@
         sent: 0,
         late: false,
         pressed: false,
+        canary: false,
     }
 }
--- a/crates/siskinyoke-dispatch/src/scheduler/starting.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/starting.rs
@@ -35,6 +35,8 @@
     ) {
         let now = view.now;
         let mut free = self.free(view, service);
+        let mut canaries = self.rooms(view, view.registry.canaries(service).iter());
+        let mut trial: u32 = canaries.iter().map(|room| room.left).sum();
         let mut spare: u32 = left(&free, false);
         let mut slow: u32 = left(&free, true);
         let load = self.load(service);
@@ -44,7 +46,7 @@
             // Peers' more urgent requests wait for endpoints of a usual pace, so slow ones are not left to
             // them.
             let usual = spare > before(&rows, order, now.since(turn));
-            if !usual && slow == 0 {
+            if !usual && slow == 0 && trial == 0 {
                 break;
             }
             let ask = &self.waiting[&ticket];
@@ -54,22 +56,41 @@
                 load: &load,
                 choosy: !ask.late && now < ask.arrived + wait::patience(ask, load),
             };
-            let Some(at) = self.placing.best(&want, &free, usual) else {
+            // Where the version on trial has no slot, the standing one serves what was drawn for it.
+            let canary = ask
+                .canary
+                .then(|| self.placing.best(&want, &canaries, true));
+            let (room, left, canary) = if let Some(at) = canary.flatten() {
+                (&mut canaries[at], &mut trial, true)
+            } else if let Some(at) = self.placing.best(&want, &free, usual) {
+                let slow = if free[at].slow { &mut slow } else { &mut spare };
+                (&mut free[at], slow, false)
+            } else {
                 continue;
             };
-            let endpoint = free[at].endpoint.clone();
-            let behind = free[at].unread;
-            free[at].left -= 1;
-            free[at].unread += ask.work.prompt;
-            *(if free[at].slow { &mut slow } else { &mut spare }) -= 1;
-            self.begin(now, ticket, &endpoint, behind);
+            let endpoint = room.endpoint.clone();
+            let behind = room.unread;
+            room.left -= 1;
+            room.unread += ask.work.prompt;
+            *left -= 1;
+            self.begin(now, ticket, &endpoint, behind, canary);
             decisions.push(Decision::Start(ticket, endpoint));
         }
     }
 
     // The endpoints with free places, as far as all instances' reports tell.
     pub(super) fn free(&self, view: &View<'_>, service: &str) -> Vec<Room> {
-        let awake = self.awake(view, service);
+        self.rooms(view, view.registry.fit(service).iter())
+    }
+
+    // Those of some endpoints that have free slots.
+    fn rooms<'a>(
+        &self,
+        view: &View<'_>,
+        endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
+    ) -> Vec<Room> {
+        let awake = endpoints.filter(|it| !self.placing.resting(view.now, it.key()));
+        let awake: Vec<_> = awake.collect();
         let all = awake.iter().map(|it| self.placing.pace(it.key()));
         let fastest = all.fold(f64::INFINITY, f64::min);
         awake
@@ -110,6 +131,7 @@
         ticket: Ticket,
         endpoint: &Arc<Endpoint>,
         behind: f64,
+        canary: bool,
     ) {
         let Some(mut ask) = self.waiting.remove(&ticket) else {
             return;
@@ -119,6 +141,7 @@
         }
         let key = endpoint.key();
         ask.tried.push(key);
+        ask.canary = canary;
         let busy = self.busy(key);
         busy.count += 1;
         busy.unread += ask.work.unread();
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -66,6 +66,7 @@
         sent: 0,
         late: false,
         pressed: false,
+        canary: false,
     }
 }
 
@@ -74,6 +75,7 @@
         id: id.into(),
         born: 1,
         service: "lm".into(),
+        version: "".into(),
         address: "10.0.0.1:80".into(),
         centre: "a".into(),
         slots,
@@ -88,6 +90,7 @@
         source,
         retries: 0.2,
         floor: 54.0,
+        exposure: 0.1,
         measure: MEASURE,
     }
 }
@@ -118,6 +121,7 @@
         (Kind::Stream, "/stream/"),
     ] {
         let route = Route {
+            name: prefix.trim_matches('/').into(),
             prefix: prefix.into(),
             ..route(kind, 1)
         };
@@ -166,6 +170,7 @@
         running: Vec::new(),
         waiting: Vec::new(),
         spent: Vec::new(),
+        canaries: Vec::new(),
         about: Some(about(name, "a")),
     }
 }
--- a/crates/siskinyoke-gateway/src/beliefs.rs
+++ b/crates/siskinyoke-gateway/src/beliefs.rs
@@ -3,9 +3,12 @@
 use serde_json::json;
 
 use crate::replica::Update;
+use crate::rollouts;
 use crate::shell::Shell;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::News;
+use siskinyoke_dispatch::rollout::Order;
+use siskinyoke_dispatch::rollout::Status;
 use siskinyoke_interface::Entry;
 use siskinyoke_interface::Item;
 
@@ -46,6 +49,7 @@
         "changes": count,
     });
     shell.log("store_read", fields);
+    rollouts::advance(shell);
     // Other cells hear of it at once.
     shell.search();
     shell.decide();
@@ -77,6 +81,16 @@
             }
             None
         }
+        Entry::Order(service) => {
+            let Some(value) = item.value else {
+                return Some(News::OrderGone(service.into()));
+            };
+            order(shell, service, &value, item.revision).map(News::Order)
+        }
+        Entry::Status(service) => {
+            let status = state(shell, service, &item.value?, item.revision)?;
+            Some(News::Status(service.into(), status))
+        }
         Entry::Other => None,
     }
 }
@@ -92,6 +106,46 @@
     }
 }
 
+fn order(shell: &Shell, service: &str, value: &[u8], revision: u64) -> Option<Order> {
+    match shell.interface.documents.order(service, value) {
+        Ok(text) => {
+            let fields = json!({
+                "service": service,
+                "version": &*text.version,
+                "span_ms": text.span.0,
+                "revision": revision,
+            });
+            shell.log("rollout_order", fields);
+            Some(Order {
+                service: service.into(),
+                version: text.version.into(),
+                span: text.span,
+                revision,
+            })
+        }
+        Err(err) => {
+            let fields = json!({ "service": service, "error": err.to_string() });
+            shell.log("rollout_order_unreadable", fields);
+            None
+        }
+    }
+}
+
+fn state(shell: &Shell, service: &str, value: &[u8], revision: u64) -> Option<Status> {
+    match shell.interface.documents.state(value) {
+        Ok((state, version)) => Some(Status {
+            state,
+            version: version.into(),
+            revision,
+        }),
+        Err(err) => {
+            let fields = json!({ "service": service, "error": err.to_string() });
+            shell.log("rollout_state_unreadable", fields);
+            None
+        }
+    }
+}
+
 fn instance(shell: &Shell, name: &str, value: &[u8]) -> Option<News> {
     match serde_json::from_slice(value) {
         Ok(place) => Some(News::Instance(name.to_owned(), place)),
@@ -115,7 +169,11 @@
             shell.log("endpoint", fields);
         }
         News::EndpointGone(id) => shell.log("endpoint_gone", json!({ "endpoint": id })),
-        News::Instance(..) | News::InstanceGone(_) => {}
+        News::Instance(..)
+        | News::InstanceGone(_)
+        | News::Order(_)
+        | News::OrderGone(_)
+        | News::Status(..) => {}
     }
 }
 
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::listener::Page;
 use crate::presence;
 use crate::reload;
+use crate::rollouts;
 use crate::settings::Settings;
 use crate::shell::Shell;
 use crate::signals;
@@ -108,6 +109,7 @@
         source: rand::random(),
         retries: settings.bounds.retry_ratio,
         floor: settings.bounds.retry_slack,
+        exposure: settings.bounds.exposure_share,
         measure: Measure {
             window: settings.quota_window(),
             overage: settings.bounds.quota_overage,
@@ -131,6 +133,8 @@
         let now = shell.now();
         shell.core.borrow_mut().sweep(now);
         beliefs::notice_store(&shell);
+        rollouts::advance(&shell);
+        rollouts::write_due(&shell);
         shell.pool.sweep(now);
         shell.lending.sweep(now);
         shell.flush();
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod presence;
 pub mod reload;
 pub mod replica;
+pub mod rollouts;
 pub mod settings;
 pub mod shell;
 pub mod signals;
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/rollouts.rs
@@ -0,0 +1,79 @@
+//! Carries rollouts on: applies what time and answers decide, and writes the states that are due.
+
+use std::rc::Rc;
+
+use http::StatusCode;
+use serde_json::json;
+use tokio::task::spawn_local;
+
+use crate::shell::Shell;
+use crate::store::Client;
+use crate::store::StoreError;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::core::Due;
+
+/// How long a write may take. One whose answer is lost may still take effect: its condition decides.
+const LIMIT: Millis = Millis(1_500);
+
+/// Applies what was decided of rollouts by now.
+pub fn advance(shell: &Shell) {
+    let shifts = shell.core.borrow_mut().advance_rollouts(shell.now());
+    if shifts.is_empty() {
+        return;
+    }
+    for shift in shifts {
+        let fields = json!({
+            "service": &*shift.service,
+            "version": &*shift.version,
+            "phase": shift.phase.as_str(),
+        });
+        shell.log("rollout", fields);
+    }
+    // Other shards hear of a verdict at once.
+    shell.search();
+    shell.decide();
+}
+
+/// Writes the states that this instance is to write, unless it is at it already.
+pub fn write_due(shell: &Rc<Shell>) {
+    let due = shell.core.borrow().due_states(shell.now());
+    if due.is_empty() || shell.writing.replace(true) {
+        return;
+    }
+    let shell = shell.clone();
+    spawn_local(async move {
+        let mut client = Client::default();
+        for due in due {
+            write(&shell, &mut client, &due).await;
+        }
+        shell.writing.set(false);
+    });
+}
+
+async fn write(shell: &Shell, client: &mut Client, due: &Due) {
+    let documents = &shell.interface.documents;
+    let store = &shell.interface.store;
+    let key = documents.state_key(&due.order.service);
+    let value = documents.encode_state(due.state, &due.order.version);
+    let call = store.put_if(&key, &value, due.expected);
+    let result = client.call(shell.settings().store, &call, LIMIT).await;
+    shell.metrics.called("rollout", result.is_ok());
+    let outcome = match result {
+        Ok(body) => match store.decode_put_if(&body) {
+            Ok(true) => "written".to_owned(),
+            Ok(false) => "changed meanwhile".to_owned(),
+            Err(err) => err.to_string(),
+        },
+        Err(StoreError::Status(StatusCode::PRECONDITION_FAILED)) => "changed meanwhile".to_owned(),
+        Err(err) => err.to_string(),
+    };
+    let fields = json!({
+        "service": &*due.order.service,
+        "version": &*due.order.version,
+        "order": due.order.revision,
+        "state": due.state.as_str(),
+        "expected": due.expected,
+        "outcome": outcome,
+    });
+    shell.log("rollout_state", fields);
+}
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -70,6 +70,9 @@
     pub quota_slack: f64,
     /// The longest that callers keep a directory's answer, in seconds.
     pub keep_s: f64,
+    /// The part of a service's requests that a version on trial may get.
+    #[serde(default = "usual_exposure")]
+    pub exposure_share: f64,
 }
 
 /// How callers, endpoints, operators and the store are spoken to.
@@ -216,6 +219,11 @@
                 "bounds.keep_s",
                 "give 0.1 to 3600 seconds",
             ),
+            (
+                (0.0..=1.0).contains(&it.exposure_share),
+                "bounds.exposure_share",
+                "give a part from 0 to 1",
+            ),
         ];
         let broken = rules.into_iter().filter(|rule| !rule.0);
         let faults: Vec<_> = broken.map(|(_, field, hint)| (field, hint)).collect();
@@ -226,6 +234,10 @@
     }
 }
 
+fn usual_exposure() -> f64 {
+    0.1
+}
+
 fn list(faults: &[(&str, &str)]) -> String {
     let texts: Vec<String> = faults
         .iter()
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -117,6 +117,8 @@
     pub leaving: Notify,
     /// Whether something is being taken from a peer.
     pub catching: Cell<bool>,
+    /// Whether the state of a rollout is being written.
+    pub writing: Cell<bool>,
     /// Bytes of bodies that are held at present.
     pub held: Cell<usize>,
     /// Requests that are being served at present.
@@ -163,6 +165,7 @@
             queued: Notify::new(),
             leaving: Notify::new(),
             catching: Cell::new(false),
+            writing: Cell::new(false),
             held: Cell::new(0),
             serving: Cell::new(0),
             busy: Cell::new(Millis::ZERO),
--- a/crates/siskinyoke-gateway/tests/held.rs
+++ b/crates/siskinyoke-gateway/tests/held.rs
@@ -27,6 +27,7 @@
         source: 1,
         retries: 0.2,
         floor: 54.0,
+        exposure: 0.1,
         measure: Measure {
             window: Millis(8_000),
             overage: 0.1,
--- a/crates/siskinyoke-gateway/tests/settings.rs
+++ b/crates/siskinyoke-gateway/tests/settings.rs
@@ -25,8 +25,12 @@
         ("Bounds.QuotaOverage", "0.1"),
         ("Bounds.QuotaSlack", "110000"),
         ("Bounds.ttl_max_s", "5"),
+        ("Bounds.ExposureShare", "0.2"),
     ];
     let mut text = TEMPLATE.to_owned();
+    for mark in ["{{#Bounds.ExposureShare}}", "{{/Bounds.ExposureShare}}"] {
+        text = text.replace(mark, "");
+    }
     for (name, value) in values {
         text = text.replace(&format!("{{{{{name}|json}}}}"), value);
     }
@@ -45,6 +49,15 @@
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.grace().0, 8_000);
     assert_eq!(settings.quota_window().0, 8_000);
+    assert!((settings.bounds.exposure_share - 0.2).abs() < 1e-9);
+}
+
+// A deployment without rollouts fills in no bound for them.
+#[test]
+fn the_bound_on_exposure_may_be_left_out() {
+    let text = filled().replace("\"exposure_share\": 0.2,", "");
+    let settings = Settings::parse(&text).unwrap();
+    assert!((settings.bounds.exposure_share - 0.1).abs() < 1e-9);
 }
 
 #[test]
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -476,6 +476,40 @@
     assert_eq!(arrived(&world), 0);
 }
 
+// An order moves a service to another version. Without one, new endpoints would get their even part at once.
+#[test]
+fn a_service_moves_to_the_version_that_was_ordered() {
+    let world = world(&["e1", "e2", "n1", "n2"]);
+    let version = |at: usize, version: &str| {
+        let endpoint = &world.endpoints[at];
+        let entry = endpoint.entry("ready");
+        let entry = entry.replace("\"Slots\"", &format!("\"Version\":\"{version}\",\"Slots\""));
+        world.store.put(&format!("servers/{}", endpoint.id), &entry);
+    };
+    version(0, "v1");
+    version(1, "v1");
+    world.store.put(
+        "op/rollout/lm",
+        r#"{"Service":"lm","To":"v2","DurationS":2}"#,
+    );
+    version(2, "v2");
+    version(3, "v2");
+    let state = || world.store.value("status/rollout/lm").unwrap_or_default();
+    until("it runs", || state().contains("running"));
+    until("it is completed", || {
+        world.instance.call("r", "/safe/a", "", "");
+        state().contains("completed")
+    });
+    assert!(state().contains("v2"), "{}", state());
+    let old = || world.endpoints[0].arrivals().len() + world.endpoints[1].arrivals().len();
+    let before = old();
+    for _ in 0..10 {
+        let answer = world.instance.call("r", "/safe/a", "", "");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert_eq!(old(), before);
+}
+
 // An instance is told to stop while it serves. The request ends whole; new callers are sent
 // elsewhere, and the log tells what happened.
 #[test]
--- a/crates/siskinyoke-interface/src/documents.rs
+++ b/crates/siskinyoke-interface/src/documents.rs
@@ -3,8 +3,10 @@
 use std::fmt::Debug;
 
 use crate::FormatError;
+use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Configuration;
 use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::rollout::State;
 
 /// What an item is by its key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,6 +17,10 @@
     Endpoint(&'a str),
     /// An instance of this name.
     Instance(&'a str),
+    /// The order to move this service's traffic to another version.
+    Order(&'a str),
+    /// How far the order for this service has come.
+    Status(&'a str),
     /// Nothing of ours.
     Other,
 }
@@ -28,6 +34,19 @@
     pub endpoints: &'static str,
     /// The prefix of the instances' entries; their name follows.
     pub instances: &'static str,
+    /// The prefix of the orders to move a service's traffic; its name follows.
+    pub orders: &'static str,
+    /// The prefix of their states; the service's name follows.
+    pub states: &'static str,
+}
+
+/// An order to move a service's traffic, as an operator writes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrderText {
+    /// The version that traffic is to move to.
+    pub version: String,
+    /// How long the move may take.
+    pub span: Millis,
 }
 
 /// The documents in the store.
@@ -44,8 +63,19 @@
         if let Some(id) = key.strip_prefix(keys.endpoints) {
             return Entry::Endpoint(id);
         }
-        let instance = key.strip_prefix(keys.instances);
-        instance.map_or(Entry::Other, Entry::Instance)
+        if let Some(name) = key.strip_prefix(keys.instances) {
+            return Entry::Instance(name);
+        }
+        if let Some(service) = key.strip_prefix(keys.orders) {
+            return Entry::Order(service);
+        }
+        let service = key.strip_prefix(keys.states);
+        service.map_or(Entry::Other, Entry::Status)
+    }
+
+    /// Returns the key of a service's state.
+    fn state_key(&self, service: &str) -> String {
+        format!("{}{service}", self.keys().states)
     }
 
     /// Returns the key of an instance's entry.
@@ -66,4 +96,21 @@
     ///
     /// What is wrong with it; such an entry names no endpoint.
     fn endpoint(&self, id: &str, bytes: &[u8]) -> Result<Endpoint, FormatError>;
+
+    /// Decodes an order for a service.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with it; the order before it stays.
+    fn order(&self, service: &str, bytes: &[u8]) -> Result<OrderText, FormatError>;
+
+    /// Decodes the state of an order, with its version.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with it; it says nothing then.
+    fn state(&self, bytes: &[u8]) -> Result<(State, String), FormatError>;
+
+    /// Encodes the state of an order for this version.
+    fn encode_state(&self, state: State, version: &str) -> Vec<u8>;
 }
--- a/crates/siskinyoke-interface/src/lib.rs
+++ b/crates/siskinyoke-interface/src/lib.rs
@@ -13,6 +13,7 @@
 pub use documents::Documents;
 pub use documents::Entry;
 pub use documents::Keys;
+pub use documents::OrderText;
 pub use error::FormatError;
 pub use exchange::Exchange;
 pub use exchange::Head;
--- a/crates/siskinyoke-interface/src/store.rs
+++ b/crates/siskinyoke-interface/src/store.rs
@@ -125,4 +125,14 @@
 
     /// Writes a value under a lease, whatever stood there.
     fn put(&self, key: &str, value: &[u8], lease: u64) -> Call;
+
+    /// Writes a value if the key still has a revision, or is missing where that is 0.
+    fn put_if(&self, key: &str, value: &[u8], revision: u64) -> Call;
+
+    /// Decodes the answer to such a write: whether it took place.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the answer.
+    fn decode_put_if(&self, bytes: &[u8]) -> Result<bool, FormatError>;
 }
--- a/crates/siskinyoke-native/src/documents.rs
+++ b/crates/siskinyoke-native/src/documents.rs
@@ -7,11 +7,14 @@
 
 use crate::configuration;
 use crate::names;
+use crate::rollout;
 use siskinyoke_dispatch::Configuration;
 use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::rollout::State;
 use siskinyoke_interface::Documents;
 use siskinyoke_interface::FormatError;
 use siskinyoke_interface::Keys;
+use siskinyoke_interface::OrderText;
 
 /// What the store holds, by key.
 #[derive(Debug, Clone, Copy)]
@@ -23,10 +26,13 @@
 pub struct EndpointEntry {
     /// The service that it serves.
     pub service: Arc<str>,
+    /// The version of its software, where it says.
+    #[serde(default = "nothing", skip_serializing_if = "str::is_empty")]
+    pub version: Arc<str>,
     /// Its IP address and port.
     pub address: Arc<str>,
     /// Its data centre.
-    #[serde(default = "nowhere")]
+    #[serde(default = "nothing")]
     pub centre: Arc<str>,
     /// How many requests it runs at once.
     pub slots: u32,
@@ -44,6 +50,8 @@
             configuration: names::CONFIGURATION_KEY,
             endpoints: names::ENDPOINT_PREFIX,
             instances: names::INSTANCE_PREFIX,
+            orders: names::ORDER_PREFIX,
+            states: names::STATE_PREFIX,
         }
     }
 
@@ -60,14 +68,27 @@
             id: id.into(),
             born: entry.born,
             service: entry.service,
+            version: entry.version,
             address: entry.address,
             centre: entry.centre,
             slots: entry.slots,
             draining: entry.draining,
         })
     }
+
+    fn order(&self, _: &str, bytes: &[u8]) -> Result<OrderText, FormatError> {
+        rollout::decode(bytes)
+    }
+
+    fn state(&self, bytes: &[u8]) -> Result<(State, String), FormatError> {
+        rollout::decode_state(bytes)
+    }
+
+    fn encode_state(&self, state: State, version: &str) -> Vec<u8> {
+        rollout::encode_state(state, version)
+    }
 }
 
-fn nowhere() -> Arc<str> {
+fn nothing() -> Arc<str> {
     "".into()
 }
--- a/crates/siskinyoke-native/src/etcd.rs
+++ b/crates/siskinyoke-native/src/etcd.rs
@@ -126,6 +126,14 @@
         let body = json!({ "key": code(key), "value": value, "lease": lease.to_string() });
         Call::post(PUT, &body)
     }
+
+    fn put_if(&self, key: &str, value: &[u8], revision: u64) -> Call {
+        swap(key, value, revision)
+    }
+
+    fn decode_put_if(&self, bytes: &[u8]) -> Result<bool, FormatError> {
+        decode_swap(bytes)
+    }
 }
 
 /// Reads one key.
--- a/crates/siskinyoke-native/src/lib.rs
+++ b/crates/siskinyoke-native/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod exchange;
 pub mod names;
 pub mod pages;
+pub mod rollout;
 
 use siskinyoke_interface::Interface;
 
--- a/crates/siskinyoke-native/src/names.rs
+++ b/crates/siskinyoke-native/src/names.rs
@@ -40,6 +40,10 @@
 pub const ENDPOINT_PREFIX: &str = "siskinyoke/endpoints/";
 /// The prefix of the instances' entries.
 pub const INSTANCE_PREFIX: &str = "siskinyoke/instances/";
+/// The prefix of the operators' orders to move a service to another version.
+pub const ORDER_PREFIX: &str = "siskinyoke/rollouts/";
+/// The prefix of the states of these orders.
+pub const STATE_PREFIX: &str = "siskinyoke/rollout-states/";
 
 /// Returns the digest under which the configuration holds a bearer key, in hex.
 pub fn digest(key: &str) -> String {
--- a/crates/siskinyoke-native/tests/exchange.rs
+++ b/crates/siskinyoke-native/tests/exchange.rs
@@ -31,6 +31,7 @@
         id: "fast-1".into(),
         born: 0,
         service: "qalam".into(),
+        version: "".into(),
         address: "10.0.0.1:8000".into(),
         centre: "a".into(),
         slots: 1,
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -126,6 +126,17 @@
         self.shared.1.notify_all();
     }
 
+    /// Returns a value.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads panicked before.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let state = self.shared.0.lock().unwrap();
+        let value = STANDARD.decode(&state.items.get(key)?.1).unwrap();
+        Some(String::from_utf8(value).unwrap())
+    }
+
     /// Returns the keys under a prefix.
     ///
     /// # Panics
@@ -165,7 +176,7 @@
             "/api/kv-range" => (200, self.range(&query["Prefix"])),
             "/api/kv-watch" => self.watch(query),
             "/api/kv-lease" => (200, json!({ "Lease": 7, "TtlMs": 6000 })),
-            "/api/kv-txn" => (200, self.write(body)),
+            "/api/kv-txn" => self.write(body),
             path if path.starts_with("/api/kv-keep/") => (200, json!({ "TtlMs": 6000 })),
             _ => (404, json!({})),
         }
@@ -204,15 +215,22 @@
         (200, json!({ "events": events, "At": state.revision }))
     }
 
-    fn write(&self, body: &str) -> Value {
+    fn write(&self, body: &str) -> (u16, Value) {
         let body: Value = serde_json::from_str(body).unwrap();
         let (state, changed) = &*self.shared;
         let mut state = state.lock().unwrap();
+        let held = body["Expected"].as_array().unwrap().iter().all(|row| {
+            let known = state.items.get(row["Key"].as_str().unwrap());
+            known.map_or(0, |it| it.0) == row["Revision"].as_u64().unwrap()
+        });
+        if !held {
+            return (412, json!({ "Items": [] }));
+        }
         for put in body["Puts"].as_array().unwrap() {
             state.put(put["Key"].as_str().unwrap(), put["Value"].as_str().unwrap());
         }
         changed.notify_all();
-        json!({ "Revision": state.revision })
+        (200, json!({ "Revision": state.revision }))
     }
 
     fn mood(&self) -> Mood {
