--- a/crates/siskinyoke-gateway/src/job/ending.rs
+++ b/crates/siskinyoke-gateway/src/job/ending.rs
@@ -97,6 +97,7 @@
             "id": self.id,
             "endpoint": &*endpoint.id,
             "born": endpoint.born,
+            "version": &*endpoint.version,
             "outcome": name(outcome),
             "since_arrival_ms": self.shell.now().since(self.pass.arrived).0,
         });
