The first reports of a process wait until its socket can send

Cause: a datagram socket that was just bound counts as not writable, so the first whole report to each seed was dropped with a line 'message_unsent ... operation would block', three a start. The next search came half a second later.

--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -71,6 +71,12 @@
 impl Gossip {
     /// Reports for as long as the process runs.
     pub async fn tell(self: Rc<Self>, shell: Rc<Shell>) {
+        // A new socket takes nothing before the system has said that it is writable.
+        if let Some(socket) = shell.socket.get()
+            && let Err(err) = socket.writable().await
+        {
+            shell.log("peers_untold", json!({ "error": err.to_string() }));
+        }
         let mut searched = Millis::ZERO;
         loop {
             let now = shell.now();
