--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -27,7 +27,7 @@
         Syntax(text: String) {
             display("is not JSON with comments: {text}")
         }
-        /// A field is missing or of another type.
+        /// A field is missing, unknown or of another type.
         Field(err: serde_json::Error) {
             display("{err} (see docs/operators/on-the-platform.md for every field)")
             source(err)
@@ -42,6 +42,7 @@
 
 /// Where an instance listens.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Listen {
     /// For callers.
     pub callers: SocketAddr,
@@ -55,6 +56,7 @@
 
 /// Bounds that all instances keep together.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Bounds {
     /// The time from the signal to stop to a kill, in seconds.
     pub grace_s: f64,
@@ -98,6 +100,7 @@
 
 /// The settings of an instance.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Settings {
     /// How callers, endpoints, operators and the store are spoken to; fixed for a process.
     #[serde(default)]
