A bucket holds no more than a second of its organisation's rate; the rest of the burst fills it faster

The pairs of burst and filling that make the limit all keep it, over kills of all too. Where burst and rate stand as usual (one second), nothing changes. Ruled out: a sliding sum in place of a bucket, as a process that starts knows no sum and would have to grant nothing for the length of a burst.

--- a/crates/siskinyoke-dispatch/src/allowance.rs
+++ b/crates/siskinyoke-dispatch/src/allowance.rs
@@ -25,6 +25,13 @@
 /// each other, is there.
 const KEPT: f64 = 0.25;
 
+/// The longest burst that a bucket holds, as a span of the organisation's rate.
+///
+/// A burst and the filling of one window make the operators' limit, so what a bucket does not hold fills it
+/// faster. Where an operator lowers a rate and leaves its burst, most of the limit would lie in a burst that comes
+/// once, and steady use within the limit would be rejected.
+const BURST: Millis = Millis(1_000);
+
 /// How the operators measure allowances.
 #[derive(Debug, Clone, Copy)]
 pub struct Measure {
@@ -113,7 +120,7 @@
                 continue;
             }
             let rate = self.rate(organisation);
-            let burst = organisation.burst;
+            let burst = held_burst(organisation);
             let bucket = match old {
                 Some(bucket) => Bucket {
                     rate,
@@ -249,10 +256,15 @@
         let measure = self.measure;
         let nominal = organisation.rate * measure.window.as_secs() + organisation.burst;
         let limit = nominal * (1.0 + measure.overage * USED) + measure.slack * USED;
-        (limit - organisation.burst) / measure.window.as_secs()
+        (limit - held_burst(organisation)) / measure.window.as_secs()
     }
 }
 
+// The part of an organisation's burst that its bucket holds.
+fn held_burst(organisation: &Organisation) -> f64 {
+    organisation.burst.min(organisation.rate * BURST.as_secs())
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     reason = "values stay far below 2^52"
--- a/crates/siskinyoke-dispatch/tests/allowance.rs
+++ b/crates/siskinyoke-dispatch/tests/allowance.rs
@@ -24,14 +24,21 @@
     grants: Vec<(u64, f64)>,
     // Instances do not hear each other before this time.
     deaf: u64,
+    // The organisation's rate and burst.
+    limits: (f64, f64),
 }
 
 impl Fleet {
     fn start(count: usize, now: u64, deaf: u64) -> Self {
+        Self::start_with(count, now, deaf, (RATE, BURST))
+    }
+
+    fn start_with(count: usize, now: u64, deaf: u64, limits: (f64, f64)) -> Self {
         let mut fleet = Self {
             cores: Vec::new(),
             grants: Vec::new(),
             deaf: now + deaf,
+            limits,
         };
         fleet.restart(count, now, deaf);
         fleet
@@ -39,9 +46,10 @@
 
     fn restart(&mut self, count: usize, now: u64, deaf: u64) {
         self.deaf = now + deaf;
+        let (rate, burst) = self.limits;
         let make = |at| {
             let mut core = Core::new(identity(&format!("i{at}"), now * 100 + at as u64));
-            core.configure(Millis(now), configuration(1, organisation(RATE, BURST)));
+            core.configure(Millis(now), configuration(1, organisation(rate, burst)));
             core.registry().put(Millis(now), endpoint("e1", 1_000));
             for other in 0..count {
                 let name = format!("i{other}");
@@ -104,7 +112,11 @@
 }
 
 fn allowed() -> f64 {
-    (RATE * 8.0 + BURST) * 1.1 + MEASURE.slack
+    allowed_of(RATE, BURST)
+}
+
+fn allowed_of(rate: f64, burst: f64) -> f64 {
+    (rate * 8.0 + burst) * 1.1 + MEASURE.slack
 }
 
 #[test]
@@ -152,6 +164,7 @@
         cores: fleet.cores.split_off(3),
         grants: Vec::new(),
         deaf: 0,
+        limits: (RATE, BURST),
     };
     for from in (9_000..20_000).step_by(40) {
         fleet.saturate(from, from + 40, 5);
@@ -231,3 +244,30 @@
         allowed()
     );
 }
+
+// An operator lowers an organisation's rate and leaves its burst, which is now worth some seconds. Steady use within
+// the operators' limit was rejected for as long as it lasted, as most of the limit lay in the burst.
+#[test]
+fn steady_use_within_the_limit_is_granted_where_the_burst_is_long() {
+    let (rate, burst) = (40_000.0, 144_000.0);
+    let mut fleet = Fleet::start_with(4, 0, 0, (rate, burst));
+    // Four instances, 1,000 units each every 66 ms: 485,000 in a window, of 620,000.
+    fleet.saturate(0, 30_000, 66);
+    let late: Vec<_> = fleet.grants.iter().filter(|it| it.0 >= 10_000).collect();
+    let asked = 4 * (30_000 - 10_000) / 66;
+    assert!(late.len() * 100 >= asked * 97, "{} of {asked}", late.len());
+    assert!(fleet.most() <= allowed_of(rate, burst));
+}
+
+// The same organisation takes all that it is given, and all instances are killed meanwhile.
+#[test]
+fn a_long_burst_is_not_granted_beyond_the_limit() {
+    let (rate, burst) = (40_000.0, 144_000.0);
+    for killed in [4_000, 9_000, 12_000] {
+        let mut fleet = Fleet::start_with(4, 0, 0, (rate, burst));
+        fleet.saturate(0, killed, 10);
+        fleet.restart(4, killed + 300, 300);
+        fleet.saturate(killed + 300, 25_000, 10);
+        assert!(fleet.most() <= allowed_of(rate, burst), "{killed}: {}", fleet.most());
+    }
+}
