--- a/crates/siskinyoke-dispatch/src/allowance.rs
+++ b/crates/siskinyoke-dispatch/src/allowance.rs
@@ -19,7 +19,7 @@
 /// beyond its allowance. More would be granted twice if somebody does.
 const START: f64 = 0.15;
 
-/// The part of a full bucket below which nothing is given to other cells.
+/// The part of a full bucket below which nothing is given to other shards.
 ///
 /// Its own requests find something too, and what several peers give at the same moment, before they hear of
 /// each other, is there.
@@ -55,7 +55,7 @@
     pub crowd: f64,
     /// A number of its own, evenly spread from 0 to 1.
     pub chance: f64,
-    /// Units that other cells gave for it.
+    /// Units that other shards gave for it.
     pub granted: f64,
 }
 
@@ -70,7 +70,7 @@
     burst: f64,
     level: f64,
     filled: Millis,
-    // Units that were taken here from what the cell shares.
+    // Units that were taken here from what the shard shares.
     own: f64,
     touched: Millis,
     // Units that were asked for here, each counted for about a second.
@@ -172,7 +172,7 @@
             bucket.demand += wanted.units;
         }
         let asked = bucket.demand * wanted.crowd * BLIND.as_secs();
-        // What other cells gave goes into the bucket, but this request has the first claim on it.
+        // What other shards gave goes into the bucket, but this request has the first claim on it.
         if wanted.granted > 0.0 {
             bucket.level += wanted.granted;
             bucket.own -= wanted.granted;
@@ -198,11 +198,11 @@
         }
     }
 
-    /// Takes units off for another cell, and returns how many: those beyond a quarter of what this part of
+    /// Takes units off for another shard, and returns how many: those beyond a quarter of what this part of
     /// the fleet may hold.
     ///
-    /// The bucket of a large fleet is cut into one for each cell, none of them larger than a few requests.
-    /// Requests do not arrive evenly, so some would find their cell's bucket empty while the organisation uses
+    /// The bucket of a large fleet is cut into one for each shard, none of them larger than a few requests.
+    /// Requests do not arrive evenly, so some would find their shard's bucket empty while the organisation uses
     /// half of its allowance. What is given away here is granted there, and nothing twice.
     pub fn lend(&mut self, now: Millis, key: u32, units: u64, share: f64) -> u64 {
         let Some(bucket) = self.buckets.get_mut(&key) else {
@@ -239,7 +239,7 @@
     }
 
     /// Returns the units this instance has taken by organisation since its start, less those that other
-    /// cells gave: of those of which some were taken since `since`.
+    /// shards gave: of those of which some were taken since `since`.
     pub fn spent(&self, since: Millis) -> Vec<(u32, i64)> {
         let mut spent: Vec<_> = self
             .buckets
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -25,10 +25,10 @@
 use crate::cold_start;
 use crate::listing::Listing;
 use crate::peers::Peers;
+use crate::quarantine::Quarantine;
 use crate::registry::Registry;
 use crate::report::Place;
 use crate::scheduler::Decision;
-use crate::suspects::Suspects;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
@@ -52,11 +52,11 @@
     instances: Listing<Place>,
     // Instances that went, with when: most of them are back in a moment.
     departed: BTreeMap<String, Millis>,
-    cell: usize,
-    cells: usize,
+    shard: usize,
+    shards: usize,
     allowances: Allowances,
     budgets: Map<Arc<str>, Budget>,
-    suspects: Suspects,
+    quarantine: Quarantine,
     view: store::StoreView,
     leaving: bool,
     number: u64,
@@ -74,11 +74,11 @@
             peers: Peers::default(),
             instances: Listing::default(),
             departed: BTreeMap::new(),
-            cell: 0,
-            cells: 1,
+            shard: 0,
+            shards: 1,
             allowances: Allowances::new(me.measure),
             budgets: Map::default(),
-            suspects: Suspects::default(),
+            quarantine: Quarantine::default(),
             view: store::StoreView::default(),
             leaving: false,
             number: 0,
@@ -166,9 +166,9 @@
         Ok(pass)
     }
 
-    /// Passes a request that was refused for its organisation's allowance, once other cells gave units.
+    /// Passes a request that was refused for its organisation's allowance, once other shards gave units.
     ///
-    /// What the request does not use of them is its cell's.
+    /// What the request does not use of them is its shard's.
     ///
     /// # Errors
     ///
@@ -197,17 +197,18 @@
     ///
     /// The refusal; the request has not run, and its allowance is given back.
     pub fn admit(&mut self, now: Millis, pass: &Pass, print: u64) -> Result<Ticket, Refusal> {
-        let result = if self.suspects.refuses(now, print) {
+        let result = if self.quarantine.refuses(now, print) {
             Err(Refusal {
                 reason: Reason::Suspect,
                 after: SUSPECT,
             })
         } else {
-            let mut ask = pass::ask(pass, print);
+            let mut pending = pass::pending(pass, print);
             let exposure = self.me.exposure;
-            let rollout = self.registry.rollout(&ask.service);
-            ask.canary = rollout.is_some_and(|it| it.draw(now, exposure));
-            self.scheduler.admit(now, ask, &self.registry, &self.peers)
+            let rollout = self.registry.rollout(&pending.service);
+            pending.canary = rollout.is_some_and(|it| it.draw(now, exposure));
+            self.scheduler
+                .admit(now, pending, &self.registry, &self.peers)
         };
         if result.is_err() {
             self.give_back(pass);
@@ -225,11 +226,11 @@
     /// Decides what can be decided now.
     pub fn decide(&mut self, now: Millis) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        if !self.suspects.is_empty() {
-            let suspects = &self.suspects;
+        if !self.quarantine.is_empty() {
+            let quarantine = &self.quarantine;
             let refused = self
                 .scheduler
-                .take_out(|ask| suspects.refuses(now, ask.fingerprint));
+                .take_out(|pending| quarantine.refuses(now, pending.fingerprint));
             let refusal = Refusal {
                 reason: Reason::Suspect,
                 after: SUSPECT,
@@ -249,21 +250,22 @@
         outcome: Outcome,
         more: bool,
     ) -> Option<Ticket> {
-        let ask = self.scheduler.ended(now, ticket, outcome)?;
-        self.sample(now, &ask, outcome);
+        let pending = self.scheduler.ended(now, ticket, outcome)?;
+        self.sample(now, &pending, outcome);
         match outcome {
             Outcome::Broken => {
-                if let Some(key) = ask.tried.last() {
-                    self.suspects.crashed(now, ask.fingerprint, key.short());
+                if let Some(key) = pending.tried.last() {
+                    self.quarantine
+                        .crashed(now, pending.fingerprint, key.short());
                 }
             }
-            Outcome::Done { .. } => self.suspects.cleared(ask.fingerprint),
+            Outcome::Done { .. } => self.quarantine.cleared(pending.fingerprint),
             _ => {}
         }
-        if !more || !self.may_retry(now, &ask, outcome) {
+        if !more || !self.may_retry(now, &pending, outcome) {
             return None;
         }
-        Some(self.scheduler.again(ask))
+        Some(self.scheduler.again(pending))
     }
 
     /// Takes note that the first part of a running request's answer came.
--- a/crates/siskinyoke-dispatch/src/core/fleet.rs
+++ b/crates/siskinyoke-dispatch/src/core/fleet.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use crate::cells;
 use crate::core::Core;
 use crate::directory;
 use crate::report::Place;
+use crate::shards;
 use siskinyoke_base::Millis;
 
 /// The fewest instances among which the retries beside the budget's ratio are shared out.
@@ -14,11 +14,11 @@
 /// A few more than the smallest deployments have, as the list may lag behind machines added.
 const FLEET: usize = 12;
 
-/// How long the store may hold a watch before it answers that nothing changed, in a fleet of one cell
+/// How long the store may hold a watch before it answers that nothing changed, in a fleet of one shard
 /// and in a larger one.
 ///
 /// A connection may go silent for good; this bounds how long that goes unnoticed. In a larger fleet
-/// other cells tell of changes in the meantime.
+/// other shards tell of changes in the meantime.
 const WATCH: [Millis; 2] = [Millis(3_500), Millis(7_000)];
 
 /// How long changes of the store are gathered before the next look.
@@ -26,15 +26,15 @@
 /// Changes come in bursts: when a fleet starts, each instance's entry is a change.
 const GATHER: Millis = Millis(500);
 
-/// How much longer each cell's watcher waits than that of the cell before it in turn.
+/// How much longer each shard's watcher waits than that of the shard before it in turn.
 ///
-/// If all looked again at once, each change would cost a call for each cell. One cell looks at a time, and
+/// If all looked again at once, each change would cost a call for each shard. One shard looks at a time, and
 /// the others hear of it from there; where its watcher is gone, the next one's turn comes soon.
 const TURN: Millis = Millis(500);
 
-/// How long an instance that went still counts for the making of cells.
+/// How long an instance that went still counts for the making of shards.
 ///
-/// A restart takes some seconds. If cells changed with each one, a rolling restart of the fleet
+/// A restart takes some seconds. If shards changed with each one, a rolling restart of the fleet
 /// would move endpoints several times a second, and no count of what runs there would hold.
 const RESTART: Millis = Millis::from_secs(15);
 
@@ -54,22 +54,22 @@
         self.settle();
     }
 
-    /// Returns the listed instances, with whether each belongs to this one's cell.
+    /// Returns the listed instances, with whether each belongs to this one's shard.
     pub fn listed(&self) -> impl Iterator<Item = (&Place, bool)> {
         let others = self.instances.iter().filter(|row| row.0 != self.me.name);
-        others.map(|(name, place)| (place, self.mate(name)))
+        others.map(|(name, place)| (place, self.in_shard(name)))
     }
 
-    /// Returns the listed instances of the other cells, cell by cell.
-    pub fn other_cells(&self) -> Vec<Vec<&Place>> {
-        let mut cells: BTreeMap<usize, Vec<&Place>> = BTreeMap::new();
+    /// Returns the listed instances of the other shards, shard by shard.
+    pub fn other_shards(&self) -> Vec<Vec<&Place>> {
+        let mut shards: BTreeMap<usize, Vec<&Place>> = BTreeMap::new();
         for (name, place) in self.instances.iter() {
-            let home = cells::home(name, self.cells);
-            if home != self.cell {
-                cells.entry(home).or_default().push(place);
+            let home = shards::home(name, self.shards);
+            if home != self.shard {
+                shards.entry(home).or_default().push(place);
             }
         }
-        cells.into_values().collect()
+        shards.into_values().collect()
     }
 
     /// Chooses the instances that a caller of a data centre is told to use.
@@ -79,10 +79,10 @@
             .peers
             .fresh(now)
             .filter(|it| it.report.ready && !it.report.leaving);
-        let mates = peers.map(|peer| &peer.about.place);
+        let members = peers.map(|peer| &peer.about.place);
         let others = self.listed().filter(|row| !row.1).map(|row| row.0);
-        let others = others.filter(|_| self.cells > 1);
-        let ready = mates
+        let others = others.filter(|_| self.shards > 1);
+        let ready = members
             .chain(self.ready().then_some(&own.place))
             .chain(others);
         directory::choose(centre, ready)
@@ -90,16 +90,16 @@
 
     /// Returns how long the store may hold a watch.
     pub fn watch(&self) -> Millis {
-        WATCH[usize::from(self.cells > 1)]
+        WATCH[usize::from(self.shards > 1)]
     }
 
     /// Returns how long changes of the store should be gathered before the next look.
     ///
     /// Cells take turns, another one first after each change.
     pub fn gather(&self) -> Millis {
-        let cells = u64::try_from(self.cells).unwrap_or(1).max(1);
-        let own = u64::try_from(self.cell).unwrap_or(0);
-        GATHER + Millis(TURN.0 * ((own + self.revision()) % cells))
+        let shards = u64::try_from(self.shards).unwrap_or(1).max(1);
+        let own = u64::try_from(self.shard).unwrap_or(0);
+        GATHER + Millis(TURN.0 * ((own + self.revision()) % shards))
     }
 
     pub(super) fn enter(&mut self, name: &str, place: Place) {
@@ -128,7 +128,7 @@
             .collect()
     }
 
-    // The instances that cells are made of: those listed, and those that may be restarting.
+    // The instances that shards are made of: those listed, and those that may be restarting.
     pub(super) fn fleet(&self) -> BTreeSet<&str> {
         let listed = self.instances.iter().map(|row| row.0);
         listed
@@ -136,25 +136,25 @@
             .collect()
     }
 
-    // Finds out which cell of the fleet this instance belongs to.
+    // Finds out which shard of the fleet this instance belongs to.
     pub(super) fn settle(&mut self) {
         self.peers.listed(self.fleet().len());
-        let cells = cells::count(self.fleet().len());
-        let mut sizes = vec![0; cells];
+        let shards = shards::count(self.fleet().len());
+        let mut sizes = vec![0; shards];
         for name in self.fleet() {
-            sizes[cells::home(name, cells)] += 1;
+            sizes[shards::home(name, shards)] += 1;
         }
-        self.cell = cells::home(&self.me.name, cells);
-        self.cells = cells;
-        self.registry.settle(self.cell, sizes);
-        if cells > 1 {
-            let own = self.cell;
-            self.peers.retain(|name| cells::home(name, cells) == own);
+        self.shard = shards::home(&self.me.name, shards);
+        self.shards = shards;
+        self.registry.settle(self.shard, sizes);
+        if shards > 1 {
+            let own = self.shard;
+            self.peers.retain(|name| shards::home(name, shards) == own);
         }
     }
 
-    pub(super) fn mate(&self, name: &str) -> bool {
-        cells::home(name, self.cells) == self.cell
+    pub(super) fn in_shard(&self, name: &str) -> bool {
+        shards::home(name, self.shards) == self.shard
     }
 
     // The part of the retries beside the budget's ratio that is this instance's.
--- a/crates/siskinyoke-dispatch/src/core/lending.rs
+++ b/crates/siskinyoke-dispatch/src/core/lending.rs
@@ -1,4 +1,4 @@
-//! What this instance asks other cells for, and what it gives them.
+//! What this instance asks other shards for, and what it gives them.
 
 use std::sync::Arc;
 
@@ -15,7 +15,7 @@
 use siskinyoke_base::Millis;
 
 impl Core {
-    /// Returns what other cells may be asked for, so that a request finds its allowance.
+    /// Returns what other shards may be asked for, so that a request finds its allowance.
     pub fn lacks(&self, now: Millis, request: Request<'_>) -> Option<UnitsNeed> {
         if !self.registry.divided() {
             return None;
@@ -28,7 +28,7 @@
         })
     }
 
-    /// Answers an instance of another cell that asks for something.
+    /// Answers an instance of another shard that asks for something.
     ///
     /// `id` names the question, by which a place is returned.
     pub fn lend(&mut self, now: Millis, id: u64, need: Need) -> Grant {
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Returns requests that cannot start yet, with what to ask other cells for.
+    /// Returns requests that cannot start yet, with what to ask other shards for.
     pub fn needs(&mut self, now: Millis) -> Vec<(Ticket, Need)> {
         if self.registry.divided() {
             self.scheduler.needs(now)
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Starts a waiting request at a place that another cell gave, and returns its endpoint; nothing if
+    /// Starts a waiting request at a place that another shard gave, and returns its endpoint; nothing if
     /// the request waits no more or the endpoint is not to be used.
     pub fn place_granted(
         &mut self,
@@ -77,12 +77,12 @@
         started.then_some(endpoint)
     }
 
-    /// Takes note that the cells that were asked had no place for a request.
+    /// Takes note that the shards that were asked had no place for a request.
     pub fn place_declined(&mut self, now: Millis, ticket: Ticket) {
         self.scheduler.place_declined(now, ticket);
     }
 
-    /// Takes a place back that was given to another cell.
+    /// Takes a place back that was given to another shard.
     pub fn returned(&mut self, id: u64) {
         self.scheduler.returned(id);
     }
--- a/crates/siskinyoke-dispatch/src/core/pass.rs
+++ b/crates/siskinyoke-dispatch/src/core/pass.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use crate::Ask;
 use crate::Configuration;
 use crate::Kind;
 use crate::Organisation;
+use crate::Pending;
 use crate::Rank;
 use crate::Reason;
 use crate::Refusal;
@@ -145,13 +145,13 @@
     }
 }
 
-pub(super) fn ask(pass: &Pass, fingerprint: u64) -> Ask {
-    Ask {
+pub(super) fn pending(pass: &Pass, fingerprint: u64) -> Pending {
+    Pending {
         service: pass.service.clone(),
         route: pass.route.clone(),
         rank: pass.rank,
         arrived: pass.arrived,
-        turn: pass.arrived,
+        position: pass.arrived,
         until: pass.until,
         work: pass.work,
         fingerprint,
--- a/crates/siskinyoke-dispatch/src/core/retry.rs
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::Ask;
 use crate::Outcome;
+use crate::Pending;
 use crate::Ticket;
 use crate::budget::Budget;
 use crate::core::Core;
@@ -23,15 +23,18 @@
     /// Only where another has a place for it: an endpoint's silence alone is no reason to end its
     /// work. It takes the retry from the budget, so that another surely may follow.
     pub fn spare(&mut self, now: Millis, ticket: Ticket) -> bool {
-        let Some(ask) = self.scheduler.running(ticket).cloned() else {
+        let Some(pending) = self.scheduler.running(ticket).cloned() else {
             return false;
         };
-        let allowed = ask.route.idempotent() && ask.sent + 1 < ask.route.attempts;
+        let allowed = pending.route.idempotent() && pending.sent + 1 < pending.route.attempts;
         let elsewhere = self
             .scheduler
-            .elsewhere(now, &ask, &self.registry, &self.peers);
+            .elsewhere(now, &pending, &self.registry, &self.peers);
         let floor = self.floor();
-        allowed && elsewhere && now < ask.until && self.budget(&ask.service).take(now, floor)
+        allowed
+            && elsewhere
+            && now < pending.until
+            && self.budget(&pending.service).take(now, floor)
     }
 
     pub(super) fn budget(&mut self, service: &Arc<str>) -> &mut Budget {
@@ -41,25 +44,25 @@
             .or_insert_with(|| Budget::new(ratio))
     }
 
-    pub(super) fn may_retry(&mut self, now: Millis, ask: &Ask, outcome: Outcome) -> bool {
+    pub(super) fn may_retry(&mut self, now: Millis, pending: &Pending, outcome: Outcome) -> bool {
         let unsent = outcome == Outcome::Unreached;
         let unrun = unsent || matches!(outcome, Outcome::Full | Outcome::Moved);
-        if !unrun && !ask.route.idempotent() {
+        if !unrun && !pending.route.idempotent() {
             return false;
         }
-        if !unrun && self.suspects.refuses(now, ask.fingerprint) {
+        if !unrun && self.quarantine.refuses(now, pending.fingerprint) {
             return false;
         }
-        if now >= ask.until {
+        if now >= pending.until {
             return false;
         }
         if unsent {
-            return ask.tried.len() < UNSENT;
+            return pending.tried.len() < UNSENT;
         }
         if outcome == Outcome::Silent {
             return true;
         }
         let floor = self.floor();
-        ask.sent < ask.route.attempts && self.budget(&ask.service).take(now, floor)
+        pending.sent < pending.route.attempts && self.budget(&pending.service).take(now, floor)
     }
 }
--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::Ask;
 use crate::Outcome;
+use crate::Pending;
 use crate::Report;
 use crate::core::Core;
 use crate::load::float;
@@ -68,7 +68,7 @@
         let due = rollouts.filter_map(|it| {
             Some(Due {
                 order: it.order().clone(),
-                state: it.due(now, self.cell)?,
+                state: it.due(now, self.shard)?,
                 expected: it.status_revision(),
             })
         });
@@ -93,22 +93,22 @@
     }
 
     // Counts the answer of a service whose order is not decided yet.
-    pub(super) fn sample(&mut self, now: Millis, ask: &Ask, outcome: Outcome) {
-        let rollout = self.registry.rollout(&ask.service);
+    pub(super) fn sample(&mut self, now: Millis, pending: &Pending, outcome: Outcome) {
+        let rollout = self.registry.rollout(&pending.service);
         let Some(version) = rollout
             .filter(|it| it.judging())
             .map(|it| it.order().version.clone())
         else {
             return;
         };
-        let Some(key) = ask.tried.last() else {
+        let Some(key) = pending.tried.last() else {
             return;
         };
         let Some(endpoint) = self.registry.all().find(|it| it.key() == *key) else {
             return;
         };
         let new = endpoint.version == version;
-        let load = self.scheduler.load(&ask.service);
+        let load = self.scheduler.load(&pending.service);
         let bad = match outcome {
             Outcome::Failed | Outcome::Broken | Outcome::Silent => true,
             Outcome::Done { took, parts: 0, .. } => float(took) > SLOW * float(load.stay()),
@@ -116,18 +116,18 @@
                 first, took, parts, ..
             } => {
                 let rest = float(took.since(first));
-                let late = float(first) > SLOW * float(load.first_of(&ask.work));
+                let late = float(first) > SLOW * float(load.first_of(&pending.work));
                 late || rest > SLOW * float(load.rest(f64::from(parts))).max(1.0)
             }
             Outcome::Full | Outcome::Moved | Outcome::Unreached | Outcome::Left => return,
         };
         let sample = Sample {
-            route: short(&ask.route.name),
+            route: short(&pending.route.name),
             new,
             bad,
             endpoint: key.short(),
         };
-        if let Some(rollout) = self.registry.rollout(&ask.service) {
+        if let Some(rollout) = self.registry.rollout(&pending.service) {
             rollout.answered(now, sample);
         }
     }
--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -13,7 +13,7 @@
 /// start together do so within three tenths.
 const START: Millis = Millis(300);
 
-/// How often an instance that is not the first of its cell tries the store while nobody there
+/// How often an instance that is not the first of its shard tries the store while nobody there
 /// reaches it: the store may be back for some instances and not for the first.
 const TRY: Millis = Millis::from_secs(3);
 
@@ -30,7 +30,7 @@
     pub(super) revision: u64,
     /// Whether the last call of the store succeeded.
     pub(super) reaches: bool,
-    // Whether nobody of the cell reaches the store.
+    // Whether nobody of the shard reaches the store.
     away: bool,
     // When something of the store was first known.
     known: Option<Millis>,
@@ -45,7 +45,7 @@
 impl Core {
     /// Takes in what changed in the store up to a revision.
     ///
-    /// All changes are taken in before cells and endpoints are worked out anew: that takes time for
+    /// All changes are taken in before shards and endpoints are worked out anew: that takes time for
     /// each endpoint, and the first reading names hundreds.
     pub fn learn_news(&mut self, now: Millis, revision: u64, news: Vec<News>) {
         self.view.known.get_or_insert(now);
@@ -90,7 +90,7 @@
         self.view.revision
     }
 
-    /// Returns whether anybody of the cell reaches the store.
+    /// Returns whether anybody of the shard reaches the store.
     pub fn stored(&self) -> bool {
         !self.view.away
     }
@@ -142,7 +142,7 @@
 
     /// Decides whether this instance watches the store itself.
     ///
-    /// The only cell of a small fleet has no other to hear of changes from if its watcher's connection
+    /// The only shard of a small fleet has no other to hear of changes from if its watcher's connection
     /// goes silent, so each of its instances watches.
     pub fn duty(&self, now: Millis) -> Duty {
         let view = &self.view;
@@ -152,7 +152,7 @@
             true
         } else if alone && within(view.known, START) {
             false
-        } else if self.cells == 1 || self.watcher(now) == self.me.name {
+        } else if self.shards == 1 || self.watcher(now) == self.me.name {
             true
         } else if view.reaches {
             view.asks || (view.behind.is_some() && !within(view.behind, BEHIND))
@@ -162,7 +162,7 @@
         if watches { Duty::Watch } else { Duty::Follow }
     }
 
-    /// Works out whether the store is away for the whole cell, and returns it if that changed.
+    /// Works out whether the store is away for the whole shard, and returns it if that changed.
     ///
     /// What goes from the list while it is away may be back: its lease ran out in the meantime.
     pub fn notice_store(&mut self, now: Millis) -> Option<bool> {
--- a/crates/siskinyoke-dispatch/src/core/talk.rs
+++ b/crates/siskinyoke-dispatch/src/core/talk.rs
@@ -22,16 +22,16 @@
     /// Takes in a peer's report; returns whether the peer, or its start, is new.
     pub fn heard(&mut self, now: Millis, report: Report) -> bool {
         let source = report.source;
-        let mut mate = true;
+        let mut in_shard = true;
         if let Some(about) = &report.about {
             if about.name == self.me.name {
                 return false;
             }
             self.learn(now, about);
-            mate = self.mate(&about.name);
+            in_shard = self.in_shard(&about.name);
         }
-        self.hear_canaries(now, &report, mate);
-        if !mate {
+        self.hear_canaries(now, &report, in_shard);
+        if !in_shard {
             self.peers.dismiss(source);
             return false;
         }
@@ -56,9 +56,9 @@
         for key in &about.leavers {
             self.registry.left(now, *key);
         }
-        for (print, endpoints) in &about.suspects {
+        for (print, endpoints) in &about.quarantine {
             for endpoint in endpoints {
-                self.suspects.crashed(now, *print, *endpoint);
+                self.quarantine.crashed(now, *print, *endpoint);
             }
         }
     }
@@ -98,7 +98,7 @@
             name: self.me.name.clone(),
             place: self.me.place.clone(),
             leavers: self.registry.news(),
-            suspects: self.suspects.news(TOLD),
+            quarantine: self.quarantine.news(TOLD),
             peers: self.inner_addresses(now),
         }
     }
--- a/crates/siskinyoke-dispatch/src/cost.rs
+++ b/crates/siskinyoke-dispatch/src/cost.rs
@@ -35,7 +35,7 @@
     }
 
     /// Returns whether it does harm, where a request can wait for another place.
-    pub(crate) fn spoils(&self, choosy: bool) -> bool {
-        self.overruns || self.stalled > 0.0 || (choosy && self.late)
+    pub(crate) fn spoils(&self, can_wait: bool) -> bool {
+        self.overruns || self.stalled > 0.0 || (can_wait && self.late)
     }
 }
--- a/crates/siskinyoke-dispatch/src/load.rs
+++ b/crates/siskinyoke-dispatch/src/load.rs
@@ -1,7 +1,7 @@
 //! How long requests of one service take, as this instance sees it.
 
 use crate::Work;
-use crate::line::Line;
+use crate::regression::Regression;
 use siskinyoke_base::Millis;
 
 /// How much a new observation counts in a running mean.
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Load {
     stay: f64,
-    first: Line,
+    first: Regression,
     piece: f64,
     // The pause between two parts that only one in thirty answers goes beyond.
     longest: f64,
@@ -50,7 +50,7 @@
     fn default() -> Self {
         Self {
             stay: UNSEEN,
-            first: Line::through(FIRST[0], FIRST[1]),
+            first: Regression::through(FIRST[0], FIRST[1]),
             piece: PIECE,
             longest: PIECE,
             parts: PARTS,
--- a/crates/siskinyoke-dispatch/src/message.rs
+++ b/crates/siskinyoke-dispatch/src/message.rs
@@ -11,16 +11,16 @@
 pub enum Message {
     /// How the sender stands.
     Report(Box<Report>),
-    /// Asks an instance of another cell for something that the sender's cell lacks just now; the number
+    /// Asks an instance of another shard for something that the sender's shard lacks just now; the number
     /// names the question in its answer.
-    Ask(u64, Need),
+    Borrow(u64, Need),
     /// Answers a question.
-    Answer(u64, Grant),
+    Lend(u64, Grant),
     /// Returns a place that was given in answer to a question.
     Return(u64),
 }
 
-/// What an instance asks another cell for.
+/// What an instance asks another shard for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Need {
     /// Units of an organisation's allowance.
@@ -59,7 +59,7 @@
     pub left: u32,
 }
 
-/// What another cell gives.
+/// What another shard gives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Grant {
     /// Nothing: it has none to spare.
--- a/crates/siskinyoke-dispatch/src/peak.rs
+++ b/crates/siskinyoke-dispatch/src/overload_window.rs
@@ -12,12 +12,12 @@
 /// Nobody knows when a peak ends. One that has lasted for some time is expected to last as long again;
 /// callers that are told less come back in vain, and have no third try.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Peak {
+pub struct OverloadWindow {
     since: Millis,
     last: Option<Millis>,
 }
 
-impl Peak {
+impl OverloadWindow {
     /// Takes note of a refusal, and returns for how long there have been some.
     pub fn refused(&mut self, now: Millis) -> Millis {
         let goes_on = self.last.is_some_and(|last| now.since(last) < OVER);
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -103,12 +103,12 @@
         Heard::First(before)
     }
 
-    /// Keeps the peers whose name belongs to this instance's cell.
-    pub fn retain(&mut self, mate: impl Fn(&str) -> bool) {
-        self.known.retain(|_, peer| mate(&peer.about.name));
+    /// Keeps the peers whose name belongs to this instance's shard.
+    pub fn retain(&mut self, in_shard: impl Fn(&str) -> bool) {
+        self.known.retain(|_, peer| in_shard(&peer.about.name));
     }
 
-    /// Forgets a peer that is none of this instance's cell.
+    /// Forgets a peer that is none of this instance's shard.
     pub fn dismiss(&mut self, source: u64) {
         self.known.remove(&source);
     }
--- a/crates/siskinyoke-dispatch/src/ask.rs
+++ b/crates/siskinyoke-dispatch/src/pending.rs
@@ -42,7 +42,7 @@
 
 /// One request as the decisions see it.
 #[derive(Debug, Clone)]
-pub struct Ask {
+pub struct Pending {
     /// The service that has to run it.
     pub service: Arc<str>,
     /// The route it came by.
@@ -53,7 +53,7 @@
     pub arrived: Millis,
     /// When it would have arrived to stand where it does among those of its order: the head start of short
     /// work is taken off.
-    pub turn: Millis,
+    pub position: Millis,
     /// When the caller, or the route, stops waiting for it.
     pub until: Millis,
     /// What it asks of an endpoint.
@@ -66,13 +66,13 @@
     pub sent: u32,
     /// Whether its answer would be late by now; it goes after what can still be on time.
     pub late: bool,
-    /// Whether it was let in only because another cell may have a place for it.
+    /// Whether it was let in only because another shard may have a place for it.
     pub pressed: bool,
     /// Whether it is for the version on trial, or runs there.
     pub canary: bool,
 }
 
-impl Ask {
+impl Pending {
     /// Returns its order among waiting requests.
     pub fn order(&self) -> Order {
         Order::new(self.rank, self.late)
--- a/crates/siskinyoke-dispatch/src/placing.rs
+++ b/crates/siskinyoke-dispatch/src/placing.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use crate::Ask;
 use crate::Endpoint;
 use crate::EndpointKey;
 use crate::Kind;
 use crate::Outcome;
+use crate::Pending;
 use crate::cost::Cost;
 use crate::health::Health;
 use crate::load::Load;
@@ -28,7 +28,7 @@
 
 /// How far instances differ in which of several like endpoints they use first, as a part of its pace.
 ///
-/// Instances of a cell see the same free places at the same moment. Were they of one mind on the best of
+/// Instances of a shard see the same free places at the same moment. Were they of one mind on the best of
 /// them, each would fill it before it hears of the others, and requests would queue there beside free
 /// places. Less than what makes an endpoint a worse choice by itself.
 const PREFERENCE: f64 = 0.2;
@@ -64,20 +64,20 @@
 
 /// A request that is to be placed.
 #[derive(Debug, Clone, Copy)]
-pub struct Want<'a> {
+pub struct Query<'a> {
     /// The present time.
     pub now: Millis,
     /// The request.
-    pub ask: &'a Ask,
+    pub pending: &'a Pending,
     /// How its service's requests fare.
     pub load: &'a Load,
     /// Whether it can wait for another endpoint and still be on time.
-    pub choosy: bool,
+    pub can_wait: bool,
 }
 
 /// An endpoint with free places.
 #[derive(Debug, Clone)]
-pub struct Room {
+pub struct Candidate {
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
     /// Its free places, as far as all instances' reports tell.
@@ -181,14 +181,16 @@
     ///
     /// `usual` says whether the endpoints of a usual pace may be used; slow ones always may. A request with
     /// time to wait is given to no slow endpoint that would spoil it or the work there.
-    pub fn best(&self, want: &Want<'_>, rooms: &[Room], usual: bool) -> Option<usize> {
-        let fit = rooms.iter().enumerate().filter(|(_, room)| {
-            room.left > 0 && (usual || room.slow) && !want.ask.tried.contains(&room.endpoint.key())
+    pub fn best(&self, query: &Query<'_>, candidates: &[Candidate], usual: bool) -> Option<usize> {
+        let fit = candidates.iter().enumerate().filter(|(_, candidate)| {
+            candidate.left > 0
+                && (usual || candidate.slow)
+                && !query.pending.tried.contains(&candidate.endpoint.key())
         });
-        let costs = fit.map(|(at, room)| (at, self.cost(want, room)));
+        let costs = fit.map(|(at, candidate)| (at, self.cost(query, candidate)));
         let (at, cost) = costs.min_by(|one, other| one.1.sum().total_cmp(&other.1.sum()))?;
-        let spoils = rooms[at].slow && cost.spoils(want.choosy);
-        let waits = want.choosy && cost.overruns && !overruns(want, rooms[at].fastest);
+        let spoils = candidates[at].slow && cost.spoils(query.can_wait);
+        let waits = query.can_wait && cost.overruns && !overruns(query, candidates[at].fastest);
         (!spoils && !waits).then_some(at)
     }
 
@@ -212,12 +214,15 @@
         f64::from(u32::try_from(hash).unwrap_or(u32::MAX)) / f64::from(u32::MAX)
     }
 
-    fn cost(&self, want: &Want<'_>, room: &Room) -> Cost {
-        let Want { now, ask, load, .. } = want;
-        let endpoint = &room.endpoint;
+    fn cost(&self, query: &Query<'_>, candidate: &Candidate) -> Cost {
+        let Query {
+            now, pending, load, ..
+        } = query;
+        let endpoint = &candidate.endpoint;
         let health = self.health.get(&endpoint.key());
         let failures = health.map_or(0.0, Health::failures);
-        let taken = f64::from(endpoint.slots.saturating_sub(room.left)) / f64::from(endpoint.slots);
+        let taken =
+            f64::from(endpoint.slots.saturating_sub(candidate.left)) / f64::from(endpoint.slots);
         let far = if endpoint.centre == self.centre {
             0.0
         } else {
@@ -226,32 +231,32 @@
         let pace = self.pace(endpoint.key());
         let preference = self.preference(endpoint.key()) * PREFERENCE;
         let time = pace * (1.0 + taken * CROWDED + far + failures * FAILING + preference);
-        if ask.route.kind != Kind::Stream {
+        if pending.route.kind != Kind::Stream {
             return Cost {
                 time,
                 ..Cost::default()
             };
         }
-        let unread = ask.work.behind(room.unread);
+        let unread = pending.work.behind(candidate.unread);
         let first = load.first_of(&unread);
-        let delay = first.since(load.first_of(&ask.work));
+        let delay = first.since(load.first_of(&pending.work));
         let time = time + pace * float(delay) / float(load.stay()).max(1.0);
-        let begins = float(now.since(ask.arrived)) + float(first) * pace;
+        let begins = float(now.since(pending.arrived)) + float(first) * pace;
         let held = health.map_or(0.0, Health::held);
-        let pauses = load.parts_of(&ask.work) > SHORT && held > HELD;
-        let stalls = load.stall(unread.prompt) * pace > float(ask.route.gap);
+        let pauses = load.parts_of(&pending.work) > SHORT && held > HELD;
+        let stalls = load.stall(unread.prompt) * pace > float(pending.route.gap);
         Cost {
             time,
-            late: begins > float(ask.route.aim) || pauses,
-            overruns: overruns(want, pace),
+            late: begins > float(pending.route.aim) || pauses,
+            overruns: overruns(query, pace),
             stalled: if stalls { taken } else { 0.0 },
         }
     }
 }
 
 // Whether an answer at an endpoint of this pace would not be whole before its caller leaves.
-fn overruns(want: &Want<'_>, pace: f64) -> bool {
-    let stay = float(want.load.stay_of(&want.ask.work)) * pace;
-    let margin = if want.choosy { MARGIN } else { 1.0 };
-    stay * margin > float(want.ask.until.since(want.now))
+fn overruns(query: &Query<'_>, pace: f64) -> bool {
+    let stay = float(query.load.stay_of(&query.pending.work)) * pace;
+    let margin = if query.can_wait { MARGIN } else { 1.0 };
+    stay * margin > float(query.pending.until.since(query.now))
 }
--- a/crates/siskinyoke-dispatch/src/suspects.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -26,11 +26,11 @@
 
 /// Fingerprints of work that was running when endpoints died.
 #[derive(Debug, Default)]
-pub struct Suspects {
+pub struct Quarantine {
     known: Map<u64, Suspect>,
 }
 
-impl Suspects {
+impl Quarantine {
     /// Takes note that an endpoint died while it ran this work, as seen here or told by a peer.
     pub fn crashed(&mut self, now: Millis, fingerprint: u64, endpoint: u32) {
         let suspect = self.known.entry(fingerprint).or_default();
--- a/crates/siskinyoke-dispatch/src/queue.rs
+++ b/crates/siskinyoke-dispatch/src/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::Ticket;
-use crate::ask::Order;
+use crate::pending::Order;
 use crate::report::Waiting;
 use siskinyoke_base::Millis;
 
@@ -45,7 +45,7 @@
         stay: impl Fn(Ticket) -> Millis,
     ) -> Vec<Waiting> {
         let mut rows: Vec<Waiting> = Vec::new();
-        for (order, turn, ticket) in &self.places {
+        for (order, position, ticket) in &self.places {
             let work = u32::try_from(stay(*ticket).0).unwrap_or(u32::MAX);
             match rows.last_mut() {
                 Some(row) if row.order == *order => {
@@ -56,7 +56,7 @@
                     service,
                     order: *order,
                     count: 1,
-                    oldest: u32::try_from(now.since(*turn).0).unwrap_or(u32::MAX),
+                    oldest: u32::try_from(now.since(*position).0).unwrap_or(u32::MAX),
                     work,
                 }),
             }
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -6,13 +6,13 @@
 use crate::Endpoint;
 use crate::EndpointKey;
 use crate::News;
-use crate::cells;
 use crate::listing::Listing;
 use crate::report::short;
 use crate::rollout::Order;
 use crate::rollout::Rollout;
 use crate::rollout::Status;
 use crate::rollout::Use;
+use crate::shards;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
@@ -23,7 +23,7 @@
 /// How long a start that left is remembered: no entry of it comes that late.
 const REMEMBERED: Millis = Millis::from_secs(600);
 
-/// The endpoints that each cell needs of a service, so that a failed request has another to go to.
+/// The endpoints that each shard needs of a service, so that a failed request has another to go to.
 const FEWEST: usize = 2;
 
 /// The endpoints that are known, by the key they have in the store.
@@ -31,9 +31,9 @@
 pub struct Registry {
     listing: Listing<Arc<Endpoint>>,
     leavers: Map<EndpointKey, Millis>,
-    cell: usize,
-    // The number of instances in each cell.
-    cells: Vec<usize>,
+    shard: usize,
+    // The number of instances in each shard.
+    shards: Vec<usize>,
     // The endpoints that may get new work from here, by service.
     fit: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>>,
     // Those that get what is drawn for the version on trial.
@@ -52,11 +52,11 @@
         self.listing.store_back(now);
     }
 
-    /// Takes note of this instance's cell, and of the number of instances in each.
-    pub fn settle(&mut self, cell: usize, cells: Vec<usize>) {
-        if self.cell != cell || self.cells != cells {
-            self.cell = cell;
-            self.cells = cells;
+    /// Takes note of this instance's shard, and of the number of instances in each.
+    pub fn settle(&mut self, shard: usize, shards: Vec<usize>) {
+        if self.shard != shard || self.shards != shards {
+            self.shard = shard;
+            self.shards = shards;
             self.choose();
         }
     }
@@ -159,9 +159,9 @@
         changed
     }
 
-    /// Returns whether the fleet is divided into cells with endpoints of their own.
+    /// Returns whether the fleet is divided into shards with endpoints of their own.
     pub fn divided(&self) -> bool {
-        self.cells.len() > 1
+        self.shards.len() > 1
     }
 
     /// Returns the service of a hashed name that has endpoints here.
@@ -170,7 +170,7 @@
         known.cloned()
     }
 
-    /// Returns an endpoint of any cell that may get new work.
+    /// Returns an endpoint of any shard that may get new work.
     pub fn find(&self, key: EndpointKey) -> Option<&Arc<Endpoint>> {
         let found = self.all().find(|it| it.key() == key);
         found.filter(|it| !self.leaving(it))
@@ -225,27 +225,27 @@
         self.fit = services;
     }
 
-    // The endpoints of a service that belong to this instance's cell.
+    // The endpoints of a service that belong to this instance's shard.
     fn own(&self, endpoints: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
-        if self.cells.len() <= 1 || endpoints.is_empty() {
+        if self.shards.len() <= 1 || endpoints.is_empty() {
             return endpoints.to_vec();
         }
-        if endpoints.len() < FEWEST * self.cells.len() {
+        if endpoints.len() < FEWEST * self.shards.len() {
             return self.shared(endpoints);
         }
         let rows: Vec<_> = endpoints.iter().map(|it| (&*it.centre, &*it.id)).collect();
-        let assigned = cells::assign(&rows, &self.cells);
-        let mine = |it: &&Arc<Endpoint>| assigned.get(&*it.id) == Some(&self.cell);
+        let assigned = shards::assign(&rows, &self.shards);
+        let mine = |it: &&Arc<Endpoint>| assigned.get(&*it.id) == Some(&self.shard);
         endpoints.iter().filter(mine).cloned().collect()
     }
 
-    // Too few endpoints for each cell to have its own: cells share them. Each takes half as much
-    // again as its even part, as the cells' peaks seldom meet.
+    // Too few endpoints for each shard to have its own: shards share them. Each takes half as much
+    // again as its even part, as the shards' overloads seldom meet.
     fn shared(&self, endpoints: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
         let count = endpoints.len();
-        let cells = self.cells.len();
-        let all: Vec<Vec<usize>> = (0..cells).map(|cell| few(cell, cells, count)).collect();
-        few(self.cell, cells, count)
+        let shards = self.shards.len();
+        let all: Vec<Vec<usize>> = (0..shards).map(|shard| few(shard, shards, count)).collect();
+        few(self.shard, shards, count)
             .into_iter()
             .map(|at| {
                 let users = all.iter().filter(|few| few.contains(&at)).count();
@@ -266,10 +266,10 @@
     }
 }
 
-// The places of a cell's endpoints among a few: each one in some cell, and for each cell two.
-fn few(cell: usize, cells: usize, count: usize) -> Vec<usize> {
-    let mut few: Vec<usize> = (cell..count).step_by(cells).collect();
-    let first = few.first().copied().unwrap_or(cell % count);
+// The places of a shard's endpoints among a few: each one in some shard, and for each shard two.
+fn few(shard: usize, shards: usize, count: usize) -> Vec<usize> {
+    let mut few: Vec<usize> = (shard..count).step_by(shards).collect();
+    let first = few.first().copied().unwrap_or(shard % count);
     let more = (0..count).map(|step| (first + step) % count);
     for at in more.take(FEWEST) {
         if few.len() < FEWEST && !few.contains(&at) {
--- a/crates/siskinyoke-dispatch/src/line.rs
+++ b/crates/siskinyoke-dispatch/src/regression.rs
@@ -18,7 +18,7 @@
 ///
 /// It holds the running means of what a least-squares fit needs.
 #[derive(Debug, Clone, Copy)]
-pub struct Line {
+pub struct Regression {
     seen: f64,
     x: f64,
     y: f64,
@@ -26,7 +26,7 @@
     xy: f64,
 }
 
-impl Line {
+impl Regression {
     /// Makes a line through two points, which count as one observation.
     pub fn through(one: (f64, f64), other: (f64, f64)) -> Self {
         let mean = |of: fn((f64, f64)) -> f64| f64::midpoint(of(one), of(other));
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 use crate::EndpointKey;
-use crate::ask::Order;
+use crate::pending::Order;
 use crate::stable_hash;
 
 /// One instance's present state, as told to its peers many times a second.
@@ -30,7 +30,7 @@
     pub running: Vec<Busy>,
     /// Its waiting requests by service and order.
     pub waiting: Vec<Waiting>,
-    /// Units used by organisation since its start, less those that other cells gave.
+    /// Units used by organisation since its start, less those that other shards gave.
     pub spent: Vec<(u32, i64)>,
     /// The answers of versions on trial, while there are any.
     pub canaries: Vec<Canary>,
@@ -72,7 +72,7 @@
     /// Endpoints it knows to be leaving or gone.
     pub leavers: Vec<EndpointKey>,
     /// Work that crashed endpoints, with the starts of these.
-    pub suspects: Vec<(u64, Vec<u32>)>,
+    pub quarantine: Vec<(u64, Vec<u32>)>,
     /// Inner addresses of the peers it hears.
     pub peers: Vec<String>,
 }
--- a/crates/siskinyoke-dispatch/src/rollout.rs
+++ b/crates/siskinyoke-dispatch/src/rollout.rs
@@ -289,8 +289,8 @@
         if self.decided() {
             return None;
         }
-        let turn = Millis(TURN.0 * u64::try_from(position).unwrap_or(0));
-        let age = now.since(self.begun).since(turn);
+        let position = Millis(TURN.0 * u64::try_from(position).unwrap_or(0));
+        let age = now.since(self.begun).since(position);
         if self.condemned {
             return Some(State::RolledBack);
         }
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -14,10 +14,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::Ask;
 use crate::Endpoint;
 use crate::EndpointKey;
 use crate::Outcome;
+use crate::Pending;
 use crate::Rank;
 use crate::Reason;
 use crate::Refusal;
@@ -26,7 +26,7 @@
 use crate::load::Load;
 use crate::load::float;
 use crate::load::millis;
-use crate::peak::Peak;
+use crate::overload_window::OverloadWindow;
 use crate::peers::Peers;
 use crate::placing::Placing;
 use crate::queue::Place;
@@ -35,7 +35,7 @@
 use crate::report::Busy;
 use crate::report::Waiting;
 use crate::report::short;
-use crate::silence;
+use crate::stall_timeout;
 use crate::wait;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
@@ -55,7 +55,7 @@
 // A request at an endpoint.
 #[derive(Debug)]
 struct Running {
-    ask: Ask,
+    pending: Pending,
     key: EndpointKey,
     sent: Millis,
     // Prompt tokens of others that its endpoint had still to read when it was sent.
@@ -77,15 +77,15 @@
 pub struct Scheduler {
     placing: Placing,
     queues: BTreeMap<Arc<str>, Queue>,
-    waiting: Map<Ticket, Ask>,
+    waiting: Map<Ticket, Pending>,
     running: Map<Ticket, Running>,
     counts: BTreeMap<EndpointKey, Busy>,
     loads: Map<Arc<str>, Load>,
     demands: Map<Arc<str>, Demand>,
-    peaks: Map<(Arc<str>, Rank), Peak>,
-    // Places given to other cells, by the question that asked for each.
+    overloads: Map<(Arc<str>, Rank), OverloadWindow>,
+    // Places given to other shards, by the question that asked for each.
     loans: Map<u64, lending::Loan>,
-    // When other cells were last asked for a place, by request, and what they said, by service.
+    // When other shards were last asked for a place, by request, and what they said, by service.
     asked: Map<Ticket, Millis>,
     answers: Map<Arc<str>, lending::LastAnswer>,
     last: u64,
@@ -108,50 +108,50 @@
     pub fn admit(
         &mut self,
         now: Millis,
-        ask: Ask,
+        pending: Pending,
         registry: &Registry,
         peers: &Peers,
     ) -> Result<Ticket, Refusal> {
-        let places = places(&ask.service, registry);
+        let places = places(&pending.service, registry);
         if places == 0 {
             return Err(Refusal {
                 reason: Reason::NoEndpoint,
                 after: ABSENT,
             });
         }
-        let load = self.load(&ask.service);
-        let ask = Ask {
-            turn: wait::turn(&ask, load),
-            ..ask
+        let load = self.load(&pending.service);
+        let pending = Pending {
+            position: wait::position(&pending, load),
+            ..pending
         };
-        let demand = self.demands.entry(ask.service.clone()).or_default();
-        demand.asked(now, ask.rank, load.stay_of(&ask.work));
+        let demand = self.demands.entry(pending.service.clone()).or_default();
+        demand.asked(now, pending.rank, load.stay_of(&pending.work));
         let view = View {
             now,
             registry,
             peers,
         };
-        if self.on_time(&view, &ask) {
-            return Ok(self.enqueue(ask));
+        if self.on_time(&view, &pending) {
+            return Ok(self.enqueue(pending));
         }
-        // Another cell may have a place: it is asked before the request is refused.
-        if registry.divided() && !self.declined(now, &ask.service) {
-            return Ok(self.enqueue(Ask {
+        // Another shard may have a place: it is asked before the request is refused.
+        if registry.divided() && !self.declined(now, &pending.service) {
+            return Ok(self.enqueue(Pending {
                 pressed: true,
-                ..ask
+                ..pending
             }));
         }
-        let ask = self.as_late(&view, ask)?;
-        Ok(self.enqueue(ask))
+        let pending = self.as_late(&view, pending)?;
+        Ok(self.enqueue(pending))
     }
 
     /// Lets a request wait for another endpoint after one did not serve it.
-    pub fn again(&mut self, ask: Ask) -> Ticket {
-        self.enqueue(Ask {
+    pub fn again(&mut self, pending: Pending) -> Ticket {
+        self.enqueue(Pending {
             late: false,
             pressed: false,
             canary: false,
-            ..ask
+            ..pending
         })
     }
 
@@ -173,17 +173,17 @@
     }
 
     /// Takes note that a request's stay at its endpoint ended, and returns the request.
-    pub fn ended(&mut self, now: Millis, ticket: Ticket, outcome: Outcome) -> Option<Ask> {
+    pub fn ended(&mut self, now: Millis, ticket: Ticket, outcome: Outcome) -> Option<Pending> {
         let Running {
-            mut ask,
+            mut pending,
             key,
             sent,
             began,
             ..
         } = self.running.remove(&ticket)?;
-        ask.sent += u32::from(outcome != Outcome::Unreached);
+        pending.sent += u32::from(outcome != Outcome::Unreached);
         if began.is_none() {
-            self.read(key, &ask);
+            self.read(key, &pending);
         }
         if let Some(busy) = self.counts.get_mut(&key) {
             busy.count = busy.count.saturating_sub(1);
@@ -198,13 +198,13 @@
         } = outcome
         {
             if began.is_none() {
-                self.saw_first(key, &ask, now.since(sent));
+                self.saw_first(key, &pending, now.since(sent));
             }
-            self.saw_rest(key, &ask, took.since(first), parts, pause);
-            let load = self.loads.entry(ask.service.clone()).or_default();
-            load.finished(&ask.work, first, took, parts);
+            self.saw_rest(key, &pending, took.since(first), parts, pause);
+            let load = self.loads.entry(pending.service.clone()).or_default();
+            load.finished(&pending.work, first, took, parts);
         }
-        Some(ask)
+        Some(pending)
     }
 
     /// Takes note that the first part of a request's answer came.
@@ -214,35 +214,40 @@
         };
         running.began = Some(now);
         let (key, first) = (running.key, now.since(running.sent));
-        let ask = running.ask.clone();
-        self.read(key, &ask);
-        self.saw_first(key, &ask, first);
+        let pending = running.pending.clone();
+        self.read(key, &pending);
+        self.saw_first(key, &pending, first);
     }
 
     /// Returns how long the endpoint of a running request may stay silent.
-    pub fn silence(&self, ticket: Ticket) -> Millis {
+    pub fn stall_timeout(&self, ticket: Ticket) -> Millis {
         let Some(running) = self.running.get(&ticket) else {
-            return silence::PAUSE;
+            return stall_timeout::PAUSE;
         };
         let Running {
-            ask, key, behind, ..
+            pending,
+            key,
+            behind,
+            ..
         } = running;
-        let usual = self.load(&ask.service).first_of(&ask.work.behind(*behind));
-        silence::limit(millis(float(usual) * self.placing.pace(*key)))
+        let usual = self
+            .load(&pending.service)
+            .first_of(&pending.work.behind(*behind));
+        stall_timeout::limit(millis(float(usual) * self.placing.pace(*key)))
     }
 
     /// Takes a waiting request out, as its caller left.
     pub fn cancel(&mut self, ticket: Ticket) {
-        let Some(ask) = self.waiting.remove(&ticket) else {
+        let Some(pending) = self.waiting.remove(&ticket) else {
             return;
         };
-        if let Some(queue) = self.queues.get_mut(&ask.service) {
-            queue.remove(place(ticket, &ask));
+        if let Some(queue) = self.queues.get_mut(&pending.service) {
+            queue.remove(place(ticket, &pending));
         }
     }
 
     /// Takes out waiting requests that must not run any more.
-    pub fn take_out(&mut self, wanted: impl Fn(&Ask) -> bool) -> Vec<Ticket> {
+    pub fn take_out(&mut self, wanted: impl Fn(&Pending) -> bool) -> Vec<Ticket> {
         let found = self.waiting.iter().filter(|row| wanted(row.1));
         let tickets: Vec<Ticket> = found.map(|row| *row.0).collect();
         for ticket in &tickets {
@@ -252,20 +257,26 @@
     }
 
     /// Returns the request that runs under a ticket.
-    pub fn running(&self, ticket: Ticket) -> Option<&Ask> {
-        self.running.get(&ticket).map(|running| &running.ask)
+    pub fn running(&self, ticket: Ticket) -> Option<&Pending> {
+        self.running.get(&ticket).map(|running| &running.pending)
     }
 
     /// Returns whether an endpoint that was not tried has a place for a request.
-    pub fn elsewhere(&self, now: Millis, ask: &Ask, registry: &Registry, peers: &Peers) -> bool {
+    pub fn elsewhere(
+        &self,
+        now: Millis,
+        pending: &Pending,
+        registry: &Registry,
+        peers: &Peers,
+    ) -> bool {
         let view = View {
             now,
             registry,
             peers,
         };
-        let free = self.free(&view, &ask.service);
+        let free = self.free(&view, &pending.service);
         free.iter()
-            .any(|room| !ask.tried.contains(&room.endpoint.key()))
+            .any(|candidate| !pending.tried.contains(&candidate.endpoint.key()))
     }
 
     /// Takes in what a peer says of the endpoints that it uses.
@@ -320,12 +331,12 @@
         })
     }
 
-    fn enqueue(&mut self, ask: Ask) -> Ticket {
+    fn enqueue(&mut self, pending: Pending) -> Ticket {
         self.last += 1;
         let ticket = Ticket(self.last);
-        let queue = self.queues.entry(ask.service.clone()).or_default();
-        queue.push(place(ticket, &ask));
-        self.waiting.insert(ticket, ask);
+        let queue = self.queues.entry(pending.service.clone()).or_default();
+        queue.push(place(ticket, &pending));
+        self.waiting.insert(ticket, pending);
         ticket
     }
 }
@@ -338,6 +349,6 @@
         .sum()
 }
 
-fn place(ticket: Ticket, ask: &Ask) -> Place {
-    (ask.order(), ask.turn, ticket)
+fn place(ticket: Ticket, pending: &Pending) -> Place {
+    (pending.order(), pending.position, ticket)
 }
--- a/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
@@ -6,7 +6,7 @@
 use super::Scheduler;
 use super::View;
 use super::place;
-use crate::Ask;
+use crate::Pending;
 use crate::Reason;
 use crate::Refusal;
 use crate::Ticket;
@@ -31,29 +31,29 @@
 
     // Finds out whether a request has waited enough; one that can still be of use late is put off.
     fn overdue(&mut self, view: &View<'_>, ticket: Ticket) -> Option<Refusal> {
-        let ask = &self.waiting[&ticket];
-        let load = self.load(&ask.service);
-        if wait::spent(ask, view.registry.fit(&ask.service)) {
+        let pending = &self.waiting[&ticket];
+        let load = self.load(&pending.service);
+        if wait::spent(pending, view.registry.fit(&pending.service)) {
             return Some(Refusal {
                 reason: Reason::NoEndpoint,
                 after: load.stay(),
             });
         }
-        let waited = view.now.since(ask.arrived);
-        if ask.pressed && self.declined(view.now, &ask.service) {
+        let waited = view.now.since(pending.arrived);
+        if pending.pressed && self.declined(view.now, &pending.service) {
             return self.turned_down(view, ticket);
         }
-        if !ask.late && waited < wait::patience(ask, load) {
+        if !pending.late && waited < wait::queue_timeout(pending, load) {
             return None;
         }
-        let bearable = wait::endurance(ask, load);
-        let settled = ask.late || wait::urgent(ask);
+        let bearable = wait::late_timeout(pending, load);
+        let settled = pending.late || wait::urgent(pending);
         if settled && waited < bearable {
             return None;
         }
-        let late = Ask {
+        let late = Pending {
             late: true,
-            ..ask.clone()
+            ..pending.clone()
         };
         let wait = self.wait(view, &late);
         if !settled && waited + wait <= bearable {
@@ -66,15 +66,15 @@
         })
     }
 
-    // What becomes of a request for which only another cell might have had a place, and none had.
+    // What becomes of a request for which only another shard might have had a place, and none had.
     fn turned_down(&mut self, view: &View<'_>, ticket: Ticket) -> Option<Refusal> {
-        let ask = self.waiting.get_mut(&ticket)?;
-        ask.pressed = false;
-        let ask = ask.clone();
-        if self.on_time(view, &ask) {
+        let pending = self.waiting.get_mut(&ticket)?;
+        pending.pressed = false;
+        let pending = pending.clone();
+        if self.on_time(view, &pending) {
             return None;
         }
-        if let Err(refusal) = self.as_late(view, ask) {
+        if let Err(refusal) = self.as_late(view, pending) {
             return Some(refusal);
         }
         self.put_off(ticket);
@@ -83,14 +83,14 @@
 
     // Moves a request behind what can still be on time.
     fn put_off(&mut self, ticket: Ticket) {
-        let Some(ask) = self.waiting.get_mut(&ticket) else {
+        let Some(pending) = self.waiting.get_mut(&ticket) else {
             return;
         };
-        let Some(queue) = self.queues.get_mut(&ask.service) else {
+        let Some(queue) = self.queues.get_mut(&pending.service) else {
             return;
         };
-        queue.remove(place(ticket, ask));
-        ask.late = true;
-        queue.push(place(ticket, ask));
+        queue.remove(place(ticket, pending));
+        pending.late = true;
+        queue.push(place(ticket, pending));
     }
 }
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -1,8 +1,8 @@
-//! Places that cells lend to each other.
+//! Places that shards lend to each other.
 //!
-//! The load: a large fleet is cut into cells of some twenty places each. By chance one is full while
+//! The load: a large fleet is cut into shards of some twenty places each. By chance one is full while
 //! others are idle; its requests would wait, be late or be refused with places free elsewhere. So an
-//! instance whose request cannot start asks instances of other cells for a place. Whoever gives one
+//! instance whose request cannot start asks instances of other shards for a place. Whoever gives one
 //! counts it as taken until it is returned, so that no endpoint is given more than it runs at once.
 
 use std::sync::Arc;
@@ -10,11 +10,11 @@
 use super::Scheduler;
 use super::View;
 use super::starting::left;
-use crate::Ask;
 use crate::Endpoint;
 use crate::EndpointKey;
 use crate::Kind;
 use crate::Need;
+use crate::Pending;
 use crate::Rank;
 use crate::Route;
 use crate::Ticket;
@@ -22,29 +22,29 @@
 use crate::load::float;
 use crate::load::millis;
 use crate::message::PlaceNeed;
-use crate::placing::Want;
+use crate::placing::Query;
 use crate::report::short;
 use siskinyoke_base::Millis;
 
-/// How long a request waits before other cells are asked for a place.
+/// How long a request waits before other shards are asked for a place.
 ///
-/// Places of the own cell come free all the time, and reports of them take some ten milliseconds.
+/// Places of the own shard come free all the time, and reports of them take some ten milliseconds.
 const PAUSE: Millis = Millis(10);
 
-/// How often other cells are asked for a place for the same request.
+/// How often other shards are asked for a place for the same request.
 const AGAIN: Millis = Millis(40);
 
-/// How many requests other cells are asked for at a time.
+/// How many requests other shards are asked for at a time.
 const MOST: usize = 4;
 
-/// How long other cells are taken to have no place after those asked had none.
+/// How long other shards are taken to have no place after those asked had none.
 ///
 /// In a peak of the whole fleet all are full, and each question is for nothing.
 const DECLINED: Millis = Millis(100);
 
-/// The part of a cell's places that is kept for its own requests.
+/// The part of a shard's places that is kept for its own requests.
 ///
-/// Instances of one cell give places away at the same moment, before they hear of each other.
+/// Instances of one shard give places away at the same moment, before they hear of each other.
 const KEPT: u32 = 8;
 
 /// How much longer than expected a request may keep a place that was given to it, and what is added.
@@ -53,7 +53,7 @@
 const KEEPS: f64 = 3.0;
 const GRACE: Millis = Millis(1_000);
 
-/// A place that was given to another cell.
+/// A place that was given to another shard.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Loan {
     key: EndpointKey,
@@ -63,7 +63,7 @@
     until: Millis,
 }
 
-/// Whether other cells had a place for a service's request, and when they said so.
+/// Whether other shards had a place for a service's request, and when they said so.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LastAnswer {
     at: Millis,
@@ -71,7 +71,7 @@
 }
 
 impl Scheduler {
-    /// Returns requests that cannot start yet, with what to ask other cells for.
+    /// Returns requests that cannot start yet, with what to ask other shards for.
     pub fn needs(&mut self, now: Millis) -> Vec<(Ticket, Need)> {
         let open = self.queues.iter().filter(|row| !self.declined(now, row.0));
         let tickets = open.flat_map(|row| row.1.iter()).map(|place| place.2);
@@ -89,7 +89,7 @@
         needs
     }
 
-    /// Gives a place to a request of another cell, if there are some to spare.
+    /// Gives a place to a request of another shard, if there are some to spare.
     ///
     /// None are while requests wait here or at peers, and the last of them are kept.
     pub(crate) fn lend(
@@ -103,27 +103,27 @@
         if waits || view.peers.waiting(view.now, need.service).next().is_some() {
             return None;
         }
-        let rooms = self.free(view, &service);
+        let candidates = self.free(view, &service);
         let all: u32 = self.awake(view, &service).iter().map(|it| it.slots).sum();
-        if left(&rooms, false) <= all / KEPT + 1 {
+        if left(&candidates, false) <= all / KEPT + 1 {
             return None;
         }
         let load = self.load(&service);
-        let ask = guest(view.now, &service, need);
-        let want = Want {
+        let pending = guest(view.now, &service, need);
+        let query = Query {
             now: view.now,
-            ask: &ask,
+            pending: &pending,
             load: &load,
-            choosy: true,
+            can_wait: true,
         };
-        let at = self.placing.best(&want, &rooms, true)?;
-        let key = rooms[at].endpoint.key();
+        let at = self.placing.best(&query, &candidates, true)?;
+        let key = candidates[at].endpoint.key();
         let pace = self.placing.pace(key);
-        let stay = millis(float(load.stay_of(&ask.work)) * pace * KEEPS) + GRACE;
+        let stay = millis(float(load.stay_of(&pending.work)) * pace * KEEPS) + GRACE;
         let given = Loan {
             key,
-            prompt: ask.work.unread(),
-            reads: Some(view.now + millis(float(load.first_of(&ask.work)) * pace)),
+            prompt: pending.work.unread(),
+            reads: Some(view.now + millis(float(load.first_of(&pending.work)) * pace)),
             until: view.now + stay.min(Millis(u64::from(need.left))),
         };
         let busy = self.busy(key);
@@ -133,7 +133,7 @@
         Some(key)
     }
 
-    /// Takes a place back that was given to another cell.
+    /// Takes a place back that was given to another shard.
     pub fn returned(&mut self, id: u64) {
         let Some(loan) = self.loans.remove(&id) else {
             return;
@@ -162,70 +162,70 @@
         }
     }
 
-    /// Starts a waiting request at a place that another cell gave; returns whether it still waited.
+    /// Starts a waiting request at a place that another shard gave; returns whether it still waited.
     pub(crate) fn place_granted(
         &mut self,
         now: Millis,
         ticket: Ticket,
         endpoint: &Arc<Endpoint>,
     ) -> bool {
-        let Some(ask) = self.waiting.get(&ticket) else {
+        let Some(pending) = self.waiting.get(&ticket) else {
             return false;
         };
-        if ask.service != endpoint.service || ask.tried.contains(&endpoint.key()) {
+        if pending.service != endpoint.service || pending.tried.contains(&endpoint.key()) {
             return false;
         }
         let found = LastAnswer {
             at: now,
             found: true,
         };
-        self.answers.insert(ask.service.clone(), found);
+        self.answers.insert(pending.service.clone(), found);
         self.begin(now, ticket, endpoint, 0.0, false);
         true
     }
 
-    /// Takes note that the cells that were asked had no place for a request.
+    /// Takes note that the shards that were asked had no place for a request.
     pub fn place_declined(&mut self, now: Millis, ticket: Ticket) {
-        if let Some(ask) = self.waiting.get(&ticket) {
+        if let Some(pending) = self.waiting.get(&ticket) {
             let nothing = LastAnswer {
                 at: now,
                 found: false,
             };
-            self.answers.insert(ask.service.clone(), nothing);
+            self.answers.insert(pending.service.clone(), nothing);
         }
     }
 
-    // Whether other cells are to be asked for a place for a request now.
+    // Whether other shards are to be asked for a place for a request now.
     fn due(&self, now: Millis, ticket: Ticket) -> bool {
-        let ask = &self.waiting[&ticket];
+        let pending = &self.waiting[&ticket];
         let asked = self.asked.get(&ticket);
         let again = asked.is_none_or(|at| now.since(*at) >= AGAIN);
-        again && (ask.pressed || now.since(ask.arrived) >= PAUSE)
+        again && (pending.pressed || now.since(pending.arrived) >= PAUSE)
     }
 
-    // Whether other cells are taken to have no place.
+    // Whether other shards are taken to have no place.
     pub(super) fn declined(&self, now: Millis, service: &str) -> bool {
         let last = self.answers.get(service);
         last.is_some_and(|it| !it.found && now.since(it.at) < DECLINED)
     }
 }
 
-fn place_need(now: Millis, ask: &Ask) -> PlaceNeed {
+fn place_need(now: Millis, pending: &Pending) -> PlaceNeed {
     let small = |span: Millis| u32::try_from(span.0).unwrap_or(u32::MAX);
     PlaceNeed {
-        service: short(&ask.service),
-        stream: ask.route.kind == Kind::Stream,
-        prompt: ask.work.unread(),
-        output: ask.work.expected(),
-        aim: small(ask.route.aim),
-        gap: small(ask.route.gap),
-        waited: small(now.since(ask.arrived)),
-        left: small(ask.until.since(now)),
+        service: short(&pending.service),
+        stream: pending.route.kind == Kind::Stream,
+        prompt: pending.work.unread(),
+        output: pending.work.expected(),
+        aim: small(pending.route.aim),
+        gap: small(pending.route.gap),
+        waited: small(now.since(pending.arrived)),
+        left: small(pending.until.since(now)),
     }
 }
 
-// Another cell's request, as far as the choice of an endpoint needs it.
-fn guest(now: Millis, service: &Arc<str>, need: &PlaceNeed) -> Ask {
+// Another shard's request, as far as the choice of an endpoint needs it.
+fn guest(now: Millis, service: &Arc<str>, need: &PlaceNeed) -> Pending {
     let span = |ms: u32| Millis(u64::from(ms));
     let arrived = now.since(span(need.waited));
     let until = now + span(need.left);
@@ -246,12 +246,12 @@
         exempt: true,
         resumable: false,
     };
-    Ask {
+    Pending {
         service: service.clone(),
         route: Arc::new(route),
         rank: Rank::new(None, 0),
         arrived,
-        turn: arrived,
+        position: arrived,
         until,
         work: Work {
             prompt: f64::from(need.prompt),
--- a/crates/siskinyoke-dispatch/src/scheduler/pace.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/pace.rs
@@ -1,8 +1,8 @@
 //! What answers tell of their endpoints and of their service.
 
 use super::Scheduler;
-use crate::Ask;
 use crate::EndpointKey;
+use crate::Pending;
 use crate::load::float;
 use siskinyoke_base::Millis;
 
@@ -12,16 +12,16 @@
 const FEW: u32 = 4;
 
 impl Scheduler {
-    pub(super) fn saw_first(&mut self, key: EndpointKey, ask: &Ask, first: Millis) {
-        let load = self.loads.entry(ask.service.clone()).or_default();
-        self.placing.paced(key, first, load.first_of(&ask.work));
-        load.began(&ask.work, first);
+    pub(super) fn saw_first(&mut self, key: EndpointKey, pending: &Pending, first: Millis) {
+        let load = self.loads.entry(pending.service.clone()).or_default();
+        self.placing.paced(key, first, load.first_of(&pending.work));
+        load.began(&pending.work, first);
     }
 
     pub(super) fn saw_rest(
         &mut self,
         key: EndpointKey,
-        ask: &Ask,
+        pending: &Pending,
         rest: Millis,
         parts: u32,
         pause: Millis,
@@ -29,16 +29,16 @@
         if parts <= FEW {
             return;
         }
-        let load = self.loads.entry(ask.service.clone()).or_default();
+        let load = self.loads.entry(pending.service.clone()).or_default();
         self.placing.paced(key, rest, load.rest(f64::from(parts)));
-        self.placing.paused(key, pause > ask.route.gap);
+        self.placing.paused(key, pause > pending.route.gap);
         load.paused(float(pause) / self.placing.pace(key));
     }
 
     // The prompt of a request at an endpoint is read, or no longer to be read.
-    pub(super) fn read(&mut self, key: EndpointKey, ask: &Ask) {
+    pub(super) fn read(&mut self, key: EndpointKey, pending: &Pending) {
         if let Some(busy) = self.counts.get_mut(&key) {
-            busy.unread = busy.unread.saturating_sub(ask.work.unread());
+            busy.unread = busy.unread.saturating_sub(pending.work.unread());
         }
     }
 }
--- a/crates/siskinyoke-dispatch/src/scheduler/starting.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/starting.rs
@@ -9,9 +9,9 @@
 use super::place;
 use crate::Endpoint;
 use crate::Ticket;
-use crate::ask::Order;
-use crate::placing::Room;
-use crate::placing::Want;
+use crate::pending::Order;
+use crate::placing::Candidate;
+use crate::placing::Query;
 use crate::queue::Place;
 use crate::report::Waiting;
 use crate::report::short;
@@ -35,43 +35,44 @@
     ) {
         let now = view.now;
         let mut free = self.free(view, service);
-        let mut canaries = self.rooms(view, view.registry.canaries(service).iter());
-        let mut trial: u32 = canaries.iter().map(|room| room.left).sum();
+        let mut canaries = self.candidates(view, view.registry.canaries(service).iter());
+        let mut trial: u32 = canaries.iter().map(|candidate| candidate.left).sum();
         let mut spare: u32 = left(&free, false);
         let mut slow: u32 = left(&free, true);
         let load = self.load(service);
         let rows: Vec<Waiting> = view.peers.waiting(now, short(service)).collect();
         let waiting: Vec<Place> = self.queues[service].iter().collect();
-        for (order, turn, ticket) in waiting {
+        for (order, position, ticket) in waiting {
             // Peers' more urgent requests wait for endpoints of a usual pace, so slow ones are not left to
             // them.
-            let usual = spare > before(&rows, order, now.since(turn));
+            let usual = spare > before(&rows, order, now.since(position));
             if !usual && slow == 0 && trial == 0 {
                 break;
             }
-            let ask = &self.waiting[&ticket];
-            let want = Want {
+            let pending = &self.waiting[&ticket];
+            let query = Query {
                 now,
-                ask,
+                pending,
                 load: &load,
-                choosy: !ask.late && now < ask.arrived + wait::patience(ask, load),
+                can_wait: !pending.late
+                    && now < pending.arrived + wait::queue_timeout(pending, load),
             };
             // Where the version on trial has no slot, the standing one serves what was drawn for it.
-            let canary = ask
+            let canary = pending
                 .canary
-                .then(|| self.placing.best(&want, &canaries, true));
-            let (room, left, canary) = if let Some(at) = canary.flatten() {
+                .then(|| self.placing.best(&query, &canaries, true));
+            let (candidate, left, canary) = if let Some(at) = canary.flatten() {
                 (&mut canaries[at], &mut trial, true)
-            } else if let Some(at) = self.placing.best(&want, &free, usual) {
+            } else if let Some(at) = self.placing.best(&query, &free, usual) {
                 let slow = if free[at].slow { &mut slow } else { &mut spare };
                 (&mut free[at], slow, false)
             } else {
                 continue;
             };
-            let endpoint = room.endpoint.clone();
-            let behind = room.unread;
-            room.left -= 1;
-            room.unread += ask.work.prompt;
+            let endpoint = candidate.endpoint.clone();
+            let behind = candidate.unread;
+            candidate.left -= 1;
+            candidate.unread += pending.work.prompt;
             *left -= 1;
             self.begin(now, ticket, &endpoint, behind, canary);
             decisions.push(Decision::Start(ticket, endpoint));
@@ -79,16 +80,16 @@
     }
 
     // The endpoints with free places, as far as all instances' reports tell.
-    pub(super) fn free(&self, view: &View<'_>, service: &str) -> Vec<Room> {
-        self.rooms(view, view.registry.fit(service).iter())
+    pub(super) fn free(&self, view: &View<'_>, service: &str) -> Vec<Candidate> {
+        self.candidates(view, view.registry.fit(service).iter())
     }
 
     // Those of some endpoints that have free slots.
-    fn rooms<'a>(
+    fn candidates<'a>(
         &self,
         view: &View<'_>,
         endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
-    ) -> Vec<Room> {
+    ) -> Vec<Candidate> {
         let awake = endpoints.filter(|it| !self.placing.resting(view.now, it.key()));
         let awake: Vec<_> = awake.collect();
         if awake.is_empty() {
@@ -112,7 +113,7 @@
                     endpoint.slots
                 };
                 let left = places.saturating_sub(count + others);
-                (left > 0).then(|| Room {
+                (left > 0).then(|| Candidate {
                     endpoint: endpoint.clone(),
                     left,
                     unread: f64::from(ours) + f64::from(theirs),
@@ -138,20 +139,20 @@
         behind: f64,
         canary: bool,
     ) {
-        let Some(mut ask) = self.waiting.remove(&ticket) else {
+        let Some(mut pending) = self.waiting.remove(&ticket) else {
             return;
         };
-        if let Some(queue) = self.queues.get_mut(&ask.service) {
-            queue.remove(place(ticket, &ask));
+        if let Some(queue) = self.queues.get_mut(&pending.service) {
+            queue.remove(place(ticket, &pending));
         }
         let key = endpoint.key();
-        ask.tried.push(key);
-        ask.canary = canary;
+        pending.tried.push(key);
+        pending.canary = canary;
         let busy = self.busy(key);
         busy.count += 1;
-        busy.unread += ask.work.unread();
+        busy.unread += pending.work.unread();
         let running = Running {
-            ask,
+            pending,
             key,
             sent: now,
             behind,
@@ -161,9 +162,9 @@
     }
 }
 
-pub(super) fn left(rooms: &[Room], slow: bool) -> u32 {
-    let same = rooms.iter().filter(|room| room.slow == slow);
-    same.map(|room| room.left).sum()
+pub(super) fn left(candidates: &[Candidate], slow: bool) -> u32 {
+    let same = candidates.iter().filter(|candidate| candidate.slow == slow);
+    same.map(|candidate| candidate.left).sum()
 }
 
 // Counts the peers' requests that the next free places are for, before one of ours.
--- a/crates/siskinyoke-dispatch/src/scheduler/waits.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/waits.rs
@@ -4,7 +4,7 @@
 
 use super::Scheduler;
 use super::View;
-use crate::Ask;
+use crate::Pending;
 use crate::Reason;
 use crate::Refusal;
 use crate::forecast::Forecast;
@@ -20,56 +20,65 @@
 
 impl Scheduler {
     // When a request should come back for which there is expected to be a place after `wait`.
-    pub(super) fn back(&mut self, now: Millis, ask: &Ask, wait: Millis) -> Millis {
-        let peak = self.peaks.entry((ask.service.clone(), ask.rank));
-        let lasted = peak.or_default().refused(now);
-        wait::spread(wait.max(lasted).max(SOONEST), ask)
+    pub(super) fn back(&mut self, now: Millis, pending: &Pending, wait: Millis) -> Millis {
+        let window = self
+            .overloads
+            .entry((pending.service.clone(), pending.rank));
+        let lasted = window.or_default().refused(now);
+        wait::spread(wait.max(lasted).max(SOONEST), pending)
     }
 
     // Whether a request is expected to be on time, were it to join its queue now.
-    pub(super) fn on_time(&self, view: &View<'_>, ask: &Ask) -> bool {
-        self.wait(view, ask) <= wait::patience(ask, self.load(&ask.service))
+    pub(super) fn on_time(&self, view: &View<'_>, pending: &Pending) -> bool {
+        self.wait(view, pending) <= wait::queue_timeout(pending, self.load(&pending.service))
     }
 
     // Turns a request into one that is served late, or refuses it where that would take too long.
-    pub(super) fn as_late(&mut self, view: &View<'_>, ask: Ask) -> Result<Ask, Refusal> {
-        let ask = Ask { late: true, ..ask };
-        let wait = self.wait(view, &ask);
-        let bearable = wait::endurance(&ask, self.load(&ask.service));
+    pub(super) fn as_late(
+        &mut self,
+        view: &View<'_>,
+        pending: Pending,
+    ) -> Result<Pending, Refusal> {
+        let pending = Pending {
+            late: true,
+            ..pending
+        };
+        let wait = self.wait(view, &pending);
+        let bearable = wait::late_timeout(&pending, self.load(&pending.service));
         if wait <= bearable {
-            return Ok(ask);
+            return Ok(pending);
         }
         Err(Refusal {
             reason: Reason::Overload,
-            after: self.back(view.now, &ask, wait.since(bearable)),
+            after: self.back(view.now, &pending, wait.since(bearable)),
         })
     }
 
     // How long a request is expected to wait, were it to join its queue now.
-    pub(super) fn wait(&self, view: &View<'_>, ask: &Ask) -> Millis {
-        let ahead = self.ahead(view, ask);
-        self.forecast(view, ask).wait(ahead)
+    pub(super) fn wait(&self, view: &View<'_>, pending: &Pending) -> Millis {
+        let ahead = self.ahead(view, pending);
+        self.forecast(view, pending).wait(ahead)
     }
 
     // Sums up the work that goes before a request, here and at peers.
-    fn ahead(&self, view: &View<'_>, ask: &Ask) -> f64 {
-        let load = self.load(&ask.service);
-        let own = self.queues.get(&ask.service).into_iter();
+    fn ahead(&self, view: &View<'_>, pending: &Pending) -> f64 {
+        let load = self.load(&pending.service);
+        let own = self.queues.get(&pending.service).into_iter();
         let own = own.flat_map(Queue::iter);
-        let own = own.take_while(|place| (place.0, place.1) <= (ask.order(), ask.turn));
+        let own = own.take_while(|place| (place.0, place.1) <= (pending.order(), pending.position));
         let own: f64 = own
             .map(|place| float(load.stay_of(&self.waiting[&place.2].work)))
             .sum();
-        let others = view.peers.waiting(view.now, short(&ask.service));
-        let age = float(view.now.since(ask.turn));
-        own + others.map(|row| earlier(&row, ask, age)).sum::<f64>()
+        let others = view.peers.waiting(view.now, short(&pending.service));
+        let age = float(view.now.since(pending.position));
+        own + others.map(|row| earlier(&row, pending, age)).sum::<f64>()
     }
 
-    fn forecast(&self, view: &View<'_>, ask: &Ask) -> Forecast {
-        let awake = self.awake(view, &ask.service).into_iter();
+    fn forecast(&self, view: &View<'_>, pending: &Pending) -> Forecast {
+        let awake = self.awake(view, &pending.service).into_iter();
         let capacity = awake.map(|it| f64::from(it.slots) / self.placing.pace(it.key()));
-        let demand = self.demands.get(&ask.service);
-        let before = demand.map_or(0.0, |it| it.before(view.now, ask.rank, ask.late));
+        let demand = self.demands.get(&pending.service);
+        let before = demand.map_or(0.0, |it| it.before(view.now, pending.rank, pending.late));
         let instances = u32::try_from(view.peers.count(view.now)).unwrap_or(u32::MAX);
         Forecast {
             capacity: capacity.sum(),
@@ -80,10 +89,10 @@
 
 // The part of a peer's waiting work that goes before a request which has waited for so long. Nothing is
 // told of the rows in between, so their turns are taken to be evenly spread.
-fn earlier(row: &Waiting, ask: &Ask, age: f64) -> f64 {
+fn earlier(row: &Waiting, pending: &Pending, age: f64) -> f64 {
     let work = f64::from(row.work);
     let oldest = f64::from(row.oldest);
-    match row.order.cmp(&ask.order()) {
+    match row.order.cmp(&pending.order()) {
         Ordering::Less => work,
         Ordering::Equal if oldest > age => work * (oldest - age) / oldest,
         _ => 0.0,
--- a/crates/siskinyoke-dispatch/src/wait.rs
+++ b/crates/siskinyoke-dispatch/src/wait.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::Ask;
 use crate::Endpoint;
 use crate::Kind;
+use crate::Pending;
 use crate::load::Load;
 use crate::load::float;
 use crate::load::millis;
@@ -15,7 +15,7 @@
 ///
 /// Beyond it the answer would be late, and a late answer takes the place of one that could be on time. The
 /// tenth that is left covers what that time scatters by.
-const PATIENCE: f64 = 0.9;
+const ON_TIME_PART: f64 = 0.9;
 
 /// The part of a request's own time on an endpoint by which it stands behind shorter ones.
 ///
@@ -30,10 +30,10 @@
 ///
 /// Where more is asked for than there are places, short work first serves more callers in time; times on an
 /// endpoint differ a hundredfold.
-pub(crate) fn turn(ask: &Ask, load: Load) -> Millis {
-    let most = float(ask.route.aim) * START;
-    let behind = (float(load.stay_of(&ask.work)) * HEAD).min(most);
-    ask.arrived.since(millis(most - behind))
+pub(crate) fn position(pending: &Pending, load: Load) -> Millis {
+    let most = float(pending.route.aim) * START;
+    let behind = (float(load.stay_of(&pending.work)) * HEAD).min(most);
+    pending.arrived.since(millis(most - behind))
 }
 
 /// Returns how long a request may wait and still be of use.
@@ -41,44 +41,44 @@
 /// What lost its first endpoint is served even late, up to the time that its own run needs. All other work
 /// waits only as long as its answer can still be on time, whatever its rank: served first come first
 /// served, urgent work is all late in a peak.
-pub(crate) fn patience(ask: &Ask, load: Load) -> Millis {
-    let whole = longest(ask, load);
-    if urgent(ask) {
+pub(crate) fn queue_timeout(pending: &Pending, load: Load) -> Millis {
+    let whole = longest(pending, load);
+    if urgent(pending) {
         return whole;
     }
-    let run = if ask.route.kind == Kind::Stream {
-        load.first_of(&ask.work)
+    let run = if pending.route.kind == Kind::Stream {
+        load.first_of(&pending.work)
     } else {
         load.stay()
     };
-    let slack = ask.route.aim.since(run).as_secs() * 1000.0 * PATIENCE;
+    let slack = pending.route.aim.since(run).as_secs() * 1000.0 * ON_TIME_PART;
     whole.min(millis(slack))
 }
 
 /// Returns how long a request may wait whose answer will be late: half of its time, so that its
 /// caller has the other half to come back in.
-pub(crate) fn endurance(ask: &Ask, load: Load) -> Millis {
-    Millis(ask.until.since(ask.arrived).0 / 2).min(longest(ask, load))
+pub(crate) fn late_timeout(pending: &Pending, load: Load) -> Millis {
+    Millis(pending.until.since(pending.arrived).0 / 2).min(longest(pending, load))
 }
 
 // The longest wait after which the caller is still there for the answer.
-pub(crate) fn longest(ask: &Ask, load: Load) -> Millis {
-    let whole = ask.until.since(ask.arrived).since(load.stay());
-    whole.min(ask.route.bearable().since(load.first_of(&ask.work)))
+pub(crate) fn longest(pending: &Pending, load: Load) -> Millis {
+    let whole = pending.until.since(pending.arrived).since(load.stay());
+    whole.min(pending.route.bearable().since(load.first_of(&pending.work)))
 }
 
 // Whether every endpoint that could take a request was tried for it: no wait can help then.
-pub(crate) fn spent(ask: &Ask, fit: &[Arc<Endpoint>]) -> bool {
-    !ask.tried.is_empty() && fit.iter().all(|it| ask.tried.contains(&it.key()))
+pub(crate) fn spent(pending: &Pending, fit: &[Arc<Endpoint>]) -> bool {
+    !pending.tried.is_empty() && fit.iter().all(|it| pending.tried.contains(&it.key()))
 }
 
 // Whether a request waits as long as its caller does: one that lost its endpoint has waited before.
-pub(crate) fn urgent(ask: &Ask) -> bool {
-    !ask.tried.is_empty()
+pub(crate) fn urgent(pending: &Pending) -> bool {
+    !pending.tried.is_empty()
 }
 
 // Spreads returns over half as much time again, so that callers refused together do not return
 // together.
-pub(crate) fn spread(after: Millis, ask: &Ask) -> Millis {
-    after + Millis(after.0 * (ask.fingerprint % 64) / 128)
+pub(crate) fn spread(after: Millis, pending: &Pending) -> Millis {
+    after + Millis(after.0 * (pending.fingerprint % 64) / 128)
 }
--- a/crates/siskinyoke-dispatch/src/watchers.rs
+++ b/crates/siskinyoke-dispatch/src/watchers.rs
@@ -1,8 +1,8 @@
-//! Which instance of a cell watches the store for the others.
+//! Which instance of a shard watches the store for the others.
 //!
 //! The load: each change of the store ends every watch that waits, so that calls grow with instances
 //! times changes; a rolling replacement of a hundred endpoints costs three hundred instances thirty
-//! thousand calls. So one instance of a cell watches and the others take what it heard from it.
+//! thousand calls. So one instance of a shard watches and the others take what it heard from it.
 //!
 //! There is no election. Every instance applies one rule to the reports that it hears: the first by
 //! hash, among itself and those that are heard and reach the store, watches. Whoever follows, follows
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 
 use siskinyoke_base::Millis;
-use siskinyoke_dispatch::Ask;
 use siskinyoke_dispatch::Configuration;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Decision;
@@ -15,6 +14,7 @@
 use siskinyoke_dispatch::Limits;
 use siskinyoke_dispatch::Organisation;
 use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::Pending;
 use siskinyoke_dispatch::Rank;
 use siskinyoke_dispatch::Report;
 use siskinyoke_dispatch::Route;
@@ -51,13 +51,13 @@
     }
 }
 
-pub fn ask(kind: Kind, priority: u8, arrived: u64) -> Ask {
+pub fn pending(kind: Kind, priority: u8, arrived: u64) -> Pending {
     let route = route(kind, priority);
-    Ask {
+    Pending {
         service: "lm".into(),
         rank: Rank::new(None, priority),
         arrived: Millis(arrived),
-        turn: Millis(arrived),
+        position: Millis(arrived),
         until: Millis(arrived) + route.timeout,
         route: Arc::new(route),
         work: Work::default(),
@@ -215,7 +215,7 @@
         name: name.to_owned(),
         place: place(name, centre),
         leavers: Vec::new(),
-        suspects: Vec::new(),
+        quarantine: Vec::new(),
         peers: Vec::new(),
     }
 }
--- a/crates/siskinyoke-dispatch/tests/following/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet.rs
@@ -22,7 +22,7 @@
 const STABLE: u64 = 4_000;
 const BOUND: u64 = 3_000;
 
-/// As in the gateway: how often whole reports go out and other ones, and how many go to other cells.
+/// As in the gateway: how often whole reports go out and other ones, and how many go to other shards.
 const WHOLE: u64 = 500;
 const BEAT: u64 = 100;
 const OTHERS: usize = 3;
@@ -322,11 +322,11 @@
         let whole = (self.now + 10 * at as u64).is_multiple_of(WHOLE);
         let report = self.nodes[at].core.report(Millis(self.now), whole);
         let listed = self.nodes[at].core.listed();
-        let (mates, others): (Vec<_>, Vec<_>) = listed.partition(|row| row.1);
-        let mates: Vec<usize> = mates.iter().map(|row| number(row.0)).collect();
+        let (members, others): (Vec<_>, Vec<_>) = listed.partition(|row| row.1);
+        let members: Vec<usize> = members.iter().map(|row| number(row.0)).collect();
         let others: Vec<usize> = others.iter().map(|row| number(row.0)).collect();
         let some = others.choose_multiple(&mut self.rng, OTHERS).copied();
-        let to: Vec<usize> = mates.into_iter().chain(some.filter(|_| whole)).collect();
+        let to: Vec<usize> = members.into_iter().chain(some.filter(|_| whole)).collect();
         for to in to {
             let lost = self.trouble == Trouble::Wild && self.rng.random_bool(0.05);
             if lost || self.cut(at, to) {
--- a/crates/siskinyoke-dispatch/tests/histories/world.rs
+++ b/crates/siskinyoke-dispatch/tests/histories/world.rs
@@ -31,7 +31,7 @@
 const STEP: u64 = 10;
 
 /// How long callers wait.
-const PATIENCE: u64 = 5_000;
+const ON_TIME_PART: u64 = 5_000;
 
 /// The work that crashes endpoints.
 const POISON: u64 = 666;
@@ -285,7 +285,7 @@
     }
 
     fn arrive(&mut self) {
-        if self.now + PATIENCE + 1_000 > LENGTH {
+        if self.now + ON_TIME_PART + 1_000 > LENGTH {
             return;
         }
         // Eight places and some 220 ms of work: 0.36 in a step fill them.
@@ -309,7 +309,7 @@
         let now = Millis(self.now);
         let number = self.jobs.len();
         let wanted = Request {
-            deadline: Some(Millis(self.rng.random_range(500..=PATIENCE))),
+            deadline: Some(Millis(self.rng.random_range(500..=ON_TIME_PART))),
             ..request(path)
         };
         let core = &mut self.cores[instance];
--- a/crates/siskinyoke-dispatch/tests/lending.rs
+++ b/crates/siskinyoke-dispatch/tests/lending.rs
@@ -40,7 +40,7 @@
 use siskinyoke_dispatch::message::PlaceNeed;
 use siskinyoke_dispatch::message::UnitsNeed;
 
-/// An allowance of some twenty requests a second, which eight cells share.
+/// An allowance of some twenty requests a second, which eight shards share.
 const RATE: f64 = 45_000.0;
 
 /// As in the gateway: how many instances are asked at once.
@@ -69,14 +69,14 @@
     lent: Option<(usize, u64)>,
 }
 
-/// A fleet of cells, all well and all heard in their cell.
+/// A fleet of shards, all well and all heard in their shard.
 struct Fleet {
     rng: ChaCha8Rng,
     now: u64,
     cores: Vec<Core>,
-    /// The other instances of each one's cell.
-    mates: Vec<Vec<usize>>,
-    /// Whether cells lend to each other.
+    /// The other instances of each one's shard.
+    members: Vec<Vec<usize>>,
+    /// Whether shards lend to each other.
     lends: bool,
     granted: Vec<(u64, f64)>,
     refused: f64,
@@ -101,14 +101,14 @@
             core
         };
         let cores: Vec<Core> = (0..size).map(make).collect();
-        let mates = cores.iter().map(|core| {
-            let mates = core.listed().filter(|row| row.1);
-            mates.map(|row| number(row.0)).collect()
+        let members = cores.iter().map(|core| {
+            let members = core.listed().filter(|row| row.1);
+            members.map(|row| number(row.0)).collect()
         });
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
-            mates: mates.collect(),
+            members: members.collect(),
             cores,
             lends,
             granted: Vec::new(),
@@ -127,23 +127,23 @@
             reports.push(core.report(now, true));
         }
         for (at, core) in self.cores.iter_mut().enumerate() {
-            for mate in &self.mates[at] {
-                core.heard(now, reports[*mate].clone());
+            for in_shard in &self.members[at] {
+                core.heard(now, reports[*in_shard].clone());
             }
         }
     }
 
     fn others(&mut self, at: usize, count: usize) -> Vec<usize> {
-        let cells = self.cores[at].other_cells();
-        let some: Vec<_> = cells.choose_multiple(&mut self.rng, count).collect();
+        let shards = self.cores[at].other_shards();
+        let some: Vec<_> = shards.choose_multiple(&mut self.rng, count).collect();
         let places = some
             .into_iter()
-            .filter_map(|cell| cell.choose(&mut self.rng));
+            .filter_map(|shard| shard.choose(&mut self.rng));
         places.map(|it| number(it)).collect()
     }
 
-    // Asks for an allowance, as the gateway does: the own cell first, then some instances of others.
-    fn ask(&mut self, at: usize, units: u64) {
+    // Asks for an allowance, as the gateway does: the own shard first, then some instances of others.
+    fn pending(&mut self, at: usize, units: u64) {
         let now = Millis(self.now);
         let wanted = Request {
             tokens: Some((units, 0)),
@@ -194,7 +194,7 @@
             while due > 0.0 && self.rng.random_bool(due.min(1.0)) {
                 let at = self.rng.random_range(0..self.cores.len());
                 let units = law.sample(&mut self.rng).clamp(50.0, 30_000.0);
-                self.ask(at, units as u64);
+                self.pending(at, units as u64);
                 due -= 1.0;
             }
         }
@@ -358,13 +358,13 @@
         good as f64 / self.over.len() as f64
     }
 
-    // The instances of the cell of the first one.
-    fn cell(&self) -> Vec<usize> {
-        self.mates[0].iter().copied().chain([0]).collect()
+    // The instances of the shard of the first one.
+    fn shard(&self) -> Vec<usize> {
+        self.members[0].iter().copied().chain([0]).collect()
     }
 }
 
-// An organisation uses six tenths of its allowance, evenly over a fleet of many cells. Each cell fills a small part
+// An organisation uses six tenths of its allowance, evenly over a fleet of many shards. Each shard fills a small part
 // of the bucket; by chance, or after one large request, it is empty, and requests are refused that the organisation
 // has a right to. Refused without lending: 0.044 of the units.
 #[test]
@@ -378,8 +378,8 @@
     }
 }
 
-// Every instance asks for far more than the organisation may use, and all cells for each other's units. Units that
-// two cells granted would go beyond what the operators allow.
+// Every instance asks for far more than the organisation may use, and all shards for each other's units. Units that
+// two shards granted would go beyond what the operators allow.
 #[test]
 fn what_is_lent_is_not_granted_twice() {
     let mut fleet = Fleet::new(1, 64, 16, true);
@@ -390,13 +390,13 @@
     assert!(most >= allowed * 0.7, "{most} of {allowed}");
 }
 
-// Callers happen to come to one cell, which has too few places for them; the other cells are idle. Without lending
+// Callers happen to come to one shard, which has too few places for them; the other shards are idle. Without lending
 // 0.47 of these requests start within a fifth of a second.
 #[test]
-fn one_full_cell_uses_the_places_of_idle_ones() {
+fn one_full_shard_uses_the_places_of_idle_ones() {
     let played = |lends| {
         let mut fleet = Fleet::new(1, 24, 20, lends);
-        let full = fleet.cell();
+        let full = fleet.shard();
         fleet.warm_up();
         fleet.serve(10_000, &full, 220.0);
         (fleet.prompt(200), fleet.most)
@@ -407,10 +407,10 @@
     assert!(lending_most <= alone_most, "{lending_most} at one endpoint");
 }
 
-// All cells are full. Places that one lends are wanted there too, and requests that no cell has a place for must
+// All shards are full. Places that one lends are wanted there too, and requests that no shard has a place for must
 // not be held in vain.
 #[test]
-fn where_all_cells_are_full_lending_serves_no_fewer_and_holds_nobody() {
+fn where_all_shards_are_full_lending_serves_no_fewer_and_holds_nobody() {
     let played = |lends| {
         let mut fleet = Fleet::new(1, 24, 20, lends);
         let all: Vec<usize> = (0..24).collect();
@@ -420,7 +420,7 @@
     };
     let (alone, lending) = (played(false), played(true));
     let served = |fleet: &Fleet| fleet.over.iter().filter(|job| !job.refused).count();
-    assert!(served(&alone) * 5 < alone.over.len() * 4, "no peak");
+    assert!(served(&alone) * 5 < alone.over.len() * 4, "no window");
     assert!(served(&lending) * 100 >= served(&alone) * 97);
     let held = |fleet: &Fleet| fleet.over.iter().map(|job| job.held).max();
     assert!(held(&lending) <= held(&alone), "{:?}", held(&lending));
--- a/crates/siskinyoke-dispatch/tests/load/main.rs
+++ b/crates/siskinyoke-dispatch/tests/load/main.rs
@@ -46,10 +46,10 @@
     matches!(job.end, End::InTime | End::LateFirst | End::LatePause)
 }
 
-fn played(seed: u64, peak: f64) -> World {
+fn played(seed: u64, window: f64) -> World {
     let mut world = World::new(seed, &CLASSES, &PACES);
     world.play(5_000, 1.0);
-    world.play(15_000, peak);
+    world.play(15_000, window);
     world.play(15_000, 0.0);
     world
 }
@@ -136,7 +136,7 @@
             .iter()
             .filter(|job| job.end == End::Refused)
             .collect();
-        assert!(refused.len() > 20, "seed {seed}: no peak");
+        assert!(refused.len() > 20, "seed {seed}: no window");
         let held = refused.iter().filter(|job| job.held > 800).count();
         assert!(
             held * 10 <= refused.len(),
--- a/crates/siskinyoke-dispatch/tests/load/world.rs
+++ b/crates/siskinyoke-dispatch/tests/load/world.rs
@@ -8,10 +8,10 @@
 use rand_distr::Distribution;
 use rand_distr::LogNormal;
 
-use crate::common::ask;
 use crate::common::endpoint;
 use crate::common::identity;
 use crate::common::organisation;
+use crate::common::pending;
 use crate::common::place;
 use crate::common::route;
 use crate::engine::Engine;
@@ -299,7 +299,7 @@
                 let Some(ticket) = job.ticket else { continue };
                 let core = &mut self.cores[job.instance];
                 let silence = self.now - sent as u64;
-                let limit = core.scheduler().silence(ticket);
+                let limit = core.scheduler().stall_timeout(ticket);
                 if silence < limit.0 || !core.spare(Millis(self.now), ticket) {
                     continue;
                 }
@@ -323,7 +323,7 @@
 fn configuration(classes: &[Class]) -> Configuration {
     let mut configuration = crate::common::configuration(1, organisation(0.0, 0.0));
     for (at, class) in classes.iter().enumerate() {
-        let model = ask(Kind::Stream, class.priority, 0).route;
+        let model = pending(Kind::Stream, class.priority, 0).route;
         let route = Route {
             name: format!("{at}").into(),
             prefix: format!("/{at}/").into(),
--- a/crates/siskinyoke-dispatch/tests/placing.rs
+++ b/crates/siskinyoke-dispatch/tests/placing.rs
@@ -4,24 +4,24 @@
 
 use std::sync::Arc;
 
-use crate::common::ask;
 use crate::common::busy;
 use crate::common::done;
 use crate::common::endpoint;
+use crate::common::pending;
 use siskinyoke_base::Millis;
-use siskinyoke_dispatch::Ask;
 use siskinyoke_dispatch::Decision;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Kind;
 use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::Pending;
 use siskinyoke_dispatch::Scheduler;
 use siskinyoke_dispatch::Ticket;
 use siskinyoke_dispatch::Work;
 use siskinyoke_dispatch::load::Load;
 use siskinyoke_dispatch::peers::Peers;
+use siskinyoke_dispatch::placing::Candidate;
 use siskinyoke_dispatch::placing::Placing;
-use siskinyoke_dispatch::placing::Room;
-use siskinyoke_dispatch::placing::Want;
+use siskinyoke_dispatch::placing::Query;
 use siskinyoke_dispatch::registry::Registry;
 use siskinyoke_dispatch::report::Busy;
 
@@ -57,9 +57,11 @@
         world
     }
 
-    fn admit(&mut self, ask: Ask) -> Ticket {
-        let now = ask.arrived;
-        let admitted = self.scheduler.admit(now, ask, &self.registry, &self.peers);
+    fn admit(&mut self, pending: Pending) -> Ticket {
+        let now = pending.arrived;
+        let admitted = self
+            .scheduler
+            .admit(now, pending, &self.registry, &self.peers);
         admitted.expect("it may wait")
     }
 
@@ -75,10 +77,10 @@
     }
 }
 
-fn stream(at: u64, prompt: f64, output: f64) -> Ask {
-    Ask {
+fn stream(at: u64, prompt: f64, output: f64) -> Pending {
+    Pending {
         work: Work { prompt, output },
-        ..ask(Kind::Stream, 0, at)
+        ..pending(Kind::Stream, 0, at)
     }
 }
 
@@ -140,7 +142,7 @@
     for at in 0..1_000 {
         let now = Millis(START + at * 10);
         if at % 30 == 0 {
-            world.admit(ask(Kind::Safe, 1, now.0));
+            world.admit(pending(Kind::Safe, 1, now.0));
         }
         let decisions = world.scheduler.decide(now, &world.registry, &world.peers);
         told.extend(decisions.into_iter().filter_map(|it| match it {
@@ -202,15 +204,15 @@
 #[test]
 fn a_stream_passes_by_an_endpoint_whose_streams_paused_lately() {
     let load = Load::default();
-    let ask = stream(0, 100.0, 60.0);
-    let want = Want {
+    let pending = stream(0, 100.0, 60.0);
+    let query = Query {
         now: Millis(0),
-        ask: &ask,
+        pending: &pending,
         load: &load,
-        choosy: true,
+        can_wait: true,
     };
     let slow = Arc::new(endpoint("slow", 12));
-    let rooms = [Room {
+    let candidates = [Candidate {
         endpoint: slow.clone(),
         left: 12,
         unread: 0.0,
@@ -218,16 +220,16 @@
         fastest: 1.0,
     }];
     let mut placing = Placing::new("me", "a");
-    assert_eq!(placing.best(&want, &rooms, true), Some(0));
+    assert_eq!(placing.best(&query, &candidates, true), Some(0));
     for _ in 0..10 {
         placing.paused(slow.key(), true);
     }
-    assert_eq!(placing.best(&want, &rooms, true), None);
-    let late = Want {
-        choosy: false,
-        ..want
+    assert_eq!(placing.best(&query, &candidates, true), None);
+    let late = Query {
+        can_wait: false,
+        ..query
     };
-    assert_eq!(placing.best(&late, &rooms, true), Some(0));
+    assert_eq!(placing.best(&late, &candidates, true), Some(0));
 }
 
 // A prompt of 6,000 tokens at a slow endpoint holds up all who are served there; an empty one holds up nobody.
@@ -245,12 +247,12 @@
     }
     assert!(load.stall(1_000.0) < load.stall(5_000.0));
     assert!(load.stall(50_000.0) <= 110.0);
-    let ask = stream(0, 8_000.0, 20.0);
-    let want = Want {
+    let pending = stream(0, 8_000.0, 20.0);
+    let query = Query {
         now: Millis(0),
-        ask: &ask,
+        pending: &pending,
         load: &load,
-        choosy: false,
+        can_wait: false,
     };
     let mut placing = Placing::new("me", "a");
     let slow = Arc::new(endpoint("slow", 12));
@@ -258,8 +260,8 @@
         pace: SLOW,
         ..busy("slow", 0)
     }]);
-    let room = |left| {
-        [Room {
+    let candidate = |left| {
+        [Candidate {
             endpoint: slow.clone(),
             left,
             unread: 0.0,
@@ -267,8 +269,8 @@
             fastest: 1.0,
         }]
     };
-    assert_eq!(placing.best(&want, &room(4), true), None);
-    assert_eq!(placing.best(&want, &room(12), true), Some(0));
+    assert_eq!(placing.best(&query, &candidate(4), true), None);
+    assert_eq!(placing.best(&query, &candidate(12), true), Some(0));
 }
 
 // A long answer goes to an endpoint that is a little slower than usual, and its caller leaves before it is whole. At a
@@ -276,19 +278,22 @@
 #[test]
 fn a_long_answer_waits_for_an_endpoint_that_is_fast_enough() {
     let load = Load::default();
-    let ask = stream(0, 100.0, 1_500.0);
-    let whole = load.stay_of(&ask.work);
+    let pending = stream(0, 100.0, 1_500.0);
+    let whole = load.stay_of(&pending.work);
     let left = Millis(whole.0 * 3 / 2);
-    let ask = Ask { until: left, ..ask };
-    let want = Want {
+    let pending = Pending {
+        until: left,
+        ..pending
+    };
+    let query = Query {
         now: Millis(0),
-        ask: &ask,
+        pending: &pending,
         load: &load,
-        choosy: true,
+        can_wait: true,
     };
     let placing = Placing::new("me", "a");
-    let rooms = |fastest| {
-        [Room {
+    let candidates = |fastest| {
+        [Candidate {
             endpoint: Arc::new(endpoint("usual", 6)),
             left: 6,
             unread: 0.0,
@@ -297,30 +302,30 @@
         }]
     };
     assert_eq!(
-        placing.best(&want, &rooms(1.0), true),
+        placing.best(&query, &candidates(1.0), true),
         Some(0),
         "enough time"
     );
-    let short = Ask {
+    let short = Pending {
         until: Millis(left.0 - 100),
-        ..ask.clone()
+        ..pending.clone()
     };
-    let want = Want {
-        ask: &short,
-        ..want
+    let query = Query {
+        pending: &short,
+        ..query
     };
-    assert_eq!(placing.best(&want, &rooms(0.5), true), None);
+    assert_eq!(placing.best(&query, &candidates(0.5), true), None);
     assert_eq!(
-        placing.best(&want, &rooms(1.0), true),
+        placing.best(&query, &candidates(1.0), true),
         Some(0),
         "none is faster"
     );
-    let late = Want {
-        choosy: false,
-        ..want
+    let late = Query {
+        can_wait: false,
+        ..query
     };
     assert_eq!(
-        placing.best(&late, &rooms(0.5), true),
+        placing.best(&late, &candidates(0.5), true),
         Some(0),
         "it cannot wait"
     );
--- a/crates/siskinyoke-dispatch/tests/rollouts/world.rs
+++ b/crates/siskinyoke-dispatch/tests/rollouts/world.rs
@@ -278,12 +278,12 @@
         for _ in 0..count {
             let at = self.rng.random_range(0..self.nodes.len());
             if self.nodes[at].down <= self.now {
-                self.ask(at);
+                self.pending(at);
             }
         }
     }
 
-    fn ask(&mut self, at: usize) {
+    fn pending(&mut self, at: usize) {
         let now = Millis(self.now);
         let path = if self.rng.random_bool(0.1) {
             "/unsafe/x"
--- a/crates/siskinyoke-dispatch/tests/scheduler.rs
+++ b/crates/siskinyoke-dispatch/tests/scheduler.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use crate::common::ask;
 use crate::common::busy;
 use crate::common::core;
 use crate::common::done;
 use crate::common::endpoint;
+use crate::common::pending;
 use crate::common::report;
 use crate::common::request;
 use crate::common::starts;
@@ -17,8 +17,8 @@
 use siskinyoke_dispatch::Reason;
 use siskinyoke_dispatch::Scheduler;
 use siskinyoke_dispatch::Ticket;
-use siskinyoke_dispatch::ask::Order;
 use siskinyoke_dispatch::peers::Peers;
+use siskinyoke_dispatch::pending::Order;
 use siskinyoke_dispatch::registry::Registry;
 use siskinyoke_dispatch::report::Waiting;
 use siskinyoke_dispatch::report::short;
@@ -47,8 +47,10 @@
     let peers = Peers::default();
     let mut scheduler = Scheduler::new("me", "a");
     let mut admit = |priority, at| {
-        let ask = ask(Kind::Safe, priority, at);
-        scheduler.admit(Millis(at), ask, &registry, &peers).unwrap()
+        let pending = pending(Kind::Safe, priority, at);
+        scheduler
+            .admit(Millis(at), pending, &registry, &peers)
+            .unwrap()
     };
     let late = admit(2, 0);
     let urgent = admit(0, 2);
@@ -73,7 +75,7 @@
     peers.heard(Millis(0), told);
     for at in 0..3 {
         scheduler
-            .admit(Millis(at), ask(Kind::Safe, 0, at), &registry, &peers)
+            .admit(Millis(at), pending(Kind::Safe, 0, at), &registry, &peers)
             .unwrap();
     }
     assert_eq!(starts(&scheduler.decide(Millis(3), &registry, &peers)), 1);
@@ -98,7 +100,7 @@
     peers.heard(Millis(0), told);
     let mut scheduler = Scheduler::new("me", "a");
     scheduler
-        .admit(Millis(0), ask(Kind::Safe, 1, 0), &registry, &peers)
+        .admit(Millis(0), pending(Kind::Safe, 1, 0), &registry, &peers)
         .unwrap();
     assert_eq!(starts(&scheduler.decide(Millis(1), &registry, &peers)), 0);
     // The peer does not take it; a place is not kept for a silent one for long.
@@ -113,7 +115,7 @@
     let refusal = (0..50)
         .find_map(|at| {
             scheduler
-                .admit(Millis(at), ask(Kind::Safe, 1, at), &registry, &peers)
+                .admit(Millis(at), pending(Kind::Safe, 1, at), &registry, &peers)
                 .err()
         })
         .expect("a long queue refuses");
@@ -122,7 +124,7 @@
     // The most urgent work is let in all the same.
     assert!(
         scheduler
-            .admit(Millis(60), ask(Kind::Safe, 0, 60), &registry, &peers)
+            .admit(Millis(60), pending(Kind::Safe, 0, 60), &registry, &peers)
             .is_ok()
     );
 }
@@ -136,15 +138,15 @@
     let peers = Peers::default();
     let mut scheduler = Scheduler::new("me", "a");
     let runs = scheduler
-        .admit(Millis(0), ask(Kind::Safe, 0, 0), &registry, &peers)
+        .admit(Millis(0), pending(Kind::Safe, 0, 0), &registry, &peers)
         .unwrap();
     let late = scheduler
-        .admit(Millis(0), ask(Kind::Safe, 1, 0), &registry, &peers)
+        .admit(Millis(0), pending(Kind::Safe, 1, 0), &registry, &peers)
         .unwrap();
     scheduler.decide(Millis(1), &registry, &peers);
     assert!(scheduler.decide(Millis(600), &registry, &peers).is_empty());
     let fresh = scheduler
-        .admit(Millis(601), ask(Kind::Safe, 1, 601), &registry, &peers)
+        .admit(Millis(601), pending(Kind::Safe, 1, 601), &registry, &peers)
         .unwrap();
     scheduler.ended(Millis(602), runs, done());
     assert_eq!(
@@ -295,8 +297,10 @@
     let mut scheduler = Scheduler::new("me", "a");
     let tickets: Vec<Ticket> = (0..12)
         .map(|at| {
-            let ask = ask(Kind::Safe, 0, at);
-            scheduler.admit(Millis(at), ask, &registry, &peers).unwrap()
+            let pending = pending(Kind::Safe, 0, at);
+            scheduler
+                .admit(Millis(at), pending, &registry, &peers)
+                .unwrap()
         })
         .collect();
     assert_eq!(starts(&scheduler.decide(Millis(20), &registry, &peers)), 3);
@@ -306,8 +310,8 @@
     let mut other = Scheduler::new("me", "a");
     other.heard(&[busy("e", 1)]);
     for at in 0..12 {
-        let ask = ask(Kind::Safe, 0, at);
-        other.admit(Millis(at), ask, &registry, &peers).unwrap();
+        let pending = pending(Kind::Safe, 0, at);
+        other.admit(Millis(at), pending, &registry, &peers).unwrap();
     }
     assert_eq!(starts(&other.decide(Millis(20), &registry, &peers)), 12);
 }
--- a/crates/siskinyoke-dispatch/tests/cells.rs
+++ b/crates/siskinyoke-dispatch/tests/shards.rs
@@ -11,8 +11,8 @@
 use crate::common::report;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
-use siskinyoke_dispatch::cells;
 use siskinyoke_dispatch::registry::Registry;
+use siskinyoke_dispatch::shards;
 
 fn members(count: usize) -> Vec<(String, String)> {
     (0..count)
@@ -20,45 +20,45 @@
         .collect()
 }
 
-// Assigns so many endpoints of four data centres to cells of so many instances each.
-fn assigned(count: usize, cells: &[usize]) -> BTreeMap<String, usize> {
+// Assigns so many endpoints of four data centres to shards of so many instances each.
+fn assigned(count: usize, shards: &[usize]) -> BTreeMap<String, usize> {
     let members = members(count);
     let rows: Vec<_> = members.iter().map(|it| (&*it.0, &*it.1)).collect();
-    let assigned = cells::assign(&rows, cells);
+    let assigned = shards::assign(&rows, shards);
     assigned
         .into_iter()
-        .map(|(name, cell)| (name.to_owned(), cell))
+        .map(|(name, shard)| (name.to_owned(), shard))
         .collect()
 }
 
 #[test]
-fn a_small_fleet_is_one_cell_and_a_large_one_is_cut() {
-    let counts = [8, 11, 12, 30, 68, 75, 300].map(cells::count);
+fn a_small_fleet_is_one_shard_and_a_large_one_is_cut() {
+    let counts = [8, 11, 12, 30, 68, 75, 300].map(shards::count);
     assert_eq!(counts, [1, 1, 2, 4, 8, 8, 32]);
 }
 
 #[test]
-fn cells_get_endpoints_in_proportion_to_their_instances() {
-    let cells = [9, 12, 3, 8, 10, 6, 9, 11];
-    let assigned = assigned(89, &cells);
+fn shards_get_endpoints_in_proportion_to_their_instances() {
+    let shards = [9, 12, 3, 8, 10, 6, 9, 11];
+    let assigned = assigned(89, &shards);
     assert_eq!(assigned.len(), 89);
-    for (cell, size) in cells.iter().enumerate() {
-        let got = assigned.values().filter(|it| **it == cell).count();
+    for (shard, size) in shards.iter().enumerate() {
+        let got = assigned.values().filter(|it| **it == shard).count();
         let due = 89 * size / 68;
         assert!(got <= due + 1 && got >= due, "{got} of {due}");
     }
 }
 
-// Instances restart one after the other. If each restart moved endpoints between cells, nobody
+// Instances restart one after the other. If each restart moved endpoints between shards, nobody
 // would know what runs where, and endpoints would be given too much.
 #[test]
 fn an_endpoint_that_goes_moves_few_others() {
-    let cells = [9; 8];
-    let before = assigned(89, &cells);
-    let after = assigned(88, &cells);
+    let shards = [9; 8];
+    let before = assigned(89, &shards);
+    let after = assigned(88, &shards);
     let moved = after
         .iter()
-        .filter(|(name, cell)| before[*name] != **cell)
+        .filter(|(name, shard)| before[*name] != **shard)
         .count();
     assert!(moved <= 88 / 8, "{moved}");
 }
@@ -97,11 +97,11 @@
 }
 
 #[test]
-fn every_endpoint_belongs_to_some_cell_and_none_is_given_more_than_it_runs() {
+fn every_endpoint_belongs_to_some_shard_and_none_is_given_more_than_it_runs() {
     for count in [2, 4, 15, 89] {
         let mut seen = BTreeSet::new();
         let mut given = 0;
-        for cell in 0..8 {
+        for shard in 0..8 {
             let mut registry = Registry::default();
             for at in 0..count {
                 let id = format!("e{at}");
@@ -113,13 +113,13 @@
                     },
                 );
             }
-            registry.settle(cell, vec![9; 8]);
+            registry.settle(shard, vec![9; 8]);
             assert!(!registry.fit("lm").is_empty());
             seen.extend(registry.fit("lm").iter().map(|it| it.id.to_string()));
             given += registry.fit("lm").iter().map(|it| it.slots).sum::<u32>();
         }
         assert_eq!(seen.len(), count);
-        // Where cells share endpoints, each gets half as much again as its even part.
+        // Where shards share endpoints, each gets half as much again as its even part.
         assert!(
             given <= 6 * u32::try_from(count).unwrap() * 3,
             "{given} for {count}"
@@ -128,29 +128,29 @@
 }
 
 #[test]
-fn an_instance_hears_its_own_cell_only_but_learns_of_bad_work_from_all() {
+fn an_instance_hears_its_own_shard_only_but_learns_of_bad_work_from_all() {
     let mut core = core("i0", 1);
     for (centre, name) in members(40) {
         core.list(&name, place(&name, &centre));
     }
-    let mates: BTreeSet<_> = core
+    let shard: BTreeSet<_> = core
         .listed()
         .filter(|row| row.1)
         .map(|row| row.0.inner.clone())
         .collect();
-    assert!((4..=16).contains(&mates.len()), "{mates:?}");
+    assert!((4..=16).contains(&shard.len()), "{shard:?}");
     for (_, name) in members(40) {
         let mut told = report(&name, 1);
-        told.about.as_mut().unwrap().suspects = vec![(55, vec![1, 2])];
+        told.about.as_mut().unwrap().quarantine = vec![(55, vec![1, 2])];
         core.heard(Millis(0), told);
     }
-    assert_eq!(core.peers().count(Millis(0)), mates.len() + 1);
+    assert_eq!(core.peers().count(Millis(0)), shard.len() + 1);
     let pass = core.pass(Millis(0), common::request("/safe/x")).unwrap();
     assert!(core.admit(Millis(0), &pass, 55).is_err());
 }
 
 // Seventy instances that look for changes of the store as often as seven make ten times the calls, which
-// the operators pay for one by one. Where cells look one after the other, a change costs one call or two.
+// the operators pay for one by one. Where shards look one after the other, a change costs one call or two.
 #[test]
 fn a_large_fleet_calls_the_store_less_often() {
     let waits = |name: &str, count| {
--- a/crates/siskinyoke-dispatch/tests/watchers.rs
+++ b/crates/siskinyoke-dispatch/tests/watchers.rs
@@ -71,7 +71,7 @@
     }
 }
 
-// An instance of a fleet of two cells that has read the store, with the peers of its cell.
+// An instance of a fleet of two shards that has read the store, with the peers of its shard.
 fn member() -> (Core, Vec<String>) {
     let mut core = core("i0", 1);
     let names: Vec<String> = (0..16).map(|at| format!("i{at}")).collect();
@@ -80,10 +80,10 @@
         .map(|name| News::Instance(name.clone(), place(name, "a")));
     core.learn_news(Millis(0), 5, news.collect());
     core.store_answered();
-    let mates = core.listed().filter(|row| row.1);
-    let mates = mates.map(|row| row.0.inner.trim_end_matches(":2").to_owned());
-    let mates = mates.collect();
-    (core, mates)
+    let members = core.listed().filter(|row| row.1);
+    let members = members.map(|row| row.0.inner.trim_end_matches(":2").to_owned());
+    let members = members.collect();
+    (core, members)
 }
 
 fn hear(core: &mut Core, now: u64, name: &str, reaches: bool) {
@@ -95,23 +95,23 @@
     core.heard(Millis(now), report);
 }
 
-// The watcher of a cell freezes, or the store begins to refuse it. Nobody else watches; if nobody took
-// over, the whole cell would go on with an old configuration.
+// The watcher of a shard freezes, or the store begins to refuse it. Nobody else watches; if nobody took
+// over, the whole shard would go on with an old configuration.
 #[test]
 fn the_next_one_takes_over_from_a_watcher_that_is_silent_or_refused() {
-    let (mut core, mates) = member();
-    for name in &mates {
+    let (mut core, members) = member();
+    for name in &members {
         hear(&mut core, 0, name, true);
     }
     let first = core.watcher(Millis(10)).to_owned();
-    assert!(mates.contains(&first), "i0 is not the first of its cell");
+    assert!(members.contains(&first), "i0 is not the first of its shard");
     assert_eq!(core.duty(Millis(10)), Duty::Follow);
-    for name in &mates {
+    for name in &members {
         hear(&mut core, 100, name, *name != first);
     }
     let second = core.watcher(Millis(110)).to_owned();
     assert_ne!(second, first);
-    for name in mates.iter().filter(|name| **name != first) {
+    for name in members.iter().filter(|name| **name != first) {
         hear(&mut core, 1_000, name, true);
     }
     assert_eq!(core.watcher(Millis(1_010)), second);
@@ -119,26 +119,26 @@
     assert_eq!(core.duty(Millis(3_000)), Duty::Watch);
 }
 
-// The store refuses a whole cell. If each of its instances went on asking, the calls that it refuses,
+// The store refuses a whole shard. If each of its instances went on asking, the calls that it refuses,
 // which are paid for too, would be many times those it serves.
 #[test]
-fn in_a_cell_without_the_store_one_instance_goes_on_trying() {
-    let (mut core, mates) = member();
+fn in_a_shard_without_the_store_one_instance_goes_on_trying() {
+    let (mut core, members) = member();
     core.store_failed(Millis(0));
-    for name in &mates {
+    for name in &members {
         hear(&mut core, 0, name, false);
     }
     core.notice_store(Millis(1));
     assert!(!core.stored());
     assert_eq!(core.duty(Millis(100)), Duty::Follow);
     // The store may be back for some and not for the first: others try now and then.
-    for name in &mates {
+    for name in &members {
         hear(&mut core, 3_100, name, false);
     }
     assert_eq!(core.duty(Millis(3_100)), Duty::Watch);
     core.store_failed(Millis(3_110));
     assert_eq!(core.duty(Millis(3_120)), Duty::Follow);
-    hear(&mut core, 3_200, &mates[0], true);
+    hear(&mut core, 3_200, &members[0], true);
     core.notice_store(Millis(3_210));
     assert!(core.stored());
     assert_eq!(core.duty(Millis(3_210)), Duty::Follow);
@@ -147,13 +147,13 @@
 // A peer's reports arrive, but nothing can be taken from it: a connection to it is cut one way.
 #[test]
 fn an_instance_that_cannot_catch_up_asks_the_store_itself() {
-    let (mut core, mates) = member();
-    for name in &mates {
+    let (mut core, members) = member();
+    for name in &members {
         hear(&mut core, 0, name, true);
     }
     assert!(core.heard_revision(Millis(10), 9));
     assert_eq!(core.duty(Millis(20)), Duty::Follow);
-    for name in &mates {
+    for name in &members {
         hear(&mut core, 1_600, name, true);
     }
     assert_eq!(core.duty(Millis(1_600)), Duty::Watch);
@@ -165,8 +165,8 @@
 // A peer that knows more has only just started and cannot say what changed before.
 #[test]
 fn an_instance_whose_peer_cannot_say_what_changed_asks_the_store_at_once() {
-    let (mut core, mates) = member();
-    for name in &mates {
+    let (mut core, members) = member();
+    for name in &members {
         hear(&mut core, 0, name, true);
     }
     core.heard_revision(Millis(10), 9);
@@ -189,12 +189,12 @@
 // The store is away while leases run out. Its return shows in a peer's report first, and with it what
 // lapsed; taken for gone at once, every endpoint would be given up until it is back in the list.
 #[test]
-fn what_lapsed_while_the_store_was_away_for_the_cell_has_time_to_return() {
-    let (mut core, mates) = member();
+fn what_lapsed_while_the_store_was_away_for_the_shard_has_time_to_return() {
+    let (mut core, members) = member();
     core.learn_news(Millis(0), 6, vec![News::Endpoint(endpoint("e2", 1))]);
     core.store_failed(Millis(1_000));
     core.notice_store(Millis(1_000));
-    hear(&mut core, 5_000, &mates[0], true);
+    hear(&mut core, 5_000, &members[0], true);
     core.notice_store(Millis(5_010));
     let gone = News::EndpointGone("e2".to_owned());
     core.learn_news(Millis(5_020), 7, vec![gone]);
--- a/crates/siskinyoke-gateway/src/small.rs
+++ b/crates/siskinyoke-gateway/src/admin.rs
@@ -59,7 +59,7 @@
         .state("store", f64::from(u8::from(core.stored())));
     let watching = f64::from(u8::from(shell.watching.get()));
     shell.metrics.state("watching", watching);
-    #[expect(clippy::cast_precision_loss, reason = "versions stay far below 2^52")]
+    #[expect(clippy::cast_precision_loss, reason = "versions permit far below 2^52")]
     shell.metrics.state("configuration", core.version() as f64);
     match shell.metrics.page() {
         Ok(page) => {
@@ -74,7 +74,7 @@
     }
 }
 
-#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+#[expect(clippy::cast_precision_loss, reason = "counts permit far below 2^52")]
 fn count(value: usize) -> f64 {
     value as f64
 }
--- a/crates/siskinyoke-gateway/src/beliefs.rs
+++ b/crates/siskinyoke-gateway/src/beliefs.rs
@@ -50,12 +50,12 @@
     });
     shell.log("store_read", fields);
     rollouts::advance(shell);
-    // Other cells hear of it at once.
+    // Other shards hear of it at once.
     shell.search();
     shell.decide();
 }
 
-/// Takes note if the store went away for the whole cell, or came back.
+/// Takes note if the store went away for the whole shard, or came back.
 pub fn notice_store(shell: &Shell) {
     let changed = shell.core.borrow_mut().notice_store(shell.now());
     let Some(away) = changed else { return };
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -30,9 +30,9 @@
 use crate::job::Job;
 use crate::job::progress::Progress;
 use crate::lending;
+use crate::permit::Permit;
 use crate::shell::Known;
 use crate::shell::Shell;
-use crate::stay::Stay;
 use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Limits;
@@ -240,7 +240,7 @@
     Err(Box::new(refuse(shell, request, refusal)))
 }
 
-// Where the own cell's part of an allowance is used up, others are asked before the request is refused.
+// Where the own shard's part of an allowance is used up, others are asked before the request is refused.
 async fn pass(shell: &Shell, wanted: Wanted<'_>) -> Result<Pass, Refusal> {
     let passed = shell.core.borrow_mut().pass(shell.now(), wanted);
     let refusal = match passed {
@@ -294,7 +294,7 @@
         Ok(ticket) => ticket,
         Err(refusal) => return refuse(shell, Known::passed(id.as_deref(), &pass), refusal),
     };
-    let stay = Stay::new(shell, ticket);
+    let permit = Permit::new(shell, ticket);
     let word = shell.wait(ticket);
     if arrival.held {
         // All that were held are let in before the first is placed, so that the most urgent goes first.
@@ -318,7 +318,7 @@
         progress: Progress::default(),
         answer: None,
     };
-    tokio::task::spawn_local(job.run(stay, word));
+    tokio::task::spawn_local(job.run(permit, word));
     match head.await {
         Ok(Head::Whole(response)) => response,
         Ok(Head::Stream(status, headers)) => {
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use crate::journal::Journal;
 use crate::listener;
 use crate::listener::Page;
-use crate::presence;
+use crate::registration;
 use crate::reload;
 use crate::rollouts;
 use crate::settings::Settings;
@@ -74,7 +74,7 @@
         (listen.callers, Page::Callers),
         (listen.health, Page::Health),
         (listen.directory, Page::Directory),
-        (listen.peers, Page::Inner),
+        (listen.peers, Page::PeerApi),
         (metrics, Page::Metrics),
     ];
     let identity = identity(&settings);
@@ -93,7 +93,7 @@
     spawn_local(gossip.clone().tell(shell.clone()));
     spawn_local(gossip.hear(shell.clone()));
     spawn_local(watcher::follow(shell.clone()));
-    spawn_local(presence::keep(shell.clone()));
+    spawn_local(registration::keep(shell.clone()));
     spawn_local(reload::follow(shell.clone(), path.clone()));
     spawn_local(signals::reload_on_signal(shell.clone(), path));
     spawn_local(tick(shell.clone()));
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -12,8 +12,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::inner;
 use crate::lending;
+use crate::peer_api;
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
@@ -38,7 +38,7 @@
 /// The longest message that is sent, in bytes; longer ones may be cut up on their way.
 const LARGEST: usize = 8 * 1024;
 
-/// Instances of other cells that are told in each search.
+/// Instances of other shards that are told in each search.
 const OTHERS: usize = 3;
 
 /// The exchange of reports.
@@ -110,8 +110,8 @@
     fn receive(&self, shell: &Rc<Shell>, bytes: &[u8], from: SocketAddr) {
         match postcard::from_bytes(bytes) {
             Ok(Message::Report(report)) => self.take(shell, *report, from),
-            Ok(Message::Ask(id, need)) => lending::answer(shell, from, id, need),
-            Ok(Message::Answer(id, grant)) => lending::answered(shell, from, id, grant),
+            Ok(Message::Borrow(id, need)) => lending::answer(shell, from, id, need),
+            Ok(Message::Lend(id, grant)) => lending::answered(shell, from, id, grant),
             Ok(Message::Return(id)) => {
                 shell.core.borrow_mut().returned(id);
                 shell.decide();
@@ -143,7 +143,7 @@
             shell.log("peer", fields);
             shell.searching.set(true);
         }
-        inner::catch_up(shell, from, revision);
+        peer_api::catch_up(shell, from, revision);
         if shell.core.borrow().scheduler().size().0 > 0 {
             shell.decide();
         }
@@ -167,7 +167,7 @@
     }
 
     // Answers an instance that knows no configuration yet, so that it can take ours. It may have
-    // started while the store is away, and belong to another cell, whose instances it cannot find.
+    // started while the store is away, and belong to another shard, whose instances it cannot find.
     fn introduce(shell: &Shell, to: SocketAddr) {
         if shell.core.borrow().version() > 0 {
             Self::tell_all(shell, &BTreeSet::from([to]), true);
@@ -219,12 +219,12 @@
     }
 }
 
-// The listed instances of this one's cell, and a few others by chance: so news of work that
-// crashes endpoints reaches all cells in some rounds.
+// The listed instances of this one's shard, and a few others by chance: so news of work that
+// crashes endpoints reaches all shards in some rounds.
 fn listed(core: &Core) -> Vec<SocketAddr> {
-    let (mates, others): (Vec<_>, Vec<_>) = core.listed().partition(|row| row.1);
+    let (members, others): (Vec<_>, Vec<_>) = core.listed().partition(|row| row.1);
     let some = others.choose_multiple(&mut rand::rng(), OTHERS);
-    let places = mates.iter().chain(some).map(|row| row.0);
+    let places = members.iter().chain(some).map(|row| row.0);
     places
         .filter_map(|place| place.inner.parse().ok())
         .collect()
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -23,10 +23,10 @@
 use crate::attempt::Parcel;
 use crate::attempt::Reply;
 use crate::events::Events;
+use crate::permit::Permit;
 use crate::pool;
 use crate::shell::Shell;
 use crate::shell::Word;
-use crate::stay::Stay;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
@@ -88,13 +88,13 @@
 
 impl Job {
     /// Serves the request until its answer is whole, its time is up, or its caller left.
-    pub async fn run(mut self, stay: Stay, word: oneshot::Receiver<Word>) {
+    pub async fn run(mut self, permit: Permit, word: oneshot::Receiver<Word>) {
         let pieces = self.caller.pieces.clone();
         let left = Duration::from(self.pass.until.since(self.shell.now()));
         let outcome = tokio::select! {
             biased;
             () = pieces.closed() => "caller_left",
-            done = timeout(left, self.serve(stay, word)) => done.unwrap_or("late"),
+            done = timeout(left, self.serve(permit, word)) => done.unwrap_or("late"),
         };
         if outcome == "late" {
             self.expired();
@@ -103,32 +103,32 @@
         self.shell.decide();
     }
 
-    async fn serve(&mut self, stay: Stay, word: oneshot::Receiver<Word>) -> &'static str {
-        let mut turn = (stay, word);
+    async fn serve(&mut self, permit: Permit, word: oneshot::Receiver<Word>) -> &'static str {
+        let mut turn = (permit, word);
         loop {
-            let (stay, word) = turn;
+            let (permit, word) = turn;
             let endpoint = match word.await {
                 Ok(Ok(endpoint)) => endpoint,
                 Ok(Err(refusal)) => {
-                    stay.refused();
+                    permit.refused();
                     return self.refused(refusal);
                 }
                 Err(_) => return self.failed(Outcome::Left),
             };
             self.progress.waited = self.shell.now().since(self.pass.arrived);
             self.shell.metrics.waited(self.progress.waited);
-            let (outcome, more) = match self.attempt(&endpoint, &stay).await {
+            let (outcome, more) = match self.attempt(&endpoint, &permit).await {
                 Step::Finished(outcome) => (outcome, false),
                 Step::Again(outcome) => (outcome, true),
                 Step::Cut => {
-                    stay.end(Outcome::Broken, false);
+                    permit.end(Outcome::Broken, false);
                     return self.failed(Outcome::Broken);
                 }
             };
             self.trace(&endpoint, outcome);
-            match stay.end(outcome, more) {
+            match permit.end(outcome, more) {
                 Some(ticket) => {
-                    turn = (Stay::new(&self.shell, ticket), self.shell.wait(ticket));
+                    turn = (Permit::new(&self.shell, ticket), self.shell.wait(ticket));
                     self.shell.decide();
                 }
                 None if more => return self.failed(outcome),
@@ -137,7 +137,7 @@
         }
     }
 
-    async fn attempt(&mut self, endpoint: &Arc<Endpoint>, stay: &Stay) -> Step {
+    async fn attempt(&mut self, endpoint: &Arc<Endpoint>, permit: &Permit) -> Step {
         let start = self.shell.now();
         self.endpoint = Some(endpoint.clone());
         let ran = std::mem::replace(&mut self.ran, true);
@@ -145,9 +145,9 @@
         let headers = self.headers(endpoint, start);
         let reply = {
             let mut sending = pin!(attempt::send(&shell, endpoint, &self.parcel, headers));
-            match timeout(stay.silence().into(), &mut sending).await {
+            match timeout(permit.stall_timeout().into(), &mut sending).await {
                 Ok(reply) => reply,
-                Err(_) if stay.spare() => return Step::Again(Outcome::Silent),
+                Err(_) if permit.spare() => return Step::Again(Outcome::Silent),
                 Err(_) => sending.await,
             }
         };
@@ -173,7 +173,7 @@
                 Step::Again(if full { Outcome::Full } else { Outcome::Moved })
             }
             Verdict::Answer if self.pass.streams() && response.status().is_success() => {
-                self.stream(endpoint, stay, start, response, connection)
+                self.stream(endpoint, permit, start, response, connection)
                     .await
             }
             Verdict::Answer => self.whole(endpoint, start, response, connection).await,
--- a/crates/siskinyoke-gateway/src/job/reading.rs
+++ b/crates/siskinyoke-gateway/src/job/reading.rs
@@ -16,12 +16,12 @@
 use super::progress::Progress;
 use crate::answer::AnswerBody;
 use crate::connection::Connection;
+use crate::permit::Permit;
 use crate::pool;
-use crate::stay::Stay;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
-use siskinyoke_dispatch::silence::PAUSE;
+use siskinyoke_dispatch::stall_timeout::PAUSE;
 
 /// Bytes of a whole answer that are held before they are passed on.
 ///
@@ -95,21 +95,21 @@
     pub(super) async fn stream(
         &mut self,
         endpoint: &Arc<Endpoint>,
-        stay: &Stay,
+        permit: &Permit,
         start: Millis,
         response: Response<Incoming>,
         connection: Connection,
     ) -> Step {
         let (parts, mut body) = response.into_parts();
         let mut seen = Progress::default();
-        let mut silence = stay.silence();
+        let mut silence = permit.stall_timeout();
         loop {
             let before = self.events.count();
             let frame = {
                 let mut next = pin!(body.frame());
                 match timeout(silence.into(), &mut next).await {
                     Ok(frame) => frame,
-                    Err(_) if stay.spare() => return self.abandon(Outcome::Silent),
+                    Err(_) if permit.spare() => return self.abandon(Outcome::Silent),
                     Err(_) => next.await,
                 }
             };
@@ -127,7 +127,7 @@
                 None => break,
             };
             if seen.first.is_none() {
-                stay.began();
+                permit.began();
             }
             seen.passed(self.shell.now(), self.events.count() - before);
             silence = PAUSE;
--- a/crates/siskinyoke-gateway/src/lending.rs
+++ b/crates/siskinyoke-gateway/src/lending.rs
@@ -1,4 +1,4 @@
-//! Asks instances of other cells for what the own one lacks just now, and answers them.
+//! Asks instances of other shards for what the own one lacks just now, and answers them.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -21,9 +21,9 @@
 use siskinyoke_dispatch::Ticket;
 use siskinyoke_dispatch::message::UnitsNeed;
 
-/// How many instances are asked for units at once, each of another cell, and for what part of the units.
+/// How many instances are asked for units at once, each of another shard, and for what part of the units.
 ///
-/// A cell has a few requests' units to spare. Instances of the same cell would give the same ones away.
+/// A shard has a few requests' units to spare. Instances of the same shard would give the same ones away.
 const ASKED: usize = 5;
 const PART: u64 = 2;
 
@@ -35,13 +35,13 @@
 /// An organisation beyond its limit would have each of its requests ask for nothing.
 const DECLINED: Millis = Millis(300);
 
-/// How many instances are asked for a place at once, each of another cell.
+/// How many instances are asked for a place at once, each of another shard.
 const CHOICES: usize = 2;
 
 /// How long a question for a place is kept open.
 const OPEN: Millis = Millis(500);
 
-/// Questions to other cells.
+/// Questions to other shards.
 #[derive(Debug, Default)]
 pub struct Lending {
     // Questions for units.
@@ -89,7 +89,7 @@
     }
 }
 
-/// Asks other cells for places for requests that cannot start yet.
+/// Asks other shards for places for requests that cannot start yet.
 pub fn places(shell: &Shell) {
     let now = shell.now();
     let needs = shell.core.borrow_mut().needs(now);
@@ -103,12 +103,12 @@
         };
         shell.lending.places.borrow_mut().insert(id, question);
         for lender in lenders {
-            gossip::send(shell, lender, &Message::Ask(id, need));
+            gossip::send(shell, lender, &Message::Borrow(id, need));
         }
     }
 }
 
-/// Returns the place that a request was given by another cell, if it had one.
+/// Returns the place that a request was given by another shard, if it had one.
 pub fn give_back(shell: &Shell, ticket: Ticket) {
     let taken = shell.lending.taken.borrow_mut().remove(&ticket);
     if let Some((lender, id)) = taken {
@@ -159,7 +159,7 @@
     shell.decide();
 }
 
-/// Asks other cells for units of an organisation's allowance, and returns how many they gave.
+/// Asks other shards for units of an organisation's allowance, and returns how many they gave.
 pub async fn units(shell: &Shell, need: UnitsNeed) -> u64 {
     let UnitsNeed {
         organisation,
@@ -189,14 +189,14 @@
     given
 }
 
-/// Answers an instance of another cell.
+/// Answers an instance of another shard.
 pub fn answer(shell: &Shell, from: SocketAddr, id: u64, need: Need) {
     let grant = shell.core.borrow_mut().lend(shell.now(), id, need);
     if let Grant::Place(_) = grant {
         // Peers must not give the same place away.
         shell.changed.notify_one();
     }
-    gossip::send(shell, from, &Message::Answer(id, grant));
+    gossip::send(shell, from, &Message::Lend(id, grant));
 }
 
 async fn ask(shell: &Shell, need: Need) -> Vec<Grant> {
@@ -205,7 +205,7 @@
     shell.lending.open.borrow_mut().insert(id, sender);
     let lenders = lenders(shell, ASKED);
     for lender in &lenders {
-        gossip::send(shell, *lender, &Message::Ask(id, need));
+        gossip::send(shell, *lender, &Message::Borrow(id, need));
     }
     let until = Instant::now() + Duration::from(LIMIT);
     let mut grants = Vec::new();
@@ -221,9 +221,9 @@
 fn lenders(shell: &Shell, count: usize) -> Vec<SocketAddr> {
     let core = shell.core.borrow();
     let rng = &mut rand::rng();
-    let cells = core.other_cells();
-    let some: Vec<_> = cells.choose_multiple(rng, count).collect();
-    let places = some.into_iter().filter_map(|cell| cell.choose(rng));
+    let shards = core.other_shards();
+    let some: Vec<_> = shards.choose_multiple(rng, count).collect();
+    let places = some.into_iter().filter_map(|shard| shard.choose(rng));
     places.filter_map(|it| it.inner.parse().ok()).collect()
 }
 
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -1,5 +1,6 @@
 //! The runtime around the decisions: bytes in and out, timers and signals on one thread.
 
+pub mod admin;
 pub mod answer;
 pub mod attempt;
 pub mod beliefs;
@@ -11,21 +12,20 @@
 pub mod gateway;
 pub mod gossip;
 pub mod held;
-pub mod inner;
 pub mod job;
 pub mod journal;
 pub mod lending;
 pub mod listener;
 pub mod metrics;
+pub mod peer_api;
+pub mod permit;
 pub mod pool;
-pub mod presence;
+pub mod registration;
 pub mod reload;
 pub mod replica;
 pub mod rollouts;
 pub mod settings;
 pub mod shell;
 pub mod signals;
-pub mod small;
-pub mod stay;
 pub mod store;
 pub mod watcher;
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -18,10 +18,10 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::admin;
 use crate::answer::AnswerBody;
 use crate::callers;
 use crate::shell::Shell;
-use crate::small;
 use siskinyoke_base::Millis;
 
 /// How long connections stay open after this instance began to leave.
@@ -51,7 +51,7 @@
     /// The metrics.
     Metrics,
     /// What peers hand to each other.
-    Inner,
+    PeerApi,
 }
 
 /// Accepts connections until this instance has left.
@@ -131,10 +131,10 @@
 async fn serve(shell: &Rc<Shell>, request: Request<Incoming>, page: Page) -> Response<AnswerBody> {
     match page {
         Page::Callers => callers::serve(shell.clone(), request).await,
-        Page::Health => small::health(shell, &request),
-        Page::Directory => small::directory(shell, &request),
-        Page::Metrics => small::metrics(shell, &request),
-        Page::Inner => crate::inner::hand_over(shell, &request),
+        Page::Health => admin::health(shell, &request),
+        Page::Directory => admin::directory(shell, &request),
+        Page::Metrics => admin::metrics(shell, &request),
+        Page::PeerApi => crate::peer_api::hand_over(shell, &request),
     }
 }
 
--- a/crates/siskinyoke-gateway/src/inner.rs
+++ b/crates/siskinyoke-gateway/src/peer_api.rs
@@ -35,7 +35,7 @@
 /// first to have read them would be asked by all others, for a megabyte each.
 const READING: Millis = Millis(1_500);
 
-/// The longest pause before a follower asks, drawn anew each time: all of a cell hear of a change at
+/// The longest pause before a follower asks, drawn anew each time: all of a shard hear of a change at
 /// the same moment, from the same instance.
 const SPREAD: Millis = Millis(60);
 
--- a/crates/siskinyoke-gateway/src/stay.rs
+++ b/crates/siskinyoke-gateway/src/permit.rs
@@ -7,19 +7,19 @@
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::Ticket;
-use siskinyoke_dispatch::silence::PAUSE;
+use siskinyoke_dispatch::stall_timeout::PAUSE;
 
 /// A request that waits, or one that runs on an endpoint.
 ///
 /// A caller may leave at any await. Without the guard its place would stay taken for ever, and
 /// the endpoint would seem fuller than it is until the process ends.
 #[derive(Debug)]
-pub struct Stay {
+pub struct Permit {
     shell: Rc<Shell>,
     ticket: Option<Ticket>,
 }
 
-impl Stay {
+impl Permit {
     /// Guards a request that was let in.
     pub fn new(shell: &Rc<Shell>, ticket: Ticket) -> Self {
         Self {
@@ -53,10 +53,10 @@
     }
 
     /// Returns how long the endpoint may stay silent.
-    pub fn silence(&self) -> Millis {
+    pub fn stall_timeout(&self) -> Millis {
         let core = self.shell.core.borrow();
         self.ticket
-            .map_or(PAUSE, |ticket| core.scheduler().silence(ticket))
+            .map_or(PAUSE, |ticket| core.scheduler().stall_timeout(ticket))
     }
 
     /// Returns whether a try that stays silent may be given up for another endpoint.
@@ -68,7 +68,7 @@
     }
 }
 
-impl Drop for Stay {
+impl Drop for Permit {
     fn drop(&mut self) {
         let Some(ticket) = self.ticket.take() else {
             return;
--- a/crates/siskinyoke-gateway/src/presence.rs
+++ b/crates/siskinyoke-gateway/src/registration.rs
@@ -15,7 +15,7 @@
 /// How long the entry outlives this process.
 ///
 /// It is only a place to look for others; who is alive shows in their reports, but for those of other
-/// cells in a large fleet, which callers are still told of for that long.
+/// shards in a large fleet, which callers are still told of for that long.
 const LEASE: Millis = Millis(12_000);
 
 /// How often the lease is renewed: twice may fail.
@@ -50,7 +50,7 @@
                 if shell.watching.get() { PROBE } else { RENEW }
             }
             Err(err) => {
-                shell.log("presence_failed", json!({ "error": err.to_string() }));
+                shell.log("registration_failed", json!({ "error": err.to_string() }));
                 shell.core.borrow_mut().store_failed(shell.now());
                 shell.unanswered.notify_waiters();
                 let pause = retry;
@@ -90,7 +90,7 @@
     let value = json!(settings.place()).to_string();
     let put = store.put(&key, value.as_bytes(), lease);
     call(shell, client, "enter", &put).await?;
-    shell.log("presence", json!({ "lease": lease }));
+    shell.log("registration", json!({ "lease": lease }));
     Ok(lease)
 }
 
@@ -99,7 +99,7 @@
     let Some(lease) = lease else { return };
     let end = shell.interface.store.end(lease);
     if let Err(err) = call(shell, client, "leave", &end).await {
-        shell.log("presence_failed", json!({ "error": err.to_string() }));
+        shell.log("registration_failed", json!({ "error": err.to_string() }));
     }
 }
 
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -91,7 +91,7 @@
     pub watching: Cell<bool>,
     /// The socket for messages between instances, once it is bound.
     pub socket: OnceCell<UdpSocket>,
-    /// Questions to other cells.
+    /// Questions to other shards.
     pub lending: Lending,
     /// Takes from peers what they know of the store.
     pub peer: RefCell<Client>,
--- a/crates/siskinyoke-gateway/tests/soak.rs
+++ b/crates/siskinyoke-gateway/tests/soak.rs
@@ -1,4 +1,4 @@
-//! The randomized soak: seeds 0 and 1, or those that `SEEDS=FROM..TO` names; one more in a fleet of two cells.
+//! The randomized soak: seeds 0 and 1, or those that `SEEDS=FROM..TO` names; one more in a fleet of two shards.
 
 use std::ops::Range;
 use std::path::Path;
@@ -11,13 +11,13 @@
 
 #[test]
 fn promises_hold_under_overlapping_faults() {
-    play(&seeds(0..2), Size::ONE_CELL);
+    play(&seeds(0..2), Size::ONE_SHARD);
 }
 
 // As above, with instances that take changes of the store from a peer, which freezes, dies or loses the store.
 #[test]
 fn promises_hold_where_one_instance_watches_for_others() {
-    play(&seeds(0..1), Size::TWO_CELLS);
+    play(&seeds(0..1), Size::TWO_SHARDS);
 }
 
 fn play(seeds: &[u64], size: Size) {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -38,14 +38,14 @@
 }
 
 impl Size {
-    /// A fleet of one cell, in which each instance watches the store.
-    pub const ONE_CELL: Self = Self {
+    /// A fleet of one shard, in which each instance watches the store.
+    pub const ONE_SHARD: Self = Self {
         instances: 3,
         endpoints: 4,
     };
 
-    /// A fleet of two cells, in each of which one instance watches the store for the others.
-    pub const TWO_CELLS: Self = Self {
+    /// A fleet of two shards, in each of which one instance watches the store for the others.
+    pub const TWO_SHARDS: Self = Self {
         instances: 14,
         endpoints: 8,
     };
