Quota for allowance, in code, logs and pages

The refusal's reason 'allowance' is 'quota' in logs, metrics and bodies, 'allowance_share' is 'quota_share' and the configuration line's 'allowances' is 'quotas'; `siskinyoke explain` and the reports read the new names.

--- a/crates/siskinyoke-base/src/code.rs
+++ b/crates/siskinyoke-base/src/code.rs
@@ -91,8 +91,8 @@
     Shed = 3001, NotRun, 429, "More urgent work took its place; come back later.";
     /// It waited past its need.
     Late = 3002, NotRun, 503, "It waited past its need and was given up; come back later.";
-    /// The organisation's allowance is used up.
-    OverAllowance = 3004, NotRun, 429, "The organisation's allowance is used up; come back later.";
+    /// The organisation's quota is used up.
+    OverQuota = 3004, NotRun, 429, "The organisation's quota is used up; come back later.";
     /// No configuration is known yet, or it may be out of date.
     NoConfiguration = 3005, NotRun, 503, "This instance does not know what is in force; use another.";
     /// No endpoint is there for it.
--- a/crates/siskinyoke-cli/src/report/answers.rs
+++ b/crates/siskinyoke-cli/src/report/answers.rs
@@ -5,7 +5,7 @@
 use crate::logs::Row;
 
 /// Refusals that are the caller's own doing: they use up no error budget.
-const OWN: [&str; 3] = ["allowance", "no_key", "no_route"];
+const OWN: [&str; 3] = ["quota", "no_key", "no_route"];
 
 /// How a request fared, as its caller sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,7 +31,7 @@
     pub organisation: &'a str,
     /// How it fared.
     pub fate: Fate,
-    /// What it used of its organisation's allowance.
+    /// What it used of its organisation's quota.
     pub units: f64,
 }
 
--- a/crates/siskinyoke-cli/tests/report.rs
+++ b/crates/siskinyoke-cli/tests/report.rs
@@ -59,7 +59,7 @@
     let lines = [
         line(1, "streamed", 400, "school"),
         line(1, "caller_left", 0, "school"),
-        r#"{"at_ms":7199000,"event":"refusal","id":"q","admitted":false,"reason":"allowance","rank":null}"#
+        r#"{"at_ms":7199000,"event":"refusal","id":"q","admitted":false,"reason":"quota","rank":null}"#
             .to_owned(),
     ];
     let told = burn(vec![write("own.log", &lines)], None).unwrap();
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -18,14 +18,14 @@
 use crate::Refusal;
 use crate::Scheduler;
 use crate::Ticket;
-use crate::allowance;
-use crate::allowance::Allowances;
-use crate::allowance::Wanted;
 use crate::budget::Budget;
 use crate::cold_start;
 use crate::listing::Listing;
 use crate::peers::Peers;
 use crate::quarantine::Quarantine;
+use crate::quota;
+use crate::quota::Quotas;
+use crate::quota::Wanted;
 use crate::registry::Registry;
 use crate::report::Place;
 use crate::scheduler::Decision;
@@ -54,7 +54,7 @@
     departed: BTreeMap<String, Millis>,
     shard: usize,
     shards: usize,
-    allowances: Allowances,
+    quotas: Quotas,
     budgets: Map<Arc<str>, Budget>,
     quarantine: Quarantine,
     view: store::StoreView,
@@ -76,7 +76,7 @@
             departed: BTreeMap::new(),
             shard: 0,
             shards: 1,
-            allowances: Allowances::new(me.measure),
+            quotas: Quotas::new(me.measure),
             budgets: Map::default(),
             quarantine: Quarantine::default(),
             view: store::StoreView::default(),
@@ -96,7 +96,7 @@
         }
         self.started.get_or_insert(now);
         let share = self.peers.share(now);
-        self.allowances
+        self.quotas
             .configure(now, configuration.organisations(), share);
         self.configuration = Some(Arc::new(configuration));
         true
@@ -162,11 +162,11 @@
     pub fn pass(&mut self, now: Millis, request: Request<'_>) -> Result<Pass, Refusal> {
         let pass = self.examine(now, request)?;
         self.budget(&pass.service).request(now);
-        self.take_allowance(now, &pass, pass::chance(request.draw), 0)?;
+        self.take_quota(now, &pass, pass::chance(request.draw), 0)?;
         Ok(pass)
     }
 
-    /// Passes a request that was refused for its organisation's allowance, once other shards gave units.
+    /// Passes a request that was refused for its organisation's quota, once other shards gave units.
     ///
     /// What the request does not use of them is its shard's.
     ///
@@ -180,7 +180,7 @@
         given: u64,
     ) -> Result<Pass, Refusal> {
         let pass = self.examine(now, request)?;
-        self.take_allowance(now, &pass, pass::chance(request.draw), given)?;
+        self.take_quota(now, &pass, pass::chance(request.draw), given)?;
         Ok(pass)
     }
 
@@ -195,7 +195,7 @@
     ///
     /// # Errors
     ///
-    /// The refusal; the request has not run, and its allowance is given back.
+    /// The refusal; the request has not run, and its quota is given back.
     pub fn admit(&mut self, now: Millis, pass: &Pass, print: u64) -> Result<Ticket, Refusal> {
         let result = if self.quarantine.refuses(now, print) {
             Err(Refusal {
@@ -216,10 +216,10 @@
         result
     }
 
-    /// Gives back the allowance of a request that did not run.
+    /// Gives back the quota of a request that did not run.
     pub fn give_back(&mut self, pass: &Pass) {
         if let Some(organisation) = &pass.organisation {
-            self.allowances.give_back(organisation, pass.units);
+            self.quotas.give_back(organisation, pass.units);
         }
     }
 
@@ -284,13 +284,13 @@
         self.registry.sweep(now);
         self.sweep_fleet(now);
         for source in self.peers.sweep(now) {
-            self.allowances.forget(source);
+            self.quotas.forget(source);
         }
         self.scheduler.forget(&self.registry);
         self.scheduler.sweep_loans(now);
     }
 
-    fn take_allowance(
+    fn take_quota(
         &mut self,
         now: Millis,
         pass: &Pass,
@@ -306,12 +306,12 @@
             units: pass.units,
             crowd,
             chance,
-            granted: allowance::count(given),
+            granted: quota::count(given),
         };
-        self.allowances
+        self.quotas
             .take(now, organisation, wanted, share)
             .map_err(|after| Refusal {
-                reason: Reason::Allowance,
+                reason: Reason::Quota,
                 after,
             })
     }
--- a/crates/siskinyoke-dispatch/src/core/identity.rs
+++ b/crates/siskinyoke-dispatch/src/core/identity.rs
@@ -1,6 +1,6 @@
 //! What an instance is.
 
-use crate::allowance::Measure;
+use crate::quota::Measure;
 use crate::report::Place;
 
 /// What an instance is, fixed for the life of its process.
@@ -18,6 +18,6 @@
     pub floor: f64,
     /// The part of a service's requests that a version on trial may get, over all instances.
     pub exposure: f64,
-    /// How allowances are measured.
+    /// How quotas are measured.
     pub measure: Measure,
 }
--- a/crates/siskinyoke-dispatch/src/core/lending.rs
+++ b/crates/siskinyoke-dispatch/src/core/lending.rs
@@ -15,7 +15,7 @@
 use siskinyoke_base::Millis;
 
 impl Core {
-    /// Returns what other shards may be asked for, so that a request finds its allowance.
+    /// Returns what other shards may be asked for, so that a request finds its quota.
     pub fn lacks(&self, now: Millis, request: Request<'_>) -> Option<UnitsNeed> {
         if !self.registry.divided() {
             return None;
@@ -47,7 +47,7 @@
                 units,
             }) => {
                 let share = self.peers.share(now);
-                match self.allowances.lend(now, organisation, units, share) {
+                match self.quotas.lend(now, organisation, units, share) {
                     0 => Grant::Nothing,
                     units => Grant::Units(units),
                 }
--- a/crates/siskinyoke-dispatch/src/core/pass.rs
+++ b/crates/siskinyoke-dispatch/src/core/pass.rs
@@ -11,7 +11,7 @@
 use crate::Refusal;
 use crate::Route;
 use crate::Work;
-use crate::allowance;
+use crate::quota;
 use siskinyoke_base::Millis;
 
 /// What a caller asks for, before anything is decided.
@@ -52,14 +52,14 @@
     pub until: Millis,
     /// What it asks of an endpoint.
     pub work: Work,
-    /// What it takes of its organisation's allowance.
+    /// What it takes of its organisation's quota.
     pub units: f64,
 }
 
 impl Pass {
     /// Returns the units it takes, as they stand in messages.
     pub fn whole_units(&self) -> u64 {
-        allowance::whole(self.units)
+        quota::whole(self.units)
     }
 
     /// Returns whether the answer comes as events.
--- a/crates/siskinyoke-dispatch/src/core/talk.rs
+++ b/crates/siskinyoke-dispatch/src/core/talk.rs
@@ -42,12 +42,12 @@
             Heard::Nothing => return false,
             Heard::First(before) => {
                 if let Some(before) = before {
-                    self.allowances.forget(before);
+                    self.quotas.forget(before);
                 }
-                self.allowances.heard(source, young, &spent);
+                self.quotas.heard(source, young, &spent);
                 return true;
             }
-            Heard::Next => self.allowances.heard(source, young, &spent),
+            Heard::Next => self.quotas.heard(source, young, &spent),
         }
         false
     }
@@ -82,7 +82,7 @@
             reaches: self.view.reaches,
             running: self.scheduler.counts(),
             waiting: self.scheduler.summary(now),
-            spent: self.allowances.spent(since),
+            spent: self.quotas.spent(since),
             canaries: self.canaries(now),
             about: whole.then(|| self.about(now)),
         }
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -3,7 +3,6 @@
 //! Everything here is pure: events and the time go in, decisions come out. No socket, no thread,
 //! no wall clock and no header of any wire is known here.
 
-pub mod allowance;
 pub mod budget;
 pub mod cold_start;
 pub mod configuration;
@@ -25,6 +24,7 @@
 pub mod placing;
 pub mod quarantine;
 pub mod queue;
+pub mod quota;
 pub mod refusal;
 pub mod registry;
 mod regression;
--- a/crates/siskinyoke-dispatch/src/message.rs
+++ b/crates/siskinyoke-dispatch/src/message.rs
@@ -23,13 +23,13 @@
 /// What an instance asks another shard for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Need {
-    /// Units of an organisation's allowance.
+    /// Units of an organisation's quota.
     Units(UnitsNeed),
     /// A place at an endpoint for one request.
     Place(PlaceNeed),
 }
 
-/// Units of an organisation's allowance that are asked for.
+/// Units of an organisation's quota that are asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UnitsNeed {
     /// The organisation, hashed.
--- a/crates/siskinyoke-dispatch/src/allowance.rs
+++ b/crates/siskinyoke-dispatch/src/quota.rs
@@ -16,7 +16,7 @@
 /// The part of a burst that a process finds in the bucket when it starts.
 ///
 /// Nothing at all refuses the first requests after a restart of all instances, though nobody sends
-/// beyond its allowance. More would be granted twice if somebody does.
+/// beyond its quota. More would be granted twice if somebody does.
 const START: f64 = 0.15;
 
 /// The part of a full bucket below which nothing is given to other shards.
@@ -32,7 +32,7 @@
 /// once, and steady use within the limit would be rejected.
 const BURST: Millis = Millis(1_000);
 
-/// How the operators measure allowances.
+/// How the operators measure quotas.
 #[derive(Debug, Clone, Copy)]
 pub struct Measure {
     /// The length of the sliding window.
@@ -46,7 +46,7 @@
 /// How long an instance does not see what another took: a report's spacing and its way.
 const BLIND: Millis = Millis(60);
 
-/// What a request wants of its organisation's allowance.
+/// What a request wants of its organisation's quota.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted {
     /// The units it takes.
@@ -87,19 +87,19 @@
     }
 }
 
-/// The allowances of all organisations.
+/// The quotas of all organisations.
 ///
 /// Every instance counts the use of all: its own at once, that of its peers when their next
 /// report comes, some tens of milliseconds later.
 #[derive(Debug)]
-pub struct Allowances {
+pub struct Quotas {
     measure: Measure,
     buckets: Map<u32, Bucket>,
     heard: Map<(u64, u32), i64>,
 }
 
-impl Allowances {
-    /// Makes the allowances of an instance that knows no organisation yet.
+impl Quotas {
+    /// Makes the quotas of an instance that knows no organisation yet.
     pub fn new(measure: Measure) -> Self {
         Self {
             measure,
@@ -203,7 +203,7 @@
     ///
     /// The bucket of a large fleet is cut into one for each shard, none of them larger than a few requests.
     /// Requests do not arrive evenly, so some would find their shard's bucket empty while the organisation uses
-    /// half of its allowance. What is given away here is granted there, and nothing twice.
+    /// half of its quota. What is given away here is granted there, and nothing twice.
     pub fn lend(&mut self, now: Millis, key: u32, units: u64, share: f64) -> u64 {
         let Some(bucket) = self.buckets.get_mut(&key) else {
             return 0;
--- a/crates/siskinyoke-dispatch/src/refusal.rs
+++ b/crates/siskinyoke-dispatch/src/refusal.rs
@@ -11,8 +11,8 @@
     NoRoute,
     /// Its key is unknown.
     NoKey,
-    /// Its organisation has used its allowance.
-    Allowance,
+    /// Its organisation has used its quota.
+    Quota,
     /// It would wait longer than it can use.
     Overload,
     /// It waited as long as it could.
@@ -39,7 +39,7 @@
             Self::Unready => "unready",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
-            Self::Allowance => "allowance",
+            Self::Quota => "quota",
             Self::Overload => "overload",
             Self::Waited => "waited",
             Self::Displaced => "displaced",
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -20,15 +20,15 @@
 use siskinyoke_dispatch::Route;
 use siskinyoke_dispatch::Service;
 use siskinyoke_dispatch::Work;
-use siskinyoke_dispatch::allowance::Measure;
 use siskinyoke_dispatch::core::Identity;
 use siskinyoke_dispatch::core::Request;
+use siskinyoke_dispatch::quota::Measure;
 use siskinyoke_dispatch::report::About;
 use siskinyoke_dispatch::report::Busy;
 use siskinyoke_dispatch::report::Place;
 use siskinyoke_dispatch::stable_hash;
 
-/// The window, overage and slack of the tests' allowances.
+/// The window, overage and slack of the tests' quotas.
 pub const MEASURE: Measure = Measure {
     window: Millis(8_000),
     overage: 0.1,
--- a/crates/siskinyoke-dispatch/tests/lending.rs
+++ b/crates/siskinyoke-dispatch/tests/lending.rs
@@ -1,4 +1,4 @@
-//! Cells that lend each other units of allowances and places at endpoints.
+//! Cells that lend each other units of quotas and places at endpoints.
 
 #![expect(
     clippy::cast_possible_truncation,
@@ -40,7 +40,7 @@
 use siskinyoke_dispatch::message::PlaceNeed;
 use siskinyoke_dispatch::message::UnitsNeed;
 
-/// An allowance of some twenty requests a second, which eight shards share.
+/// A quota of some twenty requests a second, which eight shards share.
 const RATE: f64 = 45_000.0;
 
 /// As in the gateway: how many instances are asked at once.
@@ -142,7 +142,7 @@
         places.map(|it| number(it)).collect()
     }
 
-    // Asks for an allowance, as the gateway does: the own shard first, then some instances of others.
+    // Asks for a quota, as the gateway does: the own shard first, then some instances of others.
     fn pending(&mut self, at: usize, units: u64) {
         let now = Millis(self.now);
         let wanted = Request {
@@ -173,14 +173,14 @@
         match passed {
             Ok(_) => self.granted.push((self.now, units as f64)),
             Err(refusal) => {
-                assert_eq!(refusal.reason, Reason::Allowance);
+                assert_eq!(refusal.reason, Reason::Quota);
                 self.refused += units as f64;
             }
         }
     }
 
-    // Plays requests for so many seconds that come evenly to all instances and want `part` of the allowance.
-    fn use_allowance(&mut self, seconds: u64, part: f64) {
+    // Plays requests for so many seconds that come evenly to all instances and want `part` of the quota.
+    fn use_quota(&mut self, seconds: u64, part: f64) {
         const MEAN: f64 = 2_200.0;
         let spread: f64 = 0.9;
         let law = LogNormal::new(MEAN.ln() - spread * spread / 2.0, spread).expect("a spread");
@@ -364,14 +364,14 @@
     }
 }
 
-// An organisation uses six tenths of its allowance, evenly over a fleet of many shards. Each shard fills a small part
+// An organisation uses six tenths of its quota, evenly over a fleet of many shards. Each shard fills a small part
 // of the bucket; by chance, or after one large request, it is empty, and requests are refused that the organisation
 // has a right to. Refused without lending: 0.044 of the units.
 #[test]
-fn an_allowance_that_is_not_used_up_refuses_nothing() {
+fn an_quota_that_is_not_used_up_refuses_nothing() {
     for seed in 0..3 {
         let mut fleet = Fleet::new(seed, 64, 16, true);
-        fleet.use_allowance(20, 0.6);
+        fleet.use_quota(20, 0.6);
         let granted: f64 = fleet.granted.iter().map(|it| it.1).sum();
         let part = fleet.refused / (granted + fleet.refused);
         assert!(part <= 0.01, "seed {seed}: {part} refused");
@@ -383,7 +383,7 @@
 #[test]
 fn what_is_lent_is_not_granted_twice() {
     let mut fleet = Fleet::new(1, 64, 16, true);
-    fleet.use_allowance(20, 4.0);
+    fleet.use_quota(20, 4.0);
     let allowed = (RATE * 8.0 + RATE) * (1.0 + MEASURE.overage) + MEASURE.slack;
     let most = fleet.most_granted();
     assert!(most <= allowed, "{most} of {allowed}");
--- a/crates/siskinyoke-dispatch/tests/allowance.rs
+++ b/crates/siskinyoke-dispatch/tests/quota.rs
@@ -1,4 +1,4 @@
-//! Allowances that all instances share.
+//! Quotas that all instances share.
 
 mod common;
 
@@ -120,7 +120,7 @@
 }
 
 #[test]
-fn all_instances_together_keep_to_the_allowance_and_use_most_of_it() {
+fn all_instances_together_keep_to_the_quota_and_use_most_of_it() {
     let mut fleet = Fleet::start(7, 0, 0);
     fleet.saturate(0, 30_000, 5);
     assert!(
@@ -136,7 +136,7 @@
     );
 }
 
-// One organisation sends many times its allowance. All instances are killed in the middle and
+// One organisation sends many times its quota. All instances are killed in the middle and
 // start again at once, knowing nothing; for 400 ms they do not hear each other. Each granted as if
 // it were alone, and what was granted before they met was counted nowhere: the organisation got a
 // tenth more than is tolerated.
@@ -155,9 +155,9 @@
 }
 
 // Half of the instances are cut off from the other half, and callers reach both. Each side
-// granted the whole allowance: the organisation got it twice.
+// granted the whole quota: the organisation got it twice.
 #[test]
-fn sides_of_a_cut_share_the_allowance() {
+fn sides_of_a_cut_share_the_quota() {
     let mut fleet = Fleet::start(6, 0, 0);
     fleet.saturate(0, 9_000, 5);
     let mut far = Fleet {
@@ -180,7 +180,7 @@
 }
 
 #[test]
-fn a_refusal_for_the_allowance_says_when_there_will_be_enough() {
+fn a_refusal_for_the_quota_says_when_there_will_be_enough() {
     let mut core = Core::new(identity("i", 1));
     core.configure(Millis(0), configuration(1, organisation(1_000.0, 1_000.0)));
     let mut now = Millis(1_000);
@@ -189,7 +189,7 @@
             break refusal;
         }
     };
-    assert_eq!(refusal.reason, Reason::Allowance);
+    assert_eq!(refusal.reason, Reason::Quota);
     now += refusal.after;
     assert!(core.pass(now, request("/safe/x")).is_ok());
 }
@@ -218,7 +218,7 @@
     }
 }
 
-// One organisation sends many times its allowance, in large requests. All instances saw the same
+// One organisation sends many times its quota, in large requests. All instances saw the same
 // little in the bucket and took it at the same moment, each a whole request: the organisation got
 // more than is tolerated.
 #[test]
--- a/crates/siskinyoke-dispatch/tests/shards.rs
+++ b/crates/siskinyoke-dispatch/tests/shards.rs
@@ -81,7 +81,7 @@
 }
 
 // The store turns a quarter of a large fleet away, and their entries run out while they serve on.
-// The others took the fleet for smaller and their part of every allowance for larger: together
+// The others took the fleet for smaller and their part of every quota for larger: together
 // they granted a third too much.
 #[test]
 fn instances_whose_entries_ran_out_still_have_their_part() {
--- a/crates/siskinyoke-gateway/src/beliefs.rs
+++ b/crates/siskinyoke-gateway/src/beliefs.rs
@@ -188,7 +188,7 @@
         }
     };
     let version = configuration.version;
-    let allowances: Vec<_> = configuration
+    let quotas: Vec<_> = configuration
         .organisations()
         .iter()
         .take(LOGGED)
@@ -203,7 +203,7 @@
         return;
     }
     let fields =
-        json!({ "version": version, "before": before, "source": source, "allowances": allowances });
+        json!({ "version": version, "before": before, "source": source, "quotas": quotas });
     shell.log("configuration", fields);
     shell.configured.notify_waiters();
     shell.changed.notify_one();
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -240,11 +240,11 @@
     Err(Box::new(refuse(shell, request, refusal)))
 }
 
-// Where the own shard's part of an allowance is used up, others are asked before the request is refused.
+// Where the own shard's part of a quota is used up, others are asked before the request is refused.
 async fn pass(shell: &Shell, wanted: Wanted<'_>) -> Result<Pass, Refusal> {
     let passed = shell.core.borrow_mut().pass(shell.now(), wanted);
     let refusal = match passed {
-        Err(refusal) if refusal.reason == Reason::Allowance => refusal,
+        Err(refusal) if refusal.reason == Reason::Quota => refusal,
         other => return other,
     };
     let need = shell.core.borrow().lacks(shell.now(), wanted);
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -23,8 +23,8 @@
 use crate::signals;
 use crate::watcher;
 use siskinyoke_base::Millis;
-use siskinyoke_dispatch::allowance::Measure;
 use siskinyoke_dispatch::core::Identity;
+use siskinyoke_dispatch::quota::Measure;
 
 /// How often waiting requests are looked at while any wait.
 const TICK: Millis = Millis(10);
--- a/crates/siskinyoke-gateway/src/lending.rs
+++ b/crates/siskinyoke-gateway/src/lending.rs
@@ -159,7 +159,7 @@
     shell.decide();
 }
 
-/// Asks other shards for units of an organisation's allowance, and returns how many they gave.
+/// Asks other shards for units of an organisation's quota, and returns how many they gave.
 pub async fn units(shell: &Shell, need: UnitsNeed) -> u64 {
     let UnitsNeed {
         organisation,
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -64,11 +64,11 @@
     pub retry_ratio: f64,
     /// Retries allowed beside that part in ten seconds.
     pub retry_slack: f64,
-    /// The window over which allowances are measured, in seconds.
+    /// The window over which quotas are measured, in seconds.
     pub quota_window_s: f64,
-    /// The part by which an allowance may be exceeded.
+    /// The part by which a quota may be exceeded.
     pub quota_overage: f64,
-    /// Units by which an allowance may be exceeded besides.
+    /// Units by which a quota may be exceeded besides.
     pub quota_slack: f64,
     /// The longest that callers keep a directory's answer, in seconds.
     pub keep_s: f64,
@@ -163,7 +163,7 @@
         seconds(self.bounds.grace_s)
     }
 
-    /// Returns the window over which allowances are measured.
+    /// Returns the window over which quotas are measured.
     pub fn quota_window(&self) -> Millis {
         seconds(self.bounds.quota_window_s)
     }
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -208,7 +208,7 @@
             "waiting": waiting,
             "running": running,
             "peers": core.peers().count(now) - 1,
-            "allowance_share": core.peers().share(now),
+            "quota_share": core.peers().share(now),
             "configuration": core.version(),
             "store": core.stored(),
             "revision": core.revision(),
--- a/crates/siskinyoke-gateway/tests/held.rs
+++ b/crates/siskinyoke-gateway/tests/held.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use siskinyoke_base::Millis;
-use siskinyoke_dispatch::allowance::Measure;
 use siskinyoke_dispatch::core::Identity;
+use siskinyoke_dispatch::quota::Measure;
 use siskinyoke_gateway::held::Held;
 use siskinyoke_gateway::journal::Journal;
 use siskinyoke_gateway::settings::Settings;
--- a/crates/siskinyoke-gateway/tests/walks.rs
+++ b/crates/siskinyoke-gateway/tests/walks.rs
@@ -35,7 +35,7 @@
         let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
         let start = |name| Instance::start(program, name, store.address).ready();
         let instances: Vec<Instance> = ["i1", "i2"].map(start).into();
-        // Alone, each would speak for its part of the allowances only.
+        // Alone, each would speak for its part of the quotas only.
         for instance in &instances {
             until("the instances hear each other", || {
                 let page = get(instance.metrics, "/metrics").unwrap_or_default();
@@ -75,7 +75,7 @@
     found.unwrap_or_else(|| panic!("no line with {words:?}:\n{story}"))
 }
 
-// A teacher is told 429 while endpoints idle. The school has used its allowance, which an operator
+// A teacher is told 429 while endpoints idle. The school has used its quota, which an operator
 // lowered; only the log says so.
 #[test]
 fn refused_while_places_were_free() {
@@ -88,9 +88,9 @@
     });
     let story = world.story(&format!("r{}", refused.expect("a refusal")));
     assert!(story.starts_with("i1.log\n"), "{story}");
-    let refusal = line(&story, &["refusal", "reason=\"allowance\""]);
+    let refusal = line(&story, &["refusal", "reason=\"quota\""]);
     assert!(refusal.contains("configuration=7"), "{refusal}");
-    assert!(refusal.contains("allowance_share=1.0"), "{refusal}");
+    assert!(refusal.contains("quota_share=1.0"), "{refusal}");
     assert!(refusal.contains("organisation=\"school\""), "{refusal}");
     assert!(refusal.contains("running=0"), "{refusal}");
     line(
--- a/crates/siskinyoke-native/src/configuration.rs
+++ b/crates/siskinyoke-native/src/configuration.rs
@@ -46,7 +46,7 @@
     /// Tiers whose work is turned away.
     #[serde(default)]
     pub closed: Vec<String>,
-    /// By organisation, the part of its allowance that it has.
+    /// By organisation, the part of its quota that it has.
     #[serde(default)]
     pub shares: BTreeMap<String, f64>,
 }
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -185,7 +185,7 @@
         Reason::Unready => Code::NoConfiguration,
         Reason::NoRoute => Code::UnknownRoute,
         Reason::NoKey => Code::WrongKey,
-        Reason::Allowance => Code::OverAllowance,
+        Reason::Quota => Code::OverQuota,
         Reason::Overload => Code::Overloaded,
         Reason::Waited => Code::Late,
         Reason::Displaced => Code::Shed,
--- a/crates/siskinyoke-native/tests/documents.rs
+++ b/crates/siskinyoke-native/tests/documents.rs
@@ -55,7 +55,7 @@
 }
 
 #[test]
-fn the_preset_in_force_closes_tiers_and_shares_allowances() {
+fn the_preset_in_force_closes_tiers_and_shares_quotas() {
     let text = TEXT.replace(r#""preset": "ordinary""#, r#""preset": "peak""#);
     let configuration = read(&text).unwrap();
     let nightly = configuration.route("", "/v1/models/nightly/").unwrap();
