A fast endpoint is given one request more than it runs, while more wait than there are slots

Found by the load tests: without that condition, and with long answers waiting, two sound engines were given up while they read; the time for a slot now counts into the stall timeout.

--- a/crates/siskinyoke-dispatch/src/placing.rs
+++ b/crates/siskinyoke-dispatch/src/placing.rs
@@ -82,6 +82,8 @@
     pub endpoint: Arc<Endpoint>,
     /// Its free places, as far as all instances' reports tell.
     pub left: u32,
+    /// How many of these are not slots, but places in its queue.
+    pub extra: u32,
     /// Prompt tokens that it has still to read.
     pub unread: f64,
     /// Whether it takes much longer than the others.
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -58,12 +58,21 @@
     pending: Pending,
     key: EndpointKey,
     sent: Millis,
-    // Prompt tokens of others that its endpoint had still to read when it was sent.
-    behind: f64,
+    // What went before it at its endpoint when it was sent.
+    ahead: Ahead,
     // When the first part of its answer came.
     began: Option<Millis>,
 }
 
+// What goes before a request at its endpoint.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Ahead {
+    // Prompt tokens of others that are still to be read.
+    unread: f64,
+    // How long it is expected to wait there for a slot.
+    queued: Millis,
+}
+
 // What the decisions of one moment look at.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct View<'a> {
@@ -227,12 +236,13 @@
         let Running {
             pending,
             key,
-            behind,
+            ahead,
             ..
         } = running;
         let usual = self
             .load(&pending.service)
-            .first_of(&pending.work.behind(*behind));
+            .first_of(&pending.work.behind(ahead.unread))
+            + ahead.queued;
         stall_timeout::limit(millis(float(usual) * self.placing.pace(*key)))
     }
 
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 
+use super::Ahead;
 use super::Scheduler;
 use super::View;
 use super::starting::left;
@@ -180,7 +181,7 @@
             found: true,
         };
         self.answers.insert(pending.service.clone(), found);
-        self.begin(now, ticket, endpoint, 0.0, false);
+        self.begin(now, ticket, endpoint, Ahead::default(), false);
         true
     }
 
--- a/crates/siskinyoke-dispatch/src/scheduler/starting.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/starting.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::Ahead;
 use super::Decision;
 use super::Running;
 use super::Scheduler;
@@ -9,6 +10,7 @@
 use super::place;
 use crate::Endpoint;
 use crate::Ticket;
+use crate::load::Load;
 use crate::pending::Order;
 use crate::placing::Candidate;
 use crate::placing::Query;
@@ -25,6 +27,12 @@
 const TRIAL: u32 = 4;
 const FEWEST: u32 = 2;
 
+/// The pace up to which an endpoint is given one request more than it runs at once.
+///
+/// Its slots come free most often, and each stands idle until the end of an answer is known here and the next
+/// request has arrived there. At slower endpoints the request would wait for longer than that.
+const FAST: f64 = 0.8;
+
 impl Scheduler {
     // Gives free places to waiting requests, in their order.
     pub(super) fn start(
@@ -35,7 +43,11 @@
     ) {
         let now = view.now;
         let mut free = self.free(view, service);
-        let mut canaries = self.candidates(view, view.registry.canaries(service).iter());
+        let slots: u32 = free.iter().map(|candidate| candidate.left).sum();
+        if self.queues[service].iter().count() > slots as usize {
+            self.add_places(view, service, &mut free);
+        }
+        let mut canaries = self.candidates(view, view.registry.canaries(service).iter(), 0);
         let mut trial: u32 = canaries.iter().map(|candidate| candidate.left).sum();
         let mut spare: u32 = left(&free, false);
         let mut slow: u32 = left(&free, true);
@@ -70,25 +82,38 @@
                 continue;
             };
             let endpoint = candidate.endpoint.clone();
-            let behind = candidate.unread;
+            let ahead = ahead(candidate, load);
             candidate.left -= 1;
             candidate.unread += pending.work.prompt;
             *left -= 1;
-            self.begin(now, ticket, &endpoint, behind, canary);
+            self.begin(now, ticket, &endpoint, ahead, canary);
             decisions.push(Decision::Start(ticket, endpoint));
         }
     }
 
     // The endpoints with free places, as far as all instances' reports tell.
     pub(super) fn free(&self, view: &View<'_>, service: &str) -> Vec<Candidate> {
-        self.candidates(view, view.registry.fit(service).iter())
+        self.candidates(view, view.registry.fit(service).iter(), 0)
+    }
+
+    // Adds a place in the queue of each fast endpoint, as more requests wait than there are free slots.
+    fn add_places(&self, view: &View<'_>, service: &str, free: &mut Vec<Candidate>) {
+        let fit = view.registry.fit(service).iter();
+        let fast = fit.filter(|it| {
+            let key = it.key();
+            !self.placing.unknown(key) && self.placing.pace(key) <= FAST
+        });
+        let fast = self.candidates(view, fast, 1);
+        free.retain(|it| fast.iter().all(|other| other.endpoint.id != it.endpoint.id));
+        free.extend(fast);
     }
 
-    // Those of some endpoints that have free slots.
+    // Those of some endpoints that have free slots, or one of so many `extra` places in their queue.
     fn candidates<'a>(
         &self,
         view: &View<'_>,
         endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
+        extra: u32,
     ) -> Vec<Candidate> {
         let awake = endpoints.filter(|it| !self.placing.resting(view.now, it.key()));
         let awake: Vec<_> = awake.collect();
@@ -107,15 +132,12 @@
                     .counts
                     .get(&key)
                     .map_or((0, 0), |busy| (u32::from(busy.count), busy.unread));
-                let places = if self.placing.unknown(key) {
-                    (endpoint.slots / TRIAL).max(FEWEST).min(endpoint.slots)
-                } else {
-                    endpoint.slots
-                };
+                let places = self.places(endpoint) + extra;
                 let left = places.saturating_sub(count + others);
                 (left > 0).then(|| Candidate {
                     endpoint: endpoint.clone(),
                     left,
+                    extra,
                     unread: f64::from(ours) + f64::from(theirs),
                     slow: self.placing.slow(key, fastest),
                     fastest,
@@ -124,6 +146,15 @@
             .collect()
     }
 
+    // How many requests an endpoint is given at once.
+    fn places(&self, endpoint: &Endpoint) -> u32 {
+        if self.placing.unknown(endpoint.key()) {
+            (endpoint.slots / TRIAL).max(FEWEST).min(endpoint.slots)
+        } else {
+            endpoint.slots
+        }
+    }
+
     // The endpoints of a service that do not rest.
     pub(super) fn awake<'a>(&self, view: &View<'a>, service: &str) -> Vec<&'a Arc<Endpoint>> {
         let fit = view.registry.fit(service).iter();
@@ -136,7 +167,7 @@
         now: Millis,
         ticket: Ticket,
         endpoint: &Arc<Endpoint>,
-        behind: f64,
+        ahead: Ahead,
         canary: bool,
     ) {
         let Some(mut pending) = self.waiting.remove(&ticket) else {
@@ -155,13 +186,23 @@
             pending,
             key,
             sent: now,
-            behind,
+            ahead,
             began: None,
         };
         self.running.insert(ticket, running);
     }
 }
 
+// What goes before a request that is sent to a candidate now.
+fn ahead(candidate: &Candidate, load: Load) -> Ahead {
+    let queued = candidate.left <= candidate.extra;
+    let slots = u64::from(candidate.endpoint.slots.max(1));
+    Ahead {
+        unread: candidate.unread,
+        queued: Millis(if queued { load.stay().0 / slots } else { 0 }),
+    }
+}
+
 pub(super) fn left(candidates: &[Candidate], slow: bool) -> u32 {
     let same = candidates.iter().filter(|candidate| candidate.slow == slow);
     same.map(|candidate| candidate.left).sum()
--- a/crates/siskinyoke-dispatch/tests/placing.rs
+++ b/crates/siskinyoke-dispatch/tests/placing.rs
@@ -215,6 +215,7 @@
     let candidates = [Candidate {
         endpoint: slow.clone(),
         left: 12,
+        extra: 0,
         unread: 0.0,
         slow: true,
         fastest: 1.0,
@@ -264,6 +265,7 @@
         [Candidate {
             endpoint: slow.clone(),
             left,
+            extra: 0,
             unread: 0.0,
             slow: true,
             fastest: 1.0,
@@ -296,6 +298,7 @@
         [Candidate {
             endpoint: Arc::new(endpoint("usual", 6)),
             left: 6,
+            extra: 0,
             unread: 0.0,
             slow: false,
             fastest,
