--- a/crates/siskinyoke-dispatch/tests/turnaround.rs
+++ b/crates/siskinyoke-dispatch/tests/turnaround.rs
@@ -4,6 +4,9 @@
 
 use std::collections::VecDeque;
 
+use crate::common::busy;
+use crate::common::endpoint;
+use crate::common::pending;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Decision;
 use siskinyoke_dispatch::Kind;
@@ -13,10 +16,6 @@
 use siskinyoke_dispatch::peers::Peers;
 use siskinyoke_dispatch::registry::Registry;
 
-use crate::common::busy;
-use crate::common::endpoint;
-use crate::common::pending;
-
 const SLOTS: u32 = 6;
 
 /// How long a request or an answer is on its way, with what it waits for a small instance, in ms.
