Outcomes of orders out of the ordinary; states are taken in after their orders; what a silent peer saw no longer counts

Found by reading the change again: a state that stands before its order in the store's order of keys said nothing to a process that starts (the product's own keys sort so), and a peer that fell silent left its last counts for ever. Tests: orders for the version in force, without endpoints, with too few, withdrawn, replaced, and an outcome known at the start.

--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -56,6 +56,7 @@
         }
         let mut fleet = false;
         let mut endpoints = Vec::new();
+        let mut states = Vec::new();
         for item in news {
             match item {
                 News::Instance(name, place) => {
@@ -72,10 +73,14 @@
                         rollout.withdraw();
                     }
                 }
-                News::Status(service, status) => self.registry.status(&service, status),
+                News::Status(service, status) => states.push((service, status)),
                 News::Endpoint(_) | News::EndpointGone(_) => endpoints.push(item),
             }
         }
+        // A state says nothing before its order is known.
+        for (service, status) in states {
+            self.registry.status(&service, status);
+        }
         if fleet {
             self.settle();
         }
--- a/crates/siskinyoke-dispatch/src/rollout.rs
+++ b/crates/siskinyoke-dispatch/src/rollout.rs
@@ -57,6 +57,9 @@
 /// By then their entries are gone. Endpoints of any version that start later are of the operators' choice.
 const SETTLED: Millis = Millis::from_secs(20);
 
+/// How long what a peer saw counts after its report; it fades at the peer, and only while that is heard.
+const HEARD: Millis = Millis(1_000);
+
 /// How long an instance waits for the one whose turn it is to write, by its own position in turn.
 const TURN: Millis = Millis(250);
 
@@ -115,14 +118,15 @@
     standing: bool,
     // Slots of the endpoints of the new version and of the others.
     slots: [u32; 2],
-    // Whether this instance or one of its peers found the new version to be bad.
+    // Whether this instance or one of its peers found the new version to be bad, or the order was withdrawn.
     condemned: bool,
     // When the outcome was first known here.
     ended: Option<Millis>,
     // Requests that may go to the new version, with fractions.
     credit: f64,
     tally: Tally,
-    told: Map<u64, Canary>,
+    // What peers saw, and when they said so.
+    told: Map<u64, (Millis, Canary)>,
     phase: Phase,
 }
 
@@ -177,9 +181,9 @@
     }
 
     /// Takes note of the service's endpoints.
-    pub fn take_endpoints<'a>(&mut self, mut endpoints: impl Iterator<Item = &'a Endpoint>) {
+    pub fn take_endpoints<'a>(&mut self, endpoints: impl Iterator<Item = &'a Endpoint>) {
         self.slots = [0, 0];
-        for endpoint in &mut endpoints {
+        for endpoint in endpoints {
             let new = endpoint.version == self.order.version;
             if !new && self.banned.contains(&endpoint.version) {
                 continue;
@@ -203,7 +207,7 @@
         self.begun = self.begun.min(now.since(Millis(canary.age)));
         self.condemned |= canary.condemned;
         if shard {
-            self.told.insert(source, canary.clone());
+            self.told.insert(source, (now, canary.clone()));
             self.judge(now);
         }
     }
@@ -369,7 +373,9 @@
             return;
         }
         let own = self.tally.samples(now);
-        let told = self.told.values().flat_map(|it| &it.samples);
+        let told = self.told.values();
+        let told = told.filter(|it| now.since(it.0) <= HEARD);
+        let told = told.flat_map(|it| &it.1.samples);
         self.condemned = judge::bad(own.iter().chain(told));
     }
 }
--- /dev/null
+++ b/crates/siskinyoke-dispatch/tests/rollout.rs
@@ -0,0 +1,129 @@
+//! Orders that are out of the ordinary: what becomes of them, and of their service's traffic.
+
+mod common;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Core;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::News;
+use siskinyoke_dispatch::rollout::Order;
+use siskinyoke_dispatch::rollout::Phase;
+use siskinyoke_dispatch::rollout::Rollout;
+use siskinyoke_dispatch::rollout::State;
+use siskinyoke_dispatch::rollout::Status;
+use siskinyoke_dispatch::rollout::Use;
+
+use crate::common::endpoint;
+use crate::common::identity;
+
+const SPAN: Millis = Millis(10_000);
+
+fn order(version: &str, revision: u64) -> Order {
+    Order {
+        service: "lm".into(),
+        version: version.into(),
+        span: SPAN,
+        revision,
+    }
+}
+
+fn of(version: &str) -> Endpoint {
+    Endpoint {
+        version: version.into(),
+        ..endpoint(version, 6)
+    }
+}
+
+// A rollout that began at 0 with an endpoint of each of these versions.
+fn begun(version: &str, versions: &[&str]) -> Rollout {
+    let mut rollout = Rollout::begin(Millis(0), order(version, 5), None, 0.5);
+    let endpoints: Vec<_> = versions.iter().map(|it| of(it)).collect();
+    rollout.take_endpoints(endpoints.iter());
+    rollout.advance(Millis(1));
+    rollout
+}
+
+fn ends(rollout: &mut Rollout) -> Option<State> {
+    rollout.advance(SPAN);
+    rollout.due(SPAN, 0)
+}
+
+// Traffic was taken from the only version there is, as it was on trial.
+#[test]
+fn an_order_for_the_version_in_force_takes_no_traffic_away() {
+    let mut rollout = begun("v1", &["v1"]);
+    assert_eq!(rollout.usage(&of("v1")), Use::Full);
+    assert_eq!(ends(&mut rollout), Some(State::Completed));
+    assert_eq!(rollout.usage(&of("v1")), Use::Full);
+}
+
+// Completed without its endpoints, the old ones would stop and nobody would be served.
+#[test]
+fn an_order_whose_endpoints_never_come_is_rolled_back() {
+    let mut rollout = begun("v2", &["v1"]);
+    assert!(!rollout.draw(Millis(1), 1.0));
+    assert_eq!(ends(&mut rollout), Some(State::RolledBack));
+    assert_eq!(rollout.usage(&of("v1")), Use::Full);
+}
+
+// One endpoint of the new version would get the traffic of ten.
+#[test]
+fn traffic_does_not_move_to_far_fewer_slots() {
+    let mut rollout = begun("v2", &["v1", "v1", "v1", "v2"]);
+    assert_eq!(ends(&mut rollout), Some(State::RolledBack));
+}
+
+#[test]
+fn a_withdrawn_order_takes_the_traffic_back() {
+    let mut rollout = begun("v2", &["v1", "v2"]);
+    rollout.advance(Millis(9_000));
+    assert_eq!(rollout.phase(), Phase::Moved);
+    assert_eq!(rollout.usage(&of("v1")), Use::None);
+    rollout.withdraw();
+    rollout.advance(Millis(9_001));
+    assert_eq!(rollout.usage(&of("v1")), Use::Full);
+    assert_eq!(rollout.usage(&of("v2")), Use::None);
+    assert_eq!(rollout.due(Millis(9_001), 0), Some(State::RolledBack));
+}
+
+// A second order comes before the first has an outcome. The version that was on trial is not taken for the standing one.
+#[test]
+fn a_version_whose_order_was_replaced_gets_nothing() {
+    let before = begun("v2", &["v1", "v2"]);
+    let mut rollout = Rollout::begin(Millis(10), order("v3", 9), Some(before), 0.5);
+    let endpoints = [of("v1"), of("v2"), of("v3")];
+    rollout.take_endpoints(endpoints.iter());
+    rollout.advance(Millis(11));
+    let uses = endpoints.each_ref().map(|it| rollout.usage(it));
+    assert_eq!(uses, [Use::Full, Use::None, Use::Canary]);
+}
+
+// A process starts after the outcome. In the store's order of keys a state may come before its order.
+#[test]
+fn a_process_that_starts_later_takes_the_outcome_from_the_store() {
+    for state in [State::Completed, State::RolledBack] {
+        let mut core = Core::new(identity("i1", 1));
+        let status = Status {
+            state,
+            version: "v2".into(),
+            revision: 8,
+        };
+        let news = vec![
+            News::Status("lm".into(), status),
+            News::Order(order("v2", 5)),
+            News::Endpoint(of("v1")),
+            News::Endpoint(of("v2")),
+        ];
+        core.learn_news(Millis(0), 9, news);
+        core.advance_rollouts(Millis(1));
+        let fit = core.registry().fit("lm");
+        let version = if state == State::Completed {
+            "v2"
+        } else {
+            "v1"
+        };
+        assert_eq!(fit.len(), 1);
+        assert_eq!(&*fit[0].version, version);
+        assert!(core.due_states(SPAN).is_empty());
+    }
+}
