--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -56,7 +56,7 @@
         }
         let mut fleet = false;
         let mut endpoints = Vec::new();
-        let mut states = Vec::new();
+        let mut progress = Vec::new();
         for item in news {
             match item {
                 News::Instance(name, place) => {
@@ -73,12 +73,12 @@
                         rollout.withdraw();
                     }
                 }
-                News::Status(service, status) => states.push((service, status)),
+                News::Status(service, status) => progress.push((service, status)),
                 News::Endpoint(_) | News::EndpointGone(_) => endpoints.push(item),
             }
         }
         // A state says nothing before its order is known.
-        for (service, status) in states {
+        for (service, status) in progress {
             self.registry.status(&service, status);
         }
         if fleet {
