--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
+use crate::EndpointKey;
 use crate::Outcome;
 use crate::Pending;
 use crate::Report;
 use crate::core::Core;
-use crate::load::float;
+use crate::core::pass::chance;
+use crate::load::Load;
 use crate::report::short;
 use crate::rollout::Order;
 use crate::rollout::Phase;
@@ -18,10 +20,10 @@
 /// How many times longer than usual an answer takes that counts as bad.
 ///
 /// Endpoints of one version differ threefold; those of a bad one take several times as long.
-const SLOW: f64 = 3.0;
+const SLOW: u64 = 3;
 
 /// By how much longer than usual it takes at the least: less is the noise of processes.
-const NOTICED: f64 = 50.0;
+const NOTICED: Millis = Millis(50);
 
 /// A change of where a service's traffic goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -79,9 +81,8 @@
     }
 
     pub(super) fn begin_rollout(&mut self, now: Millis, order: Order) {
-        let draw = stable_hash(&(self.me.source, order.revision)) >> 32;
-        let draw = f64::from(u32::try_from(draw).unwrap_or(u32::MAX)) / f64::from(u32::MAX);
-        self.registry.order(now, order, draw);
+        let draw = stable_hash(&(self.me.source, order.revision));
+        self.registry.order(now, order, chance(draw));
     }
 
     // Reports of other shards count for no endpoint, but what they know of a rollout counts for all.
@@ -95,34 +96,17 @@
         }
     }
 
-    // Counts the answer of a service whose order is not decided yet.
+    // Counts the answer of a service while the versions of its endpoints are compared.
     pub(super) fn sample(&mut self, now: Millis, pending: &Pending, outcome: Outcome) {
-        let rollout = self.registry.rollout(&pending.service);
-        let Some(version) = rollout
-            .filter(|it| it.judging())
-            .map(|it| it.order().version.clone())
-        else {
-            return;
-        };
         let Some(key) = pending.tried.last() else {
             return;
         };
-        let Some(endpoint) = self.registry.all().find(|it| it.key() == *key) else {
+        let Some(new) = self.compared(&pending.service, *key) else {
             return;
         };
-        let new = endpoint.version == version;
         let load = self.scheduler.load(&pending.service);
-        let bad = match outcome {
-            Outcome::Failed | Outcome::Broken | Outcome::Silent => true,
-            Outcome::Done { took, parts: 0, .. } => slow(float(took), float(load.stay())),
-            Outcome::Done {
-                first, took, parts, ..
-            } => {
-                let rest = float(took.since(first));
-                let late = slow(float(first), float(load.first_of(&pending.work)));
-                late || slow(rest, float(load.rest(f64::from(parts))))
-            }
-            Outcome::Full | Outcome::Moved | Outcome::Unreached | Outcome::Left => return,
+        let Some(bad) = bad(outcome, pending, load) else {
+            return;
         };
         let sample = Sample {
             route: short(&pending.route.name),
@@ -134,8 +118,35 @@
             rollout.answered(now, sample);
         }
     }
+
+    // Whether an endpoint is of the new version, where its service's versions are compared.
+    fn compared(&mut self, service: &str, key: EndpointKey) -> Option<bool> {
+        let rollout = self.registry.rollout(service)?;
+        if !rollout.judging() {
+            return None;
+        }
+        let version = rollout.order().version.clone();
+        let endpoint = self.registry.all().find(|it| it.key() == key)?;
+        Some(endpoint.version == version)
+    }
+}
+
+// Whether an answer speaks against its endpoint's version; nothing if it says nothing of it.
+fn bad(outcome: Outcome, pending: &Pending, load: Load) -> Option<bool> {
+    match outcome {
+        Outcome::Failed | Outcome::Broken | Outcome::Silent => Some(true),
+        Outcome::Done { took, parts: 0, .. } => Some(slow(took, load.stay())),
+        Outcome::Done {
+            first, took, parts, ..
+        } => {
+            let late = slow(first, load.first_of(&pending.work));
+            let rest = load.rest(f64::from(parts));
+            Some(late || slow(took.since(first), rest))
+        }
+        Outcome::Full | Outcome::Moved | Outcome::Unreached | Outcome::Left => None,
+    }
 }
 
-fn slow(took: f64, usual: f64) -> bool {
-    took > SLOW * usual && took > usual + NOTICED
+fn slow(took: Millis, usual: Millis) -> bool {
+    took.0 > usual.0 * SLOW && took > usual + NOTICED
 }
--- a/crates/siskinyoke-dispatch/src/scheduler/starting.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/starting.rs
@@ -13,6 +13,7 @@
 use crate::load::Load;
 use crate::pending::Order;
 use crate::placing::Candidate;
+use crate::placing::Placing;
 use crate::placing::Query;
 use crate::queue::Place;
 use crate::report::Waiting;
@@ -33,6 +34,37 @@
 /// request has arrived there. At slower endpoints the request would wait for longer than that.
 const FAST: f64 = 0.8;
 
+// The endpoints that may take requests of a service now.
+struct Open {
+    free: Vec<Candidate>,
+    // Those of the version on trial.
+    canaries: Vec<Candidate>,
+}
+
+impl Open {
+    // Finds the best endpoint for a request, and says whether it is of the version on trial.
+    //
+    // Where that version has no slot, the standing one serves what was drawn for it.
+    fn pick(
+        &mut self,
+        placing: &Placing,
+        query: &Query<'_>,
+        usual: bool,
+    ) -> Option<(&mut Candidate, bool)> {
+        let canary = query.pending.canary;
+        let canary = canary.then(|| placing.best(query, &self.canaries, true));
+        if let Some(at) = canary.flatten() {
+            return Some((&mut self.canaries[at], true));
+        }
+        let at = placing.best(query, &self.free, usual)?;
+        Some((&mut self.free[at], false))
+    }
+
+    fn trial(&self) -> u32 {
+        self.canaries.iter().map(|candidate| candidate.left).sum()
+    }
+}
+
 impl Scheduler {
     // Gives free places to waiting requests, in their order.
     pub(super) fn start(
@@ -42,55 +74,50 @@
         decisions: &mut Vec<Decision>,
     ) {
         let now = view.now;
-        let mut free = self.free(view, service);
-        let slots: u32 = free.iter().map(|candidate| candidate.left).sum();
-        if self.queues[service].iter().count() > slots as usize {
-            self.add_places(view, service, &mut free);
-        }
-        let mut canaries = self.candidates(view, view.registry.canaries(service).iter(), 0);
-        let mut trial: u32 = canaries.iter().map(|candidate| candidate.left).sum();
-        let mut spare: u32 = left(&free, false);
-        let mut slow: u32 = left(&free, true);
         let load = self.load(service);
         let rows: Vec<Waiting> = view.peers.waiting(now, short(service)).collect();
         let waiting: Vec<Place> = self.queues[service].iter().collect();
+        let mut open = self.open(view, service, waiting.len());
         for (order, position, ticket) in waiting {
             // Peers' more urgent requests wait for endpoints of a usual pace, so slow ones are not left to
             // them.
-            let usual = spare > before(&rows, order, now.since(position));
-            if !usual && slow == 0 && trial == 0 {
+            let usual = left(&open.free, false) > before(&rows, order, now.since(position));
+            if !usual && left(&open.free, true) == 0 && open.trial() == 0 {
                 break;
             }
             let pending = &self.waiting[&ticket];
+            let timeout = pending.arrived + wait::queue_timeout(pending, load);
             let query = Query {
                 now,
                 pending,
                 load: &load,
-                can_wait: !pending.late
-                    && now < pending.arrived + wait::queue_timeout(pending, load),
+                can_wait: !pending.late && now < timeout,
             };
-            // Where the version on trial has no slot, the standing one serves what was drawn for it.
-            let canary = pending
-                .canary
-                .then(|| self.placing.best(&query, &canaries, true));
-            let (candidate, left, canary) = if let Some(at) = canary.flatten() {
-                (&mut canaries[at], &mut trial, true)
-            } else if let Some(at) = self.placing.best(&query, &free, usual) {
-                let slow = if free[at].slow { &mut slow } else { &mut spare };
-                (&mut free[at], slow, false)
-            } else {
+            let Some((candidate, canary)) = open.pick(&self.placing, &query, usual) else {
                 continue;
             };
             let endpoint = candidate.endpoint.clone();
             let ahead = ahead(candidate, load);
             candidate.left -= 1;
             candidate.unread += pending.work.prompt;
-            *left -= 1;
             self.begin(now, ticket, &endpoint, ahead, canary);
             decisions.push(Decision::Start(ticket, endpoint));
         }
     }
 
+    fn open(&self, view: &View<'_>, service: &str, waiting: usize) -> Open {
+        let mut free = self.free(view, service);
+        let slots: u32 = free.iter().map(|candidate| candidate.left).sum();
+        if waiting > slots as usize {
+            self.add_places(view, service, &mut free);
+        }
+        let canaries = view.registry.canaries(service).iter();
+        Open {
+            free,
+            canaries: self.candidates(view, canaries, 0),
+        }
+    }
+
     // The endpoints with free places, as far as all instances' reports tell.
     pub(super) fn free(&self, view: &View<'_>, service: &str) -> Vec<Candidate> {
         self.candidates(view, view.registry.fit(service).iter(), 0)
