--- a/crates/siskinyoke-dispatch/tests/rollout.rs
+++ b/crates/siskinyoke-dispatch/tests/rollout.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use crate::common::endpoint;
+use crate::common::identity;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Endpoint;
@@ -13,9 +15,6 @@
 use siskinyoke_dispatch::rollout::Status;
 use siskinyoke_dispatch::rollout::Use;
 
-use crate::common::endpoint;
-use crate::common::identity;
-
 const SPAN: Millis = Millis(10_000);
 
 fn order(version: &str, revision: u64) -> Order {
