One pass over a service's endpoints for each decision, one test of which rest

- Places in the queues of fast endpoints were added by a second pass, which summed up the peers' requests and looked up every pace again under just the load that they answer.
One pass finds both, and they are left out where slots suffice.
- Which endpoints rest stood twice: `awake` serves both.
- Any news of the store worked all endpoints out anew once an order had ever been known; an order does so itself, when it comes.

--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -66,9 +66,6 @@
     ///
     /// Instances that watch the store do so, those of one shard after those of another.
     pub fn due_states(&self, now: Millis) -> Vec<Due> {
-        if self.leaving || self.watcher(now) != self.me.name {
-            return Vec::new();
-        }
         let rollouts = self.registry.rollouts();
         let due = rollouts.filter_map(|it| {
             Some(Due {
@@ -77,7 +74,9 @@
                 expected: it.status_revision(),
             })
         });
-        due.collect()
+        let due: Vec<_> = due.collect();
+        let writes = !due.is_empty() && !self.leaving && self.watcher(now) == self.me.name;
+        if writes { due } else { Vec::new() }
     }
 
     pub(super) fn begin_rollout(&mut self, now: Millis, order: Order) {
--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -84,8 +84,7 @@
         if fleet {
             self.settle();
         }
-        // An order stands before the entries of the endpoints that it brings.
-        if !endpoints.is_empty() || self.registry.rollouts().next().is_some() {
+        if !endpoints.is_empty() {
             self.registry.change(now, endpoints);
         }
     }
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -124,6 +124,7 @@
         let before = self.rollouts.remove(&service);
         let rollout = Rollout::begin(now, order, before, draw);
         self.rollouts.insert(service, rollout);
+        self.choose();
     }
 
     /// Takes in how far the order for a service has come.
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -105,7 +105,8 @@
             return None;
         }
         let candidates = self.free(view, &service);
-        let all: u32 = self.awake(view, &service).iter().map(|it| it.slots).sum();
+        let awake = self.awake(view.now, view.registry.fit(&service));
+        let all: u32 = awake.iter().map(|it| it.slots).sum();
         if left(&candidates, false) <= all / KEPT + 1 {
             return None;
         }
--- a/crates/siskinyoke-dispatch/src/scheduler/starting.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/starting.rs
@@ -106,44 +106,27 @@
     }
 
     fn open(&self, view: &View<'_>, service: &str, waiting: usize) -> Open {
-        let mut free = self.free(view, service);
-        let slots: u32 = free.iter().map(|candidate| candidate.left).sum();
-        if waiting > slots as usize {
-            self.add_places(view, service, &mut free);
-        }
-        let canaries = view.registry.canaries(service).iter();
-        Open {
-            free,
-            canaries: self.candidates(view, canaries, 0),
+        let mut free = self.candidates(view, view.registry.fit(service));
+        let slots: u32 = free.iter().map(|it| it.left.saturating_sub(it.extra)).sum();
+        // As more requests wait than there are free slots, fast endpoints' queues take some of them.
+        if waiting <= slots as usize {
+            drop_extra(&mut free);
         }
+        let mut canaries = self.candidates(view, view.registry.canaries(service));
+        drop_extra(&mut canaries);
+        Open { free, canaries }
     }
 
     // The endpoints with free places, as far as all instances' reports tell.
     pub(super) fn free(&self, view: &View<'_>, service: &str) -> Vec<Candidate> {
-        self.candidates(view, view.registry.fit(service).iter(), 0)
-    }
-
-    // Adds a place in the queue of each fast endpoint, as more requests wait than there are free slots.
-    fn add_places(&self, view: &View<'_>, service: &str, free: &mut Vec<Candidate>) {
-        let fit = view.registry.fit(service).iter();
-        let fast = fit.filter(|it| {
-            let key = it.key();
-            !self.placing.unknown(key) && self.placing.pace(key) <= FAST
-        });
-        let fast = self.candidates(view, fast, 1);
-        free.retain(|it| fast.iter().all(|other| other.endpoint.id != it.endpoint.id));
-        free.extend(fast);
+        let mut free = self.candidates(view, view.registry.fit(service));
+        drop_extra(&mut free);
+        free
     }
 
-    // Those of some endpoints that have free slots, or one of so many `extra` places in their queue.
-    fn candidates<'a>(
-        &self,
-        view: &View<'_>,
-        endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
-        extra: u32,
-    ) -> Vec<Candidate> {
-        let awake = endpoints.filter(|it| !self.placing.resting(view.now, it.key()));
-        let awake: Vec<_> = awake.collect();
+    // Those of some endpoints that have free slots, or a place in the queue of a fast one.
+    fn candidates(&self, view: &View<'_>, endpoints: &[Arc<Endpoint>]) -> Vec<Candidate> {
+        let awake = self.awake(view.now, endpoints);
         if awake.is_empty() {
             return Vec::new();
         }
@@ -159,8 +142,8 @@
                     .counts
                     .get(&key)
                     .map_or((0, 0), |busy| (u32::from(busy.count), busy.unread));
-                let places = self.places(endpoint) + extra;
-                let left = places.saturating_sub(count + others);
+                let (places, extra) = self.places(endpoint);
+                let left = (places + extra).saturating_sub(count + others);
                 (left > 0).then(|| Candidate {
                     endpoint: endpoint.clone(),
                     left,
@@ -173,19 +156,26 @@
             .collect()
     }
 
-    // How many requests an endpoint is given at once.
-    fn places(&self, endpoint: &Endpoint) -> u32 {
-        if self.placing.unknown(endpoint.key()) {
-            (endpoint.slots / TRIAL).max(FEWEST).min(endpoint.slots)
-        } else {
-            endpoint.slots
+    // How many requests an endpoint is given at once, and how many more its queue may take.
+    fn places(&self, endpoint: &Endpoint) -> (u32, u32) {
+        let key = endpoint.key();
+        if self.placing.unknown(key) {
+            let few = (endpoint.slots / TRIAL).max(FEWEST);
+            return (few.min(endpoint.slots), 0);
         }
+        let fast = self.placing.pace(key) <= FAST;
+        (endpoint.slots, u32::from(fast))
     }
 
-    // The endpoints of a service that do not rest.
-    pub(super) fn awake<'a>(&self, view: &View<'a>, service: &str) -> Vec<&'a Arc<Endpoint>> {
-        let fit = view.registry.fit(service).iter();
-        fit.filter(|it| !self.placing.resting(view.now, it.key()))
+    // Those of some endpoints that do not rest.
+    pub(super) fn awake<'a>(
+        &self,
+        now: Millis,
+        endpoints: &'a [Arc<Endpoint>],
+    ) -> Vec<&'a Arc<Endpoint>> {
+        let endpoints = endpoints.iter();
+        endpoints
+            .filter(|it| !self.placing.resting(now, it.key()))
             .collect()
     }
 
@@ -220,6 +210,15 @@
     }
 }
 
+// Leaves only slots.
+fn drop_extra(candidates: &mut Vec<Candidate>) {
+    for candidate in candidates.iter_mut() {
+        candidate.left = candidate.left.saturating_sub(candidate.extra);
+        candidate.extra = 0;
+    }
+    candidates.retain(|it| it.left > 0);
+}
+
 // What goes before a request that is sent to a candidate now.
 fn ahead(candidate: &Candidate, load: Load) -> Ahead {
     let queued = candidate.left <= candidate.extra;
--- a/crates/siskinyoke-dispatch/src/scheduler/waits.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/waits.rs
@@ -75,7 +75,8 @@
     }
 
     fn forecast(&self, view: &View<'_>, pending: &Pending) -> Forecast {
-        let awake = self.awake(view, &pending.service).into_iter();
+        let awake = self.awake(view.now, view.registry.fit(&pending.service));
+        let awake = awake.into_iter();
         let capacity = awake.map(|it| f64::from(it.slots) / self.placing.pace(it.key()));
         let demand = self.demands.get(&pending.service);
         let before = demand.map_or(0.0, |it| it.before(view.now, pending.rank, pending.late));
