--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -99,6 +99,11 @@
         !self.view.away
     }
 
+    /// Returns whether this instance's last call of the store succeeded.
+    pub fn reaches(&self) -> bool {
+        self.view.reaches
+    }
+
     /// Takes note that a call of the store succeeded.
     pub fn store_answered(&mut self) {
         self.view.reaches = true;
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -87,6 +87,8 @@
     pub replica: RefCell<Replica>,
     /// Whether the store answered this instance last.
     pub stored: Cell<bool>,
+    /// When the store last answered a watch or a reading.
+    pub heard: Cell<Millis>,
     /// Whether this instance watches the store, rather than follow a peer.
     pub watching: Cell<bool>,
     /// The socket for messages between instances, once it is bound.
@@ -150,6 +152,7 @@
             metrics: Metrics::new()?,
             replica: RefCell::default(),
             stored: Cell::new(false),
+            heard: Cell::new(BootClock.now()),
             watching: Cell::new(false),
             socket: OnceCell::new(),
             lending: Lending::default(),
@@ -212,6 +215,7 @@
             "configuration": core.version(),
             "store": core.stored(),
             "revision": core.revision(),
+            "store_age_ms": now.since(self.heard.get()).0,
         });
         self.log("refusal", fields);
     }
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -186,12 +186,24 @@
             held + MARGIN
         };
         let call = store.watch(revision, held);
+        let sent = self.shell.now();
+        let doubted = !self.shell.core.borrow().reaches();
         let result = tokio::select! {
             result = self.client.watch(address, &call, limit, store) => result,
             // The store did not answer another call: the connection of this one may be dead too.
             () = self.shell.unanswered.notified() => Err(StoreError::Silent),
         };
         self.shell.metrics.called("watch", result.is_ok());
+        if let Err(err) = &result {
+            let fields = json!({
+                "sent_ms_ago": self.shell.now().since(sent).0,
+                "held_ms": held.0,
+                "doubted": doubted,
+                "revision": revision,
+                "error": err.to_string(),
+            });
+            self.shell.log("store_watch_failed", fields);
+        }
         let batch = result?;
         self.answered();
         let changed = !batch.items.is_empty();
@@ -212,6 +224,7 @@
     }
 
     fn answered(&mut self) {
+        self.shell.heard.set(self.shell.now());
         self.shell.core.borrow_mut().store_answered();
         if !self.shell.stored.replace(true) {
             self.shell.log("store_regained", json!({}));
