--- a/crates/siskinyoke-dispatch/tests/following/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet.rs
@@ -18,9 +18,13 @@
 
 const STEP: u64 = 10;
 
-/// How long an instance must have been well to be held to the bound, and the bound.
-const STABLE: u64 = 4_000;
-const BOUND: u64 = 3_000;
+/// How long an instance must have been well to be held to the bound, and the bound, in ms: of fleets of one shard and
+/// of larger ones.
+const STABLE: [u64; 2] = [3_000, 4_000];
+const BOUND: [u64; 2] = [2_000, 3_000];
+
+/// The most instances of a fleet of one shard.
+const SMALL: usize = 11;
 
 /// As in the gateway: how often whole reports go out and other ones, and how many go to other shards.
 const WHOLE: u64 = 500;
@@ -40,6 +44,8 @@
     None,
     /// Freezes, kills, cuts, lost reports, and a store that some do not reach.
     Wild,
+    /// A store that all find silent or refusing, time and again.
+    Outages,
 }
 
 /// How the store treats an instance.
@@ -57,19 +63,29 @@
     store: (Store, u64),
     // Since when it has been well.
     well: u64,
-    // When the waiting watch began.
-    watch: Option<u64>,
+    watch: Option<Watch>,
     // No look at the watch before then.
     rests: u64,
     pause: u64,
     renews: u64,
     retry: u64,
+    // When a renewal that was sent into silence is given up.
+    unanswered: Option<u64>,
     // What is being taken from a peer: when, from whom.
     taking: Option<(u64, usize)>,
     // Who handed over nothing, and when.
     failed: Option<(usize, u64)>,
 }
 
+// A call that waits for changes.
+#[derive(Clone, Copy)]
+struct Watch {
+    since: u64,
+    held: u64,
+    // Whether it was sent to a silent store, or met one since: it stays unanswered when the store is back.
+    lost: bool,
+}
+
 struct Letter {
     due: u64,
     from: usize,
@@ -84,6 +100,8 @@
     now: u64,
     nodes: Vec<Node>,
     letters: Vec<Letter>,
+    // How the store treats everybody, and until when.
+    outage: (Store, u64),
     // Nothing goes from one to the other until then.
     cuts: BTreeMap<(usize, usize), u64>,
     // When each revision was reached.
@@ -103,6 +121,7 @@
             now: 0,
             nodes: Vec::new(),
             letters: Vec::new(),
+            outage: (Store::Well, 0),
             cuts: BTreeMap::new(),
             history: vec![0, 0],
             calls: 0,
@@ -119,11 +138,14 @@
     pub fn run(&mut self, length: u64) {
         while self.now < length {
             self.now += STEP;
-            if self.now.is_multiple_of(1_000) {
-                self.history.push(self.now);
+            match self.trouble {
+                Trouble::None => {}
+                Trouble::Wild => self.harm(),
+                Trouble::Outages => self.fail_store(),
             }
-            if self.trouble == Trouble::Wild {
-                self.harm();
+            // The operators cannot write either while nobody reaches the store.
+            if self.now.is_multiple_of(1_000) && self.outage.1 <= self.now {
+                self.history.push(self.now);
             }
             self.deliver();
             for at in 0..self.nodes.len() {
@@ -148,6 +170,7 @@
             pause: 100,
             renews,
             retry: 1_000,
+            unanswered: None,
             taking: None,
             failed: None,
         }
@@ -186,6 +209,24 @@
         }
     }
 
+    // Begins an outage now and then, with some calm between two.
+    fn fail_store(&mut self) {
+        let calm = 6_000;
+        if self.now < self.outage.1 + calm || !self.rng.random_bool(0.002) {
+            return;
+        }
+        let store = if self.rng.random_bool(0.7) {
+            Store::Silent
+        } else {
+            Store::Refuses
+        };
+        let until = self.now + self.rng.random_range(200..8_000);
+        self.outage = (store, until);
+        for node in &mut self.nodes {
+            node.well = node.well.max(until);
+        }
+    }
+
     fn cut(&self, from: usize, to: usize) -> bool {
         self.cuts
             .get(&(from, to))
@@ -193,8 +234,9 @@
     }
 
     fn store(&self, at: usize) -> Store {
-        let (store, until) = self.nodes[at].store;
-        if until > self.now { store } else { Store::Well }
+        let states = [self.outage, self.nodes[at].store];
+        let bad = states.iter().find(|it| it.1 > self.now);
+        bad.map_or(Store::Well, |it| it.0)
     }
 
     fn step(&mut self, at: usize) {
@@ -213,26 +255,38 @@
 
     // The lease is renewed; that it is not shows that the store is out of reach.
     fn renew(&mut self, at: usize) {
+        if self.nodes[at].unanswered.is_some_and(|due| due <= self.now) {
+            return self.renewal_failed(at);
+        }
         if self.nodes[at].renews > self.now {
             return;
         }
-        let store = self.store(at);
-        let now = Millis(self.now);
-        let node = &mut self.nodes[at];
-        if store == Store::Well {
-            node.core.store_answered();
-            node.retry = 1_000;
-            let watching = node.watch.is_some();
-            node.renews = self.now + if watching { 1_000 } else { 4_000 };
-            return;
+        match self.store(at) {
+            Store::Well => {
+                let node = &mut self.nodes[at];
+                node.core.store_answered();
+                node.retry = 1_000;
+                let watching = node.watch.is_some();
+                node.renews = self.now + if watching { 1_000 } else { 4_000 };
+            }
+            Store::Refuses => self.renewal_failed(at),
+            Store::Silent => {
+                let node = &mut self.nodes[at];
+                node.unanswered = Some(self.now + SILENT);
+                node.renews = u64::MAX;
+            }
         }
-        // A silent call fails once it was waited for.
-        let silent = if store == Store::Silent { SILENT } else { 0 };
-        node.core.store_failed(now);
-        node.watch = None;
-        node.rests = self.now + node.pause;
-        node.renews = self.now + silent + node.retry;
+    }
+
+    fn renewal_failed(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        node.unanswered = None;
+        node.core.store_failed(Millis(self.now));
+        node.renews = self.now + node.retry;
         node.retry = (node.retry * 2).min(4_000);
+        if node.watch.is_some() {
+            self.fail(at);
+        }
     }
 
     fn take(&mut self, at: usize) {
@@ -264,8 +318,8 @@
         if self.nodes[at].rests > self.now {
             return;
         }
-        if let Some(since) = self.nodes[at].watch {
-            return self.wait(at, since);
+        if let Some(watch) = self.nodes[at].watch {
+            return self.wait(at, watch);
         }
         if self.nodes[at].core.duty(Millis(self.now)) == Duty::Follow {
             self.nodes[at].rests = self.now + 200;
@@ -276,14 +330,19 @@
         if self.store(at) == Store::Refuses {
             return self.fail(at);
         }
-        self.nodes[at].watch = Some(self.now);
-        self.wait(at, self.now);
+        let watch = Watch {
+            since: self.now,
+            held: self.nodes[at].core.watch().0,
+            lost: false,
+        };
+        self.wait(at, watch);
     }
 
-    fn wait(&mut self, at: usize, since: u64) {
-        let held = self.nodes[at].core.watch().0;
-        if self.store(at) != Store::Well {
-            if self.now >= since + held + MARGIN {
+    fn wait(&mut self, at: usize, mut watch: Watch) {
+        watch.lost |= self.store(at) == Store::Silent;
+        self.nodes[at].watch = Some(watch);
+        if watch.lost || self.store(at) == Store::Refuses {
+            if self.now >= watch.since + watch.held + MARGIN {
                 self.fail(at);
             }
             return;
@@ -293,7 +352,7 @@
         let count = if first { self.nodes.len() } else { 0 };
         let node = &mut self.nodes[at];
         let changed = revision > node.core.revision();
-        if !changed && self.now < since + held {
+        if !changed && self.now < watch.since + watch.held {
             return;
         }
         node.watch = None;
@@ -369,10 +428,11 @@
 
     // Whoever has been well for some time knows what was known to the store some time ago.
     fn check(&mut self) {
-        let due = self.now.saturating_sub(BOUND);
+        let size = usize::from(self.nodes.len() > SMALL);
+        let due = self.now.saturating_sub(BOUND[size]);
         let known = self.history.iter().filter(|at| **at <= due).count() as u64 - 1;
         for (at, node) in self.nodes.iter().enumerate() {
-            let well = self.now >= node.well + STABLE;
+            let well = self.now >= node.well + STABLE[size];
             if well && node.core.revision() < known && self.broken.len() < 5 {
                 let text = format!(
                     "{}: i{at} knows {} of {known}, watched by {}",
--- a/crates/siskinyoke-dispatch/tests/following/main.rs
+++ b/crates/siskinyoke-dispatch/tests/following/main.rs
@@ -25,6 +25,22 @@
     }
 }
 
+// Guards against a call that was lost in an outage being waited for as if the store only had nothing to tell.
+#[test]
+fn changes_are_in_force_soon_after_an_outage_of_the_store() {
+    for size in [7, 26] {
+        for seed in seeds(0..8) {
+            let mut fleet = Fleet::new(seed, size, Trouble::Outages);
+            fleet.run(60_000);
+            assert!(
+                fleet.broken.is_empty(),
+                "{size} instances, seed {seed}: {:#?}",
+                fleet.broken
+            );
+        }
+    }
+}
+
 // Something changes every second for a while, as in a rolling replacement of endpoints. When each instance
 // watched for itself, each change cost a call for each of them; operators pay for each.
 #[test]
