A lost watch ends before changes have to be in force again

Cause: a watch that is sent while the store is silent is lost, and was waited for as a quiet one is, 4.2 s in a fleet of one shard and 7.7 s in a larger one. All instances lost theirs at once, so no peer knew more. Class: a held call is trusted for a constant hold that no bound of the deployment entered, though the call before it had failed.

Ruled out: a change that was read and dropped (no store_read line), a stale reading (none of a whole state).

--- a/crates/siskinyoke-dispatch/src/core/fleet.rs
+++ b/crates/siskinyoke-dispatch/src/core/fleet.rs
@@ -7,6 +7,7 @@
 use crate::directory;
 use crate::report::Place;
 use crate::shards;
+use crate::watch;
 use siskinyoke_base::Millis;
 
 /// The fewest instances among which the retries beside the budget's ratio are shared out.
@@ -14,13 +15,6 @@
 /// A few more than the smallest deployments have, as the list may lag behind machines added.
 const FLEET: usize = 12;
 
-/// How long the store may hold a watch before it answers that nothing changed, in a fleet of one shard
-/// and in a larger one.
-///
-/// A connection may go silent for good; this bounds how long that goes unnoticed. In a larger fleet
-/// other shards tell of changes in the meantime.
-const WATCH: [Millis; 2] = [Millis(3_500), Millis(7_000)];
-
 /// How long changes of the store are gathered before the next look.
 ///
 /// Changes come in bursts: when a fleet starts, each instance's entry is a change.
@@ -90,7 +84,7 @@
 
     /// Returns how long the store may hold a watch.
     pub fn watch(&self) -> Millis {
-        WATCH[usize::from(self.shards > 1)]
+        watch::hold(self.me.settle, self.reaches(), self.shards)
     }
 
     /// Returns how long changes of the store should be gathered before the next look.
--- a/crates/siskinyoke-dispatch/src/core/identity.rs
+++ b/crates/siskinyoke-dispatch/src/core/identity.rs
@@ -2,6 +2,7 @@
 
 use crate::quota::Measure;
 use crate::report::Place;
+use siskinyoke_base::Millis;
 
 /// What an instance is, fixed for the life of its process.
 #[derive(Debug, Clone)]
@@ -18,6 +19,8 @@
     pub floor: f64,
     /// The part of a service's requests that a version on trial may get, over all instances.
     pub exposure: f64,
+    /// The time from the end of a disturbance until changes must be in force as usual.
+    pub settle: Millis,
     /// How quotas are measured.
     pub measure: Measure,
 }
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod shards;
 pub mod stall_timeout;
 mod wait;
+pub mod watch;
 pub mod watchers;
 pub mod work;
 
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -91,6 +91,7 @@
         retries: 0.2,
         floor: 54.0,
         exposure: 0.1,
+        settle: Millis(3_000),
         measure: MEASURE,
     }
 }
--- a/crates/siskinyoke-dispatch/tests/shards.rs
+++ b/crates/siskinyoke-dispatch/tests/shards.rs
@@ -7,10 +7,13 @@
 
 use crate::common::core;
 use crate::common::endpoint;
+use crate::common::identity;
 use crate::common::place;
 use crate::common::report;
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::core::Identity;
 use siskinyoke_dispatch::registry::Registry;
 use siskinyoke_dispatch::shards;
 
@@ -153,15 +156,28 @@
 // the operators pay for one by one. Where shards look one after the other, a change costs one call or two.
 #[test]
 fn a_large_fleet_calls_the_store_less_often() {
-    let waits = |name: &str, count| {
-        let mut core = core(name, 1);
+    let waits = |name: &str, count, settle| {
+        let identity = Identity {
+            settle: Millis(settle),
+            ..identity(name, 1)
+        };
+        let mut core = Core::new(identity);
+        core.store_answered();
         for at in 0..count {
             core.list(&format!("i{at}"), place(&format!("i{at}"), "a"));
         }
         (core.watch(), core.gather())
     };
-    assert_eq!(waits("i0", 11), (Millis(3_500), Millis(500)));
-    let all: BTreeSet<_> = (0..17).map(|at| waits(&format!("i{at}"), 17)).collect();
+    assert_eq!(waits("i0", 11, 10_000), (Millis(3_500), Millis(500)));
+    let all: BTreeSet<_> = (0..17)
+        .map(|at| waits(&format!("i{at}"), 17, 10_000))
+        .collect();
     let turns = [500, 1_000].map(|gather| (Millis(7_000), Millis(gather)));
     assert_eq!(all, turns.into());
+    // A lost watch ends before changes have to be in force again.
+    for settle in [3_000, 4_000] {
+        let held = Millis(settle - 1_000);
+        assert_eq!(waits("i0", 11, settle).0, held.min(Millis(3_500)));
+        assert_eq!(waits("i0", 17, settle).0, held);
+    }
 }
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -110,6 +110,7 @@
         retries: settings.bounds.retry_ratio,
         floor: settings.bounds.retry_slack,
         exposure: settings.bounds.exposure_share,
+        settle: Millis(settings.bounds.settle_ms),
         measure: Measure {
             window: settings.quota_window(),
             overage: settings.bounds.quota_overage,
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -75,6 +75,9 @@
     /// The part of a service's requests that a version on trial may get.
     #[serde(default = "usual_exposure")]
     pub exposure_share: f64,
+    /// The time from the end of a disturbance until changes must be in force as usual, in ms.
+    #[serde(default = "usual_settle")]
+    pub settle_ms: u64,
 }
 
 /// How callers, endpoints, operators and the store are spoken to.
@@ -227,6 +230,11 @@
                 "bounds.exposure_share",
                 "give a part from 0 to 1",
             ),
+            (
+                (100..=3_600_000).contains(&it.settle_ms),
+                "bounds.settle_ms",
+                "give 100 to 3600000 ms",
+            ),
         ];
         let broken = rules.into_iter().filter(|rule| !rule.0);
         let faults: Vec<_> = broken.map(|(_, field, hint)| (field, hint)).collect();
@@ -241,6 +249,10 @@
     0.1
 }
 
+fn usual_settle() -> u64 {
+    3_000
+}
+
 fn list(faults: &[(&str, &str)]) -> String {
     let texts: Vec<String> = faults
         .iter()
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -14,6 +14,7 @@
 use crate::store::Client;
 use crate::store::StoreError;
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::watch::MARGIN;
 use siskinyoke_dispatch::watchers::Duty;
 use siskinyoke_interface::Batch;
 use siskinyoke_interface::Call;
@@ -22,9 +23,6 @@
 use siskinyoke_interface::FormatError;
 use siskinyoke_interface::Item;
 
-/// How much longer than the store holds a watch its answer may take.
-const MARGIN: Millis = Millis(700);
-
 /// How long a read may take: a hundred times the store's usual four milliseconds.
 const READ: Millis = Millis(1_000);
 
@@ -181,7 +179,7 @@
         let store = &*self.shell.interface.store;
         let held = self.shell.core.borrow().watch();
         let limit = if store.quiet_watch() {
-            held
+            held.max(MARGIN)
         } else {
             held + MARGIN
         };
--- a/crates/siskinyoke-gateway/tests/held.rs
+++ b/crates/siskinyoke-gateway/tests/held.rs
@@ -28,6 +28,7 @@
         retries: 0.2,
         floor: 54.0,
         exposure: 0.1,
+        settle: Millis(3_000),
         measure: Measure {
             window: Millis(8_000),
             overage: 0.1,
--- a/crates/siskinyoke-gateway/tests/settings.rs
+++ b/crates/siskinyoke-gateway/tests/settings.rs
@@ -25,10 +25,13 @@
         ("Bounds.QuotaSlack", "110000"),
         ("Bounds.ttl_max_s", "5"),
         ("Bounds.ExposureShare", "0.2"),
+        ("Bounds.StableMs", "4000"),
     ];
     let mut text = TEMPLATE.to_owned();
-    for mark in ["{{#Bounds.ExposureShare}}", "{{/Bounds.ExposureShare}}"] {
-        text = text.replace(mark, "");
+    for name in ["Bounds.ExposureShare", "Bounds.StableMs"] {
+        for mark in ["#", "/"] {
+            text = text.replace(&format!("{{{{{mark}{name}}}}}"), "");
+        }
     }
     for (name, value) in values {
         text = text.replace(&format!("{{{{{name}|json}}}}"), value);
@@ -49,6 +52,7 @@
     assert_eq!(settings.grace().0, 8_000);
     assert_eq!(settings.quota_window().0, 8_000);
     assert!((settings.bounds.exposure_share - 0.2).abs() < 1e-9);
+    assert_eq!(settings.bounds.settle_ms, 4_000);
 }
 
 // A deployment without rollouts fills in no bound for them.
@@ -59,6 +63,13 @@
     assert!((settings.bounds.exposure_share - 0.1).abs() < 1e-9);
 }
 
+// Guards against a deployment without such a bound being refused.
+#[test]
+fn the_bound_on_settling_may_be_left_out() {
+    let text = filled().replace("\"settle_ms\": 4000,", "");
+    assert_eq!(Settings::parse(&text).unwrap().bounds.settle_ms, 3_000);
+}
+
 // A misspelt field was passed over, and the instance ran with the usual value in place of the operator's.
 #[test]
 fn an_unknown_field_is_refused_with_its_name() {
