--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::path::Path;
 use std::time::Duration;
+use std::time::Instant;
 
 use rustix::process::Signal;
 
@@ -12,6 +13,7 @@
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
 use siskinyoke_soak::endpoint::LARGE;
+use siskinyoke_soak::endpoint::LIMIT;
 use siskinyoke_soak::endpoint::MANY;
 use siskinyoke_soak::instance::get;
 use siskinyoke_soak::instance::read_answer;
@@ -105,6 +107,28 @@
     assert!(left <= 4_000);
 }
 
+// Guards against an endpoint in need being sent more than it asks for.
+#[test]
+fn an_endpoint_that_names_a_limit_gets_no_more_requests_than_that() {
+    let world = world(&["e1"]);
+    let before = arrived(&world);
+    let start = Instant::now();
+    world.instance.call("first", "/safe/limited", "", "");
+    std::thread::scope(|scope| {
+        for number in 0..40 {
+            let instance = &world.instance;
+            scope.spawn(move || instance.call(&format!("r{number}"), "/safe/limited", "", ""));
+        }
+    });
+    // Half as much again as the limit allows in four seconds or more, and five requests.
+    let span = start.elapsed().as_secs_f64().max(4.0);
+    let count = u32::try_from(arrived(&world) - before).unwrap();
+    assert!(
+        f64::from(count) <= 1.5 * LIMIT * span + 5.0,
+        "{count} requests in {span:.1} s"
+    );
+}
+
 #[test]
 fn what_cannot_be_served_is_refused_with_a_clear_status() {
     let world = world(&["e1"]);
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -18,6 +18,9 @@
 /// The events of a long stream.
 pub const MANY: usize = 1_000;
 
+/// The requests a second that an endpoint asks for whose requests' path says that it is limited.
+pub const LIMIT: f64 = 1.5;
+
 /// A request as it reached an endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct Arrival {
@@ -178,9 +181,14 @@
     fn answer(&self, arrival: &Arrival, body: &str) -> Vec<u8> {
         let id = arrival.header("siskinyoke-request-id").unwrap_or("");
         let length = body.len();
+        let limit = if arrival.does("limited") {
+            format!("Server-Limit: {LIMIT}\r\n")
+        } else {
+            String::new()
+        };
         format!(
             "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
-             content-length: {length}\r\n\r\n{body}",
+             {limit}content-length: {length}\r\n\r\n{body}",
             self.id
         )
         .into_bytes()
