Endpoints get no more than the rate limit that they name, from all instances together

Cause: the limit stands in a header of their answers that nothing read. Class: a word of another process that is new on the wire is passed on and goes unheard. Ruled out: limits kept by each instance alone, and retries beside them.

Reports carry limits to peers, in force and lifted. Why it works: holders h <= max(1, L) with a token each send h + 4 L in four seconds at most, 1.5 x 4 L + 5 are allowed.

--- a/crates/siskinyoke-dispatch/src/core/talk.rs
+++ b/crates/siskinyoke-dispatch/src/core/talk.rs
@@ -31,6 +31,7 @@
             in_shard = self.in_shard(&about.name);
         }
         self.hear_canaries(now, &report, in_shard);
+        self.scheduler.hear_limits(now, &report.limits);
         if !in_shard {
             self.peers.dismiss(source);
             return false;
@@ -83,6 +84,7 @@
             running: self.scheduler.counts(),
             waiting: self.scheduler.summary(now),
             spent: self.quotas.spent(since),
+            limits: self.scheduler.limits().told(now),
             canaries: self.canaries(now),
             about: whole.then(|| self.about(now)),
         }
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod rate_limits;
 pub mod refusal;
 pub mod registry;
 mod regression;
--- a/crates/siskinyoke-dispatch/src/placing.rs
+++ b/crates/siskinyoke-dispatch/src/placing.rs
@@ -88,6 +88,8 @@
     pub unread: f64,
     /// Whether it takes much longer than the others.
     pub slow: bool,
+    /// Whether the free places are this instance's alone, by its part of a rate limit.
+    pub reserved: bool,
     /// The pace of the fastest endpoint of its service, with free places or without.
     pub fastest: f64,
 }
@@ -181,12 +183,12 @@
     /// Finds the best endpoint for a request among those with free places that it was not given to
     /// before.
     ///
-    /// `usual` says whether the endpoints of a usual pace may be used; slow ones always may. A request with
+    /// `usual` says whether the endpoints of a usual pace may be used; slow and reserved ones always may. A request with
     /// time to wait is given to no slow endpoint that would spoil it or the work there.
     pub fn best(&self, query: &Query<'_>, candidates: &[Candidate], usual: bool) -> Option<usize> {
         let fit = candidates.iter().enumerate().filter(|(_, candidate)| {
             candidate.left > 0
-                && (usual || candidate.slow)
+                && (usual || candidate.slow || candidate.reserved)
                 && !query.pending.tried.contains(&candidate.endpoint.key())
         });
         let costs = fit.map(|(at, candidate)| (at, self.cost(query, candidate)));
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/rate_limits.rs
@@ -0,0 +1,224 @@
+//! Rate limits that endpoints name, and this instance's part of each.
+//!
+//! The load: an endpoint in need takes a few requests a second from all instances together. If each kept to
+//! that alone, as many times as much would arrive as there are instances. Even parts for all are less than a request in
+//! some seconds where instances are many, and each has a first one to send. So a limit is shared by no more instances
+//! than it has whole requests a second, by one at least. Which ones follows from a hash of names, so that instances
+//! which hear each other agree without a word; the others give the endpoint no work.
+
+mod rate_limit;
+
+use self::rate_limit::RateLimit;
+use crate::EndpointKey;
+use crate::report::LimitRow;
+use crate::scheduler::View;
+use crate::stable_hash;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
+
+/// How long it is told that a limit was lifted: peers that send nothing there do not see it themselves.
+const TOLD: Millis = Millis::from_secs(10);
+
+/// By how much later than what is known a peer's word on the same limit must be to count.
+///
+/// What this instance told comes back later by the way there and back, and would seem to be news each time.
+const ECHO: Millis = Millis(250);
+
+/// The most limits that one report names, so that it stays short.
+const MOST: usize = 32;
+
+/// A limit that was named, changed or lifted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitChange {
+    /// The endpoint, by its shortened key.
+    pub endpoint: u32,
+    /// Requests a second before; none if there was no limit.
+    pub before: Option<f64>,
+    /// Requests a second now; none if the limit was lifted.
+    pub rate: Option<f64>,
+    /// Whether a peer told it.
+    pub told: bool,
+}
+
+/// Rate limits that endpoints name, and this instance's part of each.
+#[derive(Debug, Default)]
+pub struct RateLimits {
+    // This instance.
+    name: Box<str>,
+    // By the endpoints' shortened keys, lifted ones too.
+    known: Map<u32, RateLimit>,
+    // Instances that are heard, this one with them.
+    members: u32,
+    changes: Vec<LimitChange>,
+}
+
+impl RateLimits {
+    /// Knows of no limit yet; the instance of this name keeps to them.
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Takes in an answer that names a limit, in requests a second.
+    pub fn named(&mut self, now: Millis, key: EndpointKey, rate: f64) {
+        self.learn(now, key.short(), now, Some(rate), false);
+    }
+
+    /// Takes in an answer that names none, to a request that was sent at `sent`.
+    pub fn unnamed(&mut self, now: Millis, key: EndpointKey, sent: Millis) {
+        let known = self.known.get(&key.short());
+        if known.is_some_and(|it| it.lifted_by(now, sent)) {
+            self.learn(now, key.short(), now, None, false);
+        }
+    }
+
+    /// Takes in what a peer knows.
+    pub fn heard(&mut self, now: Millis, rows: &[LimitRow]) {
+        for row in rows {
+            let at = now.since(Millis(u64::from(row.age)));
+            let rate = (row.rate > 0).then(|| f64::from(row.rate) / 1000.0);
+            let known = self.known.get(&row.endpoint);
+            let same = known.is_some_and(|it| it.rate().is_some() == rate.is_some());
+            if same && known.is_some_and(|it| at <= it.at() + ECHO) {
+                continue;
+            }
+            self.learn(now, row.endpoint, at, rate, true);
+        }
+    }
+
+    /// Returns what peers should know: limits that are in force or were lifted of late, the latest first.
+    pub fn told(&self, now: Millis) -> Vec<LimitRow> {
+        let known = self.known.iter();
+        let mut rows: Vec<LimitRow> = known
+            .filter(|row| row.1.rate().is_some() || now.since(row.1.at()) < TOLD)
+            .map(|(endpoint, limit)| LimitRow {
+                endpoint: *endpoint,
+                rate: limit.rate().map_or(0, thousandths),
+                age: u32::try_from(now.since(limit.at()).0).unwrap_or(u32::MAX),
+            })
+            .collect();
+        rows.sort_unstable_by_key(|row| (row.age, row.endpoint));
+        rows.truncate(MOST);
+        rows
+    }
+
+    /// Returns what changed since this was last asked, for the log.
+    pub fn changes(&mut self) -> Vec<LimitChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns how many limits are in force.
+    pub fn count(&self) -> usize {
+        let limits = self.known.values();
+        limits.filter(|it| it.rate().is_some()).count()
+    }
+
+    /// Works out this instance's parts, by who is heard now.
+    pub(crate) fn settle(&mut self, view: &View<'_>) {
+        if self.known.is_empty() {
+            return;
+        }
+        let peers = view.peers.fresh(view.now);
+        let mut names: Vec<&str> = peers.map(|peer| &*peer.about.name).collect();
+        names.push(&self.name);
+        self.members = u32::try_from(names.len()).unwrap_or(u32::MAX);
+        for (endpoint, limit) in &mut self.known {
+            let Some(rate) = limit.rate() else { continue };
+            let rate = rate * view.registry.portion(*endpoint, whole(rate));
+            limit.share(view.now, part(&self.name, &names, *endpoint, rate));
+        }
+    }
+
+    /// Returns how many requests may be sent to an endpoint now; none where there is no limit.
+    pub fn tokens(&self, key: EndpointKey) -> Option<u32> {
+        self.known.get(&key.short())?.tokens()
+    }
+
+    /// Returns the requests a second that each instance could send to an endpoint if all had this one's part; none
+    /// where there is no limit.
+    pub fn throughput(&self, key: EndpointKey) -> Option<f64> {
+        let part = self.known.get(&key.short())?.part()?;
+        Some(part * f64::from(self.members))
+    }
+
+    /// Takes the token of a request that is sent to an endpoint.
+    pub fn take(&mut self, key: EndpointKey) {
+        if let Some(limit) = self.known.get_mut(&key.short()) {
+            limit.take();
+        }
+    }
+
+    /// Forgets endpoints that are not among the known ones.
+    pub fn forget(&mut self, known: &[EndpointKey]) {
+        self.known
+            .retain(|short, _| known.iter().any(|key| key.short() == *short));
+    }
+
+    // Takes in a word on a limit, unless a later one is known.
+    fn learn(&mut self, now: Millis, endpoint: u32, at: Millis, rate: Option<f64>, told: bool) {
+        let known = self.known.get_mut(&endpoint);
+        if known.as_ref().is_some_and(|it| it.at() >= at) {
+            return;
+        }
+        let before = known.as_ref().and_then(|it| it.rate());
+        match (known, rate) {
+            (Some(limit), Some(rate)) if limit.rate().is_some() => limit.renew(at, rate),
+            _ => {
+                let limit = RateLimit::new(now, at, rate, phase(&self.name, endpoint));
+                self.known.insert(endpoint, limit);
+            }
+        }
+        let rate = self.known[&endpoint].rate();
+        if before != rate {
+            self.changes.push(LimitChange {
+                endpoint,
+                before,
+                rate,
+                told,
+            });
+        }
+    }
+}
+
+// Returns how many holders a rate has: one for each whole request a second, and one at least.
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "far more than there are instances"
+)]
+#[expect(clippy::cast_sign_loss, reason = "rates are not below zero")]
+fn whole(rate: f64) -> usize {
+    (rate as usize).max(1)
+}
+
+// An instance's part of a rate, among the instances that are heard.
+fn part(name: &str, names: &[&str], endpoint: u32, rate: f64) -> f64 {
+    let holders = whole(rate).min(names.len());
+    let own = likeness(name, endpoint);
+    let before = names.iter().filter(|it| likeness(it, endpoint) < own);
+    if before.count() >= holders {
+        return 0.0;
+    }
+    rate / f64::from(u32::try_from(holders).unwrap_or(u32::MAX))
+}
+
+// A number from 0 to 1 for an instance and an endpoint: the lowest hold the endpoint's limit.
+fn likeness(name: &str, endpoint: u32) -> f64 {
+    fraction(stable_hash(&(name, endpoint)))
+}
+
+// Where an instance's bucket begins, so that the holders' first tokens do not come at the same moment.
+fn phase(name: &str, endpoint: u32) -> f64 {
+    fraction(stable_hash(&(endpoint, name)))
+}
+
+fn fraction(hash: u64) -> f64 {
+    f64::from(u32::try_from(hash >> 32).unwrap_or(u32::MAX)) / f64::from(u32::MAX)
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "cut to what fits")]
+#[expect(clippy::cast_sign_loss, reason = "rates are not below zero")]
+fn thousandths(rate: f64) -> u32 {
+    (rate * 1000.0).clamp(1.0, f64::from(u32::MAX)) as u32
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/rate_limits/rate_limit.rs
@@ -0,0 +1,94 @@
+//! What is known of one endpoint's rate limit, and this instance's token bucket for it.
+
+use siskinyoke_base::Millis;
+
+/// The fewest requests a second that an endpoint is given, so that its answers show when it takes more.
+const LEAST: f64 = 0.25;
+
+/// The time for which tokens are gathered where a second brings many.
+const GATHERED: f64 = 0.1;
+
+/// How long the last naming must be past before an answer without one lifts the limit.
+///
+/// Not every answer of an endpoint in need may name it, and answers overtake each other.
+const CLEAR: Millis = Millis(1_000);
+
+/// What is known of one endpoint's rate limit.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RateLimit {
+    // Requests a second over all instances; none once the limit is lifted.
+    rate: Option<f64>,
+    // When an answer last said so, to this instance or to a peer.
+    at: Millis,
+    // The requests a second that are this instance's; none before that was worked out.
+    part: Option<f64>,
+    // Tokens, and when they were counted.
+    level: f64,
+    counted: Millis,
+}
+
+impl RateLimit {
+    /// Takes in what an answer said; the bucket begins at `phase`, from 0 to 1.
+    pub(super) fn new(now: Millis, at: Millis, rate: Option<f64>, phase: f64) -> Self {
+        Self {
+            rate: rate.map(|it| it.max(LEAST)),
+            at,
+            part: None,
+            level: phase,
+            counted: now,
+        }
+    }
+
+    /// Returns the requests a second over all instances, none once the limit is lifted.
+    pub(super) fn rate(&self) -> Option<f64> {
+        self.rate
+    }
+
+    /// Returns when an answer last said so.
+    pub(super) fn at(&self) -> Millis {
+        self.at
+    }
+
+    /// Returns the requests a second that are this instance's, none where there is no limit.
+    pub(super) fn part(&self) -> Option<f64> {
+        self.rate.map(|_| self.part.unwrap_or(0.0))
+    }
+
+    /// Takes in a later word on a limit that is in force.
+    pub(super) fn renew(&mut self, at: Millis, rate: f64) {
+        self.rate = Some(rate.max(LEAST));
+        self.at = at;
+    }
+
+    /// Returns whether an answer without a limit lifts it, by when its request was sent.
+    pub(super) fn lifted_by(&self, now: Millis, sent: Millis) -> bool {
+        self.rate.is_some() && sent > self.at && now.since(self.at) >= CLEAR
+    }
+
+    /// Sets the requests a second that are this instance's, and counts the tokens that have come since.
+    ///
+    /// An instance that comes to hold a part begins without tokens: another has just used them.
+    pub(super) fn share(&mut self, now: Millis, part: f64) {
+        let before = self.part.replace(part).unwrap_or(part);
+        let most = (part * GATHERED).max(1.0);
+        let gained = before * now.since(self.counted).as_secs();
+        self.level = (self.level + gained).min(most);
+        if before <= 0.0 && part > 0.0 {
+            self.level = 0.0;
+        }
+        self.counted = now;
+    }
+
+    /// Returns how many requests may be sent now, none where there is no limit.
+    #[expect(clippy::cast_possible_truncation, reason = "a bucket holds few tokens")]
+    #[expect(clippy::cast_sign_loss, reason = "the level is never below zero")]
+    pub(super) fn tokens(&self) -> Option<u32> {
+        let part = self.part()?;
+        Some(if part > 0.0 { self.level as u32 } else { 0 })
+    }
+
+    /// Takes the token of a request that is sent.
+    pub(super) fn take(&mut self) {
+        self.level = (self.level - 1.0).max(0.0);
+    }
+}
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -13,6 +13,7 @@
 use crate::rollout::Status;
 use crate::rollout::Use;
 use crate::shards;
+use crate::stable_hash;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
@@ -39,6 +40,8 @@
     // Those that get what is drawn for the version on trial.
     canaries: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>>,
     rollouts: BTreeMap<Arc<str>, Rollout>,
+    // The shards that use an endpoint which several share, by its shortened key.
+    sharers: Map<u32, Vec<usize>>,
 }
 
 impl Registry {
@@ -177,6 +180,22 @@
         found.filter(|it| !self.leaving(it))
     }
 
+    /// Returns the part of a limit over all instances that is this one's shard's, of a limit that has so many holders.
+    ///
+    /// An endpoint that several shards share has no more of them hold its limit than there are holders.
+    pub(crate) fn portion(&self, endpoint: u32, holders: usize) -> f64 {
+        let Some(shards) = self.sharers.get(&endpoint) else {
+            return 1.0;
+        };
+        let rank = |shard: &usize| stable_hash(&(endpoint, shard));
+        let before = shards.iter().filter(|it| rank(it) < rank(&self.shard));
+        let holders = holders.min(shards.len());
+        if before.count() >= holders {
+            return 0.0;
+        }
+        1.0 / f64::from(u32::try_from(holders).unwrap_or(u32::MAX))
+    }
+
     /// Returns all endpoints that are known.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.listing.iter().map(|row| row.1)
@@ -208,6 +227,7 @@
             }
         }
         self.canaries.clear();
+        let mut sharers = Map::default();
         for (service, rollout) in &mut self.rollouts {
             let endpoints = services.get(service).into_iter().flatten();
             rollout.take_endpoints(endpoints.map(|it| &**it));
@@ -216,23 +236,28 @@
             if let Some(rollout) = self.rollouts.get(service) {
                 let mut new = endpoints.clone();
                 new.retain(|it| rollout.usage(it) == Use::Canary);
-                let mut new = self.own(&new);
+                let mut new = self.own(&new, &mut sharers);
                 new.truncate(rollout.canaries());
                 endpoints.retain(|it| rollout.usage(it) == Use::Full);
                 self.canaries.insert(service.clone(), new);
             }
-            *endpoints = self.own(endpoints);
+            *endpoints = self.own(endpoints, &mut sharers);
         }
         self.fit = services;
+        self.sharers = sharers;
     }
 
     // The endpoints of a service that belong to this instance's shard.
-    fn own(&self, endpoints: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
+    fn own(
+        &self,
+        endpoints: &[Arc<Endpoint>],
+        sharers: &mut Map<u32, Vec<usize>>,
+    ) -> Vec<Arc<Endpoint>> {
         if self.shards.len() <= 1 || endpoints.is_empty() {
             return endpoints.to_vec();
         }
         if endpoints.len() < FEWEST * self.shards.len() {
-            return self.shared(endpoints);
+            return self.shared(endpoints, sharers);
         }
         let rows: Vec<_> = endpoints.iter().map(|it| (&*it.centre, &*it.id)).collect();
         let assigned = shards::assign(&rows, &self.shards);
@@ -242,17 +267,22 @@
 
     // Too few endpoints for each shard to have its own: shards share them. Each takes half as much
     // again as its even part, as the shards' overloads seldom meet.
-    fn shared(&self, endpoints: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
+    fn shared(
+        &self,
+        endpoints: &[Arc<Endpoint>],
+        sharers: &mut Map<u32, Vec<usize>>,
+    ) -> Vec<Arc<Endpoint>> {
         let count = endpoints.len();
         let shards = self.shards.len();
         let all: Vec<Vec<usize>> = (0..shards).map(|shard| few(shard, shards, count)).collect();
         few(self.shard, shards, count)
             .into_iter()
             .map(|at| {
-                let users = all.iter().filter(|few| few.contains(&at)).count();
-                let users = u32::try_from(users).unwrap_or(u32::MAX);
                 let endpoint = &endpoints[at];
-                let part = (endpoint.slots * 3).div_ceil(users * 2).max(2);
+                let users: Vec<usize> = (0..shards).filter(|it| all[*it].contains(&at)).collect();
+                let count = u32::try_from(users.len()).unwrap_or(u32::MAX);
+                sharers.insert(endpoint.key().short(), users);
+                let part = (endpoint.slots * 3).div_ceil(count * 2).max(2);
                 Arc::new(Endpoint {
                     slots: part.min(endpoint.slots),
                     ..(**endpoint).clone()
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -32,6 +32,8 @@
     pub waiting: Vec<Waiting>,
     /// Units used by organisation since its start, less those that other shards gave.
     pub spent: Vec<(u32, i64)>,
+    /// Rate limits that endpoints name, while there are any.
+    pub limits: Vec<LimitRow>,
     /// The answers of versions on trial, while there are any.
     pub canaries: Vec<Canary>,
     /// What changes seldom, in a few reports a second.
@@ -92,6 +94,17 @@
     pub work: u32,
 }
 
+/// The rate limit that an endpoint names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitRow {
+    /// The endpoint's key, shortened.
+    pub endpoint: u32,
+    /// Requests a second over all instances, in thousandths; 0 if the limit was lifted.
+    pub rate: u32,
+    /// How long ago an answer said so, in ms.
+    pub age: u32,
+}
+
 /// What an instance saw of a version on trial.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Canary {
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -7,6 +7,7 @@
 
 mod expiry;
 mod lending;
+mod limits;
 mod pace;
 mod starting;
 mod waits;
@@ -31,6 +32,7 @@
 use crate::placing::Placing;
 use crate::queue::Place;
 use crate::queue::Queue;
+use crate::rate_limits::RateLimits;
 use crate::registry::Registry;
 use crate::report::Busy;
 use crate::report::Waiting;
@@ -92,6 +94,7 @@
     loads: Map<Arc<str>, Load>,
     demands: Map<Arc<str>, Demand>,
     overloads: Map<(Arc<str>, Rank), OverloadWindow>,
+    limits: RateLimits,
     // Places given to other shards, by the question that asked for each.
     loans: Map<u64, lending::Loan>,
     // When other shards were last asked for a place, by request, and what they said, by service.
@@ -105,6 +108,7 @@
     pub fn new(name: &str, centre: &str) -> Self {
         Self {
             placing: Placing::new(name, centre),
+            limits: RateLimits::new(name),
             ..Self::default()
         }
     }
@@ -171,6 +175,7 @@
             registry,
             peers,
         };
+        self.limits.settle(&view);
         let mut decisions = Vec::new();
         let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
         for service in services {
@@ -329,6 +334,7 @@
     pub fn forget(&mut self, registry: &Registry) {
         let known: Vec<EndpointKey> = registry.all().map(|endpoint| endpoint.key()).collect();
         self.placing.forget(&known);
+        self.limits.forget(&known);
     }
 
     // What runs at an endpoint by this instance's count.
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -107,7 +107,7 @@
         let candidates = self.free(view, &service);
         let awake = self.awake(view.now, view.registry.fit(&service));
         let all: u32 = awake.iter().map(|it| it.slots).sum();
-        if left(&candidates, false) <= all / KEPT + 1 {
+        if left(&candidates) <= all / KEPT + 1 {
             return None;
         }
         let load = self.load(&service);
@@ -120,6 +120,7 @@
         };
         let at = self.placing.best(&query, &candidates, true)?;
         let key = candidates[at].endpoint.key();
+        self.limits.take(key);
         let pace = self.placing.pace(key);
         let stay = millis(float(load.stay_of(&pending.work)) * pace * KEEPS) + GRACE;
         let given = Loan {
--- a/crates/siskinyoke-dispatch/src/scheduler/starting.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/starting.rs
@@ -60,8 +60,11 @@
         Some((&mut self.free[at], false))
     }
 
-    fn trial(&self) -> u32 {
-        self.canaries.iter().map(|candidate| candidate.left).sum()
+    // Whether there are free places that are not left to peers' more urgent requests.
+    fn others(&self) -> bool {
+        let free = self.free.iter();
+        let mut own = free.filter(|it| it.slow || it.reserved);
+        own.any(|it| it.left > 0) || self.canaries.iter().any(|it| it.left > 0)
     }
 }
 
@@ -81,8 +84,8 @@
         for (order, position, ticket) in waiting {
             // Peers' more urgent requests wait for endpoints of a usual pace, so slow ones are not left to
             // them.
-            let usual = left(&open.free, false) > before(&rows, order, now.since(position));
-            if !usual && left(&open.free, true) == 0 && open.trial() == 0 {
+            let usual = left(&open.free) > before(&rows, order, now.since(position));
+            if !usual && !open.others() {
                 break;
             }
             let pending = &self.waiting[&ticket];
@@ -100,6 +103,7 @@
             let ahead = ahead(candidate, load);
             candidate.left -= 1;
             candidate.unread += pending.work.prompt;
+            self.limits.take(endpoint.key());
             self.begin(now, ticket, &endpoint, ahead, canary);
             decisions.push(Decision::Start(ticket, endpoint));
         }
@@ -144,12 +148,15 @@
                     .map_or((0, 0), |busy| (u32::from(busy.count), busy.unread));
                 let (places, extra) = self.places(endpoint);
                 let left = (places + extra).saturating_sub(count + others);
+                let tokens = self.limits.tokens(key);
+                let left = tokens.map_or(left, |tokens| left.min(tokens));
                 (left > 0).then(|| Candidate {
                     endpoint: endpoint.clone(),
                     left,
                     extra,
                     unread: f64::from(ours) + f64::from(theirs),
                     slow: self.placing.slow(key, fastest),
+                    reserved: tokens.is_some(),
                     fastest,
                 })
             })
@@ -163,7 +170,7 @@
             let few = (endpoint.slots / TRIAL).max(FEWEST);
             return (few.min(endpoint.slots), 0);
         }
-        let fast = self.placing.pace(key) <= FAST;
+        let fast = self.placing.pace(key) <= FAST && self.limits.tokens(key).is_none();
         (endpoint.slots, u32::from(fast))
     }
 
@@ -229,9 +236,10 @@
     }
 }
 
-pub(super) fn left(candidates: &[Candidate], slow: bool) -> u32 {
-    let same = candidates.iter().filter(|candidate| candidate.slow == slow);
-    same.map(|candidate| candidate.left).sum()
+// Counts the free places of a usual pace that peers may use, too.
+pub(super) fn left(candidates: &[Candidate]) -> u32 {
+    let usual = candidates.iter().filter(|it| !it.slow && !it.reserved);
+    usual.map(|candidate| candidate.left).sum()
 }
 
 // Counts the peers' requests that the next free places are for, before one of ours.
--- a/crates/siskinyoke-dispatch/src/scheduler/waits.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/waits.rs
@@ -77,7 +77,8 @@
     fn forecast(&self, view: &View<'_>, pending: &Pending) -> Forecast {
         let awake = self.awake(view.now, view.registry.fit(&pending.service));
         let awake = awake.into_iter();
-        let capacity = awake.map(|it| f64::from(it.slots) / self.placing.pace(it.key()));
+        let load = self.load(&pending.service);
+        let capacity = awake.map(|it| self.capacity(it, &load));
         let demand = self.demands.get(&pending.service);
         let before = demand.map_or(0.0, |it| it.before(view.now, pending.rank, pending.late));
         let instances = u32::try_from(view.peers.count(view.now)).unwrap_or(u32::MAX);
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -171,6 +171,7 @@
         running: Vec::new(),
         waiting: Vec::new(),
         spent: Vec::new(),
+        limits: Vec::new(),
         canaries: Vec::new(),
         about: Some(about(name, "a")),
     }
--- a/crates/siskinyoke-dispatch/tests/placing.rs
+++ b/crates/siskinyoke-dispatch/tests/placing.rs
@@ -218,6 +218,7 @@
         extra: 0,
         unread: 0.0,
         slow: true,
+        reserved: false,
         fastest: 1.0,
     }];
     let mut placing = Placing::new("me", "a");
@@ -268,6 +269,7 @@
             extra: 0,
             unread: 0.0,
             slow: true,
+            reserved: false,
             fastest: 1.0,
         }]
     };
@@ -301,6 +303,7 @@
             extra: 0,
             unread: 0.0,
             slow: false,
+            reserved: false,
             fastest,
         }]
     };
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::lending;
+use crate::limits;
 use crate::peer_api;
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
@@ -143,6 +144,7 @@
             shell.log("peer", fields);
             shell.searching.set(true);
         }
+        limits::log_changes(shell);
         peer_api::catch_up(shell, from, revision);
         if shell.core.borrow().scheduler().size().0 > 0 {
             shell.decide();
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -23,6 +23,7 @@
 use crate::attempt::Parcel;
 use crate::attempt::Reply;
 use crate::events::Events;
+use crate::limits;
 use crate::permit::Permit;
 use crate::pool;
 use crate::shell::Shell;
@@ -164,6 +165,10 @@
             response.headers(),
             self.id.as_deref(),
         );
+        if verdict != Verdict::Foreign {
+            let named = shell.interface.exchange.rate_limit(response.headers());
+            limits::take(&shell, endpoint, start, verdict, named);
+        }
         match verdict {
             Verdict::Foreign => Step::Again(Outcome::Broken),
             Verdict::Full | Verdict::Moved => {
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod job;
 pub mod journal;
 pub mod lending;
+pub mod limits;
 pub mod listener;
 pub mod metrics;
 pub mod peer_api;
--- a/crates/siskinyoke-interface/src/exchange.rs
+++ b/crates/siskinyoke-interface/src/exchange.rs
@@ -84,6 +84,14 @@
     /// Decodes the head of an endpoint's answer to the request with this identity.
     fn verdict(&self, status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> Verdict;
 
+    /// Returns the requests a second that an endpoint says it takes from all instances together, if its answer names
+    /// that.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the figure.
+    fn rate_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, FormatError>;
+
     /// Turns an endpoint's headers into those for the caller.
     fn answer(&self, status: StatusCode, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/siskinyoke-interface/src/headers.rs
+++ b/crates/siskinyoke-interface/src/headers.rs
@@ -5,6 +5,7 @@
 use http::HeaderValue;
 use http::header;
 
+use crate::FormatError;
 use siskinyoke_base::Millis;
 
 /// Returns how long an idle connection may be used again, if the other side says so.
@@ -62,6 +63,25 @@
     Some((first.trim().parse().ok()?, second.trim().parse().ok()?))
 }
 
+/// Reads a header that holds a rate a second, if it is there.
+///
+/// # Errors
+///
+/// That it is no rate.
+pub fn rate(headers: &HeaderMap, name: &HeaderName) -> Result<Option<f64>, FormatError> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let number = value.to_str().ok().and_then(|it| it.trim().parse().ok());
+    match number {
+        Some(rate) if f64::is_finite(rate) && rate >= 0.0 => Ok(Some(rate)),
+        _ => Err(FormatError::Value(
+            name.to_string(),
+            "give requests a second, 0 or more",
+        )),
+    }
+}
+
 /// Returns a span as a header in seconds with three decimals.
 pub fn seconds(span: Millis) -> HeaderValue {
     let text = format!("{:.3}", span.as_secs());
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -144,6 +144,10 @@
         }
     }
 
+    fn rate_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, FormatError> {
+        headers::rate(headers, &names::RATE_LIMIT)
+    }
+
     fn answer(&self, status: StatusCode, headers: &HeaderMap) -> HeaderMap {
         let mut out = headers::end_to_end(headers, &[names::CODE, names::KIND]);
         let content = headers::text(headers, &header::CONTENT_TYPE).unwrap_or("");
--- a/crates/siskinyoke-native/src/names.rs
+++ b/crates/siskinyoke-native/src/names.rs
@@ -12,6 +12,8 @@
 pub const TOKENS: HeaderName = HeaderName::from_static("siskinyoke-tokens");
 /// The organisation, as endpoints are told it.
 pub const ORGANISATION: HeaderName = HeaderName::from_static("siskinyoke-organisation");
+/// The requests a second that an endpoint takes from all instances together.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("siskinyoke-rate-limit");
 /// The endpoint that is meant; another at its address answers 421.
 pub const ENDPOINT: HeaderName = HeaderName::from_static("siskinyoke-endpoint");
 /// The number of the result code.
