Holders of a rate limit give tokens to peers whose requests can start nowhere

Cause: requests do not come where the tokens are. Ruled out: equal parts for all (more than the limit allows after a calm), holders by demand (sets that change faster than reports).

Change: such a request asks two holders, as shards ask each other for places; a holder with none waiting gives a token. Buckets hold one and a half tokens, which keeps h holders at 1.5 h + 4 L in four seconds. The forecast counts what the shard may send. An endpoint that is another shard's brings no tokens, else they would gather and be spent together when shards change.

--- a/crates/siskinyoke-dispatch/src/core/lending.rs
+++ b/crates/siskinyoke-dispatch/src/core/lending.rs
@@ -10,6 +10,7 @@
 use crate::core::Core;
 use crate::core::Request;
 use crate::message::UnitsNeed;
+use crate::report::Place;
 use crate::report::short;
 use crate::scheduler::View;
 use siskinyoke_base::Millis;
@@ -42,6 +43,15 @@
                 let given = self.scheduler.lend(&view, id, &need);
                 given.map_or(Grant::Nothing, Grant::Place)
             }
+            Need::Reserved(need) => {
+                let view = View {
+                    now,
+                    registry: &self.registry,
+                    peers: &self.peers,
+                };
+                let given = self.scheduler.lend_token(&view, &need);
+                given.map_or(Grant::Nothing, Grant::Place)
+            }
             Need::Units(UnitsNeed {
                 organisation,
                 units,
@@ -55,13 +65,32 @@
         }
     }
 
-    /// Returns requests that cannot start yet, with what to ask other shards for.
+    /// Returns requests that cannot start yet, with what to ask other shards for, or holders of rate limits.
     pub fn needs(&mut self, now: Millis) -> Vec<(Ticket, Need)> {
-        if self.registry.divided() {
-            self.scheduler.needs(now)
-        } else {
-            Vec::new()
+        if !self.registry.divided() && self.scheduler.limits().count() == 0 {
+            return Vec::new();
         }
+        let view = View {
+            now,
+            registry: &self.registry,
+            peers: &self.peers,
+        };
+        self.scheduler.needs(&view)
+    }
+
+    /// Returns the peers that may give a token of a rate limit for a service's requests, by its hashed name.
+    pub fn holders(&self, now: Millis, service: u32) -> Vec<&Place> {
+        let view = View {
+            now,
+            registry: &self.registry,
+            peers: &self.peers,
+        };
+        self.scheduler.holders(&view, service)
+    }
+
+    /// Takes note that the holders that were asked had no token for a request.
+    pub fn token_declined(&mut self, now: Millis, ticket: Ticket) {
+        self.scheduler.token_declined(now, ticket);
     }
 
     /// Starts a waiting request at a place that another shard gave, and returns its endpoint; nothing if
--- a/crates/siskinyoke-dispatch/src/message.rs
+++ b/crates/siskinyoke-dispatch/src/message.rs
@@ -25,8 +25,10 @@
 pub enum Need {
     /// Units of an organisation's quota.
     Units(UnitsNeed),
-    /// A place at an endpoint for one request.
+    /// A place at an endpoint for one request, from another shard.
     Place(PlaceNeed),
+    /// A place at an endpoint whose rate limit the receiver holds a part of, from an instance of the same shard.
+    Reserved(PlaceNeed),
 }
 
 /// Units of an organisation's quota that are asked for.
--- a/crates/siskinyoke-dispatch/src/rate_limits.rs
+++ b/crates/siskinyoke-dispatch/src/rate_limits.rs
@@ -4,13 +4,18 @@
 //! that alone, as many times as much would arrive as there are instances. Even parts for all are less than a request in
 //! some seconds where instances are many, and each has a first one to send. So a limit is shared by no more instances
 //! than it has whole requests a second, by one at least. Which ones follows from a hash of names, so that instances
-//! which hear each other agree without a word; the others give the endpoint no work.
+//! which hear each other agree without a word. The others ask a holder for a place when a request of theirs has no other.
 
 mod rate_limit;
 
+use std::sync::Arc;
+
 use self::rate_limit::RateLimit;
+use crate::Endpoint;
 use crate::EndpointKey;
+use crate::report::About;
 use crate::report::LimitRow;
+use crate::report::Place;
 use crate::scheduler::View;
 use crate::stable_hash;
 use siskinyoke_base::Map;
@@ -47,8 +52,6 @@
     name: Box<str>,
     // By the endpoints' shortened keys, lifted ones too.
     known: Map<u32, RateLimit>,
-    // Instances that are heard, this one with them.
-    members: u32,
     changes: Vec<LimitChange>,
 }
 
@@ -123,24 +126,44 @@
         let peers = view.peers.fresh(view.now);
         let mut names: Vec<&str> = peers.map(|peer| &*peer.about.name).collect();
         names.push(&self.name);
-        self.members = u32::try_from(names.len()).unwrap_or(u32::MAX);
         for (endpoint, limit) in &mut self.known {
             let Some(rate) = limit.rate() else { continue };
             let rate = rate * view.registry.portion(*endpoint, whole(rate));
-            limit.share(view.now, part(&self.name, &names, *endpoint, rate));
+            let part = part(&self.name, &names, *endpoint, rate);
+            limit.share(view.now, part, rate);
         }
     }
 
+    /// Returns the peers that hold a part of the limit of any of these endpoints.
+    pub(crate) fn holders<'a>(
+        &self,
+        view: &View<'a>,
+        endpoints: &[Arc<Endpoint>],
+    ) -> Vec<&'a Place> {
+        let limits: Vec<(u32, f64)> = endpoints
+            .iter()
+            .map(|it| it.key().short())
+            .filter_map(|key| Some((key, self.known.get(&key)?.shard()?)))
+            .collect();
+        let peers: Vec<&About> = view.peers.fresh(view.now).map(|it| &it.about).collect();
+        let mut names: Vec<&str> = peers.iter().map(|it| &*it.name).collect();
+        names.push(&self.name);
+        let holds = |name: &str| {
+            let mut limits = limits.iter();
+            limits.any(|(key, rate)| part(name, &names, *key, *rate) > 0.0)
+        };
+        let holders = peers.into_iter().filter(|it| holds(&it.name));
+        holders.map(|it| &it.place).collect()
+    }
+
     /// Returns how many requests may be sent to an endpoint now; none where there is no limit.
     pub fn tokens(&self, key: EndpointKey) -> Option<u32> {
         self.known.get(&key.short())?.tokens()
     }
 
-    /// Returns the requests a second that each instance could send to an endpoint if all had this one's part; none
-    /// where there is no limit.
+    /// Returns the requests a second that this instance's shard may send to an endpoint; none where there is no limit.
     pub fn throughput(&self, key: EndpointKey) -> Option<f64> {
-        let part = self.known.get(&key.short())?.part()?;
-        Some(part * f64::from(self.members))
+        self.known.get(&key.short())?.shard()
     }
 
     /// Takes the token of a request that is sent to an endpoint.
--- a/crates/siskinyoke-dispatch/src/rate_limits/rate_limit.rs
+++ b/crates/siskinyoke-dispatch/src/rate_limits/rate_limit.rs
@@ -5,8 +5,9 @@
 /// The fewest requests a second that an endpoint is given, so that its answers show when it takes more.
 const LEAST: f64 = 0.25;
 
-/// The time for which tokens are gathered where a second brings many.
+/// The time for which tokens are gathered where a second brings many, and the most tokens otherwise.
 const GATHERED: f64 = 0.1;
+const MOST: f64 = 1.5;
 
 /// How long the last naming must be past before an answer without one lifts the limit.
 ///
@@ -20,8 +21,9 @@
     rate: Option<f64>,
     // When an answer last said so, to this instance or to a peer.
     at: Millis,
-    // The requests a second that are this instance's; none before that was worked out.
+    // The requests a second that are this instance's, and its shard's; none before that was worked out.
     part: Option<f64>,
+    shard: f64,
     // Tokens, and when they were counted.
     level: f64,
     counted: Millis,
@@ -34,6 +36,7 @@
             rate: rate.map(|it| it.max(LEAST)),
             at,
             part: None,
+            shard: 0.0,
             level: phase,
             counted: now,
         }
@@ -49,9 +52,9 @@
         self.at
     }
 
-    /// Returns the requests a second that are this instance's, none where there is no limit.
-    pub(super) fn part(&self) -> Option<f64> {
-        self.rate.map(|_| self.part.unwrap_or(0.0))
+    /// Returns the requests a second that are this instance's shard's, none where there is no limit.
+    pub(super) fn shard(&self) -> Option<f64> {
+        self.rate.map(|_| self.shard)
     }
 
     /// Takes in a later word on a limit that is in force.
@@ -65,12 +68,13 @@
         self.rate.is_some() && sent > self.at && now.since(self.at) >= CLEAR
     }
 
-    /// Sets the requests a second that are this instance's, and counts the tokens that have come since.
+    /// Sets the requests a second that are this instance's of its shard's, and counts the tokens that have come since.
     ///
     /// An instance that comes to hold a part begins without tokens: another has just used them.
-    pub(super) fn share(&mut self, now: Millis, part: f64) {
+    pub(super) fn share(&mut self, now: Millis, part: f64, shard: f64) {
+        self.shard = shard;
         let before = self.part.replace(part).unwrap_or(part);
-        let most = (part * GATHERED).max(1.0);
+        let most = (part * GATHERED).max(MOST);
         let gained = before * now.since(self.counted).as_secs();
         self.level = (self.level + gained).min(most);
         if before <= 0.0 && part > 0.0 {
@@ -83,8 +87,12 @@
     #[expect(clippy::cast_possible_truncation, reason = "a bucket holds few tokens")]
     #[expect(clippy::cast_sign_loss, reason = "the level is never below zero")]
     pub(super) fn tokens(&self) -> Option<u32> {
-        let part = self.part()?;
-        Some(if part > 0.0 { self.level as u32 } else { 0 })
+        self.rate?;
+        Some(if self.part.unwrap_or(0.0) > 0.0 {
+            self.level as u32
+        } else {
+            0
+        })
     }
 
     /// Takes the token of a request that is sent.
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -40,7 +40,7 @@
     // Those that get what is drawn for the version on trial.
     canaries: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>>,
     rollouts: BTreeMap<Arc<str>, Rollout>,
-    // The shards that use an endpoint which several share, by its shortened key.
+    // The shards that use an endpoint of this one's, by its shortened key: several where they share it.
     sharers: Map<u32, Vec<usize>>,
 }
 
@@ -180,12 +180,13 @@
         found.filter(|it| !self.leaving(it))
     }
 
-    /// Returns the part of a limit over all instances that is this one's shard's, of a limit that has so many holders.
+    /// Returns the part of a limit that is this instance's shard's, of a limit that has so many holders.
     ///
-    /// An endpoint that several shards share has no more of them hold its limit than there are holders.
+    /// An endpoint that several shards share has no more of them hold its limit than there are holders. Nothing of
+    /// it is this shard's where the endpoint is another's.
     pub(crate) fn portion(&self, endpoint: u32, holders: usize) -> f64 {
         let Some(shards) = self.sharers.get(&endpoint) else {
-            return 1.0;
+            return 0.0;
         };
         let rank = |shard: &usize| stable_hash(&(endpoint, shard));
         let before = shards.iter().filter(|it| rank(it) < rank(&self.shard));
@@ -244,6 +245,11 @@
             *endpoints = self.own(endpoints, &mut sharers);
         }
         self.fit = services;
+        let own = self.fit.values().chain(self.canaries.values()).flatten();
+        for endpoint in own {
+            let shards = sharers.entry(endpoint.key().short());
+            shards.or_insert_with(|| vec![self.shard]);
+        }
         self.sharers = sharers;
     }
 
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -100,6 +100,8 @@
     // When other shards were last asked for a place, by request, and what they said, by service.
     asked: Map<Ticket, Millis>,
     answers: Map<Arc<str>, lending::LastAnswer>,
+    // When holders of rate limits last had no token, by service.
+    refusals: Map<Arc<str>, Millis>,
     last: u64,
 }
 
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -24,6 +24,7 @@
 use crate::load::millis;
 use crate::message::PlaceNeed;
 use crate::placing::Query;
+use crate::report;
 use crate::report::short;
 use siskinyoke_base::Millis;
 
@@ -72,16 +73,23 @@
 }
 
 impl Scheduler {
-    /// Returns requests that cannot start yet, with what to ask other shards for.
-    pub fn needs(&mut self, now: Millis) -> Vec<(Ticket, Need)> {
-        let open = self.queues.iter().filter(|row| !self.declined(now, row.0));
-        let tickets = open.flat_map(|row| row.1.iter()).map(|place| place.2);
-        let due = tickets.filter(|ticket| self.due(now, *ticket)).take(MOST);
-        let needs = due.map(|ticket| {
-            let need = place_need(now, &self.waiting[&ticket]);
-            (ticket, Need::Place(need))
-        });
-        let needs: Vec<_> = needs.collect();
+    /// Returns requests that cannot start yet, with what to ask other shards for, or holders of rate limits.
+    pub(crate) fn needs(&mut self, view: &View<'_>) -> Vec<(Ticket, Need)> {
+        let now = view.now;
+        let mut needs = Vec::new();
+        for (service, queue) in &self.queues {
+            let place = view.registry.divided() && !self.declined(now, service);
+            let reserved = self.may_reserve(view, service);
+            if !place && !reserved {
+                continue;
+            }
+            let tickets = queue.iter().map(|place| place.2);
+            for ticket in tickets.filter(|it| self.due(now, *it)).take(MOST) {
+                let need = place_need(now, &self.waiting[&ticket]);
+                needs.extend(place.then_some((ticket, Need::Place(need))));
+                needs.extend(reserved.then_some((ticket, Need::Reserved(need))));
+            }
+        }
         let waiting = &self.waiting;
         self.asked.retain(|ticket, _| waiting.contains_key(ticket));
         for (ticket, _) in &needs {
@@ -136,6 +144,44 @@
         Some(key)
     }
 
+    /// Gives a token of a rate limit to a peer's request, unless requests wait here.
+    pub(crate) fn lend_token(&mut self, view: &View<'_>, need: &PlaceNeed) -> Option<EndpointKey> {
+        let service = view.registry.service(need.service)?;
+        if self.queues.get(&service).is_some_and(|it| !it.is_empty()) {
+            return None;
+        }
+        self.limits.settle(view);
+        let mut candidates = self.free(view, &service);
+        candidates.retain(|it| it.reserved);
+        let load = self.load(&service);
+        let pending = guest(view.now, &service, need);
+        let query = Query {
+            now: view.now,
+            pending: &pending,
+            load: &load,
+            can_wait: true,
+        };
+        let at = self.placing.best(&query, &candidates, true)?;
+        let key = candidates[at].endpoint.key();
+        self.limits.take(key);
+        Some(key)
+    }
+
+    /// Returns the peers that may give a token for a service's requests.
+    pub(crate) fn holders<'a>(&self, view: &View<'a>, service: u32) -> Vec<&'a report::Place> {
+        let Some(service) = view.registry.service(service) else {
+            return Vec::new();
+        };
+        self.limits.holders(view, view.registry.fit(&service))
+    }
+
+    /// Takes note that the holders that were asked had no token for a request.
+    pub fn token_declined(&mut self, now: Millis, ticket: Ticket) {
+        if let Some(pending) = self.waiting.get(&ticket) {
+            self.refusals.insert(pending.service.clone(), now);
+        }
+    }
+
     /// Takes a place back that was given to another shard.
     pub fn returned(&mut self, id: u64) {
         let Some(loan) = self.loans.remove(&id) else {
@@ -198,7 +244,15 @@
         }
     }
 
-    // Whether other shards are to be asked for a place for a request now.
+    // Whether holders of rate limits are to be asked for tokens.
+    fn may_reserve(&self, view: &View<'_>, service: &str) -> bool {
+        let refused = self.refusals.get(service);
+        let refused = refused.is_some_and(|at| view.now.since(*at) < DECLINED);
+        let mut endpoints = view.registry.fit(service).iter();
+        !refused && endpoints.any(|it| self.limits.tokens(it.key()).is_some())
+    }
+
+    // Whether others are to be asked for a place for a request now.
     fn due(&self, now: Millis, ticket: Ticket) -> bool {
         let pending = &self.waiting[&ticket];
         let asked = self.asked.get(&ticket);
--- a/crates/siskinyoke-dispatch/tests/limits/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/limits/fleet.rs
@@ -4,22 +4,28 @@
 
 use rand::Rng;
 use rand::SeedableRng;
+use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
 use crate::common::configuration;
 use crate::common::done;
 use crate::common::endpoint;
 use crate::common::identity;
+use crate::common::number;
 use crate::common::organisation;
 use crate::common::place;
 use crate::common::request;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Decision;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::Grant;
+use siskinyoke_dispatch::Need;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::Report;
 use siskinyoke_dispatch::Ticket;
 use siskinyoke_dispatch::core::Request;
+use siskinyoke_dispatch::message::PlaceNeed;
 
 const STEP: u64 = 10;
 
@@ -39,11 +45,14 @@
 const STAY: u64 = 200;
 const SLOTS: u32 = 4;
 
+/// As in the gateway: how many holders are asked at once.
+const CHOICES: usize = 2;
+
 /// Requests that may come in one step.
 const TRIES: u32 = 4;
 
-/// The endpoint that names a limit.
-const LIMITED: &str = "e0";
+/// The endpoint for which the bound is checked.
+const CHECKED: &str = "e0";
 
 /// What is played.
 #[derive(Debug, Clone, Copy)]
@@ -54,6 +63,8 @@
     pub rate: f64,
     /// Endpoints.
     pub endpoints: usize,
+    /// How many of them name the limit; the bound is checked for the first.
+    pub limited: usize,
     /// Requests a second over all instances.
     pub per_s: f64,
     /// Whether instances start anew, freeze and are cut off, and reports are lost.
@@ -94,12 +105,16 @@
     // When the limited endpoint got requests, from instances that had been told.
     arrivals: Vec<u64>,
     all: Vec<u64>,
+    // When those with a limit got any.
+    named: Vec<u64>,
     /// Requests that were refused when they came.
     pub refused: u64,
     /// Each broken promise, in words.
     pub broken: Vec<String>,
     /// Requests a second that the limited endpoint got while it named its limit.
     pub used: f64,
+    /// Requests a second that all endpoints with a limit got meanwhile.
+    pub together: f64,
     /// Requests a second that it got in the last seconds.
     pub after: f64,
 }
@@ -120,6 +135,8 @@
             excused: vec![0; plan.size],
             arrivals: Vec::new(),
             all: Vec::new(),
+            named: Vec::new(),
+            together: 0.0,
             refused: 0,
             broken: Vec::new(),
             used: 0.0,
@@ -130,16 +147,17 @@
             fleet.now += STEP;
             fleet.step();
         }
-        let rate = |from: u64, to: u64| {
-            let count = fleet
-                .all
-                .iter()
-                .filter(|it| (from..to).contains(it))
-                .count();
+        let rate = |sent: &[u64], from: u64, to: u64| {
+            let count = sent.iter().filter(|it| (from..to).contains(it)).count();
             float(count) / Millis(to - from).as_secs()
         };
-        fleet.used = rate(NAMED.start + STABLE, NAMED.end);
-        fleet.after = rate(END - 4_000, END);
+        let begin = NAMED.start + STABLE;
+        let used = rate(&fleet.all, begin, NAMED.end);
+        let together = rate(&fleet.named, begin, NAMED.end);
+        let after = rate(&fleet.all, END - 4_000, END);
+        fleet.used = used;
+        fleet.together = together;
+        fleet.after = after;
         fleet
     }
 
@@ -173,6 +191,11 @@
         self.deliver();
     }
 
+    fn limited(&self, endpoint: &str) -> bool {
+        let number: usize = endpoint[1..].parse().expect("a number");
+        number < self.plan.limited
+    }
+
     fn harm(&mut self) {
         let at = self.rng.random_range(0..self.plan.size);
         let until = self.now + self.rng.random_range(200..3_000);
@@ -229,8 +252,8 @@
             .partition(|it: &Run| it.ends <= now && self.frozen[it.instance] <= now);
         self.runs = left;
         for run in over {
+            let named = self.limited(&run.endpoint) && NAMED.contains(&run.ends);
             let core = &mut self.cores[run.instance];
-            let named = run.endpoint == LIMITED && NAMED.contains(&run.ends);
             let rate = named.then_some(self.plan.rate);
             let answering = endpoint(&run.endpoint, SLOTS);
             core.limit(Millis(now), &answering, Millis(run.sent), rate);
@@ -254,19 +277,54 @@
             self.cores[at].sweep(now);
         }
         for decision in self.cores[at].decide(now) {
-            let Decision::Start(ticket, endpoint) = decision else {
+            if let Decision::Start(ticket, endpoint) = decision {
+                self.send(at, ticket, &endpoint);
+            }
+        }
+        for (ticket, need) in self.cores[at].needs(now) {
+            if let Need::Reserved(place) = need {
+                self.ask(at, ticket, place);
+            }
+        }
+    }
+
+    fn send(&mut self, at: usize, ticket: Ticket, endpoint: &Endpoint) {
+        self.runs.push(Run {
+            instance: at,
+            ticket,
+            endpoint: endpoint.id.to_string(),
+            sent: self.now,
+            ends: self.now + STAY,
+        });
+        if self.limited(&endpoint.id) {
+            self.named.push(self.now);
+        }
+        if &*endpoint.id == CHECKED {
+            self.arrived(at);
+        }
+    }
+
+    // Asks some holders of the limit for a token; the way there and back is left out.
+    fn ask(&mut self, at: usize, ticket: Ticket, need: PlaceNeed) {
+        let now = Millis(self.now);
+        let holders = self.cores[at].holders(now, need.service);
+        let some = holders.choose_multiple(&mut self.rng, CHOICES);
+        let some: Vec<usize> = some.map(|it| number(it)).collect();
+        let mut started = false;
+        for holder in some {
+            let cut = [(at, holder), (holder, at)].map(|it| self.cuts.get(&it).copied());
+            if self.frozen[holder] > self.now || cut.into_iter().flatten().any(|it| it > self.now) {
                 continue;
-            };
-            self.runs.push(Run {
-                instance: at,
-                ticket,
-                endpoint: endpoint.id.to_string(),
-                sent: self.now,
-                ends: self.now + STAY,
-            });
-            if &*endpoint.id == LIMITED {
-                self.arrived(at);
             }
+            let grant = self.cores[holder].lend(now, 0, Need::Reserved(need));
+            let Grant::Place(key) = grant else { continue };
+            if let Some(endpoint) = self.cores[at].place_granted(now, ticket, key) {
+                started = true;
+                self.send(at, ticket, &endpoint);
+            }
+        }
+        if !started {
+            self.cores[at].token_declined(now, ticket);
         }
     }
 
--- a/crates/siskinyoke-dispatch/tests/limits/main.rs
+++ b/crates/siskinyoke-dispatch/tests/limits/main.rs
@@ -6,9 +6,14 @@
 mod common;
 mod fleet;
 
+use crate::common::endpoint;
+use crate::common::identity;
+use crate::common::place;
 use crate::common::seeds;
 use crate::fleet::Fleet;
 use crate::fleet::Plan;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Core;
 
 const CALM: Plan = Plan {
     size: 8,
@@ -17,6 +22,7 @@
     per_s: 60.0,
     wild: false,
     pause: false,
+    limited: 1,
 };
 
 // Guards against each instance keeping to a limit alone, and against many instances' first requests.
@@ -104,3 +110,59 @@
         }
     }
 }
+
+// Guards against tokens that nobody uses while callers are refused elsewhere.
+#[test]
+fn limits_of_all_endpoints_are_used_up() {
+    for (rate, per_s) in [(1.2, 95.0), (2.5, 95.0), (6.3, 95.0), (2.5, 25.0)] {
+        for seed in seeds(0..3) {
+            let plan = Plan {
+                rate,
+                per_s,
+                endpoints: 12,
+                limited: 12,
+                ..CALM
+            };
+            let fleet = Fleet::play(seed, plan);
+            let wanted = (rate * 12.0).min(per_s);
+            assert!(
+                fleet.together >= wanted * 0.9,
+                "{plan:?} {seed}: {} a second",
+                fleet.together
+            );
+        }
+    }
+}
+
+// Guards against tokens that gather at instances which do not use an endpoint, and are spent once they do.
+#[test]
+fn an_endpoint_of_another_shard_brings_no_tokens() {
+    let mut core = Core::new(identity("i0", 1));
+    for at in 0..17 {
+        let name = format!("i{at}");
+        core.list(&name, place(&name, "a"));
+    }
+    for at in 0..16 {
+        core.registry()
+            .put(Millis(0), endpoint(&format!("e{at}"), 4));
+    }
+    let own: Vec<String> = core
+        .registry()
+        .fit("lm")
+        .iter()
+        .map(|it| it.id.to_string())
+        .collect();
+    assert!((1..16).contains(&own.len()), "{own:?}");
+    for at in 0..16 {
+        let named = endpoint(&format!("e{at}"), 4);
+        core.limit(Millis(0), &named, Millis(0), Some(4.0));
+    }
+    core.decide(Millis(0));
+    core.decide(Millis(10_000));
+    for at in 0..16 {
+        let named = endpoint(&format!("e{at}"), 4);
+        let tokens = core.scheduler().limits().tokens(named.key());
+        let mine = own.contains(&named.id.to_string());
+        assert_eq!(tokens, Some(u32::from(mine)), "{}", named.id);
+    }
+}
--- a/crates/siskinyoke-gateway/src/lending.rs
+++ b/crates/siskinyoke-gateway/src/lending.rs
@@ -58,6 +58,8 @@
 #[derive(Debug)]
 struct Question {
     ticket: Ticket,
+    // Whether holders of rate limits were asked, rather than other shards.
+    reserved: bool,
     at: Millis,
     // Answers that are still to come.
     left: usize,
@@ -89,15 +91,22 @@
     }
 }
 
-/// Asks other shards for places for requests that cannot start yet.
+/// Asks other shards, or holders of rate limits, for places for requests that cannot start yet.
 pub fn places(shell: &Shell) {
     let now = shell.now();
     let needs = shell.core.borrow_mut().needs(now);
     for (ticket, need) in needs {
         let id = rand::random();
-        let lenders = lenders(shell, CHOICES);
+        let lenders = match &need {
+            Need::Reserved(need) => holders(shell, need.service),
+            Need::Place(_) | Need::Units(_) => lenders(shell, CHOICES),
+        };
+        if lenders.is_empty() {
+            continue;
+        }
         let question = Question {
             ticket,
+            reserved: matches!(need, Need::Reserved(_)),
             at: now,
             left: lenders.len(),
         };
@@ -131,11 +140,17 @@
         gossip::send(shell, from, &Message::Return(id));
         return;
     };
-    let Question { ticket, at, .. } = question;
+    let Question {
+        ticket,
+        reserved,
+        at,
+        ..
+    } = question;
     let fields = json!({
         "ticket": ticket.0,
         "endpoint": &*endpoint.id,
         "lender": from.to_string(),
+        "reserved": reserved,
         "asked_ms": now.since(at).0,
     });
     shell.log("place_borrowed", fields);
@@ -152,10 +167,19 @@
     if question.left > 0 {
         return;
     }
-    let ticket = question.ticket;
+    let Question {
+        ticket, reserved, ..
+    } = *question;
     places.remove(&id);
     drop(places);
-    shell.core.borrow_mut().place_declined(shell.now(), ticket);
+    let now = shell.now();
+    let mut core = shell.core.borrow_mut();
+    if reserved {
+        core.token_declined(now, ticket);
+    } else {
+        core.place_declined(now, ticket);
+    }
+    drop(core);
     shell.decide();
 }
 
@@ -227,6 +251,14 @@
     places.filter_map(|it| it.inner.parse().ok()).collect()
 }
 
+// Some peers that hold a part of a rate limit of a service.
+fn holders(shell: &Shell, service: u32) -> Vec<SocketAddr> {
+    let core = shell.core.borrow();
+    let holders = core.holders(shell.now(), service);
+    let some = holders.choose_multiple(&mut rand::rng(), CHOICES);
+    some.filter_map(|it| it.inner.parse().ok()).collect()
+}
+
 fn amount(grant: Grant) -> u64 {
     match grant {
         Grant::Units(units) => units,
