Limits stand in whole reports, and in each only for a moment after a change

Each report to peers, up to a hundred a second under pressure, named every limit again. What peers need at once is that a limit came, changed or went; its age is of use to no one who has sent nothing there.

Named by what they hold, and split by job: rate_limits in gateway, scheduler and core; one view for all that is lent.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -4,6 +4,7 @@
 mod identity;
 mod lending;
 mod pass;
+mod rate_limits;
 mod retry;
 mod rollouts;
 mod store;
@@ -13,7 +14,6 @@
 use std::sync::Arc;
 
 use crate::Configuration;
-use crate::Endpoint;
 use crate::Outcome;
 use crate::Reason;
 use crate::Refusal;
@@ -27,7 +27,6 @@
 use crate::quota;
 use crate::quota::Quotas;
 use crate::quota::Wanted;
-use crate::rate_limits::LimitChange;
 use crate::registry::Registry;
 use crate::report::Place;
 use crate::scheduler::Decision;
@@ -270,22 +269,6 @@
         Some(self.scheduler.again(pending))
     }
 
-    /// Takes in an answer of an endpoint to a request that was sent at `sent`: the requests a second that it takes from
-    /// all instances together, if it names that.
-    pub fn limit(&mut self, now: Millis, endpoint: &Endpoint, sent: Millis, rate: Option<f64>) {
-        self.scheduler.limit(now, endpoint.key(), sent, rate);
-    }
-
-    /// Returns the endpoint of a shortened key, if it is known.
-    pub fn endpoint(&self, key: u32) -> Option<&Arc<Endpoint>> {
-        self.registry.all().find(|it| it.key().short() == key)
-    }
-
-    /// Returns the limits that were named, changed or lifted since this was last asked.
-    pub fn limit_changes(&mut self) -> Vec<LimitChange> {
-        self.scheduler.limit_changes()
-    }
-
     /// Takes note that the first part of a running request's answer came.
     pub fn began(&mut self, now: Millis, ticket: Ticket) {
         self.scheduler.began(now, ticket);
--- a/crates/siskinyoke-dispatch/src/core/lending.rs
+++ b/crates/siskinyoke-dispatch/src/core/lending.rs
@@ -10,7 +10,6 @@
 use crate::core::Core;
 use crate::core::Request;
 use crate::message::UnitsNeed;
-use crate::report::Place;
 use crate::report::short;
 use crate::scheduler::View;
 use siskinyoke_base::Millis;
@@ -33,22 +32,17 @@
     ///
     /// `id` names the question, by which a place is returned.
     pub fn lend(&mut self, now: Millis, id: u64, need: Need) -> Grant {
+        let view = View {
+            now,
+            registry: &self.registry,
+            peers: &self.peers,
+        };
         match need {
             Need::Place(need) => {
-                let view = View {
-                    now,
-                    registry: &self.registry,
-                    peers: &self.peers,
-                };
                 let given = self.scheduler.lend(&view, id, &need);
                 given.map_or(Grant::Nothing, Grant::Place)
             }
             Need::Reserved(need) => {
-                let view = View {
-                    now,
-                    registry: &self.registry,
-                    peers: &self.peers,
-                };
                 let given = self.scheduler.lend_token(&view, &need);
                 given.map_or(Grant::Nothing, Grant::Place)
             }
@@ -78,21 +72,6 @@
         self.scheduler.needs(&view)
     }
 
-    /// Returns the peers that may give a token of a rate limit for a service's requests, by its hashed name.
-    pub fn holders(&self, now: Millis, service: u32) -> Vec<&Place> {
-        let view = View {
-            now,
-            registry: &self.registry,
-            peers: &self.peers,
-        };
-        self.scheduler.holders(&view, service)
-    }
-
-    /// Takes note that the holders that were asked had no token for a request.
-    pub fn token_declined(&mut self, now: Millis, ticket: Ticket) {
-        self.scheduler.token_declined(now, ticket);
-    }
-
     /// Starts a waiting request at a place that another shard gave, and returns its endpoint; nothing if
     /// the request waits no more or the endpoint is not to be used.
     pub fn place_granted(
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/core/rate_limits.rs
@@ -0,0 +1,50 @@
+//! What this instance knows of endpoints' rate limits, and who holds them.
+
+use std::sync::Arc;
+
+use crate::Endpoint;
+use crate::Ticket;
+use crate::core::Core;
+use crate::rate_limits::LimitChange;
+use crate::report::Place;
+use crate::scheduler::View;
+use siskinyoke_base::Millis;
+
+impl Core {
+    /// Takes in an answer of an endpoint to a request that was sent at `sent`: the requests a second that it takes from
+    /// all instances together, if it names that.
+    pub fn note_limit(
+        &mut self,
+        now: Millis,
+        endpoint: &Endpoint,
+        sent: Millis,
+        rate: Option<f64>,
+    ) {
+        self.scheduler.note_limit(now, endpoint.key(), sent, rate);
+    }
+
+    /// Returns the endpoint of a shortened key, if it is known.
+    pub fn endpoint(&self, key: u32) -> Option<&Arc<Endpoint>> {
+        self.registry.all().find(|it| it.key().short() == key)
+    }
+
+    /// Returns the limits that were named, changed or lifted since this was last asked.
+    pub fn limit_changes(&mut self) -> Vec<LimitChange> {
+        self.scheduler.limit_changes()
+    }
+
+    /// Returns the peers that may give a token of a rate limit for a service's requests, by its hashed name.
+    pub fn holders(&self, now: Millis, service: u32) -> Vec<&Place> {
+        let view = View {
+            now,
+            registry: &self.registry,
+            peers: &self.peers,
+        };
+        self.scheduler.holders(&view, service)
+    }
+
+    /// Takes note that the holders that were asked had no token for a request.
+    pub fn token_declined(&mut self, now: Millis, ticket: Ticket) {
+        self.scheduler.token_declined(now, ticket);
+    }
+}
--- a/crates/siskinyoke-dispatch/src/core/talk.rs
+++ b/crates/siskinyoke-dispatch/src/core/talk.rs
@@ -10,7 +10,7 @@
 /// Suspect work and addresses told in one report, so that it fits a datagram.
 const TOLD: usize = 8;
 
-/// How long the use of an organisation stands in each report after it changed.
+/// How long the use of an organisation, or a rate limit, stands in each report after it changed.
 ///
 /// Some reports are lost; five in a row are not, and the rest stands in every whole report.
 const RECENT: Millis = Millis(250);
@@ -84,7 +84,7 @@
             running: self.scheduler.counts(),
             waiting: self.scheduler.summary(now),
             spent: self.quotas.spent(since),
-            limits: self.scheduler.limits().told(now),
+            limits: self.scheduler.limits().told(now, since),
             canaries: self.canaries(now),
             about: whole.then(|| self.about(now)),
         }
--- a/crates/siskinyoke-dispatch/src/rate_limits.rs
+++ b/crates/siskinyoke-dispatch/src/rate_limits.rs
@@ -91,10 +91,12 @@
         }
     }
 
-    /// Returns what peers should know: limits that are in force or were lifted of late, the latest first.
-    pub fn told(&self, now: Millis) -> Vec<LimitRow> {
+    /// Returns what peers should know of what came to be known since then: limits that are in force or were lifted of
+    /// late, the latest first.
+    pub fn told(&self, now: Millis, since: Millis) -> Vec<LimitRow> {
         let known = self.known.iter();
         let mut rows: Vec<LimitRow> = known
+            .filter(|row| row.1.changed() >= since)
             .filter(|row| row.1.rate().is_some() || now.since(row.1.at()) < TOLD)
             .map(|(endpoint, limit)| LimitRow {
                 endpoint: *endpoint,
@@ -187,7 +189,7 @@
         }
         let before = known.as_ref().and_then(|it| it.rate());
         match (known, rate) {
-            (Some(limit), Some(rate)) if limit.rate().is_some() => limit.renew(at, rate),
+            (Some(limit), Some(rate)) if limit.rate().is_some() => limit.renew(now, at, rate),
             _ => {
                 let limit = RateLimit::new(now, at, rate, phase(&self.name, endpoint));
                 self.known.insert(endpoint, limit);
--- a/crates/siskinyoke-dispatch/src/rate_limits/rate_limit.rs
+++ b/crates/siskinyoke-dispatch/src/rate_limits/rate_limit.rs
@@ -21,6 +21,8 @@
     rate: Option<f64>,
     // When an answer last said so, to this instance or to a peer.
     at: Millis,
+    // When this instance came to know of the rate.
+    changed: Millis,
     // The requests a second that are this instance's, and its shard's; none before that was worked out.
     part: Option<f64>,
     shard: f64,
@@ -35,6 +37,7 @@
         Self {
             rate: rate.map(|it| it.max(LEAST)),
             at,
+            changed: now,
             part: None,
             shard: 0.0,
             level: phase,
@@ -52,14 +55,23 @@
         self.at
     }
 
+    /// Returns when this instance came to know of the rate.
+    pub(super) fn changed(&self) -> Millis {
+        self.changed
+    }
+
     /// Returns the requests a second that are this instance's shard's, none where there is no limit.
     pub(super) fn shard(&self) -> Option<f64> {
         self.rate.map(|_| self.shard)
     }
 
     /// Takes in a later word on a limit that is in force.
-    pub(super) fn renew(&mut self, at: Millis, rate: f64) {
-        self.rate = Some(rate.max(LEAST));
+    pub(super) fn renew(&mut self, now: Millis, at: Millis, rate: f64) {
+        let rate = Some(rate.max(LEAST));
+        if self.rate != rate {
+            self.rate = rate;
+            self.changed = now;
+        }
         self.at = at;
     }
 
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -7,8 +7,8 @@
 
 mod expiry;
 mod lending;
-mod limits;
 mod pace;
+mod rate_limits;
 mod starting;
 mod waits;
 
@@ -101,7 +101,7 @@
     asked: Map<Ticket, Millis>,
     answers: Map<Arc<str>, lending::LastAnswer>,
     // When holders of rate limits last had no token, by service.
-    refusals: Map<Arc<str>, Millis>,
+    token_refusals: Map<Arc<str>, Millis>,
     last: u64,
 }
 
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -24,7 +24,6 @@
 use crate::load::millis;
 use crate::message::PlaceNeed;
 use crate::placing::Query;
-use crate::report;
 use crate::report::short;
 use siskinyoke_base::Millis;
 
@@ -42,7 +41,7 @@
 /// How long other shards are taken to have no place after those asked had none.
 ///
 /// In a peak of the whole fleet all are full, and each question is for nothing.
-const DECLINED: Millis = Millis(100);
+pub(super) const DECLINED: Millis = Millis(100);
 
 /// The part of a shard's places that is kept for its own requests.
 ///
@@ -79,7 +78,7 @@
         let mut needs = Vec::new();
         for (service, queue) in &self.queues {
             let place = view.registry.divided() && !self.declined(now, service);
-            let reserved = self.may_reserve(view, service);
+            let reserved = self.asks_holders(view, service);
             if !place && !reserved {
                 continue;
             }
@@ -144,44 +143,6 @@
         Some(key)
     }
 
-    /// Gives a token of a rate limit to a peer's request, unless requests wait here.
-    pub(crate) fn lend_token(&mut self, view: &View<'_>, need: &PlaceNeed) -> Option<EndpointKey> {
-        let service = view.registry.service(need.service)?;
-        if self.queues.get(&service).is_some_and(|it| !it.is_empty()) {
-            return None;
-        }
-        self.limits.settle(view);
-        let mut candidates = self.free(view, &service);
-        candidates.retain(|it| it.reserved);
-        let load = self.load(&service);
-        let pending = guest(view.now, &service, need);
-        let query = Query {
-            now: view.now,
-            pending: &pending,
-            load: &load,
-            can_wait: true,
-        };
-        let at = self.placing.best(&query, &candidates, true)?;
-        let key = candidates[at].endpoint.key();
-        self.limits.take(key);
-        Some(key)
-    }
-
-    /// Returns the peers that may give a token for a service's requests.
-    pub(crate) fn holders<'a>(&self, view: &View<'a>, service: u32) -> Vec<&'a report::Place> {
-        let Some(service) = view.registry.service(service) else {
-            return Vec::new();
-        };
-        self.limits.holders(view, view.registry.fit(&service))
-    }
-
-    /// Takes note that the holders that were asked had no token for a request.
-    pub fn token_declined(&mut self, now: Millis, ticket: Ticket) {
-        if let Some(pending) = self.waiting.get(&ticket) {
-            self.refusals.insert(pending.service.clone(), now);
-        }
-    }
-
     /// Takes a place back that was given to another shard.
     pub fn returned(&mut self, id: u64) {
         let Some(loan) = self.loans.remove(&id) else {
@@ -244,14 +205,6 @@
         }
     }
 
-    // Whether holders of rate limits are to be asked for tokens.
-    fn may_reserve(&self, view: &View<'_>, service: &str) -> bool {
-        let refused = self.refusals.get(service);
-        let refused = refused.is_some_and(|at| view.now.since(*at) < DECLINED);
-        let mut endpoints = view.registry.fit(service).iter();
-        !refused && endpoints.any(|it| self.limits.tokens(it.key()).is_some())
-    }
-
     // Whether others are to be asked for a place for a request now.
     fn due(&self, now: Millis, ticket: Ticket) -> bool {
         let pending = &self.waiting[&ticket];
@@ -282,7 +235,7 @@
 }
 
 // Another shard's request, as far as the choice of an endpoint needs it.
-fn guest(now: Millis, service: &Arc<str>, need: &PlaceNeed) -> Pending {
+pub(super) fn guest(now: Millis, service: &Arc<str>, need: &PlaceNeed) -> Pending {
     let span = |ms: u32| Millis(u64::from(ms));
     let arrived = now.since(span(need.waited));
     let until = now + span(need.left);
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/scheduler/rate_limits.rs
@@ -0,0 +1,101 @@
+//! What the rate limits of endpoints mean for requests that are to be placed.
+
+use super::Scheduler;
+use super::View;
+use super::lending::DECLINED;
+use super::lending::guest;
+use crate::Endpoint;
+use crate::EndpointKey;
+use crate::Ticket;
+use crate::load::Load;
+use crate::load::float;
+use crate::message::PlaceNeed;
+use crate::placing::Query;
+use crate::rate_limits::LimitChange;
+use crate::rate_limits::RateLimits;
+use crate::report::LimitRow;
+use crate::report::Place;
+use siskinyoke_base::Millis;
+
+const MS_PER_S: f64 = 1_000.0;
+
+impl Scheduler {
+    /// Returns the rate limits that are known.
+    pub fn limits(&self) -> &RateLimits {
+        &self.limits
+    }
+
+    /// Takes in an answer of an endpoint to a request that was sent at `sent`, with the limit that it names.
+    pub fn note_limit(&mut self, now: Millis, key: EndpointKey, sent: Millis, rate: Option<f64>) {
+        match rate {
+            Some(rate) => self.limits.named(now, key, rate),
+            None => self.limits.unnamed(now, key, sent),
+        }
+    }
+
+    /// Takes in the limits that a peer knows.
+    pub fn hear_limits(&mut self, now: Millis, rows: &[LimitRow]) {
+        self.limits.heard(now, rows);
+    }
+
+    /// Returns the limits that were named, changed or lifted since this was last asked.
+    pub fn limit_changes(&mut self) -> Vec<LimitChange> {
+        self.limits.changes()
+    }
+
+    /// Gives a token of a rate limit to a peer's request, unless requests wait here.
+    pub(crate) fn lend_token(&mut self, view: &View<'_>, need: &PlaceNeed) -> Option<EndpointKey> {
+        let service = view.registry.service(need.service)?;
+        if self.queues.get(&service).is_some_and(|it| !it.is_empty()) {
+            return None;
+        }
+        self.limits.settle(view);
+        let mut candidates = self.free(view, &service);
+        candidates.retain(|it| it.reserved);
+        let load = self.load(&service);
+        let pending = guest(view.now, &service, need);
+        let query = Query {
+            now: view.now,
+            pending: &pending,
+            load: &load,
+            can_wait: true,
+        };
+        let at = self.placing.best(&query, &candidates, true)?;
+        let key = candidates[at].endpoint.key();
+        self.limits.take(key);
+        Some(key)
+    }
+
+    /// Returns the peers that may give a token for a service's requests.
+    pub(crate) fn holders<'a>(&self, view: &View<'a>, service: u32) -> Vec<&'a Place> {
+        let Some(service) = view.registry.service(service) else {
+            return Vec::new();
+        };
+        self.limits.holders(view, view.registry.fit(&service))
+    }
+
+    /// Takes note that the holders that were asked had no token for a request.
+    pub fn token_declined(&mut self, now: Millis, ticket: Ticket) {
+        if let Some(pending) = self.waiting.get(&ticket) {
+            self.token_refusals.insert(pending.service.clone(), now);
+        }
+    }
+
+    // Whether holders of rate limits are to be asked for tokens.
+    pub(super) fn asks_holders(&self, view: &View<'_>, service: &str) -> bool {
+        let refused = self.token_refusals.get(service);
+        let refused = refused.is_some_and(|at| view.now.since(*at) < DECLINED);
+        let mut endpoints = view.registry.fit(service).iter();
+        !refused && endpoints.any(|it| self.limits.tokens(it.key()).is_some())
+    }
+
+    // The slots of an endpoint, each counted by its pace, of which a limit leaves as many as it keeps busy.
+    pub(super) fn capacity(&self, endpoint: &Endpoint, load: &Load) -> f64 {
+        let key = endpoint.key();
+        let slots = f64::from(endpoint.slots) / self.placing.pace(key);
+        let limit = self.limits.throughput(key);
+        limit.map_or(slots, |rate| {
+            slots.min(rate * float(load.stay()) / MS_PER_S)
+        })
+    }
+}
--- a/crates/siskinyoke-dispatch/tests/limits/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/rate_limits/fleet.rs
@@ -256,7 +256,7 @@
             let core = &mut self.cores[run.instance];
             let rate = named.then_some(self.plan.rate);
             let answering = endpoint(&run.endpoint, SLOTS);
-            core.limit(Millis(now), &answering, Millis(run.sent), rate);
+            core.note_limit(Millis(now), &answering, Millis(run.sent), rate);
             if named {
                 self.told[run.instance].get_or_insert(now);
             }
--- a/crates/siskinyoke-dispatch/tests/limits/main.rs
+++ b/crates/siskinyoke-dispatch/tests/rate_limits/main.rs
@@ -155,7 +155,7 @@
     assert!((1..16).contains(&own.len()), "{own:?}");
     for at in 0..16 {
         let named = endpoint(&format!("e{at}"), 4);
-        core.limit(Millis(0), &named, Millis(0), Some(4.0));
+        core.note_limit(Millis(0), &named, Millis(0), Some(4.0));
     }
     core.decide(Millis(0));
     core.decide(Millis(10_000));
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -13,8 +13,8 @@
 use tokio::time::timeout;
 
 use crate::lending;
-use crate::limits;
 use crate::peer_api;
+use crate::rate_limits;
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
@@ -144,7 +144,7 @@
             shell.log("peer", fields);
             shell.searching.set(true);
         }
-        limits::log_changes(shell);
+        rate_limits::log_changes(shell);
         peer_api::catch_up(shell, from, revision);
         if shell.core.borrow().scheduler().size().0 > 0 {
             shell.decide();
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -23,9 +23,9 @@
 use crate::attempt::Parcel;
 use crate::attempt::Reply;
 use crate::events::Events;
-use crate::limits;
 use crate::permit::Permit;
 use crate::pool;
+use crate::rate_limits;
 use crate::shell::Shell;
 use crate::shell::Word;
 use siskinyoke_base::Millis;
@@ -167,7 +167,7 @@
         );
         if verdict != Verdict::Foreign {
             let named = shell.interface.exchange.rate_limit(response.headers());
-            limits::take(&shell, endpoint, start, verdict, named);
+            rate_limits::take(&shell, endpoint, start, verdict, named);
         }
         match verdict {
             Verdict::Foreign => Step::Again(Outcome::Broken),
--- a/crates/siskinyoke-gateway/src/limits.rs
+++ b/crates/siskinyoke-gateway/src/rate_limits.rs
@@ -29,7 +29,10 @@
         }
     };
     let now = shell.now();
-    shell.core.borrow_mut().limit(now, endpoint, sent, rate);
+    shell
+        .core
+        .borrow_mut()
+        .note_limit(now, endpoint, sent, rate);
     log_changes(shell);
 }
 
