A limit is known in the same rounding everywhere

Instances told each other limits in thousandths and kept what they read themselves with all decimals: each word from the other seemed a change, was logged, and was told again in each report. Found by reading the code again. a_limit_with_many_decimals_is_no_news_at_peers saw 8 changes where there is one; it sees one now.

--- a/crates/siskinyoke-dispatch/src/rate_limits.rs
+++ b/crates/siskinyoke-dispatch/src/rate_limits.rs
@@ -66,6 +66,8 @@
 
     /// Takes in an answer that names a limit, in requests a second.
     pub fn named(&mut self, now: Millis, key: EndpointKey, rate: f64) {
+        // As peers are told it, so that they know the same rate.
+        let rate = per_second(thousandths(rate));
         self.learn(now, key.short(), now, Some(rate), false);
     }
 
@@ -81,7 +83,7 @@
     pub fn heard(&mut self, now: Millis, rows: &[LimitRow]) {
         for row in rows {
             let at = now.since(Millis(u64::from(row.age)));
-            let rate = (row.rate > 0).then(|| f64::from(row.rate) / 1000.0);
+            let rate = (row.rate > 0).then(|| per_second(row.rate));
             let known = self.known.get(&row.endpoint);
             let same = known.is_some_and(|it| it.rate().is_some() == rate.is_some());
             if same && known.is_some_and(|it| at <= it.at() + ECHO) {
@@ -130,7 +132,7 @@
         names.push(&self.name);
         for (endpoint, limit) in &mut self.known {
             let Some(rate) = limit.rate() else { continue };
-            let rate = rate * view.registry.portion(*endpoint, whole(rate));
+            let rate = rate * view.registry.portion(*endpoint, most_holders(rate));
             let part = part(&self.name, &names, *endpoint, rate);
             limit.share(view.now, part, rate);
         }
@@ -207,29 +209,29 @@
     }
 }
 
-// Returns how many holders a rate has: one for each whole request a second, and one at least.
+// The most holders of a rate: one for each whole request a second, and one at least.
 #[expect(
     clippy::cast_possible_truncation,
     reason = "far more than there are instances"
 )]
 #[expect(clippy::cast_sign_loss, reason = "rates are not below zero")]
-fn whole(rate: f64) -> usize {
+fn most_holders(rate: f64) -> usize {
     (rate as usize).max(1)
 }
 
 // An instance's part of a rate, among the instances that are heard.
 fn part(name: &str, names: &[&str], endpoint: u32, rate: f64) -> f64 {
-    let holders = whole(rate).min(names.len());
-    let own = likeness(name, endpoint);
-    let before = names.iter().filter(|it| likeness(it, endpoint) < own);
+    let holders = most_holders(rate).min(names.len());
+    let own = rank(name, endpoint);
+    let before = names.iter().filter(|it| rank(it, endpoint) < own);
     if before.count() >= holders {
         return 0.0;
     }
     rate / f64::from(u32::try_from(holders).unwrap_or(u32::MAX))
 }
 
-// A number from 0 to 1 for an instance and an endpoint: the lowest hold the endpoint's limit.
-fn likeness(name: &str, endpoint: u32) -> f64 {
+// A number from 0 to 1 for an instance and an endpoint: instances with the lowest hold the endpoint's limit.
+fn rank(name: &str, endpoint: u32) -> f64 {
     fraction(stable_hash(&(name, endpoint)))
 }
 
@@ -242,6 +244,10 @@
     f64::from(u32::try_from(hash >> 32).unwrap_or(u32::MAX)) / f64::from(u32::MAX)
 }
 
+fn per_second(thousandths: u32) -> f64 {
+    f64::from(thousandths) / 1_000.0
+}
+
 #[expect(clippy::cast_possible_truncation, reason = "cut to what fits")]
 #[expect(clippy::cast_sign_loss, reason = "rates are not below zero")]
 fn thousandths(rate: f64) -> u32 {
--- a/crates/siskinyoke-dispatch/tests/rate_limits/main.rs
+++ b/crates/siskinyoke-dispatch/tests/rate_limits/main.rs
@@ -159,6 +159,29 @@
     }
 }
 
+// Guards against instances that know the same limit in different roundings and tell each other of changes without end.
+#[test]
+fn a_limit_with_many_decimals_is_no_news_at_peers() {
+    let named = endpoint("e0", 4);
+    let mut cores = ["i0", "i1"].map(|name| {
+        let mut core = Core::new(identity(name, 1));
+        core.registry().put(Millis(0), named.clone());
+        core
+    });
+    for round in 1..5 {
+        let now = Millis(round * 1_000);
+        let [first, second] = &mut cores;
+        first.note_limit(now, &named, now, Some(1.234_567));
+        second.heard(now, first.report(now, true));
+        let later = now + Millis(500);
+        second.note_limit(later, &named, later, Some(1.234_567));
+        first.heard(later, second.report(later, true));
+    }
+    for core in &mut cores {
+        assert_eq!(core.limit_changes().len(), 1);
+    }
+}
+
 // Guards against tokens that gather at instances which do not use an endpoint, and are spent once they do.
 #[test]
 fn an_endpoint_of_another_shard_brings_no_tokens() {
