A limit is taken from peers only for endpoints that are known here

Found by reading the code again; a_limit_of_an_unknown_endpoint_is_not_taken_from_peers fails without the filter.

--- a/crates/siskinyoke-dispatch/src/core/rate_limits.rs
+++ b/crates/siskinyoke-dispatch/src/core/rate_limits.rs
@@ -6,6 +6,7 @@
 use crate::Ticket;
 use crate::core::Core;
 use crate::rate_limits::LimitChange;
+use crate::report::LimitRow;
 use crate::report::Place;
 use crate::scheduler::View;
 use siskinyoke_base::Millis;
@@ -28,6 +29,15 @@
         self.registry.all().find(|it| it.key().short() == key)
     }
 
+    // A limit of an endpoint that is not known here, or gone, would be forgotten and heard again without end.
+    pub(super) fn hear_limits(&mut self, now: Millis, rows: &[LimitRow]) {
+        let known = rows
+            .iter()
+            .filter(|it| self.endpoint(it.endpoint).is_some());
+        let known: Vec<LimitRow> = known.copied().collect();
+        self.scheduler.hear_limits(now, &known);
+    }
+
     /// Returns the limits that were named, changed or lifted since this was last asked.
     pub fn limit_changes(&mut self) -> Vec<LimitChange> {
         self.scheduler.limit_changes()
--- a/crates/siskinyoke-dispatch/src/core/talk.rs
+++ b/crates/siskinyoke-dispatch/src/core/talk.rs
@@ -31,7 +31,7 @@
             in_shard = self.in_shard(&about.name);
         }
         self.hear_canaries(now, &report, in_shard);
-        self.scheduler.hear_limits(now, &report.limits);
+        self.hear_limits(now, &report.limits);
         if !in_shard {
             self.peers.dismiss(source);
             return false;
--- a/crates/siskinyoke-dispatch/tests/rate_limits/main.rs
+++ b/crates/siskinyoke-dispatch/tests/rate_limits/main.rs
@@ -182,6 +182,21 @@
     }
 }
 
+// Guards against a limit of an endpoint that is gone being forgotten and heard again with each report.
+#[test]
+fn a_limit_of_an_unknown_endpoint_is_not_taken_from_peers() {
+    let mut first = Core::new(identity("i0", 1));
+    let mut second = Core::new(identity("i1", 2));
+    let named = endpoint("e0", 4);
+    first.registry().put(Millis(0), named.clone());
+    first.note_limit(Millis(1_000), &named, Millis(0), Some(2.0));
+    second.heard(Millis(1_000), first.report(Millis(1_000), true));
+    assert_eq!(second.limit_changes(), []);
+    second.registry().put(Millis(1_500), named);
+    second.heard(Millis(1_500), first.report(Millis(1_500), true));
+    assert_eq!(second.limit_changes().len(), 1);
+}
+
 // Guards against tokens that gather at instances which do not use an endpoint, and are spent once they do.
 #[test]
 fn an_endpoint_of_another_shard_brings_no_tokens() {
