Other shards are asked for no more requests at a time than before

Since holders of limits are asked, too, the bound on requests for which others are asked at a time held for each service, not for all.

--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -75,19 +75,18 @@
     /// Returns requests that cannot start yet, with what to ask other shards for, or holders of rate limits.
     pub(crate) fn needs(&mut self, view: &View<'_>) -> Vec<(Ticket, Need)> {
         let now = view.now;
-        let mut needs = Vec::new();
-        for (service, queue) in &self.queues {
+        let askable = self.queues.iter().flat_map(|(service, queue)| {
             let place = view.registry.divided() && !self.declined(now, service);
             let reserved = self.asks_holders(view, service);
-            if !place && !reserved {
-                continue;
-            }
-            let tickets = queue.iter().map(|place| place.2);
-            for ticket in tickets.filter(|it| self.due(now, *it)).take(MOST) {
-                let need = place_need(now, &self.waiting[&ticket]);
-                needs.extend(place.then_some((ticket, Need::Place(need))));
-                needs.extend(reserved.then_some((ticket, Need::Reserved(need))));
-            }
+            let tickets = queue.iter().filter(move |_| place || reserved);
+            tickets.map(move |it| (it.2, place, reserved))
+        });
+        let due = askable.filter(|row| self.due(now, row.0)).take(MOST);
+        let mut needs = Vec::new();
+        for (ticket, place, reserved) in due {
+            let need = place_need(now, &self.waiting[&ticket]);
+            needs.extend(place.then_some((ticket, Need::Place(need))));
+            needs.extend(reserved.then_some((ticket, Need::Reserved(need))));
         }
         let waiting = &self.waiting;
         self.asked.retain(|ticket, _| waiting.contains_key(ticket));
