The tool starts, shows and aborts rollouts

Operators had to write orders into the store by hand, and an order with an empty version or no time is passed over by every instance with a log line only. `siskinyoke rollout start|status|abort` checks the order as instances read it, writes it under a condition, and tells an order's state from one of an earlier order. Reading everything under a prefix is one function for endpoints and rollouts now. Tests: a_rollout_is_started_shown_and_aborted, a_faulty_order_of_a_rollout_is_refused_before_anything_is_written.

--- a/crates/siskinyoke-cli/src/operate/endpoint.rs
+++ b/crates/siskinyoke-cli/src/operate/endpoint.rs
@@ -10,17 +10,14 @@
 
 use super::OperateError;
 use super::item;
+use super::items;
 use super::json;
 use super::read;
-use super::store_fault;
 use super::write;
 use crate::context::Context;
-use siskinyoke_interface::Consistency;
 use siskinyoke_interface::FormatError;
-use siskinyoke_interface::Store;
 use siskinyoke_native::documents::EndpointEntry;
 use siskinyoke_native::etcd;
-use siskinyoke_native::etcd::Etcd;
 use siskinyoke_native::names;
 
 /// What can be done with endpoints.
@@ -76,26 +73,13 @@
 }
 
 fn list(context: &Context) -> Result<String, OperateError> {
-    let mut lines = Vec::new();
-    let mut after = String::new();
-    loop {
-        let body = context.call(&Etcd.range(&after, Consistency::Linearizable))?;
-        let page = Etcd.decode_range(&body).map_err(store_fault)?;
-        after = page
-            .items
-            .last()
-            .map(|it| it.key.clone())
-            .unwrap_or_default();
-        for item in &page.items {
-            if let Some(name) = item.key.strip_prefix(names::ENDPOINT_PREFIX) {
-                let value = item.value.as_deref().unwrap_or_default();
-                lines.push(format!("{name}: {}", String::from_utf8_lossy(value)));
-            }
-        }
-        if !page.more || after.is_empty() {
-            return Ok(lines.join("\n"));
-        }
-    }
+    let items = items(context, names::ENDPOINT_PREFIX)?;
+    let lines = items.iter().map(|item| {
+        let name = item.key.trim_start_matches(names::ENDPOINT_PREFIX);
+        let value = item.value.as_deref().unwrap_or_default();
+        format!("{name}: {}", String::from_utf8_lossy(value))
+    });
+    Ok(lines.collect::<Vec<_>>().join("\n"))
 }
 
 fn apply_endpoints(context: &Context, file: &Path) -> Result<String, OperateError> {
--- a/crates/siskinyoke-cli/src/operate/mod.rs
+++ b/crates/siskinyoke-cli/src/operate/mod.rs
@@ -1,9 +1,10 @@
-//! Operators' commands: the configuration, its presets, the endpoints and keys.
+//! Operators' commands: the configuration, its presets, the endpoints, rollouts and keys.
 //!
 //! They speak with the store itself; whoever may reach it may change what it holds.
 
 mod endpoint;
 mod error;
+mod rollout;
 
 use std::fs;
 use std::path::Path;
@@ -16,8 +17,10 @@
 
 pub use endpoint::Endpoint;
 pub use error::OperateError;
+pub use rollout::Rollout;
 
 use crate::context::Context;
+use siskinyoke_interface::Consistency;
 use siskinyoke_interface::FormatError;
 use siskinyoke_interface::Item;
 use siskinyoke_interface::Store;
@@ -41,6 +44,9 @@
     /// Show and change endpoints.
     #[command(subcommand)]
     Endpoint(Endpoint),
+    /// Move a service's traffic to another version of its endpoints.
+    #[command(subcommand)]
+    Rollout(Rollout),
     /// Draw a bearer key and print it with its digest.
     Key,
 }
@@ -82,6 +88,7 @@
             Self::Preset(Preset::List) => presets(context),
             Self::Preset(Preset::Switch { name }) => switch(context, name),
             Self::Endpoint(command) => command.run(context),
+            Self::Rollout(command) => command.run(context),
             Self::Key => Ok(key(context)),
         }
     }
@@ -191,6 +198,23 @@
     item.ok_or_else(|| OperateError::Unknown(key.to_owned(), hint))
 }
 
+// Reads everything under a prefix.
+fn items(context: &Context, prefix: &str) -> Result<Vec<Item>, OperateError> {
+    let mut items = Vec::new();
+    let mut after = String::new();
+    loop {
+        let body = context.call(&Etcd.range(&after, Consistency::Linearizable))?;
+        let page = Etcd.decode_range(&body).map_err(store_fault)?;
+        let last = page.items.last();
+        after = last.map(|it| it.key.clone()).unwrap_or_default();
+        let wanted = |it: &Item| it.key.starts_with(prefix);
+        items.extend(page.items.into_iter().filter(wanted));
+        if !page.more || after.is_empty() {
+            return Ok(items);
+        }
+    }
+}
+
 fn write(
     context: &Context,
     key: &str,
--- a/crates/siskinyoke-cli/tests/operate.rs
+++ b/crates/siskinyoke-cli/tests/operate.rs
@@ -125,6 +125,50 @@
     assert!(bad(&etcd, &["endpoint", "drain", "slow"]).contains("endpoint list"));
 }
 
+#[test]
+fn a_rollout_is_started_shown_and_aborted() {
+    let etcd = start();
+    assert!(bad(&etcd, &["rollout", "abort", "lm"]).contains("rollout start"));
+    let started = good(&etcd, &["rollout", "start", "lm", "v2", "--seconds", "60"]);
+    assert!(
+        started.contains("lm is to move to v2 within 60 s"),
+        "{started}"
+    );
+    let order = etcd.get("siskinyoke/rollouts/lm").unwrap();
+    assert_eq!(order, r#"{"version":"v2","seconds":60}"#);
+    let shown = |words: &[&str]| good(&etcd, words);
+    assert_eq!(
+        shown(&["rollout", "status"]),
+        "lm: to v2 within 60 s, no state yet\n"
+    );
+    let state = |version: &str| format!(r#"{{"state":"rolled-back","version":"{version}"}}"#);
+    etcd.put("siskinyoke/rollout-states/lm", &state("v1"));
+    assert!(shown(&["rollout", "status", "lm"]).contains("no state yet"));
+    etcd.put("siskinyoke/rollout-states/lm", &state("v2"));
+    assert!(shown(&["rollout", "status", "lm"]).contains("v2 rolled-back"));
+    assert!(shown(&["--json", "rollout", "status"]).contains("\"state\":\"rolled-back\""));
+    assert!(bad(&etcd, &["rollout", "status", "other"]).contains("rollout start"));
+    good(&etcd, &["rollout", "abort", "lm"]);
+    assert_eq!(etcd.get("siskinyoke/rollouts/lm"), None);
+}
+
+// Guards against an order that every instance passes over as unreadable.
+#[test]
+fn a_faulty_order_of_a_rollout_is_refused_before_anything_is_written() {
+    let etcd = start();
+    for (words, hint) in [
+        (["rollout", "start", "lm", "", "--seconds", "60"], "version"),
+        (
+            ["rollout", "start", "lm", "v2", "--seconds", "0"],
+            "1 to 86400",
+        ),
+    ] {
+        let refused = bad(&etcd, &words);
+        assert!(refused.contains(hint), "{refused}");
+    }
+    assert_eq!(etcd.get("siskinyoke/rollouts/lm"), None);
+}
+
 // The write took effect and its answer was lost. Told as failed, the operator would make the change a
 // second time; told as done, nobody would look when it had not taken.
 #[test]
