The soak plays a store that falls silent for all, and rollouts beside its other faults

Endpoints have two versions by turns, orders come, change and go; of an order no second outcome may be written.

--- a/crates/siskinyoke-gateway/tests/soak.rs
+++ b/crates/siskinyoke-gateway/tests/soak.rs
@@ -26,8 +26,8 @@
     for &seed in seeds {
         let verdict = run::play(seed, program, size);
         println!(
-            "seed {seed}: {} served, {} otherwise",
-            verdict.good, verdict.other
+            "seed {seed}: {} served, {} otherwise, {} states of rollouts",
+            verdict.good, verdict.other, verdict.states
         );
         assert!(verdict.good > 0, "seed {seed} served nothing");
         broken.extend(verdict.broken.iter().map(|it| format!("seed {seed}: {it}")));
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -51,6 +51,8 @@
 pub struct Endpoint {
     /// Its identity.
     pub id: String,
+    /// The version of its software.
+    pub version: String,
     /// Where it listens.
     pub address: SocketAddr,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
@@ -64,9 +66,19 @@
     ///
     /// If no port is free.
     pub fn start(id: &str) -> Self {
+        Self::start_version(id, "v1")
+    }
+
+    /// Starts an endpoint of a version.
+    ///
+    /// # Panics
+    ///
+    /// If no port is free.
+    pub fn start_version(id: &str, version: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let endpoint = Self {
             id: id.to_owned(),
+            version: version.to_owned(),
             address: listener.local_addr().unwrap(),
             arrivals: Arc::default(),
             left: Arc::default(),
@@ -89,8 +101,9 @@
 
     /// The entry of an endpoint that is reached by way of another address.
     pub fn entry_at(&self, address: SocketAddr, state: &str) -> String {
+        let version = &self.version;
         format!(
-            r#"{{"Service":"lm","Address":"{address}","Zone":"a","Slots":4,"State":"{state}","born":1}}"#
+            r#"{{"Service":"lm","Version":"{version}","Address":"{address}","Zone":"a","Slots":4,"State":"{state}","born":1}}"#
         )
     }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -56,6 +56,9 @@
 const STABLE: Duration = Duration::from_secs(5);
 const IN_FORCE: Duration = Duration::from_secs(4);
 
+/// The versions of endpoints, by turns. The first endpoint of each never leaves.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
 /// Faults in a run, and the longest pause between two.
 const FAULTS: usize = 25;
 const PAUSE: u64 = 250;
@@ -67,6 +70,8 @@
     pub good: usize,
     /// Callers that got anything else.
     pub other: usize,
+    /// States of rollouts that were written.
+    pub states: usize,
     /// Each broken promise, in words.
     pub broken: Vec<String>,
 }
@@ -110,10 +115,12 @@
         }
     }
     broken.extend(checker.broken(&world.endpoints));
+    broken.extend(taken_back(&world.store.outcomes()));
     let (good, other) = checker.counts();
     Verdict {
         good,
         other,
+        states: world.store.outcomes().len(),
         broken,
     }
 }
@@ -122,8 +129,9 @@
     fn start(program: &Path, size: Size) -> Self {
         let store = Store::start();
         store.put("op/config", &configuration::text(3, "k1"));
-        let names = (0..size.endpoints).map(|at| format!("e{at}"));
-        let endpoints: Vec<Endpoint> = names.map(|id| Endpoint::start(&id)).collect();
+        let endpoints: Vec<Endpoint> = (0..size.endpoints)
+            .map(|at| Endpoint::start_version(&format!("e{at}"), VERSIONS[at % 2]))
+            .collect();
         let endpoint_proxies: Vec<Proxy> = endpoints
             .iter()
             .map(|it| Proxy::start(it.address))
@@ -152,7 +160,7 @@
 
     fn harm(&mut self, rng: &mut ChaCha8Rng) {
         let at = rng.random_range(0..self.instances.len());
-        match rng.random_range(0..10) {
+        match rng.random_range(0..11) {
             0 => self.instances[at].signal(Signal::STOP),
             1 | 2 => self.instances.iter().for_each(|it| it.signal(Signal::CONT)),
             3 => {
@@ -168,13 +176,27 @@
             }
             6 => set_one(&self.store_proxies, rng),
             7 => set_one(&self.endpoint_proxies, rng),
-            8 => self
-                .store
-                .set_mood(if rng.random() { Mood::Busy } else { Mood::Well }),
+            8 => {
+                let moods = [Mood::Busy, Mood::Silent, Mood::Well, Mood::Well];
+                self.store.set_mood(*moods.choose(rng).unwrap_or(&moods[0]));
+            }
+            9 => self.order(rng),
             _ => self.change(rng),
         }
     }
 
+    // The operator orders another version, or takes the order away.
+    fn order(&mut self, rng: &mut ChaCha8Rng) {
+        if rng.random_bool(0.2) {
+            self.store.remove("op/rollout/lm");
+            return;
+        }
+        let version = VERSIONS[rng.random_range(0..2)];
+        let seconds = rng.random_range(1..5);
+        let text = format!(r#"{{"Service":"lm","To":"{version}","DurationS":{seconds}}}"#);
+        self.store.put("op/rollout/lm", &text);
+    }
+
     // The configuration or an endpoint's state changes, or the store forgets its history.
     fn change(&mut self, rng: &mut ChaCha8Rng) {
         let endpoint = rng.random_range(0..self.endpoints.len());
@@ -259,6 +281,27 @@
     }
 }
 
+// An order has one outcome: nothing is written after it while the order stands.
+fn taken_back(outcomes: &[(u64, String)]) -> Vec<String> {
+    let mut broken = Vec::new();
+    for pair in outcomes.windows(2) {
+        let [(order, first), (next, second)] = pair else {
+            continue;
+        };
+        let over = first.contains("completed") || first.contains("rolled_back");
+        // The state of an order before may still be written under this one.
+        let same = version(first) == version(second);
+        if *order > 0 && order == next && over && same && first != second {
+            broken.push(format!("order {order} was {first} and then {second}"));
+        }
+    }
+    broken
+}
+
+fn version(state: &str) -> Option<&str> {
+    VERSIONS.into_iter().find(|it| state.contains(it))
+}
+
 // The version that an instance has in force, by its metrics.
 fn in_force(instance: &Instance) -> Option<u64> {
     let page = get(instance.metrics, "/metrics")?;
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -35,6 +35,8 @@
     mood: Mood,
     // Changes up to this revision are forgotten.
     forgotten: u64,
+    // States of rollouts as they were written, each with the revision of the order that stood.
+    outcomes: Vec<(u64, String)>,
 }
 
 /// A small stand-in of the platform's store, in memory.
@@ -60,6 +62,7 @@
             revision: 10,
             mood: Mood::Well,
             forgotten: 0,
+            outcomes: Vec::new(),
         };
         let store = Self {
             shared: Arc::new((Mutex::new(state), Condvar::new())),
@@ -137,6 +140,15 @@
         Some(String::from_utf8(value).unwrap())
     }
 
+    /// Returns the states of rollouts as they were written, each with the revision of the order that stood, 0 for none.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads panicked before.
+    pub fn outcomes(&self) -> Vec<(u64, String)> {
+        self.shared.0.lock().unwrap().outcomes.clone()
+    }
+
     /// Returns the keys under a prefix.
     ///
     /// # Panics
@@ -241,6 +253,12 @@
 impl State {
     fn put(&mut self, key: &str, value: &str) {
         self.revision += 1;
+        if let Some(service) = key.strip_prefix("status/rollout/") {
+            let order = self.items.get(&format!("op/rollout/{service}"));
+            let text = STANDARD.decode(value).unwrap();
+            let text = String::from_utf8(text).unwrap();
+            self.outcomes.push((order.map_or(0, |it| it.0), text));
+        }
         self.items
             .insert(key.to_owned(), (self.revision, value.to_owned()));
         self.changes.push(row(key, self.revision, value));
