Parts of a limit are worked out only where the shard has one; a benchmark of decisions with limits

In a large fleet most limits are of other shards' endpoints, and each decision hashed all names for each of them. Behaviour is the same.

--- a/crates/siskinyoke-dispatch/benches/decide.rs
+++ b/crates/siskinyoke-dispatch/benches/decide.rs
@@ -38,6 +38,17 @@
     bencher.bench_local(|| black_box(core.decide(Millis(1))));
 }
 
+/// Deciding again while each endpoint names a rate limit and ten requests wait.
+#[divan::bench(args = [10, 100])]
+fn decide_with_limits(bencher: Bencher<'_, '_>, endpoints: u64) {
+    let mut core = full(10, endpoints);
+    for at in 0..endpoints {
+        let endpoint = common::endpoint(&format!("e{at}"), SLOTS);
+        core.note_limit(Millis(0), &endpoint, Millis(0), Some(1.5));
+    }
+    bencher.bench_local(|| black_box(core.decide(Millis(1))));
+}
+
 /// One request from its head to the end of its answer, with free slots.
 #[divan::bench(args = [10, 100, 1_000])]
 fn serve_one(bencher: Bencher<'_, '_>, endpoints: u64) {
--- a/crates/siskinyoke-dispatch/src/rate_limits.rs
+++ b/crates/siskinyoke-dispatch/src/rate_limits.rs
@@ -133,7 +133,12 @@
         for (endpoint, limit) in &mut self.known {
             let Some(rate) = limit.rate() else { continue };
             let rate = rate * view.registry.portion(*endpoint, most_holders(rate));
-            let part = part(&self.name, &names, *endpoint, rate);
+            // Most limits of a large fleet are other shards'.
+            let part = if rate > 0.0 {
+                part(&self.name, &names, *endpoint, rate)
+            } else {
+                0.0
+            };
             limit.share(view.now, part, rate);
         }
     }
