--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -23,6 +23,7 @@
 use crate::load::float;
 use crate::load::millis;
 use crate::message::PlaceNeed;
+use crate::placing::Candidate;
 use crate::placing::Query;
 use crate::report::short;
 use siskinyoke_base::Millis;
@@ -117,22 +118,15 @@
             return None;
         }
         let load = self.load(&service);
-        let pending = guest(view.now, &service, need);
-        let query = Query {
-            now: view.now,
-            pending: &pending,
-            load: &load,
-            can_wait: true,
-        };
-        let at = self.placing.best(&query, &candidates, true)?;
-        let key = candidates[at].endpoint.key();
+        let guest = guest(view.now, &service, need);
+        let key = self.best_for(view.now, &guest, &candidates)?;
         self.limits.take(key);
         let pace = self.placing.pace(key);
-        let stay = millis(float(load.stay_of(&pending.work)) * pace * KEEPS) + GRACE;
+        let stay = millis(float(load.stay_of(&guest.work)) * pace * KEEPS) + GRACE;
         let given = Loan {
             key,
-            prompt: pending.work.unread(),
-            reads: Some(view.now + millis(float(load.first_of(&pending.work)) * pace)),
+            prompt: guest.work.unread(),
+            reads: Some(view.now + millis(float(load.first_of(&guest.work)) * pace)),
             until: view.now + stay.min(Millis(u64::from(need.left))),
         };
         let busy = self.busy(key);
@@ -204,6 +198,24 @@
         }
     }
 
+    // Finds the best of some endpoints for a request of another instance.
+    pub(super) fn best_for(
+        &self,
+        now: Millis,
+        guest: &Pending,
+        candidates: &[Candidate],
+    ) -> Option<EndpointKey> {
+        let load = self.load(&guest.service);
+        let query = Query {
+            now,
+            pending: guest,
+            load: &load,
+            can_wait: true,
+        };
+        let at = self.placing.best(&query, candidates, true)?;
+        Some(candidates[at].endpoint.key())
+    }
+
     // Whether others are to be asked for a place for a request now.
     fn due(&self, now: Millis, ticket: Ticket) -> bool {
         let pending = &self.waiting[&ticket];
--- a/crates/siskinyoke-dispatch/src/scheduler/rate_limits.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/rate_limits.rs
@@ -10,7 +10,6 @@
 use crate::load::Load;
 use crate::load::float;
 use crate::message::PlaceNeed;
-use crate::placing::Query;
 use crate::rate_limits::LimitChange;
 use crate::rate_limits::RateLimits;
 use crate::report::LimitRow;
@@ -52,16 +51,8 @@
         self.limits.settle(view);
         let mut candidates = self.free(view, &service);
         candidates.retain(|it| it.reserved);
-        let load = self.load(&service);
-        let pending = guest(view.now, &service, need);
-        let query = Query {
-            now: view.now,
-            pending: &pending,
-            load: &load,
-            can_wait: true,
-        };
-        let at = self.placing.best(&query, &candidates, true)?;
-        let key = candidates[at].endpoint.key();
+        let guest = guest(view.now, &service, need);
+        let key = self.best_for(view.now, &guest, &candidates)?;
         self.limits.take(key);
         Some(key)
     }
--- a/crates/siskinyoke-dispatch/tests/rate_limits/main.rs
+++ b/crates/siskinyoke-dispatch/tests/rate_limits/main.rs
@@ -32,12 +32,7 @@
         for rate in [0.2, 1.2, 1.5, 6.3, 25.0] {
             for seed in seeds(0..1) {
                 let plan = Plan { size, rate, ..CALM };
-                let fleet = Fleet::play(seed, plan);
-                assert!(
-                    fleet.broken.is_empty(),
-                    "{plan:?} {seed}: {:#?}",
-                    fleet.broken
-                );
+                keeps_to_limit(seed, plan);
             }
         }
     }
@@ -55,12 +50,7 @@
                 pause: true,
                 ..CALM
             };
-            let fleet = Fleet::play(seed, plan);
-            assert!(
-                fleet.broken.is_empty(),
-                "{plan:?} {seed}: {:#?}",
-                fleet.broken
-            );
+            keeps_to_limit(seed, plan);
         }
     }
 }
@@ -75,12 +65,7 @@
                 wild: true,
                 ..CALM
             };
-            let fleet = Fleet::play(seed, plan);
-            assert!(
-                fleet.broken.is_empty(),
-                "{plan:?} {seed}: {:#?}",
-                fleet.broken
-            );
+            keeps_to_limit(seed, plan);
         }
     }
 }
@@ -148,12 +133,7 @@
                     per_s: 150.0,
                     ..CALM
                 };
-                let fleet = Fleet::play(seed, plan);
-                assert!(
-                    fleet.broken.is_empty(),
-                    "{plan:?} {seed}: {:#?}",
-                    fleet.broken
-                );
+                keeps_to_limit(seed, plan);
             }
         }
     }
@@ -229,3 +209,12 @@
         assert_eq!(tokens, Some(u32::from(mine)), "{}", named.id);
     }
 }
+
+fn keeps_to_limit(seed: u64, plan: Plan) {
+    let fleet = Fleet::play(seed, plan);
+    assert!(
+        fleet.broken.is_empty(),
+        "{plan:?} {seed}: {:#?}",
+        fleet.broken
+    );
+}
