A limit is taken only from the endpoint that was meant

The answer of another endpoint that had taken over an address (421) could name its limit, which was held for that of the endpoint before: requests for it would wait for tokens that nobody asked for. Found by reading; the_limit_of_another_endpoint_at_an_address_is_not_taken failed (one limited endpoint where there is none) and passes.

--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -165,7 +165,8 @@
             response.headers(),
             self.id.as_deref(),
         );
-        if verdict != Verdict::Foreign {
+        // The others are answers of another endpoint, or to another request.
+        if matches!(verdict, Verdict::Answer | Verdict::Full) {
             let named = shell.interface.exchange.rate_limit(response.headers());
             rate_limits::take(&shell, endpoint, start, verdict, named);
         }
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -129,6 +129,17 @@
     );
 }
 
+// Guards against the limit of an endpoint that took over an address being held for that of the one before.
+#[test]
+fn the_limit_of_another_endpoint_at_an_address_is_not_taken() {
+    let world = world(&["e1"]);
+    world.instance.call("r1", "/safe/moved", "", "");
+    assert_eq!(arrived(&world), 1);
+    let page = get(world.instance.metrics, "/metrics").unwrap();
+    let row = page.lines().find(|it| it.contains("limited_endpoints"));
+    assert!(row.unwrap().ends_with(" 0"), "{row:?}");
+}
+
 #[test]
 fn what_cannot_be_served_is_refused_with_a_clear_status() {
     let world = world(&["e1"]);
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -158,6 +158,11 @@
             )?;
             return Ok(true);
         }
+        if arrival.does("moved") && self.id == "e1" {
+            let head = format!("HTTP/1.1 421 Moved\r\nServer-Limit: {LIMIT}\r\n");
+            write!(out, "{head}content-length: 0\r\n\r\n")?;
+            return Ok(true);
+        }
         if arrival.does("extra") {
             out.write_all(&self.answer(arrival, "first"))?;
             out.write_all(&self.answer(arrival, "second"))?;
