Logs: how long an endpoint stays in use after its entry was removed

Nothing said why an endpoint that was gone still got requests after an outage: endpoint_gone, store_away and store_back now give the time for which removed entries are kept.

--- a/crates/siskinyoke-dispatch/src/leased_entries.rs
+++ b/crates/siskinyoke-dispatch/src/leased_entries.rs
@@ -81,18 +81,19 @@
         self.entries.len() < before
     }
 
-    /// Returns the entries, ordered by name.
-    pub fn iter(&self) -> impl Iterator<Item = (&str, &T)> {
-        self.entries
-            .iter()
-            .map(|(name, entry)| (&**name, &entry.value))
-    }
-
-    fn grace(&self, now: Millis) -> Millis {
+    /// Returns how long an entry that is removed now stays in use.
+    pub fn grace(&self, now: Millis) -> Millis {
         match self.reachable_since {
             _ if self.store_unreachable => OUTAGE_GRACE,
             Some(reachable_since) => OUTAGE_GRACE.since(now.since(reachable_since)),
             None => Millis::ZERO,
         }
     }
+
+    /// Returns the entries, ordered by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &T)> {
+        self.entries
+            .iter()
+            .map(|(name, entry)| (&**name, &entry.value))
+    }
 }
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -95,6 +95,11 @@
         self.update_eligible();
     }
 
+    /// Returns how long an endpoint whose entry is removed now stays in use.
+    pub fn removal_grace(&self, now: Millis) -> Millis {
+        self.entries.grace(now)
+    }
+
     /// Records that an endpoint is leaving or gone, as reported by a peer.
     pub fn record_departure(&mut self, now: Millis, key: EndpointKey) {
         if self.departures.insert(key, now).is_none() {
--- a/crates/siskinyoke-gateway/src/cluster_view.rs
+++ b/crates/siskinyoke-gateway/src/cluster_view.rs
@@ -68,8 +68,13 @@
     } else {
         "store_back"
     };
-    let peers = shell.core.borrow().peers().instance_count(shell.now()) - 1;
-    shell.log(event, json!({ "peers": peers }));
+    let mut core = shell.core.borrow_mut();
+    let fields = json!({
+        "peers": core.peers().instance_count(shell.now()) - 1,
+        "kept_ms": core.registry().removal_grace(shell.now()).0,
+    });
+    drop(core);
+    shell.log(event, fields);
 }
 
 // Decodes an item, which may come from another writer; an invalid one is logged and skipped. A
@@ -181,7 +186,15 @@
             });
             shell.log("endpoint", fields);
         }
-        StoreUpdate::EndpointRemoved(id) => shell.log("endpoint_gone", json!({ "endpoint": id })),
+        StoreUpdate::EndpointRemoved(id) => {
+            let kept = shell
+                .core
+                .borrow_mut()
+                .registry()
+                .removal_grace(shell.now());
+            let fields = json!({ "endpoint": id, "kept_ms": kept.0 });
+            shell.log("endpoint_gone", fields);
+        }
         StoreUpdate::Instance(..)
         | StoreUpdate::InstanceRemoved(_)
         | StoreUpdate::RolloutOrder(_)
