A failing test of endpoints that left and are still used after an outage

The model of a fleet before the store now has endpoints, one of which leaves with each change without draining first.

--- a/crates/siskinyoke-dispatch/tests/following/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet.rs
@@ -7,6 +7,7 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
+use crate::common::endpoint;
 use crate::common::identity;
 use crate::common::instance_number;
 use crate::common::location;
@@ -42,6 +43,12 @@
 const WATCH_MARGIN_MS: u64 = 700;
 const PEER_TIMEOUT_MS: u64 = 1_000;
 
+/// How often expired entries are removed, as in the gateway.
+const SWEEP_INTERVAL_MS: u64 = 200;
+
+/// The number of endpoints. One leaves with each revision, without having reported that it drains.
+const ENDPOINT_COUNT: u64 = 70;
+
 /// How long no changes are fetched from a peer after a fetch failed, as in the gateway.
 const FAILED_PEER_BACKOFF_MS: u64 = 3_000;
 
@@ -122,6 +129,8 @@
     pub calls: u64,
     /// Descriptions of the violated bounds.
     pub violations: Vec<String>,
+    /// Descriptions of endpoints that were used for too long after they left.
+    pub late_departures: Vec<String>,
 }
 
 impl Fleet {
@@ -138,6 +147,7 @@
             revision_times: vec![0, 0],
             calls: 0,
             violations: Vec::new(),
+            late_departures: Vec::new(),
         };
         for index in 0..size {
             let node = fleet.start(index);
@@ -166,6 +176,9 @@
                 }
             }
             self.check_revisions();
+            if self.now.is_multiple_of(100) {
+                self.check_departures();
+            }
         }
     }
 
@@ -253,7 +266,7 @@
 
     fn step(&mut self, index: usize) {
         let now = Millis(self.now);
-        if self.now.is_multiple_of(200) {
+        if self.now.is_multiple_of(SWEEP_INTERVAL_MS) {
             self.nodes[index].core.sweep(now);
             self.nodes[index].core.update_store_availability(now);
         }
@@ -326,10 +339,34 @@
             return;
         }
         let revision = self.nodes[from].core.store_revision();
-        let node = &mut self.nodes[index];
-        node.fetch = None;
-        node.core
-            .apply_updates(Millis(self.now), revision, Vec::new());
+        self.nodes[index].fetch = None;
+        self.apply_revisions(index, revision);
+    }
+
+    // Applies the changes up to a revision: one endpoint leaves with each. The first read lists the
+    // instances and the endpoints that are left.
+    fn apply_revisions(&mut self, index: usize, revision: u64) {
+        let now = Millis(self.now);
+        let count = self.nodes.len();
+        let core = &mut self.nodes[index].core;
+        core.update_store_availability(now);
+        let known = core.store_revision();
+        let updates: Vec<StoreUpdate> = if known == 0 {
+            let names = (0..count).map(|it| format!("i{it}"));
+            let instances = names.map(|it| StoreUpdate::Instance(it.clone(), location(&it, "a")));
+            let endpoints = if self.faults == Faults::None {
+                0
+            } else {
+                ENDPOINT_COUNT
+            };
+            let left = (revision + 1..endpoints).map(endpoint_id);
+            let endpoints = left.map(|id| StoreUpdate::Endpoint(endpoint(&id, 1)));
+            instances.chain(endpoints).collect()
+        } else {
+            let gone = (known + 1..=revision).map(endpoint_id);
+            gone.map(StoreUpdate::EndpointRemoved).collect()
+        };
+        core.apply_updates(now, revision, updates);
     }
 
     fn step_watch(&mut self, index: usize) {
@@ -366,9 +403,8 @@
             return;
         }
         let revision = self.revision();
-        let first = self.nodes[index].core.store_revision() == 0;
-        let count = if first { self.nodes.len() } else { 0 };
         let node = &mut self.nodes[index];
+        let first = node.core.store_revision() == 0;
         let changed = revision > node.core.store_revision();
         if !changed && self.now < watch.started + watch.timeout {
             return;
@@ -377,11 +413,9 @@
         node.watch_backoff = 100;
         node.core.store_call_succeeded();
         if changed {
-            let names = (0..count).map(|it| format!("i{it}"));
-            let updates = names.map(|it| StoreUpdate::Instance(it.clone(), location(&it, "a")));
-            node.core
-                .apply_updates(Millis(self.now), revision, updates.collect());
+            self.apply_revisions(index, revision);
             if !first {
+                let node = &mut self.nodes[index];
                 node.watch_due = self.now + node.core.update_batch_delay().0;
             }
         }
@@ -452,6 +486,29 @@
         }
     }
 
+    // Checks that no healthy instance uses an endpoint that left longer ago than the bound.
+    fn check_departures(&mut self) {
+        let size = usize::from(self.nodes.len() > MAX_SINGLE_SHARD);
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            if self.now < node.healthy_since + HEALTHY_PERIOD_MS[size] {
+                continue;
+            }
+            for endpoint in node.core.registry().eligible("lm") {
+                let revision = endpoint_revision(&endpoint.id);
+                let Some(left_at) = self.revision_times.get(revision) else {
+                    continue;
+                };
+                let age = self.now - left_at;
+                if age > PROPAGATION_BOUND_MS[size] && self.late_departures.len() < 5 {
+                    self.late_departures.push(format!(
+                        "{} ms: i{index} uses {}, which left {age} ms ago",
+                        self.now, endpoint.id
+                    ));
+                }
+            }
+        }
+    }
+
     // Checks that each healthy instance has applied all changes that are older than the bound.
     fn check_revisions(&mut self) {
         let size = usize::from(self.nodes.len() > MAX_SINGLE_SHARD);
@@ -476,3 +533,12 @@
         }
     }
 }
+
+// Returns the ID of the endpoint that leaves with a revision.
+fn endpoint_id(revision: u64) -> String {
+    format!("e{revision}")
+}
+
+fn endpoint_revision(id: &str) -> usize {
+    id.trim_start_matches('e').parse().expect("a number")
+}
--- a/crates/siskinyoke-dispatch/tests/following/main.rs
+++ b/crates/siskinyoke-dispatch/tests/following/main.rs
@@ -47,6 +47,23 @@
     }
 }
 
+// Guards against keeping the entries of endpoints that left for as long after the instance noticed
+// the end of an outage as after the end itself.
+#[test]
+fn departed_endpoints_are_not_used_once_an_outage_has_settled() {
+    for size in [7, 26] {
+        for seed in seeds(0..8) {
+            let mut fleet = Fleet::new(seed, size, Faults::StoreOutages);
+            fleet.run(60_000);
+            assert!(
+                fleet.late_departures.is_empty(),
+                "{size} instances, seed {seed}: {:#?}",
+                fleet.late_departures
+            );
+        }
+    }
+}
+
 // Something changes every second, as in a rolling replacement of endpoints. Guards against every
 // instance watching the store, when each change costs one paid call per instance.
 #[test]
