A watch at a previous address of the store ends when the settings name another

Found with the list of ways by which an instance learns the store's state: after a change of the store's address a watch at the old one was held until its own limit, 2.7 s, beside the 2 s until a changed file is read without a signal; renewals go to the new address and succeed, so nothing ended it.

--- a/crates/siskinyoke-gateway/src/reload.rs
+++ b/crates/siskinyoke-gateway/src/reload.rs
@@ -30,7 +30,10 @@
                 "settings_changed",
                 json!({ "store": settings.store.to_string() }),
             );
-            *shell.settings.borrow_mut() = Rc::new(settings);
+            let previous = shell.settings.replace(Rc::new(settings));
+            if previous.store != shell.settings().store {
+                shell.store_moved.notify_waiters();
+            }
         }
         Err(err) => shell.log("settings_faulty", json!({ "error": err.to_string() })),
     }
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -108,6 +108,8 @@
     pub discovery_due: Cell<bool>,
     /// Wakes the task that renews this instance's lease in the store.
     pub lease_renewal: Notify,
+    /// Ends a watch call at a previous address of the store.
+    pub store_moved: Notify,
     /// Aborts a watch call after the store failed to answer another call.
     pub store_unresponsive: Notify,
     /// Ends the watcher's delay before its next call when fetching changes from a peer failed.
@@ -163,6 +165,7 @@
             report_due: Notify::new(),
             discovery_due: Cell::new(false),
             lease_renewal: Notify::new(),
+            store_moved: Notify::new(),
             store_unresponsive: Notify::new(),
             fetch_failed: Notify::new(),
             failed_peer: Cell::new(None),
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -215,6 +215,7 @@
                 result = self.client.watch(address, &call, limit, store) => result,
                 // The store did not answer another call, so this connection may be dead too.
                 () = self.shell.store_unresponsive.notified() => Err(StoreError::NoReply),
+                () = self.shell.store_moved.notified() => return Ok(()),
             };
             self.shell
                 .metrics
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -10,6 +10,7 @@
 
 use siskinyoke_soak::Endpoint;
 use siskinyoke_soak::Instance;
+use siskinyoke_soak::Proxy;
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
 use siskinyoke_soak::endpoint::LARGE_BODY_BYTES;
@@ -19,6 +20,7 @@
 use siskinyoke_soak::instance::read_response;
 use siskinyoke_soak::instance::send_request;
 use siskinyoke_soak::instance::wait_until;
+use siskinyoke_soak::proxy::Fault;
 use siskinyoke_soak::store::Availability;
 
 struct Setup {
@@ -78,6 +80,16 @@
     stream
 }
 
+// Returns the version of the configuration in force, 0 if there is none.
+fn configuration_version(instance: &Instance) -> u64 {
+    let page = http_get(instance.metrics_address, "/metrics").unwrap_or_default();
+    let line = page
+        .lines()
+        .find(|it| it.contains("what=\"configuration\""));
+    let version = line.and_then(|it| it.rsplit(' ').next()?.parse().ok());
+    version.unwrap_or(0)
+}
+
 fn request_count(setup: &Setup) -> usize {
     setup.endpoints.iter().map(|it| it.requests().len()).sum()
 }
@@ -371,6 +383,34 @@
     assert!(read_response(&mut stream).starts_with("HTTP/1.1 401"));
 }
 
+// Guards against waiting for a watch at the store's previous address until its time limit.
+#[test]
+fn changes_are_read_from_a_new_address_of_the_store_at_once() {
+    let store = Store::start();
+    store.put("op/config", &configuration::text(3, "k1"));
+    let [previous, new] = [(); 2].map(|()| Proxy::start(store.address));
+    let instance = Instance::start(program(), "i1", previous.address);
+    wait_until("the first configuration is applied", || {
+        configuration_version(&instance) == 3
+    });
+    // The next watch is sent after the changes of the first read have been batched.
+    store.put("op/config", &configuration::text(4, "k1"));
+    wait_until("the second configuration is applied", || {
+        configuration_version(&instance) == 4
+    });
+    std::thread::sleep(Duration::from_millis(700));
+    previous.set_fault(Fault::DropAll);
+    instance.edit_settings(&previous.address.to_string(), &new.address.to_string());
+    instance.send_signal(Signal::HUP);
+    store.put("op/config", &configuration::text(5, "k1"));
+    let changed_at = Instant::now();
+    wait_until("the third configuration is applied", || {
+        configuration_version(&instance) == 5
+    });
+    let took = changed_at.elapsed();
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
+
 #[test]
 fn a_draining_endpoint_gets_no_new_requests() {
     let setup = start_setup(&["e1", "e2"]);
@@ -380,11 +420,7 @@
     // Changes are applied in order, so an instance with this version has also seen the drain.
     setup.store.put("op/config", &configuration::text(4, "k1"));
     wait_until("the configuration is applied", || {
-        let page = http_get(setup.instance.metrics_address, "/metrics").unwrap_or_default();
-        let version = page
-            .lines()
-            .find(|it| it.contains("what=\"configuration\""));
-        version.is_some_and(|it| it.ends_with(" 4"))
+        configuration_version(&setup.instance) == 4
     });
     let before = setup.endpoints[0].requests().len();
     for _ in 0..20 {
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -115,6 +115,16 @@
         exited
     }
 
+    /// Replaces a text in its settings file.
+    ///
+    /// # Panics
+    ///
+    /// If the file cannot be read or written.
+    pub fn edit_settings(&self, from: &str, to: &str) {
+        let text = fs::read_to_string(&self.settings).unwrap();
+        fs::write(&self.settings, text.replace(from, to)).unwrap();
+    }
+
     /// Returns whether it responds to a request with status 200.
     pub fn serves_requests(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.caller_address) else {
