--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -16,6 +16,7 @@
 use siskinyoke_soak::endpoint::LARGE_BODY_BYTES;
 use siskinyoke_soak::endpoint::LONG_STREAM_EVENTS;
 use siskinyoke_soak::endpoint::RATE_LIMIT_PER_SECOND;
+use siskinyoke_soak::endpoint::RETRY_AFTER_SECONDS;
 use siskinyoke_soak::instance::http_get;
 use siskinyoke_soak::instance::read_response;
 use siskinyoke_soak::instance::send_request;
@@ -80,6 +81,15 @@
     stream
 }
 
+// Sends more requests at once than an endpoint has slots, and returns the responses.
+fn call_in_parallel(instance: &Instance, path: &str) -> Vec<String> {
+    std::thread::scope(|scope| {
+        let call = |number| instance.call(&format!("r{number}"), path, "", "");
+        let calls: Vec<_> = (0..6).map(|it| scope.spawn(move || call(it))).collect();
+        calls.into_iter().map(|it| it.join().unwrap()).collect()
+    })
+}
+
 // Returns the version of the configuration in force, 0 if there is none.
 fn configuration_version(instance: &Instance) -> u64 {
     let page = http_get(instance.metrics_address, "/metrics").unwrap_or_default();
@@ -158,6 +168,67 @@
     assert!(row.unwrap().ends_with(" 0"), "{row:?}");
 }
 
+// Guards against sending requests to an endpoint that leaves until the store says so, too.
+#[test]
+fn an_endpoint_whose_response_announces_its_departure_gets_no_more_requests() {
+    let setup = start_setup(&["e1", "e2"]);
+    setup.store.set_availability(Availability::Unresponsive);
+    wait_until("the first endpoint responds", || {
+        setup.instance.call("r", "/safe/leaving", "", "");
+        !setup.endpoints[0].requests().is_empty()
+    });
+    let before = setup.endpoints[0].requests().len();
+    for _ in 0..20 {
+        let response = setup.instance.call("r", "/safe/leaving", "", "");
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    assert_eq!(setup.endpoints[0].requests().len(), before);
+}
+
+// Guards against sending requests to an endpoint that asked for none for some time.
+#[test]
+fn an_endpoint_that_requests_a_back_off_gets_no_requests_until_it_ends() {
+    let setup = start_setup(&["e1", "e2"]);
+    let first = &setup.endpoints[0];
+    wait_until("the first endpoint is sent a request", || {
+        call_in_parallel(&setup.instance, "/safe/busy");
+        !first.requests().is_empty()
+    });
+    let start = Instant::now();
+    let before = first.requests().len();
+    while start.elapsed().as_secs_f64() < RETRY_AFTER_SECONDS - 0.5 {
+        for response in call_in_parallel(&setup.instance, "/safe/busy") {
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        }
+    }
+    assert_eq!(first.requests().len(), before);
+    wait_until("the first endpoint is sent requests again", || {
+        call_in_parallel(&setup.instance, "/safe/nap");
+        first.requests().len() > before
+    });
+}
+
+// Guards against holding requests that no endpoint accepts, and against a Retry-After that the
+// service cannot keep.
+#[test]
+fn a_refusal_states_the_time_until_an_endpoint_accepts_requests_again() {
+    let setup = start_setup(&["e1"]);
+    setup.instance.call("r1", "/safe/busy", "", "");
+    let start = Instant::now();
+    let response = setup.instance.call("r2", "/safe/a", "", "");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    let retry_after = response
+        .lines()
+        .find_map(|it| it.strip_prefix("retry-after: "))
+        .and_then(|it| it.parse::<f64>().ok())
+        .unwrap();
+    let remaining = RETRY_AFTER_SECONDS - start.elapsed().as_secs_f64();
+    assert!(start.elapsed() < Duration::from_millis(100));
+    assert!(retry_after >= remaining - 0.1, "{retry_after} s");
+    assert!(retry_after <= RETRY_AFTER_SECONDS * 1.5, "{retry_after} s");
+    assert_eq!(request_count(&setup), 1);
+}
+
 #[test]
 fn requests_that_cannot_be_served_are_refused_with_a_specific_status() {
     let setup = start_setup(&["e1"]);
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -21,6 +21,9 @@
 /// The rate limit that an endpoint announces if the request's path selects it.
 pub const RATE_LIMIT_PER_SECOND: f64 = 1.5;
 
+/// The back-off that an endpoint requests if the request's path selects it, in seconds.
+pub const RETRY_AFTER_SECONDS: f64 = 3.0;
+
 /// A request as received by an endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct ReceivedRequest {
@@ -159,6 +162,14 @@
             )?;
             return Ok(true);
         }
+        if request.line_contains("busy") && self.id == "e1" {
+            write!(
+                out,
+                "HTTP/1.1 503 Busy\r\nSiskinyoke-Not-Executed: 1\r\n\
+                 Retry-After: {RETRY_AFTER_SECONDS}\r\ncontent-length: 0\r\n\r\n"
+            )?;
+            return Ok(true);
+        }
         if request.line_contains("moved") && self.id == "e1" {
             let head = format!("HTTP/1.1 421 Moved\r\nServer-Limit: {RATE_LIMIT_PER_SECOND}\r\n");
             write!(out, "{head}content-length: 0\r\n\r\n")?;
@@ -201,14 +212,16 @@
     fn encode_response(&self, request: &ReceivedRequest, body: &str) -> Vec<u8> {
         let id = request.header("siskinyoke-request-id").unwrap_or("");
         let length = body.len();
-        let limit = if request.line_contains("limited") {
+        let announcement = if request.line_contains("limited") {
             format!("Server-Limit: {RATE_LIMIT_PER_SECOND}\r\n")
+        } else if request.line_contains("leaving") && self.id == "e1" {
+            "Server-Leaving: 1\r\n".to_owned()
         } else {
             String::new()
         };
         format!(
             "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
-             {limit}content-length: {length}\r\n\r\n{body}",
+             {announcement}content-length: {length}\r\n\r\n{body}",
             self.id
         )
         .into_bytes()
