An endpoint whose response says that it leaves gets no new requests

The key has the start, so another start under the same ID is served. Ruled out: keeping it to the own instance, as each of the others would send one request more (docs/design/endpoint-messages.md). Found on the way: peers' reports renewed the time of old departures, so that a new one found no room among the 16 of a report; the time of the first word counts now.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 
 use crate::Configuration;
+use crate::EndpointKey;
 use crate::Outcome;
 use crate::Refusal;
 use crate::RefusalReason;
@@ -59,6 +60,8 @@
     budgets: Map<Arc<str>, RetryBudget>,
     quarantine: Quarantine,
     store_view: store::StoreView,
+    // Endpoints that peers reported as leaving, for the log.
+    reported_departures: Vec<EndpointKey>,
     shutting_down: bool,
     report_number: u64,
     configured_at: Option<Millis>,
@@ -81,6 +84,7 @@
             budgets: Map::default(),
             quarantine: Quarantine::default(),
             store_view: store::StoreView::default(),
+            reported_departures: Vec::new(),
             shutting_down: false,
             report_number: 0,
             configured_at: None,
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -1,5 +1,8 @@
 //! Reports sent to peers and received from them.
 
+use std::sync::Arc;
+
+use crate::Endpoint;
 use crate::Report;
 use crate::core::Core;
 use crate::peers::Received;
@@ -56,9 +59,27 @@
         false
     }
 
+    /// Records that an endpoint's response said that the endpoint is leaving, and returns whether
+    /// that was not known yet.
+    pub fn record_departure(&mut self, now: Millis, endpoint: &Endpoint) -> bool {
+        self.registry.record_departure(now, endpoint.key())
+    }
+
+    /// Returns the endpoints that peers reported as leaving since the last call.
+    pub fn take_reported_departures(&mut self) -> Vec<Arc<Endpoint>> {
+        let keys = std::mem::take(&mut self.reported_departures);
+        let endpoints = self.registry.all();
+        endpoints
+            .filter(|it| keys.contains(&it.key()))
+            .cloned()
+            .collect()
+    }
+
     pub(super) fn apply_info(&mut self, now: Millis, info: &InstanceInfo) {
         for key in &info.leaving_endpoints {
-            self.registry.record_departure(now, *key);
+            if self.registry.record_departure(now, *key) {
+                self.reported_departures.push(*key);
+            }
         }
         for (fingerprint, endpoints) in &info.quarantine {
             for endpoint in endpoints {
@@ -102,7 +123,7 @@
         InstanceInfo {
             name: self.identity.name.clone(),
             location: self.identity.location.clone(),
-            leaving_endpoints: self.registry.recent_departures(),
+            leaving_endpoints: self.registry.recent_departures(now),
             quarantine: self.quarantine.recent_crashes(MAX_REPORTED_QUARANTINE),
             peers: self.reported_peers(now),
         }
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -25,6 +25,11 @@
 /// that long.
 const DEPARTURE_RETENTION: Millis = Millis::from_secs(600);
 
+/// How long a departure is reported to peers.
+///
+/// It is shorter than the retention, as peers would otherwise remind each other of it forever.
+const DEPARTURE_REPORT_PERIOD: Millis = Millis::from_secs(300);
+
 /// The minimum number of endpoints per shard and service, so that a failed request can be retried
 /// on another one.
 const MIN_SHARD_ENDPOINTS: usize = 2;
@@ -100,11 +105,14 @@
         self.entries.grace(now)
     }
 
-    /// Records that an endpoint is leaving or gone, as reported by a peer.
-    pub fn record_departure(&mut self, now: Millis, key: EndpointKey) {
-        if self.departures.insert(key, now).is_none() {
+    /// Records that an endpoint is leaving or gone, and returns whether that was not known yet.
+    pub fn record_departure(&mut self, now: Millis, key: EndpointKey) -> bool {
+        let known = self.departures.contains_key(&key);
+        if !known {
+            self.departures.insert(key, now);
             self.update_eligible();
         }
+        !known
     }
 
     /// Removes expired entries.
@@ -216,12 +224,10 @@
     }
 
     /// Returns the latest endpoints known to be leaving or gone, which are reported to peers.
-    pub fn recent_departures(&self) -> Vec<EndpointKey> {
-        let mut all: Vec<_> = self
-            .departures
-            .iter()
-            .map(|(key, at)| (*at, *key))
-            .collect();
+    pub fn recent_departures(&self, now: Millis) -> Vec<EndpointKey> {
+        let recent = self.departures.iter();
+        let recent = recent.filter(|row| now.since(*row.1) < DEPARTURE_REPORT_PERIOD);
+        let mut all: Vec<_> = recent.map(|(key, at)| (*at, *key)).collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
         all.into_iter()
             .take(MAX_REPORTED_DEPARTURES)
@@ -231,7 +237,7 @@
 
     fn add(&mut self, now: Millis, endpoint: Endpoint) {
         if endpoint.draining {
-            self.departures.insert(endpoint.key(), now);
+            self.departures.entry(endpoint.key()).or_insert(now);
         }
         let id = endpoint.id.clone();
         self.entries.put(&id, Arc::new(endpoint));
--- a/crates/siskinyoke-dispatch/tests/registry.rs
+++ b/crates/siskinyoke-dispatch/tests/registry.rs
@@ -4,6 +4,7 @@
 
 use crate::common::core;
 use crate::common::endpoint;
+use crate::common::request;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::StoreUpdate;
@@ -110,3 +111,47 @@
     registry.record_departure(Millis(1), endpoint("e", 1).key());
     assert!(eligible_ids(&registry).is_empty());
 }
+
+// An endpoint said in a response that it leaves, and its entry does not say so yet.
+#[test]
+fn an_announced_departure_ends_with_the_next_start_under_the_same_id() {
+    let mut core = core("a", 1);
+    assert!(core.record_departure(Millis(1), &endpoint("e1", 1)));
+    assert!(!core.record_departure(Millis(2), &endpoint("e1", 1)));
+    core.registry().put(Millis(3), endpoint("e1", 1));
+    assert!(eligible_ids(core.registry()).is_empty());
+    let restarted = Endpoint {
+        started_ms: 2,
+        ..endpoint("e1", 1)
+    };
+    core.registry().put(Millis(4), restarted);
+    assert_eq!(eligible_ids(core.registry()), ["e1"]);
+    // A response of the previous start arrives late.
+    core.record_departure(Millis(5), &endpoint("e1", 1));
+    assert_eq!(eligible_ids(core.registry()), ["e1"]);
+}
+
+#[test]
+fn an_endpoint_that_announced_its_departure_is_not_used_over_a_borrowed_slot() {
+    let mut core = core("a", 1);
+    let routed = core.route(Millis(0), request("/safe/x")).unwrap();
+    let ticket = core.admit(Millis(0), &routed, 1).unwrap();
+    let key = endpoint("e1", 1).key();
+    core.record_departure(Millis(1), &endpoint("e1", 1));
+    assert!(core.slot_granted(Millis(2), ticket, key).is_none());
+    assert!(core.decide(Millis(2)).is_empty());
+}
+
+// Guards against peers that remind each other of old departures, so that a new one is never among
+// the few that a report has room for.
+#[test]
+fn a_new_departure_is_reported_before_those_that_peers_report() {
+    let keys = |from: u32| (from..from + 16).map(|it| endpoint(&format!("old{it}"), 1).key());
+    let mut registry = Registry::default();
+    keys(0).for_each(|key| _ = registry.record_departure(Millis(0), key));
+    let new = endpoint("new", 1).key();
+    registry.record_departure(Millis(10), new);
+    keys(0).for_each(|key| _ = registry.record_departure(Millis(20), key));
+    assert!(registry.recent_departures(Millis(30)).contains(&new));
+    assert!(registry.recent_departures(Millis(400_000)).is_empty());
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/departures.rs
@@ -0,0 +1,49 @@
+//! Records endpoints whose responses say that they are leaving, and logs what peers report of them.
+
+use serde_json::json;
+
+use crate::shell::Shell;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_interface::FormatError;
+
+/// Records what the head of a response says about the departure of its endpoint.
+pub fn record(shell: &Shell, endpoint: &Endpoint, leaving: Result<bool, FormatError>) {
+    let leaving = match leaving {
+        Ok(leaving) => leaving,
+        Err(err) => {
+            let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
+            shell.log("endpoint_leaving_unreadable", fields);
+            return;
+        }
+    };
+    if !leaving {
+        return;
+    }
+    let is_new = shell
+        .core
+        .borrow_mut()
+        .record_departure(shell.now(), endpoint);
+    if is_new {
+        log_departure(shell, endpoint, "answer");
+        // Peers keep sending requests until they receive a full report.
+        shell.broadcast_report();
+    }
+}
+
+/// Logs the endpoints that peers reported as leaving.
+pub fn log_reported(shell: &Shell) {
+    let reported = shell.core.borrow_mut().take_reported_departures();
+    for endpoint in reported {
+        log_departure(shell, &endpoint, "peer");
+    }
+}
+
+fn log_departure(shell: &Shell, endpoint: &Endpoint, source: &str) {
+    let fields = json!({
+        "endpoint": &*endpoint.id,
+        "born": endpoint.started_ms,
+        "service": &*endpoint.service,
+        "source": source,
+    });
+    shell.log("endpoint_leaving", fields);
+}
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::departures;
 use crate::lending;
 use crate::peer_api;
 use crate::rate_limits;
@@ -152,6 +153,7 @@
             shell.log("peer", fields);
             shell.discovery_due.set(true);
         }
+        departures::log_reported(shell);
         rate_limits::log_changes(shell);
         peer_api::catch_up(shell, from, revision);
         if shell.core.borrow().scheduler().request_counts().0 > 0 {
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -21,6 +21,7 @@
 use crate::attempt;
 use crate::attempt::EndpointRequest;
 use crate::attempt::Reply;
+use crate::departures;
 use crate::events::EventBuffer;
 use crate::permit::Permit;
 use crate::pool;
@@ -179,8 +180,10 @@
         );
         // Other classes mean a response from another endpoint or to another request.
         if matches!(class, ResponseClass::Valid | ResponseClass::Rejected) {
-            let rate_limit = shell.interface.exchange.rate_limit(response.headers());
+            let exchange = &shell.interface.exchange;
+            let rate_limit = exchange.rate_limit(response.headers());
             rate_limits::record(&shell, endpoint, start, class, rate_limit);
+            departures::record(&shell, endpoint, exchange.is_leaving(response.headers()));
         }
         match class {
             ResponseClass::Mismatched => AttemptEnd::Retry(Outcome::ConnectionLost),
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod cluster_view;
 pub mod connection;
+pub mod departures;
 pub mod events;
 pub mod first_read;
 pub mod gateway;
--- a/crates/siskinyoke-interface/src/exchange.rs
+++ b/crates/siskinyoke-interface/src/exchange.rs
@@ -102,6 +102,14 @@
     /// The value is not a valid rate.
     fn rate_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, FormatError>;
 
+    /// Returns whether an endpoint's response says that the endpoint is leaving: it accepts no new
+    /// requests from any instance.
+    ///
+    /// # Errors
+    ///
+    /// The value is malformed.
+    fn is_leaving(&self, headers: &HeaderMap) -> Result<bool, FormatError>;
+
     /// Converts the headers of an endpoint's response to those for the caller.
     fn response_headers(&self, status: StatusCode, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/siskinyoke-interface/src/headers.rs
+++ b/crates/siskinyoke-interface/src/headers.rs
@@ -85,6 +85,22 @@
     }
 }
 
+/// Parses a header that is 1 if something holds, and 0 or absent otherwise.
+///
+/// # Errors
+///
+/// The value is neither 0 nor 1.
+pub fn parse_flag(headers: &HeaderMap, name: &HeaderName) -> Result<bool, FormatError> {
+    let Some(value) = headers.get(name) else {
+        return Ok(false);
+    };
+    match value.as_bytes().trim_ascii() {
+        b"1" => Ok(true),
+        b"0" => Ok(false),
+        _ => Err(FormatError::InvalidValue(name.to_string(), "give 1 or 0")),
+    }
+}
+
 /// Formats a duration as a header value in seconds with three decimals.
 pub fn seconds_value(duration: Millis) -> HeaderValue {
     let text = format!("{:.3}", duration.as_secs());
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -160,6 +160,10 @@
         headers::parse_rate(headers, &names::RATE_LIMIT)
     }
 
+    fn is_leaving(&self, headers: &HeaderMap) -> Result<bool, FormatError> {
+        headers::parse_flag(headers, &names::LEAVING)
+    }
+
     fn response_headers(&self, status: StatusCode, headers: &HeaderMap) -> HeaderMap {
         let mut out = headers::end_to_end(headers, &[names::RESULT_CODE, names::RESULT_KIND]);
         let content_type = headers::header_text(headers, &header::CONTENT_TYPE).unwrap_or("");
--- a/crates/siskinyoke-native/src/names.rs
+++ b/crates/siskinyoke-native/src/names.rs
@@ -14,6 +14,8 @@
 pub const ORGANISATION_NAME: HeaderName = HeaderName::from_static("siskinyoke-organisation");
 /// Requests per second that an endpoint accepts from all instances together.
 pub const RATE_LIMIT: HeaderName = HeaderName::from_static("siskinyoke-rate-limit");
+/// Whether the endpoint is leaving: 1 if it is.
+pub const LEAVING: HeaderName = HeaderName::from_static("siskinyoke-leaving");
 /// The target endpoint; any other endpoint at its address responds with 421.
 pub const TARGET_ENDPOINT: HeaderName = HeaderName::from_static("siskinyoke-endpoint");
 /// The numeric result code.
--- a/crates/siskinyoke-native/tests/exchange.rs
+++ b/crates/siskinyoke-native/tests/exchange.rs
@@ -165,3 +165,19 @@
     assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
     assert!(!response.headers().contains_key("retry-after"));
 }
+
+#[test]
+fn an_endpoints_departure_is_decoded_and_a_malformed_value_is_an_error() {
+    let is_leaving = |text: &str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("siskinyoke-leaving", text.parse().unwrap());
+        NativeExchange.is_leaving(&headers)
+    };
+    assert!(matches!(
+        NativeExchange.is_leaving(&HeaderMap::new()),
+        Ok(false)
+    ));
+    assert!(matches!(is_leaving("1"), Ok(true)));
+    assert!(matches!(is_leaving("0"), Ok(false)));
+    assert!(is_leaving("soon").is_err());
+}
