An endpoint that asks for a pause gets no requests from that instance until it ends

Cause: nothing read Retry-After on an endpoint's 503; a rejection stood for 40 ms whatever it said.

It holds for first sends, retries, queued requests, slots lent from here and slots borrowed. Where all endpoints ask for it, requests that cannot wait are refused at once and told the time until the first end. Ruled out: passing it on to peers, which would move the whole load to the rest at once; full load at the end (docs/design/endpoint-messages.md).

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -5,6 +5,7 @@
 mod lending;
 mod rate_limits;
 mod reporting;
+mod requested_backoff;
 mod retry;
 mod rollouts;
 mod routing;
--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -1,6 +1,7 @@
 //! Health and speed of an endpoint, as observed by this instance.
 
 use crate::Outcome;
+use crate::requested_backoff::RequestedBackoff;
 use siskinyoke_base::Millis;
 
 /// The weight of a new observation in an exponential moving average.
@@ -29,6 +30,8 @@
 #[derive(Debug, Clone)]
 pub struct Health {
     backoff_until: Millis,
+    // Set from the request of a back-off until the endpoint has accepted a request after it.
+    requested_backoff: Option<RequestedBackoff>,
     failure_streak: u32,
     failure_ratio: f64,
     speed_factor: f64,
@@ -40,6 +43,7 @@
     fn default() -> Self {
         Self {
             backoff_until: Millis::ZERO,
+            requested_backoff: None,
             failure_streak: 0,
             failure_ratio: 0.0,
             speed_factor: 1.0,
@@ -65,7 +69,33 @@
 
     /// Returns whether the endpoint gets no new requests for the time of its back-off.
     pub fn in_backoff(&self, now: Millis) -> bool {
-        now < self.backoff_until
+        now < self.backoff_until || self.requested_remaining(now) > Millis::ZERO
+    }
+
+    /// Applies a back-off that the endpoint requests, and returns whether none was in progress.
+    pub fn request_backoff(&mut self, now: Millis, duration: Millis) -> bool {
+        let is_new = self.requested_remaining(now) == Millis::ZERO;
+        let new = RequestedBackoff::new(now, duration);
+        let previous = self.requested_backoff;
+        self.requested_backoff = Some(previous.map_or(new, |it| it.or_later(new)));
+        is_new
+    }
+
+    /// Returns the time until the back-off that the endpoint requested ends.
+    pub fn requested_remaining(&self, now: Millis) -> Millis {
+        let requested = self.requested_backoff;
+        requested.map_or(Millis::ZERO, |it| it.remaining(now))
+    }
+
+    /// Returns whether the endpoint has accepted no request yet since it requested a back-off.
+    pub fn is_half_open(&self) -> bool {
+        self.requested_backoff.is_some()
+    }
+
+    /// Records that the endpoint accepted a request that was sent at `sent_at`.
+    pub fn record_accepted(&mut self, sent_at: Millis) {
+        self.requested_backoff
+            .take_if(|backoff| backoff.precedes(sent_at));
     }
 
     /// Returns the share of its recent requests that failed.
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod registry;
 mod regression;
 pub mod report;
+pub mod requested_backoff;
 pub mod rollout;
 pub mod scheduled_request;
 pub mod scheduler;
--- a/crates/siskinyoke-dispatch/src/placement.rs
+++ b/crates/siskinyoke-dispatch/src/placement.rs
@@ -195,6 +195,37 @@
         health.is_some_and(|health| health.in_backoff(now))
     }
 
+    /// Applies a back-off that an endpoint requests, and returns whether none was in progress.
+    pub fn request_backoff(&mut self, now: Millis, key: EndpointKey, duration: Millis) -> bool {
+        let health = self.health.entry(key).or_default();
+        health.request_backoff(now, duration)
+    }
+
+    /// Returns the time until the back-off that an endpoint requested ends.
+    pub fn requested_remaining(&self, now: Millis, key: EndpointKey) -> Millis {
+        let health = self.health.get(&key);
+        health.map_or(Millis::ZERO, |health| health.requested_remaining(now))
+    }
+
+    /// Returns whether an endpoint has accepted no request yet since it requested a back-off.
+    pub fn is_half_open(&self, key: EndpointKey) -> bool {
+        self.health.get(&key).is_some_and(Health::is_half_open)
+    }
+
+    /// Records that an endpoint accepted a request that was sent at `sent_at`.
+    pub fn record_accepted(&mut self, key: EndpointKey, sent_at: Millis) {
+        if let Some(health) = self.health.get_mut(&key) {
+            health.record_accepted(sent_at);
+        }
+    }
+
+    /// Returns the number of endpoints that requested a back-off that has not ended.
+    pub fn requested_backoffs(&self, now: Millis) -> usize {
+        let all = self.health.values();
+        all.filter(|it| it.requested_remaining(now) > Millis::ZERO)
+            .count()
+    }
+
     /// Selects the best endpoint with free slots that the request has not been sent to before.
     ///
     /// Endpoints that are neither slow nor reserved are used by peers as well, and considered only
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -11,6 +11,7 @@
 mod lending;
 mod observations;
 mod rate_limits;
+mod requested_backoff;
 mod wait_estimate;
 
 use std::collections::BTreeMap;
@@ -216,6 +217,9 @@
             row.count = row.count.saturating_sub(1);
         }
         self.in_flight.retain(|_, row| row.count > 0);
+        if matches!(outcome, Outcome::Completed { .. } | Outcome::Failed) {
+            self.selector.record_accepted(endpoint, sent_at);
+        }
         self.selector.record_outcome(now, endpoint, outcome);
         if let Outcome::Completed {
             first_latency,
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -38,6 +38,9 @@
 /// would wait longer than that for a slot.
 const MAX_FAST_SPEED_FACTOR: f64 = 0.8;
 
+/// The number of requests that an endpoint gets at once after a back-off that it requested.
+pub(super) const HALF_OPEN_REQUESTS: u32 = 1;
+
 // The endpoints of a service that can be sent requests now.
 struct OpenEndpoints {
     free: Vec<Candidate>,
@@ -167,6 +170,11 @@
                 let free_slots = (slots + queue_slots).saturating_sub(count + peer_count);
                 let tokens = self.rate_limits.tokens(key);
                 let free_slots = tokens.map_or(free_slots, |tokens| free_slots.min(tokens));
+                let free_slots = if self.selector.is_half_open(key) {
+                    free_slots.min(HALF_OPEN_REQUESTS.saturating_sub(count))
+                } else {
+                    free_slots
+                };
                 (free_slots > 0).then(|| Candidate {
                     endpoint: endpoint.clone(),
                     free_slots,
@@ -189,6 +197,7 @@
             return (limit.min(endpoint.slots), 0);
         }
         let fast = self.selector.speed_factor(key) <= MAX_FAST_SPEED_FACTOR
+            && !self.selector.is_half_open(key)
             && self.rate_limits.tokens(key).is_none();
         (endpoint.slots, u32::from(fast))
     }
--- a/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
@@ -38,9 +38,14 @@
         if wait::all_tried(request, view.registry.eligible(&request.service)) {
             return Some(Refusal {
                 reason: RefusalReason::NoEndpoint,
-                retry_after: latency.mean_service_time(),
+                retry_after: self.rejected_retry_after(view, &request.service, request.fingerprint),
             });
         }
+        let request = request.clone();
+        if let Some(refusal) = self.check_requested_backoffs(view, &request) {
+            return Some(refusal);
+        }
+        let request = &self.waiting[&ticket];
         let waited = view.now.since(request.arrived);
         if request.needs_loan && self.recently_denied(view.now, &request.service) {
             return self.resolve_denied(view, ticket);
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -205,7 +205,10 @@
         let Some(request) = self.waiting.get(&ticket) else {
             return false;
         };
-        if request.service != endpoint.service || request.tried.contains(&endpoint.key()) {
+        if request.service != endpoint.service
+            || request.tried.contains(&endpoint.key())
+            || !self.may_send(now, endpoint.key())
+        {
             return false;
         }
         let reply = LastReply {
--- a/crates/siskinyoke-dispatch/src/scheduler/rate_limits.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/rate_limits.rs
@@ -2,6 +2,7 @@
 
 use super::ClusterView;
 use super::Scheduler;
+use super::dispatch::HALF_OPEN_REQUESTS;
 use super::lending::DENIED_BACKOFF;
 use super::lending::borrower_request;
 use crate::Endpoint;
@@ -101,6 +102,11 @@
     pub(super) fn effective_slots(&self, endpoint: &Endpoint, latency: &LatencyModel) -> f64 {
         let key = endpoint.key();
         let slots = f64::from(endpoint.slots) / self.selector.speed_factor(key);
+        let slots = if self.selector.is_half_open(key) {
+            slots.min(f64::from(HALF_OPEN_REQUESTS))
+        } else {
+            slots
+        };
         let limit = self.rate_limits.shard_rate(key);
         limit.map_or(slots, |rate| {
             slots.min(rate * millis_to_f64(latency.mean_service_time()) / MS_PER_SECOND)
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
@@ -0,0 +1,84 @@
+//! Back-offs that endpoints request, in the scheduling of requests.
+
+use std::sync::Arc;
+
+use super::ClusterView;
+use super::Scheduler;
+use super::dispatch::HALF_OPEN_REQUESTS;
+use crate::EndpointKey;
+use crate::Refusal;
+use crate::RefusalReason;
+use crate::ScheduledRequest;
+use crate::wait;
+use siskinyoke_base::Millis;
+
+impl Scheduler {
+    /// Applies a back-off that an endpoint requests, and returns whether none was in progress.
+    pub fn request_backoff(&mut self, now: Millis, key: EndpointKey, duration: Millis) -> bool {
+        self.selector.request_backoff(now, key, duration)
+    }
+
+    /// Returns the number of endpoints that requested a back-off that has not ended.
+    pub fn requested_backoffs(&self, now: Millis) -> usize {
+        self.selector.requested_backoffs(now)
+    }
+
+    /// Returns the retry delay of a request that no endpoint accepted.
+    pub(crate) fn rejected_retry_after(
+        &self,
+        view: &ClusterView<'_>,
+        service: &Arc<str>,
+        fingerprint: u64,
+    ) -> Millis {
+        let usual = self.latency_model(service).mean_service_time();
+        let backoff = self.requested_wait(view, service);
+        if backoff <= usual {
+            return usual;
+        }
+        wait::with_jitter(backoff, fingerprint)
+    }
+
+    // Returns the time until the first endpoint of a service accepts requests again if all of them
+    // requested a back-off, and 0 otherwise.
+    pub(super) fn requested_wait(&self, view: &ClusterView<'_>, service: &str) -> Millis {
+        let endpoints = view.registry.eligible(service).iter();
+        let waits = endpoints.map(|it| self.selector.requested_remaining(view.now, it.key()));
+        waits.min().unwrap_or(Millis::ZERO)
+    }
+
+    // Returns whether a request of this instance may be sent to an endpoint that another instance
+    // selected.
+    pub(super) fn may_send(&self, now: Millis, key: EndpointKey) -> bool {
+        let running = self
+            .in_flight
+            .get(&key)
+            .map_or(0, |row| u32::from(row.count));
+        let full = self.selector.is_half_open(key) && running >= HALF_OPEN_REQUESTS;
+        self.selector.requested_remaining(now, key) == Millis::ZERO && !full
+    }
+
+    // Refuses a waiting request if all endpoints requested a back-off that lasts for longer than it
+    // can wait, unless another shard may lend a slot.
+    pub(super) fn check_requested_backoffs(
+        &mut self,
+        view: &ClusterView<'_>,
+        request: &ScheduledRequest,
+    ) -> Option<Refusal> {
+        let backoff = self.requested_wait(view, &request.service);
+        let may_borrow =
+            view.registry.is_sharded() && !self.recently_denied(view.now, &request.service);
+        if backoff == Millis::ZERO || may_borrow {
+            return None;
+        }
+        let waited = view.now.since(request.arrived);
+        let timeout = wait::late_timeout(request, self.latency_model(&request.service));
+        if waited + backoff <= timeout {
+            return None;
+        }
+        let wait = self.expected_wait(view, request);
+        Some(Refusal {
+            reason: RefusalReason::Overload,
+            retry_after: self.retry_after(view.now, request, wait),
+        })
+    }
+}
--- a/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
@@ -30,7 +30,7 @@
             .overloads
             .entry((request.service.clone(), request.priority));
         let duration = overload.or_default().record_refusal(now);
-        wait::with_jitter(wait.max(duration).max(MIN_RETRY_AFTER), request)
+        wait::with_jitter(wait.max(duration).max(MIN_RETRY_AFTER), request.fingerprint)
     }
 
     // Returns whether a request would be on time if it were queued now.
@@ -58,9 +58,11 @@
         if wait <= timeout {
             return Ok(request);
         }
+        let backoff = self.requested_wait(view, &request.service);
+        let delay = wait.since(timeout).max(backoff);
         Err(Refusal {
             reason: RefusalReason::Overload,
-            retry_after: self.retry_after(view.now, &request, wait.since(timeout)),
+            retry_after: self.retry_after(view.now, &request, delay),
         })
     }
 
@@ -71,7 +73,8 @@
         request: &ScheduledRequest,
     ) -> Millis {
         let ahead = self.work_ahead(view, request);
-        self.forecast(view, request).wait(ahead)
+        let backoff = self.requested_wait(view, &request.service);
+        backoff + self.forecast(view, request, backoff).wait(ahead)
     }
 
     // Returns the total service time, in ms, of the requests ahead of a request, here and at peers.
@@ -91,8 +94,15 @@
             .sum::<f64>()
     }
 
-    fn forecast(&self, view: &ClusterView<'_>, request: &ScheduledRequest) -> WaitForecast {
-        let available = self.available(view.now, view.registry.eligible(&request.service));
+    // Returns the forecast for the time at which the back-off of all endpoints has ended.
+    fn forecast(
+        &self,
+        view: &ClusterView<'_>,
+        request: &ScheduledRequest,
+        backoff: Millis,
+    ) -> WaitForecast {
+        let eligible = view.registry.eligible(&request.service);
+        let available = self.available(view.now + backoff, eligible);
         let available = available.into_iter();
         let latency = self.latency_model(&request.service);
         let capacity = available.map(|it| self.effective_slots(it, &latency));
--- a/crates/siskinyoke-dispatch/src/wait.rs
+++ b/crates/siskinyoke-dispatch/src/wait.rs
@@ -94,6 +94,6 @@
 
 // Adds up to half of the delay as jitter, so that callers that are refused together do not retry at
 // the same time.
-pub(crate) fn with_jitter(after: Millis, request: &ScheduledRequest) -> Millis {
-    after + Millis(after.0 * (request.fingerprint % 64) / 128)
+pub(crate) fn with_jitter(after: Millis, fingerprint: u64) -> Millis {
+    after + Millis(after.0 * (fingerprint % 64) / 128)
 }
--- /dev/null
+++ b/crates/siskinyoke-dispatch/tests/backoffs/main.rs
@@ -0,0 +1,172 @@
+//! Endpoints that reject all requests for a while and request back-offs.
+//!
+//! `SEEDS=FROM..TO` replaces the default seeds.
+
+#![expect(clippy::cast_precision_loss, reason = "small numbers of a test")]
+
+#[path = "../common/mod.rs"]
+mod common;
+mod fleet;
+
+use crate::common::core;
+use crate::common::endpoint;
+use crate::common::request;
+use crate::common::seeds;
+use crate::fleet::Fleet;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Core;
+use siskinyoke_dispatch::Decision;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::RefusalReason;
+use siskinyoke_dispatch::Ticket;
+use siskinyoke_dispatch::health::Health;
+use siskinyoke_dispatch::requested_backoff::MAX_REQUESTED_BACKOFF;
+
+fn admit(core: &mut Core, now: u64, path: &str) -> Result<Ticket, Millis> {
+    let routed = core.route(Millis(now), request(path)).unwrap();
+    let admitted = core.admit(Millis(now), &routed, now);
+    admitted.map_err(|refusal| {
+        assert_eq!(refusal.reason, RefusalReason::Overload);
+        refusal.retry_after
+    })
+}
+
+fn started(core: &mut Core, now: u64) -> Vec<Ticket> {
+    let decisions = core.decide(Millis(now)).into_iter();
+    let started = decisions.filter_map(|it| match it {
+        Decision::Start(ticket, _) => Some(ticket),
+        Decision::Refuse(..) => None,
+    });
+    started.collect()
+}
+
+// Guards against requests over borrowed slots, retries and queued requests that ignore a back-off,
+// and against the whole load returning when it ends.
+#[test]
+fn fleets_keep_to_requested_backoffs() {
+    for seed in seeds(0..3) {
+        for size in [1, 8, 24] {
+            let mut fleet = Fleet::new(seed, size);
+            fleet.run(20_000);
+            assert!(
+                fleet.violations.is_empty(),
+                "{size} instances, seed {seed}: {:#?}",
+                fleet.violations
+            );
+            assert!(fleet.served > 500, "{size} instances: {}", fleet.served);
+        }
+    }
+}
+
+#[test]
+fn a_backoff_holds_until_its_end_and_then_for_all_but_one_request() {
+    let mut core = core("a", 4);
+    core.request_backoff(Millis(0), &endpoint("e1", 4), Millis(1_000));
+    for _ in 0..2 {
+        admit(&mut core, 900, "/stream/x").unwrap();
+    }
+    assert!(started(&mut core, 999).is_empty());
+    let first = started(&mut core, 1_000);
+    assert_eq!(first.len(), 1);
+    assert!(started(&mut core, 1_010).is_empty());
+    core.attempt_ended(Millis(1_200), first[0], common::completed(), false);
+    assert_eq!(started(&mut core, 1_200).len(), 1);
+    admit(&mut core, 1_210, "/stream/x").unwrap();
+    assert_eq!(started(&mut core, 1_210).len(), 1);
+}
+
+#[test]
+fn a_response_to_a_request_sent_before_the_backoff_does_not_end_it() {
+    let mut core = core("a", 4);
+    let early = admit(&mut core, 0, "/stream/x").unwrap();
+    assert_eq!(started(&mut core, 0), [early]);
+    core.request_backoff(Millis(10), &endpoint("e1", 4), Millis(500));
+    core.attempt_ended(Millis(50), early, common::completed(), false);
+    admit(&mut core, 60, "/stream/x").unwrap();
+    assert!(started(&mut core, 60).is_empty());
+}
+
+#[test]
+fn a_shorter_backoff_that_arrives_later_does_not_shorten_one() {
+    let mut health = Health::default();
+    assert!(health.request_backoff(Millis(0), Millis(3_000)));
+    assert!(!health.request_backoff(Millis(5), Millis(100)));
+    assert!(health.in_backoff(Millis(2_999)));
+    assert!(!health.in_backoff(Millis(3_000)));
+}
+
+// Guards against an endpoint that is never tried again because of one mistaken value.
+#[test]
+fn a_backoff_is_bounded() {
+    let mut health = Health::default();
+    health.request_backoff(Millis(0), Millis(u64::MAX));
+    assert!(health.in_backoff(MAX_REQUESTED_BACKOFF.since(Millis(1))));
+    assert!(!health.in_backoff(MAX_REQUESTED_BACKOFF));
+}
+
+#[test]
+fn a_new_start_under_the_same_id_is_not_bound_by_a_previous_backoff() {
+    let mut core = core("a", 4);
+    core.request_backoff(Millis(0), &endpoint("e1", 4), Millis(3_000));
+    let restarted = Endpoint {
+        started_ms: 2,
+        ..endpoint("e1", 4)
+    };
+    core.registry().put(Millis(100), restarted);
+    let ticket = admit(&mut core, 110, "/stream/x").unwrap();
+    assert_eq!(started(&mut core, 110), [ticket]);
+}
+
+#[test]
+fn a_slot_of_another_shard_is_not_used_at_an_endpoint_in_backoff() {
+    let mut core = core("a", 4);
+    let key = endpoint("e1", 4).key();
+    core.request_backoff(Millis(0), &endpoint("e1", 4), Millis(400));
+    let ticket = admit(&mut core, 10, "/stream/x").unwrap();
+    assert!(core.slot_granted(Millis(20), ticket, key).is_none());
+    assert!(core.slot_granted(Millis(400), ticket, key).is_some());
+}
+
+// Guards against holding requests that cannot start before their callers give up, and against a
+// Retry-After at which they would be refused again.
+#[test]
+fn requests_are_refused_until_the_first_endpoint_accepts_them_again() {
+    let mut core = core("a", 4);
+    core.registry().put(Millis(0), endpoint("e2", 4));
+    let queued: Vec<Ticket> = (0..10)
+        .map(|it| admit(&mut core, it, "/safe/x").unwrap())
+        .collect();
+    let running = started(&mut core, 30);
+    core.request_backoff(Millis(40), &endpoint("e1", 4), Millis(9_000));
+    assert!(admit(&mut core, 50, "/safe/x").is_ok());
+    core.request_backoff(Millis(60), &endpoint("e2", 4), Millis(4_000));
+    let decisions = core.decide(Millis(70));
+    assert_eq!(decisions.len(), queued.len() + 1 - running.len());
+    for decision in decisions {
+        let Decision::Refuse(_, refusal) = decision else {
+            panic!("{decision:?}");
+        };
+        assert!(refusal.retry_after >= Millis(3_990), "{refusal:?}");
+    }
+    let retry_after = admit(&mut core, 1_000, "/safe/x").unwrap_err();
+    assert!((3_060..=4_600).contains(&retry_after.0), "{retry_after:?}");
+    // A request that was sent and rejected is told the same.
+    let rejected = core.rejected_retry_after(Millis(1_000), &"lm".into(), 1);
+    assert!((3_060..=4_600).contains(&rejected.0), "{rejected:?}");
+    assert!(admit(&mut core, 4_060, "/safe/x").is_ok());
+}
+
+#[test]
+fn an_endpoint_that_rejects_the_first_request_after_its_backoff_gets_one_at_a_time() {
+    let mut core = core("a", 4);
+    for now in 0..3 {
+        admit(&mut core, now, "/stream/x").unwrap();
+    }
+    core.request_backoff(Millis(3), &endpoint("e1", 4), Millis(100));
+    let first = started(&mut core, 120);
+    assert_eq!(first.len(), 1);
+    core.attempt_ended(Millis(130), first[0], Outcome::Full, false);
+    assert_eq!(started(&mut core, 200).len(), 1);
+    assert!(started(&mut core, 210).is_empty());
+}
--- a/crates/siskinyoke-gateway/src/admin.rs
+++ b/crates/siskinyoke-gateway/src/admin.rs
@@ -62,6 +62,10 @@
     shell.metrics.set_state("watching", watching);
     let limits = core.scheduler().rate_limits().active_count();
     shell.metrics.set_state("limited_endpoints", to_f64(limits));
+    let backoffs = core.scheduler().requested_backoffs(shell.now());
+    shell
+        .metrics
+        .set_state("endpoint_backoffs", to_f64(backoffs));
     let age = shell.now().since(shell.store_contact.get());
     shell.metrics.set_state("store_age_seconds", age.as_secs());
     #[expect(clippy::cast_precision_loss, reason = "versions are far below 2^52")]
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -26,6 +26,7 @@
 use crate::permit::Permit;
 use crate::pool;
 use crate::rate_limits;
+use crate::requested_backoff;
 use crate::response::ResponseBody;
 use crate::shell::SchedulingResult;
 use crate::shell::Shell;
@@ -33,7 +34,6 @@
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::core::RoutedRequest;
-use siskinyoke_dispatch::latency_model::LatencyModel;
 use siskinyoke_interface::ResponseClass;
 
 /// Channels for the response to the caller.
@@ -183,6 +183,8 @@
             let exchange = &shell.interface.exchange;
             let rate_limit = exchange.rate_limit(response.headers());
             rate_limits::record(&shell, endpoint, start, class, rate_limit);
+            let backoff = exchange.requested_backoff(response.status(), response.headers());
+            requested_backoff::apply(&shell, endpoint, backoff);
             departures::record(&shell, endpoint, exchange.is_leaving(response.headers()));
         }
         match class {
@@ -222,9 +224,4 @@
         let exchange = &self.shell.interface.exchange;
         exchange.response_headers(parts.status, &parts.headers)
     }
-
-    fn latency_model(&self) -> LatencyModel {
-        let core = self.shell.core.borrow();
-        core.scheduler().latency_model(&self.routed.service)
-    }
 }
--- a/crates/siskinyoke-gateway/src/job/completion.rs
+++ b/crates/siskinyoke-gateway/src/job/completion.rs
@@ -12,6 +12,7 @@
 use crate::response::ResponseBody;
 use crate::shell::RefusalInfo;
 use siskinyoke_base::Code;
+use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::Refusal;
@@ -65,7 +66,7 @@
             };
             return self.refuse(Refusal {
                 reason,
-                retry_after: self.latency_model().mean_service_time(),
+                retry_after: self.rejected_retry_after(),
             });
         }
         self.send_response(self.error_response(Code::Broken));
@@ -81,11 +82,19 @@
         } else {
             self.refuse(Refusal {
                 reason: RefusalReason::QueueTimeout,
-                retry_after: self.latency_model().mean_service_time(),
+                retry_after: self.rejected_retry_after(),
             });
         }
     }
 
+    fn rejected_retry_after(&self) -> Millis {
+        self.shell.core.borrow().rejected_retry_after(
+            self.shell.now(),
+            &self.routed.service,
+            self.outgoing.fingerprint,
+        )
+    }
+
     fn error_response(&self, code: Code) -> Response<ResponseBody> {
         response::from_buffered(self.shell.interface.exchange.error_response(code))
     }
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod registration;
 pub mod reload;
 pub mod replica;
+pub mod requested_backoff;
 pub mod response;
 pub mod rollouts;
 pub mod settings;
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/requested_backoff.rs
@@ -0,0 +1,36 @@
+//! Applies the back-offs that endpoints request in their responses.
+
+use serde_json::json;
+
+use crate::shell::Shell;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::requested_backoff::MAX_REQUESTED_BACKOFF;
+use siskinyoke_interface::FormatError;
+
+/// Applies the back-off that the head of a response requests, if any.
+pub fn apply(shell: &Shell, endpoint: &Endpoint, backoff: Result<Option<Millis>, FormatError>) {
+    let backoff = match backoff {
+        Ok(Some(backoff)) if backoff > Millis::ZERO => backoff,
+        Ok(_) => return,
+        Err(err) => {
+            let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
+            shell.log("endpoint_backoff_unreadable", fields);
+            return;
+        }
+    };
+    let is_new = shell
+        .core
+        .borrow_mut()
+        .request_backoff(shell.now(), endpoint, backoff);
+    // Requests that were sent before it are rejected too.
+    if is_new {
+        let fields = json!({
+            "endpoint": &*endpoint.id,
+            "service": &*endpoint.service,
+            "asked_ms": backoff.0,
+            "applied_ms": backoff.min(MAX_REQUESTED_BACKOFF).0,
+        });
+        shell.log("endpoint_backoff", fields);
+    }
+}
--- a/crates/siskinyoke-interface/src/exchange.rs
+++ b/crates/siskinyoke-interface/src/exchange.rs
@@ -110,6 +110,18 @@
     /// The value is malformed.
     fn is_leaving(&self, headers: &HeaderMap) -> Result<bool, FormatError>;
 
+    /// Returns for how long an endpoint that rejected a request accepts none from this instance, if
+    /// its response states that.
+    ///
+    /// # Errors
+    ///
+    /// The value is malformed.
+    fn requested_backoff(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<Option<Millis>, FormatError>;
+
     /// Converts the headers of an endpoint's response to those for the caller.
     fn response_headers(&self, status: StatusCode, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/siskinyoke-interface/src/headers.rs
+++ b/crates/siskinyoke-interface/src/headers.rs
@@ -101,12 +101,51 @@
     }
 }
 
+/// Parses the `Retry-After` header, if present: seconds, also with a fraction, or a date.
+///
+/// A date is compared with the `Date` header of the same response, as clocks differ.
+///
+/// # Errors
+///
+/// The value is neither a finite number of 0 or more nor a date, or it is a date and the response
+/// has no valid `Date` header.
+pub fn parse_retry_after(headers: &HeaderMap) -> Result<Option<Millis>, FormatError> {
+    let Some(value) = headers.get(header::RETRY_AFTER) else {
+        return Ok(None);
+    };
+    let invalid = |hint| FormatError::InvalidValue(header::RETRY_AFTER.to_string(), hint);
+    let text = value.to_str().unwrap_or("").trim();
+    if let Ok(seconds) = text.parse() {
+        return duration_from_secs(seconds)
+            .map(Some)
+            .ok_or_else(|| invalid("give seconds, 0 or more"));
+    }
+    let until = httpdate::parse_http_date(text)
+        .map_err(|_| invalid("give seconds, 0 or more, or a date"))?;
+    let sent_at = header_text(headers, &header::DATE)
+        .and_then(|it| httpdate::parse_http_date(it).ok())
+        .ok_or_else(|| invalid("a date needs a valid `Date` header in the same response"))?;
+    let duration = until.duration_since(sent_at).unwrap_or_default();
+    Ok(duration_from_secs(duration.as_secs_f64()))
+}
+
 /// Formats a duration as a header value in seconds with three decimals.
 pub fn seconds_value(duration: Millis) -> HeaderValue {
     let text = format!("{:.3}", duration.as_secs());
     HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("1"))
 }
 
+// Returns a duration rounded up to milliseconds, `None` for a negative or infinite number.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the conversion saturates, and the number is not negative"
+)]
+fn duration_from_secs(seconds: f64) -> Option<Millis> {
+    let valid = seconds.is_finite() && seconds >= 0.0;
+    valid.then(|| Millis((seconds * 1_000.0).ceil() as u64))
+}
+
 // Includes the headers that are set anew for each message.
 fn is_hop_by_hop(name: &str) -> bool {
     matches!(
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -164,6 +164,19 @@
         headers::parse_flag(headers, &names::LEAVING)
     }
 
+    fn requested_backoff(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<Option<Millis>, FormatError> {
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                headers::parse_retry_after(headers)
+            }
+            _ => Ok(None),
+        }
+    }
+
     fn response_headers(&self, status: StatusCode, headers: &HeaderMap) -> HeaderMap {
         let mut out = headers::end_to_end(headers, &[names::RESULT_CODE, names::RESULT_KIND]);
         let content_type = headers::header_text(headers, &header::CONTENT_TYPE).unwrap_or("");
--- a/crates/siskinyoke-native/tests/exchange.rs
+++ b/crates/siskinyoke-native/tests/exchange.rs
@@ -181,3 +181,18 @@
     assert!(matches!(is_leaving("0"), Ok(false)));
     assert!(is_leaving("soon").is_err());
 }
+
+#[test]
+fn rejections_may_request_a_backoff() {
+    let mut headers = HeaderMap::new();
+    headers.insert("retry-after", "2".parse().unwrap());
+    for status in [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ] {
+        let backoff = NativeExchange.requested_backoff(status, &headers);
+        assert!(matches!(backoff, Ok(Some(it)) if it == Millis(2_000)));
+    }
+    let backoff = NativeExchange.requested_backoff(StatusCode::OK, &headers);
+    assert!(matches!(backoff, Ok(None)));
+}
