Stand-ins and soak: endpoints that announce their departure or request a back-off

The stand-ins of engine and service take the orders leaving and reject; two tests over the product's own interface send their messages through a whole fleet. In the soak endpoints leave, reject and restart under their ID at random, and after all faults one must get no request two seconds after it said that it leaves, another few after it asked for three seconds.

--- a/crates/siskinyoke-standin/src/chunked.rs
+++ b/crates/siskinyoke-standin/src/chunked.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use tiny_http::Header;
+
 use crate::proxy::Proxy;
 
 /// A chunked response in progress.
@@ -28,11 +30,15 @@
         proxy: Arc<Proxy>,
         peer: Option<SocketAddr>,
         content_type: &str,
+        headers: &[Header],
     ) -> io::Result<Self> {
         write!(
             writer,
             "HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\n"
         )?;
+        for header in headers {
+            write!(writer, "{header}\r\n")?;
+        }
         write!(
             writer,
             "Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/crates/siskinyoke-standin/src/engine/chat_handler.rs
+++ b/crates/siskinyoke-standin/src/engine/chat_handler.rs
@@ -42,6 +42,10 @@
         if !self.config.models.contains(&request.model) {
             return exchange.reply_error(404, "the model is not loaded here");
         }
+        let announcements = self.lock().faults.announcements;
+        let Some(exchange) = announcements.admit(exchange) else {
+            return;
+        };
         let Some(slot) = self.batch.acquire_slot(&|| exchange.is_connected()) else {
             self.lock().counts.cancelled += 1;
             return;
--- a/crates/siskinyoke-standin/src/engine/control.rs
+++ b/crates/siskinyoke-standin/src/engine/control.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::announcements::Announcements;
 use siskinyoke_base::Millis;
 
 /// The body of `POST /control`; omitted fields keep their current values.
@@ -13,6 +14,10 @@
     pub down: Option<Millis>,
     /// Forwards no data for this many milliseconds while connections stay open; 0 ends the freeze.
     pub freeze: Option<Millis>,
+    /// Whether each response says that the engine is leaving.
+    pub leaving: Option<bool>,
+    /// Rejects all requests for this many milliseconds, and says so; 0 ends it.
+    pub reject: Option<Millis>,
     /// Multiplies the duration of prefill and decoding.
     pub slow: Option<f64>,
     /// Crashes the engine on requests whose prompt contains this text; empty disables crashes.
@@ -44,6 +49,8 @@
     pub breaks: Breaks,
     /// Delay of the load shown in metrics.
     pub metrics_lag: Millis,
+    /// What responses say of the engine.
+    pub announcements: Announcements,
 }
 
 impl FaultSettings {
@@ -52,6 +59,7 @@
         self.slowdown = command.slow.unwrap_or(self.slowdown).max(0.0);
         self.breaks = command.breaks.unwrap_or(self.breaks);
         self.metrics_lag = command.lag.unwrap_or(self.metrics_lag);
+        self.announcements.apply(command.leaving, command.reject);
         if let Some(crash_marker) = &command.crash_marker {
             self.crash_marker =
                 Some(crash_marker.clone()).filter(|crash_marker| !crash_marker.is_empty());
--- a/crates/siskinyoke-standin/src/engine/mod.rs
+++ b/crates/siskinyoke-standin/src/engine/mod.rs
@@ -16,6 +16,7 @@
 
 use serde_json::json;
 
+use crate::announcements::Announcements;
 use crate::error::StandinError;
 use crate::http::Exchange;
 use crate::http::Handler;
@@ -116,6 +117,7 @@
             crash_marker: config.crash_marker.clone(),
             breaks: Breaks::default(),
             metrics_lag: config.lag,
+            announcements: Announcements::default(),
         };
         Self {
             batch: Batch::new(config.slots),
--- a/crates/siskinyoke-standin/src/http.rs
+++ b/crates/siskinyoke-standin/src/http.rs
@@ -94,6 +94,8 @@
     request: Request,
     proxy: Arc<Proxy>,
     peer: Option<SocketAddr>,
+    // Headers that are added to the response.
+    headers: Vec<Header>,
 }
 
 impl Exchange {
@@ -120,6 +122,11 @@
         found.map(|header| header.value.as_str())
     }
 
+    /// Adds a header to the response; an invalid one is left out.
+    pub fn add_header(&mut self, name: &str, value: &str) {
+        self.headers.extend(Header::from_bytes(name, value));
+    }
+
     /// Returns whether the caller's connection is still open.
     pub fn is_connected(&self) -> bool {
         self.peer.is_none_or(|peer| self.proxy.is_open(peer))
@@ -182,8 +189,9 @@
     /// Responds with a text.
     pub fn reply(self, status: u16, content_type: &str, text: &str) {
         let mut response = Response::from_string(text).with_status_code(status);
-        if let Ok(header) = Header::from_bytes("Content-Type", content_type) {
-            response = response.with_header(header);
+        let content_type = Header::from_bytes("Content-Type", content_type);
+        for header in content_type.into_iter().chain(self.headers) {
+            response.add_header(header);
         }
         // An error means that the caller has closed the connection.
         let _ = self.request.respond(response);
@@ -200,6 +208,7 @@
             self.proxy,
             self.peer,
             content_type,
+            &self.headers,
         )
     }
 
@@ -227,6 +236,7 @@
             request,
             proxy: Arc::clone(proxy),
             peer,
+            headers: Vec::new(),
         };
         let handler = Arc::clone(handler);
         proxy.thread_pool().run(move || handler.handle(exchange));
--- a/crates/siskinyoke-standin/src/lib.rs
+++ b/crates/siskinyoke-standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the systems that siskinyoke connects to: etcd, model engines and plain services.
 
+pub mod announcements;
 pub mod chunked;
 pub mod completion;
 pub mod engine;
--- a/crates/siskinyoke-standin/src/service.rs
+++ b/crates/siskinyoke-standin/src/service.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 
 use crate::LOOPBACK_ANY_PORT;
+use crate::announcements::Announcements;
 use crate::error::StandinError;
 use crate::http::Exchange;
 use crate::http::Handler;
@@ -55,6 +56,10 @@
     pub freeze: Option<Millis>,
     /// Duration of a call, in milliseconds.
     pub time: Option<Millis>,
+    /// Whether each response says that the service is leaving.
+    pub leaving: Option<bool>,
+    /// Rejects all calls for this many milliseconds, and says so; 0 ends it.
+    pub reject: Option<Millis>,
     /// Executes this many calls but closes their connections without a response.
     pub lose_answers: Option<u32>,
 }
@@ -114,6 +119,7 @@
 struct State {
     service_time: Millis,
     lost_responses: u32,
+    announcements: Announcements,
     serial: u64,
     executions: BTreeMap<String, u64>,
 }
@@ -130,7 +136,10 @@
                 let Ok(body) = exchange.body() else {
                     return;
                 };
-                self.execute(exchange, &body);
+                let announcements = self.lock().announcements;
+                if let Some(exchange) = announcements.admit(exchange) {
+                    self.execute(exchange, &body);
+                }
             }
         }
     }
@@ -172,6 +181,7 @@
         let mut state = self.lock();
         state.service_time = command.time.unwrap_or(state.service_time);
         state.lost_responses = command.lose_answers.unwrap_or(state.lost_responses);
+        state.announcements.apply(command.leaving, command.reject);
         drop(state);
         proxy.apply_faults(command.down, command.freeze);
     }
--- a/crates/siskinyoke-standin/tests/fleet.rs
+++ b/crates/siskinyoke-standin/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 use ureq::Agent;
@@ -121,6 +122,58 @@
     );
 }
 
+// Sends requests one after the other until an engine has been sent one of them, and returns how
+// many it has been sent since its start.
+fn send_until_used(fleet: &Fleet, engine: usize, before: u64) -> u64 {
+    for number in 0..100 {
+        let outcome = send(fleet, &chat_request(&format!("request {number}")));
+        assert_eq!(outcome.kind, OutcomeKind::Done);
+        let dispatched = dispatched(fleet, engine);
+        if dispatched > before {
+            return dispatched;
+        }
+    }
+    panic!("engine {engine} gets no requests");
+}
+
+fn dispatched(fleet: &Fleet, engine: usize) -> u64 {
+    fleet.engines[engine].counts().dispatched
+}
+
+#[test]
+fn an_engine_that_announces_its_departure_gets_no_more_requests() {
+    let fleet = Fleet::start(1).expect("a fleet");
+    fleet.engines[0].control(&EngineControl {
+        leaving: Some(true),
+        ..EngineControl::default()
+    });
+    let used = send_until_used(&fleet, 0, 0);
+    for number in 0..10 {
+        let outcome = send(&fleet, &chat_request(&format!("later {number}")));
+        assert_eq!(outcome.kind, OutcomeKind::Done);
+    }
+    assert_eq!(dispatched(&fleet, 0), used);
+}
+
+#[test]
+fn an_engine_that_requests_a_backoff_gets_no_requests_until_it_ends() {
+    let fleet = Fleet::start(1).expect("a fleet");
+    let before = send_until_used(&fleet, 0, 0);
+    fleet.engines[0].control(&EngineControl {
+        reject: Some(Millis(1_500)),
+        ..EngineControl::default()
+    });
+    let started = Instant::now();
+    let rejected = send_until_used(&fleet, 0, before);
+    while started.elapsed() < Duration::from_millis(1_300) {
+        let outcome = send(&fleet, &chat_request("meanwhile"));
+        assert_eq!(outcome.kind, OutcomeKind::Done);
+    }
+    assert_eq!(dispatched(&fleet, 0), rejected);
+    thread::sleep(Duration::from_millis(300));
+    send_until_used(&fleet, 0, rejected);
+}
+
 #[test]
 fn rejected_requests_have_a_result_code() {
     let fleet = Fleet::start(1).expect("a fleet");
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -71,7 +71,8 @@
     /// If a caller thread has panicked.
     pub fn violations(&self, endpoints: &[Endpoint]) -> Vec<String> {
         let mut run_counts: BTreeMap<String, usize> = BTreeMap::new();
-        for request in endpoints.iter().flat_map(Endpoint::requests) {
+        let requests = endpoints.iter().flat_map(Endpoint::requests);
+        for request in requests.filter(|it| !it.rejected) {
             if let Some(id) = request.header("siskinyoke-request-id") {
                 *run_counts.entry(id.to_owned()).or_default() += 1;
             }
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -9,8 +9,16 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
+
+use crate::announcements::Announcements;
+
+/// The number of slots that an endpoint states.
+pub const SLOT_COUNT: usize = 4;
 
 /// Length of the body of a large response.
 pub const LARGE_BODY_BYTES: usize = 3 * 1024 * 1024;
@@ -33,6 +41,10 @@
     pub headers: Vec<(String, String)>,
     /// The body.
     pub body: Vec<u8>,
+    /// When it had been read.
+    pub received_at: Option<Instant>,
+    /// Whether it was rejected without having run.
+    pub rejected: bool,
 }
 
 impl ReceivedRequest {
@@ -60,6 +72,9 @@
     pub address: SocketAddr,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     disconnects: Arc<Mutex<u32>>,
+    announcements: Arc<Mutex<Announcements>>,
+    // The number of starts under this ID, which entries state as the time of the start.
+    starts: Arc<AtomicU64>,
 }
 
 impl Endpoint {
@@ -85,6 +100,8 @@
             address: listener.local_addr().unwrap(),
             requests: Arc::default(),
             disconnects: Arc::default(),
+            announcements: Arc::default(),
+            starts: Arc::new(AtomicU64::new(1)),
         };
         let serving = endpoint.clone();
         thread::spawn(move || {
@@ -107,11 +124,53 @@
         let version = self.version.as_ref();
         let version =
             version.map_or_else(String::new, |version| format!(r#""Version":"{version}","#));
+        let start = self.starts.load(Ordering::Relaxed);
         format!(
-            r#"{{"Service":"lm",{version}"Address":"{address}","Zone":"a","Slots":4,"State":"{state}","born":1}}"#
+            r#"{{"Service":"lm",{version}"Address":"{address}","Zone":"a","Slots":{SLOT_COUNT},"State":"{state}","born":{start}}}"#
         )
     }
 
+    /// Says in each response from now on that it is leaving.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn leave(&self) {
+        let mut announcements = self.announcements.lock().unwrap();
+        announcements.leaving = true;
+        announcements.announced_at = None;
+    }
+
+    /// Rejects all requests for a duration, and says so.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn reject_for(&self, duration: Duration) {
+        let mut announcements = self.announcements.lock().unwrap();
+        announcements.rejects_until = Some(Instant::now() + duration);
+        announcements.announced_at = None;
+    }
+
+    /// Starts anew under its ID: it is no longer leaving and accepts requests.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn restart(&self) {
+        *self.announcements.lock().unwrap() = Announcements::default();
+        self.starts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns when a response first stated what it announces now.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn announced_at(&self) -> Option<Instant> {
+        self.announcements.lock().unwrap().announced_at
+    }
+
     /// Returns all requests received so far.
     ///
     /// # Panics
@@ -143,8 +202,13 @@
                 .map_or(0, |it| it.parse().unwrap());
             request.body = vec![0; length];
             reader.read_exact(&mut request.body)?;
+            request.received_at = Some(Instant::now());
+            let rejected_for = self.announce();
+            request.rejected = rejected_for.is_some();
             self.requests.lock().unwrap().push(request.clone());
-            if !responds_early && !self.respond(&request, &mut out)? {
+            if let Some(remaining) = rejected_for {
+                write_rejection(&mut out, remaining)?;
+            } else if !responds_early && !self.respond(&request, &mut out)? {
                 return Ok(());
             }
         }
@@ -163,11 +227,7 @@
             return Ok(true);
         }
         if request.line_contains("busy") && self.id == "e1" {
-            write!(
-                out,
-                "HTTP/1.1 503 Busy\r\nSiskinyoke-Not-Executed: 1\r\n\
-                 Retry-After: {RETRY_AFTER_SECONDS}\r\ncontent-length: 0\r\n\r\n"
-            )?;
+            write_rejection(out, Duration::from_secs_f64(RETRY_AFTER_SECONDS))?;
             return Ok(true);
         }
         if request.line_contains("moved") && self.id == "e1" {
@@ -209,6 +269,25 @@
         Ok(true)
     }
 
+    // Records that a response states what the endpoint announces, and returns how long requests are
+    // rejected, if they are.
+    fn announce(&self) -> Option<Duration> {
+        let mut announcements = self.announcements.lock().unwrap();
+        let rejected = announcements.rejects_for();
+        if announcements.leaving || rejected.is_some() {
+            announcements.announced_at.get_or_insert_with(Instant::now);
+        }
+        rejected
+    }
+
+    fn leaving_header(&self) -> &'static str {
+        if self.announcements.lock().unwrap().leaving {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        }
+    }
+
     fn encode_response(&self, request: &ReceivedRequest, body: &str) -> Vec<u8> {
         let id = request.header("siskinyoke-request-id").unwrap_or("");
         let length = body.len();
@@ -217,7 +296,7 @@
         } else if request.line_contains("leaving") && self.id == "e1" {
             "Server-Leaving: 1\r\n".to_owned()
         } else {
-            String::new()
+            self.leaving_header().to_owned()
         };
         format!(
             "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
@@ -276,8 +355,9 @@
         write!(
             out,
             "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
-             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
-            self.id
+             {}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            self.id,
+            self.leaving_header()
         )
     }
 
@@ -291,6 +371,16 @@
     }
 }
 
+// Writes a rejection that requests a back-off.
+fn write_rejection(out: &mut TcpStream, backoff: Duration) -> std::io::Result<()> {
+    write!(
+        out,
+        "HTTP/1.1 503 Busy\r\nSiskinyoke-Not-Executed: 1\r\nRetry-After: {:.3}\r\n\
+         content-length: 0\r\n\r\n",
+        backoff.as_secs_f64()
+    )
+}
+
 fn write_chunk(out: &mut TcpStream, text: &str) -> std::io::Result<()> {
     write!(out, "{:x}\r\n{text}\r\n", text.len())?;
     out.flush()
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! A seeded run of gateway processes and callers under overlapping faults.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -22,6 +23,7 @@
 use crate::checker::Checker;
 use crate::client;
 use crate::configuration;
+use crate::endpoint::SLOT_COUNT;
 use crate::instance::http_get;
 use crate::proxy::Fault;
 use crate::store::Availability;
@@ -58,6 +60,15 @@
 /// Maximum time until an update is in use everywhere, which operators of large fleets rely on.
 const PROPAGATION_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// The back-off that an endpoint requests once all faults have ended.
+const BACKOFF: Duration = Duration::from_secs(3);
+
+/// How long requests may still reach an endpoint after it requested a back-off.
+const ANNOUNCEMENT_SLACK: Duration = Duration::from_millis(500);
+
+/// How long requests may still reach an endpoint after it said that it is leaving.
+const DEPARTURE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The versions of the service, assigned to its endpoints in turn. The first endpoint of each is
 /// never drained.
 const SERVICE_VERSIONS: [&str; 2] = ["v1", "v2"];
@@ -172,7 +183,7 @@
     // Injects a random fault, ends one, or writes a random update to the store.
     fn run_random_step(&mut self, rng: &mut ChaCha8Rng) {
         let index = rng.random_range(0..self.instances.len());
-        match rng.random_range(0..11) {
+        match rng.random_range(0..14) {
             0 => self.instances[index].send_signal(Signal::STOP),
             1 | 2 => self
                 .instances
@@ -202,6 +213,16 @@
                     .set_availability(*availabilities.choose(rng).unwrap_or(&availabilities[0]));
             }
             9 => self.change_rollout_order(rng),
+            10 => self.announce_departure(rng),
+            11 => {
+                let index = rng.random_range(0..self.endpoints.len());
+                let duration = Duration::from_millis(rng.random_range(100..3_000));
+                self.endpoints[index].reject_for(duration);
+            }
+            12 => {
+                let index = rng.random_range(0..self.endpoints.len());
+                self.restart_endpoint(index);
+            }
             _ => self.update_store(rng),
         }
     }
@@ -239,6 +260,22 @@
         }
     }
 
+    // Lets an endpoint say in its responses that it is leaving, before the store says so.
+    fn announce_departure(&mut self, rng: &mut ChaCha8Rng) {
+        let index = rng.random_range(0..self.endpoints.len());
+        if index > 1 {
+            self.endpoints[index].leave();
+        }
+    }
+
+    // Starts an endpoint anew under its ID.
+    fn restart_endpoint(&mut self, index: usize) {
+        let endpoint = &self.endpoints[index];
+        endpoint.restart();
+        let entry = endpoint.entry_at(self.endpoint_proxies[index].address, "ready");
+        self.store.put(&format!("servers/{}", endpoint.id), &entry);
+    }
+
     fn clear_faults(&mut self) {
         self.store.set_availability(Availability::Available);
         for proxy in self.store_proxies.iter().chain(&self.endpoint_proxies) {
@@ -267,6 +304,41 @@
             }
         }
         violations.extend(self.check_propagation());
+        violations.extend(self.check_announcements());
+        violations
+    }
+
+    // Checks that an endpoint gets few requests after it requested a back-off, and none after it
+    // said that it is leaving.
+    fn check_announcements(&mut self) -> Vec<String> {
+        for index in 0..self.endpoints.len() {
+            self.restart_endpoint(index);
+        }
+        thread::sleep(PROPAGATION_TIMEOUT);
+        let [first, second, ..] = &*self.endpoints else {
+            return Vec::new();
+        };
+        first.reject_for(BACKOFF);
+        second.leave();
+        thread::sleep(BACKOFF);
+        let mut violations = Vec::new();
+        if let Some(announced_at) = first.announced_at() {
+            let period = announced_at + ANNOUNCEMENT_SLACK..announced_at + BACKOFF;
+            let count = count_received(first, &period);
+            // An instance may learn of the rejections late, from as many requests as there are
+            // slots.
+            if count > self.instances.len() * SLOT_COUNT {
+                violations.push(format!("{count} requests to an endpoint in its back-off"));
+            }
+        }
+        if let Some(announced_at) = second.announced_at() {
+            thread::sleep(DEPARTURE_TIMEOUT);
+            let since = announced_at + DEPARTURE_TIMEOUT;
+            let count = count_received(second, &(since..Instant::now()));
+            if count > 0 {
+                violations.push(format!("{count} requests to an endpoint that leaves"));
+            }
+        }
         violations
     }
 
@@ -328,6 +400,14 @@
     violations
 }
 
+// Returns the number of requests that an endpoint received in a period.
+fn count_received(endpoint: &Endpoint, period: &Range<Instant>) -> usize {
+    let requests = endpoint.requests().into_iter();
+    requests
+        .filter(|it| it.received_at.is_some_and(|at| period.contains(&at)))
+        .count()
+}
+
 // Returns the configuration version that an instance uses, according to its metrics.
 fn active_version(instance: &Instance) -> Option<u64> {
     let page = http_get(instance.metrics_address, "/metrics")?;
