Instances that are not selected to watch a silent store ask it once at a time

With three calls each, the instances of a large fleet that try beside the selected ones would send some 300 calls a second to a store that does not answer, and these are charged. The selected instance of a shard notices the return, and reports it within 100 ms.

--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -2,6 +2,7 @@
 
 use crate::StoreUpdate;
 use crate::core::Core;
+use crate::watch::MAX_PROBES;
 use crate::watchers::StoreRole;
 use crate::watchers::WatcherCandidate;
 use crate::watchers::select_watcher;
@@ -166,6 +167,15 @@
         select_watcher(own, peers)
     }
 
+    /// Returns how often a watch after a failed call is sent before it counts as failed too.
+    ///
+    /// Instances that try the store although another one is selected to watch it send it once:
+    /// there may be hundreds of them.
+    pub fn max_probes(&self, now: Millis) -> u32 {
+        let selected = self.shard_count == 1 || self.watcher(now) == self.identity.name;
+        if selected { MAX_PROBES } else { 1 }
+    }
+
     /// Decides whether this instance watches the store itself.
     ///
     /// In a fleet of a single shard every instance watches: there is no other shard that would
--- a/crates/siskinyoke-dispatch/tests/following/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet.rs
@@ -405,7 +405,8 @@
     fn poll_watch(&mut self, index: usize, mut watch: Watch) {
         let silent = self.store_state(index) == StoreState::Unresponsive;
         let probe_due = watch.started + u64::from(watch.sent) * PROBE_INTERVAL.0;
-        if watch.probing && self.now >= probe_due && watch.sent < MAX_PROBES {
+        let max_probes = self.nodes[index].core.max_probes(Millis(self.now));
+        if watch.probing && self.now >= probe_due && watch.sent < max_probes {
             watch.sent += 1;
             watch.lost = false;
             self.calls += 1;
--- a/crates/siskinyoke-dispatch/tests/watchers.rs
+++ b/crates/siskinyoke-dispatch/tests/watchers.rs
@@ -154,6 +154,7 @@
         receive(&mut core, 3_100, name, false);
     }
     assert_eq!(core.store_role(Millis(3_100)), StoreRole::Watcher);
+    assert_eq!(core.max_probes(Millis(3_100)), 1);
     core.store_call_failed(Millis(3_110));
     assert_eq!(core.store_role(Millis(3_120)), StoreRole::Follower);
     receive(&mut core, 3_200, &members[0], true);
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -259,7 +259,8 @@
         call: &Call,
         limit: Millis,
     ) -> Result<Batch, StoreError> {
-        let mut hedge = Hedge::new(PROBE_INTERVAL, MAX_PROBES);
+        let max_probes = self.shell.core.borrow().max_probes(self.shell.now());
+        let mut hedge = Hedge::new(PROBE_INTERVAL, max_probes);
         let start = || watch_once(self.shell.clone(), address, call.clone(), limit);
         let round = Millis(PROBE_INTERVAL.0 * u64::from(MAX_PROBES));
         let result = hedge.run(round, start).await;
