--- a/crates/siskinyoke-dispatch/tests/following/main.rs
+++ b/crates/siskinyoke-dispatch/tests/following/main.rs
@@ -11,6 +11,9 @@
 use crate::fleet::Faults;
 use crate::fleet::Fleet;
 
+/// The largest fleet that operators run.
+const LARGEST_FLEET: usize = 300;
+
 /// How long calls are counted.
 const DURATION_S: u64 = 30;
 
@@ -64,6 +67,17 @@
     }
 }
 
+// Guards against waits that are bounded one by one, but whose sum grows with the number of shards.
+#[test]
+fn the_largest_fleet_applies_changes_and_departures_after_an_outage() {
+    for seed in seeds(0..1) {
+        let mut fleet = Fleet::new(seed, LARGEST_FLEET, Faults::StoreOutages);
+        fleet.run(30_000);
+        let violations = [fleet.violations, fleet.late_departures].concat();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
 // Something changes every second, as in a rolling replacement of endpoints. Guards against every
 // instance watching the store, when each change costs one paid call per instance.
 #[test]
