An entry that returns after its removal ends what its previous start announced

Where entries state no time of start, a new start under the same ID had the key of the old one, and stayed unused for ten minutes after that one had said that it leaves. Now an entry that was removed while the store was reachable, and returns, is another start; peers that report the old departure within 10 s and responses to requests sent before are disregarded. An entry that went around an outage may belong to the same start: it stays as it was. Ruled out: the store's revision of the entry's creation as part of the key; after each outage in which leases lapse all endpoints would count as unobserved. an_entry_that_returns_after_its_removal_is_another_start fails without it.

--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -59,10 +59,16 @@
         false
     }
 
-    /// Records that an endpoint's response said that the endpoint is leaving, and returns whether
-    /// that was not known yet.
-    pub fn record_departure(&mut self, now: Millis, endpoint: &Endpoint) -> bool {
-        self.registry.record_departure(now, endpoint.key())
+    /// Records that an endpoint's response to a request sent at `sent_at` said that the endpoint is
+    /// leaving, and returns whether that was not known yet.
+    pub fn announce_departure(
+        &mut self,
+        now: Millis,
+        endpoint: &Endpoint,
+        sent_at: Millis,
+    ) -> bool {
+        self.registry
+            .announce_departure(now, endpoint.key(), sent_at)
     }
 
     /// Returns the endpoints that peers reported as leaving since the last call.
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -30,6 +30,11 @@
 /// It is shorter than the retention, as peers would otherwise remind each other of it forever.
 const DEPARTURE_REPORT_PERIOD: Millis = Millis::from_secs(300);
 
+/// How long after the restart of an endpoint peers may still report that it is leaving.
+///
+/// They stop when they learn of the restart, which takes a few seconds at most.
+const RESTART_PROPAGATION: Millis = Millis::from_secs(10);
+
 /// The minimum number of endpoints per shard and service, so that a failed request can be retried
 /// on another one.
 const MIN_SHARD_ENDPOINTS: usize = 2;
@@ -39,6 +44,10 @@
 pub struct Registry {
     entries: LeasedEntries<Arc<Endpoint>>,
     departures: Map<EndpointKey, Millis>,
+    // Endpoints whose entries were removed after they had left.
+    removed: Map<EndpointKey, Millis>,
+    // Endpoints whose entries returned after that, and when: another start with the same key.
+    restarts: Map<EndpointKey, Millis>,
     shard: usize,
     // The number of instances in each shard.
     shard_sizes: Vec<usize>,
@@ -83,7 +92,7 @@
         for update in updates {
             match update {
                 StoreUpdate::Endpoint(endpoint) => self.add(now, endpoint),
-                StoreUpdate::EndpointRemoved(id) => self.entries.remove(now, &id),
+                StoreUpdate::EndpointRemoved(id) => self.remove_entry(now, &id),
                 StoreUpdate::Instance(..)
                 | StoreUpdate::InstanceRemoved(_)
                 | StoreUpdate::RolloutOrder(_)
@@ -96,7 +105,7 @@
 
     /// Removes an endpoint whose entry is gone from the store.
     pub fn remove(&mut self, now: Millis, id: &str) {
-        self.entries.remove(now, id);
+        self.remove_entry(now, id);
         self.update_eligible();
     }
 
@@ -105,20 +114,33 @@
         self.entries.grace(now)
     }
 
-    /// Records that an endpoint is leaving or gone, and returns whether that was not known yet.
+    /// Records that an endpoint is leaving or gone, as reported by a peer, and returns whether that
+    /// was not known yet.
     pub fn record_departure(&mut self, now: Millis, key: EndpointKey) -> bool {
-        let known = self.departures.contains_key(&key);
-        if !known {
-            self.departures.insert(key, now);
-            self.update_eligible();
+        let restarted = self.restarts.get(&key);
+        if restarted.is_some_and(|at| now.since(*at) < RESTART_PROPAGATION) {
+            return false;
         }
-        !known
+        self.insert_departure(now, key)
+    }
+
+    /// Records that a response to a request sent at `sent_at` said that its endpoint is leaving, and
+    /// returns whether that was not known yet.
+    pub fn announce_departure(&mut self, now: Millis, key: EndpointKey, sent_at: Millis) -> bool {
+        let restarted = self.restarts.get(&key);
+        if restarted.is_some_and(|at| sent_at < *at) {
+            return false;
+        }
+        self.insert_departure(now, key)
     }
 
     /// Removes expired entries.
     pub fn remove_expired(&mut self, now: Millis) {
         self.departures
             .retain(|_, at| now.since(*at) < DEPARTURE_RETENTION);
+        for times in [&mut self.removed, &mut self.restarts] {
+            times.retain(|_, at| now.since(*at) < DEPARTURE_RETENTION);
+        }
         if self.entries.remove_expired(now) {
             self.update_eligible();
         }
@@ -235,7 +257,31 @@
             .collect()
     }
 
+    fn insert_departure(&mut self, now: Millis, key: EndpointKey) -> bool {
+        let is_new = !self.departures.contains_key(&key);
+        if is_new {
+            self.departures.insert(key, now);
+            self.update_eligible();
+        }
+        is_new
+    }
+
+    // Removes an entry. An entry that expired in an outage may return without a restart.
+    fn remove_entry(&mut self, now: Millis, id: &str) {
+        if self.entries.grace(now) == Millis::ZERO {
+            let entry = self.entries.iter().find(|row| row.0 == id);
+            let key = entry.map(|row| row.1.key());
+            let left = key.filter(|key| self.departures.contains_key(key));
+            self.removed.extend(left.map(|key| (key, now)));
+        }
+        self.entries.remove(now, id);
+    }
+
     fn add(&mut self, now: Millis, endpoint: Endpoint) {
+        if self.removed.remove(&endpoint.key()).is_some() {
+            self.departures.remove(&endpoint.key());
+            self.restarts.insert(endpoint.key(), now);
+        }
         if endpoint.draining {
             self.departures.entry(endpoint.key()).or_insert(now);
         }
--- a/crates/siskinyoke-dispatch/tests/registry.rs
+++ b/crates/siskinyoke-dispatch/tests/registry.rs
@@ -116,8 +116,8 @@
 #[test]
 fn an_announced_departure_ends_with_the_next_start_under_the_same_id() {
     let mut core = core("a", 1);
-    assert!(core.record_departure(Millis(1), &endpoint("e1", 1)));
-    assert!(!core.record_departure(Millis(2), &endpoint("e1", 1)));
+    assert!(core.announce_departure(Millis(1), &endpoint("e1", 1), Millis(0)));
+    assert!(!core.announce_departure(Millis(2), &endpoint("e1", 1), Millis(0)));
     core.registry().put(Millis(3), endpoint("e1", 1));
     assert!(eligible_ids(core.registry()).is_empty());
     let restarted = Endpoint {
@@ -127,7 +127,7 @@
     core.registry().put(Millis(4), restarted);
     assert_eq!(eligible_ids(core.registry()), ["e1"]);
     // A response of the previous start arrives late.
-    core.record_departure(Millis(5), &endpoint("e1", 1));
+    core.announce_departure(Millis(5), &endpoint("e1", 1), Millis(0));
     assert_eq!(eligible_ids(core.registry()), ["e1"]);
 }
 
@@ -137,7 +137,7 @@
     let routed = core.route(Millis(0), request("/safe/x")).unwrap();
     let ticket = core.admit(Millis(0), &routed, 1).unwrap();
     let key = endpoint("e1", 1).key();
-    core.record_departure(Millis(1), &endpoint("e1", 1));
+    core.announce_departure(Millis(1), &endpoint("e1", 1), Millis(0));
     assert!(core.slot_granted(Millis(2), ticket, key).is_none());
     assert!(core.decide(Millis(2)).is_empty());
 }
@@ -155,3 +155,37 @@
     assert!(registry.recent_departures(Millis(30)).contains(&new));
     assert!(registry.recent_departures(Millis(400_000)).is_empty());
 }
+
+// Entries need not state the time of the start. Guards against binding an endpoint that returns
+// under its ID to what the previous start said.
+#[test]
+fn an_entry_that_returns_after_its_removal_is_another_start() {
+    let mut registry = Registry::default();
+    let key = endpoint("e1", 1).key();
+    registry.put(Millis(0), endpoint("e1", 1));
+    assert!(registry.announce_departure(Millis(100), key, Millis(50)));
+    registry.remove(Millis(3_000), "e1");
+    registry.put(Millis(5_000), endpoint("e1", 1));
+    assert_eq!(eligible_ids(&registry), ["e1"]);
+    // A peer that lags behind, and a late response of the previous start.
+    assert!(!registry.record_departure(Millis(6_000), key));
+    assert!(!registry.announce_departure(Millis(6_000), key, Millis(2_000)));
+    assert_eq!(eligible_ids(&registry), ["e1"]);
+    // The new start leaves too.
+    assert!(registry.announce_departure(Millis(7_000), key, Millis(6_900)));
+    assert!(eligible_ids(&registry).is_empty());
+}
+
+// Guards against using a leaving endpoint whose lease expired in an outage as if it had restarted.
+#[test]
+fn an_entry_that_returns_after_an_outage_is_the_same_start() {
+    let mut registry = Registry::default();
+    let key = endpoint("e1", 1).key();
+    registry.put(Millis(0), endpoint("e1", 1));
+    registry.announce_departure(Millis(100), key, Millis(50));
+    registry.mark_store_unreachable();
+    registry.mark_store_reachable(Millis(9_000));
+    registry.remove(Millis(9_000), "e1");
+    registry.put(Millis(10_000), endpoint("e1", 1));
+    assert!(eligible_ids(&registry).is_empty());
+}
--- a/crates/siskinyoke-gateway/src/departures.rs
+++ b/crates/siskinyoke-gateway/src/departures.rs
@@ -3,11 +3,19 @@
 use serde_json::json;
 
 use crate::shell::Shell;
+use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_interface::FormatError;
 
 /// Records what the head of a response says about the departure of its endpoint.
-pub fn record(shell: &Shell, endpoint: &Endpoint, leaving: Result<bool, FormatError>) {
+///
+/// The request was sent at `sent_at`.
+pub fn record(
+    shell: &Shell,
+    endpoint: &Endpoint,
+    sent_at: Millis,
+    leaving: Result<bool, FormatError>,
+) {
     let leaving = match leaving {
         Ok(leaving) => leaving,
         Err(err) => {
@@ -22,7 +30,7 @@
     let is_new = shell
         .core
         .borrow_mut()
-        .record_departure(shell.now(), endpoint);
+        .announce_departure(shell.now(), endpoint, sent_at);
     if is_new {
         log_departure(shell, endpoint, "answer");
         // Peers keep sending requests until they receive a full report.
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -185,7 +185,8 @@
             rate_limits::record(&shell, endpoint, start, class, rate_limit);
             let backoff = exchange.requested_backoff(response.status(), response.headers());
             requested_backoff::apply(&shell, endpoint, backoff);
-            departures::record(&shell, endpoint, exchange.is_leaving(response.headers()));
+            let leaving = exchange.is_leaving(response.headers());
+            departures::record(&shell, endpoint, start, leaving);
         }
         match class {
             ResponseClass::Mismatched => AttemptEnd::Retry(Outcome::ConnectionLost),
