The first part of a response ends the recovery after a requested back-off

An endpoint was half-open until the response to its first request was complete; with a stream of seconds it got one request at a time for as long. The first part shows that it accepts requests. Queued requests are looked at without a copy of each, and the first endpoint without a back-off ends the search for a common one. the_first_part_of_a_stream_shows_that_an_endpoint_accepts_requests_again failed before.

--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -250,8 +250,10 @@
             return;
         };
         running.responded_at = Some(now);
-        let (endpoint, first_latency) = (running.endpoint, now.since(running.sent_at));
+        let (endpoint, sent_at) = (running.endpoint, running.sent_at);
+        let first_latency = now.since(sent_at);
         let request = running.request.clone();
+        self.selector.record_accepted(endpoint, sent_at);
         self.remove_prefill_tokens(endpoint, &request);
         self.record_first_part(endpoint, &request, first_latency);
     }
--- a/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
@@ -41,8 +41,7 @@
                 retry_after: self.rejected_retry_after(view, &request.service, request.fingerprint),
             });
         }
-        let request = request.clone();
-        if let Some(refusal) = self.check_requested_backoffs(view, &request) {
+        if let Some(refusal) = self.check_requested_backoffs(view, ticket) {
             return Some(refusal);
         }
         let request = &self.waiting[&ticket];
--- a/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
@@ -8,7 +8,7 @@
 use crate::EndpointKey;
 use crate::Refusal;
 use crate::RefusalReason;
-use crate::ScheduledRequest;
+use crate::Ticket;
 use crate::wait;
 use siskinyoke_base::Millis;
 
@@ -41,9 +41,15 @@
     // Returns the time until the first endpoint of a service accepts requests again if all of them
     // requested a back-off, and 0 otherwise.
     pub(super) fn requested_wait(&self, view: &ClusterView<'_>, service: &str) -> Millis {
-        let endpoints = view.registry.eligible(service).iter();
-        let waits = endpoints.map(|it| self.selector.requested_remaining(view.now, it.key()));
-        waits.min().unwrap_or(Millis::ZERO)
+        let mut shortest: Option<Millis> = None;
+        for endpoint in view.registry.eligible(service) {
+            let remaining = self.selector.requested_remaining(view.now, endpoint.key());
+            if remaining == Millis::ZERO {
+                return Millis::ZERO;
+            }
+            shortest = Some(shortest.map_or(remaining, |it| it.min(remaining)));
+        }
+        shortest.unwrap_or(Millis::ZERO)
     }
 
     // Returns whether a request of this instance may be sent to an endpoint that another instance
@@ -62,23 +68,25 @@
     pub(super) fn check_requested_backoffs(
         &mut self,
         view: &ClusterView<'_>,
-        request: &ScheduledRequest,
+        ticket: Ticket,
     ) -> Option<Refusal> {
+        let request = &self.waiting[&ticket];
         let backoff = self.requested_wait(view, &request.service);
         let may_borrow =
             view.registry.is_sharded() && !self.recently_denied(view.now, &request.service);
         if backoff == Millis::ZERO || may_borrow {
             return None;
         }
+        let request = request.clone();
         let waited = view.now.since(request.arrived);
-        let timeout = wait::late_timeout(request, self.latency_model(&request.service));
+        let timeout = wait::late_timeout(&request, self.latency_model(&request.service));
         if waited + backoff <= timeout {
             return None;
         }
-        let wait = self.expected_wait(view, request);
+        let wait = self.expected_wait(view, &request);
         Some(Refusal {
             reason: RefusalReason::Overload,
-            retry_after: self.retry_after(view.now, request, wait),
+            retry_after: self.retry_after(view.now, &request, wait),
         })
     }
 }
--- a/crates/siskinyoke-dispatch/tests/backoffs/main.rs
+++ b/crates/siskinyoke-dispatch/tests/backoffs/main.rs
@@ -76,6 +76,20 @@
     assert_eq!(started(&mut core, 1_210).len(), 1);
 }
 
+// Guards against one request at a time for as long as a stream lasts.
+#[test]
+fn the_first_part_of_a_stream_shows_that_an_endpoint_accepts_requests_again() {
+    let mut core = core("a", 4);
+    for now in 0..3 {
+        admit(&mut core, now, "/stream/x").unwrap();
+    }
+    core.request_backoff(Millis(3), &endpoint("e1", 4), Millis(100));
+    let first = started(&mut core, 103);
+    assert_eq!(first.len(), 1);
+    core.first_part_received(Millis(150), first[0]);
+    assert!(!started(&mut core, 150).is_empty());
+}
+
 #[test]
 fn a_response_to_a_request_sent_before_the_backoff_does_not_end_it() {
     let mut core = core("a", 4);
