A round of probes that ends early is followed by the usual pause

Found by reading: a call may end without a response long before its limit, such as a watch whose stream is closed, and after a failed call that was followed by the next one without a pause.

--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -55,15 +55,18 @@
             sleep(ROLE_CHECK_INTERVAL.into()).await;
             continue;
         }
+        let called_at = watcher.shell.now();
         match watcher.read_or_watch().await {
             Ok(()) => retry_delay = MIN_RETRY_DELAY,
             Err(err) => {
                 watcher.call_failed(&err);
                 // Unanswered probes have taken their time already.
-                if watcher.probing && matches!(err, StoreError::NoReply) {
-                    continue;
-                }
-                sleep(retry_delay.into()).await;
+                let elapsed = if watcher.probing {
+                    watcher.shell.now().since(called_at)
+                } else {
+                    Millis::ZERO
+                };
+                sleep(retry_delay.since(elapsed).into()).await;
                 retry_delay = Millis(retry_delay.0 * 2).min(MAX_RETRY_DELAY);
             }
         }
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -482,6 +482,25 @@
     assert!(took < Duration::from_secs(1), "{took:?}");
 }
 
+// Guards against calling a store without a pause while it closes each connection.
+#[test]
+fn a_store_that_closes_connections_is_called_a_few_times_a_second() {
+    let store = Store::start();
+    store.put("op/config", &configuration::text(3, "k1"));
+    let proxy = Proxy::start(store.address);
+    let instance = Instance::start(program(), "i1", proxy.address);
+    wait_until("the configuration is applied", || {
+        configuration_version(&instance) == 3
+    });
+    proxy.set_fault(Fault::Reset);
+    store.put("op/config", &configuration::text(4, "k1"));
+    std::thread::sleep(Duration::from_millis(500));
+    let before = proxy.connection_count();
+    std::thread::sleep(Duration::from_secs(2));
+    let count = proxy.connection_count() - before;
+    assert!(count <= 40, "{count} connections in two seconds");
+}
+
 #[test]
 fn a_draining_endpoint_gets_no_new_requests() {
     let setup = start_setup(&["e1", "e2"]);
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -8,6 +8,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -32,6 +34,7 @@
     /// The address that it listens on.
     pub address: SocketAddr,
     fault: Arc<Mutex<Fault>>,
+    accepted: Arc<AtomicUsize>,
 }
 
 impl Proxy {
@@ -46,10 +49,12 @@
         let proxy = Self {
             address,
             fault: Arc::new(Mutex::new(Fault::None)),
+            accepted: Arc::default(),
         };
         let accepting = proxy.clone();
         thread::spawn(move || {
             for client in listener.incoming().map_while(Result::ok) {
+                accepting.accepted.fetch_add(1, Ordering::Relaxed);
                 accepting.forward_connection(client, target);
             }
         });
@@ -65,6 +70,11 @@
         *self.fault.lock().unwrap() = fault;
     }
 
+    /// Returns the number of connections accepted so far.
+    pub fn connection_count(&self) -> usize {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
     fn fault(&self) -> Fault {
         *self.fault.lock().unwrap()
     }
