--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/start.rs
@@ -0,0 +1,112 @@
+//! The first state that a process gets from the store.
+
+use std::rc::Rc;
+
+use serde_json::json;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::core::Identity;
+use siskinyoke_dispatch::core::IncomingRequest;
+use siskinyoke_dispatch::quota::QuotaPolicy;
+use siskinyoke_gateway::cluster_view;
+use siskinyoke_gateway::log_writer::LogWriter;
+use siskinyoke_gateway::replica::Update;
+use siskinyoke_gateway::settings::Settings;
+use siskinyoke_gateway::shell::Shell;
+use siskinyoke_interface::Item;
+
+const SETTINGS_JSON: &str = r#"{ "interface": "platform", "instance": "i0", "ip": "127.0.0.1", "centre": "a",
+    "listen": { "callers": "127.0.0.1:1", "health": "127.0.0.1:2", "directory": "127.0.0.1:3",
+                "peers": "127.0.0.1:4" },
+    "store": "127.0.0.1:5", "memory_mb": 16, "metrics": 1,
+    "bounds": { "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 54, "quota_window_s": 8,
+                "quota_overage": 0.1, "quota_slack": 0, "keep_s": 5 } }"#;
+
+const CONFIGURATION_JSON: &str = r#"{"Version":3,"Routes":[
+ {"Name":"safe","Host":"h.example","Prefix":"/safe/","Kind":"safe","TimeoutMs":4000,
+  "TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2}],
+ "Services":[{"Name":"lm","MaxConns":100}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,
+  "IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"school","ApiKeys":["k"],"Unit":"tokens","RatePerS":30000.0,"Burst":30000.0}]}"#;
+
+/// Units of the bucket's capacity: the organisation's burst, or its rate for a second.
+const CAPACITY_UNITS: u64 = 30_000;
+
+const FLEET_SIZE: u64 = 300;
+
+fn shell() -> Rc<Shell> {
+    let settings = Settings::parse(SETTINGS_JSON).unwrap();
+    let identity = Identity {
+        name: settings.instance.clone(),
+        location: settings.location(),
+        incarnation: 1,
+        retry_ratio: 0.2,
+        retry_slack: 54.0,
+        max_exposure: 0.1,
+        settling_time: Millis(3_000),
+        quota_policy: QuotaPolicy {
+            window: Millis(8_000),
+            overage: 0.1,
+            slack: 0.0,
+        },
+    };
+    let interface = settings.interface.build();
+    let log_writer = LogWriter::start(std::io::sink());
+    Rc::new(Shell::new(interface, settings, identity, log_writer).unwrap())
+}
+
+fn item(key: &str, value: &str) -> Item {
+    Item {
+        key: key.to_owned(),
+        revision: 1,
+        value: Some(value.as_bytes().to_vec()),
+    }
+}
+
+// Returns the units that an instance grants at once.
+fn granted_units(shell: &Shell) -> u64 {
+    let request = IncomingRequest {
+        host: "h.example",
+        path: "/safe/a",
+        hold_time: Millis::ZERO,
+        key: Some("k"),
+        timeout: None,
+        tokens: Some((1, 0)),
+        output_estimate: None,
+        id_hash: 0,
+    };
+    let now = shell.now();
+    let mut core = shell.core.borrow_mut();
+    let mut granted = 0;
+    while granted < CAPACITY_UNITS && core.route(now, request).is_ok() {
+        granted += 1;
+    }
+    granted
+}
+
+// Guards against full buckets after a restart of all instances, which grant the quota twice.
+#[test]
+fn the_first_configuration_is_applied_with_the_size_of_the_fleet() {
+    let shell = shell();
+    let instances = (0..FLEET_SIZE).map(|index| {
+        let location = json!({ "front": "a:1", "inner": "127.0.0.1:2", "centre": "a" });
+        item(&format!("instances/i{index}"), &location.to_string())
+    });
+    let update = Update {
+        revision: 2,
+        full: true,
+        items: [item("op/config", CONFIGURATION_JSON)]
+            .into_iter()
+            .chain(instances)
+            .collect(),
+    };
+    cluster_view::apply(&shell, update, "store");
+    assert_eq!(shell.core.borrow().configuration_version(), 3);
+    // A bucket starts less than a fifth full, and this is one instance's share of it.
+    let granted = granted_units(&shell);
+    assert!(
+        granted <= CAPACITY_UNITS / FLEET_SIZE / 5 + 1,
+        "{granted} units"
+    );
+}
