--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -161,7 +161,7 @@
     }
 
     fn is_leaving(&self, headers: &HeaderMap) -> Result<bool, FormatError> {
-        headers::parse_flag(headers, &names::LEAVING)
+        headers::parse_flag(headers, &names::ENDPOINT_LEAVING)
     }
 
     fn requested_backoff(
--- a/crates/siskinyoke-native/src/names.rs
+++ b/crates/siskinyoke-native/src/names.rs
@@ -15,7 +15,7 @@
 /// Requests per second that an endpoint accepts from all instances together.
 pub const RATE_LIMIT: HeaderName = HeaderName::from_static("siskinyoke-rate-limit");
 /// Whether the endpoint is leaving: 1 if it is.
-pub const LEAVING: HeaderName = HeaderName::from_static("siskinyoke-leaving");
+pub const ENDPOINT_LEAVING: HeaderName = HeaderName::from_static("siskinyoke-leaving");
 /// The target endpoint; any other endpoint at its address responds with 421.
 pub const TARGET_ENDPOINT: HeaderName = HeaderName::from_static("siskinyoke-endpoint");
 /// The numeric result code.
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -375,7 +375,7 @@
 fn write_rejection(out: &mut TcpStream, backoff: Duration) -> std::io::Result<()> {
     write!(
         out,
-        "HTTP/1.1 503 Busy\r\nSiskinyoke-Not-Executed: 1\r\nRetry-After: {:.3}\r\n\
+        "HTTP/1.1 503 Overloaded\r\nSiskinyoke-Not-Executed: 1\r\nRetry-After: {:.3}\r\n\
          content-length: 0\r\n\r\n",
         backoff.as_secs_f64()
     )
