--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/common/mod.rs
@@ -0,0 +1,32 @@
+//! Fixtures shared by the tests of this crate.
+
+use std::rc::Rc;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::core::Identity;
+use siskinyoke_dispatch::quota::QuotaPolicy;
+use siskinyoke_gateway::log_writer::LogWriter;
+use siskinyoke_gateway::settings::Settings;
+use siskinyoke_gateway::shell::Shell;
+
+/// Returns the state of an instance with these settings.
+pub fn shell(settings: &str) -> Rc<Shell> {
+    let settings = Settings::parse(settings).unwrap();
+    let identity = Identity {
+        name: settings.instance.clone(),
+        location: settings.location(),
+        incarnation: 1,
+        retry_ratio: 0.2,
+        retry_slack: 54.0,
+        max_exposure: 0.1,
+        settling_time: Millis(3_000),
+        quota_policy: QuotaPolicy {
+            window: Millis(8_000),
+            overage: 0.1,
+            slack: 0.0,
+        },
+    };
+    let interface = settings.interface.build();
+    let log_writer = LogWriter::start(std::io::sink());
+    Rc::new(Shell::new(interface, settings, identity, log_writer).unwrap())
+}
--- a/crates/siskinyoke-gateway/tests/start.rs
+++ b/crates/siskinyoke-gateway/tests/start.rs
@@ -1,17 +1,13 @@
 //! The first state that a process gets from the store.
 
-use std::rc::Rc;
+mod common;
 
 use serde_json::json;
 
 use siskinyoke_base::Millis;
-use siskinyoke_dispatch::core::Identity;
 use siskinyoke_dispatch::core::IncomingRequest;
-use siskinyoke_dispatch::quota::QuotaPolicy;
 use siskinyoke_gateway::cluster_view;
-use siskinyoke_gateway::log_writer::LogWriter;
 use siskinyoke_gateway::replica::Update;
-use siskinyoke_gateway::settings::Settings;
 use siskinyoke_gateway::shell::Shell;
 use siskinyoke_interface::Item;
 
@@ -35,27 +31,6 @@
 
 const FLEET_SIZE: u64 = 300;
 
-fn shell() -> Rc<Shell> {
-    let settings = Settings::parse(SETTINGS_JSON).unwrap();
-    let identity = Identity {
-        name: settings.instance.clone(),
-        location: settings.location(),
-        incarnation: 1,
-        retry_ratio: 0.2,
-        retry_slack: 54.0,
-        max_exposure: 0.1,
-        settling_time: Millis(3_000),
-        quota_policy: QuotaPolicy {
-            window: Millis(8_000),
-            overage: 0.1,
-            slack: 0.0,
-        },
-    };
-    let interface = settings.interface.build();
-    let log_writer = LogWriter::start(std::io::sink());
-    Rc::new(Shell::new(interface, settings, identity, log_writer).unwrap())
-}
-
 fn item(key: &str, value: &str) -> Item {
     Item {
         key: key.to_owned(),
@@ -88,7 +63,7 @@
 // Guards against full buckets after a restart of all instances, which grant the quota twice.
 #[test]
 fn the_first_configuration_is_applied_with_the_size_of_the_fleet() {
-    let shell = shell();
+    let shell = common::shell(SETTINGS_JSON);
     let instances = (0..FLEET_SIZE).map(|index| {
         let location = json!({ "front": "a:1", "inner": "127.0.0.1:2", "centre": "a" });
         item(&format!("instances/i{index}"), &location.to_string())
