A report without departures no longer goes over all endpoints

For the log of departures that peers report, each report hashed the key of every known endpoint, although it names a new departure almost never. The endpoints are looked up from the keys instead, and the entry of a removed endpoint by its ID. Behaviour is the same but for the order of log lines where one report names several new departures.

--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -74,11 +74,8 @@
     /// Returns the endpoints that peers reported as leaving since the last call.
     pub fn take_reported_departures(&mut self) -> Vec<Arc<Endpoint>> {
         let keys = std::mem::take(&mut self.reported_departures);
-        let endpoints = self.registry.all();
-        endpoints
-            .filter(|it| keys.contains(&it.key()))
-            .cloned()
-            .collect()
+        let known = keys.into_iter().filter_map(|key| self.registry.find(key));
+        known.cloned().collect()
     }
 
     pub(super) fn apply_info(&mut self, now: Millis, info: &InstanceInfo) {
--- a/crates/siskinyoke-dispatch/src/leased_entries.rs
+++ b/crates/siskinyoke-dispatch/src/leased_entries.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Returns an entry.
+    pub fn get(&self, name: &str) -> Option<&T> {
+        self.entries.get(name).map(|entry| &entry.value)
+    }
+
     /// Returns the entries, ordered by name.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &T)> {
         self.entries
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -217,8 +217,12 @@
 
     /// Returns an endpoint of any shard that accepts new requests.
     pub fn find_accepting(&self, key: EndpointKey) -> Option<&Arc<Endpoint>> {
-        let found = self.all().find(|it| it.key() == key);
-        found.filter(|it| !self.is_leaving(it))
+        self.find(key).filter(|it| !self.is_leaving(it))
+    }
+
+    /// Returns a known endpoint of any shard.
+    pub fn find(&self, key: EndpointKey) -> Option<&Arc<Endpoint>> {
+        self.all().find(|it| it.key() == key)
     }
 
     /// Returns this shard's share of an endpoint's rate limit.
@@ -269,8 +273,7 @@
     // Removes an entry. An entry that expired in an outage may return without a restart.
     fn remove_entry(&mut self, now: Millis, id: &str) {
         if self.entries.grace(now) == Millis::ZERO {
-            let entry = self.entries.iter().find(|row| row.0 == id);
-            let key = entry.map(|row| row.1.key());
+            let key = self.entries.get(id).map(|it| it.key());
             let left = key.filter(|key| self.departures.contains_key(key));
             self.removed.extend(left.map(|key| (key, now)));
         }
