One condition for asking other shards for a slot

It stood in three places: admission, borrowing and, new, the refusal of requests whose endpoints all back off. There it was evaluated for each queued request before the cheaper question whether any back-off is in progress; now after it.

--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -157,7 +157,7 @@
             return Ok(self.enqueue(request));
         }
         // Another shard may lend a slot; the request waits for its reply before it is refused.
-        if registry.is_sharded() && !self.recently_denied(now, &request.service) {
+        if self.should_ask_shards(now, registry, &request.service) {
             return Ok(self.enqueue(ScheduledRequest {
                 needs_loan: true,
                 ..request
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -26,6 +26,7 @@
 use crate::message::SlotRequest;
 use crate::placement::Candidate;
 use crate::placement::PlacementQuery;
+use crate::registry::Registry;
 use crate::report::short_hash;
 use siskinyoke_base::Millis;
 
@@ -86,7 +87,7 @@
     ) -> Vec<(Ticket, BorrowRequest)> {
         let now = view.now;
         let candidates = self.queues.iter().flat_map(|(service, queue)| {
-            let ask_shards = view.registry.is_sharded() && !self.recently_denied(now, service);
+            let ask_shards = self.should_ask_shards(now, view.registry, service);
             let ask_holders = self.should_ask_holders(view, service);
             let tickets = queue.iter().filter(move |_| ask_shards || ask_holders);
             tickets.map(move |it| (it.2, ask_shards, ask_holders))
@@ -257,6 +258,16 @@
         interval_over && (request.needs_loan || now.since(request.arrived) >= BORROW_DELAY)
     }
 
+    // Returns whether to ask other shards for slots of this service.
+    pub(super) fn should_ask_shards(
+        &self,
+        now: Millis,
+        registry: &Registry,
+        service: &str,
+    ) -> bool {
+        registry.is_sharded() && !self.recently_denied(now, service)
+    }
+
     // Returns whether other shards recently denied a slot for this service.
     pub(super) fn recently_denied(&self, now: Millis, service: &str) -> bool {
         let last = self.last_replies.get(service);
--- a/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
@@ -72,9 +72,9 @@
     ) -> Option<Refusal> {
         let request = &self.waiting[&ticket];
         let backoff = self.requested_wait(view, &request.service);
-        let may_borrow =
-            view.registry.is_sharded() && !self.recently_denied(view.now, &request.service);
-        if backoff == Millis::ZERO || may_borrow {
+        if backoff == Millis::ZERO
+            || self.should_ask_shards(view.now, view.registry, &request.service)
+        {
             return None;
         }
         let request = request.clone();
