--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -38,9 +38,6 @@
 /// would wait longer than that for a slot.
 const MAX_FAST_SPEED_FACTOR: f64 = 0.8;
 
-/// The number of requests that an endpoint gets at once after a back-off that it requested.
-pub(super) const HALF_OPEN_REQUESTS: u32 = 1;
-
 // The endpoints of a service that can be sent requests now.
 struct OpenEndpoints {
     free: Vec<Candidate>,
@@ -169,12 +166,8 @@
                 let (slots, queue_slots) = self.slot_limits(endpoint);
                 let free_slots = (slots + queue_slots).saturating_sub(count + peer_count);
                 let tokens = self.rate_limits.tokens(key);
-                let free_slots = tokens.map_or(free_slots, |tokens| free_slots.min(tokens));
-                let free_slots = if self.selector.is_half_open(key) {
-                    free_slots.min(HALF_OPEN_REQUESTS.saturating_sub(count))
-                } else {
-                    free_slots
-                };
+                let limits = [tokens, self.half_open_slots(key)];
+                let free_slots = limits.into_iter().flatten().fold(free_slots, u32::min);
                 (free_slots > 0).then(|| Candidate {
                     endpoint: endpoint.clone(),
                     free_slots,
--- a/crates/siskinyoke-dispatch/src/scheduler/rate_limits.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/rate_limits.rs
@@ -2,9 +2,9 @@
 
 use super::ClusterView;
 use super::Scheduler;
-use super::dispatch::HALF_OPEN_REQUESTS;
 use super::lending::DENIED_BACKOFF;
 use super::lending::borrower_request;
+use super::requested_backoff::HALF_OPEN_REQUESTS;
 use crate::Endpoint;
 use crate::EndpointKey;
 use crate::Ticket;
--- a/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
@@ -4,7 +4,6 @@
 
 use super::ClusterView;
 use super::Scheduler;
-use super::dispatch::HALF_OPEN_REQUESTS;
 use crate::EndpointKey;
 use crate::Refusal;
 use crate::RefusalReason;
@@ -12,6 +11,9 @@
 use crate::wait;
 use siskinyoke_base::Millis;
 
+/// The number of requests that an endpoint gets at once after a back-off that it requested.
+pub(super) const HALF_OPEN_REQUESTS: u32 = 1;
+
 impl Scheduler {
     /// Applies a back-off that an endpoint requests, and returns whether none was in progress.
     pub fn request_backoff(&mut self, now: Millis, key: EndpointKey, duration: Millis) -> bool {
@@ -52,15 +54,22 @@
         shortest.unwrap_or(Millis::ZERO)
     }
 
+    // Returns how many requests this instance may send to an endpoint now if the endpoint is
+    // half-open.
+    pub(super) fn half_open_slots(&self, key: EndpointKey) -> Option<u32> {
+        if !self.selector.is_half_open(key) {
+            return None;
+        }
+        let running = self.in_flight.get(&key);
+        let running = running.map_or(0, |row| u32::from(row.count));
+        Some(HALF_OPEN_REQUESTS.saturating_sub(running))
+    }
+
     // Returns whether a request of this instance may be sent to an endpoint that another instance
     // selected.
     pub(super) fn may_send(&self, now: Millis, key: EndpointKey) -> bool {
-        let running = self
-            .in_flight
-            .get(&key)
-            .map_or(0, |row| u32::from(row.count));
-        let full = self.selector.is_half_open(key) && running >= HALF_OPEN_REQUESTS;
-        self.selector.requested_remaining(now, key) == Millis::ZERO && !full
+        self.selector.requested_remaining(now, key) == Millis::ZERO
+            && self.half_open_slots(key) != Some(0)
     }
 
     // Refuses a waiting request if all endpoints requested a back-off that lasts for longer than it
