--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -39,14 +39,30 @@
 /// on another one.
 const MIN_SHARD_ENDPOINTS: usize = 2;
 
+// An endpoint that is leaving or gone.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    known_since: Millis,
+    // Whether its entry was removed since.
+    removed: bool,
+}
+
+impl Departure {
+    fn new(now: Millis) -> Self {
+        Self {
+            known_since: now,
+            removed: false,
+        }
+    }
+}
+
 /// The known endpoints, by their key in the store.
 #[derive(Debug, Default)]
 pub struct Registry {
     entries: LeasedEntries<Arc<Endpoint>>,
-    departures: Map<EndpointKey, Millis>,
-    // Endpoints whose entries were removed after they had left.
-    removed: Map<EndpointKey, Millis>,
-    // Endpoints whose entries returned after that, and when: another start with the same key.
+    departures: Map<EndpointKey, Departure>,
+    // Departed endpoints whose entries returned after their removal, and when: another start with
+    // the same key.
     restarts: Map<EndpointKey, Millis>,
     shard: usize,
     // The number of instances in each shard.
@@ -137,10 +153,9 @@
     /// Removes expired entries.
     pub fn remove_expired(&mut self, now: Millis) {
         self.departures
+            .retain(|_, it| now.since(it.known_since) < DEPARTURE_RETENTION);
+        self.restarts
             .retain(|_, at| now.since(*at) < DEPARTURE_RETENTION);
-        for times in [&mut self.removed, &mut self.restarts] {
-            times.retain(|_, at| now.since(*at) < DEPARTURE_RETENTION);
-        }
         if self.entries.remove_expired(now) {
             self.update_eligible();
         }
@@ -251,9 +266,10 @@
 
     /// Returns the latest endpoints known to be leaving or gone, which are reported to peers.
     pub fn recent_departures(&self, now: Millis) -> Vec<EndpointKey> {
-        let recent = self.departures.iter();
-        let recent = recent.filter(|row| now.since(*row.1) < DEPARTURE_REPORT_PERIOD);
-        let mut all: Vec<_> = recent.map(|(key, at)| (*at, *key)).collect();
+        let all = self.departures.iter();
+        let all = all.map(|(key, departure)| (departure.known_since, *key));
+        let recent = all.filter(|row| now.since(row.0) < DEPARTURE_REPORT_PERIOD);
+        let mut all: Vec<_> = recent.collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
         all.into_iter()
             .take(MAX_REPORTED_DEPARTURES)
@@ -264,7 +280,7 @@
     fn insert_departure(&mut self, now: Millis, key: EndpointKey) -> bool {
         let is_new = !self.departures.contains_key(&key);
         if is_new {
-            self.departures.insert(key, now);
+            self.departures.insert(key, Departure::new(now));
             self.update_eligible();
         }
         is_new
@@ -274,19 +290,22 @@
     fn remove_entry(&mut self, now: Millis, id: &str) {
         if self.entries.grace(now) == Millis::ZERO {
             let key = self.entries.get(id).map(|it| it.key());
-            let left = key.filter(|key| self.departures.contains_key(key));
-            self.removed.extend(left.map(|key| (key, now)));
+            if let Some(departure) = key.and_then(|key| self.departures.get_mut(&key)) {
+                departure.removed = true;
+            }
         }
         self.entries.remove(now, id);
     }
 
     fn add(&mut self, now: Millis, endpoint: Endpoint) {
-        if self.removed.remove(&endpoint.key()).is_some() {
-            self.departures.remove(&endpoint.key());
-            self.restarts.insert(endpoint.key(), now);
+        let key = endpoint.key();
+        if self.departures.get(&key).is_some_and(|it| it.removed) {
+            self.departures.remove(&key);
+            self.restarts.insert(key, now);
         }
         if endpoint.draining {
-            self.departures.entry(endpoint.key()).or_insert(now);
+            let departure = self.departures.entry(key);
+            departure.or_insert_with(|| Departure::new(now));
         }
         let id = endpoint.id.clone();
         self.entries.put(&id, Arc::new(endpoint));
