Hedged calls: the calls in flight are local, and one piece counts them

Hedge kept its calls as a field only to replace it at the end; the first reading and the probes each counted what was unanswered and took over the connection.

--- a/crates/siskinyoke-gateway/src/first_read.rs
+++ b/crates/siskinyoke-gateway/src/first_read.rs
@@ -18,7 +18,7 @@
 /// One hedged read, with its calls in flight.
 #[derive(Debug)]
 pub struct FirstRead {
-    hedge: Hedge<ReadResponse>,
+    hedge: Hedge,
 }
 
 impl Default for FirstRead {
--- a/crates/siskinyoke-gateway/src/hedge.rs
+++ b/crates/siskinyoke-gateway/src/hedge.rs
@@ -11,37 +11,35 @@
 
 /// A call that is sent again at an interval while unanswered.
 #[derive(Debug)]
-pub struct Hedge<T> {
+pub struct Hedge {
     interval: Millis,
     max_calls: u32,
-    calls: JoinSet<Result<T, StoreError>>,
     sent: u32,
 }
 
-impl<T: 'static> Hedge<T> {
+impl Hedge {
     /// Creates a call that is sent at most `max_calls` times, at this interval.
     pub fn new(interval: Millis, max_calls: u32) -> Self {
         Self {
             interval,
             max_calls,
-            calls: JoinSet::new(),
             sent: 0,
         }
     }
 
-    /// Sends the calls that `start` makes, each on a connection of its own. The first success wins.
+    /// Sends the calls that `start` makes, each on a connection of its own. The first success wins,
+    /// and the remaining calls are cancelled.
     ///
     /// # Errors
     ///
     /// The error of the last call if all have failed, or [`StoreError::NoReply`] if none was
     /// answered within the limit.
-    pub async fn run<F>(&mut self, limit: Millis, start: impl Fn() -> F) -> Result<T, StoreError>
+    pub async fn run<T, F>(&mut self, limit: Millis, start: impl Fn() -> F) -> Result<T, StoreError>
     where
+        T: 'static,
         F: Future<Output = Result<T, StoreError>> + 'static,
     {
         let result = timeout(limit.into(), self.send_calls(start)).await;
-        // Dropping the set cancels the remaining calls.
-        self.calls = JoinSet::new();
         result.unwrap_or(Err(StoreError::NoReply))
     }
 
@@ -50,33 +48,38 @@
         self.sent
     }
 
-    async fn send_calls<F>(&mut self, start: impl Fn() -> F) -> Result<T, StoreError>
+    async fn send_calls<T, F>(&mut self, start: impl Fn() -> F) -> Result<T, StoreError>
     where
+        T: 'static,
         F: Future<Output = Result<T, StoreError>> + 'static,
     {
+        let mut calls = JoinSet::new();
         loop {
             if self.sent < self.max_calls {
                 self.sent += 1;
-                self.calls.spawn_local(start());
+                calls.spawn_local(start());
             }
-            if let Some(result) = self.next_result().await {
+            if let Some(result) = next_result(&mut calls, self.interval).await {
                 return result;
             }
         }
     }
+}
 
-    // Waits until a call has succeeded or all have failed; `None` means that the next call is due.
-    async fn next_result(&mut self) -> Option<Result<T, StoreError>> {
-        let mut interval = std::pin::pin!(sleep(self.interval.into()));
-        loop {
-            let result = tokio::select! {
-                result = self.calls.join_next() => result?,
-                () = &mut interval => return None,
-            };
-            let result = result.unwrap_or(Err(StoreError::NoReply));
-            if result.is_ok() || self.calls.is_empty() {
-                return Some(result);
-            }
+// Waits until a call has succeeded or all have failed; `None` means that the next call is due.
+async fn next_result<T: 'static>(
+    calls: &mut JoinSet<Result<T, StoreError>>,
+    interval: Millis,
+) -> Option<Result<T, StoreError>> {
+    let mut interval = std::pin::pin!(sleep(interval.into()));
+    loop {
+        let result = tokio::select! {
+            result = calls.join_next() => result?,
+            () = &mut interval => return None,
+        };
+        let result = result.unwrap_or(Err(StoreError::NoReply));
+        if result.is_ok() || calls.is_empty() {
+            return Some(result);
         }
     }
 }
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -184,18 +184,11 @@
         let mut read = FirstRead::default();
         let result = read.call(address, call, READ_TIMEOUT).await;
         let unanswered = read.calls_sent() - u32::from(result.is_ok());
-        for _ in 0..unanswered {
-            self.shell.metrics.record_store_call("read_cached", false);
-        }
         if unanswered > 0 {
             let fields = json!({ "unanswered": unanswered, "answered": result.is_ok() });
             self.shell.log("store_read_repeated", fields);
         }
-        let (body, client) = result?;
-        self.shell.metrics.record_store_call("read_cached", true);
-        // Use the connection that works for the remaining pages and the watch.
-        self.client = client;
-        Ok(body)
+        self.finish_hedged("read_cached", unanswered, result)
     }
 
     // Waits for changes after a revision and applies them.
@@ -267,13 +260,24 @@
         let start = || watch_once(self.shell.clone(), address, call.clone(), limit);
         let round = Millis(PROBE_INTERVAL.0 * u64::from(MAX_PROBES));
         let result = hedge.run(round, start).await;
-        for _ in 0..hedge.calls_sent() - u32::from(result.is_ok()) {
-            self.shell.metrics.record_store_call("watch", false);
+        let unanswered = hedge.calls_sent() - u32::from(result.is_ok());
+        self.finish_hedged("watch", unanswered, result)
+    }
+
+    // Counts the calls of a hedged one, and uses the connection that works for the next calls.
+    fn finish_hedged<T>(
+        &mut self,
+        kind: &'static str,
+        unanswered: u32,
+        result: Result<(T, Client), StoreError>,
+    ) -> Result<T, StoreError> {
+        for _ in 0..unanswered {
+            self.shell.metrics.record_store_call(kind, false);
         }
-        let (batch, client) = result?;
-        self.shell.metrics.record_store_call("watch", true);
+        let (response, client) = result?;
+        self.shell.metrics.record_store_call(kind, true);
         self.client = client;
-        Ok(batch)
+        Ok(response)
     }
 
     fn call_succeeded(&mut self) {
