One piece reads what endpoints announce in the heads of responses

Rate limits, departures and back-offs each unwrapped a decoded header and logged a malformed one; the job called all three. One module now does both, and the three get decoded values. Events keep their names.

--- a/crates/siskinyoke-gateway/src/departures.rs
+++ b/crates/siskinyoke-gateway/src/departures.rs
@@ -5,28 +5,9 @@
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
-use siskinyoke_interface::FormatError;
 
-/// Records what the head of a response says about the departure of its endpoint.
-///
-/// The request was sent at `sent_at`.
-pub fn record(
-    shell: &Shell,
-    endpoint: &Endpoint,
-    sent_at: Millis,
-    leaving: Result<bool, FormatError>,
-) {
-    let leaving = match leaving {
-        Ok(leaving) => leaving,
-        Err(err) => {
-            let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
-            shell.log("endpoint_leaving_unreadable", fields);
-            return;
-        }
-    };
-    if !leaving {
-        return;
-    }
+/// Records that a response to a request sent at `sent_at` says that its endpoint is leaving.
+pub fn record(shell: &Shell, endpoint: &Endpoint, sent_at: Millis) {
     let is_new = shell
         .core
         .borrow_mut()
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -18,15 +18,13 @@
 use tokio::time::timeout;
 
 use self::progress::Progress;
+use crate::announcements;
 use crate::attempt;
 use crate::attempt::EndpointRequest;
 use crate::attempt::Reply;
-use crate::departures;
 use crate::events::EventBuffer;
 use crate::permit::Permit;
 use crate::pool;
-use crate::rate_limits;
-use crate::requested_backoff;
 use crate::response::ResponseBody;
 use crate::shell::SchedulingResult;
 use crate::shell::Shell;
@@ -178,16 +176,7 @@
             response.headers(),
             self.id.as_deref(),
         );
-        // Other classes mean a response from another endpoint or to another request.
-        if matches!(class, ResponseClass::Valid | ResponseClass::Rejected) {
-            let exchange = &shell.interface.exchange;
-            let rate_limit = exchange.rate_limit(response.headers());
-            rate_limits::record(&shell, endpoint, start, class, rate_limit);
-            let backoff = exchange.requested_backoff(response.status(), response.headers());
-            requested_backoff::apply(&shell, endpoint, backoff);
-            let leaving = exchange.is_leaving(response.headers());
-            departures::record(&shell, endpoint, start, leaving);
-        }
+        announcements::record(&shell, endpoint, start, class, &response);
         match class {
             ResponseClass::Mismatched => AttemptEnd::Retry(Outcome::ConnectionLost),
             ResponseClass::Rejected | ResponseClass::Misdirected => {
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! thread.
 
 pub mod admin;
+pub mod announcements;
 pub mod attempt;
 pub mod callers;
 pub mod clock;
--- a/crates/siskinyoke-gateway/src/rate_limits.rs
+++ b/crates/siskinyoke-gateway/src/rate_limits.rs
@@ -6,7 +6,6 @@
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::rate_limits::LimitChange;
-use siskinyoke_interface::FormatError;
 use siskinyoke_interface::ResponseClass;
 
 /// Records the rate limit in the head of a response to a request sent at `sent_at`.
@@ -18,17 +17,11 @@
     endpoint: &Endpoint,
     sent_at: Millis,
     class: ResponseClass,
-    limit: Result<Option<f64>, FormatError>,
+    rate: Option<f64>,
 ) {
-    let rate = match limit {
-        Ok(None) if class != ResponseClass::Valid => return,
-        Ok(rate) => rate,
-        Err(err) => {
-            let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
-            shell.log("rate_limit_unreadable", fields);
-            return;
-        }
-    };
+    if rate.is_none() && class != ResponseClass::Valid {
+        return;
+    }
     let now = shell.now();
     shell
         .core
--- a/crates/siskinyoke-gateway/src/requested_backoff.rs
+++ b/crates/siskinyoke-gateway/src/requested_backoff.rs
@@ -6,19 +6,12 @@
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::requested_backoff::MAX_REQUESTED_BACKOFF;
-use siskinyoke_interface::FormatError;
 
-/// Applies the back-off that the head of a response requests, if any.
-pub fn apply(shell: &Shell, endpoint: &Endpoint, backoff: Result<Option<Millis>, FormatError>) {
-    let backoff = match backoff {
-        Ok(Some(backoff)) if backoff > Millis::ZERO => backoff,
-        Ok(_) => return,
-        Err(err) => {
-            let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
-            shell.log("endpoint_backoff_unreadable", fields);
-            return;
-        }
-    };
+/// Applies the back-off that the head of a response requests.
+pub fn apply(shell: &Shell, endpoint: &Endpoint, backoff: Millis) {
+    if backoff == Millis::ZERO {
+        return;
+    }
     let is_new = shell
         .core
         .borrow_mut()
--- a/crates/siskinyoke-gateway/tests/start.rs
+++ b/crates/siskinyoke-gateway/tests/start.rs
@@ -10,6 +10,7 @@
 use siskinyoke_gateway::replica::Update;
 use siskinyoke_gateway::shell::Shell;
 use siskinyoke_interface::Item;
+use siskinyoke_soak::configuration;
 
 const SETTINGS_JSON: &str = r#"{ "interface": "platform", "instance": "i0", "ip": "127.0.0.1", "centre": "a",
     "listen": { "callers": "127.0.0.1:1", "health": "127.0.0.1:2", "directory": "127.0.0.1:3",
@@ -18,14 +19,6 @@
     "bounds": { "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 54, "quota_window_s": 8,
                 "quota_overage": 0.1, "quota_slack": 0, "keep_s": 5 } }"#;
 
-const CONFIGURATION_JSON: &str = r#"{"Version":3,"Routes":[
- {"Name":"safe","Host":"h.example","Prefix":"/safe/","Kind":"safe","TimeoutMs":4000,
-  "TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2}],
- "Services":[{"Name":"lm","MaxConns":100}],
- "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,
-  "IdleTimeoutMs":15000},
- "Tenants":[{"Name":"school","ApiKeys":["k"],"Unit":"tokens","RatePerS":30000.0,"Burst":30000.0}]}"#;
-
 /// Units of the bucket's capacity: the organisation's burst, or its rate for a second.
 const CAPACITY_UNITS: u64 = 30_000;
 
@@ -68,10 +61,13 @@
         let location = json!({ "front": "a:1", "inner": "127.0.0.1:2", "centre": "a" });
         item(&format!("instances/i{index}"), &location.to_string())
     });
+    let quota = format!(r#""Unit":"tokens","RatePerS":{CAPACITY_UNITS},"Burst":{CAPACITY_UNITS},"#);
+    let configuration =
+        configuration::text(3, "k").replace(r#""ApiKeys""#, &format!(r#"{quota}"ApiKeys""#));
     let update = Update {
         revision: 2,
         full: true,
-        items: [item("op/config", CONFIGURATION_JSON)]
+        items: [item("op/config", &configuration)]
             .into_iter()
             .chain(instances)
             .collect(),
