Logs: the size of a large response and when its head arrived

Seen by callers: requests to engines that had left, and routes not served, for seconds after a large configuration. The logs name failed hand-overs, but neither the size of what was on its way nor when the response began, so a full link, a slow store and a busy instance look the same. large_response, handover_failed and store_watch_failed now say both. No behaviour changes.

--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -34,4 +34,5 @@
 pub mod shell;
 pub mod signals;
 pub mod store;
+pub mod transfer;
 pub mod watcher;
--- a/crates/siskinyoke-gateway/src/peer_api.rs
+++ b/crates/siskinyoke-gateway/src/peer_api.rs
@@ -118,7 +118,10 @@
             shell.fetch_failed.notify_waiters();
         }
         Err(err) => {
-            let fields = json!({ "from": from.to_string(), "error": err.to_string() });
+            let transfer = shell.peer_client.borrow().transfer();
+            let mut fields = transfer.fields("peer");
+            fields["from"] = json!(from.to_string());
+            fields["error"] = json!(err.to_string());
             shell.log("handover_failed", fields);
             shell.failed_peer.set(Some((from, shell.now())));
             shell.fetch_failed.notify_waiters();
@@ -132,6 +135,7 @@
     // `catching_up` keeps other tasks from using the client meanwhile.
     let mut client = shell.peer_client.take();
     let result = client.call(from, &call, FETCH_TIMEOUT).await;
+    shell.log_transfer(&client.transfer(), "peer");
     shell.peer_client.replace(client);
     shell.metrics.record_store_call("peer", result.is_ok());
     Ok(postcard::from_bytes(&result?)?)
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -23,6 +23,7 @@
 use crate::replica::Replica;
 use crate::settings::Settings;
 use crate::store::Client;
+use crate::transfer::Transfer;
 use siskinyoke_base::Clock;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
@@ -199,6 +200,13 @@
             .write(self.now(), event, fields);
     }
 
+    /// Writes the log line of a response of the store or a peer, if it is a large one.
+    pub fn log_transfer(&self, transfer: &Transfer, source: &str) {
+        if transfer.is_large() {
+            self.log("large_response", transfer.fields(source));
+        }
+    }
+
     /// Writes the log line of a refusal, with the state on which it was based.
     pub fn log_refusal(&self, request: RefusalInfo<'_>, refusal: Refusal) {
         let now = self.now();
--- a/crates/siskinyoke-gateway/src/store.rs
+++ b/crates/siskinyoke-gateway/src/store.rs
@@ -16,6 +16,7 @@
 use crate::connection::ConnectError;
 use crate::connection::Connection;
 use crate::connection::SendOutcome;
+use crate::transfer::Transfer;
 use siskinyoke_base::Millis;
 use siskinyoke_interface::Batch;
 use siskinyoke_interface::Call;
@@ -59,9 +60,15 @@
 #[derive(Debug, Default)]
 pub struct Client {
     connection: Option<(SocketAddr, Connection)>,
+    transfer: Transfer,
 }
 
 impl Client {
+    /// Returns how far the response to the last call has arrived.
+    pub fn transfer(&self) -> Transfer {
+        self.transfer
+    }
+
     /// Makes a call and returns the body of a successful response.
     ///
     /// If the kept connection turns out to be closed before anything was sent, the call is retried
@@ -116,6 +123,7 @@
         limit: Millis,
         decode: impl Fn(&[u8], bool) -> Result<Option<T>, FormatError>,
     ) -> Result<T, StoreError> {
+        self.transfer = Transfer::begin();
         let limit = Duration::from(limit);
         let result = timeout(limit, self.send_call(address, call, decode)).await;
         let Ok(result) = result else {
@@ -153,11 +161,13 @@
                 }
             }
         };
+        self.transfer.head_arrived();
         let status = response.status();
         let mut body = response.into_body();
         let mut bytes = BytesMut::new();
         while let Some(frame) = body.frame().await {
             bytes.extend_from_slice(frame?.data_ref().unwrap_or(&Bytes::new()));
+            self.transfer.record(bytes.len());
             if status.is_success()
                 && let Some(value) = decode(&bytes, false)?
             {
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -171,6 +171,7 @@
                 Consistency::Serializable => "read_cached",
             };
             shell.metrics.record_store_call(kind, result.is_ok());
+            shell.log_transfer(&self.client.transfer(), "read");
             result?
         };
         Ok(store.decode_range(&body)?)
@@ -216,6 +217,7 @@
             self.shell
                 .metrics
                 .record_store_call("watch", result.is_ok());
+            self.shell.log_transfer(&self.client.transfer(), "watch");
             result
         };
         if let Err(err) = &result {
@@ -225,6 +227,7 @@
                 "doubted": self.probing,
                 "revision": revision,
                 "error": err.to_string(),
+                "response": self.client.transfer().fields("watch"),
             });
             self.shell.log("store_watch_failed", fields);
         }
