Known failures: large configurations over narrow links, in a model with bytes and in real processes

The model of a fleet that follows the store had no bytes and no links, so it could not fail for this. Its responses now take the time that their bytes need on the links of both ends (10 Mbit/s for instances, shared evenly by what is on its way); the time limits are those of the gateway.

--- a/crates/siskinyoke-dispatch/tests/following/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet.rs
@@ -11,6 +11,10 @@
 use crate::common::identity;
 use crate::common::instance_number;
 use crate::common::location;
+use crate::links::Host;
+use crate::links::Links;
+use crate::links::TransferId;
+use crate::store_history::StoreHistory;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Report;
@@ -21,6 +25,10 @@
 
 const STEP_MS: u64 = 10;
 
+/// The capacities of the store's link and of the narrowest links of instances, in Mbit/s.
+const STORE_LINK_MBPS: u32 = 1_000;
+const INSTANCE_LINK_MBPS: u32 = 10;
+
 /// How long an instance must have been healthy before the propagation bound applies to it, in
 /// fleets of one shard and in larger ones.
 const HEALTHY_PERIOD_MS: [u64; 2] = [3_000, 4_000];
@@ -42,12 +50,16 @@
 /// The timeouts of calls to the store and to peers, and the time that a watch may take beyond its
 /// timeout, as in the gateway.
 const STORE_TIMEOUT_MS: u64 = 1_500;
+const READ_TIMEOUT_MS: u64 = 1_000;
 const WATCH_MARGIN_MS: u64 = 700;
 const PEER_TIMEOUT_MS: u64 = 1_000;
 
 /// How often expired entries are removed, as in the gateway.
 const SWEEP_INTERVAL_MS: u64 = 200;
 
+/// When large configurations are written, the second of two while the first is under way.
+const CONFIGURATION_TIMES_MS: [u64; 4] = [4_010, 5_210, 9_260, 10_490];
+
 /// The number of endpoints. One leaves with each revision, without having reported that it drains.
 const ENDPOINT_COUNT: u64 = 70;
 
@@ -65,6 +77,9 @@
     /// Repeated outages in which the store is unresponsive to all instances or rejects
     /// their calls.
     StoreOutages,
+    /// No faults, but an endpoint leaves every half second, and the configuration is replaced now
+    /// and then by one of this many bytes, twice in a row.
+    LargeChanges(u32),
 }
 
 /// How the store responds to an instance.
@@ -91,10 +106,29 @@
     renewal_backoff: u64,
     // When a renewal without a response times out.
     renewal_timeout: Option<u64>,
-    // The ongoing fetch of changes: when it completes, and from which peer.
-    fetch: Option<(u64, usize)>,
+    // The ongoing fetch of changes from a peer.
+    fetch: Option<Fetch>,
     // The peer that the last fetch failed at, and when.
     failed_fetch: Option<(usize, u64)>,
+    // The revision of the configuration in force, or 0 if there is none.
+    configuration: u64,
+}
+
+// A call to a peer for its changes.
+#[derive(Clone, Copy)]
+struct Fetch {
+    // When the call is sent.
+    due: u64,
+    from: usize,
+    transfer: Option<Transfer>,
+}
+
+// A response on its way.
+#[derive(Clone, Copy)]
+struct Transfer {
+    id: TransferId,
+    // The revision that it leads to.
+    revision: u64,
 }
 
 // A call to the store that waits for changes.
@@ -109,6 +143,7 @@
     sent: u32,
     // Whether it follows a failed call.
     probing: bool,
+    transfer: Option<Transfer>,
 }
 
 struct InFlightReport {
@@ -129,14 +164,16 @@
     store_outage: (StoreState, u64),
     // Links from one instance to another that drop everything, and until when.
     cut_links: BTreeMap<(usize, usize), u64>,
-    // When each revision of the store was written.
-    revision_times: Vec<u64>,
+    history: StoreHistory,
+    links: Links,
     /// The number of watches so far.
     pub calls: u64,
     /// Descriptions of the violated bounds.
     pub violations: Vec<String>,
     /// Descriptions of endpoints that were used for too long after they left.
     pub late_departures: Vec<String>,
+    /// Descriptions of instances that applied a configuration too late.
+    pub late_configurations: Vec<String>,
 }
 
 impl Fleet {
@@ -150,10 +187,12 @@
             in_flight: Vec::new(),
             store_outage: (StoreState::Healthy, 0),
             cut_links: BTreeMap::new(),
-            revision_times: vec![0, 0],
+            history: StoreHistory::default(),
+            links: Links::new(STORE_LINK_MBPS, INSTANCE_LINK_MBPS),
             calls: 0,
             violations: Vec::new(),
             late_departures: Vec::new(),
+            late_configurations: Vec::new(),
         };
         for index in 0..size {
             let node = fleet.start(index);
@@ -167,14 +206,19 @@
         while self.now < end {
             self.now += STEP_MS;
             match self.faults {
-                Faults::None => {}
+                Faults::None | Faults::LargeChanges(_) => {}
                 Faults::Mixed => self.inject_faults(),
                 Faults::StoreOutages => self.inject_outage(),
             }
             // Operators cannot write to the store during an outage either.
-            if self.now.is_multiple_of(1_000) && self.store_outage.1 <= self.now {
-                self.revision_times.push(self.now);
+            if self.store_outage.1 <= self.now {
+                self.write_changes();
             }
+            let (nodes, now) = (&self.nodes, self.now);
+            self.links.advance(STEP_MS, |host| match host {
+                Host::Store => true,
+                Host::Instance(index) => nodes[index].frozen_until <= now,
+            });
             self.deliver_reports();
             for index in 0..self.nodes.len() {
                 if self.nodes[index].frozen_until <= self.now {
@@ -184,10 +228,26 @@
             self.check_revisions();
             if self.now.is_multiple_of(100) {
                 self.check_departures();
+                self.check_configurations();
             }
         }
     }
 
+    fn write_changes(&mut self) {
+        let Faults::LargeChanges(bytes) = self.faults else {
+            if self.now.is_multiple_of(1_000) {
+                self.history.remove_endpoint(self.now);
+            }
+            return;
+        };
+        if self.now.is_multiple_of(500) {
+            self.history.remove_endpoint(self.now);
+        }
+        if CONFIGURATION_TIMES_MS.contains(&self.now) {
+            self.history.replace_configuration(self.now, bytes);
+        }
+    }
+
     fn start(&mut self, index: usize) -> Node {
         let mut renewal_due = self.now + self.rng.random_range(0..1_000);
         renewal_due -= renewal_due % STEP_MS;
@@ -204,13 +264,10 @@
             renewal_timeout: None,
             fetch: None,
             failed_fetch: None,
+            configuration: 0,
         }
     }
 
-    fn revision(&self) -> u64 {
-        self.revision_times.len() as u64 - 1
-    }
-
     fn inject_faults(&mut self) {
         let count = self.nodes.len();
         let index = self.rng.random_range(0..count);
@@ -220,6 +277,7 @@
             self.nodes[index].healthy_since = self.nodes[index].healthy_since.max(until);
         }
         if self.rng.random_bool(0.005) {
+            self.links.reset(Host::Instance(index));
             self.nodes[index] = self.start(index);
         }
         if self.rng.random_bool(0.02) {
@@ -325,29 +383,50 @@
     }
 
     fn step_fetch(&mut self, index: usize) {
-        let Some((due, from)) = self.nodes[index].fetch else {
+        let Some(mut fetch) = self.nodes[index].fetch else {
             return;
         };
-        if due > self.now {
+        if fetch.due > self.now {
             return;
         }
+        if self.now >= fetch.due + PEER_TIMEOUT_MS {
+            return self.fetch_failed(index, fetch);
+        }
+        let from = fetch.from;
         let unreachable = self.nodes[from].frozen_until > self.now
             || self.is_cut(index, from)
             || self.is_cut(from, index);
         if unreachable {
-            if self.now >= due + PEER_TIMEOUT_MS {
-                let node = &mut self.nodes[index];
-                node.fetch = None;
-                node.failed_fetch = Some((from, self.now));
-                if node.watch.is_none() {
-                    node.watch_due = self.now;
-                }
+            return;
+        }
+        if let Some(transfer) = fetch.transfer {
+            if self.links.is_complete(transfer.id) {
+                self.links.finish(transfer.id);
+                self.nodes[index].fetch = None;
+                self.apply_revisions(index, transfer.revision);
             }
             return;
         }
+        let known = self.nodes[index].core.store_revision();
         let revision = self.nodes[from].core.store_revision();
-        self.nodes[index].fetch = None;
-        self.apply_revisions(index, revision);
+        let bytes = self.history.peer_bytes(known, revision);
+        let id = self
+            .links
+            .start(Host::Instance(from), Host::Instance(index), bytes);
+        fetch.transfer = Some(Transfer { id, revision });
+        self.nodes[index].fetch = Some(fetch);
+    }
+
+    fn fetch_failed(&mut self, index: usize, fetch: Fetch) {
+        if let Some(transfer) = fetch.transfer {
+            self.links.finish(transfer.id);
+        }
+        let node = &mut self.nodes[index];
+        node.fetch = None;
+        node.failed_fetch = Some((fetch.from, self.now));
+        if node.watch.is_none() {
+            node.watch_due = self.now;
+        }
     }
 
     // Applies the changes up to a revision: one endpoint leaves with each. The first read lists the
@@ -358,6 +437,10 @@
         let core = &mut self.nodes[index].core;
         core.update_store_availability(now);
         let known = core.store_revision();
+        if revision > known {
+            self.nodes[index].configuration = self.history.configuration_at(revision);
+        }
+        let core = &mut self.nodes[index].core;
         let updates: Vec<StoreUpdate> = if known == 0 {
             let names = (0..count).map(|it| format!("i{it}"));
             let instances = names.map(|it| StoreUpdate::Instance(it.clone(), location(&it, "a")));
@@ -366,11 +449,12 @@
             } else {
                 ENDPOINT_COUNT
             };
-            let left = (revision + 1..endpoints).map(endpoint_id);
+            let left = (2..endpoints).filter(|it| !self.history.has_left(*it, revision));
+            let left = left.map(endpoint_id);
             let endpoints = left.map(|id| StoreUpdate::Endpoint(endpoint(&id, 1)));
             instances.chain(endpoints).collect()
         } else {
-            let gone = (known + 1..=revision).map(endpoint_id);
+            let gone = self.history.departures(known, revision).map(endpoint_id);
             gone.map(StoreUpdate::EndpointRemoved).collect()
         };
         core.apply_updates(now, revision, updates);
@@ -398,6 +482,7 @@
             lost: false,
             sent: 1,
             probing: !self.nodes[index].core.reaches_store(),
+            transfer: None,
         };
         self.poll_watch(index, watch);
     }
@@ -413,42 +498,64 @@
         }
         watch.lost |= silent;
         self.nodes[index].watch = Some(watch);
-        if watch.lost || self.store_state(index) == StoreState::Rejecting {
-            let limit = if watch.probing {
-                u64::from(MAX_PROBES) * PROBE_INTERVAL.0
-            } else {
-                watch.timeout + WATCH_MARGIN_MS
-            };
-            if self.now >= watch.started + limit {
-                self.watch_failed(index);
-                if watch.probing && watch.lost {
-                    self.nodes[index].watch_due = self.now;
-                }
+        let known = self.nodes[index].core.store_revision();
+        let limit = if watch.probing {
+            u64::from(MAX_PROBES) * PROBE_INTERVAL.0
+        } else if known == 0 {
+            READ_TIMEOUT_MS
+        } else {
+            watch.timeout + WATCH_MARGIN_MS
+        };
+        if self.now >= watch.started + limit {
+            self.watch_failed(index);
+            if watch.probing && watch.lost {
+                self.nodes[index].watch_due = self.now;
             }
             return;
         }
-        let revision = self.revision();
-        let node = &mut self.nodes[index];
-        let first = node.core.store_revision() == 0;
-        let changed = revision > node.core.store_revision();
-        if !changed && self.now < watch.started + watch.timeout {
+        if watch.lost || self.store_state(index) == StoreState::Rejecting {
             return;
         }
-        node.watch = None;
+        let revision = self.history.revision();
+        if let Some(transfer) = watch.transfer {
+            if self.links.is_complete(transfer.id) {
+                self.watch_succeeded(index, transfer.revision);
+            }
+        } else if revision > known {
+            let bytes = self.history.store_bytes(known, revision);
+            let id = self.links.start(Host::Store, Host::Instance(index), bytes);
+            watch.transfer = Some(Transfer { id, revision });
+            self.nodes[index].watch = Some(watch);
+        } else if self.now >= watch.started + watch.timeout {
+            self.watch_succeeded(index, revision);
+        }
+    }
+
+    fn watch_succeeded(&mut self, index: usize, revision: u64) {
+        self.cancel_watch(index);
+        let node = &mut self.nodes[index];
+        let known = node.core.store_revision();
         node.watch_backoff = 100;
         node.core.store_call_succeeded();
-        if changed {
+        if revision > known {
             self.apply_revisions(index, revision);
-            if !first {
+            if known > 0 {
                 let node = &mut self.nodes[index];
                 node.watch_due = self.now + node.core.update_batch_delay().0;
             }
         }
     }
 
+    fn cancel_watch(&mut self, index: usize) {
+        let watch = self.nodes[index].watch.take();
+        if let Some(transfer) = watch.and_then(|it| it.transfer) {
+            self.links.finish(transfer.id);
+        }
+    }
+
     fn watch_failed(&mut self, index: usize) {
+        self.cancel_watch(index);
         let node = &mut self.nodes[index];
-        node.watch = None;
         node.core.store_call_failed(Millis(self.now));
         node.watch_due = self.now + node.watch_backoff;
         node.watch_backoff = (node.watch_backoff * 2).min(PROBE_INTERVAL.0);
@@ -506,7 +613,11 @@
             let is_newer = node.core.record_peer_revision(Millis(now), revision);
             if is_newer && !avoided && node.fetch.is_none() {
                 let delay = if node.watch.is_some() { 150 } else { 30 };
-                node.fetch = Some((now + delay, delivery.from));
+                node.fetch = Some(Fetch {
+                    due: now + delay,
+                    from: delivery.from,
+                    transfer: None,
+                });
             }
         }
     }
@@ -520,7 +631,7 @@
             }
             for endpoint in node.core.registry().eligible("lm") {
                 let revision = endpoint_revision(&endpoint.id);
-                let Some(left_at) = self.revision_times.get(revision) else {
+                let Some(left_at) = self.history.left_at(revision) else {
                     continue;
                 };
                 let age = self.now - left_at;
@@ -534,16 +645,28 @@
         }
     }
 
+    // Checks that each healthy instance has applied the configurations acknowledged longer ago than
+    // the bound.
+    fn check_configurations(&mut self) {
+        let size = usize::from(self.nodes.len() > MAX_SINGLE_SHARD);
+        let acknowledged_before = self.now.saturating_sub(PROPAGATION_BOUND_MS[size]);
+        let expected = self.history.acknowledged_configuration(acknowledged_before);
+        for (index, node) in self.nodes.iter().enumerate() {
+            let healthy = self.now >= node.healthy_since + HEALTHY_PERIOD_MS[size];
+            if healthy && node.configuration < expected && self.late_configurations.len() < 5 {
+                self.late_configurations.push(format!(
+                    "{} ms: i{index} has the configuration of revision {} instead of {expected}",
+                    self.now, node.configuration,
+                ));
+            }
+        }
+    }
+
     // Checks that each healthy instance has applied all changes that are older than the bound.
     fn check_revisions(&mut self) {
         let size = usize::from(self.nodes.len() > MAX_SINGLE_SHARD);
         let written_before = self.now.saturating_sub(PROPAGATION_BOUND_MS[size]);
-        let expected = self
-            .revision_times
-            .iter()
-            .filter(|written| **written <= written_before)
-            .count() as u64
-            - 1;
+        let expected = self.history.revision_at(written_before);
         for (index, node) in self.nodes.iter().enumerate() {
             let healthy = self.now >= node.healthy_since + HEALTHY_PERIOD_MS[size];
             if healthy && node.core.store_revision() < expected && self.violations.len() < 5 {
@@ -564,6 +687,6 @@
     format!("e{revision}")
 }
 
-fn endpoint_revision(id: &str) -> usize {
+fn endpoint_revision(id: &str) -> u64 {
     id.trim_start_matches('e').parse().expect("a number")
 }
--- a/crates/siskinyoke-dispatch/tests/following/main.rs
+++ b/crates/siskinyoke-dispatch/tests/following/main.rs
@@ -6,6 +6,8 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod fleet;
+mod links;
+mod store_history;
 
 use crate::common::seeds;
 use crate::fleet::Faults;
@@ -78,6 +80,32 @@
     }
 }
 
+/// The largest configuration that the store accepts, in bytes.
+const LARGEST_CONFIGURATION: u32 = 1_048_576;
+
+// Guards against small changes that wait behind a large one, and transfers of it that are given up
+// and repeated until links carry nothing else.
+#[test]
+fn departures_are_known_in_time_while_a_large_configuration_spreads() {
+    for size in [66, LARGEST_FLEET] {
+        let mut fleet = Fleet::new(1, size, Faults::LargeChanges(LARGEST_CONFIGURATION));
+        fleet.run(14_000);
+        let violations = [fleet.late_departures, fleet.violations].concat();
+        assert!(violations.is_empty(), "{size} instances: {violations:#?}");
+    }
+}
+
+// Guards against a large configuration that spreads at the rate of one link.
+#[test]
+fn a_large_configuration_is_applied_everywhere_in_time() {
+    for size in [66, LARGEST_FLEET] {
+        let mut fleet = Fleet::new(1, size, Faults::LargeChanges(LARGEST_CONFIGURATION));
+        fleet.run(14_000);
+        let violations = fleet.late_configurations;
+        assert!(violations.is_empty(), "{size} instances: {violations:#?}");
+    }
+}
+
 // Something changes every second, as in a rolling replacement of endpoints. Guards against every
 // instance watching the store, when each change costs one paid call per instance.
 #[test]
--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -22,3 +22,18 @@
         .replace("VERSION", &version.to_string())
         .replace("KEY", key)
 }
+
+/// Returns the configuration with a number of further routes.
+pub fn text_with_routes(version: u64, key: &str, count: usize) -> String {
+    let routes: String = (0..count).map(further_route).collect();
+    text(version, key).replacen("\"Routes\":[", &format!("\"Routes\":[{routes}"), 1)
+}
+
+// Returns a route with names that hardly compress, as operators' generated names do.
+fn further_route(number: usize) -> String {
+    let name = (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    format!(
+        r#"{{"Name":"r-{name:x}","Host":"h.example","Prefix":"/further/{name:x}/","Kind":"safe",
+  "TimeoutMs":4000,"TargetLatencyMs":2000,"Priority":0,"Service":"lm","MaxAttempts":2}},"#
+    )
+}
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -20,6 +20,8 @@
     None,
     /// Delays bytes in both directions, by this many milliseconds.
     DelayMs(u64),
+    /// Forwards at most this many bytes per millisecond from the target on each connection.
+    LimitRate(u64),
     /// Discards bytes in both directions.
     DropAll,
     /// Discards bytes from the target.
@@ -107,7 +109,12 @@
                     thread::sleep(Duration::from_millis(delay_ms));
                     false
                 }
-                Fault::None => false,
+                Fault::LimitRate(bytes_per_ms) if is_response => {
+                    let delay_us = u64::try_from(length).unwrap_or(0) * 1_000 / bytes_per_ms;
+                    thread::sleep(Duration::from_micros(delay_us));
+                    false
+                }
+                Fault::LimitRate(_) | Fault::None => false,
             };
             if length == 0 || (!discard && to.write_all(&buffer[..length]).is_err()) {
                 break;
