Logs: a whole reading of the store that is not newer than what is known

Seen by callers: requests to an engine that had left, and routes not served, seconds after the store had come back. Each watch got 410 for three to four seconds and no reading was logged, so a reading that was ignored looks like one that was never made. store_read_ignored names both revisions. No behaviour changes.

--- a/crates/siskinyoke-gateway/src/cluster_view.rs
+++ b/crates/siskinyoke-gateway/src/cluster_view.rs
@@ -41,9 +41,14 @@
 pub fn apply(shell: &Shell, update: Update, source: &str) {
     let before = shell.replica.borrow().revision();
     let full = update.full;
+    let stated = update.revision;
     let items = shell.replica.borrow_mut().apply_update(update);
     let revision = shell.replica.borrow().revision();
     if revision == before {
+        if full {
+            let fields = json!({ "source": source, "revision": stated, "known": before });
+            shell.log("store_read_ignored", fields);
+        }
         return;
     }
     // Must run before removals are applied: entries that expired during a store outage get a grace
