--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -1,6 +1,7 @@
 //! An in-memory stand-in for the platform's store.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Condvar;
@@ -12,6 +13,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::Value;
 use serde_json::json;
+use tiny_http::Header;
 use tiny_http::Request;
 use tiny_http::Response;
 use tiny_http::Server;
@@ -27,12 +29,30 @@
     Unresponsive,
 }
 
-#[derive(Debug)]
-struct State {
+/// The contents of a store at some time.
+#[derive(Debug, Clone)]
+pub struct Copy {
     // The revision and the Base64-encoded value of each key.
     items: BTreeMap<String, (u64, String)>,
     changes: Vec<Value>,
     revision: u64,
+    leases: BTreeSet<u64>,
+}
+
+impl Copy {
+    /// Removes the keys with a prefix, as if they had been written later.
+    pub fn remove_prefix(&mut self, prefix: &str) {
+        self.items.retain(|key, _| !key.starts_with(prefix));
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    contents: Copy,
+    // The value of the header that names the history, which each return from a copy raises.
+    era: String,
+    era_count: u64,
+    lease_count: u64,
     availability: Availability,
     // Changes up to this revision are no longer available to watch calls.
     compacted_revision: u64,
@@ -58,9 +78,15 @@
         let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
         let address = server.server_addr().to_ip().unwrap();
         let state = State {
-            items: BTreeMap::new(),
-            changes: Vec::new(),
-            revision: 10,
+            contents: Copy {
+                items: BTreeMap::new(),
+                changes: Vec::new(),
+                revision: 10,
+                leases: BTreeSet::new(),
+            },
+            era: "1".to_owned(),
+            era_count: 1,
+            lease_count: 0,
             availability: Availability::Available,
             compacted_revision: 0,
             rollout_statuses: Vec::new(),
@@ -99,10 +125,11 @@
     pub fn remove(&self, key: &str) {
         let (state, changed) = &*self.shared;
         let mut state = state.lock().unwrap();
-        state.revision += 1;
-        let revision = state.revision;
-        state.items.remove(key);
+        state.contents.revision += 1;
+        let revision = state.contents.revision;
+        state.contents.items.remove(key);
         state
+            .contents
             .changes
             .push(json!({ "Key": key, "Revision": revision, "Deleted": true }));
         changed.notify_all();
@@ -126,10 +153,44 @@
     /// If one of its threads has panicked.
     pub fn compact(&self) {
         let mut state = self.shared.0.lock().unwrap();
-        state.compacted_revision = state.revision;
+        state.compacted_revision = state.contents.revision;
         self.shared.1.notify_all();
     }
 
+    /// Returns a copy of its contents.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn copy(&self) -> Copy {
+        self.shared.0.lock().unwrap().contents.clone()
+    }
+
+    /// Replaces its contents by an earlier copy, as after a loss: revisions go back and are given
+    /// out again, and leases granted since are unknown.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn restore(&self, copy: Copy) {
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().unwrap();
+        state.contents = copy;
+        state.compacted_revision = state.compacted_revision.min(state.contents.revision);
+        state.era_count += 1;
+        state.era = state.era_count.to_string();
+        changed.notify_all();
+    }
+
+    /// Sets the value of the header that names the history until the next return from a copy.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn set_era(&self, text: &str) {
+        text.clone_into(&mut self.shared.0.lock().unwrap().era);
+    }
+
     /// Returns the value of a key, if it exists.
     ///
     /// # Panics
@@ -137,7 +198,7 @@
     /// If one of its threads has panicked.
     pub fn value(&self, key: &str) -> Option<String> {
         let state = self.shared.0.lock().unwrap();
-        let value = STANDARD.decode(&state.items.get(key)?.1).unwrap();
+        let value = STANDARD.decode(&state.contents.items.get(key)?.1).unwrap();
         Some(String::from_utf8(value).unwrap())
     }
 
@@ -159,6 +220,7 @@
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.shared.0.lock().unwrap();
         state
+            .contents
             .items
             .keys()
             .filter(|key| key.starts_with(prefix))
@@ -181,6 +243,11 @@
             self.handle_call(&path, &query, &body)
         };
         let response = Response::from_string(content.to_string()).with_status_code(status);
+        let era = self.shared.0.lock().unwrap().era.clone();
+        let response = match Header::from_bytes("Store-Era", era) {
+            Ok(header) => response.with_header(header),
+            Err(()) => response,
+        };
         // The caller may have disconnected.
         drop(request.respond(response));
     }
@@ -194,23 +261,49 @@
         match path {
             "/api/kv-range" => (200, self.range(&query["Prefix"])),
             "/api/kv-watch" => self.watch(query),
-            "/api/kv-lease" => (200, json!({ "Lease": 7, "TtlMs": 6000 })),
+            "/api/kv-lease" => (200, json!({ "Lease": self.grant_lease(), "TtlMs": 6000 })),
             "/api/kv-txn" => self.conditional_put(body),
-            path if path.starts_with("/api/kv-keep/") => (200, json!({ "TtlMs": 6000 })),
+            path if path.starts_with("/api/kv-keep/") => self.renew_lease(path),
             _ => (404, json!({})),
         }
     }
 
+    fn grant_lease(&self) -> u64 {
+        let mut state = self.shared.0.lock().unwrap();
+        state.lease_count += 1;
+        let lease = state.lease_count;
+        state.contents.leases.insert(lease);
+        lease
+    }
+
+    fn renew_lease(&self, path: &str) -> (u16, Value) {
+        let lease = path.trim_start_matches("/api/kv-keep/").parse().unwrap();
+        if self
+            .shared
+            .0
+            .lock()
+            .unwrap()
+            .contents
+            .leases
+            .contains(&lease)
+        {
+            (200, json!({ "TtlMs": 6000 }))
+        } else {
+            (404, json!({}))
+        }
+    }
+
     // Returns the items whose keys have a prefix.
     fn range(&self, prefix: &str) -> Value {
         let state = self.shared.0.lock().unwrap();
         let items: Vec<_> = state
+            .contents
             .items
             .iter()
             .filter(|(key, _)| key.starts_with(prefix))
             .map(|(key, (revision, value))| item_json(key, *revision, value))
             .collect();
-        json!({ "Items": items, "HasMore": false, "At": state.revision })
+        json!({ "Items": items, "HasMore": false, "At": state.contents.revision })
     }
 
     // Waits for changes after a revision, and returns them.
@@ -220,7 +313,7 @@
         let (state, changed) = &*self.shared;
         let state = state.lock().unwrap();
         let is_idle = |state: &mut State| {
-            state.revision <= after
+            state.contents.revision == after
                 && state.availability == Availability::Available
                 && state.compacted_revision <= after
         };
@@ -230,12 +323,18 @@
         if state.availability == Availability::Unavailable {
             return (503, json!({}));
         }
-        if state.compacted_revision > after {
+        if state.compacted_revision > after || state.contents.revision < after {
             return (410, json!({}));
         }
         let is_newer = |change: &&Value| change["Revision"].as_u64().unwrap() > after;
-        let events: Vec<_> = state.changes.iter().filter(is_newer).cloned().collect();
-        (200, json!({ "events": events, "At": state.revision }))
+        let prefix = &query["Prefix"];
+        let is_under = |change: &&Value| change["Key"].as_str().unwrap().starts_with(prefix);
+        let history = state.contents.changes.iter();
+        let events: Vec<_> = history.filter(is_newer).filter(is_under).cloned().collect();
+        (
+            200,
+            json!({ "events": events, "At": state.contents.revision }),
+        )
     }
 
     // Writes values if each expected key still has the expected revision, which is 0 if it does not
@@ -245,7 +344,7 @@
         let (state, changed) = &*self.shared;
         let mut state = state.lock().unwrap();
         let unmodified = body["Expected"].as_array().unwrap().iter().all(|expected| {
-            let item = state.items.get(expected["Key"].as_str().unwrap());
+            let item = state.contents.items.get(expected["Key"].as_str().unwrap());
             item.map_or(0, |item| item.0) == expected["Revision"].as_u64().unwrap()
         });
         if !unmodified {
@@ -255,7 +354,7 @@
             state.put(put["Key"].as_str().unwrap(), put["Value"].as_str().unwrap());
         }
         changed.notify_all();
-        (200, json!({ "Revision": state.revision }))
+        (200, json!({ "Revision": state.contents.revision }))
     }
 
     fn availability(&self) -> Availability {
@@ -265,17 +364,20 @@
 
 impl State {
     fn put(&mut self, key: &str, value: &str) {
-        self.revision += 1;
+        self.contents.revision += 1;
+        let revision = self.contents.revision;
         if let Some(service) = key.strip_prefix("status/rollout/") {
-            let order = self.items.get(&format!("op/rollout/{service}"));
+            let order = self.contents.items.get(&format!("op/rollout/{service}"));
             let text = STANDARD.decode(value).unwrap();
             let text = String::from_utf8(text).unwrap();
             self.rollout_statuses
                 .push((order.map_or(0, |order| order.0), text));
         }
-        self.items
-            .insert(key.to_owned(), (self.revision, value.to_owned()));
-        self.changes.push(item_json(key, self.revision, value));
+        self.contents
+            .items
+            .insert(key.to_owned(), (revision, value.to_owned()));
+        let change = item_json(key, revision, value);
+        self.contents.changes.push(change);
     }
 }
 
