--- a/crates/siskinyoke-base/src/lib.rs
+++ b/crates/siskinyoke-base/src/lib.rs
@@ -1,8 +1,9 @@
-//! Types shared by all crates: time, result codes and collections.
+//! Types shared by all crates: time, revisions, result codes and collections.
 
 pub mod clock;
 pub mod code;
 pub mod collections;
+pub mod revision;
 
 pub use clock::Clock;
 pub use clock::Millis;
@@ -10,3 +11,4 @@
 pub use code::OutcomeKind;
 pub use collections::Map;
 pub use collections::Set;
+pub use revision::Revision;
--- a/crates/siskinyoke-cli/src/operate/endpoint.rs
+++ b/crates/siskinyoke-cli/src/operate/endpoint.rs
@@ -15,6 +15,7 @@
 use super::to_json;
 use super::write_if_unchanged;
 use crate::context::Context;
+use siskinyoke_base::Revision;
 use siskinyoke_interface::FormatError;
 use siskinyoke_native::documents::EndpointEntry;
 use siskinyoke_native::etcd;
@@ -125,7 +126,7 @@
     let key = endpoint_key(name);
     let revision = match get_item(context, &key, "") {
         Ok(item) => item.revision,
-        Err(OperateError::NotFound(..)) => 0,
+        Err(OperateError::NotFound(..)) => Revision::ZERO,
         Err(err) => return Err(err),
     };
     write_if_unchanged(context, &key, to_json(entry).as_bytes(), revision, 0)
--- a/crates/siskinyoke-cli/src/operate/mod.rs
+++ b/crates/siskinyoke-cli/src/operate/mod.rs
@@ -20,6 +20,7 @@
 pub use rollout::Rollout;
 
 use crate::context::Context;
+use siskinyoke_base::Revision;
 use siskinyoke_interface::Consistency;
 use siskinyoke_interface::FormatError;
 use siskinyoke_interface::Item;
@@ -29,6 +30,9 @@
 use siskinyoke_native::etcd::Etcd;
 use siskinyoke_native::names;
 
+/// The era of all revisions that one command reads: it keeps none from an earlier call.
+const SINGLE_ERA: u64 = 0;
+
 /// Length of a generated API key in alphanumeric characters: 190 bits.
 const KEY_LENGTH: usize = 32;
 
@@ -107,7 +111,7 @@
     document.resolve().map_err(invalid)?;
     let (document_revision, store_revision) = match current_configuration(context) {
         Ok(item) => (parse_configuration(&item)?.revision, item.revision),
-        Err(OperateError::NotFound(..)) => (0, 0),
+        Err(OperateError::NotFound(..)) => (0, Revision::ZERO),
         Err(err) => return Err(err),
     };
     // Instances ignore a revision that is not above the one they use, so the change would never
@@ -202,7 +206,9 @@
 
 fn get_item(context: &Context, key: &str, hint: &'static str) -> Result<Item, OperateError> {
     let body = context.call_store(&etcd::get(key))?;
-    let page = Etcd.decode_range(&body).map_err(invalid_response)?;
+    let page = Etcd
+        .decode_range(&body, SINGLE_ERA)
+        .map_err(invalid_response)?;
     let item = page.items.into_iter().next();
     item.ok_or_else(|| OperateError::NotFound(key.to_owned(), hint))
 }
@@ -213,7 +219,9 @@
     let mut after = String::new();
     loop {
         let body = context.call_store(&Etcd.range(&after, Consistency::Linearizable))?;
-        let page = Etcd.decode_range(&body).map_err(invalid_response)?;
+        let page = Etcd
+            .decode_range(&body, SINGLE_ERA)
+            .map_err(invalid_response)?;
         let last = page.items.last();
         after = last.map(|item| item.key.clone()).unwrap_or_default();
         let matches = |item: &Item| item.key.starts_with(prefix);
@@ -230,7 +238,7 @@
     context: &Context,
     key: &str,
     value: &[u8],
-    store_revision: u64,
+    store_revision: Revision,
     reported_revision: u64,
 ) -> Result<(), OperateError> {
     let body = context.call_store(&etcd::compare_and_swap(key, value, store_revision))?;
--- a/crates/siskinyoke-cli/src/operate/rollout.rs
+++ b/crates/siskinyoke-cli/src/operate/rollout.rs
@@ -11,6 +11,7 @@
 use super::to_json;
 use super::write_if_unchanged;
 use crate::context::Context;
+use siskinyoke_base::Revision;
 use siskinyoke_interface::Item;
 use siskinyoke_native::etcd;
 use siskinyoke_native::names;
@@ -89,10 +90,10 @@
     let key = order_key(service);
     let revision = match get_item(context, &key, START_HINT) {
         Ok(item) => item.revision,
-        Err(OperateError::NotFound(..)) => 0,
+        Err(OperateError::NotFound(..)) => Revision::ZERO,
         Err(err) => return Err(err),
     };
-    write_if_unchanged(context, &key, &bytes, revision, revision)?;
+    write_if_unchanged(context, &key, &bytes, revision, revision.number)?;
     Ok(format!(
         "{service} moves to {version} within {seconds} s; see `siskinyoke rollout status`"
     ))
--- a/crates/siskinyoke-dispatch/src/core/fleet.rs
+++ b/crates/siskinyoke-dispatch/src/core/fleet.rs
@@ -106,7 +106,8 @@
         }
         let shards = u64::try_from(self.shard_count).unwrap_or(1).max(1);
         let own = u64::try_from(self.shard).unwrap_or(0);
-        UPDATE_BATCH_DELAY + Millis(SHARD_STAGGER.0 * ((own + self.store_revision()) % shards))
+        UPDATE_BATCH_DELAY
+            + Millis(SHARD_STAGGER.0 * ((own + self.store_revision().number) % shards))
     }
 
     pub(super) fn instance_listed(&mut self, name: &str, location: InstanceLocation) {
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -106,7 +106,7 @@
             ready: self.ready(),
             shutting_down: self.shutting_down,
             configuration: self.configuration_version(),
-            revision: self.store_view.revision,
+            revision_number: self.store_view.revision.number,
             store_reachable: self.store_view.reachable,
             running: self.scheduler.endpoint_usage(),
             waiting: self.scheduler.queue_summary(now),
@@ -114,6 +114,7 @@
             limits: self.scheduler.rate_limits().report_rows(now, since),
             canaries: self.canary_reports(now),
             info: full.then(|| self.instance_info(now)),
+            era: self.store_view.revision.era,
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -16,6 +16,7 @@
 use crate::rollout::State;
 use crate::stable_hash;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 
 /// Multiple of the expected time from which a response counts as bad.
 ///
@@ -44,12 +45,12 @@
     pub order: Order,
     /// The state to write.
     pub state: State,
-    /// Expected revision of the stored status, or 0 if none must exist.
-    pub status_revision: u64,
-    /// Expected revision of the stored order, or 0 if it was withdrawn.
+    /// Expected revision of the stored status, or zero if none must exist.
+    pub status_revision: Revision,
+    /// Expected revision of the stored order, or zero if it was withdrawn.
     ///
     /// Guards against a delayed write taking effect after the same version was ordered again.
-    pub order_revision: u64,
+    pub order_revision: Revision,
 }
 
 impl Core {
--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -2,11 +2,14 @@
 
 use crate::StoreUpdate;
 use crate::core::Core;
+use crate::store_era::EraCheck;
+use crate::store_era::StoreEra;
 use crate::watch::MAX_PROBES;
 use crate::watchers::StoreRole;
 use crate::watchers::WatcherCandidate;
 use crate::watchers::select_watcher;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 
 /// How long a new process waits for reports of peers before it watches the store itself.
 ///
@@ -41,7 +44,9 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct StoreView {
     /// Store revision up to which all changes are known.
-    pub(super) revision: u64,
+    pub(super) revision: Revision,
+    // The latest known era of the store.
+    era: StoreEra,
     /// Whether the last call to the store succeeded.
     pub(super) reachable: bool,
     // Whether no instance of the shard has reached the store for a while.
@@ -67,8 +72,16 @@
     ///
     /// Shards and eligible endpoints are recomputed once after all changes: this takes time for
     /// each endpoint, and the first read contains hundreds.
-    pub fn apply_updates(&mut self, now: Millis, revision: u64, updates: Vec<StoreUpdate>) {
+    ///
+    /// The first changes of a later era are the contents of an earlier copy. What has left since the
+    /// copy was made stays away, and what is missing in it gets time to register again.
+    pub fn apply_updates(&mut self, now: Millis, revision: Revision, updates: Vec<StoreUpdate>) {
         self.store_view.first_known.get_or_insert(now);
+        let known = self.store_view.revision;
+        let restored = !known.is_zero() && revision.era > known.era;
+        if restored {
+            self.begin_restore(now);
+        }
         if revision > self.store_view.revision {
             self.store_view.revision = revision;
             self.store_view.behind_since = None;
@@ -88,6 +101,8 @@
                     fleet_changed = true;
                 }
                 StoreUpdate::RolloutOrder(order) => self.begin_rollout(now, order),
+                // An order that is missing from a copy was marked so already.
+                StoreUpdate::RolloutOrderRemoved(_) if restored => {}
                 StoreUpdate::RolloutOrderRemoved(service) => {
                     if let Some(rollout) = self.registry.rollout(&service) {
                         rollout.withdraw();
@@ -106,13 +121,31 @@
         if fleet_changed {
             self.update_shards();
         }
-        if !endpoints.is_empty() {
+        if restored {
+            self.registry.apply_copy(now, endpoints);
+        } else if !endpoints.is_empty() {
             self.registry.apply_updates(now, endpoints);
         }
     }
 
+    /// Returns the latest known era of the store.
+    pub fn store_era(&self) -> u64 {
+        self.store_view.era.known()
+    }
+
+    /// Checks the era that a response of the store states, and records it if it is later than the
+    /// known one.
+    pub fn observe_store_era(&mut self, stated: Option<u64>) -> EraCheck {
+        self.store_view.era.observe(stated)
+    }
+
+    /// Begins the next era, as the store states none but its revision has gone back.
+    pub fn begin_store_era(&mut self) {
+        self.store_view.era.begin_next();
+    }
+
     /// Returns the store revision up to which all changes are known.
-    pub fn store_revision(&self) -> u64 {
+    pub fn store_revision(&self) -> Revision {
         self.store_view.revision
     }
 
@@ -142,8 +175,9 @@
 
     /// Records the store revision that a peer has reached, and returns whether it is ahead of this
     /// instance.
-    pub fn record_peer_revision(&mut self, now: Millis, revision: u64) -> bool {
-        let ahead = revision > self.store_view.revision;
+    pub fn record_peer_revision(&mut self, now: Millis, revision: Revision) -> bool {
+        let ahead = revision > self.store_view.revision
+            && self.store_view.era.observe(Some(revision.era)) != EraCheck::Rejected;
         if ahead {
             self.store_view.behind_since.get_or_insert(now);
         }
@@ -161,7 +195,7 @@
 
     /// Returns whether the first read of the store is in progress and no call has failed yet.
     pub fn is_first_read(&self) -> bool {
-        self.store_view.revision == 0 && self.store_view.last_failure.is_none()
+        self.store_view.revision.is_zero() && self.store_view.last_failure.is_none()
     }
 
     /// Requests a read of the store because a peer that is ahead cannot provide the changes.
@@ -203,7 +237,7 @@
         let view = &self.store_view;
         let within = |since: Option<Millis>, span| since.is_some_and(|it| now.since(it) < span);
         let alone = self.peers.instance_count(now) == 1;
-        let watches = if view.revision == 0 {
+        let watches = if view.revision.is_zero() {
             true
         } else if alone && within(view.first_known, PEER_DISCOVERY_TIME) {
             false
@@ -252,6 +286,14 @@
         changed
     }
 
+    fn begin_restore(&mut self, now: Millis) {
+        self.registry.mark_restored(now);
+        self.instances.mark_restored(now);
+        for rollout in self.registry.rollouts_mut() {
+            rollout.mark_restored(now);
+        }
+    }
+
     // Ends the time for which a newer configuration has been missing, if there is none any more.
     pub(super) fn configuration_applied(&mut self) {
         if self.configuration_version() >= self.store_view.peer_configuration {
--- a/crates/siskinyoke-dispatch/src/leased_entries.rs
+++ b/crates/siskinyoke-dispatch/src/leased_entries.rs
@@ -5,9 +5,9 @@
 
 use siskinyoke_base::Millis;
 
-/// How long entries may be missing after an outage of the store.
+/// How long entries may be missing after an outage of the store or its return from a copy.
 ///
-/// Their leases may have expired during the outage, and live writers register again within two
+/// Their leases may have expired during the outage, or they are later than the copy, and live writers register again within two
 /// seconds of its end. Without the grace period, all requests would be refused until then. Together
 /// with the time until the end is noticed, it is shorter than the settling time, as some of these
 /// entries belong to endpoints that left.
@@ -25,7 +25,7 @@
 pub struct LeasedEntries<T> {
     entries: BTreeMap<Arc<str>, Entry<T>>,
     store_unreachable: bool,
-    // When the last outage of the store ended.
+    // When the last outage of the store ended, or its return from a copy was noticed.
     reachable_since: Option<Millis>,
 }
 
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Records that the store came back from an earlier copy, in which live entries may be missing.
+    pub fn mark_restored(&mut self, now: Millis) {
+        self.reachable_since = Some(now);
+    }
+
     /// Adds or replaces an entry.
     pub fn put(&mut self, name: &str, value: T) {
         self.entries.insert(
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod scheduler;
 pub mod shards;
 pub mod stall_timeout;
+pub mod store_era;
 pub mod store_update;
 pub mod token_counts;
 mod wait;
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -61,6 +61,8 @@
 pub struct Registry {
     entries: LeasedEntries<Arc<Endpoint>>,
     departures: Map<EndpointKey, Departure>,
+    // Endpoints whose entries were removed, and when.
+    removed: Map<EndpointKey, Millis>,
     // Departed endpoints whose entries returned after their removal, and when: another start with
     // the same key.
     restarts: Map<EndpointKey, Millis>,
@@ -88,6 +90,11 @@
         self.entries.mark_store_reachable(now);
     }
 
+    /// Records that the store came back from an earlier copy.
+    pub fn mark_restored(&mut self, now: Millis) {
+        self.entries.mark_restored(now);
+    }
+
     /// Sets this instance's shard and the number of instances in each shard.
     pub fn set_shards(&mut self, shard: usize, sizes: Vec<usize>) {
         if self.shard != shard || self.shard_sizes != sizes {
@@ -119,6 +126,18 @@
         self.update_eligible();
     }
 
+    /// Applies the endpoints of an earlier copy of the store.
+    ///
+    /// An endpoint that has been removed since the copy was made is not added again: only an entry
+    /// that is written later shows that it has returned.
+    pub fn apply_copy(&mut self, now: Millis, mut updates: Vec<StoreUpdate>) {
+        updates.retain(|update| match update {
+            StoreUpdate::Endpoint(endpoint) => !self.removed.contains_key(&endpoint.key()),
+            _ => true,
+        });
+        self.apply_updates(now, updates);
+    }
+
     /// Removes an endpoint whose entry is gone from the store.
     pub fn remove(&mut self, now: Millis, id: &str) {
         self.remove_entry(now, id);
@@ -154,8 +173,9 @@
     pub fn remove_expired(&mut self, now: Millis) {
         self.departures
             .retain(|_, it| now.since(it.known_since) < DEPARTURE_RETENTION);
-        self.restarts
-            .retain(|_, at| now.since(*at) < DEPARTURE_RETENTION);
+        for times in [&mut self.restarts, &mut self.removed] {
+            times.retain(|_, at| now.since(*at) < DEPARTURE_RETENTION);
+        }
         if self.entries.remove_expired(now) {
             self.update_eligible();
         }
@@ -174,8 +194,10 @@
     /// Starts the rollout of an order, unless it is older than the known one; `initial_credit` is a
     /// random fraction of a request, from 0 to 1.
     pub fn apply_order(&mut self, now: Millis, order: Order, initial_credit: f64) {
-        let current = self.rollouts.get(&order.service);
-        if current.is_some_and(|it| it.order().revision >= order.revision) {
+        let current = self.rollouts.get_mut(&order.service);
+        if let Some(current) = current
+            && (current.order().revision >= order.revision || current.adopt(&order))
+        {
             return;
         }
         let service = order.service.clone();
@@ -288,9 +310,12 @@
 
     // Removes an entry. An entry that expired in an outage may return without a restart.
     fn remove_entry(&mut self, now: Millis, id: &str) {
-        if self.entries.grace(now) == Millis::ZERO {
-            let key = self.entries.get(id).map(|it| it.key());
-            if let Some(departure) = key.and_then(|key| self.departures.get_mut(&key)) {
+        let key = self.entries.get(id).map(|it| it.key());
+        if let Some(key) = key
+            && self.entries.grace(now) == Millis::ZERO
+        {
+            self.removed.insert(key, now);
+            if let Some(departure) = self.departures.get_mut(&key) {
                 departure.removed = true;
             }
         }
@@ -299,6 +324,7 @@
 
     fn add(&mut self, now: Millis, endpoint: Endpoint) {
         let key = endpoint.key();
+        self.removed.remove(&key);
         if self.departures.get(&key).is_some_and(|it| it.removed) {
             self.departures.remove(&key);
             self.restarts.insert(key, now);
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -8,6 +8,7 @@
 use crate::EndpointKey;
 use crate::scheduled_request::QueueOrder;
 use crate::stable_hash;
+use siskinyoke_base::Revision;
 
 /// The current state of one instance, sent to its peers many times a second.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -26,8 +27,9 @@
     pub shutting_down: bool,
     /// The version of the active configuration.
     pub configuration: u64,
-    /// The store revision that the instance has applied; 0 before its first read.
-    pub revision: u64,
+    /// The number of the store revision that the instance has applied; 0 before its first read.
+    #[serde(rename = "revision")]
+    pub revision_number: u64,
     /// Whether its last call to the store succeeded.
     #[serde(rename = "reaches")]
     pub store_reachable: bool,
@@ -47,6 +49,15 @@
     /// Slowly changing data, included in a few reports a second.
     #[serde(rename = "about")]
     pub info: Option<InstanceInfo>,
+    /// The era of the store revision. It comes last, where the reports of earlier versions end.
+    pub era: u64,
+}
+
+impl Report {
+    /// Returns the store revision that the instance has applied.
+    pub fn revision(&self) -> Revision {
+        Revision::new(self.era, self.revision_number)
+    }
 }
 
 /// The requests of one instance at one endpoint.
@@ -127,7 +138,7 @@
 pub struct CanaryReport {
     /// The hash of the service's name.
     pub service: u32,
-    /// The store revision of the rollout order.
+    /// The short form of the store revision of the rollout order; see [`short_revision`].
     pub order: u64,
     /// How long the order has been known, in ms.
     pub age: u64,
@@ -154,6 +165,16 @@
     pub endpoints: Vec<u32>,
 }
 
+/// Returns the number that stands for a revision in reports: its own number in the first era, as
+/// earlier versions send it, and a hash in later ones.
+pub fn short_revision(revision: Revision) -> u64 {
+    if revision.era == 0 {
+        revision.number
+    } else {
+        stable_hash(&revision)
+    }
+}
+
 /// Returns the short hash of a name that stands for it in reports.
 pub fn short_hash(name: &str) -> u32 {
     (stable_hash(&name) >> 32) as u32
--- a/crates/siskinyoke-dispatch/src/rollout.rs
+++ b/crates/siskinyoke-dispatch/src/rollout.rs
@@ -22,8 +22,10 @@
 use crate::latency_model::millis_to_f64;
 use crate::report::CanaryReport;
 use crate::report::short_hash;
+use crate::report::short_revision;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 
 pub use self::analysis::ResponseSample;
 pub use self::analysis::ResponseTally;
@@ -77,6 +79,11 @@
 /// The delay between the shards whose instances may write a status, in order of their numbers.
 const WRITE_STAGGER: Millis = Millis(250);
 
+/// How long an order may be missing after the store came back from a copy.
+///
+/// Operators write again what the store has lost, within about two seconds.
+const RESTORE_GRACE: Millis = Millis(4_000);
+
 /// Which versions a service's traffic goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -136,6 +143,11 @@
     failed: bool,
     // Whether the operators withdrew the order.
     withdrawn: bool,
+    // When the order counts as withdrawn unless it is written again, after the return of the store
+    // from a copy.
+    expires: Option<Millis>,
+    // The final state that the store had before it came back from a copy.
+    decided_state: Option<State>,
     // When this instance learned the outcome.
     decided_at: Option<Millis>,
     // Requests that may be sent to the new version, including fractions.
@@ -171,6 +183,8 @@
             slots: [0, 0],
             failed: false,
             withdrawn: false,
+            expires: None,
+            decided_state: None,
             decided_at: None,
             canary_credit: initial_credit,
             tally: ResponseTally::default(),
@@ -189,20 +203,50 @@
         self.phase
     }
 
-    /// Returns the store revision of the known status, 0 if there is none.
-    pub fn status_revision(&self) -> u64 {
-        self.status.as_ref().map_or(0, |it| it.revision)
+    /// Returns the store revision of the known status, zero if there is none.
+    pub fn status_revision(&self) -> Revision {
+        self.status
+            .as_ref()
+            .map_or(Revision::ZERO, |it| it.revision)
     }
 
-    /// Returns the store revision of the order, 0 if it was withdrawn.
-    pub fn order_revision(&self) -> u64 {
+    /// Returns the store revision of the order, zero if it was withdrawn.
+    pub fn order_revision(&self) -> Revision {
         if self.withdrawn {
-            0
+            Revision::ZERO
         } else {
             self.order.revision
         }
     }
 
+    /// Records that the store came back from an earlier copy: the order may be missing until the
+    /// operator has written it again, and the status is lost unless the copy has it.
+    ///
+    /// What was decided stays so, and is written to the store again.
+    pub fn mark_restored(&mut self, now: Millis) {
+        if self.is_decided() {
+            self.decided_state = self.current_state();
+        } else if !self.withdrawn {
+            self.expires.get_or_insert(now + RESTORE_GRACE);
+        }
+        self.status = None;
+    }
+
+    /// Adopts the revision of an order from an earlier copy of the store, and returns whether it is
+    /// this order.
+    ///
+    /// An order that was withdrawn since the copy was made stays withdrawn.
+    pub fn adopt(&mut self, order: &Order) -> bool {
+        let same = order.revision.era > self.order.revision.era
+            && order.version == self.order.version
+            && order.duration == self.order.duration;
+        if same {
+            self.order.revision = order.revision;
+            self.expires = None;
+        }
+        same
+    }
+
     /// Sets the status that the store holds. A status of an earlier order has no effect on this
     /// one.
     pub fn set_status(&mut self, status: Status) {
@@ -236,7 +280,7 @@
         report: &CanaryReport,
         same_shard: bool,
     ) {
-        if report.order != self.order.revision {
+        if report.order != short_revision(self.order.revision) {
             return;
         }
         // The peer that has known the order for the longest time is closest to when it was placed.
@@ -252,7 +296,7 @@
     pub fn canary_report(&self, now: Millis) -> CanaryReport {
         CanaryReport {
             service: short_hash(&self.order.service),
-            order: self.order.revision,
+            order: short_revision(self.order.revision),
             age: now.since(self.placed_at).0,
             failed: self.failed,
             samples: self.tally.rows(now),
@@ -319,6 +363,10 @@
 
     /// Updates the phase and returns whether it changed.
     pub fn advance(&mut self, now: Millis) -> bool {
+        if self.expires.is_some_and(|at| at <= now) {
+            self.expires = None;
+            self.withdraw();
+        }
         let phase = self.next_phase(now);
         if matches!(phase, Phase::Completed | Phase::RolledBack) {
             self.decided_at.get_or_insert(now);
@@ -330,11 +378,14 @@
 
     /// Returns the state that an instance of this shard should write to the store.
     pub fn due_state(&self, now: Millis, shard: usize) -> Option<State> {
-        if self.is_decided() {
+        if is_final(self.stored_state()) {
             return None;
         }
         let stagger = Millis(WRITE_STAGGER.0 * u64::try_from(shard).unwrap_or(0));
         let age = now.since(self.placed_at).since(stagger);
+        if self.decided_state.is_some() {
+            return self.decided_state;
+        }
         if self.failed {
             return Some(State::RolledBack);
         }
@@ -397,8 +448,13 @@
         ((age - begin) / (end - begin)).clamp(canary_share, MAX_RAMP_RATIO)
     }
 
-    // Returns the state of this order in the store, as far as known.
+    // Returns the state of this order as last known, even if the store has lost it since.
     fn current_state(&self) -> Option<State> {
+        self.decided_state.or_else(|| self.stored_state())
+    }
+
+    // Returns the state of this order in the store, as far as known.
+    fn stored_state(&self) -> Option<State> {
         let status = self.status.as_ref()?;
         let is_current =
             status.revision > self.order.revision && status.version == self.order.version;
@@ -406,10 +462,7 @@
     }
 
     fn is_decided(&self) -> bool {
-        matches!(
-            self.current_state(),
-            Some(State::Completed | State::RolledBack)
-        )
+        is_final(self.current_state())
     }
 
     fn part_of_duration(&self, ratio: f64) -> Millis {
@@ -427,3 +480,7 @@
         self.failed = analysis::is_worse(own.iter().chain(reports));
     }
 }
+
+fn is_final(state: Option<State>) -> bool {
+    matches!(state, Some(State::Completed | State::RolledBack))
+}
--- a/crates/siskinyoke-dispatch/src/rollout/order.rs
+++ b/crates/siskinyoke-dispatch/src/rollout/order.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 
 /// An operator's order to shift a service's traffic to another version of its endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,5 +16,5 @@
     pub duration: Millis,
     /// The store revision of the order, which distinguishes it from other orders for the same
     /// version.
-    pub revision: u64,
+    pub revision: Revision,
 }
--- a/crates/siskinyoke-dispatch/src/rollout/status.rs
+++ b/crates/siskinyoke-dispatch/src/rollout/status.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use siskinyoke_base::Revision;
+
 /// The state of a rollout.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
@@ -32,5 +34,5 @@
     /// The version of the order.
     pub version: Arc<str>,
     /// The store revision of this status.
-    pub revision: u64,
+    pub revision: Revision,
 }
--- a/crates/siskinyoke-dispatch/tests/backoffs/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/backoffs/fleet.rs
@@ -136,7 +136,7 @@
         let instances = names.map(|it| StoreUpdate::Instance(it.clone(), location(&it, "a")));
         let endpoints = self.endpoints.iter();
         let endpoints = endpoints.map(|it| StoreUpdate::Endpoint(it.endpoint.clone()));
-        core.apply_updates(now, 1, instances.chain(endpoints).collect());
+        core.apply_updates(now, 1.into(), instances.chain(endpoints).collect());
         core
     }
 
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -166,7 +166,7 @@
         ready: true,
         shutting_down: false,
         configuration: 1,
-        revision: 1,
+        revision_number: 1,
         store_reachable: true,
         running: Vec::new(),
         waiting: Vec::new(),
@@ -174,6 +174,7 @@
         limits: Vec::new(),
         canaries: Vec::new(),
         info: Some(instance_info(name, "a")),
+        era: 0,
     }
 }
 
--- a/crates/siskinyoke-dispatch/tests/following/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet.rs
@@ -437,15 +437,15 @@
             if self.links.is_complete(transfer.id) {
                 self.links.finish(transfer.id);
                 self.nodes[index].fetch = None;
-                if transfer.revision > self.nodes[index].core.store_revision() {
+                if transfer.revision > self.nodes[index].core.store_revision().number {
                     self.apply_revisions(index, transfer.revision);
                 }
                 self.share_configuration_revision(from, index);
             }
             return;
         }
-        let known = self.nodes[index].core.store_revision();
-        let revision = self.nodes[from].core.store_revision();
+        let known = self.nodes[index].core.store_revision().number;
+        let revision = self.nodes[from].core.store_revision().number;
         let bytes = self.history.peer_bytes(known, revision);
         let id = self
             .links
@@ -477,7 +477,7 @@
         let count = self.nodes.len();
         let core = &mut self.nodes[index].core;
         core.update_store_availability(now);
-        let known = core.store_revision();
+        let known = core.store_revision().number;
         let updates: Vec<StoreUpdate> = if known == 0 {
             let names = (0..count).map(|it| format!("i{it}"));
             let instances = names.map(|it| StoreUpdate::Instance(it.clone(), location(&it, "a")));
@@ -494,7 +494,7 @@
             let gone = self.history.departures(known, revision).map(endpoint_id);
             gone.map(StoreUpdate::EndpointRemoved).collect()
         };
-        core.apply_updates(now, revision, updates);
+        core.apply_updates(now, revision.into(), updates);
     }
 
     fn step_watch(&mut self, index: usize) {
@@ -509,7 +509,7 @@
             return;
         }
         // The first read is not a watch.
-        self.calls += u64::from(self.nodes[index].core.store_revision() > 0);
+        self.calls += u64::from(self.nodes[index].core.store_revision().number > 0);
         if self.store_state(index) == StoreState::Rejecting {
             return self.watch_failed(index);
         }
@@ -590,7 +590,7 @@
             return;
         }
         self.apply_configuration(index, revision);
-        if revision > self.nodes[index].core.store_revision() {
+        if revision > self.nodes[index].core.store_revision().number {
             self.apply_revisions(index, revision);
         }
         if known > 0 {
@@ -658,7 +658,7 @@
             if node.frozen_until > now {
                 continue;
             }
-            let revision = delivery.report.revision;
+            let revision = delivery.report.revision().number;
             let version = delivery.report.configuration;
             node.core.receive_report(Millis(now), delivery.report);
             let avoided = node
@@ -667,7 +667,7 @@
             let address = configurations::address(delivery.from);
             node.core.record_peer_configuration(Millis(now), version);
             node.sources.record(Millis(now), address, version);
-            let is_newer = node.core.record_peer_revision(Millis(now), revision);
+            let is_newer = node.core.record_peer_revision(Millis(now), revision.into());
             if is_newer && !avoided && node.fetch.is_none() {
                 let delay = if node.watch.is_some() { 150 } else { 30 };
                 node.fetch = Some(Fetch {
--- a/crates/siskinyoke-dispatch/tests/following/fleet/checks.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet/checks.rs
@@ -65,11 +65,12 @@
         let expected = self.history.revision_at(written_before);
         for (index, node) in self.nodes.iter().enumerate() {
             let healthy = self.now >= node.healthy_since + HEALTHY_PERIOD_MS[size];
-            if healthy && node.core.store_revision() < expected && self.violations.len() < 5 {
+            if healthy && node.core.store_revision().number < expected && self.violations.len() < 5
+            {
                 let text = format!(
                     "{} ms: i{index} is at revision {} of {expected}, watcher {}",
                     self.now,
-                    node.core.store_revision(),
+                    node.core.store_revision().number,
                     node.core.watcher(Millis(self.now)),
                 );
                 self.violations.push(text);
--- a/crates/siskinyoke-dispatch/tests/following/fleet/configurations.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet/configurations.rs
@@ -59,7 +59,10 @@
     /// Returns the revision up to which an instance knows everything.
     pub(super) fn watch_revision(&self, index: usize) -> u64 {
         let node = &self.nodes[index];
-        node.core.store_revision().min(node.configuration_revision)
+        node.core
+            .store_revision()
+            .number
+            .min(node.configuration_revision)
     }
 
     /// Applies the newest configuration up to a revision.
@@ -85,7 +88,7 @@
             return;
         }
         let revision = self.history.revision();
-        if revision > self.nodes[index].core.store_revision() {
+        if revision > self.nodes[index].core.store_revision().number {
             self.apply_revisions(index, revision);
         }
     }
--- a/crates/siskinyoke-dispatch/tests/lending.rs
+++ b/crates/siskinyoke-dispatch/tests/lending.rs
@@ -109,7 +109,7 @@
                 .map(|it| StoreUpdate::Instance(it.clone(), location(it, "a")));
             let endpoints = (0..endpoints)
                 .map(|index| StoreUpdate::Endpoint(endpoint(&format!("e{index}"), 4)));
-            core.apply_updates(Millis(0), 1, instances.chain(endpoints).collect());
+            core.apply_updates(Millis(0), 1.into(), instances.chain(endpoints).collect());
             core
         };
         let cores: Vec<Core> = (0..size).map(start).collect();
--- a/crates/siskinyoke-dispatch/tests/rollout.rs
+++ b/crates/siskinyoke-dispatch/tests/rollout.rs
@@ -22,7 +22,7 @@
         service: "lm".into(),
         version: version.into(),
         duration: ROLLOUT_DURATION,
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -128,7 +128,7 @@
         let status = Status {
             state,
             version: "v2".into(),
-            revision: 8,
+            revision: 8.into(),
         };
         let updates = vec![
             StoreUpdate::RolloutStatus("lm".into(), status),
@@ -136,7 +136,7 @@
             StoreUpdate::Endpoint(endpoint_of("v1")),
             StoreUpdate::Endpoint(endpoint_of("v2")),
         ];
-        core.apply_updates(Millis(0), 9, updates);
+        core.apply_updates(Millis(0), 9.into(), updates);
         core.advance_rollouts(Millis(1));
         let eligible = core.registry().eligible("lm");
         let version = if state == State::Completed {
@@ -159,16 +159,22 @@
         StoreUpdate::RolloutOrder(order("v2", 5)),
         StoreUpdate::Endpoint(endpoint_of("v1")),
     ];
-    core.apply_updates(Millis(0), 6, updates);
+    core.apply_updates(Millis(0), 6.into(), updates);
     core.advance_rollouts(Millis(1));
     let write = core.status_writes(ROLLOUT_DURATION).remove(0);
     assert_eq!(write.state, State::RolledBack);
-    assert_eq!((write.order_revision, write.status_revision), (5, 0));
+    assert_eq!(
+        (write.order_revision, write.status_revision),
+        (5.into(), 0.into())
+    );
     core.apply_updates(
         Millis(1),
-        7,
+        7.into(),
         vec![StoreUpdate::RolloutOrderRemoved("lm".into())],
     );
     let write = core.status_writes(ROLLOUT_DURATION).remove(0);
-    assert_eq!((write.order_revision, write.status_revision), (0, 0));
+    assert_eq!(
+        (write.order_revision, write.status_revision),
+        (0.into(), 0.into())
+    );
 }
--- a/crates/siskinyoke-dispatch/tests/rollouts/world.rs
+++ b/crates/siskinyoke-dispatch/tests/rollouts/world.rs
@@ -229,7 +229,7 @@
             service: "lm".into(),
             version: "v2".into(),
             duration: Millis(DURATION_MS),
-            revision: self.revision() + 1,
+            revision: (self.revision() + 1).into(),
         };
         self.changes.push(StoreUpdate::RolloutOrder(order));
         for index in ENDPOINTS_PER_VERSION..2 * ENDPOINTS_PER_VERSION {
@@ -339,9 +339,11 @@
         let updates = self.changes[instance.known_changes..].to_vec();
         instance.known_changes = self.changes.len();
         instance.next_read = self.now + self.rng.random_range(10..600);
-        instance
-            .core
-            .apply_updates(Millis(self.now), self.changes.len() as u64, updates);
+        instance.core.apply_updates(
+            Millis(self.now),
+            (self.changes.len() as u64).into(),
+            updates,
+        );
         instance.core.advance_rollouts(Millis(self.now));
     }
 
@@ -460,7 +462,7 @@
         }
         for write in instance.core.status_writes(Millis(self.now)) {
             // The result of a write is not awaited, as if every one were lost.
-            if write.status_revision != self.status_revision {
+            if write.status_revision != self.status_revision.into() {
                 continue;
             }
             if self
@@ -487,7 +489,7 @@
             let status = Status {
                 state: write.state,
                 version: write.order.version,
-                revision,
+                revision: revision.into(),
             };
             self.changes
                 .push(StoreUpdate::RolloutStatus("lm".into(), status));
--- a/crates/siskinyoke-dispatch/tests/watchers.rs
+++ b/crates/siskinyoke-dispatch/tests/watchers.rs
@@ -92,7 +92,7 @@
     let updates = names
         .iter()
         .map(|name| StoreUpdate::Instance(name.clone(), location(name, "a")));
-    core.apply_updates(Millis(0), 5, updates.collect());
+    core.apply_updates(Millis(0), 5.into(), updates.collect());
     core.store_call_succeeded();
     let members = core.other_instances().filter(|row| row.1);
     let members = members.map(|row| row.0.peer_address.trim_end_matches(":2").to_owned());
@@ -104,7 +104,7 @@
 fn receive(core: &mut Core, now: u64, name: &str, store_reachable: bool) {
     let report = Report {
         store_reachable,
-        revision: 5,
+        revision_number: 5,
         ..report(name, now + 1)
     };
     core.receive_report(Millis(now), report);
@@ -170,15 +170,15 @@
     for name in &members {
         receive(&mut core, 0, name, true);
     }
-    assert!(core.record_peer_revision(Millis(10), 9));
+    assert!(core.record_peer_revision(Millis(10), 9.into()));
     assert_eq!(core.store_role(Millis(20)), StoreRole::Follower);
     for name in &members {
         receive(&mut core, 1_600, name, true);
     }
     assert_eq!(core.store_role(Millis(1_600)), StoreRole::Watcher);
-    core.apply_updates(Millis(1_610), 9, Vec::new());
+    core.apply_updates(Millis(1_610), 9.into(), Vec::new());
     assert_eq!(core.store_role(Millis(1_620)), StoreRole::Follower);
-    assert!(!core.record_peer_revision(Millis(1_630), 9));
+    assert!(!core.record_peer_revision(Millis(1_630), 9.into()));
 }
 
 // A peer with a newer revision has just started and cannot list the earlier changes.
@@ -188,10 +188,10 @@
     for name in &members {
         receive(&mut core, 0, name, true);
     }
-    core.record_peer_revision(Millis(10), 9);
+    core.record_peer_revision(Millis(10), 9.into());
     core.request_store_read();
     assert_eq!(core.store_role(Millis(20)), StoreRole::Watcher);
-    core.apply_updates(Millis(30), 9, Vec::new());
+    core.apply_updates(Millis(30), 9.into(), Vec::new());
     assert_eq!(core.store_role(Millis(40)), StoreRole::Follower);
 }
 
@@ -213,13 +213,17 @@
 #[test]
 fn endpoints_whose_entries_expired_in_a_store_outage_have_time_to_register_again() {
     let (mut core, members) = core_with_peers();
-    core.apply_updates(Millis(0), 6, vec![StoreUpdate::Endpoint(endpoint("e2", 1))]);
+    core.apply_updates(
+        Millis(0),
+        6.into(),
+        vec![StoreUpdate::Endpoint(endpoint("e2", 1))],
+    );
     core.store_call_failed(Millis(1_000));
     core.update_store_availability(Millis(1_000));
     receive(&mut core, 5_000, &members[0], true);
     core.update_store_availability(Millis(5_010));
     let removed = StoreUpdate::EndpointRemoved("e2".to_owned());
-    core.apply_updates(Millis(5_020), 7, vec![removed]);
+    core.apply_updates(Millis(5_020), 7.into(), vec![removed]);
     let listed = |core: &mut Core| core.registry().all().any(|it| &*it.id == "e2");
     assert!(listed(&mut core));
     core.sweep(Millis(7_500));
--- a/crates/siskinyoke-gateway/src/cluster_view.rs
+++ b/crates/siskinyoke-gateway/src/cluster_view.rs
@@ -7,6 +7,7 @@
 use crate::replica::Update;
 use crate::rollouts;
 use crate::shell::Shell;
+use siskinyoke_base::Revision;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::StoreUpdate;
 use siskinyoke_dispatch::rollout::Order;
@@ -60,7 +61,7 @@
         .filter_map(|item| decode(shell, item))
         .collect();
     // The first read contains every endpoint, so its endpoints are not logged.
-    if before > 0 {
+    if !before.is_zero() {
         for update in &updates {
             log_endpoint(shell, update);
         }
@@ -140,7 +141,7 @@
     }
 }
 
-fn decode_order(shell: &Shell, service: &str, value: &[u8], revision: u64) -> Option<Order> {
+fn decode_order(shell: &Shell, service: &str, value: &[u8], revision: Revision) -> Option<Order> {
     match shell
         .interface
         .documents
@@ -169,7 +170,7 @@
     }
 }
 
-fn decode_status(shell: &Shell, service: &str, value: &[u8], revision: u64) -> Option<Status> {
+fn decode_status(shell: &Shell, service: &str, value: &[u8], revision: Revision) -> Option<Status> {
     match shell.interface.documents.decode_rollout_status(value) {
         Ok((state, version)) => Some(Status {
             state,
--- a/crates/siskinyoke-gateway/src/configuration_transfer.rs
+++ b/crates/siskinyoke-gateway/src/configuration_transfer.rs
@@ -27,6 +27,7 @@
 use crate::store::Client;
 use crate::store::StoreError;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 use siskinyoke_interface::Call;
 
 /// Path prefix of requests for a configuration newer than the version that follows.
@@ -60,7 +61,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct ConfigurationMessage {
     // The store revision up to which the sender knows that this is the newest configuration.
-    revision: u64,
+    revision: Revision,
     compressed: Bytes,
 }
 
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -74,6 +74,23 @@
     }
 }
 
+/// Decodes a message.
+///
+/// A report of an earlier version of this program ends before the era of its revision, which is
+/// then that of a store that names none.
+///
+/// # Errors
+///
+/// The message is malformed.
+pub fn decode(bytes: &[u8]) -> postcard::Result<Message> {
+    match postcard::from_bytes(bytes) {
+        Err(postcard::Error::DeserializeUnexpectedEnd) => {
+            postcard::from_bytes(&[bytes, &[0]].concat())
+        }
+        result => result,
+    }
+}
+
 impl Gossip {
     /// Sends reports for as long as the process runs.
     pub async fn send_reports(self: Rc<Self>, shell: Rc<Shell>) {
@@ -119,7 +136,7 @@
     }
 
     fn handle_message(&self, shell: &Rc<Shell>, bytes: &[u8], from: SocketAddr) {
-        match postcard::from_bytes(bytes) {
+        match decode(bytes) {
             Ok(Message::Report(report)) => self.handle_report(shell, *report, from),
             Ok(Message::Borrow(id, request)) => lending::handle_request(shell, from, id, request),
             Ok(Message::Lend(id, grant)) => lending::handle_reply(shell, from, id, grant),
@@ -144,7 +161,7 @@
             self.advertised.borrow_mut().extend(addresses);
             name.clone_from(&info.name);
         }
-        let revision = report.revision;
+        let revision = report.revision();
         let configuration = report.configuration;
         if report.configuration == 0 && report.info.is_some() {
             Self::send_full_report(shell, from);
--- a/crates/siskinyoke-gateway/src/peer_api.rs
+++ b/crates/siskinyoke-gateway/src/peer_api.rs
@@ -23,6 +23,7 @@
 use crate::shell::Shell;
 use crate::store::StoreError;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 use siskinyoke_interface::Call;
 
 /// Time limit for fetching changes from a peer.
@@ -60,7 +61,7 @@
     update: Update,
     // The version of the sender's configuration, and the store revision up to which the sender
     // knows that it is the newest.
-    configuration: (u64, u64),
+    configuration: (u64, Revision),
 }
 
 quick_error! {
@@ -97,7 +98,7 @@
 // Serves a peer's request for the changes since the revision in the path.
 fn serve_changes(shell: &Shell, request: &Request<Incoming>) -> Response<ResponseBody> {
     let known = request.uri().path().strip_prefix(CHANGES_PATH);
-    let Some(Ok(known)) = known.map(str::parse) else {
+    let Some(Ok(known)) = known.map(str::parse::<Revision>) else {
         return response::text(StatusCode::NOT_FOUND, "no such page");
     };
     let Some(update) = shell.replica.borrow().changes_since(known) else {
@@ -117,7 +118,7 @@
 }
 
 /// Fetches missing changes from a peer if its store revision is ahead of this instance's.
-pub fn catch_up(shell: &Rc<Shell>, from: SocketAddr, revision: u64) {
+pub fn catch_up(shell: &Rc<Shell>, from: SocketAddr, revision: Revision) {
     let now = shell.now();
     let ahead = shell.core.borrow_mut().record_peer_revision(now, revision);
     let failed = shell.failed_peer.get();
--- a/crates/siskinyoke-gateway/src/read_ahead.rs
+++ b/crates/siskinyoke-gateway/src/read_ahead.rs
@@ -10,11 +10,15 @@
 use crate::store::StoreError;
 use crate::transfer::LARGE_RESPONSE_BYTES;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 use siskinyoke_interface::Batch;
 
 /// Interval at which small changes are read.
 const READ_INTERVAL: Millis = Millis(250);
 
+/// Later than any revision of the store.
+const LAST_REVISION: Revision = Revision::new(u64::MAX, u64::MAX);
+
 /// Time limit for a call.
 const CALL_TIMEOUT: Millis = Millis(500);
 
@@ -23,7 +27,7 @@
 /// A response with a large configuration takes a narrow link a second or two. The endpoints that
 /// leave meanwhile, and those before it in the same response, cannot wait for that. Completes as
 /// soon as the large response is of no more use, because a peer has sent the configuration.
-pub async fn run(shell: &Shell, expected_bytes: u64, watched_from: u64) {
+pub async fn run(shell: &Shell, expected_bytes: u64, watched_from: Revision) {
     if expected_bytes < LARGE_RESPONSE_BYTES {
         return std::future::pending().await;
     }
@@ -51,7 +55,7 @@
         keys.rollout_statuses,
     ];
     let mut update = Update {
-        revision: u64::MAX,
+        revision: LAST_REVISION,
         full: false,
         items: Vec::new(),
     };
@@ -73,14 +77,13 @@
     shell: &Shell,
     client: &mut Client,
     prefix: &str,
-    known: u64,
+    known: Revision,
 ) -> Result<Option<Batch>, StoreError> {
-    let store = &*shell.interface.store;
-    let Some(call) = store.changes_under(prefix, known) else {
+    let Some(call) = shell.interface.store.changes_under(prefix, known) else {
         return Ok(None);
     };
     let address = shell.settings().store;
-    let result = client.watch(address, &call, CALL_TIMEOUT, store).await;
+    let result = client.watch(address, &call, CALL_TIMEOUT, shell).await;
     shell
         .metrics
         .record_store_call("read_ahead", result.is_ok());
--- a/crates/siskinyoke-gateway/src/registration.rs
+++ b/crates/siskinyoke-gateway/src/registration.rs
@@ -36,15 +36,22 @@
 /// Time limit for a call.
 const CALL_TIMEOUT: Millis = Millis(1_500);
 
+/// A lease of the store, and the era in which it was granted.
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    id: u64,
+    era: u64,
+}
+
 /// Keeps this instance registered until it shuts down, then removes its entry.
 pub async fn maintain(shell: Rc<Shell>) {
     let mut client = Client::default();
-    let mut lease = None;
+    let mut lease: Option<Lease> = None;
     let mut retry_delay = MIN_RETRY_DELAY;
     loop {
         let delay = match renew_or_register(&shell, &mut client, lease).await {
-            Ok(id) => {
-                lease = Some(id);
+            Ok(renewed) => {
+                lease = Some(renewed);
                 retry_delay = MIN_RETRY_DELAY;
                 shell.core.borrow_mut().store_call_succeeded();
                 if shell.watching.get() {
@@ -75,14 +82,17 @@
 }
 
 // Renews the lease. If it has expired, the store has removed the entry, and other instances cannot
-// find this one until it is written again, so that happens at once.
+// find this one until it is written again, so that happens at once. The same holds if the store has
+// come back from a copy, which may lack both.
 async fn renew_or_register(
     shell: &Shell,
     client: &mut Client,
-    lease: Option<u64>,
-) -> Result<u64, StoreError> {
+    lease: Option<Lease>,
+) -> Result<Lease, StoreError> {
     if let Some(lease) = lease
-        && renew(shell, client, lease).await?
+        && lease.era == shell.core.borrow().store_era()
+        && renew(shell, client, lease.id).await?
+        && lease.era == shell.core.borrow().store_era()
     {
         return Ok(lease);
     }
@@ -90,24 +100,30 @@
 }
 
 // Writes the entry under a new lease, and returns the lease.
-async fn register(shell: &Shell, client: &mut Client) -> Result<u64, StoreError> {
+async fn register(shell: &Shell, client: &mut Client) -> Result<Lease, StoreError> {
     let settings = shell.settings();
     let store = &shell.interface.store;
     let body = call(shell, client, "lease", &store.grant_lease(LEASE_TTL)).await?;
-    let lease = store.decode_lease(&body)?;
+    let lease = Lease {
+        id: store.decode_lease(&body)?,
+        era: shell.core.borrow().store_era(),
+    };
     let key = shell.interface.documents.instance_key(&settings.instance);
     let value = json!(settings.location()).to_string();
-    let put = store.put(&key, value.as_bytes(), lease);
+    let put = store.put(&key, value.as_bytes(), lease.id);
     call(shell, client, "enter", &put).await?;
-    shell.log("registration", json!({ "lease": lease }));
+    shell.log(
+        "registration",
+        json!({ "lease": lease.id, "era": lease.era }),
+    );
     Ok(lease)
 }
 
 // Removes the entry, so that no more callers are directed here. If this fails, it expires with the
 // lease.
-async fn deregister(shell: &Shell, client: &mut Client, lease: Option<u64>) {
+async fn deregister(shell: &Shell, client: &mut Client, lease: Option<Lease>) {
     let Some(lease) = lease else { return };
-    let revocation = shell.interface.store.revoke_lease(lease);
+    let revocation = shell.interface.store.revoke_lease(lease.id);
     if let Err(err) = call(shell, client, "leave", &revocation).await {
         shell.log("registration_failed", json!({ "error": err.to_string() }));
     }
@@ -117,7 +133,14 @@
 async fn renew(shell: &Shell, client: &mut Client, lease: u64) -> Result<bool, StoreError> {
     let renewal = shell.interface.store.renew_lease(lease);
     match call(shell, client, "renew", &renewal).await {
-        Ok(body) => Ok(shell.interface.store.decode_renewal(&body)?),
+        Ok(body) => {
+            let store = &shell.interface.store;
+            let known = shell.replica.borrow().revision();
+            if store.renewed_at(&body).is_some_and(|it| it < known.number) {
+                shell.reread_due.notify_waiters();
+            }
+            Ok(store.decode_renewal(&body)?)
+        }
         Err(StoreError::Status(http::StatusCode::NOT_FOUND)) => Ok(false),
         Err(err) => Err(err),
     }
@@ -134,5 +157,8 @@
         .call(shell.settings().store, call, CALL_TIMEOUT)
         .await;
     shell.metrics.record_store_call(kind, result.is_ok());
+    if result.is_ok() {
+        shell.check_era(client.headers())?;
+    }
     result
 }
--- a/crates/siskinyoke-gateway/src/replica.rs
+++ b/crates/siskinyoke-gateway/src/replica.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use siskinyoke_base::Revision;
 use siskinyoke_interface::Batch;
 use siskinyoke_interface::Item;
 
@@ -18,7 +19,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
     /// The store revision that the update leads to.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether the items are the full state, so that all other items have been removed.
     #[serde(rename = "whole")]
     pub full: bool,
@@ -31,7 +32,7 @@
     item: Item,
     // The replica's revision after the item was applied. The item's own revision may be higher, as
     // a paged read is no snapshot.
-    applied_revision: u64,
+    applied_revision: Revision,
 }
 
 /// The store's contents up to a revision, other than the configuration.
@@ -40,36 +41,36 @@
 /// value, and other changes do not wait for it.
 #[derive(Debug, Default)]
 pub struct Replica {
-    revision: u64,
+    revision: Revision,
     // The last change of each key, including removals.
     entries: BTreeMap<String, Entry>,
     // The revision since which `entries` has every removal: that of the last full state, or of a
     // removal pruned after it.
-    complete_since: u64,
+    complete_since: Revision,
     // The revision of the first full state.
-    first_revision: u64,
+    first_revision: Revision,
     // The revision up to which the configuration in force is known to be the newest.
-    configuration_revision: u64,
+    configuration_revision: Revision,
 }
 
 impl Replica {
-    /// Returns the revision up to which all changes are known; 0 before the first read.
-    pub fn revision(&self) -> u64 {
+    /// Returns the revision up to which all changes are known; zero before the first read.
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
     /// Returns the revision up to which the configuration in force is known to be the newest.
-    pub fn configuration_revision(&self) -> u64 {
+    pub fn configuration_revision(&self) -> Revision {
         self.configuration_revision
     }
 
     /// Records that the configuration in force is the newest one up to a revision.
-    pub fn record_configuration(&mut self, revision: u64) {
+    pub fn record_configuration(&mut self, revision: Revision) {
         self.configuration_revision = self.configuration_revision.max(revision);
     }
 
     /// Returns the revision up to which everything is known, from which the store is watched.
-    pub fn watch_revision(&self) -> u64 {
+    pub fn watch_revision(&self) -> Revision {
         self.revision.min(self.configuration_revision)
     }
 
@@ -90,9 +91,9 @@
     /// Applies changes that follow the known revision, and returns the new ones.
     ///
     /// The same changes may come from the store and from peers; those up to the known revision are
-    /// skipped.
+    /// skipped, and so are changes of another era, which follow another history.
     pub fn apply_changes(&mut self, batch: Batch) -> Vec<Item> {
-        if batch.revision <= self.revision {
+        if batch.revision <= self.revision || batch.revision.era != self.revision.era {
             return Vec::new();
         }
         let known = self.revision;
@@ -111,7 +112,7 @@
         }
         // Items created and removed in between do not appear here, but a peer may have them.
         self.complete_since = batch.revision;
-        if self.revision == 0 {
+        if self.revision.is_zero() {
             self.first_revision = batch.revision;
         }
         let mut missing: BTreeMap<&str, &Item> =
@@ -135,9 +136,13 @@
     /// Returns `None` if the peer's state is older than the first one of this replica: the peer
     /// gets the changes from the store with one call. Instances that start together are all in this
     /// situation, and sending full states to each other would saturate their links for seconds.
-    pub fn changes_since(&self, known: u64) -> Option<Update> {
+    pub fn changes_since(&self, known: Revision) -> Option<Update> {
         let full = known < self.complete_since;
-        if full && known > 0 && self.complete_since == self.first_revision {
+        if full
+            && !known.is_zero()
+            && known.era == self.revision.era
+            && self.complete_since == self.first_revision
+        {
             return None;
         }
         let items = if full {
@@ -163,7 +168,7 @@
     }
 
     // Stores changed items and the revision to which they lead.
-    fn record(&mut self, revision: u64, changed: &[Item]) {
+    fn record(&mut self, revision: Revision, changed: &[Item]) {
         self.revision = revision;
         for item in changed {
             let entry = Entry {
@@ -178,7 +183,7 @@
     // Removes the oldest tombstones beyond the limit.
     fn prune_tombstones(&mut self) {
         let removed = self.entries.values().filter(|it| it.item.value.is_none());
-        let mut revisions: Vec<u64> = removed.map(|it| it.applied_revision).collect();
+        let mut revisions: Vec<Revision> = removed.map(|it| it.applied_revision).collect();
         if revisions.len() <= MAX_TOMBSTONES {
             return;
         }
@@ -186,6 +191,7 @@
         let before = revisions[revisions.len() - MAX_TOMBSTONES];
         self.entries
             .retain(|_, it| it.item.value.is_some() || it.applied_revision >= before);
-        self.complete_since = self.complete_since.max(before - 1);
+        let pruned = Revision::new(before.era, before.number - 1);
+        self.complete_since = self.complete_since.max(pruned);
     }
 }
--- a/crates/siskinyoke-gateway/src/rollouts.rs
+++ b/crates/siskinyoke-gateway/src/rollouts.rs
@@ -63,6 +63,14 @@
         (&*order, write.order_revision),
         (&*key, write.status_revision),
     ];
+    let era = shell.core.borrow().store_era();
+    // A revision of a lost history may be that of another item by now.
+    if expected
+        .iter()
+        .any(|row| !row.1.is_zero() && row.1.era < era)
+    {
+        return;
+    }
     let call = store.put_if(&key, &value, &expected);
     let result = client
         .call(shell.settings().store, &call, WRITE_TIMEOUT)
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use http::HeaderMap;
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::UdpSocket;
@@ -26,6 +27,7 @@
 use crate::replica::Replica;
 use crate::settings::Settings;
 use crate::store::Client;
+use crate::store::StoreError;
 use crate::transfer::Transfer;
 use siskinyoke_base::Clock;
 use siskinyoke_base::Map;
@@ -38,6 +40,7 @@
 use siskinyoke_dispatch::configuration_sources::ConfigurationSources;
 use siskinyoke_dispatch::core::Identity;
 use siskinyoke_dispatch::core::RoutedRequest;
+use siskinyoke_dispatch::store_era::EraCheck;
 use siskinyoke_interface::Interface;
 
 /// The scheduling decision for a queued request: its endpoint, or a refusal.
@@ -123,6 +126,8 @@
     pub lease_renewal: Notify,
     /// Ends a watch call at a previous address of the store.
     pub store_moved: Notify,
+    /// Ends a watch call so that the store's contents are read anew.
+    pub reread_due: Notify,
     /// Aborts a watch call after the store failed to answer another call.
     pub store_unresponsive: Notify,
     /// Ends the watcher's delay before its next call when fetching changes from a peer failed.
@@ -143,6 +148,8 @@
     pub caller_connections: Cell<usize>,
     /// When the last request arrived.
     pub last_arrival: Cell<Millis>,
+    // Whether the era of the last response of the store could not be read.
+    era_unreadable: Cell<bool>,
     waiters: RefCell<Map<Ticket, oneshot::Sender<SchedulingResult>>>,
     log_writer: RefCell<LogWriter>,
     clock: BootClock,
@@ -184,6 +191,8 @@
             lease_renewal: Notify::new(),
             store_moved: Notify::new(),
             store_unresponsive: Notify::new(),
+            reread_due: Notify::new(),
+            era_unreadable: Cell::new(false),
             fetch_failed: Notify::new(),
             failed_peer: Cell::new(None),
             queue_timer: Notify::new(),
@@ -216,6 +225,49 @@
             .write(self.now(), event, fields);
     }
 
+    /// Returns the era to which a response of the store belongs, and notes a later one.
+    ///
+    /// A response without an era, or with one that is no number, belongs to the latest known one.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::WrongEra`] if its era is earlier than the latest known one, or implausible.
+    pub fn check_era(&self, headers: &HeaderMap) -> Result<u64, StoreError> {
+        let stated = self.stated_era(headers);
+        let before = self.core.borrow().store_era();
+        let check = self.core.borrow_mut().observe_store_era(stated);
+        let fields = json!({ "era": stated, "before": before });
+        match check {
+            EraCheck::Known => {}
+            EraCheck::Raised => {
+                self.log("store_era", fields);
+                // The entry and the lease of this instance may be lost.
+                self.lease_renewal.notify_one();
+            }
+            EraCheck::Rejected => {
+                self.log("store_era_rejected", fields);
+                return Err(StoreError::WrongEra);
+            }
+        }
+        Ok(self.core.borrow().store_era())
+    }
+
+    // Returns the era that a response states. One that cannot be read is logged once in a row.
+    fn stated_era(&self, headers: &HeaderMap) -> Option<u64> {
+        match self.interface.store.stated_era(headers) {
+            Ok(stated) => {
+                self.era_unreadable.set(false);
+                stated
+            }
+            Err(err) => {
+                if !self.era_unreadable.replace(true) {
+                    self.log("store_era_unreadable", json!({ "error": err.to_string() }));
+                }
+                None
+            }
+        }
+    }
+
     /// Writes the log line of a response of the store or a peer, if it is a large one.
     pub fn log_transfer(&self, transfer: &Transfer, source: &str) {
         if transfer.is_large() {
--- a/crates/siskinyoke-gateway/src/store.rs
+++ b/crates/siskinyoke-gateway/src/store.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -16,12 +17,12 @@
 use crate::connection::ConnectError;
 use crate::connection::Connection;
 use crate::connection::SendOutcome;
+use crate::shell::Shell;
 use crate::transfer::Transfer;
 use siskinyoke_base::Millis;
 use siskinyoke_interface::Batch;
 use siskinyoke_interface::Call;
 use siskinyoke_interface::FormatError;
-use siskinyoke_interface::Store;
 
 /// Maximum time without any byte of a response that has begun.
 ///
@@ -52,6 +53,10 @@
         Status(status: StatusCode) {
             display("response has error status {status}")
         }
+        /// The response belongs to an earlier history of the store, or to none that is plausible.
+        WrongEra {
+            display("response belongs to an earlier history of the store")
+        }
         /// The response cannot be decoded.
         Format(err: FormatError) {
             display("{err}")
@@ -83,9 +88,15 @@
 pub struct Client {
     connection: Option<(SocketAddr, Connection)>,
     transfer: Transfer,
+    headers: HeaderMap,
 }
 
 impl Client {
+    /// Returns the headers of the last response, whatever its status.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
     /// Returns how far the response to the last call has arrived.
     pub fn transfer(&self) -> Transfer {
         self.transfer
@@ -122,10 +133,10 @@
         address: SocketAddr,
         call: &Call,
         limit: Millis,
-        store: &dyn Store,
+        shell: &Shell,
     ) -> Result<Batch, StoreError> {
         let response = self.open(address, call, limit).await?;
-        self.read_watch(response, limit, store).await
+        self.read_watch(response, limit, shell).await
     }
 
     /// Makes a call and waits for the head of a successful response.
@@ -140,6 +151,7 @@
         limit: Millis,
     ) -> Result<OpenResponse, StoreError> {
         self.transfer = Transfer::begin();
+        self.headers.clear();
         let connection = self.connection.take();
         let sent = timeout(limit.into(), send_call(connection, address, call)).await;
         let Ok(sent) = sent else {
@@ -147,6 +159,7 @@
         };
         let (response, connection) = sent?;
         self.transfer.head_arrived();
+        self.headers.clone_from(response.headers());
         let status = response.status();
         let response = OpenResponse {
             address,
@@ -185,8 +198,10 @@
         &mut self,
         mut response: OpenResponse,
         limit: Millis,
-        store: &dyn Store,
+        shell: &Shell,
     ) -> Result<Batch, StoreError> {
+        let store = &*shell.interface.store;
+        let era = shell.check_era(&self.headers)?;
         let silent = store.idle_watch_is_silent();
         let max_gap = if silent { limit } else { MAX_BODY_GAP };
         loop {
@@ -196,12 +211,14 @@
                 Err(StoreError::NoReply) if silent => return Ok(Batch::default()),
                 Err(err) => return Err(err),
             }
-            if let Some(batch) = store.decode_watch(&response.bytes, false)? {
+            if let Some(batch) = store.decode_watch(&response.bytes, false, era)? {
                 return Ok(batch);
             }
         }
         let bytes = self.complete(response).await;
-        store.decode_watch(&bytes, true)?.ok_or(StoreError::NoReply)
+        store
+            .decode_watch(&bytes, true, era)?
+            .ok_or(StoreError::NoReply)
     }
 
     // Receives the next part of a body, and returns whether there was one.
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -18,6 +18,7 @@
 use crate::store::OpenResponse;
 use crate::store::StoreError;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 use siskinyoke_dispatch::watch::MAX_PROBES;
 use siskinyoke_dispatch::watch::PROBE_INTERVAL;
 use siskinyoke_dispatch::watch::RESPONSE_MARGIN;
@@ -112,10 +113,11 @@
     // read is serializable, and repeated as a linearizable one if it has no configuration.
     async fn read_or_watch(&mut self) -> Result<(), StoreError> {
         let revision = self.shell.replica.borrow().watch_revision();
-        if revision > 0 && !self.compacted {
+        let lost = revision.era < self.shell.core.borrow().store_era();
+        if !revision.is_zero() && !self.compacted && !lost {
             return self.watch(revision).await;
         }
-        if revision == 0 && self.read_all(Consistency::Serializable).await? {
+        if revision.is_zero() && self.read_all(Consistency::Serializable).await? {
             return Ok(());
         }
         self.read_all(Consistency::Linearizable).await?;
@@ -126,11 +128,11 @@
     async fn read_all(&mut self, consistency: Consistency) -> Result<bool, StoreError> {
         let mut items = Vec::new();
         let mut after = String::new();
-        let mut revision = u64::MAX;
+        let mut revision: Option<Revision> = None;
         loop {
             let page = self.read_page(&after, consistency).await?;
             // Pages are no snapshot, so the watch starts at the lowest revision among them.
-            revision = revision.min(page.revision);
+            revision = Some(revision.map_or(page.revision, |it| it.min(page.revision)));
             after = page
                 .items
                 .last()
@@ -147,14 +149,39 @@
         self.compacted = false;
         self.call_succeeded();
         let update = Update {
-            revision,
+            revision: revision.unwrap_or_default(),
             full: true,
             items,
         };
+        let update = self.relabel(update, consistency);
         cluster_view::apply_from_store(&self.shell, update);
         Ok(configured)
     }
 
+    // Moves a full state to the next era if the store's revision has gone back although it names no
+    // era. Only a linearizable read shows that.
+    fn relabel(&self, mut update: Update, consistency: Consistency) -> Update {
+        let known = self.shell.replica.borrow().revision();
+        let unnamed = !matches!(
+            self.shell.interface.store.stated_era(self.client.headers()),
+            Ok(Some(_))
+        );
+        let went_back = update.revision < known && update.revision.era == known.era;
+        if consistency != Consistency::Linearizable || !unnamed || !went_back {
+            return update;
+        }
+        self.shell.core.borrow_mut().begin_store_era();
+        let era = self.shell.core.borrow().store_era();
+        let fields = json!({ "era": era, "before": known.era, "revision": update.revision.number });
+        self.shell.log("store_era", fields);
+        self.shell.lease_renewal.notify_one();
+        update.revision.era = era;
+        for item in &mut update.items {
+            item.revision.era = era;
+        }
+        update
+    }
+
     async fn read_page(
         &mut self,
         after: &str,
@@ -177,7 +204,8 @@
             shell.log_transfer(&self.client.transfer(), "read");
             result?
         };
-        Ok(store.decode_range(&body)?)
+        let era = shell.check_era(self.client.headers())?;
+        Ok(store.decode_range(&body, era)?)
     }
 
     async fn read_first_page(
@@ -196,7 +224,7 @@
     }
 
     // Waits for changes after a revision and applies them.
-    async fn watch(&mut self, revision: u64) -> Result<(), StoreError> {
+    async fn watch(&mut self, revision: Revision) -> Result<(), StoreError> {
         let address = self.shell.settings().store;
         let store = &*self.shell.interface.store;
         let timeout = self.shell.core.borrow().watch_timeout();
@@ -216,16 +244,24 @@
                 // The store did not answer another call, so this connection may be dead too.
                 () = self.shell.store_unresponsive.notified() => Err(StoreError::NoReply),
                 () = self.shell.store_moved.notified() => return Ok(()),
+                () = self.shell.reread_due.notified() => {
+                    self.reread();
+                    return Ok(());
+                }
             };
             let expected_bytes = opened.as_ref().map_or(0, OpenResponse::expected_bytes);
             let result = match opened {
                 Ok(response) => tokio::select! {
-                    result = self.client.read_watch(response, limit, store) => result,
+                    result = self.client.read_watch(response, limit, &self.shell) => result,
                     // Where an open watch is silent, it may be dead; otherwise the response arrives.
                     () = self.shell.store_unresponsive.notified(), if store.idle_watch_is_silent() => {
                         Err(StoreError::NoReply)
                     }
                     () = self.shell.store_moved.notified() => return Ok(()),
+                    () = self.shell.reread_due.notified() => {
+                        self.reread();
+                        return Ok(());
+                    }
                     () = read_ahead::run(&self.shell, expected_bytes, revision) => return Ok(()),
                 },
                 Err(err) => Err(err),
@@ -247,6 +283,13 @@
             });
             self.shell.log("store_watch_failed", fields);
         }
+        let era = self.shell.check_era(self.client.headers())?;
+        if era > revision.era {
+            // The changes after a revision of another history say nothing.
+            self.call_succeeded();
+            self.reread();
+            return Ok(());
+        }
         let batch = result?;
         self.call_succeeded();
         let changed = !batch.items.is_empty();
@@ -275,6 +318,8 @@
         call: &Call,
         limit: Millis,
     ) -> Result<Batch, StoreError> {
+        // The kept connection and what it last said are out of date.
+        self.client = Client::default();
         let max_probes = self.shell.core.borrow().max_probes(self.shell.now());
         let mut hedge = Hedge::new(PROBE_INTERVAL, max_probes);
         let start = || open_once(address, call.clone(), limit);
@@ -282,8 +327,7 @@
         let result = hedge.run(round, start).await;
         let unanswered = hedge.calls_sent() - u32::from(result.is_ok());
         let response = self.finish_hedged("watch", unanswered, result)?;
-        let store = &*self.shell.interface.store;
-        self.client.read_watch(response, limit, store).await
+        self.client.read_watch(response, limit, &self.shell).await
     }
 
     // Counts the calls of a hedged one, and uses the connection that works for the next calls.
@@ -302,6 +346,11 @@
         Ok(response)
     }
 
+    // Lets the next call read the full state.
+    fn reread(&mut self) {
+        self.compacted = true;
+    }
+
     fn call_succeeded(&mut self) {
         self.shell.store_contact.set(self.shell.now());
         self.shell.core.borrow_mut().store_call_succeeded();
--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/messages.rs
@@ -0,0 +1,50 @@
+//! Messages between instances of different versions of the program.
+
+mod common;
+
+use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
+use siskinyoke_dispatch::Message;
+use siskinyoke_dispatch::Report;
+use siskinyoke_gateway::gossip;
+
+const SETTINGS_JSON: &str = r#"{ "interface": "platform", "instance": "i0", "ip": "127.0.0.1", "centre": "a",
+    "listen": { "callers": "127.0.0.1:1", "health": "127.0.0.1:2", "directory": "127.0.0.1:3",
+                "peers": "127.0.0.1:4" },
+    "store": "127.0.0.1:5", "memory_mb": 16, "metrics": 1,
+    "bounds": { "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 54, "quota_window_s": 8,
+                "quota_overage": 0.1, "quota_slack": 0, "keep_s": 5 } }"#;
+
+fn report(full: bool) -> Report {
+    let shell = common::shell(SETTINGS_JSON);
+    let mut core = shell.core.borrow_mut();
+    core.apply_updates(Millis(1), Revision::new(3, 7), Vec::new());
+    core.next_report(Millis(2), full)
+}
+
+// Guards against instances of two versions that cannot read each other's reports during an upgrade.
+#[test]
+fn a_report_without_an_era_belongs_to_the_first_one() {
+    for full in [false, true] {
+        let report = report(full);
+        let message = Message::Report(Box::new(report.clone()));
+        let bytes = postcard::to_allocvec(&message).unwrap();
+        assert_eq!(gossip::decode(&bytes).unwrap(), message);
+        // The era is the last byte, which earlier versions neither send nor read.
+        let (era, earlier) = bytes.split_last().unwrap();
+        assert_eq!(*era, 3);
+        let Message::Report(received) = gossip::decode(earlier).unwrap() else {
+            panic!("not a report");
+        };
+        assert_eq!(received.revision(), 7.into());
+        assert_eq!(received.info, report.info);
+    }
+}
+
+#[test]
+fn a_truncated_message_is_an_error() {
+    let message = Message::Report(Box::new(report(true)));
+    let bytes = postcard::to_allocvec(&message).unwrap();
+    assert!(gossip::decode(&bytes[..bytes.len() / 2]).is_err());
+    assert!(gossip::decode(&[]).is_err());
+}
--- a/crates/siskinyoke-gateway/tests/replica.rs
+++ b/crates/siskinyoke-gateway/tests/replica.rs
@@ -25,7 +25,7 @@
     fn write(&mut self, key: u8, value: Option<u8>) {
         let item = Item {
             key: format!("k{key}"),
-            revision: self.revision() + 1,
+            revision: (self.revision() + 1).into(),
             value: value.map(|it| vec![it]),
         };
         match &item.value {
@@ -39,7 +39,7 @@
         let skip = usize::try_from(after).unwrap();
         Batch {
             items: self.history.iter().skip(skip).cloned().collect(),
-            revision: self.revision(),
+            revision: self.revision().into(),
             has_more: false,
         }
     }
@@ -47,7 +47,10 @@
 
 // Returns the items of a replica's full state.
 fn state(replica: &Replica) -> BTreeMap<String, Item> {
-    let all = replica.changes_since(0).expect("the full state").items;
+    let all = replica
+        .changes_since(0.into())
+        .expect("the full state")
+        .items;
     let all = all.into_iter().filter(|it| it.value.is_some());
     all.map(|it| (it.key.clone(), it)).collect()
 }
@@ -90,8 +93,8 @@
         step(u, &mut model, &mut replicas)?;
     }
     for (replica, view) in &mut replicas {
-        let batch = model.watch(replica.revision());
-        let changes = if replica.revision() == 0 {
+        let batch = model.watch(replica.revision().number);
+        let changes = if replica.revision().is_zero() {
             replica.replace_all(Batch {
                 items: model.items.values().cloned().collect(),
                 ..batch
@@ -119,10 +122,10 @@
             };
             model.write(u.int_in_range(0..=5)?, value);
         }
-        3 if replicas[index].0.revision() > 0 => {
+        3 if !replicas[index].0.revision().is_zero() => {
             let changes = replicas[index]
                 .0
-                .apply_changes(model.watch(replicas[index].0.revision()));
+                .apply_changes(model.watch(replicas[index].0.revision().number));
             apply_to_view(&mut replicas[index].1, changes);
         }
         4 => {
@@ -141,7 +144,7 @@
             let items = first.into_iter().chain(second).collect();
             let batch = Batch {
                 items,
-                revision,
+                revision: revision.into(),
                 has_more: false,
             };
             let changes = replicas[index].0.replace_all(batch);
@@ -171,13 +174,13 @@
     });
     model.write(1, None);
     replica.apply_changes(model.watch(4));
-    let update = replica.changes_since(4).unwrap();
+    let update = replica.changes_since(4.into()).unwrap();
     assert!(!update.full);
     assert_eq!(update.items.len(), 1);
     assert_eq!(update.items[0].value, None);
     // A full read contains no earlier removals.
-    assert_eq!(replica.changes_since(3), None);
-    let update = replica.changes_since(0).unwrap();
+    assert_eq!(replica.changes_since(3.into()), None);
+    let update = replica.changes_since(0.into()).unwrap();
     assert!(update.full);
     assert_eq!(update.items.len(), 3);
 }
@@ -196,17 +199,17 @@
     for number in 0..3_000_u64 {
         let removed = Item {
             key: format!("gone{number}"),
-            revision: number + 2,
+            revision: (number + 2).into(),
             value: None,
         };
         replica.apply_changes(Batch {
             items: vec![removed],
-            revision: number + 2,
+            revision: (number + 2).into(),
             has_more: false,
         });
     }
-    assert!(replica.changes_since(2_900).unwrap().items.len() <= 1_024);
-    let update = replica.changes_since(500).unwrap();
+    assert!(replica.changes_since(2_900.into()).unwrap().items.len() <= 1_024);
+    let update = replica.changes_since(500.into()).unwrap();
     assert!(update.full);
     assert_eq!(update.items.len(), 1);
 }
@@ -232,9 +235,9 @@
     late.replace_all(read(&model));
     assert_eq!(late.changes_since(early.revision()), None);
     // Once the earlier one has caught up from the store, changes alone suffice.
-    early.apply_changes(model.watch(early.revision()));
+    early.apply_changes(model.watch(early.revision().number));
     model.write(2, Some(9));
-    late.apply_changes(model.watch(late.revision()));
+    late.apply_changes(model.watch(late.revision().number));
     let update = late.changes_since(early.revision()).unwrap();
     assert!(!update.full);
     assert_eq!(update.items.len(), 1);
--- a/crates/siskinyoke-gateway/tests/soak.rs
+++ b/crates/siskinyoke-gateway/tests/soak.rs
@@ -30,6 +30,7 @@
     for size in [FleetSize::ONE_SHARD, FleetSize::TWO_SHARDS] {
         let size = FleetSize {
             endpoint_steps: false,
+            store_steps: false,
             ..size
         };
         check_seeds(&REGRESSION_SEEDS, size);
--- a/crates/siskinyoke-gateway/tests/start.rs
+++ b/crates/siskinyoke-gateway/tests/start.rs
@@ -27,7 +27,7 @@
 fn item(key: &str, value: &str) -> Item {
     Item {
         key: key.to_owned(),
-        revision: 1,
+        revision: 1.into(),
         value: Some(value.as_bytes().to_vec()),
     }
 }
@@ -65,7 +65,7 @@
     let configuration =
         configuration::text(3, "k").replace(r#""ApiKeys""#, &format!(r#"{quota}"ApiKeys""#));
     let update = Update {
-        revision: 2,
+        revision: 2.into(),
         full: true,
         items: [item("op/config", &configuration)]
             .into_iter()
--- a/crates/siskinyoke-interface/src/store.rs
+++ b/crates/siskinyoke-interface/src/store.rs
@@ -2,11 +2,13 @@
 
 use std::fmt::Debug;
 
+use http::HeaderMap;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::FormatError;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 
 /// An HTTP request to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,7 +47,7 @@
     /// The key.
     pub key: String,
     /// The revision of its last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// The value, or `None` if the item was removed.
     pub value: Option<Vec<u8>>,
 }
@@ -56,7 +58,7 @@
     /// The items.
     pub items: Vec<Item>,
     /// The store revision up to which changes are included.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether another page follows.
     pub has_more: bool,
 }
@@ -75,15 +77,24 @@
     /// Reads the page of items that follows a key; an empty key gives the first page.
     fn range(&self, after: &str, consistency: Consistency) -> Call;
 
-    /// Decodes a page of items.
+    /// Decodes the era that a response states, if it states one.
+    ///
+    /// # Errors
+    ///
+    /// The era is malformed.
+    fn stated_era(&self, _headers: &HeaderMap) -> Result<Option<u64>, FormatError> {
+        Ok(None)
+    }
+
+    /// Decodes a page of items, whose revisions belong to an era.
     ///
     /// # Errors
     ///
     /// The response is malformed.
-    fn decode_range(&self, bytes: &[u8]) -> Result<Batch, FormatError>;
+    fn decode_range(&self, bytes: &[u8], era: u64) -> Result<Batch, FormatError>;
 
     /// Waits for changes after a revision, for at most `timeout` if the store supports a limit.
-    fn watch(&self, revision: u64, timeout: Millis) -> Call;
+    fn watch(&self, revision: Revision, timeout: Millis) -> Call;
 
     /// Decodes the part of a watch response received so far; `ended` if it is complete.
     ///
@@ -94,13 +105,18 @@
     /// # Errors
     ///
     /// The response is malformed, or the store has compacted the revision.
-    fn decode_watch(&self, bytes: &[u8], ended: bool) -> Result<Option<Batch>, FormatError>;
+    fn decode_watch(
+        &self,
+        bytes: &[u8],
+        ended: bool,
+        era: u64,
+    ) -> Result<Option<Batch>, FormatError>;
 
     /// Reads the changes of the keys with a prefix after a revision, without waiting for any.
     ///
     /// Returns `None` if the store cannot restrict changes to a prefix that differs from call to
     /// call.
-    fn changes_under(&self, _prefix: &str, _revision: u64) -> Option<Call> {
+    fn changes_under(&self, _prefix: &str, _revision: Revision) -> Option<Call> {
         None
     }
 
@@ -129,15 +145,20 @@
     /// The response is malformed.
     fn decode_renewal(&self, bytes: &[u8]) -> Result<bool, FormatError>;
 
+    /// Returns the store's latest revision number as a renewal states it, if it does.
+    fn renewed_at(&self, _bytes: &[u8]) -> Option<u64> {
+        None
+    }
+
     /// Revokes a lease, which removes the items attached to it.
     fn revoke_lease(&self, lease: u64) -> Call;
 
     /// Writes a value attached to a lease, replacing any previous value.
     fn put(&self, key: &str, value: &[u8], lease: u64) -> Call;
 
-    /// Writes a value if each of the `expected` keys still has its revision; 0 means that the key
+    /// Writes a value if each of the `expected` keys still has its revision; number 0 means that the key
     /// must not exist.
-    fn put_if(&self, key: &str, value: &[u8], expected: &[(&str, u64)]) -> Call;
+    fn put_if(&self, key: &str, value: &[u8], expected: &[(&str, Revision)]) -> Call;
 
     /// Decodes whether a conditional write took effect.
     ///
--- a/crates/siskinyoke-native/src/etcd.rs
+++ b/crates/siskinyoke-native/src/etcd.rs
@@ -7,6 +7,7 @@
 
 use crate::names;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 use siskinyoke_interface::Batch;
 use siskinyoke_interface::Call;
 use siskinyoke_interface::Consistency;
@@ -47,30 +48,35 @@
         Call::post(RANGE_PATH, &body)
     }
 
-    fn decode_range(&self, bytes: &[u8]) -> Result<Batch, FormatError> {
+    fn decode_range(&self, bytes: &[u8], era: u64) -> Result<Batch, FormatError> {
         let page: Page = serde_json::from_slice(bytes)?;
         let rows = page.kvs.into_iter();
         Ok(Batch {
             items: rows
-                .map(|row| row.decode(false))
+                .map(|row| row.decode(false, era))
                 .collect::<Result<_, _>>()?,
-            revision: parse_number(&page.header.revision)?,
+            revision: Revision::new(era, parse_number(&page.header.revision)?),
             has_more: page.more,
         })
     }
 
-    fn watch(&self, revision: u64, _: Millis) -> Call {
+    fn watch(&self, revision: Revision, _: Millis) -> Call {
         let body = json!({
             "create_request": {
                 "key": encode_key(names::KEY_PREFIX),
                 "range_end": encode_key(RANGE_END),
-                "start_revision": (revision + 1).to_string(),
+                "start_revision": (revision.number + 1).to_string(),
             }
         });
         Call::post(WATCH_PATH, &body)
     }
 
-    fn decode_watch(&self, bytes: &[u8], ended: bool) -> Result<Option<Batch>, FormatError> {
+    fn decode_watch(
+        &self,
+        bytes: &[u8],
+        ended: bool,
+        era: u64,
+    ) -> Result<Option<Batch>, FormatError> {
         let mut batch = Batch::default();
         for line in bytes.split_inclusive(|byte| *byte == b'\n') {
             // The last message is incomplete until its newline is received.
@@ -82,7 +88,7 @@
                 return Err(FormatError::Compacted);
             }
             for event in message.result.events {
-                let item = event.kv.decode(event.kind == "DELETE")?;
+                let item = event.kv.decode(event.kind == "DELETE", era)?;
                 batch.revision = batch.revision.max(item.revision);
                 batch.items.push(item);
             }
@@ -117,6 +123,12 @@
         Ok(parse_number(&response.result.ttl)? > 0)
     }
 
+    fn renewed_at(&self, bytes: &[u8]) -> Option<u64> {
+        let response: KeepaliveResponse = serde_json::from_slice(bytes).ok()?;
+        let number = parse_number(&response.result.header.revision).ok()?;
+        (number > 0).then_some(number)
+    }
+
     fn revoke_lease(&self, lease: u64) -> Call {
         Call::post(REVOKE_PATH, &json!({ "ID": lease.to_string() }))
     }
@@ -127,7 +139,7 @@
         Call::post(PUT_PATH, &body)
     }
 
-    fn put_if(&self, key: &str, value: &[u8], expected: &[(&str, u64)]) -> Call {
+    fn put_if(&self, key: &str, value: &[u8], expected: &[(&str, Revision)]) -> Call {
         conditional_put(key, value, expected)
     }
 
@@ -141,21 +153,21 @@
     Call::post(RANGE_PATH, &json!({ "key": encode_key(key) }))
 }
 
-/// Writes a value if its key still has a revision; 0 means that the key must not exist.
+/// Writes a value if its key still has a revision; number 0 means that the key must not exist.
 ///
 /// This prevents lost updates when two operators change the same document at once.
-pub fn compare_and_swap(key: &str, value: &[u8], revision: u64) -> Call {
+pub fn compare_and_swap(key: &str, value: &[u8], revision: Revision) -> Call {
     conditional_put(key, value, &[(key, revision)])
 }
 
-fn conditional_put(key: &str, value: &[u8], expected: &[(&str, u64)]) -> Call {
+fn conditional_put(key: &str, value: &[u8], expected: &[(&str, Revision)]) -> Call {
     let value = STANDARD.encode(value);
-    let compare = |(key, revision): &(&str, u64)| {
+    let compare = |(key, revision): &(&str, Revision)| {
         json!({
             "key": encode_key(key),
             "target": "MOD",
             "result": "EQUAL",
-            "mod_revision": revision.to_string(),
+            "mod_revision": revision.number.to_string(),
         })
     };
     let body = json!({
@@ -209,12 +221,12 @@
 }
 
 impl Row {
-    fn decode(self, removed: bool) -> Result<Item, FormatError> {
+    fn decode(self, removed: bool, era: u64) -> Result<Item, FormatError> {
         let key = STANDARD.decode(self.key)?;
         let value = STANDARD.decode(self.value)?;
         Ok(Item {
             key: String::from_utf8_lossy(&key).into_owned(),
-            revision: parse_number(&self.mod_revision)?,
+            revision: Revision::new(era, parse_number(&self.mod_revision)?),
             value: (!removed).then_some(value),
         })
     }
@@ -244,6 +256,7 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 struct Lease {
+    header: Header,
     #[serde(rename = "ID")]
     id: String,
     // Absent if the lease has expired.
--- a/crates/siskinyoke-native/tests/etcd.rs
+++ b/crates/siskinyoke-native/tests/etcd.rs
@@ -11,8 +11,8 @@
 fn a_page_is_decoded_and_the_next_one_begins_after_its_last_key() {
     let response = br#"{ "header": { "revision": "12" }, "more": true, "count": "2",
         "kvs": [{ "key": "c2lza2lueW9rZS9h", "value": "eA==", "mod_revision": "7" }] }"#;
-    let batch = Etcd.decode_range(response).unwrap();
-    assert_eq!(batch.revision, 12);
+    let batch = Etcd.decode_range(response, 0).unwrap();
+    assert_eq!(batch.revision, 12.into());
     assert!(batch.has_more);
     assert_eq!(batch.items[0].key, "siskinyoke/a");
     assert_eq!(batch.items[0].value.as_deref(), Some(&b"x"[..]));
@@ -23,22 +23,28 @@
 
 #[test]
 fn a_response_without_items_is_an_empty_page() {
-    let batch = Etcd.decode_range(br#"{ "header": { "revision": "1" } }"#);
+    let batch = Etcd.decode_range(br#"{ "header": { "revision": "1" } }"#, 0);
     assert_eq!(batch.unwrap().items, []);
 }
 
 #[test]
 fn a_watch_yields_a_batch_once_a_change_is_completely_received() {
     let created = "{\"result\":{\"header\":{\"revision\":\"12\"},\"created\":true}}\n";
-    assert_eq!(Etcd.decode_watch(created.as_bytes(), false).unwrap(), None);
+    assert_eq!(
+        Etcd.decode_watch(created.as_bytes(), false, 0).unwrap(),
+        None
+    );
     let events = "{\"result\":{\"header\":{\"revision\":\"14\"},\"events\":[\
         {\"kv\":{\"key\":\"c2lza2lueW9rZS9h\",\"value\":\"eA==\",\"mod_revision\":\"13\"}},\
         {\"type\":\"DELETE\",\"kv\":{\"key\":\"c2lza2lueW9rZS9i\",\"mod_revision\":\"14\"}}]}}\n";
     let text = format!("{created}{events}");
     let partial = &text.as_bytes()[..text.len() - 9];
-    assert_eq!(Etcd.decode_watch(partial, false).unwrap(), None);
-    let batch = Etcd.decode_watch(text.as_bytes(), false).unwrap().unwrap();
-    assert_eq!(batch.revision, 14);
+    assert_eq!(Etcd.decode_watch(partial, false, 0).unwrap(), None);
+    let batch = Etcd
+        .decode_watch(text.as_bytes(), false, 0)
+        .unwrap()
+        .unwrap();
+    assert_eq!(batch.revision, 14.into());
     assert_eq!(batch.items.len(), 2);
     assert_eq!(batch.items[1].value, None);
 }
@@ -48,7 +54,7 @@
 #[test]
 fn a_watch_from_a_compacted_revision_fails() {
     let text = "{\"result\":{\"canceled\":true,\"compact_revision\":\"90\"}}\n";
-    let err = Etcd.decode_watch(text.as_bytes(), false).unwrap_err();
+    let err = Etcd.decode_watch(text.as_bytes(), false, 0).unwrap_err();
     assert!(matches!(err, FormatError::Compacted));
 }
 
@@ -66,12 +72,23 @@
     assert_eq!(call.body, br#"{"TTL":"5"}"#);
 }
 
+// Guards against missing that etcd was restored while a watch from a later revision is silent.
+#[test]
+fn a_renewal_tells_the_latest_revision() {
+    let response = br#"{"result":{"header":{"revision":"9"},"ID":"7","TTL":"12"}}"#;
+    assert_eq!(Etcd.renewed_at(response), Some(9));
+    assert_eq!(
+        Etcd.renewed_at(br#"{"result":{"ID":"7","TTL":"12"}}"#),
+        None
+    );
+}
+
 #[test]
 fn a_conditional_write_contains_the_expected_revisions() {
-    let call = etcd::compare_and_swap("siskinyoke/configuration", b"x", 9);
+    let call = etcd::compare_and_swap("siskinyoke/configuration", b"x", 9.into());
     let body = String::from_utf8(call.body).unwrap();
     assert!(body.contains(r#""mod_revision":"9""#), "{body}");
-    let call = Etcd.put_if("state", b"x", &[("order", 5), ("state", 0)]);
+    let call = Etcd.put_if("state", b"x", &[("order", 5.into()), ("state", 0.into())]);
     let body = String::from_utf8(call.body).unwrap();
     assert!(body.contains(r#""mod_revision":"5""#), "{body}");
     assert!(body.contains(r#""mod_revision":"0""#), "{body}");
--- a/crates/siskinyoke-standin/src/etcd/control.rs
+++ b/crates/siskinyoke-standin/src/etcd/control.rs
@@ -21,6 +21,10 @@
     pub lose_answers: Option<u32>,
     /// Revokes leases before they expire.
     pub lapse: Option<Lapse>,
+    /// Takes a snapshot of the contents, which replaces an earlier one.
+    pub snapshot: bool,
+    /// Replaces the contents by those of the snapshot: revisions go back.
+    pub restore: bool,
 }
 
 /// The leases to revoke.
--- a/crates/siskinyoke-standin/src/etcd/server.rs
+++ b/crates/siskinyoke-standin/src/etcd/server.rs
@@ -41,6 +41,8 @@
 #[derive(Default)]
 pub(super) struct State {
     pub(super) store: Store,
+    // The contents that the store comes back with.
+    snapshot: Store,
     pub(super) faults: Faults,
     pub(super) call_counts: BTreeMap<String, u64>,
 }
@@ -205,6 +207,12 @@
             }
             None => {}
         }
+        if command.snapshot {
+            state.snapshot = state.store.clone();
+        }
+        if command.restore {
+            state.store = state.snapshot.clone();
+        }
         drop(state);
         self.changed.notify_all();
     }
--- a/crates/siskinyoke-standin/src/etcd/store.rs
+++ b/crates/siskinyoke-standin/src/etcd/store.rs
@@ -53,14 +53,14 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Lease {
     ttl: Millis,
     expires_at: Millis,
 }
 
 /// An in-memory store. Callers pass the current time.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Store {
     revision: i64,
     entries: BTreeMap<Vec<u8>, Entry>,
--- a/crates/siskinyoke-standin/tests/etcd.rs
+++ b/crates/siskinyoke-standin/tests/etcd.rs
@@ -6,6 +6,7 @@
 use ureq::Agent;
 
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 use siskinyoke_interface::Batch;
 use siskinyoke_interface::Call;
 use siskinyoke_interface::Consistency;
@@ -36,11 +37,11 @@
 
 fn read_all(etcd: &Etcd) -> Batch {
     let body = send_call(etcd, &Calls.range("", Consistency::Linearizable)).expect("a response");
-    Calls.decode_range(&body).expect("a page")
+    Calls.decode_range(&body, 0).expect("a page")
 }
 
 // Returns the first batch of changes of a watch, or none if there is none within 600 ms.
-fn read_watch(etcd: &Etcd, revision: u64) -> Result<Option<Batch>, FormatError> {
+fn read_watch(etcd: &Etcd, revision: Revision) -> Result<Option<Batch>, FormatError> {
     let config = Agent::config_builder()
         .timeout_global(Some(Duration::from_millis(600)))
         .build();
@@ -54,9 +55,9 @@
         match std::io::Read::read(&mut reader, &mut buffer) {
             Ok(count) if count > 0 => bytes.extend_from_slice(&buffer[..count]),
             // The end of the response, or the timeout.
-            _ => return Calls.decode_watch(&bytes, false),
+            _ => return Calls.decode_watch(&bytes, false, 0),
         }
-        if let Some(batch) = Calls.decode_watch(&bytes, false)? {
+        if let Some(batch) = Calls.decode_watch(&bytes, false, 0)? {
             return Ok(Some(batch));
         }
     }
@@ -79,7 +80,11 @@
 #[test]
 fn the_later_of_two_writes_over_the_same_revision_fails() {
     let etcd = start_etcd();
-    let first = send_call(&etcd, &etcd::compare_and_swap(CONFIGURATION_KEY, b"one", 0)).unwrap();
+    let first = send_call(
+        &etcd,
+        &etcd::compare_and_swap(CONFIGURATION_KEY, b"one", Revision::ZERO),
+    )
+    .unwrap();
     assert!(etcd::decode_txn(&first).unwrap());
     let revision = read_all(&etcd).items[0].revision;
     for (value, succeeds) in [("two", true), ("three", false)] {
@@ -100,7 +105,13 @@
         lose_answers: Some(1),
         ..EtcdControl::default()
     });
-    assert!(send_call(&etcd, &etcd::compare_and_swap(CONFIGURATION_KEY, b"one", 0)).is_err());
+    assert!(
+        send_call(
+            &etcd,
+            &etcd::compare_and_swap(CONFIGURATION_KEY, b"one", Revision::ZERO)
+        )
+        .is_err()
+    );
     assert_eq!(etcd.get(CONFIGURATION_KEY).as_deref(), Some("one"));
 }
 
@@ -181,7 +192,7 @@
     assert!(first.has_more);
     let after = &first.items.last().unwrap().key;
     let body = send_call(&etcd, &Calls.range(after, Consistency::Linearizable)).unwrap();
-    let second = Calls.decode_range(&body).unwrap();
+    let second = Calls.decode_range(&body, 0).unwrap();
     assert!(!second.has_more);
     assert_eq!(first.items.len() + second.items.len(), 1_500);
 }
--- a/crates/siskinyoke-standin/tests/fleet.rs
+++ b/crates/siskinyoke-standin/tests/fleet.rs
@@ -346,3 +346,31 @@
     });
     assert_eq!(fleet.client(0).locate().unwrap().addresses.len(), 2);
 }
+
+// etcd comes back from a snapshot: its revisions go back, and a watch from a later one is silent.
+// Guards against ignoring changes until the old revision has been passed again.
+#[test]
+fn a_configuration_written_after_etcd_was_restored_is_applied() {
+    let fleet = Fleet::start(2).expect("a fleet");
+    fleet.etcd.control(&EtcdControl {
+        snapshot: true,
+        ..EtcdControl::default()
+    });
+    for number in 0..30 {
+        fleet.etcd.put("siskinyoke/other", &number.to_string());
+    }
+    thread::sleep(Duration::from_secs(1));
+    fleet.etcd.control(&EtcdControl {
+        restore: true,
+        cut: true,
+        ..EtcdControl::default()
+    });
+    edit_configuration(&fleet, r#""preset": "ordinary""#, r#""preset": "peak""#);
+    edit_configuration(&fleet, r#""revision": 1"#, r#""revision": 2"#);
+    let path = "/v1/services/portal/seats";
+    for address in fleet.client(0).locate().unwrap().addresses {
+        wait_until("preset in force", || {
+            result_code(&post_to(&address, path, API_KEY, "")).0 == Code::NoEndpoint.number()
+        });
+    }
+}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! A seeded run of gateway processes and callers under overlapping faults.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::path::Path;
@@ -27,6 +28,7 @@
 use crate::instance::http_get;
 use crate::proxy::Fault;
 use crate::store::Availability;
+use crate::store::Copy;
 
 /// The number of caller threads.
 const CALLER_COUNT: u64 = 6;
@@ -40,6 +42,8 @@
     pub endpoints: usize,
     /// Whether endpoints leave, reject requests and restart at random.
     pub endpoint_steps: bool,
+    /// Whether the store comes back from earlier copies at random.
+    pub store_steps: bool,
 }
 
 impl FleetSize {
@@ -48,6 +52,7 @@
         instances: 3,
         endpoints: 4,
         endpoint_steps: true,
+        store_steps: true,
     };
 
     /// A fleet of two shards, in each of which one instance watches the store for the others.
@@ -55,6 +60,7 @@
         instances: 14,
         endpoints: 8,
         endpoint_steps: true,
+        store_steps: true,
     };
 }
 
@@ -73,6 +79,12 @@
 /// How long requests may still reach an endpoint after it said that it is leaving.
 const DEPARTURE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long the store is away before it comes back from a copy.
+const STORE_ABSENCE: Duration = Duration::from_millis(300);
+
+/// The number of changes that the store loses in the return from a copy after all faults.
+const WRITES_AFTER_COPY: usize = 20;
+
 /// The versions of the service, assigned to its endpoints in turn. The first endpoint of each is
 /// never drained.
 const SERVICE_VERSIONS: [&str; 2] = ["v1", "v2"];
@@ -98,6 +110,10 @@
 
 struct Fleet {
     store: Store,
+    // The copy that the store comes back from next.
+    copy: Copy,
+    // What operators and endpoints wrote last, which they write again after a return from a copy.
+    written: BTreeMap<String, Option<String>>,
     endpoints: Vec<Endpoint>,
     endpoint_proxies: Vec<Proxy>,
     store_proxies: Vec<Proxy>,
@@ -129,11 +145,16 @@
     // The steps of endpoints have a stream of their own, so that seeds keep their other steps.
     let mut endpoint_rng = ChaCha8Rng::seed_from_u64(seed);
     endpoint_rng.set_stream(1);
+    let mut store_rng = ChaCha8Rng::seed_from_u64(seed);
+    store_rng.set_stream(2);
     for _ in 0..STEP_COUNT {
         fleet.run_random_step(&mut rng);
         if size.endpoint_steps {
             fleet.run_endpoint_step(&mut endpoint_rng);
         }
+        if size.store_steps {
+            fleet.run_store_step(&mut store_rng);
+        }
         thread::sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
     }
     fleet.clear_faults();
@@ -173,6 +194,14 @@
         let store_proxies: Vec<Proxy> = (0..size.instances)
             .map(|_| Proxy::start(store.address))
             .collect();
+        let written = endpoints
+            .iter()
+            .zip(&endpoint_proxies)
+            .map(|(endpoint, proxy)| {
+                let key = format!("servers/{}", endpoint.id);
+                (key, Some(endpoint.entry_at(proxy.address, "ready")))
+            })
+            .collect();
         let instances = store_proxies
             .iter()
             .enumerate()
@@ -181,7 +210,9 @@
             })
             .collect();
         Self {
+            copy: store.copy(),
             store,
+            written,
             endpoints,
             endpoint_proxies,
             store_proxies,
@@ -190,6 +221,36 @@
         }
     }
 
+    // Writes a value, or removes the key.
+    fn write(&mut self, key: &str, value: Option<String>) {
+        match &value {
+            Some(value) => self.store.put(key, value),
+            None => self.store.remove(key),
+        }
+        self.written.insert(key.to_owned(), value);
+    }
+
+    // Lets the store come back from a copy. Operators and endpoints write again what it has lost,
+    // and what they had written before.
+    fn restore_store(&mut self) {
+        self.store.set_availability(Availability::Unavailable);
+        thread::sleep(STORE_ABSENCE);
+        self.store.restore(self.copy.clone());
+        self.store.set_availability(Availability::Available);
+        for (key, value) in self.written.clone() {
+            self.write(&key, value);
+        }
+    }
+
+    // Takes a copy of the store, or lets it come back from the last one.
+    fn run_store_step(&mut self, rng: &mut ChaCha8Rng) {
+        match rng.random_range(0..10) {
+            0 => self.copy = self.store.copy(),
+            1 => self.restore_store(),
+            _ => {}
+        }
+    }
+
     // Injects a random fault, ends one, or writes a random update to the store.
     fn run_random_step(&mut self, rng: &mut ChaCha8Rng) {
         let index = rng.random_range(0..self.instances.len());
@@ -230,13 +291,13 @@
     // Writes a rollout order for a random version, or removes the order.
     fn change_rollout_order(&mut self, rng: &mut ChaCha8Rng) {
         if rng.random_bool(0.2) {
-            self.store.remove("op/rollout/lm");
+            self.write("op/rollout/lm", None);
             return;
         }
         let version = SERVICE_VERSIONS[rng.random_range(0..2)];
         let seconds = rng.random_range(1..5);
         let text = format!(r#"{{"Service":"lm","To":"{version}","DurationS":{seconds}}}"#);
-        self.store.put("op/rollout/lm", &text);
+        self.write("op/rollout/lm", Some(text));
     }
 
     // Writes a random endpoint's state and a new configuration version, and may compact the store.
@@ -249,12 +310,9 @@
         };
         let (id, proxy) = (&self.endpoints[index].id, &self.endpoint_proxies[index]);
         let entry = self.endpoints[index].entry_at(proxy.address, state);
-        self.store.put(&format!("servers/{id}"), &entry);
-        self.configuration_version += 1;
-        self.store.put(
-            "op/config",
-            &configuration::text(self.configuration_version, "k1"),
-        );
+        let key = format!("servers/{id}");
+        self.write(&key, Some(entry));
+        self.write_configuration();
         if rng.random() {
             self.store.compact();
         }
@@ -277,7 +335,15 @@
         let endpoint = &self.endpoints[index];
         endpoint.restart();
         let entry = endpoint.entry_at(self.endpoint_proxies[index].address, "ready");
-        self.store.put(&format!("servers/{}", endpoint.id), &entry);
+        let key = format!("servers/{}", endpoint.id);
+        self.write(&key, Some(entry));
+    }
+
+    // Writes the next version of the configuration.
+    fn write_configuration(&mut self) {
+        self.configuration_version += 1;
+        let text = configuration::text(self.configuration_version, "k1");
+        self.write("op/config", Some(text));
     }
 
     fn clear_faults(&mut self) {
@@ -308,6 +374,12 @@
             }
         }
         violations.extend(self.check_propagation());
+        self.copy = self.store.copy();
+        for _ in 0..WRITES_AFTER_COPY {
+            self.write_configuration();
+        }
+        self.restore_store();
+        violations.extend(self.check_propagation());
         violations.extend(self.check_announcements());
         violations
     }
@@ -364,11 +436,7 @@
     // including those that receive it from a peer.
     fn check_propagation(&mut self) -> Vec<String> {
         self.wait_until_stable();
-        self.configuration_version += 1;
-        self.store.put(
-            "op/config",
-            &configuration::text(self.configuration_version, "k1"),
-        );
+        self.write_configuration();
         thread::sleep(PROPAGATION_TIMEOUT);
         let is_outdated =
             |instance: &&Instance| active_version(instance) != Some(self.configuration_version);
