A new era is noted wherever it is learnt, and a call without a response says nothing of it

Found by reading the change: a watch that got no response after a peer had reported the new era counted as a successful call; pages of two eras could be joined; an instance that learnt of the era from a peer registered again only at its next renewal, up to four seconds later.

--- a/crates/siskinyoke-dispatch/src/configuration_sources.rs
+++ b/crates/siskinyoke-dispatch/src/configuration_sources.rs
@@ -3,7 +3,7 @@
 //! A configuration may be a thousand times as large as any other change, and peers send it to each
 //! other over links that carry requests, too. Each instance sends it to a few at a time, so the
 //! number of instances that have it multiplies with each round. An instance therefore asks any of
-//! those that have it, not the one it heard of first.
+//! those that have it, not the one whose report came first.
 
 use std::net::SocketAddr;
 
--- a/crates/siskinyoke-gateway/src/peer_api.rs
+++ b/crates/siskinyoke-gateway/src/peer_api.rs
@@ -120,7 +120,11 @@
 /// Fetches missing changes from a peer if its store revision is ahead of this instance's.
 pub fn catch_up(shell: &Rc<Shell>, from: SocketAddr, revision: Revision) {
     let now = shell.now();
+    let era = shell.core.borrow().store_era();
     let ahead = shell.core.borrow_mut().record_peer_revision(now, revision);
+    if shell.core.borrow().store_era() > era {
+        shell.era_raised(era);
+    }
     let failed = shell.failed_peer.get();
     let backing_off = failed
         .is_some_and(|failure| failure.0 == from && now.since(failure.1) < FAILED_PEER_BACKOFF);
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -236,15 +236,11 @@
         let stated = self.stated_era(headers);
         let before = self.core.borrow().store_era();
         let check = self.core.borrow_mut().observe_store_era(stated);
-        let fields = json!({ "era": stated, "before": before });
         match check {
             EraCheck::Known => {}
-            EraCheck::Raised => {
-                self.log("store_era", fields);
-                // The entry and the lease of this instance may be lost.
-                self.lease_renewal.notify_one();
-            }
+            EraCheck::Raised => self.era_raised(before),
             EraCheck::Rejected => {
+                let fields = json!({ "era": stated, "before": before });
                 self.log("store_era_rejected", fields);
                 return Err(StoreError::WrongEra);
             }
@@ -252,6 +248,14 @@
         Ok(self.core.borrow().store_era())
     }
 
+    /// Logs that the store has come back from a copy, and lets this instance register again: its
+    /// entry and its lease may be lost.
+    pub fn era_raised(&self, before: u64) {
+        let era = self.core.borrow().store_era();
+        self.log("store_era", json!({ "era": era, "before": before }));
+        self.lease_renewal.notify_one();
+    }
+
     // Returns the era that a response states. One that cannot be read is logged once in a row.
     fn stated_era(&self, headers: &HeaderMap) -> Option<u64> {
         match self.interface.store.stated_era(headers) {
--- a/crates/siskinyoke-gateway/src/store.rs
+++ b/crates/siskinyoke-gateway/src/store.rs
@@ -92,6 +92,11 @@
 }
 
 impl Client {
+    /// Returns whether the head of a response to the last call has arrived.
+    pub fn has_response(&self) -> bool {
+        !self.headers.is_empty()
+    }
+
     /// Returns the headers of the last response, whatever its status.
     pub fn headers(&self) -> &HeaderMap {
         &self.headers
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -131,6 +131,9 @@
         let mut revision: Option<Revision> = None;
         loop {
             let page = self.read_page(&after, consistency).await?;
+            if revision.is_some_and(|it| it.era != page.revision.era) {
+                return Err(StoreError::WrongEra);
+            }
             // Pages are no snapshot, so the watch starts at the lowest revision among them.
             revision = Some(revision.map_or(page.revision, |it| it.min(page.revision)));
             after = page
@@ -171,10 +174,8 @@
             return update;
         }
         self.shell.core.borrow_mut().begin_store_era();
+        self.shell.era_raised(known.era);
         let era = self.shell.core.borrow().store_era();
-        let fields = json!({ "era": era, "before": known.era, "revision": update.revision.number });
-        self.shell.log("store_era", fields);
-        self.shell.lease_renewal.notify_one();
         update.revision.era = era;
         for item in &mut update.items {
             item.revision.era = era;
@@ -283,8 +284,8 @@
             });
             self.shell.log("store_watch_failed", fields);
         }
-        let era = self.shell.check_era(self.client.headers())?;
-        if era > revision.era {
+        if self.client.has_response() && self.shell.check_era(self.client.headers())? > revision.era
+        {
             // The changes after a revision of another history say nothing.
             self.call_succeeded();
             self.reread();
