--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -186,11 +186,14 @@
         let now = shell.now();
         let mut core = shell.core.borrow_mut();
         core.record_peer_configuration(now, version);
+        let newer = version > core.configuration_version();
         drop(core);
         let mut sources = shell.configuration_sources.borrow_mut();
         sources.record(now, from, version);
         drop(sources);
-        configuration_transfer::start(shell);
+        if newer {
+            configuration_transfer::start(shell);
+        }
     }
 
     fn send_report(&self, shell: &Shell, discover: bool) {
