--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,15 +1,15 @@
 //! A seeded run of gateway processes and callers under overlapping faults.
 
+mod checks;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::Range;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -24,9 +24,8 @@
 use crate::checker::Checker;
 use crate::client;
 use crate::configuration;
-use crate::endpoint::SLOT_COUNT;
-use crate::instance::http_get;
 use crate::proxy::Fault;
+use crate::run::checks::check_rollout_statuses;
 use crate::store::Availability;
 use crate::store::Copy;
 
@@ -64,27 +63,9 @@
     };
 }
 
-/// How long no instance may have exited before the propagation of an update is checked.
-const STABLE_PERIOD: Duration = Duration::from_secs(5);
-
-/// Maximum time until an update is in use everywhere, which operators of large fleets rely on.
-const PROPAGATION_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// The back-off that an endpoint requests once all faults have ended.
-const BACKOFF: Duration = Duration::from_secs(3);
-
-/// How long requests may still reach an endpoint after it requested a back-off.
-const ANNOUNCEMENT_SLACK: Duration = Duration::from_millis(500);
-
-/// How long requests may still reach an endpoint after it said that it is leaving.
-const DEPARTURE_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// How long the store is away before it comes back from a copy.
 const STORE_ABSENCE: Duration = Duration::from_millis(300);
 
-/// The number of changes that the store loses in the return from a copy after all faults.
-const WRITES_AFTER_COPY: usize = 20;
-
 /// The versions of the service, assigned to its endpoints in turn. The first endpoint of each is
 /// never drained.
 const SERVICE_VERSIONS: [&str; 2] = ["v1", "v2"];
@@ -356,136 +337,6 @@
             instance.restart_if_exited();
         }
     }
-
-    // Checks that every instance serves requests again within 200 probes, and that updates
-    // propagate.
-    fn check_recovery(&mut self) -> Vec<String> {
-        let mut violations = Vec::new();
-        for index in 0..self.instances.len() {
-            let served = (0..200).any(|_| {
-                thread::sleep(Duration::from_millis(50));
-                self.instances[index].restart_if_exited();
-                self.instances[index].serves_requests()
-            });
-            if !served {
-                violations.push(format!(
-                    "instance {index} serves no requests after the end of all faults"
-                ));
-            }
-        }
-        violations.extend(self.check_propagation());
-        self.copy = self.store.copy();
-        for _ in 0..WRITES_AFTER_COPY {
-            self.write_configuration();
-        }
-        self.restore_store();
-        violations.extend(self.check_propagation());
-        violations.extend(self.check_announcements());
-        violations
-    }
-
-    // Checks that an endpoint gets few requests after it requested a back-off, and none after it
-    // said that it is leaving.
-    fn check_announcements(&mut self) -> Vec<String> {
-        for index in 0..self.endpoints.len() {
-            self.restart_endpoint(index);
-        }
-        thread::sleep(PROPAGATION_TIMEOUT);
-        let [first, second, ..] = &*self.endpoints else {
-            return Vec::new();
-        };
-        first.reject_for(BACKOFF);
-        second.leave();
-        thread::sleep(BACKOFF);
-        let mut violations = Vec::new();
-        if let Some(announced_at) = first.announced_at() {
-            let period = announced_at + ANNOUNCEMENT_SLACK..announced_at + BACKOFF;
-            let count = count_received(first, &period);
-            // An instance may learn of the rejections late, from as many requests as there are
-            // slots.
-            if count > self.instances.len() * SLOT_COUNT {
-                violations.push(format!("{count} requests to an endpoint in its back-off"));
-            }
-        }
-        if let Some(announced_at) = second.announced_at() {
-            thread::sleep(DEPARTURE_TIMEOUT);
-            let since = announced_at + DEPARTURE_TIMEOUT;
-            let count = count_received(second, &(since..Instant::now()));
-            if count > 0 {
-                violations.push(format!("{count} requests to an endpoint that leaves"));
-            }
-        }
-        violations
-    }
-
-    // Waits until no instance has exited for `STABLE_PERIOD`. An instance may take a while to exit
-    // after SIGTERM.
-    fn wait_until_stable(&mut self) {
-        let mut stable_since = Instant::now();
-        while stable_since.elapsed() < STABLE_PERIOD {
-            thread::sleep(Duration::from_millis(50));
-            for instance in &mut self.instances {
-                if instance.restart_if_exited() {
-                    stable_since = Instant::now();
-                }
-            }
-        }
-    }
-
-    // Checks that a new configuration is in use at every instance after `PROPAGATION_TIMEOUT`,
-    // including those that receive it from a peer.
-    fn check_propagation(&mut self) -> Vec<String> {
-        self.wait_until_stable();
-        self.write_configuration();
-        thread::sleep(PROPAGATION_TIMEOUT);
-        let is_outdated =
-            |instance: &&Instance| active_version(instance) != Some(self.configuration_version);
-        let outdated = self.instances.iter().filter(is_outdated);
-        outdated
-            .map(|instance| {
-                format!(
-                    "configuration version {} is not in use at {}: active version {:?}",
-                    self.configuration_version,
-                    instance.caller_address,
-                    active_version(instance)
-                )
-            })
-            .collect()
-    }
-}
-
-// Checks that the status of a rollout order does not change once the rollout is completed or rolled
-// back.
-fn check_rollout_statuses(rollout_statuses: &[(u64, String)]) -> Vec<String> {
-    let mut violations = Vec::new();
-    for pair in rollout_statuses.windows(2) {
-        let [(order, first), (next_order, second)] = pair else {
-            continue;
-        };
-        let is_final = first.contains("completed") || first.contains("rolled_back");
-        if *order > 0 && order == next_order && is_final && first != second {
-            violations.push(format!(
-                "rollout order {order}: final status {first} was replaced by {second}"
-            ));
-        }
-    }
-    violations
-}
-
-// Returns the number of requests that an endpoint received in a period.
-fn count_received(endpoint: &Endpoint, period: &Range<Instant>) -> usize {
-    let requests = endpoint.requests().into_iter();
-    requests
-        .filter(|it| it.received_at.is_some_and(|at| period.contains(&at)))
-        .count()
-}
-
-// Returns the configuration version that an instance uses, according to its metrics.
-fn active_version(instance: &Instance) -> Option<u64> {
-    let page = http_get(instance.metrics_address, "/metrics")?;
-    let mut rows = page.lines().filter(|row| row.contains("siskinyoke_state"));
-    let row = rows.find(|row| row.contains("what=\"configuration\""))?;
-    row.rsplit(' ').next()?.trim().parse().ok()
 }
 
 // Sets a random fault, or none, at a random proxy.
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -29,6 +29,17 @@
     Unresponsive,
 }
 
+/// A rollout status as it was written.
+#[derive(Debug, Clone)]
+pub struct RolloutStatus {
+    /// How often the store had come back from a copy.
+    pub era: u64,
+    /// The revision of the order, or 0 if there was none.
+    pub order: u64,
+    /// The document.
+    pub text: String,
+}
+
 /// The contents of a store at some time.
 #[derive(Debug, Clone)]
 pub struct Copy {
@@ -56,8 +67,7 @@
     availability: Availability,
     // Changes up to this revision are no longer available to watch calls.
     compacted_revision: u64,
-    // All rollout statuses written, each with the revision of its order, or 0 if there was none.
-    rollout_statuses: Vec<(u64, String)>,
+    rollout_statuses: Vec<RolloutStatus>,
 }
 
 /// An in-memory stand-in for the platform's store.
@@ -202,13 +212,12 @@
         Some(String::from_utf8(value).unwrap())
     }
 
-    /// Returns all rollout statuses written, each with the revision of its order, or 0 if there was
-    /// none.
+    /// Returns all rollout statuses written.
     ///
     /// # Panics
     ///
     /// If one of its threads has panicked.
-    pub fn rollout_statuses(&self) -> Vec<(u64, String)> {
+    pub fn rollout_statuses(&self) -> Vec<RolloutStatus> {
         self.shared.0.lock().unwrap().rollout_statuses.clone()
     }
 
@@ -370,8 +379,11 @@
             let order = self.contents.items.get(&format!("op/rollout/{service}"));
             let text = STANDARD.decode(value).unwrap();
             let text = String::from_utf8(text).unwrap();
-            self.rollout_statuses
-                .push((order.map_or(0, |order| order.0), text));
+            self.rollout_statuses.push(RolloutStatus {
+                era: self.era_count,
+                order: order.map_or(0, |order| order.0),
+                text,
+            });
         }
         self.contents
             .items
