--- a/crates/siskinyoke-gateway/src/configuration_transfer.rs
+++ b/crates/siskinyoke-gateway/src/configuration_transfer.rs
@@ -8,7 +8,6 @@
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
-use quick_error::quick_error;
 use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,6 +19,7 @@
 
 use crate::cluster_view;
 use crate::configuration_copy::ConfigurationCopy;
+use crate::fetch_error::FetchError;
 use crate::peer_api;
 use crate::response;
 use crate::response::ResponseBody;
@@ -65,35 +65,6 @@
     compressed: Bytes,
 }
 
-quick_error! {
-    /// Why the configuration could not be fetched from a peer.
-    #[derive(Debug)]
-    enum FetchError {
-        /// The call failed.
-        Call(err: StoreError) {
-            display("{err}")
-            source(err)
-            from()
-        }
-        /// The response cannot be decoded.
-        Format(err: postcard::Error) {
-            display("response cannot be decoded: {err}")
-            source(err)
-            from()
-        }
-        /// The document cannot be decompressed.
-        Compression(err: std::io::Error) {
-            display("configuration cannot be decompressed: {err}")
-            source(err)
-            from()
-        }
-        /// The document was not applied.
-        NotApplied {
-            display("configuration was not applied: it is invalid or no newer one")
-        }
-    }
-}
-
 /// Serves a peer's request for a configuration newer than the version in the path.
 pub async fn serve(shell: &Shell, request: &Request<Incoming>) -> Response<ResponseBody> {
     let known = request.uri().path().strip_prefix(CONFIGURATION_PATH);
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod connection;
 pub mod departures;
 pub mod events;
+pub mod fetch_error;
 pub mod first_read;
 pub mod gateway;
 pub mod gossip;
--- a/crates/siskinyoke-gateway/src/peer_api.rs
+++ b/crates/siskinyoke-gateway/src/peer_api.rs
@@ -7,7 +7,6 @@
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
-use quick_error::quick_error;
 use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
@@ -17,6 +16,7 @@
 use crate::cluster_view;
 use crate::configuration_transfer;
 use crate::configuration_transfer::CONFIGURATION_PATH;
+use crate::fetch_error::FetchError;
 use crate::replica::Update;
 use crate::response;
 use crate::response::ResponseBody;
@@ -64,25 +64,6 @@
     configuration: (u64, Revision),
 }
 
-quick_error! {
-    /// Why changes could not be fetched from a peer.
-    #[derive(Debug)]
-    pub enum FetchError {
-        /// The call failed.
-        Call(err: StoreError) {
-            display("{err}")
-            source(err)
-            from()
-        }
-        /// The response cannot be decoded.
-        Format(err: postcard::Error) {
-            display("response cannot be decoded: {err}")
-            source(err)
-            from()
-        }
-    }
-}
-
 /// Serves a request of a peer.
 pub async fn serve(shell: &Shell, request: &Request<Incoming>) -> Response<ResponseBody> {
     let path = request.uri().path();
--- a/crates/siskinyoke-gateway/src/registration.rs
+++ b/crates/siskinyoke-gateway/src/registration.rs
@@ -134,18 +134,24 @@
     let renewal = shell.interface.store.renew_lease(lease);
     match call(shell, client, "renew", &renewal).await {
         Ok(body) => {
-            let store = &shell.interface.store;
-            let known = shell.replica.borrow().revision();
-            if store.renewed_at(&body).is_some_and(|it| it < known.number) {
-                shell.reread_due.notify_waiters();
-            }
-            Ok(store.decode_renewal(&body)?)
+            check_revision(shell, &body);
+            Ok(shell.interface.store.decode_renewal(&body)?)
         }
         Err(StoreError::Status(http::StatusCode::NOT_FOUND)) => Ok(false),
         Err(err) => Err(err),
     }
 }
 
+// Requests a full read if the store's latest revision is below the known one. A watch from a
+// revision that the store does not have may be silent.
+fn check_revision(shell: &Shell, renewal: &[u8]) {
+    let known = shell.replica.borrow().revision();
+    let latest = shell.interface.store.renewed_at(renewal);
+    if latest.is_some_and(|it| it < known.number) {
+        shell.request_full_read();
+    }
+}
+
 // Makes a call and records its result in the metrics.
 async fn call(
     shell: &Shell,
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -126,6 +126,8 @@
     pub lease_renewal: Notify,
     /// Ends a watch call at a previous address of the store.
     pub store_moved: Notify,
+    /// Whether the store's contents have to be read anew.
+    pub full_read_due: Cell<bool>,
     /// Ends a watch call so that the store's contents are read anew.
     pub reread_due: Notify,
     /// Aborts a watch call after the store failed to answer another call.
@@ -191,6 +193,7 @@
             lease_renewal: Notify::new(),
             store_moved: Notify::new(),
             store_unresponsive: Notify::new(),
+            full_read_due: Cell::new(false),
             reread_due: Notify::new(),
             era_unreadable: Cell::new(false),
             fetch_failed: Notify::new(),
@@ -248,6 +251,21 @@
         Ok(self.core.borrow().store_era())
     }
 
+    /// Requests that the store's contents are read anew, and ends a watch call for it.
+    pub fn request_full_read(&self) {
+        self.full_read_due.set(true);
+        self.reread_due.notify_waiters();
+    }
+
+    /// Completes when an open watch call is of no more use: the store has another address, or its
+    /// contents have to be read anew.
+    pub async fn watch_obsolete(&self) {
+        tokio::select! {
+            () = self.store_moved.notified() => {}
+            () = self.reread_due.notified() => {}
+        }
+    }
+
     /// Logs that the store has come back from a copy, and lets this instance register again: its
     /// entry and its lease may be lost.
     pub fn era_raised(&self, before: u64) {
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -15,7 +15,6 @@
 use crate::replica::Update;
 use crate::shell::Shell;
 use crate::store::Client;
-use crate::store::OpenResponse;
 use crate::store::StoreError;
 use siskinyoke_base::Millis;
 use siskinyoke_base::Revision;
@@ -114,7 +113,8 @@
     async fn read_or_watch(&mut self) -> Result<(), StoreError> {
         let revision = self.shell.replica.borrow().watch_revision();
         let lost = revision.era < self.shell.core.borrow().store_era();
-        if !revision.is_zero() && !self.compacted && !lost {
+        self.compacted |= lost || self.shell.full_read_due.take();
+        if !revision.is_zero() && !self.compacted {
             return self.watch(revision).await;
         }
         if revision.is_zero() && self.read_all(Consistency::Serializable).await? {
@@ -165,12 +165,10 @@
     // era. Only a linearizable read shows that.
     fn relabel(&self, mut update: Update, consistency: Consistency) -> Update {
         let known = self.shell.replica.borrow().revision();
-        let unnamed = !matches!(
-            self.shell.interface.store.stated_era(self.client.headers()),
-            Ok(Some(_))
-        );
+        let stated = self.shell.interface.store.stated_era(self.client.headers());
+        let is_stated = matches!(stated, Ok(Some(_)));
         let went_back = update.revision < known && update.revision.era == known.era;
-        if consistency != Consistency::Linearizable || !unnamed || !went_back {
+        if consistency != Consistency::Linearizable || is_stated || !went_back {
             return update;
         }
         self.shell.core.borrow_mut().begin_store_era();
@@ -240,37 +238,15 @@
         let result = if self.probing {
             self.probe(address, &call, limit).await
         } else {
-            let opened = tokio::select! {
-                opened = self.client.open(address, &call, limit) => opened,
-                // The store did not answer another call, so this connection may be dead too.
-                () = self.shell.store_unresponsive.notified() => Err(StoreError::NoReply),
-                () = self.shell.store_moved.notified() => return Ok(()),
-                () = self.shell.reread_due.notified() => {
-                    self.reread();
-                    return Ok(());
-                }
-            };
-            let expected_bytes = opened.as_ref().map_or(0, OpenResponse::expected_bytes);
-            let result = match opened {
-                Ok(response) => tokio::select! {
-                    result = self.client.read_watch(response, limit, &self.shell) => result,
-                    // Where an open watch is silent, it may be dead; otherwise the response arrives.
-                    () = self.shell.store_unresponsive.notified(), if store.idle_watch_is_silent() => {
-                        Err(StoreError::NoReply)
-                    }
-                    () = self.shell.store_moved.notified() => return Ok(()),
-                    () = self.shell.reread_due.notified() => {
-                        self.reread();
-                        return Ok(());
-                    }
-                    () = read_ahead::run(&self.shell, expected_bytes, revision) => return Ok(()),
-                },
-                Err(err) => Err(err),
-            };
+            let result = self.watch_once(address, &call, limit, revision).await;
             self.shell
                 .metrics
                 .record_store_call("watch", result.is_ok());
-            result
+            match result {
+                Ok(Some(batch)) => Ok(batch),
+                Ok(None) => return Ok(()),
+                Err(err) => Err(err),
+            }
         };
         self.shell.log_transfer(&self.client.transfer(), "watch");
         if let Err(err) = &result {
@@ -288,7 +264,7 @@
         {
             // The changes after a revision of another history say nothing.
             self.call_succeeded();
-            self.reread();
+            self.compacted = true;
             return Ok(());
         }
         let batch = result?;
@@ -312,6 +288,33 @@
         Ok(())
     }
 
+    // Sends a watch on the kept connection. Returns `None` if it was abandoned because of a new
+    // address of the store, for a full read, or because peers have sent what it would bring.
+    async fn watch_once(
+        &mut self,
+        address: SocketAddr,
+        call: &Call,
+        limit: Millis,
+        revision: Revision,
+    ) -> Result<Option<Batch>, StoreError> {
+        let shell = self.shell.clone();
+        let response = tokio::select! {
+            response = self.client.open(address, call, limit) => response?,
+            // The store did not answer another call, so this connection may be dead too.
+            () = shell.store_unresponsive.notified() => return Err(StoreError::NoReply),
+            () = shell.watch_obsolete() => return Ok(None),
+        };
+        // An open watch that is silent may be dead; a response that has begun arrives.
+        let silent = shell.interface.store.idle_watch_is_silent();
+        let expected_bytes = response.expected_bytes();
+        tokio::select! {
+            batch = self.client.read_watch(response, limit, &shell) => batch.map(Some),
+            () = shell.store_unresponsive.notified(), if silent => Err(StoreError::NoReply),
+            () = shell.watch_obsolete() => Ok(None),
+            () = read_ahead::run(&shell, expected_bytes, revision) => Ok(None),
+        }
+    }
+
     // Sends a watch that follows a failed call, and repeats it while the store does not answer.
     async fn probe(
         &mut self,
@@ -347,11 +350,6 @@
         Ok(response)
     }
 
-    // Lets the next call read the full state.
-    fn reread(&mut self) {
-        self.compacted = true;
-    }
-
     fn call_succeeded(&mut self) {
         self.shell.store_contact.set(self.shell.now());
         self.shell.core.borrow_mut().store_call_succeeded();
