A peer that does not answer a request for the configuration is given up after half a second

The model of large changes now begins with the large configuration, and instances freeze in a second variant. A request waits for a transfer's end for 0.25 s at most, so that 0.5 s are enough for the head of a response.

--- a/crates/siskinyoke-dispatch/tests/following/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet.rs
@@ -65,6 +65,9 @@
 /// How often expired entries are removed, as in the gateway.
 const SWEEP_INTERVAL_MS: u64 = 200;
 
+/// The size of a small configuration in bytes.
+const SMALL_CONFIGURATION: u32 = 20_000;
+
 /// When large configurations are written, the second of two while the first is under way.
 const CONFIGURATION_TIMES_MS: [u64; 4] = [4_010, 5_210, 9_260, 10_490];
 
@@ -85,9 +88,21 @@
     /// Repeated outages in which the store is unresponsive to all instances or rejects
     /// their calls.
     StoreOutages,
-    /// No faults, but an endpoint leaves every half second, and the configuration is replaced now
-    /// and then by one of this many bytes, twice in a row.
+    /// An endpoint leaves every half second, and the configuration, of this many bytes from the start
+    /// on, is replaced now and then, twice in a row. There are no faults.
     LargeChanges(u32),
+    /// As above, but instances freeze.
+    LargeChangesAndFreezes(u32),
+}
+
+impl Faults {
+    // Returns the size of configurations if they are large.
+    fn large_bytes(self) -> Option<u32> {
+        match self {
+            Self::LargeChanges(bytes) | Self::LargeChangesAndFreezes(bytes) => Some(bytes),
+            Self::None | Self::Mixed | Self::StoreOutages => None,
+        }
+    }
 }
 
 /// How the store responds to an instance.
@@ -209,7 +224,7 @@
             in_flight: Vec::new(),
             store_outage: (StoreState::Healthy, 0),
             cut_links: BTreeMap::new(),
-            history: StoreHistory::default(),
+            history: StoreHistory::new(faults.large_bytes().unwrap_or(SMALL_CONFIGURATION)),
             links: Links::new(STORE_LINK_MBPS, INSTANCE_LINK_MBPS),
             calls: 0,
             violations: Vec::new(),
@@ -229,6 +244,7 @@
             self.now += STEP_MS;
             match self.faults {
                 Faults::None | Faults::LargeChanges(_) => {}
+                Faults::LargeChangesAndFreezes(_) => self.inject_freezes(),
                 Faults::Mixed => self.inject_faults(),
                 Faults::StoreOutages => self.inject_outage(),
             }
@@ -256,7 +272,7 @@
     }
 
     fn write_changes(&mut self) {
-        let Faults::LargeChanges(bytes) = self.faults else {
+        let Some(bytes) = self.faults.large_bytes() else {
             if self.now.is_multiple_of(1_000) {
                 self.history.remove_endpoint(self.now);
             }
--- a/crates/siskinyoke-dispatch/tests/following/fleet/configurations.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet/configurations.rs
@@ -19,7 +19,8 @@
 const MAX_SLOT_WAIT_MS: u64 = 250;
 const BUSY_DELAY: Millis = Millis(60);
 const FAILURE_DELAY: Millis = Millis(3_000);
-const FETCH_TIMEOUT_MS: u64 = 1_500;
+const FETCH_TIMEOUT_MS: u64 = 500;
+const MAX_BODY_GAP_MS: u64 = 700;
 const READ_AHEAD_INTERVAL_MS: u64 = 250;
 
 /// The time that four calls of the store take, in ms.
@@ -43,8 +44,8 @@
 #[derive(Debug, Clone, Copy)]
 enum FetchState {
     Waiting,
-    // A transfer of the configuration with this version.
-    Receiving(TransferId, u64),
+    // A transfer of the configuration with this version, and when a part of it last arrived.
+    Receiving(TransferId, u64, u64),
     // The configuration with this version is in force from this time on.
     Decoding(u64, u64),
 }
@@ -119,14 +120,17 @@
         }
         match fetch.state {
             FetchState::Waiting => self.request_configuration(index, fetch, known),
-            FetchState::Receiving(id, version) if self.links.is_complete(id) => {
+            FetchState::Receiving(id, version, _) if self.links.is_complete(id) => {
                 self.links.finish(id);
                 let bytes = self.history.configuration_size(version);
                 let ready = self.now + u64::from(bytes / DECODED_BYTES_PER_MS);
                 self.set_fetch(index, fetch, FetchState::Decoding(version, ready));
             }
-            FetchState::Receiving(id, _) => {
-                if self.now >= fetch.due + FETCH_TIMEOUT_MS {
+            FetchState::Receiving(id, version, received_at) => {
+                if self.nodes[fetch.from].frozen_until <= self.now {
+                    let state = FetchState::Receiving(id, version, self.now);
+                    self.set_fetch(index, fetch, state);
+                } else if self.now >= received_at + MAX_BODY_GAP_MS {
                     self.links.finish(id);
                     self.end_configuration_fetch(index, fetch, FAILURE_DELAY);
                 }
@@ -181,7 +185,8 @@
             let id = self
                 .links
                 .start(Host::Instance(fetch.from), Host::Instance(index), bytes);
-            self.set_fetch(index, fetch, FetchState::Receiving(id, version));
+            let state = FetchState::Receiving(id, version, self.now);
+            self.set_fetch(index, fetch, state);
         } else if self.now >= fetch.due + MAX_SLOT_WAIT_MS {
             self.end_configuration_fetch(index, fetch, BUSY_DELAY);
         }
--- a/crates/siskinyoke-dispatch/tests/following/fleet/faults.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet/faults.rs
@@ -7,6 +7,18 @@
 use crate::links::Host;
 
 impl Fleet {
+    // Freezes random instances for up to three seconds.
+    pub(super) fn inject_freezes(&mut self) {
+        if !self.rng.random_bool(0.02) {
+            return;
+        }
+        let index = self.rng.random_range(0..self.nodes.len());
+        let until = self.now + self.rng.random_range(300..3_000);
+        let node = &mut self.nodes[index];
+        node.frozen_until = node.frozen_until.max(until);
+        node.healthy_since = node.healthy_since.max(until);
+    }
+
     pub(super) fn inject_faults(&mut self) {
         let count = self.nodes.len();
         let index = self.rng.random_range(0..count);
--- a/crates/siskinyoke-dispatch/tests/following/main.rs
+++ b/crates/siskinyoke-dispatch/tests/following/main.rs
@@ -87,24 +87,30 @@
 // and repeated until links carry nothing else.
 #[test]
 fn departures_are_known_in_time_while_a_large_configuration_spreads() {
-    check_large_changes(|fleet| [fleet.late_departures, fleet.violations].concat());
+    for faults in [Faults::LargeChanges, Faults::LargeChangesAndFreezes] {
+        let late = |fleet: Fleet| [fleet.late_departures, fleet.violations].concat();
+        check_large_changes(faults(LARGEST_CONFIGURATION), late);
+    }
 }
 
 // Guards against a large configuration that spreads at the rate of one link.
 #[test]
 fn a_large_configuration_is_applied_everywhere_in_time() {
-    check_large_changes(|fleet| fleet.late_configurations);
+    for faults in [Faults::LargeChanges, Faults::LargeChangesAndFreezes] {
+        let late = |fleet: Fleet| fleet.late_configurations;
+        check_large_changes(faults(LARGEST_CONFIGURATION), late);
+    }
 }
 
-fn check_large_changes(violations: impl Fn(Fleet) -> Vec<String>) {
+fn check_large_changes(faults: Faults, violations: impl Fn(Fleet) -> Vec<String>) {
     for (size, seeds) in [(66, seeds(1..3)), (LARGEST_FLEET, seeds(1..2))] {
         for seed in seeds {
-            let mut fleet = Fleet::new(seed, size, Faults::LargeChanges(LARGEST_CONFIGURATION));
+            let mut fleet = Fleet::new(seed, size, faults);
             fleet.run(14_000);
             let violations = violations(fleet);
             assert!(
                 violations.is_empty(),
-                "{size} instances, seed {seed}: {violations:#?}"
+                "{faults:?}, {size} instances, seed {seed}: {violations:#?}"
             );
         }
     }
--- a/crates/siskinyoke-dispatch/tests/following/store_history.rs
+++ b/crates/siskinyoke-dispatch/tests/following/store_history.rs
@@ -3,9 +3,6 @@
 /// The size of a change other than that of a configuration, and of an entry in the first read.
 const ENTRY_BYTES: u32 = 400;
 
-/// The size of the first configuration.
-const FIRST_CONFIGURATION_BYTES: u32 = 20_000;
-
 /// The number of entries in the first read.
 const FIRST_READ_ENTRIES: u32 = 150;
 
@@ -28,15 +25,14 @@
     changes: Vec<(u64, Change)>,
 }
 
-impl Default for StoreHistory {
-    fn default() -> Self {
+impl StoreHistory {
+    /// Creates a history that begins with a configuration of this size.
+    pub fn new(configuration: u32) -> Self {
         Self {
-            changes: vec![(0, Change::Configuration(FIRST_CONFIGURATION_BYTES))],
+            changes: vec![(0, Change::Configuration(configuration))],
         }
     }
-}
 
-impl StoreHistory {
     /// Removes the next endpoint.
     pub fn remove_endpoint(&mut self, now: u64) {
         let number = self.revision() + 1;
--- a/crates/siskinyoke-gateway/src/configuration_transfer.rs
+++ b/crates/siskinyoke-gateway/src/configuration_transfer.rs
@@ -46,7 +46,7 @@
 const MAX_TRANSFER_TIME: Millis = Millis(1_500);
 
 /// Time limit for the head of a peer's response, which may have to wait for another transfer.
-const FETCH_TIMEOUT: Millis = Millis(800);
+const FETCH_TIMEOUT: Millis = Millis(500);
 
 /// How long a peer that rejected a request is not asked again.
 const BUSY_DELAY: Millis = Millis(60);
