Small changes are read ahead of a large response whose size is not announced, too

a_departure_is_applied_while_a_large_configuration_arrives, new, failed: the store's stand-in sends large responses in chunks, so nothing announced their size and the departure came after the configuration (20 requests of 20 to an endpoint that had left 2 s before). The size is now what is announced or what has arrived, whichever is more. In the model a departure is in time without reading ahead, by its margin of one second.

--- a/crates/siskinyoke-gateway/src/read_ahead.rs
+++ b/crates/siskinyoke-gateway/src/read_ahead.rs
@@ -1,6 +1,7 @@
 //! Reads small changes from the store while a large response is on its way.
 
 use serde_json::json;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::cluster_view;
@@ -27,10 +28,13 @@
 /// A response with a large configuration takes a narrow link a second or two. The endpoints that
 /// leave meanwhile, and those before it in the same response, cannot wait for that. Completes as
 /// soon as the large response is of no more use, because a peer has sent the configuration.
-pub async fn run(shell: &Shell, expected_bytes: u64, watched_from: Revision) {
-    if expected_bytes < LARGE_RESPONSE_BYTES {
+pub async fn run(shell: &Shell, mut size: watch::Receiver<u64>, watched_from: Revision) {
+    let large = size.wait_for(|it| *it >= LARGE_RESPONSE_BYTES).await;
+    if large.is_err() {
+        // The response has ended.
         return std::future::pending().await;
     }
+    drop(large);
     let mut client = Client::default();
     while shell.replica.borrow().watch_revision() <= watched_from {
         if let Err(err) = read_changes(shell, &mut client).await {
--- a/crates/siskinyoke-gateway/src/store.rs
+++ b/crates/siskinyoke-gateway/src/store.rs
@@ -12,6 +12,7 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use quick_error::quick_error;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::connection::ConnectError;
@@ -74,12 +75,15 @@
     body: Incoming,
     bytes: BytesMut,
     transfer: Transfer,
+    // The size of the body in bytes as far as known: as announced, or what has arrived.
+    size: watch::Sender<u64>,
 }
 
 impl OpenResponse {
-    /// Returns the announced size of the body in bytes, or 0 if none is announced.
-    pub fn expected_bytes(&self) -> u64 {
-        self.body.size_hint().lower()
+    /// Returns the size of the body in bytes as far as known, which grows while the body arrives if
+    /// the head does not announce it.
+    pub fn size(&self) -> watch::Receiver<u64> {
+        self.size.subscribe()
     }
 }
 
@@ -166,10 +170,12 @@
         self.transfer.head_arrived();
         self.headers.clone_from(response.headers());
         let status = response.status();
+        let body = response.into_body();
         let response = OpenResponse {
             address,
             connection,
-            body: response.into_body(),
+            size: watch::Sender::new(body.size_hint().lower()),
+            body,
             bytes: BytesMut::new(),
             transfer: self.transfer,
         };
@@ -242,6 +248,8 @@
             response.bytes.extend_from_slice(data);
         }
         response.transfer.record(response.bytes.len());
+        let arrived = response.transfer.bytes();
+        response.size.send_modify(|size| *size = arrived.max(*size));
         self.transfer = response.transfer;
         Ok(true)
     }
--- a/crates/siskinyoke-gateway/src/transfer.rs
+++ b/crates/siskinyoke-gateway/src/transfer.rs
@@ -42,6 +42,11 @@
         self.duration = self.elapsed();
     }
 
+    /// Returns how many bytes of the body have arrived.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
     /// Returns the time from the head of the response to the last part of its body.
     pub fn body_duration(&self) -> Millis {
         self.duration.since(self.head_delay.unwrap_or_default())
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -306,12 +306,12 @@
         };
         // An open watch that is silent may be dead; a response that has begun arrives.
         let silent = shell.interface.store.idle_watch_is_silent();
-        let expected_bytes = response.expected_bytes();
+        let size = response.size();
         tokio::select! {
             batch = self.client.read_watch(response, limit, &shell) => batch.map(Some),
             () = shell.store_unresponsive.notified(), if silent => Err(StoreError::NoReply),
             () = shell.watch_obsolete() => Ok(None),
-            () = read_ahead::run(&shell, expected_bytes, revision) => Ok(None),
+            () = read_ahead::run(&shell, size, revision) => Ok(None),
         }
     }
 
