--- a/crates/siskinyoke-dispatch/tests/following/fleet/configurations.rs
+++ b/crates/siskinyoke-dispatch/tests/following/fleet/configurations.rs
@@ -23,8 +23,8 @@
 const MAX_BODY_GAP_MS: u64 = 700;
 const READ_AHEAD_INTERVAL_MS: u64 = 250;
 
-/// The time that four calls of the store take, in ms.
-const READ_AHEAD_MS: u64 = 30;
+/// The time that four calls of the store take beside a large response, in ms.
+const READ_AHEAD_MS: u64 = 350;
 
 /// The rate at which a small instance decodes a configuration.
 const DECODED_BYTES_PER_MS: u32 = 4_000;
@@ -85,7 +85,7 @@
         }
         let started = self.nodes[index].watch.map_or(0, |it| it.body_started);
         let elapsed = self.now - started;
-        if elapsed % READ_AHEAD_INTERVAL_MS != READ_AHEAD_MS {
+        if elapsed % (READ_AHEAD_INTERVAL_MS + READ_AHEAD_MS) != READ_AHEAD_MS {
             return;
         }
         let revision = self.history.revision();
