--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -10,6 +10,7 @@
 use crate::core::routing::unit_fraction;
 use crate::latency_model::LatencyModel;
 use crate::report::short_hash;
+use crate::report::short_revision;
 use crate::rollout::Order;
 use crate::rollout::Phase;
 use crate::rollout::ResponseSample;
@@ -89,7 +90,7 @@
     }
 
     pub(super) fn begin_rollout(&mut self, now: Millis, order: Order) {
-        let hash = stable_hash(&(self.identity.incarnation, order.revision));
+        let hash = stable_hash(&(self.identity.incarnation, short_revision(order.revision)));
         self.registry.apply_order(now, order, unit_fraction(hash));
     }
 
