--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -145,6 +145,14 @@
         &self.scheduler
     }
 
+    /// Returns how many endpoints of a service this instance may use, and how many of them it backs
+    /// off from.
+    pub fn endpoint_counts(&self, now: Millis, service: &str) -> (usize, usize) {
+        let eligible = self.registry.eligible(service);
+        let available = self.scheduler.available(now, eligible).len();
+        (eligible.len(), eligible.len() - available)
+    }
+
     /// Returns whether this instance accepts callers.
     pub fn ready(&self) -> bool {
         self.configuration.is_some() && !self.shutting_down && self.registry.all().next().is_some()
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -196,7 +196,7 @@
     }
 
     // Returns the endpoints that are not backing off after failures.
-    pub(super) fn available<'a>(
+    pub(crate) fn available<'a>(
         &self,
         now: Millis,
         endpoints: &'a [Arc<Endpoint>],
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -302,6 +302,7 @@
         let now = self.now();
         let core = self.core.borrow();
         let (waiting, running) = core.scheduler().request_counts();
+        let endpoints = request.route.map(|it| core.endpoint_counts(now, &it.service));
         let fields = json!({
             "id": request.id,
             "admitted": request.admitted,
@@ -314,6 +315,8 @@
             "after_ms": refusal.retry_after.0,
             "waiting": waiting,
             "running": running,
+            "endpoints": endpoints.map(|it| it.0),
+            "backing_off": endpoints.map(|it| it.1),
             "peers": core.peers().instance_count(now) - 1,
             "quota_share": core.peers().fleet_share(now),
             "configuration": core.configuration_version(),
