--- a/crates/siskinyoke-gateway/src/attempt.rs
+++ b/crates/siskinyoke-gateway/src/attempt.rs
@@ -89,7 +89,7 @@
         );
         return None;
     };
-    match Connection::open(address).await {
+    match Connection::open_from(shell.settings().ip, address).await {
         Ok(connection) => Some(connection),
         Err(err) => {
             let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
--- a/crates/siskinyoke-gateway/src/connection.rs
+++ b/crates/siskinyoke-gateway/src/connection.rs
@@ -1,5 +1,6 @@
 //! Client connections to endpoints, the store and peers.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use rustix::net::sockopt::set_tcp_user_timeout;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -78,7 +80,20 @@
         let Ok(stream) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
             return Err(ConnectError::TimedOut);
         };
-        let stream = stream?;
+        Self::over(stream?).await
+    }
+
+    /// Opens a connection from an IP address of this machine, by which the other side can tell this
+    /// instance from others on the same machine.
+    ///
+    /// # Errors
+    ///
+    /// Why it could not be established; nothing was sent.
+    pub async fn open_from(source: IpAddr, address: SocketAddr) -> Result<Self, ConnectError> {
+        Self::over(connect_from(source, address).await?).await
+    }
+
+    async fn over(stream: TcpStream) -> Result<Self, ConnectError> {
         stream.set_nodelay(true)?;
         set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS).map_err(std::io::Error::from)?;
         let (sender, connection) = handshake(TokioIo::new(stream)).await?;
@@ -111,6 +126,21 @@
     }
 }
 
+async fn connect_from(source: IpAddr, address: SocketAddr) -> Result<TcpStream, ConnectError> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    if source.is_ipv4() == address.is_ipv4() {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    match timeout(CONNECT_TIMEOUT, socket.connect(address)).await {
+        Ok(stream) => Ok(stream?),
+        Err(_) => Err(ConnectError::TimedOut),
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -302,7 +302,9 @@
         let now = self.now();
         let core = self.core.borrow();
         let (waiting, running) = core.scheduler().request_counts();
-        let endpoints = request.route.map(|it| core.endpoint_counts(now, &it.service));
+        let endpoints = request
+            .route
+            .map(|it| core.endpoint_counts(now, &it.service));
         let fields = json!({
             "id": request.id,
             "admitted": request.admitted,
