--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -1,7 +1,9 @@
 //! A loopback proxy that injects network faults.
 
+use std::collections::BTreeMap;
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -13,6 +15,11 @@
 use std::thread;
 use std::time::Duration;
 
+use rustix::net::sockopt::set_socket_linger;
+
+/// How often it is checked whether a silent cut has ended.
+const CUT_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The fault that a proxy applies to its connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -30,12 +37,24 @@
     Reset,
 }
 
+/// How the connections from one address are cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Holds all bytes until the cut ends.
+    Silent,
+    /// Resets existing connections when bytes arrive on them, and new ones at once.
+    Reset,
+    /// Resets new connections at once; existing ones work.
+    RefuseNew,
+}
+
 /// A loopback proxy that injects network faults.
 #[derive(Debug, Clone)]
 pub struct Proxy {
     /// The address that it listens on.
     pub address: SocketAddr,
     fault: Arc<Mutex<Fault>>,
+    cuts: Arc<Mutex<BTreeMap<IpAddr, Cut>>>,
     accepted: Arc<AtomicUsize>,
 }
 
@@ -51,6 +70,7 @@
         let proxy = Self {
             address,
             fault: Arc::new(Mutex::new(Fault::None)),
+            cuts: Arc::default(),
             accepted: Arc::default(),
         };
         let accepting = proxy.clone();
@@ -72,6 +92,19 @@
         *self.fault.lock().unwrap() = fault;
     }
 
+    /// Cuts off the connections from an IP address, or ends the cut.
+    ///
+    /// # Panics
+    ///
+    /// If a thread of the proxy has panicked.
+    pub fn set_cut(&self, source: IpAddr, cut: Option<Cut>) {
+        let mut cuts = self.cuts.lock().unwrap();
+        match cut {
+            Some(cut) => cuts.insert(source, cut),
+            None => cuts.remove(&source),
+        };
+    }
+
     /// Returns the number of connections accepted so far.
     pub fn connection_count(&self) -> usize {
         self.accepted.load(Ordering::Relaxed)
@@ -81,7 +114,18 @@
         *self.fault.lock().unwrap()
     }
 
+    fn cut(&self, source: IpAddr) -> Option<Cut> {
+        self.cuts.lock().unwrap().get(&source).copied()
+    }
+
     fn forward_connection(&self, client: TcpStream, target: SocketAddr) {
+        let Ok(source) = client.peer_addr().map(|it| it.ip()) else {
+            return;
+        };
+        if matches!(self.cut(source), Some(Cut::Reset | Cut::RefuseNew)) {
+            reset_on_drop(&client);
+            return;
+        }
         if self.fault() == Fault::Reset {
             return;
         }
@@ -94,13 +138,26 @@
         };
         let upstream = self.clone();
         let downstream = self.clone();
-        thread::spawn(move || upstream.forward_bytes(client, server, false));
-        thread::spawn(move || downstream.forward_bytes(server_reader, client_writer, true));
+        thread::spawn(move || upstream.forward_bytes(client, server, source, false));
+        thread::spawn(move || downstream.forward_bytes(server_reader, client_writer, source, true));
     }
 
-    fn forward_bytes(&self, mut from: TcpStream, mut to: TcpStream, is_response: bool) {
+    fn forward_bytes(
+        &self,
+        mut from: TcpStream,
+        mut to: TcpStream,
+        source: IpAddr,
+        is_response: bool,
+    ) {
         let mut buffer = [0; 4096];
         while let Ok(length) = from.read(&mut buffer) {
+            while self.cut(source) == Some(Cut::Silent) {
+                thread::sleep(CUT_POLL_INTERVAL);
+            }
+            if self.cut(source) == Some(Cut::Reset) {
+                reset_on_drop(if is_response { &to } else { &from });
+                break;
+            }
             let discard = match self.fault() {
                 Fault::Reset => break,
                 Fault::DropAll => true,
@@ -125,3 +182,8 @@
         drop(to.shutdown(Shutdown::Both));
     }
 }
+
+// Lets a connection end with a reset. An error means that it is closed already.
+fn reset_on_drop(stream: &TcpStream) {
+    drop(set_socket_linger(stream, Some(Duration::ZERO)));
+}
