--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod identity;
 mod lending;
+mod links;
 mod rate_limits;
 mod reporting;
 mod requested_backoff;
@@ -24,12 +25,14 @@
 use crate::budget::RetryBudget;
 use crate::cold_start;
 use crate::leased_entries::LeasedEntries;
+use crate::links::LinkMonitor;
 use crate::peers::Peers;
 use crate::quarantine::Quarantine;
 use crate::quota;
 use crate::quota::QuotaRequest;
 use crate::quota::Quotas;
 use crate::registry::Registry;
+use crate::relays::Relays;
 use crate::report::InstanceLocation;
 use crate::scheduler::Decision;
 use siskinyoke_base::Map;
@@ -60,6 +63,10 @@
     quotas: Quotas,
     budgets: Map<Arc<str>, RetryBudget>,
     quarantine: Quarantine,
+    links: LinkMonitor,
+    relays: Relays,
+    // The number of requests that this instance relays for its peers.
+    relayed_count: usize,
     store_view: store::StoreView,
     // Endpoints that peers reported as leaving, for the log.
     reported_departures: Vec<EndpointKey>,
@@ -84,6 +91,9 @@
             quotas: Quotas::new(identity.quota_policy),
             budgets: Map::default(),
             quarantine: Quarantine::default(),
+            links: LinkMonitor::default(),
+            relays: Relays::default(),
+            relayed_count: 0,
             store_view: store::StoreView::default(),
             reported_departures: Vec::new(),
             shutting_down: false,
@@ -154,8 +164,11 @@
     }
 
     /// Returns whether this instance accepts callers.
-    pub fn ready(&self) -> bool {
-        self.configuration.is_some() && !self.shutting_down && self.registry.all().next().is_some()
+    pub fn ready(&self, now: Millis) -> bool {
+        self.configuration.is_some()
+            && !self.shutting_down
+            && self.registry.all().next().is_some()
+            && !self.is_isolated(now)
     }
 
     /// Begins the shutdown of this instance: no new callers are directed here.
@@ -320,6 +333,8 @@
         }
         self.scheduler.prune_endpoints(&self.registry);
         self.scheduler.sweep_lent_slots(now);
+        self.relays.sweep(now);
+        self.links.retain_services(&self.registry.services());
     }
 
     fn charge_quota(
--- a/crates/siskinyoke-dispatch/src/core/fleet.rs
+++ b/crates/siskinyoke-dispatch/src/core/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::IpAddr;
+use std::net::SocketAddr;
 
 use crate::core::Core;
 use crate::directory;
@@ -58,6 +60,16 @@
         others.map(|(name, location)| (location, self.in_shard(name)))
     }
 
+    /// Returns whether another instance has this IP address.
+    pub fn is_instance_address(&self, address: IpAddr) -> bool {
+        let listed = self.other_instances().map(|row| row.0);
+        let peers = self.peers.all().map(|peer| &peer.info.location);
+        let mut addresses = listed
+            .chain(peers)
+            .filter_map(|it| it.peer_address.parse::<SocketAddr>().ok());
+        addresses.any(|it| it.ip() == address)
+    }
+
     /// Returns the listed instances of the other shards, grouped by shard.
     pub fn instances_by_other_shard(&self) -> Vec<Vec<&InstanceLocation>> {
         let mut shards: BTreeMap<usize, Vec<&InstanceLocation>> = BTreeMap::new();
@@ -81,7 +93,7 @@
         let others = self.other_instances().filter(|row| !row.1).map(|row| row.0);
         let others = others.filter(|_| self.shard_count > 1);
         let ready = members
-            .chain(self.ready().then_some(&own.location))
+            .chain(self.ready(now).then_some(&own.location))
             .chain(others);
         directory::select_instances(centre, ready)
     }
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -103,18 +103,19 @@
             incarnation: self.identity.incarnation,
             age: self.age(now).0,
             number: self.report_number,
-            ready: self.ready(),
+            ready: self.ready(now),
             shutting_down: self.shutting_down,
             configuration: self.configuration_version(),
             revision_number: self.store_view.revision.number,
             store_reachable: self.store_view.reachable,
             running: self.scheduler.endpoint_usage(),
-            waiting: self.scheduler.queue_summary(now),
+            waiting: self.reported_queues(now),
             quota_used: self.quotas.usage(since),
             limits: self.scheduler.rate_limits().report_rows(now, since),
             canaries: self.canary_reports(now),
             info: full.then(|| self.instance_info(now)),
             era: self.store_view.revision.era,
+            relay: Some(self.relay_report()),
         }
     }
 
@@ -128,7 +129,7 @@
             name: self.identity.name.clone(),
             location: self.identity.location.clone(),
             leaving_endpoints: self.registry.recent_departures(now),
-            quarantine: self.quarantine.recent_crashes(MAX_REPORTED_QUARANTINE),
+            quarantine: self.reported_crashes(MAX_REPORTED_QUARANTINE),
             peers: self.reported_peers(now),
         }
     }
--- a/crates/siskinyoke-dispatch/src/core/retry.rs
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -57,7 +57,7 @@
         request: &ScheduledRequest,
         outcome: Outcome,
     ) -> bool {
-        let not_sent = outcome == Outcome::ConnectFailed;
+        let not_sent = outcome.is_unsent();
         let not_run = not_sent || matches!(outcome, Outcome::Full | Outcome::Misdirected);
         if !not_run && !request.route.idempotent() {
             return false;
--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -168,7 +168,12 @@
             let expected_rest = latencies.remaining_time(f64::from(parts));
             Some(late || is_slow(total.since(first_latency), expected_rest))
         }
-        Outcome::Full | Outcome::Misdirected | Outcome::ConnectFailed | Outcome::Cancelled => None,
+        Outcome::Full
+        | Outcome::Misdirected
+        | Outcome::ConnectFailed
+        | Outcome::RelayFailed
+        | Outcome::LinkLost
+        | Outcome::Cancelled => None,
     }
 }
 
--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -63,10 +63,17 @@
             Outcome::Misdirected => self.back_off_until(now + MISDIRECTED_BACKOFF),
             Outcome::ConnectFailed | Outcome::Stalled => self.record_unresponsive(now),
             Outcome::ConnectionLost => self.record_connection_lost(now),
-            Outcome::Cancelled => {}
+            Outcome::Cancelled | Outcome::RelayFailed | Outcome::LinkLost => {}
         }
     }
 
+    /// Forgets failures, and ends the back-off after them; one that the endpoint requested stays.
+    pub fn forget_failures(&mut self) {
+        self.backoff_until = Millis::ZERO;
+        self.failure_streak = 0;
+        self.failure_ratio = 0.0;
+    }
+
     /// Returns whether the endpoint gets no new requests for the time of its back-off.
     pub fn in_backoff(&self, now: Millis) -> bool {
         now < self.backoff_until || self.requested_remaining(now) > Millis::ZERO
--- a/crates/siskinyoke-dispatch/src/outcome.rs
+++ b/crates/siskinyoke-dispatch/src/outcome.rs
@@ -24,10 +24,22 @@
     Misdirected,
     /// No connection could be established; nothing was sent.
     ConnectFailed,
+    /// No relay took the request; nothing was sent to the endpoint.
+    RelayFailed,
     /// The connection broke after data was sent; the request may have run.
     ConnectionLost,
+    /// The connection broke on the way to the endpoint: at a relay, or on a link that is lost; the
+    /// request may have run.
+    LinkLost,
     /// No data arrived within the stall timeout, and the attempt was abandoned.
     Stalled,
     /// The caller disconnected, or its deadline passed.
     Cancelled,
 }
+
+impl Outcome {
+    /// Returns whether nothing was sent to the endpoint.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, Self::ConnectFailed | Self::RelayFailed)
+    }
+}
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -132,6 +132,11 @@
         removed
     }
 
+    /// Returns all known peers, whether they report at present or not.
+    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+        self.by_incarnation.values()
+    }
+
     /// Returns the peers that count as reporting.
     pub fn fresh(&self, now: Millis) -> impl Iterator<Item = &Peer> {
         self.by_incarnation
--- a/crates/siskinyoke-dispatch/src/placement.rs
+++ b/crates/siskinyoke-dispatch/src/placement.rs
@@ -219,6 +219,13 @@
         }
     }
 
+    /// Forgets the failures of an endpoint and ends the back-off after them.
+    pub fn forget_failures(&mut self, key: EndpointKey) {
+        if let Some(health) = self.health.get_mut(&key) {
+            health.forget_failures();
+        }
+    }
+
     /// Returns the number of endpoints that requested a back-off that has not ended.
     pub fn requested_backoffs(&self, now: Millis) -> usize {
         let all = self.health.values();
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -50,6 +50,11 @@
         self.records.remove(&fingerprint);
     }
 
+    /// Forgets the requests whose last crash was recorded at this time or later.
+    pub fn forget_since(&mut self, since: Millis) {
+        self.records.retain(|_, it| it.last_crash < since);
+    }
+
     /// Returns whether a request must not be run.
     pub fn is_quarantined(&self, now: Millis, fingerprint: u64) -> bool {
         self.records.get(&fingerprint).is_some_and(|it| {
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -186,6 +186,11 @@
         self.eligible.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the services that have endpoints that this instance may use.
+    pub fn services(&self) -> Vec<Arc<str>> {
+        self.eligible.keys().cloned().collect()
+    }
+
     /// Returns the endpoints that get the canary share of a service's requests.
     pub fn canaries(&self, service: &str) -> &[Arc<Endpoint>] {
         self.canaries.get(service).map_or(&[], Vec::as_slice)
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -49,8 +49,11 @@
     /// Slowly changing data, included in a few reports a second.
     #[serde(rename = "about")]
     pub info: Option<InstanceInfo>,
-    /// The era of the store revision. It comes last, where the reports of earlier versions end.
+    /// The era of the store revision. Reports of early versions end before it.
     pub era: u64,
+    /// What it relays for its peers; `None` in reports of versions that relay nothing, which end
+    /// before it.
+    pub relay: Option<RelayReport>,
 }
 
 impl Report {
@@ -133,6 +136,15 @@
     pub age: u32,
 }
 
+/// What an instance tells its peers about the requests that it can relay.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayReport {
+    /// Hashes of the names of the services whose endpoints it cannot reach itself.
+    pub lost_services: Vec<u32>,
+    /// The number of requests that it relays.
+    pub in_flight: u16,
+}
+
 /// One instance's results of a version under canary evaluation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CanaryReport {
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -209,7 +209,7 @@
             responded_at,
             ..
         } = self.running.remove(&ticket)?;
-        request.attempts += u32::from(outcome != Outcome::ConnectFailed);
+        request.attempts += u32::from(!outcome.is_unsent());
         if responded_at.is_none() {
             self.remove_prefill_tokens(endpoint, &request);
         }
@@ -326,6 +326,13 @@
         self.selector.record_peer_speeds(rows);
     }
 
+    /// Forgets the failures for which this instance backs off from endpoints.
+    pub(crate) fn forget_failures(&mut self, endpoints: &[Arc<Endpoint>]) {
+        for endpoint in endpoints {
+            self.selector.forget_failures(endpoint.key());
+        }
+    }
+
     /// Returns the requests that this instance runs at each endpoint, for its report.
     pub fn endpoint_usage(&self) -> Vec<RunningRow> {
         let counts = self.in_flight.iter().map(|(key, row)| RunningRow {
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -175,6 +175,7 @@
         canaries: Vec::new(),
         info: Some(instance_info(name, "a")),
         era: 0,
+        relay: None,
     }
 }
 
--- a/crates/siskinyoke-dispatch/tests/peers.rs
+++ b/crates/siskinyoke-dispatch/tests/peers.rs
@@ -103,5 +103,5 @@
     assert_eq!(core.caller_addresses(Millis(0), "a"), ["i:1", "sound:1"]);
     core.begin_shutdown();
     assert_eq!(core.caller_addresses(Millis(0), "a"), ["sound:1"]);
-    assert!(!core.ready());
+    assert!(!core.ready(Millis(1)));
 }
--- a/crates/siskinyoke-gateway/src/admin.rs
+++ b/crates/siskinyoke-gateway/src/admin.rs
@@ -21,7 +21,7 @@
     if request.uri().path() != shell.interface.directory.readiness_path() {
         return response::text(StatusCode::NOT_FOUND, "no such page");
     }
-    if shell.core.borrow().ready() {
+    if shell.core.borrow().ready(shell.now()) {
         response::text(StatusCode::OK, "ready")
     } else {
         response::text(StatusCode::SERVICE_UNAVAILABLE, "not ready")
@@ -66,6 +66,11 @@
     shell
         .metrics
         .set_state("endpoint_backoffs", to_f64(backoffs));
+    shell
+        .metrics
+        .set_state("lost_links", to_f64(core.lost_link_count()));
+    let relayed = shell.relay.in_flight();
+    shell.metrics.set_state("relayed", to_f64(relayed));
     let age = shell.now().since(shell.store_contact.get());
     shell.metrics.set_state("store_age_seconds", age.as_secs());
     #[expect(clippy::cast_precision_loss, reason = "versions are far below 2^52")]
--- a/crates/siskinyoke-gateway/src/attempt.rs
+++ b/crates/siskinyoke-gateway/src/attempt.rs
@@ -1,21 +1,20 @@
-//! Sends a request to an endpoint once.
+//! Sends a request to an endpoint once, over an own link or through a relay.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
-use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use serde_json::json;
 
-use crate::connection::Connection;
-use crate::connection::SendOutcome;
+use crate::endpoint_client::OutgoingRequest;
+use crate::endpoint_client::Reply;
 use crate::memory::MemoryReservation;
+use crate::pool::PoolKey;
+use crate::probes;
 use crate::shell::Shell;
+use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 
 /// A request in the form in which it is sent to endpoints.
@@ -35,72 +34,74 @@
     pub reservation: Rc<MemoryReservation>,
 }
 
-/// Result of sending a request to an endpoint.
-#[derive(Debug)]
-pub enum Reply {
-    /// The response head, and the connection that delivers its body.
-    Head(Response<Incoming>, Connection),
-    /// No connection could be established; nothing was sent.
-    ConnectFailed,
-    /// The connection broke after data was sent; the request may have run.
-    ConnectionLost,
+impl EndpointRequest {
+    // Returns the request with these headers in place of the common ones.
+    fn with_headers(&self, headers: HeaderMap) -> OutgoingRequest {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        *request.headers_mut() = headers;
+        request
+    }
 }
 
 /// Sends a request to an endpoint and waits for the response head.
 ///
-/// `headers` replace those of the request. A pooled connection that the endpoint has closed in
-/// the meantime returns the request unsent; the next pooled or a new connection is tried then.
+/// `headers` replace those of the request. While the links to the service are lost, a connection
+/// that has delivered a response since is used, and a relay otherwise.
 pub async fn send(
     shell: &Rc<Shell>,
     endpoint: &Endpoint,
     outgoing: &EndpointRequest,
     headers: HeaderMap,
 ) -> Reply {
-    let mut request = Request::new(Full::new(outgoing.body.clone()));
-    *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = outgoing.target.clone();
-    *request.headers_mut() = headers;
-    while let Some(mut pooled) = shell.pool.take(shell.now(), endpoint.key()) {
-        match pooled.send(request).await {
-            SendOutcome::Head(response) => return Reply::Head(response, pooled),
-            SendOutcome::NotSent(unsent) => request = *unsent,
-            SendOutcome::ConnectionLost(err) => return connection_lost(shell, endpoint, &err),
+    let sent_at = shell.now();
+    let request = outgoing.with_headers(headers);
+    let request = match shell.endpoint_client.send_pooled(endpoint, request).await {
+        Ok(reply) => return record(shell, endpoint, sent_at, reply),
+        Err(request) => request,
+    };
+    let lost = shell.core.borrow().links_lost(&endpoint.service);
+    let request = if lost {
+        match shell.relay.send(endpoint, request).await {
+            Ok(reply) => return reply,
+            Err(request) => request,
         }
-    }
-    let Some(mut connection) = connect(shell, endpoint).await else {
-        return Reply::ConnectFailed;
+    } else {
+        request
     };
-    match connection.send(request).await {
-        SendOutcome::Head(response) => Reply::Head(response, connection),
-        SendOutcome::NotSent(_) => Reply::ConnectFailed,
-        SendOutcome::ConnectionLost(err) => connection_lost(shell, endpoint, &err),
-    }
+    let reply = shell.endpoint_client.send_new(endpoint, request).await;
+    record(shell, endpoint, sent_at, reply)
 }
 
-async fn connect(shell: &Shell, endpoint: &Endpoint) -> Option<Connection> {
-    let Ok(address) = endpoint.address.parse::<SocketAddr>() else {
-        shell.log(
-            "endpoint_address",
-            json!({
-                "endpoint": &*endpoint.id,
-                "address": &*endpoint.address,
-                "hint": "an endpoint's address must be IP:PORT"
-            }),
-        );
-        return None;
-    };
-    match Connection::open_from(shell.settings().ip, address).await {
-        Ok(connection) => Some(connection),
-        Err(err) => {
-            let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
-            shell.log("endpoint_unreached", fields);
-            None
-        }
-    }
+/// Records that an endpoint has not responded in time to a request sent at `sent_at`.
+pub fn record_overdue(shell: &Rc<Shell>, endpoint: &Endpoint, sent_at: Millis) {
+    let now = shell.now();
+    shell
+        .core
+        .borrow_mut()
+        .record_no_response(now, endpoint, sent_at);
+    probes::start_due(shell);
 }
 
-fn connection_lost(shell: &Shell, endpoint: &Endpoint, err: &hyper::Error) -> Reply {
-    let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
-    shell.log("endpoint_broken", fields);
-    Reply::ConnectionLost
+// Records what a request over an own link says about that link.
+fn record(shell: &Rc<Shell>, endpoint: &Endpoint, sent_at: Millis, reply: Reply) -> Reply {
+    let now = shell.now();
+    let mut core = shell.core.borrow_mut();
+    let lost = core.links_lost(&endpoint.service);
+    match &reply {
+        Reply::Head(_, pooled) if matches!(pooled.key, PoolKey::Endpoint(_)) => {
+            core.record_response(now, endpoint);
+        }
+        Reply::ConnectFailed => core.record_unreachable(now, endpoint),
+        Reply::ConnectionLost => core.record_no_response(now, endpoint, sent_at),
+        _ => {}
+    }
+    drop(core);
+    probes::start_due(shell);
+    match reply {
+        // The link broke, as far as is known, and not the endpoint.
+        Reply::ConnectionLost if lost => Reply::LinkLost,
+        reply => reply,
+    }
 }
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/endpoint_client.rs
@@ -0,0 +1,118 @@
+//! Sends requests to endpoints over this instance's own links.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde_json::json;
+
+use crate::connection::Connection;
+use crate::connection::SendOutcome;
+use crate::event_log::EventLog;
+use crate::pool::Pool;
+use crate::pool::PoolKey;
+use crate::pool::PooledConnection;
+use siskinyoke_dispatch::Endpoint;
+
+/// A request as it is sent to endpoints and relays.
+pub type OutgoingRequest = Request<Full<Bytes>>;
+
+/// Result of sending a request to an endpoint.
+#[derive(Debug)]
+pub enum Reply {
+    /// The response head, and the connection that delivers its body.
+    Head(Response<Incoming>, PooledConnection),
+    /// No connection could be established; nothing was sent.
+    ConnectFailed,
+    /// No relay took the request; nothing was sent.
+    RelayFailed,
+    /// The connection to the endpoint broke after data was sent; the request may have run.
+    ConnectionLost,
+    /// The connection broke on the way to the endpoint; the request may have run.
+    LinkLost,
+}
+
+/// Sends requests to endpoints over this instance's own links.
+#[derive(Debug)]
+pub struct EndpointClient {
+    pool: Rc<Pool>,
+    log: EventLog,
+    source: IpAddr,
+}
+
+impl EndpointClient {
+    /// Creates a client whose connections leave from `source`.
+    pub fn new(pool: Rc<Pool>, log: EventLog, source: IpAddr) -> Self {
+        Self { pool, log, source }
+    }
+
+    /// Sends a request over an idle connection; returns the request if there is none.
+    ///
+    /// A connection that the endpoint has closed in the meantime returns the request unsent; the
+    /// next one is tried then.
+    ///
+    /// # Errors
+    ///
+    /// The request, which was not sent.
+    pub async fn send_pooled(
+        &self,
+        endpoint: &Endpoint,
+        mut request: OutgoingRequest,
+    ) -> Result<Reply, OutgoingRequest> {
+        let key = PoolKey::Endpoint(endpoint.key());
+        while let Some(mut pooled) = self.pool.take(key) {
+            match pooled.connection.send(request).await {
+                SendOutcome::Head(response) => return Ok(Reply::Head(response, pooled)),
+                SendOutcome::NotSent(unsent) => request = *unsent,
+                SendOutcome::ConnectionLost(err) => return Ok(self.lost(endpoint, &err)),
+            }
+        }
+        Err(request)
+    }
+
+    /// Sends a request over a new connection.
+    pub async fn send_new(&self, endpoint: &Endpoint, request: OutgoingRequest) -> Reply {
+        let Some(mut pooled) = self.connect(endpoint).await else {
+            return Reply::ConnectFailed;
+        };
+        match pooled.connection.send(request).await {
+            SendOutcome::Head(response) => Reply::Head(response, pooled),
+            SendOutcome::NotSent(_) => Reply::ConnectFailed,
+            SendOutcome::ConnectionLost(err) => self.lost(endpoint, &err),
+        }
+    }
+
+    async fn connect(&self, endpoint: &Endpoint) -> Option<PooledConnection> {
+        let Ok(address) = endpoint.address.parse::<SocketAddr>() else {
+            let fields = json!({
+                "endpoint": &*endpoint.id,
+                "address": &*endpoint.address,
+                "hint": "an endpoint's address must be IP:PORT"
+            });
+            self.log.log("endpoint_address", fields);
+            return None;
+        };
+        match Connection::open_from(self.source, address).await {
+            Ok(connection) => Some(PooledConnection {
+                connection,
+                key: PoolKey::Endpoint(endpoint.key()),
+            }),
+            Err(err) => {
+                let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
+                self.log.log("endpoint_unreached", fields);
+                None
+            }
+        }
+    }
+
+    fn lost(&self, endpoint: &Endpoint, err: &hyper::Error) -> Reply {
+        let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
+        self.log.log("endpoint_broken", fields);
+        Reply::ConnectionLost
+    }
+}
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::listener;
 use crate::listener::ListenerKind;
 use crate::log_writer::LogWriter;
+use crate::probes;
 use crate::registration;
 use crate::reload;
 use crate::rollouts;
@@ -140,7 +141,8 @@
         cluster_view::update_store_status(&shell);
         rollouts::advance(&shell);
         rollouts::write_due_statuses(&shell);
-        shell.pool.remove_expired(now);
+        shell.pool.remove_expired();
+        probes::start_due(&shell);
         shell.lending.remove_expired(now);
         shell.flush_log();
     }
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -77,7 +77,7 @@
 /// Decodes a message.
 ///
 /// A report of an earlier version of this program ends before the era of its revision, which is
-/// then that of a store that names none.
+/// then that of a store that names none, or before what its sender relays, which is then nothing.
 ///
 /// # Errors
 ///
@@ -85,7 +85,7 @@
 pub fn decode(bytes: &[u8]) -> postcard::Result<Message> {
     match postcard::from_bytes(bytes) {
         Err(postcard::Error::DeserializeUnexpectedEnd) => {
-            postcard::from_bytes(&[bytes, &[0]].concat())
+            postcard::from_bytes(&[bytes, &[0, 0]].concat())
         }
         result => result,
     }
@@ -202,7 +202,10 @@
     }
 
     fn send_report_to(shell: &Shell, to: &BTreeSet<SocketAddr>, full: bool) {
-        let report = shell.core.borrow_mut().next_report(shell.now(), full);
+        let mut core = shell.core.borrow_mut();
+        core.set_relayed_count(shell.relay.in_flight());
+        let report = core.next_report(shell.now(), full);
+        drop(core);
         let message = Message::Report(Box::new(report));
         let Some(bytes) = encode(shell, &message) else {
             return;
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -21,10 +21,10 @@
 use crate::announcements;
 use crate::attempt;
 use crate::attempt::EndpointRequest;
-use crate::attempt::Reply;
+use crate::endpoint_client::Reply;
 use crate::events::EventBuffer;
 use crate::permit::Permit;
-use crate::pool;
+use crate::pool::PoolKey;
 use crate::response::ResponseBody;
 use crate::shell::SchedulingResult;
 use crate::shell::Shell;
@@ -152,15 +152,20 @@
     async fn attempt(&mut self, endpoint: &Arc<Endpoint>, permit: &Permit) -> AttemptEnd {
         let start = self.shell.now();
         self.last_endpoint = Some(endpoint.clone());
+        self.progress.relay = None;
         let executed_before = std::mem::replace(&mut self.maybe_executed, true);
         let shell = self.shell.clone();
         let headers = self.request_headers(endpoint, start);
         let reply = {
             let mut sending = pin!(attempt::send(&shell, endpoint, &self.outgoing, headers));
-            match timeout(permit.stall_timeout().into(), &mut sending).await {
-                Ok(reply) => reply,
-                Err(_) if permit.try_abandon() => return AttemptEnd::Retry(Outcome::Stalled),
-                Err(_) => sending.await,
+            if let Ok(reply) = timeout(permit.stall_timeout().into(), &mut sending).await {
+                reply
+            } else {
+                attempt::record_overdue(&shell, endpoint, start);
+                if permit.try_abandon() {
+                    return AttemptEnd::Retry(Outcome::Stalled);
+                }
+                sending.await
             }
         };
         let (response, connection) = match reply {
@@ -169,6 +174,11 @@
                 self.maybe_executed = executed_before;
                 return AttemptEnd::Retry(Outcome::ConnectFailed);
             }
+            Reply::RelayFailed => {
+                self.maybe_executed = executed_before;
+                return AttemptEnd::Retry(Outcome::RelayFailed);
+            }
+            Reply::LinkLost => return AttemptEnd::Retry(Outcome::LinkLost),
             Reply::ConnectionLost => return AttemptEnd::Retry(Outcome::ConnectionLost),
         };
         let class = shell.interface.exchange.classify_response(
@@ -176,12 +186,16 @@
             response.headers(),
             self.id.as_deref(),
         );
+        self.progress.relay = match connection.key {
+            PoolKey::Relay(address) => Some(address),
+            PoolKey::Endpoint(_) => None,
+        };
         announcements::record(&shell, endpoint, start, class, &response);
         match class {
             ResponseClass::Mismatched => AttemptEnd::Retry(Outcome::ConnectionLost),
             ResponseClass::Rejected | ResponseClass::Misdirected => {
                 self.maybe_executed = executed_before;
-                pool::drain_body(&self.shell, endpoint, response, connection);
+                self.shell.pool.drain_body(response, connection);
                 let rejected = class == ResponseClass::Rejected;
                 AttemptEnd::Retry(if rejected {
                     Outcome::Full
@@ -190,13 +204,10 @@
                 })
             }
             ResponseClass::Valid if self.routed.is_stream() && response.status().is_success() => {
-                self.stream_response(endpoint, permit, start, response, connection)
-                    .await
-            }
-            ResponseClass::Valid => {
-                self.buffer_response(endpoint, start, response, connection)
+                self.stream_response(permit, start, response, connection)
                     .await
             }
+            ResponseClass::Valid => self.buffer_response(start, response, connection).await,
         }
     }
 
--- a/crates/siskinyoke-gateway/src/job/completion.rs
+++ b/crates/siskinyoke-gateway/src/job/completion.rs
@@ -112,6 +112,7 @@
             "born": endpoint.started_ms,
             "version": &*endpoint.version,
             "outcome": outcome_name(outcome),
+            "relay": self.progress.relay.map(|it| it.to_string()),
             "since_arrival_ms": self.shell.now().since(self.routed.arrived).0,
         });
         self.shell.log("attempt", fields);
--- a/crates/siskinyoke-gateway/src/job/forwarding.rs
+++ b/crates/siskinyoke-gateway/src/job/forwarding.rs
@@ -1,7 +1,6 @@
 //! Forwards an endpoint's response to the caller: buffered, chunk by chunk, or event by event.
 
 use std::pin::pin;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -14,12 +13,10 @@
 use super::Job;
 use super::ResponseStart;
 use super::progress::Progress;
-use crate::connection::Connection;
 use crate::permit::Permit;
-use crate::pool;
+use crate::pool::PooledConnection;
 use crate::response::ResponseBody;
 use siskinyoke_base::Millis;
-use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::stall_timeout::STREAM_STALL_TIMEOUT;
 
@@ -32,10 +29,9 @@
     // Buffers a response without forwarding it; one that is too large is relayed instead.
     pub(super) async fn buffer_response(
         &mut self,
-        endpoint: &Arc<Endpoint>,
         start: Millis,
         response: Response<Incoming>,
-        connection: Connection,
+        connection: PooledConnection,
     ) -> AttemptEnd {
         let (head, mut body) = response.into_parts();
         let mut buffered = BytesMut::new();
@@ -48,7 +44,7 @@
                 return self.relay(&head, buffered.freeze(), body, start).await;
             }
         }
-        pool::reuse(&self.shell, endpoint, &head.headers, connection);
+        self.shell.pool.reuse(&head.headers, connection);
         let mut response = Response::new(ResponseBody::Full(Some(buffered.freeze())));
         *response.status_mut() = head.status;
         *response.headers_mut() = self.response_headers(&head);
@@ -97,11 +93,10 @@
     // endpoint if a retry is allowed.
     pub(super) async fn stream_response(
         &mut self,
-        endpoint: &Arc<Endpoint>,
         permit: &Permit,
         start: Millis,
         response: Response<Incoming>,
-        connection: Connection,
+        connection: PooledConnection,
     ) -> AttemptEnd {
         let (head, mut body) = response.into_parts();
         let mut progress = Progress::default();
@@ -138,7 +133,7 @@
         }
         let rest = self.events.take_rest();
         self.forward(&head, rest).await;
-        pool::reuse(&self.shell, endpoint, &head.headers, connection);
+        self.shell.pool.reuse(&head.headers, connection);
         let took = self.shell.now().since(start);
         AttemptEnd::Finished(Outcome::Completed {
             first_latency: progress.first_part.map_or(took, |it| it.since(start)),
--- a/crates/siskinyoke-gateway/src/job/progress.rs
+++ b/crates/siskinyoke-gateway/src/job/progress.rs
@@ -1,5 +1,7 @@
 //! Progress of a response, for the log.
 
+use std::net::SocketAddr;
+
 use siskinyoke_base::Millis;
 
 /// Progress of a response, for the log.
@@ -16,6 +18,8 @@
     pub longest_pause: Millis,
     /// Number of parts forwarded.
     pub parts: u32,
+    /// The peer that relayed the last attempt, if one did.
+    pub relay: Option<SocketAddr>,
     last_part: Millis,
 }
 
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -22,6 +23,7 @@
 use crate::admin;
 use crate::callers;
 use crate::peer_api;
+use crate::relay::Relay;
 use crate::response::ResponseBody;
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
@@ -72,8 +74,8 @@
             () = &mut drained => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(shell.clone(), stream, kind));
+            Ok((stream, peer)) => {
+                tokio::task::spawn_local(serve_connection(shell.clone(), stream, peer.ip(), kind));
             }
             Err(err) => {
                 let fields = json!({
@@ -98,7 +100,7 @@
     })
 }
 
-async fn serve_connection(shell: Rc<Shell>, stream: TcpStream, kind: ListenerKind) {
+async fn serve_connection(shell: Rc<Shell>, stream: TcpStream, peer: IpAddr, kind: ListenerKind) {
     if let Err(err) = stream.set_nodelay(true) {
         shell.log("connection_option", json!({ "error": err.to_string() }));
     }
@@ -114,7 +116,7 @@
         let tracker = tracker.clone();
         async move {
             tracker.request_started();
-            let response = handle(&shell, request, kind).await;
+            let response = handle(&shell, request, peer, kind).await;
             tracker.request_ended(shell.now());
             Ok::<_, Infallible>(response)
         }
@@ -147,6 +149,7 @@
 async fn handle(
     shell: &Rc<Shell>,
     request: Request<Incoming>,
+    peer: IpAddr,
     kind: ListenerKind,
 ) -> Response<ResponseBody> {
     match kind {
@@ -154,6 +157,7 @@
         ListenerKind::Health => admin::health(shell, &request),
         ListenerKind::Directory => admin::directory(shell, &request),
         ListenerKind::Metrics => admin::metrics_page(shell, &request),
+        ListenerKind::PeerApi if Relay::accepts(&request) => shell.relay.serve(peer, request).await,
         ListenerKind::PeerApi => peer_api::serve(shell, &request).await,
     }
 }
--- a/crates/siskinyoke-gateway/src/permit.rs
+++ b/crates/siskinyoke-gateway/src/permit.rs
@@ -93,7 +93,9 @@
         Outcome::Full => "full",
         Outcome::Misdirected => "moved",
         Outcome::ConnectFailed => "unreached",
+        Outcome::RelayFailed => "unrelayed",
         Outcome::ConnectionLost => "broken",
+        Outcome::LinkLost => "link_lost",
         Outcome::Stalled => "silent",
         Outcome::Cancelled => "left",
     }
--- a/crates/siskinyoke-gateway/src/pool.rs
+++ b/crates/siskinyoke-gateway/src/pool.rs
@@ -1,8 +1,8 @@
-//! Pool of idle connections to endpoints.
+//! Pool of idle connections to endpoints and relays.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -12,11 +12,11 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::clock::BootClock;
 use crate::connection::Connection;
-use crate::shell::Shell;
+use siskinyoke_base::Clock;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
-use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::EndpointKey;
 use siskinyoke_interface::headers;
 
@@ -35,21 +35,40 @@
 /// Maximum size of a response body that is drained to reuse its connection.
 const MAX_DRAINED_BODY_BYTES: usize = 64 * 1024;
 
+/// What a pooled connection leads to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum PoolKey {
+    /// An endpoint.
+    Endpoint(EndpointKey),
+    /// The peer address of an instance that relays requests.
+    Relay(SocketAddr),
+}
+
+/// A connection, and what it leads to.
+#[derive(Debug)]
+pub struct PooledConnection {
+    /// The connection.
+    pub connection: Connection,
+    /// What it leads to.
+    pub key: PoolKey,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
     expires_at: Millis,
 }
 
-/// Idle connections to endpoints, reused in last-in, first-out order.
+/// Idle connections to endpoints and relays, reused in last-in, first-out order.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: RefCell<Map<EndpointKey, Vec<IdleConnection>>>,
+    idle: RefCell<Map<PoolKey, Vec<IdleConnection>>>,
 }
 
 impl Pool {
-    /// Takes a usable connection to an endpoint, if there is one.
-    pub fn take(&self, now: Millis, key: EndpointKey) -> Option<Connection> {
+    /// Takes a usable connection, if there is one.
+    pub fn take(&self, key: PoolKey) -> Option<PooledConnection> {
+        let now = BootClock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&key)?;
         while let Some(IdleConnection {
@@ -58,14 +77,15 @@
         }) = connections.pop()
         {
             if now < expires_at && connection.is_ready() {
-                return Some(connection);
+                return Some(PooledConnection { connection, key });
             }
         }
         None
     }
 
     /// Drops connections that are expired or closed.
-    pub fn remove_expired(&self, now: Millis) {
+    pub fn remove_expired(&self) {
+        let now = BootClock.now();
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
             connections.retain(|it| now < it.expires_at && it.connection.is_ready());
@@ -73,7 +93,52 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    fn put(&self, key: EndpointKey, connection: Connection, expires_at: Millis) {
+    /// Drops the idle connections with this key.
+    pub fn clear(&self, key: PoolKey) {
+        self.idle.borrow_mut().remove(&key);
+    }
+
+    /// Returns a connection to the pool after a response, unless the other side closes it.
+    pub fn reuse(self: &Rc<Self>, head: &HeaderMap, connection: PooledConnection) {
+        if !headers::closes_connection(head) {
+            self.put_when_ready(connection, headers::keep_alive_timeout(head));
+        }
+    }
+
+    /// Reads the body of a response to a request that did not run, so that its connection can be
+    /// reused.
+    pub fn drain_body(self: &Rc<Self>, response: Response<Incoming>, connection: PooledConnection) {
+        let pool = self.clone();
+        tokio::task::spawn_local(async move {
+            let (parts, body) = response.into_parts();
+            let reading = Limited::new(body, MAX_DRAINED_BODY_BYTES).collect();
+            if let Ok(Ok(_)) = timeout(REUSE_TIMEOUT, reading).await {
+                pool.reuse(&parts.headers, connection);
+            }
+        });
+    }
+
+    // Adds a connection to the pool as soon as it can take another request.
+    fn put_when_ready(self: &Rc<Self>, pooled: PooledConnection, keep_alive: Option<Millis>) {
+        let lifetime = keep_alive.map_or(DEFAULT_KEEP_ALIVE, |it| it.since(KEEP_ALIVE_MARGIN));
+        let expires_at = BootClock.now() + lifetime;
+        let PooledConnection {
+            mut connection,
+            key,
+        } = pooled;
+        if connection.is_ready() {
+            self.put(key, connection, expires_at);
+            return;
+        }
+        let pool = self.clone();
+        tokio::task::spawn_local(async move {
+            if timeout(REUSE_TIMEOUT, connection.wait_ready()).await == Ok(true) {
+                pool.put(key, connection, expires_at);
+            }
+        });
+    }
+
+    fn put(&self, key: PoolKey, connection: Connection, expires_at: Millis) {
         self.idle
             .borrow_mut()
             .entry(key)
@@ -84,55 +149,3 @@
             });
     }
 }
-
-/// Returns a connection to the pool after a response, unless the endpoint closes it.
-pub fn reuse(shell: &Rc<Shell>, endpoint: &Endpoint, head: &HeaderMap, connection: Connection) {
-    if !headers::closes_connection(head) {
-        put_when_ready(
-            shell,
-            endpoint.key(),
-            connection,
-            headers::keep_alive_timeout(head),
-        );
-    }
-}
-
-/// Reads the body of a response to a request that did not run, so that its connection can be
-/// reused.
-pub fn drain_body(
-    shell: &Rc<Shell>,
-    endpoint: &Arc<Endpoint>,
-    response: Response<Incoming>,
-    connection: Connection,
-) {
-    let shell = shell.clone();
-    let endpoint = endpoint.clone();
-    tokio::task::spawn_local(async move {
-        let (parts, body) = response.into_parts();
-        let reading = Limited::new(body, MAX_DRAINED_BODY_BYTES).collect();
-        if let Ok(Ok(_)) = timeout(REUSE_TIMEOUT, reading).await {
-            reuse(&shell, &endpoint, &parts.headers, connection);
-        }
-    });
-}
-
-// Adds a connection to the pool as soon as it can take another request.
-fn put_when_ready(
-    shell: &Rc<Shell>,
-    key: EndpointKey,
-    mut connection: Connection,
-    keep_alive: Option<Millis>,
-) {
-    let expires_at =
-        shell.now() + keep_alive.map_or(DEFAULT_KEEP_ALIVE, |span| span.since(KEEP_ALIVE_MARGIN));
-    if connection.is_ready() {
-        shell.pool.put(key, connection, expires_at);
-        return;
-    }
-    let shell = shell.clone();
-    tokio::task::spawn_local(async move {
-        if timeout(REUSE_TIMEOUT, connection.wait_ready()).await == Ok(true) {
-            shell.pool.put(key, connection, expires_at);
-        }
-    });
-}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/relay.rs
@@ -0,0 +1,72 @@
+//! Relays requests between instances: an instance that has lost its links to an endpoint sends the
+//! request to a peer, which passes it on to that endpoint.
+//!
+//! The sender schedules the request as any other: it counts quotas, slots and limits, and it alone
+//! sends the request again. A relay decides nothing. It passes on what it is sent, once and over
+//! its own links only, so that a request takes one more hop and never two.
+
+mod body;
+mod client;
+mod server;
+mod status;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::rc::Rc;
+
+use http::HeaderName;
+
+use crate::endpoint_client::EndpointClient;
+use crate::event_log::EventLog;
+use crate::pool::Pool;
+use siskinyoke_dispatch::Core;
+
+pub use self::body::RelayedBody;
+
+/// The header by which a request names the key of the endpoint that it is relayed to.
+pub const ENDPOINT_HEADER: HeaderName = HeaderName::from_static("siskinyoke-relay-endpoint");
+
+/// The header by which a relay states what became of a request.
+pub const STATUS_HEADER: HeaderName = HeaderName::from_static("siskinyoke-relay-status");
+
+/// Sends requests through peers, and relays those of peers.
+#[derive(Debug)]
+pub struct Relay {
+    core: Rc<RefCell<Core>>,
+    pool: Rc<Pool>,
+    client: Rc<EndpointClient>,
+    log: EventLog,
+    // The IP address from which requests are sent to relays, by which these know this instance.
+    source: IpAddr,
+    // Requests of peers that are being relayed.
+    in_flight: Rc<Cell<usize>>,
+    // Bodies of these requests, in bytes.
+    held_bytes: Rc<Cell<usize>>,
+}
+
+impl Relay {
+    /// Creates the relay of an instance.
+    pub fn new(
+        core: Rc<RefCell<Core>>,
+        pool: Rc<Pool>,
+        client: Rc<EndpointClient>,
+        log: EventLog,
+        source: IpAddr,
+    ) -> Self {
+        Self {
+            core,
+            pool,
+            client,
+            log,
+            source,
+            in_flight: Rc::default(),
+            held_bytes: Rc::default(),
+        }
+    }
+
+    /// Returns the number of requests of peers that are being relayed.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/relay/server.rs
@@ -0,0 +1,169 @@
+//! Passes requests of peers on to endpoints.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use serde_json::json;
+
+use super::ENDPOINT_HEADER;
+use super::Relay;
+use super::STATUS_HEADER;
+use super::body::Counted;
+use super::body::RelayedBody;
+use super::status::RelayStatus;
+use crate::clock::BootClock;
+use crate::endpoint_client::OutgoingRequest;
+use crate::endpoint_client::Reply;
+use crate::pool::PooledConnection;
+use crate::response::ResponseBody;
+use siskinyoke_base::Clock;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::EndpointKey;
+use siskinyoke_interface::headers::end_to_end;
+
+/// Maximum number of requests relayed at a time.
+const MAX_IN_FLIGHT: usize = 64;
+
+/// Maximum size of the request bodies held for relaying.
+const MAX_HELD_BYTES: usize = 8 * 1024 * 1024;
+
+impl Relay {
+    /// Returns whether a request on the peers' port is to be relayed.
+    pub fn accepts(request: &Request<Incoming>) -> bool {
+        request.headers().contains_key(ENDPOINT_HEADER)
+    }
+
+    /// Passes a request on to the endpoint that it names, and returns the response.
+    pub async fn serve(&self, peer: IpAddr, request: Request<Incoming>) -> Response<ResponseBody> {
+        let (endpoint, body_size) = match self.admit(peer, &request) {
+            Ok(admitted) => admitted,
+            Err(reason) => return self.refuse(peer, reason),
+        };
+        let in_flight = Counted::new(&self.in_flight, 1);
+        let held_bytes = Counted::new(&self.held_bytes, body_size);
+        let Some(request) = read(request, body_size).await else {
+            return self.refuse(peer, "body");
+        };
+        let reply = match self.client.send_pooled(&endpoint, request).await {
+            Ok(reply) => reply,
+            Err(request) => self.client.send_new(&endpoint, request).await,
+        };
+        drop(held_bytes);
+        let now = BootClock.now();
+        match reply {
+            Reply::Head(response, connection) => {
+                self.core.borrow_mut().record_response(now, &endpoint);
+                self.relayed(response, connection, in_flight)
+            }
+            Reply::ConnectionLost | Reply::LinkLost => status_only(RelayStatus::ConnectionLost),
+            Reply::ConnectFailed | Reply::RelayFailed => {
+                self.core.borrow_mut().record_unreachable(now, &endpoint);
+                status_only(RelayStatus::Unreachable)
+            }
+        }
+    }
+
+    // Returns the endpoint and the size of the body of a request that is relayed, or why it is not.
+    fn admit(
+        &self,
+        peer: IpAddr,
+        request: &Request<Incoming>,
+    ) -> Result<(Arc<Endpoint>, usize), &'static str> {
+        let mut core = self.core.borrow_mut();
+        if !core.is_instance_address(peer) {
+            return Err("not_a_peer");
+        }
+        if core.is_shutting_down() {
+            return Err("shutting_down");
+        }
+        let key = endpoint_key(request).ok_or("endpoint_unreadable")?;
+        let endpoint = core.registry().find(key).cloned();
+        let endpoint = endpoint.ok_or("endpoint_unknown")?;
+        if core.links_lost(&endpoint.service) {
+            return Err("links_lost");
+        }
+        let size = request.body().size_hint().exact().ok_or("body_length")?;
+        let size = usize::try_from(size).map_err(|_| "body_length")?;
+        let full =
+            self.in_flight.get() >= MAX_IN_FLIGHT || self.held_bytes.get() + size > MAX_HELD_BYTES;
+        if full {
+            return Err("full");
+        }
+        Ok((endpoint, size))
+    }
+
+    fn relayed(
+        &self,
+        response: Response<Incoming>,
+        connection: PooledConnection,
+        in_flight: Counted,
+    ) -> Response<ResponseBody> {
+        let (parts, incoming) = response.into_parts();
+        let mut headers = end_to_end(&parts.headers, &[STATUS_HEADER]);
+        headers.insert(STATUS_HEADER, status_value(RelayStatus::Relayed));
+        let body = RelayedBody {
+            incoming,
+            connection: Some(connection),
+            headers: parts.headers,
+            pool: self.pool.clone(),
+            _in_flight: in_flight,
+        };
+        let mut response = Response::new(ResponseBody::Relayed(Box::new(body)));
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    fn refuse(&self, peer: IpAddr, reason: &str) -> Response<ResponseBody> {
+        let fields = json!({
+            "peer": peer.to_string(),
+            "reason": reason,
+            "in_flight": self.in_flight.get(),
+        });
+        self.log.log("relay_refused", fields);
+        status_only(RelayStatus::Refused)
+    }
+}
+
+fn endpoint_key(request: &Request<Incoming>) -> Option<EndpointKey> {
+    let value = request.headers().get(ENDPOINT_HEADER)?.to_str().ok()?;
+    u64::from_str_radix(value, 16).ok().map(EndpointKey)
+}
+
+// Reads a request and returns it as it is sent to the endpoint, or `None` if its sender is gone.
+async fn read(request: Request<Incoming>, body_size: usize) -> Option<OutgoingRequest> {
+    let (parts, body) = request.into_parts();
+    let body: Bytes = Limited::new(body, body_size)
+        .collect()
+        .await
+        .ok()?
+        .to_bytes();
+    let mut outgoing = Request::new(Full::new(body));
+    *outgoing.method_mut() = parts.method;
+    *outgoing.uri_mut() = parts.uri;
+    *outgoing.headers_mut() = end_to_end(&parts.headers, &[ENDPOINT_HEADER]);
+    Some(outgoing)
+}
+
+fn status_only(status: RelayStatus) -> Response<ResponseBody> {
+    let mut response = Response::new(ResponseBody::Full(None));
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    response
+        .headers_mut()
+        .insert(STATUS_HEADER, status_value(status));
+    response
+}
+
+fn status_value(status: RelayStatus) -> HeaderValue {
+    HeaderValue::from_static(status.as_str())
+}
--- a/crates/siskinyoke-gateway/src/response.rs
+++ b/crates/siskinyoke-gateway/src/response.rs
@@ -14,6 +14,8 @@
 use tokio::sync::mpsc::Receiver;
 use tokio::sync::oneshot::Sender;
 
+use crate::relay::RelayedBody;
+
 /// Size of the parts in which a body is passed on.
 const PART_BYTES: usize = 16 * 1024;
 
@@ -44,6 +46,8 @@
     /// A buffered body that is passed on in parts. The sender is dropped once the last part has
     /// been passed on, or the connection is closed.
     Transfer(Bytes, Sender<()>),
+    /// The body of a response that is relayed to a peer.
+    Relayed(Box<RelayedBody>),
 }
 
 impl Body for ResponseBody {
@@ -56,6 +60,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedError>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
+            Self::Relayed(body) => body
+                .poll_chunk(context)
+                .map_err(|_| TruncatedError::Truncated),
             Self::Transfer(bytes, _) if bytes.is_empty() => Poll::Ready(None),
             Self::Transfer(bytes, _) => {
                 let part = bytes.split_to(bytes.len().min(PART_BYTES));
@@ -74,6 +81,7 @@
             Self::Full(bytes) => bytes.is_none(),
             Self::Transfer(bytes, _) => bytes.is_empty(),
             Self::Stream(_) => false,
+            Self::Relayed(body) => body.is_end_stream(),
         }
     }
 
@@ -87,6 +95,7 @@
                 SizeHint::with_exact(u64::try_from(bytes.len()).unwrap_or(0))
             }
             Self::Stream(_) => SizeHint::default(),
+            Self::Relayed(body) => body.size_hint(),
         }
     }
 }
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -19,11 +19,14 @@
 use crate::clock::BootClock;
 use crate::configuration_copy::ConfigurationCopy;
 use crate::configuration_transfer;
+use crate::endpoint_client::EndpointClient;
+use crate::event_log::EventLog;
 use crate::lending;
 use crate::lending::Lending;
 use crate::log_writer::LogWriter;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::relay::Relay;
 use crate::replica::Replica;
 use crate::settings::Settings;
 use crate::store::Client;
@@ -83,13 +86,17 @@
 #[derive(Debug)]
 pub struct Shell {
     /// The state on which all decisions are based; it does no I/O.
-    pub core: RefCell<Core>,
+    pub core: Rc<RefCell<Core>>,
     /// The protocols of callers, endpoints, operators and the store.
     pub interface: Interface,
     /// The current settings.
     pub settings: RefCell<Rc<Settings>>,
-    /// The pool of connections to endpoints.
-    pub pool: Pool,
+    /// The pool of connections to endpoints and relays.
+    pub pool: Rc<Pool>,
+    /// Sends requests to endpoints over this instance's own links.
+    pub endpoint_client: Rc<EndpointClient>,
+    /// Sends requests to endpoints through peers, and relays those of peers.
+    pub relay: Relay,
     /// The metrics of this instance.
     pub metrics: Metrics,
     /// The replica of the store's contents, from which peers fetch changes.
@@ -153,7 +160,7 @@
     // Whether the era of the last response of the store could not be read.
     era_unreadable: Cell<bool>,
     waiters: RefCell<Map<Ticket, oneshot::Sender<SchedulingResult>>>,
-    log_writer: RefCell<LogWriter>,
+    event_log: EventLog,
     clock: BootClock,
 }
 
@@ -169,11 +176,25 @@
         identity: Identity,
         log_writer: LogWriter,
     ) -> Result<Self, String> {
+        let core = Rc::new(RefCell::new(Core::new(identity)));
+        let pool = Rc::<Pool>::default();
+        let event_log = EventLog::new(log_writer);
+        let client = EndpointClient::new(pool.clone(), event_log.clone(), settings.ip);
+        let client = Rc::new(client);
+        let relay = Relay::new(
+            core.clone(),
+            pool.clone(),
+            client.clone(),
+            event_log.clone(),
+            settings.ip,
+        );
         Ok(Self {
             interface,
-            core: RefCell::new(Core::new(identity)),
+            core,
             settings: RefCell::new(Rc::new(settings)),
-            pool: Pool::default(),
+            pool,
+            endpoint_client: client,
+            relay,
             metrics: Metrics::new()?,
             replica: RefCell::default(),
             configuration_copy: RefCell::default(),
@@ -206,7 +227,7 @@
             caller_connections: Cell::new(0),
             last_arrival: Cell::new(Millis::ZERO),
             waiters: RefCell::default(),
-            log_writer: RefCell::new(log_writer),
+            event_log,
             clock: BootClock,
         })
     }
@@ -223,9 +244,7 @@
 
     /// Writes a log line.
     pub fn log(&self, event: &str, fields: Value) {
-        self.log_writer
-            .borrow_mut()
-            .write(self.now(), event, fields);
+        self.event_log.log(event, fields);
     }
 
     /// Returns the era to which a response of the store belongs, and notes a later one.
@@ -340,7 +359,7 @@
 
     /// Passes buffered log lines to the writer thread.
     pub fn flush_log(&self) {
-        self.log_writer.borrow_mut().flush();
+        self.event_log.flush();
     }
 
     /// Returns a receiver for the scheduling decision for a request.
--- a/crates/siskinyoke-gateway/src/signals.rs
+++ b/crates/siskinyoke-gateway/src/signals.rs
@@ -53,7 +53,8 @@
         sleep(DRAIN_POLL_INTERVAL.into()).await;
         let now = shell.now();
         let drain_over = now >= start + DRAIN_PERIOD;
-        if now >= end || (drain_over && shell.caller_connections.get() == 0) {
+        let idle = shell.caller_connections.get() == 0 && shell.relay.in_flight() == 0;
+        if now >= end || (drain_over && idle) {
             break;
         }
     }
--- a/crates/siskinyoke-gateway/tests/cut_links/main.rs
+++ b/crates/siskinyoke-gateway/tests/cut_links/main.rs
@@ -1,16 +1,23 @@
 //! Instances that lose their links to endpoints while callers, the store and other instances still
 //! reach them.
 
+use std::io::Read;
+use std::net::TcpStream;
+use std::ops::Range;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::process::Signal;
+
 use siskinyoke_soak::Endpoint;
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Proxy;
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
+use siskinyoke_soak::instance::http_get;
+use siskinyoke_soak::instance::send_request;
 use siskinyoke_soak::instance::wait_until;
 use siskinyoke_soak::proxy::Cut;
 
@@ -60,16 +67,32 @@
             proxies,
             instances,
         };
-        wait_until("the first instance serves", || {
-            fleet.instances[0].serves_requests()
-        });
+        let peers = u64::try_from(fleet.instances.len()).unwrap() - 1;
+        for instance in &fleet.instances {
+            wait_until("the instance knows its peers and serves", || {
+                state(instance, "peers") == peers && instance.serves_requests()
+            });
+        }
         fleet
     }
 
-    fn set_cut(&self, cut: Option<Cut>) {
-        let source = self.instances[0].caller_address.ip();
-        for proxy in &self.proxies {
-            proxy.set_cut(source, cut);
+    // Cuts instances off from all endpoints, or ends that.
+    fn set_cut(&self, instances: Range<usize>, cut: Option<Cut>) {
+        for instance in &self.instances[instances] {
+            for proxy in &self.proxies {
+                proxy.set_cut(instance.caller_address.ip(), cut);
+            }
+        }
+    }
+
+    // Cuts instances off, and waits until each of them has noticed.
+    fn lose_links(&self, instances: Range<usize>) {
+        self.set_cut(instances.clone(), Some(Cut::Reset));
+        for instance in &self.instances[instances] {
+            wait_until("the links are lost", || {
+                instance.call("early", "/safe/a", "", "");
+                state(instance, "lost_links") == 1
+            });
         }
     }
 
@@ -113,9 +136,18 @@
     }
 }
 
+// Returns a gauge of an instance's metrics.
+fn state(instance: &Instance, name: &str) -> u64 {
+    let page = http_get(instance.metrics_address, "/metrics").unwrap_or_default();
+    let name = format!("what=\"{name}\"");
+    let row = page.lines().find(|it| it.contains(&name));
+    let value = row.and_then(|it| it.rsplit(' ').next()?.parse().ok());
+    value.unwrap_or(0)
+}
+
 fn check_served_while_cut(cut: Cut) {
     let fleet = Fleet::start(3);
-    fleet.set_cut(Some(cut));
+    fleet.set_cut(0..1, Some(cut));
     let start = Instant::now();
     let mut number = 0;
     while start.elapsed() < SETTLING_TIME {
@@ -125,7 +157,7 @@
     let unserved = fleet.unserved("cut");
     assert!(unserved.is_empty(), "{}: {unserved:#?}", unserved.len());
     assert_eq!(fleet.arrivals("cut/once/a0"), 1);
-    fleet.set_cut(None);
+    fleet.set_cut(0..1, None);
     thread::sleep(Duration::from_millis(100));
     let unserved = fleet.unserved("restored");
     assert!(unserved.is_empty(), "{}: {unserved:#?}", unserved.len());
@@ -145,3 +177,95 @@
 fn callers_of_an_instance_that_can_open_no_connections_to_endpoints_are_served() {
     check_served_while_cut(Cut::RefuseNew);
 }
+
+#[test]
+fn a_request_is_relayed_once_and_past_peers_without_links() {
+    let fleet = Fleet::start(4);
+    fleet.lose_links(0..3);
+    let unserved = fleet.unserved("r");
+    assert!(unserved.is_empty(), "{unserved:#?}");
+    assert_eq!(fleet.arrivals("r/once/a0"), 1);
+}
+
+#[test]
+fn callers_are_answered_at_once_while_no_instance_reaches_an_endpoint() {
+    let fleet = Fleet::start(2);
+    fleet.lose_links(0..2);
+    let start = Instant::now();
+    let response = fleet.instances[0].call("r", "/once/a", "", "");
+    // The proxies reset a connection only after it is open, so that the request may have run.
+    let statuses = ["HTTP/1.1 503", "HTTP/1.1 502"];
+    let is_failure = statuses.iter().any(|it| response.starts_with(it));
+    assert!(is_failure, "{response}");
+    assert!(start.elapsed() < Duration::from_secs(1));
+    assert_eq!(fleet.arrivals("r"), 0);
+    fleet.set_cut(0..2, None);
+    wait_until("the links are back", || {
+        fleet.instances[0].serves_requests()
+    });
+}
+
+#[test]
+fn a_relayed_request_is_cancelled_when_its_caller_disconnects() {
+    let fleet = Fleet::start(2);
+    fleet.lose_links(0..1);
+    let mut caller = fleet.instances[0].connect();
+    send_request(&mut caller, "r", "/safe/slow", "", "");
+    wait_until("the request arrives", || fleet.arrivals("r") == 1);
+    drop(caller);
+    let start = Instant::now();
+    let disconnects = || -> u32 { fleet.endpoints.iter().map(Endpoint::disconnect_count).sum() };
+    wait_until("the endpoint is told", || disconnects() == 1);
+    let elapsed = start.elapsed();
+    assert!(elapsed < Duration::from_millis(500), "{elapsed:?}");
+}
+
+// Guards against running a request twice, or denying that it ran, when its relay is lost.
+#[test]
+fn a_request_whose_relay_is_killed_is_neither_repeated_nor_reported_as_not_run() {
+    let mut fleet = Fleet::start(2);
+    fleet.lose_links(0..1);
+    let mut caller = fleet.instances[0].connect();
+    send_request(&mut caller, "r", "/once/nap", "connection: close\r\n", "");
+    wait_until("the request arrives", || fleet.arrivals("r") == 1);
+    fleet.instances[1].kill();
+    let mut response = String::new();
+    caller.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+    assert_eq!(fleet.arrivals("r"), 1);
+}
+
+#[test]
+fn a_relay_that_shuts_down_finishes_the_requests_that_it_relays() {
+    let fleet = Fleet::start(3);
+    fleet.lose_links(0..1);
+    let responses = thread::scope(|scope| {
+        let call = |number: u32| fleet.call(&format!("r{number}"), "/once/nap");
+        let calls: Vec<_> = (0..8).map(|it| scope.spawn(move || call(it))).collect();
+        wait_until("the requests arrive", || fleet.arrivals("r7") == 1);
+        fleet.instances[1].send_signal(Signal::TERM);
+        let results = calls.into_iter().filter_map(|it| it.join().unwrap());
+        results.collect::<Vec<_>>()
+    });
+    assert!(responses.is_empty(), "{responses:#?}");
+    let unserved = fleet.unserved("later");
+    assert!(unserved.is_empty(), "{unserved:#?}");
+}
+
+// The test connects from another address than the instances.
+#[test]
+fn an_instance_relays_nothing_for_callers() {
+    let fleet = Fleet::start(2);
+    let headers = "siskinyoke-relay-endpoint: 1\r\nconnection: close\r\n";
+    let mut stream = TcpStream::connect(fleet.instances[1].peer_address).unwrap();
+    send_request(&mut stream, "r", "/once/a", headers, "");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+    assert!(
+        response.contains("siskinyoke-relay-status: refused"),
+        "{response}"
+    );
+    assert_eq!(fleet.arrivals("r"), 0);
+    assert_eq!(state(&fleet.instances[1], "relayed"), 0);
+}
--- a/crates/siskinyoke-gateway/tests/messages.rs
+++ b/crates/siskinyoke-gateway/tests/messages.rs
@@ -30,8 +30,17 @@
         let message = Message::Report(Box::new(report.clone()));
         let bytes = postcard::to_allocvec(&message).unwrap();
         assert_eq!(gossip::decode(&bytes).unwrap(), message);
-        // The era is the last byte, which earlier versions neither send nor read.
-        let (era, earlier) = bytes.split_last().unwrap();
+        // What a sender relays comes last, and the era before it, which earlier versions neither send
+        // nor read.
+        let [rest @ .., 1, 0, 0] = &*bytes else {
+            panic!("does not end with an instance that relays nothing");
+        };
+        let Message::Report(received) = gossip::decode(rest).unwrap() else {
+            panic!("not a report");
+        };
+        assert_eq!(received.revision(), report.revision());
+        assert_eq!(received.relay, None);
+        let (era, earlier) = rest.split_last().unwrap();
         assert_eq!(*era, 3);
         let Message::Report(received) = gossip::decode(earlier).unwrap() else {
             panic!("not a report");
--- a/crates/siskinyoke-interface/src/exchange.rs
+++ b/crates/siskinyoke-interface/src/exchange.rs
@@ -71,6 +71,10 @@
         body: &[u8],
     ) -> Result<RequestHead<'a>, FormatError>;
 
+    /// Returns the path of a request that an endpoint responds to without a slot, whatever the
+    /// response says: it only tells whether the endpoint can be reached.
+    fn probe_path(&self) -> &'static str;
+
     /// Returns the path and query of the request to an endpoint.
     fn endpoint_uri(&self, uri: &Uri) -> Uri {
         uri.clone()
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -113,6 +113,10 @@
             .unwrap_or_else(|_| uri.clone())
     }
 
+    fn probe_path(&self) -> &'static str {
+        names::PROBE_PATH
+    }
+
     fn request_headers(&self, headers: &HeaderMap, organisation: Option<&str>) -> HeaderMap {
         let mut out = headers::end_to_end(headers, &DROPPED_HEADERS);
         if let Some(value) = organisation.and_then(|name| HeaderValue::from_str(name).ok()) {
--- a/crates/siskinyoke-native/src/names.rs
+++ b/crates/siskinyoke-native/src/names.rs
@@ -25,6 +25,8 @@
 /// The last event of a stream that the caller received.
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
+/// The path at which engines state whether they are up; requests of it need no slot.
+pub const PROBE_PATH: &str = "/health";
 /// The path of chat requests; the body names the model.
 pub const CHAT_PATH: &str = "/v1/chat/completions";
 /// The path prefix of plain services, followed by the service's name.
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -20,6 +20,9 @@
 /// The number of slots that an endpoint states.
 pub const SLOT_COUNT: usize = 4;
 
+/// The path at which an endpoint states its load, by which it can be probed.
+const REPORT_PATH: &str = "/api/report";
+
 /// Length of the body of a large response.
 pub const LARGE_BODY_BYTES: usize = 3 * 1024 * 1024;
 
@@ -202,6 +205,10 @@
                 .map_or(0, |it| it.parse().unwrap());
             request.body = vec![0; length];
             reader.read_exact(&mut request.body)?;
+            if request.line_contains(REPORT_PATH) {
+                out.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")?;
+                continue;
+            }
             request.received_at = Some(Instant::now());
             let rejected_for = self.announce();
             request.rejected = rejected_for.is_some();
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -185,5 +185,5 @@
 
 // Lets a connection end with a reset. An error means that it is closed already.
 fn reset_on_drop(stream: &TcpStream) {
-    drop(set_socket_linger(stream, Some(Duration::ZERO)));
+    let _ = set_socket_linger(stream, Some(Duration::ZERO));
 }
