--- a/crates/siskinyoke-dispatch/tests/links.rs
+++ b/crates/siskinyoke-dispatch/tests/links.rs
@@ -9,6 +9,11 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::common::core;
+use crate::common::endpoint;
+use crate::common::instance_info;
+use crate::common::report;
+use crate::common::request;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Decision;
@@ -20,12 +25,6 @@
 use siskinyoke_dispatch::report::RelayReport;
 use siskinyoke_dispatch::report::short_hash;
 
-use crate::common::core;
-use crate::common::endpoint;
-use crate::common::instance_info;
-use crate::common::report;
-use crate::common::request;
-
 /// How long a report counts, with a margin.
 const STALE: Millis = Millis(1_000);
 
