--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -15,6 +15,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::admission::Admission;
+use crate::admission::Verdict;
 use crate::announcements::Announcements;
 
 /// The number of slots that an endpoint states.
@@ -76,6 +78,7 @@
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     disconnects: Arc<Mutex<u32>>,
     announcements: Arc<Mutex<Announcements>>,
+    admission: Arc<Mutex<Admission>>,
     // The number of starts under this ID, which entries state as the time of the start.
     starts: Arc<AtomicU64>,
 }
@@ -104,6 +107,7 @@
             requests: Arc::default(),
             disconnects: Arc::default(),
             announcements: Arc::default(),
+            admission: Arc::default(),
             starts: Arc::new(AtomicU64::new(1)),
         };
         let serving = endpoint.clone();
@@ -155,6 +159,25 @@
         announcements.announced_at = None;
     }
 
+    /// Says in each response how many rejections in a second it bears, and runs no more requests
+    /// than it has slots; or ends that.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn set_brittle(&self, limit: Option<u32>) {
+        self.admission.lock().unwrap().limit = limit;
+    }
+
+    /// Returns how often it fell over because it rejected too many requests.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn fall_count(&self) -> u32 {
+        self.admission.lock().unwrap().falls
+    }
+
     /// Starts anew under its ID: it is no longer leaving and accepts requests.
     ///
     /// # Panics
@@ -212,7 +235,30 @@
             request.received_at = Some(Instant::now());
             let rejected_for = self.announce();
             request.rejected = rejected_for.is_some();
+            let verdict = self.admit();
+            request.rejected |= verdict != Some(Verdict::Accepted) && verdict.is_some();
             self.requests.lock().unwrap().push(request.clone());
+            match verdict {
+                Some(Verdict::Down) => return Ok(()),
+                Some(Verdict::Rejected) => {
+                    write!(
+                        out,
+                        "HTTP/1.1 503 Full\r\nSiskinyoke-Not-Executed: 1\r\n{}\
+                         content-length: 0\r\n\r\n",
+                        self.brittle_header()
+                    )?;
+                    continue;
+                }
+                Some(Verdict::Accepted) => {
+                    let kept = self.respond(&request, &mut out);
+                    self.admission.lock().unwrap().end();
+                    if !kept? {
+                        return Ok(());
+                    }
+                    continue;
+                }
+                None => {}
+            }
             if let Some(remaining) = rejected_for {
                 write_rejection(&mut out, remaining)?;
             } else if !responds_early && !self.respond(&request, &mut out)? {
@@ -251,6 +297,9 @@
             self.wait_for_disconnect(out)?;
             return Ok(false);
         }
+        if request.line_contains("brief") {
+            thread::sleep(Duration::from_millis(40));
+        }
         if request.line_contains("nap") {
             thread::sleep(Duration::from_millis(1_500));
         }
@@ -287,6 +336,18 @@
         rejected
     }
 
+    // Admits a request if the endpoint is brittle.
+    fn admit(&self) -> Option<Verdict> {
+        let mut admission = self.admission.lock().unwrap();
+        admission.limit?;
+        Some(admission.admit(Instant::now(), SLOT_COUNT))
+    }
+
+    fn brittle_header(&self) -> String {
+        let limit = self.admission.lock().unwrap().limit;
+        limit.map_or_else(String::new, |it| format!("Server-Brittle: {it}\r\n"))
+    }
+
     fn leaving_header(&self) -> &'static str {
         if self.announcements.lock().unwrap().leaving {
             "Server-Leaving: 1\r\n"
@@ -305,6 +366,7 @@
         } else {
             self.leaving_header().to_owned()
         };
+        let announcement = announcement + &self.brittle_header();
         format!(
             "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
              {announcement}content-length: {length}\r\n\r\n{body}",
@@ -364,7 +426,7 @@
             "HTTP/1.1 200 OK\r\nSiskinyoke-Request-Id: {id}\r\nSiskinyoke-Response-Seal: {}\r\n\
              {}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
             self.id,
-            self.leaving_header()
+            self.leaving_header().to_owned() + &self.brittle_header()
         )
     }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! A randomized soak test that injects faults into real gateway processes, and the stand-ins for
 //! the store and the endpoints around them.
 
+pub mod admission;
 pub mod announcements;
 pub mod checker;
 pub mod client;
