Each slot of an endpoint that bears few rejections belongs to one instance

Slots are counted by reports that are 10 to 100 ms old, so several instances use the same free slot, and fast endpoints get one request more than they have slots.

Change: the value is decoded once (Exchange::rejection_limit) and reported to peers. While it is in force the endpoint's slots are divided among the instances of the shard by a hash, nothing waits there, a request that was given up occupies its slot for half a second, and one rejection keeps all instances away for a second. Bad values are a log line and change nothing; too large ones count as the largest.

The stand-in frees a slot as its response leaves, not after, and a short request takes 120 ms instead of 40.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -5,6 +5,7 @@
 mod lending;
 mod links;
 mod rate_limits;
+mod rejection_limits;
 mod reporting;
 mod requested_backoff;
 mod retry;
--- a/crates/siskinyoke-dispatch/src/core/fleet.rs
+++ b/crates/siskinyoke-dispatch/src/core/fleet.rs
@@ -168,6 +168,10 @@
         self.shard = shards::shard_of(&self.identity.name, shards);
         self.shard_count = shards;
         self.registry.set_shards(self.shard, sizes);
+        let members = self.fleet_members().into_iter();
+        let members = members.filter(|it| self.in_shard(it)).map(str::to_owned);
+        let members = members.collect();
+        self.peers.set_listed_members(members);
         if shards > 1 {
             let shard = self.shard;
             self.peers
--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -43,7 +43,7 @@
     /// lost; each one has to be followed by [`Self::probe_ended`].
     pub fn due_probes(&mut self, now: Millis) -> Vec<Arc<Endpoint>> {
         let mut due = Vec::new();
-        for service in self.links.suspect_services() {
+        for service in self.links.unproven_services() {
             let endpoints = self.registry.eligible(&service);
             due.extend(self.links.due_probes(now, &service, endpoints));
         }
@@ -143,7 +143,7 @@
     // Returns the latest crashes for reports. While links are in doubt, broken connections may be
     // the fault of this instance.
     pub(super) fn reported_crashes(&self, limit: usize) -> Vec<(u64, Vec<u32>)> {
-        if self.links.any_suspect() {
+        if self.links.any_in_doubt() {
             return Vec::new();
         }
         self.quarantine.recent_crashes(limit)
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -35,6 +35,7 @@
         }
         self.receive_canary_reports(now, &report, in_shard);
         self.record_peer_limits(now, &report.limits);
+        self.record_peer_rejection_limits(now, &report.rejection_limits);
         if !in_shard {
             self.peers.remove(incarnation);
             return false;
@@ -116,6 +117,7 @@
             info: full.then(|| self.instance_info(now)),
             era: self.store_view.revision.era,
             relay: Some(self.relay_report()),
+            rejection_limits: self.scheduler.rejection_limits().report_rows(now, since),
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod refusal;
 pub mod registry;
 mod regression;
+pub mod rejection_limits;
 pub mod relays;
 pub mod report;
 pub mod requested_backoff;
--- a/crates/siskinyoke-dispatch/src/links.rs
+++ b/crates/siskinyoke-dispatch/src/links.rs
@@ -59,7 +59,7 @@
     }
 
     /// Returns whether the links to any service are in doubt or lost.
-    pub fn any_suspect(&self) -> bool {
+    pub fn any_in_doubt(&self) -> bool {
         self.services.values().any(|it| !it.is_intact())
     }
 
@@ -70,9 +70,9 @@
     }
 
     /// Returns the services whose links are in doubt or lost.
-    pub fn suspect_services(&self) -> Vec<Arc<str>> {
-        let suspect = self.services.iter().filter(|row| !row.1.is_intact());
-        suspect.map(|row| row.0.clone()).collect()
+    pub fn unproven_services(&self) -> Vec<Arc<str>> {
+        let rows = self.services.iter().filter(|row| !row.1.is_intact());
+        rows.map(|row| row.0.clone()).collect()
     }
 
     /// Returns the endpoints of a service to probe now; each one has to be followed by
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -1,6 +1,7 @@
 //! The other instances of the shard, as known from their reports.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::Report;
 use crate::report::InstanceInfo;
@@ -58,6 +59,8 @@
 pub struct Peers {
     by_incarnation: BTreeMap<u64, Peer>,
     listed_count: usize,
+    // The names of the instances of this shard according to the store, including this one.
+    listed_members: Vec<String>,
 }
 
 impl Peers {
@@ -66,6 +69,20 @@
         self.listed_count = count;
     }
 
+    /// Sets the names of the instances of this shard according to the store.
+    pub fn set_listed_members(&mut self, names: Vec<String>) {
+        self.listed_members = names;
+    }
+
+    /// Returns the names of the other instances of this shard, from the store and from reports.
+    pub fn members<'a>(&'a self, own: &str) -> BTreeSet<&'a str> {
+        let listed = self.listed_members.iter().map(String::as_str);
+        let reporting = self.all().map(|peer| &*peer.info.name);
+        let mut members: BTreeSet<&str> = listed.chain(reporting).collect();
+        members.remove(own);
+        members
+    }
+
     /// Records a report.
     pub fn receive(&mut self, now: Millis, mut report: Report) -> Received {
         let info = report.info.take();
--- a/crates/siskinyoke-dispatch/src/placement.rs
+++ b/crates/siskinyoke-dispatch/src/placement.rs
@@ -91,7 +91,8 @@
     pub prefill_tokens: f64,
     /// Whether it is much slower than the others.
     pub slow: bool,
-    /// Whether its free slots are reserved for this instance by its share of a rate limit.
+    /// Whether its free slots are reserved for this instance: by its share of a rate limit, or of
+    /// the slots of an endpoint that bears few rejections.
     pub reserved: bool,
     /// The lowest speed factor among the endpoints of its service, whether free or full.
     pub fastest_factor: f64,
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -286,6 +286,22 @@
         1.0 / f64::from(u32::try_from(holders).unwrap_or(u32::MAX))
     }
 
+    /// Returns how many slots of an endpoint this shard may use at most, together with the shards
+    /// that share the endpoint.
+    pub(crate) fn shard_slots(&self, endpoint: &Endpoint) -> u32 {
+        let key = endpoint.key();
+        let slots = self.find(key).map_or(endpoint.slots, |it| it.slots);
+        let Some(shards) = self.sharing_shards.get(&key.short_key()) else {
+            return endpoint.slots;
+        };
+        let hash = |shard: &usize| stable_hash(&(key.short_key(), shard));
+        let preceding = shards.iter().filter(|it| hash(it) < hash(&self.shard));
+        let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+        let rank = count(preceding.count());
+        let part = (slots + count(shards.len().max(1)) - 1).saturating_sub(rank);
+        endpoint.slots.min(part / count(shards.len().max(1)))
+    }
+
     /// Returns all known endpoints.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.entries.iter().map(|row| row.1)
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -54,6 +54,9 @@
     /// What it relays for its peers; `None` in reports of versions that relay nothing, which end
     /// before it.
     pub relay: Option<RelayReport>,
+    /// How many rejections endpoints bear, if they state it. Reports of earlier versions end before
+    /// it.
+    pub rejection_limits: Vec<RejectionRow>,
 }
 
 impl Report {
@@ -145,6 +148,20 @@
     pub in_flight: u16,
 }
 
+/// How many rejections an endpoint bears.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RejectionRow {
+    /// The endpoint's short key.
+    pub endpoint: u32,
+    /// One more than the number of rejections a second, from all instances; 0 if the limit was
+    /// lifted.
+    pub limit: u32,
+    /// The time since the response that stated it, in ms.
+    pub age: u32,
+    /// The time since the endpoint last rejected a request, in ms.
+    pub rejected_age: Option<u32>,
+}
+
 /// One instance's results of a version under canary evaluation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CanaryReport {
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -11,6 +11,7 @@
 mod lending;
 mod observations;
 mod rate_limits;
+mod rejection_limits;
 mod requested_backoff;
 mod wait_estimate;
 
@@ -36,6 +37,7 @@
 use crate::queue::QueueKey;
 use crate::rate_limits::RateLimits;
 use crate::registry::Registry;
+use crate::rejection_limits::RejectionLimits;
 use crate::report::RunningRow;
 use crate::report::WaitingRow;
 use crate::report::short_hash;
@@ -88,6 +90,8 @@
 /// The scheduler of one instance.
 #[derive(Debug, Default)]
 pub struct Scheduler {
+    // Name of this instance.
+    instance: Box<str>,
     selector: EndpointSelector,
     queues: BTreeMap<Arc<str>, Queue>,
     waiting: Map<Ticket, ScheduledRequest>,
@@ -97,6 +101,9 @@
     demands: Map<Arc<str>, Demand>,
     overloads: Map<(Arc<str>, Priority), OverloadWindow>,
     rate_limits: RateLimits,
+    rejection_limits: RejectionLimits,
+    // Slots of requests that were given up, each with the time at which it counts as free.
+    lingering: Vec<(EndpointKey, Millis)>,
     // Slots lent to other shards, by the id of the borrow request.
     lent_slots: Map<u64, lending::LentSlot>,
     // When other instances were last asked for a slot or a token, by waiting request.
@@ -113,7 +120,9 @@
     pub fn new(name: &str, centre: &str) -> Self {
         Self {
             selector: EndpointSelector::new(name, centre),
+            instance: name.into(),
             rate_limits: RateLimits::new(name),
+            rejection_limits: RejectionLimits::new(name),
             ..Self::default()
         }
     }
@@ -185,6 +194,7 @@
             peers,
         };
         self.rate_limits.update_rates(&view);
+        self.release_lingering(now);
         let mut decisions = Vec::new();
         let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
         for service in services {
@@ -213,10 +223,9 @@
         if responded_at.is_none() {
             self.remove_prefill_tokens(endpoint, &request);
         }
-        if let Some(row) = self.in_flight.get_mut(&endpoint) {
-            row.count = row.count.saturating_sub(1);
+        if !self.linger(now, endpoint, outcome) {
+            self.decrement_usage(endpoint);
         }
-        self.in_flight.retain(|_, row| row.count > 0);
         if matches!(outcome, Outcome::Completed { .. } | Outcome::Failed) {
             self.selector.record_accepted(endpoint, sent_at);
         }
@@ -369,6 +378,7 @@
         let known: Vec<EndpointKey> = registry.all().map(|endpoint| endpoint.key()).collect();
         self.selector.retain_known(&known);
         self.rate_limits.retain_endpoints(&known);
+        self.rejection_limits.retain_endpoints(&known);
     }
 
     // Returns the requests that this instance runs at an endpoint.
@@ -381,6 +391,13 @@
         })
     }
 
+    fn decrement_usage(&mut self, key: EndpointKey) {
+        if let Some(row) = self.in_flight.get_mut(&key) {
+            row.count = row.count.saturating_sub(1);
+        }
+        self.in_flight.retain(|_, row| row.count > 0);
+    }
+
     fn enqueue(&mut self, request: ScheduledRequest) -> Ticket {
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -149,6 +149,7 @@
             return Vec::new();
         }
         let running = view.peers.running_by_endpoint(view.now);
+        let others = self.sharing_instances(view);
         let factors = available
             .iter()
             .map(|it| self.selector.speed_factor(it.key()));
@@ -166,7 +167,8 @@
                 let (slots, queue_slots) = self.slot_limits(endpoint);
                 let free_slots = (slots + queue_slots).saturating_sub(count + peer_count);
                 let tokens = self.rate_limits.tokens(key);
-                let limits = [tokens, self.half_open_slots(key)];
+                let own_slots = self.own_free_slots(view, &others, endpoint);
+                let limits = [tokens, self.half_open_slots(key), own_slots];
                 let free_slots = limits.into_iter().flatten().fold(free_slots, u32::min);
                 (free_slots > 0).then(|| Candidate {
                     endpoint: endpoint.clone(),
@@ -174,7 +176,7 @@
                     queue_slots,
                     prefill_tokens: f64::from(own_tokens) + f64::from(peer_tokens),
                     slow: self.selector.is_slow(key, fastest),
-                    reserved: tokens.is_some(),
+                    reserved: tokens.is_some() || own_slots.is_some(),
                     fastest_factor: fastest,
                 })
             })
@@ -191,7 +193,8 @@
         }
         let fast = self.selector.speed_factor(key) <= MAX_FAST_SPEED_FACTOR
             && !self.selector.is_half_open(key)
-            && self.rate_limits.tokens(key).is_none();
+            && self.rate_limits.tokens(key).is_none()
+            && !self.rejection_limits.is_limited(key);
         (endpoint.slots, u32::from(fast))
     }
 
@@ -204,6 +207,7 @@
         let endpoints = endpoints.iter();
         endpoints
             .filter(|it| !self.selector.in_backoff(now, it.key()))
+            .filter(|it| !self.rejection_limits.in_backoff(now, it.key()))
             .collect()
     }
 
--- a/crates/siskinyoke-dispatch/src/scheduler/rate_limits.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/rate_limits.rs
@@ -62,7 +62,7 @@
         }
         self.rate_limits.update_rates(view);
         let mut candidates = self.free_endpoints(view, &service);
-        candidates.retain(|it| it.reserved);
+        candidates.retain(|it| self.rate_limits.tokens(it.endpoint.key()).is_some());
         let borrower = borrower_request(view.now, &service, request);
         let key = self.best_endpoint(view.now, &borrower, &candidates)?;
         self.rate_limits.take_token(key);
--- a/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
@@ -70,6 +70,7 @@
     pub(super) fn may_send(&self, now: Millis, key: EndpointKey) -> bool {
         self.selector.requested_remaining(now, key) == Millis::ZERO
             && self.half_open_slots(key) != Some(0)
+            && !self.rejection_limits.in_backoff(now, key)
     }
 
     // Refuses a waiting request if all endpoints requested a back-off that lasts for longer than it
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -176,6 +176,7 @@
         info: Some(instance_info(name, "a")),
         era: 0,
         relay: None,
+        rejection_limits: Vec::new(),
     }
 }
 
--- a/crates/siskinyoke-gateway/src/admin.rs
+++ b/crates/siskinyoke-gateway/src/admin.rs
@@ -62,6 +62,10 @@
     shell.metrics.set_state("watching", watching);
     let limits = core.scheduler().rate_limits().active_count();
     shell.metrics.set_state("limited_endpoints", to_f64(limits));
+    let brittle = core.scheduler().rejection_limits().active_count();
+    shell
+        .metrics
+        .set_state("brittle_endpoints", to_f64(brittle));
     let backoffs = core.scheduler().requested_backoffs(shell.now());
     shell
         .metrics
--- a/crates/siskinyoke-gateway/src/announcements.rs
+++ b/crates/siskinyoke-gateway/src/announcements.rs
@@ -6,6 +6,7 @@
 
 use crate::departures;
 use crate::rate_limits;
+use crate::rejection_limits;
 use crate::requested_backoff;
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
@@ -31,6 +32,10 @@
     if let Some(rate) = readable(shell, endpoint, "rate_limit_unreadable", rate_limit) {
         rate_limits::record(shell, endpoint, sent_at, class, rate);
     }
+    let limit = exchange.rejection_limit(headers);
+    if let Some(limit) = readable(shell, endpoint, "rejection_limit_unreadable", limit) {
+        rejection_limits::record(shell, endpoint, sent_at, class, limit);
+    }
     let backoff = exchange.requested_backoff(response.status(), headers);
     if let Some(Some(backoff)) = readable(shell, endpoint, "endpoint_backoff_unreadable", backoff) {
         requested_backoff::apply(shell, endpoint, backoff);
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -17,6 +17,7 @@
 use crate::lending;
 use crate::peer_api;
 use crate::rate_limits;
+use crate::rejection_limits;
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
@@ -77,7 +78,8 @@
 /// Decodes a message.
 ///
 /// A report of an earlier version of this program ends before the era of its revision, which is
-/// then that of a store that names none, or before what its sender relays, which is then nothing.
+/// then that of a store that names none, or before what its sender relays
+/// and what it knows of rejections, which is then nothing.
 ///
 /// # Errors
 ///
@@ -85,7 +87,7 @@
 pub fn decode(bytes: &[u8]) -> postcard::Result<Message> {
     match postcard::from_bytes(bytes) {
         Err(postcard::Error::DeserializeUnexpectedEnd) => {
-            postcard::from_bytes(&[bytes, &[0, 0]].concat())
+            postcard::from_bytes(&[bytes, &[0, 0, 0]].concat())
         }
         result => result,
     }
@@ -174,6 +176,7 @@
         }
         departures::log_reported(shell);
         rate_limits::log_changes(shell);
+        rejection_limits::log_changes(shell);
         peer_api::catch_up(shell, from, revision);
         Self::record_configuration(shell, from, configuration);
         if shell.core.borrow().scheduler().request_counts().0 > 0 {
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod rate_limits;
 pub mod read_ahead;
 pub mod registration;
+pub mod rejection_limits;
 pub mod relay;
 pub mod reload;
 pub mod replica;
--- a/crates/siskinyoke-gateway/src/probes.rs
+++ b/crates/siskinyoke-gateway/src/probes.rs
@@ -1,4 +1,4 @@
-//! Probes endpoints to find out whether this instance's own links work.
+//! Probes endpoints to determine whether this instance's own links work.
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/siskinyoke-interface/src/exchange.rs
+++ b/crates/siskinyoke-interface/src/exchange.rs
@@ -106,6 +106,14 @@
     /// The value is not a valid rate.
     fn rate_limit(&self, headers: &HeaderMap) -> Result<Option<f64>, FormatError>;
 
+    /// Returns how many requests from all instances an endpoint can reject in a second without
+    /// falling over, if its response states that.
+    ///
+    /// # Errors
+    ///
+    /// The value is not a whole number of 0 or more.
+    fn rejection_limit(&self, headers: &HeaderMap) -> Result<Option<u32>, FormatError>;
+
     /// Returns whether an endpoint's response says that the endpoint is leaving: it accepts no new
     /// requests from any instance.
     ///
--- a/crates/siskinyoke-interface/src/headers.rs
+++ b/crates/siskinyoke-interface/src/headers.rs
@@ -85,6 +85,26 @@
     }
 }
 
+/// Parses a header that holds a whole number, if present; one that is too large counts as the
+/// largest.
+///
+/// # Errors
+///
+/// The value is not a whole number of 0 or more.
+pub fn parse_count(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u32>, FormatError> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or("").trim();
+    if text.is_empty() || !text.bytes().all(|it| it.is_ascii_digit()) {
+        return Err(FormatError::InvalidValue(
+            name.to_string(),
+            "give a whole number, 0 or more",
+        ));
+    }
+    Ok(Some(text.parse().unwrap_or(u32::MAX)))
+}
+
 /// Parses a header that is 1 if something holds, and 0 or absent otherwise.
 ///
 /// # Errors
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -164,6 +164,10 @@
         headers::parse_rate(headers, &names::RATE_LIMIT)
     }
 
+    fn rejection_limit(&self, headers: &HeaderMap) -> Result<Option<u32>, FormatError> {
+        headers::parse_count(headers, &names::REJECTION_LIMIT)
+    }
+
     fn is_leaving(&self, headers: &HeaderMap) -> Result<bool, FormatError> {
         headers::parse_flag(headers, &names::ENDPOINT_LEAVING)
     }
--- a/crates/siskinyoke-native/src/names.rs
+++ b/crates/siskinyoke-native/src/names.rs
@@ -12,6 +12,8 @@
 pub const TOKEN_COUNTS: HeaderName = HeaderName::from_static("siskinyoke-tokens");
 /// The organisation of the caller, sent to endpoints.
 pub const ORGANISATION_NAME: HeaderName = HeaderName::from_static("siskinyoke-organisation");
+/// How many requests a second, from all instances together, an endpoint can reject.
+pub const REJECTION_LIMIT: HeaderName = HeaderName::from_static("siskinyoke-rejection-limit");
 /// Requests per second that an endpoint accepts from all instances together.
 pub const RATE_LIMIT: HeaderName = HeaderName::from_static("siskinyoke-rate-limit");
 /// Whether the endpoint is leaving: 1 if it is.
--- a/crates/siskinyoke-native/tests/exchange.rs
+++ b/crates/siskinyoke-native/tests/exchange.rs
@@ -166,6 +166,19 @@
     assert!(!response.headers().contains_key("retry-after"));
 }
 
+#[test]
+fn an_endpoints_rejection_limit_is_decoded_and_a_malformed_one_is_an_error() {
+    let limit = |text: &str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("siskinyoke-rejection-limit", text.parse().unwrap());
+        NativeExchange.rejection_limit(&headers)
+    };
+    let without = NativeExchange.rejection_limit(&HeaderMap::new());
+    assert!(matches!(without, Ok(None)));
+    assert!(matches!(limit("3"), Ok(Some(3))));
+    assert!(limit("some").is_err());
+}
+
 #[test]
 fn an_endpoints_departure_is_decoded_and_a_malformed_value_is_an_error() {
     let is_leaving = |text: &str| {
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -250,14 +250,11 @@
                     continue;
                 }
                 Some(Verdict::Accepted) => {
-                    let kept = self.respond(&request, &mut out);
+                    work(&request);
+                    // The slot is free as soon as the response leaves.
                     self.admission.lock().unwrap().end();
-                    if !kept? {
-                        return Ok(());
-                    }
-                    continue;
                 }
-                None => {}
+                None => work(&request),
             }
             if let Some(remaining) = rejected_for {
                 write_rejection(&mut out, remaining)?;
@@ -297,12 +294,6 @@
             self.wait_for_disconnect(out)?;
             return Ok(false);
         }
-        if request.line_contains("brief") {
-            thread::sleep(Duration::from_millis(40));
-        }
-        if request.line_contains("nap") {
-            thread::sleep(Duration::from_millis(1_500));
-        }
         if request.line_contains("large") {
             out.write_all(&self.encode_response(request, &"x".repeat(LARGE_BODY_BYTES)))?;
             return Ok(true);
@@ -440,6 +431,16 @@
     }
 }
 
+// Takes as long as the path of a request selects.
+fn work(request: &ReceivedRequest) {
+    if request.line_contains("brief") {
+        thread::sleep(Duration::from_millis(120));
+    }
+    if request.line_contains("nap") {
+        thread::sleep(Duration::from_millis(1_500));
+    }
+}
+
 // Writes a rejection that requests a back-off.
 fn write_rejection(out: &mut TcpStream, backoff: Duration) -> std::io::Result<()> {
     write!(
