--- a/crates/siskinyoke-gateway/tests/soak.rs
+++ b/crates/siskinyoke-gateway/tests/soak.rs
@@ -31,6 +31,7 @@
         let size = FleetSize {
             endpoint_steps: false,
             store_steps: false,
+            link_steps: false,
             ..size
         };
         check_seeds(&REGRESSION_SEEDS, size);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -24,6 +24,7 @@
 use crate::checker::Checker;
 use crate::client;
 use crate::configuration;
+use crate::proxy::Cut;
 use crate::proxy::Fault;
 use crate::run::checks::check_rollout_statuses;
 use crate::store::Availability;
@@ -43,6 +44,9 @@
     pub endpoint_steps: bool,
     /// Whether the store comes back from earlier copies at random.
     pub store_steps: bool,
+    /// Whether instances lose their links to endpoints, and endpoints bear few rejections, at
+    /// random.
+    pub link_steps: bool,
 }
 
 impl FleetSize {
@@ -52,6 +56,7 @@
         endpoints: 4,
         endpoint_steps: true,
         store_steps: true,
+        link_steps: true,
     };
 
     /// A fleet of two shards, in each of which one instance watches the store for the others.
@@ -60,6 +65,7 @@
         endpoints: 8,
         endpoint_steps: true,
         store_steps: true,
+        link_steps: true,
     };
 }
 
@@ -128,6 +134,8 @@
     endpoint_rng.set_stream(1);
     let mut store_rng = ChaCha8Rng::seed_from_u64(seed);
     store_rng.set_stream(2);
+    let mut link_rng = ChaCha8Rng::seed_from_u64(seed);
+    link_rng.set_stream(3);
     for _ in 0..STEP_COUNT {
         fleet.run_random_step(&mut rng);
         if size.endpoint_steps {
@@ -136,6 +144,9 @@
         if size.store_steps {
             fleet.run_store_step(&mut store_rng);
         }
+        if size.link_steps {
+            fleet.run_link_step(&mut link_rng);
+        }
         thread::sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
     }
     fleet.clear_faults();
@@ -232,6 +243,32 @@
         }
     }
 
+    // Cuts an instance off from all endpoints, ends that, or lets an endpoint bear few rejections.
+    fn run_link_step(&mut self, rng: &mut ChaCha8Rng) {
+        let index = rng.random_range(0..self.instances.len());
+        match rng.random_range(0..6) {
+            0 => {
+                let cuts = [Cut::Silent, Cut::Reset, Cut::RefuseNew];
+                self.set_cut(index, cuts.choose(rng).copied());
+            }
+            1 | 2 => self.set_cut(index, None),
+            3 => {
+                let limit = rng.random_bool(0.5).then(|| rng.random_range(0..4));
+                if let Some(endpoint) = self.endpoints.choose(rng) {
+                    endpoint.set_brittle(limit);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn set_cut(&self, index: usize, cut: Option<Cut>) {
+        let source = self.instances[index].caller_address.ip();
+        for proxy in &self.endpoint_proxies {
+            proxy.set_cut(source, cut);
+        }
+    }
+
     // Injects a random fault, ends one, or writes a random update to the store.
     fn run_random_step(&mut self, rng: &mut ChaCha8Rng) {
         let index = rng.random_range(0..self.instances.len());
@@ -328,6 +365,12 @@
     }
 
     fn clear_faults(&mut self) {
+        for index in 0..self.instances.len() {
+            self.set_cut(index, None);
+        }
+        for endpoint in &self.endpoints {
+            endpoint.set_brittle(None);
+        }
         self.store.set_availability(Availability::Available);
         for proxy in self.store_proxies.iter().chain(&self.endpoint_proxies) {
             proxy.set_fault(Fault::None);
--- a/soak/src/run/checks.rs
+++ b/soak/src/run/checks.rs
@@ -9,6 +9,7 @@
 use crate::Instance;
 use crate::endpoint::SLOT_COUNT;
 use crate::instance::http_get;
+use crate::proxy::Cut;
 use crate::run::Fleet;
 use crate::store::RolloutStatus;
 
@@ -27,6 +28,12 @@
 /// How long requests may still reach an endpoint after it said that it is leaving.
 const DEPARTURE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum time until an instance that loses its links to endpoints serves requests.
+const LINK_LOSS_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The number of requests sent to an instance without links.
+const LINK_PROBE_COUNT: usize = 20;
+
 /// The number of changes that the store loses in the return from a copy after all faults.
 const WRITES_AFTER_COPY: usize = 20;
 
@@ -55,9 +62,28 @@
         self.restore_store();
         violations.extend(self.check_propagation());
         violations.extend(self.check_announcements());
+        violations.extend(self.check_lost_links());
         violations
     }
 
+    // Checks that an instance that loses its links to endpoints serves requests.
+    fn check_lost_links(&mut self) -> Vec<String> {
+        for index in 0..self.endpoints.len() {
+            self.restart_endpoint(index);
+        }
+        self.wait_until_stable();
+        self.set_cut(0, Some(Cut::Reset));
+        let start = Instant::now();
+        while start.elapsed() < LINK_LOSS_TIMEOUT {
+            self.instances[0].serves_requests();
+        }
+        let probes = (0..LINK_PROBE_COUNT).map(|_| self.instances[0].serves_requests());
+        let unserved = probes.filter(|served| !served).count();
+        self.set_cut(0, None);
+        let violation = format!("{unserved} requests unserved at an instance without links");
+        Vec::from_iter((unserved > 0).then_some(violation))
+    }
+
     // Checks that an endpoint gets few requests after it requested a back-off, and none after it
     // said that it is leaving.
     fn check_announcements(&mut self) -> Vec<String> {
