--- a/crates/siskinyoke-gateway/tests/cut_links/main.rs
+++ b/crates/siskinyoke-gateway/tests/cut_links/main.rs
@@ -252,6 +252,30 @@
     assert!(unserved.is_empty(), "{unserved:#?}");
 }
 
+// Endpoints may fall silent for a second and go on. Guards against giving up requests that may run
+// once, and against a service that stays without endpoints after it.
+#[test]
+fn a_second_of_silence_costs_no_request() {
+    let fleet = Fleet::start(2);
+    fleet.set_cut(0..2, Some(Cut::Silent));
+    let unserved = thread::scope(|scope| {
+        let call = |number: usize| {
+            let path = ["/once/a", "/safe/a"][number % 2];
+            fleet.call(&format!("r{number}"), path)
+        };
+        let calls: Vec<_> = (0..PARALLEL_COUNT)
+            .map(|it| scope.spawn(move || call(it)))
+            .collect();
+        thread::sleep(Duration::from_secs(1));
+        fleet.set_cut(0..2, None);
+        let results = calls.into_iter().filter_map(|it| it.join().unwrap());
+        results.collect::<Vec<_>>()
+    });
+    assert!(unserved.is_empty(), "{unserved:#?}");
+    let unserved = fleet.unserved("later");
+    assert!(unserved.is_empty(), "{unserved:#?}");
+}
+
 // The test connects from another address than the instances.
 #[test]
 fn an_instance_relays_nothing_for_callers() {
