A request waits for a relay that refused a moment ago, rather than blaming endpoints on a lost link

While all relays were in their back-off of a second, requests went over the lost link: endpoints backed off for up to two seconds for it.

--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -86,6 +86,11 @@
         relays::sample(others.map(|row| row.0.clone()).collect(), seed)
     }
 
+    /// Returns whether a peer reports that it can relay requests of a service.
+    pub fn has_relay(&self, now: Millis, service: &str) -> bool {
+        relays::has_candidate(now, service, &self.peers)
+    }
+
     /// Records that a request is sent to a relay, given by its peer address.
     pub fn relayed_request_started(&mut self, relay: &str) {
         self.relays.request_started(relay);
@@ -120,8 +125,7 @@
     // Returns whether this instance can serve no request although a peer could.
     pub(super) fn is_isolated(&self, now: Millis) -> bool {
         let services = self.registry.services();
-        let unserved =
-            |it: &Arc<str>| self.links.is_lost(it) && !relays::has_candidate(now, it, &self.peers);
+        let unserved = |it: &Arc<str>| self.links.is_lost(it) && !self.has_relay(now, it);
         let peers_serve = || {
             let mut peers = self.peers.fresh(now);
             peers.any(|peer| peer.report.ready && peer.report.relay.is_none())
@@ -133,7 +137,7 @@
     // endpoint are left out, as they claim slots that they cannot use.
     pub(super) fn reported_queues(&self, now: Millis) -> Vec<WaitingRow> {
         let lost = self.links.lost_services();
-        let unserved = lost.filter(|it| !relays::has_candidate(now, it, &self.peers));
+        let unserved = lost.filter(|it| !self.has_relay(now, it));
         let unserved: Vec<u32> = unserved.map(|it| short_hash(it)).collect();
         let mut rows = self.scheduler.queue_summary(now);
         rows.retain(|row| !unserved.contains(&row.service));
--- a/crates/siskinyoke-dispatch/tests/links.rs
+++ b/crates/siskinyoke-dispatch/tests/links.rs
@@ -232,6 +232,7 @@
     core.receive_report(Millis(1), relay_report("b", 1, relay_with(0)));
     core.record_relay_failure(Millis(2), &address("b"));
     assert_eq!(relay_names(&mut core, 3, 0), [""; 0]);
+    assert!(core.has_relay(Millis(3), "lm"));
     core.receive_report(Millis(1_010), relay_report("b", 2, relay_with(0)));
     assert_eq!(relay_names(&mut core, 1_010, 0), [address("b")]);
 }
--- a/crates/siskinyoke-gateway/src/relay/client.rs
+++ b/crates/siskinyoke-gateway/src/relay/client.rs
@@ -44,7 +44,13 @@
         let now = BootClock.now();
         let relays = self.core.borrow().relays(now, endpoint, rand::random());
         if relays.is_empty() {
-            return Err(request);
+            // A relay that refused a moment ago may take the request soon.
+            let has_relay = self.core.borrow().has_relay(now, &endpoint.service);
+            return if has_relay {
+                Ok(Reply::RelayFailed)
+            } else {
+                Err(request)
+            };
         }
         let template = Template::new(request, endpoint);
         let mut unreachable = false;
