--- a/crates/siskinyoke-gateway/tests/cut_links/main.rs
+++ b/crates/siskinyoke-gateway/tests/cut_links/main.rs
@@ -11,6 +11,7 @@
 
 use rustix::process::Signal;
 
+use siskinyoke_dispatch::stable_hash;
 use siskinyoke_soak::Endpoint;
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Proxy;
@@ -149,11 +150,18 @@
     let fleet = Fleet::start(3);
     fleet.set_cut(0..1, Some(cut));
     let start = Instant::now();
-    let mut number = 0;
-    while start.elapsed() < SETTLING_TIME {
-        fleet.instances[0].call(&format!("early{number}"), "/safe/a", "", "");
-        number += 1;
-    }
+    // Some of the early requests need new connections.
+    thread::scope(|scope| {
+        for caller in 0..4 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                while start.elapsed() < SETTLING_TIME {
+                    let path = ["/safe/a", "/safe/nap"][caller % 2];
+                    fleet.call(&format!("early{caller}"), path);
+                }
+            });
+        }
+    });
     let unserved = fleet.unserved("cut");
     assert!(unserved.is_empty(), "{}: {unserved:#?}", unserved.len());
     assert_eq!(fleet.arrivals("cut/once/a0"), 1);
@@ -280,9 +288,10 @@
 #[test]
 fn an_instance_relays_nothing_for_callers() {
     let fleet = Fleet::start(2);
-    let headers = "siskinyoke-relay-endpoint: 1\r\nconnection: close\r\n";
+    let key = stable_hash(&(&*fleet.endpoints[0].id, 1_u64));
+    let headers = format!("siskinyoke-relay-endpoint: {key:x}\r\nconnection: close\r\n");
     let mut stream = TcpStream::connect(fleet.instances[1].peer_address).unwrap();
-    send_request(&mut stream, "r", "/once/a", headers, "");
+    send_request(&mut stream, "r", "/once/a", &headers, "");
     let mut response = String::new();
     stream.read_to_string(&mut response).unwrap();
     assert!(response.starts_with("HTTP/1.1 502"), "{response}");
--- a/crates/siskinyoke-standin/src/engine/mod.rs
+++ b/crates/siskinyoke-standin/src/engine/mod.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod counts;
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -21,6 +22,7 @@
 use crate::http::Exchange;
 use crate::http::Handler;
 use crate::http::HttpServer;
+use crate::proxy::Cut;
 use crate::proxy::Proxy;
 
 pub use self::config::EngineConfig;
@@ -66,6 +68,11 @@
         self.shared.apply(self.server.proxy(), command);
     }
 
+    /// Cuts off the connections from an IP address, or ends the cut.
+    pub fn set_cut(&self, source: IpAddr, cut: Option<Cut>) {
+        self.server.proxy().set_cut(source, cut);
+    }
+
     /// Returns the counters since the start.
     pub fn counts(&self) -> Counts {
         self.shared.lock().counts.clone()
--- a/crates/siskinyoke-standin/src/fleet.rs
+++ b/crates/siskinyoke-standin/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::error::StandinError;
 use crate::etcd::Etcd;
 use crate::etcd::EtcdConfig;
+use crate::proxy::Cut;
 use crate::service::Service;
 use crate::service::ServiceConfig;
 use siskinyoke_base::Millis;
@@ -146,6 +147,15 @@
         })
     }
 
+    /// Cuts an instance off from all engines and the service, or ends the cut.
+    pub fn set_cut(&self, index: usize, cut: Option<Cut>) {
+        let source = self.caller_addresses[index].ip();
+        for engine in &self.engines {
+            engine.set_cut(source, cut);
+        }
+        self.service.set_cut(source, cut);
+    }
+
     fn start_instance(&mut self, number: usize) -> Result<(), StandinError> {
         let [callers, health, directory, peers, metrics] = allocate_addresses();
         let settings = json!({
--- a/crates/siskinyoke-standin/src/proxy.rs
+++ b/crates/siskinyoke-standin/src/proxy.rs
@@ -13,6 +13,7 @@
 use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -56,12 +57,25 @@
     changed: Condvar,
 }
 
+/// How the connections from one address are cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Holds all bytes until the cut ends.
+    Silent,
+    /// Closes existing connections, and resets new ones.
+    Reset,
+    /// Resets new connections; existing ones work.
+    RefuseNew,
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// Open connections by the peer address that the server sees.
     connections: Map<SocketAddr, Connection>,
     down_until: Option<Instant>,
     frozen_until: Option<Instant>,
+    /// The IP addresses that are cut off.
+    cuts: Map<IpAddr, Cut>,
     /// Whether the public address is not listened on.
     unbound: bool,
     stopped: bool,
@@ -136,6 +150,24 @@
         self.changed.notify_all();
     }
 
+    /// Cuts off the connections from an IP address, or ends the cut.
+    pub fn set_cut(&self, source: IpAddr, cut: Option<Cut>) {
+        let mut state = self.lock();
+        match cut {
+            Some(cut) => state.cuts.insert(source, cut),
+            None => state.cuts.remove(&source),
+        };
+        if cut == Some(Cut::Reset) {
+            for connection in state.connections.values() {
+                if connection.source() == Some(source) {
+                    connection.close();
+                }
+            }
+        }
+        drop(state);
+        self.changed.notify_all();
+    }
+
     /// Applies the faults that all stand-ins support; a duration of zero ends a fault.
     pub fn apply_faults(&self, down: Option<Millis>, freeze: Option<Millis>) {
         match down {
@@ -241,6 +273,12 @@
 
     /// Connects a client to the server and copies bytes in both directions.
     fn forward(self: Arc<Self>, client: TcpStream) {
+        let source = client.peer_addr().ok().map(|it| it.ip());
+        let cut = source.and_then(|it| self.lock().cuts.get(&it).copied());
+        if matches!(cut, Some(Cut::Reset | Cut::RefuseNew)) {
+            connection::reset(&client);
+            return;
+        }
         // If the server cannot be reached, the client's connection is closed on return.
         let Ok(connection) = Connection::connect(client, self.server_address) else {
             return;
@@ -271,6 +309,7 @@
         let mut buffer = vec![0; BUFFER_BYTES];
         while let Ok(count) = direction.source.read(&mut buffer) {
             self.wait_while_frozen();
+            self.wait_while_silent(peer);
             if count == 0 || direction.destination.write_all(&buffer[..count]).is_err() {
                 break;
             }
@@ -292,6 +331,7 @@
             match direction.source.read(&mut buffer) {
                 Ok(count) if count > 0 => {
                     self.wait_while_frozen();
+                    self.wait_while_silent(peer);
                     if direction.destination.write_all(&buffer[..count]).is_err() {
                         return self.close(peer);
                     }
@@ -354,6 +394,17 @@
         }
     }
 
+    /// Waits while the client of a connection is cut off in silence.
+    fn wait_while_silent(&self, peer: SocketAddr) {
+        let mut state = self.lock();
+        while !state.stopped
+            && let Some(source) = state.connections.get(&peer).and_then(Connection::source)
+            && state.cuts.get(&source) == Some(&Cut::Silent)
+        {
+            state = self.wait(state, MAX_WAKE_INTERVAL);
+        }
+    }
+
     fn wait<'a>(&self, state: MutexGuard<'a, State>, time_left: Duration) -> MutexGuard<'a, State> {
         let waited = self.changed.wait_timeout(state, time_left);
         waited.unwrap_or_else(PoisonError::into_inner).0
--- a/crates/siskinyoke-standin/src/proxy/connection.rs
+++ b/crates/siskinyoke-standin/src/proxy/connection.rs
@@ -1,11 +1,14 @@
 //! One proxied connection.
 
 use std::io;
+use std::net::IpAddr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::time::Duration;
 
+use rustix::net::sockopt::set_socket_linger;
+
 /// A client's connection and the matching connection to the server.
 #[derive(Debug)]
 pub struct Connection {
@@ -42,6 +45,11 @@
         self.server.local_addr()
     }
 
+    /// Returns the client's IP address, unless the connection is closed.
+    pub fn source(&self) -> Option<IpAddr> {
+        self.client.peer_addr().ok().map(|it| it.ip())
+    }
+
     /// Returns the direction from the client to the server.
     pub fn to_server(&self) -> io::Result<Direction> {
         let source = self.client.try_clone()?;
@@ -76,6 +84,11 @@
     }
 }
 
+/// Lets a connection end with a reset. An error means that it is closed already.
+pub fn reset(stream: &TcpStream) {
+    let _ = set_socket_linger(stream, Some(Duration::ZERO));
+}
+
 impl Direction {
     /// Sets the timeout of reads. Returns false if the connection is closed.
     pub fn set_read_timeout(&self, timeout: Option<Duration>) -> bool {
--- a/crates/siskinyoke-standin/src/service.rs
+++ b/crates/siskinyoke-standin/src/service.rs
@@ -1,6 +1,7 @@
 //! A stand-in for a plain service whose responses contain a serial number of the execution.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -18,6 +19,7 @@
 use crate::http::Exchange;
 use crate::http::Handler;
 use crate::http::HttpServer;
+use crate::proxy::Cut;
 use crate::proxy::Proxy;
 use siskinyoke_base::Millis;
 
@@ -99,6 +101,11 @@
         self.shared.control(self.server.proxy(), command);
     }
 
+    /// Cuts off the connections from an IP address, or ends the cut.
+    pub fn set_cut(&self, source: IpAddr, cut: Option<Cut>) {
+        self.server.proxy().set_cut(source, cut);
+    }
+
     /// Returns the number of executions by request ID.
     pub fn executions(&self) -> BTreeMap<String, u64> {
         self.shared.lock().executions.clone()
--- a/crates/siskinyoke-standin/tests/fleet.rs
+++ b/crates/siskinyoke-standin/tests/fleet.rs
@@ -22,6 +22,7 @@
 use siskinyoke_standin::fleet::Fleet;
 use siskinyoke_standin::fleet::MODEL_NAME;
 use siskinyoke_standin::fleet::SERVICE_NAME;
+use siskinyoke_standin::proxy::Cut;
 use siskinyoke_standin::service::ServiceControl;
 
 const CONFIGURATION_KEY: &str = "siskinyoke/configuration";
@@ -73,6 +74,19 @@
     )
 }
 
+// Sends a chat request and one of the plain service to an instance, and returns the statuses.
+fn statuses(fleet: &Fleet, index: usize, text: &str) -> [u16; 2] {
+    let address = fleet.caller_addresses[index].to_string();
+    let chat = String::from_utf8(chat_request(text).body).unwrap();
+    let seats = format!("/v1/services/{SERVICE_NAME}/seats");
+    let paths = [("/v1/chat/completions", &*chat), (&*seats, "two")];
+    paths.map(|(path, body)| {
+        let mut response = post_to(&address, path, API_KEY, body);
+        drop(response.body_mut().read_to_vec());
+        response.status().as_u16()
+    })
+}
+
 fn edit_configuration(fleet: &Fleet, from: &str, to: &str) {
     let text = fleet.etcd.get(CONFIGURATION_KEY).unwrap();
     assert!(text.contains(from), "{from}");
@@ -89,6 +103,33 @@
     panic!("condition not met within 10 s: {condition}");
 }
 
+// Guards against refusals where an instance loses its links to engines and services.
+#[test]
+fn callers_of_an_instance_without_links_to_endpoints_are_served() {
+    for cut in [Cut::Silent, Cut::Reset, Cut::RefuseNew] {
+        let fleet = Fleet::start(3).expect("a fleet");
+        assert_eq!(statuses(&fleet, 0, "before"), [200, 200]);
+        fleet.set_cut(0, Some(cut));
+        let start = Instant::now();
+        thread::scope(|scope| {
+            for caller in 0..3 {
+                let fleet = &fleet;
+                scope.spawn(move || {
+                    while start.elapsed() < Duration::from_secs(3) {
+                        statuses(fleet, 0, &format!("early {caller}"));
+                    }
+                });
+            }
+        });
+        for number in 0..3 {
+            let served = statuses(&fleet, 0, &format!("cut {number}"));
+            assert_eq!(served, [200, 200], "{cut:?}");
+        }
+        fleet.set_cut(0, None);
+        assert_eq!(statuses(&fleet, 0, "after"), [200, 200], "{cut:?}");
+    }
+}
+
 #[test]
 fn every_caller_receives_the_complete_response_to_its_own_request() {
     let fleet = Fleet::start(3).expect("a fleet");
