One way to connect within the time limit, and one filter of peers' rows; readiness is cheap while no link is lost

Read again: open_from repeated the time limit of open; the rows of peers' reports on unknown endpoints were left out twice, once for rate limits and once for rejection limits; each report and each call for readiness collected all services although no link was lost. Two comments in plainer words.

Behaviour as before.

--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -124,6 +124,9 @@
 
     // Returns whether this instance can serve no request although a peer could.
     pub(super) fn is_isolated(&self, now: Millis) -> bool {
+        if self.lost_link_count() == 0 {
+            return false;
+        }
         let services = self.registry.services();
         let unserved = |it: &Arc<str>| self.links.is_lost(it) && !self.has_relay(now, it);
         let peers_serve = || {
--- a/crates/siskinyoke-dispatch/src/core/rate_limits.rs
+++ b/crates/siskinyoke-dispatch/src/core/rate_limits.rs
@@ -32,16 +32,24 @@
         self.registry.all().find(|it| it.key().short_key() == hash)
     }
 
-    // Records the limits reported by a peer, except those of unknown endpoints: these would be
-    // dropped and received again in every report.
+    // Records the limits reported by a peer, except those of unknown endpoints.
     pub(super) fn record_peer_limits(&mut self, now: Millis, rows: &[LimitRow]) {
-        let known = rows
-            .iter()
-            .filter(|it| self.endpoint_by_hash(it.endpoint).is_some());
-        let known: Vec<LimitRow> = known.copied().collect();
+        let known = self.rows_of_known_endpoints(rows, |it| it.endpoint);
         self.scheduler.record_peer_limits(now, &known);
     }
 
+    // Returns the rows of a peer's report on endpoints that are known here: others would be dropped
+    // and received again in every report.
+    pub(super) fn rows_of_known_endpoints<T: Copy>(
+        &self,
+        rows: &[T],
+        endpoint: impl Fn(&T) -> u32,
+    ) -> Vec<T> {
+        let rows = rows.iter();
+        let known = rows.filter(|it| self.endpoint_by_hash(endpoint(it)).is_some());
+        known.copied().collect()
+    }
+
     /// Returns the limits announced, changed or lifted since the last call.
     pub fn take_limit_changes(&mut self) -> Vec<LimitChange> {
         self.scheduler.take_limit_changes()
--- a/crates/siskinyoke-dispatch/src/core/rejection_limits.rs
+++ b/crates/siskinyoke-dispatch/src/core/rejection_limits.rs
@@ -32,13 +32,7 @@
 
     // Records the limits reported by a peer, except those of unknown endpoints.
     pub(super) fn record_peer_rejection_limits(&mut self, now: Millis, rows: &[RejectionRow]) {
-        if rows.is_empty() {
-            return;
-        }
-        let known = rows
-            .iter()
-            .filter(|it| self.endpoint_by_hash(it.endpoint).is_some());
-        let known: Vec<RejectionRow> = known.copied().collect();
+        let known = self.rows_of_known_endpoints(rows, |it| it.endpoint);
         self.scheduler.record_peer_rejection_limits(now, &known);
     }
 }
--- a/crates/siskinyoke-dispatch/src/links/service_links.rs
+++ b/crates/siskinyoke-dispatch/src/links/service_links.rs
@@ -20,7 +20,7 @@
 
 /// The number of endpoints that have to respond in a row before lost links count as restored.
 ///
-/// Links that come and go would otherwise move all requests at each sign of life.
+/// If single packets get through, one response is not enough to send all requests over the links.
 const RETURN_PROBES: usize = 2;
 
 /// How long a probe may take before it counts as failed even if its end was not recorded.
--- a/crates/siskinyoke-dispatch/src/relays.rs
+++ b/crates/siskinyoke-dispatch/src/relays.rs
@@ -29,7 +29,7 @@
     /// Selects the relays for a request of a service, in the order in which to try them.
     ///
     /// Of two candidates, drawn by `seed`, the less loaded one goes first: all instances without
-    /// links select from the same reports, and would otherwise rush to the same relay.
+    /// links select from the same reports, and would otherwise all select the same relay.
     pub fn select<'a>(
         &self,
         now: Millis,
--- a/crates/siskinyoke-gateway/src/connection.rs
+++ b/crates/siskinyoke-gateway/src/connection.rs
@@ -77,10 +77,7 @@
     ///
     /// Why it could not be established; nothing was sent.
     pub async fn open(address: SocketAddr) -> Result<Self, ConnectError> {
-        let Ok(stream) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
-            return Err(ConnectError::TimedOut);
-        };
-        Self::over(stream?).await
+        Self::over(connect(TcpStream::connect(address)).await?).await
     }
 
     /// Opens a connection from an IP address of this machine, by which the other side can tell this
@@ -90,7 +87,8 @@
     ///
     /// Why it could not be established; nothing was sent.
     pub async fn open_from(source: IpAddr, address: SocketAddr) -> Result<Self, ConnectError> {
-        Self::over(connect_from(source, address).await?).await
+        let socket = bound_socket(source, address)?;
+        Self::over(connect(socket.connect(address)).await?).await
     }
 
     async fn over(stream: TcpStream) -> Result<Self, ConnectError> {
@@ -126,7 +124,18 @@
     }
 }
 
-async fn connect_from(source: IpAddr, address: SocketAddr) -> Result<TcpStream, ConnectError> {
+// Waits until a connection is established, up to the time limit.
+async fn connect(
+    connecting: impl Future<Output = std::io::Result<TcpStream>>,
+) -> Result<TcpStream, ConnectError> {
+    match timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(stream) => Ok(stream?),
+        Err(_) => Err(ConnectError::TimedOut),
+    }
+}
+
+// Returns a socket for a connection from `source`, if that is of the address's family.
+fn bound_socket(source: IpAddr, address: SocketAddr) -> std::io::Result<TcpSocket> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -135,10 +144,7 @@
     if source.is_ipv4() == address.is_ipv4() {
         socket.bind(SocketAddr::new(source, 0))?;
     }
-    match timeout(CONNECT_TIMEOUT, socket.connect(address)).await {
-        Ok(stream) => Ok(stream?),
-        Err(_) => Err(ConnectError::TimedOut),
-    }
+    Ok(socket)
 }
 
 impl Drop for Connection {
