Stand-ins: a control command is applied before its response is sent

Cause: the response to a down command was sent first, so that the next command could arrive before the outage had begun. Change: the command is applied first, and the connection on which it arrived is spared by the outage until the response has been sent, and by a freeze. Ruled out: a longer wait in the test, which only makes the failure rarer. The test keeps its checks; its name now says what holds, as the outage precedes the response.

--- a/crates/siskinyoke-standin/src/http.rs
+++ b/crates/siskinyoke-standin/src/http.rs
@@ -168,16 +168,23 @@
         );
     }
 
-    /// Responds to a control request, then applies it. Applying it first could close the connection
-    /// before the response is sent.
+    /// Applies a control command, then responds to it: once the caller has the response, the command
+    /// is in effect.
     pub fn control<T: DeserializeOwned>(mut self, apply: impl FnOnce(&Proxy, &T)) {
-        match self.json() {
-            Ok(command) => {
-                let proxy = Arc::clone(&self.proxy);
-                self.reply_json(200, &json!({}));
-                apply(&proxy, &command);
-            }
-            Err(detail) => self.reply_error(400, &detail),
+        let command = match self.json() {
+            Ok(command) => command,
+            Err(detail) => return self.reply_error(400, &detail),
+        };
+        let proxy = Arc::clone(&self.proxy);
+        let peer = self.peer;
+        // Applied at once, an outage would close the connection before the response is sent.
+        if let Some(peer) = peer {
+            proxy.begin_command(peer);
+        }
+        apply(&proxy, &command);
+        self.reply_json(200, &json!({}));
+        if let Some(peer) = peer {
+            proxy.end_command(peer);
         }
     }
 
--- a/crates/siskinyoke-standin/src/proxy.rs
+++ b/crates/siskinyoke-standin/src/proxy.rs
@@ -113,11 +113,16 @@
 
     /// Closes all connections after the data already sent by the server, and refuses new ones for a
     /// duration. Returns once new connections are refused.
+    ///
+    /// Connections on which a control command arrived are left to [`Self::end_command`].
     pub fn take_down(&self, duration: Millis) {
         let mut state = self.lock();
         state.down_until = Some(deadline_after(duration));
         state.frozen_until = None;
-        shut_down_servers(&state);
+        let connections = state.connections.values();
+        connections
+            .filter(|it| !it.has_command)
+            .for_each(Connection::shut_down_server);
         drop(state);
         self.wake_acceptor();
         let mut state = self.lock();
@@ -182,6 +187,21 @@
         }
     }
 
+    /// Exempts a connection from faults while a control command that arrived on it is executed, so
+    /// that its response can be sent.
+    pub fn begin_command(&self, peer: SocketAddr) {
+        if let Some(connection) = self.lock().connections.get_mut(&peer) {
+            connection.has_command = true;
+        }
+    }
+
+    /// Ends the exemption from an outage. Call it after the response has been sent.
+    pub fn end_command(&self, peer: SocketAddr) {
+        if self.is_down() {
+            self.close_after_flush(peer);
+        }
+    }
+
     /// Closes a connection after the data already sent by the server.
     ///
     /// Closing both sides at once would lose data that is not forwarded yet, and a stream would
@@ -203,7 +223,9 @@
 
     /// Closes all connections after the data already sent by the server.
     pub fn close_all_after_flush(&self) {
-        shut_down_servers(&self.lock());
+        let state = self.lock();
+        let connections = state.connections.values();
+        connections.for_each(Connection::shut_down_server);
     }
 
     /// Records that the server handles a connection. Returns whether it is one of the proxy's.
@@ -308,7 +330,7 @@
     fn copy(&self, mut direction: Direction, peer: SocketAddr) {
         let mut buffer = vec![0; BUFFER_BYTES];
         while let Ok(count) = direction.source.read(&mut buffer) {
-            self.wait_while_frozen();
+            self.wait_while_frozen(peer);
             self.wait_while_silent(peer);
             if count == 0 || direction.destination.write_all(&buffer[..count]).is_err() {
                 break;
@@ -330,7 +352,7 @@
         while !self.is_handled(peer) && direction.set_read_timeout(Some(interval)) {
             match direction.source.read(&mut buffer) {
                 Ok(count) if count > 0 => {
-                    self.wait_while_frozen();
+                    self.wait_while_frozen(peer);
                     self.wait_while_silent(peer);
                     if direction.destination.write_all(&buffer[..count]).is_err() {
                         return self.close(peer);
@@ -384,10 +406,11 @@
         state.down_until = None;
     }
 
-    fn wait_while_frozen(&self) {
+    fn wait_while_frozen(&self, peer: SocketAddr) {
         let mut state = self.lock();
         while let Some(time_left) = state.frozen_until.and_then(remaining) {
-            if state.stopped {
+            let connection = state.connections.get(&peer);
+            if state.stopped || connection.is_some_and(|it| it.has_command) {
                 return;
             }
             state = self.wait(state, time_left);
@@ -421,12 +444,6 @@
     }
 }
 
-fn shut_down_servers(state: &State) {
-    for connection in state.connections.values() {
-        connection.shut_down_server();
-    }
-}
-
 fn close_all(state: &mut State) {
     for (_, connection) in state.connections.drain() {
         connection.close();
--- a/crates/siskinyoke-standin/src/proxy/connection.rs
+++ b/crates/siskinyoke-standin/src/proxy/connection.rs
@@ -16,6 +16,8 @@
     server: TcpStream,
     /// Whether the server handles the connection.
     pub handled: bool,
+    /// Whether a control command arrived on it. Faults do not delay the response to a command.
+    pub has_command: bool,
 }
 
 /// One direction of a proxied connection.
@@ -37,6 +39,7 @@
             client,
             server,
             handled: false,
+            has_command: false,
         })
     }
 
--- a/crates/siskinyoke-standin/tests/engine.rs
+++ b/crates/siskinyoke-standin/tests/engine.rs
@@ -171,8 +171,9 @@
     wait_for(|| send(&engine, "after", 0, &body(PROMPT_TEXT, 1, true)).is_ok());
 }
 
+// Guards against a response to a `down` command that arrives before the outage has begun.
 #[test]
-fn the_response_to_a_down_command_precedes_the_outage() {
+fn a_down_command_is_answered_once_the_outage_has_begun() {
     let engine = engine(&fast_config());
     let send_down = |address: SocketAddr, duration_ms: u64| {
         let url = format!("http://{address}/control");
