Rollouts: responses of both versions are compared within the same seconds

Cause: the share of a new version grows while it takes over, so that after a slowdown of all endpoints most of its responses are later than most of the stable version's, whose older good ones count for seconds. A good version was rolled back. Change: responses are counted by second, and the stable version's ratio of bad ones is weighted like the new version's responses over time; what reports carry keeps its form.

--- a/crates/siskinyoke-dispatch/src/rollout.rs
+++ b/crates/siskinyoke-dispatch/src/rollout.rs
@@ -13,6 +13,7 @@
 
 mod analysis;
 mod order;
+mod route_tally;
 mod status;
 
 use std::sync::Arc;
--- a/crates/siskinyoke-dispatch/src/rollout/analysis.rs
+++ b/crates/siskinyoke-dispatch/src/rollout/analysis.rs
@@ -1,21 +1,16 @@
 //! Canary analysis: whether the new version is worse than the stable one.
 //!
-//! A sequential likelihood-ratio test compares the ratios of bad responses of both versions, over
-//! the same seconds and the same route. Faults, slow data centres and long prompts that affect both
+//! A sequential likelihood-ratio test compares the ratios of bad responses of both versions, in the
+//! same seconds and on the same route. Faults, slow data centres and long prompts that affect both
 //! versions therefore do not fail the new one.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use crate::latency_model::millis_to_f64;
+use super::route_tally::RouteTally;
 use crate::report::CanaryRow;
 use siskinyoke_base::Millis;
 
-/// The time constant with which counts of either version decay.
-///
-/// A general slowdown affects both versions alike only in responses of the same time.
-const DECAY_TIME: Millis = Millis::from_secs(6);
-
 /// The minimum share of its otherwise good responses that a bad version turns bad.
 const MIN_EXCESS_RATIO: f64 = 0.15;
 
@@ -34,11 +29,8 @@
 /// version.
 const MIN_BAD_ENDPOINTS: usize = 2;
 
-/// The maximum number of endpoints with bad responses that are reported to peers.
-const MAX_REPORTED_ENDPOINTS: usize = 4;
-
 /// Steps per response in reported counts, which decay to fractions.
-const COUNT_STEPS_PER_UNIT: f64 = 16.0;
+pub(super) const COUNT_STEPS_PER_UNIT: f64 = 16.0;
 
 /// A response, as a sample for the comparison of versions.
 #[derive(Debug, Clone, Copy)]
@@ -59,71 +51,30 @@
     routes: BTreeMap<u32, RouteTally>,
 }
 
-#[derive(Debug, Default)]
-struct RouteTally {
-    updated: Millis,
-    new: Counts,
-    stable: Counts,
-    bad_endpoints: BTreeSet<u32>,
-}
-
+/// Responses, and how many of them were bad; fractions result from decay.
 #[derive(Debug, Default, Clone, Copy)]
-struct Counts {
-    total: f64,
-    bad: f64,
+pub(super) struct Counts {
+    pub(super) total: f64,
+    pub(super) bad: f64,
 }
 
 impl ResponseTally {
     /// Counts a response.
     pub fn add(&mut self, now: Millis, sample: ResponseSample) {
-        let route = self.routes.entry(sample.route).or_default();
-        route.decay(now);
-        let counts = if sample.new {
-            &mut route.new
-        } else {
-            &mut route.stable
-        };
-        counts.total += 1.0;
-        counts.bad += f64::from(u8::from(sample.bad));
-        if sample.new && sample.bad && route.bad_endpoints.len() < MAX_REPORTED_ENDPOINTS {
-            route.bad_endpoints.insert(sample.endpoint);
-        }
+        self.routes
+            .entry(sample.route)
+            .or_default()
+            .add(now, sample);
     }
 
     /// Returns the counts as reported to peers.
     pub fn rows(&self, now: Millis) -> Vec<CanaryRow> {
-        let rows = self.routes.iter().map(|(route, counts)| {
-            let factor = decay_factor(now.since(counts.updated));
-            CanaryRow {
-                route: *route,
-                new: counts.new.to_row(factor),
-                stable: counts.stable.to_row(factor),
-                endpoints: counts.bad_endpoints.iter().copied().collect(),
-            }
-        });
-        rows.collect()
-    }
-}
-
-impl RouteTally {
-    fn decay(&mut self, now: Millis) {
-        let factor = decay_factor(now.since(self.updated));
-        self.updated = now;
-        self.new.decay(factor);
-        self.stable.decay(factor);
+        let rows = self.routes.iter();
+        rows.map(|(route, tally)| tally.row(now, *route)).collect()
     }
 }
 
 impl Counts {
-    fn decay(&mut self, factor: f64) {
-        self.total *= factor;
-        self.bad *= factor;
-    }
-
-    fn to_row(self, factor: f64) -> (u16, u16) {
-        (to_steps(self.total * factor), to_steps(self.bad * factor))
-    }
-
     fn add_row(&mut self, row: (u16, u16)) {
         self.total += f64::from(row.0) / COUNT_STEPS_PER_UNIT;
         self.bad += f64::from(row.1) / COUNT_STEPS_PER_UNIT;
@@ -177,17 +128,3 @@
         (ratio + standard_error).clamp(MIN_STABLE_BAD_RATIO, 0.9)
     }
 }
-
-// Returns the remaining weight of a response of this age.
-fn decay_factor(age: Millis) -> f64 {
-    (-millis_to_f64(age) / millis_to_f64(DECAY_TIME)).exp()
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "clamped to the range of the field"
-)]
-fn to_steps(count: f64) -> u16 {
-    (count * COUNT_STEPS_PER_UNIT).clamp(0.0, f64::from(u16::MAX)) as u16
-}
