Shares of slots between organisations of one tier

Change: slot time by organisation, from own requests and peers' reports; water filling by the configured rates; requests of organisations that ask for much more than the others get a class by which the queue, peers' claims, loans and retry delays order them. Nothing changes while slots are not short (compared decision by decision). Setting, log field, page, tool.

--- a/crates/siskinyoke-cli/src/lib.rs
+++ b/crates/siskinyoke-cli/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod logs;
 pub mod operate;
 pub mod report;
+pub mod shares;
 pub mod status;
 mod summary;
--- a/crates/siskinyoke-cli/src/main.rs
+++ b/crates/siskinyoke-cli/src/main.rs
@@ -14,6 +14,7 @@
 use siskinyoke_cli::explain;
 use siskinyoke_cli::operate;
 use siskinyoke_cli::report;
+use siskinyoke_cli::shares;
 use siskinyoke_cli::status;
 
 /// Exit code for failed commands and for requests that have not run.
@@ -45,6 +46,8 @@
     Check(check::Check),
     /// Print the state of instances from their metrics pages.
     Status(status::Status),
+    /// Print how many slots organisations use against their shares.
+    Shares(shares::Shares),
     /// Explain the outcome of a request from the instances' logs.
     Explain(explain::Explain),
     /// Report the usage of each organisation from logs.
@@ -67,6 +70,7 @@
         Command::Check(_) => ExitCode::from(EXIT_INVALID),
         Command::Explain(explain) => exit_code(explain.run(out).map(|()| OutcomeKind::Done)),
         Command::Status(status) => exit_code(status.run(context)),
+        Command::Shares(shares) => exit_code(shares.run(context, out)),
         Command::Usage(args) => exit_code(args.run(context.json, out).map(|()| OutcomeKind::Done)),
         Command::Burn(args) => exit_code(args.run(context.json, out).map(|()| OutcomeKind::Done)),
         Command::Operate(command) => exit_code(command.run(context).map(|text| {
--- a/crates/siskinyoke-cli/src/report/mod.rs
+++ b/crates/siskinyoke-cli/src/report/mod.rs
@@ -5,7 +5,7 @@
 mod page;
 mod plot;
 mod requests;
-mod table;
+pub(crate) mod table;
 mod usage;
 
 pub use burn::BurnArgs;
--- a/crates/siskinyoke-dispatch/benches/decide.rs
+++ b/crates/siskinyoke-dispatch/benches/decide.rs
@@ -7,8 +7,11 @@
 use divan::black_box;
 
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Configuration;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Decision;
+use siskinyoke_dispatch::Organisation;
+use siskinyoke_dispatch::core::IncomingRequest;
 
 /// Pairs of waiting requests and endpoints.
 const WAITING_AND_ENDPOINT_COUNTS: [(u64, u64); 7] = [
@@ -24,6 +27,9 @@
 /// The slots of each endpoint.
 const SLOTS_PER_ENDPOINT: u32 = 6;
 
+/// The requests that wait while organisations compete.
+const WAITING_BETWEEN_ORGANISATIONS: u64 = 200;
+
 /// The other instances of the shard.
 const PEER_COUNT: u64 = 8;
 
@@ -38,6 +44,31 @@
     bencher.bench_local(|| black_box(core.decide(Millis(1))));
 }
 
+/// A decision while 200 requests wait and this number of organisations compete for slots.
+#[divan::bench(args = [16, 21_000])]
+fn decide_between_organisations(bencher: Bencher<'_, '_>, organisations: u64) {
+    let mut core = fleet(10);
+    core.configure(Millis(0), with_organisations(organisations));
+    let slots = 10 * u64::from(SLOTS_PER_ENDPOINT);
+    for number in 0..slots + WAITING_BETWEEN_ORGANISATIONS {
+        let key = format!("k{}", number * 7_919 % organisations);
+        let request = IncomingRequest {
+            key: Some(&key),
+            ..common::request("/stream/x")
+        };
+        if let Ok(routed) = core.route(Millis(0), request) {
+            black_box(core.admit(Millis(0), &routed, number).is_ok());
+        }
+        core.decide(Millis(0));
+    }
+    let mut now = 0;
+    bencher.bench_local(|| {
+        now += 1;
+        // Waits end after 250 ms, so the clock runs in a circle.
+        black_box(core.decide(Millis(now % 200)))
+    });
+}
+
 /// A decision while each endpoint has a rate limit and ten requests wait.
 #[divan::bench(args = [10, 100])]
 fn decide_with_limits(bencher: Bencher<'_, '_>, endpoints: u64) {
@@ -104,6 +135,19 @@
     core
 }
 
+// Returns a configuration with this number of organisations, the Nth of which has the key `kN`.
+fn with_organisations(count: u64) -> Configuration {
+    let mut configuration = common::configuration(2, common::organisation(0.0, 0.0));
+    for number in 0..count {
+        let organisation = Organisation {
+            name: format!("o{number}").into(),
+            ..common::organisation(1e9, 1e9)
+        };
+        configuration.add_organisation(organisation, &[format!("k{number}")]);
+    }
+    configuration
+}
+
 fn peer(index: u64, number: u64, endpoints: u64) -> siskinyoke_dispatch::Report {
     let mut report = common::report(&format!("i{index}"), number);
     report.running = (0..endpoints)
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -11,6 +11,7 @@
 mod retry;
 mod rollouts;
 mod routing;
+mod shares;
 mod store;
 mod streams;
 
@@ -49,6 +50,7 @@
 pub use self::rollouts::StatusWrite;
 pub use self::routing::IncomingRequest;
 pub use self::routing::RoutedRequest;
+pub use self::shares::ShareListing;
 
 /// Retry delay for requests that crashed endpoints; long, so that they cannot crash more of them.
 const QUARANTINE_RETRY_AFTER: Millis = Millis::from_secs(30);
@@ -86,7 +88,8 @@
 impl Core {
     /// Creates the state of an instance that has read nothing from the store yet.
     pub fn new(identity: Identity) -> Self {
-        let scheduler = Scheduler::new(&identity.name, &identity.location.centre);
+        let scheduler = Scheduler::new(&identity.name, &identity.location.centre)
+            .with_share_weights(identity.share_weights);
         Self {
             configuration: None,
             registry: Registry::default(),
@@ -123,6 +126,8 @@
         let share = self.peers.fleet_share(now);
         self.quotas
             .configure(now, configuration.organisations(), share);
+        self.scheduler
+            .configure_shares(configuration.organisations());
         self.configuration = Some(Arc::new(configuration));
         self.configuration_applied();
         true
@@ -354,6 +359,7 @@
         }
         self.scheduler.prune_endpoints(&self.registry);
         self.scheduler.sweep_lent_slots(now);
+        self.scheduler.prune_shares(now);
         self.relays.sweep(now);
         self.links.retain_services(&self.registry.services());
     }
--- a/crates/siskinyoke-dispatch/src/core/identity.rs
+++ b/crates/siskinyoke-dispatch/src/core/identity.rs
@@ -1,5 +1,6 @@
 //! Identity and fixed settings of an instance.
 
+use crate::organisation_shares::share_weights::WeightSource;
 use crate::quota::QuotaPolicy;
 use crate::report::InstanceLocation;
 use siskinyoke_base::Millis;
@@ -21,6 +22,8 @@
     pub max_exposure: f64,
     /// Time after the end of a disturbance within which changes take effect at normal speed again.
     pub settling_time: Millis,
+    /// The weights by which slots are divided between organisations.
+    pub share_weights: WeightSource,
     /// How compliance with quotas is measured.
     pub quota_policy: QuotaPolicy,
 }
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -42,6 +42,8 @@
         }
         let quota_used = report.quota_used.clone();
         self.scheduler.record_peer_speeds(&report.running);
+        self.scheduler
+            .receive_shares(now, incarnation, &report.shares);
         let no_older = Millis(report.age) <= self.age(now) + START_SKEW;
         match self.peers.receive(now, report) {
             Received::Ignored => return false,
@@ -119,6 +121,7 @@
             era: self.store_view.revision.era,
             relay: Some(self.relay_report()),
             rejection_limits: self.scheduler.rejection_limits().report_rows(now, since),
+            shares: self.scheduler.share_rows(now),
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/core/routing.rs
+++ b/crates/siskinyoke-dispatch/src/core/routing.rs
@@ -11,7 +11,9 @@
 use crate::RouteKind;
 use crate::ScheduledRequest;
 use crate::TokenCounts;
+use crate::organisation_shares::share_class::ShareClass;
 use crate::quota;
+use crate::report::short_hash;
 use siskinyoke_base::Millis;
 
 /// A request as received, before it is routed.
@@ -161,6 +163,8 @@
         fingerprint,
         tried: Vec::new(),
         attempts: 0,
+        organisation: request.organisation.as_ref().map(|it| short_hash(&it.name)),
+        share_class: ShareClass::Within,
         late: false,
         needs_loan: false,
         canary: false,
--- a/crates/siskinyoke-dispatch/src/demand.rs
+++ b/crates/siskinyoke-dispatch/src/demand.rs
@@ -1,9 +1,9 @@
-//! Demand for a service by priority.
+//! Demand for a service by queue order.
 
 use std::collections::BTreeMap;
 
-use crate::Priority;
 use crate::latency_model::millis_to_f64;
+use crate::scheduled_request::QueueOrder;
 use siskinyoke_base::Millis;
 
 /// The time constant with which recorded work decays.
@@ -12,28 +12,27 @@
 /// seconds.
 const DECAY_TIME: Millis = Millis(2_000);
 
-/// Demand for a service by priority, as the mean number of slots that it keeps busy.
+/// Demand for a service by queue order, as the mean number of slots that it keeps busy.
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
     // When the demand was last updated, and its value then.
-    by_priority: BTreeMap<Priority, (Millis, f64)>,
+    by_order: BTreeMap<QueueOrder, (Millis, f64)>,
 }
 
 impl Demand {
     /// Records the arrival of a request with the given service time.
-    pub fn record(&mut self, now: Millis, priority: Priority, service_time: Millis) {
-        let row = self.by_priority.entry(priority).or_insert((now, 0.0));
+    pub fn record(&mut self, now: Millis, order: QueueOrder, service_time: Millis) {
+        let row = self.by_order.entry(order).or_insert((now, 0.0));
         *row = (
             now,
             decayed(*row, now) + millis_to_f64(service_time) / millis_to_f64(DECAY_TIME),
         );
     }
 
-    /// Returns the demand that goes before a new request: that of higher priorities, and of its own
-    /// priority too if the request is late.
-    pub fn slots_before(&self, now: Millis, priority: Priority, late: bool) -> f64 {
-        let rows = self.by_priority.range(..=priority);
-        let rows = rows.filter(|row| late || *row.0 < priority);
+    /// Returns the demand that goes before a new request. Requests arrive before they are late, so
+    /// that a late one also has the demand of its own priority before it.
+    pub fn slots_before(&self, now: Millis, order: QueueOrder) -> f64 {
+        let rows = self.by_order.range(..order);
         rows.map(|row| decayed(*row.1, now)).sum()
     }
 }
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod leased_entries;
 pub mod links;
 pub mod message;
+pub mod organisation_shares;
 pub mod outcome;
 mod overload_window;
 pub mod peers;
--- a/crates/siskinyoke-dispatch/src/message.rs
+++ b/crates/siskinyoke-dispatch/src/message.rs
@@ -9,6 +9,7 @@
 use crate::StreamOrigin;
 use crate::StreamQuestion;
 use crate::VersionKey;
+use crate::organisation_shares::share_class::ShareClass;
 
 /// One datagram between instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -82,6 +83,9 @@
     /// The time until the request's deadline, in ms.
     #[serde(rename = "left")]
     pub remaining_wait: u32,
+    /// How much of its share of the slots the request's organisation uses. Messages of earlier
+    /// versions end before it.
+    pub share_class: ShareClass,
 }
 
 /// The reply to a borrow request.
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -57,6 +57,9 @@
     /// How many rejections endpoints bear, if they state it. Reports of earlier versions end before
     /// it.
     pub rejection_limits: Vec<RejectionRow>,
+    /// Slot time of organisations at the services whose slots are short, several times a second.
+    /// Reports of earlier versions end before it.
+    pub shares: Vec<ServiceShareRows>,
 }
 
 impl Report {
@@ -162,6 +165,30 @@
     pub rejected_age: Option<u32>,
 }
 
+/// Slot time of organisations at one service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceShareRows {
+    /// The hash of the service's name.
+    pub service: u32,
+    /// The tiers for which slots are short at the instance.
+    pub short_tiers: Vec<u8>,
+    /// The organisations with the most slot time, and one row for the others of each tier.
+    pub rows: Vec<ShareRow>,
+}
+
+/// Slot time of one organisation at one service, decayed with age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareRow {
+    /// The tier.
+    pub tier: u8,
+    /// The hash of the organisation's name; 0 for all that have no row of their own.
+    pub organisation: u32,
+    /// The slot time that its requests have used, in ms.
+    pub used: u32,
+    /// The slot time that its requests asked for, refused ones included, in ms.
+    pub offered: u32,
+}
+
 /// One instance's results of a version under canary evaluation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CanaryReport {
--- a/crates/siskinyoke-dispatch/src/scheduled_request.rs
+++ b/crates/siskinyoke-dispatch/src/scheduled_request.rs
@@ -10,6 +10,7 @@
 use crate::Route;
 use crate::TokenCounts;
 use crate::VersionKey;
+use crate::organisation_shares::share_class::ShareClass;
 use siskinyoke_base::Millis;
 
 /// Identifies an admitted request within an instance.
@@ -28,18 +29,97 @@
         let first = organisation.unwrap_or(route);
         Self(u16::from(first) << 8 | u16::from(route))
     }
+
+    /// Returns the tier: the organisation's priority or, if it has none, the route's.
+    pub fn tier(self) -> u8 {
+        self.0.to_be_bytes()[0]
+    }
+
+    /// Returns the priority of the route.
+    pub fn route(self) -> u8 {
+        self.0.to_be_bytes()[1]
+    }
 }
 
-/// Precedence of queued requests: by priority, then those that can still meet their latency target
-/// before late ones. Lower values go first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct QueueOrder(pub u32);
+/// Precedence of queued requests; lower values go first.
+///
+/// The tier is compared first, then the organisation's use of its share of the slots, then the
+/// priority of the route. Those that can still meet their latency target go before late ones.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(from = "u32", into = "u32")]
+pub struct QueueOrder {
+    tier: u8,
+    share_class: ShareClass,
+    route_priority: u8,
+    late: bool,
+}
+
+/// The bits of an encoded order that mark requests which are not within their share.
+///
+/// Instances of versions that know no shares read such an order as one after all others.
+const MARGINAL_BIT: u32 = 1 << 30;
+const ABOVE_BIT: u32 = 1 << 31;
 
 impl QueueOrder {
-    /// Combines a priority and whether the response would miss its latency target.
-    pub fn new(priority: Priority, late: bool) -> Self {
-        Self(u32::from(priority.0) << 1 | u32::from(late))
+    /// Combines a priority, the class of the organisation's use of its share, and whether the
+    /// response would miss its latency target.
+    pub fn new(priority: Priority, share_class: ShareClass, late: bool) -> Self {
+        let [tier, route_priority] = priority.0.to_be_bytes();
+        Self {
+            tier,
+            share_class,
+            route_priority,
+            late,
+        }
+    }
+
+    /// Returns the order of requests that are within their organisations' shares, and otherwise the
+    /// same.
+    #[must_use]
+    pub fn within_share(self) -> Self {
+        Self {
+            share_class: ShareClass::Within,
+            ..self
+        }
+    }
+
+    /// Returns the class of the organisations' use of their shares.
+    pub fn share_class(self) -> ShareClass {
+        self.share_class
+    }
+}
+
+impl From<u32> for QueueOrder {
+    fn from(value: u32) -> Self {
+        let [_, _, tier, route_priority] =
+            ((value & !(ABOVE_BIT | MARGINAL_BIT)) >> 1).to_be_bytes();
+        let share_class = if value & ABOVE_BIT != 0 {
+            ShareClass::Above
+        } else if value & MARGINAL_BIT != 0 {
+            ShareClass::Marginal
+        } else {
+            ShareClass::Within
+        };
+        Self {
+            tier,
+            share_class,
+            route_priority,
+            late: value & 1 != 0,
+        }
+    }
+}
+
+impl From<QueueOrder> for u32 {
+    fn from(order: QueueOrder) -> Self {
+        let priority = u16::from_be_bytes([order.tier, order.route_priority]);
+        let share_bits = match order.share_class {
+            ShareClass::Within => 0,
+            ShareClass::Marginal => MARGINAL_BIT,
+            ShareClass::Above => ABOVE_BIT,
+        };
+        share_bits | Self::from(priority) << 1 | Self::from(order.late)
     }
 }
 
@@ -67,6 +147,10 @@
     pub tried: Vec<EndpointKey>,
     /// Number of these endpoints that were reached.
     pub attempts: u32,
+    /// The hash of its organisation's name, if that is known.
+    pub organisation: Option<u32>,
+    /// How much of its share of the slots its organisation uses.
+    pub share_class: ShareClass,
     /// Whether its response would miss its latency target; it is served after those that can meet
     /// theirs.
     pub late: bool,
@@ -81,7 +165,7 @@
 impl ScheduledRequest {
     /// Returns its precedence in the queue.
     pub fn queue_order(&self) -> QueueOrder {
-        QueueOrder::new(self.priority, self.late)
+        QueueOrder::new(self.priority, self.share_class, self.late)
     }
 
     /// Returns whether the version of an endpoint may run it.
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -13,6 +13,7 @@
 mod rate_limits;
 mod rejection_limits;
 mod requested_backoff;
+mod shares;
 mod wait_estimate;
 
 use std::collections::BTreeMap;
@@ -31,6 +32,9 @@
 use crate::latency_model::LatencyModel;
 use crate::latency_model::millis_from_f64;
 use crate::latency_model::millis_to_f64;
+use crate::organisation_shares::OrganisationShares;
+use crate::organisation_shares::share_class::ShareClass;
+use crate::organisation_shares::share_weights::WeightSource;
 use crate::overload_window::OverloadWindow;
 use crate::peers::Peers;
 use crate::placement::EndpointSelector;
@@ -69,6 +73,8 @@
     sent_at: Millis,
     // The work ahead of it at the endpoint when it was sent.
     backlog: Backlog,
+    // The slot time that its organisation was charged, in ms.
+    charged: f64,
     // When the first part of its response arrived.
     responded_at: Option<Millis>,
 }
@@ -102,7 +108,8 @@
     in_flight: BTreeMap<EndpointKey, RunningRow>,
     latencies: Map<Arc<str>, LatencyModel>,
     demands: Map<Arc<str>, Demand>,
-    overloads: Map<(Arc<str>, Priority), OverloadWindow>,
+    overloads: Map<(Arc<str>, Priority, ShareClass), OverloadWindow>,
+    shares: OrganisationShares,
     rate_limits: RateLimits,
     rejection_limits: RejectionLimits,
     // Slots of requests that were given up, each with the time at which it counts as free.
@@ -130,6 +137,15 @@
         }
     }
 
+    /// Sets the weights by which slots are divided between organisations.
+    #[must_use]
+    pub fn with_share_weights(self, source: WeightSource) -> Self {
+        Self {
+            shares: OrganisationShares::new(source),
+            ..self
+        }
+    }
+
     /// Queues a request, or refuses it if it would wait too long.
     ///
     /// # Errors
@@ -150,16 +166,18 @@
             });
         }
         let latency = self.latency_model(&request.service);
+        let service_time = latency.service_time_of(&request.tokens);
+        self.shares
+            .record_offered(now, &request, millis_to_f64(service_time));
         let request = ScheduledRequest {
             virtual_arrival: wait::virtual_arrival(&request, latency),
+            share_class: self
+                .shares
+                .classify(now, &request, millis_to_f64(service_time)),
             ..request
         };
         let demand = self.demands.entry(request.service.clone()).or_default();
-        demand.record(
-            now,
-            request.priority,
-            latency.service_time_of(&request.tokens),
-        );
+        demand.record(now, request.queue_order(), service_time);
         let view = ClusterView {
             now,
             registry,
@@ -168,6 +186,7 @@
         if self.expected_on_time(&view, &request) {
             return Ok(self.enqueue(request));
         }
+        self.shares.record_shortage(now, &request);
         // Another shard may lend a slot; the request waits for its reply before it is refused.
         if request.version.is_none() && self.should_ask_shards(now, registry, &request.service) {
             return Ok(self.enqueue(ScheduledRequest {
@@ -198,6 +217,7 @@
         };
         self.rate_limits.update_rates(&view);
         self.release_lingering(now);
+        self.update_shares(now);
         let mut decisions = Vec::new();
         let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
         for service in services {
@@ -220,9 +240,12 @@
             endpoint,
             sent_at,
             responded_at,
+            charged,
             ..
         } = self.running.remove(&ticket)?;
         request.attempts += u32::from(!outcome.is_unsent());
+        let slot_time = slot_time(outcome, now.since(sent_at));
+        self.shares.correct(now, &request, charged, slot_time);
         if responded_at.is_none() {
             self.remove_prefill_tokens(endpoint, &request);
         }
@@ -413,6 +436,12 @@
     }
 }
 
+// Returns how long an attempt of this duration held a slot, in ms, if it ran.
+fn slot_time(outcome: Outcome, duration: Millis) -> Option<f64> {
+    let rejected = matches!(outcome, Outcome::Full | Outcome::Misdirected);
+    (!rejected && !outcome.is_unsent()).then(|| millis_to_f64(duration))
+}
+
 fn queue_key(ticket: Ticket, request: &ScheduledRequest) -> QueueKey {
     (request.queue_order(), request.virtual_arrival, ticket)
 }
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::EndpointKey;
 use crate::Ticket;
 use crate::latency_model::LatencyModel;
+use crate::latency_model::millis_to_f64;
 use crate::placement::Candidate;
 use crate::placement::EndpointSelector;
 use crate::placement::PlacementQuery;
@@ -267,12 +268,16 @@
         let row = self.usage_mut(key);
         row.count += 1;
         row.prefill_tokens += request.tokens.prompt_tokens();
+        let latency = self.latency_model(&request.service);
+        let charged = millis_to_f64(latency.service_time_of(&request.tokens));
+        self.shares.record_used(now, &request, charged);
         let running = RunningRequest {
             request,
             endpoint: key,
             version: endpoint.version_key(),
             sent_at: now,
             backlog,
+            charged,
             responded_at: None,
         };
         self.running.insert(ticket, running);
--- a/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
@@ -5,11 +5,11 @@
 use super::ClusterView;
 use super::Decision;
 use super::Scheduler;
-use super::queue_key;
 use crate::Refusal;
 use crate::RefusalReason;
 use crate::ScheduledRequest;
 use crate::Ticket;
+use crate::organisation_shares::share_class::ShareClass;
 use crate::queue::QueueKey;
 use crate::stream_resumption;
 use crate::wait;
@@ -67,10 +67,12 @@
             ..request.clone()
         };
         let wait = self.expected_wait(view, &late);
-        if !uses_late_timeout && waited + wait <= late_timeout {
+        let may_be_late = !uses_late_timeout && request.share_class != ShareClass::Above;
+        if may_be_late && waited + wait <= late_timeout {
             self.mark_late(ticket);
             return None;
         }
+        self.shares.record_shortage(view.now, &late);
         Some(Refusal {
             reason: RefusalReason::QueueTimeout,
             retry_after: self.retry_after(view.now, &late, wait),
@@ -95,14 +97,6 @@
 
     // Marks a request late, which moves it behind those that can still be on time.
     fn mark_late(&mut self, ticket: Ticket) {
-        let Some(request) = self.waiting.get_mut(&ticket) else {
-            return;
-        };
-        let Some(queue) = self.queues.get_mut(&request.service) else {
-            return;
-        };
-        queue.remove(queue_key(ticket, request));
-        request.late = true;
-        queue.push(queue_key(ticket, request));
+        self.reorder(ticket, |request| request.late = true);
     }
 }
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -26,6 +26,7 @@
 use crate::message::SlotRequest;
 use crate::placement::Candidate;
 use crate::placement::PlacementQuery;
+use crate::queue::Queue;
 use crate::registry::Registry;
 use crate::report::short_hash;
 use siskinyoke_base::Millis;
@@ -114,6 +115,7 @@
     /// Lends a slot for a request of another shard.
     ///
     /// No slots are lent while requests wait here or at peers, and the reserved slots never are.
+    /// Waiting requests do not keep a slot from one that uses less of its organisation's share.
     pub(crate) fn lend_slot(
         &mut self,
         view: &ClusterView<'_>,
@@ -121,14 +123,7 @@
         request: &SlotRequest,
     ) -> Option<EndpointKey> {
         let service = view.registry.find_service(request.service)?;
-        let queued = self.queues.get(&service).is_some_and(|it| !it.is_empty());
-        if queued
-            || view
-                .peers
-                .waiting(view.now, request.service)
-                .next()
-                .is_some()
-        {
+        if self.slots_needed_here(view, &service, request) {
             return None;
         }
         let candidates = self.free_endpoints(view, &service);
@@ -165,6 +160,19 @@
         Some(key)
     }
 
+    // Returns whether requests wait here or at peers that go before a request of another shard.
+    fn slots_needed_here(
+        &self,
+        view: &ClusterView<'_>,
+        service: &str,
+        request: &SlotRequest,
+    ) -> bool {
+        let own = self.queues.get(service).into_iter().flat_map(Queue::iter);
+        let peers = view.peers.waiting(view.now, request.service);
+        let mut waiting = own.map(|key| key.0).chain(peers.map(|row| row.order));
+        waiting.any(|order| order.share_class() <= request.share_class)
+    }
+
     /// Takes back a slot that was lent to another shard.
     pub fn reclaim_slot(&mut self, id: u64) {
         let Some(loan) = self.lent_slots.remove(&id) else {
@@ -290,6 +298,7 @@
         gap_target: to_u32(request.route.gap_target),
         waited: to_u32(now.since(request.arrived)),
         remaining_wait: to_u32(request.deadline.since(now)),
+        share_class: request.share_class,
     }
 }
 
@@ -333,6 +342,8 @@
         fingerprint: 0,
         tried: Vec::new(),
         attempts: 0,
+        organisation: None,
+        share_class: request.share_class,
         late: false,
         needs_loan: false,
         canary: false,
--- a/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
@@ -9,6 +9,7 @@
 use crate::ScheduledRequest;
 use crate::forecast::WaitForecast;
 use crate::latency_model::millis_to_f64;
+use crate::organisation_shares::share_class::ShareClass;
 use crate::queue::Queue;
 use crate::report::WaitingRow;
 use crate::report::short_hash;
@@ -26,9 +27,11 @@
         request: &ScheduledRequest,
         wait: Millis,
     ) -> Millis {
-        let overload = self
-            .overloads
-            .entry((request.service.clone(), request.priority));
+        let overload = self.overloads.entry((
+            request.service.clone(),
+            request.priority,
+            request.share_class,
+        ));
         let duration = overload.or_default().record_refusal(now);
         wait::with_jitter(wait.max(duration).max(MIN_RETRY_AFTER), request.fingerprint)
     }
@@ -43,7 +46,9 @@
             <= wait::queue_timeout(request, self.latency_model(&request.service))
     }
 
-    // Marks a request late, or refuses it if it would wait too long even then.
+    // Marks a request late, or refuses it if it would wait too long even then. Requests above their
+    // organisation's share do not wait once they are late: long waits would give them the slots that
+    // become free between other requests.
     pub(super) fn admit_late(
         &mut self,
         view: &ClusterView<'_>,
@@ -55,7 +60,7 @@
         };
         let wait = self.expected_wait(view, &request);
         let timeout = wait::late_timeout(&request, self.latency_model(&request.service));
-        if wait <= timeout {
+        if wait <= timeout && request.share_class != ShareClass::Above {
             return Ok(request);
         }
         let backoff = self.requested_wait(view, &request.service);
@@ -107,9 +112,10 @@
         let latency = self.latency_model(&request.service);
         let capacity = available.map(|it| self.effective_slots(it, &latency));
         let demand = self.demands.get(&request.service);
-        let own_demand = demand.map_or(0.0, |it| {
-            it.slots_before(view.now, request.priority, request.late)
-        });
+        // What is offered by organisations within their shares is more than what they are served,
+        // so for requests above a share it would leave no slot at all.
+        let order = request.queue_order().within_share();
+        let own_demand = demand.map_or(0.0, |it| it.slots_before(view.now, order));
         let instances = u32::try_from(view.peers.instance_count(view.now)).unwrap_or(u32::MAX);
         WaitForecast {
             capacity: capacity.sum(),
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -22,6 +22,8 @@
 use siskinyoke_dispatch::TokenCounts;
 use siskinyoke_dispatch::core::Identity;
 use siskinyoke_dispatch::core::IncomingRequest;
+use siskinyoke_dispatch::organisation_shares::share_class::ShareClass;
+use siskinyoke_dispatch::organisation_shares::share_weights::WeightSource;
 use siskinyoke_dispatch::quota::QuotaPolicy;
 use siskinyoke_dispatch::report::InstanceInfo;
 use siskinyoke_dispatch::report::InstanceLocation;
@@ -64,6 +66,8 @@
         fingerprint: arrived,
         tried: Vec::new(),
         attempts: 0,
+        organisation: None,
+        share_class: ShareClass::Within,
         late: false,
         needs_loan: false,
         canary: false,
@@ -93,6 +97,7 @@
         retry_slack: 54.0,
         max_exposure: 0.1,
         settling_time: Millis(3_000),
+        share_weights: WeightSource::Rates,
         quota_policy: QUOTA_POLICY,
     }
 }
@@ -178,6 +183,7 @@
         era: 0,
         relay: None,
         rejection_limits: Vec::new(),
+        shares: Vec::new(),
     }
 }
 
--- a/crates/siskinyoke-dispatch/tests/lending.rs
+++ b/crates/siskinyoke-dispatch/tests/lending.rs
@@ -39,6 +39,7 @@
 use siskinyoke_dispatch::core::IncomingRequest;
 use siskinyoke_dispatch::message::SlotRequest;
 use siskinyoke_dispatch::message::UnitsRequest;
+use siskinyoke_dispatch::organisation_shares::share_class::ShareClass;
 
 /// A quota of some twenty requests a second, which eight shards share.
 const QUOTA_UNITS_PER_SECOND: f64 = 45_000.0;
@@ -497,6 +498,7 @@
         gap_target: 400,
         waited: 20,
         remaining_wait: 4_000,
+        share_class: ShareClass::Within,
     };
     let grant = fleet.cores[0].lend(Millis(0), 7, BorrowRequest::Slot(query));
     assert!(matches!(grant, Grant::Slot(_)), "{grant:?}");
--- a/crates/siskinyoke-dispatch/tests/scheduler.rs
+++ b/crates/siskinyoke-dispatch/tests/scheduler.rs
@@ -103,7 +103,7 @@
     let mut peer_report = report("peer", 1);
     peer_report.waiting = vec![WaitingRow {
         service: short_hash("lm"),
-        order: QueueOrder(0),
+        order: QueueOrder::default(),
         count: 1,
         oldest_wait: 5,
         service_time: 200,
--- a/crates/siskinyoke-gateway/src/admin.rs
+++ b/crates/siskinyoke-gateway/src/admin.rs
@@ -4,6 +4,7 @@
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
+use serde_json::json;
 
 use crate::response;
 use crate::response::ResponseBody;
@@ -16,6 +17,9 @@
 /// one failure. A shorter time would add queries for no gain.
 const MAX_DIRECTORY_TTL: Millis = Millis(2_000);
 
+/// The path of the page of shares, on the port of the metrics page.
+const SHARES_PATH: &str = "/shares";
+
 /// Returns whether this instance accepts requests from callers.
 pub fn health(shell: &Shell, request: &Request<Incoming>) -> Response<ResponseBody> {
     if request.uri().path() != shell.interface.directory.readiness_path() {
@@ -45,8 +49,35 @@
     response::json(shell.interface.directory.encode_addresses(&addresses, ttl))
 }
 
-/// Returns the metrics page.
-pub fn metrics_page(shell: &Shell, _: &Request<Incoming>) -> Response<ResponseBody> {
+/// Returns the metrics page, or the page of shares.
+pub fn operators_page(shell: &Shell, request: &Request<Incoming>) -> Response<ResponseBody> {
+    if request.uri().path() == SHARES_PATH {
+        shares_page(shell)
+    } else {
+        metrics_page(shell)
+    }
+}
+
+// Lists the organisations with the most use of each service whose slots are short.
+fn shares_page(shell: &Shell) -> Response<ResponseBody> {
+    let listings = shell.core.borrow().share_listings(shell.now());
+    let rows: Vec<_> = listings
+        .iter()
+        .map(|it| {
+            json!({
+                "service": &*it.service,
+                "tier": it.tier,
+                "organisation": it.organisation.as_deref(),
+                "used_slots": it.state.used_slots,
+                "share_slots": it.state.share_slots,
+                "above_share": it.state.above_share,
+            })
+        })
+        .collect();
+    response::json(json!(rows).to_string().into_bytes())
+}
+
+fn metrics_page(shell: &Shell) -> Response<ResponseBody> {
     let core = shell.core.borrow();
     let (waiting, running) = core.scheduler().request_counts();
     shell.metrics.set_state("waiting", to_f64(waiting));
@@ -76,6 +107,11 @@
     shell
         .metrics
         .set_state("stream_records", to_f64(core.stream_count()));
+    let listings = core.share_listings(shell.now());
+    let above = listings.iter().filter(|it| it.state.above_share).count();
+    shell
+        .metrics
+        .set_state("organisations_above_share", to_f64(above));
     let relayed = shell.relay.in_flight();
     shell.metrics.set_state("relayed", to_f64(relayed));
     let age = shell.now().since(shell.store_contact.get());
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -114,6 +114,7 @@
         retry_slack: settings.bounds.retry_slack,
         max_exposure: settings.bounds.exposure_share,
         settling_time: Millis(settings.bounds.settle_ms),
+        share_weights: settings.shares,
         quota_policy: QuotaPolicy {
             window: settings.quota_window(),
             overage: settings.bounds.quota_overage,
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -52,8 +52,8 @@
 /// Decodes a message.
 ///
 /// A report of an earlier version of this program ends before the era of its revision, which is
-/// then that of a store that names none, or before what its sender relays
-/// and what it knows of rejections, which is then nothing.
+/// then that of a store that names none, or before what its sender relays, what it knows of
+/// rejections and of the shares of organisations, which is then nothing.
 ///
 /// # Errors
 ///
@@ -61,7 +61,7 @@
 pub fn decode(bytes: &[u8]) -> postcard::Result<Message> {
     match postcard::from_bytes(bytes) {
         Err(postcard::Error::DeserializeUnexpectedEnd) => {
-            postcard::from_bytes(&[bytes, &[0, 0, 0]].concat())
+            postcard::from_bytes(&[bytes, &[0; 4]].concat())
         }
         result => result,
     }
--- a/crates/siskinyoke-gateway/src/job/completion.rs
+++ b/crates/siskinyoke-gateway/src/job/completion.rs
@@ -13,6 +13,7 @@
 use crate::response;
 use crate::response::ResponseBody;
 use crate::shell::RefusalInfo;
+use crate::shell::share_fields;
 use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
@@ -146,6 +147,7 @@
             "prompt": self.routed.tokens.prompt,
             "output": self.routed.tokens.output,
             "waited_ms": progress.queue_time.0,
+            "share": share_fields(&self.shell.core.borrow(), self.shell.now(), &self.routed),
             "first_ms": progress.first_part.map(|it| it.since(self.routed.arrived).0),
             "pause_ms": progress.longest_pause.0,
             "parts": progress.parts,
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -167,7 +167,7 @@
         ListenerKind::Callers => callers::serve(shell.clone(), request).await,
         ListenerKind::Health => admin::health(shell, &request),
         ListenerKind::Directory => admin::directory(shell, &request),
-        ListenerKind::Metrics => admin::metrics_page(shell, &request),
+        ListenerKind::Metrics => admin::operators_page(shell, &request),
         ListenerKind::PeerApi if Relay::accepts(&request) => {
             return shell.relay.serve(peer, request).await;
         }
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::organisation_shares::share_weights::WeightSource;
 use siskinyoke_dispatch::report::InstanceLocation;
 use siskinyoke_interface::Interface;
 
@@ -125,6 +126,10 @@
     pub metrics: u16,
     /// Its memory limit, in MB.
     pub memory_mb: u64,
+    /// The weights by which slots that are short are divided between organisations: `rates`,
+    /// `equal`, or `off`; read only at startup.
+    #[serde(default)]
+    pub shares: WeightSource,
     /// Limits that apply to the instances as a whole.
     pub bounds: Bounds,
 }
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -338,6 +338,7 @@
             "output": request.route.map(|it| it.tokens.output),
             "units": request.route.map(|it| it.quota_cost),
             "reason": refusal.reason.as_str(),
+            "share": request.route.and_then(|it| share_fields(&core, now, it)),
             "after_ms": refusal.retry_after.0,
             "waiting": waiting,
             "running": running,
@@ -409,3 +410,14 @@
         }
     }
 }
+
+/// Returns the fields that say how an organisation's use of the slots of a request's service
+/// compares to its share, or `None` while slots are not short.
+pub fn share_fields(core: &Core, now: Millis, request: &RoutedRequest) -> Option<Value> {
+    let state = core.share_state(now, request)?;
+    Some(json!({
+        "used_slots": state.used_slots,
+        "share_slots": state.share_slots,
+        "above": state.above_share,
+    }))
+}
--- a/crates/siskinyoke-gateway/tests/common/mod.rs
+++ b/crates/siskinyoke-gateway/tests/common/mod.rs
@@ -20,6 +20,7 @@
         retry_slack: 54.0,
         max_exposure: 0.1,
         settling_time: Millis(3_000),
+        share_weights: settings.shares,
         quota_policy: QuotaPolicy {
             window: Millis(8_000),
             overage: 0.1,
--- a/crates/siskinyoke-gateway/tests/messages.rs
+++ b/crates/siskinyoke-gateway/tests/messages.rs
@@ -4,12 +4,17 @@
 
 use siskinyoke_base::Millis;
 use siskinyoke_base::Revision;
+use siskinyoke_dispatch::BorrowRequest;
 use siskinyoke_dispatch::Message;
+use siskinyoke_dispatch::Priority;
 use siskinyoke_dispatch::Report;
 use siskinyoke_dispatch::StreamKey;
 use siskinyoke_dispatch::StreamOrigin;
 use siskinyoke_dispatch::StreamQuestion;
 use siskinyoke_dispatch::VersionKey;
+use siskinyoke_dispatch::message::SlotRequest;
+use siskinyoke_dispatch::organisation_shares::share_class::ShareClass;
+use siskinyoke_dispatch::scheduled_request::QueueOrder;
 use siskinyoke_gateway::gossip;
 
 const SETTINGS_JSON: &str = r#"{ "interface": "platform", "instance": "i0", "ip": "127.0.0.1", "centre": "a",
@@ -34,10 +39,10 @@
         let message = Message::Report(Box::new(report.clone()));
         let bytes = postcard::to_allocvec(&message).unwrap();
         assert_eq!(gossip::decode(&bytes).unwrap(), message);
-        // What a sender relays comes last, and the era before it, which earlier versions neither send
-        // nor read.
-        let [rest @ .., 1, 0, 0, 0] = &*bytes else {
-            panic!("does not end with an instance that relays nothing and knows of no rejections");
+        // What earlier versions neither send nor read comes last: shares, rejections, what a sender
+        // relays, and the era.
+        let [rest @ .., 1, 0, 0, 0, 0] = &*bytes else {
+            panic!("does not end with an instance that relays nothing and knows no more");
         };
         let Message::Report(received) = gossip::decode(rest).unwrap() else {
             panic!("not a report");
@@ -62,6 +67,36 @@
     assert!(gossip::decode(&[]).is_err());
 }
 
+// Guards against borrow requests of an earlier version that are not understood, and against orders
+// of requests above a share that an earlier version would take for urgent ones.
+#[test]
+fn earlier_versions_know_no_shares() {
+    let request = SlotRequest {
+        service: 1,
+        stream: true,
+        prompt_tokens: 2,
+        output_tokens: 3,
+        latency_target: 4,
+        gap_target: 5,
+        waited: 6,
+        remaining_wait: 7,
+        share_class: ShareClass::Within,
+    };
+    let message = Message::Borrow(8, BorrowRequest::Slot(request));
+    let bytes = postcard::to_allocvec(&message).unwrap();
+    let (_, earlier) = bytes.split_last().unwrap();
+    assert_eq!(gossip::decode(earlier).unwrap(), message);
+    let priority = Priority::new(Some(1), 2);
+    let within = QueueOrder::new(priority, ShareClass::Within, true);
+    assert_eq!(u32::from(within), 0x0102 << 1 | 1);
+    for class in [ShareClass::Within, ShareClass::Marginal, ShareClass::Above] {
+        let order = QueueOrder::new(priority, class, true);
+        let encoded = u32::from(order);
+        assert_eq!(QueueOrder::from(encoded), order);
+        assert!(class == ShareClass::Within || encoded > u32::from(u16::MAX) << 1);
+    }
+}
+
 // Messages of earlier versions keep their numbers, and the new ones come after them.
 #[test]
 fn messages_on_streams_are_short_and_earlier_messages_keep_their_encoding() {
--- a/crates/siskinyoke-gateway/tests/settings.rs
+++ b/crates/siskinyoke-gateway/tests/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file: the platform's template with values filled in, and invalid files.
 
+use siskinyoke_dispatch::organisation_shares::share_weights::WeightSource;
 use siskinyoke_gateway::settings::Settings;
 
 const SETTINGS_TEMPLATE: &str = include_str!("../../../platform/settings.jsonc");
@@ -70,6 +71,22 @@
     assert_eq!(Settings::parse(&text).unwrap().bounds.settle_ms, 3_000);
 }
 
+// Guards against a misspelt choice of weights that would be taken for the default.
+#[test]
+fn weights_of_shares_are_rates_unless_another_known_value_is_given() {
+    let text = filled_template();
+    assert_eq!(Settings::parse(&text).unwrap().shares, WeightSource::Rates);
+    for (value, source) in [("equal", WeightSource::Equal), ("off", WeightSource::Off)] {
+        let text = text.replacen('{', &format!("{{ \"shares\": \"{value}\","), 1);
+        assert_eq!(Settings::parse(&text).unwrap().shares, source);
+    }
+    let text = text.replacen('{', "{ \"shares\": \"rate\",", 1);
+    let error = Settings::parse(&text).unwrap_err().to_string();
+    for part in ["`rate`", "`rates`", "`equal`", "`off`"] {
+        assert!(error.contains(part), "{error}");
+    }
+}
+
 // Guards against ignoring a misspelt field: the instance would run with the default instead of the
 // operator's value.
 #[test]
