Shares: the priority of the route goes before them

Cause: with the share before the priority of the route, quiet organisations' deferrable requests went before a loud one's urgent ones, which its callers are owed as well. Change: urgent requests go first, whoever sends them; among those of one priority the share decides, and a loud organisation's share goes to its urgent requests first. The load test plays one priority, and a further one two.

--- a/crates/siskinyoke-dispatch/src/scheduled_request.rs
+++ b/crates/siskinyoke-dispatch/src/scheduled_request.rs
@@ -43,16 +43,17 @@
 
 /// Precedence of queued requests; lower values go first.
 ///
-/// The tier is compared first, then the organisation's use of its share of the slots, then the
-/// priority of the route. Those that can still meet their latency target go before late ones.
+/// The tier is compared first, then the priority of the route, then the organisation's use of its
+/// share of the slots: urgent requests go first, whoever sends them. Those that can still meet their
+/// latency target go before late ones.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(from = "u32", into = "u32")]
 pub struct QueueOrder {
     tier: u8,
-    share_class: ShareClass,
     route_priority: u8,
+    share_class: ShareClass,
     late: bool,
 }
 
--- a/crates/siskinyoke-dispatch/tests/organisation_shares/main.rs
+++ b/crates/siskinyoke-dispatch/tests/organisation_shares/main.rs
@@ -33,6 +33,7 @@
         tier: 1,
         usual_slots,
         factor: 1.0,
+        urgent_ratio: 0.0,
         repeats: false,
     };
     let mut senders = vec![quiet; 14];
@@ -129,8 +130,7 @@
     }
 }
 
-// Guards against a loud organisation whose urgent requests push out the others' deferrable ones,
-// and against shares that go before the tier.
+// Guards against shares that go before the tier.
 #[test]
 fn shares_apply_within_a_tier() {
     for seed in seeds(0..3) {
@@ -150,6 +150,29 @@
     }
 }
 
+// Guards against deferrable requests that go before urgent ones, and against refusing the urgent
+// requests of all organisations alike.
+#[test]
+fn urgent_requests_go_first_and_are_divided_by_share() {
+    for seed in seeds(0..3) {
+        let mut senders = senders(0.75, 6.0);
+        for sender in &mut senders {
+            sender.urgent_ratio = 0.5;
+        }
+        senders[0].factor = 12.0;
+        senders[1].factor = 12.0;
+        let fleet = played(seed, WeightSource::Rates, Network::TWELVE, &senders);
+        let quiet = &fleet.served[LOUD.len()..];
+        let urgent = quiet.iter().map(|it| it.urgent).sum::<usize>();
+        let refused = quiet.iter().map(|it| it.urgent_refused).sum::<usize>();
+        let urgent_refused = ratio(refused as u64, urgent as u64);
+        assert!(
+            urgent_refused < MAX_QUIET_REFUSED && refused_ratio(quiet) > urgent_refused,
+            "seed {seed}: {urgent_refused} of the urgent requests refused"
+        );
+    }
+}
+
 // Guards against dividing the rest by who asks for more.
 #[test]
 fn organisations_above_their_share_divide_the_rest_by_weight() {
