--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -50,6 +50,7 @@
             Received::NewProcess(previous) => {
                 if let Some(previous) = previous {
                     self.quotas.forget_peer(previous);
+                    self.scheduler.forget_peer_shares(previous);
                 }
                 self.quotas
                     .record_peer_usage(incarnation, no_older, &quota_used);
--- a/crates/siskinyoke-dispatch/src/organisation_shares.rs
+++ b/crates/siskinyoke-dispatch/src/organisation_shares.rs
@@ -208,8 +208,8 @@
             return;
         }
         for rows in services {
-            let own = self.services.iter_mut();
-            if let Some((_, own)) = own.into_iter().find(|it| short_hash(it.0) == rows.service) {
+            let mut own = self.services.iter_mut();
+            if let Some((_, own)) = own.find(|it| short_hash(it.0) == rows.service) {
                 for tier in &rows.short_tiers {
                     own.record_peer_shortage(now, *tier);
                 }
@@ -222,6 +222,11 @@
         self.peers.insert(incarnation, rows);
     }
 
+    /// Forgets the rows of a peer's process that has been replaced.
+    pub fn forget_peer(&mut self, incarnation: u64) {
+        self.peers.remove(&incarnation);
+    }
+
     /// Drops what has decayed.
     pub fn prune(&mut self, now: Millis) {
         self.peers
--- a/crates/siskinyoke-dispatch/src/organisation_shares/fair_level.rs
+++ b/crates/siskinyoke-dispatch/src/organisation_shares/fair_level.rs
@@ -10,6 +10,14 @@
 }
 
 impl Claim {
+    /// Returns what organisations ask for together.
+    pub fn sum(claims: &[Self]) -> Self {
+        Self {
+            offered: claims.iter().map(|it| it.offered).sum(),
+            weight: claims.iter().map(|it| it.weight).sum(),
+        }
+    }
+
     /// Returns what it asks for per weight.
     pub fn per_weight(self) -> f64 {
         self.offered / self.weight
--- a/crates/siskinyoke-dispatch/src/organisation_shares/service_shares.rs
+++ b/crates/siskinyoke-dispatch/src/organisation_shares/service_shares.rs
@@ -53,6 +53,9 @@
 /// A tier and the hash of an organisation's name.
 pub type ShareKey = (u8, u32);
 
+// Used and offered slot time by organisation.
+type Totals = BTreeMap<ShareKey, (f64, f64)>;
+
 /// Slot time of one service by organisation, and the fair level of each tier.
 #[derive(Debug, Default)]
 pub struct ServiceShares {
@@ -122,47 +125,11 @@
         weight_of: impl Fn(u32) -> f64,
     ) {
         self.updated_at = Some(now);
-        self.prune(now);
-        let mut totals: BTreeMap<ShareKey, (f64, f64)> = BTreeMap::new();
-        for (key, usage) in &self.own {
-            let usage = usage.total.at(now);
-            totals.insert(*key, (usage.used, usage.offered));
-        }
         self.peer_count = f64::from(peer_count);
-        self.peers.clear();
-        for (age, row) in peer_rows.filter(|it| it.1.organisation != OTHER_ORGANISATIONS) {
-            // A peer that goes on as before uses as much as decays.
-            let factor = remaining_ratio(age.since(STEADY_TIME));
-            let used = f64::from(row.used) * factor;
-            let total = totals.entry((row.tier, row.organisation)).or_default();
-            total.0 += used;
-            total.1 += f64::from(row.offered) * factor;
-            *self.peers.entry((row.tier, row.organisation)).or_default() += used;
-        }
-        self.levels.clear();
-        let before = std::mem::take(&mut self.loud);
-        let here = self.short_until.keys();
-        let short: BTreeSet<u8> = here.chain(self.short_at_peers.keys()).copied().collect();
-        for tier in short {
-            let rows = totals.range((tier, 0)..=(tier, u32::MAX));
-            let claims = rows.clone().map(|(key, total)| Claim {
-                offered: total.1,
-                weight: weight_of(key.1),
-            });
-            let claims: Vec<_> = claims.collect();
-            let used = rows.clone().map(|row| row.1.0).sum();
-            let level = fair_level(used, claims.clone());
-            for ((key, _), claim) in rows.zip(&claims).filter(|row| is_loud(row.1, &claims)) {
-                let mut allotments = before.get(key).cloned().unwrap_or_default();
-                let own = self.own.get(key).cloned().unwrap_or_default();
-                for (priority, ratio) in own.ratios(now, level / claim.per_weight()) {
-                    allotments.entry(priority).or_default().set_ratio(ratio);
-                }
-                self.loud.insert(*key, allotments);
-            }
-            self.levels.insert(tier, level);
-        }
-        self.limit_debts(now, &totals, weight_of);
+        self.prune(now);
+        let totals = self.sum_usage(now, peer_rows);
+        self.update_levels(now, &totals, &weight_of);
+        self.limit_debts(now, &totals, &weight_of);
         let own = self.own.iter();
         self.own_before = own.map(|row| (*row.0, row.1.total.at(now).used)).collect();
     }
@@ -191,25 +158,6 @@
         }
     }
 
-    // Limits the use of organisations to what decays to their shares within `MAX_DEBT_TIME`.
-    fn limit_debts(
-        &mut self,
-        now: Millis,
-        totals: &BTreeMap<ShareKey, (f64, f64)>,
-        weight_of: impl Fn(u32) -> f64,
-    ) {
-        for (key, usage) in &mut self.own {
-            let (Some(level), Some((used, _))) = (self.levels.get(&key.0), totals.get(key)) else {
-                continue;
-            };
-            let share = level * weight_of(key.1);
-            let limit = share / remaining_ratio(MAX_DEBT_TIME);
-            if *used > limit {
-                usage.total.scale_used(now, limit / used);
-            }
-        }
-    }
-
     /// Returns whether an organisation asks for much more than the others of its tier while slots
     /// are short.
     pub fn is_loud(&self, key: ShareKey) -> bool {
@@ -243,8 +191,8 @@
         rows
     }
 
-    /// Returns the rows for a report: the organisations with the most use, and one row for the others of
-    /// each tier.
+    /// Returns the rows for a report: the organisations with the most use, and one row for the others
+    /// of each tier.
     pub fn rows(&self, now: Millis) -> Vec<ShareRow> {
         let top = self.top_users(now);
         let (listed, others) = top.split_at(top.len().min(MAX_REPORTED));
@@ -278,15 +226,80 @@
     pub fn is_empty(&self) -> bool {
         self.own.is_empty() && self.short_until.is_empty()
     }
+
+    // Returns the used and the offered slot time of each organisation, here and at peers.
+    fn sum_usage<'a>(
+        &mut self,
+        now: Millis,
+        peer_rows: impl Iterator<Item = (Millis, &'a ShareRow)>,
+    ) -> Totals {
+        let own = self.own.iter().map(|row| (*row.0, row.1.total.at(now)));
+        let mut totals: Totals = own.map(|it| (it.0, (it.1.used, it.1.offered))).collect();
+        self.peers.clear();
+        for (age, row) in peer_rows.filter(|it| it.1.organisation != OTHER_ORGANISATIONS) {
+            // A peer that goes on as before uses as much as decays.
+            let factor = remaining_ratio(age.since(STEADY_TIME));
+            let used = f64::from(row.used) * factor;
+            let total = totals.entry((row.tier, row.organisation)).or_default();
+            total.0 += used;
+            total.1 += f64::from(row.offered) * factor;
+            *self.peers.entry((row.tier, row.organisation)).or_default() += used;
+        }
+        totals
+    }
+
+    // Computes the fair level and the loud organisations of each tier for which slots are short.
+    fn update_levels(&mut self, now: Millis, totals: &Totals, weight_of: impl Fn(u32) -> f64) {
+        self.levels.clear();
+        let before = std::mem::take(&mut self.loud);
+        let here = self.short_until.keys();
+        let short: BTreeSet<u8> = here.chain(self.short_at_peers.keys()).copied().collect();
+        for tier in short {
+            let rows = totals.range((tier, 0)..=(tier, u32::MAX));
+            let claims = rows.clone().map(|(key, total)| Claim {
+                offered: total.1,
+                weight: weight_of(key.1),
+            });
+            let claims: Vec<_> = claims.collect();
+            let tier_claim = Claim::sum(&claims);
+            let used = rows.clone().map(|row| row.1.0).sum();
+            let level = fair_level(used, claims.clone());
+            self.levels.insert(tier, level);
+            for ((key, _), claim) in rows.zip(claims).filter(|row| is_loud(row.1, tier_claim)) {
+                let mut allotments = before.get(key).cloned().unwrap_or_default();
+                let own = self.own.get(key).cloned().unwrap_or_default();
+                for (priority, ratio) in own.ratios(now, level / claim.per_weight()) {
+                    allotments.entry(priority).or_default().set_ratio(ratio);
+                }
+                self.loud.insert(*key, allotments);
+            }
+        }
+    }
+
+    // Limits the use of organisations to what decays to their shares within `MAX_DEBT_TIME`.
+    fn limit_debts(&mut self, now: Millis, totals: &Totals, weight_of: impl Fn(u32) -> f64) {
+        for (key, usage) in &mut self.own {
+            let (Some(level), Some((used, _))) = (self.levels.get(&key.0), totals.get(key)) else {
+                continue;
+            };
+            let share = level * weight_of(key.1);
+            let limit = share / remaining_ratio(MAX_DEBT_TIME);
+            if *used > limit {
+                usage.total.scale_used(now, limit / used);
+            }
+        }
+    }
 }
 
-// Returns whether an organisation asks for much more per weight than the others together.
-fn is_loud(claim: &Claim, claims: &[Claim]) -> bool {
-    let offered: f64 = claims.iter().map(|it| it.offered).sum();
-    let weight: f64 = claims.iter().map(|it| it.weight).sum();
-    let others = (offered - claim.offered) / (weight - claim.weight);
+// Returns whether an organisation asks for much more per weight than the others of its tier
+// together.
+fn is_loud(claim: Claim, tier: Claim) -> bool {
+    let others = Claim {
+        offered: tier.offered - claim.offered,
+        weight: tier.weight - claim.weight,
+    };
     // A single organisation has no others, and the comparison with NaN fails.
-    claim.per_weight() > others * LOUD_RATIO
+    claim.per_weight() > others.per_weight() * LOUD_RATIO
 }
 
 #[expect(
--- a/crates/siskinyoke-dispatch/src/scheduled_request.rs
+++ b/crates/siskinyoke-dispatch/src/scheduled_request.rs
@@ -70,8 +70,8 @@
         let [tier, route_priority] = priority.0.to_be_bytes();
         Self {
             tier,
-            share_class,
             route_priority,
+            share_class,
             late,
         }
     }
@@ -105,8 +105,8 @@
         };
         Self {
             tier,
-            share_class,
             route_priority,
+            share_class,
             late: value & 1 != 0,
         }
     }
--- a/crates/siskinyoke-dispatch/src/scheduler/shares.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/shares.rs
@@ -33,6 +33,11 @@
         self.shares.receive(now, incarnation, services);
     }
 
+    /// Forgets the slot time reported by a peer's process that has been replaced.
+    pub(crate) fn forget_peer_shares(&mut self, incarnation: u64) {
+        self.shares.forget_peer(incarnation);
+    }
+
     /// Returns the slot time of organisations for the next report.
     pub(crate) fn share_rows(&mut self, now: Millis) -> Vec<ServiceShareRows> {
         self.shares.report_rows(now)
