--- a/crates/siskinyoke-dispatch/src/organisation_shares.rs
+++ b/crates/siskinyoke-dispatch/src/organisation_shares.rs
@@ -12,11 +12,11 @@
 mod allotment;
 pub mod fair_level;
 mod organisation_use;
-pub mod service_shares;
+mod service_shares;
 pub mod share_class;
 pub mod share_state;
 pub mod share_weights;
-pub mod usage;
+mod usage;
 
 use std::sync::Arc;
 
