Shares: one key for a request; the metrics page looks up no names

Read again: the tier and organisation of a request were put together in four places; each update copied the use of loud organisations only to read it; the metrics page searched the names of up to 16 organisations a service to count them. Behaviour stays. Linter, names, and the tests of shares, scheduler, links, settings and messages pass.

--- a/crates/siskinyoke-dispatch/src/core/shares.rs
+++ b/crates/siskinyoke-dispatch/src/core/shares.rs
@@ -47,6 +47,12 @@
             .collect()
     }
 
+    /// Returns how many of these organisations exceed their shares.
+    pub fn above_share_count(&self, now: Millis) -> usize {
+        let top = self.scheduler.shares().top_users(now, MAX_LISTED);
+        top.iter().filter(|row| row.2.above_share).count()
+    }
+
     fn organisation_name(&self, hash: u32) -> Option<Arc<str>> {
         let organisations = self.configuration.as_ref()?.organisations();
         let found = organisations.iter().find(|it| short_hash(&it.name) == hash);
--- a/crates/siskinyoke-dispatch/src/organisation_shares.rs
+++ b/crates/siskinyoke-dispatch/src/organisation_shares.rs
@@ -128,11 +128,10 @@
 
     /// Returns the class of a new request that takes this slot time.
     pub fn classify(&mut self, now: Millis, request: &ScheduledRequest, time: f64) -> ShareClass {
-        let Some(organisation) = request.organisation else {
+        let Some(key) = share_key(request) else {
             return ShareClass::Within;
         };
-        let weight = self.weights.of(organisation);
-        let key = (request.priority.tier(), organisation);
+        let weight = self.weights.of(key.1);
         let service = self.services.get_mut(&request.service);
         service.map_or(ShareClass::Within, |it| {
             it.classify(now, key, request.priority.route(), weight, time)
@@ -142,11 +141,9 @@
     /// Returns whether the organisation of a request asks for much more than the others of its tier
     /// while slots are short.
     pub fn is_loud(&self, request: &ScheduledRequest) -> bool {
-        let Some(organisation) = request.organisation else {
-            return false;
-        };
         let service = self.services.get(&request.service);
-        service.is_some_and(|it| it.is_loud((request.priority.tier(), organisation)))
+        let loud = share_key(request).zip(service);
+        loud.is_some_and(|(key, service)| service.is_loud(key))
     }
 
     /// Returns an organisation's use of a service and its share, or `None` while slots are not
@@ -238,7 +235,7 @@
     }
 
     fn add(&mut self, now: Millis, request: &ScheduledRequest, used: f64, offered: f64) {
-        let Some(organisation) = request.organisation else {
+        let Some(key) = share_key(request) else {
             return;
         };
         if self.source == WeightSource::Off {
@@ -249,9 +246,12 @@
             self.services.insert(request.service.clone(), service);
         }
         if let Some(service) = self.services.get_mut(&request.service) {
-            let priority = request.priority;
-            let key = (priority.tier(), organisation);
-            service.add(now, key, priority.route(), used, offered);
+            service.add(now, key, request.priority.route(), used, offered);
         }
     }
 }
+
+// Returns the tier and the organisation in which a request counts, if that is known.
+fn share_key(request: &ScheduledRequest) -> Option<ShareKey> {
+    Some((request.priority.tier(), request.organisation?))
+}
--- a/crates/siskinyoke-dispatch/src/organisation_shares/service_shares.rs
+++ b/crates/siskinyoke-dispatch/src/organisation_shares/service_shares.rs
@@ -267,9 +267,10 @@
             self.levels.insert(tier, level);
             for ((key, _), claim) in rows.zip(claims).filter(|row| is_loud(row.1, tier_claim)) {
                 let mut allotments = before.get(key).cloned().unwrap_or_default();
-                let own = self.own.get(key).cloned().unwrap_or_default();
-                for (priority, ratio) in own.ratios(now, level / claim.per_weight()) {
-                    allotments.entry(priority).or_default().set_ratio(ratio);
+                if let Some(own) = self.own.get(key) {
+                    for (priority, ratio) in own.ratios(now, level / claim.per_weight()) {
+                        allotments.entry(priority).or_default().set_ratio(ratio);
+                    }
                 }
                 self.loud.insert(*key, allotments);
             }
--- a/crates/siskinyoke-gateway/src/admin.rs
+++ b/crates/siskinyoke-gateway/src/admin.rs
@@ -107,8 +107,7 @@
     shell
         .metrics
         .set_state("stream_records", to_f64(core.stream_count()));
-    let listings = core.share_listings(shell.now());
-    let above = listings.iter().filter(|it| it.state.above_share).count();
+    let above = core.above_share_count(shell.now());
     shell
         .metrics
         .set_state("organisations_above_share", to_f64(above));
