--- a/crates/siskinyoke-cli/src/shares.rs
+++ b/crates/siskinyoke-cli/src/shares.rs
@@ -54,16 +54,16 @@
                 failures.join("; ")
             ));
         }
-        let mut text = if context.json {
+        let text = if context.json {
             serde_json::to_string(&rows).map_err(|err| err.to_string())?
         } else {
             format(&rows)
         };
+        write_text(out, &text).map_err(|err| err.to_string())?;
+        // Not in the output, which may be JSON.
         for failure in failures {
-            text.push_str(&failure);
-            text.push('\n');
+            eprintln!("{failure}");
         }
-        write_text(out, &text).map_err(|err| err.to_string())?;
         Ok(OutcomeKind::Done)
     }
 }
