A relay drops a connection with a response to another request; such a response is no crash

Cause: an endpoint may send a second response to a request. A relay passed it on as the response to the next request and used the connection again, so each further request got the response before it. The sender noticed by the ID, counted a crash of the endpoint under the request, and failed if its second attempt met such a connection too or the retry budget was used up. Load alone did not bring the failure about.

A relay now classifies responses as the sender does, drops the connection and states the mismatch; to earlier versions it is a lost connection. The outcome mismatched is a failure and not a crash, so it puts no content in quarantine. A connection is reused only after 2 ms, and a duplicate that arrives before that closes it.

a_relay_does_not_reuse_a_connection_with_a_response_to_another_request failed before with the 502 of the report and passes. SOAK_LOGS names a directory in which a soak keeps its instances' logs.

--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -58,7 +58,9 @@
     pub fn record_outcome(&mut self, now: Millis, outcome: Outcome) {
         match outcome {
             Outcome::Completed { .. } => self.record_success(),
-            Outcome::Failed => self.failure_ratio += (1.0 - self.failure_ratio) * SMOOTHING_RATIO,
+            Outcome::Failed | Outcome::Mismatched => {
+                self.failure_ratio += (1.0 - self.failure_ratio) * SMOOTHING_RATIO
+            }
             Outcome::Full => self.back_off_until(now + FULL_BACKOFF),
             Outcome::Misdirected => self.back_off_until(now + MISDIRECTED_BACKOFF),
             Outcome::ConnectFailed | Outcome::Stalled => self.record_unresponsive(now),
--- a/crates/siskinyoke-dispatch/src/outcome.rs
+++ b/crates/siskinyoke-dispatch/src/outcome.rs
@@ -28,6 +28,8 @@
     RelayFailed,
     /// The connection broke after data was sent; the request may have run.
     ConnectionLost,
+    /// The response was to another request, such as a late duplicate; the request may have run.
+    Mismatched,
     /// The connection broke on the way to the endpoint: at a relay, or on a link that is lost; the
     /// request may have run.
     LinkLost,
--- a/crates/siskinyoke-dispatch/src/scheduler/rejection_limits.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/rejection_limits.rs
@@ -78,7 +78,11 @@
     pub(super) fn linger(&mut self, now: Millis, key: EndpointKey, outcome: Outcome) -> bool {
         let given_up = matches!(
             outcome,
-            Outcome::Cancelled | Outcome::Stalled | Outcome::ConnectionLost | Outcome::LinkLost
+            Outcome::Cancelled
+                | Outcome::Stalled
+                | Outcome::ConnectionLost
+                | Outcome::Mismatched
+                | Outcome::LinkLost
         );
         let lingers = given_up && self.rejection_limits.is_limited(key);
         if lingers {
--- a/crates/siskinyoke-gateway/src/endpoint_client.rs
+++ b/crates/siskinyoke-gateway/src/endpoint_client.rs
@@ -33,6 +33,8 @@
     RelayFailed,
     /// The connection to the endpoint broke after data was sent; the request may have run.
     ConnectionLost,
+    /// The response was to another request; the request may have run.
+    Mismatched,
     /// The connection broke on the way to the endpoint; the request may have run.
     LinkLost,
 }
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -197,6 +197,7 @@
                 self.maybe_executed = executed_before;
                 return AttemptEnd::Retry(Outcome::RelayFailed);
             }
+            Reply::Mismatched => return AttemptEnd::Retry(Outcome::Mismatched),
             Reply::LinkLost => return AttemptEnd::Retry(Outcome::LinkLost),
             Reply::ConnectionLost => return AttemptEnd::Retry(Outcome::ConnectionLost),
         };
@@ -213,7 +214,7 @@
         };
         announcements::record(&shell, endpoint, start, class, &response);
         match class {
-            ResponseClass::Mismatched => AttemptEnd::Retry(Outcome::ConnectionLost),
+            ResponseClass::Mismatched => AttemptEnd::Retry(Outcome::Mismatched),
             ResponseClass::Rejected | ResponseClass::Misdirected => {
                 self.maybe_executed = executed_before;
                 self.shell.pool.drain_body(response, connection);
--- a/crates/siskinyoke-gateway/src/permit.rs
+++ b/crates/siskinyoke-gateway/src/permit.rs
@@ -99,6 +99,7 @@
         Outcome::ConnectFailed => "unreached",
         Outcome::RelayFailed => "unrelayed",
         Outcome::ConnectionLost => "broken",
+        Outcome::Mismatched => "mismatched",
         Outcome::LinkLost => "link_lost",
         Outcome::Stalled => "silent",
         Outcome::Cancelled => "left",
--- a/crates/siskinyoke-gateway/src/pool.rs
+++ b/crates/siskinyoke-gateway/src/pool.rs
@@ -29,6 +29,12 @@
 /// Keep-alive timeout assumed for endpoints that send none.
 const DEFAULT_KEEP_ALIVE: Millis = Millis(4_000);
 
+/// How long a connection must have been idle before it is reused.
+///
+/// A duplicate of the response that has just ended would be taken for the response to the next
+/// request. One that follows within this time closes the connection instead.
+const MIN_IDLE_TIME: Millis = Millis(2);
+
 /// Time within which a connection must be ready for reuse after a response.
 const REUSE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -56,10 +62,18 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
+    idle_since: Millis,
     expires_at: Millis,
 }
 
-/// Idle connections to endpoints and relays, reused in last-in, first-out order.
+impl IdleConnection {
+    fn is_usable(&self, now: Millis) -> bool {
+        now < self.expires_at && self.connection.is_ready()
+    }
+}
+
+/// Idle connections to endpoints and relays. Of those that have been idle for long enough, the one
+/// that was used last is reused.
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<Map<PoolKey, Vec<IdleConnection>>>,
@@ -71,16 +85,12 @@
         let now = BootClock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&key)?;
-        while let Some(IdleConnection {
-            connection,
-            expires_at,
-        }) = connections.pop()
-        {
-            if now < expires_at && connection.is_ready() {
-                return Some(PooledConnection { connection, key });
-            }
-        }
-        None
+        connections.retain(|it| it.is_usable(now));
+        let index = connections
+            .iter()
+            .rposition(|it| now.since(it.idle_since) >= MIN_IDLE_TIME)?;
+        let connection = connections.remove(index).connection;
+        Some(PooledConnection { connection, key })
     }
 
     /// Drops connections that are expired or closed.
@@ -88,7 +98,7 @@
         let now = BootClock.now();
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
-            connections.retain(|it| now < it.expires_at && it.connection.is_ready());
+            connections.retain(|it| it.is_usable(now));
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
@@ -145,6 +155,7 @@
             .or_default()
             .push(IdleConnection {
                 connection,
+                idle_since: BootClock.now(),
                 expires_at,
             });
     }
--- a/crates/siskinyoke-gateway/src/relay.rs
+++ b/crates/siskinyoke-gateway/src/relay.rs
@@ -22,6 +22,7 @@
 use crate::event_log::EventLog;
 use crate::pool::Pool;
 use siskinyoke_dispatch::Core;
+use siskinyoke_interface::Exchange;
 
 pub use self::body::RelayedBody;
 pub use self::error::LinkLostError;
@@ -37,10 +38,17 @@
 /// Relays of earlier versions state nothing, and mark the end of every response themselves.
 pub const FRAMING_HEADER: HeaderName = HeaderName::from_static("siskinyoke-relay-framing");
 
+/// Set by a relay with the status of a lost connection if the endpoint's response was to another
+/// request.
+///
+/// To earlier versions, the connection is lost.
+pub const MISMATCH_HEADER: HeaderName = HeaderName::from_static("siskinyoke-relay-mismatch");
+
 /// Sends requests through peers, and relays those of peers.
 #[derive(Debug)]
 pub struct Relay {
     core: Rc<RefCell<Core>>,
+    exchange: Rc<dyn Exchange>,
     pool: Rc<Pool>,
     client: Rc<EndpointClient>,
     log: EventLog,
@@ -56,6 +64,7 @@
     /// Creates the relay of an instance.
     pub fn new(
         core: Rc<RefCell<Core>>,
+        exchange: Rc<dyn Exchange>,
         pool: Rc<Pool>,
         client: Rc<EndpointClient>,
         log: EventLog,
@@ -63,6 +72,7 @@
     ) -> Self {
         Self {
             core,
+            exchange,
             pool,
             client,
             log,
--- a/crates/siskinyoke-gateway/src/relay/client.rs
+++ b/crates/siskinyoke-gateway/src/relay/client.rs
@@ -18,6 +18,7 @@
 
 use super::ENDPOINT_HEADER;
 use super::FRAMING_HEADER;
+use super::MISMATCH_HEADER;
 use super::Relay;
 use super::STATUS_HEADER;
 use super::status::RelayStatus;
@@ -127,8 +128,10 @@
             }
             return Ok(Reply::Head(response, connection));
         }
+        let is_mismatched = response.headers().contains_key(MISMATCH_HEADER);
         self.pool.drain_body(response, connection);
         match status {
+            Some(RelayStatus::ConnectionLost) if is_mismatched => Ok(Reply::Mismatched),
             Some(RelayStatus::ConnectionLost) => Ok(Reply::ConnectionLost),
             Some(status) => Err(status),
             // An instance of a version that relays nothing.
--- a/crates/siskinyoke-gateway/src/relay/server.rs
+++ b/crates/siskinyoke-gateway/src/relay/server.rs
@@ -9,6 +9,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -20,6 +21,7 @@
 
 use super::ENDPOINT_HEADER;
 use super::FRAMING_HEADER;
+use super::MISMATCH_HEADER;
 use super::Relay;
 use super::STATUS_HEADER;
 use super::body::Counted;
@@ -36,6 +38,7 @@
 use siskinyoke_base::Clock;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::EndpointKey;
+use siskinyoke_interface::ResponseClass;
 use siskinyoke_interface::headers::end_to_end;
 
 /// Maximum number of requests relayed at a time.
@@ -75,7 +78,9 @@
         };
         let in_flight = Counted::new(&self.in_flight, 1);
         let held_bytes = Counted::new(&self.held_bytes, body_size);
-        let Some(request) = read(request, body_size).await else {
+        let (parts, body) = request.into_parts();
+        let id = self.exchange.request_id(&parts).map(str::to_owned);
+        let Some(request) = read(parts, body, body_size).await else {
             return Ok(self.refuse(peer, "body"));
         };
         let sent_at = BootClock.now();
@@ -88,9 +93,12 @@
         match reply {
             Reply::Head(response, connection) => {
                 self.core.borrow_mut().record_response(now, &endpoint);
+                if self.is_mismatched(&response, id.as_deref()) {
+                    return Ok(self.state_mismatch(&endpoint, id));
+                }
                 Ok(self.relayed(response, connection, in_flight))
             }
-            Reply::ConnectionLost | Reply::LinkLost => {
+            Reply::ConnectionLost | Reply::LinkLost | Reply::Mismatched => {
                 self.core
                     .borrow_mut()
                     .record_no_response(now, &endpoint, sent_at);
@@ -121,6 +129,23 @@
         Ok(status_only(RelayStatus::ConnectionLost))
     }
 
+    // Returns whether a response is to another request than the one with this ID. Its connection must
+    // not be used again, as it would answer each further request with the response before.
+    fn is_mismatched(&self, response: &Response<Incoming>, id: Option<&str>) -> bool {
+        let (status, headers) = (response.status(), response.headers());
+        let class = self.exchange.classify_response(status, headers, id);
+        class == ResponseClass::Mismatched
+    }
+
+    fn state_mismatch(&self, endpoint: &Endpoint, id: Option<String>) -> Response<ResponseBody> {
+        let fields = json!({ "endpoint": &*endpoint.id, "id": id });
+        self.log.log("relay_mismatched", fields);
+        let mut response = status_only(RelayStatus::ConnectionLost);
+        let value = HeaderValue::from_static("1");
+        response.headers_mut().insert(MISMATCH_HEADER, value);
+        response
+    }
+
     // Returns the endpoint and the size of the body of a request that is relayed, or why it is not.
     fn admit(
         &self,
@@ -189,8 +214,7 @@
 }
 
 // Reads a request and returns it as it is sent to the endpoint, or `None` if its sender is gone.
-async fn read(request: Request<Incoming>, body_size: usize) -> Option<OutgoingRequest> {
-    let (parts, body) = request.into_parts();
+async fn read(parts: Parts, body: Incoming, body_size: usize) -> Option<OutgoingRequest> {
     let body: Bytes = Limited::new(body, body_size)
         .collect()
         .await
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -185,6 +185,7 @@
         let client = Rc::new(client);
         let relay = Relay::new(
             core.clone(),
+            interface.exchange.clone(),
             pool.clone(),
             client.clone(),
             event_log.clone(),
--- a/crates/siskinyoke-gateway/tests/cut_links/main.rs
+++ b/crates/siskinyoke-gateway/tests/cut_links/main.rs
@@ -337,3 +337,18 @@
     assert_eq!(fleet.arrivals("r"), 0);
     assert_eq!(state(&fleet.instances[1], "relayed"), 0);
 }
+
+// An endpoint repeats a response on its connection as the next request arrives. Guards against a
+// relay that uses the connection again, so that each further request gets the response before it.
+#[test]
+fn a_relay_does_not_reuse_a_connection_with_a_response_to_another_request() {
+    let fleet = Fleet::start(2);
+    fleet.lose_links(0..1);
+    for number in 0..REQUEST_COUNT {
+        assert_eq!(fleet.call(&format!("d{number}"), "/once/duplicate"), None);
+        thread::sleep(Duration::from_millis(10));
+        fleet.call(&format!("x{number}"), "/once/a");
+        thread::sleep(Duration::from_millis(10));
+        assert_eq!(fleet.call(&format!("y{number}"), "/once/a"), None);
+    }
+}
--- a/crates/siskinyoke-interface/src/lib.rs
+++ b/crates/siskinyoke-interface/src/lib.rs
@@ -4,6 +4,8 @@
 //! the store. It makes no scheduling or routing decisions. The runtime uses exactly one interface
 //! and contains no protocol names of its own.
 
+use std::rc::Rc;
+
 pub mod directory;
 pub mod documents;
 pub mod error;
@@ -32,7 +34,7 @@
 #[derive(Debug)]
 pub struct Interface {
     /// Heads of requests and responses.
-    pub exchange: Box<dyn Exchange>,
+    pub exchange: Rc<dyn Exchange>,
     /// Calls to the store.
     pub store: Box<dyn Store>,
     /// Documents in the store.
--- a/crates/siskinyoke-native/src/lib.rs
+++ b/crates/siskinyoke-native/src/lib.rs
@@ -10,12 +10,14 @@
 pub mod names;
 pub mod rollout;
 
+use std::rc::Rc;
+
 use siskinyoke_interface::Interface;
 
 /// Returns the native interface.
 pub fn interface() -> Interface {
     Interface {
-        exchange: Box::new(exchange::NativeExchange),
+        exchange: Rc::new(exchange::NativeExchange),
         store: Box::new(etcd::Etcd),
         documents: Box::new(documents::NativeDocuments),
         directory: Box::new(directory::NativeDirectory),
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -221,7 +221,11 @@
     fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut out = stream;
+        let mut duplicate: Option<Vec<u8>> = None;
         while let Some(mut request) = read_head(&mut reader)? {
+            if let Some(duplicate) = duplicate.take() {
+                out.write_all(&duplicate)?;
+            }
             let responds_early = request.line_contains("early");
             if responds_early {
                 out.write_all(&self.encode_response(&request, "early"))?;
@@ -264,6 +268,9 @@
             } else if !responds_early && !self.respond(&request, &mut out)? {
                 return Ok(());
             }
+            if request.line_contains("duplicate") {
+                duplicate = Some(self.encode_response(&request, "duplicate"));
+            }
         }
         Ok(())
     }
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -1,6 +1,7 @@
 //! A gateway process, and calls to it.
 
 use std::fs;
+use std::fs::File;
 use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
@@ -315,13 +316,23 @@
 
 fn spawn(program: &Path, settings: &Path) -> Child {
     let mut command = Command::new(program);
-    command
-        .arg("--settings")
-        .arg(settings)
-        .stdout(Stdio::piped());
+    command.arg("--settings").arg(settings).stdout(log_output(settings));
     command.spawn().unwrap()
 }
 
+// Returns where an instance writes its log: to a file in the directory that `SOAK_LOGS` names, which
+// keeps what earlier processes with the same settings wrote, or to a pipe.
+fn log_output(settings: &Path) -> Stdio {
+    let Some(directory) = std::env::var_os("SOAK_LOGS") else {
+        return Stdio::piped();
+    };
+    fs::create_dir_all(&directory).unwrap();
+    let name = settings.with_extension("log");
+    let path = Path::new(&directory).join(name.file_name().unwrap());
+    let file = File::options().create(true).append(true).open(path);
+    file.unwrap().into()
+}
+
 // Returns the addresses of a new instance. Each instance has its own loopback IP address, so that
 // the fixed ports do not collide, also with those of other test processes.
 fn unique_addresses() -> [SocketAddr; 5] {
