Rollouts compare the responses of all instances by second of the order's time

One cause: each instance weighted its stable responses by the seconds of its own canary responses and reported the ratio as if it followed from all of them; it followed from one to six.

Instances now report counts by second and add up those of their shard. Each hypothesis is given the stable ratio that explains the responses of both versions best. Odds are taken against all stable responses since their ratio last changed and against those of the same second only; both must pass. Sums start anew at even odds, so good responses of the past do not hide a version that turns bad; nothing decays. Reports of earlier versions are read; their counts are not used, as they name no time.

--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -6,7 +6,6 @@
 use crate::Report;
 use crate::core::Core;
 use crate::peers::Received;
-use crate::report::CanaryReport;
 use crate::report::InstanceInfo;
 use siskinyoke_base::Millis;
 
@@ -123,14 +122,10 @@
             relay: Some(self.relay_report()),
             rejection_limits: self.scheduler.rejection_limits().report_rows(now, since),
             shares: self.scheduler.share_rows(now),
+            canary_slices: self.canary_slices(now),
         }
     }
 
-    fn canary_reports(&self, now: Millis) -> Vec<CanaryReport> {
-        let rollouts = self.registry.rollouts().filter(|it| it.has_report());
-        rollouts.map(|it| it.canary_report(now)).collect()
-    }
-
     pub(super) fn instance_info(&self, now: Millis) -> InstanceInfo {
         InstanceInfo {
             name: self.identity.name.clone(),
--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -9,11 +9,14 @@
 use crate::core::Core;
 use crate::core::routing::unit_fraction;
 use crate::latency_model::LatencyModel;
+use crate::report::CanaryReport;
+use crate::report::CanarySlices;
 use crate::report::short_hash;
 use crate::report::short_revision;
 use crate::rollout::Order;
 use crate::rollout::Phase;
 use crate::rollout::ResponseSample;
+use crate::rollout::Rollout;
 use crate::rollout::State;
 use crate::stable_hash;
 use siskinyoke_base::Millis;
@@ -94,16 +97,34 @@
         self.registry.apply_order(now, order, unit_fraction(hash));
     }
 
-    // Handles the canary reports of a peer. Samples of other shards are not counted, but the state
-    // that they report of a rollout applies to all shards.
+    // Handles the canary reports of a peer. Responses counted in other shards are left out, but the
+    // state that they report of a rollout applies to all shards.
     pub(super) fn receive_canary_reports(&mut self, now: Millis, report: &Report, in_shard: bool) {
         for canary in &report.canaries {
-            let mut rollouts = self.registry.rollouts_mut();
-            let rollout = rollouts.find(|it| short_hash(&it.order().service) == canary.service);
-            if let Some(rollout) = rollout {
-                rollout.record_report(now, report.incarnation, canary, in_shard);
+            if let Some(rollout) = self.rollout_by_hash(canary.service) {
+                rollout.record_report(now, canary);
             }
         }
+        for slices in report.canary_slices.iter().filter(|_| in_shard) {
+            if let Some(rollout) = self.rollout_by_hash(slices.service) {
+                rollout.record_slices(now, report.incarnation, slices);
+            }
+        }
+    }
+
+    pub(super) fn canary_reports(&self, now: Millis) -> Vec<CanaryReport> {
+        let rollouts = self.registry.rollouts().filter(|it| it.has_report());
+        rollouts.map(|it| it.canary_report(now)).collect()
+    }
+
+    pub(super) fn canary_slices(&self, now: Millis) -> Vec<CanarySlices> {
+        let rollouts = self.registry.rollouts().filter(|it| it.is_comparing());
+        rollouts.map(|it| it.canary_slices(now)).collect()
+    }
+
+    fn rollout_by_hash(&mut self, service: u32) -> Option<&mut Rollout> {
+        let mut rollouts = self.registry.rollouts_mut();
+        rollouts.find(|it| short_hash(&it.order().service) == service)
     }
 
     // Records a response as a sample while the versions of its service are compared.
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -60,6 +60,9 @@
     /// Slot time of organisations at the services whose slots are short, several times a second.
     /// Reports of earlier versions end before it.
     pub shares: Vec<ServiceShareRows>,
+    /// Responses of the versions under canary evaluation. Reports of earlier versions end before
+    /// it.
+    pub canary_slices: Vec<CanarySlices>,
 }
 
 impl Report {
@@ -189,7 +192,7 @@
     pub offered: u32,
 }
 
-/// One instance's results of a version under canary evaluation.
+/// What one instance knows of a version under canary evaluation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CanaryReport {
     /// The hash of the service's name.
@@ -201,26 +204,50 @@
     /// Whether the version failed the evaluation.
     #[serde(rename = "condemned")]
     pub failed: bool,
-    /// Response counts by route.
+    /// Response counts of earlier versions, which are not used, as they name no time.
     pub samples: Vec<CanaryRow>,
 }
 
-/// Response counts of both versions on one route, as pairs of all and bad responses.
-///
-/// Counts decay with age and are given in sixteenths of a response.
+/// Response counts of both versions on one route, as reported by earlier versions.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CanaryRow {
     /// The hash of the route's name.
     pub route: u32,
-    /// Counts of the new version.
+    /// All and bad responses of the new version, in sixteenths.
     pub new: (u16, u16),
-    /// Counts of the stable version.
+    /// All and bad responses of the stable version, in sixteenths.
     #[serde(rename = "standing")]
     pub stable: (u16, u16),
     /// Short keys of some endpoints of the new version that gave bad responses.
     pub endpoints: Vec<u32>,
 }
 
+/// The responses of both versions of a service that one instance has counted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CanarySlices {
+    /// The hash of the service's name.
+    pub service: u32,
+    /// The short form of the store revision of the rollout order; see [`short_revision`].
+    pub order: u64,
+    /// The counts of the latest slices of time.
+    pub rows: Vec<CanarySlice>,
+}
+
+/// The responses of both versions in one slice of time, on one route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CanarySlice {
+    /// The number of the slice since the order was placed, in seconds.
+    pub number: u32,
+    /// The hash of the route's name.
+    pub route: u32,
+    /// All and bad responses of the new version.
+    pub new: (u16, u16),
+    /// All and bad responses of the stable version.
+    pub stable: (u16, u16),
+    /// Short keys of some endpoints of the new version that gave bad responses.
+    pub endpoints: Vec<u32>,
+}
+
 /// Returns the number that stands for a revision in reports: its own number in the first era, as
 /// earlier versions send it, and a hash in later ones.
 pub fn short_revision(revision: Revision) -> u64 {
--- a/crates/siskinyoke-dispatch/src/rollout.rs
+++ b/crates/siskinyoke-dispatch/src/rollout.rs
@@ -13,7 +13,9 @@
 
 mod analysis;
 mod order;
-mod route_tally;
+mod response_sample;
+mod response_tally;
+mod slice_counts;
 mod status;
 
 use std::sync::Arc;
@@ -22,15 +24,15 @@
 use crate::latency_model::millis_from_f64;
 use crate::latency_model::millis_to_f64;
 use crate::report::CanaryReport;
+use crate::report::CanarySlices;
 use crate::report::short_hash;
 use crate::report::short_revision;
-use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 use siskinyoke_base::Revision;
 
-pub use self::analysis::ResponseSample;
-pub use self::analysis::ResponseTally;
 pub use self::order::Order;
+pub use self::response_sample::ResponseSample;
+pub use self::response_tally::ResponseTally;
 pub use self::status::State;
 pub use self::status::Status;
 
@@ -73,9 +75,11 @@
 /// operators chose to start them.
 const SETTLE_TIME: Millis = Millis::from_secs(20);
 
-/// How long a peer's counts are used after its last report. They decay at the peer, which shows
-/// only as long as its reports arrive.
-const PEER_REPORT_TTL: Millis = Millis(1_000);
+/// The length of the slices of time in which responses of both versions are compared.
+///
+/// A slowdown that affects both versions begins within one slice, and a slice holds several
+/// responses of the stable version on a route under load.
+const SLICE_LENGTH: Millis = Millis::from_secs(1);
 
 /// The delay between the shards whose instances may write a status, in order of their numbers.
 const WRITE_STAGGER: Millis = Millis(250);
@@ -154,8 +158,6 @@
     // Requests that may be sent to the new version, including fractions.
     canary_credit: f64,
     tally: ResponseTally,
-    // Latest report of each peer process, and when it arrived.
-    peer_reports: Map<u64, (Millis, CanaryReport)>,
     phase: Phase,
 }
 
@@ -189,7 +191,6 @@
             decided_at: None,
             canary_credit: initial_credit,
             tally: ResponseTally::default(),
-            peer_reports: Map::default(),
             phase: Phase::Trial,
         }
     }
@@ -273,23 +274,24 @@
         self.withdrawn = true;
     }
 
-    /// Records a peer's report; its response counts are used only if it is of the same shard.
-    pub fn record_report(
-        &mut self,
-        now: Millis,
-        incarnation: u64,
-        report: &CanaryReport,
-        same_shard: bool,
-    ) {
+    /// Records what a peer knows of the rollout.
+    pub fn record_report(&mut self, now: Millis, report: &CanaryReport) {
         if report.order != short_revision(self.order.revision) {
             return;
         }
         // The peer that has known the order for the longest time is closest to when it was placed.
         self.placed_at = self.placed_at.min(now.since(Millis(report.age)));
         self.failed |= report.failed;
-        if same_shard {
-            self.peer_reports.insert(incarnation, (now, report.clone()));
-            self.evaluate(now);
+    }
+
+    /// Records the responses that a peer of the same shard has counted.
+    pub fn record_slices(&mut self, now: Millis, incarnation: u64, slices: &CanarySlices) {
+        if slices.order != short_revision(self.order.revision) || !self.is_comparing() {
+            return;
+        }
+        let current = self.slice_number(now);
+        if self.tally.receive(current, incarnation, &slices.rows) {
+            self.evaluate();
         }
     }
 
@@ -300,11 +302,16 @@
             order: short_revision(self.order.revision),
             age: now.since(self.placed_at).0,
             failed: self.failed,
-            samples: if self.is_comparing() {
-                self.tally.rows(now)
-            } else {
-                Vec::new()
-            },
+            samples: Vec::new(),
+        }
+    }
+
+    /// Returns the responses that this instance has counted, for peers of the same shard.
+    pub fn canary_slices(&self, now: Millis) -> CanarySlices {
+        CanarySlices {
+            service: short_hash(&self.order.service),
+            order: short_revision(self.order.revision),
+            rows: self.tally.rows(self.slice_number(now)),
         }
     }
 
@@ -322,9 +329,8 @@
         if !matches!(self.phase, Phase::Trial | Phase::Ramp) || self.slots[0] == 0 {
             return false;
         }
-        self.canary_credit = (self.canary_credit
-            + self.new_version_share(now, max_exposure * CANARY_EXPOSURE_RATIO))
-        .min(2.0);
+        let share = self.new_version_share(now, max_exposure * CANARY_EXPOSURE_RATIO);
+        self.canary_credit = (self.canary_credit + share).min(2.0);
         if self.canary_credit < 1.0 {
             return false;
         }
@@ -339,9 +345,12 @@
 
     /// Records a response.
     pub fn record_response(&mut self, now: Millis, sample: ResponseSample) {
-        if self.is_comparing() {
-            self.tally.add(now, sample);
-            self.evaluate(now);
+        if !self.is_comparing() {
+            return;
+        }
+        self.tally.add(self.slice_number(now), sample);
+        if sample.new && sample.bad {
+            self.evaluate();
         }
     }
 
@@ -477,15 +486,16 @@
         millis_from_f64(millis_to_f64(self.order.duration) * ratio)
     }
 
-    fn evaluate(&mut self, now: Millis) {
-        if self.failed || !self.stable_seen || !self.is_comparing() || self.is_decided() {
-            return;
+    // Returns the number of the current slice of time. The instances of a shard agree on it, as they
+    // agree on when the order was placed.
+    fn slice_number(&self, now: Millis) -> u32 {
+        u32::try_from(now.since(self.placed_at).0 / SLICE_LENGTH.0).unwrap_or(u32::MAX)
+    }
+
+    fn evaluate(&mut self) {
+        if !self.failed && self.stable_seen && self.is_comparing() && !self.is_decided() {
+            self.failed = self.tally.is_worse();
         }
-        let own = self.tally.rows(now);
-        let reports = self.peer_reports.values();
-        let reports = reports.filter(|it| now.since(it.0) <= PEER_REPORT_TTL);
-        let reports = reports.flat_map(|it| &it.1.samples);
-        self.failed = analysis::is_worse(own.iter().chain(reports));
     }
 }
 
--- a/crates/siskinyoke-dispatch/src/rollout/analysis.rs
+++ b/crates/siskinyoke-dispatch/src/rollout/analysis.rs
@@ -1,21 +1,28 @@
 //! Canary analysis: whether the new version is worse than the stable one.
 //!
 //! A sequential likelihood-ratio test compares the ratios of bad responses of both versions, in the
-//! same seconds and on the same route. Faults, slow data centres and long prompts that affect both
-//! versions therefore do not fail the new one.
+//! same slices of time and on the same route. Faults, slow data centres and long prompts that
+//! affect both versions therefore do not fail the new one.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use super::route_tally::RouteTally;
-use crate::report::CanaryRow;
-use siskinyoke_base::Millis;
+use super::slice_counts::Counts;
+use super::slice_counts::SliceCounts;
 
-/// The minimum share of its otherwise good responses that a bad version turns bad.
-const MIN_EXCESS_RATIO: f64 = 0.15;
+/// The shares of its otherwise good responses that a bad version turns bad, from the minimum on.
+///
+/// Each is a hypothesis of its own, as responses that nearly all fail are unlikely with a low share.
+const EXCESS_RATIOS: [f64; 3] = [0.15, 0.4, 0.8];
+
+/// The range of the ratio of bad responses that is assumed for the stable version.
+const STABLE_BAD_RATIOS: [f64; 2] = [0.02, 0.9];
 
-/// The minimum ratio of bad responses that is assumed for the stable version.
-const MIN_STABLE_BAD_RATIO: f64 = 0.02;
+/// By how much the logarithm of the likelihood of the stable version's responses rises if their
+/// ratio of bad ones is taken to have changed, from which it counts as changed.
+const MIN_CHANGE_EVIDENCE: f64 = 2.0;
+
+/// The number of bisections in the search for the likeliest ratio, which give it to five digits.
+const MAX_BISECTIONS: usize = 17;
 
 /// The logarithm of the odds at which a version fails: ten thousand to one.
 ///
@@ -23,108 +30,133 @@
 /// with every response.
 const LOG_ODDS_THRESHOLD: f64 = 9.2;
 
+/// The logarithm of the odds that must follow from each slice of time by itself: a hundred and fifty
+/// to one.
+///
+/// A change that affects both versions may show first in responses of the new version. Until it shows
+/// in those of the stable version too, earlier ones of that would mislead.
+const SLICE_ODDS_THRESHOLD: f64 = 5.0;
+
 /// The minimum number of the new version's endpoints that must have given bad responses.
 ///
 /// A single endpoint that crashed or is in an unreachable data centre is no evidence against its
 /// version.
 const MIN_BAD_ENDPOINTS: usize = 2;
 
-/// Steps per response in reported counts, which decay to fractions.
-pub(super) const COUNT_STEPS_PER_UNIT: f64 = 16.0;
-
-/// A response, as a sample for the comparison of versions.
-#[derive(Debug, Clone, Copy)]
-pub struct ResponseSample {
-    /// The hash of the route's name.
-    pub route: u32,
-    /// Whether it came from an endpoint of the new version.
-    pub new: bool,
-    /// Whether it failed or took several times as long as expected.
-    pub bad: bool,
-    /// The endpoint's short key.
-    pub endpoint: u32,
-}
-
-/// Recent responses of both versions by route, as seen by this instance.
+/// The evidence that the new version is worse, from one slice of time after another.
 #[derive(Debug, Default)]
-pub struct ResponseTally {
-    routes: BTreeMap<u32, RouteTally>,
-}
-
-/// Responses, and how many of them were bad; fractions result from decay.
-#[derive(Debug, Default, Clone, Copy)]
-pub(super) struct Counts {
-    pub(super) total: f64,
-    pub(super) bad: f64,
+pub(super) struct Evidence {
+    // From the new version's responses and those of the stable version since its ratio of bad ones
+    // last changed, and from those of the same slice only.
+    pooled: LogOdds,
+    by_slice: LogOdds,
+    // Endpoints of the new version that gave bad responses since the odds were last even.
+    bad_endpoints: BTreeSet<u32>,
+    // The stable version's responses since its ratio of bad ones last changed.
+    stable: Counts,
 }
 
-impl ResponseTally {
-    /// Counts a response.
-    pub fn add(&mut self, now: Millis, sample: ResponseSample) {
-        self.routes
-            .entry(sample.route)
-            .or_default()
-            .add(now, sample);
+impl Evidence {
+    /// Adds the responses of the next slice of time.
+    pub(super) fn add(&mut self, counts: &SliceCounts) {
+        if has_changed(self.stable, counts.stable) {
+            self.stable = Counts::default();
+        }
+        self.stable.add(counts.stable);
+        if counts.new.total == 0 {
+            return;
+        }
+        self.pooled.add(counts.new, self.stable);
+        self.by_slice.add(counts.new, counts.stable);
+        if self.pooled.is_even() {
+            self.bad_endpoints.clear();
+        } else {
+            self.bad_endpoints.extend(&counts.bad_endpoints);
+        }
     }
 
-    /// Returns the counts as reported to peers.
-    pub fn rows(&self, now: Millis) -> Vec<CanaryRow> {
-        let rows = self.routes.iter();
-        rows.map(|(route, tally)| tally.row(now, *route)).collect()
+    /// Returns whether the new version fails.
+    pub(super) fn is_conclusive(&self) -> bool {
+        self.bad_endpoints.len() >= MIN_BAD_ENDPOINTS
+            && self.pooled.max() >= LOG_ODDS_THRESHOLD
+            && self.by_slice.max() >= SLICE_ODDS_THRESHOLD
     }
 }
 
-impl Counts {
-    fn add_row(&mut self, row: (u16, u16)) {
-        self.total += f64::from(row.0) / COUNT_STEPS_PER_UNIT;
-        self.bad += f64::from(row.1) / COUNT_STEPS_PER_UNIT;
+// The logarithms of the odds that the new version is worse, by the share of its otherwise good
+// responses that it turns bad.
+//
+// They do not fall below zero, as a version may turn bad after any number of good responses: this is
+// Page's cumulative sum test.
+#[derive(Debug, Default)]
+struct LogOdds([f64; EXCESS_RATIOS.len()]);
+
+impl LogOdds {
+    // Adds responses of both versions.
+    //
+    // The stable version's ratio of bad responses is not known. Each hypothesis is given the one with
+    // which it explains the responses of both versions best, so few responses of the stable version
+    // are little evidence.
+    fn add(&mut self, new: Counts, stable: Counts) {
+        let equal = max_log_likelihood(new, stable, 0.0);
+        for (odds, excess) in self.0.iter_mut().zip(EXCESS_RATIOS) {
+            let worse = max_log_likelihood(new, stable, excess);
+            *odds = (*odds + worse - equal).max(0.0);
+        }
+    }
+
+    fn max(&self) -> f64 {
+        self.0.iter().copied().fold(0.0, f64::max)
     }
-}
 
-/// Returns whether the new version fails by the counts of several instances, on one route or over
-/// all.
-pub fn is_worse<'a>(rows: impl Iterator<Item = &'a CanaryRow>) -> bool {
-    let mut routes: BTreeMap<u32, Evidence> = BTreeMap::new();
-    let mut all = Evidence::default();
-    for row in rows {
-        routes.entry(row.route).or_default().add(row);
-        all.add(row);
+    fn is_even(&self) -> bool {
+        self.max() <= 0.0
     }
-    all.is_conclusive() || routes.values().any(Evidence::is_conclusive)
 }
 
-#[derive(Debug, Default)]
-struct Evidence {
-    new: Counts,
-    stable: Counts,
-    bad_endpoints: BTreeSet<u32>,
+// Returns whether the ratio of bad responses differs between two periods.
+fn has_changed(before: Counts, after: Counts) -> bool {
+    let mut both = before;
+    both.add(after);
+    let separate = own_log_likelihood(before) + own_log_likelihood(after);
+    separate - own_log_likelihood(both) >= MIN_CHANGE_EVIDENCE
 }
 
-impl Evidence {
-    fn add(&mut self, row: &CanaryRow) {
-        self.new.add_row(row.new);
-        self.stable.add_row(row.stable);
-        self.bad_endpoints.extend(&row.endpoints);
-    }
-
-    fn is_conclusive(&self) -> bool {
-        self.bad_endpoints.len() >= MIN_BAD_ENDPOINTS && self.log_odds() >= LOG_ODDS_THRESHOLD
-    }
-
-    // Returns the logarithm of the odds that the new version is worse.
-    fn log_odds(&self) -> f64 {
-        let stable = self.stable_bad_ratio();
-        let worse = stable + MIN_EXCESS_RATIO * (1.0 - stable);
-        let bad_weight = (worse / stable).ln();
-        let good_weight = ((1.0 - worse) / (1.0 - stable)).ln();
-        self.new.bad * bad_weight + (self.new.total - self.new.bad).max(0.0) * good_weight
-    }
+// Returns the logarithm of the likelihood of responses with their own ratio of bad ones.
+fn own_log_likelihood(counts: Counts) -> f64 {
+    let term = |count: f64| {
+        if count > 0.0 {
+            count * (count / f64::from(counts.total)).ln()
+        } else {
+            0.0
+        }
+    };
+    counts.bad_and_good().map(term).iter().sum()
+}
 
-    // Returns the ratio of bad responses of the stable version, plus one standard error.
-    fn stable_bad_ratio(&self) -> f64 {
-        let total = self.stable.total + 1.0;
-        let ratio = (self.stable.bad + 0.5) / total;
-        let standard_error = (ratio * (1.0 - ratio).max(0.0) / total).sqrt();
-        (ratio + standard_error).clamp(MIN_STABLE_BAD_RATIO, 0.9)
+// Returns the logarithm of the likelihood of the responses with the likeliest ratio of bad ones, if
+// the new version turns a share of its otherwise good responses bad.
+fn max_log_likelihood(new: Counts, stable: Counts, excess: f64) -> f64 {
+    let [new_bad, new_good] = new.bad_and_good();
+    let [stable_bad, stable_good] = stable.bad_and_good();
+    let worse = |ratio: f64| excess + (1.0 - excess) * ratio;
+    // The slope falls with the ratio.
+    let slope = |ratio: f64| {
+        new_bad * (1.0 - excess) / worse(ratio) + stable_bad / ratio
+            - (new_good + stable_good) / (1.0 - ratio)
+    };
+    let [mut low, mut high] = STABLE_BAD_RATIOS;
+    for _ in 0..MAX_BISECTIONS {
+        let middle = f64::midpoint(low, high);
+        if slope(middle) > 0.0 {
+            low = middle;
+        } else {
+            high = middle;
+        }
     }
+    let ratio = f64::midpoint(low, high);
+    new_bad * worse(ratio).ln()
+        + new_good * (1.0 - worse(ratio)).ln()
+        + stable_bad * ratio.ln()
+        + stable_good * (1.0 - ratio).ln()
 }
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -184,6 +184,7 @@
         relay: None,
         rejection_limits: Vec::new(),
         shares: Vec::new(),
+        canary_slices: Vec::new(),
     }
 }
 
--- a/crates/siskinyoke-dispatch/tests/rollouts/main.rs
+++ b/crates/siskinyoke-dispatch/tests/rollouts/main.rs
@@ -21,7 +21,10 @@
 const HIGH_RATE_PER_SECOND: f64 = 650.0;
 
 /// Seeds with which a good version was rolled back when all endpoints slowed down.
-const SLOWDOWN_SEEDS: [u64; 2] = [13, 22];
+const SLOWDOWN_SEEDS: [u64; 4] = [13, 22, 81, 83];
+
+/// Seeds with which a version that fails on one route got too many requests.
+const EXPOSURE_SEEDS: [u64; 2] = [184, 253];
 
 /// Seeds with which a good version had no outcome under random faults.
 const NO_OUTCOME_SEEDS: [u64; 51] = [
@@ -99,6 +102,10 @@
             check_rolled_back(seed, SMALL_FLEET, LOW_RATE_PER_SECOND, fault);
         }
     }
+    for seed in EXPOSURE_SEEDS {
+        let fault = Fault::FailsOnRoute(0.8);
+        check_rolled_back(seed, SMALL_FLEET, LOW_RATE_PER_SECOND, fault);
+    }
 }
 
 // Guards against missing a bad version because each shard of a large fleet sees only a few of its
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -53,7 +53,8 @@
 ///
 /// A report of an earlier version of this program ends before the era of its revision, which is
 /// then that of a store that names none, or before what its sender relays, what it knows of
-/// rejections and of the shares of organisations, which is then nothing.
+/// rejections, of the shares of organisations and of versions under evaluation, which is then
+/// nothing.
 ///
 /// # Errors
 ///
@@ -61,7 +62,7 @@
 pub fn decode(bytes: &[u8]) -> postcard::Result<Message> {
     match postcard::from_bytes(bytes) {
         Err(postcard::Error::DeserializeUnexpectedEnd) => {
-            postcard::from_bytes(&[bytes, &[0; 4]].concat())
+            postcard::from_bytes(&[bytes, &[0; 5]].concat())
         }
         result => result,
     }
