A note in the store says which versions a service has had

Callers whose streams all instances had lost were refused (version_unknown) for the route's timeout and 3 s after a kill of all instances, also where the service has one version: nobody had watched for long enough to say so.

The watcher of the first shard now writes, for each service with streams that can be taken up, the versions of the longest life of a stream: first once none can have been missed, then when one appears or has been gone for that time. A process trusts the note after 2 s; its versions count as present when it is read. The writes of rollouts' states and of notes share one conditional write, which does not know the shell.

a_stream_goes_on_soon_after_all_instances_were_killed goes on within 4 s after the restart.

--- a/crates/siskinyoke-dispatch/src/configuration.rs
+++ b/crates/siskinyoke-dispatch/src/configuration.rs
@@ -181,6 +181,11 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the routes of all hosts.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
     /// Returns whether requests need an API key, which they do if any organisation is configured.
     pub fn requires_key(&self) -> bool {
         !self.organisations.is_empty()
--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -108,6 +108,8 @@
                         rollout.withdraw();
                     }
                 }
+                StoreUpdate::VersionNote(note) => self.versions.record_note(now, note),
+                StoreUpdate::VersionNoteRemoved(service) => self.versions.remove_note(&service),
                 StoreUpdate::RolloutStatus(service, status) => statuses.push((service, status)),
                 StoreUpdate::Endpoint(_) | StoreUpdate::EndpointRemoved(_) => {
                     endpoints.push(update);
--- a/crates/siskinyoke-dispatch/src/core/streams.rs
+++ b/crates/siskinyoke-dispatch/src/core/streams.rs
@@ -1,5 +1,8 @@
 //! The versions at which streams began and go on.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use crate::Refusal;
 use crate::StreamQuestion;
 use crate::Ticket;
@@ -11,6 +14,7 @@
 use crate::stream_origin::StreamOrigin;
 use crate::stream_resumption;
 use crate::stream_resumption::ResumedStream;
+use crate::version_history::VersionNote;
 use crate::version_key::VersionKey;
 use siskinyoke_base::Millis;
 
@@ -89,6 +93,36 @@
         }
     }
 
+    /// Returns the notes of services' versions that this instance has to write to the store, from
+    /// which processes learn them after all instances have been killed.
+    ///
+    /// They are written for services with streams that callers may take up, by the instance that
+    /// watches the store for the first shard; every instance may read them.
+    pub fn due_version_notes(&self, now: Millis) -> Vec<VersionNote> {
+        let writes = self.shard == 0 && !self.shutting_down && self.reaches_store();
+        if !writes || self.watcher(now) != self.identity.name {
+            return Vec::new();
+        }
+        let lifetimes = self.stream_lifetimes().into_iter();
+        lifetimes
+            .filter_map(|(service, lifetime)| self.versions.due_note(now, service, lifetime))
+            .collect()
+    }
+
+    // Returns the services with streams that callers may take up, and for how long at most.
+    fn stream_lifetimes(&self) -> BTreeMap<&Arc<str>, Millis> {
+        let mut lifetimes: BTreeMap<&Arc<str>, Millis> = BTreeMap::new();
+        let routes = self.configuration.iter().flat_map(|it| it.routes());
+        for route in routes.filter(|it| it.resumable) {
+            let lifetime = StreamQuestion::stream_lifetime(route.timeout);
+            for (service, _) in &route.targets {
+                let longest = lifetimes.entry(service).or_default();
+                *longest = lifetime.max(*longest);
+            }
+        }
+        lifetimes
+    }
+
     // Records which versions endpoints have. Versions may come and go unnoticed while neither this
     // instance nor a peer reaches the store.
     pub(super) fn observe_versions(&mut self, now: Millis) {
--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -58,9 +58,7 @@
     pub fn record_outcome(&mut self, now: Millis, outcome: Outcome) {
         match outcome {
             Outcome::Completed { .. } => self.record_success(),
-            Outcome::Failed | Outcome::Mismatched => {
-                self.failure_ratio += (1.0 - self.failure_ratio) * SMOOTHING_RATIO
-            }
+            Outcome::Failed | Outcome::Mismatched => self.record_failure(),
             Outcome::Full => self.back_off_until(now + FULL_BACKOFF),
             Outcome::Misdirected => self.back_off_until(now + MISDIRECTED_BACKOFF),
             Outcome::ConnectFailed | Outcome::Stalled => self.record_unresponsive(now),
@@ -147,10 +145,14 @@
         self.failure_ratio -= self.failure_ratio * SMOOTHING_RATIO;
     }
 
+    fn record_failure(&mut self) {
+        self.failure_ratio += (1.0 - self.failure_ratio) * SMOOTHING_RATIO;
+    }
+
     // A single lost connection is often a fault of that one response. Only a second one in a row
     // indicates that the endpoint is down; backing off from a healthy endpoint wastes its slots.
     fn record_connection_lost(&mut self, now: Millis) {
-        self.failure_ratio += (1.0 - self.failure_ratio) * SMOOTHING_RATIO;
+        self.record_failure();
         self.failure_streak += 1;
         if self.failure_streak >= 2 {
             self.back_off(now);
@@ -158,7 +160,7 @@
     }
 
     fn record_unresponsive(&mut self, now: Millis) {
-        self.failure_ratio += (1.0 - self.failure_ratio) * SMOOTHING_RATIO;
+        self.record_failure();
         self.failure_streak += 1;
         self.back_off(now);
     }
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -123,7 +123,9 @@
                 | StoreUpdate::InstanceRemoved(_)
                 | StoreUpdate::RolloutOrder(_)
                 | StoreUpdate::RolloutOrderRemoved(_)
-                | StoreUpdate::RolloutStatus(..) => {}
+                | StoreUpdate::RolloutStatus(..)
+                | StoreUpdate::VersionNote(_)
+                | StoreUpdate::VersionNoteRemoved(_) => {}
             }
         }
         self.update_eligible();
--- a/crates/siskinyoke-dispatch/src/store_update.rs
+++ b/crates/siskinyoke-dispatch/src/store_update.rs
@@ -6,6 +6,7 @@
 use crate::report::InstanceLocation;
 use crate::rollout::Order;
 use crate::rollout::Status;
+use crate::version_history::VersionNote;
 
 /// One change to the entries in the store.
 #[derive(Debug, Clone, PartialEq)]
@@ -24,4 +25,8 @@
     RolloutOrderRemoved(Arc<str>),
     /// The status of the rollout for this service changed.
     RolloutStatus(Arc<str>, Status),
+    /// The note of a service's versions was written.
+    VersionNote(VersionNote),
+    /// The note of this service's versions was removed.
+    VersionNoteRemoved(Arc<str>),
 }
--- a/crates/siskinyoke-dispatch/src/version_history.rs
+++ b/crates/siskinyoke-dispatch/src/version_history.rs
@@ -7,15 +7,70 @@
 use crate::version_key::VersionKey;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 
 /// How long a version is remembered after its last endpoint is gone.
 const VERSION_RETENTION: Millis = Millis::from_secs(600);
 
+/// How long the store must have been followed before its note of a service's versions is used. The
+/// first read may be seconds old.
+const CATCH_UP_TIME: Millis = Millis::from_secs(2);
+
+/// The versions that a service's endpoints have had lately, as noted in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionNote {
+    /// The service.
+    pub service: Arc<str>,
+    /// The versions, in order.
+    pub versions: Vec<Arc<str>>,
+    /// The store revision of the note.
+    pub revision: Revision,
+}
+
+#[derive(Debug)]
+struct SeenVersion {
+    name: Arc<str>,
+    last_present: Millis,
+}
+
 #[derive(Debug, Default)]
 struct ServiceVersions {
     // Since when no version can have been missed.
     complete_since: Option<Millis>,
-    last_present: Map<VersionKey, Millis>,
+    seen: Map<VersionKey, SeenVersion>,
+    note: Option<VersionNote>,
+}
+
+impl ServiceVersions {
+    fn record(&mut self, now: Millis, service: &str, version: &Arc<str>) {
+        let key = VersionKey::new(service, version);
+        let seen = SeenVersion {
+            name: version.clone(),
+            last_present: now,
+        };
+        self.seen.insert(key, seen);
+    }
+
+    // Returns whether no version that was present in a period can have been missed.
+    fn is_complete(&self, now: Millis, period: Millis) -> bool {
+        let needed = if self.note.is_some() {
+            CATCH_UP_TIME.min(period)
+        } else {
+            period
+        };
+        self.complete_since
+            .is_some_and(|since| now.since(since) >= needed)
+    }
+
+    fn seen_in(
+        &self,
+        now: Millis,
+        period: Millis,
+    ) -> impl Iterator<Item = (&VersionKey, &Arc<str>)> {
+        let seen = self.seen.iter();
+        let recent = seen.filter(move |row| now.since(row.1.last_present) <= period);
+        recent.map(|(key, version)| (key, &version.name))
+    }
 }
 
 /// Which versions each service's endpoints have had.
@@ -30,15 +85,53 @@
         for endpoint in endpoints {
             let versions = self.services.entry(endpoint.service.clone()).or_default();
             versions.complete_since.get_or_insert(now);
-            let key = endpoint.version_key();
-            versions.last_present.insert(key, now);
+            versions.record(now, &endpoint.service, &endpoint.version);
         }
         for versions in self.services.values_mut() {
             versions
-                .last_present
-                .retain(|_, at| now.since(*at) < VERSION_RETENTION);
+                .seen
+                .retain(|_, it| now.since(it.last_present) < VERSION_RETENTION);
+        }
+        self.services
+            .retain(|_, it| !it.seen.is_empty() || it.note.is_some());
+    }
+
+    /// Records the note that the store holds. Its versions count as present until now, as it does
+    /// not say when each of them left.
+    pub fn record_note(&mut self, now: Millis, note: VersionNote) {
+        let versions = self.services.entry(note.service.clone()).or_default();
+        for version in &note.versions {
+            versions.record(now, &note.service, version);
         }
-        self.services.retain(|_, it| !it.last_present.is_empty());
+        versions.note = Some(note);
+    }
+
+    /// Records that the store holds no note of a service.
+    pub fn remove_note(&mut self, service: &str) {
+        if let Some(versions) = self.services.get_mut(service) {
+            versions.note = None;
+        }
+    }
+
+    /// Returns the note to write to the store if that of a service differs from what was seen in a
+    /// period; its revision is that of the note to replace, zero if there is none.
+    ///
+    /// The first note is written once no version of the period can have been missed.
+    pub fn due_note(&self, now: Millis, service: &Arc<str>, period: Millis) -> Option<VersionNote> {
+        let seen = self.services.get(service)?;
+        seen.complete_since?;
+        let mut versions: Vec<_> = seen.seen_in(now, period).map(|it| it.1.clone()).collect();
+        versions.sort_unstable();
+        let is_due = match &seen.note {
+            Some(note) => note.versions != versions,
+            None => seen.is_complete(now, period),
+        };
+        let note = VersionNote {
+            service: service.clone(),
+            versions,
+            revision: seen.note.as_ref().map_or(Revision::ZERO, |it| it.revision),
+        };
+        (is_due && !note.versions.is_empty()).then_some(note)
     }
 
     /// Records that endpoints may come and go without being noticed here.
@@ -53,7 +146,7 @@
     pub fn only_version(&self, now: Millis, service: u32, period: Millis) -> Option<VersionKey> {
         let mut services = self.services.iter();
         let (service, versions) = services.find(|row| short_hash(row.0) == service)?;
-        if now.since(versions.complete_since?) < period {
+        if !versions.is_complete(now, period) {
             return None;
         }
         self.only_seen_version(now, service, period)
@@ -68,8 +161,7 @@
         period: Millis,
     ) -> Option<VersionKey> {
         let versions = self.services.get(service)?;
-        let present = versions.last_present.iter();
-        let mut present = present.filter(|row| now.since(*row.1) <= period);
+        let mut present = versions.seen_in(now, period);
         let only = *present.next()?.0;
         present.next().is_none().then_some(only)
     }
@@ -77,6 +169,6 @@
     /// Returns whether a service has had a version.
     pub fn contains(&self, service: &str, version: VersionKey) -> bool {
         let versions = self.services.get(service);
-        versions.is_some_and(|it| it.last_present.contains_key(&version))
+        versions.is_some_and(|it| it.seen.contains_key(&version))
     }
 }
--- a/crates/siskinyoke-dispatch/tests/streams.rs
+++ b/crates/siskinyoke-dispatch/tests/streams.rs
@@ -40,6 +40,7 @@
 use siskinyoke_dispatch::stream_resumption::ResumedStream;
 use siskinyoke_dispatch::stream_resumption::resumed_version;
 use siskinyoke_dispatch::version_history::VersionHistory;
+use siskinyoke_dispatch::version_history::VersionNote;
 
 const ONE: VersionKey = VersionKey(1);
 const TWO: VersionKey = VersionKey(2);
@@ -273,6 +274,53 @@
     assert!(!history.contains("other", one.version_key()));
 }
 
+fn note(versions: &[&str], revision: u64) -> VersionNote {
+    VersionNote {
+        service: "lm".into(),
+        versions: versions.iter().map(|it| (*it).into()).collect(),
+        revision: revision.into(),
+    }
+}
+
+#[test]
+fn a_note_of_the_only_version_replaces_a_period_of_watching() {
+    let period = Millis(8_000);
+    let one = versioned("e1", "1");
+    let only =
+        |history: &VersionHistory, now| history.only_version(Millis(now), short_hash("lm"), period);
+    let mut history = VersionHistory::default();
+    history.record_note(Millis(0), note(&["1"], 5));
+    history.observe(Millis(0), [&one].into_iter());
+    assert_eq!(only(&history, 1_999), None, "the first read may be old");
+    assert_eq!(only(&history, 2_000), Some(one.version_key()));
+    history.remove_note("lm");
+    assert_eq!(only(&history, 7_999), None);
+    history.record_note(Millis(3_000), note(&["1", "2"], 7));
+    assert_eq!(only(&history, 9_000), None, "the note names another one");
+    history.observe(Millis(11_001), [&one].into_iter());
+    assert_eq!(only(&history, 11_001), Some(one.version_key()));
+}
+
+#[test]
+fn the_first_note_waits_until_no_version_can_have_been_missed() {
+    let period = Millis(8_000);
+    let service = "lm".into();
+    let (one, two) = (versioned("e1", "1"), versioned("e2", "2"));
+    let mut history = VersionHistory::default();
+    history.observe(Millis(0), [&one].into_iter());
+    assert_eq!(history.due_note(Millis(7_999), &service, period), None);
+    history.observe(Millis(8_000), [&one].into_iter());
+    let first = history.due_note(Millis(8_000), &service, period);
+    assert_eq!(first, Some(note(&["1"], 0)));
+    history.record_note(Millis(8_100), note(&["1"], 5));
+    assert_eq!(history.due_note(Millis(8_200), &service, period), None);
+    history.observe(Millis(8_300), [&one, &two].into_iter());
+    let second = history.due_note(Millis(8_300), &service, period);
+    assert_eq!(second, Some(note(&["1", "2"], 5)), "at once");
+    history.interrupt();
+    assert_eq!(history.due_note(Millis(8_400), &service, period), None);
+}
+
 #[test]
 fn the_version_of_a_stream_is_recorded_or_the_only_one_or_refused() {
     let mut registry = Registry::default();
--- a/crates/siskinyoke-gateway/src/cluster_view.rs
+++ b/crates/siskinyoke-gateway/src/cluster_view.rs
@@ -12,6 +12,7 @@
 use siskinyoke_dispatch::StoreUpdate;
 use siskinyoke_dispatch::rollout::Order;
 use siskinyoke_dispatch::rollout::Status;
+use siskinyoke_dispatch::version_history::VersionNote;
 use siskinyoke_interface::Item;
 use siskinyoke_interface::ItemKind;
 
@@ -127,6 +128,12 @@
             let status = decode_status(shell, service, &item.value?, item.revision)?;
             Some(StoreUpdate::RolloutStatus(service.into(), status))
         }
+        ItemKind::VersionNote(service) => {
+            let Some(value) = item.value else {
+                return Some(StoreUpdate::VersionNoteRemoved(service.into()));
+            };
+            decode_version_note(shell, service, &value, item.revision).map(StoreUpdate::VersionNote)
+        }
         ItemKind::Configuration | ItemKind::Other => None,
     }
 }
@@ -186,6 +193,26 @@
     }
 }
 
+fn decode_version_note(
+    shell: &Shell,
+    service: &str,
+    value: &[u8],
+    revision: Revision,
+) -> Option<VersionNote> {
+    match shell.interface.documents.decode_version_note(value) {
+        Ok(versions) => Some(VersionNote {
+            service: service.into(),
+            versions: versions.into_iter().map(Into::into).collect(),
+            revision,
+        }),
+        Err(err) => {
+            let fields = json!({ "service": service, "error": err.to_string() });
+            shell.log("version_note_unreadable", fields);
+            None
+        }
+    }
+}
+
 fn decode_instance(shell: &Shell, name: &str, value: &[u8]) -> Option<StoreUpdate> {
     match serde_json::from_slice(value) {
         Ok(location) => Some(StoreUpdate::Instance(name.to_owned(), location)),
@@ -221,7 +248,9 @@
         | StoreUpdate::InstanceRemoved(_)
         | StoreUpdate::RolloutOrder(_)
         | StoreUpdate::RolloutOrderRemoved(_)
-        | StoreUpdate::RolloutStatus(..) => {}
+        | StoreUpdate::RolloutStatus(..)
+        | StoreUpdate::VersionNote(_)
+        | StoreUpdate::VersionNoteRemoved(_) => {}
     }
 }
 
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::settings::Settings;
 use crate::shell::Shell;
 use crate::signals;
+use crate::store_writes;
 use crate::watcher;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::core::Identity;
@@ -140,7 +141,7 @@
         shell.configuration_sources.borrow_mut().remove_expired(now);
         cluster_view::update_store_status(&shell);
         rollouts::advance(&shell);
-        rollouts::write_due_statuses(&shell);
+        store_writes::send_due(&shell);
         shell.pool.remove_expired();
         probes::start_due(&shell);
         shell.lending.remove_expired(now);
--- a/crates/siskinyoke-gateway/src/relay/server.rs
+++ b/crates/siskinyoke-gateway/src/relay/server.rs
@@ -94,7 +94,7 @@
             Reply::Head(response, connection) => {
                 self.core.borrow_mut().record_response(now, &endpoint);
                 if self.is_mismatched(&response, id.as_deref()) {
-                    return Ok(self.state_mismatch(&endpoint, id));
+                    return Ok(self.state_mismatch(&endpoint, id.as_deref()));
                 }
                 Ok(self.relayed(response, connection, in_flight))
             }
@@ -137,7 +137,7 @@
         class == ResponseClass::Mismatched
     }
 
-    fn state_mismatch(&self, endpoint: &Endpoint, id: Option<String>) -> Response<ResponseBody> {
+    fn state_mismatch(&self, endpoint: &Endpoint, id: Option<&str>) -> Response<ResponseBody> {
         let fields = json!({ "endpoint": &*endpoint.id, "id": id });
         self.log.log("relay_mismatched", fields);
         let mut response = status_only(RelayStatus::ConnectionLost);
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -151,8 +151,8 @@
     pub shutdown_started: Notify,
     /// Whether changes are being fetched from a peer.
     pub catching_up: Cell<bool>,
-    /// Whether rollout statuses are being written to the store.
-    pub writing_status: Cell<bool>,
+    /// Whether statuses of rollouts or notes of versions are being written to the store.
+    pub writing: Cell<bool>,
     /// The total size of the request bodies held in memory.
     pub held_bytes: Cell<usize>,
     /// The number of open connections of callers.
@@ -228,7 +228,7 @@
             queue_timer: Notify::new(),
             shutdown_started: Notify::new(),
             catching_up: Cell::new(false),
-            writing_status: Cell::new(false),
+            writing: Cell::new(false),
             held_bytes: Cell::new(0),
             caller_connections: Cell::new(0),
             last_arrival: Cell::new(Millis::ZERO),
--- a/crates/siskinyoke-gateway/tests/stream_versions.rs
+++ b/crates/siskinyoke-gateway/tests/stream_versions.rs
@@ -23,6 +23,10 @@
 /// The number of streams that are sent at once.
 const PARALLEL_COUNT: usize = 10;
 
+/// How soon streams go on after a restart of all instances: less than the time for which a stream
+/// can last.
+const RESUMPTION_TIMEOUT: Duration = Duration::from_secs(4);
+
 struct Fleet {
     store: Store,
     endpoints: Vec<Endpoint>,
@@ -218,3 +222,55 @@
     let part = take_up(&fleet.instances[1], "unknown", 3);
     assert!(part.is_last(), "{part:?}");
 }
+
+// Kills all instances, so that no record of a stream is left, and starts them again.
+fn restart_all(fleet: &mut Fleet, while_down: impl Fn(&Fleet)) {
+    for instance in &mut fleet.instances {
+        instance.kill();
+    }
+    while_down(fleet);
+    for instance in &mut fleet.instances {
+        instance.restart();
+    }
+    fleet.wait_for_peers();
+}
+
+fn wait_for_note(fleet: &Fleet, versions: &str) {
+    wait_until("the store holds a note of the versions", || {
+        let note = fleet.store.value("versions/lm");
+        note.is_some_and(|it| it.contains(versions))
+    });
+}
+
+// Guards against refusing streams for as long as they can last, where the service has one version.
+#[test]
+fn a_stream_goes_on_soon_after_all_instances_were_killed() {
+    let mut fleet = Fleet::start(2, &["v1", "v1"]);
+    wait_for_note(&fleet, r#"["v1"]"#);
+    let first = fleet.begin("s");
+    restart_all(&mut fleet, |_| {});
+    let start = Instant::now();
+    let mut second = take_up(&fleet.instances[1], "s", first.events.last().unwrap().0);
+    while !second.is_last() && start.elapsed() < RESUMPTION_TIMEOUT {
+        assert_eq!(second.status, "503", "{second:?}");
+        thread::sleep(Duration::from_millis(300));
+        second = take_up(&fleet.instances[1], "s", first.events.last().unwrap().0);
+    }
+    assert!(second.is_last(), "{second:?}");
+    assert_eq!(versions([&first, &second]).len(), 1);
+}
+
+// A version's endpoints leave while all instances are down. Guards against continuing its streams
+// at the only version that is left.
+#[test]
+fn a_noted_version_that_is_gone_keeps_streams_from_going_on_at_another_one() {
+    let mut fleet = Fleet::start(2, &["v1", "v1.1"]);
+    wait_for_note(&fleet, r#"["v1","v1.1"]"#);
+    restart_all(&mut fleet, |fleet| fleet.store.remove("servers/e0"));
+    let start = Instant::now();
+    while start.elapsed() < RESUMPTION_TIMEOUT {
+        let second = take_up(&fleet.instances[1], "s", 3);
+        assert_eq!(second.status, "503", "{second:?}");
+        thread::sleep(Duration::from_millis(300));
+    }
+}
--- a/crates/siskinyoke-interface/src/documents.rs
+++ b/crates/siskinyoke-interface/src/documents.rs
@@ -1,6 +1,7 @@
 //! Documents in the store: configuration, endpoints, instances and rollouts.
 
 use std::fmt::Debug;
+use std::sync::Arc;
 
 use crate::FormatError;
 use siskinyoke_base::Millis;
@@ -21,6 +22,8 @@
     RolloutOrder(&'a str),
     /// The status of this service's rollout.
     RolloutStatus(&'a str),
+    /// The note of this service's versions.
+    VersionNote(&'a str),
     /// Any other item; it is ignored.
     Other,
 }
@@ -38,6 +41,8 @@
     pub rollout_orders: &'static str,
     /// The prefix of rollout statuses, followed by the service's name.
     pub rollout_statuses: &'static str,
+    /// The prefix of notes of services' versions, followed by the service's name.
+    pub version_notes: &'static str,
 }
 
 /// A rollout as an operator ordered it.
@@ -69,8 +74,11 @@
         if let Some(service) = key.strip_prefix(keys.rollout_orders) {
             return ItemKind::RolloutOrder(service);
         }
-        let service = key.strip_prefix(keys.rollout_statuses);
-        service.map_or(ItemKind::Other, ItemKind::RolloutStatus)
+        if let Some(service) = key.strip_prefix(keys.rollout_statuses) {
+            return ItemKind::RolloutStatus(service);
+        }
+        let service = key.strip_prefix(keys.version_notes);
+        service.map_or(ItemKind::Other, ItemKind::VersionNote)
     }
 
     /// Returns the key of a service's rollout order.
@@ -83,6 +91,11 @@
         format!("{}{service}", self.keys().rollout_statuses)
     }
 
+    /// Returns the key of the note of a service's versions.
+    fn version_note_key(&self, service: &str) -> String {
+        format!("{}{service}", self.keys().version_notes)
+    }
+
     /// Returns the key of an instance's entry.
     fn instance_key(&self, name: &str) -> String {
         format!("{}{name}", self.keys().instances)
@@ -119,4 +132,14 @@
 
     /// Encodes a rollout's status: its state, and the version it applies to.
     fn encode_rollout_status(&self, state: State, version: &str) -> Vec<u8>;
+
+    /// Decodes the note of a service's versions.
+    ///
+    /// # Errors
+    ///
+    /// The document is malformed. It is ignored.
+    fn decode_version_note(&self, bytes: &[u8]) -> Result<Vec<String>, FormatError>;
+
+    /// Encodes the note of a service's versions.
+    fn encode_version_note(&self, versions: &[Arc<str>]) -> Vec<u8>;
 }
--- a/crates/siskinyoke-native/src/documents.rs
+++ b/crates/siskinyoke-native/src/documents.rs
@@ -8,6 +8,7 @@
 use crate::configuration;
 use crate::names;
 use crate::rollout;
+use crate::version_note;
 use siskinyoke_dispatch::Configuration;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::rollout::State;
@@ -53,6 +54,7 @@
             instances: names::INSTANCE_PREFIX,
             rollout_orders: names::ROLLOUT_ORDER_PREFIX,
             rollout_statuses: names::ROLLOUT_STATUS_PREFIX,
+            version_notes: names::VERSION_NOTE_PREFIX,
         }
     }
 
@@ -88,6 +90,14 @@
     fn encode_rollout_status(&self, state: State, version: &str) -> Vec<u8> {
         rollout::encode_status(state, version)
     }
+
+    fn decode_version_note(&self, bytes: &[u8]) -> Result<Vec<String>, FormatError> {
+        version_note::decode(bytes)
+    }
+
+    fn encode_version_note(&self, versions: &[Arc<str>]) -> Vec<u8> {
+        version_note::encode(versions)
+    }
 }
 
 fn empty() -> Arc<str> {
--- a/crates/siskinyoke-native/src/lib.rs
+++ b/crates/siskinyoke-native/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod exchange;
 pub mod names;
 pub mod rollout;
+pub mod version_note;
 
 use std::rc::Rc;
 
--- a/crates/siskinyoke-native/src/names.rs
+++ b/crates/siskinyoke-native/src/names.rs
@@ -54,6 +54,8 @@
 pub const ROLLOUT_ORDER_PREFIX: &str = "siskinyoke/rollouts/";
 /// The key prefix of rollout statuses.
 pub const ROLLOUT_STATUS_PREFIX: &str = "siskinyoke/rollout-states/";
+/// The key prefix of notes of services' versions, which instances write.
+pub const VERSION_NOTE_PREFIX: &str = "siskinyoke/versions/";
 
 /// Returns the hexadecimal digest of an API key, as stored in the configuration.
 pub fn key_digest(key: &str) -> String {
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -316,7 +316,10 @@
 
 fn spawn(program: &Path, settings: &Path) -> Child {
     let mut command = Command::new(program);
-    command.arg("--settings").arg(settings).stdout(log_output(settings));
+    command
+        .arg("--settings")
+        .arg(settings)
+        .stdout(log_output(settings));
     command.spawn().unwrap()
 }
 
