A further attempt is sent over a new connection

Cause: both attempts met a duplicate of an earlier response on a connection that was used again. A duplicate may follow later than any pause before a connection is reused.

The first attempt uses an idle connection as before; each further one opens a new connection, and a relay is asked to do so too, so a duplicate costs a request at most its first attempt. a_retry_gets_no_response_to_another_request failed before with the 502.

--- a/crates/siskinyoke-gateway/src/attempt.rs
+++ b/crates/siskinyoke-gateway/src/attempt.rs
@@ -45,6 +45,15 @@
     }
 }
 
+/// Whether a request may be sent over a connection that has been used before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// It may.
+    Allowed,
+    /// It needs a new connection, as the attempt before may have failed because of an old one.
+    Denied,
+}
+
 /// Sends a request to an endpoint and waits for the response head.
 ///
 /// `headers` replace those of the request. While the links to the service are lost, a connection
@@ -54,16 +63,21 @@
     endpoint: &Endpoint,
     outgoing: &EndpointRequest,
     headers: HeaderMap,
+    reuse: Reuse,
 ) -> Reply {
     let sent_at = shell.now();
     let request = outgoing.with_headers(headers);
-    let request = match shell.endpoint_client.send_pooled(endpoint, request).await {
+    let pooled = match reuse {
+        Reuse::Allowed => shell.endpoint_client.send_pooled(endpoint, request).await,
+        Reuse::Denied => Err(request),
+    };
+    let request = match pooled {
         Ok(reply) => return record(shell, endpoint, sent_at, reply),
         Err(request) => request,
     };
     let lost = shell.core.borrow().links_lost(&endpoint.service);
     let request = if lost {
-        match shell.relay.send(endpoint, request).await {
+        match shell.relay.send(endpoint, request, reuse).await {
             Ok(reply) => return reply,
             Err(request) => request,
         }
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -22,6 +22,7 @@
 use crate::announcements;
 use crate::attempt;
 use crate::attempt::EndpointRequest;
+use crate::attempt::Reuse;
 use crate::endpoint_client::Reply;
 use crate::events::EventBuffer;
 use crate::framing::Framing;
@@ -167,6 +168,11 @@
 
     async fn attempt(&mut self, endpoint: &Arc<Endpoint>, permit: &Permit) -> AttemptEnd {
         let start = self.shell.now();
+        let reuse = if self.last_endpoint.is_none() {
+            Reuse::Allowed
+        } else {
+            Reuse::Denied
+        };
         self.last_endpoint = Some(endpoint.clone());
         self.progress.relay = None;
         self.progress.framing = None;
@@ -176,7 +182,13 @@
         let shell = self.shell.clone();
         let headers = self.request_headers(endpoint, start);
         let reply = {
-            let mut sending = pin!(attempt::send(&shell, endpoint, &self.outgoing, headers));
+            let mut sending = pin!(attempt::send(
+                &shell,
+                endpoint,
+                &self.outgoing,
+                headers,
+                reuse
+            ));
             if let Ok(reply) = timeout(permit.stall_timeout().into(), &mut sending).await {
                 reply
             } else {
--- a/crates/siskinyoke-gateway/src/relay.rs
+++ b/crates/siskinyoke-gateway/src/relay.rs
@@ -44,6 +44,10 @@
 /// To earlier versions, the connection is lost.
 pub const MISMATCH_HEADER: HeaderName = HeaderName::from_static("siskinyoke-relay-mismatch");
 
+/// Set by the sender of a request that needs a new connection to the endpoint.
+pub const NEW_CONNECTION_HEADER: HeaderName =
+    HeaderName::from_static("siskinyoke-relay-new-connection");
+
 /// Sends requests through peers, and relays those of peers.
 #[derive(Debug)]
 pub struct Relay {
--- a/crates/siskinyoke-gateway/src/relay/client.rs
+++ b/crates/siskinyoke-gateway/src/relay/client.rs
@@ -19,9 +19,11 @@
 use super::ENDPOINT_HEADER;
 use super::FRAMING_HEADER;
 use super::MISMATCH_HEADER;
+use super::NEW_CONNECTION_HEADER;
 use super::Relay;
 use super::STATUS_HEADER;
 use super::status::RelayStatus;
+use crate::attempt::Reuse;
 use crate::clock::BootClock;
 use crate::connection::Connection;
 use crate::connection::SendOutcome;
@@ -45,6 +47,7 @@
         &self,
         endpoint: &Endpoint,
         request: OutgoingRequest,
+        reuse: Reuse,
     ) -> Result<Reply, OutgoingRequest> {
         let now = BootClock.now();
         let relays = self.core.borrow().relays(now, endpoint, rand::random());
@@ -57,7 +60,7 @@
                 Err(request)
             };
         }
-        let template = Template::new(request, endpoint);
+        let template = Template::new(request, endpoint, reuse);
         let mut unreachable = false;
         for relay in relays {
             let Ok(address) = relay.peer_address.parse() else {
@@ -176,13 +179,16 @@
 }
 
 impl Template {
-    fn new(request: OutgoingRequest, endpoint: &Endpoint) -> Self {
+    fn new(request: OutgoingRequest, endpoint: &Endpoint, reuse: Reuse) -> Self {
         let (parts, body) = request.into_parts();
         let mut headers = parts.headers;
         let key = format!("{:x}", endpoint.key().0);
         if let Ok(value) = HeaderValue::from_str(&key) {
             headers.insert(ENDPOINT_HEADER, value);
         }
+        if reuse == Reuse::Denied {
+            headers.insert(NEW_CONNECTION_HEADER, HeaderValue::from_static("1"));
+        }
         Self {
             method: parts.method,
             uri: parts.uri,
--- a/crates/siskinyoke-gateway/src/relay/server.rs
+++ b/crates/siskinyoke-gateway/src/relay/server.rs
@@ -22,6 +22,7 @@
 use super::ENDPOINT_HEADER;
 use super::FRAMING_HEADER;
 use super::MISMATCH_HEADER;
+use super::NEW_CONNECTION_HEADER;
 use super::Relay;
 use super::STATUS_HEADER;
 use super::body::Counted;
@@ -80,11 +81,17 @@
         let held_bytes = Counted::new(&self.held_bytes, body_size);
         let (parts, body) = request.into_parts();
         let id = self.exchange.request_id(&parts).map(str::to_owned);
+        let needs_new = parts.headers.contains_key(NEW_CONNECTION_HEADER);
         let Some(request) = read(parts, body, body_size).await else {
             return Ok(self.refuse(peer, "body"));
         };
         let sent_at = BootClock.now();
-        let reply = match self.client.send_pooled(&endpoint, request).await {
+        let pooled = if needs_new {
+            Err(request)
+        } else {
+            self.client.send_pooled(&endpoint, request).await
+        };
+        let reply = match pooled {
             Ok(reply) => reply,
             Err(request) => self.client.send_new(&endpoint, request).await,
         };
@@ -223,7 +230,8 @@
     let mut outgoing = Request::new(Full::new(body));
     *outgoing.method_mut() = parts.method;
     *outgoing.uri_mut() = parts.uri;
-    *outgoing.headers_mut() = end_to_end(&parts.headers, &[ENDPOINT_HEADER]);
+    let dropped = [ENDPOINT_HEADER, NEW_CONNECTION_HEADER];
+    *outgoing.headers_mut() = end_to_end(&parts.headers, &dropped);
     Some(outgoing)
 }
 
--- a/crates/siskinyoke-gateway/tests/cut_links/main.rs
+++ b/crates/siskinyoke-gateway/tests/cut_links/main.rs
@@ -338,6 +338,24 @@
     assert_eq!(state(&fleet.instances[1], "relayed"), 0);
 }
 
+// All endpoints repeat responses on their connections as the next request arrives. Guards against a
+// second attempt that meets another such connection.
+#[test]
+fn a_retry_gets_no_response_to_another_request() {
+    let fleet = Fleet::start(2);
+    fleet.lose_links(0..1);
+    thread::scope(|scope| {
+        for number in 0..PARALLEL_COUNT {
+            let fleet = &fleet;
+            scope.spawn(move || fleet.call(&format!("d{number}"), "/safe/duplicate/brief"));
+        }
+    });
+    thread::sleep(Duration::from_millis(10));
+    for number in 0..MAX_UNSERVED {
+        assert_eq!(fleet.call(&format!("x{number}"), "/safe/a"), None);
+    }
+}
+
 // An endpoint repeats a response on its connection as the next request arrives. Guards against a
 // relay that uses the connection again, so that each further request gets the response before it.
 #[test]
