--- a/crates/siskinyoke-gateway/src/cluster_view.rs
+++ b/crates/siskinyoke-gateway/src/cluster_view.rs
@@ -1,5 +1,7 @@
 //! Applies updates from the store or from a peer to this instance's view of the cluster.
 
+use std::fmt::Display;
+
 use bytes::Bytes;
 use serde_json::json;
 
@@ -139,58 +141,39 @@
 }
 
 fn decode_endpoint(shell: &Shell, id: &str, value: &[u8]) -> Option<Endpoint> {
-    match shell.interface.documents.decode_endpoint(id, value) {
-        Ok(endpoint) => Some(endpoint),
-        Err(err) => {
-            let fields = json!({ "endpoint": id, "error": err.to_string() });
-            shell.log("endpoint_unreadable", fields);
-            None
-        }
-    }
+    let decoded = shell.interface.documents.decode_endpoint(id, value);
+    readable(shell, decoded, "endpoint_unreadable", ("endpoint", id))
 }
 
 fn decode_order(shell: &Shell, service: &str, value: &[u8], revision: Revision) -> Option<Order> {
-    match shell
-        .interface
-        .documents
-        .decode_rollout_order(service, value)
-    {
-        Ok(order) => {
-            let fields = json!({
-                "service": service,
-                "version": &*order.version,
-                "span_ms": order.duration.0,
-                "revision": revision,
-            });
-            shell.log("rollout_order", fields);
-            Some(Order {
-                service: service.into(),
-                version: order.version.into(),
-                duration: order.duration,
-                revision,
-            })
-        }
-        Err(err) => {
-            let fields = json!({ "service": service, "error": err.to_string() });
-            shell.log("rollout_order_unreadable", fields);
-            None
-        }
-    }
+    let documents = &shell.interface.documents;
+    let decoded = documents.decode_rollout_order(service, value);
+    let event = "rollout_order_unreadable";
+    let order = readable(shell, decoded, event, ("service", service))?;
+    let fields = json!({
+        "service": service,
+        "version": &*order.version,
+        "span_ms": order.duration.0,
+        "revision": revision,
+    });
+    shell.log("rollout_order", fields);
+    Some(Order {
+        service: service.into(),
+        version: order.version.into(),
+        duration: order.duration,
+        revision,
+    })
 }
 
 fn decode_status(shell: &Shell, service: &str, value: &[u8], revision: Revision) -> Option<Status> {
-    match shell.interface.documents.decode_rollout_status(value) {
-        Ok((state, version)) => Some(Status {
-            state,
-            version: version.into(),
-            revision,
-        }),
-        Err(err) => {
-            let fields = json!({ "service": service, "error": err.to_string() });
-            shell.log("rollout_state_unreadable", fields);
-            None
-        }
-    }
+    let decoded = shell.interface.documents.decode_rollout_status(value);
+    let event = "rollout_state_unreadable";
+    let (state, version) = readable(shell, decoded, event, ("service", service))?;
+    Some(Status {
+        state,
+        version: version.into(),
+        revision,
+    })
 }
 
 fn decode_version_note(
@@ -199,29 +182,33 @@
     value: &[u8],
     revision: Revision,
 ) -> Option<VersionNote> {
-    match shell.interface.documents.decode_version_note(value) {
-        Ok(versions) => Some(VersionNote {
-            service: service.into(),
-            versions: versions.into_iter().map(Into::into).collect(),
-            revision,
-        }),
-        Err(err) => {
-            let fields = json!({ "service": service, "error": err.to_string() });
-            shell.log("version_note_unreadable", fields);
-            None
-        }
-    }
+    let decoded = shell.interface.documents.decode_version_note(value);
+    let event = "version_note_unreadable";
+    let versions = readable(shell, decoded, event, ("service", service))?;
+    Some(VersionNote {
+        service: service.into(),
+        versions: versions.into_iter().map(Into::into).collect(),
+        revision,
+    })
 }
 
 fn decode_instance(shell: &Shell, name: &str, value: &[u8]) -> Option<StoreUpdate> {
-    match serde_json::from_slice(value) {
-        Ok(location) => Some(StoreUpdate::Instance(name.to_owned(), location)),
-        Err(err) => {
-            let fields = json!({ "instance": name, "error": err.to_string() });
-            shell.log("instance_unreadable", fields);
-            None
-        }
-    }
+    let decoded = serde_json::from_slice(value);
+    let location = readable(shell, decoded, "instance_unreadable", ("instance", name))?;
+    Some(StoreUpdate::Instance(name.to_owned(), location))
+}
+
+// Returns a decoded value, or logs why it cannot be read; `subject` names the item in the log line.
+fn readable<T, E: Display>(
+    shell: &Shell,
+    decoded: Result<T, E>,
+    event: &str,
+    subject: (&str, &str),
+) -> Option<T> {
+    let (kind, name) = subject;
+    decoded
+        .map_err(|err| shell.log(event, json!({ kind: name, "error": err.to_string() })))
+        .ok()
 }
 
 fn log_endpoint(shell: &Shell, update: &StoreUpdate) {
@@ -263,13 +250,10 @@
     copy: ConfigurationCopy,
     source: &str,
 ) -> bool {
-    let configuration = match shell.interface.documents.decode_configuration(bytes) {
-        Ok(configuration) => configuration,
-        Err(err) => {
-            let fields = json!({ "source": source, "error": err.to_string() });
-            shell.log("configuration_unreadable", fields);
-            return false;
-        }
+    let decoded = shell.interface.documents.decode_configuration(bytes);
+    let event = "configuration_unreadable";
+    let Some(configuration) = readable(shell, decoded, event, ("source", source)) else {
+        return false;
     };
     let version = configuration.version;
     let quotas: Vec<_> = configuration
