Tests: the two models of quotas share what is allowed and how the heaviest window is found

quota_fleets had repeated both. The formula of what is allowed keeps its literals; the search takes grants in any order, as one test appends those of two sides. All assertions stay.

--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -37,6 +37,31 @@
     slack: 110_000.0,
 };
 
+/// Returns the units of an organisation that may be granted in any window.
+pub fn allowed_units(rate: f64, burst: f64) -> f64 {
+    (rate * 8.0 + burst) * 1.1 + QUOTA_POLICY.slack
+}
+
+/// Returns the window in which the most units were granted, by its start, and how many; `grants`
+/// are times and units.
+pub fn most_granted_in_window(grants: &[(u64, f64)]) -> (u64, f64) {
+    let mut grants = grants.to_vec();
+    grants.sort_by_key(|grant| grant.0);
+    let mut most = (0, 0.0);
+    let (mut first, mut sum) = (0, 0.0);
+    for (at, units) in &grants {
+        sum += units;
+        while grants[first].0 + QUOTA_POLICY.window.0 <= *at {
+            sum -= grants[first].1;
+            first += 1;
+        }
+        if sum > most.1 {
+            most = (grants[first].0, sum);
+        }
+    }
+    most
+}
+
 pub fn route(kind: RouteKind, priority: u8) -> Route {
     Route {
         name: "r".into(),
--- a/crates/siskinyoke-dispatch/tests/quota.rs
+++ b/crates/siskinyoke-dispatch/tests/quota.rs
@@ -2,11 +2,12 @@
 
 mod common;
 
-use crate::common::QUOTA_POLICY;
+use crate::common::allowed_units;
 use crate::common::configuration;
 use crate::common::endpoint;
 use crate::common::identity;
 use crate::common::location;
+use crate::common::most_granted_in_window;
 use crate::common::organisation;
 use crate::common::request;
 use siskinyoke_base::Millis;
@@ -108,35 +109,19 @@
 
     // Returns the most units that were granted in any window.
     fn max_granted_in_window(&self) -> f64 {
-        let sum = |from: u64| -> f64 {
-            let window = from..from + QUOTA_POLICY.window.0;
-            let inside = self.grants.iter().filter(|grant| window.contains(&grant.0));
-            inside.map(|grant| grant.1).sum()
-        };
-        self.grants
-            .iter()
-            .map(|grant| sum(grant.0))
-            .fold(0.0, f64::max)
+        most_granted_in_window(&self.grants).1
     }
 }
 
-fn allowed_units() -> f64 {
-    allowed_units_for(RATE_UNITS_PER_SECOND, BURST_UNITS)
-}
-
-fn allowed_units_for(rate: f64, burst: f64) -> f64 {
-    (rate * 8.0 + burst) * 1.1 + QUOTA_POLICY.slack
-}
-
 #[test]
 fn all_instances_together_keep_to_the_quota_and_use_most_of_it() {
     let mut fleet = Fleet::start(7, 0, 0);
     fleet.send_requests(0, 30_000, 5);
     assert!(
-        fleet.max_granted_in_window() <= allowed_units(),
+        fleet.max_granted_in_window() <= allowed_units(RATE_UNITS_PER_SECOND, BURST_UNITS),
         "{} units granted of {} allowed",
         fleet.max_granted_in_window(),
-        allowed_units()
+        allowed_units(RATE_UNITS_PER_SECOND, BURST_UNITS)
     );
     assert!(
         fleet.max_granted_in_window() >= 0.9 * (RATE_UNITS_PER_SECOND * 8.0 + BURST_UNITS),
@@ -156,10 +141,10 @@
     fleet.restart(8, 4_100, 400);
     fleet.send_requests(4_100, 16_000, 5);
     assert!(
-        fleet.max_granted_in_window() <= allowed_units(),
+        fleet.max_granted_in_window() <= allowed_units(RATE_UNITS_PER_SECOND, BURST_UNITS),
         "{} units granted of {} allowed",
         fleet.max_granted_in_window(),
-        allowed_units()
+        allowed_units(RATE_UNITS_PER_SECOND, BURST_UNITS)
     );
 }
 
@@ -181,10 +166,10 @@
     }
     fleet.grants.append(&mut other_side.grants);
     assert!(
-        fleet.max_granted_in_window() <= allowed_units(),
+        fleet.max_granted_in_window() <= allowed_units(RATE_UNITS_PER_SECOND, BURST_UNITS),
         "{} units granted of {} allowed",
         fleet.max_granted_in_window(),
-        allowed_units()
+        allowed_units(RATE_UNITS_PER_SECOND, BURST_UNITS)
     );
 }
 
@@ -250,10 +235,10 @@
         }
     }
     assert!(
-        fleet.max_granted_in_window() <= allowed_units(),
+        fleet.max_granted_in_window() <= allowed_units(RATE_UNITS_PER_SECOND, BURST_UNITS),
         "{} units granted of {} allowed",
         fleet.max_granted_in_window(),
-        allowed_units()
+        allowed_units(RATE_UNITS_PER_SECOND, BURST_UNITS)
     );
 }
 
@@ -277,7 +262,7 @@
         "{} of {sent} requests granted",
         late.len()
     );
-    assert!(fleet.max_granted_in_window() <= allowed_units_for(rate, burst));
+    assert!(fleet.max_granted_in_window() <= allowed_units(rate, burst));
 }
 
 // An organisation with a large burst exceeds its quota, and all instances are killed and restarted
@@ -291,7 +276,7 @@
         fleet.restart(4, killed + 300, 300);
         fleet.send_requests(killed + 300, 25_000, 10);
         assert!(
-            fleet.max_granted_in_window() <= allowed_units_for(rate, burst),
+            fleet.max_granted_in_window() <= allowed_units(rate, burst),
             "killed at {killed} ms: {} units granted",
             fleet.max_granted_in_window()
         );
--- a/crates/siskinyoke-dispatch/tests/quota_fleets/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/quota_fleets/fleet.rs
@@ -12,12 +12,12 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::common::QUOTA_POLICY;
 use crate::common::configuration;
 use crate::common::endpoint;
 use crate::common::identity;
 use crate::common::instance_number;
 use crate::common::location;
+use crate::common::most_granted_in_window;
 use crate::common::organisation;
 use crate::common::request;
 use siskinyoke_base::Millis;
@@ -31,8 +31,8 @@
 const SWEEP_INTERVAL_MS: u64 = 200;
 
 /// The quota, and what callers ask for as a multiple of it.
-const RATE: f64 = 800_000.0;
-const BURST: f64 = 400_000.0;
+pub const RATE: f64 = 800_000.0;
+pub const BURST: f64 = 400_000.0;
 const DEMAND_RATIO: f64 = 3.0;
 const REQUEST_UNITS: f64 = 1_000.0;
 
@@ -65,12 +65,6 @@
     starts: u64,
 }
 
-/// Returns the units that may be granted in a window.
-pub fn allowed_units() -> f64 {
-    let nominal = RATE * QUOTA_POLICY.window.as_secs() + BURST;
-    nominal * (1.0 + QUOTA_POLICY.overage) + QUOTA_POLICY.slack
-}
-
 impl Fleet {
     /// Starts a fleet.
     pub fn new(seed: u64, size: usize) -> Self {
@@ -118,19 +112,7 @@
 
     /// Returns the window in which the most units were granted, by its start, and how many.
     pub fn most_in_window(&self) -> (u64, f64) {
-        let mut most = (0, 0.0);
-        let (mut first, mut sum) = (0, 0.0);
-        for (at, units) in &self.grants {
-            sum += units;
-            while self.grants[first].0 + QUOTA_POLICY.window.0 <= *at {
-                sum -= self.grants[first].1;
-                first += 1;
-            }
-            if sum > most.1 {
-                most = (self.grants[first].0, sum);
-            }
-        }
-        most
+        most_granted_in_window(&self.grants)
     }
 
     fn start_core(&mut self, index: usize) -> Core {
--- a/crates/siskinyoke-dispatch/tests/quota_fleets/main.rs
+++ b/crates/siskinyoke-dispatch/tests/quota_fleets/main.rs
@@ -6,9 +6,11 @@
 mod common;
 mod fleet;
 
+use self::common::allowed_units;
 use self::common::seeds;
+use self::fleet::BURST;
 use self::fleet::Fleet;
-use self::fleet::allowed_units;
+use self::fleet::RATE;
 
 /// Fleet sizes: one shard, and several.
 const SIZES: [usize; 2] = [8, 48];
@@ -26,9 +28,9 @@
             fleet.run(40_000);
             let (at, most) = fleet.most_in_window();
             assert!(
-                most <= allowed_units(),
+                most <= allowed_units(RATE, BURST),
                 "seed {seed}, {size} instances: {most} units of {} in the window from {at} ms",
-                allowed_units()
+                allowed_units(RATE, BURST)
             );
         }
     }
