Quotas: each part of a cut fleet keeps to its own part of a bucket

Causes, by units, levels and shares each 250 ms (docs/incidents/quotas-and-lost-peers.md): what both sides refilled was taken back from savings, so nothing was owed; a returning peer's unused part was added without regard to its capacity; a peer silent for 12 s was forgotten with its totals, so its use since its start counted as new; departed instances were no longer counted after 15 s even where nobody could read whether they are back; instances whose entries have expired did not find each other.

Changes: a bucket is divided as if a loss had been noticed at once; what returning peers used is counted as a whole against what they refilled; totals are kept for ten minutes; the 15 s do not pass without the store; discovery includes the addresses that peers report hearing. The state of Gossip moves to the core, so the model uses it too.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -16,6 +16,7 @@
 mod streams;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::Configuration;
@@ -66,6 +67,8 @@
     instances: LeasedEntries<InstanceLocation>,
     // Instances removed from the list, with the time of removal; most of them are restarting.
     departed: BTreeMap<String, Millis>,
+    // The peer addresses that instances of the shard receive reports from.
+    advertised: BTreeSet<String>,
     shard: usize,
     shard_count: usize,
     quotas: Quotas,
@@ -97,6 +100,7 @@
             peers: Peers::default(),
             instances: LeasedEntries::default(),
             departed: BTreeMap::new(),
+            advertised: BTreeSet::new(),
             shard: 0,
             shard_count: 1,
             quotas: Quotas::new(identity.quota_policy),
@@ -355,9 +359,8 @@
         self.registry.remove_expired(now);
         self.observe_versions(now);
         self.expire_departed(now);
-        for incarnation in self.peers.sweep(now) {
-            self.quotas.forget_peer(incarnation);
-        }
+        self.peers.sweep(now);
+        self.quotas.sweep(now);
         self.scheduler.prune_endpoints(&self.registry);
         self.scheduler.sweep_lent_slots(now);
         self.scheduler.prune_shares(now);
--- a/crates/siskinyoke-dispatch/src/core/fleet.rs
+++ b/crates/siskinyoke-dispatch/src/core/fleet.rs
@@ -60,6 +60,19 @@
         others.map(|(name, location)| (location, self.in_shard(name)))
     }
 
+    /// Returns the peer addresses for one round of discovery: those of the listed instances of the
+    /// shard, and those from which its instances have said since the last round that they receive
+    /// reports.
+    ///
+    /// Instances whose entries have expired are listed nowhere. They find each other through a third
+    /// one.
+    pub fn discovery_addresses(&mut self) -> BTreeSet<String> {
+        let mut addresses = std::mem::take(&mut self.advertised);
+        let members = self.other_instances().filter(|row| row.1);
+        addresses.extend(members.map(|row| row.0.peer_address.clone()));
+        addresses
+    }
+
     /// Returns whether another instance has this IP address.
     pub fn is_instance_address(&self, address: IpAddr) -> bool {
         let listed = self.other_instances().map(|row| row.0);
@@ -190,9 +203,13 @@
         self.identity.retry_slack / 2.0 / f64::from(u32::try_from(instances).unwrap_or(u32::MAX))
     }
 
-    // Removes instances whose grace period has ended.
+    // Removes instances whose grace period has ended. It does not end while the store cannot be read:
+    // an instance that could not renew its entry may have returned since.
     pub(super) fn expire_departed(&mut self, now: Millis) {
         let before = self.departed.len();
+        if self.is_store_unreachable(now) {
+            self.departed.values_mut().for_each(|it| *it = now);
+        }
         self.departed
             .retain(|_, since| now.since(*since) < RESTART_GRACE);
         if self.instances.remove_expired(now) || self.departed.len() < before {
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -6,6 +6,7 @@
 use crate::Report;
 use crate::core::Core;
 use crate::peers::Received;
+use crate::quota::ReportingPeer;
 use crate::report::InstanceInfo;
 use siskinyoke_base::Millis;
 
@@ -31,6 +32,9 @@
             }
             self.apply_info(now, info);
             in_shard = self.in_shard(&info.name);
+            if in_shard {
+                self.advertised.extend(info.peers.iter().cloned());
+            }
         }
         self.receive_canary_reports(now, &report, in_shard);
         self.record_peer_limits(now, &report.limits);
@@ -43,8 +47,8 @@
         self.scheduler.record_peer_speeds(&report.running);
         self.scheduler
             .receive_shares(now, incarnation, &report.shares);
-        let refilled = self.peers.silence(now, incarnation).as_secs() * self.peers.instance_share();
-        let no_older = Millis(report.age) <= self.age(now) + START_SKEW;
+        let age = Millis(report.age);
+        let no_older = age <= self.age(now) + START_SKEW;
         let received = self.peers.receive(now, report);
         if received == Received::Ignored {
             return false;
@@ -53,8 +57,12 @@
             self.quotas.forget_peer(previous);
             self.scheduler.forget_peer_shares(previous);
         }
-        self.quotas
-            .record_peer_usage(incarnation, no_older, &quota_used, refilled);
+        let peer = ReportingPeer {
+            incarnation,
+            age: no_older.then_some(age),
+            fleet_share: self.peers.instance_share(),
+        };
+        self.quotas.record_peer_usage(now, peer, &quota_used);
         matches!(received, Received::NewProcess(_))
     }
 
--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -304,7 +304,7 @@
         }
     }
 
-    fn is_store_unreachable(&self, now: Millis) -> bool {
+    pub(super) fn is_store_unreachable(&self, now: Millis) -> bool {
         !self.store_view.reachable
             && !self
                 .peers
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -133,20 +133,12 @@
         self.by_incarnation.remove(&incarnation);
     }
 
-    /// Removes peers that shut down or were unresponsive for too long, and returns their
-    /// incarnations.
-    pub fn sweep(&mut self, now: Millis) -> Vec<u64> {
-        let mut removed = Vec::new();
+    /// Removes peers that shut down or were unresponsive for too long.
+    pub fn sweep(&mut self, now: Millis) {
         self.by_incarnation.retain(|_, peer| {
             let report_age = now.since(peer.received_at);
-            let keep = report_age < PEER_RETENTION
-                && !(peer.report.shutting_down && report_age > REPORT_TTL);
-            if !keep {
-                removed.push(peer.report.incarnation);
-            }
-            keep
+            report_age < PEER_RETENTION && !(peer.report.shutting_down && report_age > REPORT_TTL)
         });
-        removed
     }
 
     /// Returns all known peers, whether they report at present or not.
@@ -200,14 +192,6 @@
         ratio(reporting, self.known_count())
     }
 
-    /// Returns the time since the last report of a peer, zero if it counts as reporting or is not
-    /// known.
-    pub fn silence(&self, now: Millis, incarnation: u64) -> Millis {
-        let peer = self.by_incarnation.get(&incarnation);
-        peer.filter(|it| !it.is_fresh(now))
-            .map_or(Millis::ZERO, |it| now.since(it.received_at))
-    }
-
     /// Returns the fraction of the fleet that a single instance makes up.
     pub fn instance_share(&self) -> f64 {
         ratio(1, self.known_count())
--- a/crates/siskinyoke-dispatch/tests/quota.rs
+++ b/crates/siskinyoke-dispatch/tests/quota.rs
@@ -18,6 +18,7 @@
 
 const RATE_UNITS_PER_SECOND: f64 = 100_000.0;
 const BURST_UNITS: f64 = 100_000.0;
+const SWEEP_INTERVAL_MS: u64 = 200;
 
 /// Instances that take as much quota as they are granted, and exchange reports every 40 ms.
 struct Fleet {
@@ -73,6 +74,11 @@
             if now % 40 == 0 && now >= self.isolated_until {
                 self.exchange_reports(now);
             }
+            if now % SWEEP_INTERVAL_MS == 0 {
+                for core in &mut self.cores {
+                    core.sweep(Millis(now));
+                }
+            }
             if now % interval != 0 {
                 continue;
             }
@@ -282,3 +288,17 @@
         );
     }
 }
+
+// Guards against the use of a peer since its start being taken from the quota a second time, when
+// the peer returns after so long that it had been removed.
+#[test]
+fn an_organisation_within_its_quota_is_served_after_a_long_cut() {
+    let mut fleet = Fleet::start(2, 0, 0);
+    fleet.send_requests(0, 40_000, 25);
+    fleet.isolated_until = 55_000;
+    fleet.send_requests(40_000, 55_000, 25);
+    let before = fleet.grants.len();
+    fleet.send_requests(55_000, 58_000, 25);
+    let served = fleet.grants.len() - before;
+    assert!(served >= 230, "{served} of 240 requests served");
+}
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::cluster_view;
-use crate::gossip::Gossip;
+use crate::gossip;
 use crate::listener;
 use crate::listener::ListenerKind;
 use crate::log_writer::LogWriter;
@@ -72,7 +72,6 @@
     log_writer: LogWriter,
 ) -> Result<(), Box<dyn std::error::Error>> {
     let listen = settings.listen.clone();
-    let gossip = Rc::new(Gossip::default());
     let metrics = std::net::SocketAddr::new(settings.ip, settings.metrics);
     let listeners = [
         (listen.callers, ListenerKind::Callers),
@@ -94,8 +93,8 @@
         let listener = listener::bind(address).await?;
         spawn_local(listener::accept(shell.clone(), listener, kind));
     }
-    spawn_local(gossip.clone().send_reports(shell.clone()));
-    spawn_local(gossip.receive_messages(shell.clone()));
+    spawn_local(gossip::send_reports(shell.clone()));
+    spawn_local(gossip::receive_messages(shell.clone()));
     spawn_local(watcher::run(shell.clone()));
     spawn_local(registration::maintain(shell.clone()));
     spawn_local(reload::poll_file(shell.clone(), path.clone()));
