--- a/crates/siskinyoke-dispatch/src/quota/peer_use.rs
+++ b/crates/siskinyoke-dispatch/src/quota/peer_use.rs
@@ -8,7 +8,7 @@
 ///
 /// Without them, a peer that returns after a long partition would report its use since its start
 /// as new.
-const RETENTION: Millis = Millis::from_secs(600);
+const PEER_USE_RETENTION: Millis = Millis::from_secs(600);
 
 /// A peer's process that reports its use.
 #[derive(Debug, Clone, Copy)]
@@ -97,7 +97,7 @@
     /// Drops what processes have used that have been silent for long.
     pub fn sweep(&mut self, now: Millis) {
         self.by_incarnation
-            .retain(|_, it| now.since(it.heard_at) < RETENTION);
+            .retain(|_, it| now.since(it.heard_at) < PEER_USE_RETENTION);
     }
 }
 
--- a/crates/siskinyoke-dispatch/tests/backoffs/main.rs
+++ b/crates/siskinyoke-dispatch/tests/backoffs/main.rs
@@ -29,7 +29,7 @@
 /// The part of the requests that endpoints could complete, which has to be completed.
 const MIN_SERVED_RATIO: f64 = 0.85;
 
-/// A seed with which so many endpoints reject requests at once that fewer than 500 can be served.
+/// A seed whose faults leave room for fewer than 500 requests.
 const REJECTED_SEED: u64 = 21;
 
 fn admit(core: &mut Core, now: u64, path: &str) -> Result<Ticket, Millis> {
