--- a/crates/siskinyoke-dispatch/src/rejection_limits.rs
+++ b/crates/siskinyoke-dispatch/src/rejection_limits.rs
@@ -217,10 +217,11 @@
         limits.filter(|it| it.limit.is_some()).count()
     }
 
-    /// Drops the limits of endpoints that are not in `endpoints`.
+    /// Drops what is known of endpoints that are not in `endpoints`.
     pub fn retain_endpoints(&mut self, endpoints: &[EndpointKey]) {
-        self.limits
-            .retain(|short_key, _| endpoints.iter().any(|key| key.short_key() == *short_key));
+        let listed = |short_key: u32| endpoints.iter().any(|key| key.short_key() == short_key);
+        self.limits.retain(|short_key, _| listed(*short_key));
+        self.unlimited.retain(|short_key| listed(*short_key));
     }
 
     // Records an observation made at `observed_at`, unless a newer one is known.
