Tests: the seeds of killed processes' successors play beside the others

endpoints_seldom_fall_over_while_instances_restart_and_reports_are_lost took over a minute in a debug build with the ten seeds that failed.

--- a/crates/siskinyoke-dispatch/src/quota/peer_use.rs
+++ b/crates/siskinyoke-dispatch/src/quota/peer_use.rs
@@ -34,7 +34,7 @@
 /// What a peer's process has used.
 #[derive(Debug)]
 struct PeerUse {
-    heard_at: Millis,
+    received_at: Millis,
     // For how long the peer was silent, in seconds, times its share of the fleet.
     refilled: f64,
     // By the organisation's hash: the total used and `refilled`, both as of the last report of it.
@@ -66,15 +66,15 @@
             .by_incarnation
             .entry(peer.incarnation)
             .or_insert_with(|| PeerUse {
-                heard_at: now,
+                received_at: now,
                 refilled: peer.age.unwrap_or_default().as_secs() * peer.fleet_share,
                 totals: Map::default(),
             });
-        let silence = now.since(row.heard_at);
+        let silence = now.since(row.received_at);
         if silence > REPORT_TTL {
             row.refilled += silence.as_secs() * peer.fleet_share;
         }
-        row.heard_at = now;
+        row.received_at = now;
         let refilled = row.refilled;
         let first = peer.age.map(|_| (0, if is_new { 0.0 } else { refilled }));
         let changes = totals.iter().filter_map(|(organisation, total)| {
@@ -97,7 +97,7 @@
     /// Drops what processes have used that have been silent for long.
     pub fn sweep(&mut self, now: Millis) {
         self.by_incarnation
-            .retain(|_, it| now.since(it.heard_at) < PEER_USE_RETENTION);
+            .retain(|_, it| now.since(it.received_at) < PEER_USE_RETENTION);
     }
 }
 
--- a/crates/siskinyoke-dispatch/tests/rejection_limits/main.rs
+++ b/crates/siskinyoke-dispatch/tests/rejection_limits/main.rs
@@ -33,7 +33,11 @@
 const MIN_USED_UNDER_FAULTS: f64 = 0.7;
 
 /// Seeds with which instances that restarted made endpoints fall over, or kept all others away.
-const RESTART_SEEDS: [u64; 10] = [9, 29, 57, 61, 62, 89, 114, 116, 125, 128];
+const RESTART_SEEDS: [u64; 3] = [57, 61, 62];
+
+/// Seeds with which the successor of a killed process did so: while endpoints still ran requests
+/// of that process, or while it received no report.
+const SUCCESSOR_SEEDS: [u64; 7] = [9, 29, 89, 114, 116, 125, 128];
 
 fn started(core: &mut Core, now: u64) -> Vec<Ticket> {
     let decisions = core.decide(Millis(now)).into_iter();
@@ -88,24 +92,37 @@
     }
 }
 
-// The users bear two falls, and one more for every ten endpoints.
 #[test]
 fn endpoints_seldom_fall_over_while_instances_restart_and_reports_are_lost() {
     for seed in seeds(0..2).chain(RESTART_SEEDS) {
-        for limit in [1, 3] {
-            let scenario = Scenario {
-                instances: 8,
-                limit,
-                load: 1.5,
-                faults: true,
-            };
-            let fleet = Fleet::run(seed, scenario);
-            let used = fleet.served as f64 / fleet.capacity() as f64;
-            let falls = fleet.falls;
-            let text = format!("seed {seed}, {scenario:?}, {falls} falls, used {used:.2}");
-            assert!(falls <= 2 + fleet.endpoint_count() / 10, "{text}");
-            assert!(used >= MIN_USED_UNDER_FAULTS, "{text}");
-        }
+        check_restarts(seed);
+    }
+}
+
+// Guards against processes that use slots which requests of the process before them still occupy, or
+// that take endpoints for unlimited because they receive no report.
+#[test]
+fn endpoints_seldom_fall_over_before_the_successors_of_killed_processes() {
+    for seed in SUCCESSOR_SEEDS {
+        check_restarts(seed);
+    }
+}
+
+// The users bear two falls, and one more for every ten endpoints.
+fn check_restarts(seed: u64) {
+    for limit in [1, 3] {
+        let scenario = Scenario {
+            instances: 8,
+            limit,
+            load: 1.5,
+            faults: true,
+        };
+        let fleet = Fleet::run(seed, scenario);
+        let used = fleet.served as f64 / fleet.capacity() as f64;
+        let falls = fleet.falls;
+        let text = format!("seed {seed}, {scenario:?}, {falls} falls, used {used:.2}");
+        assert!(falls <= 2 + fleet.endpoint_count() / 10, "{text}");
+        assert!(used >= MIN_USED_UNDER_FAULTS, "{text}");
     }
 }
 
