Endpoint client: one place decides whether a connection is reused

An instance and a relay each asked whether a request needs a new connection before they looked for an idle one. send_pooled is now given that and returns the request, as it does if there is no idle connection. No behaviour changes.

--- a/crates/siskinyoke-gateway/src/attempt.rs
+++ b/crates/siskinyoke-gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 
 use crate::endpoint_client::OutgoingRequest;
 use crate::endpoint_client::Reply;
+use crate::endpoint_client::Reuse;
 use crate::memory::MemoryReservation;
 use crate::pool::PoolKey;
 use crate::probes;
@@ -45,15 +46,6 @@
     }
 }
 
-/// Whether a request may be sent over a connection that has been used before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reuse {
-    /// It may.
-    Allowed,
-    /// It needs a new connection, as the attempt before may have failed because of an old one.
-    Denied,
-}
-
 /// Sends a request to an endpoint and waits for the response head.
 ///
 /// `headers` replace those of the request. While the links to the service are lost, a connection
@@ -67,11 +59,8 @@
 ) -> Reply {
     let sent_at = shell.now();
     let request = outgoing.with_headers(headers);
-    let pooled = match reuse {
-        Reuse::Allowed => shell.endpoint_client.send_pooled(endpoint, request).await,
-        Reuse::Denied => Err(request),
-    };
-    let request = match pooled {
+    let client = &shell.endpoint_client;
+    let request = match client.send_pooled(endpoint, request, reuse).await {
         Ok(reply) => return record(shell, endpoint, sent_at, reply),
         Err(request) => request,
     };
@@ -84,7 +73,7 @@
     } else {
         request
     };
-    let reply = shell.endpoint_client.send_new(endpoint, request).await;
+    let reply = client.send_new(endpoint, request).await;
     record(shell, endpoint, sent_at, reply)
 }
 
--- a/crates/siskinyoke-gateway/src/endpoint_client.rs
+++ b/crates/siskinyoke-gateway/src/endpoint_client.rs
@@ -39,6 +39,22 @@
     LinkLost,
 }
 
+/// Whether a request may be sent over a connection that has been used before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// It may.
+    Allowed,
+    /// It needs a new connection, as the attempt before may have failed because of an old one.
+    Denied,
+}
+
+impl Reuse {
+    /// Returns `Denied` if `denied` is set, and `Allowed` otherwise.
+    pub fn denied_if(denied: bool) -> Self {
+        if denied { Self::Denied } else { Self::Allowed }
+    }
+}
+
 /// Sends requests to endpoints over this instance's own links.
 #[derive(Debug)]
 pub struct EndpointClient {
@@ -53,7 +69,8 @@
         Self { pool, log, source }
     }
 
-    /// Sends a request over an idle connection; returns the request if there is none.
+    /// Sends a request over an idle connection; returns the request if there is none, or if it needs
+    /// a new one.
     ///
     /// A connection that the endpoint has closed in the meantime returns the request unsent; the
     /// next one is tried then.
@@ -65,7 +82,11 @@
         &self,
         endpoint: &Endpoint,
         mut request: OutgoingRequest,
+        reuse: Reuse,
     ) -> Result<Reply, OutgoingRequest> {
+        if reuse == Reuse::Denied {
+            return Err(request);
+        }
         let key = PoolKey::Endpoint(endpoint.key());
         while let Some(mut pooled) = self.pool.take(key) {
             match pooled.connection.send(request).await {
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -22,8 +22,8 @@
 use crate::announcements;
 use crate::attempt;
 use crate::attempt::EndpointRequest;
-use crate::attempt::Reuse;
 use crate::endpoint_client::Reply;
+use crate::endpoint_client::Reuse;
 use crate::events::EventBuffer;
 use crate::framing::Framing;
 use crate::permit::Permit;
@@ -168,11 +168,7 @@
 
     async fn attempt(&mut self, endpoint: &Arc<Endpoint>, permit: &Permit) -> AttemptEnd {
         let start = self.shell.now();
-        let reuse = if self.last_endpoint.is_none() {
-            Reuse::Allowed
-        } else {
-            Reuse::Denied
-        };
+        let reuse = Reuse::denied_if(self.last_endpoint.is_some());
         self.last_endpoint = Some(endpoint.clone());
         self.progress.relay = None;
         self.progress.framing = None;
--- a/crates/siskinyoke-gateway/src/relay/server.rs
+++ b/crates/siskinyoke-gateway/src/relay/server.rs
@@ -32,6 +32,7 @@
 use crate::clock::BootClock;
 use crate::endpoint_client::OutgoingRequest;
 use crate::endpoint_client::Reply;
+use crate::endpoint_client::Reuse;
 use crate::framing::Framing;
 use crate::pool::PooledConnection;
 use crate::response;
@@ -81,17 +82,12 @@
         let held_bytes = Counted::new(&self.held_bytes, body_size);
         let (parts, body) = request.into_parts();
         let id = self.exchange.request_id(&parts).map(str::to_owned);
-        let needs_new = parts.headers.contains_key(NEW_CONNECTION_HEADER);
+        let reuse = Reuse::denied_if(parts.headers.contains_key(NEW_CONNECTION_HEADER));
         let Some(request) = read(parts, body, body_size).await else {
             return Ok(self.refuse(peer, "body"));
         };
         let sent_at = BootClock.now();
-        let pooled = if needs_new {
-            Err(request)
-        } else {
-            self.client.send_pooled(&endpoint, request).await
-        };
-        let reply = match pooled {
+        let reply = match self.client.send_pooled(&endpoint, request, reuse).await {
             Ok(reply) => reply,
             Err(request) => self.client.send_new(&endpoint, request).await,
         };
