Tests: requests over kept connections beside the ends of their limits

Callers send whole requests over kept connections and get neither a response nor a refusal, if the process is paused across the idle limit, if a head arrives across the idle limit or the end of the drain period, or if their connection still waits to be accepted when the drain period ends.

--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/kept_connections.rs
@@ -0,0 +1,186 @@
+//! Requests over kept connections, beside the ends of their idle limit, of their time limit for
+//! heads and of the drain period.
+
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Signal;
+
+use siskinyoke_soak::Endpoint;
+use siskinyoke_soak::Instance;
+use siskinyoke_soak::Store;
+use siskinyoke_soak::configuration;
+
+/// The number of connections of each test.
+const CONNECTION_COUNT: usize = 20;
+
+/// How long callers' connections are accepted and kept open after `SIGTERM`.
+const DRAIN_PERIOD_MS: u64 = 2_500;
+
+/// A whole request without a body.
+const REQUEST: &str = "GET /safe/a HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer k1\r\n\
+                       siskinyoke-request-id: r1\r\nsiskinyoke-deadline-ms: 4000\r\n\r\n";
+
+/// Where the head of the request is split.
+const SPLIT_BYTES: usize = 60;
+
+struct Setup {
+    _store: Store,
+    _endpoint: Endpoint,
+    instance: Instance,
+}
+
+impl Setup {
+    fn start(idle_ms: u64, head_ms: u64) -> Self {
+        let store = Store::start();
+        store.put("op/config", &limits(3, idle_ms, head_ms));
+        let endpoint = Endpoint::start("e1");
+        store.put("servers/e1", &endpoint.entry("ready"));
+        let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
+        let instance = Instance::start(program, "i1", store.address).wait_until_ready();
+        Self {
+            _store: store,
+            _endpoint: endpoint,
+            instance,
+        }
+    }
+
+    // Opens connections over each of which a request has been served.
+    fn connections(&self) -> Vec<TcpStream> {
+        let mut connections: Vec<_> = (0..CONNECTION_COUNT)
+            .map(|_| self.instance.connect())
+            .collect();
+        send_all(&mut connections, REQUEST);
+        assert_eq!(served(&mut connections), CONNECTION_COUNT);
+        connections
+    }
+}
+
+fn limits(version: u64, idle_ms: u64, head_ms: u64) -> String {
+    configuration::text(version, "k1")
+        .replace(
+            "\"IdleTimeoutMs\":15000",
+            &format!("\"IdleTimeoutMs\":{idle_ms}"),
+        )
+        .replace(
+            "\"HeaderTimeoutMs\":3000",
+            &format!("\"HeaderTimeoutMs\":{head_ms}"),
+        )
+}
+
+// Closed connections are noticed when their responses are read.
+fn send_all(connections: &mut [TcpStream], text: &str) {
+    for stream in connections {
+        drop(stream.write_all(text.as_bytes()));
+    }
+}
+
+fn served(connections: &mut [TcpStream]) -> usize {
+    let responses = connections.iter_mut().map(response_text);
+    responses
+        .filter(|it| it.starts_with("HTTP/1.1 200"))
+        .count()
+}
+
+// Returns a response with a content length, or what was received of it.
+fn response_text(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let mut byte = [0];
+    while !text.ends_with("\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => text.push(char::from(byte[0])),
+            _ => return text,
+        }
+    }
+    let mut lengths = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("content-length: "));
+    let length = lengths.next().map_or(0, |it| it.parse().unwrap());
+    let mut body = vec![0; length];
+    match stream.read_exact(&mut body) {
+        Ok(()) => text + &String::from_utf8(body).unwrap(),
+        Err(_) => text,
+    }
+}
+
+// Returns how long it takes until the connection ends, with what was received before.
+fn wait_for_end(stream: &mut TcpStream) -> (Duration, String) {
+    let begin = Instant::now();
+    let mut text = String::new();
+    if let Err(err) = stream.read_to_string(&mut text) {
+        assert_eq!(err.kind(), ErrorKind::ConnectionReset);
+    }
+    (begin.elapsed(), text)
+}
+
+fn sleep_until(begin: Instant, offset_ms: u64) {
+    let offset = Duration::from_millis(offset_ms);
+    thread::sleep(offset.saturating_sub(begin.elapsed()));
+}
+
+// Guards against closing connections as idle over requests that wait in their sockets.
+#[test]
+fn requests_that_arrive_while_the_process_is_paused_across_the_idle_limit_are_served() {
+    let setup = Setup::start(1_000, 3_000);
+    let mut connections = setup.connections();
+    thread::sleep(Duration::from_millis(700));
+    setup.instance.send_signal(Signal::STOP);
+    send_all(&mut connections, REQUEST);
+    thread::sleep(Duration::from_millis(600));
+    setup.instance.send_signal(Signal::CONT);
+    assert_eq!(served(&mut connections), CONNECTION_COUNT);
+}
+
+// Guards against closing connections as idle over a part of a head.
+#[test]
+fn a_head_that_arrives_across_the_idle_limit_is_served() {
+    let setup = Setup::start(1_000, 3_000);
+    let mut connections = setup.connections();
+    thread::sleep(Duration::from_millis(800));
+    send_all(&mut connections, &REQUEST[..SPLIT_BYTES]);
+    thread::sleep(Duration::from_millis(500));
+    send_all(&mut connections, &REQUEST[SPLIT_BYTES..]);
+    assert_eq!(served(&mut connections), CONNECTION_COUNT);
+}
+
+// Guards against closing connections over a part of a head when the drain period ends.
+#[test]
+fn a_head_that_arrives_across_the_end_of_the_drain_period_is_served() {
+    let setup = Setup::start(15_000, 3_000);
+    let mut connections = setup.connections();
+    let mut idle = setup.instance.connect();
+    let begin = Instant::now();
+    setup.instance.send_signal(Signal::TERM);
+    sleep_until(begin, DRAIN_PERIOD_MS - 100);
+    send_all(&mut connections, &REQUEST[..SPLIT_BYTES]);
+    sleep_until(begin, DRAIN_PERIOD_MS + 400);
+    send_all(&mut connections, &REQUEST[SPLIT_BYTES..]);
+    assert_eq!(served(&mut connections), CONNECTION_COUNT);
+    assert_eq!(wait_for_end(&mut idle).1, "");
+    setup.instance.into_log();
+    let limit = Duration::from_millis(DRAIN_PERIOD_MS + 1_500);
+    assert!(begin.elapsed() < limit);
+}
+
+// Guards against refusing connections that wait to be accepted when the drain period ends.
+#[test]
+fn connections_opened_while_the_process_is_paused_across_the_drain_period_are_served() {
+    let setup = Setup::start(15_000, 3_000);
+    let begin = Instant::now();
+    setup.instance.send_signal(Signal::TERM);
+    sleep_until(begin, DRAIN_PERIOD_MS - 200);
+    setup.instance.send_signal(Signal::STOP);
+    let mut connections: Vec<_> = (0..CONNECTION_COUNT)
+        .map(|_| setup.instance.connect())
+        .collect();
+    send_all(&mut connections, REQUEST);
+    sleep_until(begin, DRAIN_PERIOD_MS + 300);
+    setup.instance.send_signal(Signal::CONT);
+    assert_eq!(served(&mut connections), CONNECTION_COUNT);
+}
