Listener: send each response at once, also beside a pipelined request

Callers that had sent a part of their next request got the response to the present one only after the rest had arrived. With pipeline_flush, hyper writes nothing while bytes of a further request lie in its read buffer.

Before: no response within 2 s; after: at once. The option is dropped: it saves system calls for pipelined requests only.

--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -129,10 +129,7 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder
-        .max_buf_size(MAX_HEAD_BYTES)
-        .half_close(false)
-        .pipeline_flush(true);
+    builder.max_buf_size(MAX_HEAD_BYTES).half_close(false);
     let mut serving = builder.serve_connection(TokioIo::new(stream), service);
     let mut drained = pin!(drain_period_elapsed(shell.clone(), kind));
     let mut closing = false;
--- a/crates/siskinyoke-gateway/tests/kept_connections.rs
+++ b/crates/siskinyoke-gateway/tests/kept_connections.rs
@@ -184,3 +184,17 @@
     setup.instance.send_signal(Signal::CONT);
     assert_eq!(served(&mut connections), CONNECTION_COUNT);
 }
+
+// Guards against withholding a response until the next request has been received entirely.
+#[test]
+fn a_response_does_not_wait_for_the_rest_of_a_pipelined_request() {
+    let setup = Setup::start(15_000, 3_000);
+    let mut stream = setup.instance.connect();
+    let timeout = Some(Duration::from_secs(2));
+    stream.set_read_timeout(timeout).unwrap();
+    let (first_part, rest) = REQUEST.split_at(SPLIT_BYTES);
+    write!(stream, "{REQUEST}{first_part}").unwrap();
+    assert!(response_text(&mut stream).starts_with("HTTP/1.1 200"));
+    write!(stream, "{rest}").unwrap();
+    assert!(response_text(&mut stream).starts_with("HTTP/1.1 200"));
+}
