Listener: close no connection over bytes that have arrived

Callers sent whole requests over kept connections and got neither a response nor a refusal, beside anything that kept the one thread busy for some milliseconds.

Cause: where a connection's next bytes and its end by idleness or by the end of the drain period were both ready, select! chose at random, and a connection counted as idle until a whole head was parsed. Connections that waited to be accepted when the drain period ended were reset with their listener.

KeptConnection polls the server first, and before it closes a connection it takes it apart (into_parts): if the read buffer or the socket holds bytes of a request, it is served on. A connection counts as busy until its response body is dropped and flushed, not until the response's head is ready. A listener accepts what waits before it closes, and the process does not end before that. Connections that are closed are counted by listener and reason.

--- /dev/null
+++ b/crates/siskinyoke-gateway/src/connection_activity.rs
@@ -0,0 +1,84 @@
+//! What has been received and sent over a connection of a client.
+
+use std::cell::Cell;
+
+use siskinyoke_base::Millis;
+
+/// What has been received and sent over a connection of a client.
+#[derive(Debug)]
+pub struct ConnectionActivity {
+    // Requests whose response bodies have not been passed to the connection entirely.
+    open_requests: Cell<usize>,
+    unflushed: Cell<bool>,
+    idle_since: Cell<Millis>,
+    head_since: Cell<Option<Millis>>,
+    // Whether the last response ends with its connection.
+    ends_unmarked: Cell<bool>,
+}
+
+impl ConnectionActivity {
+    /// Returns the activity of a connection that is opened now.
+    pub fn new(now: Millis) -> Self {
+        Self {
+            open_requests: Cell::new(0),
+            unflushed: Cell::new(false),
+            idle_since: Cell::new(now),
+            head_since: Cell::new(None),
+            ends_unmarked: Cell::new(false),
+        }
+    }
+
+    /// Returns whether a request is being served, or its response being sent.
+    pub fn is_busy(&self) -> bool {
+        self.open_requests.get() > 0 || self.unflushed.get()
+    }
+
+    /// Returns when the last response was sent, or the connection opened.
+    pub fn idle_since(&self) -> Millis {
+        self.idle_since.get()
+    }
+
+    /// Returns since when a part of a head is known to have been received.
+    pub fn head_since(&self) -> Option<Millis> {
+        self.head_since.get()
+    }
+
+    /// Returns whether the last response ends with its connection.
+    pub fn ends_unmarked(&self) -> bool {
+        self.ends_unmarked.get()
+    }
+
+    /// Records that a whole head was received.
+    pub fn request_started(&self) {
+        self.open_requests.set(self.open_requests.get() + 1);
+        self.head_since.set(None);
+    }
+
+    /// Records whether the response that is about to be sent ends with its connection.
+    pub fn response_started(&self, ends_unmarked: bool) {
+        self.ends_unmarked.set(ends_unmarked);
+    }
+
+    /// Records that the last part of a response was passed to the connection.
+    pub fn response_ended(&self) {
+        self.open_requests.set(self.open_requests.get() - 1);
+    }
+
+    /// Records that a part of a head was received, now or earlier.
+    pub fn head_received(&self, now: Millis) {
+        let since = self.head_since.get().unwrap_or(now);
+        self.head_since.set(Some(since));
+    }
+
+    /// Records that bytes are being sent.
+    pub fn sending(&self) {
+        self.unflushed.set(true);
+    }
+
+    /// Records that everything has been passed to the operating system.
+    pub fn flushed(&self, now: Millis) {
+        if self.unflushed.replace(false) {
+            self.idle_since.set(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/connection_limits.rs
@@ -0,0 +1,31 @@
+//! How long a connection of a client may be kept.
+
+use siskinyoke_base::Millis;
+
+/// How long a connection of a client may be kept, as of now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// Longest time between two requests.
+    pub idle: Millis,
+    /// When idle connections end because this instance shuts down.
+    pub drain_end: Option<Millis>,
+}
+
+/// Why this instance closes a connection that its client may still use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CloseReason {
+    /// It was idle for the longest time between two requests.
+    Idle,
+    /// This instance shuts down.
+    Drain,
+}
+
+impl CloseReason {
+    /// Returns the name in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Drain => "drain",
+        }
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/kept_connection.rs
@@ -0,0 +1,182 @@
+//! Serves requests over a connection until it ends, and closes it only where no bytes of a further
+//! request have been received.
+
+use std::error::Error;
+use std::future::poll_fn;
+use std::io::Result;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Poll;
+
+use http::Request;
+use http::Response;
+use http::Version;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::Service;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use crate::clock::BootClock;
+use crate::connection_activity::ConnectionActivity;
+use crate::connection_limits::CloseReason;
+use crate::connection_limits::ConnectionLimits;
+use crate::tracked_body::OpenRequest;
+use crate::tracked_body::TrackedBody;
+use crate::tracked_stream::TrackedStream;
+use siskinyoke_base::Clock;
+use siskinyoke_base::Millis;
+
+/// Size of the read buffer, which bounds request heads whatever limit is configured.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// A connection of a client that is kept for further requests.
+pub struct KeptConnection<'a, L> {
+    limits: L,
+    // Wakes the connection when `drain_end` becomes known.
+    shutdown: &'a Notify,
+    activity: Rc<ConnectionActivity>,
+}
+
+impl<'a, L> KeptConnection<'a, L>
+where
+    L: Fn() -> ConnectionLimits,
+{
+    /// Returns a connection that is bound by the limits in force at each time.
+    pub fn new(limits: L, shutdown: &'a Notify) -> Self {
+        Self {
+            limits,
+            shutdown,
+            activity: Rc::new(ConnectionActivity::new(BootClock.now())),
+        }
+    }
+
+    /// Serves requests until the connection ends.
+    ///
+    /// Returns why this instance closed it, unless the client or a response ended it. What went
+    /// wrong with the connection is not told, as the outcome of each request is logged separately.
+    ///
+    /// # Errors
+    ///
+    /// The error of a system call, for example if a truncated response cannot be marked so.
+    pub async fn serve<S, B>(self, stream: TcpStream, service: S) -> Result<Option<CloseReason>>
+    where
+        S: Service<Request<Incoming>, Response = Response<B>>,
+        S::Error: Into<Box<dyn Error + Send + Sync>>,
+        B: Body + Unpin + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES).half_close(false);
+        let stream = TrackedStream::new(stream, self.activity.clone());
+        let service = tracked(service, self.activity.clone());
+        let mut serving = builder.serve_connection(TokioIo::new(stream), service);
+        loop {
+            let reason = tokio::select! {
+                biased;
+                result = &mut serving => {
+                    if result.is_err() && self.activity.ends_unmarked() {
+                        serving.into_parts().io.inner().reset_on_close()?;
+                    }
+                    return Ok(None);
+                }
+                reason = self.closing_due() => reason,
+                () = self.shutdown.notified() => continue,
+            };
+            let parts = serving.into_parts();
+            let mut stream = parts.io.into_inner();
+            stream.unread(parts.read_buf);
+            if !self.has_received(&stream).await? {
+                // The client may have closed it already.
+                drop(stream.shutdown().await);
+                return Ok(Some(reason));
+            }
+            serving = builder.serve_connection(TokioIo::new(stream), parts.service);
+        }
+    }
+
+    // Returns whether bytes of a request have been received. They are read or ready to be read
+    // then.
+    async fn has_received(&self, stream: &TrackedStream) -> Result<bool> {
+        let pending = stream.has_pending_bytes()?;
+        if pending {
+            stream.readable().await?;
+        }
+        let received = pending || stream.has_unread_request();
+        if received {
+            self.activity.head_received(BootClock.now());
+        }
+        Ok(received)
+    }
+
+    // Completes when the connection is to be closed if nothing has been received.
+    async fn closing_due(&self) -> CloseReason {
+        let mut timer = pin!(sleep_until(Instant::now()));
+        let mut armed_for = None;
+        poll_fn(|context| {
+            loop {
+                let Some((time, reason)) = self.closing_time() else {
+                    return Poll::Pending;
+                };
+                let remaining = time.since(BootClock.now());
+                if remaining == Millis::ZERO {
+                    return Poll::Ready(reason);
+                }
+                // A timer that ends too early is set again then, which is cheaper than to set it
+                // after each request.
+                if armed_for.is_none_or(|it| it > time) {
+                    armed_for = Some(time);
+                    timer.as_mut().reset(Instant::now() + remaining.into());
+                }
+                if timer.as_mut().poll(context).is_pending() {
+                    return Poll::Pending;
+                }
+                armed_for = None;
+            }
+        })
+        .await
+    }
+
+    // Returns when the connection is to be closed if nothing is received, and why.
+    fn closing_time(&self) -> Option<(Millis, CloseReason)> {
+        if self.activity.is_busy() || self.activity.head_since().is_some() {
+            return None;
+        }
+        let limits = (self.limits)();
+        let idle_end = self.activity.idle_since() + limits.idle;
+        match limits.drain_end {
+            Some(drain_end) if drain_end < idle_end => Some((drain_end, CloseReason::Drain)),
+            _ => Some((idle_end, CloseReason::Idle)),
+        }
+    }
+}
+
+// Returns a service that records its requests and responses.
+fn tracked<S, B>(
+    service: S,
+    activity: Rc<ConnectionActivity>,
+) -> impl Service<Request<Incoming>, Response = Response<TrackedBody<B>>, Error = S::Error>
+where
+    S: Service<Request<Incoming>, Response = Response<B>>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + Unpin,
+{
+    service_fn(move |request: Request<Incoming>| {
+        let open = OpenRequest::new(activity.clone());
+        let activity = activity.clone();
+        let version = request.version();
+        let response = service.call(request);
+        async move {
+            let response = response.await?;
+            let version = response.version().min(version);
+            activity.response_started(version == Version::HTTP_10);
+            Ok(response.map(|body| TrackedBody::new(body, open)))
+        }
+    })
+}
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts connections and serves requests on them.
 
-use std::cell::Cell;
+use std::io::ErrorKind;
+use std::io::Result;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -9,12 +10,8 @@
 
 use http::Request;
 use http::Response;
-use http::Version;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use rustix::net::sockopt::set_socket_linger;
 use rustix::net::sockopt::set_socket_send_buffer_size;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -23,6 +20,8 @@
 
 use crate::admin;
 use crate::callers;
+use crate::connection_limits::ConnectionLimits;
+use crate::kept_connection::KeptConnection;
 use crate::peer_api;
 use crate::relay::LinkLostError;
 use crate::relay::Relay;
@@ -40,9 +39,6 @@
 /// Idle timeout of connections before a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(15_000);
 
-/// Size of the read buffer, which bounds request heads whatever limit is configured.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// Size of the send buffer towards a peer.
 ///
 /// The end of a transfer is noticed when the last part enters the buffer, so a large buffer would
@@ -67,18 +63,32 @@
     PeerApi,
 }
 
+impl ListenerKind {
+    /// Returns the name in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Health => "health",
+            Self::Directory => "directory",
+            Self::Metrics => "metrics",
+            Self::PeerApi => "peers",
+        }
+    }
+}
+
 /// Accepts connections; a listener for callers stops at the end of the drain period.
 pub async fn accept(shell: Rc<Shell>, listener: TcpListener, kind: ListenerKind) {
-    let mut drained = pin!(drain_period_elapsed(shell.clone(), kind));
+    if kind == ListenerKind::Callers {
+        shell.accepting_callers.set(true);
+    }
+    let mut drained = pin!(drain_period_elapsed(&shell, kind));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = &mut drained => return,
+            () = &mut drained => break,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                tokio::task::spawn_local(serve_connection(shell.clone(), stream, peer.ip(), kind));
-            }
+            Ok((stream, peer)) => start_connection(&shell, stream, peer.ip(), kind),
             Err(err) => {
                 let fields = json!({
                     "error": err.to_string(),
@@ -89,6 +99,26 @@
             }
         }
     }
+    if let Err(err) = accept_waiting(&shell, listener, kind) {
+        shell.log("accept_failed", json!({ "error": err.to_string() }));
+    }
+    shell.accepting_callers.set(false);
+}
+
+// Accepts the connections that clients have opened already, which would be reset otherwise.
+fn accept_waiting(shell: &Rc<Shell>, listener: TcpListener, kind: ListenerKind) -> Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, peer)) => {
+                stream.set_nonblocking(true)?;
+                let stream = TcpStream::from_std(stream)?;
+                start_connection(shell, stream, peer.ip(), kind);
+            }
+            Err(err) if err.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(err) => return Err(err),
+        }
+    }
 }
 
 /// Binds a listener.
@@ -96,62 +126,59 @@
 /// # Errors
 ///
 /// The I/O error, with the address in its message.
-pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub async fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await.map_err(|err| {
         std::io::Error::new(err.kind(), format!("cannot listen on {address}: {err}"))
     })
 }
 
-async fn serve_connection(shell: Rc<Shell>, stream: TcpStream, peer: IpAddr, kind: ListenerKind) {
-    if let Err(err) = stream.set_nodelay(true) {
+fn start_connection(shell: &Rc<Shell>, stream: TcpStream, peer: IpAddr, kind: ListenerKind) {
+    if let Err(err) = set_options(&stream, kind) {
         shell.log("connection_option", json!({ "error": err.to_string() }));
     }
-    if kind == ListenerKind::PeerApi
-        && let Err(err) = set_socket_send_buffer_size(&stream, PEER_SEND_BUFFER_BYTES)
-    {
-        shell.log("connection_option", json!({ "error": err.to_string() }));
+    // Counted at once, so that the process does not end before the connection is served.
+    let guard = ConnectionGuard::new(shell, kind);
+    tokio::task::spawn_local(serve_connection(guard, stream, peer, kind));
+}
+
+fn set_options(stream: &TcpStream, kind: ListenerKind) -> Result<()> {
+    stream.set_nodelay(true)?;
+    if kind == ListenerKind::PeerApi {
+        set_socket_send_buffer_size(stream, PEER_SEND_BUFFER_BYTES)?;
     }
-    let guard = ConnectionGuard::new(&shell, kind);
-    let tracker = Rc::new(ConnectionTracker::new(shell.now()));
+    Ok(())
+}
+
+async fn serve_connection(
+    guard: ConnectionGuard,
+    stream: TcpStream,
+    peer: IpAddr,
+    kind: ListenerKind,
+) {
+    let shell = &guard.shell;
     let service = service_fn(|request| {
         let shell = shell.clone();
-        let tracker = tracker.clone();
-        async move {
-            tracker.request_started();
-            let version = request.version();
-            let response = handle(&shell, request, peer, kind).await;
-            tracker.request_ended(shell.now());
-            if let Ok(response) = &response {
-                let version = response.version().min(version);
-                tracker.ends_unmarked.set(version == Version::HTTP_10);
-            }
-            response
-        }
+        async move { handle(&shell, request, peer, kind).await }
     });
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(MAX_HEAD_BYTES).half_close(false);
-    let mut serving = builder.serve_connection(TokioIo::new(stream), service);
-    let mut drained = pin!(drain_period_elapsed(shell.clone(), kind));
-    let mut closing = false;
-    // Connection errors are not logged: the outcome of each request is logged separately.
-    let result = loop {
-        tokio::select! {
-            result = &mut serving => break result,
-            () = &mut drained, if !closing => {
-                closing = true;
-                Pin::new(&mut serving).graceful_shutdown();
-            }
-            () = idle_timeout(&shell, &tracker), if !closing => {
-                closing = true;
-                Pin::new(&mut serving).graceful_shutdown();
-            }
-        }
-    };
-    if result.is_err() && tracker.ends_unmarked.get() {
-        let stream = serving.into_parts().io.into_inner();
-        reset_on_close(&shell, &stream);
+    let limits = || connection_limits(shell, kind);
+    let connection = KeptConnection::new(limits, &shell.shutdown_started);
+    match connection.serve(stream, service).await {
+        Ok(Some(reason)) => shell
+            .metrics
+            .record_closed_connection(kind.as_str(), reason.as_str()),
+        Ok(None) => {}
+        Err(err) => shell.log("connection_option", json!({ "error": err.to_string() })),
+    }
+}
+
+fn connection_limits(shell: &Shell, kind: ListenerKind) -> ConnectionLimits {
+    let core = shell.core.borrow();
+    let limits = core.configuration().map(|it| it.limits);
+    let drain_end = shell.drain_end.get();
+    ConnectionLimits {
+        idle: limits.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.keepalive_timeout),
+        drain_end: drain_end.filter(|_| kind == ListenerKind::Callers),
     }
-    drop(guard);
 }
 
 async fn handle(
@@ -159,7 +186,7 @@
     request: Request<Incoming>,
     peer: IpAddr,
     kind: ListenerKind,
-) -> Result<Response<ResponseBody>, LinkLostError> {
+) -> std::result::Result<Response<ResponseBody>, LinkLostError> {
     let response = match kind {
         ListenerKind::Callers => callers::serve(shell.clone(), request).await,
         ListenerKind::Health => admin::health(shell, &request),
@@ -173,71 +200,16 @@
     Ok(response)
 }
 
-// Lets a connection end with a reset, as the regular end would mark the response as complete.
-fn reset_on_close(shell: &Shell, stream: &TcpStream) {
-    if let Err(err) = set_socket_linger(stream, Some(Duration::ZERO)) {
-        shell.log("connection_option", json!({ "error": err.to_string() }));
-    }
-}
-
-// Completes when connections of this kind are to be closed because this instance is shutting down.
-async fn drain_period_elapsed(shell: Rc<Shell>, kind: ListenerKind) {
+// Completes when connections of this kind are no longer accepted because this instance shuts down.
+async fn drain_period_elapsed(shell: &Shell, kind: ListenerKind) {
     if kind != ListenerKind::Callers {
         return std::future::pending().await;
     }
-    while !shell.core.borrow().is_shutting_down() {
-        shell.shutdown_started.notified().await;
-    }
-    sleep(DRAIN_PERIOD.into()).await;
-}
-
-// Completes when the connection has been idle for the configured time.
-async fn idle_timeout(shell: &Shell, tracker: &ConnectionTracker) {
     loop {
-        let limit = shell
-            .core
-            .borrow()
-            .configuration()
-            .map_or(DEFAULT_IDLE_TIMEOUT, |it| it.limits.keepalive_timeout);
-        let idle_time = shell.now().since(tracker.idle_since.get());
-        if !tracker.busy.get() && idle_time >= limit {
-            return;
+        if let Some(end) = shell.drain_end.get() {
+            return sleep(end.since(shell.now()).into()).await;
         }
-        let delay = if tracker.busy.get() {
-            limit
-        } else {
-            limit.since(idle_time)
-        };
-        sleep(delay.max(Millis(10)).into()).await;
-    }
-}
-
-/// Tracks whether a connection serves a request, since when it is idle, and how its last response
-/// ends.
-#[derive(Debug)]
-struct ConnectionTracker {
-    idle_since: Cell<Millis>,
-    busy: Cell<bool>,
-    // Whether the last response ends with its connection.
-    ends_unmarked: Cell<bool>,
-}
-
-impl ConnectionTracker {
-    fn new(now: Millis) -> Self {
-        Self {
-            idle_since: Cell::new(now),
-            busy: Cell::new(false),
-            ends_unmarked: Cell::new(false),
-        }
-    }
-
-    fn request_started(&self) {
-        self.busy.set(true);
-    }
-
-    fn request_ended(&self, now: Millis) {
-        self.busy.set(false);
-        self.idle_since.set(now);
+        shell.shutdown_started.notified().await;
     }
 }
 
--- a/crates/siskinyoke-gateway/src/metrics.rs
+++ b/crates/siskinyoke-gateway/src/metrics.rs
@@ -23,6 +23,7 @@
     responses: Counter<u64>,
     attempts: Counter<u64>,
     store_calls: Counter<u64>,
+    closed_connections: Counter<u64>,
     latency: Histogram<f64>,
     queue_wait: Histogram<f64>,
     state: Gauge<f64>,
@@ -56,6 +57,7 @@
             responses: meter.u64_counter("siskinyoke_answers").build(),
             attempts: meter.u64_counter("siskinyoke_attempts").build(),
             store_calls: meter.u64_counter("siskinyoke_store_calls").build(),
+            closed_connections: meter.u64_counter("siskinyoke_closed_connections").build(),
             latency: seconds("siskinyoke_latency"),
             queue_wait: seconds("siskinyoke_queue_wait"),
             state: meter.f64_gauge("siskinyoke_state").build(),
@@ -87,6 +89,16 @@
         self.store_calls.add(1, &attributes);
     }
 
+    /// Counts a connection that this instance closed while its client might still use it, by
+    /// listener and reason.
+    pub fn record_closed_connection(&self, listener: &'static str, reason: &'static str) {
+        let attributes = [
+            KeyValue::new("listener", listener),
+            KeyValue::new("reason", reason),
+        ];
+        self.closed_connections.add(1, &attributes);
+    }
+
     /// Records how long a request was queued.
     pub fn record_queue_wait(&self, wait: Millis) {
         self.queue_wait.record(wait.as_secs(), &[]);
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -155,6 +155,10 @@
     pub writing: Cell<bool>,
     /// The total size of the request bodies held in memory.
     pub held_bytes: Cell<usize>,
+    /// When the drain period ends, once this instance shuts down.
+    pub drain_end: Cell<Option<Millis>>,
+    /// Whether connections of callers are accepted.
+    pub accepting_callers: Cell<bool>,
     /// The number of open connections of callers.
     pub caller_connections: Cell<usize>,
     /// When the last request arrived.
@@ -230,6 +234,8 @@
             catching_up: Cell::new(false),
             writing: Cell::new(false),
             held_bytes: Cell::new(0),
+            drain_end: Cell::new(None),
+            accepting_callers: Cell::new(false),
             caller_connections: Cell::new(0),
             last_arrival: Cell::new(Millis::ZERO),
             waiters: RefCell::default(),
--- a/crates/siskinyoke-gateway/src/signals.rs
+++ b/crates/siskinyoke-gateway/src/signals.rs
@@ -47,13 +47,16 @@
     shell.core.borrow_mut().begin_shutdown();
     shell.report_due.notify_one();
     shell.stream_lookup.hand_over();
+    let drain_end = start + DRAIN_PERIOD;
+    shell.drain_end.set(Some(drain_end));
     shell.shutdown_started.notify_waiters();
     shell.log("leaving", json!({ "open": shell.caller_connections.get() }));
     let end = start + shell.settings().grace_period().since(LOG_FLUSH_TIME);
     loop {
         sleep(DRAIN_POLL_INTERVAL.into()).await;
         let now = shell.now();
-        let drain_over = now >= start + DRAIN_PERIOD;
+        // Connections that wait to be accepted count only once they are.
+        let drain_over = now >= drain_end && !shell.accepting_callers.get();
         let idle = shell.caller_connections.get() == 0 && shell.relay.in_flight() == 0;
         if now >= end || (drain_over && idle) {
             break;
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/tracked_stream.rs
@@ -0,0 +1,139 @@
+//! A socket that records when it sends, and tells whether bytes of a request have been received.
+
+use std::io::IoSlice;
+use std::io::Result;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use rustix::io::ioctl_fionread;
+use rustix::net::sockopt::set_socket_linger;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+use crate::clock::BootClock;
+use crate::connection_activity::ConnectionActivity;
+use siskinyoke_base::Clock;
+
+/// A socket that records when it sends, and tells whether bytes of a request have been received.
+#[derive(Debug)]
+pub struct TrackedStream {
+    stream: TcpStream,
+    // Bytes that were read before and are read again.
+    unread: Bytes,
+    activity: Rc<ConnectionActivity>,
+}
+
+impl TrackedStream {
+    /// Wraps a socket.
+    pub fn new(stream: TcpStream, activity: Rc<ConnectionActivity>) -> Self {
+        Self {
+            stream,
+            unread: Bytes::new(),
+            activity,
+        }
+    }
+
+    /// Returns bytes that were read, so that they are read again before any others.
+    pub fn unread(&mut self, bytes: Bytes) {
+        debug_assert!(self.unread.is_empty());
+        self.unread = bytes;
+    }
+
+    /// Returns whether the operating system holds bytes that have not been read.
+    ///
+    /// Asks the operating system, as the runtime may not have noticed them yet.
+    ///
+    /// # Errors
+    ///
+    /// The error of the system call.
+    pub fn has_pending_bytes(&self) -> Result<bool> {
+        Ok(ioctl_fionread(&self.stream)? > 0)
+    }
+
+    /// Returns whether bytes of a request were read and returned.
+    ///
+    /// Empty lines before a request are ignored, as some clients send one after a body.
+    pub fn has_unread_request(&self) -> bool {
+        self.unread.iter().any(|it| !matches!(it, b'\r' | b'\n'))
+    }
+
+    /// Waits until the runtime has noticed bytes that the operating system holds.
+    ///
+    /// # Errors
+    ///
+    /// The error of the socket.
+    pub async fn readable(&self) -> Result<()> {
+        self.stream.readable().await
+    }
+
+    /// Lets the connection end with a reset.
+    ///
+    /// # Errors
+    ///
+    /// The error of the system call.
+    pub fn reset_on_close(&self) -> Result<()> {
+        Ok(set_socket_linger(&self.stream, Some(Duration::ZERO))?)
+    }
+}
+
+impl AsyncRead for TrackedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let this = self.get_mut();
+        if this.unread.is_empty() {
+            return Pin::new(&mut this.stream).poll_read(context, buffer);
+        }
+        let length = this.unread.len().min(buffer.remaining());
+        buffer.put_slice(&this.unread[..length]);
+        this.unread.advance(length);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for TrackedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        let this = self.get_mut();
+        this.activity.sending();
+        Pin::new(&mut this.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        let this = self.get_mut();
+        this.activity.sending();
+        Pin::new(&mut this.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        let this = self.get_mut();
+        ready!(Pin::new(&mut this.stream).poll_flush(context))?;
+        this.activity.flushed(BootClock.now());
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+}
--- a/crates/siskinyoke-gateway/tests/kept_connections.rs
+++ b/crates/siskinyoke-gateway/tests/kept_connections.rs
@@ -16,6 +16,7 @@
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
+use siskinyoke_soak::instance::http_get;
 
 /// The number of connections of each test.
 const CONNECTION_COUNT: usize = 20;
@@ -60,6 +61,18 @@
         assert_eq!(served(&mut connections), CONNECTION_COUNT);
         connections
     }
+
+    // Returns how many connections of callers were closed for a reason, by its name in the metrics.
+    fn closed_connections(&self, reason: &str) -> usize {
+        let page = http_get(self.instance.metrics_address, "/metrics").unwrap();
+        let rows = page
+            .lines()
+            .filter(|it| it.starts_with("siskinyoke_closed_connections"));
+        let mut rows = rows.filter(|it| it.contains("listener=\"callers\""));
+        let row = rows.find(|it| it.contains(&format!("reason=\"{reason}\"")));
+        row.and_then(|it| it.rsplit(' ').next()?.parse().ok())
+            .unwrap_or(0)
+    }
 }
 
 fn limits(version: u64, idle_ms: u64, head_ms: u64) -> String {
@@ -198,3 +211,16 @@
     write!(stream, "{rest}").unwrap();
     assert!(response_text(&mut stream).starts_with("HTTP/1.1 200"));
 }
+
+// Guards against connections that are kept for ever, and against closing them without a trace.
+#[test]
+fn idle_connections_end_at_the_idle_limit_and_are_counted() {
+    let setup = Setup::start(800, 3_000);
+    let mut connections = setup.connections();
+    for stream in &mut connections {
+        let (duration, text) = wait_for_end(stream);
+        assert!(duration < Duration::from_millis(1_200), "{duration:?}");
+        assert_eq!(text, "");
+    }
+    assert_eq!(setup.closed_connections("idle"), CONNECTION_COUNT);
+}
