Listener: refuse a head that does not arrive in time

CallerLimits::head_timeout bound bodies only.

The limit counts from the first byte of a head that is read, not from the last response, so it does not bind idle connections (hyper's header_read_timeout does, and sends no response). After it, the caller gets 408 as for a slow body and the connection ends, unless the rest waits in the socket. Bytes that were the rest of a discarded body, and empty lines, are no head: the read buffer is looked at before anything is closed. These connections are counted as head_timeout.

--- a/crates/siskinyoke-gateway/src/connection_activity.rs
+++ b/crates/siskinyoke-gateway/src/connection_activity.rs
@@ -12,6 +12,8 @@
     unflushed: Cell<bool>,
     idle_since: Cell<Millis>,
     head_since: Cell<Option<Millis>>,
+    // Whether a part of a head was found when the connection was about to be closed.
+    head_confirmed: Cell<bool>,
     // Whether the last response ends with its connection.
     ends_unmarked: Cell<bool>,
 }
@@ -24,6 +26,7 @@
             unflushed: Cell::new(false),
             idle_since: Cell::new(now),
             head_since: Cell::new(None),
+            head_confirmed: Cell::new(false),
             ends_unmarked: Cell::new(false),
         }
     }
@@ -38,11 +41,18 @@
         self.idle_since.get()
     }
 
-    /// Returns since when a part of a head is known to have been received.
+    /// Returns since when a part of a head has been received, as far as is known.
+    ///
+    /// What was received may have been the rest of the last request's body, unless it is confirmed.
     pub fn head_since(&self) -> Option<Millis> {
         self.head_since.get()
     }
 
+    /// Returns whether what was received is surely a part of a head.
+    pub fn is_head_confirmed(&self) -> bool {
+        self.head_confirmed.get()
+    }
+
     /// Returns whether the last response ends with its connection.
     pub fn ends_unmarked(&self) -> bool {
         self.ends_unmarked.get()
@@ -52,6 +62,7 @@
     pub fn request_started(&self) {
         self.open_requests.set(self.open_requests.get() + 1);
         self.head_since.set(None);
+        self.head_confirmed.set(false);
     }
 
     /// Records whether the response that is about to be sent ends with its connection.
@@ -64,10 +75,24 @@
         self.open_requests.set(self.open_requests.get() - 1);
     }
 
+    /// Records that bytes other than empty lines were received.
+    pub fn received(&self, now: Millis) {
+        if self.open_requests.get() == 0 {
+            let since = self.head_since.get().unwrap_or(now);
+            self.head_since.set(Some(since));
+        }
+    }
+
     /// Records that a part of a head was received, now or earlier.
-    pub fn head_received(&self, now: Millis) {
-        let since = self.head_since.get().unwrap_or(now);
-        self.head_since.set(Some(since));
+    pub fn confirm_head(&self, now: Millis) {
+        self.received(now);
+        self.head_confirmed.set(true);
+    }
+
+    /// Records that no part of a head has been received.
+    pub fn discard_head(&self) {
+        self.head_since.set(None);
+        self.head_confirmed.set(false);
     }
 
     /// Records that bytes are being sent.
--- a/crates/siskinyoke-gateway/src/connection_limits.rs
+++ b/crates/siskinyoke-gateway/src/connection_limits.rs
@@ -7,6 +7,8 @@
 pub struct ConnectionLimits {
     /// Longest time between two requests.
     pub idle: Millis,
+    /// Longest time in which the head of a request may arrive.
+    pub head: Millis,
     /// When idle connections end because this instance shuts down.
     pub drain_end: Option<Millis>,
 }
@@ -18,6 +20,8 @@
     Idle,
     /// This instance shuts down.
     Drain,
+    /// The head of a request did not arrive in time.
+    HeadTimeout,
 }
 
 impl CloseReason {
@@ -26,6 +30,7 @@
         match self {
             Self::Idle => "idle",
             Self::Drain => "drain",
+            Self::HeadTimeout => "head_timeout",
         }
     }
 }
--- a/crates/siskinyoke-gateway/src/kept_connection.rs
+++ b/crates/siskinyoke-gateway/src/kept_connection.rs
@@ -37,21 +37,27 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// A connection of a client that is kept for further requests.
-pub struct KeptConnection<'a, L> {
+pub struct KeptConnection<'a, L, R> {
     limits: L,
+    // Returns the response to a head that does not arrive in time.
+    refusal: R,
     // Wakes the connection when `drain_end` becomes known.
     shutdown: &'a Notify,
     activity: Rc<ConnectionActivity>,
 }
 
-impl<'a, L> KeptConnection<'a, L>
+impl<'a, L, R> KeptConnection<'a, L, R>
 where
     L: Fn() -> ConnectionLimits,
+    R: Fn() -> Response<Vec<u8>>,
 {
     /// Returns a connection that is bound by the limits in force at each time.
-    pub fn new(limits: L, shutdown: &'a Notify) -> Self {
+    ///
+    /// `refusal` builds the response to a head that does not arrive in time.
+    pub fn new(limits: L, refusal: R, shutdown: &'a Notify) -> Self {
         Self {
             limits,
+            refusal,
             shutdown,
             activity: Rc::new(ConnectionActivity::new(BootClock.now())),
         }
@@ -92,7 +98,10 @@
             let parts = serving.into_parts();
             let mut stream = parts.io.into_inner();
             stream.unread(parts.read_buf);
-            if !self.has_received(&stream).await? {
+            if self.may_close(&stream, reason).await? {
+                if reason == CloseReason::HeadTimeout {
+                    refuse(&stream, &(self.refusal)());
+                }
                 // The client may have closed it already.
                 drop(stream.shutdown().await);
                 return Ok(Some(reason));
@@ -101,18 +110,21 @@
         }
     }
 
-    // Returns whether bytes of a request have been received. They are read or ready to be read
-    // then.
-    async fn has_received(&self, stream: &TrackedStream) -> Result<bool> {
-        let pending = stream.has_pending_bytes()?;
-        if pending {
+    // Returns whether the connection may be closed, given what has been received. If not, bytes that
+    // the operating system holds are ready to be read.
+    async fn may_close(&self, stream: &TrackedStream, reason: CloseReason) -> Result<bool> {
+        let head_begun = stream.has_unread_request();
+        if stream.has_pending_bytes()? {
             stream.readable().await?;
+            self.activity.confirm_head(BootClock.now());
+            return Ok(false);
         }
-        let received = pending || stream.has_unread_request();
-        if received {
-            self.activity.head_received(BootClock.now());
+        if head_begun {
+            self.activity.confirm_head(BootClock.now());
+        } else {
+            self.activity.discard_head();
         }
-        Ok(received)
+        Ok(head_begun == (reason == CloseReason::HeadTimeout))
     }
 
     // Completes when the connection is to be closed if nothing has been received.
@@ -143,18 +155,38 @@
         .await
     }
 
-    // Returns when the connection is to be closed if nothing is received, and why.
+    // Returns when the connection is to be closed if nothing more is received, and why.
     fn closing_time(&self) -> Option<(Millis, CloseReason)> {
-        if self.activity.is_busy() || self.activity.head_since().is_some() {
+        if self.activity.is_busy() {
             return None;
         }
         let limits = (self.limits)();
-        let idle_end = self.activity.idle_since() + limits.idle;
-        match limits.drain_end {
-            Some(drain_end) if drain_end < idle_end => Some((drain_end, CloseReason::Drain)),
-            _ => Some((idle_end, CloseReason::Idle)),
+        let head_since = self.activity.head_since();
+        let head = head_since.map(|it| (it + limits.head, CloseReason::HeadTimeout));
+        if self.activity.is_head_confirmed() {
+            return head;
         }
+        let idle_end = self.activity.idle_since() + limits.idle;
+        let idle = Some((idle_end, CloseReason::Idle));
+        let drain = limits.drain_end.map(|it| (it, CloseReason::Drain));
+        let times = [head, idle, drain].into_iter().flatten();
+        times.min_by_key(|it| it.0)
+    }
+}
+
+// Sends a response as the last one of a connection, if the socket has room for it.
+fn refuse(stream: &TrackedStream, response: &Response<Vec<u8>>) {
+    let status = response.status();
+    let length = response.body().len();
+    let mut bytes = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n").into_bytes();
+    for (name, value) in response.headers() {
+        let name = name.as_str().as_bytes();
+        bytes.extend([name, b": ", value.as_bytes(), b"\r\n"].concat());
     }
+    bytes.extend_from_slice(b"connection: close\r\n\r\n");
+    bytes.extend_from_slice(response.body());
+    // The client may have closed the connection already.
+    drop(stream.send_now(&bytes));
 }
 
 // Returns a service that records its requests and responses.
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -27,6 +27,7 @@
 use crate::relay::Relay;
 use crate::response::ResponseBody;
 use crate::shell::Shell;
+use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
 
 /// How long callers' connections are accepted and kept open after this instance starts to shut
@@ -39,6 +40,9 @@
 /// Idle timeout of connections before a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(15_000);
 
+/// Time limit for heads before a configuration is known.
+const DEFAULT_HEAD_TIMEOUT: Millis = Millis(15_000);
+
 /// Size of the send buffer towards a peer.
 ///
 /// The end of a transfer is noticed when the last part enters the buffer, so a large buffer would
@@ -161,7 +165,8 @@
         async move { handle(&shell, request, peer, kind).await }
     });
     let limits = || connection_limits(shell, kind);
-    let connection = KeptConnection::new(limits, &shell.shutdown_started);
+    let refusal = || shell.interface.exchange.error_response(Code::SlowSender);
+    let connection = KeptConnection::new(limits, refusal, &shell.shutdown_started);
     match connection.serve(stream, service).await {
         Ok(Some(reason)) => shell
             .metrics
@@ -177,6 +182,7 @@
     let drain_end = shell.drain_end.get();
     ConnectionLimits {
         idle: limits.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.keepalive_timeout),
+        head: limits.map_or(DEFAULT_HEAD_TIMEOUT, |it| it.head_timeout),
         drain_end: drain_end.filter(|_| kind == ListenerKind::Callers),
     }
 }
--- a/crates/siskinyoke-gateway/src/tracked_stream.rs
+++ b/crates/siskinyoke-gateway/src/tracked_stream.rs
@@ -59,10 +59,8 @@
     }
 
     /// Returns whether bytes of a request were read and returned.
-    ///
-    /// Empty lines before a request are ignored, as some clients send one after a body.
     pub fn has_unread_request(&self) -> bool {
-        self.unread.iter().any(|it| !matches!(it, b'\r' | b'\n'))
+        begins_request(&self.unread)
     }
 
     /// Waits until the runtime has noticed bytes that the operating system holds.
@@ -74,6 +72,15 @@
         self.stream.readable().await
     }
 
+    /// Sends bytes if there is room in the socket's buffer, without waiting for it.
+    ///
+    /// # Errors
+    ///
+    /// The error of the socket, for example if its client has closed it.
+    pub fn send_now(&self, bytes: &[u8]) -> Result<usize> {
+        self.stream.try_write(bytes)
+    }
+
     /// Lets the connection end with a reset.
     ///
     /// # Errors
@@ -91,12 +98,17 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let this = self.get_mut();
+        let start = buffer.filled().len();
         if this.unread.is_empty() {
-            return Pin::new(&mut this.stream).poll_read(context, buffer);
+            ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
+        } else {
+            let length = this.unread.len().min(buffer.remaining());
+            buffer.put_slice(&this.unread[..length]);
+            this.unread.advance(length);
+        }
+        if begins_request(&buffer.filled()[start..]) {
+            this.activity.received(BootClock.now());
         }
-        let length = this.unread.len().min(buffer.remaining());
-        buffer.put_slice(&this.unread[..length]);
-        this.unread.advance(length);
         Poll::Ready(Ok(()))
     }
 }
@@ -137,3 +149,8 @@
         Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
     }
 }
+
+// Empty lines before a request are ignored, as some clients send one after a body.
+fn begins_request(bytes: &[u8]) -> bool {
+    bytes.iter().any(|it| !matches!(it, b'\r' | b'\n'))
+}
--- a/crates/siskinyoke-gateway/tests/kept_connections.rs
+++ b/crates/siskinyoke-gateway/tests/kept_connections.rs
@@ -224,3 +224,66 @@
     }
     assert_eq!(setup.closed_connections("idle"), CONNECTION_COUNT);
 }
+
+// Guards against parts of heads that keep connections open without a limit.
+#[test]
+fn a_head_that_does_not_arrive_in_time_is_refused() {
+    let setup = Setup::start(15_000, 500);
+    let mut connections = setup.connections();
+    connections.push(setup.instance.connect());
+    let begin = Instant::now();
+    send_all(&mut connections, &REQUEST[..SPLIT_BYTES]);
+    for stream in &mut connections {
+        let text = wait_for_end(stream).1;
+        assert!(text.starts_with("HTTP/1.1 408 "), "{text}");
+        assert!(text.contains("connection: close\r\n"), "{text}");
+    }
+    assert!(begin.elapsed() >= Duration::from_millis(500));
+    assert!(begin.elapsed() < Duration::from_millis(1_200));
+    assert_eq!(
+        setup.closed_connections("head_timeout"),
+        CONNECTION_COUNT + 1
+    );
+}
+
+// Guards against a limit for heads that starts before the first byte of a head.
+#[test]
+fn the_limit_for_heads_does_not_bind_connections_between_requests() {
+    let setup = Setup::start(3_000, 300);
+    let mut connections = setup.connections();
+    // Some clients send an empty line after a request.
+    send_all(&mut connections[..CONNECTION_COUNT / 2], "\r\n");
+    thread::sleep(Duration::from_millis(900));
+    send_all(&mut connections, REQUEST);
+    assert_eq!(served(&mut connections), CONNECTION_COUNT);
+}
+
+// Guards against refusing a head whose rest waits in the socket when its time ends.
+#[test]
+fn a_head_whose_rest_arrives_while_the_process_is_paused_across_its_limit_is_served() {
+    let setup = Setup::start(15_000, 500);
+    let mut connections = setup.connections();
+    send_all(&mut connections, &REQUEST[..SPLIT_BYTES]);
+    thread::sleep(Duration::from_millis(300));
+    setup.instance.send_signal(Signal::STOP);
+    send_all(&mut connections, &REQUEST[SPLIT_BYTES..]);
+    thread::sleep(Duration::from_millis(500));
+    setup.instance.send_signal(Signal::CONT);
+    assert_eq!(served(&mut connections), CONNECTION_COUNT);
+}
+
+// Guards against a process that waits for the rest of a head until it is killed.
+#[test]
+fn a_part_of_a_head_does_not_hold_up_a_shutdown() {
+    let setup = Setup::start(15_000, 500);
+    let mut stream = setup.instance.connect();
+    let begin = Instant::now();
+    setup.instance.send_signal(Signal::TERM);
+    sleep_until(begin, DRAIN_PERIOD_MS - 100);
+    write!(stream, "{}", &REQUEST[..SPLIT_BYTES]).unwrap();
+    let text = wait_for_end(&mut stream).1;
+    assert!(text.starts_with("HTTP/1.1 408 "), "{text}");
+    setup.instance.into_log();
+    let limit = Duration::from_millis(DRAIN_PERIOD_MS + 1_500);
+    assert!(begin.elapsed() < limit);
+}
