Listener: keep the idle limit that was in force at the last response

Callers may reuse a connection that has been idle for up to four fifths of the limit that they know. A lowered limit of a new configuration bound connections that were idle already at their next wake, and closed them sooner.

A connection now keeps the limit that was in force when its last response was sent, unless the present one is higher; it still ends by itself at the higher of the two.

--- a/crates/siskinyoke-gateway/src/connection_activity.rs
+++ b/crates/siskinyoke-gateway/src/connection_activity.rs
@@ -11,6 +11,8 @@
     open_requests: Cell<usize>,
     unflushed: Cell<bool>,
     idle_since: Cell<Millis>,
+    // The limit that was in force when the connection became idle.
+    initial_limit: Cell<Option<Millis>>,
     head_since: Cell<Option<Millis>>,
     // Whether a part of a head was found when the connection was about to be closed.
     head_confirmed: Cell<bool>,
@@ -25,6 +27,7 @@
             open_requests: Cell::new(0),
             unflushed: Cell::new(false),
             idle_since: Cell::new(now),
+            initial_limit: Cell::new(None),
             head_since: Cell::new(None),
             head_confirmed: Cell::new(false),
             ends_unmarked: Cell::new(false),
@@ -36,9 +39,14 @@
         self.open_requests.get() > 0 || self.unflushed.get()
     }
 
-    /// Returns when the last response was sent, or the connection opened.
-    pub fn idle_since(&self) -> Millis {
-        self.idle_since.get()
+    /// Returns until when the connection may be idle, with the limit that is in force now.
+    ///
+    /// It is to be asked as soon as the connection is idle: the limit that is in force then is kept
+    /// if a lower one follows, as the client may rely on it.
+    pub fn idle_end(&self, limit: Millis) -> Millis {
+        let initial = self.initial_limit.get().unwrap_or(limit);
+        self.initial_limit.set(Some(initial));
+        self.idle_since.get() + limit.max(initial)
     }
 
     /// Returns since when a part of a head has been received, as far as is known.
@@ -104,6 +112,7 @@
     pub fn flushed(&self, now: Millis) {
         if self.unflushed.replace(false) {
             self.idle_since.set(now);
+            self.initial_limit.set(None);
         }
     }
 }
--- a/crates/siskinyoke-gateway/src/kept_connection.rs
+++ b/crates/siskinyoke-gateway/src/kept_connection.rs
@@ -161,12 +161,12 @@
             return None;
         }
         let limits = (self.limits)();
+        let idle_end = self.activity.idle_end(limits.idle);
         let head_since = self.activity.head_since();
         let head = head_since.map(|it| (it + limits.head, CloseReason::HeadTimeout));
         if self.activity.is_head_confirmed() {
             return head;
         }
-        let idle_end = self.activity.idle_since() + limits.idle;
         let idle = Some((idle_end, CloseReason::Idle));
         let drain = limits.drain_end.map(|it| (it, CloseReason::Drain));
         let times = [head, idle, drain].into_iter().flatten();
--- a/crates/siskinyoke-gateway/tests/kept_connections.rs
+++ b/crates/siskinyoke-gateway/tests/kept_connections.rs
@@ -32,7 +32,7 @@
 const SPLIT_BYTES: usize = 60;
 
 struct Setup {
-    _store: Store,
+    store: Store,
     _endpoint: Endpoint,
     instance: Instance,
 }
@@ -46,7 +46,7 @@
         let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
         let instance = Instance::start(program, "i1", store.address).wait_until_ready();
         Self {
-            _store: store,
+            store,
             _endpoint: endpoint,
             instance,
         }
@@ -62,6 +62,16 @@
         connections
     }
 
+    fn put_limits(&self, version: u64, idle_ms: u64) {
+        let text = limits(version, idle_ms, 3_000);
+        self.store.put("op/config", &text);
+        let begin = Instant::now();
+        while self.instance.metric("what=\"configuration\"") != Some(version) {
+            assert!(begin.elapsed() < Duration::from_secs(2), "not in force");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     // Returns how many connections of callers were closed for a reason, by its name in the metrics.
     fn closed_connections(&self, reason: &str) -> usize {
         let page = http_get(self.instance.metrics_address, "/metrics").unwrap();
@@ -287,3 +297,37 @@
     let limit = Duration::from_millis(DRAIN_PERIOD_MS + 1_500);
     assert!(begin.elapsed() < limit);
 }
+
+// Guards against closing a connection sooner than its client could know when it was last used.
+#[test]
+fn a_lowered_idle_limit_does_not_bind_connections_that_are_idle_already() {
+    let setup = Setup::start(2_000, 3_000);
+    let begin = Instant::now();
+    let mut connections: Vec<_> = (0..CONNECTION_COUNT)
+        .map(|_| setup.instance.connect())
+        .collect();
+    sleep_until(begin, 900);
+    send_all(&mut connections, REQUEST);
+    assert_eq!(served(&mut connections), CONNECTION_COUNT);
+    setup.put_limits(4, 400);
+    // The process wakes 2,000 ms after the connections were opened.
+    sleep_until(begin, 2_400);
+    send_all(&mut connections, REQUEST);
+    assert_eq!(served(&mut connections), CONNECTION_COUNT);
+    for stream in &mut connections {
+        let (duration, text) = wait_for_end(stream);
+        assert!(duration < Duration::from_millis(800), "{duration:?}");
+        assert_eq!(text, "");
+    }
+}
+
+// Guards against closing a connection sooner than its client may know from a new configuration.
+#[test]
+fn a_raised_idle_limit_holds_at_once() {
+    let setup = Setup::start(800, 3_000);
+    let mut connections = setup.connections();
+    setup.put_limits(4, 3_000);
+    thread::sleep(Duration::from_millis(1_500));
+    send_all(&mut connections, REQUEST);
+    assert_eq!(served(&mut connections), CONNECTION_COUNT);
+}
