--- a/crates/siskinyoke-gateway/tests/kept_connections.rs
+++ b/crates/siskinyoke-gateway/tests/kept_connections.rs
@@ -113,14 +113,7 @@
 
 // Returns a response with a content length, or what was received of it.
 fn response_text(stream: &mut TcpStream) -> String {
-    let mut text = String::new();
-    let mut byte = [0];
-    while !text.ends_with("\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => text.push(char::from(byte[0])),
-            _ => return text,
-        }
-    }
+    let text = read_until(stream, "\r\n\r\n");
     let mut lengths = text
         .lines()
         .filter_map(|line| line.strip_prefix("content-length: "));
@@ -132,6 +125,19 @@
     }
 }
 
+// Returns what is received up to a text, or all if it is not received.
+fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = String::new();
+    let mut byte = [0];
+    while !text.ends_with(end) {
+        match stream.read(&mut byte) {
+            Ok(1) => text.push(char::from(byte[0])),
+            _ => break,
+        }
+    }
+    text
+}
+
 // Returns how long it takes until the connection ends, with what was received before.
 fn wait_for_end(stream: &mut TcpStream) -> (Duration, String) {
     let begin = Instant::now();
@@ -331,3 +337,24 @@
     send_all(&mut connections, REQUEST);
     assert_eq!(served(&mut connections), CONNECTION_COUNT);
 }
+
+// Guards against taking a connection as idle between the parts of a response, or since its head.
+#[test]
+fn a_response_that_outlasts_the_idle_limit_is_complete_and_its_connection_is_kept() {
+    let setup = Setup::start(220, 3_000);
+    let mut connections: Vec<_> = (0..CONNECTION_COUNT / 4)
+        .map(|_| setup.instance.connect())
+        .collect();
+    send_all(&mut connections, &REQUEST.replace("/safe/a", "/safe/nap"));
+    assert_eq!(served(&mut connections), CONNECTION_COUNT / 4);
+    let stream_request = REQUEST.replace("/safe/a", "/stream/versioned");
+    for _ in 0..3 {
+        let mut stream = setup.instance.connect();
+        stream.write_all(stream_request.as_bytes()).unwrap();
+        let text = read_until(&mut stream, "\r\n0\r\n\r\n");
+        assert_eq!(text.matches("data: ").count(), 24, "{text}");
+        thread::sleep(Duration::from_millis(60));
+        send_all(std::slice::from_mut(&mut stream), REQUEST);
+        assert!(response_text(&mut stream).starts_with("HTTP/1.1 200"));
+    }
+}
