Log: a line says why a request is not retried

A stream that was cut after an attempt that failed had only its `attempt` and `answer` lines. A retry that was not allowed looked like one that was refused in the queue, and both like a stream that broke off for another reason.

Core::end_attempt returns the reason as a RetryDenial; attempt_ended is the same without it. The line `retry_denied` gives the stage (`attempt` or `queue`), the reason, whether the response had begun, its last event, the state of endpoints and queue, and the time left. There is at most one for each request. No decision changes.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -24,6 +24,7 @@
 use crate::Outcome;
 use crate::Refusal;
 use crate::RefusalReason;
+use crate::RetryDenial;
 use crate::ScheduledRequest;
 use crate::Scheduler;
 use crate::Ticket;
@@ -329,17 +330,35 @@
         outcome: Outcome,
         retry: bool,
     ) -> Option<Ticket> {
-        let request = self.scheduler.attempt_ended(now, ticket, outcome)?;
+        self.end_attempt(now, ticket, outcome, retry).ok()
+    }
+
+    /// As [`Self::attempt_ended`], but says why the request is not queued again.
+    ///
+    /// # Errors
+    ///
+    /// The reason; the request has ended.
+    pub fn end_attempt(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        outcome: Outcome,
+        retry: bool,
+    ) -> Result<Ticket, RetryDenial> {
+        let Some(request) = self.scheduler.attempt_ended(now, ticket, outcome) else {
+            return Err(RetryDenial::NotRequested);
+        };
         self.record_sample(now, &request, outcome);
         match outcome {
             Outcome::ConnectionLost => self.record_crash(now, &request),
             Outcome::Completed { .. } => self.quarantine.clear(request.fingerprint),
             _ => {}
         }
-        if !retry || !self.may_retry(now, &request, outcome) {
-            return None;
+        if !retry {
+            return Err(RetryDenial::NotRequested);
         }
-        Some(self.scheduler.requeue(request))
+        self.take_retry(now, &request, outcome)?;
+        Ok(self.scheduler.requeue(request))
     }
 
     /// Records that the first part of a running request's response arrived.
--- a/crates/siskinyoke-dispatch/src/core/retry.rs
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::Outcome;
+use crate::RetryDenial;
 use crate::ScheduledRequest;
 use crate::Ticket;
 use crate::budget::RetryBudget;
@@ -57,16 +58,17 @@
         request.version.is_none() || !wait::all_tried(request, &self.registry.targets(request))
     }
 
-    pub(super) fn may_retry(
+    // Takes a retry of a request from the budget if it may be retried after this outcome.
+    pub(super) fn take_retry(
         &mut self,
         now: Millis,
         request: &ScheduledRequest,
         outcome: Outcome,
-    ) -> bool {
+    ) -> Result<(), RetryDenial> {
         let not_sent = outcome.is_unsent();
         let not_run = not_sent || matches!(outcome, Outcome::Full | Outcome::Misdirected);
         if !not_run && !request.route.idempotent() {
-            return false;
+            return Err(RetryDenial::NotIdempotent);
         }
         let doubt = self.links.doubted_since(&request.service);
         if !not_run
@@ -74,22 +76,34 @@
                 .quarantine
                 .is_quarantined(now, request.fingerprint, doubt)
         {
-            return false;
+            return Err(RetryDenial::Quarantined);
         }
-        if now >= request.deadline || !self.has_untried_endpoint(request) {
-            return false;
+        if now >= request.deadline {
+            return Err(RetryDenial::DeadlinePassed);
+        }
+        if !self.has_untried_endpoint(request) {
+            return Err(RetryDenial::NoUntriedEndpoint);
         }
         if not_sent {
-            return request.tried.len() < MAX_CONNECT_ATTEMPTS;
+            return if request.tried.len() < MAX_CONNECT_ATTEMPTS {
+                Ok(())
+            } else {
+                Err(RetryDenial::ConnectAttempts)
+            };
         }
         // The retry of a stalled request was taken from the budget when it was abandoned.
         if outcome == Outcome::Stalled {
-            return true;
+            return Ok(());
+        }
+        if request.attempts >= request.route.max_attempts {
+            return Err(RetryDenial::RouteAttempts);
         }
         let min_retries = self.min_retries();
-        request.attempts < request.route.max_attempts
-            && self
-                .retry_budget(&request.service)
-                .try_take(now, min_retries)
+        let budget = self.retry_budget(&request.service);
+        if budget.try_take(now, min_retries) {
+            Ok(())
+        } else {
+            Err(RetryDenial::RetryBudget)
+        }
     }
 }
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -147,21 +147,24 @@
                 AttemptEnd::Finished(outcome) => (outcome, false),
                 AttemptEnd::Retry(outcome) => (outcome, true),
                 AttemptEnd::Truncated => {
-                    permit.end_attempt(Outcome::ConnectionLost, false);
+                    permit.end_attempt(Outcome::ConnectionLost, false).ok();
                     return self.fail(Outcome::ConnectionLost);
                 }
             };
             self.log_attempt(&endpoint, outcome);
             match permit.end_attempt(outcome, retry) {
-                Some(ticket) => {
+                Ok(ticket) => {
                     pending = (
                         Permit::new(&self.shell, ticket),
                         self.shell.add_waiter(ticket),
                     );
                     self.shell.decide();
                 }
-                None if retry => return self.fail(outcome),
-                None => return self.finish().await,
+                Err(denial) if retry => {
+                    self.log_retry_denial("attempt", denial.as_str());
+                    return self.fail(outcome);
+                }
+                Err(_) => return self.finish().await,
             }
         }
     }
--- a/crates/siskinyoke-gateway/src/job/completion.rs
+++ b/crates/siskinyoke-gateway/src/job/completion.rs
@@ -40,6 +40,7 @@
 
     pub(super) fn refuse(&mut self, refusal: Refusal) -> &'static str {
         if self.maybe_executed {
+            self.log_retry_denial("queue", refusal.reason.as_str());
             return self.fail(Outcome::Cancelled);
         }
         self.shell.core.borrow_mut().refund(&self.routed);
@@ -129,6 +130,32 @@
         self.shell.log("attempt", fields);
     }
 
+    // Logs why a request that an endpoint may have run is not retried: `stage` says whether its last
+    // attempt ended, or its retry was refused in the queue.
+    pub(super) fn log_retry_denial(&self, stage: &str, reason: &str) {
+        let now = self.shell.now();
+        let core = self.shell.core.borrow();
+        let (endpoints, backing_off) = core.endpoint_counts(now, &self.routed.service);
+        let (waiting, running) = core.scheduler().request_counts();
+        let fields = json!({
+            "id": self.id,
+            "resumes": self.resumed_id,
+            "stage": stage,
+            "reason": reason,
+            "begun": self.caller.start.is_none(),
+            "last_event": self.events.last_id(),
+            "endpoint": self.last_endpoint.as_ref().map(|it| &*it.id),
+            "endpoints": endpoints,
+            "backing_off": backing_off,
+            "waiting": waiting,
+            "running": running,
+            "since_arrival_ms": now.since(self.routed.arrived).0,
+            "left_ms": self.routed.deadline.since(now).0,
+        });
+        drop(core);
+        self.shell.log("retry_denied", fields);
+    }
+
     pub(super) fn record_end(&self, outcome: &'static str) {
         let took = self.shell.now().since(self.routed.arrived);
         self.shell
--- a/crates/siskinyoke-gateway/src/permit.rs
+++ b/crates/siskinyoke-gateway/src/permit.rs
@@ -7,6 +7,7 @@
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::RetryDenial;
 use siskinyoke_dispatch::Ticket;
 use siskinyoke_dispatch::stall_timeout::STREAM_STALL_TIMEOUT;
 
@@ -35,13 +36,19 @@
     }
 
     /// Ends an attempt; returns the ticket of a retry if one is wanted and allowed.
-    pub fn end_attempt(mut self, outcome: Outcome, retry: bool) -> Option<Ticket> {
-        let ticket = self.ticket.take()?;
+    ///
+    /// # Errors
+    ///
+    /// Why the request is not retried.
+    pub fn end_attempt(mut self, outcome: Outcome, retry: bool) -> Result<Ticket, RetryDenial> {
+        let Some(ticket) = self.ticket.take() else {
+            return Err(RetryDenial::NotRequested);
+        };
         self.shell.metrics.record_attempt(outcome_name(outcome));
         lending::return_slot(&self.shell, ticket);
         let now = self.shell.now();
         let mut core = self.shell.core.borrow_mut();
-        let retry = core.attempt_ended(now, ticket, outcome, retry);
+        let retry = core.end_attempt(now, ticket, outcome, retry);
         drop(core);
         // A broken connection may have put the links in doubt.
         probes::start_due(&self.shell);
