Scheduler: a stalled attempt ends only when a slot at another endpoint is taken

Callers lost the rest of streams of sound endpoints that sent nothing for 1.3 s.

An attempt was ended because another endpoint had a free slot at that moment. Nothing held that slot: the retry was queued, where peers' requests go first, and was refused after its queue timeout, which cuts a stream that has begun.

Only then it ends the attempt and starts the request there. Otherwise nothing changes, and the gateway checks again every 100 ms while the endpoint is silent; before, it checked once. The special case for stalled attempts in take_retry goes, as none are queued any more.

--- a/crates/siskinyoke-dispatch/src/core/retry.rs
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -2,12 +2,14 @@
 
 use std::sync::Arc;
 
+use crate::Endpoint;
 use crate::Outcome;
 use crate::RetryDenial;
 use crate::ScheduledRequest;
 use crate::Ticket;
 use crate::budget::RetryBudget;
 use crate::core::Core;
+use crate::scheduler::ClusterView;
 use crate::wait;
 use siskinyoke_base::Millis;
 
@@ -23,27 +25,45 @@
 const MAX_CONNECT_ATTEMPTS: usize = 4;
 
 impl Core {
-    /// Returns whether a running request may be abandoned at a stalled endpoint and retried at
-    /// another one.
+    /// Moves a stalled request to another endpoint with a slot that it may use now, and returns its
+    /// new ticket and that endpoint.
     ///
-    /// It may only if another endpoint has a free slot: a stall alone is no reason to abandon a
-    /// request. The retry is taken from the budget here, so that it is certain to be allowed later.
-    pub fn try_abandon(&mut self, now: Millis, ticket: Ticket) -> bool {
-        let Some(request) = self.scheduler.running(ticket).cloned() else {
-            return false;
+    /// Returns `None`, and leaves the attempt as it is, if there is no such slot or the request may
+    /// not be retried. The endpoint may be sound and go on, so the attempt is not ended before the
+    /// slot is taken: a queued retry could be refused.
+    pub fn try_abandon(&mut self, now: Millis, ticket: Ticket) -> Option<(Ticket, Arc<Endpoint>)> {
+        let request = self.scheduler.running(ticket)?.clone();
+        if !self.may_move(now, &request) {
+            return None;
+        }
+        let view = ClusterView {
+            now,
+            registry: &self.registry,
+            peers: &self.peers,
         };
-        let allowed =
-            request.route.idempotent() && request.attempts + 1 < request.route.max_attempts;
-        let has_alternative =
-            self.scheduler
-                .has_alternative(now, &request, &self.registry, &self.peers);
+        let candidate = self.scheduler.find_alternative(&view, &request)?;
         let min_retries = self.min_retries();
-        allowed
-            && has_alternative
+        let budget = self.retry_budget(&request.service);
+        if !budget.try_take(now, min_retries) {
+            return None;
+        }
+        let request = self
+            .scheduler
+            .attempt_ended(now, ticket, Outcome::Stalled)?;
+        self.record_sample(now, &request, Outcome::Stalled);
+        let started = self.scheduler.start_at(now, request, &candidate);
+        Some(started)
+    }
+
+    // Returns whether a running request may be sent to another endpoint, apart from the budget.
+    fn may_move(&self, now: Millis, request: &ScheduledRequest) -> bool {
+        let doubt = self.links.doubted_since(&request.service);
+        request.route.idempotent()
+            && request.attempts + 1 < request.route.max_attempts
             && now < request.deadline
-            && self
-                .retry_budget(&request.service)
-                .try_take(now, min_retries)
+            && !self
+                .quarantine
+                .is_quarantined(now, request.fingerprint, doubt)
     }
 
     pub(super) fn retry_budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
@@ -91,10 +111,6 @@
                 Err(RetryDenial::ConnectAttempts)
             };
         }
-        // The retry of a stalled request was taken from the budget when it was abandoned.
-        if outcome == Outcome::Stalled {
-            return Ok(());
-        }
         if request.attempts >= request.route.max_attempts {
             return Err(RetryDenial::RouteAttempts);
         }
--- a/crates/siskinyoke-dispatch/src/scheduled_request.rs
+++ b/crates/siskinyoke-dispatch/src/scheduled_request.rs
@@ -169,6 +169,17 @@
         QueueOrder::new(self.priority, self.share_class, self.late)
     }
 
+    /// Returns the request as it is queued again after an attempt that ended.
+    #[must_use]
+    pub(crate) fn requeued(self) -> Self {
+        Self {
+            late: false,
+            needs_loan: false,
+            canary: false,
+            ..self
+        }
+    }
+
     /// Returns whether the version of an endpoint may run it.
     pub fn may_run_at(&self, endpoint: &Endpoint) -> bool {
         let version = self.version;
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod expiry;
 mod lending;
+mod moves;
 mod observations;
 mod rate_limits;
 mod rejection_limits;
@@ -200,12 +201,7 @@
 
     /// Queues a request again after an attempt that failed.
     pub fn requeue(&mut self, request: ScheduledRequest) -> Ticket {
-        self.enqueue(ScheduledRequest {
-            late: false,
-            needs_loan: false,
-            canary: false,
-            ..request
-        })
+        self.enqueue(request.requeued())
     }
 
     /// Returns the decisions on waiting requests that can be made now.
@@ -340,24 +336,6 @@
         self.running.get(&ticket).map(|running| &running.request)
     }
 
-    /// Returns whether an endpoint that the request was not sent to has a free slot.
-    pub fn has_alternative(
-        &self,
-        now: Millis,
-        request: &ScheduledRequest,
-        registry: &Registry,
-        peers: &Peers,
-    ) -> bool {
-        let view = ClusterView {
-            now,
-            registry,
-            peers,
-        };
-        let free = self.free_among(&view, &registry.targets(request));
-        free.iter()
-            .any(|candidate| !request.tried.contains(&candidate.endpoint.key()))
-    }
-
     /// Records the speed factors that a peer reports for endpoints.
     pub fn record_peer_speeds(&mut self, rows: &[RunningRow]) {
         self.selector.record_peer_speeds(rows);
@@ -426,9 +404,13 @@
         self.in_flight.retain(|_, row| row.count > 0);
     }
 
-    fn enqueue(&mut self, request: ScheduledRequest) -> Ticket {
+    fn next_ticket(&mut self) -> Ticket {
         self.last_ticket += 1;
-        let ticket = Ticket(self.last_ticket);
+        Ticket(self.last_ticket)
+    }
+
+    fn enqueue(&mut self, request: ScheduledRequest) -> Ticket {
+        let ticket = self.next_ticket();
         let queue = self.queues.entry(request.service.clone()).or_default();
         queue.push(queue_key(ticket, &request));
         self.waiting.insert(ticket, request);
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -10,6 +10,7 @@
 use super::queue_key;
 use crate::Endpoint;
 use crate::EndpointKey;
+use crate::ScheduledRequest;
 use crate::Ticket;
 use crate::latency_model::LatencyModel;
 use crate::latency_model::millis_to_f64;
@@ -265,9 +266,21 @@
         if let Some(queue) = self.queues.get_mut(&request.service) {
             queue.remove(queue_key(ticket, &request));
         }
+        request.canary = canary;
+        self.record_start(now, ticket, request, endpoint, backlog);
+    }
+
+    // Records that a request that does not wait is sent to an endpoint.
+    pub(super) fn record_start(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        mut request: ScheduledRequest,
+        endpoint: &Arc<Endpoint>,
+        backlog: Backlog,
+    ) {
         let key = endpoint.key();
         request.tried.push(key);
-        request.canary = canary;
         let row = self.usage_mut(key);
         row.count += 1;
         row.prefill_tokens += request.tokens.prompt_tokens();
@@ -298,7 +311,7 @@
 }
 
 // Returns the work ahead of a request that is sent to a candidate now.
-fn backlog(candidate: &Candidate, latency: LatencyModel) -> Backlog {
+pub(super) fn backlog(candidate: &Candidate, latency: LatencyModel) -> Backlog {
     let queued = candidate.free_slots <= candidate.queue_slots;
     let slots = u64::from(candidate.endpoint.slots.max(1));
     Backlog {
@@ -318,7 +331,7 @@
 }
 
 // Counts the peers' waiting requests that go before a request of this instance.
-fn claimed_by_peers(rows: &[WaitingRow], order: QueueOrder, waited: Millis) -> u32 {
+pub(super) fn claimed_by_peers(rows: &[WaitingRow], order: QueueOrder, waited: Millis) -> u32 {
     rows.iter()
         .map(|row| {
             if row.order < order {
--- a/crates/siskinyoke-dispatch/src/stall_timeout.rs
+++ b/crates/siskinyoke-dispatch/src/stall_timeout.rs
@@ -19,6 +19,12 @@
 /// endpoint to take over.
 pub const STREAM_STALL_TIMEOUT: Millis = Millis(1_000);
 
+/// The interval at which it is checked whether a stalled request can be moved.
+///
+/// A slot that becomes free is used within this time; each check looks at all endpoints of the
+/// service.
+pub const STALL_CHECK_INTERVAL: Millis = Millis(100);
+
 /// Returns how long to wait for the first part of a response that is expected after `expected`.
 ///
 /// A timeout based on the mean of the service instead would abandon endpoints while they process
--- a/crates/siskinyoke-dispatch/tests/load/world.rs
+++ b/crates/siskinyoke-dispatch/tests/load/world.rs
@@ -20,6 +20,7 @@
 use siskinyoke_dispatch::Configuration;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Decision;
+use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::Route;
 use siskinyoke_dispatch::RouteKind;
@@ -273,15 +274,10 @@
             for decision in self.cores[instance].decide(Millis(self.now)) {
                 let (Decision::Start(ticket, _) | Decision::Refuse(ticket, _)) = &decision;
                 let number = self.tickets[&(instance, *ticket)];
-                let job = &mut self.jobs[number];
                 match decision {
-                    Decision::Start(_, endpoint) => {
-                        let index = endpoint.id[1..].parse::<usize>().expect("a number");
-                        job.first_part_seen = false;
-                        let run = Run::new(number, self.now as f64, job.prompt, job.output);
-                        self.engines[index].runs.push(run);
-                    }
+                    Decision::Start(_, endpoint) => self.start(number, &endpoint),
                     Decision::Refuse(ticket, _) => {
+                        let job = &mut self.jobs[number];
                         job.outcome = JobOutcome::Refused;
                         job.queued = self.now - job.arrived;
                         job.ticket = None;
@@ -292,6 +288,14 @@
         }
     }
 
+    fn start(&mut self, number: usize, endpoint: &Endpoint) {
+        let index = endpoint.id[1..].parse::<usize>().expect("a number");
+        let job = &mut self.jobs[number];
+        job.first_part_seen = false;
+        let run = Run::new(number, self.now as f64, job.prompt, job.output);
+        self.engines[index].runs.push(run);
+    }
+
     // Abandons attempts that have stalled for too long, as the gateway does.
     fn abandon_stalled(&mut self) {
         for index in 0..self.engines.len() {
@@ -306,21 +310,19 @@
                 let core = &mut self.cores[job.instance];
                 let stalled_ms = self.now - sent as u64;
                 let limit = core.scheduler().stall_timeout(ticket);
-                if stalled_ms < limit.0 || !core.try_abandon(Millis(self.now), ticket) {
+                if stalled_ms < limit.0 {
                     continue;
                 }
+                let Some((next, endpoint)) = core.try_abandon(Millis(self.now), ticket) else {
+                    continue;
+                };
                 job.abandoned += 1;
                 self.longest_stall = self.longest_stall.max(stalled_ms);
                 self.engines[index].runs.retain(|run| run.job != number);
-                let next = core.attempt_ended(Millis(self.now), ticket, Outcome::Stalled, true);
                 self.tickets.remove(&(job.instance, ticket));
-                job.ticket = next;
-                match next {
-                    Some(next) => {
-                        self.tickets.insert((job.instance, next), number);
-                    }
-                    None => job.outcome = JobOutcome::Refused,
-                }
+                self.tickets.insert((job.instance, next), number);
+                job.ticket = Some(next);
+                self.start(number, &endpoint);
             }
         }
     }
--- a/crates/siskinyoke-dispatch/tests/stalls.rs
+++ b/crates/siskinyoke-dispatch/tests/stalls.rs
@@ -3,10 +3,12 @@
 mod common;
 
 use crate::common::configuration;
+use crate::common::core;
 use crate::common::endpoint;
 use crate::common::identity;
 use crate::common::location;
 use crate::common::organisation;
+use crate::common::report;
 use crate::common::request;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
@@ -14,6 +16,10 @@
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::Ticket;
+use siskinyoke_dispatch::report::WaitingRow;
+use siskinyoke_dispatch::report::short_hash;
+use siskinyoke_dispatch::scheduled_request::QueueOrder;
+use siskinyoke_dispatch::stall_timeout::STALL_CHECK_INTERVAL;
 use siskinyoke_dispatch::stall_timeout::STREAM_STALL_TIMEOUT;
 
 const INSTANCE_COUNT: usize = 3;
@@ -39,7 +45,6 @@
 enum StreamEnd {
     Complete,
     Refused(Refusal),
-    RetryDenied,
     Late,
 }
 
@@ -181,22 +186,18 @@
         }
     }
 
-    // Gives up an attempt that has stalled, as the gateway does.
+    // Moves a stream that has stalled, as the gateway does.
     fn check_stall(&mut self, caller: usize) {
         let core = &mut self.cores[caller % INSTANCE_COUNT];
         let now = Millis(self.now);
         let stream = self.streams[caller].as_mut().unwrap();
-        stream.next_check = u64::MAX;
-        if !core.try_abandon(now, stream.ticket) {
-            return;
-        }
-        let Some(ticket) = core.attempt_ended(now, stream.ticket, Outcome::Stalled, true) else {
-            self.end(caller, StreamEnd::RetryDenied);
+        stream.next_check = self.now + STALL_CHECK_INTERVAL.0;
+        let Some((ticket, _)) = core.try_abandon(now, stream.ticket) else {
             return;
         };
         stream.ticket = ticket;
-        stream.sent_at = None;
         stream.resumed_after = stream.events;
+        self.start(caller);
         self.decide(caller % INSTANCE_COUNT);
     }
 
@@ -247,3 +248,30 @@
     println!("{count} streams, {sent} sent, {} cut", cut.len());
     assert!(cut.is_empty(), "{} of {count}: {cut:?}", cut.len());
 }
+
+// Guards against attempts that are ended for a slot that a peer's request is about to take.
+#[test]
+fn a_stalled_stream_is_moved_only_to_a_slot_that_no_peer_claims() {
+    let mut core = core("i0", 1);
+    let routed = core.route(Millis(0), request("/stream/a")).unwrap();
+    let ticket = core.admit(Millis(0), &routed, 1).unwrap();
+    core.decide(Millis(0));
+    core.first_part_received(Millis(50), ticket);
+    core.registry().put(Millis(50), endpoint("e2", 1));
+    let mut peer_report = report("i1", 1);
+    peer_report.waiting = vec![WaitingRow {
+        service: short_hash("lm"),
+        order: QueueOrder::default(),
+        count: 1,
+        oldest_wait: 5,
+        service_time: 200,
+    }];
+    core.receive_report(Millis(1_050), peer_report);
+    assert_eq!(core.try_abandon(Millis(1_050), ticket), None);
+    assert_eq!(core.scheduler().request_counts(), (0, 1));
+    core.receive_report(Millis(1_150), report("i1", 2));
+    let (next, endpoint) = core.try_abandon(Millis(1_150), ticket).unwrap();
+    assert_eq!(&*endpoint.id, "e2");
+    assert_eq!(core.scheduler().request_counts(), (0, 1));
+    assert!(core.scheduler().running(next).is_some());
+}
--- a/crates/siskinyoke-dispatch/tests/streams.rs
+++ b/crates/siskinyoke-dispatch/tests/streams.rs
@@ -487,9 +487,10 @@
     let mut core = core(&[("e1", "1"), ("e2", "2")]);
     let ticket = admit(&mut core, 0, version("2")).unwrap();
     assert_eq!(starts(&mut core, 0).len(), 1);
-    assert!(!core.try_abandon(Millis(1_000), ticket));
+    assert!(core.try_abandon(Millis(1_000), ticket).is_none());
     core.registry().put(Millis(1_000), versioned("e3", "2"));
-    assert!(core.try_abandon(Millis(1_000), ticket));
+    let (_, endpoint) = core.try_abandon(Millis(1_000), ticket).unwrap();
+    assert_eq!(&*endpoint.id, "e3");
 }
 
 #[test]
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -3,6 +3,7 @@
 mod completion;
 mod forwarding;
 pub mod progress;
+mod stall;
 
 use std::pin::pin;
 use std::rc::Rc;
@@ -20,6 +21,7 @@
 
 use self::progress::Progress;
 use crate::announcements;
+use crate::assigned_slot::AssignedSlot;
 use crate::attempt;
 use crate::attempt::EndpointRequest;
 use crate::endpoint_client::Reply;
@@ -100,6 +102,8 @@
     Finished(Outcome),
     // The endpoint returned no complete response; another one may be tried.
     Retry(Outcome),
+    // The attempt stalled and was ended; the next one uses this slot.
+    Moved(AssignedSlot),
     // The response broke off after it was partly forwarded, so it cannot be retried.
     Truncated,
 }
@@ -128,17 +132,12 @@
         permit: Permit,
         decision: oneshot::Receiver<SchedulingResult>,
     ) -> &'static str {
-        let mut pending = (permit, decision);
+        let mut slot = match self.wait_for_slot(permit, decision).await {
+            Ok(slot) => slot,
+            Err(outcome) => return outcome,
+        };
         loop {
-            let (permit, decision) = pending;
-            let endpoint = match decision.await {
-                Ok(Ok(endpoint)) => endpoint,
-                Ok(Err(refusal)) => {
-                    permit.disarm();
-                    return self.refuse(refusal);
-                }
-                Err(_) => return self.fail(Outcome::Cancelled),
-            };
+            let AssignedSlot { permit, endpoint } = slot;
             self.progress.queue_time = self.shell.now().since(self.routed.arrived);
             self.shell
                 .metrics
@@ -146,26 +145,51 @@
             let (outcome, retry) = match self.attempt(&endpoint, &permit).await {
                 AttemptEnd::Finished(outcome) => (outcome, false),
                 AttemptEnd::Retry(outcome) => (outcome, true),
+                AttemptEnd::Moved(next) => {
+                    permit.disarm();
+                    self.log_attempt(&endpoint, Outcome::Stalled);
+                    self.shell.decide();
+                    slot = next;
+                    continue;
+                }
                 AttemptEnd::Truncated => {
                     permit.end_attempt(Outcome::ConnectionLost, false).ok();
                     return self.fail(Outcome::ConnectionLost);
                 }
             };
             self.log_attempt(&endpoint, outcome);
-            match permit.end_attempt(outcome, retry) {
-                Ok(ticket) => {
-                    pending = (
-                        Permit::new(&self.shell, ticket),
-                        self.shell.add_waiter(ticket),
-                    );
-                    self.shell.decide();
-                }
+            let ticket = match permit.end_attempt(outcome, retry) {
+                Ok(ticket) => ticket,
                 Err(denial) if retry => {
                     self.log_retry_denial("attempt", denial.as_str());
                     return self.fail(outcome);
                 }
                 Err(_) => return self.finish().await,
+            };
+            let permit = Permit::new(&self.shell, ticket);
+            let decision = self.shell.add_waiter(ticket);
+            self.shell.decide();
+            slot = match self.wait_for_slot(permit, decision).await {
+                Ok(slot) => slot,
+                Err(outcome) => return outcome,
+            };
+        }
+    }
+
+    // Waits until a queued request is assigned a slot; returns the outcome for the log if it is
+    // refused.
+    async fn wait_for_slot(
+        &mut self,
+        permit: Permit,
+        decision: oneshot::Receiver<SchedulingResult>,
+    ) -> Result<AssignedSlot, &'static str> {
+        match decision.await {
+            Ok(Ok(endpoint)) => Ok(AssignedSlot { permit, endpoint }),
+            Ok(Err(refusal)) => {
+                permit.disarm();
+                Err(self.refuse(refusal))
             }
+            Err(_) => Err(self.fail(Outcome::Cancelled)),
         }
     }
 
@@ -192,10 +216,10 @@
                 reply
             } else {
                 attempt::record_overdue(&shell, endpoint, start);
-                if permit.try_abandon() {
-                    return AttemptEnd::Retry(Outcome::Stalled);
+                match stall::wait_or_move(permit, sending).await {
+                    Ok(reply) => reply,
+                    Err(slot) => return AttemptEnd::Moved(slot),
                 }
-                sending.await
             }
         };
         let (response, connection) = match reply {
--- a/crates/siskinyoke-gateway/src/job/forwarding.rs
+++ b/crates/siskinyoke-gateway/src/job/forwarding.rs
@@ -13,6 +13,7 @@
 use super::ResponseHead;
 use super::ResponseStart;
 use super::progress::Progress;
+use super::stall;
 use crate::body_end::BodyEnd;
 use crate::framing::Framing;
 use crate::permit::Permit;
@@ -112,8 +113,13 @@
                 let mut next = pin!(body.frame());
                 match timeout(stall_timeout.into(), &mut next).await {
                     Ok(frame) => frame,
-                    Err(_) if permit.try_abandon() => return self.retry_stream(Outcome::Stalled),
-                    Err(_) => next.await,
+                    Err(_) => match stall::wait_or_move(permit, next).await {
+                        Ok(frame) => frame,
+                        Err(slot) => {
+                            self.discard_partial();
+                            return AttemptEnd::Moved(slot);
+                        }
+                    },
                 }
             };
             let chunk = match frame {
@@ -167,9 +173,13 @@
     }
 
     fn retry_stream(&mut self, outcome: Outcome) -> AttemptEnd {
+        self.discard_partial();
+        AttemptEnd::Retry(outcome)
+    }
+
+    fn discard_partial(&mut self) {
         self.progress.partial_bytes = self.events.partial_len();
         self.events.discard_partial();
-        AttemptEnd::Retry(outcome)
     }
 
     // Send errors are ignored: a caller that disconnects closes the channel, which ends the job.
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod announcements;
+pub mod assigned_slot;
 pub mod attempt;
 pub mod body_end;
 pub mod callers;
--- a/crates/siskinyoke-gateway/src/permit.rs
+++ b/crates/siskinyoke-gateway/src/permit.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use crate::assigned_slot::AssignedSlot;
 use crate::lending;
 use crate::probes;
 use crate::shell::Shell;
@@ -30,7 +31,8 @@
         }
     }
 
-    /// Disarms the guard of a request that the scheduler has refused and already removed.
+    /// Disarms the guard of a ticket that the scheduler has already removed: its request was refused
+    /// or has another ticket.
     pub fn disarm(mut self) {
         self.ticket = None;
     }
@@ -74,15 +76,20 @@
         })
     }
 
-    /// Returns whether a stalled attempt may be abandoned and retried at another endpoint.
-    pub fn try_abandon(&self) -> bool {
-        let Some(ticket) = self.ticket else {
-            return false;
-        };
+    /// Ends a stalled attempt if there is a slot for the request at another endpoint, and returns
+    /// that slot. This guard then has to be disarmed.
+    pub fn try_abandon(&self) -> Option<AssignedSlot> {
+        let ticket = self.ticket?;
+        let now = self.shell.now();
+        let (next, endpoint) = self.shell.core.borrow_mut().try_abandon(now, ticket)?;
         self.shell
-            .core
-            .borrow_mut()
-            .try_abandon(self.shell.now(), ticket)
+            .metrics
+            .record_attempt(outcome_name(Outcome::Stalled));
+        lending::return_slot(&self.shell, ticket);
+        Some(AssignedSlot {
+            permit: Self::new(&self.shell, next),
+            endpoint,
+        })
     }
 }
 
