--- a/crates/siskinyoke-dispatch/src/core/routing.rs
+++ b/crates/siskinyoke-dispatch/src/core/routing.rs
@@ -5,6 +5,7 @@
 use crate::Configuration;
 use crate::Organisation;
 use crate::Priority;
+use crate::PromptParts;
 use crate::Refusal;
 use crate::RefusalReason;
 use crate::Route;
@@ -54,6 +55,8 @@
     pub deadline: Millis,
     /// Its token counts.
     pub tokens: TokenCounts,
+    /// The parts of its prompt that other requests may share; empty until they are set.
+    pub prompt_parts: PromptParts,
     /// Its cost in units of the organisation's quota.
     pub quota_cost: f64,
 }
@@ -131,6 +134,7 @@
         arrived,
         deadline: arrived + timeout,
         tokens: TokenCounts::new(request.tokens, request.output_estimate),
+        prompt_parts: PromptParts::default(),
         quota_cost: quota_cost(organisation.as_deref(), request.tokens),
         organisation,
         route,
@@ -161,6 +165,7 @@
         deadline: request.deadline,
         tokens: request.tokens,
         fingerprint,
+        prompt_parts: request.prompt_parts.clone(),
         tried: Vec::new(),
         attempts: 0,
         organisation: request.organisation.as_ref().map(|it| short_hash(&it.name)),
--- a/crates/siskinyoke-dispatch/src/scheduled_request.rs
+++ b/crates/siskinyoke-dispatch/src/scheduled_request.rs
@@ -7,6 +7,7 @@
 
 use crate::Endpoint;
 use crate::EndpointKey;
+use crate::PromptParts;
 use crate::Route;
 use crate::TokenCounts;
 use crate::VersionKey;
@@ -144,6 +145,8 @@
     pub tokens: TokenCounts,
     /// Hash of its content, the same for each retry of the same request.
     pub fingerprint: u64,
+    /// The parts of its prompt that other requests may share.
+    pub prompt_parts: PromptParts,
     /// Endpoints it was sent to, including those that could not be reached.
     pub tried: Vec<EndpointKey>,
     /// Number of these endpoints that were reached.
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -16,6 +16,7 @@
 use crate::Endpoint;
 use crate::EndpointKey;
 use crate::Priority;
+use crate::PromptParts;
 use crate::Route;
 use crate::RouteKind;
 use crate::ScheduledRequest;
@@ -340,6 +341,7 @@
             output: f64::from(request.output_tokens),
         },
         fingerprint: 0,
+        prompt_parts: PromptParts::default(),
         tried: Vec::new(),
         attempts: 0,
         organisation: None,
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -14,6 +14,7 @@
 use siskinyoke_dispatch::Organisation;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::Priority;
+use siskinyoke_dispatch::PromptParts;
 use siskinyoke_dispatch::Report;
 use siskinyoke_dispatch::Route;
 use siskinyoke_dispatch::RouteKind;
@@ -89,6 +90,7 @@
         route: Arc::new(route),
         tokens: TokenCounts::default(),
         fingerprint: arrived,
+        prompt_parts: PromptParts::default(),
         tried: Vec::new(),
         attempts: 0,
         organisation: None,
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -269,7 +269,8 @@
         id_hash: stable_hash(&head.resumption.named_id().or(head.id)),
     };
     let refusal = match route(shell, incoming).await {
-        Ok(routed) => {
+        Ok(mut routed) => {
+            routed.prompt_parts = head.prompt_parts;
             return Ok(AcceptedRequest {
                 id: head.id.map(ToOwned::to_owned),
                 resumed_id: head.resumption.named_id().map(ToOwned::to_owned),
--- a/crates/siskinyoke-gateway/src/job/completion.rs
+++ b/crates/siskinyoke-gateway/src/job/completion.rs
@@ -113,6 +113,8 @@
     }
 
     pub(super) fn log_attempt(&self, endpoint: &Endpoint, outcome: Outcome) {
+        let parts = self.routed.prompt_parts.iter();
+        let parts: Vec<String> = parts.map(|it| it.to_string()).collect();
         let fields = json!({
             "id": self.id,
             "resumes": self.resumed_id,
@@ -125,6 +127,7 @@
             "framing": self.progress.framing.map(Framing::as_str),
             "end": self.progress.body_end.map(BodyEnd::as_str),
             "partial_bytes": self.progress.partial_bytes,
+            "prompt_parts": (outcome == Outcome::ConnectionLost).then_some(parts),
             "since_arrival_ms": self.shell.now().since(self.routed.arrived).0,
         });
         self.shell.log("attempt", fields);
--- a/crates/siskinyoke-interface/src/exchange.rs
+++ b/crates/siskinyoke-interface/src/exchange.rs
@@ -14,6 +14,7 @@
 use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::PromptParts;
 use siskinyoke_dispatch::Refusal;
 
 /// The properties of a caller's request that routing and scheduling use.
@@ -33,6 +34,8 @@
     pub token_counts: Option<(u64, u64)>,
     /// The caller's estimate of the output tokens, which may be far off.
     pub output_estimate: Option<u64>,
+    /// The parts of the prompt that other requests may share.
+    pub prompt_parts: PromptParts,
     /// Whether it goes on with a stream.
     pub resumption: Resumption<'a>,
 }
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -19,6 +19,7 @@
 use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::PromptParts;
 use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::RefusalReason;
 use siskinyoke_interface::Exchange;
@@ -102,6 +103,7 @@
             token_counts: tokens,
             output_estimate: headers::header_text(head, &names::OUTPUT_ESTIMATE)
                 .and_then(|it| it.trim().parse().ok()),
+            prompt_parts: PromptParts::default(),
             resumption: Resumption::decode(head, &names::RESUMED_ID, &names::LAST_EVENT_ID),
         })
     }
