--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! A stand-in for an endpoint whose behaviour is selected by the path of each request.
 
+pub mod crash;
 pub mod silent;
 mod unmarked;
 pub mod versioned;
@@ -22,6 +23,7 @@
 use crate::admission::Admission;
 use crate::admission::Verdict;
 use crate::announcements::Announcements;
+use crate::endpoint::crash::Crashes;
 
 /// The number of slots that an endpoint states.
 pub const SLOT_COUNT: usize = 4;
@@ -85,6 +87,7 @@
     admission: Arc<Mutex<Admission>>,
     // The number of starts under this ID, which entries state as the time of the start.
     starts: Arc<AtomicU64>,
+    crashes: Arc<Mutex<Crashes>>,
 }
 
 impl Endpoint {
@@ -113,15 +116,10 @@
             announcements: Arc::default(),
             admission: Arc::default(),
             starts: Arc::new(AtomicU64::new(1)),
+            crashes: Arc::default(),
         };
         let serving = endpoint.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let endpoint = serving.clone();
-                // Some tests close the connection during a request, so errors are expected.
-                thread::spawn(move || drop(endpoint.serve(stream)));
-            }
-        });
+        thread::spawn(move || serving.listen(listener));
         endpoint
     }
 
@@ -241,6 +239,9 @@
                 continue;
             }
             request.received_at = Some(Instant::now());
+            if self.crash_on(&request, &mut out)? {
+                return Ok(());
+            }
             let rejected_for = self.announce();
             request.rejected = rejected_for.is_some();
             let verdict = self.admit();
--- /dev/null
+++ b/soak/src/endpoint/crash.rs
@@ -0,0 +1,201 @@
+//! Endpoints that crash as soon as they begin to respond to a request with a certain prompt part.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Endpoint;
+use super::ReceivedRequest;
+
+/// The header that lists the parts of a prompt, each with its number of tokens.
+pub const PROMPT_PARTS_HEADER: &str = "siskinyoke-prompt-prefix";
+
+/// How long an endpoint is down after a crash.
+pub const DOWN_TIME: Duration = Duration::from_secs(2);
+
+/// Time from the head of the response to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
+/// How often an endpoint tries to listen again at its address.
+const BIND_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How the response that an endpoint begins before it crashes marks its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum CrashFraming {
+    /// By its last chunk.
+    #[default]
+    Chunked,
+    /// Not at all.
+    Unmarked,
+}
+
+/// When an endpoint crashes, and how often it did.
+#[derive(Debug, Default)]
+pub(super) struct Crashes {
+    // IDs of the parts under which the endpoint crashes.
+    parts: BTreeSet<String>,
+    framing: CrashFraming,
+    // The open connections, by their order.
+    connections: BTreeMap<u64, TcpStream>,
+    connection_count: u64,
+    down_until: Option<Instant>,
+    // Whether the endpoint has come back and is not registered yet.
+    returned: bool,
+    crashed_at: Vec<Instant>,
+}
+
+impl Endpoint {
+    /// Sets the parts under which the endpoint crashes, by their IDs in the header, and how the
+    /// responses end that it begins before.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn set_poisoned_parts(&self, parts: &[&str], framing: CrashFraming) {
+        let mut crashes = self.crashes.lock().unwrap();
+        crashes.parts = parts.iter().map(|it| (*it).to_owned()).collect();
+        crashes.framing = framing;
+    }
+
+    /// Returns when it crashed because of a part.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn crash_times(&self) -> Vec<Instant> {
+        self.crashes.lock().unwrap().crashed_at.clone()
+    }
+
+    /// Returns whether it is down after a crash.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn is_down(&self) -> bool {
+        self.crashes.lock().unwrap().down_until.is_some()
+    }
+
+    /// Returns whether it has come back from a crash under a new start since the last call; its
+    /// entry in the store has to be written then.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn take_return(&self) -> bool {
+        std::mem::take(&mut self.crashes.lock().unwrap().returned)
+    }
+
+    // Serves connections, and refuses them while the endpoint is down.
+    pub(super) fn listen(&self, mut listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept() else {
+                return;
+            };
+            let down_until = self.crashes.lock().unwrap().down_until;
+            let Some(until) = down_until else {
+                self.spawn_connection(stream);
+                continue;
+            };
+            drop((stream, listener));
+            thread::sleep(until.saturating_duration_since(Instant::now()));
+            listener = self.listen_again();
+            self.restart();
+            let mut crashes = self.crashes.lock().unwrap();
+            crashes.down_until = None;
+            crashes.returned = true;
+        }
+    }
+
+    // Crashes if a request has a poisoned part, and returns whether it did.
+    pub(super) fn crash_on(
+        &self,
+        request: &ReceivedRequest,
+        out: &mut TcpStream,
+    ) -> std::io::Result<bool> {
+        let framing = {
+            let crashes = self.crashes.lock().unwrap();
+            if !crashes.is_poisoned(request) {
+                return Ok(false);
+            }
+            crashes.framing
+        };
+        self.requests.lock().unwrap().push(request.clone());
+        let encoding = match framing {
+            CrashFraming::Chunked => "transfer-encoding: chunked\r\n",
+            CrashFraming::Unmarked => "",
+        };
+        let head = self.signed_head(request);
+        write!(
+            out,
+            "{head}content-type: text/event-stream\r\n{encoding}\r\n"
+        )?;
+        thread::sleep(CRASH_DELAY);
+        self.crash();
+        Ok(true)
+    }
+
+    fn crash(&self) {
+        let mut crashes = self.crashes.lock().unwrap();
+        if crashes.down_until.is_some() {
+            return;
+        }
+        let now = Instant::now();
+        crashes.crashed_at.push(now);
+        crashes.down_until = Some(now + DOWN_TIME);
+        for stream in std::mem::take(&mut crashes.connections).into_values() {
+            // It may be closed already.
+            drop(stream.shutdown(Shutdown::Both));
+        }
+        drop(crashes);
+        // Lets the thread that accepts connections close its socket.
+        drop(TcpStream::connect(self.address));
+    }
+
+    fn spawn_connection(&self, stream: TcpStream) {
+        let Ok(copy) = stream.try_clone() else {
+            return;
+        };
+        let number = {
+            let mut crashes = self.crashes.lock().unwrap();
+            crashes.connection_count += 1;
+            let number = crashes.connection_count;
+            crashes.connections.insert(number, copy);
+            number
+        };
+        let endpoint = self.clone();
+        thread::spawn(move || {
+            // Some tests close the connection during a request, so errors are expected.
+            drop(endpoint.serve(stream));
+            endpoint.crashes.lock().unwrap().connections.remove(&number);
+        });
+    }
+
+    fn listen_again(&self) -> TcpListener {
+        loop {
+            if let Ok(listener) = TcpListener::bind(self.address) {
+                return listener;
+            }
+            thread::sleep(BIND_INTERVAL);
+        }
+    }
+}
+
+impl Crashes {
+    fn is_poisoned(&self, request: &ReceivedRequest) -> bool {
+        request.prompt_parts().any(|it| self.parts.contains(it))
+    }
+}
+
+impl ReceivedRequest {
+    /// Returns the IDs of the parts of its prompt.
+    pub fn prompt_parts(&self) -> impl Iterator<Item = &str> {
+        let header = self.header(PROMPT_PARTS_HEADER).unwrap_or("");
+        header.split(',').filter_map(|it| it.split(':').next())
+    }
+}
