Prompt parts: a part that crashes endpoints is quarantined on all instances

Cause: quarantine compares whole requests (path, organisation, body). Requests that share only a part of their prompts were never joined, at one instance or between instances.

Change: all requests that run at an endpoint when its connections break are suspected with the parts of their prompts (part_quarantine). A completed response clears its parts, a later response of the endpoint shows that it did not crash, and crashes that another part explains do not count. Full reports carry the suspects and what cleared them, so that instances join their evidence. Requests with a quarantined part are refused as not run; one instance tries a single request after a delay that doubles with each further crash, by which a wrong quarantine ends.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -4,6 +4,7 @@
 mod identity;
 mod lending;
 mod links;
+mod quarantine;
 mod rate_limits;
 mod rejection_limits;
 mod reporting;
@@ -25,13 +26,13 @@
 use crate::Refusal;
 use crate::RefusalReason;
 use crate::RetryDenial;
-use crate::ScheduledRequest;
 use crate::Scheduler;
 use crate::Ticket;
 use crate::budget::RetryBudget;
 use crate::cold_start;
 use crate::leased_entries::LeasedEntries;
 use crate::links::LinkMonitor;
+use crate::part_quarantine::PartQuarantine;
 use crate::peers::Peers;
 use crate::quarantine::Quarantine;
 use crate::quota;
@@ -54,9 +55,6 @@
 pub use self::routing::RoutedRequest;
 pub use self::shares::ShareListing;
 
-/// Retry delay for requests that crashed endpoints; long, so that they cannot crash more of them.
-const QUARANTINE_RETRY_AFTER: Millis = Millis::from_secs(30);
-
 /// The state of one instance.
 #[derive(Debug)]
 pub struct Core {
@@ -75,6 +73,7 @@
     quotas: Quotas,
     budgets: Map<Arc<str>, RetryBudget>,
     quarantine: Quarantine,
+    part_quarantine: PartQuarantine,
     links: LinkMonitor,
     relays: Relays,
     // The number of requests that this instance relays for its peers.
@@ -107,6 +106,7 @@
             quotas: Quotas::new(identity.quota_policy),
             budgets: Map::default(),
             quarantine: Quarantine::default(),
+            part_quarantine: PartQuarantine::default(),
             links: LinkMonitor::default(),
             relays: Relays::default(),
             relayed_count: 0,
@@ -271,12 +271,8 @@
         fingerprint: u64,
         version: Option<VersionKey>,
     ) -> Result<Ticket, Refusal> {
-        let doubt = self.links.doubted_since(&request.service);
-        let result = if self.quarantine.is_quarantined(now, fingerprint, doubt) {
-            Err(Refusal {
-                reason: RefusalReason::Quarantined,
-                retry_after: QUARANTINE_RETRY_AFTER,
-            })
+        let result = if self.may_crash_endpoints(now, request, fingerprint) {
+            Err(quarantine::refusal())
         } else {
             let mut scheduled = routing::scheduled_request(request, fingerprint);
             let max_exposure = self.identity.max_exposure;
@@ -302,19 +298,7 @@
 
     /// Starts or refuses queued requests where that is possible now.
     pub fn decide(&mut self, now: Millis) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        if !self.quarantine.is_empty() {
-            let quarantine = &self.quarantine;
-            let links = &self.links;
-            let refused = self.scheduler.cancel_matching(|it| {
-                quarantine.is_quarantined(now, it.fingerprint, links.doubted_since(&it.service))
-            });
-            let refusal = Refusal {
-                reason: RefusalReason::Quarantined,
-                retry_after: QUARANTINE_RETRY_AFTER,
-            };
-            decisions.extend(refused.into_iter().map(|it| Decision::Refuse(it, refusal)));
-        }
+        let mut decisions = self.refuse_quarantined(now);
         decisions.extend(self.scheduler.decide(now, &self.registry, &self.peers));
         decisions
     }
@@ -345,14 +329,13 @@
         outcome: Outcome,
         retry: bool,
     ) -> Result<Ticket, RetryDenial> {
+        let attempt = self.scheduler.running_attempt(ticket);
         let Some(request) = self.scheduler.attempt_ended(now, ticket, outcome) else {
             return Err(RetryDenial::NotRequested);
         };
         self.record_sample(now, &request, outcome);
-        match outcome {
-            Outcome::ConnectionLost => self.record_crash(now, &request),
-            Outcome::Completed { .. } => self.quarantine.clear(request.fingerprint),
-            _ => {}
+        if let Some(attempt) = attempt {
+            self.record_evidence(now, &request, attempt, outcome);
         }
         if !retry {
             return Err(RetryDenial::NotRequested);
@@ -363,6 +346,9 @@
 
     /// Records that the first part of a running request's response arrived.
     pub fn first_part_received(&mut self, now: Millis, ticket: Ticket) {
+        if let Some(attempt) = self.scheduler.running_attempt(ticket) {
+            self.record_endpoint_response(attempt);
+        }
         self.scheduler.first_part_received(now, ticket);
     }
 
@@ -387,21 +373,6 @@
         self.links.retain_services(&self.registry.services());
     }
 
-    // Records that the connection broke while an endpoint ran a request. Lost links break requests
-    // at several endpoints at once, so the links are probed before the request is blamed.
-    fn record_crash(&mut self, now: Millis, request: &ScheduledRequest) {
-        let Some(key) = request.tried.last() else {
-            return;
-        };
-        let fingerprint = request.fingerprint;
-        if self
-            .quarantine
-            .record_crash(now, fingerprint, key.short_key())
-        {
-            self.links.record_crashes(now, &request.service, *key);
-        }
-    }
-
     fn charge_quota(
         &mut self,
         now: Millis,
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -0,0 +1,169 @@
+//! Quarantine of requests and prompt parts that crash the endpoints that run them.
+
+use crate::Outcome;
+use crate::PromptPart;
+use crate::Refusal;
+use crate::RefusalReason;
+use crate::ScheduledRequest;
+use crate::Ticket;
+use crate::core::Core;
+use crate::core::RoutedRequest;
+use crate::part_quarantine::PartChange;
+use crate::report::PartRow;
+use crate::scheduler::Decision;
+use crate::scheduler::RunningAttempt;
+use crate::stable_hash;
+use siskinyoke_base::Millis;
+
+/// Retry delay for requests that crashed endpoints; long, so that they cannot crash more of them.
+const QUARANTINE_RETRY_AFTER: Millis = Millis::from_secs(30);
+
+/// How long an endpoint has to send a response for its parts to count as sound although it broke
+/// off later. A part that crashes endpoints does so as the response begins.
+const SOUND_RESPONSE_PERIOD: Millis = Millis(1_000);
+
+impl Core {
+    /// Returns the prompt parts that were quarantined or released since the last call.
+    pub fn take_part_changes(&mut self) -> Vec<PartChange> {
+        self.part_quarantine.take_changes()
+    }
+
+    /// Records that the end of a running request's response does not say whether it is complete, so
+    /// that it is no evidence for the parts of its prompt.
+    pub fn response_unconfirmed(&mut self, ticket: Ticket) {
+        self.scheduler.response_unconfirmed(ticket);
+    }
+
+    // Returns whether a request must not be sent to endpoints. One request is let through where the
+    // trial of a quarantined part is due.
+    pub(super) fn may_crash_endpoints(
+        &mut self,
+        now: Millis,
+        request: &RoutedRequest,
+        fingerprint: u64,
+    ) -> bool {
+        let doubt = self.links.doubted_since(&request.service);
+        if self.quarantine.is_quarantined(now, fingerprint, doubt) {
+            return true;
+        }
+        self.update_parts(now);
+        let parts = &request.prompt_parts;
+        let found: Vec<PromptPart> = self.part_quarantine.quarantined_parts(parts).collect();
+        match found[..] {
+            [] => false,
+            [part] if self.is_trial_instance(part) => {
+                let quarantine = &mut self.part_quarantine;
+                !quarantine.try_start_trial(now, part, fingerprint)
+            }
+            _ => true,
+        }
+    }
+
+    // Returns whether a request that has run must not be sent to another endpoint.
+    pub(super) fn is_retry_quarantined(&mut self, now: Millis, request: &ScheduledRequest) -> bool {
+        let doubt = self.links.doubted_since(&request.service);
+        self.update_parts(now);
+        self.quarantine
+            .is_quarantined(now, request.fingerprint, doubt)
+            || self
+                .part_quarantine
+                .is_refused(&request.prompt_parts, request.fingerprint)
+    }
+
+    // Refuses the waiting requests that are in quarantine by now.
+    pub(super) fn refuse_quarantined(&mut self, now: Millis) -> Vec<Decision> {
+        self.update_parts(now);
+        if self.quarantine.is_empty() && self.part_quarantine.is_empty() {
+            return Vec::new();
+        }
+        let Self {
+            quarantine,
+            part_quarantine: parts,
+            links,
+            scheduler,
+            ..
+        } = self;
+        let refused = scheduler.cancel_matching(|it| {
+            quarantine.is_quarantined(now, it.fingerprint, links.doubted_since(&it.service))
+                || parts.is_refused(&it.prompt_parts, it.fingerprint)
+        });
+        let refused = refused.into_iter();
+        refused.map(|it| Decision::Refuse(it, refusal())).collect()
+    }
+
+    // Records what the end of an attempt says of the request and of the parts of its prompt.
+    pub(super) fn record_evidence(
+        &mut self,
+        now: Millis,
+        request: &ScheduledRequest,
+        attempt: RunningAttempt,
+        outcome: Outcome,
+    ) {
+        match outcome {
+            Outcome::ConnectionLost => self.record_crash(now, request, attempt),
+            Outcome::Completed { .. } => {
+                self.quarantine.clear(request.fingerprint);
+                if attempt.confirmed {
+                    self.part_quarantine
+                        .record_sound(now, &request.prompt_parts);
+                }
+                self.record_endpoint_response(attempt);
+            }
+            Outcome::Failed | Outcome::Full => self.record_endpoint_response(attempt),
+            _ => {}
+        }
+    }
+
+    // Records that an endpoint responded to a request, and so has not crashed since.
+    pub(super) fn record_endpoint_response(&mut self, attempt: RunningAttempt) {
+        self.part_quarantine
+            .record_response(attempt.endpoint.short_key(), attempt.sent_at);
+    }
+
+    pub(super) fn part_rows(&self, now: Millis) -> Vec<PartRow> {
+        self.part_quarantine
+            .report_rows(now, self.links.earliest_doubt())
+    }
+
+    // Records that the connection broke while an endpoint ran a request. Lost links break requests
+    // at several endpoints at once, so the links are probed before the request is blamed.
+    fn record_crash(&mut self, now: Millis, request: &ScheduledRequest, attempt: RunningAttempt) {
+        let key = attempt.endpoint;
+        if self
+            .quarantine
+            .record_crash(now, request.fingerprint, key.short_key())
+        {
+            self.links.record_crashes(now, &request.service, key);
+        }
+        let is_sound = attempt
+            .responded_at
+            .is_some_and(|at| now.since(at) >= SOUND_RESPONSE_PERIOD);
+        if is_sound {
+            self.part_quarantine
+                .record_sound(now, &request.prompt_parts);
+        } else {
+            self.part_quarantine
+                .record_crash(now, &request.prompt_parts, key.short_key());
+        }
+    }
+
+    fn update_parts(&mut self, now: Millis) {
+        self.part_quarantine
+            .update(now, self.links.earliest_doubt());
+    }
+
+    // Returns whether this instance, of all that are listed, tries requests with a quarantined part:
+    // several trials at the same time would crash several endpoints.
+    fn is_trial_instance(&self, part: PromptPart) -> bool {
+        let rank = |name: &str| stable_hash(&(name, part));
+        let own = rank(&self.identity.name);
+        self.fleet_members().into_iter().all(|it| rank(it) <= own)
+    }
+}
+
+pub(super) fn refusal() -> Refusal {
+    Refusal {
+        reason: RefusalReason::Quarantined,
+        retry_after: QUARANTINE_RETRY_AFTER,
+    }
+}
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -39,6 +39,7 @@
         self.receive_canary_reports(now, &report, in_shard);
         self.record_peer_limits(now, &report.limits);
         self.record_peer_rejection_limits(now, &report);
+        self.part_quarantine.merge(now, &report.prompt_parts);
         if !in_shard {
             self.peers.remove(incarnation);
             return false;
@@ -127,6 +128,11 @@
             rejection_limits: self.scheduler.rejection_limits().report_rows(now, since),
             shares: self.scheduler.share_rows(now),
             canary_slices: self.canary_slices(now),
+            prompt_parts: if full {
+                self.part_rows(now)
+            } else {
+                Vec::new()
+            },
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/core/retry.rs
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -56,14 +56,11 @@
     }
 
     // Returns whether a running request may be sent to another endpoint, apart from the budget.
-    fn may_move(&self, now: Millis, request: &ScheduledRequest) -> bool {
-        let doubt = self.links.doubted_since(&request.service);
+    fn may_move(&mut self, now: Millis, request: &ScheduledRequest) -> bool {
         request.route.idempotent()
             && request.attempts + 1 < request.route.max_attempts
             && now < request.deadline
-            && !self
-                .quarantine
-                .is_quarantined(now, request.fingerprint, doubt)
+            && !self.is_retry_quarantined(now, request)
     }
 
     pub(super) fn retry_budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
@@ -90,12 +87,7 @@
         if !not_run && !request.route.idempotent() {
             return Err(RetryDenial::NotIdempotent);
         }
-        let doubt = self.links.doubted_since(&request.service);
-        if !not_run
-            && self
-                .quarantine
-                .is_quarantined(now, request.fingerprint, doubt)
-        {
+        if !not_run && self.is_retry_quarantined(now, request) {
             return Err(RetryDenial::Quarantined);
         }
         if now >= request.deadline {
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod organisation_shares;
 pub mod outcome;
 mod overload_window;
+pub mod part_quarantine;
 pub mod peers;
 pub mod placement;
 pub mod prompt_part;
--- a/crates/siskinyoke-dispatch/src/links.rs
+++ b/crates/siskinyoke-dispatch/src/links.rs
@@ -77,6 +77,15 @@
         self.services.get(service)?.doubted_since()
     }
 
+    /// Returns since when failures may be the fault of the links to any service.
+    pub fn earliest_doubt(&self) -> Option<Millis> {
+        let doubts = self
+            .services
+            .values()
+            .filter_map(ServiceLinks::doubted_since);
+        doubts.min()
+    }
+
     /// Returns whether the links to any service are in doubt or lost.
     pub fn any_in_doubt(&self) -> bool {
         self.services.values().any(|it| !it.is_intact())
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -0,0 +1,280 @@
+//! Quarantine of prompt parts that crash the endpoints that begin a response to them.
+//!
+//! All requests that run at an endpoint when it crashes are suspected, with all parts of their
+//! prompts. A part is cleared by each response that was completed with it. Of the parts that were
+//! not cleared, those that explain the most crashes are quarantined; a few crashes that one
+//! of them explains do not count against the others.
+
+mod part_record;
+
+use std::cmp::Reverse;
+
+use self::part_record::CrashList;
+use self::part_record::PartRecord;
+use crate::PromptPart;
+use crate::PromptParts;
+use crate::report::PartRow;
+use siskinyoke_base::Map;
+use siskinyoke_base::Millis;
+
+/// The number of crashes that no other part explains after which a part is quarantined.
+///
+/// Two crashes within a few seconds are common where several endpoints fail for another reason.
+const CRASHES_TO_QUARANTINE: usize = 3;
+
+/// The number of crashes after which a part is quarantined even if other parts explain them.
+///
+/// It is the number that the platform's rules tolerate. Of two parts that crash endpoints, one could
+/// otherwise hide behind the other.
+const MAX_TOLERATED_CRASHES: usize = 5;
+
+/// How long after a crash it begins to count. An endpoint that only broke a connection has usually
+/// responded to another request by then.
+const CONFIRMATION_DELAY: Millis = Millis(300);
+
+/// The interval at which parts that may have to be quarantined are checked.
+const CHECK_INTERVAL: Millis = Millis(50);
+
+/// How long after the last crash the first request with a quarantined part is tried again. The delay
+/// doubles with each further crash.
+const TRIAL_DELAY: Millis = Millis::from_secs(30);
+
+/// How often the trial delay doubles at most.
+const MAX_TRIAL_DOUBLINGS: usize = 6;
+
+/// How long a trial may take before another request may be tried.
+const TRIAL_TIMEOUT: Millis = Millis::from_secs(20);
+
+/// How long a part with too few crashes to be quarantined, or one that was cleared, is kept.
+const RECORD_TTL: Millis = Millis::from_secs(120);
+
+/// The maximum number of parts kept; those with the fewest crashes are evicted first.
+const MAX_RECORDS: usize = 256;
+
+/// The maximum number of parts in a report.
+const MAX_REPORTED_PARTS: usize = 16;
+
+/// A part that was quarantined or released.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartChange {
+    /// The part.
+    pub part: PromptPart,
+    /// Whether requests with it are refused from now on.
+    pub quarantined: bool,
+    /// The number of crashes that count against it.
+    pub crashes: usize,
+}
+
+/// Parts of prompts that were being processed when endpoints crashed.
+#[derive(Debug, Default)]
+pub struct PartQuarantine {
+    records: Map<PromptPart, PartRecord>,
+    // When the latest request was sent to which each endpoint has responded, by short key.
+    responses: Map<u32, Millis>,
+    quarantined: Vec<PromptPart>,
+    changes: Vec<PartChange>,
+    checked_at: Option<Millis>,
+}
+
+impl PartQuarantine {
+    /// Records that an endpoint crashed, or broke the connection, while it ran a request with these
+    /// parts.
+    pub fn record_crash(&mut self, now: Millis, parts: &PromptParts, endpoint: u32) {
+        for (position, part) in parts.positions() {
+            let record = self.record_mut(now, part, position);
+            record.trial = None;
+            record.crashes.add(endpoint, now);
+        }
+        self.evict(now);
+    }
+
+    /// Records a response that shows that endpoints bear these parts.
+    pub fn record_sound(&mut self, now: Millis, parts: &PromptParts) {
+        for part in parts.iter() {
+            if let Some(record) = self.records.get_mut(&part) {
+                record.clear(now);
+            }
+        }
+    }
+
+    /// Records that an endpoint responded to a request sent at `sent_at`, so that what broke its
+    /// connections before that was no crash.
+    pub fn record_response(&mut self, endpoint: u32, sent_at: Millis) {
+        let latest = self.responses.entry(endpoint).or_default();
+        *latest = sent_at.max(*latest);
+        for record in self.records.values_mut() {
+            record.crashes.acquit(endpoint, sent_at);
+        }
+    }
+
+    /// Forgets the crashes recorded at this time or later.
+    pub fn forget_since(&mut self, since: Millis) {
+        for record in self.records.values_mut() {
+            record.crashes.retain_before(since);
+        }
+    }
+
+    /// Returns the quarantined parts of a request.
+    pub fn quarantined_parts<'a>(
+        &'a self,
+        parts: &'a PromptParts,
+    ) -> impl Iterator<Item = PromptPart> + 'a {
+        parts.iter().filter(|it| self.quarantined.contains(it))
+    }
+
+    /// Returns whether no part is quarantined.
+    pub fn is_empty(&self) -> bool {
+        self.quarantined.is_empty()
+    }
+
+    /// Returns whether a request has a quarantined part and is not the one that is tried with it.
+    pub fn is_refused(&self, parts: &PromptParts, fingerprint: u64) -> bool {
+        let mut quarantined = self.quarantined_parts(parts);
+        quarantined.any(|it| !self.is_trial(it, fingerprint))
+    }
+
+    /// Starts the trial of a quarantined part with this request if one is due, and returns whether
+    /// it is.
+    pub fn try_start_trial(&mut self, now: Millis, part: PromptPart, fingerprint: u64) -> bool {
+        let Some(record) = self.records.get_mut(&part) else {
+            return false;
+        };
+        let Some(last_crash) = record.crashes.last() else {
+            return false;
+        };
+        let extra = record.crashes.len().saturating_sub(CRASHES_TO_QUARANTINE);
+        let doublings = extra.min(MAX_TRIAL_DOUBLINGS);
+        let is_running = record
+            .trial
+            .is_some_and(|trial| now.since(trial.1) < TRIAL_TIMEOUT);
+        if is_running || now.since(last_crash).0 < TRIAL_DELAY.0 << doublings {
+            return false;
+        }
+        record.trial = Some((fingerprint, now));
+        true
+    }
+
+    /// Decides which parts are quarantined. If links of this instance are in doubt, the crashes
+    /// recorded since then do not count yet.
+    pub fn update(&mut self, now: Millis, doubt: Option<Millis>) {
+        let is_recent = |at| now.since(at) < CHECK_INTERVAL;
+        if self.records.is_empty() || self.checked_at.is_some_and(is_recent) {
+            return;
+        }
+        self.checked_at = Some(now);
+        let confirmed_before = now.since(CONFIRMATION_DELAY);
+        let end = doubt.map_or(confirmed_before, |it| it.min(confirmed_before));
+        let quarantined = self.unsound_parts(end);
+        for &part in &quarantined {
+            if !self.quarantined.contains(&part) {
+                self.record_change(part, true);
+            }
+        }
+        for part in std::mem::replace(&mut self.quarantined, quarantined) {
+            if !self.quarantined.contains(&part) {
+                self.record_change(part, false);
+            }
+        }
+        self.records.retain(|_, it| !it.is_expired(now, RECORD_TTL));
+        self.responses
+            .retain(|_, sent_at| now.since(*sent_at) < RECORD_TTL);
+    }
+
+    /// Returns the parts that were quarantined or released since the last call.
+    pub fn take_changes(&mut self) -> Vec<PartChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns the rows for a report to peers: the parts with the most crashes first. The crashes
+    /// since `doubt` are left out.
+    pub fn report_rows(&self, now: Millis, doubt: Option<Millis>) -> Vec<PartRow> {
+        let mut all: Vec<_> = self.records.iter().collect();
+        all.sort_by_key(|(part, record)| {
+            let latest = record.crashes.last().max(record.sound_at);
+            (Reverse(record.crashes.len()), Reverse(latest), **part)
+        });
+        all.truncate(MAX_REPORTED_PARTS);
+        let rows = all.into_iter();
+        rows.map(|(part, record)| record.report_row(now, *part, doubt))
+            .collect()
+    }
+
+    /// Adds what a peer reports.
+    pub fn merge(&mut self, now: Millis, rows: &[PartRow]) {
+        for row in rows {
+            let record = self.record_mut(now, row.part, row.position);
+            if let Some(age) = row.sound_age {
+                record.clear(now.since(Millis(age.into())));
+            }
+            for crash in &row.crashes {
+                let at = now.since(Millis(crash.age.into()));
+                let responded = self.responses.get(&crash.endpoint);
+                if responded.is_none_or(|sent_at| *sent_at <= at) {
+                    self.record_mut(now, row.part, row.position)
+                        .add_reported(crash.endpoint, at);
+                }
+            }
+        }
+        self.evict(now);
+    }
+
+    // Returns the parts that explain the crashes: repeatedly the one with the most crashes that the
+    // ones before do not explain. Of several, the last in the prompt is shared by the fewest
+    // requests.
+    // Only crashes before `end` count.
+    fn unsound_parts(&self, end: Millis) -> Vec<PromptPart> {
+        let mut candidates: Vec<_> = self
+            .records
+            .iter()
+            .filter(|row| row.1.crashes.len() >= CRASHES_TO_QUARANTINE)
+            .map(|(part, record)| (*part, record.position, record.crashes.before(end)))
+            .filter(|row| row.2.distinct_count() >= CRASHES_TO_QUARANTINE)
+            .collect();
+        candidates.sort_by_key(|row| (Reverse(row.2.len()), Reverse(row.1), row.0));
+        let mut explained = CrashList::default();
+        let mut unsound = Vec::new();
+        for (part, _, crashes) in candidates {
+            let unexplained = crashes.without(&explained);
+            if unexplained.distinct_count() >= CRASHES_TO_QUARANTINE
+                || crashes.distinct_count() >= MAX_TOLERATED_CRASHES
+            {
+                explained.extend(&unexplained);
+                unsound.push(part);
+            }
+        }
+        unsound
+    }
+
+    fn is_trial(&self, part: PromptPart, fingerprint: u64) -> bool {
+        let trial = self.records.get(&part).and_then(|it| it.trial);
+        trial.is_some_and(|it| it.0 == fingerprint)
+    }
+
+    fn record_mut(&mut self, now: Millis, part: PromptPart, position: u8) -> &mut PartRecord {
+        let new = || PartRecord::new(now, position);
+        self.records.entry(part).or_insert_with(new)
+    }
+
+    fn record_change(&mut self, part: PromptPart, quarantined: bool) {
+        let record = self.records.get(&part);
+        self.changes.push(PartChange {
+            part,
+            quarantined,
+            crashes: record.map_or(0, |it| it.crashes.len()),
+        });
+    }
+
+    fn evict(&mut self, now: Millis) {
+        self.records.retain(|_, it| !it.is_expired(now, RECORD_TTL));
+        while self.records.len() > MAX_RECORDS {
+            let weakest = self.records.iter().min_by_key(|(part, record)| {
+                let latest = record.crashes.last().max(record.sound_at);
+                (record.crashes.len(), latest, **part)
+            });
+            let Some(part) = weakest.map(|row| *row.0) else {
+                return;
+            };
+            self.records.remove(&part);
+        }
+    }
+}
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::EndpointKey;
+use crate::PromptPart;
 use crate::scheduled_request::QueueOrder;
 use crate::stable_hash;
 use siskinyoke_base::Revision;
@@ -63,6 +64,9 @@
     /// Responses of the versions under canary evaluation. Reports of earlier versions end before
     /// it.
     pub canary_slices: Vec<CanarySlices>,
+    /// Prompt parts that were being processed when endpoints crashed, included in a few reports a
+    /// second. Reports of earlier versions end before it.
+    pub prompt_parts: Vec<PartRow>,
 }
 
 impl Report {
@@ -168,6 +172,28 @@
     pub rejected_age: Option<u32>,
 }
 
+/// What an instance knows of a prompt part that was being processed when endpoints crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartRow {
+    /// The part.
+    pub part: PromptPart,
+    /// Its lowest position in the prompts in which it was suspected.
+    pub position: u8,
+    /// The time since a response showed that endpoints bear it, in ms.
+    pub sound_age: Option<u32>,
+    /// The crashes since then.
+    pub crashes: Vec<PartCrash>,
+}
+
+/// The crash of an endpoint, as reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartCrash {
+    /// The endpoint's short key.
+    pub endpoint: u32,
+    /// The time since the crash, in ms.
+    pub age: u32,
+}
+
 /// Slot time of organisations at one service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceShareRows {
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -78,6 +78,19 @@
     charged: f64,
     // When the first part of its response arrived.
     responded_at: Option<Millis>,
+    // Whether the end of its response says that it is complete, where that has ended.
+    confirmed: bool,
+}
+
+/// A running attempt at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct RunningAttempt {
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) sent_at: Millis,
+    /// When the first part of the response arrived.
+    pub(crate) responded_at: Option<Millis>,
+    /// Whether the end of the response, where that has ended, says that it is complete.
+    pub(crate) confirmed: bool,
 }
 
 // The work ahead of a request at its endpoint.
@@ -331,6 +344,23 @@
         tickets
     }
 
+    /// Returns the attempt of the running request with a ticket.
+    pub(crate) fn running_attempt(&self, ticket: Ticket) -> Option<RunningAttempt> {
+        self.running.get(&ticket).map(|running| RunningAttempt {
+            endpoint: running.endpoint,
+            sent_at: running.sent_at,
+            responded_at: running.responded_at,
+            confirmed: running.confirmed,
+        })
+    }
+
+    /// Records that the end of a running request's response does not say whether it is complete.
+    pub(crate) fn response_unconfirmed(&mut self, ticket: Ticket) {
+        if let Some(running) = self.running.get_mut(&ticket) {
+            running.confirmed = false;
+        }
+    }
+
     /// Returns the running request with a ticket.
     pub fn running(&self, ticket: Ticket) -> Option<&ScheduledRequest> {
         self.running.get(&ticket).map(|running| &running.request)
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -295,6 +295,7 @@
             backlog,
             charged,
             responded_at: None,
+            confirmed: true,
         };
         self.running.insert(ticket, running);
     }
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -212,6 +212,7 @@
         rejection_limits: Vec::new(),
         shares: Vec::new(),
         canary_slices: Vec::new(),
+        prompt_parts: Vec::new(),
     }
 }
 
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -24,6 +24,7 @@
 use crate::assigned_slot::AssignedSlot;
 use crate::attempt;
 use crate::attempt::EndpointRequest;
+use crate::body_end::BodyEnd;
 use crate::endpoint_client::Reply;
 use crate::endpoint_client::Reuse;
 use crate::events::EventBuffer;
@@ -158,6 +159,9 @@
                 }
             };
             self.log_attempt(&endpoint, outcome);
+            if self.progress.body_end == Some(BodyEnd::Unconfirmed) {
+                permit.response_unconfirmed();
+            }
             let ticket = match permit.end_attempt(outcome, retry) {
                 Ok(ticket) => ticket,
                 Err(denial) if retry => {
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod log_writer;
 pub mod memory;
 pub mod metrics;
+pub mod part_quarantine;
 pub mod peer_api;
 pub mod peer_socket;
 pub mod permit;
--- a/crates/siskinyoke-gateway/src/permit.rs
+++ b/crates/siskinyoke-gateway/src/permit.rs
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Records that the end of the response does not say whether it is complete.
+    pub fn response_unconfirmed(&self) {
+        if let Some(ticket) = self.ticket {
+            self.shell.core.borrow_mut().response_unconfirmed(ticket);
+        }
+    }
+
     /// Returns how long the endpoint may send no data before it counts as stalled.
     pub fn stall_timeout(&self) -> Millis {
         let core = self.shell.core.borrow();
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -23,6 +23,7 @@
 use crate::lending::Lending;
 use crate::log_writer::LogWriter;
 use crate::metrics::Metrics;
+use crate::part_quarantine;
 use crate::peer_socket::PeerSocket;
 use crate::pool::Pool;
 use crate::relay::Relay;
@@ -393,6 +394,7 @@
     /// Starts or refuses queued requests where that is possible now, and notifies their waiters.
     pub fn decide(&self) {
         let decisions = self.core.borrow_mut().decide(self.now());
+        part_quarantine::log_changes(&self.core, &self.event_log);
         for decision in decisions {
             let (ticket, result) = match decision {
                 Decision::Start(ticket, endpoint) => (ticket, Ok(endpoint)),
