Prompt parts: a part that others share is not blamed for a later one

A part that another one explains is now considered after it; if each explains the other, the later one in the prompt comes first. A part that stays hidden behind another one is quarantined after five crashes of requests that have no later part. Where other parts explain its crashes, it is tried again after 3 s.

--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -5,11 +5,15 @@
 //! not cleared, those that explain the most crashes are quarantined; a few crashes that one
 //! of them explains do not count against the others.
 
+mod candidate;
+mod crash_list;
 mod part_record;
 
 use std::cmp::Reverse;
 
-use self::part_record::CrashList;
+use self::candidate::Candidate;
+use self::crash_list::CrashList;
+use self::crash_list::PartCrash;
 use self::part_record::PartRecord;
 use crate::PromptPart;
 use crate::PromptParts;
@@ -22,12 +26,16 @@
 /// Two crashes within a few seconds are common where several endpoints fail for another reason.
 const CRASHES_TO_QUARANTINE: usize = 3;
 
-/// The number of crashes after which a part is quarantined even if other parts explain them.
+/// The number of crashes of requests without a later part after which a part is quarantined even if
+/// other parts explain them.
 ///
 /// It is the number that the platform's rules tolerate. Of two parts that crash endpoints, one could
 /// otherwise hide behind the other.
 const MAX_TOLERATED_CRASHES: usize = 5;
 
+/// The maximum number of parts of which those to be quarantined are selected.
+const MAX_CANDIDATES: usize = 32;
+
 /// How long after a crash it begins to count. An endpoint that only broke a connection has usually
 /// responded to another request by then.
 const CONFIRMATION_DELAY: Millis = Millis(300);
@@ -39,8 +47,12 @@
 /// doubles with each further crash.
 const TRIAL_DELAY: Millis = Millis::from_secs(30);
 
+/// How long after the last crash the first request is tried with a part whose crashes other parts
+/// explain. The delay doubles with each trial that fails.
+const EXPLAINED_TRIAL_DELAY: Millis = Millis::from_secs(3);
+
 /// How often the trial delay doubles at most.
-const MAX_TRIAL_DOUBLINGS: usize = 6;
+const MAX_TRIAL_DOUBLINGS: u32 = 6;
 
 /// How long a trial may take before another request may be tried.
 const TRIAL_TIMEOUT: Millis = Millis::from_secs(20);
@@ -65,13 +77,21 @@
     pub crashes: usize,
 }
 
+// A part that is in quarantine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct UnsoundPart {
+    part: PromptPart,
+    // Whether other quarantined parts explain its crashes as well.
+    explained: bool,
+}
+
 /// Parts of prompts that were being processed when endpoints crashed.
 #[derive(Debug, Default)]
 pub struct PartQuarantine {
     records: Map<PromptPart, PartRecord>,
     // When the latest request was sent to which each endpoint has responded, by short key.
     responses: Map<u32, Millis>,
-    quarantined: Vec<PromptPart>,
+    quarantined: Vec<UnsoundPart>,
     changes: Vec<PartChange>,
     checked_at: Option<Millis>,
 }
@@ -80,10 +100,15 @@
     /// Records that an endpoint crashed, or broke the connection, while it ran a request with these
     /// parts.
     pub fn record_crash(&mut self, now: Millis, parts: &PromptParts, endpoint: u32) {
+        let last = parts.iter().last();
         for (position, part) in parts.positions() {
             let record = self.record_mut(now, part, position);
-            record.trial = None;
-            record.crashes.add(endpoint, now);
+            record.failed_trials += u32::from(record.trial.take().is_some());
+            record.crashes.add(PartCrash {
+                endpoint,
+                at: now,
+                alone: Some(part) == last,
+            });
         }
         self.evict(now);
     }
@@ -119,7 +144,8 @@
         &'a self,
         parts: &'a PromptParts,
     ) -> impl Iterator<Item = PromptPart> + 'a {
-        parts.iter().filter(|it| self.quarantined.contains(it))
+        let is_quarantined = |part| self.quarantined.iter().any(|it| it.part == part);
+        parts.iter().filter(move |it| is_quarantined(*it))
     }
 
     /// Returns whether no part is quarantined.
@@ -136,18 +162,25 @@
     /// Starts the trial of a quarantined part with this request if one is due, and returns whether
     /// it is.
     pub fn try_start_trial(&mut self, now: Millis, part: PromptPart, fingerprint: u64) -> bool {
+        let explained = self
+            .quarantined
+            .iter()
+            .any(|it| it.part == part && it.explained);
         let Some(record) = self.records.get_mut(&part) else {
             return false;
         };
         let Some(last_crash) = record.crashes.last() else {
             return false;
         };
-        let extra = record.crashes.len().saturating_sub(CRASHES_TO_QUARANTINE);
-        let doublings = extra.min(MAX_TRIAL_DOUBLINGS);
+        let delay = if explained {
+            EXPLAINED_TRIAL_DELAY.0 << record.failed_trials.min(MAX_TRIAL_DOUBLINGS)
+        } else {
+            TRIAL_DELAY.0 << record.extra_crashes().min(MAX_TRIAL_DOUBLINGS)
+        };
         let is_running = record
             .trial
             .is_some_and(|trial| now.since(trial.1) < TRIAL_TIMEOUT);
-        if is_running || now.since(last_crash).0 < TRIAL_DELAY.0 << doublings {
+        if is_running || now.since(last_crash).0 < delay {
             return false;
         }
         record.trial = Some((fingerprint, now));
@@ -165,16 +198,8 @@
         let confirmed_before = now.since(CONFIRMATION_DELAY);
         let end = doubt.map_or(confirmed_before, |it| it.min(confirmed_before));
         let quarantined = self.unsound_parts(end);
-        for &part in &quarantined {
-            if !self.quarantined.contains(&part) {
-                self.record_change(part, true);
-            }
-        }
-        for part in std::mem::replace(&mut self.quarantined, quarantined) {
-            if !self.quarantined.contains(&part) {
-                self.record_change(part, false);
-            }
-        }
+        let before = std::mem::replace(&mut self.quarantined, quarantined);
+        self.record_changes(&before);
         self.records.retain(|_, it| !it.is_expired(now, RECORD_TTL));
         self.responses
             .retain(|_, sent_at| now.since(*sent_at) < RECORD_TTL);
@@ -207,44 +232,59 @@
                 record.clear(now.since(Millis(age.into())));
             }
             for crash in &row.crashes {
-                let at = now.since(Millis(crash.age.into()));
+                let crash = PartCrash::from_row(now, *crash);
                 let responded = self.responses.get(&crash.endpoint);
-                if responded.is_none_or(|sent_at| *sent_at <= at) {
+                if responded.is_none_or(|sent_at| *sent_at <= crash.at) {
                     self.record_mut(now, row.part, row.position)
-                        .add_reported(crash.endpoint, at);
+                        .add_reported(crash);
                 }
             }
         }
         self.evict(now);
     }
 
-    // Returns the parts that explain the crashes: repeatedly the one with the most crashes that the
-    // ones before do not explain. Of several, the last in the prompt is shared by the fewest
-    // requests.
-    // Only crashes before `end` count.
-    fn unsound_parts(&self, end: Millis) -> Vec<PromptPart> {
-        let mut candidates: Vec<_> = self
-            .records
-            .iter()
-            .filter(|row| row.1.crashes.len() >= CRASHES_TO_QUARANTINE)
-            .map(|(part, record)| (*part, record.position, record.crashes.before(end)))
-            .filter(|row| row.2.distinct_count() >= CRASHES_TO_QUARANTINE)
-            .collect();
-        candidates.sort_by_key(|row| (Reverse(row.2.len()), Reverse(row.1), row.0));
+    // Returns the parts that explain the crashes before `end`. A part that another one explains is
+    // considered after it.
+    fn unsound_parts(&self, end: Millis) -> Vec<UnsoundPart> {
+        let mut remaining = self.candidates(end);
         let mut explained = CrashList::default();
         let mut unsound = Vec::new();
-        for (part, _, crashes) in candidates {
-            let unexplained = crashes.without(&explained);
-            if unexplained.distinct_count() >= CRASHES_TO_QUARANTINE
-                || crashes.distinct_count() >= MAX_TOLERATED_CRASHES
-            {
+        while !remaining.is_empty() {
+            let independent = remaining
+                .iter()
+                .position(|it| !remaining.iter().any(|other| other.explains(it)));
+            let candidate = remaining.remove(independent.unwrap_or(0));
+            let unexplained = candidate.crashes.without(&explained);
+            let part = candidate.part;
+            if unexplained.distinct_count() >= CRASHES_TO_QUARANTINE {
                 explained.extend(&unexplained);
-                unsound.push(part);
+                unsound.push(UnsoundPart {
+                    part,
+                    explained: false,
+                });
+            } else if candidate.crashes.alone().distinct_count() >= MAX_TOLERATED_CRASHES {
+                unsound.push(UnsoundPart {
+                    part,
+                    explained: true,
+                });
             }
         }
         unsound
     }
 
+    // Returns the parts that may have to be quarantined, those with the most crashes first.
+    fn candidates(&self, end: Millis) -> Vec<Candidate> {
+        let records = self.records.iter();
+        let mut candidates: Vec<Candidate> = records
+            .filter(|row| row.1.crashes.len() >= CRASHES_TO_QUARANTINE)
+            .map(|(part, record)| Candidate::new(*part, record, end))
+            .filter(|it| it.crashes.distinct_count() >= CRASHES_TO_QUARANTINE)
+            .collect();
+        candidates.sort_by_key(|it| (Reverse(it.crashes.len()), Reverse(it.position), it.part));
+        candidates.truncate(MAX_CANDIDATES);
+        candidates
+    }
+
     fn is_trial(&self, part: PromptPart, fingerprint: u64) -> bool {
         let trial = self.records.get(&part).and_then(|it| it.trial);
         trial.is_some_and(|it| it.0 == fingerprint)
@@ -255,13 +295,20 @@
         self.records.entry(part).or_insert_with(new)
     }
 
-    fn record_change(&mut self, part: PromptPart, quarantined: bool) {
-        let record = self.records.get(&part);
-        self.changes.push(PartChange {
-            part,
-            quarantined,
-            crashes: record.map_or(0, |it| it.crashes.len()),
-        });
+    fn record_changes(&mut self, before: &[UnsoundPart]) {
+        let contains = |all: &[UnsoundPart], part| all.iter().any(|it| it.part == part);
+        let added = self.quarantined.iter().map(|it| (it.part, true));
+        let removed = before.iter().map(|it| (it.part, false));
+        for (part, quarantined) in added.chain(removed) {
+            if contains(before, part) != contains(&self.quarantined, part) {
+                let record = self.records.get(&part);
+                self.changes.push(PartChange {
+                    part,
+                    quarantined,
+                    crashes: record.map_or(0, |it| it.crashes.len()),
+                });
+            }
+        }
     }
 
     fn evict(&mut self, now: Millis) {
--- /dev/null
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/crash_list.rs
@@ -0,0 +1,126 @@
+//! Crashes of endpoints under one part.
+
+use super::part_record::age;
+use crate::report::PartCrashRow;
+use siskinyoke_base::Millis;
+
+/// The maximum number of crashes kept for a part.
+const MAX_CRASHES: usize = 16;
+
+/// Crashes that are this close together count as one: endpoints that fail at the same moment more
+/// likely share another cause, such as a rack.
+const CORRELATED_CRASH_PERIOD: Millis = Millis(150);
+
+/// The crash of an endpoint while it ran a request with the part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct PartCrash {
+    /// The endpoint start, by its short key.
+    pub(super) endpoint: u32,
+    pub(super) at: Millis,
+    /// Whether one of the requests had no part after this one that other requests may share.
+    pub(super) alone: bool,
+}
+
+impl PartCrash {
+    /// Returns a crash that a peer reports.
+    pub(super) fn from_row(now: Millis, row: PartCrashRow) -> Self {
+        Self {
+            endpoint: row.endpoint,
+            at: now.since(Millis(row.age.into())),
+            alone: row.alone,
+        }
+    }
+
+    /// Returns its row for a report.
+    pub(super) fn to_row(self, now: Millis) -> PartCrashRow {
+        PartCrashRow {
+            endpoint: self.endpoint,
+            age: age(now, self.at),
+            alone: self.alone,
+        }
+    }
+}
+
+/// Crashes of endpoint starts, in the order in which they were recorded.
+#[derive(Debug, Clone, Default)]
+pub(super) struct CrashList(Vec<PartCrash>);
+
+impl CrashList {
+    /// Adds the crash of an endpoint start, or what is new of it.
+    pub(super) fn add(&mut self, crash: PartCrash) {
+        let mut known = self.0.iter_mut();
+        if let Some(known) = known.find(|it| it.endpoint == crash.endpoint) {
+            known.alone |= crash.alone;
+        } else if self.0.len() < MAX_CRASHES {
+            self.0.push(crash);
+        }
+    }
+
+    /// Removes the crash of an endpoint that responded to a request sent after it.
+    pub(super) fn acquit(&mut self, endpoint: u32, sent_at: Millis) {
+        self.0
+            .retain(|it| it.endpoint != endpoint || it.at >= sent_at);
+    }
+
+    pub(super) fn retain_before(&mut self, end: Millis) {
+        self.0.retain(|it| it.at < end);
+    }
+
+    pub(super) fn retain_after(&mut self, start: Millis) {
+        self.0.retain(|it| it.at > start);
+    }
+
+    /// Returns the crashes before `end`.
+    pub(super) fn before(&self, end: Millis) -> Self {
+        let rows = self.iter().filter(|it| it.at < end);
+        Self(rows.collect())
+    }
+
+    /// Returns the crashes of endpoints that `other` does not contain.
+    pub(super) fn without(&self, other: &Self) -> Self {
+        let rows = self.iter().filter(|it| !other.contains(it.endpoint));
+        Self(rows.collect())
+    }
+
+    /// Returns the crashes under requests without a later part.
+    pub(super) fn alone(&self) -> Self {
+        let rows = self.iter().filter(|it| it.alone);
+        Self(rows.collect())
+    }
+
+    pub(super) fn extend(&mut self, other: &Self) {
+        self.0.extend(&other.0);
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = PartCrash> {
+        self.0.iter().copied()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns the number of crashes, of which those at the same moment count as one.
+    pub(super) fn distinct_count(&self) -> usize {
+        let mut times: Vec<Millis> = self.iter().map(|it| it.at).collect();
+        times.sort_unstable();
+        let mut last: Option<Millis> = None;
+        times.retain(|at| {
+            let counts = last.is_none_or(|it| at.since(it) >= CORRELATED_CRASH_PERIOD);
+            if counts {
+                last = Some(*at);
+            }
+            counts
+        });
+        times.len()
+    }
+
+    /// Returns the time of the latest crash.
+    pub(super) fn last(&self) -> Option<Millis> {
+        self.iter().map(|it| it.at).max()
+    }
+
+    fn contains(&self, endpoint: u32) -> bool {
+        self.iter().any(|it| it.endpoint == endpoint)
+    }
+}
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -182,16 +182,18 @@
     /// The time since a response showed that endpoints bear it, in ms.
     pub sound_age: Option<u32>,
     /// The crashes since then.
-    pub crashes: Vec<PartCrash>,
+    pub crashes: Vec<PartCrashRow>,
 }
 
 /// The crash of an endpoint, as reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartCrash {
+pub struct PartCrashRow {
     /// The endpoint's short key.
     pub endpoint: u32,
     /// The time since the crash, in ms.
     pub age: u32,
+    /// Whether it ran a request without a later part that other requests may share.
+    pub alone: bool,
 }
 
 /// Slot time of organisations at one service.
