Prompt parts: evidence outlasts the loss of all endpoints of a service

Crashes within 40 ms count as one; several endpoints that are killed at once still quarantine no part. Crashes recorded while links are lost are kept, and count once their endpoint is gone or a peer with links reports them.

--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -73,6 +73,7 @@
             let eligible = self.registry.eligible(&endpoint.service);
             self.scheduler.forget_failures(eligible);
             self.quarantine.forget_since(since);
+            self.part_quarantine.links_lost(since);
         }
         Some(change)
     }
--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -1,5 +1,7 @@
 //! Quarantine of requests and prompt parts that crash the endpoints that run them.
 
+use std::collections::BTreeSet;
+
 use crate::Outcome;
 use crate::PromptPart;
 use crate::Refusal;
@@ -148,8 +150,14 @@
     }
 
     fn update_parts(&mut self, now: Millis) {
+        if !self.part_quarantine.is_due(now) {
+            return;
+        }
+        let registered = self.registry.all().map(|it| it.key().short_key());
+        let registered: BTreeSet<u32> = registered.collect();
+        let is_gone = |endpoint| !registered.contains(&endpoint);
         self.part_quarantine
-            .update(now, self.links.earliest_doubt());
+            .update(now, self.links.earliest_doubt(), is_gone);
     }
 
     // Returns whether this instance, of all that are listed, tries requests with a quarantined part:
--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -13,6 +13,7 @@
 
 use self::candidate::Candidate;
 use self::crash_list::CrashList;
+use self::crash_list::CrashState;
 use self::crash_list::PartCrash;
 use self::part_record::PartRecord;
 use crate::PromptPart;
@@ -108,6 +109,7 @@
                 endpoint,
                 at: now,
                 alone: Some(part) == last,
+                state: CrashState::Observed,
             });
         }
         self.evict(now);
@@ -132,10 +134,11 @@
         }
     }
 
-    /// Forgets the crashes recorded at this time or later.
-    pub fn forget_since(&mut self, since: Millis) {
+    /// Records that the links of this instance were lost at this time, so that crashes recorded
+    /// since then count only where the endpoint is gone.
+    pub fn links_lost(&mut self, since: Millis) {
         for record in self.records.values_mut() {
-            record.crashes.retain_before(since);
+            record.crashes.links_lost(since);
         }
     }
 
@@ -187,17 +190,24 @@
         true
     }
 
-    /// Decides which parts are quarantined. If links of this instance are in doubt, the crashes
-    /// recorded since then do not count yet.
-    pub fn update(&mut self, now: Millis, doubt: Option<Millis>) {
+    /// Returns whether [`Self::update`] is due.
+    pub fn is_due(&self, now: Millis) -> bool {
         let is_recent = |at| now.since(at) < CHECK_INTERVAL;
-        if self.records.is_empty() || self.checked_at.is_some_and(is_recent) {
+        !self.records.is_empty() && !self.checked_at.is_some_and(is_recent)
+    }
+
+    /// Decides which parts are quarantined. If links of this instance are in doubt, the crashes
+    /// recorded since then do not count yet, except of endpoints that are gone; `is_gone` tells that
+    /// by the short key.
+    pub fn update(&mut self, now: Millis, doubt: Option<Millis>, is_gone: impl Fn(u32) -> bool) {
+        if !self.is_due(now) {
             return;
         }
         self.checked_at = Some(now);
-        let confirmed_before = now.since(CONFIRMATION_DELAY);
-        let end = doubt.map_or(confirmed_before, |it| it.min(confirmed_before));
-        let quarantined = self.unsound_parts(end);
+        for record in self.records.values_mut() {
+            record.crashes.confirm(&is_gone);
+        }
+        let quarantined = self.unsound_parts(now.since(CONFIRMATION_DELAY), doubt);
         let before = std::mem::replace(&mut self.quarantined, quarantined);
         self.record_changes(&before);
         self.records.retain(|_, it| !it.is_expired(now, RECORD_TTL));
@@ -245,8 +255,8 @@
 
     // Returns the parts that explain the crashes before `end`. A part that another one explains is
     // considered after it.
-    fn unsound_parts(&self, end: Millis) -> Vec<UnsoundPart> {
-        let mut remaining = self.candidates(end);
+    fn unsound_parts(&self, end: Millis, doubt: Option<Millis>) -> Vec<UnsoundPart> {
+        let mut remaining = self.candidates(end, doubt);
         let mut explained = CrashList::default();
         let mut unsound = Vec::new();
         while !remaining.is_empty() {
@@ -273,11 +283,11 @@
     }
 
     // Returns the parts that may have to be quarantined, those with the most crashes first.
-    fn candidates(&self, end: Millis) -> Vec<Candidate> {
+    fn candidates(&self, end: Millis, doubt: Option<Millis>) -> Vec<Candidate> {
         let records = self.records.iter();
         let mut candidates: Vec<Candidate> = records
             .filter(|row| row.1.crashes.len() >= CRASHES_TO_QUARANTINE)
-            .map(|(part, record)| Candidate::new(*part, record, end))
+            .map(|(part, record)| Candidate::new(*part, record, end, doubt))
             .filter(|it| it.crashes.distinct_count() >= CRASHES_TO_QUARANTINE)
             .collect();
         candidates.sort_by_key(|it| (Reverse(it.crashes.len()), Reverse(it.position), it.part));
--- a/crates/siskinyoke-dispatch/src/part_quarantine/candidate.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/candidate.rs
@@ -15,12 +15,18 @@
 }
 
 impl Candidate {
-    /// Creates a candidate with the crashes before `end`.
-    pub(super) fn new(part: PromptPart, record: &PartRecord, end: Millis) -> Self {
+    /// Creates a candidate with the crashes before `end` that count if the links of this instance
+    /// are in doubt since `doubt`.
+    pub(super) fn new(
+        part: PromptPart,
+        record: &PartRecord,
+        end: Millis,
+        doubt: Option<Millis>,
+    ) -> Self {
         Self {
             part,
             position: record.position,
-            crashes: record.crashes.before(end),
+            crashes: record.crashes.counted(doubt).before(end),
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/part_quarantine/crash_list.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/crash_list.rs
@@ -9,7 +9,18 @@
 
 /// Crashes that are this close together count as one: endpoints that fail at the same moment more
 /// likely share another cause, such as a rack.
-const CORRELATED_CRASH_PERIOD: Millis = Millis(150);
+const CORRELATED_CRASH_PERIOD: Millis = Millis(40);
+
+/// What is known of a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CrashState {
+    /// The endpoint broke the connection.
+    Observed,
+    /// The links of this instance were lost at the time, so that they may have broken.
+    LinksLost,
+    /// The endpoint is gone.
+    Confirmed,
+}
 
 /// The crash of an endpoint while it ran a request with the part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +30,7 @@
     pub(super) at: Millis,
     /// Whether one of the requests had no part after this one that other requests may share.
     pub(super) alone: bool,
+    pub(super) state: CrashState,
 }
 
 impl PartCrash {
@@ -28,6 +40,16 @@
             endpoint: row.endpoint,
             at: now.since(Millis(row.age.into())),
             alone: row.alone,
+            state: CrashState::Observed,
+        }
+    }
+
+    // Returns whether it counts if the links of this instance are in doubt since `doubt`.
+    fn counts(self, doubt: Option<Millis>) -> bool {
+        match self.state {
+            CrashState::Observed => doubt.is_none_or(|since| self.at < since),
+            CrashState::LinksLost => false,
+            CrashState::Confirmed => true,
         }
     }
 
@@ -51,6 +73,10 @@
         let mut known = self.0.iter_mut();
         if let Some(known) = known.find(|it| it.endpoint == crash.endpoint) {
             known.alone |= crash.alone;
+            // A peer reports it, whose links were not in doubt.
+            if known.state == CrashState::LinksLost {
+                known.state = crash.state;
+            }
         } else if self.0.len() < MAX_CRASHES {
             self.0.push(crash);
         }
@@ -62,14 +88,31 @@
             .retain(|it| it.endpoint != endpoint || it.at >= sent_at);
     }
 
-    pub(super) fn retain_before(&mut self, end: Millis) {
-        self.0.retain(|it| it.at < end);
+    /// Marks the crashes since the links were lost.
+    pub(super) fn links_lost(&mut self, since: Millis) {
+        let observed = self.0.iter_mut();
+        for crash in observed.filter(|it| it.at >= since && it.state == CrashState::Observed) {
+            crash.state = CrashState::LinksLost;
+        }
+    }
+
+    /// Marks the crashes of endpoints that are gone.
+    pub(super) fn confirm(&mut self, is_gone: &impl Fn(u32) -> bool) {
+        for crash in self.0.iter_mut().filter(|it| is_gone(it.endpoint)) {
+            crash.state = CrashState::Confirmed;
+        }
     }
 
     pub(super) fn retain_after(&mut self, start: Millis) {
         self.0.retain(|it| it.at > start);
     }
 
+    /// Returns the crashes that count if the links of this instance are in doubt since `doubt`.
+    pub(super) fn counted(&self, doubt: Option<Millis>) -> Self {
+        let rows = self.iter().filter(|it| it.counts(doubt));
+        Self(rows.collect())
+    }
+
     /// Returns the crashes before `end`.
     pub(super) fn before(&self, end: Millis) -> Self {
         let rows = self.iter().filter(|it| it.at < end);
--- a/crates/siskinyoke-dispatch/src/part_quarantine/part_record.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/part_record.rs
@@ -72,7 +72,7 @@
         part: PromptPart,
         doubt: Option<Millis>,
     ) -> PartRow {
-        let crashes = doubt.map_or_else(|| self.crashes.clone(), |it| self.crashes.before(it));
+        let crashes = self.crashes.counted(doubt);
         PartRow {
             part,
             position: self.position,
--- a/crates/siskinyoke-dispatch/tests/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/part_quarantine.rs
@@ -14,7 +14,7 @@
 }
 
 fn quarantined(quarantine: &mut PartQuarantine, now: u64) -> Vec<PromptPart> {
-    quarantine.update(Millis(now), None);
+    quarantine.update(Millis(now), None, |_| false);
     let all = parts(&["a", "b", "c", "d"]);
     quarantine.quarantined_parts(&all).collect()
 }
@@ -92,13 +92,16 @@
 }
 
 #[test]
-fn crashes_since_the_links_are_in_doubt_do_not_count() {
+fn crashes_since_the_links_are_in_doubt_count_only_where_the_endpoint_is_gone() {
     let (mut quarantine, now) = crashed(3, &["b"]);
-    quarantine.update(Millis(now + 1_000), Some(Millis(now)));
+    let doubt = Some(Millis(now));
+    quarantine.update(Millis(now + 1_000), doubt, |_| false);
     assert!(!quarantine.is_refused(&parts(&["b"]), 1));
     assert_eq!(quarantined(&mut quarantine, now + 2_000), [part("b")]);
-    quarantine.forget_since(Millis(now));
+    quarantine.links_lost(Millis(now));
     assert!(quarantined(&mut quarantine, now + 3_000).is_empty());
+    quarantine.update(Millis(now + 4_000), doubt, |endpoint| endpoint == 3);
+    assert!(quarantine.is_refused(&parts(&["b"]), 1));
 }
 
 // Guards against instances that each know of too few crashes.
