Tests: a refusal before the body arrives must not end its connection unsaid

A request that is refused by its head while its body has not arrived gets its refusal without connection: close, and then its connection is closed: hyper closes a connection whose body it cannot discard at once. A further request over it gets no response.

--- a/crates/siskinyoke-gateway/tests/kept_connections.rs
+++ b/crates/siskinyoke-gateway/tests/kept_connections.rs
@@ -358,3 +358,22 @@
         assert!(response_text(&mut stream).starts_with("HTTP/1.1 200"));
     }
 }
+
+// Guards against closing a connection after a refusal that does not say so.
+#[test]
+fn a_refusal_sent_before_the_body_arrives_ends_its_connection_only_if_it_says_so() {
+    let setup = Setup::start(15_000, 3_000);
+    let mut stream = setup.instance.connect();
+    let head = REQUEST.replace("GET /safe/a", "POST /none/a");
+    let head = head.replace("\r\n\r\n", "\r\ncontent-length: 500\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    let refusal = response_text(&mut stream);
+    assert!(refusal.starts_with("HTTP/1.1 404"), "{refusal}");
+    if refusal.contains("connection: close") {
+        return;
+    }
+    send_all(std::slice::from_mut(&mut stream), &"x".repeat(500));
+    thread::sleep(Duration::from_millis(50));
+    send_all(std::slice::from_mut(&mut stream), REQUEST);
+    assert!(response_text(&mut stream).starts_with("HTTP/1.1 200"));
+}
