Scheduler: the queue timeout of a stream that has begun runs from when it is queued again

A stream whose attempt failed late, or that could not be sent to the endpoint that it was moved to, was cut as soon as it was queued: its queue timeout ran from its arrival, so it was over after `Route::caller_timeout`, although its caller had received events since.

ScheduledRequest::wait_start is the arrival until the stream has begun, and then the time of the last requeue. Timeouts in the queue run from it, bounded by the deadline and the caller timeout as before.

a_stream_that_has_begun_waits_for_a_slot_from_when_it_is_queued_again fails without the change (refused at once at 3,400 ms) and passes with it. stalls, load, scheduler, placing, streams, turnaround, histories and lending of siskinyoke-dispatch pass; the other tests were not run again.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -341,7 +341,7 @@
             return Err(RetryDenial::NotRequested);
         }
         self.take_retry(now, &request, outcome)?;
-        Ok(self.scheduler.requeue(request))
+        Ok(self.scheduler.requeue(now, request))
     }
 
     /// Records that the first part of a running request's response arrived.
--- a/crates/siskinyoke-dispatch/src/core/routing.rs
+++ b/crates/siskinyoke-dispatch/src/core/routing.rs
@@ -162,6 +162,7 @@
         priority: request.priority,
         arrived: request.arrived,
         virtual_arrival: request.arrived,
+        wait_start: request.arrived,
         deadline: request.deadline,
         tokens: request.tokens,
         fingerprint,
--- a/crates/siskinyoke-dispatch/src/scheduled_request.rs
+++ b/crates/siskinyoke-dispatch/src/scheduled_request.rs
@@ -139,6 +139,9 @@
     /// Arrival time by which it is sorted among requests of the same order; earlier than the actual
     /// one for short requests, which are given a head start.
     pub virtual_arrival: Millis,
+    /// When its queue timeout begins: at its arrival or, once its stream has begun, when it was last
+    /// queued.
+    pub wait_start: Millis,
     /// When its caller stops waiting or the timeout of its route ends.
     pub deadline: Millis,
     /// Its token counts.
@@ -173,9 +176,13 @@
     }
 
     /// Returns the request as it is queued again after an attempt that ended.
+    ///
+    /// The caller of a stream that has begun waits for its next event, and not since its arrival.
     #[must_use]
-    pub(crate) fn requeued(self) -> Self {
+    pub(crate) fn requeued(self, now: Millis) -> Self {
+        let has_begun = self.version.is_some();
         Self {
+            wait_start: if has_begun { now } else { self.wait_start },
             late: false,
             needs_loan: false,
             canary: false,
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -213,8 +213,8 @@
     }
 
     /// Queues a request again after an attempt that failed.
-    pub fn requeue(&mut self, request: ScheduledRequest) -> Ticket {
-        self.enqueue(request.requeued())
+    pub fn requeue(&mut self, now: Millis, request: ScheduledRequest) -> Ticket {
+        self.enqueue(request.requeued(now))
     }
 
     /// Returns the decisions on waiting requests that can be made now.
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -107,7 +107,7 @@
                 break;
             }
             let request = &self.waiting[&ticket];
-            let timeout = request.arrived + wait::queue_timeout(request, latency);
+            let timeout = request.wait_start + wait::queue_timeout(request, latency);
             let query = PlacementQuery {
                 now,
                 request,
--- a/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
@@ -50,7 +50,7 @@
             return Some(refusal);
         }
         let request = &self.waiting[&ticket];
-        let waited = view.now.since(request.arrived);
+        let waited = view.now.since(request.wait_start);
         if request.needs_loan && self.recently_denied(view.now, &request.service) {
             return self.resolve_denied(view, ticket);
         }
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -335,6 +335,7 @@
         priority: Priority::new(None, 0),
         arrived,
         virtual_arrival: arrived,
+        wait_start: arrived,
         deadline,
         tokens: TokenCounts {
             prompt: f64::from(request.prompt_tokens),
--- a/crates/siskinyoke-dispatch/src/scheduler/moves.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/moves.rs
@@ -26,7 +26,7 @@
     ) -> Option<Candidate> {
         self.rate_limits.update_rates(view);
         self.release_lingering(view.now);
-        let request = request.clone().requeued();
+        let request = request.clone().requeued(view.now);
         let service = &request.service;
         let latency = self.latency_model(service);
         let free = self.free_endpoints(view, service);
@@ -42,7 +42,7 @@
             now: view.now,
             request: &request,
             latency_model: &latency,
-            can_wait: view.now < request.arrived + wait::queue_timeout(&request, latency),
+            can_wait: view.now < request.wait_start + wait::queue_timeout(&request, latency),
         };
         let index = self.selector.select(&query, &candidates, use_shared)?;
         candidates.into_iter().nth(index)
@@ -59,7 +59,7 @@
         let backlog = backlog(candidate, self.latency_model(&request.service));
         let ticket = self.next_ticket();
         self.rate_limits.take_token(endpoint.key());
-        self.record_start(now, ticket, request.requeued(), &endpoint, backlog);
+        self.record_start(now, ticket, request.requeued(now), &endpoint, backlog);
         (ticket, endpoint)
     }
 }
--- a/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
@@ -88,7 +88,7 @@
             return None;
         }
         let request = request.clone();
-        let waited = view.now.since(request.arrived);
+        let waited = view.now.since(request.wait_start);
         let timeout = wait::late_timeout(&request, self.latency_model(&request.service));
         if waited + backoff <= timeout {
             return None;
--- a/crates/siskinyoke-dispatch/src/wait.rs
+++ b/crates/siskinyoke-dispatch/src/wait.rs
@@ -65,14 +65,14 @@
 /// Returns how long a late request may wait in the queue: at most half of the time to its deadline,
 /// so that its caller can retry in the other half.
 pub(crate) fn late_timeout(request: &ScheduledRequest, latency: LatencyModel) -> Millis {
-    Millis(request.deadline.since(request.arrived).0 / 2).min(max_wait(request, latency))
+    Millis(request.deadline.since(request.wait_start).0 / 2).min(max_wait(request, latency))
 }
 
 // Returns the longest queue wait after which the response still arrives before the caller gives up.
 pub(crate) fn max_wait(request: &ScheduledRequest, latency: LatencyModel) -> Millis {
     let until_deadline = request
         .deadline
-        .since(request.arrived)
+        .since(request.wait_start)
         .since(latency.mean_service_time());
     until_deadline.min(
         request
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -86,6 +86,7 @@
         priority: Priority::new(None, priority),
         arrived: Millis(arrived),
         virtual_arrival: Millis(arrived),
+        wait_start: Millis(arrived),
         deadline: Millis(arrived) + route.timeout,
         route: Arc::new(route),
         tokens: TokenCounts::default(),
--- a/crates/siskinyoke-dispatch/tests/stalls.rs
+++ b/crates/siskinyoke-dispatch/tests/stalls.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use crate::common::completed;
 use crate::common::configuration;
 use crate::common::core;
+use crate::common::count_starts;
 use crate::common::endpoint;
 use crate::common::identity;
 use crate::common::location;
@@ -275,3 +277,23 @@
     assert_eq!(core.scheduler().request_counts(), (0, 1));
     assert!(core.scheduler().running(next).is_some());
 }
+
+// Guards against streams that are cut because their queue timeout runs from their arrival.
+#[test]
+fn a_stream_that_has_begun_waits_for_a_slot_from_when_it_is_queued_again() {
+    let mut core = core("i0", 1);
+    core.registry().put(Millis(0), endpoint("e2", 1));
+    let routed = core.route(Millis(0), request("/stream/a")).unwrap();
+    let tickets = [1, 2].map(|it| core.admit(Millis(0), &routed, it).unwrap());
+    assert_eq!(count_starts(&core.decide(Millis(0))), 2);
+    for ticket in tickets {
+        core.first_part_received(Millis(50), ticket);
+    }
+    let [broken, other] = tickets;
+    let retry = core.attempt_ended(Millis(3_400), broken, Outcome::ConnectionLost, true);
+    assert!(core.decide(Millis(3_400)).is_empty());
+    assert!(core.decide(Millis(3_800)).is_empty());
+    core.attempt_ended(Millis(3_800), other, completed(), false);
+    let decisions = core.decide(Millis(3_800));
+    assert!(matches!(decisions[..], [Decision::Start(ticket, _)] if Some(ticket) == retry));
+}
