Wait estimate: a request that all open endpoints have rejected delays no other

Callers were refused with 429 while an endpoint was open and idle. The expected wait of a new request counts those ahead of it in the queue, also one that the open endpoint had rejected and that waited for others. With a demand above the capacity of the few open endpoints, one such request made the expected wait longer than any caller waits.

Requests that have been sent to all available endpoints are no longer counted. The unit test fails without the change.

--- a/crates/siskinyoke-dispatch/src/core/retry.rs
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -72,7 +72,8 @@
 
     // Returns whether a stream that has begun can go on at another endpoint of its version.
     fn has_untried_endpoint(&self, request: &ScheduledRequest) -> bool {
-        request.version.is_none() || !wait::all_tried(request, &self.registry.targets(request))
+        request.version.is_none()
+            || !wait::all_tried(request, self.registry.targets(request).iter())
     }
 
     // Takes a retry of a request from the budget if it may be retried after this outcome.
--- a/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
@@ -40,7 +40,7 @@
         if request.version.is_some() && targets.is_empty() {
             return Some(stream_resumption::version_gone());
         }
-        if wait::all_tried(request, &targets) {
+        if wait::all_tried(request, targets.iter()) {
             return Some(Refusal {
                 reason: RefusalReason::NoEndpoint,
                 retry_after: self.rejected_retry_after(view, &request.service, request.fingerprint),
--- a/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
@@ -85,12 +85,17 @@
     // Returns the total service time, in ms, of the requests ahead of a request, here and at peers.
     fn work_ahead(&self, view: &ClusterView<'_>, request: &ScheduledRequest) -> f64 {
         let latency = self.latency_model(&request.service);
+        let available = self.available(view.now, view.registry.eligible(&request.service));
         let own = self.queues.get(&request.service).into_iter();
         let own = own.flat_map(Queue::iter);
         let own = own
             .take_while(|key| (key.0, key.1) <= (request.queue_order(), request.virtual_arrival));
+        // A request that all available endpoints have rejected takes none of their slots.
+        let own = own
+            .map(|key| &self.waiting[&key.2])
+            .filter(|it| available.is_empty() || !wait::all_tried(it, available.iter().copied()));
         let own: f64 = own
-            .map(|key| millis_to_f64(latency.service_time_of(&self.waiting[&key.2].tokens)))
+            .map(|it| millis_to_f64(latency.service_time_of(&it.tokens)))
             .sum();
         let peers = view.peers.waiting(view.now, short_hash(&request.service));
         let age = millis_to_f64(view.now.since(request.virtual_arrival));
--- a/crates/siskinyoke-dispatch/src/wait.rs
+++ b/crates/siskinyoke-dispatch/src/wait.rs
@@ -82,9 +82,14 @@
     )
 }
 
-// Returns whether a request was sent to every eligible endpoint, so that waiting cannot help.
-pub(crate) fn all_tried(request: &ScheduledRequest, eligible: &[Arc<Endpoint>]) -> bool {
-    !request.tried.is_empty() && eligible.iter().all(|it| request.tried.contains(&it.key()))
+// Returns whether a request was sent to each of the given endpoints, so that none is left to it.
+pub(crate) fn all_tried<'a>(
+    request: &ScheduledRequest,
+    endpoints: impl IntoIterator<Item = &'a Arc<Endpoint>>,
+) -> bool {
+    let tried = &request.tried;
+    let mut endpoints = endpoints.into_iter();
+    !tried.is_empty() && endpoints.all(|it| tried.contains(&it.key()))
 }
 
 // Returns whether an earlier attempt at the request failed.
--- a/crates/siskinyoke-dispatch/tests/backoffs/main.rs
+++ b/crates/siskinyoke-dispatch/tests/backoffs/main.rs
@@ -26,6 +26,10 @@
 /// Seeds and fleet sizes with which an endpoint got no requests any more after a back-off.
 const UNUSED_ENDPOINT_SEEDS: [(u64, usize); 4] = [(73, 8), (98, 8), (187, 24), (203, 24)];
 
+/// Seeds with which one instance refused callers before open endpoints, as a request that these had
+/// rejected waited for others.
+const REJECTED_REQUEST_SEEDS: [u64; 2] = [1014, 1055];
+
 /// The part of the requests that endpoints could complete, which has to be completed.
 const MIN_SERVED_RATIO: f64 = 0.85;
 
@@ -62,6 +66,7 @@
     for (seed, size) in UNUSED_ENDPOINT_SEEDS
         .into_iter()
         .chain([(REJECTED_SEED, 1)])
+        .chain(REJECTED_REQUEST_SEEDS.map(|seed| (seed, 1)))
     {
         check_backoffs(seed, size);
     }
@@ -197,6 +202,27 @@
     assert!(admit(&mut core, 4_060, "/safe/x").is_ok());
 }
 
+// Guards against refusals before an open endpoint because of a request that waits for another one.
+#[test]
+fn a_request_that_the_only_open_endpoint_rejected_delays_no_other() {
+    let mut core = core("a", 4);
+    core.registry().put(Millis(0), endpoint("e2", 4));
+    core.request_backoff(Millis(0), &endpoint("e2", 4), Millis(2_000));
+    let rejected = admit(&mut core, 0, "/safe/x").unwrap();
+    assert_eq!(started(&mut core, 0), [rejected]);
+    core.request_backoff(Millis(5), &endpoint("e1", 4), Millis(100));
+    core.attempt_ended(Millis(5), rejected, Outcome::Full, true);
+    // The demand is higher than the capacity of the endpoint.
+    let others: Vec<_> = (10..100)
+        .filter_map(|now| admit(&mut core, now, "/safe/x").ok())
+        .collect();
+    for ticket in others {
+        core.cancel(Millis(100), ticket);
+    }
+    let next = admit(&mut core, 200, "/safe/x").unwrap();
+    assert_eq!(started(&mut core, 200), [next]);
+}
+
 #[test]
 fn an_endpoint_that_rejects_the_first_request_after_its_backoff_gets_one_at_a_time() {
     let mut core = core("a", 4);
