Callers: a refusal before the body arrives says that its connection closes

Callers whose request was refused by its head got the refusal without `connection: close`; hyper then closed the connection over the body that it could not discard, and the next request over it got no response. A change of the configuration that takes a route or a key away brings such refusals.

--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -34,6 +34,7 @@
 use crate::response::ResponseBody;
 use crate::shell::RefusalInfo;
 use crate::shell::Shell;
+use crate::unread_body;
 use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::CallerLimits;
@@ -101,12 +102,9 @@
 /// Serves a request of a caller.
 pub async fn serve(shell: Rc<Shell>, request: Request<Incoming>) -> Response<ResponseBody> {
     shell.last_arrival.set(shell.now());
-    let mut response = handle(&shell, request).await;
+    let response = handle(&shell, request).await;
     if shell.core.borrow().is_shutting_down() {
-        let close = http::HeaderValue::from_static("close");
-        response
-            .headers_mut()
-            .insert(http::header::CONNECTION, close);
+        return unread_body::closing(response);
     }
     response
 }
@@ -122,7 +120,7 @@
         return handle_unconfigured(shell, parts, body, arrival).await;
     };
     if let Some(refused) = check_head_size(shell, &parts, limits) {
-        return refused;
+        return unread_body::respond_before(refused, body).await;
     }
     if shell.interface.exchange.needs_body(&parts) {
         handle_by_body(shell, parts, body, limits, arrival).await
@@ -183,7 +181,7 @@
 ) -> Response<ResponseBody> {
     let accepted = match decode_and_route(shell, &parts, &[], arrival).await {
         Ok(accepted) => accepted,
-        Err(refused) => return *refused,
+        Err(refused) => return unread_body::respond_before(*refused, body).await,
     };
     let remaining = accepted.routed.deadline.since(shell.now());
     match read_body(shell, limits.max_body, remaining, body).await {
@@ -193,7 +191,8 @@
         }
         Err(error) => {
             shell.core.borrow_mut().refund(&accepted.routed);
-            reject_body(shell, accepted.id.as_deref(), &error)
+            let response = reject_body(shell, accepted.id.as_deref(), &error);
+            unread_body::closing(response)
         }
     }
 }
@@ -210,7 +209,7 @@
     let (body, reservation) =
         match read_body(shell, limits.max_body, limits.head_timeout, body).await {
             Ok(received) => received,
-            Err(error) => return reject_body(shell, None, &error),
+            Err(error) => return unread_body::closing(reject_body(shell, None, &error)),
         };
     handle_buffered(shell, parts, body, reservation, arrival).await
 }
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -58,5 +58,6 @@
 pub mod tracked_body;
 pub mod tracked_stream;
 pub mod transfer;
+pub mod unread_body;
 pub mod version_notes;
 pub mod watcher;
