Rejection limits: a new process tries one endpoint before it hears from its peers

A process that had restarted used its part of the slots of all endpoints at once before it knew their limits.

For 500 ms, until a full report of a peer arrives, it sends one request at a time to one endpoint in doubt, and none to others in doubt once an endpoint states a limit. Then it uses its part, so that an instance that hears no peer serves callers.

The unit test fails without the change.

--- a/crates/siskinyoke-dispatch/src/rejection_limits.rs
+++ b/crates/siskinyoke-dispatch/src/rejection_limits.rs
@@ -112,9 +112,14 @@
     /// Returns whether an endpoint that bears few rejections may still work on requests of the
     /// process that this one has replaced.
     pub fn awaits_predecessor(&self, now: Millis, key: EndpointKey) -> bool {
-        let starting = self.started_at.is_some_and(|at| now < at + LINGER_TIME);
         let known = self.limits.get(&key.short_key());
-        starting && known.is_some_and(|it| it.limit.is_some() && it.known_to_peers)
+        self.is_starting(now) && known.is_some_and(|it| it.limit.is_some() && it.known_to_peers)
+    }
+
+    /// Returns whether endpoints may still work on requests of the process that this one has
+    /// replaced.
+    pub fn is_starting(&self, now: Millis) -> bool {
+        self.started_at.is_some_and(|at| now < at + LINGER_TIME)
     }
 
     /// Returns whether the limits that peers know have not been received yet.
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -188,7 +188,7 @@
         }
         let running = view.peers.running_by_endpoint(view.now);
         let others = self.sharing_instances(view);
-        let min_part = self.min_unknown_part(view, &others, &available);
+        let unknown_use = self.unknown_use(view, &others, &available);
         let factors = available
             .iter()
             .map(|it| self.selector.speed_factor(it.key()));
@@ -206,7 +206,7 @@
                 let (slots, queue_slots) = self.slot_limits(endpoint);
                 let open_slots = (slots + queue_slots).saturating_sub(count + peer_count);
                 let tokens = self.rate_limits.tokens(key);
-                let own_slots = self.own_free_slots(view, &others, endpoint, min_part);
+                let own_slots = self.own_free_slots(view, &others, endpoint, unknown_use);
                 let limits = [tokens, self.half_open_slots(key), own_slots];
                 let free_slots = limits.into_iter().flatten().fold(open_slots, u32::min);
                 (free_slots > 0).then(|| Candidate {
--- a/crates/siskinyoke-dispatch/src/scheduler/rejection_limits.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/rejection_limits.rs
@@ -16,6 +16,15 @@
 use crate::stable_hash;
 use siskinyoke_base::Millis;
 
+// The use of endpoints of which it is not known whether they bear few rejections.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum UnknownUse {
+    // This instance's part of the slots, and at least this many.
+    Part(u32),
+    // One request at this endpoint, none at others.
+    Trial(Option<EndpointKey>),
+}
+
 impl Scheduler {
     /// Returns the known limits on rejections.
     pub fn rejection_limits(&self) -> &RejectionLimits {
@@ -66,7 +75,7 @@
         view: &ClusterView<'_>,
         others: &BTreeSet<&str>,
         endpoint: &Endpoint,
-        min_unknown_part: u32,
+        unknown_use: UnknownUse,
     ) -> Option<u32> {
         let key = endpoint.key();
         if !self.rejection_limits.may_be_limited(key) {
@@ -77,25 +86,45 @@
         }
         let mut part = self.own_part(view, others, endpoint);
         if !self.rejection_limits.is_limited(key) {
-            part = part.max(min_unknown_part);
+            part = match unknown_use {
+                UnknownUse::Part(minimum) => part.max(minimum),
+                UnknownUse::Trial(trial) => u32::from(trial == Some(key)),
+            };
         }
         let own = self.in_flight.get(&key);
         Some(part.saturating_sub(own.map_or(0, |row| u32::from(row.count))))
     }
 
-    // Returns how many slots are used at least at an endpoint whose limit is not known yet: one, if
-    // this instance has no part of any endpoint's slots and would otherwise serve nobody.
-    pub(super) fn min_unknown_part(
+    // Returns how endpoints are used whose limits are not known yet.
+    //
+    // While they may still run requests of the process before this one, a single request tells
+    // whether they bear few rejections; its part of the slots may be taken. Later the part is at
+    // least one if this instance has no part of any endpoint's slots and would serve nobody.
+    pub(super) fn unknown_use(
         &self,
         view: &ClusterView<'_>,
         others: &BTreeSet<&str>,
         endpoints: &[&Arc<Endpoint>],
-    ) -> u32 {
+    ) -> UnknownUse {
         if !self.rejection_limits.awaits_peers() {
-            return 0;
+            return UnknownUse::Part(0);
+        }
+        if self.rejection_limits.is_starting(view.now) && !others.is_empty() {
+            return UnknownUse::Trial(self.trial_endpoint(endpoints));
         }
         let has_part = |it: &&Arc<Endpoint>| self.own_part(view, others, it) > 0;
-        u32::from(!endpoints.iter().any(has_part))
+        UnknownUse::Part(u32::from(!endpoints.iter().any(has_part)))
+    }
+
+    // Returns the endpoint that shows whether endpoints bear few rejections, unless one has stated
+    // so already.
+    fn trial_endpoint(&self, endpoints: &[&Arc<Endpoint>]) -> Option<EndpointKey> {
+        if self.rejection_limits.active_count() > 0 {
+            return None;
+        }
+        let keys = endpoints.iter().map(|it| it.key());
+        let unknown = keys.filter(|it| self.rejection_limits.may_be_limited(*it));
+        unknown.min_by_key(|it| stable_hash(&(&*self.instance, it.short_key())))
     }
 
     // Returns how many of an endpoint's slots belong to this instance.
--- a/crates/siskinyoke-dispatch/tests/rejection_limits/main.rs
+++ b/crates/siskinyoke-dispatch/tests/rejection_limits/main.rs
@@ -11,6 +11,7 @@
 use crate::common::completed;
 use crate::common::core;
 use crate::common::endpoint;
+use crate::common::location;
 use crate::common::report;
 use crate::common::request;
 use crate::common::running_row;
@@ -22,6 +23,7 @@
 use siskinyoke_dispatch::Decision;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::Report;
+use siskinyoke_dispatch::StoreUpdate;
 use siskinyoke_dispatch::Ticket;
 use siskinyoke_dispatch::rejection_limits::part_of_slots;
 use siskinyoke_dispatch::report::RejectionRow;
@@ -37,7 +39,7 @@
 
 /// Seeds with which the successor of a killed process did so: while endpoints still ran requests
 /// of that process, or while it received no report.
-const SUCCESSOR_SEEDS: [u64; 7] = [9, 29, 89, 114, 116, 125, 128];
+const SUCCESSOR_SEEDS: [u64; 8] = [9, 29, 89, 114, 116, 125, 128, 145];
 
 fn started(core: &mut Core, now: u64) -> Vec<Ticket> {
     let decisions = core.decide(Millis(now)).into_iter();
@@ -172,6 +174,30 @@
     assert_eq!(started(&mut successor, 500).len(), 2);
 }
 
+// Guards against a process that is rejected wherever its predecessor's requests still run, which
+// keeps all instances away from these endpoints.
+#[test]
+fn a_process_that_has_not_heard_from_its_peers_tries_one_endpoint() {
+    let mut core = core("a", 4);
+    let endpoints = ["e2", "e3"].map(|it| StoreUpdate::Endpoint(endpoint(it, 4)));
+    let peer = StoreUpdate::Instance("b".into(), location("b", "a"));
+    let updates = endpoints.into_iter().chain([peer]).collect();
+    core.apply_updates(Millis(0), 1.into(), updates);
+    admit(&mut core, 10, 8);
+    let decisions = core.decide(Millis(10));
+    let [Decision::Start(trial, tried)] = &decisions[..] else {
+        panic!("{decisions:?}");
+    };
+    assert!(started(&mut core, 15).is_empty());
+    core.record_rejection_limit(Millis(20), tried, Millis(10), Some(2));
+    core.record_rejection(Millis(20), tried);
+    core.attempt_ended(Millis(20), *trial, Outcome::Full, true);
+    assert!(started(&mut core, 400).is_empty());
+    // Its part of two endpoints with four slots each.
+    admit(&mut core, 510, 8);
+    assert_eq!(started(&mut core, 510).len(), 4);
+}
+
 #[test]
 fn an_instance_that_hears_nothing_of_its_peers_uses_its_part_of_the_slots() {
     let mut core = core_before_brittle_endpoint(4);
