Prompt parts: crashes at the same moment count once only for parts that were sound

In a trial with real processes, ten endpoints that were down for 4 s crashed within 0.4 s under concurrent requests with one part. The crashes were recorded within 22 ms and counted as one, so that the part reached all endpoints again when they were back: 6 and 10 requests later than 3 s after the fifth crash, 3 are allowed.

That several crashes count as one protects parts that run at many endpoints when these fail together. These parts were sound before: responses were completed with them.

--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -22,7 +22,8 @@
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
-/// The number of crashes that no other part explains after which a part is quarantined.
+/// The number of crashes that no other part explains after which a part is quarantined with which
+/// no response was completed before.
 ///
 /// Two crashes within a few seconds are common where several endpoints fail for another reason.
 const CRASHES_TO_QUARANTINE: usize = 3;
@@ -30,8 +31,9 @@
 /// The number of crashes of requests without a later part after which a part is quarantined even if
 /// other parts explain them.
 ///
-/// It is the number that the platform's rules tolerate. Of two parts that crash endpoints, one could
-/// otherwise hide behind the other.
+/// It is the number that the platform's rules tolerate, and so it is wanted, too, for parts with
+/// which responses were completed before. Of two parts that crash endpoints, one could otherwise
+/// hide behind the other.
 const MAX_TOLERATED_CRASHES: usize = 5;
 
 /// The maximum number of parts of which those to be quarantined are selected.
@@ -49,7 +51,7 @@
 const TRIAL_DELAY: Millis = Millis::from_secs(30);
 
 /// How long after the last crash the first request is tried with a part whose crashes other parts
-/// explain. The delay doubles with each trial that fails.
+/// explain, or with which responses were completed before. The delay doubles with each trial that fails.
 const EXPLAINED_TRIAL_DELAY: Millis = Millis::from_secs(3);
 
 /// How often the trial delay doubles at most.
@@ -64,6 +66,12 @@
 /// The maximum number of parts kept; those with the fewest crashes are evicted first.
 const MAX_RECORDS: usize = 256;
 
+/// The maximum number of parts kept with which responses were completed.
+const MAX_SOUND_PARTS: usize = 4_096;
+
+/// How long these are kept after the last response.
+const SOUND_TTL: Millis = Millis::from_secs(600);
+
 /// The maximum number of parts in a report.
 const MAX_REPORTED_PARTS: usize = 16;
 
@@ -82,14 +90,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct UnsoundPart {
     part: PromptPart,
-    // Whether other quarantined parts explain its crashes as well.
-    explained: bool,
+    // Whether other quarantined parts explain its crashes as well, or responses were completed with
+    // it before.
+    doubtful: bool,
 }
 
 /// Parts of prompts that were being processed when endpoints crashed.
 #[derive(Debug, Default)]
 pub struct PartQuarantine {
     records: Map<PromptPart, PartRecord>,
+    // When the latest response was completed here with each part.
+    sound: Map<PromptPart, Millis>,
     // When the latest request was sent to which each endpoint has responded, by short key.
     responses: Map<u32, Millis>,
     quarantined: Vec<UnsoundPart>,
@@ -118,10 +129,14 @@
     /// Records a response that shows that endpoints bear these parts.
     pub fn record_sound(&mut self, now: Millis, parts: &PromptParts) {
         for part in parts.iter() {
+            self.sound.insert(part, now);
             if let Some(record) = self.records.get_mut(&part) {
                 record.clear(now);
             }
         }
+        if self.sound.len() > MAX_SOUND_PARTS {
+            self.evict_sound(now);
+        }
     }
 
     /// Records that an endpoint responded to a request sent at `sent_at`, so that what broke its
@@ -165,17 +180,17 @@
     /// Starts the trial of a quarantined part with this request if one is due, and returns whether
     /// it is.
     pub fn try_start_trial(&mut self, now: Millis, part: PromptPart, fingerprint: u64) -> bool {
-        let explained = self
+        let doubtful = self
             .quarantined
             .iter()
-            .any(|it| it.part == part && it.explained);
+            .any(|it| it.part == part && it.doubtful);
         let Some(record) = self.records.get_mut(&part) else {
             return false;
         };
         let Some(last_crash) = record.crashes.last() else {
             return false;
         };
-        let delay = if explained {
+        let delay = if doubtful {
             EXPLAINED_TRIAL_DELAY.0 << record.failed_trials.min(MAX_TRIAL_DOUBLINGS)
         } else {
             TRIAL_DELAY.0 << record.extra_crashes().min(MAX_TRIAL_DOUBLINGS)
@@ -265,17 +280,17 @@
                 .position(|it| !remaining.iter().any(|other| other.explains(it)));
             let candidate = remaining.remove(independent.unwrap_or(0));
             let unexplained = candidate.crashes.without(&explained);
-            let part = candidate.part;
-            if unexplained.distinct_count() >= CRASHES_TO_QUARANTINE {
+            let alone = candidate.crashes.alone();
+            if candidate.is_unsound(&unexplained) {
                 explained.extend(&unexplained);
                 unsound.push(UnsoundPart {
-                    part,
-                    explained: false,
+                    part: candidate.part,
+                    doubtful: candidate.was_sound,
                 });
-            } else if candidate.crashes.alone().distinct_count() >= MAX_TOLERATED_CRASHES {
+            } else if candidate.weight(&alone) >= MAX_TOLERATED_CRASHES {
                 unsound.push(UnsoundPart {
-                    part,
-                    explained: true,
+                    part: candidate.part,
+                    doubtful: true,
                 });
             }
         }
@@ -287,8 +302,13 @@
         let records = self.records.iter();
         let mut candidates: Vec<Candidate> = records
             .filter(|row| row.1.crashes.len() >= CRASHES_TO_QUARANTINE)
-            .map(|(part, record)| Candidate::new(*part, record, end, doubt))
-            .filter(|it| it.crashes.distinct_count() >= CRASHES_TO_QUARANTINE)
+            .map(|(part, record)| Candidate {
+                part: *part,
+                position: record.position,
+                crashes: record.crashes.counted(doubt).before(end),
+                was_sound: self.sound.contains_key(part),
+            })
+            .filter(|it| it.is_unsound(&it.crashes))
             .collect();
         candidates.sort_by_key(|it| (Reverse(it.crashes.len()), Reverse(it.position), it.part));
         candidates.truncate(MAX_CANDIDATES);
@@ -321,6 +341,16 @@
         }
     }
 
+    fn evict_sound(&mut self, now: Millis) {
+        self.sound.retain(|_, at| now.since(*at) < SOUND_TTL);
+        if self.sound.len() > MAX_SOUND_PARTS {
+            let mut times: Vec<Millis> = self.sound.values().copied().collect();
+            times.sort_unstable();
+            let median = times[times.len() / 2];
+            self.sound.retain(|_, at| *at > median);
+        }
+    }
+
     fn evict(&mut self, now: Millis) {
         self.records.retain(|_, it| !it.is_expired(now, RECORD_TTL));
         while self.records.len() > MAX_RECORDS {
--- a/crates/siskinyoke-dispatch/src/part_quarantine/candidate.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/candidate.rs
@@ -1,32 +1,41 @@
 //! A part that may have to be quarantined.
 
 use super::CRASHES_TO_QUARANTINE;
+use super::MAX_TOLERATED_CRASHES;
 use super::crash_list::CrashList;
-use super::part_record::PartRecord;
 use crate::PromptPart;
-use siskinyoke_base::Millis;
 
 /// A part that may have to be quarantined.
 #[derive(Debug)]
 pub(super) struct Candidate {
     pub(super) part: PromptPart,
     pub(super) position: u8,
+    /// The crashes that count.
     pub(super) crashes: CrashList,
+    /// Whether responses were completed with it before.
+    pub(super) was_sound: bool,
 }
 
 impl Candidate {
-    /// Creates a candidate with the crashes before `end` that count if the links of this instance
-    /// are in doubt since `doubt`.
-    pub(super) fn new(
-        part: PromptPart,
-        record: &PartRecord,
-        end: Millis,
-        doubt: Option<Millis>,
-    ) -> Self {
-        Self {
-            part,
-            position: record.position,
-            crashes: record.crashes.counted(doubt).before(end),
+    /// Returns whether crashes suffice to quarantine this part.
+    pub(super) fn is_unsound(&self, crashes: &CrashList) -> bool {
+        let limit = if self.was_sound {
+            MAX_TOLERATED_CRASHES
+        } else {
+            CRASHES_TO_QUARANTINE
+        };
+        self.weight(crashes) >= limit
+    }
+
+    /// Returns how many crashes count against this part.
+    ///
+    /// Where endpoints fail together for another reason, most parts that run there were sound
+    /// before.
+    pub(super) fn weight(&self, crashes: &CrashList) -> usize {
+        if self.was_sound {
+            crashes.distinct_count()
+        } else {
+            crashes.len()
         }
     }
 
@@ -34,9 +43,8 @@
     /// not explain those of this part. If each explains the other's, it is the later one in the
     /// prompt, which fewer requests share.
     pub(super) fn explains(&self, other: &Self) -> bool {
-        let explained_by = |a: &Self, b: &Self| {
-            a.crashes.without(&b.crashes).distinct_count() < CRASHES_TO_QUARANTINE
-        };
+        let explained_by =
+            |a: &Self, b: &Self| a.crashes.without(&b.crashes).len() < CRASHES_TO_QUARANTINE;
         explained_by(other, self) && (!explained_by(self, other) || self.position > other.position)
     }
 }
--- a/crates/siskinyoke-dispatch/tests/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/part_quarantine.rs
@@ -83,12 +83,18 @@
 
 // Guards against a quarantine after a rack of endpoints has failed.
 #[test]
-fn crashes_at_the_same_moment_count_as_one() {
+fn crashes_at_the_same_moment_count_as_one_for_parts_that_were_sound() {
     let mut quarantine = PartQuarantine::default();
+    quarantine.record_sound(Millis(500), &parts(&["b"]));
     for endpoint in 1..=6 {
-        quarantine.record_crash(Millis(1_000), &parts(&["b"]), endpoint);
+        quarantine.record_crash(Millis(1_000), &parts(&["b", "c"]), endpoint);
     }
-    assert!(quarantined(&mut quarantine, 2_000).is_empty());
+    assert_eq!(quarantined(&mut quarantine, 2_000), [part("c")]);
+    for endpoint in 11..=14 {
+        let now = 1_000 + CRASH_INTERVAL_MS * u64::from(endpoint);
+        quarantine.record_crash(Millis(now), &parts(&["b"]), endpoint);
+    }
+    assert_eq!(quarantined(&mut quarantine, 12_000), [part("b"), part("c")]);
 }
 
 #[test]
--- a/crates/siskinyoke-gateway/tests/prompt_parts.rs
+++ b/crates/siskinyoke-gateway/tests/prompt_parts.rs
@@ -159,12 +159,14 @@
         times
     }
 
-    // Returns how many requests with the poisoned part reached endpoints after a time.
-    fn poisoned_since(&self, time: Instant) -> usize {
+    // Returns how long after a time requests with the poisoned part reached endpoints, in ms.
+    fn poisoned_since(&self, time: Instant) -> Vec<u128> {
         let requests = self.endpoints.iter().flat_map(Endpoint::requests);
-        let late = requests.filter(|it| it.received_at.is_some_and(|at| at > time));
-        late.filter(|it| it.prompt_parts().any(|part| part == POISONED_PART))
-            .count()
+        let poisoned = requests.filter(|it| it.prompt_parts().any(|part| part == POISONED_PART));
+        let times = poisoned.filter_map(|it| it.received_at?.checked_duration_since(time));
+        let mut times: Vec<_> = times.map(|it| it.as_millis()).collect();
+        times.sort_unstable();
+        times
     }
 
     // Returns how many sound requests that were sent in a period began, and how many there were.
@@ -193,11 +195,15 @@
     let settled = *last + 2 * SETTLING_TIME;
     let before = setup.sound_requests(|at| at + Duration::from_secs(1) < *first);
     let after = setup.sound_requests(|at| at > settled);
-    let late = setup.poisoned_since(*last + SETTLING_TIME);
+    let late = setup.poisoned_since(*last + SETTLING_TIME).len();
     let text = format!(
-        "{late} of {} requests with the part since the first crash came too late; sound requests {after:?} after \
-         {before:?}",
-        setup.poisoned_since(*first)
+        "{late} requests with the part too late; all of them came {:?} ms after the first crash, \
+         the crashes {:?} ms; sound requests {after:?} after {before:?}",
+        setup.poisoned_since(*first),
+        crashes
+            .iter()
+            .map(|it| it.duration_since(*first).as_millis())
+            .collect::<Vec<_>>(),
     );
     println!("{text}");
     assert!(before.0 > 0, "{text}");
