--- a/crates/siskinyoke-dispatch/src/core/retry.rs
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -55,11 +55,13 @@
         Some(started)
     }
 
-    // Returns whether a running request may be sent to another endpoint, apart from the budget.
+    // Returns whether a running request may be sent to another endpoint, apart from the budget. The
+    // response has to end there in time, as the first endpoint may go on at any moment.
     fn may_move(&mut self, now: Millis, request: &ScheduledRequest) -> bool {
+        let latency = self.scheduler.latency_model(&request.service);
         request.route.idempotent()
             && request.attempts + 1 < request.route.max_attempts
-            && now < request.deadline
+            && now + latency.mean_service_time() < request.deadline
             && !self.is_retry_quarantined(now, request)
     }
 
