Soak: requests with a part that crashes endpoints, responses that nobody marks, streams with a pause

The soak had no requests that share a part of their prompts, and none of the responses that tests/unmarked_ends.rs plays.

- two callers whose requests crash the endpoints of the soak, begun and ended by random steps; half of the endpoints respond to them without a length or chunks.
Once all faults have ended and no process has started for 5 s, at most three such requests may reach endpoints later than 3 s after the fifth crash since the last start of a process; from 6 s after it at least half of the sound requests with the same first part are served.
What instances saw before that may be lost with them and does not count.
- a caller of responses without length and chunks, whole, broken off inside an event and between two: none may bear an end mark
- six streams with a pause of 1.3 s after all faults, which have to end complete; whether the endpoint is given up for another one is not checked

The new steps draw from a stream of their own, so that seeds keep their other steps. All requests of callers now name a first part.

The soak was not played on code without the quarantine of parts, and not with two shards.

--- a/crates/siskinyoke-gateway/tests/soak.rs
+++ b/crates/siskinyoke-gateway/tests/soak.rs
@@ -53,8 +53,13 @@
         let report = run::run_seed(seed, program, size);
         println!(
             "seed {seed}: {} requests served, {} not served, {} of {} streams went on, {} rollout \
-             states",
-            report.served, report.unserved, report.went_on, report.resumed, report.rollout_statuses
+             states, {} crashes",
+            report.served,
+            report.unserved,
+            report.went_on,
+            report.resumed,
+            report.rollout_statuses,
+            report.crashes
         );
         assert!(report.served > 0, "seed {seed}: no request was served");
         violations.extend(
--- a/crates/siskinyoke-gateway/tests/stream_versions.rs
+++ b/crates/siskinyoke-gateway/tests/stream_versions.rs
@@ -72,6 +72,7 @@
     // Begins a stream at the first instance, and breaks it off.
     fn begin(&self, id: &str) -> Part {
         let request = StreamRequest {
+            shared_parts: &[],
             id,
             path: "/stream/versioned",
             resumes: None,
@@ -104,6 +105,7 @@
 // Takes a stream up that began as the request with an ID.
 fn take_up(instance: &Instance, id: &str, last_event: u32) -> Part {
     let request = StreamRequest {
+        shared_parts: &[],
         id: &format!("{id}b"),
         path: "/stream/versioned",
         resumes: Some((id, last_event)),
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -5,6 +5,7 @@
 
 use crate::Endpoint;
 use crate::stream::StreamHistory;
+use crate::unmarked;
 
 /// Whether a request may be repeated, and the form of its response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,6 +16,8 @@
     Unsafe,
     /// A resumable event stream: another endpoint may continue it.
     Stream,
+    /// Idempotent, and the endpoint marks no end of its response.
+    Unmarked,
 }
 
 /// The result of one request, as seen by its caller.
@@ -142,8 +145,10 @@
             "{id}: response belongs to another request: {response:?}"
         ));
     }
-    if *kind == RequestKind::Stream {
-        violations.extend(check_stream(id, response));
+    match kind {
+        RequestKind::Stream => violations.extend(check_stream(id, response)),
+        RequestKind::Unmarked => violations.extend(unmarked::check_response(id, response)),
+        RequestKind::Safe | RequestKind::Unsafe => {}
     }
     violations
 }
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -17,6 +17,8 @@
 use crate::checker::Checker;
 use crate::checker::Outcome;
 use crate::checker::RequestKind;
+use crate::poison::FIRST_PART;
+use crate::poison::parts_header;
 
 /// The requests that callers choose from: the kind of each, and its path, which selects how the
 /// endpoint behaves.
@@ -55,7 +57,7 @@
             std::thread::sleep(Duration::from_millis(20));
             continue;
         };
-        let response = exchange(&mut stream, &id, path, close);
+        let response = exchange(&mut stream, &id, path, "body", close);
         let keeps_open =
             response.starts_with("HTTP/1.1") && !response.contains("connection: close");
         if keeps_open && !close {
@@ -65,16 +67,18 @@
     }
 }
 
-// Sends a request and returns the response, truncated if the connection fails or times out.
-fn exchange(stream: &mut TcpStream, id: &str, path: &str, close: bool) -> String {
+/// Sends a request and returns the response, truncated if the connection fails or times out.
+pub fn exchange(stream: &mut TcpStream, id: &str, path: &str, body: &str, close: bool) -> String {
+    let length = body.len();
     let connection_header = if close { "connection: close\r\n" } else { "" };
+    let parts_header = parts_header(&[FIRST_PART], id);
     let timeout = Some(Duration::from_secs(6));
     let sent = stream.set_read_timeout(timeout).and_then(|()| {
         write!(
             stream,
             "POST {path} HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer k1\r\n\
              siskinyoke-request-id: {id}\r\nsiskinyoke-deadline-ms: 4000\r\n\
-             content-length: 4\r\n{connection_header}\r\nbody"
+             content-length: {length}\r\n{parts_header}{connection_header}\r\n{body}"
         )
     });
     let mut response = Vec::new();
--- a/soak/src/endpoint/silent.rs
+++ b/soak/src/endpoint/silent.rs
@@ -43,3 +43,10 @@
         Ok(true)
     }
 }
+
+/// Returns whether a response has all events in order, and its end mark.
+pub fn is_complete(response: &str) -> bool {
+    let events = response.lines().filter_map(|it| it.strip_prefix("data: "));
+    let expected = (1..=EVENT_COUNT).map(|it| it.to_string());
+    events.eq(expected) && response.ends_with("0\r\n\r\n")
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,10 +8,12 @@
 pub mod configuration;
 pub mod endpoint;
 pub mod instance;
+pub mod poison;
 pub mod proxy;
 pub mod run;
 pub mod store;
 pub mod stream;
+pub mod unmarked;
 
 pub use endpoint::Endpoint;
 pub use instance::Instance;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! A seeded run of gateway processes and callers under overlapping faults.
 
 mod checks;
+mod prompt_parts;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,6 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -24,12 +26,15 @@
 use crate::checker::Checker;
 use crate::client;
 use crate::configuration;
+use crate::endpoint::crash::CrashFraming;
+use crate::poison;
 use crate::proxy::Cut;
 use crate::proxy::Fault;
 use crate::run::checks::check_rollout_statuses;
 use crate::store::Availability;
 use crate::store::Copy;
 use crate::stream;
+use crate::unmarked;
 
 /// The number of caller threads.
 const CALLER_COUNT: u64 = 6;
@@ -37,6 +42,9 @@
 /// The number of threads of callers that break streams off and take them up.
 const STREAM_CALLER_COUNT: u64 = 2;
 
+/// The number of threads of callers whose requests crash endpoints.
+const POISONED_CALLER_COUNT: u64 = 2;
+
 /// The size of a run's fleet, and what its endpoints do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FleetSize {
@@ -48,8 +56,8 @@
     pub endpoint_steps: bool,
     /// Whether the store comes back from earlier copies at random.
     pub store_steps: bool,
-    /// Whether instances lose their links to endpoints, and endpoints bear few rejections, at
-    /// random.
+    /// Whether instances lose their links to endpoints, endpoints bear few rejections, and requests
+    /// with a part that crashes endpoints come for a while, at random.
     pub link_steps: bool,
 }
 
@@ -99,6 +107,8 @@
     pub went_on: usize,
     /// How many rollout statuses were written to the store.
     pub rollout_statuses: usize,
+    /// How often endpoints crashed because of a prompt part.
+    pub crashes: usize,
     /// A description of each violated guarantee.
     pub violations: Vec<String>,
 }
@@ -114,6 +124,10 @@
     store_proxies: Vec<Proxy>,
     instances: Vec<Instance>,
     configuration_version: u64,
+    // Whether callers send requests with a part that crashes endpoints.
+    poisoned: Arc<AtomicBool>,
+    // When a process last started, as of the last wait for all of them.
+    stable_since: Instant,
 }
 
 /// Runs the given seed with processes of the given gateway program.
@@ -140,7 +154,17 @@
         let (checker, stop, addresses) = (checker.clone(), stop.clone(), addresses.clone());
         thread::spawn(move || stream::run_caller(seed, caller, &addresses, &checker, &stop))
     });
-    let callers: Vec<_> = callers.into_iter().chain(stream_callers).collect();
+    let poisoned_callers = (0..POISONED_CALLER_COUNT).map(|caller| {
+        let (poisoned, stop, addresses) = (fleet.poisoned.clone(), stop.clone(), addresses.clone());
+        thread::spawn(move || poison::run_caller(seed, caller, &addresses, &poisoned, &stop))
+    });
+    let unmarked_caller = {
+        let (checker, stop, addresses) = (checker.clone(), stop.clone(), addresses.clone());
+        thread::spawn(move || unmarked::run_caller(seed, &addresses, &checker, &stop))
+    };
+    let callers = callers.into_iter().chain(stream_callers);
+    let callers = callers.chain([unmarked_caller]);
+    let callers: Vec<_> = callers.chain(poisoned_callers).collect();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     // The steps of endpoints have a stream of their own, so that seeds keep their other steps.
     let mut endpoint_rng = ChaCha8Rng::seed_from_u64(seed);
@@ -149,6 +173,8 @@
     store_rng.set_stream(2);
     let mut link_rng = ChaCha8Rng::seed_from_u64(seed);
     link_rng.set_stream(3);
+    let mut poison_rng = ChaCha8Rng::seed_from_u64(seed);
+    poison_rng.set_stream(4);
     for _ in 0..STEP_COUNT {
         fleet.run_random_step(&mut rng);
         if size.endpoint_steps {
@@ -159,6 +185,7 @@
         }
         if size.link_steps {
             fleet.run_link_step(&mut link_rng);
+            fleet.run_poison_step(&mut poison_rng);
         }
         thread::sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
     }
@@ -180,6 +207,11 @@
         resumed,
         went_on,
         rollout_statuses: fleet.store.rollout_statuses().len(),
+        crashes: fleet
+            .endpoints
+            .iter()
+            .map(|it| it.crash_times().len())
+            .sum(),
         violations,
     }
 }
@@ -191,6 +223,10 @@
         let endpoints: Vec<Endpoint> = (0..size.endpoints)
             .map(|i| Endpoint::start_with_version(&format!("e{i}"), Some(SERVICE_VERSIONS[i % 2])))
             .collect();
+        for (index, endpoint) in endpoints.iter().enumerate() {
+            let framings = [CrashFraming::Chunked, CrashFraming::Unmarked];
+            endpoint.set_poisoned_parts(&[poison::POISONED_PART], framings[index % 2]);
+        }
         let endpoint_proxies: Vec<Proxy> = endpoints
             .iter()
             .map(|endpoint| Proxy::start(endpoint.address))
@@ -226,6 +262,8 @@
             store_proxies,
             instances,
             configuration_version: 3,
+            poisoned: Arc::default(),
+            stable_since: Instant::now(),
         }
     }
 
@@ -278,6 +316,16 @@
         }
     }
 
+    // Begins or ends requests with a part that crashes endpoints.
+    fn run_poison_step(&mut self, rng: &mut ChaCha8Rng) {
+        self.register_returned();
+        match rng.random_range(0..40) {
+            0 | 1 => self.poisoned.store(true, Ordering::Relaxed),
+            2 => self.poisoned.store(false, Ordering::Relaxed),
+            _ => {}
+        }
+    }
+
     fn set_cut(&self, index: usize, cut: Option<Cut>) {
         let source = self.instances[index].caller_address.ip();
         for proxy in &self.endpoint_proxies {
@@ -387,6 +435,7 @@
         for endpoint in &self.endpoints {
             endpoint.set_brittle(None);
         }
+        self.register_returned();
         self.store.set_availability(Availability::Available);
         for proxy in self.store_proxies.iter().chain(&self.endpoint_proxies) {
             proxy.set_fault(Fault::None);
--- a/soak/src/run/checks.rs
+++ b/soak/src/run/checks.rs
@@ -9,6 +9,7 @@
 use crate::Endpoint;
 use crate::Instance;
 use crate::endpoint::SLOT_COUNT;
+use crate::endpoint::silent;
 use crate::proxy::Cut;
 use crate::run::Fleet;
 use crate::store::RolloutStatus;
@@ -52,6 +53,15 @@
 /// The number of events of each that are received before the instance is killed.
 const STREAM_PROBE_EVENTS: usize = 3;
 
+/// How often processes and endpoints are checked.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time from the restart of all endpoints until streams with a pause begin.
+const PAUSED_STREAM_DELAY: Duration = Duration::from_millis(1_500);
+
+/// The number of these streams.
+const PAUSED_STREAM_COUNT: usize = 6;
+
 /// The number of changes that the store loses in the return from a copy after all faults.
 const WRITES_AFTER_COPY: usize = 20;
 
@@ -64,6 +74,7 @@
             let served = (0..200).any(|_| {
                 thread::sleep(Duration::from_millis(50));
                 self.instances[index].restart_if_exited();
+                self.register_returned();
                 self.instances[index].serves_requests()
             });
             if !served {
@@ -73,6 +84,7 @@
             }
         }
         violations.extend(self.check_propagation());
+        violations.extend(self.check_prompt_parts());
         self.copy = self.store.copy();
         for _ in 0..WRITES_AFTER_COPY {
             self.write_configuration();
@@ -128,6 +140,7 @@
             let request = StreamRequest {
                 id: &format!("{}-resumed", stream.id),
                 path: STREAM_PROBE_PATH,
+                shared_parts: &[],
                 resumes: Some((&stream.id, last_event)),
                 max_events: usize::MAX,
             };
@@ -151,14 +164,15 @@
         for index in 0..self.endpoints.len() {
             self.restart_endpoint(index);
         }
-        thread::sleep(PROPAGATION_TIMEOUT);
+        let start = Instant::now();
+        let mut violations = self.check_silent_streams();
+        thread::sleep(PROPAGATION_TIMEOUT.saturating_sub(start.elapsed()));
         let [first, second, ..] = &*self.endpoints else {
-            return Vec::new();
+            return violations;
         };
         first.reject_for(BACKOFF);
         second.leave();
         thread::sleep(BACKOFF);
-        let mut violations = Vec::new();
         if let Some(announced_at) = first.announced_at() {
             let period = announced_at + ANNOUNCEMENT_SLACK..announced_at + BACKOFF;
             let count = count_received(first, &period);
@@ -179,18 +193,48 @@
         violations
     }
 
+    // Checks that streams with a pause end complete, although no endpoint fails.
+    fn check_silent_streams(&self) -> Vec<String> {
+        thread::sleep(PAUSED_STREAM_DELAY);
+        let responses: Vec<_> = thread::scope(|scope| {
+            let calls = (0..PAUSED_STREAM_COUNT).map(|number| {
+                let instance = &self.instances[number % self.instances.len()];
+                scope.spawn(move || {
+                    let id = format!("silent-{number}");
+                    instance.call(&id, "/stream/silent", "", &id)
+                })
+            });
+            let calls: Vec<_> = calls.collect();
+            calls.into_iter().filter_map(|it| it.join().ok()).collect()
+        });
+        let broken = responses.iter().filter(|it| !silent::is_complete(it));
+        broken
+            .map(|it| format!("a stream with a pause broke off: {it:?}"))
+            .collect()
+    }
+
     // Waits until no instance has exited for `STABLE_PERIOD`. An instance may take a while to exit
     // after SIGTERM.
     fn wait_until_stable(&mut self) {
         let mut stable_since = Instant::now();
         while stable_since.elapsed() < STABLE_PERIOD {
-            thread::sleep(Duration::from_millis(50));
+            self.pause(POLL_INTERVAL);
             for instance in &mut self.instances {
                 if instance.restart_if_exited() {
                     stable_since = Instant::now();
                 }
             }
         }
+        self.stable_since = stable_since;
+    }
+
+    // Waits, and writes the entries of endpoints that come back from a crash.
+    fn pause(&mut self, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            thread::sleep(POLL_INTERVAL);
+            self.register_returned();
+        }
     }
 
     // Checks that a new configuration is in use at every instance after `PROPAGATION_TIMEOUT`,
@@ -198,7 +242,7 @@
     fn check_propagation(&mut self) -> Vec<String> {
         self.wait_until_stable();
         self.write_configuration();
-        thread::sleep(PROPAGATION_TIMEOUT);
+        self.pause(PROPAGATION_TIMEOUT);
         let is_outdated =
             |instance: &&Instance| active_version(instance) != Some(self.configuration_version);
         let outdated = self.instances.iter().filter(is_outdated);
@@ -254,6 +298,7 @@
         let request = StreamRequest {
             id: &id,
             path: STREAM_PROBE_PATH,
+            shared_parts: &[],
             resumes: None,
             max_events: STREAM_PROBE_EVENTS,
         };
--- a/soak/src/stream.rs
+++ b/soak/src/stream.rs
@@ -18,6 +18,8 @@
 
 use crate::checker::Checker;
 use crate::endpoint::versioned::EVENT_COUNT;
+use crate::poison::FIRST_PART;
+use crate::poison::parts_header;
 
 /// The paths of streams whose events name the version of their endpoint; the second breaks off once
 /// at its endpoint.
@@ -79,6 +81,8 @@
     pub id: &'a str,
     /// The path, which selects how endpoints respond.
     pub path: &'a str,
+    /// The parts of its prompt that other requests share.
+    pub shared_parts: &'a [&'a str],
     /// The request that began the stream, and the last event received of it.
     pub resumes: Option<(&'a str, u32)>,
     /// The number of events after which the caller breaks off.
@@ -101,12 +105,13 @@
             format!("resumes: {id}\r\nlast-event-id: {event}\r\n")
         });
         let Self { id, path, .. } = self;
+        let parts = parts_header(self.shared_parts, id);
         // The bodies differ, as content that broke connections is held back for all callers.
         write!(
             stream,
             "POST {path} HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer k1\r\n\
              siskinyoke-request-id: {id}\r\nsiskinyoke-deadline-ms: 4000\r\n\
-             connection: close\r\ncontent-length: {}\r\n{resumption}\r\n{id}",
+             connection: close\r\ncontent-length: {}\r\n{parts}{resumption}\r\n{id}",
             id.len()
         )?;
         let mut buffer = [0; 2048];
@@ -196,6 +201,7 @@
         let request = StreamRequest {
             id: &id,
             path,
+            shared_parts: &[FIRST_PART],
             resumes: (last_event > 0).then_some((&*history.id, last_event)),
             max_events: rng.random_range(1..12),
         };
