Prompt parts: reports fit into a datagram, and old responses are forgotten

Sixteen parts with sixteen crashes each could have made a full report too large to be sent; a report carries 96 crashes at most. Responses of endpoints were pruned only while a part was suspected.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -370,6 +370,7 @@
         self.scheduler.sweep_lent_slots(now);
         self.scheduler.prune_shares(now);
         self.relays.sweep(now);
+        self.part_quarantine.prune(now);
         self.links.retain_services(&self.registry.services());
     }
 
--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -51,7 +51,8 @@
 const TRIAL_DELAY: Millis = Millis::from_secs(30);
 
 /// How long after the last crash the first request is tried with a part whose crashes other parts
-/// explain, or with which responses were completed before. The delay doubles with each trial that fails.
+/// explain, or with which responses were completed before. The delay doubles with each trial that
+/// fails.
 const EXPLAINED_TRIAL_DELAY: Millis = Millis::from_secs(3);
 
 /// How often the trial delay doubles at most.
@@ -75,6 +76,9 @@
 /// The maximum number of parts in a report.
 const MAX_REPORTED_PARTS: usize = 16;
 
+/// The maximum number of their crashes in a report, so that it fits into a datagram.
+const MAX_REPORTED_CRASHES: usize = 96;
+
 /// A part that was quarantined or released.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PartChange {
@@ -225,6 +229,10 @@
         let quarantined = self.unsound_parts(now.since(CONFIRMATION_DELAY), doubt);
         let before = std::mem::replace(&mut self.quarantined, quarantined);
         self.record_changes(&before);
+    }
+
+    /// Forgets what is too old to matter.
+    pub fn prune(&mut self, now: Millis) {
         self.records.retain(|_, it| !it.is_expired(now, RECORD_TTL));
         self.responses
             .retain(|_, sent_at| now.since(*sent_at) < RECORD_TTL);
@@ -245,7 +253,12 @@
         });
         all.truncate(MAX_REPORTED_PARTS);
         let rows = all.into_iter();
+        let mut crash_count = 0;
         rows.map(|(part, record)| record.report_row(now, *part, doubt))
+            .take_while(|row| {
+                crash_count += row.crashes.len();
+                crash_count <= MAX_REPORTED_CRASHES
+            })
             .collect()
     }
 
