Callers and relays: every refusal before the body says that its connection closes

Found by the review of the causes of lost responses: a process without a configuration, or out of memory for held requests, refused before the body was read and did not say that the connection closes, and so did relays on the peers' port.

a_refusal_without_a_configuration_ends_its_connection_only_if_it_says_so fails without the change (503, no connection: close) and passes with it. The body is discarded frame by frame and no longer collected.

--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -141,7 +141,8 @@
         Ok(received) => received,
         Err(refusal) => {
             let id = shell.interface.exchange.request_id(&parts);
-            return refuse(shell, RefusalInfo::unrouted(id), refusal);
+            let response = refuse(shell, RefusalInfo::unrouted(id), refusal);
+            return unread_body::closing(response);
         }
     };
     if let Some(refused) = check_head_size(shell, &parts, limits) {
--- a/crates/siskinyoke-gateway/src/relay/server.rs
+++ b/crates/siskinyoke-gateway/src/relay/server.rs
@@ -37,6 +37,7 @@
 use crate::pool::PooledConnection;
 use crate::response;
 use crate::response::ResponseBody;
+use crate::unread_body;
 use siskinyoke_base::Clock;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::EndpointKey;
@@ -76,7 +77,10 @@
     ) -> Result<Response<ResponseBody>, LinkLostError> {
         let (endpoint, body_size) = match self.admit(peer, &request) {
             Ok(admitted) => admitted,
-            Err(reason) => return Ok(self.refuse(peer, reason)),
+            Err(reason) => {
+                let refusal = self.refuse(peer, reason);
+                return Ok(unread_body::respond_before(refusal, request.into_body()).await);
+            }
         };
         let in_flight = Counted::new(&self.in_flight, 1);
         let held_bytes = Counted::new(&self.held_bytes, body_size);
@@ -84,7 +88,7 @@
         let id = self.exchange.request_id(&parts).map(str::to_owned);
         let reuse = Reuse::denied_if(parts.headers.contains_key(NEW_CONNECTION_HEADER));
         let Some(request) = read(parts, body, body_size).await else {
-            return Ok(self.refuse(peer, "body"));
+            return Ok(unread_body::closing(self.refuse(peer, "body")));
         };
         let sent_at = BootClock.now();
         let reply = match self.client.send_pooled(&endpoint, request, reuse).await {
--- a/crates/siskinyoke-gateway/src/unread_body.rs
+++ b/crates/siskinyoke-gateway/src/unread_body.rs
@@ -21,13 +21,11 @@
 /// The connection can be used further only after the body, so the response says that it is closed
 /// where the body does not arrive at once.
 pub async fn respond_before<B>(response: Response<B>, body: Incoming) -> Response<B> {
-    let discarded = timeout(
-        DISCARD_TIMEOUT,
-        Limited::new(body, MAX_DISCARDED_BYTES).collect(),
-    );
-    match discarded.await {
-        Ok(Ok(_)) => response,
-        Ok(Err(_)) | Err(_) => closing(response),
+    let discarded = timeout(DISCARD_TIMEOUT, discard(body)).await;
+    if discarded.unwrap_or(false) {
+        response
+    } else {
+        closing(response)
     }
 }
 
@@ -37,3 +35,14 @@
     response.headers_mut().insert(header::CONNECTION, close);
     response
 }
+
+// Returns whether the whole body was discarded.
+async fn discard(body: Incoming) -> bool {
+    let mut body = Limited::new(body, MAX_DISCARDED_BYTES);
+    while let Some(frame) = body.frame().await {
+        if frame.is_err() {
+            return false;
+        }
+    }
+    true
+}
--- a/crates/siskinyoke-gateway/tests/kept_connections.rs
+++ b/crates/siskinyoke-gateway/tests/kept_connections.rs
@@ -17,6 +17,7 @@
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
 use siskinyoke_soak::instance::http_get;
+use siskinyoke_soak::instance::wait_until;
 
 /// The number of connections of each test.
 const CONNECTION_COUNT: usize = 20;
@@ -377,3 +378,24 @@
     send_all(std::slice::from_mut(&mut stream), REQUEST);
     assert!(response_text(&mut stream).starts_with("HTTP/1.1 200"));
 }
+
+// As above, before a configuration is known.
+#[test]
+fn a_refusal_without_a_configuration_ends_its_connection_only_if_it_says_so() {
+    let store = Store::start();
+    let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
+    let instance = Instance::start(program, "i1", store.address);
+    wait_until("the instance listens", || {
+        TcpStream::connect(instance.caller_address).is_ok()
+    });
+    let mut stream = instance.connect();
+    let head = REQUEST.replace("GET /safe/a", "POST /safe/a");
+    let head = head.replace(
+        "-ms: 4000\r\n\r\n",
+        "-ms: 800\r\ncontent-length: 500\r\n\r\n",
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let refusal = response_text(&mut stream);
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    assert!(refusal.contains("connection: close"), "{refusal}");
+}
