--- a/crates/siskinyoke-gateway/tests/silent_streams.rs
+++ b/crates/siskinyoke-gateway/tests/silent_streams.rs
@@ -9,7 +9,7 @@
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
-use siskinyoke_soak::endpoint::silent::EVENT_COUNT;
+use siskinyoke_soak::endpoint::silent::is_complete;
 use siskinyoke_soak::instance::wait_until;
 
 const INSTANCE_COUNT: usize = 3;
@@ -78,12 +78,6 @@
     }
 }
 
-fn is_complete(response: &str) -> bool {
-    let events = response.lines().filter_map(|it| it.strip_prefix("data: "));
-    let expected = (1..=EVENT_COUNT).map(|it| it.to_string());
-    events.eq(expected) && response.ends_with("0\r\n\r\n")
-}
-
 // Guards against sound streams that are cut because a slot for their retry was taken by others.
 #[test]
 fn a_stream_that_is_silent_for_a_while_is_never_cut() {
--- a/soak/src/endpoint/silent.rs
+++ b/soak/src/endpoint/silent.rs
@@ -11,7 +11,7 @@
 use super::write_chunk;
 
 /// The number of events of a stream.
-pub const EVENT_COUNT: u32 = 4;
+const EVENT_COUNT: u32 = 4;
 
 /// The pause before each event.
 const EVENT_INTERVAL: Duration = Duration::from_millis(60);
