Quarantine: a request that an endpoint completes is cleared at all instances

Cause: a complete response cleared the request only at the instance that saw it. The others went on to report the crash, so it came back there with the next report, and instances that completed nothing in the meantime held it for good.

Change: reports name requests that were completed although they ran beside crashes. Crashes that were cleared are remembered and not taken from reports again. A request that was completed before needs five crashes, of which those at one moment count once; two as before for any other. A crash is dropped, too, when the endpoint responds to a later request, as for parts of prompts. Ends that nobody marked clear nothing.

--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -72,7 +72,7 @@
         if let LinkChange::Lost(since) = change {
             let eligible = self.registry.eligible(&endpoint.service);
             self.scheduler.forget_failures(eligible);
-            self.quarantine.forget_since(since);
+            self.quarantine.links_lost(since);
             self.part_quarantine.links_lost(since);
         }
         Some(change)
--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -104,8 +104,8 @@
         match outcome {
             Outcome::ConnectionLost => self.record_crash(now, request, attempt),
             Outcome::Completed { .. } => {
-                self.quarantine.clear(request.fingerprint);
                 if attempt.confirmed {
+                    self.quarantine.record_sound(now, request.fingerprint);
                     self.part_quarantine
                         .record_sound(now, &request.prompt_parts);
                 }
@@ -118,8 +118,10 @@
 
     // Records that an endpoint responded to a request, and so has not crashed since.
     pub(super) fn record_endpoint_response(&mut self, attempt: RunningAttempt) {
+        let endpoint = attempt.endpoint.short_key();
+        self.quarantine.record_response(endpoint, attempt.sent_at);
         self.part_quarantine
-            .record_response(attempt.endpoint.short_key(), attempt.sent_at);
+            .record_response(endpoint, attempt.sent_at);
     }
 
     pub(super) fn part_rows(&self, now: Millis) -> Vec<PartRow> {
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -40,6 +40,7 @@
         self.record_peer_limits(now, &report.limits);
         self.record_peer_rejection_limits(now, &report);
         self.part_quarantine.merge(now, &report.prompt_parts);
+        self.quarantine.merge_sound(now, &report.sound_requests);
         if !in_shard {
             self.peers.remove(incarnation);
             return false;
@@ -92,12 +93,8 @@
                 self.reported_departures.push(*key);
             }
         }
-        for (fingerprint, endpoints) in &info.quarantine {
-            for endpoint in endpoints {
-                // Peers report crashes once their links are proven to work.
-                self.quarantine.record_crash(now, *fingerprint, *endpoint);
-            }
-        }
+        // Peers report crashes once their links are proven to work.
+        self.quarantine.merge_crashes(now, &info.quarantine);
     }
 
     /// Builds the next report to peers, including rarely changing information if `full` is set.
@@ -133,6 +130,11 @@
             } else {
                 Vec::new()
             },
+            sound_requests: if full {
+                self.quarantine.sound_rows(now, MAX_REPORTED_QUARANTINE)
+            } else {
+                Vec::new()
+            },
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/part_quarantine/crash_list.rs
+++ b/crates/siskinyoke-dispatch/src/crash_list.rs
@@ -1,10 +1,10 @@
-//! Crashes of endpoints under one part.
+//! Crashes of endpoints under one request or prompt part.
 
-use super::part_record::age;
+use crate::report;
 use crate::report::PartCrashRow;
 use siskinyoke_base::Millis;
 
-/// The maximum number of crashes kept for a part.
+/// The maximum number of crashes kept.
 const MAX_CRASHES: usize = 16;
 
 /// Crashes that are this close together count as one: endpoints that fail at the same moment more
@@ -13,7 +13,7 @@
 
 /// What is known of a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum CrashState {
+pub(crate) enum CrashState {
     /// The endpoint broke the connection.
     Observed,
     /// The links of this instance were lost at the time, so that they may have broken.
@@ -22,20 +22,20 @@
     Confirmed,
 }
 
-/// The crash of an endpoint while it ran a request with the part.
+/// The crash of an endpoint while it ran a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct PartCrash {
+pub(crate) struct Crash {
     /// The endpoint start, by its short key.
-    pub(super) endpoint: u32,
-    pub(super) at: Millis,
-    /// Whether one of the requests had no part after this one that other requests may share.
-    pub(super) alone: bool,
-    pub(super) state: CrashState,
+    pub(crate) endpoint: u32,
+    pub(crate) at: Millis,
+    /// Whether one of the requests had no part after the suspected one that other requests may share.
+    pub(crate) alone: bool,
+    pub(crate) state: CrashState,
 }
 
-impl PartCrash {
+impl Crash {
     /// Returns a crash that a peer reports.
-    pub(super) fn from_row(now: Millis, row: PartCrashRow) -> Self {
+    pub(crate) fn from_row(now: Millis, row: PartCrashRow) -> Self {
         Self {
             endpoint: row.endpoint,
             at: now.since(Millis(row.age.into())),
@@ -54,10 +54,10 @@
     }
 
     /// Returns its row for a report.
-    pub(super) fn to_row(self, now: Millis) -> PartCrashRow {
+    pub(crate) fn to_row(self, now: Millis) -> PartCrashRow {
         PartCrashRow {
             endpoint: self.endpoint,
-            age: age(now, self.at),
+            age: report::age(now, self.at),
             alone: self.alone,
         }
     }
@@ -65,11 +65,11 @@
 
 /// Crashes of endpoint starts, in the order in which they were recorded.
 #[derive(Debug, Clone, Default)]
-pub(super) struct CrashList(Vec<PartCrash>);
+pub(crate) struct CrashList(Vec<Crash>);
 
 impl CrashList {
     /// Adds the crash of an endpoint start, or what is new of it.
-    pub(super) fn add(&mut self, crash: PartCrash) {
+    pub(crate) fn add(&mut self, crash: Crash) {
         let mut known = self.0.iter_mut();
         if let Some(known) = known.find(|it| it.endpoint == crash.endpoint) {
             known.alone |= crash.alone;
@@ -83,13 +83,13 @@
     }
 
     /// Removes the crash of an endpoint that responded to a request sent after it.
-    pub(super) fn acquit(&mut self, endpoint: u32, sent_at: Millis) {
+    pub(crate) fn acquit(&mut self, endpoint: u32, sent_at: Millis) {
         self.0
             .retain(|it| it.endpoint != endpoint || it.at >= sent_at);
     }
 
     /// Marks the crashes since the links were lost.
-    pub(super) fn links_lost(&mut self, since: Millis) {
+    pub(crate) fn links_lost(&mut self, since: Millis) {
         let observed = self.0.iter_mut();
         for crash in observed.filter(|it| it.at >= since && it.state == CrashState::Observed) {
             crash.state = CrashState::LinksLost;
@@ -97,54 +97,54 @@
     }
 
     /// Marks the crashes of endpoints that are gone.
-    pub(super) fn confirm(&mut self, is_gone: &impl Fn(u32) -> bool) {
+    pub(crate) fn confirm(&mut self, is_gone: &impl Fn(u32) -> bool) {
         for crash in self.0.iter_mut().filter(|it| is_gone(it.endpoint)) {
             crash.state = CrashState::Confirmed;
         }
     }
 
-    pub(super) fn retain_after(&mut self, start: Millis) {
+    pub(crate) fn retain_after(&mut self, start: Millis) {
         self.0.retain(|it| it.at > start);
     }
 
     /// Returns the crashes that count if the links of this instance are in doubt since `doubt`.
-    pub(super) fn counted(&self, doubt: Option<Millis>) -> Self {
+    pub(crate) fn counted(&self, doubt: Option<Millis>) -> Self {
         let rows = self.iter().filter(|it| it.counts(doubt));
         Self(rows.collect())
     }
 
     /// Returns the crashes before `end`.
-    pub(super) fn before(&self, end: Millis) -> Self {
+    pub(crate) fn before(&self, end: Millis) -> Self {
         let rows = self.iter().filter(|it| it.at < end);
         Self(rows.collect())
     }
 
     /// Returns the crashes of endpoints that `other` does not contain.
-    pub(super) fn without(&self, other: &Self) -> Self {
+    pub(crate) fn without(&self, other: &Self) -> Self {
         let rows = self.iter().filter(|it| !other.contains(it.endpoint));
         Self(rows.collect())
     }
 
     /// Returns the crashes under requests without a later part.
-    pub(super) fn alone(&self) -> Self {
+    pub(crate) fn alone(&self) -> Self {
         let rows = self.iter().filter(|it| it.alone);
         Self(rows.collect())
     }
 
-    pub(super) fn extend(&mut self, other: &Self) {
+    pub(crate) fn extend(&mut self, other: &Self) {
         self.0.extend(&other.0);
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = PartCrash> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = Crash> {
         self.0.iter().copied()
     }
 
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.0.len()
     }
 
     /// Returns the number of crashes, of which those at the same moment count as one.
-    pub(super) fn distinct_count(&self) -> usize {
+    pub(crate) fn distinct_count(&self) -> usize {
         let mut times: Vec<Millis> = self.iter().map(|it| it.at).collect();
         times.sort_unstable();
         let mut last: Option<Millis> = None;
@@ -159,11 +159,12 @@
     }
 
     /// Returns the time of the latest crash.
-    pub(super) fn last(&self) -> Option<Millis> {
+    pub(crate) fn last(&self) -> Option<Millis> {
         self.iter().map(|it| it.at).max()
     }
 
-    fn contains(&self, endpoint: u32) -> bool {
+    /// Returns whether it contains the crash of an endpoint.
+    pub(crate) fn contains(&self, endpoint: u32) -> bool {
         self.iter().any(|it| it.endpoint == endpoint)
     }
 }
--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -6,18 +6,18 @@
 //! of them explains do not count against the others.
 
 mod candidate;
-mod crash_list;
 mod part_record;
 
 use std::cmp::Reverse;
 
 use self::candidate::Candidate;
-use self::crash_list::CrashList;
-use self::crash_list::CrashState;
-use self::crash_list::PartCrash;
 use self::part_record::PartRecord;
 use crate::PromptPart;
 use crate::PromptParts;
+use crate::crash_list::Crash;
+use crate::crash_list::CrashList;
+use crate::crash_list::CrashState;
+use crate::recent_successes::RecentSuccesses;
 use crate::report::PartRow;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
@@ -67,10 +67,7 @@
 /// The maximum number of parts kept; those with the fewest crashes are evicted first.
 const MAX_RECORDS: usize = 256;
 
-/// The maximum number of parts kept with which responses were completed.
-const MAX_SOUND_PARTS: usize = 4_096;
-
-/// How long these are kept after the last response.
+/// How long a part with which a response was completed counts as sound before.
 const SOUND_TTL: Millis = Millis::from_secs(600);
 
 /// The maximum number of parts in a report.
@@ -100,11 +97,11 @@
 }
 
 /// Parts of prompts that were being processed when endpoints crashed.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PartQuarantine {
     records: Map<PromptPart, PartRecord>,
-    // When the latest response was completed here with each part.
-    sound: Map<PromptPart, Millis>,
+    // The parts with which responses were completed here.
+    sound: RecentSuccesses<PromptPart>,
     // When the latest request was sent to which each endpoint has responded, by short key.
     responses: Map<u32, Millis>,
     quarantined: Vec<UnsoundPart>,
@@ -112,6 +109,19 @@
     checked_at: Option<Millis>,
 }
 
+impl Default for PartQuarantine {
+    fn default() -> Self {
+        Self {
+            records: Map::default(),
+            sound: RecentSuccesses::new(SOUND_TTL),
+            responses: Map::default(),
+            quarantined: Vec::new(),
+            changes: Vec::new(),
+            checked_at: None,
+        }
+    }
+}
+
 impl PartQuarantine {
     /// Records that an endpoint crashed, or broke the connection, while it ran a request with these
     /// parts.
@@ -120,7 +130,7 @@
         for (position, part) in parts.positions() {
             let record = self.record_mut(now, part, position);
             record.failed_trials += u32::from(record.trial.take().is_some());
-            record.crashes.add(PartCrash {
+            record.crashes.add(Crash {
                 endpoint,
                 at: now,
                 alone: Some(part) == last,
@@ -133,14 +143,11 @@
     /// Records a response that shows that endpoints bear these parts.
     pub fn record_sound(&mut self, now: Millis, parts: &PromptParts) {
         for part in parts.iter() {
-            self.sound.insert(part, now);
+            self.sound.insert(now, part);
             if let Some(record) = self.records.get_mut(&part) {
                 record.clear(now);
             }
         }
-        if self.sound.len() > MAX_SOUND_PARTS {
-            self.evict_sound(now);
-        }
     }
 
     /// Records that an endpoint responded to a request sent at `sent_at`, so that what broke its
@@ -270,7 +277,7 @@
                 record.clear(now.since(Millis(age.into())));
             }
             for crash in &row.crashes {
-                let crash = PartCrash::from_row(now, *crash);
+                let crash = Crash::from_row(now, *crash);
                 let responded = self.responses.get(&crash.endpoint);
                 if responded.is_none_or(|sent_at| *sent_at <= crash.at) {
                     self.record_mut(now, row.part, row.position)
@@ -319,7 +326,7 @@
                 part: *part,
                 position: record.position,
                 crashes: record.crashes.counted(doubt).before(end),
-                was_sound: self.sound.contains_key(part),
+                was_sound: self.sound.get(*part).is_some(),
             })
             .filter(|it| it.is_unsound(&it.crashes))
             .collect();
@@ -354,16 +361,6 @@
         }
     }
 
-    fn evict_sound(&mut self, now: Millis) {
-        self.sound.retain(|_, at| now.since(*at) < SOUND_TTL);
-        if self.sound.len() > MAX_SOUND_PARTS {
-            let mut times: Vec<Millis> = self.sound.values().copied().collect();
-            times.sort_unstable();
-            let median = times[times.len() / 2];
-            self.sound.retain(|_, at| *at > median);
-        }
-    }
-
     fn evict(&mut self, now: Millis) {
         self.records.retain(|_, it| !it.is_expired(now, RECORD_TTL));
         while self.records.len() > MAX_RECORDS {
--- a/crates/siskinyoke-dispatch/src/part_quarantine/candidate.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/candidate.rs
@@ -2,8 +2,8 @@
 
 use super::CRASHES_TO_QUARANTINE;
 use super::MAX_TOLERATED_CRASHES;
-use super::crash_list::CrashList;
 use crate::PromptPart;
+use crate::crash_list::CrashList;
 
 /// A part that may have to be quarantined.
 #[derive(Debug)]
--- a/crates/siskinyoke-dispatch/src/part_quarantine/part_record.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/part_record.rs
@@ -1,9 +1,10 @@
 //! What is known of one part.
 
-use super::crash_list::CrashList;
-use super::crash_list::PartCrash;
 use crate::PromptPart;
+use crate::crash_list::Crash;
+use crate::crash_list::CrashList;
 use crate::report::PartRow;
+use crate::report::age;
 use siskinyoke_base::Millis;
 
 /// What is known of one part.
@@ -42,7 +43,7 @@
     }
 
     /// Adds a crash that a peer reports, unless the part was cleared since.
-    pub(super) fn add_reported(&mut self, crash: PartCrash) {
+    pub(super) fn add_reported(&mut self, crash: Crash) {
         if self.sound_at.is_none_or(|sound_at| sound_at < crash.at) {
             self.crashes.add(crash);
         }
@@ -81,8 +82,3 @@
         }
     }
 }
-
-/// Returns the time since `at` in ms, as sent in reports.
-pub(super) fn age(now: Millis, at: Millis) -> u32 {
-    u32::try_from(now.since(at).0).unwrap_or(u32::MAX)
-}
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -1,5 +1,16 @@
 //! Quarantine of poison requests, which crash the endpoints that run them.
+//!
+//! All requests that run at an endpoint when it crashes are suspected. A complete response clears a
+//! request, at all instances.
 
+mod request_record;
+
+use std::cmp::Reverse;
+
+use self::request_record::RequestRecord;
+use crate::recent_successes::RecentSuccesses;
+use crate::report::SoundRequestRow;
+use crate::report::age;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
@@ -10,61 +21,86 @@
 /// limit of two leaves a margin for retries that start before a crash is reported to all instances.
 const CRASHES_TO_QUARANTINE: usize = 2;
 
+/// The number of crashes after which a request is quarantined that an endpoint has completed before.
+///
+/// A poison request completes nowhere, so the cause is likelier another one.
+const CRASHES_OF_SOUND_REQUEST: usize = 5;
+
 /// How long a request stays quarantined after its last crash.
 const RECORD_TTL: Millis = Millis::from_secs(120);
 
 /// The maximum number of fingerprints kept; the one with the oldest crash is evicted first.
 const MAX_FINGERPRINTS: usize = 256;
 
-#[derive(Debug, Clone, Default)]
-struct CrashRecord {
-    // Endpoint starts that crashed while running the request, by short key. Instances report these
-    // rather than a count: if three instances each saw one crash at the same time, merged counts
-    // would remain at one.
-    endpoints: Vec<u32>,
-    // When the last crash was recorded.
-    last_crash: Millis,
-}
-
 /// Fingerprints of requests that were running when endpoints crashed.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantine {
-    records: Map<u64, CrashRecord>,
+    records: Map<u64, RequestRecord>,
+    // The requests that were completed, here or as far as peers report it.
+    sound: RecentSuccesses<u64>,
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        Self {
+            records: Map::default(),
+            sound: RecentSuccesses::new(RECORD_TTL),
+        }
+    }
 }
 
 impl Quarantine {
-    /// Records that an endpoint crashed while it ran a request, as observed here or reported by a
-    /// peer, and returns whether the request is quarantined for it.
+    /// Records that an endpoint crashed while it ran a request, and returns whether the crashes
+    /// suffice to quarantine a request that was not completed before.
     pub fn record_crash(&mut self, now: Millis, fingerprint: u64, endpoint: u32) -> bool {
-        let record = self.records.entry(fingerprint).or_default();
-        if record.endpoints.len() >= CRASHES_TO_QUARANTINE || record.endpoints.contains(&endpoint) {
-            return false;
-        }
-        record.endpoints.push(endpoint);
-        record.last_crash = now;
-        let quarantined = record.endpoints.len() >= CRASHES_TO_QUARANTINE;
+        let record = self.record_mut(fingerprint);
+        record.add(now, endpoint);
+        let suspected = record.crashes.len() >= CRASHES_TO_QUARANTINE;
         self.evict_oldest();
-        quarantined
+        suspected
+    }
+
+    /// Adds the crashes that a peer reports.
+    pub fn merge_crashes(&mut self, now: Millis, rows: &[(u64, Vec<u32>)]) {
+        for (fingerprint, endpoints) in rows {
+            let record = self.record_mut(*fingerprint);
+            for endpoint in endpoints {
+                record.add_reported(now, *endpoint);
+            }
+            self.evict_oldest();
+        }
     }
 
-    /// Forgets a request that ran to completion.
-    pub fn clear(&mut self, fingerprint: u64) {
-        self.records.remove(&fingerprint);
+    /// Records that a request ran to completion.
+    pub fn record_sound(&mut self, now: Millis, fingerprint: u64) {
+        self.sound.insert(now, fingerprint);
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.clear(now);
+        }
+    }
+
+    /// Records that an endpoint responded to a request sent at `sent_at`, so that what broke its
+    /// connections before that was no crash.
+    pub fn record_response(&mut self, endpoint: u32, sent_at: Millis) {
+        for record in self.records.values_mut() {
+            record.acquit(endpoint, sent_at);
+        }
     }
 
-    /// Forgets the requests whose last crash was recorded at this time or later.
-    pub fn forget_since(&mut self, since: Millis) {
-        self.records.retain(|_, it| it.last_crash < since);
+    /// Records that the links of this instance were lost at this time, so that the crashes observed
+    /// since then do not count.
+    pub fn links_lost(&mut self, since: Millis) {
+        for record in self.records.values_mut() {
+            record.crashes.links_lost(since);
+        }
     }
 
     /// Returns whether a request must not be run. If the links of this instance are in doubt, the
     /// crashes recorded since then do not count yet.
     pub fn is_quarantined(&self, now: Millis, fingerprint: u64, doubt: Option<Millis>) -> bool {
-        self.records.get(&fingerprint).is_some_and(|it| {
-            it.endpoints.len() >= CRASHES_TO_QUARANTINE
-                && now.since(it.last_crash) < RECORD_TTL
-                && doubt.is_none_or(|since| it.last_crash < since)
-        })
+        self.records
+            .get(&fingerprint)
+            .is_some_and(|it| !it.is_expired(now, RECORD_TTL) && it.is_unsound(doubt))
     }
 
     /// Returns whether no crashes are recorded.
@@ -74,12 +110,50 @@
 
     /// Returns the most recent crashes, which are reported to peers, latest first.
     pub fn recent_crashes(&self, limit: usize) -> Vec<(u64, Vec<u32>)> {
-        let mut all: Vec<_> = self.records.iter().collect();
-        all.sort_by_key(|(key, record)| (std::cmp::Reverse(record.last_crash), **key));
-        all.iter()
-            .take(limit)
-            .map(|(fingerprint, record)| (**fingerprint, record.endpoints.clone()))
-            .collect()
+        let records = self.latest_records().into_iter();
+        let rows = records.map(|(fingerprint, record)| {
+            let crashes = record.crashes.counted(None);
+            (fingerprint, crashes.iter().map(|it| it.endpoint).collect())
+        });
+        let rows = rows.filter(|row: &(u64, Vec<u32>)| !row.1.is_empty());
+        rows.take(limit).collect()
+    }
+
+    /// Returns the requests that were completed although they ran beside crashes, the latest crashes
+    /// first.
+    pub fn sound_rows(&self, now: Millis, limit: usize) -> Vec<SoundRequestRow> {
+        let records = self.latest_records().into_iter();
+        let rows = records.filter_map(|(fingerprint, record)| {
+            Some(SoundRequestRow {
+                fingerprint,
+                age: age(now, record.sound_at?),
+            })
+        });
+        rows.take(limit).collect()
+    }
+
+    /// Adds the requests that a peer reports as completed.
+    pub fn merge_sound(&mut self, now: Millis, rows: &[SoundRequestRow]) {
+        for row in rows {
+            let at = now.since(Millis(row.age.into()));
+            self.record_sound(at, row.fingerprint);
+        }
+    }
+
+    // Returns the records, those with the latest crashes first.
+    fn latest_records(&self) -> Vec<(u64, &RequestRecord)> {
+        let records = self.records.iter();
+        let mut all: Vec<_> = records.map(|(key, record)| (*key, record)).collect();
+        all.sort_by_key(|(fingerprint, record)| (Reverse(record.last_crash), *fingerprint));
+        all
+    }
+
+    // Returns the record of a request.
+    fn record_mut(&mut self, fingerprint: u64) -> &mut RequestRecord {
+        let sound_at = self.sound.get(fingerprint);
+        let record = self.records.entry(fingerprint).or_default();
+        record.sound_at = record.sound_at.max(sound_at);
+        record
     }
 
     fn evict_oldest(&mut self) {
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -9,6 +9,7 @@
 use crate::PromptPart;
 use crate::scheduled_request::QueueOrder;
 use crate::stable_hash;
+use siskinyoke_base::Millis;
 use siskinyoke_base::Revision;
 
 /// The current state of one instance, sent to its peers many times a second.
@@ -67,6 +68,9 @@
     /// Prompt parts that were being processed when endpoints crashed, included in a few reports a
     /// second. Reports of earlier versions end before it.
     pub prompt_parts: Vec<PartRow>,
+    /// Requests that were completed although they ran beside crashes, included in a few reports a
+    /// second. Reports of earlier versions end before it.
+    pub sound_requests: Vec<SoundRequestRow>,
 }
 
 impl Report {
@@ -196,6 +200,15 @@
     pub alone: bool,
 }
 
+/// A request that was completed although it ran beside crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SoundRequestRow {
+    /// Its fingerprint.
+    pub fingerprint: u64,
+    /// The time since it was last completed, in ms.
+    pub age: u32,
+}
+
 /// Slot time of organisations at one service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceShareRows {
@@ -290,3 +303,8 @@
 pub fn short_hash(name: &str) -> u32 {
     (stable_hash(&name) >> 32) as u32
 }
+
+/// Returns the time since `at` in ms, as sent in reports.
+pub(crate) fn age(now: Millis, at: Millis) -> u32 {
+    u32::try_from(now.since(at).0).unwrap_or(u32::MAX)
+}
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -214,6 +214,7 @@
         shares: Vec::new(),
         canary_slices: Vec::new(),
         prompt_parts: Vec::new(),
+        sound_requests: Vec::new(),
     }
 }
 
