Quarantine: a request that crashes endpoints again is quarantined again

Crashes older than the quarantine are now dropped when a new one is recorded, and are no longer reported to peers.

The new test fails before and passes.

--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -156,10 +156,10 @@
 
     // Returns the latest crashes for reports. While links are in doubt, broken connections may be
     // the fault of this instance.
-    pub(super) fn reported_crashes(&self, limit: usize) -> Vec<(u64, Vec<u32>)> {
+    pub(super) fn reported_crashes(&self, now: Millis, limit: usize) -> Vec<(u64, Vec<u32>)> {
         if self.links.any_in_doubt() {
             return Vec::new();
         }
-        self.quarantine.recent_crashes(limit)
+        self.quarantine.recent_crashes(now, limit)
     }
 }
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -143,7 +143,7 @@
             name: self.identity.name.clone(),
             location: self.identity.location.clone(),
             leaving_endpoints: self.registry.recent_departures(now),
-            quarantine: self.reported_crashes(MAX_REPORTED_QUARANTINE),
+            quarantine: self.reported_crashes(now, MAX_REPORTED_QUARANTINE),
             peers: self.reported_peers(now),
         }
     }
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -53,7 +53,7 @@
     /// Records that an endpoint crashed while it ran a request, and returns whether the crashes
     /// suffice to quarantine a request that was not completed before.
     pub fn record_crash(&mut self, now: Millis, fingerprint: u64, endpoint: u32) -> bool {
-        let record = self.record_mut(fingerprint);
+        let record = self.record_mut(now, fingerprint);
         record.add(now, endpoint);
         let suspected = record.crashes.len() >= CRASHES_TO_QUARANTINE;
         self.evict_oldest();
@@ -63,7 +63,7 @@
     /// Adds the crashes that a peer reports.
     pub fn merge_crashes(&mut self, now: Millis, rows: &[(u64, Vec<u32>)]) {
         for (fingerprint, endpoints) in rows {
-            let record = self.record_mut(*fingerprint);
+            let record = self.record_mut(now, *fingerprint);
             for endpoint in endpoints {
                 record.add_reported(now, *endpoint);
             }
@@ -109,9 +109,10 @@
     }
 
     /// Returns the most recent crashes, which are reported to peers, latest first.
-    pub fn recent_crashes(&self, limit: usize) -> Vec<(u64, Vec<u32>)> {
+    pub fn recent_crashes(&self, now: Millis, limit: usize) -> Vec<(u64, Vec<u32>)> {
         let records = self.latest_records().into_iter();
-        let rows = records.map(|(fingerprint, record)| {
+        let recent = records.filter(|it| !it.1.is_expired(now, RECORD_TTL));
+        let rows = recent.map(|(fingerprint, record)| {
             let crashes = record.crashes.counted(None);
             (fingerprint, crashes.iter().map(|it| it.endpoint).collect())
         });
@@ -148,11 +149,14 @@
         all
     }
 
-    // Returns the record of a request.
-    fn record_mut(&mut self, fingerprint: u64) -> &mut RequestRecord {
+    // Returns the record of a request, without crashes that are too old to count.
+    fn record_mut(&mut self, now: Millis, fingerprint: u64) -> &mut RequestRecord {
         let sound_at = self.sound.get(fingerprint);
         let record = self.records.entry(fingerprint).or_default();
         record.sound_at = record.sound_at.max(sound_at);
+        if record.is_expired(now, RECORD_TTL) {
+            record.dismiss_all();
+        }
         record
     }
 
--- a/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Dismisses all crashes.
+    pub(super) fn dismiss_all(&mut self) {
+        self.dismiss(|it| *it = CrashList::default());
+    }
+
     /// Records that an endpoint completed the request.
     pub(super) fn clear(&mut self, at: Millis) {
         self.sound_at = self.sound_at.max(Some(at));
@@ -53,7 +58,9 @@
 
     /// Dismisses the crash of an endpoint that responded to a request sent after it.
     pub(super) fn acquit(&mut self, endpoint: u32, sent_at: Millis) {
-        self.dismiss(|it| it.acquit(endpoint, sent_at));
+        if self.crashes.contains(endpoint) {
+            self.dismiss(|it| it.acquit(endpoint, sent_at));
+        }
     }
 
     /// Returns whether the crashes suffice for a quarantine. If links are in doubt, those recorded
--- a/crates/siskinyoke-dispatch/tests/quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/quarantine.rs
@@ -84,3 +84,16 @@
     report(290, &mut other, &mut third);
     assert!(!is_quarantined(&mut third, 300));
 }
+
+// Guards against a poison request that stays allowed once its first quarantine has ended.
+#[test]
+fn a_request_that_crashes_endpoints_again_is_quarantined_again() {
+    let mut core = instance("i1", &["e2", "e3", "e4", "e5", "e6"]);
+    for start in [10, 200_000] {
+        assert!(!is_quarantined(&mut core, start));
+        crash(&mut core, start);
+        assert!(!is_quarantined(&mut core, start + 10));
+        crash(&mut core, start + 1_000);
+        assert!(is_quarantined(&mut core, start + 1_010));
+    }
+}
