Quarantine: crashes that a prompt part explains do not count against whole requests

Callers saw: sound requests that many callers send alike were refused as suspect for two minutes, because they ran beside two requests with a part that crashes endpoints.

Cause: crashes under whole requests and under parts of prompts were kept apart, so what a part in quarantine explains still accused every request that ran beside it.

Change: the crashes of the parts in quarantine do not count against whole requests, for as long as these parts are in quarantine.

The new test fails before and passes.

--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -44,11 +44,13 @@
         request: &RoutedRequest,
         fingerprint: u64,
     ) -> bool {
+        self.update_parts(now);
+        let explained = self.part_quarantine.explained_crashes();
         let doubt = self.links.doubted_since(&request.service);
-        if self.quarantine.is_quarantined(now, fingerprint, doubt) {
+        let quarantine = &self.quarantine;
+        if quarantine.is_quarantined(now, fingerprint, doubt, explained) {
             return true;
         }
-        self.update_parts(now);
         let parts = &request.prompt_parts;
         let found: Vec<PromptPart> = self.part_quarantine.quarantined_parts(parts).collect();
         match found[..] {
@@ -63,10 +65,11 @@
 
     // Returns whether a request that has run must not be sent to another endpoint.
     pub(super) fn is_retry_quarantined(&mut self, now: Millis, request: &ScheduledRequest) -> bool {
-        let doubt = self.links.doubted_since(&request.service);
         self.update_parts(now);
+        let explained = self.part_quarantine.explained_crashes();
+        let doubt = self.links.doubted_since(&request.service);
         self.quarantine
-            .is_quarantined(now, request.fingerprint, doubt)
+            .is_quarantined(now, request.fingerprint, doubt, explained)
             || self
                 .part_quarantine
                 .is_refused(&request.prompt_parts, request.fingerprint)
@@ -86,7 +89,8 @@
             ..
         } = self;
         let refused = scheduler.cancel_matching(|it| {
-            quarantine.is_quarantined(now, it.fingerprint, links.doubted_since(&it.service))
+            let doubt = links.doubted_since(&it.service);
+            quarantine.is_quarantined(now, it.fingerprint, doubt, parts.explained_crashes())
                 || parts.is_refused(&it.prompt_parts, it.fingerprint)
         });
         let refused = refused.into_iter();
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -26,7 +26,7 @@
 pub mod peers;
 pub mod placement;
 pub mod prompt_part;
-pub mod quarantine;
+mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod rate_limits;
--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -105,6 +105,8 @@
     // When the latest request was sent to which each endpoint has responded, by short key.
     responses: Map<u32, Millis>,
     quarantined: Vec<UnsoundPart>,
+    // The crashes under the parts in quarantine.
+    explained: CrashList,
     changes: Vec<PartChange>,
     checked_at: Option<Millis>,
 }
@@ -116,6 +118,7 @@
             sound: RecentSuccesses::new(SOUND_TTL),
             responses: Map::default(),
             quarantined: Vec::new(),
+            explained: CrashList::default(),
             changes: Vec::new(),
             checked_at: None,
         }
@@ -235,9 +238,15 @@
         }
         let quarantined = self.unsound_parts(now.since(CONFIRMATION_DELAY), doubt);
         let before = std::mem::replace(&mut self.quarantined, quarantined);
+        self.explained = self.crashes_in_quarantine();
         self.record_changes(&before);
     }
 
+    /// Returns the crashes that parts in quarantine explain.
+    pub(crate) fn explained_crashes(&self) -> &CrashList {
+        &self.explained
+    }
+
     /// Forgets what is too old to matter.
     pub fn prune(&mut self, now: Millis) {
         self.records.retain(|_, it| !it.is_expired(now, RECORD_TTL));
@@ -317,6 +326,16 @@
         unsound
     }
 
+    fn crashes_in_quarantine(&self) -> CrashList {
+        let quarantined = self.quarantined.iter();
+        let records = quarantined.filter_map(|it| self.records.get(&it.part));
+        let mut crashes = CrashList::default();
+        for record in records {
+            crashes.extend(&record.crashes.without(&crashes));
+        }
+        crashes
+    }
+
     // Returns the parts that may have to be quarantined, those with the most crashes first.
     fn candidates(&self, end: Millis, doubt: Option<Millis>) -> Vec<Candidate> {
         let records = self.records.iter();
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -8,6 +8,7 @@
 use std::cmp::Reverse;
 
 use self::request_record::RequestRecord;
+use crate::crash_list::CrashList;
 use crate::recent_successes::RecentSuccesses;
 use crate::report::SoundRequestRow;
 use crate::report::age;
@@ -96,11 +97,18 @@
     }
 
     /// Returns whether a request must not be run. If the links of this instance are in doubt, the
-    /// crashes recorded since then do not count yet.
-    pub fn is_quarantined(&self, now: Millis, fingerprint: u64, doubt: Option<Millis>) -> bool {
+    /// crashes recorded since then do not count yet. Those that parts of prompts explain do not
+    /// count.
+    pub fn is_quarantined(
+        &self,
+        now: Millis,
+        fingerprint: u64,
+        doubt: Option<Millis>,
+        explained: &CrashList,
+    ) -> bool {
         self.records
             .get(&fingerprint)
-            .is_some_and(|it| !it.is_expired(now, RECORD_TTL) && it.is_unsound(doubt))
+            .is_some_and(|it| !it.is_expired(now, RECORD_TTL) && it.is_unsound(doubt, explained))
     }
 
     /// Returns whether no crashes are recorded.
--- a/crates/siskinyoke-dispatch/tests/quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/quarantine.rs
@@ -10,6 +10,7 @@
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Decision;
 use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::PromptParts;
 use siskinyoke_dispatch::RefusalReason;
 use siskinyoke_dispatch::Ticket;
 
@@ -25,9 +26,13 @@
 }
 
 fn start(core: &mut Core, now: u64) -> Ticket {
-    let now = Millis(now);
-    let routed = core.route(now, request("/safe/x")).unwrap();
-    let ticket = core.admit(now, &routed, FINGERPRINT).unwrap();
+    start_with(core, Millis(now), FINGERPRINT, &[])
+}
+
+fn start_with(core: &mut Core, now: Millis, fingerprint: u64, parts: &[&str]) -> Ticket {
+    let mut routed = core.route(now, request("/safe/x")).unwrap();
+    routed.prompt_parts = PromptParts::from_ids(parts.iter().copied());
+    let ticket = core.admit(now, &routed, fingerprint).unwrap();
     let decisions = core.decide(now);
     assert!(
         matches!(decisions[..], [Decision::Start(..)]),
@@ -36,12 +41,16 @@
     ticket
 }
 
-// Sends the request to an endpoint that crashes; the others respond to the probes of the links.
+// Sends the request to an endpoint that crashes.
 fn crash(core: &mut Core, now: u64) {
     let ticket = start(core, now);
     core.attempt_ended(Millis(now + 1), ticket, Outcome::ConnectionLost, false);
-    for probed in core.due_probes(Millis(now + 2)) {
-        core.probe_ended(Millis(now + 3), &probed, true);
+    confirm_links(core, Millis(now + 2));
+}
+
+fn confirm_links(core: &mut Core, now: Millis) {
+    for probed in core.due_probes(now) {
+        core.probe_ended(now, &probed, true);
     }
 }
 
@@ -97,3 +106,23 @@
         assert!(is_quarantined(&mut core, start + 1_010));
     }
 }
+
+// Guards against the refusal of sound requests that ran beside those with a part that crashes
+// endpoints.
+#[test]
+fn crashes_that_a_prompt_part_explains_do_not_count_against_a_request() {
+    let mut core = instance("i1", &[]);
+    for number in 0..3 {
+        let now = Millis(100 + 1_000 * number);
+        let id = format!("e{}", number + 2);
+        core.registry().put(now, endpoint(&id, 10));
+        let poisoned = start_with(&mut core, now, 100 + number, &["bad", "own"]);
+        let beside = (number < 2).then(|| start_with(&mut core, now, FINGERPRINT, &[]));
+        for ticket in beside.into_iter().chain([poisoned]) {
+            core.attempt_ended(now, ticket, Outcome::ConnectionLost, false);
+        }
+        confirm_links(&mut core, now);
+        core.registry().remove(now, &id);
+    }
+    assert!(!is_quarantined(&mut core, 4_000));
+}
