Store writes: the store's era is confirmed before a conditional write

Cause: a store that comes back from a copy gives out the same revisions again, and a write names revisions but no era. A writer that did not know yet of the return wrote the status of an order of the lost history over that of the new one.

Change: a call that reads the changes of the key comes first; its response names the era. The write is not sent if that call fails or names a later era. What remains is the time between the two calls (postmortem).

--- a/crates/siskinyoke-gateway/src/store_writes.rs
+++ b/crates/siskinyoke-gateway/src/store_writes.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use http::StatusCode;
 use serde_json::Value;
 use tokio::task::spawn_local;
 
@@ -9,7 +10,12 @@
 use crate::rollouts;
 use crate::shell::Shell;
 use crate::store::Client;
+use crate::store::StoreError;
 use crate::version_notes;
+use siskinyoke_base::Millis;
+
+/// Time limit for the call that shows the store's era.
+const CALL_TIMEOUT: Millis = Millis(1_000);
 
 /// Sends the writes that are due from this instance, unless some are in progress.
 pub fn send_due(shell: &Rc<Shell>) {
@@ -38,12 +44,16 @@
 }
 
 async fn send(shell: &Shell, client: &mut Client, write: ConditionalWrite) {
-    if write.is_outdated(shell.core.borrow().store_era()) {
-        return;
-    }
-    let store = &*shell.interface.store;
-    let result = write.send(client, shell.settings().store, store).await;
-    shell.metrics.record_store_call(write.kind, result.is_ok());
+    let result = match confirm_era(shell, client, &write.key).await {
+        Ok(()) if write.is_outdated(shell.core.borrow().store_era()) => return,
+        Ok(()) => {
+            let store = &*shell.interface.store;
+            let result = write.send(client, shell.settings().store, store).await;
+            shell.metrics.record_store_call(write.kind, result.is_ok());
+            result
+        }
+        Err(err) => Err(err),
+    };
     let outcome = match result {
         Ok(true) => "written".to_owned(),
         Ok(false) => "changed meanwhile".to_owned(),
@@ -53,3 +63,22 @@
     fields["outcome"] = Value::from(outcome);
     shell.log(write.event, fields);
 }
+
+// Makes a call that shows the store's present era. A store that came back from a copy gives out the
+// same revisions again, so until its return is known, a condition on revisions says nothing.
+async fn confirm_era(shell: &Shell, client: &mut Client, key: &str) -> Result<(), StoreError> {
+    let known = shell.replica.borrow().revision();
+    let Some(call) = shell.interface.store.changes_under(key, known) else {
+        return Ok(());
+    };
+    let result = client
+        .call(shell.settings().store, &call, CALL_TIMEOUT)
+        .await;
+    shell.metrics.record_store_call("era", result.is_ok());
+    match result {
+        Ok(_) | Err(StoreError::Status(StatusCode::GONE)) => {
+            shell.check_era(client.headers()).map(|_| ())
+        }
+        Err(err) => Err(err),
+    }
+}
--- a/crates/siskinyoke-gateway/tests/restored_store.rs
+++ b/crates/siskinyoke-gateway/tests/restored_store.rs
@@ -19,6 +19,12 @@
 /// How long the store is away before it comes back from the copy.
 const AWAY: Duration = Duration::from_millis(600);
 
+/// The duration of a rollout.
+const ROLLOUT_TIME: Duration = Duration::from_secs(2);
+
+/// The time within which an instance has read a change.
+const READ_TIME: Duration = Duration::from_millis(500);
+
 struct Setup {
     store: Store,
     endpoints: Vec<Endpoint>,
@@ -168,6 +174,36 @@
     assert_eq!(setup.failures(Duration::from_secs(2)), 0);
 }
 
+// Guards against a status whose writer does not know yet that the store came back.
+#[test]
+fn a_rollout_status_is_not_written_before_its_writer_knows_of_a_restore() {
+    let setup = start_setup(&["e1", "e2"]);
+    for (endpoint, version) in setup.endpoints.iter().zip(["v1", "v2"]) {
+        let entry = endpoint.entry("ready");
+        let entry = entry.replace("\"Slots\"", &format!("\"Version\":\"{version}\",\"Slots\""));
+        setup.store.put(&format!("servers/{}", endpoint.id), &entry);
+    }
+    let order = r#"{"Service":"lm","To":"v2","DurationS":2}"#;
+    setup.store.put("op/rollout/lm", order);
+    let status = || setup.store.value("status/rollout/lm").unwrap_or_default();
+    wait_until("the rollout is running", || status().contains("running"));
+    thread::sleep(READ_TIME);
+    setup.store.set_availability(Availability::WritesOnly);
+    // Open watches end in the earlier era.
+    thread::sleep(Duration::from_millis(200));
+    setup.store.restore(setup.store.copy());
+    let end = Instant::now() + 2 * ROLLOUT_TIME;
+    while Instant::now() < end {
+        setup.instance.call("r", "/safe/a", "", "");
+        assert!(status().contains("running"), "{}", status());
+    }
+    setup.store.set_availability(Availability::Available);
+    wait_until("the rollout is completed", || {
+        setup.instance.call("r", "/safe/a", "", "");
+        status().contains("completed")
+    });
+}
+
 // Guards against an instance that other instances and callers do not find.
 #[test]
 fn an_instance_registers_again_after_a_restore() {
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -18,6 +18,9 @@
 use tiny_http::Response;
 use tiny_http::Server;
 
+/// The path of calls that write.
+const WRITE_PATH: &str = "/api/kv-txn";
+
 /// How the store responds to calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Availability {
@@ -27,6 +30,8 @@
     Unavailable,
     /// Accepts calls but never responds.
     Unresponsive,
+    /// Serves writes and never responds to other calls.
+    WritesOnly,
 }
 
 /// A rollout status as it was written.
@@ -241,7 +246,12 @@
         let (path, query) = split_url(request.url());
         let mut body = String::new();
         request.as_reader().read_to_string(&mut body).unwrap();
-        if self.availability() == Availability::Unresponsive {
+        let responds = match self.availability() {
+            Availability::Unresponsive => false,
+            Availability::WritesOnly => path == WRITE_PATH,
+            Availability::Available | Availability::Unavailable => true,
+        };
+        if !responds {
             // `tiny_http` responds to a dropped request unless its writer has been taken.
             drop(request.into_writer());
             return;
@@ -271,7 +281,7 @@
             "/api/kv-range" => (200, self.range(&query["Prefix"])),
             "/api/kv-watch" => self.watch(query),
             "/api/kv-lease" => (200, json!({ "Lease": self.grant_lease(), "TtlMs": 6000 })),
-            "/api/kv-txn" => self.conditional_put(body),
+            WRITE_PATH => self.conditional_put(body),
             path if path.starts_with("/api/kv-keep/") => self.renew_lease(path),
             _ => (404, json!({})),
         }
