Reports: an outdated report replaces nothing that a later one said

Callers would see: for up to 6 s after a restart or a reordered report, shares of slots computed from the slot time of a process that is gone, endpoints chosen by speeds that a peer has since corrected, and an endpoint's limit that was lifted put back in force, or the reverse (by reading; not seen in a run of the fleet).

Cause: Core::receive_report recorded most of a report before Peers::receive said whether it is outdated.

Change: the check comes first. What an outdated report may still say, and what not:

- departures, addresses, crashes under whole requests, the age of an order and whether its version failed: these only add or take the earlier time, and crashes that were dismissed stay so, so they count in any order;
- share rows, endpoint speeds, responses of a canary version, quota use: absolute values of one sender that replace its earlier ones; they do not count;
- limits, rejection limits, prompt parts, sound requests: their age is that at sending, so a late report dates them too late, and they would win over later observations; they do not count.
What is dropped comes again: changed limits are in every report for 250 ms, and all of these in full reports.

The same holds for a process that has not identified itself, which cannot be told from a replaced one; its first full report carries all of this. Reports of other shards, which are not kept as peers, are used as before.

an_outdated_report_replaces_nothing compares the whole state with that of an instance that did not receive the outdated report. It failed before for seven of eight fields in each of three cases (reordered, replaced, replaced and not full; quota use was right), and passes. The tests that facts that only add still count, and that limits, prompt parts and sound requests of other shards are used, pass before and after.

--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -24,7 +24,6 @@
 impl Core {
     /// Handles a peer's report, and returns whether it is the first one of a peer's process.
     pub fn receive_report(&mut self, now: Millis, report: Report) -> bool {
-        let incarnation = report.incarnation;
         let mut in_shard = true;
         if let Some(info) = &report.info {
             if info.name == self.identity.name {
@@ -36,29 +35,38 @@
                 self.advertised.extend(info.peers.iter().cloned());
             }
         }
-        self.receive_canary_reports(now, &report, in_shard);
-        self.record_peer_limits(now, &report.limits);
-        self.record_peer_rejection_limits(now, &report);
-        self.part_quarantine.merge(now, &report.prompt_parts);
-        self.quarantine.merge_sound(now, &report.sound_requests);
-        if !in_shard {
-            self.peers.remove(incarnation);
-            return false;
+        // Like the information above, this is only ever added to what is known, so it counts in an
+        // outdated report too.
+        self.receive_canary_reports(now, &report.canaries);
+        if in_shard {
+            return self.receive_peer_report(now, report);
         }
-        let quota_used = report.quota_used.clone();
-        self.scheduler.record_peer_speeds(&report.running);
-        self.scheduler
-            .receive_shares(now, incarnation, &report.shares);
-        let age = Millis(report.age);
-        let no_older = age <= self.age(now) + START_SKEW;
-        let received = self.peers.receive(now, report);
+        self.merge_observations(now, &report);
+        self.peers.remove(report.incarnation);
+        false
+    }
+
+    // Handles the report of an instance of this shard, unless it is outdated, and returns whether it
+    // is the first one of a process.
+    fn receive_peer_report(&mut self, now: Millis, report: Report) -> bool {
+        let received = self.peers.classify(now, &report);
         if received == Received::Ignored {
             return false;
         }
+        let incarnation = report.incarnation;
         if let Received::NewProcess(Some(previous)) = received {
             self.quotas.forget_peer(previous);
             self.scheduler.forget_peer_shares(previous);
         }
+        self.merge_observations(now, &report);
+        self.receive_canary_slices(now, &report);
+        self.scheduler.record_peer_speeds(&report.running);
+        self.scheduler
+            .receive_shares(now, incarnation, &report.shares);
+        let quota_used = report.quota_used.clone();
+        let age = Millis(report.age);
+        let no_older = age <= self.age(now) + START_SKEW;
+        self.peers.receive(now, report);
         let peer = ReportingPeer {
             incarnation,
             age: no_older.then_some(age),
@@ -68,6 +76,15 @@
         matches!(received, Received::NewProcess(_))
     }
 
+    // Merges the observations that a report dates by their age when it was sent. In an outdated
+    // report they would seem newer than later ones and replace them.
+    fn merge_observations(&mut self, now: Millis, report: &Report) {
+        self.record_peer_limits(now, &report.limits);
+        self.record_peer_rejection_limits(now, report);
+        self.part_quarantine.merge(now, &report.prompt_parts);
+        self.quarantine.merge_sound(now, &report.sound_requests);
+    }
+
     /// Records that an endpoint's response to a request sent at `sent_at` said that the endpoint is
     /// leaving, and returns whether that was not known yet.
     pub fn announce_departure(
--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -97,15 +97,19 @@
         self.registry.apply_order(now, order, unit_fraction(hash));
     }
 
-    // Handles the canary reports of a peer. Responses counted in other shards are left out, but the
-    // state that they report of a rollout applies to all shards.
-    pub(super) fn receive_canary_reports(&mut self, now: Millis, report: &Report, in_shard: bool) {
-        for canary in &report.canaries {
+    // Handles the canary reports of a peer. The state that they report of a rollout applies to all
+    // shards.
+    pub(super) fn receive_canary_reports(&mut self, now: Millis, canaries: &[CanaryReport]) {
+        for canary in canaries {
             if let Some(rollout) = self.rollout_by_hash(canary.service) {
                 rollout.record_report(now, canary);
             }
         }
-        for slices in report.canary_slices.iter().filter(|_| in_shard) {
+    }
+
+    // Records the responses that a peer of this shard has counted.
+    pub(super) fn receive_canary_slices(&mut self, now: Millis, report: &Report) {
+        for slices in &report.canary_slices {
             if let Some(rollout) = self.rollout_by_hash(slices.service) {
                 rollout.record_slices(now, report.incarnation, slices);
             }
--- a/crates/siskinyoke-dispatch/src/peers.rs
+++ b/crates/siskinyoke-dispatch/src/peers.rs
@@ -83,19 +83,15 @@
         members
     }
 
-    /// Records a report.
-    pub fn receive(&mut self, now: Millis, mut report: Report) -> Received {
-        let info = report.info.take();
-        if let Some(peer) = self.by_incarnation.get_mut(&report.incarnation) {
+    /// Returns the effect that a report has if it is recorded now.
+    pub fn classify(&self, now: Millis, report: &Report) -> Received {
+        if let Some(peer) = self.by_incarnation.get(&report.incarnation) {
             if peer.report.number >= report.number {
                 return Received::Ignored;
             }
-            peer.info = info.unwrap_or_else(|| peer.info.clone());
-            peer.report = report;
-            peer.received_at = now;
             return Received::Update;
         }
-        let Some(info) = info else {
+        let Some(info) = &report.info else {
             return Received::Ignored;
         };
         let previous = self
@@ -107,19 +103,32 @@
         if previous.is_some_and(|peer| peer.is_fresh(now) && peer.report.age < report.age) {
             return Received::Ignored;
         }
-        let previous = previous.map(|peer| peer.report.incarnation);
-        if let Some(incarnation) = previous {
-            self.by_incarnation.remove(&incarnation);
+        Received::NewProcess(previous.map(|peer| peer.report.incarnation))
+    }
+
+    /// Records a report.
+    pub fn receive(&mut self, now: Millis, mut report: Report) -> Received {
+        let received = self.classify(now, &report);
+        if received == Received::Ignored {
+            return received;
+        }
+        if let Received::NewProcess(Some(previous)) = received {
+            self.by_incarnation.remove(&previous);
         }
-        self.by_incarnation.insert(
-            report.incarnation,
-            Peer {
+        let info = report.info.take();
+        if let Some(peer) = self.by_incarnation.get_mut(&report.incarnation) {
+            peer.info = info.unwrap_or_else(|| peer.info.clone());
+            peer.report = report;
+            peer.received_at = now;
+        } else if let Some(info) = info {
+            let peer = Peer {
                 report,
                 info,
                 received_at: now,
-            },
-        );
-        Received::NewProcess(previous)
+            };
+            self.by_incarnation.insert(peer.report.incarnation, peer);
+        }
+        received
     }
 
     /// Keeps only the peers whose name belongs to this instance's shard.
--- a/crates/siskinyoke-dispatch/tests/peers.rs
+++ b/crates/siskinyoke-dispatch/tests/peers.rs
@@ -3,13 +3,38 @@
 mod common;
 
 use crate::common::core;
+use crate::common::endpoint;
 use crate::common::location;
 use crate::common::report;
+use crate::common::request;
+use crate::common::running_row;
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Core;
+use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::PromptPart;
 use siskinyoke_dispatch::Report;
+use siskinyoke_dispatch::StoreUpdate;
 use siskinyoke_dispatch::directory::select_instances;
 use siskinyoke_dispatch::peers::Peers;
 use siskinyoke_dispatch::peers::Received;
+use siskinyoke_dispatch::report::CanarySlice;
+use siskinyoke_dispatch::report::CanarySlices;
+use siskinyoke_dispatch::report::LimitRow;
+use siskinyoke_dispatch::report::PartCrashRow;
+use siskinyoke_dispatch::report::PartRow;
+use siskinyoke_dispatch::report::RejectionRow;
+use siskinyoke_dispatch::report::RunningRow;
+use siskinyoke_dispatch::report::ServiceShareRows;
+use siskinyoke_dispatch::report::ShareRow;
+use siskinyoke_dispatch::report::SoundRequestRow;
+use siskinyoke_dispatch::report::short_hash;
+use siskinyoke_dispatch::rollout::Order;
+
+/// When the latest report arrives, and the outdated one.
+const LATEST_AT: Millis = Millis(100);
+const LATE_AT: Millis = Millis(120);
+
+type SetField = fn(&mut Report);
 
 #[test]
 fn a_report_that_arrives_late_changes_nothing() {
@@ -57,6 +82,44 @@
     assert_eq!(peers.instance_count(Millis(120)), 2);
 }
 
+// Guards against outdated reports that replace what a later one has said: shares of slots, speeds of
+// endpoints, limits, prompt parts, sound requests and the responses of a canary version.
+#[test]
+fn an_outdated_report_replaces_nothing() {
+    let mut replaced = Vec::new();
+    for (case, latest, late) in outdated_reports() {
+        for (field, late) in with_one_field(&late) {
+            let [mut core, mut unaffected] = [1, 2].map(|_| core_with_rollout());
+            for core in [&mut core, &mut unaffected] {
+                core.receive_report(LATEST_AT, latest.clone());
+            }
+            core.receive_report(LATE_AT, late);
+            if format!("{core:?}") != format!("{unaffected:?}") {
+                replaced.push((case, field));
+            }
+        }
+    }
+    assert_eq!(replaced, []);
+}
+
+// Guards against losing what only the last report of a killed process said.
+#[test]
+fn an_outdated_report_adds_departures_and_crashes() {
+    for (case, latest, mut late) in outdated_reports() {
+        let Some(info) = &mut late.info else { continue };
+        let gone = endpoint("e1", 4).key();
+        info.leaving_endpoints = vec![gone];
+        info.quarantine = vec![(55, vec![1, 2])];
+        let mut core = core_with_rollout();
+        core.receive_report(LATEST_AT, latest);
+        core.receive_report(LATE_AT, late);
+        let departed = core.take_reported_departures();
+        assert_eq!(departed.len(), 1, "{case}");
+        let routed = core.route(LATE_AT, request("/safe/x")).unwrap();
+        assert!(core.admit(LATE_AT, &routed, 55).is_err(), "{case}");
+    }
+}
+
 #[test]
 fn the_fleet_share_of_a_starting_process_counts_the_listed_instances() {
     let mut peers = Peers::default();
@@ -105,3 +168,182 @@
     assert_eq!(core.caller_addresses(Millis(0), "a"), ["sound:1"]);
     assert!(!core.ready(Millis(1)));
 }
+
+// Returns pairs of a report and one that it makes outdated.
+fn outdated_reports() -> [(&'static str, Report, Report); 3] {
+    let reordered = [report("p", 2), report("p", 1)];
+    let successor = Report {
+        incarnation: 2,
+        age: 50,
+        ..report("p", 1)
+    };
+    let replaced = Report {
+        incarnation: 1,
+        age: 9_000,
+        ..report("p", 700)
+    };
+    let unidentified = Report {
+        info: None,
+        ..replaced.clone()
+    };
+    let [latest, late] = reordered.map(with_rows);
+    let successor = with_rows(successor);
+    [
+        ("reordered", latest, late),
+        ("replaced", successor.clone(), replaced),
+        ("replaced, not full", successor, unidentified),
+    ]
+}
+
+// Returns a report of a peer that knows little, all of it observed just before.
+fn with_rows(report: Report) -> Report {
+    Report {
+        running: vec![running_row("e1", 1)],
+        limits: vec![limit(2_000)],
+        rejection_limits: vec![rejection_limit(3)],
+        shares: vec![shares(100)],
+        canary_slices: vec![canary_slices(8)],
+        prompt_parts: vec![part_row(None)],
+        sound_requests: vec![sound_request(30)],
+        quota_used: vec![(short_hash("school"), 500)],
+        ..report
+    }
+}
+
+// Returns reports that each say something else in one field.
+fn with_one_field(late: &Report) -> Vec<(&'static str, Report)> {
+    let fields: [(&'static str, SetField); 8] = [
+        ("running", |it| it.running = vec![slow_row()]),
+        ("limits", |it| it.limits = vec![limit(0)]),
+        ("rejection_limits", |it| {
+            it.rejection_limits = vec![rejection_limit(0)];
+        }),
+        ("shares", |it| it.shares = vec![shares(900)]),
+        ("canary_slices", |it| {
+            it.canary_slices = vec![canary_slices(1)];
+        }),
+        ("prompt_parts", |it| {
+            it.prompt_parts = vec![part_row(Some(0))];
+        }),
+        ("sound_requests", |it| {
+            it.sound_requests = vec![sound_request(0)];
+        }),
+        ("quota_used", |it| {
+            it.quota_used = vec![(short_hash("school"), 90_000)];
+        }),
+    ];
+    let late = Report {
+        running: Vec::new(),
+        limits: Vec::new(),
+        rejection_limits: Vec::new(),
+        shares: Vec::new(),
+        canary_slices: Vec::new(),
+        prompt_parts: Vec::new(),
+        sound_requests: Vec::new(),
+        quota_used: Vec::new(),
+        ..late.clone()
+    };
+    let rows = fields.into_iter().map(|(name, set)| {
+        let mut report = late.clone();
+        set(&mut report);
+        (name, report)
+    });
+    rows.collect()
+}
+
+// Returns an instance that compares two versions of the service `lm`.
+fn core_with_rollout() -> Core {
+    let mut core = core("i", 4);
+    let order = Order {
+        service: "lm".into(),
+        version: "v2".into(),
+        duration: Millis(10_000),
+        revision: 5.into(),
+    };
+    let new = Endpoint {
+        version: "v2".into(),
+        ..endpoint("e2", 4)
+    };
+    let updates = vec![
+        StoreUpdate::RolloutOrder(order),
+        StoreUpdate::Endpoint(endpoint("e1", 4)),
+        StoreUpdate::Endpoint(new),
+    ];
+    core.apply_updates(Millis(0), 6.into(), updates);
+    core.advance_rollouts(Millis(1));
+    core
+}
+
+fn slow_row() -> RunningRow {
+    RunningRow {
+        speed_factor: 36,
+        ..running_row("e1", 1)
+    }
+}
+
+fn limit(rate: u32) -> LimitRow {
+    LimitRow {
+        endpoint: endpoint("e1", 4).key().short_key(),
+        rate,
+        age: 1,
+    }
+}
+
+fn rejection_limit(limit: u32) -> RejectionRow {
+    RejectionRow {
+        endpoint: endpoint("e1", 4).key().short_key(),
+        limit,
+        age: 1,
+        rejected_age: None,
+    }
+}
+
+fn shares(used: u32) -> ServiceShareRows {
+    let row = ShareRow {
+        tier: 1,
+        organisation: short_hash("school"),
+        used,
+        offered: used,
+    };
+    ServiceShareRows {
+        service: short_hash("lm"),
+        short_tiers: vec![1],
+        rows: vec![row],
+    }
+}
+
+fn canary_slices(responses: u16) -> CanarySlices {
+    let row = CanarySlice {
+        number: 0,
+        route: 1,
+        new: (responses, 0),
+        stable: (responses, 0),
+        endpoints: Vec::new(),
+    };
+    CanarySlices {
+        service: short_hash("lm"),
+        order: 5,
+        rows: vec![row],
+    }
+}
+
+fn part_row(sound_age: Option<u32>) -> PartRow {
+    let crash = PartCrashRow {
+        endpoint: 7,
+        age: 1,
+        alone: true,
+    };
+    PartRow {
+        part: PromptPart::from_id("b"),
+        position: 0,
+        sound_age,
+        crashes: vec![crash],
+    }
+}
+
+fn sound_request(age: u32) -> SoundRequestRow {
+    SoundRequestRow {
+        fingerprint: 77,
+        age,
+    }
+}
--- a/crates/siskinyoke-dispatch/tests/shards.rs
+++ b/crates/siskinyoke-dispatch/tests/shards.rs
@@ -13,8 +13,15 @@
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Endpoint;
+use siskinyoke_dispatch::PromptPart;
+use siskinyoke_dispatch::Report;
 use siskinyoke_dispatch::core::Identity;
 use siskinyoke_dispatch::registry::Registry;
+use siskinyoke_dispatch::report::LimitRow;
+use siskinyoke_dispatch::report::PartCrashRow;
+use siskinyoke_dispatch::report::PartRow;
+use siskinyoke_dispatch::report::RejectionRow;
+use siskinyoke_dispatch::report::SoundRequestRow;
 use siskinyoke_dispatch::shards;
 
 // Returns `count` pairs of data centre and name, over four data centres.
@@ -164,6 +171,58 @@
     assert!(core.admit(Millis(0), &pass, 55).is_err());
 }
 
+// Guards against dropping, with the rows that replace those of peers, what concerns all shards.
+#[test]
+fn limits_prompt_parts_and_sound_requests_reported_by_other_shards_are_used() {
+    let mut core = core("i0", 1);
+    for (centre, name) in names_by_centre(40) {
+        core.add_instance(&name, location(&name, &centre));
+    }
+    let others = core.other_instances().filter(|row| !row.1);
+    let peer_address = others.map(|row| row.0.peer_address.clone()).next().unwrap();
+    let key = endpoint("e1", 1).key().short_key();
+    let limit = LimitRow {
+        endpoint: key,
+        rate: 2_000,
+        age: 1,
+    };
+    let rejection_limit = RejectionRow {
+        endpoint: key,
+        limit: 3,
+        age: 1,
+        rejected_age: None,
+    };
+    let part = PartRow {
+        part: PromptPart::from_id("b"),
+        position: 0,
+        sound_age: None,
+        crashes: vec![PartCrashRow {
+            endpoint: 7,
+            age: 1,
+            alone: true,
+        }],
+    };
+    let sound_request = SoundRequestRow {
+        fingerprint: 77,
+        age: 1,
+    };
+    let mut received = Report {
+        limits: vec![limit],
+        rejection_limits: vec![rejection_limit],
+        prompt_parts: vec![part],
+        sound_requests: vec![sound_request],
+        ..report(peer_address.trim_end_matches(":2"), 1)
+    };
+    received.info.as_mut().unwrap().quarantine = vec![(77, vec![7])];
+    core.receive_report(Millis(100), received);
+    assert_eq!(core.peers().instance_count(Millis(100)), 1);
+    assert_eq!(core.take_limit_changes().len(), 1);
+    assert_eq!(core.scheduler().rejection_limits().active_count(), 1);
+    let next = core.next_report(Millis(110), true);
+    assert_eq!(next.prompt_parts.len(), 1);
+    assert_eq!(next.sound_requests.len(), 1);
+}
+
 // Guards against seventy instances polling the store as often as seven: they make ten times the
 // calls, and operators pay for each call. If shards poll in turn, a change costs one or two calls.
 #[test]
