Reports: a report to one instance leaves the share rows to all peers

Cause: share rows are due every 400 ms for all recipients together. The full report that answers an instance without a configuration took them, and all peers had none until they were due again.

Change: Core::unicast_report builds this report, without share rows, which such an instance does not use before it counts as a peer. The reports to all peers, discovery rounds included, carry the rows as before. A peer that begins to report gets them with the next ones that are due.

Measured in virtual time, reports every 20 ms and three replies before each for 5 s: rows reach the peers every 400 ms, 13 times; with a reply that takes the rows, never in the 5 s, while 13 of the replies have them. No report carries more than before and rows are sent no more often; bytes a second at the largest size were not measured.

--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -8,6 +8,7 @@
 use crate::peers::Received;
 use crate::quota::ReportingPeer;
 use crate::report::InstanceInfo;
+use crate::report::ServiceShareRows;
 use siskinyoke_base::Millis;
 
 /// Maximum number of quarantined requests in one report, so that it fits into a datagram.
@@ -116,6 +117,19 @@
 
     /// Builds the next report to peers, including rarely changing information if `full` is set.
     pub fn next_report(&mut self, now: Millis, full: bool) -> Report {
+        let shares = self.scheduler.share_rows(now);
+        self.build_report(now, full, shares)
+    }
+
+    /// Builds a full report that is sent to one instance only, outside the reports to all peers.
+    ///
+    /// It has no share rows: these are due to all peers at once, and would be missing from the next
+    /// report to them.
+    pub fn unicast_report(&mut self, now: Millis) -> Report {
+        self.build_report(now, true, Vec::new())
+    }
+
+    fn build_report(&mut self, now: Millis, full: bool, shares: Vec<ServiceShareRows>) -> Report {
         self.report_number += 1;
         let since = if full {
             Millis::ZERO
@@ -140,7 +154,7 @@
             era: self.store_view.revision.era,
             relay: Some(self.relay_report()),
             rejection_limits: self.scheduler.rejection_limits().report_rows(now, since),
-            shares: self.scheduler.share_rows(now),
+            shares,
             canary_slices: self.canary_slices(now),
             prompt_parts: if full {
                 self.part_rows(now)
--- a/crates/siskinyoke-dispatch/tests/organisation_shares/main.rs
+++ b/crates/siskinyoke-dispatch/tests/organisation_shares/main.rs
@@ -4,15 +4,22 @@
 mod common;
 mod fleet;
 
+use self::common::core;
+use self::common::report;
+use self::common::request;
 use self::common::seeds;
 use self::fleet::Fleet;
 use self::fleet::Network;
 use self::fleet::SLOTS;
 use self::fleet::Sender;
 use self::fleet::Served;
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Report;
 use siskinyoke_dispatch::organisation_shares::fair_level::Claim;
 use siskinyoke_dispatch::organisation_shares::fair_level::fair_level;
 use siskinyoke_dispatch::organisation_shares::share_weights::WeightSource;
+use siskinyoke_dispatch::report::ServiceShareRows;
+use siskinyoke_dispatch::report::short_hash;
 
 /// The bound for organisations that ask for less than their share.
 const MAX_QUIET_REFUSED: f64 = 0.05;
@@ -226,6 +233,31 @@
     }
 }
 
+// Guards against a report to a single instance that leaves all peers without share rows until they
+// are due again, and against sending the rows more often for it.
+#[test]
+fn peers_receive_share_rows_in_time_whatever_is_sent_to_others() {
+    let mut core = core("i", 1);
+    let routed = core.route(Millis(0), request("/safe/x")).unwrap();
+    core.admit(Millis(0), &routed, 1).unwrap();
+    let (mut last_rows, mut longest_gap, mut sent) = (1_000, 0, 0);
+    for now in (1_000..6_000).step_by(20) {
+        core.receive_report(Millis(now), shortage_report(now));
+        for _ in 0..3 {
+            let unicast = core.unicast_report(Millis(now));
+            assert!(unicast.info.is_some());
+            sent += usize::from(!unicast.shares.is_empty());
+        }
+        if !core.next_report(Millis(now), false).shares.is_empty() {
+            longest_gap = longest_gap.max(now - last_rows);
+            last_rows = now;
+            sent += 1;
+        }
+    }
+    longest_gap = longest_gap.max(6_000 - last_rows);
+    assert_eq!((longest_gap, sent), (400, 13));
+}
+
 #[test]
 fn the_fair_level_divides_what_satisfied_organisations_leave() {
     let claim = |offered, weight| Claim { offered, weight };
@@ -237,6 +269,19 @@
     assert!(fair_level(0.0, vec![claim(1.0, 1.0)]) < 1e-9);
 }
 
+// Returns the report of a peer whose slots are short.
+fn shortage_report(number: u64) -> Report {
+    let shares = ServiceShareRows {
+        service: short_hash("lm"),
+        short_tiers: vec![1],
+        rows: Vec::new(),
+    };
+    Report {
+        shares: vec![shares],
+        ..report("p", number)
+    }
+}
+
 fn used_ratio(fleet: &Fleet) -> f64 {
     ratio(fleet.used_slots as u64, fleet.usable_slots as u64)
 }
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -168,15 +168,17 @@
 }
 
 fn send_report(shell: &Shell, discover: bool) {
-    let recipients = recipients(shell, shell.now(), discover);
-    send_report_to(shell, &recipients, discover);
-}
-
-fn send_report_to(shell: &Shell, to: &BTreeSet<SocketAddr>, full: bool) {
+    let now = shell.now();
+    let recipients = recipients(shell, now, discover);
     let mut core = shell.core.borrow_mut();
     core.set_relayed_count(shell.relay.in_flight());
-    let report = core.next_report(shell.now(), full);
+    let report = core.next_report(now, discover);
     drop(core);
+    send_report_to(shell, &recipients, report);
+}
+
+fn send_report_to(shell: &Shell, to: &BTreeSet<SocketAddr>, report: Report) {
+    let full = report.info.is_some();
     let message = Message::Report(Box::new(report));
     let Some(bytes) = shell.peer_socket.encode(&message) else {
         return;
@@ -192,9 +194,14 @@
 // It may have started during a store outage and belong to another shard, whose instances it
 // cannot find by it
 fn send_full_report(shell: &Shell, to: SocketAddr) {
-    if shell.core.borrow().configuration_version() > 0 {
-        send_report_to(shell, &BTreeSet::from([to]), true);
+    let mut core = shell.core.borrow_mut();
+    if core.configuration_version() == 0 {
+        return;
     }
+    core.set_relayed_count(shell.relay.in_flight());
+    let report = core.unicast_report(shell.now());
+    drop(core);
+    send_report_to(shell, &BTreeSet::from([to]), report);
 }
 
 // Returns the peers that currently report. A discovery round adds those that may be found.
