--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -192,7 +192,7 @@
 
 // Sends a full report to an instance that has no configuration yet, so that it can fetch one.
 // It may have started during a store outage and belong to another shard, whose instances it
-// cannot find by it
+// cannot find by itself.
 fn send_full_report(shell: &Shell, to: SocketAddr) {
     let mut core = shell.core.borrow_mut();
     if core.configuration_version() == 0 {
