Scheduler: a stream that has begun is moved only if it can stall again before its deadline

What callers saw: sound streams broke off at their deadline. Beside load, streams that had begun 1.4 to 1.8 s after arrival were moved at 2.7 to 2.9 s of 4 s, were silent again at the next endpoint and reached their deadline; the first endpoint would have ended in time.

Cause: a move asked only that one mean service time fits before the deadline, not a second silence. An endpoint that falls silent for about a second is sound, so the next one may as well.

Change: a stream that has begun is moved only if the mean service time and one more stall timeout fit before its deadline. A request without a first part is moved as before, as it loses nothing by it. A stream at an endpoint that has hung is no longer saved where less than that is left.

--- a/crates/siskinyoke-dispatch/src/core/retry.rs
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -9,7 +9,9 @@
 use crate::Ticket;
 use crate::budget::RetryBudget;
 use crate::core::Core;
+use crate::latency_model::LatencyModel;
 use crate::scheduler::ClusterView;
+use crate::stall_timeout::STREAM_STALL_TIMEOUT;
 use crate::wait;
 use siskinyoke_base::Millis;
 
@@ -61,7 +63,7 @@
         let latency = self.scheduler.latency_model(&request.service);
         request.route.idempotent()
             && request.attempts + 1 < request.route.max_attempts
-            && now + latency.mean_service_time() < request.deadline
+            && now + time_elsewhere(request, latency) < request.deadline
             && !self.is_retry_quarantined(now, request)
     }
 
@@ -118,3 +120,14 @@
         }
     }
 }
+
+// Returns the time that a stalled request needs at another endpoint. A stream that has begun may
+// stall there as well, and is cut at its deadline.
+fn time_elsewhere(request: &ScheduledRequest, latency: LatencyModel) -> Millis {
+    let stall = if request.version.is_some() {
+        STREAM_STALL_TIMEOUT
+    } else {
+        Millis::ZERO
+    };
+    latency.mean_service_time() + stall
+}
--- a/crates/siskinyoke-dispatch/tests/stalls.rs
+++ b/crates/siskinyoke-dispatch/tests/stalls.rs
@@ -278,6 +278,27 @@
     assert!(core.scheduler().running(next).is_some());
 }
 
+// Guards against streams that are moved late, stall again and are cut at their deadline.
+#[test]
+fn a_stream_that_has_begun_is_moved_only_if_it_can_stall_again_before_its_deadline() {
+    for (begun, at, moved) in [
+        (true, 3_700, true),
+        (true, 3_900, false),
+        (false, 3_900, true),
+    ] {
+        let mut core = core("i0", 1);
+        let routed = core.route(Millis(0), request("/stream/a")).unwrap();
+        let ticket = core.admit(Millis(0), &routed, 1).unwrap();
+        core.decide(Millis(0));
+        if begun {
+            core.first_part_received(Millis(50), ticket);
+        }
+        core.registry().put(Millis(50), endpoint("e2", 1));
+        let next = core.try_abandon(Millis(at), ticket);
+        assert_eq!(next.is_some(), moved, "begun: {begun}, at {at} ms");
+    }
+}
+
 // Guards against streams that are cut because their queue timeout runs from their arrival.
 #[test]
 fn a_stream_that_has_begun_waits_for_a_slot_from_when_it_is_queued_again() {
