Health: an endpoint is backed off from for stalled streams only if it responds to nothing in between

What callers saw: requests waited, and some were refused as `waited`, while sound endpoints had free slots.

Cause: a stream that was moved away for its silence counted like an endpoint that cannot be reached: a back-off of 200 ms that doubled with each further one up to 2 s. Sound endpoints may fall silent for about a second and go on.

Change: an abandoned stream that had begun starts a back-off only from the third one on without a first part or a complete response of the endpoint in between. An endpoint that has hung is still backed off from at the first request without any response, and its streams still raise its failure ratio, which placement weighs.

--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -26,6 +26,13 @@
 /// store is updated within that time.
 const MISDIRECTED_BACKOFF: Millis = Millis(3_000);
 
+/// The number of abandoned streams without a response in between from which on the endpoint is
+/// backed off from.
+///
+/// A sound endpoint may send nothing on a stream for a while. One that has hung also leaves new
+/// requests without a response, for which it is backed off from at once.
+const MIN_ABANDONED_STREAMS: u32 = 3;
+
 /// Health and speed of one endpoint, as observed by this instance.
 #[derive(Debug, Clone)]
 pub struct Health {
@@ -33,6 +40,8 @@
     // Set from the request of a back-off until the endpoint has accepted a request after it.
     requested_backoff: Option<RequestedBackoff>,
     failure_streak: u32,
+    // Since the last response of the endpoint.
+    abandoned_streams: u32,
     failure_ratio: f64,
     speed_factor: f64,
     observations: f64,
@@ -45,6 +54,7 @@
             backoff_until: Millis::ZERO,
             requested_backoff: None,
             failure_streak: 0,
+            abandoned_streams: 0,
             failure_ratio: 0.0,
             speed_factor: 1.0,
             observations: 0.0,
@@ -67,10 +77,22 @@
         }
     }
 
+    /// Records that a stream was abandoned because the endpoint sent nothing for a while after its
+    /// first part.
+    pub fn record_abandoned_stream(&mut self, now: Millis) {
+        self.abandoned_streams += 1;
+        if self.abandoned_streams >= MIN_ABANDONED_STREAMS {
+            self.record_unresponsive(now);
+        } else {
+            self.record_failure();
+        }
+    }
+
     /// Forgets failures, and ends the back-off after them; one that the endpoint requested stays.
     pub fn forget_failures(&mut self) {
         self.backoff_until = Millis::ZERO;
         self.failure_streak = 0;
+        self.abandoned_streams = 0;
         self.failure_ratio = 0.0;
     }
 
@@ -101,6 +123,7 @@
 
     /// Records that the endpoint accepted a request that was sent at `sent_at`.
     pub fn record_accepted(&mut self, sent_at: Millis) {
+        self.abandoned_streams = 0;
         self.requested_backoff
             .take_if(|backoff| backoff.precedes(sent_at));
     }
--- a/crates/siskinyoke-dispatch/src/placement.rs
+++ b/crates/siskinyoke-dispatch/src/placement.rs
@@ -142,6 +142,13 @@
             .record_outcome(now, outcome);
     }
 
+    /// Records that a stream was abandoned because its endpoint sent nothing for a while after its
+    /// first part.
+    pub fn record_abandoned_stream(&mut self, now: Millis, key: EndpointKey) {
+        let health = self.health.entry(key).or_default();
+        health.record_abandoned_stream(now);
+    }
+
     /// Records a time measured at an endpoint, and the time that was expected.
     pub fn record_speed(&mut self, key: EndpointKey, time: Millis, expected: Millis) {
         if expected > Millis::ZERO {
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -264,7 +264,11 @@
         if matches!(outcome, Outcome::Completed { .. } | Outcome::Failed) {
             self.selector.record_accepted(endpoint, sent_at);
         }
-        self.selector.record_outcome(now, endpoint, outcome);
+        if outcome == Outcome::Stalled && responded_at.is_some() {
+            self.selector.record_abandoned_stream(now, endpoint);
+        } else {
+            self.selector.record_outcome(now, endpoint, outcome);
+        }
         if let Outcome::Completed {
             first_latency,
             total,
--- a/crates/siskinyoke-dispatch/tests/placing.rs
+++ b/crates/siskinyoke-dispatch/tests/placing.rs
@@ -75,6 +75,19 @@
         });
         started.collect()
     }
+
+    // Gives up an attempt that has stalled.
+    fn abandon(&mut self, now: u64, ticket: Ticket) {
+        self.scheduler
+            .attempt_ended(Millis(now), ticket, Outcome::Stalled);
+    }
+
+    // Admits another stream, and returns whether it is started.
+    fn starts_another(&mut self, now: u64) -> bool {
+        let ticket = self.admit(stream(now, 100.0, 5.0));
+        let mut started = self.start_waiting(now).into_iter();
+        started.any(|it| it.0 == ticket)
+    }
 }
 
 fn stream(at: u64, prompt: f64, output: f64) -> ScheduledRequest {
@@ -189,6 +202,72 @@
     assert_eq!(fixture.start_waiting(START_MS + 250).len(), 1);
 }
 
+// Returns a fixture with one endpoint at which this number of streams have begun, with their
+// tickets.
+fn begun_streams(count: usize) -> (Fixture, Vec<Ticket>) {
+    let mut fixture = Fixture::new(&[("e", 12, USUAL_FACTOR)]);
+    let tickets: Vec<_> = (0..count)
+        .map(|_| fixture.admit(stream(START_MS, 100.0, 5.0)))
+        .collect();
+    assert_eq!(fixture.start_waiting(START_MS).len(), count);
+    for ticket in &tickets {
+        let scheduler = &mut fixture.scheduler;
+        scheduler.first_part_received(Millis(START_MS + 50), *ticket);
+    }
+    (fixture, tickets)
+}
+
+// Guards against sound endpoints that are left unused, while requests wait, because some of their
+// streams stalled.
+#[test]
+fn an_endpoint_is_not_backed_off_from_after_a_few_stalled_streams() {
+    for count in [1, 2] {
+        let (mut fixture, tickets) = begun_streams(count);
+        for ticket in tickets {
+            fixture.abandon(START_MS + 1_050, ticket);
+        }
+        assert!(fixture.starts_another(START_MS + 1_060), "{count} stalled");
+    }
+}
+
+// Guards against back-offs from an endpoint that responds while some of its streams stall.
+#[test]
+fn an_endpoint_that_responds_between_stalled_streams_is_not_backed_off_from() {
+    let (mut fixture, tickets) = begun_streams(4);
+    for ticket in &tickets[..2] {
+        fixture.abandon(START_MS + 1_050, *ticket);
+    }
+    let other = fixture.admit(stream(START_MS + 1_060, 100.0, 5.0));
+    assert_eq!(fixture.start_waiting(START_MS + 1_060).len(), 1);
+    let scheduler = &mut fixture.scheduler;
+    scheduler.first_part_received(Millis(START_MS + 1_100), other);
+    for ticket in &tickets[2..] {
+        fixture.abandon(START_MS + 1_150, *ticket);
+    }
+    assert!(fixture.starts_another(START_MS + 1_160));
+}
+
+// Guards against requests that are sent to an endpoint that has hung.
+#[test]
+fn an_endpoint_whose_streams_all_stall_is_backed_off_from() {
+    let (mut fixture, tickets) = begun_streams(3);
+    for ticket in tickets {
+        fixture.abandon(START_MS + 1_050, ticket);
+    }
+    assert!(!fixture.starts_another(START_MS + 1_060));
+    assert!(fixture.starts_another(START_MS + 1_300));
+}
+
+// Guards against requests that are sent to an endpoint that accepts them without responding.
+#[test]
+fn an_endpoint_that_does_not_respond_to_a_request_is_backed_off_from() {
+    let mut fixture = Fixture::new(&[("e", 12, USUAL_FACTOR)]);
+    let ticket = fixture.admit(stream(START_MS, 100.0, 5.0));
+    assert_eq!(fixture.start_waiting(START_MS).len(), 1);
+    fixture.abandon(START_MS + 400, ticket);
+    assert!(!fixture.starts_another(START_MS + 410));
+}
+
 // Guards against using endpoints of another data centre while equal ones are free in the local one:
 // traffic between data centres costs money.
 #[test]
