Placement: a route without a gap target has none that is missed

What callers saw: streams waited, and some were refused as `waited` after 2 s, while endpoints had free slots.

Cause: a route without GapTargetMs has a gap target of 0 ms, which any expected pause misses. An endpoint that counts as slow got a new stream of such a route only while it was idle, as the stream would make those that run there miss their target; beside load, the time to the first events varies enough for sound endpoints to count as slow. Streams of such routes also counted as stalled whatever their pauses.

Change: Route::misses_gap_target is false for a route without a target; placement and the record of stalls ask it.

--- a/crates/siskinyoke-dispatch/src/configuration.rs
+++ b/crates/siskinyoke-dispatch/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::latency_model::millis_to_f64;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
@@ -32,7 +33,7 @@
     pub timeout: Millis,
     /// Latency target for the complete response, or for the first event of a stream.
     pub latency_target: Millis,
-    /// Target for the longest gap between two events of a stream.
+    /// Target for the longest gap between two events of a stream; 0 if there is none.
     pub gap_target: Millis,
     /// Priority, 0 being the highest; an organisation's own priority takes precedence.
     pub priority: u8,
@@ -71,6 +72,11 @@
         stream_timeout.min(self.timeout)
     }
 
+    /// Returns whether a gap between two events of a stream, in ms, misses the target.
+    pub fn misses_gap_target(&self, gap_ms: f64) -> bool {
+        self.gap_target > Millis::ZERO && gap_ms > millis_to_f64(self.gap_target)
+    }
+
     /// Picks the service for a request by weight, from the hash of the request's ID.
     pub fn pick_service(&self, id_hash: u64) -> Option<&Arc<str>> {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.1)).sum();
--- a/crates/siskinyoke-dispatch/src/placement.rs
+++ b/crates/siskinyoke-dispatch/src/placement.rs
@@ -340,8 +340,8 @@
         let stall_ratio = health.map_or(0.0, Health::stall_ratio);
         let likely_stall = latency_model.expected_parts(&request.tokens) > SHORT_RESPONSE_PARTS
             && stall_ratio > STALL_THRESHOLD_RATIO;
-        let stalls_others = latency_model.expected_pause(tokens.prompt) * speed_factor
-            > millis_to_f64(request.route.gap_target);
+        let pause_ms = latency_model.expected_pause(tokens.prompt) * speed_factor;
+        let stalls_others = request.route.misses_gap_target(pause_ms);
         Cost {
             relative_time: time,
             late: first_part_at > millis_to_f64(request.route.latency_target) || likely_stall,
--- a/crates/siskinyoke-dispatch/src/scheduler/observations.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/observations.rs
@@ -41,9 +41,10 @@
         let latency = self.latencies.entry(request.service.clone()).or_default();
         self.selector
             .record_speed(key, remaining, latency.remaining_time(f64::from(parts)));
+        let pause_ms = millis_to_f64(longest_pause);
         self.selector
-            .record_stall(key, longest_pause > request.route.gap_target);
-        latency.record_pause(millis_to_f64(longest_pause) / self.selector.speed_factor(key));
+            .record_stall(key, request.route.misses_gap_target(pause_ms));
+        latency.record_pause(pause_ms / self.selector.speed_factor(key));
     }
 
     // Subtracts the prompt tokens of a request that the endpoint has processed or no longer has to.
--- a/crates/siskinyoke-dispatch/tests/placing.rs
+++ b/crates/siskinyoke-dispatch/tests/placing.rs
@@ -113,6 +113,18 @@
     assert_eq!(fixture.start_waiting(200), [(long, "usual".to_owned())]);
 }
 
+// Guards against streams that wait beside free slots because their route has no gap target.
+#[test]
+fn without_a_gap_target_a_slow_endpoint_is_used_beside_running_streams() {
+    let mut fixture = Fixture::new(&[("usual", 1, USUAL_FACTOR), ("slow", 12, SLOW_FACTOR)]);
+    for at in 0..3 {
+        let mut request = stream(at, 100.0, 5.0);
+        Arc::make_mut(&mut request.route).gap_target = Millis::ZERO;
+        fixture.admit(request);
+    }
+    assert_eq!(fixture.start_waiting(2).len(), 3);
+}
+
 // Guards against skipping slow endpoints when there are no others: long requests would never run.
 #[test]
 fn where_all_endpoints_are_slow_none_is_skipped() {
