--- a/crates/siskinyoke-dispatch/src/placement.rs
+++ b/crates/siskinyoke-dispatch/src/placement.rs
@@ -142,6 +142,13 @@
             .record_outcome(now, outcome);
     }
 
+    /// Records that a stream was abandoned because its endpoint sent nothing for a while after its
+    /// first part.
+    pub fn record_abandoned_stream(&mut self, now: Millis, key: EndpointKey) {
+        let health = self.health.entry(key).or_default();
+        health.record_abandoned_stream(now);
+    }
+
     /// Records a time measured at an endpoint, and the time that was expected.
     pub fn record_speed(&mut self, key: EndpointKey, time: Millis, expected: Millis) {
         if expected > Millis::ZERO {
@@ -333,8 +340,8 @@
         let stall_ratio = health.map_or(0.0, Health::stall_ratio);
         let likely_stall = latency_model.expected_parts(&request.tokens) > SHORT_RESPONSE_PARTS
             && stall_ratio > STALL_THRESHOLD_RATIO;
-        let stalls_others = latency_model.expected_pause(tokens.prompt) * speed_factor
-            > millis_to_f64(request.route.gap_target);
+        let pause_ms = latency_model.expected_pause(tokens.prompt) * speed_factor;
+        let stalls_others = request.route.misses_gap_target(pause_ms);
         Cost {
             relative_time: time,
             late: first_part_at > millis_to_f64(request.route.latency_target) || likely_stall,
