Part quarantine: a sound part is not blamed for crashes that several parts explain

Cause: the part with the most crashes was considered first. A part that most requests share runs beside the crashes of both others, neither of which explains it alone. It also counted all crashes under requests without a later part, even those that other parts explain. While it took the blame, a part that did crash endpoints was released.

A part with which responses were completed is now considered after the parts that together explain its crashes, and crashes that others explain do not count against it.

--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -29,11 +29,12 @@
 const CRASHES_TO_QUARANTINE: usize = 3;
 
 /// The number of crashes of requests without a later part after which a part is quarantined even if
-/// other parts explain them.
+/// other parts explain them. Of two parts that crash endpoints, one could otherwise hide behind the
+/// other.
 ///
 /// It is the number that the platform's rules tolerate, and so it is wanted, too, for parts with
-/// which responses were completed before. Of two parts that crash endpoints, one could otherwise
-/// hide behind the other.
+/// which responses were completed before. Crashes that other parts explain never count against
+/// these: a part that most requests share runs beside all crashes.
 const MAX_TOLERATED_CRASHES: usize = 5;
 
 /// The maximum number of parts of which those to be quarantined are selected.
@@ -298,12 +299,25 @@
     }
 
     // Returns the parts that explain the crashes before `end`. A part that another one explains is
-    // considered after it.
+    // considered after it, and so is one that was sound before and that all others together explain.
     fn unsound_parts(&self, end: Millis, doubt: Option<Millis>) -> Vec<UnsoundPart> {
-        let mut remaining = self.candidates(end, doubt);
+        let candidates = self.candidates(end, doubt);
+        let mut of_others = CrashList::default();
+        for candidate in candidates.iter().filter(|it| !it.was_sound) {
+            of_others.extend(&candidate.crashes.without(&of_others));
+        }
+        let (mut remaining, mut later): (Vec<_>, Vec<_>) = candidates
+            .into_iter()
+            .partition(|it| !it.was_sound || !it.is_explained_by(&of_others));
         let mut explained = CrashList::default();
         let mut unsound = Vec::new();
-        while !remaining.is_empty() {
+        loop {
+            if remaining.is_empty() {
+                remaining.append(&mut later);
+            }
+            if remaining.is_empty() {
+                return unsound;
+            }
             let independent = remaining
                 .iter()
                 .position(|it| !remaining.iter().any(|other| other.explains(it)));
@@ -316,14 +330,13 @@
                     part: candidate.part,
                     doubtful: candidate.was_sound,
                 });
-            } else if candidate.weight(&alone) >= MAX_TOLERATED_CRASHES {
+            } else if !candidate.was_sound && alone.len() >= MAX_TOLERATED_CRASHES {
                 unsound.push(UnsoundPart {
                     part: candidate.part,
                     doubtful: true,
                 });
             }
         }
-        unsound
     }
 
     fn crashes_in_quarantine(&self) -> CrashList {
--- a/crates/siskinyoke-dispatch/src/part_quarantine/candidate.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/candidate.rs
@@ -43,8 +43,12 @@
     /// not explain those of this part. If each explains the other's, it is the later one in the
     /// prompt, which fewer requests share.
     pub(super) fn explains(&self, other: &Self) -> bool {
-        let explained_by =
-            |a: &Self, b: &Self| a.crashes.without(&b.crashes).len() < CRASHES_TO_QUARANTINE;
-        explained_by(other, self) && (!explained_by(self, other) || self.position > other.position)
+        let explains_self = self.is_explained_by(&other.crashes);
+        other.is_explained_by(&self.crashes) && (!explains_self || self.position > other.position)
+    }
+
+    /// Returns whether `crashes` contain all but a few crashes of this part.
+    pub(super) fn is_explained_by(&self, crashes: &CrashList) -> bool {
+        self.crashes.without(crashes).len() < CRASHES_TO_QUARANTINE
     }
 }
--- a/crates/siskinyoke-dispatch/tests/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/part_quarantine.rs
@@ -70,6 +70,20 @@
     assert_eq!(both, [part("b"), part("c")]);
 }
 
+// Guards against a quarantine of the sound part of a route that runs beside two others.
+#[test]
+fn a_sound_part_is_not_blamed_for_crashes_that_several_parts_explain() {
+    let mut quarantine = PartQuarantine::default();
+    quarantine.record_sound(Millis(0), &parts(&["a"]));
+    for endpoint in 1..=6 {
+        let now = Millis(CRASH_INTERVAL_MS * u64::from(endpoint));
+        let poisoned = if endpoint <= 3 { "b" } else { "c" };
+        quarantine.record_crash(now, &parts(&["a"]), endpoint);
+        quarantine.record_crash(now, &parts(&[poisoned]), endpoint);
+    }
+    assert_eq!(quarantined(&mut quarantine, 4_000), [part("b"), part("c")]);
+}
+
 // Guards against a quarantine after connections that endpoints have reset.
 #[test]
 fn an_endpoint_that_responds_later_has_not_crashed() {
