--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -301,14 +301,7 @@
     // Returns the parts that explain the crashes before `end`. A part that another one explains is
     // considered after it, and so is one that was sound before and that all others together explain.
     fn unsound_parts(&self, end: Millis, doubt: Option<Millis>) -> Vec<UnsoundPart> {
-        let candidates = self.candidates(end, doubt);
-        let mut of_others = CrashList::default();
-        for candidate in candidates.iter().filter(|it| !it.was_sound) {
-            of_others.extend(&candidate.crashes.without(&of_others));
-        }
-        let (mut remaining, mut later): (Vec<_>, Vec<_>) = candidates
-            .into_iter()
-            .partition(|it| !it.was_sound || !it.is_explained_by(&of_others));
+        let (mut remaining, mut later) = split_explained(self.candidates(end, doubt));
         let mut explained = CrashList::default();
         let mut unsound = Vec::new();
         loop {
@@ -407,3 +400,13 @@
         }
     }
 }
+
+// Separates the candidates that were sound before and whose crashes the others together explain.
+fn split_explained(candidates: Vec<Candidate>) -> (Vec<Candidate>, Vec<Candidate>) {
+    let mut of_others = CrashList::default();
+    for candidate in candidates.iter().filter(|it| !it.was_sound) {
+        of_others.extend(&candidate.crashes.without(&of_others));
+    }
+    let is_independent = |it: &Candidate| !it.was_sound || !it.is_explained_by(&of_others);
+    candidates.into_iter().partition(is_independent)
+}
