Quarantine: crashes on lost links are forgotten, as before

A record of a request takes 16 crashes. Since those that were observed while the links of the instance were lost stayed in it, uncounted, so that after some losses of the links a poison request was never quarantined there by what the instance observed. They are forgotten again; peers with links report the real ones.

The new test fails before and passes.

--- a/crates/siskinyoke-dispatch/src/crash_list.rs
+++ b/crates/siskinyoke-dispatch/src/crash_list.rs
@@ -103,6 +103,10 @@
         }
     }
 
+    pub(crate) fn retain_before(&mut self, end: Millis) {
+        self.0.retain(|it| it.at < end);
+    }
+
     pub(crate) fn retain_after(&mut self, start: Millis) {
         self.0.retain(|it| it.at > start);
     }
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -88,11 +88,11 @@
         }
     }
 
-    /// Records that the links of this instance were lost at this time, so that the crashes observed
-    /// since then do not count.
+    /// Records that the links of this instance were lost at this time, and forgets the crashes
+    /// recorded since then. Peers report those that they have observed as well.
     pub fn links_lost(&mut self, since: Millis) {
         for record in self.records.values_mut() {
-            record.crashes.links_lost(since);
+            record.crashes.retain_before(since);
         }
     }
 
--- a/crates/siskinyoke-dispatch/tests/quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/quarantine.rs
@@ -126,3 +126,33 @@
     }
     assert!(!is_quarantined(&mut core, 4_000));
 }
+
+// Guards against a record that is full of connections broken by lost links, and takes no crashes.
+#[test]
+fn a_poison_request_is_quarantined_after_links_were_lost_often() {
+    let mut core = instance("i1", &[]);
+    for number in 0..20 {
+        let now = Millis(100 + 10_000 * number);
+        let id = format!("e{number}");
+        core.registry().put(now, endpoint(&id, 10));
+        let ticket = start_with(&mut core, now, FINGERPRINT, &[]);
+        core.attempt_ended(now, ticket, Outcome::ConnectionLost, false);
+        let failing = core.registry().eligible("lm")[0].clone();
+        core.record_unreachable(now, &failing);
+        for probed in core.due_probes(now) {
+            core.probe_ended(now, &probed, false);
+        }
+        assert!(core.links_lost("lm"));
+        for after in [1_000, 2_000, 3_000] {
+            confirm_links(&mut core, now + Millis(after));
+        }
+        assert!(!core.links_lost("lm"));
+        core.registry().remove(now + Millis(4_000), &id);
+    }
+    for (now, id) in [(300_000, "x1"), (301_000, "x2")] {
+        core.registry().put(Millis(now), endpoint(id, 10));
+        crash(&mut core, now);
+        core.registry().remove(Millis(now + 10), id);
+    }
+    assert!(is_quarantined(&mut core, 302_000));
+}
