--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -78,7 +78,7 @@
     // Refuses the waiting requests that are in quarantine by now.
     pub(super) fn refuse_quarantined(&mut self, now: Millis) -> Vec<Decision> {
         self.update_parts(now);
-        if self.quarantine.is_empty() && self.part_quarantine.is_empty() {
+        if self.quarantine.is_empty(now) && self.part_quarantine.is_empty() {
             return Vec::new();
         }
         let Self {
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -56,7 +56,7 @@
     pub fn record_crash(&mut self, now: Millis, fingerprint: u64, endpoint: u32) -> bool {
         let record = self.record_mut(now, fingerprint);
         record.add(now, endpoint);
-        let suspected = record.crashes.len() >= CRASHES_TO_QUARANTINE;
+        let suspected = record.is_suspected();
         self.evict_oldest();
         suspected
     }
@@ -111,9 +111,10 @@
             .is_some_and(|it| !it.is_expired(now, RECORD_TTL) && it.is_unsound(doubt, explained))
     }
 
-    /// Returns whether no crashes are recorded.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+    /// Returns whether no request is quarantined, without a look at each waiting one.
+    pub fn is_empty(&self, now: Millis) -> bool {
+        let mut records = self.records.values();
+        records.all(|it| it.is_expired(now, RECORD_TTL) || !it.is_suspected())
     }
 
     /// Returns the most recent crashes, which are reported to peers, latest first.
--- a/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// Returns whether the crashes would suffice to quarantine a request that was not completed
+    /// before.
+    pub(super) fn is_suspected(&self) -> bool {
+        self.crashes.len() >= CRASHES_TO_QUARANTINE
+    }
+
     /// Returns whether the crashes suffice for a quarantine. If links are in doubt, those recorded
     /// since then do not count, and those that parts of prompts explain never do.
     pub(super) fn is_unsound(&self, doubt: Option<Millis>, explained: &CrashList) -> bool {
