--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -68,18 +68,13 @@
 #[derive(Debug)]
 struct RunningRequest {
     request: ScheduledRequest,
-    endpoint: EndpointKey,
+    attempt: RunningAttempt,
     // The version of the endpoint.
     version: VersionKey,
-    sent_at: Millis,
     // The work ahead of it at the endpoint when it was sent.
     backlog: Backlog,
     // The slot time that its organisation was charged, in ms.
     charged: f64,
-    // When the first part of its response arrived.
-    responded_at: Option<Millis>,
-    // Whether the end of its response says that it is complete, where that has ended.
-    confirmed: bool,
 }
 
 /// A running attempt at an endpoint.
@@ -246,12 +241,16 @@
     ) -> Option<ScheduledRequest> {
         let RunningRequest {
             mut request,
+            attempt,
+            charged,
+            ..
+        } = self.running.remove(&ticket)?;
+        let RunningAttempt {
             endpoint,
             sent_at,
             responded_at,
-            charged,
             ..
-        } = self.running.remove(&ticket)?;
+        } = attempt;
         request.attempts += u32::from(!outcome.is_unsent());
         let slot_time = slot_time(outcome, now.since(sent_at));
         self.shares.correct(now, &request, charged, slot_time);
@@ -298,9 +297,9 @@
         let Some(running) = self.running.get_mut(&ticket) else {
             return;
         };
-        running.responded_at = Some(now);
+        running.attempt.responded_at = Some(now);
         running.request.version.get_or_insert(running.version);
-        let (endpoint, sent_at) = (running.endpoint, running.sent_at);
+        let (endpoint, sent_at) = (running.attempt.endpoint, running.attempt.sent_at);
         let first_latency = now.since(sent_at);
         let request = running.request.clone();
         self.selector.record_accepted(endpoint, sent_at);
@@ -315,7 +314,7 @@
         };
         let RunningRequest {
             request,
-            endpoint,
+            attempt,
             backlog,
             ..
         } = running;
@@ -324,7 +323,7 @@
             .first_part_time(&request.tokens.with_backlog(backlog.prefill_tokens))
             + backlog.slot_wait;
         stall_timeout::first_part_timeout(millis_from_f64(
-            millis_to_f64(expected) * self.selector.speed_factor(*endpoint),
+            millis_to_f64(expected) * self.selector.speed_factor(attempt.endpoint),
         ))
     }
 
@@ -350,18 +349,13 @@
 
     /// Returns the attempt of the running request with a ticket.
     pub(crate) fn running_attempt(&self, ticket: Ticket) -> Option<RunningAttempt> {
-        self.running.get(&ticket).map(|running| RunningAttempt {
-            endpoint: running.endpoint,
-            sent_at: running.sent_at,
-            responded_at: running.responded_at,
-            confirmed: running.confirmed,
-        })
+        self.running.get(&ticket).map(|running| running.attempt)
     }
 
     /// Records that the end of a running request's response does not say whether it is complete.
     pub(crate) fn response_unconfirmed(&mut self, ticket: Ticket) {
         if let Some(running) = self.running.get_mut(&ticket) {
-            running.confirmed = false;
+            running.attempt.confirmed = false;
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -5,6 +5,7 @@
 use super::Backlog;
 use super::ClusterView;
 use super::Decision;
+use super::RunningAttempt;
 use super::RunningRequest;
 use super::Scheduler;
 use super::queue_key;
@@ -289,13 +290,15 @@
         self.shares.record_used(now, &request, charged);
         let running = RunningRequest {
             request,
-            endpoint: key,
+            attempt: RunningAttempt {
+                endpoint: key,
+                sent_at: now,
+                responded_at: None,
+                confirmed: true,
+            },
             version: endpoint.version_key(),
-            sent_at: now,
             backlog,
             charged,
-            responded_at: None,
-            confirmed: true,
         };
         self.running.insert(ticket, running);
     }
