--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -168,16 +168,21 @@
 }
 
 fn send_report(shell: &Shell, discover: bool) {
-    let now = shell.now();
-    let recipients = recipients(shell, now, discover);
+    let recipients = recipients(shell, shell.now(), discover);
+    send_report_to(shell, &recipients, |core, now| {
+        core.next_report(now, discover)
+    });
+}
+
+fn send_report_to(
+    shell: &Shell,
+    to: &BTreeSet<SocketAddr>,
+    build: impl FnOnce(&mut Core, Millis) -> Report,
+) {
     let mut core = shell.core.borrow_mut();
     core.set_relayed_count(shell.relay.in_flight());
-    let report = core.next_report(now, discover);
+    let report = build(&mut core, shell.now());
     drop(core);
-    send_report_to(shell, &recipients, report);
-}
-
-fn send_report_to(shell: &Shell, to: &BTreeSet<SocketAddr>, report: Report) {
     let full = report.info.is_some();
     let message = Message::Report(Box::new(report));
     let Some(bytes) = shell.peer_socket.encode(&message) else {
@@ -194,14 +199,9 @@
 // It may have started during a store outage and belong to another shard, whose instances it
 // cannot find by itself.
 fn send_full_report(shell: &Shell, to: SocketAddr) {
-    let mut core = shell.core.borrow_mut();
-    if core.configuration_version() == 0 {
-        return;
+    if shell.core.borrow().configuration_version() > 0 {
+        send_report_to(shell, &BTreeSet::from([to]), Core::unicast_report);
     }
-    core.set_relayed_count(shell.relay.in_flight());
-    let report = core.unicast_report(shell.now());
-    drop(core);
-    send_report_to(shell, &BTreeSet::from([to]), report);
 }
 
 // Returns the peers that currently report. A discovery round adds those that may be found.
