Tests: fleets, reports in flight and settings are set up in one place

Fixtures that several test programs wrote again are in the common modules: a core of a fleet, reports in flight, a report with a waiting request, and the platform's settings. The gateway's test of prompt parts calls the soak's encoder of their header.

--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use siskinyoke_dispatch::RouteKind;
 use siskinyoke_dispatch::ScheduledRequest;
 use siskinyoke_dispatch::Service;
+use siskinyoke_dispatch::StoreUpdate;
 use siskinyoke_dispatch::TokenCounts;
 use siskinyoke_dispatch::core::Identity;
 use siskinyoke_dispatch::core::IncomingRequest;
@@ -29,6 +30,9 @@
 use siskinyoke_dispatch::report::InstanceInfo;
 use siskinyoke_dispatch::report::InstanceLocation;
 use siskinyoke_dispatch::report::RunningRow;
+use siskinyoke_dispatch::report::WaitingRow;
+use siskinyoke_dispatch::report::short_hash;
+use siskinyoke_dispatch::scheduled_request::QueueOrder;
 use siskinyoke_dispatch::stable_hash;
 
 /// Quota policy used in tests.
@@ -178,6 +182,35 @@
     core
 }
 
+/// Returns the instance `iN` of a fleet that knows all its instances and these endpoints.
+pub fn fleet_core<'a>(
+    now: Millis,
+    number: usize,
+    instance_count: usize,
+    incarnation: u64,
+    endpoints: impl Iterator<Item = &'a Endpoint>,
+) -> Core {
+    let mut core = Core::new(identity(&format!("i{number}"), incarnation));
+    core.configure(now, configuration(1, organisation(0.0, 0.0)));
+    let names = (0..instance_count).map(|it| format!("i{it}"));
+    let instances = names.map(|it| StoreUpdate::Instance(it.clone(), location(&it, "a")));
+    let endpoints = endpoints.map(|it| StoreUpdate::Endpoint(it.clone()));
+    core.apply_updates(now, 1.into(), instances.chain(endpoints).collect());
+    core
+}
+
+/// Adds the endpoints `e0`, `e1` and so on, and the instances `i0`, `i1` and so on.
+pub fn add_fleet(core: &mut Core, endpoint_count: usize, slots: u32, instance_count: usize) {
+    for number in 0..endpoint_count {
+        let endpoint = endpoint(&format!("e{number}"), slots);
+        core.registry().put(Millis(0), endpoint);
+    }
+    for number in 0..instance_count {
+        let name = format!("i{number}");
+        core.add_instance(&name, location(&name, "a"));
+    }
+}
+
 pub fn request(path: &str) -> IncomingRequest<'_> {
     IncomingRequest {
         host: "host",
@@ -228,6 +261,40 @@
     }
 }
 
+/// Returns the report of a peer with one waiting request.
+pub fn waiting_report(name: &str, number: u64) -> Report {
+    let row = WaitingRow {
+        service: short_hash("lm"),
+        order: QueueOrder::default(),
+        count: 1,
+        oldest_wait: 5,
+        service_time: 200,
+    };
+    Report {
+        waiting: vec![row],
+        ..report(name, number)
+    }
+}
+
+/// A report that has not arrived yet.
+#[derive(Debug, Clone)]
+pub struct InFlightReport {
+    /// When it arrives, in ms.
+    pub arrives_at: u64,
+    /// The number of its recipient.
+    pub to: usize,
+    /// The report.
+    pub report: Report,
+}
+
+/// Removes and returns the reports that have arrived.
+pub fn take_arrived(reports: &mut Vec<InFlightReport>, now: u64) -> Vec<InFlightReport> {
+    let all = std::mem::take(reports).into_iter();
+    let (arrived, in_flight) = all.partition(|it| it.arrives_at <= now);
+    *reports = in_flight;
+    arrived
+}
+
 /// Returns the location of an instance in a data centre.
 pub fn location(name: &str, centre: &str) -> InstanceLocation {
     InstanceLocation {
--- a/crates/siskinyoke-dispatch/tests/load/world.rs
+++ b/crates/siskinyoke-dispatch/tests/load/world.rs
@@ -8,9 +8,8 @@
 use rand_distr::Distribution;
 use rand_distr::LogNormal;
 
-use crate::common::endpoint;
+use crate::common::add_fleet;
 use crate::common::identity;
-use crate::common::location;
 use crate::common::organisation;
 use crate::common::route;
 use crate::common::scheduled_request;
@@ -96,15 +95,12 @@
             let name = format!("i{index}");
             let mut core = Core::new(identity(&name, index as u64 + 1));
             core.configure(Millis(0), configuration(classes));
-            for number in 0..slowdowns.len() {
-                let mut it = endpoint(&format!("e{number}"), SLOTS_PER_ENDPOINT);
-                it.service = "lm".into();
-                core.registry().put(Millis(0), it);
-            }
-            for other in 0..INSTANCE_COUNT {
-                let name = format!("i{other}");
-                core.add_instance(&name, location(&name, "a"));
-            }
+            add_fleet(
+                &mut core,
+                slowdowns.len(),
+                SLOTS_PER_ENDPOINT,
+                INSTANCE_COUNT,
+            );
             core
         };
         Self {
--- a/crates/siskinyoke-dispatch/tests/peers.rs
+++ b/crates/siskinyoke-dispatch/tests/peers.rs
@@ -63,16 +63,7 @@
 #[test]
 fn a_late_report_of_a_killed_process_does_not_replace_its_successor() {
     let mut peers = Peers::default();
-    let previous = Report {
-        incarnation: 1,
-        age: 9_000,
-        ..report("p", 700)
-    };
-    let restarted = Report {
-        incarnation: 2,
-        age: 50,
-        ..report("p", 1)
-    };
+    let [previous, restarted] = reports_of_two_processes();
     peers.receive(Millis(0), previous.clone());
     assert_eq!(
         peers.receive(Millis(100), restarted),
@@ -169,19 +160,25 @@
     assert!(!core.ready(Millis(1)));
 }
 
-// Returns pairs of a report and one that it makes outdated.
-fn outdated_reports() -> [(&'static str, Report, Report); 3] {
-    let reordered = [report("p", 2), report("p", 1)];
-    let successor = Report {
-        incarnation: 2,
-        age: 50,
-        ..report("p", 1)
-    };
-    let replaced = Report {
+// Returns reports of a process that was killed, and of the one that was started in its place.
+fn reports_of_two_processes() -> [Report; 2] {
+    let killed = Report {
         incarnation: 1,
         age: 9_000,
         ..report("p", 700)
     };
+    let restarted = Report {
+        incarnation: 2,
+        age: 50,
+        ..report("p", 1)
+    };
+    [killed, restarted]
+}
+
+// Returns pairs of a report and one that it makes outdated.
+fn outdated_reports() -> [(&'static str, Report, Report); 3] {
+    let reordered = [report("p", 2), report("p", 1)];
+    let [replaced, successor] = reports_of_two_processes();
     let unidentified = Report {
         info: None,
         ..replaced.clone()
--- a/crates/siskinyoke-dispatch/tests/rejection_limits/fleet.rs
+++ b/crates/siskinyoke-dispatch/tests/rejection_limits/fleet.rs
@@ -8,22 +8,19 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
+use crate::common::InFlightReport;
 use crate::common::completed;
-use crate::common::configuration;
 use crate::common::endpoint;
-use crate::common::identity;
+use crate::common::fleet_core;
 use crate::common::instance_number;
-use crate::common::location;
-use crate::common::organisation;
 use crate::common::request;
+use crate::common::take_arrived;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Decision;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Grant;
 use siskinyoke_dispatch::Outcome;
-use siskinyoke_dispatch::Report;
-use siskinyoke_dispatch::StoreUpdate;
 use siskinyoke_dispatch::Ticket;
 
 const STEP_MS: u64 = 1;
@@ -73,12 +70,6 @@
     lender: Option<(usize, u64)>,
 }
 
-struct InFlightReport {
-    arrives_at: u64,
-    to: usize,
-    report: Report,
-}
-
 /// A fleet and its endpoints.
 pub struct Fleet {
     scenario: Scenario,
@@ -160,15 +151,10 @@
     }
 
     fn start_core(&mut self, index: usize) -> Core {
-        let now = Millis(self.now);
-        let mut core = Core::new(identity(&format!("i{index}"), self.rng.random()));
-        core.configure(now, configuration(1, organisation(0.0, 0.0)));
-        let names = (0..self.scenario.instances).map(|it| format!("i{it}"));
-        let instances = names.map(|it| StoreUpdate::Instance(it.clone(), location(&it, "a")));
-        let endpoints = self.endpoints.iter();
-        let endpoints = endpoints.map(|it| StoreUpdate::Endpoint(it.endpoint.clone()));
-        core.apply_updates(now, 1.into(), instances.chain(endpoints).collect());
-        core
+        let incarnation = self.rng.random();
+        let count = self.scenario.instances;
+        let endpoints = self.endpoints.iter().map(|it| &it.endpoint);
+        fleet_core(Millis(self.now), index, count, incarnation, endpoints)
     }
 
     fn inject_faults(&mut self) {
@@ -232,11 +218,8 @@
     }
 
     fn deliver_reports(&mut self) {
-        let (due, later) = std::mem::take(&mut self.reports)
-            .into_iter()
-            .partition(|it| it.arrives_at <= self.now);
-        self.reports = later;
-        for InFlightReport { to, report, .. } in due {
+        let arrived = take_arrived(&mut self.reports, self.now);
+        for InFlightReport { to, report, .. } in arrived {
             self.cores[to].receive_report(Millis(self.now), report);
         }
     }
--- a/crates/siskinyoke-dispatch/tests/scheduler.rs
+++ b/crates/siskinyoke-dispatch/tests/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::common::request;
 use crate::common::running_row;
 use crate::common::scheduled_request;
+use crate::common::waiting_report;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Decision;
 use siskinyoke_dispatch::Outcome;
@@ -19,9 +20,6 @@
 use siskinyoke_dispatch::Ticket;
 use siskinyoke_dispatch::peers::Peers;
 use siskinyoke_dispatch::registry::Registry;
-use siskinyoke_dispatch::report::WaitingRow;
-use siskinyoke_dispatch::report::short_hash;
-use siskinyoke_dispatch::scheduled_request::QueueOrder;
 
 fn registry(endpoints: &[(&str, u32)]) -> Registry {
     let mut registry = Registry::default();
@@ -100,15 +98,7 @@
 fn a_free_slot_is_left_to_a_more_urgent_request_at_a_peer() {
     let registry = registry(&[("e", 1)]);
     let mut peers = Peers::default();
-    let mut peer_report = report("peer", 1);
-    peer_report.waiting = vec![WaitingRow {
-        service: short_hash("lm"),
-        order: QueueOrder::default(),
-        count: 1,
-        oldest_wait: 5,
-        service_time: 200,
-    }];
-    peers.receive(Millis(0), peer_report);
+    peers.receive(Millis(0), waiting_report("peer", 1));
     let mut scheduler = Scheduler::new("me", "a");
     scheduler
         .admit(
--- a/crates/siskinyoke-dispatch/tests/stalls.rs
+++ b/crates/siskinyoke-dispatch/tests/stalls.rs
@@ -2,25 +2,23 @@
 
 mod common;
 
+use crate::common::add_fleet;
 use crate::common::completed;
 use crate::common::configuration;
 use crate::common::core;
 use crate::common::count_starts;
 use crate::common::endpoint;
 use crate::common::identity;
-use crate::common::location;
 use crate::common::organisation;
 use crate::common::report;
 use crate::common::request;
+use crate::common::waiting_report;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Decision;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::Ticket;
-use siskinyoke_dispatch::report::WaitingRow;
-use siskinyoke_dispatch::report::short_hash;
-use siskinyoke_dispatch::scheduled_request::QueueOrder;
 use siskinyoke_dispatch::stall_timeout::STALL_CHECK_INTERVAL;
 use siskinyoke_dispatch::stall_timeout::STREAM_STALL_TIMEOUT;
 
@@ -79,14 +77,12 @@
             let name = format!("i{index}");
             let mut core = Core::new(identity(&name, index as u64 + 1));
             core.configure(Millis(0), configuration(1, organisation(0.0, 0.0)));
-            for number in 0..ENDPOINT_COUNT {
-                let endpoint = endpoint(&format!("e{number}"), SLOTS_PER_ENDPOINT);
-                core.registry().put(Millis(0), endpoint);
-            }
-            for other in 0..INSTANCE_COUNT {
-                let name = format!("i{other}");
-                core.add_instance(&name, location(&name, "a"));
-            }
+            add_fleet(
+                &mut core,
+                ENDPOINT_COUNT,
+                SLOTS_PER_ENDPOINT,
+                INSTANCE_COUNT,
+            );
             core
         };
         Self {
@@ -260,15 +256,7 @@
     core.decide(Millis(0));
     core.first_part_received(Millis(50), ticket);
     core.registry().put(Millis(50), endpoint("e2", 1));
-    let mut peer_report = report("i1", 1);
-    peer_report.waiting = vec![WaitingRow {
-        service: short_hash("lm"),
-        order: QueueOrder::default(),
-        count: 1,
-        oldest_wait: 5,
-        service_time: 200,
-    }];
-    core.receive_report(Millis(1_050), peer_report);
+    core.receive_report(Millis(1_050), waiting_report("i1", 1));
     assert_eq!(core.try_abandon(Millis(1_050), ticket), None);
     assert_eq!(core.scheduler().request_counts(), (0, 1));
     core.receive_report(Millis(1_150), report("i1", 2));
--- a/crates/siskinyoke-gateway/tests/messages.rs
+++ b/crates/siskinyoke-gateway/tests/messages.rs
@@ -17,15 +17,8 @@
 use siskinyoke_dispatch::scheduled_request::QueueOrder;
 use siskinyoke_gateway::gossip;
 
-const SETTINGS_JSON: &str = r#"{ "interface": "platform", "instance": "i0", "ip": "127.0.0.1", "centre": "a",
-    "listen": { "callers": "127.0.0.1:1", "health": "127.0.0.1:2", "directory": "127.0.0.1:3",
-                "peers": "127.0.0.1:4" },
-    "store": "127.0.0.1:5", "memory_mb": 16, "metrics": 1,
-    "bounds": { "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 54, "quota_window_s": 8,
-                "quota_overage": 0.1, "quota_slack": 0, "keep_s": 5 } }"#;
-
 fn report(full: bool) -> Report {
-    let shell = common::shell(SETTINGS_JSON);
+    let shell = common::shell(common::PLATFORM_SETTINGS);
     let mut core = shell.core.borrow_mut();
     core.apply_updates(Millis(1), Revision::new(3, 7), Vec::new());
     core.next_report(Millis(2), full)
--- a/crates/siskinyoke-gateway/tests/prompt_parts.rs
+++ b/crates/siskinyoke-gateway/tests/prompt_parts.rs
@@ -13,7 +13,7 @@
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
 use siskinyoke_soak::endpoint::crash::CrashFraming;
-use siskinyoke_soak::endpoint::crash::PROMPT_PARTS_HEADER;
+use siskinyoke_soak::poison::parts_header;
 
 /// The part that all requests share, and the one that crashes endpoints.
 const FIRST_PART: &str = "f1457";
@@ -139,13 +139,7 @@
     fn call(&self, id: &str, shared: &[&str]) -> bool {
         let number = id.bytes().map(usize::from).sum::<usize>();
         let instance = &self.instances[number % self.instances.len()];
-        let own = id.bytes().fold(0_u64, |it, byte| {
-            it.wrapping_mul(31).wrapping_add(u64::from(byte))
-        });
-        let own = format!("{own:x}");
-        let parts = shared.iter().copied().chain([own.as_str()]);
-        let parts: Vec<_> = parts.map(|it| format!("{it}:50")).collect();
-        let headers = format!("{PROMPT_PARTS_HEADER}: {}\r\n", parts.join(","));
+        let headers = parts_header(shared, id);
         let response = instance.call(id, "/stream/versioned", &headers, id);
         response.starts_with("HTTP/1.1 200") && response.contains("data: 1\n")
     }
--- a/crates/siskinyoke-gateway/tests/reports.rs
+++ b/crates/siskinyoke-gateway/tests/reports.rs
@@ -26,18 +26,11 @@
 use siskinyoke_gateway::peer_socket::MAX_MESSAGE_BYTES;
 use siskinyoke_gateway::shell::Shell;
 
-const SETTINGS_JSON: &str = r#"{ "interface": "platform", "instance": "i0", "ip": "127.0.0.1", "centre": "a",
-    "listen": { "callers": "127.0.0.1:1", "health": "127.0.0.1:2", "directory": "127.0.0.1:3",
-                "peers": "127.0.0.1:4" },
-    "store": "127.0.0.1:5", "memory_mb": 16, "metrics": 1,
-    "bounds": { "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 54, "quota_window_s": 8,
-                "quota_overage": 0.1, "quota_slack": 0, "keep_s": 5 } }"#;
-
 // Guards against a reply to an instance without a configuration that leaves all peers without share
 // rows until they are due again.
 #[tokio::test]
 async fn a_reply_to_an_instance_without_a_configuration_carries_no_share_rows() {
-    let shell = common::shell(SETTINGS_JSON);
+    let shell = common::shell(common::PLATFORM_SETTINGS);
     configure(&shell);
     let local: SocketAddr = "127.0.0.1:0".parse().unwrap();
     shell.peer_socket.bind(local).await.unwrap();
--- a/crates/siskinyoke-gateway/tests/start.rs
+++ b/crates/siskinyoke-gateway/tests/start.rs
@@ -12,13 +12,6 @@
 use siskinyoke_interface::Item;
 use siskinyoke_soak::configuration;
 
-const SETTINGS_JSON: &str = r#"{ "interface": "platform", "instance": "i0", "ip": "127.0.0.1", "centre": "a",
-    "listen": { "callers": "127.0.0.1:1", "health": "127.0.0.1:2", "directory": "127.0.0.1:3",
-                "peers": "127.0.0.1:4" },
-    "store": "127.0.0.1:5", "memory_mb": 16, "metrics": 1,
-    "bounds": { "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 54, "quota_window_s": 8,
-                "quota_overage": 0.1, "quota_slack": 0, "keep_s": 5 } }"#;
-
 /// Units of the bucket's capacity: the organisation's burst, or its rate for a second.
 const CAPACITY_UNITS: u64 = 30_000;
 
@@ -56,7 +49,7 @@
 // Guards against full buckets after a restart of all instances, which grant the quota twice.
 #[test]
 fn the_first_configuration_is_applied_with_the_size_of_the_fleet() {
-    let shell = common::shell(SETTINGS_JSON);
+    let shell = common::shell(common::PLATFORM_SETTINGS);
     let instances = (0..FLEET_SIZE).map(|index| {
         let location = json!({ "front": "a:1", "inner": "127.0.0.1:2", "centre": "a" });
         item(&format!("instances/i{index}"), &location.to_string())
