--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/poison_requests.rs
@@ -0,0 +1,215 @@
+//! Requests that crash every endpoint of a service, and come again.
+
+use std::path::Path;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use siskinyoke_soak::Endpoint;
+use siskinyoke_soak::Instance;
+use siskinyoke_soak::Store;
+use siskinyoke_soak::configuration;
+use siskinyoke_soak::endpoint::crash::CrashResponse;
+
+const INSTANCE_COUNT: usize = 3;
+const ENDPOINT_COUNT: usize = 3;
+const POISON_CALLER_COUNT: usize = 4;
+const SOUND_CALLER_COUNT: usize = 6;
+
+/// The path of the request that crashes endpoints, a tenth of a second after they begin to run it.
+const POISON_PATH: &str = "/safe/poison-brief";
+
+/// How long only sound requests are sent.
+const SOUND_TIME: Duration = Duration::from_secs(2);
+
+/// How long the request that crashes endpoints is sent after that.
+const POISON_TIME: Duration = Duration::from_secs(14);
+
+/// The pause of a caller after each request.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// The pause of a caller of the request that crashes endpoints.
+const POISON_PAUSE: Duration = Duration::from_millis(300);
+
+/// How long the entry of a crashed endpoint stays beside that of its next start.
+const ENTRY_EXPIRY: Duration = Duration::from_millis(800);
+
+/// The number of crashes that all instances have to know after the settling time, and of requests
+/// that may reach endpoints after that.
+const KNOWN_CRASHES: usize = 3;
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+const MAX_LATE_REQUESTS: usize = 3;
+
+struct Setup {
+    store: Store,
+    endpoints: Vec<Endpoint>,
+    instances: Vec<Instance>,
+    stop: AtomicBool,
+    // When each sound request was sent, and whether it was served.
+    sound: Mutex<Vec<(Instant, bool)>>,
+}
+
+impl Setup {
+    fn start(response: CrashResponse) -> Self {
+        let store = Store::start();
+        store.put("op/config", &configuration::text(3, "k1"));
+        let endpoints = (0..ENDPOINT_COUNT).map(|it| Endpoint::start(&format!("e{it}")));
+        let endpoints: Vec<_> = endpoints.collect();
+        for endpoint in &endpoints {
+            endpoint.set_poisoned_parts(&[], response);
+            store.put(&entry_key(endpoint, 0), &endpoint.entry("ready"));
+        }
+        let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
+        let instances = (0..INSTANCE_COUNT)
+            .map(|it| Instance::start(program, &format!("i{it}"), store.address))
+            .map(Instance::wait_until_ready);
+        let instances = instances.collect();
+        Self {
+            store,
+            endpoints,
+            instances,
+            stop: AtomicBool::new(false),
+            sound: Mutex::default(),
+        }
+    }
+
+    fn run(&self, sound_callers: usize) {
+        thread::scope(|scope| {
+            for endpoint in &self.endpoints {
+                scope.spawn(|| self.register_restarts(endpoint));
+            }
+            for caller in 0..sound_callers {
+                scope.spawn(move || self.send_sound(caller));
+            }
+            thread::sleep(SOUND_TIME);
+            for caller in 0..POISON_CALLER_COUNT {
+                scope.spawn(move || self.send_poison(caller));
+            }
+            thread::sleep(POISON_TIME);
+            self.stop.store(true, Ordering::Relaxed);
+        });
+    }
+
+    fn is_running(&self) -> bool {
+        !self.stop.load(Ordering::Relaxed)
+    }
+
+    // Writes an entry for each start of an endpoint, and removes that of the start before later.
+    fn register_restarts(&self, endpoint: &Endpoint) {
+        let mut restarts = 0;
+        while self.is_running() {
+            thread::sleep(Duration::from_millis(10));
+            if endpoint.take_return() {
+                restarts += 1;
+                let key = entry_key(endpoint, restarts);
+                self.store.put(&key, &endpoint.entry("ready"));
+                thread::sleep(ENTRY_EXPIRY);
+                self.store.remove(&entry_key(endpoint, restarts - 1));
+            }
+        }
+    }
+
+    fn send_sound(&self, caller: usize) {
+        for number in 0.. {
+            if !self.is_running() {
+                return;
+            }
+            let id = format!("sound{caller}n{number}");
+            let sent_at = Instant::now();
+            let instance = &self.instances[number % self.instances.len()];
+            let response = instance.call(&id, "/safe/a", "", &id);
+            let served = response.starts_with("HTTP/1.1 200");
+            self.sound.lock().unwrap().push((sent_at, served));
+            thread::sleep(PAUSE);
+        }
+    }
+
+    fn send_poison(&self, caller: usize) {
+        for number in 0.. {
+            if !self.is_running() {
+                return;
+            }
+            let id = format!("poison{caller}n{number}");
+            let instance = &self.instances[(caller + number) % self.instances.len()];
+            instance.call(&id, POISON_PATH, "", "same");
+            thread::sleep(POISON_PAUSE);
+        }
+    }
+
+    fn crash_times(&self) -> Vec<Instant> {
+        let times = self.endpoints.iter().flat_map(Endpoint::crash_times);
+        let mut times: Vec<_> = times.collect();
+        times.sort_unstable();
+        times
+    }
+
+    // Returns how many poison requests reached endpoints after a time.
+    fn poison_count(&self, since: Instant) -> usize {
+        let requests = self.endpoints.iter().flat_map(Endpoint::requests);
+        let poison = requests.filter(|it| it.request_line.contains(POISON_PATH));
+        poison
+            .filter(|it| it.received_at.is_some_and(|at| at > since))
+            .count()
+    }
+
+    // Returns how many sound requests that were sent after a time were served, and how many there
+    // were.
+    fn sound_count(&self, since: Instant) -> (usize, usize) {
+        let sound = self.sound.lock().unwrap();
+        let sent = sound.iter().filter(|it| it.0 > since);
+        (sent.clone().filter(|it| it.1).count(), sent.count())
+    }
+}
+
+// Returns the key of the entry of one start: each start registers under an ID of its own.
+fn entry_key(endpoint: &Endpoint, restarts: usize) -> String {
+    format!("servers/{}-{restarts}", endpoint.id)
+}
+
+fn check(response: CrashResponse, sound_callers: usize) {
+    let setup = Setup::start(response);
+    setup.run(sound_callers);
+    let crashes = setup.crash_times();
+    let Some(last) = crashes.get(KNOWN_CRASHES - 1).or(crashes.last()) else {
+        panic!("no endpoint crashed");
+    };
+    let settled = *last + SETTLING_TIME;
+    let late = setup.poison_count(settled);
+    let sound = setup.sound_count(settled + SETTLING_TIME);
+    let times = crashes
+        .iter()
+        .map(|it| it.duration_since(crashes[0]).as_millis());
+    let text = format!(
+        "{response:?}, {sound_callers} sound callers: {late} late requests, crashes at {:?} ms, \
+         sound requests served later: {sound:?}",
+        times.collect::<Vec<_>>()
+    );
+    println!("{text}");
+    assert!(
+        crashes.len() < KNOWN_CRASHES || late <= MAX_LATE_REQUESTS,
+        "{text}"
+    );
+    assert!(2 * sound.0 >= sound.1, "{text}");
+}
+
+// Guards against a request that crashes all endpoints of a service being sent to each new start.
+#[test]
+fn a_request_that_crashes_all_endpoints_is_quarantined_when_they_return() {
+    check(CrashResponse::Nothing, 0);
+    check(CrashResponse::Nothing, SOUND_CALLER_COUNT);
+}
+
+// Guards against crashes that follow an unmarked response and blame no request.
+#[test]
+fn a_request_that_crashes_endpoints_after_an_unmarked_response_is_quarantined() {
+    check(CrashResponse::Unmarked, SOUND_CALLER_COUNT);
+}
+
+// Guards against crashes that follow an error response and blame no request.
+#[test]
+fn a_request_that_crashes_endpoints_after_an_error_response_is_quarantined() {
+    check(CrashResponse::ServerError, SOUND_CALLER_COUNT);
+}
--- a/crates/siskinyoke-gateway/tests/prompt_parts.rs
+++ b/crates/siskinyoke-gateway/tests/prompt_parts.rs
@@ -12,7 +12,7 @@
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
-use siskinyoke_soak::endpoint::crash::CrashFraming;
+use siskinyoke_soak::endpoint::crash::CrashResponse;
 use siskinyoke_soak::poison::parts_header;
 
 /// The part that all requests share, and the one that crashes endpoints.
@@ -61,12 +61,12 @@
         let endpoints = (0..ENDPOINT_COUNT).map(|it| Endpoint::start(&format!("e{it}")));
         let endpoints: Vec<_> = endpoints.collect();
         for (index, endpoint) in endpoints.iter().enumerate() {
-            let framing = if unmarked(index) {
-                CrashFraming::Unmarked
+            let response = if unmarked(index) {
+                CrashResponse::Unmarked
             } else {
-                CrashFraming::Chunked
+                CrashResponse::Chunked
             };
-            endpoint.set_poisoned_parts(&[POISONED_PART], framing);
+            endpoint.set_poisoned_parts(&[POISONED_PART], response);
             register(&store, endpoint);
         }
         let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
--- a/soak/src/endpoint/crash.rs
+++ b/soak/src/endpoint/crash.rs
@@ -1,4 +1,4 @@
-//! Endpoints that crash as soon as they begin to respond to a request with a certain prompt part.
+//! Endpoints that crash under requests with a certain prompt part or path.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -12,6 +12,7 @@
 
 use super::Endpoint;
 use super::ReceivedRequest;
+use super::work;
 
 /// The header that lists the parts of a prompt, each with its number of tokens.
 pub const PROMPT_PARTS_HEADER: &str = "siskinyoke-prompt-prefix";
@@ -19,20 +20,27 @@
 /// How long an endpoint is down after a crash.
 pub const DOWN_TIME: Duration = Duration::from_secs(2);
 
-/// Time from the head of the response to the crash.
+/// The text in the path of a request that crashes any endpoint that runs it.
+const POISONED_PATH: &str = "poison";
+
+/// Time from what is sent of the response to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
 /// How often an endpoint tries to listen again at its address.
 const BIND_INTERVAL: Duration = Duration::from_millis(20);
 
-/// How the response that an endpoint begins before it crashes marks its end.
+/// What an endpoint sends before it crashes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum CrashFraming {
-    /// By its last chunk.
+pub enum CrashResponse {
+    /// The head of a response whose end the last chunk marks.
     #[default]
     Chunked,
-    /// Not at all.
+    /// The head of a response whose end is not marked.
     Unmarked,
+    /// A complete response that says that the endpoint failed.
+    ServerError,
+    /// Nothing.
+    Nothing,
 }
 
 /// When an endpoint crashes, and how often it did.
@@ -40,7 +48,7 @@
 pub(super) struct Crashes {
     // IDs of the parts under which the endpoint crashes.
     parts: BTreeSet<String>,
-    framing: CrashFraming,
+    response: CrashResponse,
     // The open connections, by their order.
     connections: BTreeMap<u64, TcpStream>,
     connection_count: u64,
@@ -51,19 +59,19 @@
 }
 
 impl Endpoint {
-    /// Sets the parts under which the endpoint crashes, by their IDs in the header, and how the
-    /// responses end that it begins before.
+    /// Sets the parts under which the endpoint crashes, by their IDs in the header, and what it
+    /// sends before that.
     ///
     /// # Panics
     ///
     /// If one of its threads has panicked.
-    pub fn set_poisoned_parts(&self, parts: &[&str], framing: CrashFraming) {
+    pub fn set_poisoned_parts(&self, parts: &[&str], response: CrashResponse) {
         let mut crashes = self.crashes.lock().unwrap();
         crashes.parts = parts.iter().map(|it| (*it).to_owned()).collect();
-        crashes.framing = framing;
+        crashes.response = response;
     }
 
-    /// Returns when it crashed because of a part.
+    /// Returns when it crashed.
     ///
     /// # Panics
     ///
@@ -112,34 +120,49 @@
         }
     }
 
-    // Crashes if a request has a poisoned part, and returns whether it did.
+    // Crashes if a request has a poisoned part or path, and returns whether it did.
     pub(super) fn crash_on(
         &self,
         request: &ReceivedRequest,
         out: &mut TcpStream,
     ) -> std::io::Result<bool> {
-        let framing = {
+        let response = {
             let crashes = self.crashes.lock().unwrap();
             if !crashes.is_poisoned(request) {
                 return Ok(false);
             }
-            crashes.framing
+            crashes.response
         };
         self.requests.lock().unwrap().push(request.clone());
-        let encoding = match framing {
-            CrashFraming::Chunked => "transfer-encoding: chunked\r\n",
-            CrashFraming::Unmarked => "",
-        };
-        let head = self.signed_head(request);
-        write!(
-            out,
-            "{head}content-type: text/event-stream\r\n{encoding}\r\n"
-        )?;
+        work(request);
+        self.write_last_response(response, request, out)?;
         thread::sleep(CRASH_DELAY);
         self.crash();
         Ok(true)
     }
 
+    fn write_last_response(
+        &self,
+        response: CrashResponse,
+        request: &ReceivedRequest,
+        out: &mut TcpStream,
+    ) -> std::io::Result<()> {
+        let head = self.signed_head(request);
+        let event_stream = "content-type: text/event-stream\r\n";
+        match response {
+            CrashResponse::Chunked => write!(
+                out,
+                "{head}{event_stream}transfer-encoding: chunked\r\n\r\n"
+            ),
+            CrashResponse::Unmarked => write!(out, "{head}{event_stream}\r\n"),
+            CrashResponse::ServerError => {
+                let head = head.replace("200 OK", "500 Failed");
+                write!(out, "{head}content-length: 6\r\n\r\nfailed")
+            }
+            CrashResponse::Nothing => Ok(()),
+        }
+    }
+
     fn crash(&self) {
         let mut crashes = self.crashes.lock().unwrap();
         if crashes.down_until.is_some() {
@@ -188,7 +211,8 @@
 
 impl Crashes {
     fn is_poisoned(&self, request: &ReceivedRequest) -> bool {
-        request.prompt_parts().any(|it| self.parts.contains(it))
+        request.line_contains(POISONED_PATH)
+            || request.prompt_parts().any(|it| self.parts.contains(it))
     }
 }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -26,7 +26,7 @@
 use crate::checker::Checker;
 use crate::client;
 use crate::configuration;
-use crate::endpoint::crash::CrashFraming;
+use crate::endpoint::crash::CrashResponse;
 use crate::poison;
 use crate::proxy::Cut;
 use crate::proxy::Fault;
@@ -224,8 +224,8 @@
             .map(|i| Endpoint::start_with_version(&format!("e{i}"), Some(SERVICE_VERSIONS[i % 2])))
             .collect();
         for (index, endpoint) in endpoints.iter().enumerate() {
-            let framings = [CrashFraming::Chunked, CrashFraming::Unmarked];
-            endpoint.set_poisoned_parts(&[poison::POISONED_PART], framings[index % 2]);
+            let responses = [CrashResponse::Chunked, CrashResponse::Unmarked];
+            endpoint.set_poisoned_parts(&[poison::POISONED_PART], responses[index % 2]);
         }
         let endpoint_proxies: Vec<Proxy> = endpoints
             .iter()
