Quarantine: crashes on lost links count once their endpoints are gone

Callers saw a service of three endpoints down again and again: the same request crashed each new start.

Cause: where a request takes all endpoints of a service, no probe gets through, each instance takes its own links for lost and dropped the crashes since then. Peers with links would have reported them, but none had links. Class: evidence that is dropped where it should wait for confirmation; parts of prompts already kept theirs.

Change: crashes since the links were lost are kept and count once the endpoint start is gone: no longer listed, or its address taken over by a later start (the entry of the old start expires only seconds later, so the request would be sent to the new one before that). A start that announced that it leaves is not gone in this sense. Such crashes are reported to peers, also while other links are in doubt, and count there at once. A full list drops what is unconfirmed first. The line links_lost says how many crashes do not count. Parts of prompts use the same view of endpoints that are gone.

Tests: endpoints of the fixture had one address for all; each has its own now. In a_poison_request_is_quarantined_after_links_were_lost_often the endpoints between the losses announce that they leave before they are removed: without that their removal now confirms a crash, which is the change. What it guards, a list that is full of broken connections, is as it was, and it failed until full lists dropped unconfirmed crashes.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -74,6 +74,8 @@
     budgets: Map<Arc<str>, RetryBudget>,
     quarantine: Quarantine,
     part_quarantine: PartQuarantine,
+    // The generation of the registry up to which crashes were confirmed.
+    confirmed_generation: u64,
     links: LinkMonitor,
     relays: Relays,
     // The number of requests that this instance relays for its peers.
@@ -107,6 +109,7 @@
             budgets: Map::default(),
             quarantine: Quarantine::default(),
             part_quarantine: PartQuarantine::default(),
+            confirmed_generation: 0,
             links: LinkMonitor::default(),
             relays: Relays::default(),
             relayed_count: 0,
--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -40,6 +40,12 @@
         self.links.is_doubted(service)
     }
 
+    /// Returns the number of crashes that do not count against requests, as this instance's links were
+    /// lost when they were recorded.
+    pub fn unconfirmed_crash_count(&self) -> usize {
+        self.quarantine.unconfirmed_count()
+    }
+
     /// Returns the number of services to whose endpoints this instance has lost its links.
     pub fn lost_link_count(&self) -> usize {
         self.links.lost_services().count()
@@ -58,7 +64,8 @@
 
     /// Records whether a probed endpoint responded, and returns what that changed.
     ///
-    /// When links are found lost, the failures blamed on endpoints of the service are forgotten.
+    /// When links are found lost, the failures blamed on endpoints of the service are forgotten, and
+    /// the crashes blamed on requests do not count until they are confirmed.
     pub fn probe_ended(
         &mut self,
         now: Millis,
@@ -155,11 +162,9 @@
     }
 
     // Returns the latest crashes for reports. While links are in doubt, broken connections may be
-    // the fault of this instance.
+    // the fault of this instance, so that only the crashes of endpoints that are gone are reported.
     pub(super) fn reported_crashes(&self, now: Millis, limit: usize) -> Vec<(u64, Vec<u32>)> {
-        if self.links.any_in_doubt() {
-            return Vec::new();
-        }
-        self.quarantine.recent_crashes(now, limit)
+        let doubt = self.links.any_in_doubt().then_some(Millis::ZERO);
+        self.quarantine.recent_crashes(now, limit, doubt)
     }
 }
--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -1,7 +1,5 @@
 //! Quarantine of requests and prompt parts that crash the endpoints that run them.
 
-use std::collections::BTreeSet;
-
 use crate::Outcome;
 use crate::PromptPart;
 use crate::Refusal;
@@ -44,7 +42,7 @@
         request: &RoutedRequest,
         fingerprint: u64,
     ) -> bool {
-        self.update_parts(now);
+        self.update_evidence(now);
         let explained = self.part_quarantine.explained_crashes();
         let doubt = self.links.doubted_since(&request.service);
         let quarantine = &self.quarantine;
@@ -65,7 +63,7 @@
 
     // Returns whether a request that has run must not be sent to another endpoint.
     pub(super) fn is_retry_quarantined(&mut self, now: Millis, request: &ScheduledRequest) -> bool {
-        self.update_parts(now);
+        self.update_evidence(now);
         let explained = self.part_quarantine.explained_crashes();
         let doubt = self.links.doubted_since(&request.service);
         self.quarantine
@@ -77,7 +75,7 @@
 
     // Refuses the waiting requests that are in quarantine by now.
     pub(super) fn refuse_quarantined(&mut self, now: Millis) -> Vec<Decision> {
-        self.update_parts(now);
+        self.update_evidence(now);
         if self.quarantine.is_empty(now) && self.part_quarantine.is_empty() {
             return Vec::new();
         }
@@ -155,15 +153,22 @@
         }
     }
 
-    fn update_parts(&mut self, now: Millis) {
-        if !self.part_quarantine.is_due(now) {
+    // Counts the crashes of endpoints that are gone by now, and decides which prompt parts are in
+    // quarantine.
+    fn update_evidence(&mut self, now: Millis) {
+        let generation = self.registry.generation();
+        let changed = self.confirmed_generation != generation;
+        if !changed && !self.part_quarantine.is_due(now) {
             return;
         }
-        let registered = self.registry.all().map(|it| it.key().short_key());
-        let registered: BTreeSet<u32> = registered.collect();
-        let is_gone = |endpoint| !registered.contains(&endpoint);
-        self.part_quarantine
-            .update(now, self.links.earliest_doubt(), is_gone);
+        let known = self.registry.unfailed_starts();
+        let is_gone = |endpoint| !known.contains(&endpoint);
+        if changed {
+            self.confirmed_generation = generation;
+            self.quarantine.confirm(is_gone);
+        }
+        let doubt = self.links.earliest_doubt();
+        self.part_quarantine.update(now, doubt, is_gone);
     }
 
     // Returns whether this instance, of all that are listed, tries requests with a quarantined part:
--- a/crates/siskinyoke-dispatch/src/crash_list.rs
+++ b/crates/siskinyoke-dispatch/src/crash_list.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    // Returns whether it may be the fault of lost links.
+    fn is_unconfirmed(&self) -> bool {
+        self.state == CrashState::LinksLost
+    }
+
     // Returns whether it counts if the links of this instance are in doubt since `doubt`.
     fn counts(self, doubt: Option<Millis>) -> bool {
         match self.state {
@@ -77,11 +82,24 @@
             if known.state == CrashState::LinksLost {
                 known.state = crash.state;
             }
-        } else if self.0.len() < MAX_CRASHES {
+            return;
+        }
+        if self.0.len() >= MAX_CRASHES {
+            self.remove_unconfirmed();
+        }
+        if self.0.len() < MAX_CRASHES {
             self.0.push(crash);
         }
     }
 
+    // Removes the first crash that may be the fault of lost links, if there is one.
+    fn remove_unconfirmed(&mut self) {
+        let unconfirmed = self.0.iter().position(Crash::is_unconfirmed);
+        if let Some(index) = unconfirmed {
+            self.0.remove(index);
+        }
+    }
+
     /// Removes the crash of an endpoint that responded to a request sent after it.
     pub(crate) fn acquit(&mut self, endpoint: u32, sent_at: Millis) {
         self.0
@@ -103,14 +121,15 @@
         }
     }
 
-    pub(crate) fn retain_before(&mut self, end: Millis) {
-        self.0.retain(|it| it.at < end);
-    }
-
     pub(crate) fn retain_after(&mut self, start: Millis) {
         self.0.retain(|it| it.at > start);
     }
 
+    /// Returns the number of crashes that may be the fault of lost links.
+    pub(crate) fn unconfirmed_count(&self) -> usize {
+        self.0.iter().filter(|it| it.is_unconfirmed()).count()
+    }
+
     /// Returns the crashes that count if the links of this instance are in doubt since `doubt`.
     pub(crate) fn counted(&self, doubt: Option<Millis>) -> Self {
         let rows = self.iter().filter(|it| it.counts(doubt));
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -88,14 +88,28 @@
         }
     }
 
-    /// Records that the links of this instance were lost at this time, and forgets the crashes
-    /// recorded since then. Peers report those that they have observed as well.
+    /// Records that the links of this instance were lost at this time, so that crashes recorded
+    /// since then count only where the endpoint is gone, or a peer reports them.
     pub fn links_lost(&mut self, since: Millis) {
         for record in self.records.values_mut() {
-            record.crashes.retain_before(since);
+            record.crashes.links_lost(since);
         }
     }
 
+    /// Counts the crashes of endpoints that are gone, also those since the links were lost; `is_gone`
+    /// tells that by the short key.
+    pub fn confirm(&mut self, is_gone: impl Fn(u32) -> bool) {
+        for record in self.records.values_mut() {
+            record.crashes.confirm(&is_gone);
+        }
+    }
+
+    /// Returns the number of crashes that do not count, as the links of this instance were lost.
+    pub fn unconfirmed_count(&self) -> usize {
+        let records = self.records.values();
+        records.map(|it| it.crashes.unconfirmed_count()).sum()
+    }
+
     /// Returns whether a request must not be run. If the links of this instance are in doubt, the
     /// crashes recorded since then do not count yet. Those that parts of prompts explain do not
     /// count.
@@ -117,12 +131,18 @@
         records.all(|it| it.is_expired(now, RECORD_TTL) || !it.is_suspected())
     }
 
-    /// Returns the most recent crashes, which are reported to peers, latest first.
-    pub fn recent_crashes(&self, now: Millis, limit: usize) -> Vec<(u64, Vec<u32>)> {
+    /// Returns the most recent crashes, which are reported to peers, latest first. If links of this
+    /// instance are in doubt, those recorded since then are left out.
+    pub fn recent_crashes(
+        &self,
+        now: Millis,
+        limit: usize,
+        doubt: Option<Millis>,
+    ) -> Vec<(u64, Vec<u32>)> {
         let records = self.latest_records().into_iter();
         let recent = records.filter(|it| !it.1.is_expired(now, RECORD_TTL));
         let rows = recent.map(|(fingerprint, record)| {
-            let crashes = record.crashes.counted(None);
+            let crashes = record.crashes.counted(doubt);
             (fingerprint, crashes.iter().map(|it| it.endpoint).collect())
         });
         let rows = rows.filter(|row: &(u64, Vec<u32>)| !row.1.is_empty());
--- a/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
@@ -24,9 +24,20 @@
 }
 
 impl RequestRecord {
-    /// Adds the crash of an endpoint.
+    /// Adds the crash of an endpoint that was observed here.
     pub(super) fn add(&mut self, now: Millis, endpoint: u32) {
         self.dismissed.retain(|it| *it != endpoint);
+        self.add_crash(now, endpoint, CrashState::Observed);
+    }
+
+    /// Adds a crash that a peer reports, whose links work, unless it was dismissed.
+    pub(super) fn add_reported(&mut self, now: Millis, endpoint: u32) {
+        if !self.dismissed.contains(&endpoint) {
+            self.add_crash(now, endpoint, CrashState::Confirmed);
+        }
+    }
+
+    fn add_crash(&mut self, now: Millis, endpoint: u32, state: CrashState) {
         if !self.crashes.contains(endpoint) {
             self.last_crash = now;
         }
@@ -34,17 +45,10 @@
             endpoint,
             at: now,
             alone: true,
-            state: CrashState::Observed,
+            state,
         });
     }
 
-    /// Adds a crash that a peer reports, unless it was dismissed.
-    pub(super) fn add_reported(&mut self, now: Millis, endpoint: u32) {
-        if !self.dismissed.contains(&endpoint) {
-            self.add(now, endpoint);
-        }
-    }
-
     /// Dismisses all crashes.
     pub(super) fn dismiss_all(&mut self) {
         self.dismiss(|it| *it = CrashList::default());
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Cow;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::Endpoint;
@@ -66,6 +67,10 @@
     departures: Map<EndpointKey, Departure>,
     // Endpoints whose entries were removed, and when.
     removed: Map<EndpointKey, Millis>,
+    // When each listed endpoint start was first seen.
+    first_seen: Map<EndpointKey, Millis>,
+    // Incremented with each change of the listed or leaving endpoints.
+    generation: u64,
     // Departed endpoints whose entries returned after their removal, and when: another start with
     // the same key.
     restarts: Map<EndpointKey, Millis>,
@@ -184,6 +189,10 @@
         if self.entries.remove_expired(now) {
             self.update_eligible();
         }
+        if self.first_seen.len() > self.entries.iter().count() {
+            let listed: BTreeSet<EndpointKey> = self.all().map(|it| it.key()).collect();
+            self.first_seen.retain(|key, _| listed.contains(key));
+        }
     }
 
     /// Returns the endpoints of a service that this instance may use, in a fixed order.
@@ -347,6 +356,29 @@
         endpoint.slots.min(part / count(shards.len().max(1)))
     }
 
+    /// Returns a number that changes with the listed or leaving endpoints.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Returns the endpoint starts, by short key, of which nothing shows that they ended without
+    /// having announced it: those that are listed, unless a later start has taken over their address,
+    /// and those that are leaving or have left.
+    pub(crate) fn unfailed_starts(&self) -> BTreeSet<u32> {
+        let first_seen = |key| self.first_seen.get(&key).copied();
+        let mut latest: Map<&str, Option<Millis>> = Map::default();
+        for endpoint in self.all() {
+            let seen = latest.entry(&endpoint.address).or_default();
+            *seen = first_seen(endpoint.key()).max(*seen);
+        }
+        let is_current = |it: &&Arc<Endpoint>| {
+            latest.get(&*it.address).copied().flatten() == first_seen(it.key())
+        };
+        let listed = self.all().filter(is_current).map(|it| it.key());
+        let starts = listed.chain(self.departures.keys().copied());
+        starts.map(EndpointKey::short_key).collect()
+    }
+
     /// Returns all known endpoints.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.entries.iter().map(|row| row.1)
@@ -410,11 +442,13 @@
             let departure = self.departures.entry(key);
             departure.or_insert_with(|| Departure::new(now));
         }
+        self.first_seen.entry(key).or_insert(now);
         let id = endpoint.id.clone();
         self.entries.put(&id, Arc::new(endpoint));
     }
 
     fn update_eligible(&mut self) {
+        self.generation += 1;
         let mut services: BTreeMap<Arc<str>, Vec<Arc<Endpoint>>> = BTreeMap::new();
         for endpoint in self.entries.iter().map(|row| row.1) {
             if !self.is_leaving(endpoint) {
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -113,7 +113,7 @@
         started_ms: 1,
         service: "lm".into(),
         version: "".into(),
-        address: "10.0.0.1:80".into(),
+        address: format!("{id}.example:80").into(),
         centre: "a".into(),
         slots,
         draining: false,
--- a/crates/siskinyoke-dispatch/tests/quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/quarantine.rs
@@ -9,6 +9,7 @@
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Decision;
+use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::PromptParts;
 use siskinyoke_dispatch::RefusalReason;
@@ -147,7 +148,12 @@
             confirm_links(&mut core, now + Millis(after));
         }
         assert!(!core.links_lost("lm"));
-        core.registry().remove(now + Millis(4_000), &id);
+        let leaving = Endpoint {
+            draining: true,
+            ..endpoint(&id, 10)
+        };
+        core.registry().put(now + Millis(4_000), leaving);
+        core.registry().remove(now + Millis(6_000), &id);
     }
     for (now, id) in [(300_000, "x1"), (301_000, "x2")] {
         core.registry().put(Millis(now), endpoint(id, 10));
@@ -156,3 +162,63 @@
     }
     assert!(is_quarantined(&mut core, 302_000));
 }
+
+// Takes down all endpoints under one request, and returns whether the links are taken for lost.
+fn crash_all(core: &mut Core, now: u64, count: usize) -> bool {
+    for _ in 0..count {
+        let ticket = start(core, now);
+        core.attempt_ended(Millis(now), ticket, Outcome::ConnectionLost, false);
+    }
+    let failing = core.registry().eligible("lm")[0].clone();
+    core.record_unreachable(Millis(now), &failing);
+    for probed in core.due_probes(Millis(now)) {
+        core.probe_ended(Millis(now), &probed, false);
+    }
+    core.links_lost("lm")
+}
+
+// Guards against a poison request that takes all endpoints of a service and is sent to the next
+// starts as well.
+#[test]
+fn crashes_on_lost_links_count_once_the_endpoints_start_again() {
+    let mut core = instance("i1", &["e2", "e3"]);
+    assert!(crash_all(&mut core, 100, 2));
+    assert!(!is_quarantined(&mut core, 200));
+    let next_start = |id: &str, old: &str| Endpoint {
+        id: id.into(),
+        ..endpoint(old, 10)
+    };
+    core.registry().put(Millis(1_000), next_start("n2", "e2"));
+    assert!(!is_quarantined(&mut core, 1_000));
+    core.registry().put(Millis(1_100), next_start("n3", "e3"));
+    assert!(is_quarantined(&mut core, 1_100));
+}
+
+// Guards against the refusal of requests that ran while the links were cut, at endpoints that leave
+// later.
+#[test]
+fn endpoints_that_leave_after_links_were_lost_blame_no_request() {
+    let mut core = instance("i1", &["e2", "e3"]);
+    assert!(crash_all(&mut core, 100, 2));
+    for id in ["e2", "e3"] {
+        let leaving = Endpoint {
+            draining: true,
+            ..endpoint(id, 10)
+        };
+        core.registry().put(Millis(5_000), leaving);
+        core.registry().remove(Millis(7_000), id);
+    }
+    core.registry().put(Millis(7_000), endpoint("e4", 10));
+    assert!(!is_quarantined(&mut core, 7_100));
+}
+
+// Guards against the refusal of requests that ran while the links were cut, at endpoints that are
+// alive.
+#[test]
+fn crashes_on_lost_links_do_not_count_while_the_endpoints_are_listed() {
+    let mut core = instance("i1", &["e2", "e3"]);
+    assert!(crash_all(&mut core, 100, 2));
+    core.registry().put(Millis(1_000), endpoint("e4", 10));
+    core.registry().put(Millis(1_000), endpoint("e2", 10));
+    assert!(!is_quarantined(&mut core, 60_000));
+}
--- a/crates/siskinyoke-gateway/src/probes.rs
+++ b/crates/siskinyoke-gateway/src/probes.rs
@@ -59,10 +59,13 @@
             for endpoint in core.registry().eligible(service) {
                 shell.pool.clear(PoolKey::Endpoint(endpoint.key()));
             }
+            let fields = json!({
+                "service": service,
+                "found_ms": shell.now().since(since).0,
+                "peers": core.peers().instance_count(shell.now()) - 1,
+                "unconfirmed_crashes": core.unconfirmed_crash_count(),
+            });
             drop(core);
-            let doubted = shell.now().since(since);
-            let peers = shell.core.borrow().peers().instance_count(shell.now()) - 1;
-            let fields = json!({ "service": service, "found_ms": doubted.0, "peers": peers });
             shell.log("links_lost", fields);
         }
         LinkChange::Restored(duration) => {
