Quarantine: crashes soon after an error or an unmarked response blame the request

Callers saw most requests of a service fail: a request whose endpoints respond with an error, or with a body whose end nobody marks, and crash a moment later was sent to every new start.

Cause: only a broken connection accuses. A complete error and an end that nobody marked count as responses: they clear nothing, and accuse nothing either, though the endpoint is gone a moment later. Class: a crash that is attributed to what runs at that moment, not to what has just run.

Change: a request that ends in one of these ways is kept with its endpoint until that responds to a request sent later.

The test plays both with one caller of the request as well: with four, copies that run when an endpoint crashes are blamed by the broken connection, so that it passed without this change in some plays.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -43,6 +43,7 @@
 use crate::report::InstanceLocation;
 use crate::scheduler::Decision;
 use crate::stream_records::StreamRecords;
+use crate::uncleared_runs::UnclearedRuns;
 use crate::version_history::VersionHistory;
 use crate::version_key::VersionKey;
 use siskinyoke_base::Map;
@@ -74,6 +75,7 @@
     budgets: Map<Arc<str>, RetryBudget>,
     quarantine: Quarantine,
     part_quarantine: PartQuarantine,
+    uncleared_runs: UnclearedRuns,
     // The generation of the registry up to which crashes were confirmed.
     confirmed_generation: u64,
     links: LinkMonitor,
@@ -109,6 +111,7 @@
             budgets: Map::default(),
             quarantine: Quarantine::default(),
             part_quarantine: PartQuarantine::default(),
+            uncleared_runs: UnclearedRuns::default(),
             confirmed_generation: 0,
             links: LinkMonitor::default(),
             relays: Relays::default(),
@@ -374,6 +377,7 @@
         self.scheduler.prune_shares(now);
         self.relays.sweep(now);
         self.part_quarantine.prune(now);
+        self.uncleared_runs.prune(now);
         self.links.retain_services(&self.registry.services());
     }
 
--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -16,6 +16,7 @@
     /// Records that no connection to an endpoint could be established.
     pub fn record_unreachable(&mut self, now: Millis, endpoint: &Endpoint) {
         self.links.record_unreachable(now, endpoint);
+        self.record_endpoint_failure(now, endpoint.key());
     }
 
     /// Records that an endpoint did not respond over this instance's own link to a request sent at
--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -1,7 +1,9 @@
 //! Quarantine of requests and prompt parts that crash the endpoints that run them.
 
+use crate::EndpointKey;
 use crate::Outcome;
 use crate::PromptPart;
+use crate::PromptParts;
 use crate::Refusal;
 use crate::RefusalReason;
 use crate::ScheduledRequest;
@@ -13,6 +15,7 @@
 use crate::scheduler::Decision;
 use crate::scheduler::RunningAttempt;
 use crate::stable_hash;
+use crate::uncleared_runs::Run;
 use siskinyoke_base::Millis;
 
 /// Retry delay for requests that crashed endpoints; long, so that they cannot crash more of them.
@@ -104,16 +107,27 @@
         outcome: Outcome,
     ) {
         match outcome {
-            Outcome::ConnectionLost => self.record_crash(now, request, attempt),
-            Outcome::Completed { .. } => {
-                if attempt.confirmed {
-                    self.quarantine.record_sound(now, request.fingerprint);
+            Outcome::ConnectionLost => {
+                self.record_crash(now, &run(now, request, attempt), attempt.endpoint);
+                if is_sound(now, attempt) {
                     self.part_quarantine
                         .record_sound(now, &request.prompt_parts);
                 }
+                self.record_endpoint_failure(now, attempt.endpoint);
+            }
+            Outcome::Completed { .. } if attempt.confirmed => {
+                self.quarantine.record_sound(now, request.fingerprint);
+                self.part_quarantine
+                    .record_sound(now, &request.prompt_parts);
+                self.record_endpoint_response(attempt);
+            }
+            Outcome::Completed { .. } | Outcome::Failed => {
                 self.record_endpoint_response(attempt);
+                let endpoint = attempt.endpoint.short_key();
+                let run = run(now, request, attempt);
+                self.uncleared_runs.record(endpoint, run);
             }
-            Outcome::Failed | Outcome::Full => self.record_endpoint_response(attempt),
+            Outcome::Full => self.record_endpoint_response(attempt),
             _ => {}
         }
     }
@@ -124,6 +138,16 @@
         self.quarantine.record_response(endpoint, attempt.sent_at);
         self.part_quarantine
             .record_response(endpoint, attempt.sent_at);
+        self.uncleared_runs
+            .record_response(endpoint, attempt.sent_at);
+    }
+
+    // Records that a connection to an endpoint broke or could not be established. Requests that ended
+    // there shortly before may have crashed it.
+    pub(super) fn record_endpoint_failure(&mut self, now: Millis, key: EndpointKey) {
+        for run in self.uncleared_runs.take_failed(now, key.short_key()) {
+            self.record_crash(now, &run, key);
+        }
     }
 
     pub(super) fn part_rows(&self, now: Millis) -> Vec<PartRow> {
@@ -131,30 +155,18 @@
             .report_rows(now, self.links.earliest_doubt())
     }
 
-    // Records that the connection broke while an endpoint ran a request. Lost links break requests
-    // at several endpoints at once, so the links are probed before the request is blamed.
-    fn record_crash(&mut self, now: Millis, request: &ScheduledRequest, attempt: RunningAttempt) {
-        let key = attempt.endpoint;
-        if self
-            .quarantine
-            .record_crash(now, request.fingerprint, key.short_key())
-        {
-            self.links.record_crashes(now, &request.service, key);
-        }
-        let is_sound = attempt
-            .responded_at
-            .is_some_and(|at| now.since(at) >= SOUND_RESPONSE_PERIOD);
-        if is_sound {
-            self.part_quarantine
-                .record_sound(now, &request.prompt_parts);
-        } else {
-            self.part_quarantine
-                .record_crash(now, &request.prompt_parts, key.short_key());
+    // Records that an endpoint seems to have crashed under a request. Lost links break requests at
+    // several endpoints at once, so the links are probed before the request is blamed.
+    fn record_crash(&mut self, now: Millis, run: &Run, key: EndpointKey) {
+        let endpoint = key.short_key();
+        if self.quarantine.record_crash(now, run.fingerprint, endpoint) {
+            self.links.record_crashes(now, &run.service, key);
         }
+        self.part_quarantine.record_crash(now, &run.parts, endpoint);
     }
 
-    // Counts the crashes of endpoints that are gone by now, and decides which prompt parts are in
-    // quarantine.
+    // Counts the crashes of endpoints that are known by now to have failed, and decides which prompt
+    // parts are in quarantine.
     fn update_evidence(&mut self, now: Millis) {
         let generation = self.registry.generation();
         let changed = self.confirmed_generation != generation;
@@ -165,6 +177,11 @@
         let is_gone = |endpoint| !known.contains(&endpoint);
         if changed {
             self.confirmed_generation = generation;
+            for (endpoint, run) in self.uncleared_runs.take_gone(now, is_gone) {
+                let at = run.ended_at;
+                self.quarantine.record_crash(at, run.fingerprint, endpoint);
+                self.part_quarantine.record_crash(at, &run.parts, endpoint);
+            }
             self.quarantine.confirm(is_gone);
         }
         let doubt = self.links.earliest_doubt();
@@ -180,6 +197,28 @@
     }
 }
 
+// Returns what is kept of a request that ended at an endpoint.
+fn run(now: Millis, request: &ScheduledRequest, attempt: RunningAttempt) -> Run {
+    let parts = if is_sound(now, attempt) {
+        PromptParts::default()
+    } else {
+        request.prompt_parts.clone()
+    };
+    Run {
+        fingerprint: request.fingerprint,
+        service: request.service.clone(),
+        parts,
+        ended_at: now,
+    }
+}
+
+// Returns whether an endpoint has sent a response for so long that the parts of its prompt count as
+// sound.
+fn is_sound(now: Millis, attempt: RunningAttempt) -> bool {
+    let responded_at = attempt.responded_at;
+    responded_at.is_some_and(|at| now.since(at) >= SOUND_RESPONSE_PERIOD)
+}
+
 pub(super) fn refusal() -> Refusal {
     Refusal {
         reason: RefusalReason::Quarantined,
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod stream_records;
 pub mod stream_resumption;
 pub mod token_counts;
+mod uncleared_runs;
 pub mod version_history;
 pub mod version_key;
 mod wait;
--- a/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
@@ -39,7 +39,7 @@
 
     fn add_crash(&mut self, now: Millis, endpoint: u32, state: CrashState) {
         if !self.crashes.contains(endpoint) {
-            self.last_crash = now;
+            self.last_crash = self.last_crash.max(now);
         }
         self.crashes.add(Crash {
             endpoint,
--- a/crates/siskinyoke-dispatch/tests/quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/quarantine.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use crate::common::completed;
 use crate::common::core;
 use crate::common::endpoint;
@@ -222,3 +224,58 @@
     core.registry().put(Millis(1_000), endpoint("e2", 10));
     assert!(!is_quarantined(&mut core, 60_000));
 }
+
+// Sends the request to an endpoint that responds with an error.
+fn fail(core: &mut Core, now: u64) -> Arc<str> {
+    let ticket = start(core, now);
+    let running = core.scheduler().running(ticket).unwrap();
+    let key = running.tried[0];
+    core.attempt_ended(Millis(now + 50), ticket, Outcome::Failed, false);
+    core.registry().find(key).unwrap().id.clone()
+}
+
+fn refuse_connection(core: &mut Core, now: u64, id: &str) {
+    core.record_unreachable(Millis(now), &endpoint(id, 10));
+    confirm_links(core, Millis(now));
+}
+
+// Guards against a poison request of which each endpoint reports an error before it crashes.
+#[test]
+fn crashes_soon_after_an_error_response_count_against_the_request() {
+    let mut core = instance("i1", &["e2", "e3", "e4"]);
+    for at in [100, 1_000] {
+        assert!(!is_quarantined(&mut core, at));
+        let id = fail(&mut core, at);
+        refuse_connection(&mut core, at + 200, &id);
+        core.registry().remove(Millis(at + 300), &id);
+    }
+    assert!(is_quarantined(&mut core, 2_000));
+}
+
+// Guards against a poison request whose endpoints are missed by no other request.
+#[test]
+fn endpoints_that_are_gone_after_an_error_response_count_against_the_request() {
+    let mut core = instance("i1", &["e2", "e3", "e4"]);
+    for at in [100, 6_000] {
+        let id = fail(&mut core, at);
+        core.registry().remove(Millis(at + 5_000), &id);
+    }
+    assert!(is_quarantined(&mut core, 12_000));
+}
+
+// Guards against the refusal of requests that fail at sound endpoints.
+#[test]
+fn crashes_after_other_responses_do_not_count_against_a_request_that_failed() {
+    let mut core = instance("i1", &["e2"]);
+    for (number, at) in [100, 2_000, 4_000].into_iter().enumerate() {
+        let id = fail(&mut core, at);
+        let now = Millis(at + 200);
+        let other = start_with(&mut core, now, 100, &[]);
+        core.attempt_ended(now + Millis(50), other, completed(), false);
+        refuse_connection(&mut core, at + 300, &id);
+        core.registry().remove(Millis(at + 400), &id);
+        let next = endpoint(&format!("n{number}"), 10);
+        core.registry().put(Millis(at + 500), next);
+    }
+    assert!(!is_quarantined(&mut core, 5_000));
+}
--- a/crates/siskinyoke-gateway/tests/poison_requests.rs
+++ b/crates/siskinyoke-gateway/tests/poison_requests.rs
@@ -16,8 +16,6 @@
 
 const INSTANCE_COUNT: usize = 3;
 const ENDPOINT_COUNT: usize = 3;
-const POISON_CALLER_COUNT: usize = 4;
-const SOUND_CALLER_COUNT: usize = 6;
 
 /// The path of the request that crashes endpoints, a tenth of a second after they begin to run it.
 const POISON_PATH: &str = "/safe/poison-brief";
@@ -76,7 +74,7 @@
         }
     }
 
-    fn run(&self, sound_callers: usize) {
+    fn run(&self, poison_callers: usize, sound_callers: usize) {
         thread::scope(|scope| {
             for endpoint in &self.endpoints {
                 scope.spawn(|| self.register_restarts(endpoint));
@@ -85,7 +83,7 @@
                 scope.spawn(move || self.send_sound(caller));
             }
             thread::sleep(SOUND_TIME);
-            for caller in 0..POISON_CALLER_COUNT {
+            for caller in 0..poison_callers {
                 scope.spawn(move || self.send_poison(caller));
             }
             thread::sleep(POISON_TIME);
@@ -169,9 +167,9 @@
     format!("servers/{}-{restarts}", endpoint.id)
 }
 
-fn check(response: CrashResponse, sound_callers: usize) {
+fn check(response: CrashResponse, poison_callers: usize, sound_callers: usize) {
     let setup = Setup::start(response);
-    setup.run(sound_callers);
+    setup.run(poison_callers, sound_callers);
     let crashes = setup.crash_times();
     let Some(last) = crashes.get(KNOWN_CRASHES - 1).or(crashes.last()) else {
         panic!("no endpoint crashed");
@@ -183,7 +181,7 @@
         .iter()
         .map(|it| it.duration_since(crashes[0]).as_millis());
     let text = format!(
-        "{response:?}, {sound_callers} sound callers: {late} late requests, crashes at {:?} ms, \
+        "{response:?}, {poison_callers} and {sound_callers} callers: {late} late requests, crashes at {:?} ms, \
          sound requests served later: {sound:?}",
         times.collect::<Vec<_>>()
     );
@@ -198,18 +196,20 @@
 // Guards against a request that crashes all endpoints of a service being sent to each new start.
 #[test]
 fn a_request_that_crashes_all_endpoints_is_quarantined_when_they_return() {
-    check(CrashResponse::Nothing, 0);
-    check(CrashResponse::Nothing, SOUND_CALLER_COUNT);
+    check(CrashResponse::Nothing, 4, 0);
+    check(CrashResponse::Nothing, 4, 6);
 }
 
 // Guards against crashes that follow an unmarked response and blame no request.
 #[test]
 fn a_request_that_crashes_endpoints_after_an_unmarked_response_is_quarantined() {
-    check(CrashResponse::Unmarked, SOUND_CALLER_COUNT);
+    check(CrashResponse::Unmarked, 1, 6);
+    check(CrashResponse::Unmarked, 4, 6);
 }
 
 // Guards against crashes that follow an error response and blame no request.
 #[test]
 fn a_request_that_crashes_endpoints_after_an_error_response_is_quarantined() {
-    check(CrashResponse::ServerError, SOUND_CALLER_COUNT);
+    check(CrashResponse::ServerError, 1, 6);
+    check(CrashResponse::ServerError, 4, 6);
 }
