Quarantine: crashes count when all instances have lost their links to a service

Callers saw the next start of an endpoint crash at once: copies of the request that crashed all endpoints wait at several instances for the first one to return, and all are sent there before a second crash counts.

Cause: links that are lost are taken for the fault of this instance until an endpoint is known to be gone, also where every peer reports that it has lost them too. Class: a doubt that is kept although what the peers report settles it.

Change: once no fresh peer has links to a service whose links are lost here, the crashes of its endpoints count, and requests that ended there shortly before are blamed as after a failed connection. If the endpoints were alive after all, the first response of each drops its crash, as before.

--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -137,6 +137,17 @@
         }
     }
 
+    // Returns the services whose links all instances have newly lost. So the endpoints are at fault,
+    // and not the links of one instance.
+    pub(super) fn take_shared_losses(&mut self, now: Millis) -> Vec<Arc<str>> {
+        let has_peers = self.peers.fresh(now).next().is_some();
+        let lost = self.links.lost_services();
+        let lost = lost.filter(|it| has_peers && !self.has_relay(now, it));
+        let mut shared: Vec<Arc<str>> = lost.cloned().collect();
+        shared.retain(|it| self.links.record_shared_loss(it));
+        shared
+    }
+
     // Returns whether this instance can serve no request although a peer could.
     pub(super) fn is_isolated(&self, now: Millis) -> bool {
         if self.lost_link_count() == 0 {
--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -168,6 +168,11 @@
     // Counts the crashes of endpoints that are known by now to have failed, and decides which prompt
     // parts are in quarantine.
     fn update_evidence(&mut self, now: Millis) {
+        for service in self.take_shared_losses(now) {
+            let all = self.registry.all().filter(|it| it.service == service);
+            let keys: Vec<EndpointKey> = all.map(|it| it.key()).collect();
+            self.confirm_failures(now, &keys);
+        }
         let generation = self.registry.generation();
         let changed = self.confirmed_generation != generation;
         if !changed && !self.part_quarantine.is_due(now) {
@@ -188,6 +193,16 @@
         self.part_quarantine.update(now, doubt, is_gone);
     }
 
+    // Counts the crashes of endpoints that no instance has links to.
+    fn confirm_failures(&mut self, now: Millis, endpoints: &[EndpointKey]) {
+        for key in endpoints {
+            self.record_endpoint_failure(now, *key);
+        }
+        let failed = |endpoint| endpoints.iter().any(|it| it.short_key() == endpoint);
+        self.quarantine.confirm(failed);
+        self.part_quarantine.confirm(failed);
+    }
+
     // Returns whether this instance, of all that are listed, tries requests with a quarantined part:
     // several trials at the same time would crash several endpoints.
     fn is_trial_instance(&self, part: PromptPart) -> bool {
--- a/crates/siskinyoke-dispatch/src/crash_list.rs
+++ b/crates/siskinyoke-dispatch/src/crash_list.rs
@@ -18,7 +18,7 @@
     Observed,
     /// The links of this instance were lost at the time, so that they may have broken.
     LinksLost,
-    /// The endpoint is gone.
+    /// The endpoint is gone, no instance has a link to it, or a peer reports the crash.
     Confirmed,
 }
 
@@ -114,9 +114,9 @@
         }
     }
 
-    /// Marks the crashes of endpoints that are gone.
-    pub(crate) fn confirm(&mut self, is_gone: &impl Fn(u32) -> bool) {
-        for crash in self.0.iter_mut().filter(|it| is_gone(it.endpoint)) {
+    /// Marks the crashes of endpoints that failed.
+    pub(crate) fn confirm(&mut self, has_failed: &impl Fn(u32) -> bool) {
+        for crash in self.0.iter_mut().filter(|it| has_failed(it.endpoint)) {
             crash.state = CrashState::Confirmed;
         }
     }
--- a/crates/siskinyoke-dispatch/src/links.rs
+++ b/crates/siskinyoke-dispatch/src/links.rs
@@ -97,6 +97,13 @@
         lost.map(|row| row.0)
     }
 
+    /// Records that no peer has links to a service either, and returns whether that is new since
+    /// they were lost.
+    pub fn record_shared_loss(&mut self, service: &str) -> bool {
+        let links = self.services.get_mut(service);
+        links.is_some_and(ServiceLinks::record_shared_loss)
+    }
+
     /// Returns the services whose links are in doubt or lost.
     pub fn unproven_services(&self) -> Vec<Arc<str>> {
         let rows = self.services.iter().filter(|row| !row.1.is_intact());
--- a/crates/siskinyoke-dispatch/src/links/service_links.rs
+++ b/crates/siskinyoke-dispatch/src/links/service_links.rs
@@ -52,6 +52,8 @@
     responses: usize,
     // The number of probes since the links were lost, which rotates through the endpoints.
     rotation: usize,
+    // Whether it is known since then that no peer has links either.
+    shared_loss: bool,
 }
 
 impl ServiceLinks {
@@ -70,6 +72,13 @@
         }
     }
 
+    /// Records that no peer has links to the service either, and returns whether that is new.
+    pub(super) fn record_shared_loss(&mut self) -> bool {
+        let is_new = self.is_lost() && !self.shared_loss;
+        self.shared_loss |= is_new;
+        is_new
+    }
+
     pub(super) fn responded_since(&self, sent_at: Millis) -> bool {
         self.last_response.is_some_and(|at| at > sent_at)
     }
@@ -135,6 +144,7 @@
             State::Doubted(since) => {
                 self.state = State::Lost(now);
                 self.responses = 0;
+                self.shared_loss = false;
                 Some(LinkChange::Lost(since))
             }
             State::Lost(since) => self.return_probe_ended(now, since, responded),
--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -172,6 +172,14 @@
         }
     }
 
+    /// Counts the crashes of endpoints that failed, also those since the links were lost; `has_failed`
+    /// tells that by the short key.
+    pub(crate) fn confirm(&mut self, has_failed: impl Fn(u32) -> bool) {
+        for record in self.records.values_mut() {
+            record.crashes.confirm(&has_failed);
+        }
+    }
+
     /// Returns the quarantined parts of a request.
     pub fn quarantined_parts<'a>(
         &'a self,
@@ -234,9 +242,7 @@
             return;
         }
         self.checked_at = Some(now);
-        for record in self.records.values_mut() {
-            record.crashes.confirm(&is_gone);
-        }
+        self.confirm(is_gone);
         let quarantined = self.unsound_parts(now.since(CONFIRMATION_DELAY), doubt);
         let before = std::mem::replace(&mut self.quarantined, quarantined);
         self.explained = self.crashes_in_quarantine();
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -89,18 +89,18 @@
     }
 
     /// Records that the links of this instance were lost at this time, so that crashes recorded
-    /// since then count only where the endpoint is gone, or a peer reports them.
+    /// since then count only once they are confirmed, or a peer reports them.
     pub fn links_lost(&mut self, since: Millis) {
         for record in self.records.values_mut() {
             record.crashes.links_lost(since);
         }
     }
 
-    /// Counts the crashes of endpoints that are gone, also those since the links were lost; `is_gone`
+    /// Counts the crashes of endpoints that failed, also those since the links were lost; `has_failed`
     /// tells that by the short key.
-    pub fn confirm(&mut self, is_gone: impl Fn(u32) -> bool) {
+    pub fn confirm(&mut self, has_failed: impl Fn(u32) -> bool) {
         for record in self.records.values_mut() {
-            record.crashes.confirm(&is_gone);
+            record.crashes.confirm(&has_failed);
         }
     }
 
--- a/crates/siskinyoke-dispatch/tests/quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/quarantine.rs
@@ -279,3 +279,24 @@
     }
     assert!(!is_quarantined(&mut core, 5_000));
 }
+
+// Guards against copies of a poison request that wait at several instances for the same endpoint to
+// return.
+#[test]
+fn crashes_count_when_no_instance_has_links() {
+    let mut one = instance("i1", &["e2", "e3"]);
+    let mut other = instance("i2", &["e2", "e3"]);
+    report(50, &mut one, &mut other);
+    report(50, &mut other, &mut one);
+    assert!(crash_all(&mut one, 100, 2));
+    report(150, &mut one, &mut other);
+    one.decide(Millis(150));
+    // The other instance may still have links.
+    assert!(!is_quarantined(&mut one, 150));
+    assert!(crash_all(&mut other, 200, 1));
+    report(250, &mut other, &mut one);
+    assert!(is_quarantined(&mut one, 250));
+    other.decide(Millis(250));
+    report(300, &mut one, &mut other);
+    assert!(is_quarantined(&mut other, 300));
+}
--- a/crates/siskinyoke-gateway/tests/poison_requests.rs
+++ b/crates/siskinyoke-gateway/tests/poison_requests.rs
@@ -32,6 +32,10 @@
 /// The pause of a caller of the request that crashes endpoints.
 const POISON_PAUSE: Duration = Duration::from_millis(300);
 
+/// How long an endpoint is down after a crash: longer than the settling time, so that copies of the
+/// request wait for it.
+const DOWN_TIME: Duration = Duration::from_secs(4);
+
 /// How long the entry of a crashed endpoint stays beside that of its next start.
 const ENTRY_EXPIRY: Duration = Duration::from_millis(800);
 
@@ -58,6 +62,7 @@
         let endpoints: Vec<_> = endpoints.collect();
         for endpoint in &endpoints {
             endpoint.set_poisoned_parts(&[], response);
+            endpoint.set_down_time(DOWN_TIME);
             store.put(&entry_key(endpoint, 0), &endpoint.entry("ready"));
         }
         let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
--- a/soak/src/endpoint/crash.rs
+++ b/soak/src/endpoint/crash.rs
@@ -17,7 +17,7 @@
 /// The header that lists the parts of a prompt, each with its number of tokens.
 pub const PROMPT_PARTS_HEADER: &str = "siskinyoke-prompt-prefix";
 
-/// How long an endpoint is down after a crash.
+/// How long an endpoint is down after a crash, unless another time is set.
 pub const DOWN_TIME: Duration = Duration::from_secs(2);
 
 /// The text in the path of a request that crashes any endpoint that runs it.
@@ -44,11 +44,12 @@
 }
 
 /// When an endpoint crashes, and how often it did.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Crashes {
     // IDs of the parts under which the endpoint crashes.
     parts: BTreeSet<String>,
     response: CrashResponse,
+    down_time: Duration,
     // The open connections, by their order.
     connections: BTreeMap<u64, TcpStream>,
     connection_count: u64,
@@ -58,7 +59,31 @@
     crashed_at: Vec<Instant>,
 }
 
+impl Default for Crashes {
+    fn default() -> Self {
+        Self {
+            parts: BTreeSet::new(),
+            response: CrashResponse::default(),
+            down_time: DOWN_TIME,
+            connections: BTreeMap::new(),
+            connection_count: 0,
+            down_until: None,
+            returned: false,
+            crashed_at: Vec::new(),
+        }
+    }
+}
+
 impl Endpoint {
+    /// Sets how long the endpoint is down after a crash.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn set_down_time(&self, time: Duration) {
+        self.crashes.lock().unwrap().down_time = time;
+    }
+
     /// Sets the parts under which the endpoint crashes, by their IDs in the header, and what it
     /// sends before that.
     ///
@@ -170,7 +195,7 @@
         }
         let now = Instant::now();
         crashes.crashed_at.push(now);
-        crashes.down_until = Some(now + DOWN_TIME);
+        crashes.down_until = Some(now + crashes.down_time);
         for stream in std::mem::take(&mut crashes.connections).into_values() {
             // It may be closed already.
             drop(stream.shutdown(Shutdown::Both));
