Responses: bytes without end are not read to the deadline

Callers waited until their deadline and got 504, though another endpoint could have served them, where an endpoint sends bytes that never end: the digits of a chunk's size, or one event of a stream (in chunks, or without any framing).

Cause: the HTTP client reads the size of a chunk for as long as digits arrive, and an event was buffered without a limit, and searched from its beginning with each piece.

Change: a connection to an endpoint or relay fails once 2 MiB have arrived that are a part of no body passed on, counted from each request; an event over 1 MiB ends the attempt as failed. Both are tried elsewhere where that is allowed. The search for the end of a line goes on where it ended.

Heads without end passed before. The soak's callers send two of these paths.

--- a/crates/siskinyoke-gateway/src/connection.rs
+++ b/crates/siskinyoke-gateway/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,11 +13,16 @@
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use rustix::net::sockopt::set_tcp_user_timeout;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::limited_stream::FramingBytes;
+use crate::limited_stream::LimitedStream;
+
 /// Time within which a connection must be established.
 ///
 /// The round trip between two data centres takes about 3 ms. A host that is down or cut off never
@@ -56,7 +62,14 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    driver: Box<Driver>,
+}
+
+// The task that sends and receives, and what it has received.
+#[derive(Debug)]
+struct Driver {
     task: JoinHandle<()>,
+    framing: Rc<FramingBytes>,
 }
 
 /// Outcome of sending a request over a connection.
@@ -77,33 +90,45 @@
     ///
     /// Why it could not be established; nothing was sent.
     pub async fn open(address: SocketAddr) -> Result<Self, ConnectError> {
-        Self::over(connect(TcpStream::connect(address)).await?).await
+        let stream = connect(TcpStream::connect(address)).await?;
+        configure(&stream)?;
+        Self::over(stream, Rc::default()).await
     }
 
     /// Opens a connection from an IP address of this machine, by which the other side can tell this
     /// instance from others on the same machine.
     ///
+    /// The connection fails once too many bytes of a response arrive for which
+    /// [`Self::body_received`] is not called.
+    ///
     /// # Errors
     ///
     /// Why it could not be established; nothing was sent.
     pub async fn open_from(source: IpAddr, address: SocketAddr) -> Result<Self, ConnectError> {
         let socket = bound_socket(source, address)?;
-        Self::over(connect(socket.connect(address)).await?).await
+        let stream = connect(socket.connect(address)).await?;
+        configure(&stream)?;
+        let framing = Rc::<FramingBytes>::default();
+        let limited = LimitedStream::new(stream, framing.clone());
+        Self::over(limited, framing).await
     }
 
-    async fn over(stream: TcpStream) -> Result<Self, ConnectError> {
-        stream.set_nodelay(true)?;
-        set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS).map_err(std::io::Error::from)?;
+    async fn over(
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        framing: Rc<FramingBytes>,
+    ) -> Result<Self, ConnectError> {
         let (sender, connection) = handshake(TokioIo::new(stream)).await?;
         let task = tokio::task::spawn_local(async move {
             // An error also fails the request in flight; idle connections are dropped by the pool.
             drop(connection.await);
         });
-        Ok(Self { sender, task })
+        let driver = Box::new(Driver { task, framing });
+        Ok(Self { sender, driver })
     }
 
     /// Sends a request and waits for the response head.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendOutcome {
+        self.driver.framing.begin_response();
         match self.sender.try_send_request(request).await {
             Ok(response) => SendOutcome::Head(response),
             Err(mut err) => match err.take_message() {
@@ -113,6 +138,11 @@
         }
     }
 
+    /// Records that bytes of the body of a response were received.
+    pub fn body_received(&self, bytes: usize) {
+        self.driver.framing.body_received(bytes);
+    }
+
     /// Returns whether another request can be sent now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
@@ -134,6 +164,11 @@
     }
 }
 
+fn configure(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    Ok(set_tcp_user_timeout(stream, TCP_USER_TIMEOUT_MS)?)
+}
+
 // Returns a socket for a connection from `source`, if that is of the address's family.
 fn bound_socket(source: IpAddr, address: SocketAddr) -> std::io::Result<TcpSocket> {
     let socket = if address.is_ipv4() {
@@ -149,6 +184,6 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.task.abort();
+        self.driver.task.abort();
     }
 }
--- a/crates/siskinyoke-gateway/src/events.rs
+++ b/crates/siskinyoke-gateway/src/events.rs
@@ -21,6 +21,8 @@
     partial: BytesMut,
     // The length of the lines in `partial` that are known not to be empty.
     scanned: usize,
+    // The length of the part of `partial` after them that contains no line feed.
+    unfinished: usize,
     last_id: Option<String>,
     event_count: u32,
     // The data of the event that ends every stream, if there is one.
@@ -70,12 +72,14 @@
     /// Returns the remaining bytes after a complete stream.
     pub fn take_rest(&mut self) -> Bytes {
         self.scanned = 0;
+        self.unfinished = 0;
         self.partial.split().freeze()
     }
 
     /// Discards the partial event of a failed endpoint.
     pub fn discard_partial(&mut self) {
         self.scanned = 0;
+        self.unfinished = 0;
         self.partial.clear();
     }
 
@@ -97,16 +101,26 @@
     // Returns the end of the last empty line.
     fn last_event_end(&mut self) -> Option<usize> {
         let mut end = None;
-        while let Some(length) = line_length(&self.partial[self.scanned..]) {
+        while let Some(length) = self.line_length() {
             let line = &self.partial[self.scanned..self.scanned + length - 1];
             self.scanned += length;
+            self.unfinished = 0;
             if content(line).is_empty() {
                 end = Some(self.scanned);
             }
         }
+        self.unfinished = self.partial.len() - self.scanned;
         end
     }
 
+    // Returns the length of the first line that was not scanned, with its line feed, if it is
+    // complete.
+    fn line_length(&self) -> Option<usize> {
+        let rest = &self.partial[self.scanned + self.unfinished..];
+        let end = rest.iter().position(|byte| *byte == b'\n')?;
+        Some(self.unfinished + end + 1)
+    }
+
     fn record(&mut self, complete: &[u8]) {
         let mut in_event = false;
         for line in complete.split(|byte| *byte == b'\n').map(content) {
@@ -126,12 +140,6 @@
     }
 }
 
-// Returns the length of the first line, with its line feed, if it is complete.
-fn line_length(bytes: &[u8]) -> Option<usize> {
-    let end = bytes.iter().position(|byte| *byte == b'\n')?;
-    Some(end + 1)
-}
-
 // Returns a line without a byte order mark and a carriage return.
 fn content(line: &[u8]) -> &[u8] {
     let line = line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line);
--- a/crates/siskinyoke-gateway/src/job/forwarding.rs
+++ b/crates/siskinyoke-gateway/src/job/forwarding.rs
@@ -29,6 +29,9 @@
 /// A buffered response that breaks off can still be retried or replaced by an error response.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
 
+/// Maximum size of an event of a stream. Larger ones are taken for a fault of the endpoint.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 impl Job {
     // Buffers a response without forwarding it; one that is too large is relayed instead.
     pub(super) async fn buffer_response(
@@ -43,9 +46,12 @@
             let Ok(frame) = frame else {
                 return AttemptEnd::Retry(Outcome::ConnectionLost);
             };
-            buffered.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+            let data = frame.into_data().unwrap_or_default();
+            connection.connection.body_received(data.len());
+            buffered.extend_from_slice(&data);
             if buffered.len() > MAX_BUFFERED_BYTES {
-                return self.relay(&head, buffered.freeze(), body, start).await;
+                let buffered = buffered.freeze();
+                return self.relay(&head, buffered, body, &connection, start).await;
             }
         }
         self.shell.pool.reuse(&head.parts.headers, connection);
@@ -74,6 +80,7 @@
         head: &ResponseHead,
         buffered: Bytes,
         mut body: Incoming,
+        connection: &PooledConnection,
         start: Millis,
     ) -> AttemptEnd {
         let first = self.shell.now().since(start);
@@ -83,6 +90,7 @@
                 return AttemptEnd::Truncated;
             };
             let chunk = frame.into_data().unwrap_or_default();
+            connection.connection.body_received(chunk.len());
             self.forward(head, chunk).await;
         }
         self.progress.body_end = Some(BodyEnd::of_plain(head.framing));
@@ -127,10 +135,14 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    let Some(complete) = self.events.push(&data) else {
-                        continue;
-                    };
-                    complete
+                    connection.connection.body_received(data.len());
+                    match self.events.push(&data) {
+                        Some(complete) => complete,
+                        None if self.events.partial_len() > MAX_EVENT_BYTES => {
+                            return self.retry_stream(Outcome::Failed);
+                        }
+                        None => continue,
+                    }
                 }
                 Some(Err(_)) => return self.retry_stream(Outcome::ConnectionLost),
                 None => break,
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod job;
 pub mod kept_connection;
 pub mod lending;
+pub mod limited_stream;
 pub mod listener;
 pub mod log_writer;
 pub mod memory;
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/limited_stream.rs
@@ -0,0 +1,106 @@
+//! A socket that fails once too many bytes arrive that are a part of no response body.
+
+use std::cell::Cell;
+use std::io::Error;
+use std::io::IoSlice;
+use std::io::Result;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// The maximum number of bytes of a response that may arrive beside the body that was passed on:
+/// its head, the framing of the chunks, and what is buffered. It exceeds the HTTP client's buffer.
+const MAX_FRAMING_BYTES: usize = 2 * 1024 * 1024;
+
+/// The bytes of a response that have arrived and are a part of no body that was passed on.
+#[derive(Debug, Default)]
+pub struct FramingBytes(Cell<usize>);
+
+impl FramingBytes {
+    /// Records that a request is sent, whose response arrives next.
+    pub fn begin_response(&self) {
+        self.0.set(0);
+    }
+
+    /// Records that bytes of the body are passed on.
+    pub fn body_received(&self, bytes: usize) {
+        self.0.set(self.0.get().saturating_sub(bytes));
+    }
+
+    fn received(&self, bytes: usize) -> Result<()> {
+        let count = self.0.get() + bytes;
+        self.0.set(count);
+        if count > MAX_FRAMING_BYTES {
+            return Err(Error::other(
+                "too many bytes arrived that are a part of no response body",
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// A socket that fails once too many bytes arrive that are a part of no response body.
+///
+/// The HTTP client reads the size of a chunk for as long as its digits arrive.
+#[derive(Debug)]
+pub struct LimitedStream {
+    stream: TcpStream,
+    framing: Rc<FramingBytes>,
+}
+
+impl LimitedStream {
+    /// Wraps a socket.
+    pub fn new(stream: TcpStream, framing: Rc<FramingBytes>) -> Self {
+        Self { stream, framing }
+    }
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
+        Poll::Ready(this.framing.received(buffer.filled().len() - before))
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+}
--- a/crates/siskinyoke-gateway/src/relay/body.rs
+++ b/crates/siskinyoke-gateway/src/relay/body.rs
@@ -59,8 +59,10 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let polled = Pin::new(&mut self.incoming).poll_frame(context);
-        if matches!(polled, Poll::Ready(None)) {
-            self.reuse_connection();
+        match &polled {
+            Poll::Ready(None) => self.reuse_connection(),
+            Poll::Ready(Some(Ok(frame))) => self.record_received(frame),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
         }
         polled
     }
@@ -75,6 +77,12 @@
         self.incoming.size_hint()
     }
 
+    fn record_received(&self, frame: &Frame<Bytes>) {
+        if let (Some(pooled), Some(data)) = (&self.connection, frame.data_ref()) {
+            pooled.connection.body_received(data.len());
+        }
+    }
+
     fn reuse_connection(&mut self) {
         if let Some(connection) = self.connection.take() {
             self.pool.reuse(&self.headers, connection);
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -22,9 +22,11 @@
 
 /// The requests that callers choose from: the kind of each, and its path, which selects how the
 /// endpoint behaves.
-const REQUEST_CHOICES: [(RequestKind, &str); 6] = [
+const REQUEST_CHOICES: [(RequestKind, &str); 8] = [
     (RequestKind::Safe, "/safe/a"),
     (RequestKind::Safe, "/safe/cut"),
+    (RequestKind::Safe, "/safe/endless-size"),
+    (RequestKind::Safe, "/safe/endless-line"),
     (RequestKind::Unsafe, "/once/a"),
     (RequestKind::Unsafe, "/once/cut"),
     (RequestKind::Unsafe, "/once/extra"),
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -1,6 +1,7 @@
 //! A stand-in for an endpoint whose behaviour is selected by the path of each request.
 
 pub mod crash;
+mod endless;
 pub mod silent;
 mod unmarked;
 pub mod versioned;
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -88,6 +90,7 @@
     // The number of starts under this ID, which entries state as the time of the start.
     starts: Arc<AtomicU64>,
     crashes: Arc<Mutex<Crashes>>,
+    endless_bytes: Arc<AtomicUsize>,
 }
 
 impl Endpoint {
@@ -117,6 +120,7 @@
             admission: Arc::default(),
             starts: Arc::new(AtomicU64::new(1)),
             crashes: Arc::default(),
+            endless_bytes: Arc::default(),
         };
         let serving = endpoint.clone();
         thread::spawn(move || serving.listen(listener));
@@ -279,7 +283,7 @@
 
     // Responds as selected by the path, and returns whether the connection is kept open.
     fn respond(&self, request: &ReceivedRequest, out: &mut TcpStream) -> std::io::Result<bool> {
-        if request.line_contains("cut") {
+        if request.line_contains("cut") || self.write_endless(request, out) {
             return Ok(false);
         }
         if request.line_contains("full") && self.id == "e1" {
