--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -140,9 +140,9 @@
     // Returns the services whose links all instances have newly lost. So the endpoints are at fault,
     // and not the links of one instance.
     pub(super) fn take_shared_losses(&mut self, now: Millis) -> Vec<Arc<str>> {
-        let has_peers = self.peers.fresh(now).next().is_some();
+        let has_peers = || self.peers.fresh(now).next().is_some();
         let lost = self.links.lost_services();
-        let lost = lost.filter(|it| has_peers && !self.has_relay(now, it));
+        let lost = lost.filter(|it| has_peers() && !self.has_relay(now, it));
         let mut shared: Vec<Arc<str>> = lost.cloned().collect();
         shared.retain(|it| self.links.record_shared_loss(it));
         shared
@@ -174,7 +174,7 @@
     }
 
     // Returns the latest crashes for reports. While links are in doubt, broken connections may be
-    // the fault of this instance, so that only the crashes of endpoints that are gone are reported.
+    // the fault of this instance, so that only confirmed crashes are reported.
     pub(super) fn reported_crashes(&self, now: Millis, limit: usize) -> Vec<(u64, Vec<u32>)> {
         let doubt = self.links.any_in_doubt().then_some(Millis::ZERO);
         self.quarantine.recent_crashes(now, limit, doubt)
--- a/crates/siskinyoke-dispatch/src/uncleared_runs.rs
+++ b/crates/siskinyoke-dispatch/src/uncleared_runs.rs
@@ -59,8 +59,12 @@
     /// Records that an endpoint responded to a request sent at `sent_at`, so that it did not crash
     /// because of the requests that ended well before that.
     pub(crate) fn record_response(&mut self, endpoint: u32, sent_at: Millis) {
-        if let Some(runs) = self.endpoints.get_mut(&endpoint) {
-            runs.retain(|it| it.ended_at + CRASH_DELAY > sent_at);
+        let Some(runs) = self.endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        runs.retain(|it| it.ended_at + CRASH_DELAY > sent_at);
+        if runs.is_empty() {
+            self.endpoints.remove(&endpoint);
         }
     }
 
