--- a/review/standins/src/bin/case_1.rs
+++ b/review/standins/src/bin/case_1.rs
@@ -1,6 +1,7 @@
 //! Servers whose entries in the store were replaced by ones that name no server to use.
 
 use std::env;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::exit;
 use std::sync::atomic::AtomicU32;
@@ -39,7 +40,7 @@
     exit(code);
 }
 
-fn run(program: &PathBuf, folder: &PathBuf, record: &Record, trouble: bool) -> i32 {
+fn run(program: &Path, folder: &Path, record: &Record, trouble: bool) -> i32 {
     let store = Store::start();
     store.put("op/config", CONFIGURATION.as_bytes());
     let work = Duration::from_millis(30);
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub struct Gateway {
     child: Child,
+    command: Command,
     /// Its name.
     pub name: String,
     /// Where requesters connect.
@@ -54,6 +55,22 @@
         name: &str,
         ip: &str,
         store: SocketAddr,
+    ) -> Gateway {
+        Gateway::start_with_memory(program, folder, name, ip, store, 256)
+    }
+
+    /// Starts a process with a limit of memory, in MB.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be started.
+    pub fn start_with_memory(
+        program: &Path,
+        folder: &Path,
+        name: &str,
+        ip: &str,
+        store: SocketAddr,
+        memory_mb: u64,
     ) -> Gateway {
         let [front, ready, directory, control, metrics] = free_addresses(ip);
         let port = metrics.port();
@@ -62,18 +79,20 @@
             r#"{{ "interface": "platform", "instance": "{name}", "ip": "{ip}", "centre": "a",
                 "listen": {{ "callers": "{front}", "health": "{ready}", "directory": "{directory}",
                              "peers": "{control}" }},
-                "seeds": [], "store": "{store}", "metrics": {port}, "memory_mb": 256,
+                "seeds": [], "store": "{store}", "metrics": {port}, "memory_mb": {memory_mb},
                 "bounds": {{ "grace_s": 8, "retry_ratio": 0.2, "retry_slack": 208,
                              "quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 110000,
                              "keep_s": 5, "settle_ms": 4000 }} }}"#
         );
         let path = folder.join(format!("{name}.jsonc"));
         fs::write(&path, settings).unwrap();
-        let log = File::create(folder.join(format!("{name}.log"))).unwrap();
+        let log = folder.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(log).unwrap();
         let mut command = Command::new(program);
         command.arg("--settings").arg(&path).stdout(log);
         Gateway {
             child: command.spawn().unwrap(),
+            command,
             name: name.to_owned(),
             front,
             ready,
@@ -81,6 +100,29 @@
         }
     }
 
+    /// Kills the process, and starts it again with the same settings.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be started.
+    pub fn kill_and_restart(&mut self) {
+        // It may have ended by itself.
+        drop(self.child.kill());
+        drop(self.child.wait());
+        // The log of the first start is kept; that of later ones is not.
+        self.command.stdout(std::process::Stdio::null());
+        self.child = self.command.spawn().unwrap();
+    }
+
+    /// Returns the memory that the process holds now, in KB, as the system says it.
+    pub fn memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+        let number = line.and_then(|it| it.split_whitespace().next());
+        number.and_then(|it| it.parse().ok()).unwrap_or(0)
+    }
+
     /// Waits until it says that it is ready, and returns whether it did within 20 seconds.
     pub fn wait_ready(&self) -> bool {
         let until = Instant::now() + Duration::from_secs(20);
