--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -147,9 +147,21 @@
 
     /// Sends a request over a new channel, and returns its answer.
     pub fn call(&self, id: &str, path: &str, deadline_ms: u64, record: &Record) -> Answer {
+        self.call_with_body(id, path, deadline_ms, b"hi", record)
+    }
+
+    /// Sends a request with a body over a new channel, and returns its answer.
+    pub fn call_with_body(
+        &self,
+        id: &str,
+        path: &str,
+        deadline_ms: u64,
+        body: &[u8],
+        record: &Record,
+    ) -> Answer {
         let name = &self.name;
         record.add(&format!("{id} sent to {name}: POST {path}"));
-        let answer = self.exchange(id, path, deadline_ms);
+        let answer = self.exchange(id, path, deadline_ms, body);
         let answer = answer.unwrap_or(Answer {
             status: None,
             seal: None,
@@ -160,15 +172,17 @@
         answer
     }
 
-    fn exchange(&self, id: &str, path: &str, deadline_ms: u64) -> Option<Answer> {
+    fn exchange(&self, id: &str, path: &str, deadline_ms: u64, body: &[u8]) -> Option<Answer> {
         let limit = Duration::from_millis(deadline_ms + 1_000);
         let mut stream = connect(self.front, limit).ok()?;
         let head = format!(
             "POST {path} HTTP/1.1\r\nHost: h.example\r\nSiskinyoke-Request-Id: {id}\r\n\
              Siskinyoke-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer key-1\r\n\
-             Content-Length: 2\r\nConnection: close\r\n\r\nhi"
+             Content-Length: {}\r\nConnection: close\r\n\r\n",
+            body.len()
         );
         stream.write_all(head.as_bytes()).ok()?;
+        stream.write_all(body).ok()?;
         let mut reader = BufReader::new(stream);
         let message = Message::read(&mut reader).ok()??;
         Some(Answer {
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -25,14 +25,22 @@
         let Some(mut message) = Message::read_head(reader)? else {
             return Ok(None);
         };
-        let length = message
-            .header("content-length")
-            .and_then(|it| it.parse().ok());
-        message.body = vec![0; length.unwrap_or(0)];
-        reader.read_exact(&mut message.body)?;
+        message.read_body(reader)?;
         Ok(Some(message))
     }
 
+    /// Returns the length of the body, as the head says it.
+    pub fn length(&self) -> usize {
+        let length = self.header("content-length");
+        length.and_then(|it| it.parse().ok()).unwrap_or(0)
+    }
+
+    /// Reads the body after the head.
+    pub fn read_body(&mut self, reader: &mut BufReader<TcpStream>) -> Result<()> {
+        self.body = vec![0; self.length()];
+        reader.read_exact(&mut self.body)
+    }
+
     /// Reads the head of a message; none at the end of the channel.
     pub fn read_head(reader: &mut BufReader<TcpStream>) -> Result<Option<Message>> {
         let mut message = Message::default();
