--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -114,6 +114,18 @@
         self.child = self.command.spawn().unwrap();
     }
 
+    /// Sends SIGHUP to the process.
+    pub fn hang_up(&self) {
+        unsafe extern "C" {
+            fn kill(process: i32, signal: i32) -> i32;
+        }
+        const SIGHUP: i32 = 1;
+        let process = i32::try_from(self.child.id()).unwrap();
+        // SAFETY: the process is a child that has not been waited for, so the id is its own.
+        let sent = unsafe { kill(process, SIGHUP) };
+        assert_eq!(sent, 0, "the signal is sent");
+    }
+
     /// Returns the memory that the process holds now, in KB, as the system says it.
     pub fn memory_kb(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod record;
 pub mod server;
 pub mod store;
+pub mod stream_server;
