--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -116,13 +116,32 @@
 
     /// Sends SIGHUP to the process.
     pub fn hang_up(&self) {
+        const SIGHUP: i32 = 1;
+        self.signal(SIGHUP);
+    }
+
+    /// Sends SIGTERM to the process.
+    pub fn stop(&self) {
+        const SIGTERM: i32 = 15;
+        self.signal(SIGTERM);
+    }
+
+    /// Waits until the process has ended by itself.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be waited for.
+    pub fn wait(&mut self) {
+        self.child.wait().unwrap();
+    }
+
+    fn signal(&self, signal: i32) {
         unsafe extern "C" {
             fn kill(process: i32, signal: i32) -> i32;
         }
-        const SIGHUP: i32 = 1;
         let process = i32::try_from(self.child.id()).unwrap();
         // SAFETY: the process is a child that has not been waited for, so the id is its own.
-        let sent = unsafe { kill(process, SIGHUP) };
+        let sent = unsafe { kill(process, signal) };
         assert_eq!(sent, 0, "the signal is sent");
     }
 
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod record;
 pub mod server;
 pub mod store;
+pub mod stream_client;
 pub mod stream_server;
--- a/review/standins/src/stream_server.rs
+++ b/review/standins/src/stream_server.rs
@@ -13,9 +13,8 @@
 use crate::http::Message;
 use crate::record::Record;
 
-/// How many events a stream has, and the pause before each.
+/// How many events a stream has.
 pub const EVENTS: u32 = 20;
-const PAUSE: Duration = Duration::from_millis(100);
 
 /// A server of streams.
 #[derive(Debug, Clone)]
@@ -26,19 +25,22 @@
     pub address: SocketAddr,
     // The event after which a stream is silent, and for how long.
     silence: Option<(u32, Duration)>,
+    // The pause before each event.
+    pause: Duration,
     // Whether answers come in chunks; they end with the channel otherwise.
     chunked: bool,
     record: Record,
 }
 
 impl StreamServer {
-    /// Starts a server.
+    /// Starts a server, which makes an event after each pause.
     ///
     /// # Panics
     ///
     /// If no port is free.
     pub fn start(
         id: &str,
+        pause: Duration,
         silence: Option<(u32, Duration)>,
         chunked: bool,
         record: &Record,
@@ -48,6 +50,7 @@
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
             silence,
+            pause,
             chunked,
             record: record.clone(),
         };
@@ -111,7 +114,7 @@
         );
         out.write_all(head.as_bytes())?;
         for number in after + 1..=EVENTS {
-            thread::sleep(PAUSE);
+            thread::sleep(self.pause);
             let event = format!("id: {number}\ndata: part {number} of {EVENTS}\n\n");
             if self.chunked {
                 let length = event.len();
