Response ends: reset connections whose end is the only mark if the process ends

Cause: a connection was set to end with a reset only after an error that the process had seen. When the process is gone, the operating system closes its sockets in the regular way.

Change: the reset is selected before the first byte of such a response is written, and taken back when everything has been written and the connection is shut down. Relays serve peers by the same code, so a relay that is killed no longer makes a relayed stream look whole. A response with a length to a caller that speaks HTTP/1.0 is marked, and no longer counts as one that ends with its connection.

--- a/crates/siskinyoke-gateway/src/kept_connection.rs
+++ b/crates/siskinyoke-gateway/src/kept_connection.rs
@@ -70,7 +70,7 @@
     ///
     /// # Errors
     ///
-    /// The error of a system call, for example if a truncated response cannot be marked so.
+    /// The error of the system call that tells whether bytes have been received.
     pub async fn serve<S, B>(self, stream: TcpStream, service: S) -> Result<Option<CloseReason>>
     where
         S: Service<Request<Incoming>, Response = Response<B>>,
@@ -86,12 +86,7 @@
         loop {
             let reason = tokio::select! {
                 biased;
-                result = &mut serving => {
-                    if result.is_err() && self.activity.ends_unmarked() {
-                        serving.into_parts().io.inner().reset_on_close()?;
-                    }
-                    return Ok(None);
-                }
+                _ = &mut serving => return Ok(None),
                 reason = self.closing_due() => reason,
                 () = self.shutdown.notified() => continue,
             };
@@ -207,7 +202,9 @@
         async move {
             let response = response.await?;
             let version = response.version().min(version);
-            activity.response_started(version == Version::HTTP_10);
+            // HTTP/1.0 has no chunks.
+            let has_length = response.body().size_hint().exact().is_some();
+            activity.response_started(version == Version::HTTP_10 && !has_length);
             Ok(response.map(|body| TrackedBody::new(body, open)))
         }
     })
--- a/crates/siskinyoke-gateway/src/tracked_stream.rs
+++ b/crates/siskinyoke-gateway/src/tracked_stream.rs
@@ -1,4 +1,5 @@
-//! A socket that records when it sends, and tells whether bytes of a request have been received.
+//! A socket that records when it sends, tells whether bytes of a request have been received, and
+//! resets its connection if that ends before a response whose end nothing else marks.
 
 use std::io::IoSlice;
 use std::io::Result;
@@ -23,11 +24,17 @@
 use siskinyoke_base::Clock;
 
 /// A socket that records when it sends, and tells whether bytes of a request have been received.
+///
+/// A response whose end nothing marks is complete once its connection ends, so the connection is
+/// reset unless it is shut down after the response. The operating system does so as well when the
+/// process is killed.
 #[derive(Debug)]
 pub struct TrackedStream {
     stream: TcpStream,
     // Bytes that were read before and are read again.
     unread: Bytes,
+    // Whether closing the socket resets the connection.
+    resets: bool,
     activity: Rc<ConnectionActivity>,
 }
 
@@ -37,6 +44,7 @@
         Self {
             stream,
             unread: Bytes::new(),
+            resets: false,
             activity,
         }
     }
@@ -81,13 +89,13 @@
         self.stream.try_write(bytes)
     }
 
-    /// Lets the connection end with a reset.
-    ///
-    /// # Errors
-    ///
-    /// The error of the system call.
-    pub fn reset_on_close(&self) -> Result<()> {
-        Ok(set_socket_linger(&self.stream, Some(Duration::ZERO))?)
+    // Selects how the connection ends if the socket is closed now.
+    fn set_reset(&mut self, resets: bool) -> Result<()> {
+        if self.resets != resets {
+            set_socket_linger(&self.stream, resets.then_some(Duration::ZERO))?;
+            self.resets = resets;
+        }
+        Ok(())
     }
 }
 
@@ -121,6 +129,7 @@
     ) -> Poll<Result<usize>> {
         let this = self.get_mut();
         this.activity.sending();
+        this.set_reset(this.activity.ends_unmarked())?;
         Pin::new(&mut this.stream).poll_write(context, bytes)
     }
 
@@ -131,6 +140,7 @@
     ) -> Poll<Result<usize>> {
         let this = self.get_mut();
         this.activity.sending();
+        this.set_reset(this.activity.ends_unmarked())?;
         Pin::new(&mut this.stream).poll_write_vectored(context, slices)
     }
 
@@ -146,7 +156,10 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+        let this = self.get_mut();
+        // Everything has been written, so the end of the connection is that of the response.
+        this.set_reset(false)?;
+        Pin::new(&mut this.stream).poll_shutdown(context)
     }
 }
 
--- a/crates/siskinyoke-gateway/tests/cut_links/main.rs
+++ b/crates/siskinyoke-gateway/tests/cut_links/main.rs
@@ -17,6 +17,7 @@
 use siskinyoke_soak::Proxy;
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
+use siskinyoke_soak::instance::read_events;
 use siskinyoke_soak::instance::send_request;
 use siskinyoke_soak::instance::wait_until;
 use siskinyoke_soak::proxy::Cut;
@@ -323,6 +324,19 @@
     assert!(unserved.is_empty(), "{unserved:#?}");
 }
 
+// Guards against a stream that looks whole because the instance that relayed it was killed.
+#[test]
+fn a_relayed_stream_without_an_end_mark_does_not_look_complete_when_its_relay_is_killed() {
+    let fleet = Fleet::start(2);
+    fleet.lose_links(0..1);
+    let mut stream = fleet.instances[0].connect();
+    send_request(&mut stream, "r", "/single/unmarked-events/held", "", "");
+    let mut bytes = read_events(&mut stream, 2);
+    fleet.instances[1].send_signal(Signal::KILL);
+    let result = stream.read_to_end(&mut bytes);
+    assert!(result.is_err(), "{}", String::from_utf8_lossy(&bytes));
+}
+
 // The test connects from another address than the instances.
 #[test]
 fn an_instance_relays_nothing_for_callers() {
--- a/crates/siskinyoke-gateway/tests/unmarked_ends.rs
+++ b/crates/siskinyoke-gateway/tests/unmarked_ends.rs
@@ -3,13 +3,20 @@
 use std::io::Read;
 use std::io::Write;
 use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use rustix::process::Signal;
 
 use siskinyoke_soak::Endpoint;
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
+use siskinyoke_soak::endpoint::LARGE_BODY_BYTES;
 use siskinyoke_soak::instance::http_get;
+use siskinyoke_soak::instance::read_events;
 use siskinyoke_soak::instance::send_request;
+use siskinyoke_soak::instance::wait_until;
 
 struct Setup {
     _store: Store,
@@ -37,6 +44,14 @@
         }
     }
 
+    fn set_grace_period(&mut self, seconds: u32) {
+        let text = format!("\"grace_s\": {seconds}");
+        self.instance.edit_settings("\"grace_s\": 8", &text);
+        self.instance.kill();
+        self.instance.restart();
+        wait_until("the instance serves", || self.instance.serves_requests());
+    }
+
     fn call(&self, path: &str) -> Received {
         let mut stream = self.instance.connect();
         send_request(&mut stream, "r1", path, "connection: close\r\n", "");
@@ -180,3 +195,37 @@
     }
     assert_eq!(setup.request_count(), 2);
 }
+
+// Guards against streams that look whole because their instance was killed or stopped.
+#[test]
+fn a_stream_without_an_end_mark_does_not_look_complete_when_its_instance_ends() {
+    for (path, signal) in [
+        ("/stream/unmarked-events/held", Signal::KILL),
+        ("/single/unmarked-events/held", Signal::KILL),
+        ("/stream/unmarked-events/held", Signal::TERM),
+    ] {
+        let mut setup = Setup::start();
+        setup.set_grace_period(2);
+        let mut stream = setup.instance.connect();
+        send_request(&mut stream, "r1", path, "", "");
+        let mut bytes = read_events(&mut stream, 2);
+        setup.instance.send_signal(signal);
+        let result = stream.read_to_end(&mut bytes);
+        let text = String::from_utf8_lossy(&bytes);
+        assert!(result.is_err(), "{path} {signal:?}: {text}");
+    }
+}
+
+// Guards against a reset that discards what a slow caller has not read yet.
+#[test]
+fn a_slow_caller_receives_a_whole_response_without_an_end_mark() {
+    let setup = Setup::start();
+    let mut stream = setup.instance.connect();
+    send_request(&mut stream, "r1", "/safe/unmarked/long", "", "");
+    thread::sleep(Duration::from_millis(500));
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).unwrap();
+    let text = String::from_utf8(bytes).unwrap();
+    let (_, body) = text.split_once("\r\n\r\n").unwrap();
+    assert_eq!(body.len(), LARGE_BODY_BYTES);
+}
--- a/soak/src/endpoint/unmarked.rs
+++ b/soak/src/endpoint/unmarked.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 
 use super::Endpoint;
+use super::LARGE_BODY_BYTES;
 use super::ReceivedRequest;
 use super::last_event;
 
@@ -18,7 +19,8 @@
     ///
     /// A stream is selected by `events`. It is whole unless the path selects where it breaks off:
     /// `stub`, `line` and `between` for inside a line, before the empty line that ends an event,
-    /// and between two events. A stream that is resumed is whole unless `again` is selected.
+    /// and between two events; `held` for after the event before, with the connection kept open. A
+    /// stream that is resumed is whole unless `again` is selected.
     pub(super) fn write_unmarked(
         &self,
         request: &ReceivedRequest,
@@ -27,7 +29,13 @@
         write!(out, "{}", self.signed_head(request))?;
         if request.line_contains("events") {
             write!(out, "content-type: text/event-stream\r\n\r\n")?;
-            write_events(request, out)
+            write_events(request, out)?;
+            if request.line_contains("held") {
+                self.wait_for_disconnect(out)?;
+            }
+            Ok(())
+        } else if request.line_contains("long") {
+            write!(out, "\r\n{}", "x".repeat(LARGE_BODY_BYTES))
         } else {
             write!(out, "\r\nwhole")
         }
@@ -46,7 +54,7 @@
             if request.line_contains("line") {
                 return out.write_all(line.as_bytes());
             }
-            if request.line_contains("between") {
+            if request.line_contains("between") || request.line_contains("held") {
                 return Ok(());
             }
         }
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -286,6 +286,22 @@
     text
 }
 
+/// Reads a stream until a number of events has arrived, and returns what was read.
+///
+/// # Panics
+///
+/// If the connection ends before.
+pub fn read_events(stream: &mut TcpStream, count: usize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    while String::from_utf8_lossy(&bytes).matches("data: ").count() < count {
+        let mut part = [0; 1024];
+        let length = stream.read(&mut part).unwrap();
+        assert!(length > 0, "the connection ended");
+        bytes.extend_from_slice(&part[..length]);
+    }
+    bytes
+}
+
 /// Returns the response to a GET request, if the server responds.
 pub fn http_get(address: SocketAddr, path: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
