Response ends: pass on the end of a resumed stream as its first endpoint marks ends

The streams had begun at an endpoint that sends chunks and had been moved, after 1.5 s of silence, to one that ends its responses with the connection.

Cause: where the first endpoint marked ends and the last one did not, the mark was left out, because a crash can look like such an end. The users' pages define the end of a connection without a reset as the end of the response; an instance passes it on as such to callers without a length, and only with chunks it was taken for a break.

Change: a complete or unconfirmed end is passed on as the first endpoint marks ends. The flag that kept how the head was framed is gone.

A new endpoint of the soak plays all combinations of first and last part; the tests cover them with a whole end, an end inside an event, a reset and a killed instance, and the mixed rows over a relay.

--- a/crates/siskinyoke-gateway/src/body_end.rs
+++ b/crates/siskinyoke-gateway/src/body_end.rs
@@ -17,13 +17,20 @@
 /// | of a stream, between two events | complete | unconfirmed |
 /// | of any other response | complete | unconfirmed |
 ///
-/// Not every protocol has an event that ends every stream. A body that ends with an error, such as a reset or fewer bytes than stated, has broken off.
+/// Not every protocol has an event that ends every stream. A body that ends with an error, such as
+/// a reset or fewer bytes than stated, has broken off.
+///
+/// The end of a complete or unconfirmed response is passed on as the first endpoint of the response
+/// marks ends, whichever endpoint sent its last part: with a final chunk after a head that stated
+/// chunks, and with the end of the caller's connection otherwise. After a response that broke off
+/// the final chunk is missing, or the connection is reset.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
     /// The response is complete.
     Complete,
-    /// Only the endpoint knows. It counts as a response, and its end is not marked for the caller
-    /// either: the caller's connection ends with it.
+    /// The endpoint ended its connection without a reset, which is how it says that the response is
+    /// complete. Unlike a mark, that is also what a crash can look like, so it clears no endpoint
+    /// and no request of one.
     Unconfirmed,
     /// The response broke off. It is resumed or retried where that is allowed; otherwise the
     /// caller's connection ends in a way that shows it.
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -386,7 +386,6 @@
         caller: CallerChannel {
             start: Some(start_sender),
             chunks: chunk_sender,
-            marks_end: true,
         },
         events: EventBuffer::with_last_event(shell.interface.exchange.last_event_data()),
         maybe_executed: false,
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -49,8 +49,6 @@
     pub start: Option<oneshot::Sender<ResponseStart>>,
     /// Takes the chunks of a streamed response; closed when the caller disconnects.
     pub chunks: mpsc::Sender<Option<Bytes>>,
-    /// Whether the end of a streamed response is marked for the caller.
-    pub marks_end: bool,
 }
 
 /// Start of a response.
--- a/crates/siskinyoke-gateway/src/job/completion.rs
+++ b/crates/siskinyoke-gateway/src/job/completion.rs
@@ -29,9 +29,6 @@
             self.send_response(response);
             return "answered";
         }
-        if self.progress.body_end == Some(BodyEnd::Unconfirmed) && self.caller.marks_end {
-            return "cut";
-        }
         // Waits for the chunks queued for a slow caller, because without the end mark the response
         // would look truncated. Sending fails only if the caller has disconnected.
         drop(self.caller.chunks.send(None).await);
--- a/crates/siskinyoke-gateway/src/job/forwarding.rs
+++ b/crates/siskinyoke-gateway/src/job/forwarding.rs
@@ -15,7 +15,6 @@
 use super::progress::Progress;
 use super::stall;
 use crate::body_end::BodyEnd;
-use crate::framing::Framing;
 use crate::permit::Permit;
 use crate::pool::PooledConnection;
 use crate::response;
@@ -198,7 +197,6 @@
     async fn forward(&mut self, head: &ResponseHead, chunk: Bytes) {
         if let Some(sender) = self.caller.start.take() {
             let headers = self.response_headers(head);
-            self.caller.marks_end = head.framing != Framing::Connection;
             let start = ResponseStart::Stream(head.parts.status, headers, head.framing);
             drop(sender.send(start));
         }
--- a/crates/siskinyoke-gateway/tests/cut_links/main.rs
+++ b/crates/siskinyoke-gateway/tests/cut_links/main.rs
@@ -216,6 +216,24 @@
     assert_eq!(response.matches("data: ").count(), 4, "{response}");
 }
 
+// Guards against whole streams that are cut after their last event.
+#[test]
+fn a_relayed_stream_is_complete_whichever_endpoints_mark_its_end() {
+    let fleet = Fleet::start(2);
+    fleet.lose_links(0..1);
+    for number in 0..BUDGETED_COUNT {
+        assert_eq!(fleet.call(&format!("b{number}"), "/safe/a"), None);
+    }
+    for (first, last) in [("chunked", "unmarked"), ("unmarked", "chunked")] {
+        let path = format!("/stream/joined/first-{first}/last-{last}");
+        let response = fleet.instances[0].call("r", &path, "", "");
+        assert_eq!(response.matches("data: ").count(), 4, "{response}");
+        let is_chunked = response.contains("transfer-encoding: chunked");
+        assert_eq!(is_chunked, first == "chunked", "{response}");
+        assert_eq!(response.ends_with("0\r\n\r\n"), is_chunked, "{response}");
+    }
+}
+
 // Guards against a quarantine of content that ran nowhere twice.
 #[test]
 fn content_is_not_blamed_for_links_that_a_relay_has_lost() {
--- a/crates/siskinyoke-gateway/tests/unmarked_ends.rs
+++ b/crates/siskinyoke-gateway/tests/unmarked_ends.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::TcpStream;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
@@ -18,6 +19,14 @@
 use siskinyoke_soak::instance::send_request;
 use siskinyoke_soak::instance::wait_until;
 
+/// How the first and the last endpoint of a stream mark its end.
+const FRAMINGS: [(&str, &str); 4] = [
+    ("chunked", "chunked"),
+    ("chunked", "unmarked"),
+    ("unmarked", "chunked"),
+    ("unmarked", "unmarked"),
+];
+
 struct Setup {
     _store: Store,
     endpoints: Vec<Endpoint>,
@@ -55,15 +64,7 @@
     fn call(&self, path: &str) -> Received {
         let mut stream = self.instance.connect();
         send_request(&mut stream, "r1", path, "connection: close\r\n", "");
-        let mut bytes = Vec::new();
-        let reset = stream.read_to_end(&mut bytes).is_err();
-        let text = String::from_utf8(bytes).unwrap();
-        let (head, body) = text.split_once("\r\n\r\n").unwrap();
-        Received {
-            head: head.to_owned(),
-            body: body.to_owned(),
-            reset,
-        }
+        Received::read(&mut stream, Vec::new())
     }
 
     fn request_count(&self) -> usize {
@@ -91,6 +92,18 @@
 }
 
 impl Received {
+    // Reads the rest of a response.
+    fn read(stream: &mut TcpStream, mut bytes: Vec<u8>) -> Self {
+        let reset = stream.read_to_end(&mut bytes).is_err();
+        let text = String::from_utf8(bytes).unwrap();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap();
+        Self {
+            head: head.to_owned(),
+            body: body.to_owned(),
+            reset,
+        }
+    }
+
     fn events(&self) -> Vec<&str> {
         let lines = self.body.lines();
         lines.filter_map(|it| it.strip_prefix("data: ")).collect()
@@ -109,9 +122,14 @@
         }
     }
 
+    // Returns whether the caller takes the response for a whole one.
+    fn looks_complete(&self) -> bool {
+        self.is_marked_complete() || !self.is_chunked() && !self.reset
+    }
+
     // Returns whether the caller can tell that the response broke off.
     fn is_broken(&self) -> bool {
-        !self.is_marked_complete() && (self.is_chunked() || self.reset)
+        !self.looks_complete()
     }
 }
 
@@ -229,3 +247,39 @@
     let (_, body) = text.split_once("\r\n\r\n").unwrap();
     assert_eq!(body.len(), LARGE_BODY_BYTES);
 }
+
+// Guards against whole streams that are cut, and against broken ones that look whole, where two
+// endpoints mark the end of their responses differently.
+#[test]
+fn a_stream_of_two_endpoints_looks_complete_only_if_its_last_part_is() {
+    for (first, last) in FRAMINGS {
+        for (end, is_whole) in [("whole", true), ("stub", false), ("reset", false)] {
+            let setup = Setup::start();
+            let path = format!("/stream/joined/first-{first}/last-{last}/end-{end}");
+            let received = setup.call(&path);
+            let events: &[_] = if is_whole {
+                &["1", "2", "3", "4"]
+            } else {
+                &["1", "2", "3"]
+            };
+            assert_eq!(received.events(), events, "{path}: {received:?}");
+            assert_eq!(received.looks_complete(), is_whole, "{path}: {received:?}");
+            assert_eq!(received.is_chunked(), first == "chunked", "{path}");
+        }
+    }
+}
+
+#[test]
+fn a_stream_of_two_endpoints_does_not_look_complete_when_its_instance_is_killed() {
+    for (first, last) in FRAMINGS {
+        let setup = Setup::start();
+        let path = format!("/stream/joined/first-{first}/last-{last}/end-held");
+        let mut stream = setup.instance.connect();
+        send_request(&mut stream, "r1", &path, "", "");
+        let bytes = read_events(&mut stream, 3);
+        setup.instance.send_signal(Signal::KILL);
+        let received = Received::read(&mut stream, bytes);
+        assert_eq!(received.events(), ["1", "2", "3"], "{path}");
+        assert!(received.is_broken(), "{path}: {received:?}");
+    }
+}
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 pub mod crash;
 mod endless;
+mod joined;
 pub mod silent;
 mod unmarked;
 pub mod versioned;
@@ -325,6 +326,10 @@
         if request.line_contains("versioned") {
             return self.write_versioned_stream(request, out);
         }
+        if request.line_contains("joined") {
+            self.write_joined(request, out)?;
+            return Ok(false);
+        }
         if request.line_contains("unmarked") {
             self.write_unmarked(request, out)?;
             return Ok(false);
