Request bodies: count them while they arrive

Cause: memory was reserved for the announced length. A body in chunks announces none and was counted only once it was whole; until then each part was kept beside the buffer it had come in, and all were copied once more.

Change: a body is copied into one buffer as it arrives; the buffer's capacity is reserved before it grows and released with the last clone of the body. Requests that are held before a configuration is known use the same function. The budget, the buffer and the reader do not know Shell.

The test of the limit in held.rs asks the budget in place of the shell, with the same figures.

--- a/crates/siskinyoke-gateway/src/attempt.rs
+++ b/crates/siskinyoke-gateway/src/attempt.rs
@@ -11,7 +11,6 @@
 use crate::endpoint_client::OutgoingRequest;
 use crate::endpoint_client::Reply;
 use crate::endpoint_client::Reuse;
-use crate::memory::MemoryReservation;
 use crate::pool::PoolKey;
 use crate::probes;
 use crate::shell::Shell;
@@ -31,8 +30,6 @@
     pub body: Bytes,
     /// Hash of the path, organisation and body: equal for every resend of the same request.
     pub fingerprint: u64,
-    /// Accounts for the body's memory until the last clone is dropped.
-    pub reservation: Rc<MemoryReservation>,
 }
 
 impl EndpointRequest {
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -4,21 +4,16 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
-use tokio::time::timeout;
 
 use crate::attempt::EndpointRequest;
 use crate::events::EventBuffer;
@@ -27,8 +22,9 @@
 use crate::job::ResponseStart;
 use crate::job::progress::Progress;
 use crate::lending;
-use crate::memory::MemoryReservation;
 use crate::permit::Permit;
+use crate::request_body;
+use crate::request_body::BodyError;
 use crate::response;
 use crate::response::ChunkStream;
 use crate::response::ResponseBody;
@@ -57,14 +53,6 @@
 /// Retry delay sent when the memory for request bodies is used up.
 const MEMORY_RETRY_AFTER: Millis = Millis(500);
 
-/// Why a request body was not accepted.
-enum BodyError {
-    TooLarge,
-    TimedOut,
-    Interrupted,
-    OutOfMemory,
-}
-
 /// A request that was routed, and the IDs that its caller gave.
 struct AcceptedRequest {
     id: Option<String>,
@@ -137,7 +125,7 @@
     body: Incoming,
     arrival: Arrival,
 ) -> Response<ResponseBody> {
-    let (limits, body, reservation) = match hold::until_configured(shell, &parts, body).await {
+    let (limits, body) = match hold::until_configured(shell, &parts, body).await {
         Ok(received) => received,
         Err(refusal) => {
             let id = shell.interface.exchange.request_id(&parts);
@@ -149,13 +137,13 @@
         return refused;
     }
     if body.len() > limits.max_body {
-        return reject_body(shell, None, &BodyError::TooLarge);
+        return reject_body(shell, None, BodyError::TooLarge);
     }
     let arrival = Arrival {
         held: true,
         ..arrival
     };
-    handle_buffered(shell, parts, body, reservation, arrival).await
+    handle_buffered(shell, parts, body, arrival).await
 }
 
 fn check_head_size(
@@ -185,14 +173,14 @@
         Err(refused) => return unread_body::respond_before(*refused, body).await,
     };
     let remaining = accepted.routed.deadline.since(shell.now());
-    match read_body(shell, limits.max_body, remaining, body).await {
-        Ok((body, reservation)) => {
-            let outgoing = endpoint_request(shell, parts, &accepted.routed, body, reservation);
+    match request_body::read(&shell.body_memory, limits.max_body, remaining, body).await {
+        Ok(body) => {
+            let outgoing = endpoint_request(shell, parts, &accepted.routed, body);
             admit(shell, accepted, outgoing, arrival).await
         }
         Err(error) => {
             shell.core.borrow_mut().refund(&accepted.routed);
-            let response = reject_body(shell, accepted.id.as_deref(), &error);
+            let response = reject_body(shell, accepted.id.as_deref(), error);
             unread_body::closing(response)
         }
     }
@@ -207,12 +195,13 @@
     limits: CallerLimits,
     arrival: Arrival,
 ) -> Response<ResponseBody> {
-    let (body, reservation) =
-        match read_body(shell, limits.max_body, limits.head_timeout, body).await {
-            Ok(received) => received,
-            Err(error) => return unread_body::closing(reject_body(shell, None, &error)),
-        };
-    handle_buffered(shell, parts, body, reservation, arrival).await
+    let time_limit = limits.head_timeout;
+    let body = match request_body::read(&shell.body_memory, limits.max_body, time_limit, body).await
+    {
+        Ok(body) => body,
+        Err(error) => return unread_body::closing(reject_body(shell, None, error)),
+    };
+    handle_buffered(shell, parts, body, arrival).await
 }
 
 // Routes and admits a request whose body has been read.
@@ -220,12 +209,11 @@
     shell: &Rc<Shell>,
     parts: Parts,
     body: Bytes,
-    reservation: MemoryReservation,
     arrival: Arrival,
 ) -> Response<ResponseBody> {
     match decode_and_route(shell, &parts, &body, arrival).await {
         Ok(accepted) => {
-            let outgoing = endpoint_request(shell, parts, &accepted.routed, body, reservation);
+            let outgoing = endpoint_request(shell, parts, &accepted.routed, body);
             admit(shell, accepted, outgoing, arrival).await
         }
         Err(refused) => *refused,
@@ -325,7 +313,6 @@
     parts: Parts,
     routed: &RoutedRequest,
     body: Bytes,
-    reservation: MemoryReservation,
 ) -> EndpointRequest {
     let exchange = &shell.interface.exchange;
     let organisation = routed.organisation.as_ref().map(|it| &*it.name);
@@ -335,7 +322,6 @@
         target: exchange.endpoint_uri(&parts.uri),
         headers: exchange.request_headers(&parts.headers, organisation),
         body,
-        reservation: Rc::new(reservation),
     }
 }
 
@@ -431,39 +417,6 @@
     lookup.map(|it| it.origin)
 }
 
-// Reads a body within a size limit and a time limit. Memory for the announced length is reserved
-// while it is read.
-async fn read_body(
-    shell: &Rc<Shell>,
-    max_bytes: usize,
-    remaining: Millis,
-    body: Incoming,
-) -> Result<(Bytes, MemoryReservation), BodyError> {
-    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if expected > max_bytes {
-        return Err(BodyError::TooLarge);
-    }
-    let provisional =
-        MemoryReservation::try_reserve(shell, expected).ok_or(BodyError::OutOfMemory)?;
-    let collected = timeout(
-        Duration::from(remaining),
-        Limited::new(body, max_bytes).collect(),
-    )
-    .await;
-    drop(provisional);
-    let body = match collected {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-            return Err(BodyError::TooLarge);
-        }
-        Ok(Err(_)) => return Err(BodyError::Interrupted),
-        Err(_) => return Err(BodyError::TimedOut),
-    };
-    let reservation =
-        MemoryReservation::try_reserve(shell, body.len()).ok_or(BodyError::OutOfMemory)?;
-    Ok((body, reservation))
-}
-
 fn refuse(shell: &Shell, request: RefusalInfo<'_>, refusal: Refusal) -> Response<ResponseBody> {
     shell.log_refusal(request, refusal);
     shell
@@ -477,7 +430,7 @@
     response::from_buffered(shell.interface.exchange.error_response(Code::Malformed))
 }
 
-fn reject_body(shell: &Shell, id: Option<&str>, error: &BodyError) -> Response<ResponseBody> {
+fn reject_body(shell: &Shell, id: Option<&str>, error: BodyError) -> Response<ResponseBody> {
     let code = match error {
         BodyError::TooLarge => Code::BodyTooLarge,
         BodyError::TimedOut => Code::SlowSender,
--- a/crates/siskinyoke-gateway/src/callers/hold.rs
+++ b/crates/siskinyoke-gateway/src/callers/hold.rs
@@ -8,10 +8,9 @@
 use serde_json::json;
 use tokio::time::timeout;
 
-use super::BodyError;
 use super::MEMORY_RETRY_AFTER;
-use super::read_body;
-use crate::memory::MemoryReservation;
+use crate::request_body;
+use crate::request_body::BodyError;
 use crate::shell::Shell;
 use siskinyoke_dispatch::CallerLimits;
 use siskinyoke_dispatch::Refusal;
@@ -39,16 +38,16 @@
     shell: &Rc<Shell>,
     parts: &Parts,
     body: Incoming,
-) -> Result<(CallerLimits, Bytes, MemoryReservation), Refusal> {
+) -> Result<(CallerLimits, Bytes), Refusal> {
     let arrived = shell.now();
     let deadline =
         arrived + cold_start::hold_timeout(shell.interface.exchange.caller_timeout(parts));
-    let Some(overhead) = MemoryReservation::try_reserve(shell, HELD_REQUEST_OVERHEAD_BYTES) else {
-        return Err(out_of_memory());
-    };
+    let memory = &shell.body_memory;
+    let overhead = memory.reserve(HELD_REQUEST_OVERHEAD_BYTES);
+    let overhead = overhead.map_err(|_| out_of_memory())?;
     let remaining = deadline.since(shell.now());
-    let (body, reservation) = match read_body(shell, MAX_HELD_BODY_BYTES, remaining, body).await {
-        Ok(received) => received,
+    let body = match request_body::read(memory, MAX_HELD_BODY_BYTES, remaining, body).await {
+        Ok(body) => body,
         Err(BodyError::OutOfMemory) => return Err(out_of_memory()),
         Err(_) => return Err(not_ready(shell)),
     };
@@ -64,7 +63,7 @@
         "configuration": shell.core.borrow().configuration_version(),
     });
     shell.log("request_held", fields);
-    Ok((limits, body, reservation))
+    Ok((limits, body))
 }
 
 async fn configured_limits(shell: &Shell) -> CallerLimits {
--- /dev/null
+++ b/crates/siskinyoke-gateway/src/memory_reservation.rs
@@ -0,0 +1,42 @@
+//! Memory reserved in a budget.
+
+use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::OutOfMemoryError;
+
+/// Memory reserved in a budget, released on drop.
+#[derive(Debug)]
+pub struct MemoryReservation {
+    budget: MemoryBudget,
+    bytes: usize,
+}
+
+impl MemoryReservation {
+    /// Returns a reservation of no bytes.
+    pub fn empty(budget: MemoryBudget) -> Self {
+        Self { budget, bytes: 0 }
+    }
+
+    /// Reserves a number of further bytes.
+    ///
+    /// # Errors
+    ///
+    /// The limit would be exceeded; the reservation is as before then.
+    pub fn grow(&mut self, bytes: usize) -> Result<(), OutOfMemoryError> {
+        self.budget.add(bytes)?;
+        self.bytes += bytes;
+        Ok(())
+    }
+
+    /// Releases all but a number of bytes.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let released = self.bytes.saturating_sub(bytes);
+        self.budget.subtract(released);
+        self.bytes -= released;
+    }
+}
+
+impl Drop for MemoryReservation {
+    fn drop(&mut self) {
+        self.budget.subtract(self.bytes);
+    }
+}
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -41,6 +41,10 @@
     }
 }
 
+/// Request bodies may use the memory limit divided by this; the rest is for connections and
+/// responses.
+const BODY_MEMORY_DIVISOR: u64 = 4;
+
 /// The addresses on which an instance listens.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -166,6 +170,12 @@
         }
     }
 
+    /// Returns the memory that request bodies may use, in bytes.
+    pub fn body_memory_bytes(&self) -> usize {
+        let bytes = self.memory_mb.saturating_mul(1024 * 1024) / BODY_MEMORY_DIVISOR;
+        usize::try_from(bytes).unwrap_or(usize::MAX)
+    }
+
     /// Returns the time from the signal to stop to the kill.
     pub fn grace_period(&self) -> Millis {
         millis_from_seconds(self.bounds.grace_s)
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -22,6 +22,7 @@
 use crate::lending;
 use crate::lending::Lending;
 use crate::log_writer::LogWriter;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::part_quarantine;
 use crate::peer_socket::PeerSocket;
@@ -154,8 +155,8 @@
     pub catching_up: Cell<bool>,
     /// Whether statuses of rollouts or notes of versions are being written to the store.
     pub writing: Cell<bool>,
-    /// The total size of the request bodies held in memory.
-    pub held_bytes: Cell<usize>,
+    /// The memory for request bodies.
+    pub body_memory: MemoryBudget,
     /// When the drain period ends, once this instance shuts down.
     pub drain_end: Cell<Option<Millis>>,
     /// Whether connections of callers are accepted.
@@ -198,6 +199,7 @@
         );
         let peer_socket = PeerSocket::new(event_log.clone());
         let stream_lookup = StreamLookup::new(core.clone(), peer_socket.clone());
+        let body_memory = MemoryBudget::new(settings.body_memory_bytes());
         Ok(Self {
             interface,
             core,
@@ -234,7 +236,7 @@
             shutdown_started: Notify::new(),
             catching_up: Cell::new(false),
             writing: Cell::new(false),
-            held_bytes: Cell::new(0),
+            body_memory,
             drain_end: Cell::new(None),
             accepting_callers: Cell::new(false),
             caller_connections: Cell::new(0),
--- a/crates/siskinyoke-gateway/tests/held.rs
+++ b/crates/siskinyoke-gateway/tests/held.rs
@@ -2,8 +2,6 @@
 
 mod common;
 
-use siskinyoke_gateway::memory::MemoryReservation;
-
 const SETTINGS_JSON: &str = r#"{ "instance": "i", "ip": "127.0.0.1", "centre": "a", "metrics": 1,
     "listen": { "callers": "127.0.0.1:1", "health": "127.0.0.1:2", "directory": "127.0.0.1:3",
                 "peers": "127.0.0.1:4" },
@@ -18,9 +16,9 @@
 #[test]
 fn queued_bodies_use_at_most_a_quarter_of_the_memory() {
     let shell = common::shell(SETTINGS_JSON);
-    let first = MemoryReservation::try_reserve(&shell, 3 * MIB);
-    assert!(first.is_some());
-    assert!(MemoryReservation::try_reserve(&shell, 2 * MIB).is_none());
+    let first = shell.body_memory.reserve(3 * MIB);
+    assert!(first.is_ok());
+    assert!(shell.body_memory.reserve(2 * MIB).is_err());
     drop(first);
-    assert!(MemoryReservation::try_reserve(&shell, 2 * MIB).is_some());
+    assert!(shell.body_memory.reserve(2 * MIB).is_ok());
 }
