Stream versions: keep records in the store while a service has several versions

Cause: records of the versions at which streams began lived in instances only. What outlives all of them is the store, which held a note of the versions but not of the streams.

Change: while endpoints of a service have had several versions, each instance passes its new records to the one that watches the store for its shard, and that one writes them in batches, at most every 250 ms, and less often in a large fleet. A process that starts reads them with everything else. A batch that changes nothing but records or the revision is not announced to peers at once.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -44,6 +44,7 @@
 use crate::scheduler::Decision;
 use crate::stream_records::StreamRecords;
 use crate::uncleared_runs::UnclearedRuns;
+use crate::unsaved_streams::UnsavedStreams;
 use crate::version_history::VersionHistory;
 use crate::version_key::VersionKey;
 use siskinyoke_base::Map;
@@ -86,6 +87,7 @@
     // Endpoints that peers reported as leaving, for the log.
     reported_departures: Vec<EndpointKey>,
     streams: StreamRecords,
+    unsaved_streams: UnsavedStreams,
     versions: VersionHistory,
     shutting_down: bool,
     report_number: u64,
@@ -119,6 +121,7 @@
             store_view: store::StoreView::default(),
             reported_departures: Vec::new(),
             streams: StreamRecords::default(),
+            unsaved_streams: UnsavedStreams::default(),
             versions: VersionHistory::default(),
             shutting_down: false,
             report_number: 0,
--- a/crates/siskinyoke-dispatch/src/core/streams.rs
+++ b/crates/siskinyoke-dispatch/src/core/streams.rs
@@ -18,10 +18,68 @@
 use crate::version_key::VersionKey;
 use siskinyoke_base::Millis;
 
+/// The shortest time for which records of streams are collected before they are written.
+const MIN_SAVE_INTERVAL: Millis = Millis(250);
+
+/// How much longer they are collected for each instance of the fleet.
+const SAVE_INTERVAL_PER_INSTANCE: Millis = Millis(10);
+
 impl Core {
-    /// Records that a stream began, or went on, at a version, here or at another instance.
-    pub fn record_stream(&mut self, now: Millis, key: StreamKey, version: VersionKey) {
+    /// Records that a stream began, or went on, at a version at this instance.
+    pub fn record_own_stream(&mut self, now: Millis, key: StreamKey, version: VersionKey) {
         self.streams.record(now, key, version);
+        self.unsaved_streams.push(now, key, version);
+    }
+
+    /// Records that streams began, or went on, at versions at another instance.
+    pub fn record_streams(&mut self, now: Millis, records: &[(StreamKey, VersionKey)]) {
+        let writes = self.watcher(now) == self.identity.name;
+        for (key, version) in records {
+            if writes && self.streams.origin(now, *key) == StreamOrigin::Unknown {
+                self.unsaved_streams.push(now, *key, *version);
+            }
+            self.streams.record(now, *key, *version);
+        }
+    }
+
+    /// Records what the store holds of streams.
+    pub fn restore_streams(&mut self, now: Millis, records: &[(StreamKey, VersionKey)]) {
+        for (key, version) in records {
+            self.streams.record(now, *key, *version);
+        }
+    }
+
+    /// Removes and returns the records that this instance has to write to the store, or to tell
+    /// the instance that does: those of streams at services with several versions.
+    ///
+    /// While a service has one version, a stream goes on there without a record.
+    pub fn take_unsaved_streams(&mut self, now: Millis) -> Vec<(StreamKey, VersionKey)> {
+        let lifetimes = self.stream_lifetimes();
+        let rows = lifetimes.iter();
+        let several = rows.flat_map(|(service, lifetime)| {
+            let versions = &self.versions;
+            versions.several(now, service, *lifetime)
+        });
+        let several = several.collect();
+        let longest = lifetimes.into_values().max().unwrap_or_default();
+        let oldest = Millis(now.0.saturating_sub(longest.0));
+        self.unsaved_streams.remove_before(oldest);
+        self.unsaved_streams.take(&several)
+    }
+
+    /// Returns the instance that writes records of streams to the store, if it is another one.
+    pub fn stream_writer(&self, now: Millis) -> Option<&InstanceLocation> {
+        let writer = self.watcher(now);
+        let mut peers = self.peers.all().filter(|it| it.info.name == writer);
+        peers.next().map(|it| &it.info.location)
+    }
+
+    /// Returns how long records of streams are collected before they are written to the store.
+    ///
+    /// All instances read each write, so there are fewer in a large fleet.
+    pub fn stream_save_interval(&self, now: Millis) -> Millis {
+        let instances = self.peers.instance_count(now) as u64;
+        MIN_SAVE_INTERVAL.max(Millis(SAVE_INTERVAL_PER_INSTANCE.0 * instances))
     }
 
     /// Returns what this instance knows of the version at which a stream began.
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod stream_resumption;
 pub mod token_counts;
 mod uncleared_runs;
+mod unsaved_streams;
 pub mod version_history;
 pub mod version_key;
 mod wait;
--- a/crates/siskinyoke-dispatch/src/version_history.rs
+++ b/crates/siskinyoke-dispatch/src/version_history.rs
@@ -152,6 +152,14 @@
         self.only_seen_version(now, service, period)
     }
 
+    /// Returns the versions of a service that were seen in a period if there are several.
+    pub fn several(&self, now: Millis, service: &str, period: Millis) -> Vec<VersionKey> {
+        let versions = self.services.get(service).into_iter();
+        let seen = versions.flat_map(|it| it.seen_in(now, period));
+        let keys: Vec<_> = seen.map(|it| *it.0).collect();
+        if keys.len() > 1 { keys } else { Vec::new() }
+    }
+
     /// Returns the only version of a service that was seen in a period, although others may have
     /// been missed.
     pub fn only_seen_version(
--- a/crates/siskinyoke-dispatch/tests/streams.rs
+++ b/crates/siskinyoke-dispatch/tests/streams.rs
@@ -534,7 +534,7 @@
         core.add_instance(name, location(name, "a"));
     }
     core.receive_report(Millis(0), report("i3", 1));
-    core.record_stream(Millis(0), key(1), ONE);
+    core.record_streams(Millis(0), &[(key(1), ONE)]);
     let streams: Vec<_> = core.recorded_streams(Millis(1)).collect();
     let [(stream, version, holders)] = &streams[..] else {
         panic!("{streams:?}");
@@ -548,3 +548,66 @@
         "i3 is known by its report only"
     );
 }
+
+// Guards against records of streams that are lost with all instances.
+#[test]
+fn only_streams_of_services_with_several_versions_are_saved() {
+    let mut core = core(&[("e1", "1")]);
+    let (one, two) = (VersionKey::new("lm", "1"), VersionKey::new("lm", "2"));
+    core.record_own_stream(Millis(0), key(1), one);
+    assert_eq!(core.take_unsaved_streams(Millis(10)), []);
+    // Streams that began before the second version appeared are saved as well.
+    core.registry().put(Millis(20), versioned("e2", "2"));
+    core.sweep(Millis(20));
+    core.record_own_stream(Millis(30), key(2), two);
+    let saved = core.take_unsaved_streams(Millis(40));
+    assert_eq!(saved, [(key(1), one), (key(2), two)]);
+    assert_eq!(core.take_unsaved_streams(Millis(50)), []);
+}
+
+#[test]
+fn streams_that_have_ended_before_a_second_version_appears_are_not_saved() {
+    let mut core = core(&[("e1", "1")]);
+    core.record_own_stream(Millis(0), key(1), VersionKey::new("lm", "1"));
+    let later = Millis(120_000);
+    core.registry().put(later, versioned("e2", "2"));
+    core.sweep(later);
+    assert_eq!(core.take_unsaved_streams(later), []);
+}
+
+// Guards against an instance that writes records for which another one is responsible.
+#[test]
+fn one_instance_saves_the_streams_of_its_peers() {
+    let record = (key(1), VersionKey::new("lm", "1"));
+    let names = ["i0", "i1"];
+    let savers = names.iter().filter(|name| {
+        let mut core = Core::new(identity(name, 1));
+        core.configure(Millis(0), configuration(1, organisation(0.0, 0.0)));
+        core.store_call_succeeded();
+        for (id, version) in [("e1", "1"), ("e2", "2")] {
+            core.registry().put(Millis(0), versioned(id, version));
+        }
+        let peer = if **name == "i0" { "i1" } else { "i0" };
+        core.receive_report(Millis(0), report(peer, 2));
+        core.sweep(Millis(0));
+        core.record_streams(Millis(0), &[record]);
+        let saves = core.stream_writer(Millis(0)).is_none();
+        let expected: &[_] = if saves { &[record] } else { &[] };
+        assert_eq!(core.take_unsaved_streams(Millis(1)), expected);
+        saves
+    });
+    assert_eq!(savers.count(), 1);
+}
+
+#[test]
+fn a_large_fleet_saves_streams_less_often() {
+    let mut core = core(&[("e1", "1")]);
+    let alone = core.stream_save_interval(Millis(0));
+    for number in 1..300 {
+        let report = report(&format!("i{number}"), number);
+        core.receive_report(Millis(0), report);
+    }
+    let interval = core.stream_save_interval(Millis(0));
+    assert!(interval >= Millis(3_000), "{interval:?}");
+    assert!(alone <= Millis(250), "{alone:?}");
+}
--- a/crates/siskinyoke-gateway/src/cluster_view.rs
+++ b/crates/siskinyoke-gateway/src/cluster_view.rs
@@ -9,6 +9,7 @@
 use crate::replica::Update;
 use crate::rollouts;
 use crate::shell::Shell;
+use crate::stream_writer;
 use siskinyoke_base::Revision;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::StoreUpdate;
@@ -43,7 +44,8 @@
 
 /// Applies changes or a full state other than the configuration; an update that is not newer than
 /// the replica has no effect.
-pub fn apply(shell: &Shell, update: Update, source: &str) {
+pub fn apply(shell: &Shell, mut update: Update, source: &str) {
+    restore_streams(shell, &mut update);
     let before = shell.replica.borrow().revision();
     let full = update.full;
     let stated = update.revision;
@@ -82,12 +84,32 @@
         "changes": count,
     });
     shell.log("store_read", fields);
+    if count == 0 && !full {
+        return;
+    }
     rollouts::advance(shell);
     // Report the new state to other shards at once.
     shell.broadcast_report();
     shell.decide();
 }
 
+// Records what the store holds of streams. It is not passed on to peers, which ask for a stream
+// when they need to know it.
+fn restore_streams(shell: &Shell, update: &mut Update) {
+    let documents = &shell.interface.documents;
+    let is_record = |item: &mut Item| documents.item_kind(&item.key) == ItemKind::StreamRecords;
+    let items: Vec<_> = update.items.extract_if(.., is_record).collect();
+    for item in items {
+        let Some(value) = item.value else { continue };
+        let decoded = stream_writer::decode(&value);
+        let event = "stream_records_unreadable";
+        if let Some(records) = readable(shell, decoded, event, ("key", &item.key)) {
+            let mut core = shell.core.borrow_mut();
+            core.restore_streams(shell.now(), &records);
+        }
+    }
+}
+
 /// Updates whether any instance of the shard can reach the store, and logs a change.
 pub fn update_store_status(shell: &Shell) {
     let changed = shell
@@ -136,7 +158,7 @@
             };
             decode_version_note(shell, service, &value, item.revision).map(StoreUpdate::VersionNote)
         }
-        ItemKind::Configuration | ItemKind::Other => None,
+        ItemKind::Configuration | ItemKind::StreamRecords | ItemKind::Other => None,
     }
 }
 
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -21,11 +21,14 @@
 use crate::settings::Settings;
 use crate::shell::Shell;
 use crate::signals;
+use crate::store::Client;
 use crate::store_writes;
+use crate::stream_writer::StreamWriter;
 use crate::watcher;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::core::Identity;
 use siskinyoke_dispatch::quota::QuotaPolicy;
+use siskinyoke_interface::Call;
 
 /// How often queued requests are rescheduled while there are any.
 const QUEUE_POLL_INTERVAL: Millis = Millis(10);
@@ -33,6 +36,9 @@
 /// How often expired state is removed and buffered log lines are passed to the writer thread.
 const SWEEP_INTERVAL: Millis = Millis(200);
 
+/// Time limit for a write of streams' versions.
+const STREAM_WRITE_TIMEOUT: Millis = Millis(1_000);
+
 /// Runs an instance until it receives `SIGTERM`.
 ///
 /// One thread serves everything: an instance has a fraction of one CPU core, where passing work
@@ -99,6 +105,7 @@
     spawn_local(registration::maintain(shell.clone()));
     spawn_local(reload::poll_file(shell.clone(), path.clone()));
     spawn_local(signals::reload_on_signal(shell.clone(), path));
+    spawn_local(write_streams(shell.clone()));
     spawn_local(poll_queue(shell.clone()));
     spawn_local(run_periodic_tasks(shell.clone()));
     signals::stop_on_signal(shell).await?;
@@ -123,6 +130,25 @@
     }
 }
 
+// Writes the versions at which streams began to the store.
+async fn write_streams(shell: Rc<Shell>) {
+    let writer = StreamWriter::new(
+        shell.core.clone(),
+        shell.stream_lookup.clone(),
+        shell.interface.clone(),
+        shell.event_log.clone(),
+        &shell.settings().instance,
+    );
+    let mut client = Client::default();
+    let call = async move |call: &Call| {
+        let address = shell.settings().store;
+        let result = client.call(address, call, STREAM_WRITE_TIMEOUT).await;
+        shell.metrics.record_store_call("streams", result.is_ok());
+        result
+    };
+    writer.run(call).await;
+}
+
 // Reschedules queued requests periodically; sleeps while there are none.
 async fn poll_queue(shell: Rc<Shell>) {
     loop {
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod store_writes;
 pub mod stream_lookup;
 pub mod stream_position;
+pub mod stream_writer;
 pub mod tracked_body;
 pub mod tracked_stream;
 pub mod transfer;
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -90,7 +90,7 @@
     /// The state on which all decisions are based; it does no I/O.
     pub core: Rc<RefCell<Core>>,
     /// The protocols of callers, endpoints, operators and the store.
-    pub interface: Interface,
+    pub interface: Rc<Interface>,
     /// The current settings.
     pub settings: RefCell<Rc<Settings>>,
     /// The pool of connections to endpoints and relays.
@@ -120,7 +120,7 @@
     /// The UDP socket for messages between instances.
     pub peer_socket: PeerSocket,
     /// Tells other instances at which versions streams began, and asks them.
-    pub stream_lookup: StreamLookup,
+    pub stream_lookup: Rc<StreamLookup>,
     /// Borrow requests sent to other instances, and the slots borrowed from them.
     pub lending: Lending,
     /// The client that fetches store changes from peers.
@@ -168,7 +168,8 @@
     // Whether the era of the last response of the store could not be read.
     era_unreadable: Cell<bool>,
     waiters: RefCell<Map<Ticket, oneshot::Sender<SchedulingResult>>>,
-    event_log: EventLog,
+    /// The log of decisions.
+    pub event_log: EventLog,
     clock: BootClock,
 }
 
@@ -198,10 +199,10 @@
             settings.ip,
         );
         let peer_socket = PeerSocket::new(event_log.clone());
-        let stream_lookup = StreamLookup::new(core.clone(), peer_socket.clone());
+        let stream_lookup = Rc::new(StreamLookup::new(core.clone(), peer_socket.clone()));
         let body_memory = MemoryBudget::new(settings.body_memory_bytes());
         Ok(Self {
-            interface,
+            interface: Rc::new(interface),
             core,
             settings: RefCell::new(Rc::new(settings)),
             pool,
--- a/crates/siskinyoke-gateway/src/stream_lookup.rs
+++ b/crates/siskinyoke-gateway/src/stream_lookup.rs
@@ -68,7 +68,7 @@
     /// Records that a stream begins or goes on here at a version, and tells its holders.
     pub fn announce(&self, key: StreamKey, version: VersionKey) {
         let mut core = self.core.borrow_mut();
-        core.record_stream(BootClock.now(), key, version);
+        core.record_own_stream(BootClock.now(), key, version);
         let holders = addresses(&core.stream_holders(key));
         drop(core);
         let message = Message::StreamVersions(vec![(key, version)]);
@@ -88,10 +88,27 @@
         }
         drop(core);
         for (holder, records) in records {
-            for part in records.chunks(MAX_MESSAGE_RECORDS) {
-                let message = Message::StreamVersions(part.to_vec());
-                self.socket.send(holder, &message);
-            }
+            self.send_records(holder, &records);
+        }
+    }
+
+    /// Passes records on to the instance that writes them to the store, and returns whether that is
+    /// another one.
+    pub fn pass_to_writer(&self, records: &[(StreamKey, VersionKey)]) -> bool {
+        let core = self.core.borrow();
+        let Some(writer) = core.stream_writer(BootClock.now()) else {
+            return false;
+        };
+        for address in addresses(&[writer]) {
+            self.send_records(address, records);
+        }
+        true
+    }
+
+    fn send_records(&self, to: SocketAddr, records: &[(StreamKey, VersionKey)]) {
+        for part in records.chunks(MAX_MESSAGE_RECORDS) {
+            let message = Message::StreamVersions(part.to_vec());
+            self.socket.send(to, &message);
         }
     }
 
@@ -115,11 +132,8 @@
 
     /// Records what another instance tells about streams.
     pub fn handle_records(&self, records: &[(StreamKey, VersionKey)]) {
-        let now = BootClock.now();
         let mut core = self.core.borrow_mut();
-        for (key, version) in records {
-            core.record_stream(now, *key, *version);
-        }
+        core.record_streams(BootClock.now(), records);
     }
 
     /// Replies to a question of another instance.
--- a/crates/siskinyoke-gateway/tests/stream_versions.rs
+++ b/crates/siskinyoke-gateway/tests/stream_versions.rs
@@ -27,6 +27,9 @@
 /// can last.
 const RESUMPTION_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// How soon the store holds the versions of streams that begin.
+const SAVE_TIME: Duration = Duration::from_secs(1);
+
 struct Fleet {
     store: Store,
     endpoints: Vec<Endpoint>,
@@ -262,6 +265,23 @@
     assert_eq!(versions([&first, &second]).len(), 1);
 }
 
+// Guards against refusing all streams of a service with two versions after a kill of all instances.
+#[test]
+fn streams_of_two_versions_go_on_after_all_instances_were_killed() {
+    let mut fleet = Fleet::start(2, &["v1", "v1", "v1.1"]);
+    let first = fleet.begin_all();
+    assert_eq!(versions(&first).len(), 2);
+    thread::sleep(SAVE_TIME);
+    restart_all(&mut fleet, |_| {});
+    let start = Instant::now();
+    let mut second = fleet.take_up_all(&first);
+    while !second.iter().all(Part::is_last) && start.elapsed() < RESUMPTION_TIMEOUT {
+        thread::sleep(Duration::from_millis(300));
+        second = fleet.take_up_all(&first);
+    }
+    check_parts(&first, &second);
+}
+
 // A version's endpoints leave while all instances are down. Guards against continuing its streams
 // at the only version that is left.
 #[test]
--- a/crates/siskinyoke-interface/src/documents.rs
+++ b/crates/siskinyoke-interface/src/documents.rs
@@ -24,6 +24,8 @@
     RolloutStatus(&'a str),
     /// The note of this service's versions.
     VersionNote(&'a str),
+    /// Records of the versions at which streams began.
+    StreamRecords,
     /// Any other item; it is ignored.
     Other,
 }
@@ -43,6 +45,8 @@
     pub rollout_statuses: &'static str,
     /// The prefix of notes of services' versions, followed by the service's name.
     pub version_notes: &'static str,
+    /// The prefix of records of streams, followed by the name, process and write of an instance.
+    pub stream_records: &'static str,
 }
 
 /// A rollout as an operator ordered it.
@@ -77,6 +81,9 @@
         if let Some(service) = key.strip_prefix(keys.rollout_statuses) {
             return ItemKind::RolloutStatus(service);
         }
+        if key.starts_with(keys.stream_records) {
+            return ItemKind::StreamRecords;
+        }
         let service = key.strip_prefix(keys.version_notes);
         service.map_or(ItemKind::Other, ItemKind::VersionNote)
     }
--- a/crates/siskinyoke-native/src/names.rs
+++ b/crates/siskinyoke-native/src/names.rs
@@ -56,6 +56,8 @@
 pub const ROLLOUT_STATUS_PREFIX: &str = "siskinyoke/rollout-states/";
 /// The key prefix of notes of services' versions, which instances write.
 pub const VERSION_NOTE_PREFIX: &str = "siskinyoke/versions/";
+/// The key prefix of records of streams, which instances write.
+pub const STREAM_RECORD_PREFIX: &str = "siskinyoke/streams/";
 
 /// Returns the hexadecimal digest of an API key, as stored in the configuration.
 pub fn key_digest(key: &str) -> String {
