Scheduler: a stream that its caller takes up goes before new requests

Cause: such a stream was queued like a new request, though only endpoints of one version can serve it and its caller has less time left. New streams, which can use any slot, took those of its version as they became free.

Change: it goes before requests of the same order that arrived up to one latency target earlier, and may wait as long as its caller does, as a retry may. Its first events are of no use to the caller without the others.

Failed before (a new stream starts first): a_stream_that_is_taken_up_starts_before_new_ones. The tests of dispatch pass.

--- a/crates/siskinyoke-dispatch/src/wait.rs
+++ b/crates/siskinyoke-dispatch/src/wait.rs
@@ -32,8 +32,12 @@
 /// Returns the arrival time that determines a request's position among those of the same order.
 ///
 /// Under overload, more callers are served in time if short requests go first: service times differ
-/// a hundredfold.
+/// a hundredfold. A stream that its caller takes up goes before new requests: its first events would
+/// be of no use without the others, and only endpoints of its version can send these.
 pub(crate) fn virtual_arrival(request: &ScheduledRequest, latency: LatencyModel) -> Millis {
+    if is_taken_up(request) {
+        return request.arrived.since(request.route.latency_target);
+    }
     let max_penalty = millis_to_f64(request.route.latency_target) * MAX_PENALTY_RATIO;
     let penalty = (millis_to_f64(latency.service_time_of(&request.tokens)) * LENGTH_PENALTY_RATIO)
         .min(max_penalty);
@@ -44,12 +48,12 @@
 
 /// Returns how long a request may wait in the queue and still be on time.
 ///
-/// A retried request is served even if it is late, as long as its caller waits for it. Any other
-/// request waits only while its response can still be on time, whatever its priority: in plain
+/// A retried request is served even if it is late, as long as its caller waits for it, and so is a
+/// stream that its caller takes up. Any other request waits only while its response can still be on time, whatever its priority: in plain
 /// order of arrival, all urgent requests would be late during a peak.
 pub(crate) fn queue_timeout(request: &ScheduledRequest, latency: LatencyModel) -> Millis {
     let max_wait = max_wait(request, latency);
-    if is_retry(request) {
+    if is_retry(request) || is_taken_up(request) {
         return max_wait;
     }
     let response_time = if request.route.kind == RouteKind::Stream {
@@ -97,6 +101,11 @@
     !request.tried.is_empty()
 }
 
+// Returns whether it goes on with a stream that began before.
+fn is_taken_up(request: &ScheduledRequest) -> bool {
+    request.version.is_some()
+}
+
 // Adds up to half of the delay as jitter, so that callers that are refused together do not retry at
 // the same time.
 pub(crate) fn with_jitter(after: Millis, fingerprint: u64) -> Millis {
--- a/crates/siskinyoke-dispatch/tests/streams.rs
+++ b/crates/siskinyoke-dispatch/tests/streams.rs
@@ -611,3 +611,21 @@
     assert!(interval >= Millis(3_000), "{interval:?}");
     assert!(alone <= Millis(250), "{alone:?}");
 }
+
+// Guards against streams that wait for the slots of one version behind new ones, which can use any,
+// until their callers leave.
+#[test]
+fn a_stream_that_is_taken_up_starts_before_new_ones() {
+    let mut core = core(&[("e1", "1"), ("e2", "2")]);
+    let running = [admit_new(&mut core, 9_000), admit_new(&mut core, 9_000)];
+    let started: BTreeMap<_, _> = starts(&mut core, 9_000).into_iter().collect();
+    let waiting = [admit_new(&mut core, 9_001), admit_new(&mut core, 9_002)];
+    let taken_up = admit(&mut core, 9_100, version("1")).unwrap();
+    assert_eq!(starts(&mut core, 9_100), []);
+    let at_first = running.iter().find(|it| started[it] == "e1").unwrap();
+    core.cancel(Millis(9_200), *at_first);
+    assert_eq!(starts(&mut core, 9_200), [(taken_up, "e1".to_owned())]);
+    let at_second = running.iter().find(|it| started[it] == "e2").unwrap();
+    core.cancel(Millis(9_300), *at_second);
+    assert_eq!(starts(&mut core, 9_300), [(waiting[0], "e2".to_owned())]);
+}
