Registry: an entry that cannot be read names no endpoint any more

Cause: an item that could not be decoded was skipped, so the entry before it stayed in force. The users' page on service discovery says that such an entry "names no server to use; the others hold".

Change: it counts as a removed entry.

Failed before (all 20 requests arrive): an_endpoint_whose_entry_becomes_unreadable_gets_no_new_requests.

--- a/crates/siskinyoke-gateway/src/cluster_view.rs
+++ b/crates/siskinyoke-gateway/src/cluster_view.rs
@@ -11,7 +11,6 @@
 use crate::shell::Shell;
 use crate::stream_writer;
 use siskinyoke_base::Revision;
-use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::StoreUpdate;
 use siskinyoke_dispatch::rollout::Order;
 use siskinyoke_dispatch::rollout::Status;
@@ -131,11 +130,11 @@
     shell.log(event, fields);
 }
 
-// Decodes an item, which may come from another writer; an invalid one is logged and skipped.
+// Decodes an item, which may come from another writer; an invalid one is logged.
 fn decode(shell: &Shell, item: Item) -> Option<StoreUpdate> {
     match shell.interface.documents.item_kind(&item.key) {
         ItemKind::Endpoint(id) => match item.value {
-            Some(value) => decode_endpoint(shell, id, &value).map(StoreUpdate::Endpoint),
+            Some(value) => Some(decode_endpoint(shell, id, &value)),
             None => Some(StoreUpdate::EndpointRemoved(id.to_owned())),
         },
         ItemKind::Instance(name) => match item.value {
@@ -162,9 +161,14 @@
     }
 }
 
-fn decode_endpoint(shell: &Shell, id: &str, value: &[u8]) -> Option<Endpoint> {
+// An entry that cannot be read names no endpoint, so the one that it named before is gone.
+fn decode_endpoint(shell: &Shell, id: &str, value: &[u8]) -> StoreUpdate {
     let decoded = shell.interface.documents.decode_endpoint(id, value);
-    readable(shell, decoded, "endpoint_unreadable", ("endpoint", id))
+    let endpoint = readable(shell, decoded, "endpoint_unreadable", ("endpoint", id));
+    endpoint.map_or_else(
+        || StoreUpdate::EndpointRemoved(id.to_owned()),
+        StoreUpdate::Endpoint,
+    )
 }
 
 fn decode_order(shell: &Shell, service: &str, value: &[u8], revision: Revision) -> Option<Order> {
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -501,13 +501,33 @@
     assert!(count <= 40, "{count} connections in two seconds");
 }
 
+// Guards against endpoints that stay in use because their entries cannot be read any more.
+#[test]
+fn an_endpoint_whose_entry_becomes_unreadable_gets_no_new_requests() {
+    for entry in [
+        "{\"Service\":\"lm\",\"State\":\"draining\"}".to_owned(),
+        Endpoint::start("e1").entry("retired"),
+        "\u{0}".to_owned(),
+    ] {
+        let setup = start_setup(&["e1"]);
+        wait_until("it is used", || setup.instance.serves_requests());
+        setup.store.put("servers/e1", &entry);
+        check_unused_after_the_last_change(&setup);
+    }
+}
+
 #[test]
 fn a_draining_endpoint_gets_no_new_requests() {
     let setup = start_setup(&["e1", "e2"]);
     setup
         .store
         .put("servers/e1", &setup.endpoints[0].entry("draining"));
-    // Changes are applied in order, so an instance with this version has also seen the drain.
+    check_unused_after_the_last_change(&setup);
+}
+
+// Checks that the first endpoint gets no requests once the last change of the store is applied.
+fn check_unused_after_the_last_change(setup: &Setup) {
+    // Changes are applied in order, so an instance with this version has also seen the last one.
     setup.store.put("op/config", &configuration::text(4, "k1"));
     wait_until("the configuration is applied", || {
         configuration_version(&setup.instance) == 4
