Pool: reuse a connection only once all of the last request has been sent

Cause: hyper takes another request as soon as it has buffered the one before; nothing asked whether that had left the process.

Change: connections to endpoints record whether bytes are left in the client's buffer, and are not reused while there are any. They stay open for the endpoint to read the rest. The send buffer of the operating system is bounded to 64 KiB, as what it holds counts as sent.

--- a/crates/siskinyoke-gateway/src/connection.rs
+++ b/crates/siskinyoke-gateway/src/connection.rs
@@ -2,7 +2,6 @@
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +11,7 @@
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
+use rustix::net::sockopt::set_socket_send_buffer_size;
 use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -20,8 +20,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::limited_stream::FramingBytes;
 use crate::limited_stream::LimitedStream;
+use crate::limited_stream::StreamState;
 
 /// Time within which a connection must be established.
 ///
@@ -35,6 +35,11 @@
 /// minutes.
 const TCP_USER_TIMEOUT_MS: u32 = 2_000;
 
+/// Size of the send buffer towards an endpoint.
+///
+/// What is in the buffer counts as sent, although the endpoint may not have read it.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+
 quick_error! {
     /// Failure to establish a connection.
     #[derive(Debug)]
@@ -65,11 +70,11 @@
     driver: Box<Driver>,
 }
 
-// The task that sends and receives, and what it has received.
+// The task that sends and receives.
 #[derive(Debug)]
 struct Driver {
     task: JoinHandle<()>,
-    framing: Rc<FramingBytes>,
+    state: StreamState,
 }
 
 /// Outcome of sending a request over a connection.
@@ -92,7 +97,7 @@
     pub async fn open(address: SocketAddr) -> Result<Self, ConnectError> {
         let stream = connect(TcpStream::connect(address)).await?;
         configure(&stream)?;
-        Self::over(stream, Rc::default()).await
+        Self::over(stream, StreamState::default()).await
     }
 
     /// Opens a connection from an IP address of this machine, by which the other side can tell this
@@ -108,27 +113,29 @@
         let socket = bound_socket(source, address)?;
         let stream = connect(socket.connect(address)).await?;
         configure(&stream)?;
-        let framing = Rc::<FramingBytes>::default();
-        let limited = LimitedStream::new(stream, framing.clone());
-        Self::over(limited, framing).await
+        let limited = set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
+        limited.map_err(std::io::Error::from)?;
+        let state = StreamState::default();
+        let limited = LimitedStream::new(stream, state.clone());
+        Self::over(limited, state).await
     }
 
     async fn over(
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
-        framing: Rc<FramingBytes>,
+        state: StreamState,
     ) -> Result<Self, ConnectError> {
         let (sender, connection) = handshake(TokioIo::new(stream)).await?;
         let task = tokio::task::spawn_local(async move {
             // An error also fails the request in flight; idle connections are dropped by the pool.
             drop(connection.await);
         });
-        let driver = Box::new(Driver { task, framing });
+        let driver = Box::new(Driver { task, state });
         Ok(Self { sender, driver })
     }
 
     /// Sends a request and waits for the response head.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendOutcome {
-        self.driver.framing.begin_response();
+        self.driver.state.framing.begin_response();
         match self.sender.try_send_request(request).await {
             Ok(response) => SendOutcome::Head(response),
             Err(mut err) => match err.take_message() {
@@ -140,12 +147,18 @@
 
     /// Records that bytes of the body of a response were received.
     pub fn body_received(&self, bytes: usize) {
-        self.driver.framing.body_received(bytes);
+        self.driver.state.framing.body_received(bytes);
     }
 
     /// Returns whether another request can be sent now.
     pub fn is_ready(&self) -> bool {
-        self.sender.is_ready() && !self.sender.is_closed()
+        self.sender.is_ready() && !self.sender.is_closed() && !self.has_unsent_bytes()
+    }
+
+    /// Returns whether a part of the last request has not been sent, as the other side has
+    /// responded before it has read everything. A further request would wait behind it.
+    pub fn has_unsent_bytes(&self) -> bool {
+        self.driver.state.unsent.any()
     }
 
     /// Waits until another request can be sent; returns `false` if the connection was closed.
--- a/crates/siskinyoke-gateway/src/limited_stream.rs
+++ b/crates/siskinyoke-gateway/src/limited_stream.rs
@@ -46,19 +46,42 @@
     }
 }
 
-/// A socket that fails once too many bytes arrive that are a part of no response body.
+/// Whether bytes of a request have not been passed to the operating system yet.
+///
+/// The HTTP client takes another request as soon as it has buffered the one before.
+#[derive(Debug, Default)]
+pub struct UnsentBytes(Cell<bool>);
+
+impl UnsentBytes {
+    /// Returns whether there are such bytes.
+    pub fn any(&self) -> bool {
+        self.0.get()
+    }
+}
+
+/// What a connection sends and receives.
+#[derive(Debug, Clone, Default)]
+pub struct StreamState {
+    /// What has arrived that is a part of no response body.
+    pub framing: Rc<FramingBytes>,
+    /// What has not been sent.
+    pub unsent: Rc<UnsentBytes>,
+}
+
+/// A socket that fails once too many bytes arrive that are a part of no response body, and that
+/// records whether everything has been sent.
 ///
 /// The HTTP client reads the size of a chunk for as long as its digits arrive.
 #[derive(Debug)]
 pub struct LimitedStream {
     stream: TcpStream,
-    framing: Rc<FramingBytes>,
+    state: StreamState,
 }
 
 impl LimitedStream {
     /// Wraps a socket.
-    pub fn new(stream: TcpStream, framing: Rc<FramingBytes>) -> Self {
-        Self { stream, framing }
+    pub fn new(stream: TcpStream, state: StreamState) -> Self {
+        Self { stream, state }
     }
 }
 
@@ -71,7 +94,7 @@
         let this = self.get_mut();
         let before = buffer.filled().len();
         ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
-        Poll::Ready(this.framing.received(buffer.filled().len() - before))
+        Poll::Ready(this.state.framing.received(buffer.filled().len() - before))
     }
 }
 
@@ -81,7 +104,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        let this = self.get_mut();
+        this.state.unsent.0.set(true);
+        Pin::new(&mut this.stream).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -89,7 +114,9 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+        let this = self.get_mut();
+        this.state.unsent.0.set(true);
+        Pin::new(&mut this.stream).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -97,7 +124,11 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        let this = self.get_mut();
+        ready!(Pin::new(&mut this.stream).poll_flush(context))?;
+        // The HTTP client flushes once it has written all that it had buffered.
+        this.state.unsent.0.set(false);
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/siskinyoke-gateway/src/pool.rs
+++ b/crates/siskinyoke-gateway/src/pool.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::clock::BootClock;
@@ -38,6 +39,10 @@
 /// Time within which a connection must be ready for reuse after a response.
 const REUSE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How often it is checked whether an endpoint that has responded early has read the rest of the
+/// request.
+const UNSENT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Maximum size of a response body that is drained to reuse its connection.
 const MAX_DRAINED_BODY_BYTES: usize = 64 * 1024;
 
@@ -142,9 +147,13 @@
         }
         let pool = self.clone();
         tokio::task::spawn_local(async move {
-            if timeout(REUSE_TIMEOUT, connection.wait_ready()).await == Ok(true) {
-                pool.put(key, connection, expires_at);
+            if timeout(REUSE_TIMEOUT, connection.wait_ready()).await != Ok(true) {
+                return;
+            }
+            while connection.has_unsent_bytes() && BootClock.now() < expires_at {
+                sleep(UNSENT_POLL_INTERVAL).await;
             }
+            pool.put(key, connection, expires_at);
         });
     }
 
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -46,6 +46,9 @@
 /// The back-off that an endpoint requests if the request's path selects it, in seconds.
 pub const RETRY_AFTER_SECONDS: f64 = 3.0;
 
+/// How long a request's body is not read if the path selects it.
+pub const UNREAD_TIME: Duration = Duration::from_millis(1_500);
+
 /// A request as received by an endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct ReceivedRequest {
@@ -234,6 +237,9 @@
             if responds_early {
                 out.write_all(&self.encode_response(&request, "early"))?;
             }
+            if request.line_contains("unread") {
+                thread::sleep(UNREAD_TIME);
+            }
             let length = request
                 .header("content-length")
                 .map_or(0, |it| it.parse().unwrap());
