Tests: one configuration with a larger body limit; a comment made exact

Two new test files replaced the limit on bodies in the same way. The comment on unsaved records said that those of ended streams go at once; they go when a second version appears, and are bounded until then. No behaviour changed, no check touched; both test files pass.

--- a/crates/siskinyoke-dispatch/src/unsaved_streams.rs
+++ b/crates/siskinyoke-dispatch/src/unsaved_streams.rs
@@ -12,8 +12,8 @@
 
 /// Records of streams that have not been written to the store.
 ///
-/// Only records of services with several versions are written. The others are kept for as long as
-/// their streams can last, as a second version may appear meanwhile.
+/// Only records of services with several versions are written. The others are kept, as a second
+/// version may appear while their streams last; those of ended streams are removed then.
 #[derive(Debug, Default)]
 pub struct UnsavedStreams {
     records: VecDeque<(Millis, StreamKey, VersionKey)>,
--- a/crates/siskinyoke-gateway/tests/early_responses.rs
+++ b/crates/siskinyoke-gateway/tests/early_responses.rs
@@ -18,8 +18,7 @@
 #[test]
 fn a_request_is_not_sent_behind_a_body_that_is_still_being_sent() {
     let store = Store::start();
-    let limit = format!("\"MaxBodyBytes\":{BODY_BYTES}");
-    let configuration = configuration::text(3, "k1").replace("\"MaxBodyBytes\":1000", &limit);
+    let configuration = configuration::text_with_body_limit(3, "k1", BODY_BYTES);
     store.put("op/config", &configuration);
     let endpoint = Endpoint::start("e1");
     store.put("servers/e1", &endpoint.entry("ready"));
--- a/crates/siskinyoke-gateway/tests/request_memory.rs
+++ b/crates/siskinyoke-gateway/tests/request_memory.rs
@@ -31,8 +31,7 @@
 impl Setup {
     fn start() -> Self {
         let store = Store::start();
-        let limit = format!("\"MaxBodyBytes\":{BODY_BYTES}");
-        let configuration = configuration::text(3, "k1").replace("\"MaxBodyBytes\":1000", &limit);
+        let configuration = configuration::text_with_body_limit(3, "k1", BODY_BYTES);
         store.put("op/config", &configuration);
         let endpoint = Endpoint::start("e1");
         store.put("servers/e1", &endpoint.entry("ready"));
--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -23,6 +23,12 @@
         .replace("KEY", key)
 }
 
+/// Returns the configuration with another limit on the size of request bodies, in bytes.
+pub fn text_with_body_limit(version: u64, key: &str, bytes: usize) -> String {
+    let limit = format!("\"MaxBodyBytes\":{bytes}");
+    text(version, key).replacen("\"MaxBodyBytes\":1000", &limit, 1)
+}
+
 /// Returns the configuration with a number of further routes.
 pub fn text_with_routes(version: u64, key: &str, count: usize) -> String {
     let routes: String = (0..count).map(further_route).collect();
