Logs: version, replies and age of the view for each stream that is taken up

The line stream_origin could not tell an outdated view from a missing reply: it named neither the version at which the stream goes on, nor how many of the asked instances replied, nor when the store last answered this instance.

--- a/crates/siskinyoke-dispatch/src/stream_origin.rs
+++ b/crates/siskinyoke-dispatch/src/stream_origin.rs
@@ -31,6 +31,14 @@
         }
     }
 
+    /// Returns the version, if it is known.
+    pub fn version(self) -> Option<VersionKey> {
+        match self {
+            Self::Version(version) | Self::OnlyVersion(version) => Some(version),
+            Self::Unknown | Self::Ambiguous => None,
+        }
+    }
+
     /// Returns whether there is a record of the stream.
     pub fn is_recorded(self) -> bool {
         matches!(self, Self::Version(_) | Self::Ambiguous)
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -410,7 +410,10 @@
         "id": request.id,
         "resumes": request.resumed_id,
         "origin": lookup.map_or("unnamed", |it| it.origin.as_str()),
+        "version": lookup.and_then(|it| it.origin.version()),
         "asked": lookup.map(|it| it.asked),
+        "replies": lookup.map(|it| it.replies),
+        "view_age_ms": start.since(shell.store_contact.get()).0,
         "took_ms": shell.now().since(start).0,
     });
     shell.log("stream_origin", fields);
--- a/crates/siskinyoke-gateway/src/stream_lookup.rs
+++ b/crates/siskinyoke-gateway/src/stream_lookup.rs
@@ -44,6 +44,8 @@
     pub origin: StreamOrigin,
     /// The number of instances that were asked.
     pub asked: usize,
+    /// The number of them that replied in time.
+    pub replies: usize,
 }
 
 /// Tells other instances at which versions streams began, and asks them.
@@ -115,13 +117,18 @@
     /// Searches for the version at which a stream began, here and at other instances.
     pub async fn find(&self, question: StreamQuestion) -> Lookup {
         let origin = self.own_origin(&question);
-        let mut lookup = Lookup { origin, asked: 0 };
+        let mut lookup = Lookup {
+            origin,
+            asked: 0,
+            replies: 0,
+        };
         if origin.is_recorded() {
             return lookup;
         }
         for instances in self.rounds(question.key) {
             lookup.asked += instances.len();
-            let origin = self.ask(&instances, question).await;
+            let (origin, replies) = self.ask(&instances, question).await;
+            lookup.replies += replies;
             lookup.origin = lookup.origin.merge(origin);
             if lookup.origin != StreamOrigin::Unknown {
                 break;
@@ -163,8 +170,12 @@
         core.stream_origin(BootClock.now(), question)
     }
 
-    // Asks instances until one has a record, and returns what they know.
-    async fn ask(&self, instances: &[SocketAddr], question: StreamQuestion) -> StreamOrigin {
+    // Asks instances until one has a record, and returns what they know and how many replied.
+    async fn ask(
+        &self,
+        instances: &[SocketAddr],
+        question: StreamQuestion,
+    ) -> (StreamOrigin, usize) {
         let mut pending = PendingQuestion::new(&self.pending);
         for instance in instances {
             let message = Message::FindStream(pending.number, question);
@@ -172,16 +183,18 @@
         }
         let deadline = Instant::now() + REPLY_TIMEOUT;
         let mut known = StreamOrigin::Unknown;
+        let mut replies = 0;
         for _ in instances {
             match timeout_at(deadline, pending.replies.recv()).await {
                 Ok(Some(origin)) => known = known.merge(origin),
                 Ok(None) | Err(_) => break,
             }
+            replies += 1;
             if known.is_recorded() {
                 break;
             }
         }
-        known
+        (known, replies)
     }
 }
 
