Reproduction: streams go on at another version at an instance whose view is outdated

Four real processes. One is suspended and loses its link to the store while two endpoints of a second version join; 20 streams begin at another instance, which then falls silent, and are taken up at the first one.

--- a/crates/siskinyoke-gateway/tests/stream_versions.rs
+++ b/crates/siskinyoke-gateway/tests/stream_versions.rs
@@ -6,11 +6,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::process::Signal;
 use siskinyoke_soak::Endpoint;
 use siskinyoke_soak::Instance;
+use siskinyoke_soak::Proxy;
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
 use siskinyoke_soak::instance::wait_until;
+use siskinyoke_soak::proxy::Fault;
 use siskinyoke_soak::stream::Part;
 use siskinyoke_soak::stream::StreamRequest;
 
@@ -30,6 +33,13 @@
 /// How soon the store holds the versions of streams that begin.
 const SAVE_TIME: Duration = Duration::from_secs(1);
 
+/// For how long a service must have one version for a stream to be of that one: more than the
+/// route's timeout and the time by which views may differ.
+const STREAM_LIFETIME: Duration = Duration::from_secs(10);
+
+/// How soon instances use endpoints that join.
+const JOIN_TIME: Duration = Duration::from_millis(700);
+
 struct Fleet {
     store: Store,
     endpoints: Vec<Endpoint>,
@@ -40,15 +50,7 @@
     fn start(instances: usize, versions: &[&str]) -> Self {
         let store = Store::start();
         store.put("op/config", &configuration::text(3, "k1"));
-        let endpoints: Vec<_> = versions
-            .iter()
-            .enumerate()
-            .map(|(i, version)| Endpoint::start_with_version(&format!("e{i}"), Some(version)))
-            .collect();
-        for endpoint in &endpoints {
-            let key = format!("servers/{}", endpoint.id);
-            store.put(&key, &endpoint.entry("ready"));
-        }
+        let endpoints = start_endpoints(&store, 0, versions);
         let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
         let instances: Vec<_> = (0..instances)
             .map(|it| Instance::start(program, &format!("i{it}"), store.address))
@@ -63,6 +65,11 @@
         fleet
     }
 
+    fn add_endpoints(&mut self, versions: &[&str]) {
+        let added = start_endpoints(&self.store, self.endpoints.len(), versions);
+        self.endpoints.extend(added);
+    }
+
     fn wait_for_peers(&self) {
         let peers = u64::try_from(self.instances.len()).unwrap() - 1;
         for instance in &self.instances {
@@ -105,13 +112,32 @@
     }
 }
 
+// Starts endpoints of the given versions and registers them.
+fn start_endpoints(store: &Store, first: usize, versions: &[&str]) -> Vec<Endpoint> {
+    let numbered = versions.iter().enumerate();
+    let endpoints = numbered.map(|(i, version)| {
+        let endpoint = Endpoint::start_with_version(&format!("e{}", first + i), Some(version));
+        store.put(
+            &format!("servers/{}", endpoint.id),
+            &endpoint.entry("ready"),
+        );
+        endpoint
+    });
+    endpoints.collect()
+}
+
 // Takes a stream up that began as the request with an ID.
 fn take_up(instance: &Instance, id: &str, last_event: u32) -> Part {
+    take_up_as(instance, id, (id, last_event))
+}
+
+// Takes a stream up whose caller names the request that began it, or does not.
+fn take_up_as(instance: &Instance, id: &str, resumes: (&str, u32)) -> Part {
     let request = StreamRequest {
         shared_parts: &[],
         id: &format!("{id}b"),
         path: "/stream/versioned",
-        resumes: Some((id, last_event)),
+        resumes: Some(resumes),
         max_events: usize::MAX,
     };
     request.send(instance.caller_address)
@@ -223,7 +249,7 @@
 #[test]
 fn a_service_of_one_version_needs_no_record_of_a_stream() {
     let fleet = Fleet::start(3, &["v1", "v1"]);
-    thread::sleep(Duration::from_secs(10));
+    thread::sleep(STREAM_LIFETIME);
     let part = take_up(&fleet.instances[1], "unknown", 3);
     assert!(part.is_last(), "{part:?}");
 }
@@ -265,6 +291,60 @@
     assert_eq!(versions([&first, &second]).len(), 1);
 }
 
+// Suspends an instance and cuts it off from the store while endpoints of a second version join,
+// begins streams at another one, silences all others, and takes the streams up at the instance, each
+// of them unnamed and named.
+fn take_up_after_suspension(silence: impl Fn(&mut Instance)) -> Vec<(Part, [Part; 2])> {
+    let mut fleet = Fleet::start(3, &["v1", "v1"]);
+    let link = Proxy::start(fleet.store.address);
+    let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
+    let outdated = Instance::start(program, "outdated", link.address).wait_until_ready();
+    wait_until("the instance knows its peers", || {
+        state(&outdated, "peers") == 3
+    });
+    thread::sleep(STREAM_LIFETIME);
+    link.set_fault(Fault::DropAll);
+    outdated.send_signal(Signal::STOP);
+    fleet.add_endpoints(&["v2", "v2"]);
+    thread::sleep(JOIN_TIME);
+    let first = fleet.begin_all();
+    assert_eq!(versions(&first).len(), 2, "both versions get new streams");
+    fleet.instances.iter_mut().for_each(silence);
+    outdated.send_signal(Signal::CONT);
+    let second = parallel(first.len(), |number| {
+        let last = first[number].events.last().unwrap().0;
+        let id = format!("s{number}");
+        let unnamed = take_up_as(&outdated, &format!("{id}u"), ("", last));
+        [unnamed, take_up(&outdated, &id, last)]
+    });
+    for instance in &fleet.instances {
+        instance.send_signal(Signal::CONT);
+    }
+    first.into_iter().zip(second).collect()
+}
+
+fn check_unmixed(parts: &[(Part, [Part; 2])]) {
+    let mixed = parts.iter().filter(|(first, second)| {
+        let of_one = |it: &Part| versions([first, it]).len() == 1;
+        !second.iter().all(of_one)
+    });
+    let mixed: Vec<_> = mixed.collect();
+    assert!(mixed.is_empty(), "{} mixed: {mixed:#?}", mixed.len());
+}
+
+// Guards against taking the only version of an outdated view for that of a stream.
+#[test]
+fn a_stream_taken_up_where_a_version_was_missed_stays_at_its_version_while_others_are_gone() {
+    check_unmixed(&take_up_after_suspension(Instance::kill));
+}
+
+// Guards against taking the silence of other instances for their agreement.
+#[test]
+fn a_stream_taken_up_where_a_version_was_missed_stays_at_its_version_while_others_are_silent() {
+    let silence = |instance: &mut Instance| instance.send_signal(Signal::STOP);
+    check_unmixed(&take_up_after_suspension(silence));
+}
+
 // Guards against refusing all streams of a service with two versions after a kill of all instances.
 #[test]
 fn streams_of_two_versions_go_on_after_all_instances_were_killed() {
--- a/soak/src/stream.rs
+++ b/soak/src/stream.rs
@@ -83,7 +83,8 @@
     pub path: &'a str,
     /// The parts of its prompt that other requests share.
     pub shared_parts: &'a [&'a str],
-    /// The request that began the stream, and the last event received of it.
+    /// The request that began the stream, or nothing if the caller does not name it, and the last
+    /// event received of it.
     pub resumes: Option<(&'a str, u32)>,
     /// The number of events after which the caller breaks off.
     pub max_events: usize,
@@ -101,9 +102,11 @@
     fn receive(&self, instance: SocketAddr, received: &mut Vec<u8>) -> std::io::Result<()> {
         let mut stream = TcpStream::connect(instance)?;
         stream.set_read_timeout(Some(Duration::from_secs(6)))?;
-        let resumption = self.resumes.map_or_else(String::new, |(id, event)| {
-            format!("resumes: {id}\r\nlast-event-id: {event}\r\n")
-        });
+        let resumption = match self.resumes {
+            Some(("", event)) => format!("last-event-id: {event}\r\n"),
+            Some((id, event)) => format!("resumes: {id}\r\nlast-event-id: {event}\r\n"),
+            None => String::new(),
+        };
         let Self { id, path, .. } = self;
         let parts = parts_header(self.shared_parts, id);
         // The bodies differ, as content that broke connections is held back for all callers.
