Stream versions: conclude from a missing record only where the view is current

Callers saw streams that hold events of two versions: the instance to which they returned had been suspended and cut off while endpoints of a second version joined.

Cause: a conclusion from what has not been seen. The only version that an instance knows was taken for that of a stream nobody has a record of, while an open watch that is silent counts as following the store for up to 4.2 s, silence of other instances counts as agreement, and callers that do not name their stream were not checked at all.

Now such a conclusion needs a linearizable read of the store's revision that starts after the caller returned, and a view that includes this revision. Any endpoint at which the stream can have begun is then in the view. Otherwise the stream is refused for 0.3 s; a recorded one needs no read. Questions that arise together share a read. The other instances are asked as well where the view is not current. The history of versions starts again after a suspension, after a full read in place of changes and while a peer's changes do not arrive, and counts what comes and goes in one batch.

The messages between instances are unchanged. The read costs one more kind of store call, `revision`.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -89,6 +89,8 @@
     streams: StreamRecords,
     unsaved_streams: UnsavedStreams,
     versions: VersionHistory,
+    // When the endpoints' versions were last observed.
+    observed_at: Option<Millis>,
     shutting_down: bool,
     report_number: u64,
     configured_at: Option<Millis>,
@@ -123,6 +125,7 @@
             streams: StreamRecords::default(),
             unsaved_streams: UnsavedStreams::default(),
             versions: VersionHistory::default(),
+            observed_at: None,
             shutting_down: false,
             report_number: 0,
             configured_at: None,
--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -111,9 +111,12 @@
                 StoreUpdate::VersionNote(note) => self.versions.record_note(now, note),
                 StoreUpdate::VersionNoteRemoved(service) => self.versions.remove_note(&service),
                 StoreUpdate::RolloutStatus(service, status) => statuses.push((service, status)),
-                StoreUpdate::Endpoint(_) | StoreUpdate::EndpointRemoved(_) => {
+                StoreUpdate::Endpoint(ref endpoint) => {
+                    // It may be removed by a later change of the same batch.
+                    self.versions.record(now, endpoint);
                     endpoints.push(update);
                 }
+                StoreUpdate::EndpointRemoved(_) => endpoints.push(update),
             }
         }
         // A status has no effect before its order is known.
@@ -201,6 +204,12 @@
         self.store_view.revision.is_zero() && self.store_view.last_failure.is_none()
     }
 
+    /// Returns whether a peer's revision has been ahead for longer than fetching changes takes.
+    pub(super) fn lags_behind_peers(&self, now: Millis) -> bool {
+        let since = self.store_view.behind_since;
+        since.is_some_and(|it| now.since(it) >= MAX_PEER_LAG)
+    }
+
     /// Requests a read of the store because a peer that is ahead cannot provide the changes.
     pub fn request_store_read(&mut self) {
         self.store_view.read_requested = true;
--- a/crates/siskinyoke-dispatch/src/core/streams.rs
+++ b/crates/siskinyoke-dispatch/src/core/streams.rs
@@ -9,6 +9,7 @@
 use crate::core::Core;
 use crate::core::RoutedRequest;
 use crate::report::InstanceLocation;
+use crate::stream_evidence::StreamEvidence;
 use crate::stream_holders;
 use crate::stream_key::StreamKey;
 use crate::stream_origin::StreamOrigin;
@@ -21,6 +22,9 @@
 /// The shortest time for which records of streams are collected before they are written.
 const MIN_SAVE_INTERVAL: Millis = Millis(250);
 
+/// The longest time between two observations of the endpoints' versions of a process that runs.
+const MAX_OBSERVATION_GAP: Millis = Millis(2_000);
+
 /// How much longer they are collected for each instance of the fleet.
 const SAVE_INTERVAL_PER_INSTANCE: Millis = Millis(10);
 
@@ -126,7 +130,7 @@
     }
 
     /// Queues a request that goes on with a stream, for endpoints of the version at which the
-    /// stream began; `origin` is `None` if the caller does not say which stream it is.
+    /// stream began.
     ///
     /// # Errors
     ///
@@ -136,12 +140,12 @@
         now: Millis,
         request: &RoutedRequest,
         fingerprint: u64,
-        origin: Option<StreamOrigin>,
+        evidence: StreamEvidence,
     ) -> Result<Ticket, Refusal> {
         let stream = ResumedStream {
             service: &request.service,
             timeout: request.route.timeout,
-            origin,
+            evidence,
         };
         let version =
             stream_resumption::resumed_version(now, &stream, &self.versions, &self.registry);
@@ -184,13 +188,25 @@
         lifetimes
     }
 
-    // Records which versions endpoints have. Versions may come and go unnoticed while neither this
-    // instance nor a peer reaches the store.
+    /// Records that endpoints may have come and gone without being noticed, as the next changes are
+    /// the store's contents at some time.
+    pub fn interrupt_version_history(&mut self) {
+        self.versions.interrupt();
+    }
+
+    // Records which versions endpoints have. Versions may come and go unnoticed while the process is
+    // suspended, and while neither this instance nor a peer reaches the store or the changes that a
+    // peer has do not arrive.
     pub(super) fn observe_versions(&mut self, now: Millis) {
         let mut reporting = self.peers.fresh(now);
-        let follows = self.reaches_store() || reporting.any(|it| it.report.store_reachable);
+        let reached = self.reaches_store() || reporting.any(|it| it.report.store_reachable);
         drop(reporting);
-        if follows {
+        let before = self.observed_at.replace(now);
+        let suspended = before.is_some_and(|at| now.since(at) > MAX_OBSERVATION_GAP);
+        if suspended {
+            self.versions.interrupt();
+        }
+        if reached && !self.lags_behind_peers(now) {
             self.record_versions(now);
         } else {
             self.versions.interrupt();
--- a/crates/siskinyoke-dispatch/src/stream_resumption.rs
+++ b/crates/siskinyoke-dispatch/src/stream_resumption.rs
@@ -4,6 +4,7 @@
 use crate::RefusalReason;
 use crate::Registry;
 use crate::StreamQuestion;
+use crate::stream_evidence::StreamEvidence;
 use crate::stream_origin::StreamOrigin;
 use crate::version_history::VersionHistory;
 use crate::version_key::VersionKey;
@@ -23,9 +24,8 @@
     pub service: &'a str,
     /// How long a caller waits for a response.
     pub timeout: Millis,
-    /// What instances know of the version at which it began; `None` if its caller does not say
-    /// which stream it is.
-    pub origin: Option<StreamOrigin>,
+    /// What is known of the version at which it began.
+    pub evidence: StreamEvidence,
 }
 
 /// Returns the version at which a stream goes on.
@@ -37,6 +37,8 @@
 /// Callers of an earlier protocol do not say which stream they take up. Theirs goes on unless the
 /// service is known to have had two versions, and no later attempt has a better chance.
 ///
+/// Both conclude from what has not been seen, so the stream goes on only if the view is current.
+///
 /// # Errors
 ///
 /// A refusal: the version is not known, or none of its endpoints is left.
@@ -47,15 +49,15 @@
     registry: &Registry,
 ) -> Result<VersionKey, Refusal> {
     let service = stream.service;
-    let version = match stream.origin {
-        Some(StreamOrigin::Version(version) | StreamOrigin::OnlyVersion(version)) => version,
+    let lifetime = StreamQuestion::stream_lifetime(stream.timeout);
+    let only = history.only_seen_version(now, service, lifetime);
+    let is_current = stream.evidence.view_current;
+    let version = match stream.evidence.origin {
+        Some(StreamOrigin::Version(version)) => version,
         Some(StreamOrigin::Ambiguous) => return Err(unknown(FINAL_RETRY_AFTER)),
-        Some(StreamOrigin::Unknown) => return Err(unknown(UNKNOWN_RETRY_AFTER)),
-        None => {
-            let lifetime = StreamQuestion::stream_lifetime(stream.timeout);
-            let version = history.only_seen_version(now, service, lifetime);
-            version.ok_or_else(|| unknown(FINAL_RETRY_AFTER))?
-        }
+        Some(StreamOrigin::OnlyVersion(version)) if is_current && only == Some(version) => version,
+        None if is_current => only.ok_or_else(|| unknown(FINAL_RETRY_AFTER))?,
+        _ => return Err(unknown(UNKNOWN_RETRY_AFTER)),
     };
     if registry.serves_version(service, version) {
         return Ok(version);
--- a/crates/siskinyoke-dispatch/src/version_history.rs
+++ b/crates/siskinyoke-dispatch/src/version_history.rs
@@ -80,12 +80,19 @@
 }
 
 impl VersionHistory {
+    /// Records the version of an endpoint that is present, if only for a moment.
+    pub fn record(&mut self, now: Millis, endpoint: &Endpoint) {
+        let versions = self.services.entry(endpoint.service.clone()).or_default();
+        versions.record(now, &endpoint.service, &endpoint.version);
+    }
+
     /// Records the present endpoints.
     pub fn observe<'a>(&mut self, now: Millis, endpoints: impl Iterator<Item = &'a Endpoint>) {
         for endpoint in endpoints {
-            let versions = self.services.entry(endpoint.service.clone()).or_default();
-            versions.complete_since.get_or_insert(now);
-            versions.record(now, &endpoint.service, &endpoint.version);
+            self.record(now, endpoint);
+            if let Some(versions) = self.services.get_mut(&endpoint.service) {
+                versions.complete_since.get_or_insert(now);
+            }
         }
         for versions in self.services.values_mut() {
             versions
--- a/crates/siskinyoke-dispatch/tests/streams.rs
+++ b/crates/siskinyoke-dispatch/tests/streams.rs
@@ -26,6 +26,8 @@
 use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::RefusalReason;
 use siskinyoke_dispatch::Registry;
+use siskinyoke_dispatch::StoreUpdate;
+use siskinyoke_dispatch::StreamEvidence;
 use siskinyoke_dispatch::StreamKey;
 use siskinyoke_dispatch::StreamOrigin;
 use siskinyoke_dispatch::StreamQuestion;
@@ -78,7 +80,11 @@
     origin: impl Into<Option<StreamOrigin>>,
 ) -> Result<Ticket, Refusal> {
     let routed = core.route(Millis(now), request("/stream/a")).unwrap();
-    core.admit_resumed(Millis(now), &routed, now, origin.into())
+    let evidence = StreamEvidence {
+        origin: origin.into(),
+        view_current: true,
+    };
+    core.admit_resumed(Millis(now), &routed, now, evidence)
 }
 
 fn admit_new(core: &mut Core, now: u64) -> Ticket {
@@ -333,7 +339,10 @@
         let stream = ResumedStream {
             service: "lm",
             timeout: Millis(5_000),
-            origin,
+            evidence: StreamEvidence {
+                origin,
+                view_current: true,
+            },
         };
         let result = resumed_version(Millis(now), &stream, &history, &registry);
         result.map_err(|it| (it.reason, it.retry_after))
@@ -387,6 +396,72 @@
     assert!(admit(&mut core, 8_000, origin).is_ok());
 }
 
+// Guards against a guess by a view that lacks what has happened since.
+#[test]
+fn a_stream_without_a_record_is_refused_unless_the_view_is_current() {
+    let mut core = core(&[("e1", "1")]);
+    let only = StreamOrigin::OnlyVersion(VersionKey::new("lm", "1"));
+    let mut resume = |origin, view_current| {
+        let routed = core.route(Millis(0), request("/stream/a")).unwrap();
+        let evidence = StreamEvidence {
+            origin,
+            view_current,
+        };
+        core.admit_resumed(Millis(0), &routed, 0, evidence)
+    };
+    for origin in [None, Some(only)] {
+        let refusal = resume(origin, false).unwrap_err();
+        assert_eq!(refusal.reason, RefusalReason::VersionUnknown, "{origin:?}");
+        assert_eq!(refusal.retry_after, Millis(300), "{origin:?}");
+        assert!(resume(origin, true).is_ok(), "{origin:?}");
+    }
+    let elsewhere = StreamOrigin::OnlyVersion(VersionKey::new("lm", "2"));
+    assert!(resume(Some(elsewhere), true).is_err(), "not seen here");
+    assert!(resume(Some(version("1")), false).is_ok(), "recorded");
+}
+
+// Guards against missing a version whose endpoints come and go between two observations.
+#[test]
+fn a_version_that_came_and_went_in_one_batch_was_present() {
+    let mut core = core(&[("e1", "1")]);
+    let question = StreamQuestion::new(key(1), "lm", Millis(5_000));
+    for now in (0..9_000).step_by(200) {
+        core.sweep(Millis(now));
+    }
+    let updates = vec![
+        StoreUpdate::Endpoint(versioned("e2", "2")),
+        StoreUpdate::EndpointRemoved("e2".to_owned()),
+    ];
+    core.apply_updates(Millis(9_000), Revision::new(0, 5), updates);
+    let origin = core.stream_origin(Millis(9_000), &question);
+    assert_eq!(origin, StreamOrigin::Unknown);
+}
+
+// Guards against a history with a gap: the process was suspended, or changes of a peer did not
+// arrive.
+#[test]
+fn a_version_history_starts_again_after_a_time_in_which_versions_can_have_been_missed() {
+    let question = StreamQuestion::new(key(1), "lm", Millis(5_000));
+    let origin_after = |gap: &dyn Fn(&mut Core)| {
+        let mut core = core(&[("e1", "1")]);
+        for now in (0..9_000).step_by(200) {
+            core.sweep(Millis(now));
+        }
+        gap(&mut core);
+        core.sweep(Millis(12_000));
+        core.stream_origin(Millis(12_000), &question)
+    };
+    let run = |core: &mut Core| (9_000..12_000).for_each(|now| core.sweep(Millis(now)));
+    let only = StreamOrigin::OnlyVersion(VersionKey::new("lm", "1"));
+    assert_eq!(origin_after(&run), only);
+    assert_eq!(origin_after(&|_| {}), StreamOrigin::Unknown, "suspended");
+    let behind = |core: &mut Core| {
+        core.record_peer_revision(Millis(9_000), Revision::new(0, 9));
+        run(core);
+    };
+    assert_eq!(origin_after(&behind), StreamOrigin::Unknown, "behind");
+}
+
 // Guards against a guess where instances have seen different versions.
 #[test]
 fn a_record_counts_more_than_what_was_seen_and_a_conflict_is_ambiguous() {
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -37,6 +37,7 @@
 use siskinyoke_dispatch::Organisation;
 use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::RefusalReason;
+use siskinyoke_dispatch::StreamEvidence;
 use siskinyoke_dispatch::StreamKey;
 use siskinyoke_dispatch::StreamOrigin;
 use siskinyoke_dispatch::StreamQuestion;
@@ -335,9 +336,9 @@
     let stream_key = accepted.stream_key();
     let fingerprint = outgoing.fingerprint;
     let admitted = if accepted.resumed && accepted.routed.is_stream() {
-        let origin = find_origin(shell, &accepted, stream_key).await;
+        let evidence = find_origin(shell, &accepted, stream_key).await;
         let mut core = shell.core.borrow_mut();
-        core.admit_resumed(shell.now(), &accepted.routed, fingerprint, origin)
+        core.admit_resumed(shell.now(), &accepted.routed, fingerprint, evidence)
     } else {
         let mut core = shell.core.borrow_mut();
         core.admit(shell.now(), &accepted.routed, fingerprint)
@@ -396,28 +397,25 @@
     shell: &Shell,
     request: &AcceptedRequest,
     stream_key: Option<StreamKey>,
-) -> Option<StreamOrigin> {
+) -> StreamEvidence {
     let start = shell.now();
-    let lookup = match stream_key {
-        Some(key) => {
-            let routed = &request.routed;
-            let question = StreamQuestion::new(key, &routed.service, routed.route.timeout);
-            Some(shell.stream_lookup.find(question).await)
-        }
-        None => None,
-    };
+    let routed = &request.routed;
+    let question =
+        stream_key.map(|key| StreamQuestion::new(key, &routed.service, routed.route.timeout));
+    let lookup = shell.stream_lookup.find(question).await;
     let fields = json!({
         "id": request.id,
         "resumes": request.resumed_id,
-        "origin": lookup.map_or("unnamed", |it| it.origin.as_str()),
-        "version": lookup.and_then(|it| it.origin.version()),
-        "asked": lookup.map(|it| it.asked),
-        "replies": lookup.map(|it| it.replies),
+        "origin": lookup.origin.map_or("unnamed", StreamOrigin::as_str),
+        "version": lookup.origin.and_then(StreamOrigin::version),
+        "asked": lookup.asked,
+        "replies": lookup.replies,
+        "view_current": lookup.view_current,
         "view_age_ms": start.since(shell.store_contact.get()).0,
         "took_ms": shell.now().since(start).0,
     });
     shell.log("stream_origin", fields);
-    lookup.map(|it| it.origin)
+    lookup.evidence()
 }
 
 fn refuse(shell: &Shell, request: RefusalInfo<'_>, refusal: Refusal) -> Response<ResponseBody> {
--- a/crates/siskinyoke-gateway/src/cluster_view.rs
+++ b/crates/siskinyoke-gateway/src/cluster_view.rs
@@ -71,10 +71,12 @@
             log_endpoint(shell, update);
         }
     }
-    shell
-        .core
-        .borrow_mut()
-        .apply_updates(shell.now(), revision, updates);
+    let mut core = shell.core.borrow_mut();
+    if full && !before.is_zero() {
+        core.interrupt_version_history();
+    }
+    core.apply_updates(shell.now(), revision, updates);
+    drop(core);
     let fields = json!({
         "source": source,
         "revision": revision,
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -22,10 +22,12 @@
 use crate::shell::Shell;
 use crate::signals;
 use crate::store::Client;
+use crate::store::StoreError;
 use crate::store_writes;
 use crate::stream_writer::StreamWriter;
 use crate::watcher;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Revision;
 use siskinyoke_dispatch::core::Identity;
 use siskinyoke_dispatch::quota::QuotaPolicy;
 use siskinyoke_interface::Call;
@@ -39,6 +41,9 @@
 /// Time limit for a write of streams' versions.
 const STREAM_WRITE_TIMEOUT: Millis = Millis(1_000);
 
+/// Time limit for a read of the store's revision.
+const REVISION_READ_TIMEOUT: Millis = Millis(400);
+
 /// Runs an instance until it receives `SIGTERM`.
 ///
 /// One thread serves everything: an instance has a fraction of one CPU core, where passing work
@@ -106,6 +111,7 @@
     spawn_local(reload::poll_file(shell.clone(), path.clone()));
     spawn_local(signals::reload_on_signal(shell.clone(), path));
     spawn_local(write_streams(shell.clone()));
+    spawn_local(confirm_views(shell.clone()));
     spawn_local(poll_queue(shell.clone()));
     spawn_local(run_periodic_tasks(shell.clone()));
     signals::stop_on_signal(shell).await?;
@@ -149,6 +155,30 @@
     writer.run(call).await;
 }
 
+// Reads the store's revision when the view has to be confirmed.
+async fn confirm_views(shell: Rc<Shell>) {
+    let mut client = Client::default();
+    let confirmation = shell.view_confirmation.clone();
+    let read = async move || {
+        let result = read_revision(&shell, &mut client).await;
+        shell.metrics.record_store_call("revision", result.is_ok());
+        if let Err(err) = &result {
+            shell.log("view_unconfirmed", json!({ "error": err.to_string() }));
+        }
+        result
+    };
+    confirmation.run(read).await;
+}
+
+async fn read_revision(shell: &Shell, client: &mut Client) -> Result<Revision, StoreError> {
+    let store = &shell.interface.store;
+    let address = shell.settings().store;
+    let call = store.latest_revision();
+    let body = client.call(address, &call, REVISION_READ_TIMEOUT).await?;
+    let era = shell.check_era(client.headers())?;
+    Ok(store.decode_latest_revision(&body, era)?)
+}
+
 // Reschedules queued requests periodically; sleeps while there are none.
 async fn poll_queue(shell: Rc<Shell>) {
     loop {
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -65,4 +65,5 @@
 pub mod transfer;
 pub mod unread_body;
 pub mod version_notes;
+pub mod view_confirmation;
 pub mod watcher;
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -34,6 +34,7 @@
 use crate::store::StoreError;
 use crate::stream_lookup::StreamLookup;
 use crate::transfer::Transfer;
+use crate::view_confirmation::ViewConfirmation;
 use siskinyoke_base::Clock;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
@@ -119,6 +120,8 @@
     pub watching: Cell<bool>,
     /// The UDP socket for messages between instances.
     pub peer_socket: PeerSocket,
+    /// Confirms with the store that this instance's view of it is current.
+    pub view_confirmation: Rc<ViewConfirmation>,
     /// Tells other instances at which versions streams began, and asks them.
     pub stream_lookup: Rc<StreamLookup>,
     /// Borrow requests sent to other instances, and the slots borrowed from them.
@@ -199,7 +202,10 @@
             settings.ip,
         );
         let peer_socket = PeerSocket::new(event_log.clone());
-        let stream_lookup = Rc::new(StreamLookup::new(core.clone(), peer_socket.clone()));
+        let view_confirmation = Rc::new(ViewConfirmation::new(core.clone()));
+        let stream_lookup =
+            StreamLookup::new(core.clone(), peer_socket.clone(), view_confirmation.clone());
+        let stream_lookup = Rc::new(stream_lookup);
         let body_memory = MemoryBudget::new(settings.body_memory_bytes());
         Ok(Self {
             interface: Rc::new(interface),
@@ -218,6 +224,7 @@
             store_contact: Cell::new(BootClock.now()),
             watching: Cell::new(false),
             peer_socket,
+            view_confirmation,
             stream_lookup,
             lending: Lending::default(),
             peer_client: RefCell::default(),
--- a/crates/siskinyoke-gateway/src/stream_lookup.rs
+++ b/crates/siskinyoke-gateway/src/stream_lookup.rs
@@ -18,10 +18,12 @@
 
 use crate::clock::BootClock;
 use crate::peer_socket::PeerSocket;
+use crate::view_confirmation::ViewConfirmation;
 use siskinyoke_base::Clock;
 use siskinyoke_base::Map;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Message;
+use siskinyoke_dispatch::StreamEvidence;
 use siskinyoke_dispatch::StreamKey;
 use siskinyoke_dispatch::StreamOrigin;
 use siskinyoke_dispatch::StreamQuestion;
@@ -41,11 +43,23 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Lookup {
     /// What is known of the version.
-    pub origin: StreamOrigin,
+    pub origin: Option<StreamOrigin>,
     /// The number of instances that were asked.
     pub asked: usize,
     /// The number of them that replied in time.
     pub replies: usize,
+    /// Whether the view of the store was found to be current; `None` if there is a record.
+    pub view_current: Option<bool>,
+}
+
+impl Lookup {
+    /// Returns what was found out.
+    pub fn evidence(&self) -> StreamEvidence {
+        StreamEvidence {
+            origin: self.origin,
+            view_current: self.view_current.unwrap_or(false),
+        }
+    }
 }
 
 /// Tells other instances at which versions streams began, and asks them.
@@ -53,16 +67,18 @@
 pub struct StreamLookup {
     core: Rc<RefCell<Core>>,
     socket: PeerSocket,
+    view: Rc<ViewConfirmation>,
     // Questions that await replies, by their numbers.
     pending: RefCell<Map<u32, UnboundedSender<StreamOrigin>>>,
 }
 
 impl StreamLookup {
     /// Creates the lookup of an instance.
-    pub fn new(core: Rc<RefCell<Core>>, socket: PeerSocket) -> Self {
+    pub fn new(core: Rc<RefCell<Core>>, socket: PeerSocket, view: Rc<ViewConfirmation>) -> Self {
         Self {
             core,
             socket,
+            view,
             pending: RefCell::default(),
         }
     }
@@ -114,29 +130,51 @@
         }
     }
 
-    /// Searches for the version at which a stream began, here and at other instances.
-    pub async fn find(&self, question: StreamQuestion) -> Lookup {
-        let origin = self.own_origin(&question);
+    /// Searches for the version at which a stream began, here and at other instances; `question` is
+    /// `None` if the caller does not say which stream it is.
+    ///
+    /// The view of the store is confirmed if there is no record at the instances that are likely to
+    /// hold it. If the version remains unknown, the others are asked: the stream may have begun
+    /// there.
+    pub async fn find(&self, question: Option<StreamQuestion>) -> Lookup {
         let mut lookup = Lookup {
-            origin,
+            origin: question.map(|it| self.own_origin(&it)),
             asked: 0,
             replies: 0,
+            view_current: None,
         };
-        if origin.is_recorded() {
+        let Some(question) = question else {
+            lookup.view_current = Some(self.view.confirm().await);
+            return lookup;
+        };
+        if lookup.evidence().is_recorded() {
             return lookup;
         }
-        for instances in self.rounds(question.key) {
-            lookup.asked += instances.len();
-            let (origin, replies) = self.ask(&instances, question).await;
-            lookup.replies += replies;
-            lookup.origin = lookup.origin.merge(origin);
-            if lookup.origin != StreamOrigin::Unknown {
-                break;
-            }
+        let [first, others] = self.rounds(question.key);
+        self.ask_round(&first, question, &mut lookup).await;
+        if lookup.evidence().is_recorded() {
+            return lookup;
+        }
+        let is_current = self.view.confirm().await;
+        lookup.view_current = Some(is_current);
+        if !is_current || lookup.origin == Some(StreamOrigin::Unknown) {
+            self.ask_round(&others, question, &mut lookup).await;
         }
         lookup
     }
 
+    async fn ask_round(
+        &self,
+        instances: &[SocketAddr],
+        question: StreamQuestion,
+        lookup: &mut Lookup,
+    ) {
+        let (origin, replies) = self.ask(instances, question).await;
+        lookup.asked += instances.len();
+        lookup.replies += replies;
+        lookup.origin = lookup.origin.map(|it| it.merge(origin));
+    }
+
     /// Records what another instance tells about streams.
     pub fn handle_records(&self, records: &[(StreamKey, VersionKey)]) {
         let mut core = self.core.borrow_mut();
--- a/crates/siskinyoke-gateway/tests/stream_versions.rs
+++ b/crates/siskinyoke-gateway/tests/stream_versions.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use rustix::process::Signal;
+
 use siskinyoke_soak::Endpoint;
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Proxy;
@@ -70,6 +71,18 @@
         self.endpoints.extend(added);
     }
 
+    // Starts another instance whose link to the store can fail.
+    fn start_over_link(&self) -> (Instance, Proxy) {
+        let link = Proxy::start(self.store.address);
+        let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
+        let instance = Instance::start(program, "linked", link.address).wait_until_ready();
+        let peers = u64::try_from(self.instances.len()).unwrap();
+        wait_until("the instance knows its peers", || {
+            state(&instance, "peers") == peers
+        });
+        (instance, link)
+    }
+
     fn wait_for_peers(&self) {
         let peers = u64::try_from(self.instances.len()).unwrap() - 1;
         for instance in &self.instances {
@@ -296,12 +309,7 @@
 // of them unnamed and named.
 fn take_up_after_suspension(silence: impl Fn(&mut Instance)) -> Vec<(Part, [Part; 2])> {
     let mut fleet = Fleet::start(3, &["v1", "v1"]);
-    let link = Proxy::start(fleet.store.address);
-    let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
-    let outdated = Instance::start(program, "outdated", link.address).wait_until_ready();
-    wait_until("the instance knows its peers", || {
-        state(&outdated, "peers") == 3
-    });
+    let (outdated, link) = fleet.start_over_link();
     thread::sleep(STREAM_LIFETIME);
     link.set_fault(Fault::DropAll);
     outdated.send_signal(Signal::STOP);
@@ -345,6 +353,32 @@
     check_unmixed(&take_up_after_suspension(silence));
 }
 
+// Guards against concluding from a state of the store what was there before it.
+#[test]
+fn a_stream_without_a_record_is_refused_after_the_store_was_read_anew() {
+    let fleet = Fleet::start(1, &["v1"]);
+    let (instance, link) = fleet.start_over_link();
+    wait_for_note(&fleet, r#"["v1"]"#);
+    thread::sleep(STREAM_LIFETIME);
+    fleet.instances[0].send_signal(Signal::STOP);
+    assert!(take_up(&instance, "known", 3).is_last());
+    link.set_fault(Fault::Reset);
+    fleet.store.put("other", "changed");
+    thread::sleep(JOIN_TIME);
+    fleet.store.compact();
+    link.set_fault(Fault::None);
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(1_500) {
+        let part = take_up(&instance, "unknown", 3);
+        assert_eq!(part.status, "503", "{part:?} {:?}", start.elapsed());
+        thread::sleep(Duration::from_millis(100));
+    }
+    wait_until("streams go on again", || {
+        take_up(&instance, "later", 3).is_last()
+    });
+    fleet.instances[0].send_signal(Signal::CONT);
+}
+
 // Guards against refusing all streams of a service with two versions after a kill of all instances.
 #[test]
 fn streams_of_two_versions_go_on_after_all_instances_were_killed() {
--- a/crates/siskinyoke-interface/src/store.rs
+++ b/crates/siskinyoke-interface/src/store.rs
@@ -93,6 +93,17 @@
     /// The response is malformed.
     fn decode_range(&self, bytes: &[u8], era: u64) -> Result<Batch, FormatError>;
 
+    /// Reads the store's latest revision, linearizably and with few items.
+    fn latest_revision(&self) -> Call;
+
+    /// Decodes the revision that [`Self::latest_revision`] returns: a watch from an earlier one
+    /// reaches it.
+    ///
+    /// # Errors
+    ///
+    /// The response is malformed.
+    fn decode_latest_revision(&self, bytes: &[u8], era: u64) -> Result<Revision, FormatError>;
+
     /// Waits for changes after a revision, for at most `timeout` if the store supports a limit.
     fn watch(&self, revision: Revision, timeout: Millis) -> Call;
 
--- a/crates/siskinyoke-native/src/etcd.rs
+++ b/crates/siskinyoke-native/src/etcd.rs
@@ -60,6 +60,26 @@
         })
     }
 
+    // The revision of the last write under the prefix: that of etcd as a whole also counts other
+    // keys, for which the watch reports nothing.
+    fn latest_revision(&self) -> Call {
+        let body = json!({
+            "key": encode_key(names::KEY_PREFIX),
+            "range_end": encode_key(RANGE_END),
+            "limit": "1",
+            "sort_target": "MOD",
+            "sort_order": "DESCEND",
+            "keys_only": true,
+        });
+        Call::post(RANGE_PATH, &body)
+    }
+
+    fn decode_latest_revision(&self, bytes: &[u8], era: u64) -> Result<Revision, FormatError> {
+        let page = self.decode_range(bytes, era)?;
+        let revisions = page.items.iter().map(|it| it.revision);
+        Ok(revisions.max().unwrap_or(Revision::new(era, 0)))
+    }
+
     fn watch(&self, revision: Revision, _: Millis) -> Call {
         let body = json!({
             "create_request": {
--- a/crates/siskinyoke-standin/src/etcd/gateway.rs
+++ b/crates/siskinyoke-standin/src/etcd/gateway.rs
@@ -184,7 +184,13 @@
 }
 
 fn range_response(store: &Store, request: &Range) -> Value {
-    let entries = store.range(&request.key_range());
+    let mut entries = store.range(&request.key_range());
+    if request.sort_target == "MOD" {
+        entries.sort_by_key(|entry| entry.mod_revision);
+    }
+    if request.sort_order == "DESCEND" {
+        entries.reverse();
+    }
     let limit = usize::try_from(request.limit).unwrap_or_default();
     let returned = if limit == 0 { entries.len() } else { limit };
     let kvs: Vec<Value> = entries
--- a/crates/siskinyoke-standin/src/etcd/wire.rs
+++ b/crates/siskinyoke-standin/src/etcd/wire.rs
@@ -27,6 +27,12 @@
     /// The maximum number of keys to return, or 0 for all.
     #[serde(deserialize_with = "decode_i64")]
     pub limit: i64,
+    /// What the keys are sorted by: `MOD`, or the key itself if it is empty.
+    #[serde(alias = "sortTarget")]
+    pub sort_target: String,
+    /// The order: `DESCEND`, or ascending if it is empty.
+    #[serde(alias = "sortOrder")]
+    pub sort_order: String,
 }
 
 impl Range {
