Streams: a large response of another kind does not resume a stream

A caller received two events and then 3 MiB of a response that is no stream, in one response: a body over 1 MiB is forwarded while it arrives, and only a smaller one was checked for whether it may complete a stream that has begun. Both ways ask the same condition now, and the attempt fails.

--- a/crates/siskinyoke-gateway/src/job/forwarding.rs
+++ b/crates/siskinyoke-gateway/src/job/forwarding.rs
@@ -41,6 +41,8 @@
         connection: PooledConnection,
     ) -> AttemptEnd {
         let mut buffered = BytesMut::new();
+        // After a stream has started, only the rest of its events can complete it.
+        let resumes = self.caller.start.is_none();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
                 return AttemptEnd::Retry(Outcome::ConnectionLost);
@@ -49,6 +51,9 @@
             connection.connection.body_received(data.len());
             buffered.extend_from_slice(&data);
             if buffered.len() > MAX_BUFFERED_BYTES {
+                if resumes {
+                    return AttemptEnd::Retry(Outcome::Failed);
+                }
                 let buffered = buffered.freeze();
                 return self.relay(&head, buffered, body, &connection, start).await;
             }
@@ -59,8 +64,7 @@
         let body = ResponseBody::buffered(buffered.freeze(), head.framing);
         let response = response::forwarded(head.parts.status, headers, body, head.framing);
         self.response = Some(response);
-        // After a stream has started, only the rest of its events can complete it.
-        if head.parts.status.is_server_error() || self.caller.start.is_none() {
+        if head.parts.status.is_server_error() || resumes {
             return AttemptEnd::Retry(Outcome::Failed);
         }
         let took = self.shell.now().since(start);
--- a/crates/siskinyoke-gateway/tests/whole/main.rs
+++ b/crates/siskinyoke-gateway/tests/whole/main.rs
@@ -320,6 +320,18 @@
     assert!(!response.ends_with("0\r\n\r\n"), "{response}");
 }
 
+// Guards against forwarding a response that is no stream into the stream that it should resume.
+#[test]
+fn a_stream_that_is_resumed_by_a_large_response_of_another_kind_holds_none_of_it() {
+    let setup = start_setup(&["e1", "e2"]);
+    let response = setup
+        .instance
+        .call("r1", "/stream/events/oversized", "", "");
+    assert!(response.contains("data: 2"), "{response}");
+    assert!(!response.contains("xxx"), "{} bytes", response.len());
+    assert!(!response.ends_with("0\r\n\r\n"), "{response}");
+}
+
 // A caller reads slowly until the buffers on the way are full. Guards against dropping the final
 // chunk when there is no room for it, which makes a complete stream look interrupted.
 #[test]
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -317,11 +317,12 @@
             self.wait_for_disconnect(out)?;
             return Ok(false);
         }
-        if request.line_contains("large") {
+        let is_resumed = request.header("last-event-id").is_some();
+        if request.line_contains("large") || request.line_contains("oversized") && is_resumed {
             out.write_all(&self.encode_response(request, &"x".repeat(LARGE_BODY_BYTES)))?;
             return Ok(true);
         }
-        if request.line_contains("lost") && request.header("last-event-id").is_some() {
+        if request.line_contains("lost") && is_resumed {
             let id = request.header("siskinyoke-request-id").unwrap_or("");
             write!(
                 out,
