--- a/crates/siskinyoke-gateway/tests/view_confirmation.rs
+++ b/crates/siskinyoke-gateway/tests/view_confirmation.rs
@@ -1,5 +1,7 @@
 //! Confirmation that an instance's view of the store is current.
 
+mod common;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -11,13 +13,8 @@
 use tokio::time::sleep;
 
 use siskinyoke_base::Clock;
-use siskinyoke_base::Millis;
 use siskinyoke_base::Revision;
 use siskinyoke_dispatch::Core;
-use siskinyoke_dispatch::core::Identity;
-use siskinyoke_dispatch::organisation_shares::share_weights::WeightSource;
-use siskinyoke_dispatch::quota::QuotaPolicy;
-use siskinyoke_dispatch::report::InstanceLocation;
 use siskinyoke_gateway::clock::BootClock;
 use siskinyoke_gateway::store::StoreError;
 use siskinyoke_gateway::view_confirmation::ViewConfirmation;
@@ -35,10 +32,10 @@
 
 impl Setup {
     fn start() -> Self {
-        let core = Rc::new(RefCell::new(Core::new(identity())));
+        let shell = common::shell(common::PLATFORM_SETTINGS);
         let setup = Self {
-            confirmation: Rc::new(ViewConfirmation::new(core.clone())),
-            core,
+            confirmation: shell.view_confirmation.clone(),
+            core: shell.core.clone(),
             latest: Rc::new(Cell::new(Some(5))),
             reads: Rc::default(),
         };
@@ -62,28 +59,6 @@
     }
 }
 
-fn identity() -> Identity {
-    Identity {
-        name: "i0".to_owned(),
-        location: InstanceLocation {
-            caller_address: "127.0.0.1:1".to_owned(),
-            peer_address: "127.0.0.1:2".to_owned(),
-            centre: "a".to_owned(),
-        },
-        incarnation: 1,
-        retry_ratio: 0.2,
-        retry_slack: 10.0,
-        max_exposure: 0.1,
-        settling_time: Millis(3_000),
-        share_weights: WeightSource::default(),
-        quota_policy: QuotaPolicy {
-            window: Millis(8_000),
-            overage: 0.1,
-            slack: 0.0,
-        },
-    }
-}
-
 fn run(test: impl AsyncFnOnce(Setup)) {
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async move { test(Setup::start()).await });
