Stream versions: use only what is known after the view was confirmed

Found in review: a stream could still go on at another version. The history and the records were read before the confirmation, which may bring a gap or the record itself; streams that callers do not name went on by a history with gaps; changes from a peer hide an endpoint that came and went; a process that has just gone on answered others by its old history and dropped versions from the note; reading ahead of a large response lost the notes of versions; and a version without an endpoint in an outdated view was refused as gone for good.

Both are read again after the confirmation now, unnamed streams follow the same rule, a removal of what was never seen and a suspension interrupt the history at once, a note loses a version only after a whole period of watching, and reading ahead covers notes. The pause between reads of the revision grows with the fleet.

Checks changed: a_stream_that_its_caller_does_not_name_goes_on_unless_two_versions_are_known expected such a stream to go on by a history that has just begun; it must wait for a whole one now, and be refused with the same delays otherwise.

--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -1,5 +1,6 @@
 //! This instance's view of the store, and whether it watches the store itself.
 
+use crate::Registry;
 use crate::StoreUpdate;
 use crate::core::Core;
 use crate::store_era::EraCheck;
@@ -10,6 +11,7 @@
 use crate::watchers::select_watcher;
 use siskinyoke_base::Millis;
 use siskinyoke_base::Revision;
+use siskinyoke_base::Set;
 
 /// How long a new process waits for reports of peers before it watches the store itself.
 ///
@@ -67,6 +69,19 @@
     read_requested: bool,
 }
 
+// Returns whether an endpoint is removed whose entry has not been seen.
+fn removes_unseen(registry: &Registry, updates: &[StoreUpdate]) -> bool {
+    let mut added = Set::default();
+    updates.iter().any(|update| match update {
+        StoreUpdate::Endpoint(endpoint) => {
+            added.insert(&*endpoint.id);
+            false
+        }
+        StoreUpdate::EndpointRemoved(id) => !registry.contains(id) && !added.contains(&**id),
+        _ => false,
+    })
+}
+
 impl Core {
     /// Applies the changes of the store up to a revision.
     ///
@@ -90,6 +105,10 @@
         let mut fleet_changed = false;
         let mut endpoints = Vec::new();
         let mut statuses = Vec::new();
+        // Changes from a peer hold only the last one of each key.
+        if !restored && removes_unseen(&self.registry, &updates) {
+            self.versions.interrupt();
+        }
         for update in updates {
             match update {
                 StoreUpdate::Instance(name, location) => {
--- a/crates/siskinyoke-dispatch/src/core/streams.rs
+++ b/crates/siskinyoke-dispatch/src/core/streams.rs
@@ -95,6 +95,10 @@
         if recorded != StreamOrigin::Unknown {
             return recorded;
         }
+        // A process that was suspended has not noticed it before its next observation.
+        if self.was_suspended(now) {
+            return StreamOrigin::Unknown;
+        }
         let max_age = Millis(u64::from(question.max_age));
         let only = self.versions.only_version(now, question.service, max_age);
         only.map_or(StreamOrigin::Unknown, StreamOrigin::OnlyVersion)
@@ -188,6 +192,11 @@
         lifetimes
     }
 
+    /// Returns whether a service has an endpoint that accepts streams of a version.
+    pub fn serves_version(&self, service: &str, version: VersionKey) -> bool {
+        self.registry.serves_version(service, version)
+    }
+
     /// Records that endpoints may have come and gone without being noticed, as the next changes are
     /// the store's contents at some time.
     pub fn interrupt_version_history(&mut self) {
@@ -201,11 +210,10 @@
         let mut reporting = self.peers.fresh(now);
         let reached = self.reaches_store() || reporting.any(|it| it.report.store_reachable);
         drop(reporting);
-        let before = self.observed_at.replace(now);
-        let suspended = before.is_some_and(|at| now.since(at) > MAX_OBSERVATION_GAP);
-        if suspended {
+        if self.was_suspended(now) {
             self.versions.interrupt();
         }
+        self.observed_at = Some(now);
         if reached && !self.lags_behind_peers(now) {
             self.record_versions(now);
         } else {
@@ -213,6 +221,13 @@
         }
     }
 
+    // Returns whether the last observation of the versions is older than it is in a process that
+    // runs.
+    fn was_suspended(&self, now: Millis) -> bool {
+        let observed = self.observed_at;
+        observed.is_some_and(|at| now.since(at) > MAX_OBSERVATION_GAP)
+    }
+
     pub(super) fn record_versions(&mut self, now: Millis) {
         let endpoints = self.registry.all().map(|it| &**it);
         self.versions.observe(now, endpoints);
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -148,6 +148,11 @@
         self.apply_updates(now, updates);
     }
 
+    /// Returns whether the entry of an endpoint is known, or was until a moment ago.
+    pub fn contains(&self, id: &str) -> bool {
+        self.entries.get(id).is_some()
+    }
+
     /// Removes an endpoint whose entry is gone from the store.
     pub fn remove(&mut self, now: Millis, id: &str) {
         self.remove_entry(now, id);
--- a/crates/siskinyoke-dispatch/src/stream_key.rs
+++ b/crates/siskinyoke-dispatch/src/stream_key.rs
@@ -12,6 +12,9 @@
 pub struct StreamKey(pub u64);
 
 impl StreamKey {
+    /// Stands for a stream that its caller does not name, of which there is no record.
+    pub const UNNAMED_STREAM: Self = Self(0);
+
     /// Returns the key of the stream that began with a request of an organisation.
     pub fn new(organisation: Option<&str>, request_id: &str) -> Self {
         let mut hasher = blake3::Hasher::new();
--- a/crates/siskinyoke-dispatch/src/stream_resumption.rs
+++ b/crates/siskinyoke-dispatch/src/stream_resumption.rs
@@ -34,10 +34,11 @@
 /// version of a service that has had no other one for as long as the stream can have existed, by
 /// what an instance has seen that followed the store all the while.
 ///
-/// Callers of an earlier protocol do not say which stream they take up. Theirs goes on unless the
-/// service is known to have had two versions, and no later attempt has a better chance.
+/// This concludes from what has not been seen, so the view must be current. The same holds where no
+/// endpoint of the version is left: otherwise one may have joined.
 ///
-/// Both conclude from what has not been seen, so the stream goes on only if the view is current.
+/// Callers of an earlier protocol do not say which stream they take up. No later attempt of theirs
+/// has a better chance if the service has had two versions.
 ///
 /// # Errors
 ///
@@ -51,19 +52,23 @@
     let service = stream.service;
     let lifetime = StreamQuestion::stream_lifetime(stream.timeout);
     let only = history.only_seen_version(now, service, lifetime);
-    let is_current = stream.evidence.view_current;
-    let version = match stream.evidence.origin {
-        Some(StreamOrigin::Version(version)) => version,
-        Some(StreamOrigin::Ambiguous) => return Err(unknown(FINAL_RETRY_AFTER)),
-        Some(StreamOrigin::OnlyVersion(version)) if is_current && only == Some(version) => version,
-        None if is_current => only.ok_or_else(|| unknown(FINAL_RETRY_AFTER))?,
+    let evidence = stream.evidence;
+    let version = match evidence.origin {
+        StreamOrigin::Version(version) => version,
+        StreamOrigin::Ambiguous => return Err(unknown(FINAL_RETRY_AFTER)),
+        StreamOrigin::OnlyVersion(version) if evidence.view_current && only == Some(version) => {
+            version
+        }
+        _ if !evidence.named && history.several(now, service, lifetime).len() > 1 => {
+            return Err(unknown(FINAL_RETRY_AFTER));
+        }
         _ => return Err(unknown(UNKNOWN_RETRY_AFTER)),
     };
     if registry.serves_version(service, version) {
         return Ok(version);
     }
-    // Another instance may know the first endpoint of a version sooner.
-    if !history.contains(service, version) {
+    // Another instance may know an endpoint of the version sooner.
+    if !evidence.view_current || !history.contains(service, version) {
         return Err(unknown(UNKNOWN_RETRY_AFTER));
     }
     Err(version_gone())
--- a/crates/siskinyoke-dispatch/src/version_history.rs
+++ b/crates/siskinyoke-dispatch/src/version_history.rs
@@ -58,8 +58,12 @@
         } else {
             period
         };
+        self.has_watched(now, needed)
+    }
+
+    fn has_watched(&self, now: Millis, period: Millis) -> bool {
         self.complete_since
-            .is_some_and(|since| now.since(since) >= needed)
+            .is_some_and(|since| now.since(since) >= period)
     }
 
     fn seen_in(
@@ -123,15 +127,23 @@
     /// Returns the note to write to the store if that of a service differs from what was seen in a
     /// period; its revision is that of the note to replace, zero if there is none.
     ///
-    /// The first note is written once no version of the period can have been missed.
+    /// The first note is written, and a version is left out of one, once no version of the period
+    /// can have been missed.
     pub fn due_note(&self, now: Millis, service: &Arc<str>, period: Millis) -> Option<VersionNote> {
         let seen = self.services.get(service)?;
         seen.complete_since?;
         let mut versions: Vec<_> = seen.seen_in(now, period).map(|it| it.1.clone()).collect();
+        let watched = seen.has_watched(now, period);
+        if let Some(note) = &seen.note
+            && !watched
+        {
+            versions.extend(note.versions.iter().cloned());
+        }
         versions.sort_unstable();
+        versions.dedup();
         let is_due = match &seen.note {
             Some(note) => note.versions != versions,
-            None => seen.is_complete(now, period),
+            None => watched,
         };
         let note = VersionNote {
             service: service.clone(),
--- a/crates/siskinyoke-dispatch/tests/streams.rs
+++ b/crates/siskinyoke-dispatch/tests/streams.rs
@@ -44,6 +44,9 @@
 use siskinyoke_dispatch::version_history::VersionHistory;
 use siskinyoke_dispatch::version_history::VersionNote;
 
+/// For how long instances of the tests watch the store, in ms: longer than a stream lasts.
+const WATCHED: u64 = 9_000;
+
 const ONE: VersionKey = VersionKey(1);
 const TWO: VersionKey = VersionKey(2);
 
@@ -74,19 +77,42 @@
     core
 }
 
-fn admit(
-    core: &mut Core,
-    now: u64,
-    origin: impl Into<Option<StreamOrigin>>,
-) -> Result<Ticket, Refusal> {
+fn admit(core: &mut Core, now: u64, origin: StreamOrigin) -> Result<Ticket, Refusal> {
+    admit_by(core, now, current(origin))
+}
+
+fn admit_by(core: &mut Core, now: u64, evidence: StreamEvidence) -> Result<Ticket, Refusal> {
     let routed = core.route(Millis(now), request("/stream/a")).unwrap();
-    let evidence = StreamEvidence {
-        origin: origin.into(),
-        view_current: true,
-    };
     core.admit_resumed(Millis(now), &routed, now, evidence)
 }
 
+// Returns evidence of a named stream at an instance whose view is current.
+fn current(origin: StreamOrigin) -> StreamEvidence {
+    StreamEvidence {
+        named: true,
+        origin,
+        view_current: true,
+    }
+}
+
+// Returns an instance that has observed an endpoint of version 1 for longer than a stream lasts.
+fn watching_core() -> Core {
+    let mut core = core(&[("e1", "1")]);
+    sweep_until(&mut core, 0, WATCHED);
+    core
+}
+
+fn sweep_until(core: &mut Core, from: u64, to: u64) {
+    for now in (from..=to).step_by(200) {
+        core.sweep(Millis(now));
+    }
+}
+
+fn known_origin(core: &Core, now: u64) -> StreamOrigin {
+    let question = StreamQuestion::new(key(1), "lm", Millis(5_000));
+    core.stream_origin(Millis(now), &question)
+}
+
 fn admit_new(core: &mut Core, now: u64) -> Ticket {
     let routed = core.route(Millis(now), request("/stream/a")).unwrap();
     core.admit(Millis(now), &routed, now).unwrap()
@@ -335,48 +361,71 @@
     let gone = versioned("e2", "2");
     let mut history = VersionHistory::default();
     history.observe(Millis(0), [&one, &gone].into_iter());
-    let resume = |now, origin| {
+    let resume = |now, evidence| {
         let stream = ResumedStream {
             service: "lm",
             timeout: Millis(5_000),
-            evidence: StreamEvidence {
-                origin,
-                view_current: true,
-            },
+            evidence,
         };
         let result = resumed_version(Millis(now), &stream, &history, &registry);
         result.map_err(|it| (it.reason, it.retry_after))
     };
     let soon = Millis(300);
     let late = Millis(30_000);
-    assert_eq!(resume(0, Some(version("1"))), Ok(one.version_key()));
+    assert_eq!(resume(0, current(version("1"))), Ok(one.version_key()));
     assert_eq!(
-        resume(0, Some(version("2"))),
+        resume(0, current(version("2"))),
         Err((RefusalReason::VersionGone, late))
     );
     assert_eq!(
-        resume(0, Some(version("3"))),
+        resume(0, current(version("3"))),
         Err((RefusalReason::VersionUnknown, soon)),
         "an endpoint of it may become known"
     );
     assert_eq!(
-        resume(0, Some(StreamOrigin::Unknown)),
+        resume(0, current(StreamOrigin::Unknown)),
         Err((RefusalReason::VersionUnknown, soon))
     );
     assert_eq!(
-        resume(0, Some(StreamOrigin::Ambiguous)),
+        resume(0, current(StreamOrigin::Ambiguous)),
         Err((RefusalReason::VersionUnknown, late))
     );
-    assert_eq!(resume(0, None), Err((RefusalReason::VersionUnknown, late)));
+    let unnamed = StreamEvidence {
+        named: false,
+        ..current(StreamOrigin::Unknown)
+    };
+    assert_eq!(
+        resume(0, unnamed),
+        Err((RefusalReason::VersionUnknown, late))
+    );
+    let outdated = StreamEvidence {
+        view_current: false,
+        ..current(version("2"))
+    };
+    assert_eq!(
+        resume(0, outdated),
+        Err((RefusalReason::VersionUnknown, soon)),
+        "an endpoint of it may have joined again"
+    );
 }
 
 #[test]
-fn a_stream_that_its_caller_does_not_name_goes_on_unless_two_versions_are_known() {
+fn a_stream_that_its_caller_does_not_name_goes_on_only_where_the_service_had_one_version() {
     let mut core = core(&[("e1", "1"), ("e2", "1")]);
-    assert!(admit(&mut core, 0, None).is_ok());
-    core.registry().put(Millis(1), versioned("e3", "2"));
-    core.sweep(Millis(1));
-    assert!(admit(&mut core, 2, None).is_err());
+    let resume = |core: &mut Core, now| {
+        let evidence = StreamEvidence {
+            named: false,
+            ..current(known_origin(core, now))
+        };
+        admit_by(core, now, evidence).map_err(|it| it.retry_after)
+    };
+    let early = resume(&mut core, 0);
+    assert_eq!(early, Err(Millis(300)), "what was before is not known");
+    sweep_until(&mut core, 0, WATCHED);
+    assert!(resume(&mut core, WATCHED).is_ok());
+    core.registry().put(Millis(WATCHED), versioned("e3", "2"));
+    core.sweep(Millis(WATCHED));
+    assert_eq!(resume(&mut core, WATCHED), Err(Millis(30_000)));
 }
 
 #[test]
@@ -400,66 +449,78 @@
 #[test]
 fn a_stream_without_a_record_is_refused_unless_the_view_is_current() {
     let mut core = core(&[("e1", "1")]);
-    let only = StreamOrigin::OnlyVersion(VersionKey::new("lm", "1"));
-    let mut resume = |origin, view_current| {
-        let routed = core.route(Millis(0), request("/stream/a")).unwrap();
-        let evidence = StreamEvidence {
-            origin,
-            view_current,
-        };
-        core.admit_resumed(Millis(0), &routed, 0, evidence)
+    let only = current(StreamOrigin::OnlyVersion(VersionKey::new("lm", "1")));
+    let outdated = StreamEvidence {
+        view_current: false,
+        ..only
+    };
+    let refusal = admit_by(&mut core, 0, outdated).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::VersionUnknown);
+    assert_eq!(refusal.retry_after, Millis(300));
+    assert!(admit_by(&mut core, 0, only).is_ok());
+    let recorded = StreamEvidence {
+        view_current: false,
+        ..current(version("1"))
     };
-    for origin in [None, Some(only)] {
-        let refusal = resume(origin, false).unwrap_err();
-        assert_eq!(refusal.reason, RefusalReason::VersionUnknown, "{origin:?}");
-        assert_eq!(refusal.retry_after, Millis(300), "{origin:?}");
-        assert!(resume(origin, true).is_ok(), "{origin:?}");
+    assert!(admit_by(&mut core, 0, recorded).is_ok());
+}
+
+// Guards against the claim of another instance that has missed a version.
+#[test]
+fn a_stream_without_a_record_is_refused_where_another_version_is_known() {
+    let mut core = core(&[("e1", "1"), ("e2", "2")]);
+    for claimed in ["1", "2"] {
+        let origin = StreamOrigin::OnlyVersion(VersionKey::new("lm", claimed));
+        assert!(admit(&mut core, 0, origin).is_err(), "{claimed}");
     }
-    let elsewhere = StreamOrigin::OnlyVersion(VersionKey::new("lm", "2"));
-    assert!(resume(Some(elsewhere), true).is_err(), "not seen here");
-    assert!(resume(Some(version("1")), false).is_ok(), "recorded");
 }
 
-// Guards against missing a version whose endpoints come and go between two observations.
+// Guards against missing a version whose endpoints come and go between two observations, or between
+// two fetches from a peer, which hold only the last change of each key.
 #[test]
-fn a_version_that_came_and_went_in_one_batch_was_present() {
-    let mut core = core(&[("e1", "1")]);
-    let question = StreamQuestion::new(key(1), "lm", Millis(5_000));
-    for now in (0..9_000).step_by(200) {
-        core.sweep(Millis(now));
+fn a_version_that_came_and_went_between_two_observations_is_not_missed() {
+    let joined = StoreUpdate::Endpoint(versioned("e2", "2"));
+    let left = StoreUpdate::EndpointRemoved("e2".to_owned());
+    for updates in [vec![joined, left.clone()], vec![left]] {
+        let mut core = watching_core();
+        core.apply_updates(Millis(WATCHED), Revision::new(0, 5), updates);
+        assert_eq!(known_origin(&core, WATCHED), StreamOrigin::Unknown);
     }
-    let updates = vec![
-        StoreUpdate::Endpoint(versioned("e2", "2")),
-        StoreUpdate::EndpointRemoved("e2".to_owned()),
-    ];
-    core.apply_updates(Millis(9_000), Revision::new(0, 5), updates);
-    let origin = core.stream_origin(Millis(9_000), &question);
-    assert_eq!(origin, StreamOrigin::Unknown);
 }
 
 // Guards against a history with a gap: the process was suspended, or changes of a peer did not
 // arrive.
 #[test]
 fn a_version_history_starts_again_after_a_time_in_which_versions_can_have_been_missed() {
-    let question = StreamQuestion::new(key(1), "lm", Millis(5_000));
-    let origin_after = |gap: &dyn Fn(&mut Core)| {
-        let mut core = core(&[("e1", "1")]);
-        for now in (0..9_000).step_by(200) {
-            core.sweep(Millis(now));
-        }
-        gap(&mut core);
-        core.sweep(Millis(12_000));
-        core.stream_origin(Millis(12_000), &question)
-    };
-    let run = |core: &mut Core| (9_000..12_000).for_each(|now| core.sweep(Millis(now)));
+    let later = WATCHED + 3_000;
+    let mut core = watching_core();
+    sweep_until(&mut core, WATCHED, later);
     let only = StreamOrigin::OnlyVersion(VersionKey::new("lm", "1"));
-    assert_eq!(origin_after(&run), only);
-    assert_eq!(origin_after(&|_| {}), StreamOrigin::Unknown, "suspended");
-    let behind = |core: &mut Core| {
-        core.record_peer_revision(Millis(9_000), Revision::new(0, 9));
-        run(core);
-    };
-    assert_eq!(origin_after(&behind), StreamOrigin::Unknown, "behind");
+    assert_eq!(known_origin(&core, later), only);
+    let mut suspended = watching_core();
+    assert_eq!(known_origin(&suspended, later), StreamOrigin::Unknown);
+    suspended.sweep(Millis(later));
+    assert_eq!(known_origin(&suspended, later), StreamOrigin::Unknown);
+    let mut behind = watching_core();
+    behind.record_peer_revision(Millis(WATCHED), Revision::new(0, 9));
+    sweep_until(&mut behind, WATCHED, later);
+    assert_eq!(known_origin(&behind, later), StreamOrigin::Unknown);
+}
+
+// Guards against a note written by a process that was suspended and has not seen what joined since.
+#[test]
+fn a_note_loses_a_version_only_after_a_period_of_watching() {
+    let period = Millis(8_000);
+    let service = "lm".into();
+    let (one, two) = (versioned("e1", "1"), versioned("e2", "2"));
+    let mut history = VersionHistory::default();
+    history.observe(Millis(0), [&one, &two].into_iter());
+    history.record_note(Millis(0), note(&["1", "2"], 5));
+    history.interrupt();
+    history.observe(Millis(12_000), [&one].into_iter());
+    assert_eq!(history.due_note(Millis(19_999), &service, period), None);
+    let due = history.due_note(Millis(20_000), &service, period);
+    assert_eq!(due, Some(note(&["1"], 5)));
 }
 
 // Guards against a guess where instances have seen different versions.
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -39,7 +39,6 @@
 use siskinyoke_dispatch::RefusalReason;
 use siskinyoke_dispatch::StreamEvidence;
 use siskinyoke_dispatch::StreamKey;
-use siskinyoke_dispatch::StreamOrigin;
 use siskinyoke_dispatch::StreamQuestion;
 use siskinyoke_dispatch::core::IncomingRequest;
 use siskinyoke_dispatch::core::RoutedRequest;
@@ -400,14 +399,14 @@
 ) -> StreamEvidence {
     let start = shell.now();
     let routed = &request.routed;
-    let question =
-        stream_key.map(|key| StreamQuestion::new(key, &routed.service, routed.route.timeout));
-    let lookup = shell.stream_lookup.find(question).await;
+    let key = stream_key.unwrap_or(StreamKey::UNNAMED_STREAM);
+    let question = StreamQuestion::new(key, &routed.service, routed.route.timeout);
+    let lookup = shell.stream_lookup.find(question, &routed.service).await;
     let fields = json!({
         "id": request.id,
         "resumes": request.resumed_id,
-        "origin": lookup.origin.map_or("unnamed", StreamOrigin::as_str),
-        "version": lookup.origin.and_then(StreamOrigin::version),
+        "origin": lookup.origin.as_str(),
+        "version": lookup.origin.version(),
         "asked": lookup.asked,
         "replies": lookup.replies,
         "view_current": lookup.view_current,
@@ -415,7 +414,11 @@
         "took_ms": shell.now().since(start).0,
     });
     shell.log("stream_origin", fields);
-    lookup.evidence()
+    StreamEvidence {
+        named: stream_key.is_some(),
+        origin: lookup.origin,
+        view_current: lookup.view_current.unwrap_or(false),
+    }
 }
 
 fn refuse(shell: &Shell, request: RefusalInfo<'_>, refusal: Refusal) -> Response<ResponseBody> {
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -42,7 +42,7 @@
 const STREAM_WRITE_TIMEOUT: Millis = Millis(1_000);
 
 /// Time limit for a read of the store's revision.
-const REVISION_READ_TIMEOUT: Millis = Millis(400);
+const REVISION_READ_TIMEOUT: Millis = Millis(300);
 
 /// Runs an instance until it receives `SIGTERM`.
 ///
--- a/crates/siskinyoke-gateway/src/read_ahead.rs
+++ b/crates/siskinyoke-gateway/src/read_ahead.rs
@@ -13,6 +13,7 @@
 use siskinyoke_base::Millis;
 use siskinyoke_base::Revision;
 use siskinyoke_interface::Batch;
+use siskinyoke_interface::StoreKeys;
 
 /// Interval at which small changes are read.
 const READ_INTERVAL: Millis = Millis(250);
@@ -51,19 +52,12 @@
 // complete is the lowest of the responses.
 async fn read_changes(shell: &Shell, client: &mut Client) -> Result<(), StoreError> {
     let known = shell.replica.borrow().revision();
-    let keys = shell.interface.documents.keys();
-    let prefixes = [
-        keys.endpoints,
-        keys.instances,
-        keys.rollout_orders,
-        keys.rollout_statuses,
-    ];
     let mut update = Update {
         revision: LAST_REVISION,
         full: false,
         items: Vec::new(),
     };
-    for prefix in prefixes {
+    for prefix in small_prefixes(&shell.interface.documents.keys()) {
         let Some(batch) = read_prefix(shell, client, prefix, known).await? else {
             return Ok(());
         };
@@ -76,6 +70,18 @@
     Ok(())
 }
 
+/// Returns the prefixes of the documents that count as known up to the revision of a read. Records of
+/// streams are applied whenever they arrive.
+pub fn small_prefixes(keys: &StoreKeys) -> [&'static str; 5] {
+    [
+        keys.endpoints,
+        keys.instances,
+        keys.rollout_orders,
+        keys.rollout_statuses,
+        keys.version_notes,
+    ]
+}
+
 // Returns `None` if the store cannot restrict changes to a prefix.
 async fn read_prefix(
     shell: &Shell,
--- a/crates/siskinyoke-gateway/src/stream_lookup.rs
+++ b/crates/siskinyoke-gateway/src/stream_lookup.rs
@@ -23,7 +23,6 @@
 use siskinyoke_base::Map;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Message;
-use siskinyoke_dispatch::StreamEvidence;
 use siskinyoke_dispatch::StreamKey;
 use siskinyoke_dispatch::StreamOrigin;
 use siskinyoke_dispatch::StreamQuestion;
@@ -43,25 +42,15 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Lookup {
     /// What is known of the version.
-    pub origin: Option<StreamOrigin>,
+    pub origin: StreamOrigin,
     /// The number of instances that were asked.
     pub asked: usize,
     /// The number of them that replied in time.
     pub replies: usize,
-    /// Whether the view of the store was found to be current; `None` if there is a record.
+    /// Whether the view of the store was found to be current; `None` if that does not matter.
     pub view_current: Option<bool>,
 }
 
-impl Lookup {
-    /// Returns what was found out.
-    pub fn evidence(&self) -> StreamEvidence {
-        StreamEvidence {
-            origin: self.origin,
-            view_current: self.view_current.unwrap_or(false),
-        }
-    }
-}
-
 /// Tells other instances at which versions streams began, and asks them.
 #[derive(Debug)]
 pub struct StreamLookup {
@@ -130,34 +119,44 @@
         }
     }
 
-    /// Searches for the version at which a stream began, here and at other instances; `question` is
-    /// `None` if the caller does not say which stream it is.
+    /// Searches for the version at which a stream of a service began, here and at other instances.
     ///
-    /// The view of the store is confirmed if there is no record at the instances that are likely to
-    /// hold it. If the version remains unknown, the others are asked: the stream may have begun
-    /// there.
-    pub async fn find(&self, question: Option<StreamQuestion>) -> Lookup {
+    /// Records are searched for first. Without one, and where no endpoint of the recorded version is
+    /// known, the view of the store is confirmed. If the version remains unknown, the other
+    /// instances are asked: the stream may have begun there.
+    pub async fn find(&self, question: StreamQuestion, service: &str) -> Lookup {
+        let recorded = Some(self.own_origin(&question)).filter(|it| it.is_recorded());
         let mut lookup = Lookup {
-            origin: question.map(|it| self.own_origin(&it)),
+            origin: recorded.unwrap_or(StreamOrigin::Unknown),
             asked: 0,
             replies: 0,
             view_current: None,
         };
-        let Some(question) = question else {
+        let [first, others] = self.rounds(question.key);
+        let is_named = question.key != StreamKey::UNNAMED_STREAM;
+        if is_named && !lookup.origin.is_recorded() {
+            self.ask_round(&first, question, &mut lookup).await;
+        }
+        if let StreamOrigin::Version(version) = lookup.origin
+            && !self.core.borrow().serves_version(service, version)
+        {
             lookup.view_current = Some(self.view.confirm().await);
-            return lookup;
-        };
-        if lookup.evidence().is_recorded() {
-            return lookup;
         }
-        let [first, others] = self.rounds(question.key);
-        self.ask_round(&first, question, &mut lookup).await;
-        if lookup.evidence().is_recorded() {
+        if lookup.origin.is_recorded() {
             return lookup;
         }
+        let claimed = lookup.origin;
         let is_current = self.view.confirm().await;
         lookup.view_current = Some(is_current);
-        if !is_current || lookup.origin == Some(StreamOrigin::Unknown) {
+        // Asked only now, as the confirmed view may have brought a record or a gap.
+        lookup.origin = self.own_origin(&question);
+        if lookup.origin != StreamOrigin::Unknown {
+            return lookup;
+        }
+        lookup.origin = claimed;
+        if !is_named {
+            self.ask_round(&first, question, &mut lookup).await;
+        } else if !is_current || claimed == StreamOrigin::Unknown {
             self.ask_round(&others, question, &mut lookup).await;
         }
         lookup
@@ -172,7 +171,7 @@
         let (origin, replies) = self.ask(instances, question).await;
         lookup.asked += instances.len();
         lookup.replies += replies;
-        lookup.origin = lookup.origin.map(|it| it.merge(origin));
+        lookup.origin = lookup.origin.merge(origin);
     }
 
     /// Records what another instance tells about streams.
--- a/crates/siskinyoke-gateway/src/view_confirmation.rs
+++ b/crates/siskinyoke-gateway/src/view_confirmation.rs
@@ -20,12 +20,15 @@
 use siskinyoke_dispatch::Core;
 
 /// How long a confirmation may take, with the changes that the view lacks.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The shortest time between the starts of two reads. Confirmations that are requested meanwhile
-/// share the next one.
+/// The shortest pause between two reads. Confirmations that are requested meanwhile share the next
+/// one.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(25);
 
+/// How much longer the pause is for each instance of the fleet, as all share the store.
+const READ_INTERVAL_PER_INSTANCE: Duration = Duration::from_micros(250);
+
 /// How often it is checked whether the view includes a revision.
 const VIEW_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -69,16 +72,27 @@
             let revision = result.ok();
             self.finished
                 .send_replace(FinishedRead { number, revision });
-            sleep(MIN_READ_INTERVAL).await;
+            sleep(self.read_interval()).await;
         }
     }
 
     /// Returns whether the view includes everything that the store held when this was called.
+    ///
+    /// While no instance reaches the store, it does not wait for the store.
     pub async fn confirm(&self) -> bool {
+        if !self.core.borrow().store_available() {
+            return false;
+        }
         let confirmed = timeout(CONFIRMATION_TIMEOUT, self.reach_latest()).await;
         confirmed.unwrap_or(false)
     }
 
+    fn read_interval(&self) -> Duration {
+        let others = self.core.borrow().other_instances().count();
+        let instances = u32::try_from(others + 1).unwrap_or(u32::MAX);
+        MIN_READ_INTERVAL.max(READ_INTERVAL_PER_INSTANCE.saturating_mul(instances))
+    }
+
     // Waits until the view includes the revision of a read that starts from now on.
     async fn reach_latest(&self) -> bool {
         let next = self.started.get() + 1;
--- a/crates/siskinyoke-gateway/tests/stream_versions.rs
+++ b/crates/siskinyoke-gateway/tests/stream_versions.rs
@@ -306,8 +306,11 @@
 
 // Suspends an instance and cuts it off from the store while endpoints of a second version join,
 // begins streams at another one, silences all others, and takes the streams up at the instance, each
-// of them unnamed and named.
-fn take_up_after_suspension(silence: impl Fn(&mut Instance)) -> Vec<(Part, [Part; 2])> {
+// of them unnamed and named. `fault` is that of its link to the store from then on.
+fn take_up_after_suspension(
+    silence: impl Fn(&mut Instance),
+    fault: Fault,
+) -> Vec<(Part, [Part; 2])> {
     let mut fleet = Fleet::start(3, &["v1", "v1"]);
     let (outdated, link) = fleet.start_over_link();
     thread::sleep(STREAM_LIFETIME);
@@ -318,6 +321,7 @@
     let first = fleet.begin_all();
     assert_eq!(versions(&first).len(), 2, "both versions get new streams");
     fleet.instances.iter_mut().for_each(silence);
+    link.set_fault(fault);
     outdated.send_signal(Signal::CONT);
     let second = parallel(first.len(), |number| {
         let last = first[number].events.last().unwrap().0;
@@ -343,14 +347,23 @@
 // Guards against taking the only version of an outdated view for that of a stream.
 #[test]
 fn a_stream_taken_up_where_a_version_was_missed_stays_at_its_version_while_others_are_gone() {
-    check_unmixed(&take_up_after_suspension(Instance::kill));
+    check_unmixed(&take_up_after_suspension(Instance::kill, Fault::DropAll));
 }
 
 // Guards against taking the silence of other instances for their agreement.
 #[test]
 fn a_stream_taken_up_where_a_version_was_missed_stays_at_its_version_while_others_are_silent() {
     let silence = |instance: &mut Instance| instance.send_signal(Signal::STOP);
-    check_unmixed(&take_up_after_suspension(silence));
+    check_unmixed(&take_up_after_suspension(silence, Fault::DropAll));
+}
+
+// Guards against deciding before the view has caught up.
+#[test]
+fn a_stream_taken_up_where_a_version_was_missed_stays_at_its_version_while_the_view_catches_up() {
+    check_unmixed(&take_up_after_suspension(
+        Instance::kill,
+        Fault::DelayMs(100),
+    ));
 }
 
 // Guards against concluding from a state of the store what was there before it.
