--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -3,6 +3,7 @@
 pub mod crash;
 mod endless;
 mod joined;
+pub mod report;
 pub mod silent;
 mod unmarked;
 pub mod versioned;
@@ -27,6 +28,7 @@
 use crate::admission::Verdict;
 use crate::announcements::Announcements;
 use crate::endpoint::crash::Crashes;
+use crate::endpoint::report::Report;
 
 /// The number of slots that an endpoint states.
 pub const SLOT_COUNT: usize = 4;
@@ -83,16 +85,18 @@
 pub struct Endpoint {
     /// The endpoint's ID.
     pub id: String,
-    /// The version of its software, if its entry in the store states one.
-    pub version: Option<String>,
     /// The address that it listens on.
     pub address: SocketAddr,
+    // The version of its software, if its entry in the store states one.
+    version: Arc<Mutex<Option<String>>>,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     disconnects: Arc<Mutex<u32>>,
     announcements: Arc<Mutex<Announcements>>,
     admission: Arc<Mutex<Admission>>,
-    // The number of starts under this ID, which entries state as the time of the start.
+    // The number of starts under this ID, which entries and reports state as the time of the start.
     starts: Arc<AtomicU64>,
+    report: Arc<Mutex<Report>>,
+    report_count: Arc<AtomicUsize>,
     crashes: Arc<Mutex<Crashes>>,
     endless_bytes: Arc<AtomicUsize>,
 }
@@ -116,13 +120,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let endpoint = Self {
             id: id.to_owned(),
-            version: version.map(str::to_owned),
             address: listener.local_addr().unwrap(),
+            version: Arc::new(Mutex::new(version.map(str::to_owned))),
             requests: Arc::default(),
             disconnects: Arc::default(),
             announcements: Arc::default(),
             admission: Arc::default(),
             starts: Arc::new(AtomicU64::new(1)),
+            report: Arc::default(),
+            report_count: Arc::default(),
             crashes: Arc::default(),
             endless_bytes: Arc::default(),
         };
@@ -132,13 +138,21 @@
     }
 
     /// Returns its entry in the store, with the given state.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
     pub fn entry(&self, state: &str) -> String {
         self.entry_at(self.address, state)
     }
 
     /// Returns its entry in the store with another address, such as that of a proxy.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
     pub fn entry_at(&self, address: SocketAddr, state: &str) -> String {
-        let version = self.version.as_ref();
+        let version = self.version();
         let version =
             version.map_or_else(String::new, |version| format!(r#""Version":"{version}","#));
         let start = self.starts.load(Ordering::Relaxed);
@@ -246,7 +260,7 @@
             request.body = vec![0; length];
             reader.read_exact(&mut request.body)?;
             if request.line_contains(REPORT_PATH) {
-                out.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")?;
+                self.write_report(&mut out)?;
                 continue;
             }
             request.received_at = Some(Instant::now());
--- a/soak/src/endpoint/crash.rs
+++ b/soak/src/endpoint/crash.rs
@@ -196,10 +196,7 @@
         let now = Instant::now();
         crashes.crashed_at.push(now);
         crashes.down_until = Some(now + crashes.down_time);
-        for stream in std::mem::take(&mut crashes.connections).into_values() {
-            // It may be closed already.
-            drop(stream.shutdown(Shutdown::Both));
-        }
+        crashes.close_connections();
         drop(crashes);
         // Lets the thread that accepts connections close its socket.
         drop(TcpStream::connect(self.address));
@@ -235,6 +232,14 @@
 }
 
 impl Crashes {
+    /// Closes all connections, as the end of the process does.
+    pub(super) fn close_connections(&mut self) {
+        for stream in std::mem::take(&mut self.connections).into_values() {
+            // It may be closed already.
+            drop(stream.shutdown(Shutdown::Both));
+        }
+    }
+
     fn is_poisoned(&self, request: &ReceivedRequest) -> bool {
         request.line_contains(POISONED_PATH)
             || request.prompt_parts().any(|it| self.parts.contains(it))
--- a/soak/src/endpoint/versioned.rs
+++ b/soak/src/endpoint/versioned.rs
@@ -27,7 +27,8 @@
         request: &ReceivedRequest,
         out: &mut TcpStream,
     ) -> std::io::Result<bool> {
-        let version = self.version.as_deref().unwrap_or("none");
+        let version = self.version();
+        let version = version.as_deref().unwrap_or("none");
         let after = last_event(request);
         self.write_stream_head(request, out)?;
         for number in after + 1..=EVENT_COUNT {
