Streams: go on only at the start that the endpoint's entry names

Callers saw streams with events of two versions. Endpoints started again under their IDs and addresses as another version; until an instance knew their new entries, it sent streams on to them, within the response and for callers that took them up.

Cause: an entry is a claim about an earlier process, and requests name the ID, which agrees after such a restart. What tells two starts apart is the time of the start and the end of all connections.

A request that goes on with a stream now takes a new connection on which the endpoint has reported the start of its entry. A start that has been replaced gets no such streams until its entry changes. Relays check as well. Requests that go on with no stream cause no further call.

No earlier test was changed.

The stand-in for endpoints sends without delay.

--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -30,6 +30,16 @@
         self.links.record_response(now, endpoint);
     }
 
+    /// Records when an endpoint says that it started, in milliseconds of Unix time.
+    ///
+    /// An earlier start than that of its entry may be about to end at an address that the next one
+    /// takes over, so only a later one shows that the entry is outdated.
+    pub fn record_start(&mut self, endpoint: &Endpoint, started_ms: u64) {
+        if started_ms > endpoint.started_ms {
+            self.registry.record_later_start(endpoint.key());
+        }
+    }
+
     /// Returns whether this instance has lost its links to the endpoints of a service.
     pub fn links_lost(&self, service: &str) -> bool {
         self.links.is_lost(service)
--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -199,6 +199,7 @@
         | Outcome::Misdirected
         | Outcome::ConnectFailed
         | Outcome::RelayFailed
+        | Outcome::Unverified
         | Outcome::LinkLost
         | Outcome::Cancelled => None,
     }
--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -73,7 +73,9 @@
             Outcome::Misdirected => self.back_off_until(now + MISDIRECTED_BACKOFF),
             Outcome::ConnectFailed | Outcome::Stalled => self.record_unresponsive(now),
             Outcome::ConnectionLost => self.record_connection_lost(now),
-            Outcome::Cancelled | Outcome::RelayFailed | Outcome::LinkLost => {}
+            // An endpoint that started again serves all but the streams that began before.
+            Outcome::Cancelled | Outcome::RelayFailed | Outcome::LinkLost | Outcome::Unverified => {
+            }
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/outcome.rs
+++ b/crates/siskinyoke-dispatch/src/outcome.rs
@@ -26,6 +26,8 @@
     ConnectFailed,
     /// No relay took the request; nothing was sent to the endpoint.
     RelayFailed,
+    /// It was not confirmed that the endpoint is the start that its entry names; nothing was sent.
+    Unverified,
     /// The connection broke after data was sent; the request may have run.
     ConnectionLost,
     /// The response was to another request, such as a late duplicate; the request may have run.
@@ -42,6 +44,9 @@
 impl Outcome {
     /// Returns whether nothing was sent to the endpoint.
     pub fn is_unsent(self) -> bool {
-        matches!(self, Self::ConnectFailed | Self::RelayFailed)
+        matches!(
+            self,
+            Self::ConnectFailed | Self::RelayFailed | Self::Unverified
+        )
     }
 }
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -67,6 +67,9 @@
     departures: Map<EndpointKey, Departure>,
     // Endpoints whose entries were removed, and when.
     removed: Map<EndpointKey, Millis>,
+    // Listed starts that have ended, as a later start reported at their address. Their entries'
+    // versions are not those of the processes.
+    outdated: BTreeSet<EndpointKey>,
     // When each listed endpoint start was first seen.
     first_seen: Map<EndpointKey, Millis>,
     // Incremented with each change of the listed or leaving endpoints.
@@ -179,6 +182,19 @@
         self.insert_departure(now, key)
     }
 
+    /// Records that a later start of an endpoint than its entry names responds at its address. It gets
+    /// no streams that began before, until its entry changes.
+    pub fn record_later_start(&mut self, key: EndpointKey) {
+        self.outdated.insert(key);
+        self.generation += 1;
+    }
+
+    /// Returns whether a service has an endpoint whose entry states a version and is outdated.
+    pub fn has_outdated(&self, service: &str, version: VersionKey) -> bool {
+        let mut outdated = self.all().filter(|it| self.outdated.contains(&it.key()));
+        outdated.any(|it| *it.service == *service && it.version_key() == version)
+    }
+
     /// Removes expired entries.
     pub fn remove_expired(&mut self, now: Millis) {
         self.departures
@@ -192,6 +208,7 @@
         if self.first_seen.len() > self.entries.iter().count() {
             let listed: BTreeSet<EndpointKey> = self.all().map(|it| it.key()).collect();
             self.first_seen.retain(|key, _| listed.contains(key));
+            self.outdated.retain(|key| listed.contains(key));
         }
     }
 
@@ -200,7 +217,7 @@
         self.eligible.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns whether a service has an endpoint of a version that accepts new requests.
+    /// Returns whether a service has an endpoint of a version that accepts streams of that version.
     pub fn serves_version(&self, service: &str, version: VersionKey) -> bool {
         self.accepting(service, version).next().is_some()
     }
@@ -222,6 +239,7 @@
     fn of_version(&self, service: &str, version: VersionKey) -> Vec<Arc<Endpoint>> {
         let own = self.eligible(service).iter().chain(self.canaries(service));
         let own = own.filter(|it| it.version_key() == version);
+        let own = own.filter(|it| !self.outdated.contains(&it.key()));
         let own: Vec<_> = own.cloned().collect();
         if !own.is_empty() {
             return own;
@@ -397,15 +415,16 @@
             .collect()
     }
 
-    // Returns the endpoints of a version, of any shard, that accept new requests.
+    // Returns the endpoints of a version, of any shard, that accept streams of that version.
     fn accepting(
         &self,
         service: &str,
         version: VersionKey,
     ) -> impl Iterator<Item = &Arc<Endpoint>> {
-        self.all().filter(move |it| {
+        let all = self.all().filter(move |it| {
             *it.service == *service && it.version_key() == version && !self.is_leaving(it)
-        })
+        });
+        all.filter(|it| !self.outdated.contains(&it.key()))
     }
 
     fn insert_departure(&mut self, now: Millis, key: EndpointKey) -> bool {
--- a/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
@@ -37,8 +37,15 @@
         let request = &self.waiting[&ticket];
         let latency = self.latency_model(&request.service);
         let targets = view.registry.targets(request);
-        if request.version.is_some() && targets.is_empty() {
-            return Some(stream_resumption::version_gone());
+        if let Some(version) = request.version
+            && targets.is_empty()
+        {
+            let service = &request.service;
+            return Some(stream_resumption::no_target(
+                service,
+                version,
+                view.registry,
+            ));
         }
         if wait::all_tried(request, targets.iter()) {
             return Some(Refusal {
--- a/crates/siskinyoke-dispatch/src/stream_resumption.rs
+++ b/crates/siskinyoke-dispatch/src/stream_resumption.rs
@@ -10,7 +10,8 @@
 use crate::version_key::VersionKey;
 use siskinyoke_base::Millis;
 
-/// The retry delay while the version is not known here. Another instance may know it.
+/// The retry delay while the version is not known here, or its endpoints' entries are outdated.
+/// Another instance may know it, and the entries change soon.
 const UNKNOWN_RETRY_AFTER: Millis = Millis(300);
 
 /// The retry delay if an earlier attempt has no better chance: no endpoint of the version is left, or
@@ -66,11 +67,20 @@
     if !history.contains(service, version) {
         return Err(unknown(UNKNOWN_RETRY_AFTER));
     }
-    Err(version_gone())
+    Err(no_target(service, version, registry))
 }
 
 /// Returns the refusal of a stream no endpoint of whose version is left.
-pub fn version_gone() -> Refusal {
+///
+/// An endpoint whose entry is outdated may have started again as the same version, which its next
+/// entry says.
+pub fn no_target(service: &str, version: VersionKey, registry: &Registry) -> Refusal {
+    if registry.has_outdated(service, version) {
+        return Refusal {
+            reason: RefusalReason::NoEndpoint,
+            retry_after: UNKNOWN_RETRY_AFTER,
+        };
+    }
     Refusal {
         reason: RefusalReason::VersionGone,
         retry_after: FINAL_RETRY_AFTER,
--- a/crates/siskinyoke-dispatch/tests/streams.rs
+++ b/crates/siskinyoke-dispatch/tests/streams.rs
@@ -543,6 +543,71 @@
     assert_eq!(last, None, "no other endpoint has its version");
 }
 
+// Guards against counting an attempt that sent nothing, and against keeping other requests from an
+// endpoint that started again.
+#[test]
+fn an_attempt_whose_endpoint_started_again_costs_neither_an_attempt_nor_a_back_off() {
+    let mut core = core(&[("e1", "2"), ("e2", "2"), ("e3", "2")]);
+    let mut ticket = admit(&mut core, 0, version("2")).unwrap();
+    for (now, outcome) in [(0, Outcome::Unverified), (10, Outcome::ConnectionLost)] {
+        assert_eq!(starts(&mut core, now).len(), 1);
+        let retry = core.attempt_ended(Millis(now + 5), ticket, outcome, true);
+        ticket = retry.unwrap();
+    }
+    assert_eq!(starts(&mut core, 20).len(), 1);
+    let mut core = self::core(&[("e1", "2")]);
+    let ticket = admit(&mut core, 0, version("2")).unwrap();
+    assert_eq!(starts(&mut core, 0).len(), 1);
+    assert_eq!(
+        core.attempt_ended(Millis(5), ticket, Outcome::Unverified, true),
+        None
+    );
+    admit_new(&mut core, 6);
+    assert_eq!(starts(&mut core, 6).len(), 1);
+}
+
+#[test]
+fn an_endpoint_that_started_again_gets_new_streams_only_until_its_entry_changes() {
+    let mut core = core(&[("e1", "2")]);
+    let outdated = versioned("e1", "2");
+    core.record_start(&outdated, 0);
+    let ticket = admit(&mut core, 0, version("2")).unwrap();
+    core.cancel(Millis(0), ticket);
+    core.record_start(&outdated, 2);
+    let refusal = admit(&mut core, 0, version("2")).unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::NoEndpoint);
+    assert!(refusal.retry_after < Millis(1_000), "{refusal:?}");
+    let ticket = admit_new(&mut core, 0);
+    assert_eq!(starts(&mut core, 0).len(), 1);
+    core.cancel(Millis(1), ticket);
+    // The entry is written again as it was.
+    core.registry().put(Millis(1), outdated.clone());
+    core.sweep(Millis(1));
+    assert!(admit(&mut core, 1, version("2")).is_err());
+    let current = Endpoint {
+        started_ms: 2,
+        ..outdated
+    };
+    core.registry().put(Millis(2), current);
+    core.sweep(Millis(2));
+    assert!(admit(&mut core, 2, version("2")).is_ok());
+}
+
+#[test]
+fn a_waiting_stream_whose_last_endpoint_started_again_is_refused_for_a_short_time() {
+    let mut core = core(&[("e1", "1"), ("e2", "2")]);
+    admit(&mut core, 0, version("2")).unwrap();
+    assert_eq!(starts(&mut core, 0).len(), 1);
+    admit(&mut core, 1, version("2")).unwrap();
+    core.record_start(&versioned("e2", "2"), 2);
+    let decisions = core.decide(Millis(2));
+    let [Decision::Refuse(_, refusal)] = decisions[..] else {
+        panic!("{decisions:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::NoEndpoint);
+    assert!(refusal.retry_after < Millis(1_000), "{refusal:?}");
+}
+
 #[test]
 fn a_new_stream_is_bound_by_its_first_event_and_not_by_its_first_endpoint() {
     for begins in [false, true] {
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -65,6 +65,11 @@
 }
 
 impl AcceptedRequest {
+    // Returns whether its caller takes a stream up.
+    fn takes_up(&self) -> bool {
+        self.resumed && self.routed.is_stream()
+    }
+
     // Returns the key of the stream that it begins or goes on with, if its caller may take that up.
     fn stream_key(&self) -> Option<StreamKey> {
         if !self.routed.is_stream() || !self.routed.route.resumable {
@@ -335,7 +340,8 @@
 ) -> Response<ResponseBody> {
     let stream_key = accepted.stream_key();
     let fingerprint = outgoing.fingerprint;
-    let admitted = if accepted.resumed && accepted.routed.is_stream() {
+    let takes_up = accepted.takes_up();
+    let admitted = if takes_up {
         let evidence = find_origin(shell, &accepted, stream_key).await;
         let mut core = shell.core.borrow_mut();
         core.admit_resumed(shell.now(), &accepted.routed, fingerprint, evidence)
@@ -369,6 +375,7 @@
         outgoing,
         id,
         resumed_id,
+        takes_up,
         stream_key,
         caller: CallerChannel {
             start: Some(start_sender),
--- a/crates/siskinyoke-gateway/src/endpoint_client.rs
+++ b/crates/siskinyoke-gateway/src/endpoint_client.rs
@@ -17,7 +17,10 @@
 use crate::pool::Pool;
 use crate::pool::PoolKey;
 use crate::pool::PooledConnection;
+use crate::start_check::StartCheck;
+use crate::start_check::StartError;
 use siskinyoke_dispatch::Endpoint;
+use siskinyoke_interface::Exchange;
 
 /// A request as it is sent to endpoints and relays.
 pub type OutgoingRequest = Request<Full<Bytes>>;
@@ -31,6 +34,8 @@
     ConnectFailed,
     /// No relay took the request; nothing was sent.
     RelayFailed,
+    /// It was not confirmed that the endpoint is the start that its entry names; nothing was sent.
+    Unverified(StartError),
     /// The connection to the endpoint broke after data was sent; the request may have run.
     ConnectionLost,
     /// The response was to another request; the request may have run.
@@ -39,6 +44,10 @@
     LinkLost,
 }
 
+/// The number of connections over which a start is verified for one request. Endpoints sometimes
+/// close one after a response.
+const MAX_VERIFIED_CONNECTIONS: usize = 2;
+
 /// Whether a request may be sent over a connection that has been used before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
@@ -46,6 +55,9 @@
     Allowed,
     /// It needs a new connection, as the attempt before may have failed because of an old one.
     Denied,
+    /// It needs a new connection to the start of the endpoint that its entry names, as it goes on
+    /// with a stream that began at that version.
+    Verified,
 }
 
 impl Reuse {
@@ -59,14 +71,20 @@
 #[derive(Debug)]
 pub struct EndpointClient {
     pool: Rc<Pool>,
+    exchange: Rc<dyn Exchange>,
     log: EventLog,
     source: IpAddr,
 }
 
 impl EndpointClient {
     /// Creates a client whose connections leave from `source`.
-    pub fn new(pool: Rc<Pool>, log: EventLog, source: IpAddr) -> Self {
-        Self { pool, log, source }
+    pub fn new(pool: Rc<Pool>, exchange: Rc<dyn Exchange>, log: EventLog, source: IpAddr) -> Self {
+        Self {
+            pool,
+            exchange,
+            log,
+            source,
+        }
     }
 
     /// Sends a request over an idle connection; returns the request if there is none, or if it needs
@@ -84,7 +102,7 @@
         mut request: OutgoingRequest,
         reuse: Reuse,
     ) -> Result<Reply, OutgoingRequest> {
-        if reuse == Reuse::Denied {
+        if reuse != Reuse::Allowed {
             return Err(request);
         }
         let key = PoolKey::Endpoint(endpoint.key());
@@ -99,10 +117,61 @@
     }
 
     /// Sends a request over a new connection.
-    pub async fn send_new(&self, endpoint: &Endpoint, request: OutgoingRequest) -> Reply {
-        let Some(mut pooled) = self.connect(endpoint).await else {
+    pub async fn send_new(
+        &self,
+        endpoint: &Endpoint,
+        request: OutgoingRequest,
+        reuse: Reuse,
+    ) -> Reply {
+        let connection = match self.connect_verified(endpoint, reuse).await {
+            Ok(connection) => connection,
+            Err(reply) => return reply,
+        };
+        let connection = match connection {
+            Some(connection) => Some(connection),
+            None => self.connect(endpoint).await,
+        };
+        let Some(connection) = connection else {
             return Reply::ConnectFailed;
         };
+        self.send_over(endpoint, request, connection).await
+    }
+
+    /// Opens a connection on which the endpoint has confirmed its start; returns `None` if the
+    /// request needs none, or the endpoint's entry or the protocol states no starts.
+    ///
+    /// # Errors
+    ///
+    /// That there is no such connection.
+    pub async fn connect_verified(
+        &self,
+        endpoint: &Endpoint,
+        reuse: Reuse,
+    ) -> Result<Option<PooledConnection>, Reply> {
+        let check = StartCheck::new(&*self.exchange, endpoint);
+        let Some(check) = check.filter(|_| reuse == Reuse::Verified) else {
+            return Ok(None);
+        };
+        for _ in 0..MAX_VERIFIED_CONNECTIONS {
+            let Some(mut pooled) = self.connect(endpoint).await else {
+                return Err(Reply::ConnectFailed);
+            };
+            match check.run(&mut pooled.connection).await {
+                Ok(()) => return Ok(Some(pooled)),
+                Err(StartError::ConnectionClosed) => {}
+                Err(err) => return Err(self.unverified(endpoint, err)),
+            }
+        }
+        Err(self.unverified(endpoint, StartError::ConnectionClosed))
+    }
+
+    /// Sends a request over a connection that was opened for it.
+    pub async fn send_over(
+        &self,
+        endpoint: &Endpoint,
+        request: OutgoingRequest,
+        mut pooled: PooledConnection,
+    ) -> Reply {
         match pooled.connection.send(request).await {
             SendOutcome::Head(response) => Reply::Head(response, pooled),
             SendOutcome::NotSent(_) => Reply::ConnectFailed,
@@ -133,6 +202,18 @@
         }
     }
 
+    fn unverified(&self, endpoint: &Endpoint, err: StartError) -> Reply {
+        let fields = json!({
+            "endpoint": &*endpoint.id,
+            "born": endpoint.started_ms,
+            "reported": err.reported_start(),
+            "version": &*endpoint.version,
+            "error": err.to_string(),
+        });
+        self.log.log("endpoint_unverified", fields);
+        Reply::Unverified(err)
+    }
+
     fn lost(&self, endpoint: &Endpoint, err: &hyper::Error) -> Reply {
         let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
         self.log.log("endpoint_broken", fields);
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -73,6 +73,8 @@
     pub id: Option<String>,
     /// Identifier of the request that began the stream with which this one goes on.
     pub resumed_id: Option<String>,
+    /// Whether it goes on with a stream that its caller takes up.
+    pub takes_up: bool,
     /// Key of the stream, if its caller may take that up elsewhere.
     pub stream_key: Option<StreamKey>,
     /// Channels for the response to the caller.
@@ -197,32 +199,17 @@
 
     async fn attempt(&mut self, endpoint: &Arc<Endpoint>, permit: &Permit) -> AttemptEnd {
         let start = self.shell.now();
-        let reuse = Reuse::denied_if(self.last_endpoint.is_some());
+        let reuse = self.connection_reuse();
+        let executed_before = self.maybe_executed;
         self.last_endpoint = Some(endpoint.clone());
         self.progress.relay = None;
         self.progress.framing = None;
         self.progress.body_end = None;
         self.progress.partial_bytes = 0;
-        let executed_before = std::mem::replace(&mut self.maybe_executed, true);
         let shell = self.shell.clone();
-        let headers = self.request_headers(endpoint, start);
-        let reply = {
-            let mut sending = pin!(attempt::send(
-                &shell,
-                endpoint,
-                &self.outgoing,
-                headers,
-                reuse
-            ));
-            if let Ok(reply) = timeout(permit.stall_timeout().into(), &mut sending).await {
-                reply
-            } else {
-                attempt::record_overdue(&shell, endpoint, start);
-                match stall::wait_or_move(permit, sending).await {
-                    Ok(reply) => reply,
-                    Err(slot) => return AttemptEnd::Moved(slot),
-                }
-            }
+        let reply = match self.send(endpoint, permit, reuse).await {
+            Ok(reply) => reply,
+            Err(slot) => return AttemptEnd::Moved(slot),
         };
         let (response, connection) = match reply {
             Reply::Head(response, connection) => (response, connection),
@@ -234,6 +221,10 @@
                 self.maybe_executed = executed_before;
                 return AttemptEnd::Retry(Outcome::RelayFailed);
             }
+            Reply::Unverified(_) => {
+                self.maybe_executed = executed_before;
+                return AttemptEnd::Retry(Outcome::Unverified);
+            }
             Reply::Mismatched => return AttemptEnd::Retry(Outcome::Mismatched),
             Reply::LinkLost => return AttemptEnd::Retry(Outcome::LinkLost),
             Reply::ConnectionLost => return AttemptEnd::Retry(Outcome::ConnectionLost),
@@ -276,6 +267,46 @@
         }
     }
 
+    // Sends the request to an endpoint and waits for the response head. If the attempt stalls, returns
+    // a slot at another endpoint instead, as soon as there is one.
+    async fn send(
+        &mut self,
+        endpoint: &Arc<Endpoint>,
+        permit: &Permit,
+        reuse: Reuse,
+    ) -> Result<Reply, AssignedSlot> {
+        let shell = self.shell.clone();
+        // Nothing is sent before the endpoint has confirmed its start, so the stall timeout begins
+        // then.
+        let connection = match attempt::connect_verified(&shell, endpoint, reuse).await {
+            Ok(connection) => connection,
+            Err(reply) => return Ok(reply),
+        };
+        self.maybe_executed = true;
+        let start = shell.now();
+        let headers = self.request_headers(endpoint, start);
+        let request = self.outgoing.with_headers(headers);
+        let mut sending = pin!(async {
+            match connection {
+                Some(connection) => attempt::send_over(&shell, endpoint, request, connection).await,
+                None => attempt::send(&shell, endpoint, request, reuse).await,
+            }
+        });
+        if let Ok(reply) = timeout(permit.stall_timeout().into(), &mut sending).await {
+            return Ok(reply);
+        }
+        attempt::record_overdue(&shell, endpoint, start);
+        stall::wait_or_move(permit, sending).await
+    }
+
+    // Returns which connections to an endpoint the next attempt may be sent over.
+    fn connection_reuse(&self) -> Reuse {
+        if self.takes_up || self.events.event_count() > 0 {
+            return Reuse::Verified;
+        }
+        Reuse::denied_if(self.last_endpoint.is_some())
+    }
+
     // A response of unstated type may be one, unless its length is known from the head.
     fn is_event_stream(&self, response: &Response<Incoming>, framing: Framing) -> bool {
         let stated = headers::is_event_stream(response.headers());
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod settings;
 pub mod shell;
 pub mod signals;
+pub mod start_check;
 pub mod store;
 pub mod store_writes;
 pub mod stream_lookup;
--- a/crates/siskinyoke-gateway/src/permit.rs
+++ b/crates/siskinyoke-gateway/src/permit.rs
@@ -119,6 +119,7 @@
         Outcome::Misdirected => "moved",
         Outcome::ConnectFailed => "unreached",
         Outcome::RelayFailed => "unrelayed",
+        Outcome::Unverified => "unverified",
         Outcome::ConnectionLost => "broken",
         Outcome::Mismatched => "mismatched",
         Outcome::LinkLost => "link_lost",
--- a/crates/siskinyoke-gateway/src/pool.rs
+++ b/crates/siskinyoke-gateway/src/pool.rs
@@ -34,7 +34,7 @@
 ///
 /// A duplicate of the response that has just ended would be taken for the response to the next
 /// request. One that follows within this time closes the connection instead.
-const MIN_IDLE_TIME: Millis = Millis(2);
+pub const MIN_IDLE_TIME: Millis = Millis(2);
 
 /// Time within which a connection must be ready for reuse after a response.
 const REUSE_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/siskinyoke-gateway/src/probes.rs
+++ b/crates/siskinyoke-gateway/src/probes.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::endpoint_client::Reply;
+use crate::endpoint_client::Reuse;
 use crate::pool::PoolKey;
 use crate::shell::Shell;
 use siskinyoke_dispatch::Endpoint;
@@ -33,7 +34,9 @@
 async fn probe(shell: Rc<Shell>, endpoint: Arc<Endpoint>) {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(shell.interface.exchange.probe_path());
-    let sending = shell.endpoint_client.send_new(&endpoint, request);
+    let sending = shell
+        .endpoint_client
+        .send_new(&endpoint, request, Reuse::Denied);
     let reply = timeout(PROBE_TIMEOUT, sending).await;
     let responded = matches!(reply, Ok(Reply::Head(..)));
     // Any response shows that the link works, whatever it says.
--- a/crates/siskinyoke-gateway/src/relay.rs
+++ b/crates/siskinyoke-gateway/src/relay.rs
@@ -44,10 +44,16 @@
 /// To earlier versions, the connection is lost.
 pub const MISMATCH_HEADER: HeaderName = HeaderName::from_static("siskinyoke-relay-mismatch");
 
-/// Set by the sender of a request that needs a new connection to the endpoint.
+/// Set by the sender of a request that needs a new connection to the endpoint, to
+/// [`VERIFIED_CONNECTION`] if the endpoint has to confirm its start there.
+///
+/// Relays of earlier versions open a new connection for any value, and confirm nothing.
 pub const NEW_CONNECTION_HEADER: HeaderName =
     HeaderName::from_static("siskinyoke-relay-new-connection");
 
+/// The value by which a request needs a connection on which the endpoint has confirmed its start.
+pub const VERIFIED_CONNECTION: &str = "verified";
+
 /// Sends requests through peers, and relays those of peers.
 #[derive(Debug)]
 pub struct Relay {
--- a/crates/siskinyoke-gateway/src/relay/client.rs
+++ b/crates/siskinyoke-gateway/src/relay/client.rs
@@ -22,6 +22,7 @@
 use super::NEW_CONNECTION_HEADER;
 use super::Relay;
 use super::STATUS_HEADER;
+use super::VERIFIED_CONNECTION;
 use super::status::RelayStatus;
 use crate::clock::BootClock;
 use crate::connection::Connection;
@@ -31,6 +32,7 @@
 use crate::endpoint_client::Reuse;
 use crate::pool::PoolKey;
 use crate::pool::PooledConnection;
+use crate::start_check::StartError;
 use siskinyoke_base::Clock;
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Endpoint;
@@ -72,6 +74,9 @@
             match result {
                 Ok(reply) => return Ok(reply),
                 Err(RelayStatus::Unreachable) => unreachable = true,
+                Err(RelayStatus::Unverified) => {
+                    return Ok(Reply::Unverified(StartError::NotRelayed));
+                }
                 Err(status) => {
                     self.core
                         .borrow_mut()
@@ -186,8 +191,13 @@
         if let Ok(value) = HeaderValue::from_str(&key) {
             headers.insert(ENDPOINT_HEADER, value);
         }
-        if reuse == Reuse::Denied {
-            headers.insert(NEW_CONNECTION_HEADER, HeaderValue::from_static("1"));
+        let value = match reuse {
+            Reuse::Allowed => None,
+            Reuse::Denied => Some("1"),
+            Reuse::Verified => Some(VERIFIED_CONNECTION),
+        };
+        if let Some(value) = value.map(HeaderValue::from_static) {
+            headers.insert(NEW_CONNECTION_HEADER, value);
         }
         Self {
             method: parts.method,
--- a/crates/siskinyoke-gateway/src/relay/server.rs
+++ b/crates/siskinyoke-gateway/src/relay/server.rs
@@ -25,10 +25,12 @@
 use super::NEW_CONNECTION_HEADER;
 use super::Relay;
 use super::STATUS_HEADER;
+use super::VERIFIED_CONNECTION;
 use super::body::Counted;
 use super::body::RelayedBody;
 use super::error::LinkLostError;
 use super::status::RelayStatus;
+use crate::attempt;
 use crate::clock::BootClock;
 use crate::endpoint_client::OutgoingRequest;
 use crate::endpoint_client::Reply;
@@ -86,14 +88,14 @@
         let held_bytes = Counted::new(&self.held_bytes, body_size);
         let (parts, body) = request.into_parts();
         let id = self.exchange.request_id(&parts).map(str::to_owned);
-        let reuse = Reuse::denied_if(parts.headers.contains_key(NEW_CONNECTION_HEADER));
+        let reuse = reuse(&parts);
         let Some(request) = read(parts, body, body_size).await else {
             return Ok(unread_body::closing(self.refuse(peer, "body")));
         };
         let sent_at = BootClock.now();
         let reply = match self.client.send_pooled(&endpoint, request, reuse).await {
             Ok(reply) => reply,
-            Err(request) => self.client.send_new(&endpoint, request).await,
+            Err(request) => self.client.send_new(&endpoint, request, reuse).await,
         };
         drop(held_bytes);
         let now = BootClock.now();
@@ -111,6 +113,11 @@
                     .record_no_response(now, &endpoint, sent_at);
                 self.state_lost_connection(&endpoint).await
             }
+            Reply::Unverified(err) => {
+                let mut core = self.core.borrow_mut();
+                attempt::record_unverified(&mut core, now, &endpoint, sent_at, err);
+                Ok(status_only(RelayStatus::Unverified))
+            }
             Reply::ConnectFailed | Reply::RelayFailed => {
                 self.core.borrow_mut().record_unreachable(now, &endpoint);
                 Ok(status_only(RelayStatus::Unreachable))
@@ -215,6 +222,14 @@
     }
 }
 
+// Returns which connections to the endpoint a request may be sent over.
+fn reuse(parts: &Parts) -> Reuse {
+    match parts.headers.get(NEW_CONNECTION_HEADER) {
+        Some(value) if value == VERIFIED_CONNECTION => Reuse::Verified,
+        value => Reuse::denied_if(value.is_some()),
+    }
+}
+
 fn endpoint_key(request: &Request<Incoming>) -> Option<EndpointKey> {
     let value = request.headers().get(ENDPOINT_HEADER)?.to_str().ok()?;
     u64::from_str_radix(value, 16).ok().map(EndpointKey)
--- a/crates/siskinyoke-gateway/src/relay/status.rs
+++ b/crates/siskinyoke-gateway/src/relay/status.rs
@@ -7,6 +7,9 @@
     Relayed,
     /// The relay could not connect to the endpoint; nothing was sent.
     Unreachable,
+    /// The relay did not confirm that the endpoint is the start that its entry names; nothing was
+    /// sent.
+    Unverified,
     /// The connection to the endpoint broke; the request may have run.
     ConnectionLost,
     /// The relay did not take the request.
@@ -14,9 +17,10 @@
 }
 
 impl RelayStatus {
-    const ALL: [Self; 4] = [
+    const ALL: [Self; 5] = [
         Self::Relayed,
         Self::Unreachable,
+        Self::Unverified,
         Self::ConnectionLost,
         Self::Refused,
     ];
@@ -26,6 +30,7 @@
         match self {
             Self::Relayed => "relayed",
             Self::Unreachable => "unreachable",
+            Self::Unverified => "unverified",
             Self::ConnectionLost => "connection-lost",
             Self::Refused => "refused",
         }
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -191,7 +191,12 @@
         let core = Rc::new(RefCell::new(Core::new(identity)));
         let pool = Rc::<Pool>::default();
         let event_log = EventLog::new(log_writer);
-        let client = EndpointClient::new(pool.clone(), event_log.clone(), settings.ip);
+        let client = EndpointClient::new(
+            pool.clone(),
+            interface.exchange.clone(),
+            event_log.clone(),
+            settings.ip,
+        );
         let client = Rc::new(client);
         let relay = Relay::new(
             core.clone(),
--- a/crates/siskinyoke-gateway/tests/cut_links/main.rs
+++ b/crates/siskinyoke-gateway/tests/cut_links/main.rs
@@ -21,6 +21,8 @@
 use siskinyoke_soak::instance::send_request;
 use siskinyoke_soak::instance::wait_until;
 use siskinyoke_soak::proxy::Cut;
+use siskinyoke_soak::stream::Part;
+use siskinyoke_soak::stream::StreamRequest;
 
 /// How long a cut may last until the callers have to be served: the default of `settle_ms`.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
@@ -132,6 +134,24 @@
         (!served).then(|| format!("{id}: {response:?}"))
     }
 
+    // Sends a request for a stream, or for the rest of one, to an instance.
+    fn stream(
+        &self,
+        instance: usize,
+        id: &str,
+        resumes: Option<(&str, u32)>,
+        max_events: usize,
+    ) -> Part {
+        let request = StreamRequest {
+            id,
+            path: "/stream/versioned",
+            shared_parts: &[],
+            resumes,
+            max_events,
+        };
+        request.send(self.instances[instance].caller_address)
+    }
+
     // Returns how often the request with this ID arrived at endpoints.
     fn arrivals(&self, id: &str) -> usize {
         let requests = self.endpoints.iter().flat_map(Endpoint::requests);
@@ -234,6 +254,23 @@
     }
 }
 
+// Guards against a relay that takes the version of an entry for that of the process.
+#[test]
+fn a_stream_is_relayed_only_to_the_start_that_the_entry_names() {
+    let fleet = Fleet::start(2);
+    let first = fleet.stream(1, "s", None, 3);
+    assert_eq!(first.events.len(), 3, "{first:?}");
+    fleet.lose_links(0..1);
+    let second = fleet.stream(0, "sb", Some(("s", 3)), usize::MAX);
+    assert!(second.is_last(), "{second:?}");
+    for endpoint in &fleet.endpoints {
+        endpoint.restart_as("v2");
+    }
+    let third = fleet.stream(0, "sc", Some(("s", 3)), usize::MAX);
+    assert_eq!(third.status, "503", "{third:?}");
+    assert_eq!(fleet.arrivals("sc"), 0);
+}
+
 // Guards against a quarantine of content that ran nowhere twice.
 #[test]
 fn content_is_not_blamed_for_links_that_a_relay_has_lost() {
--- a/crates/siskinyoke-interface/src/exchange.rs
+++ b/crates/siskinyoke-interface/src/exchange.rs
@@ -81,6 +81,18 @@
     /// response says: it only tells whether the endpoint can be reached.
     fn probe_path(&self) -> &'static str;
 
+    /// Returns the path of a request to which an endpoint responds, without a slot, with a report
+    /// that states when it started, if the protocol has one.
+    fn report_path(&self) -> Option<&'static str> {
+        None
+    }
+
+    /// Returns when an endpoint started by its report, in milliseconds of Unix time, if that states
+    /// it.
+    fn decode_start(&self, _report: &[u8]) -> Option<u64> {
+        None
+    }
+
     /// Returns the path and query of the request to an endpoint.
     fn endpoint_uri(&self, uri: &Uri) -> Uri {
         uri.clone()
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -240,6 +240,8 @@
     }
 
     fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
+        // A reset discards what waits for the acknowledgement of earlier bytes.
+        stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut out = stream;
         let mut duplicate: Option<Vec<u8>> = None;
