--- a/crates/siskinyoke-gateway/tests/restarted_versions.rs
+++ b/crates/siskinyoke-gateway/tests/restarted_versions.rs
@@ -313,3 +313,13 @@
     check_all_went_on(&first[..1], &[second]);
     assert_eq!(left.report_count(), 2);
 }
+
+// Guards against a record of the version of an entry that is outdated.
+#[test]
+fn a_stream_that_begins_before_the_entry_of_its_endpoint_changes_stays_at_its_version() {
+    let fleet = Fleet::start();
+    fleet.endpoints[0].restart_as("v2");
+    let first = fleet.begin_all();
+    assert_eq!(versions(&first).len(), 2, "{first:#?}");
+    check_unmixed(&first, &fleet.take_up_all(&first));
+}
