Endpoint entries: values that cannot be used name no endpoint

Entries with no slots, or with an address that is no IP:PORT, were used for attempts that cannot succeed.

Such an entry is unreadable, which counts as removed. An instance's entry must state an address to which messages can be sent. Sums and products of slots saturate in any case.

--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -352,7 +352,8 @@
         let preceding = shards.iter().filter(|it| hash(it) < hash(&self.shard));
         let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
         let rank = count(preceding.count());
-        let part = (slots + count(shards.len().max(1)) - 1).saturating_sub(rank);
+        let part = slots.saturating_add(count(shards.len().max(1)) - 1);
+        let part = part.saturating_sub(rank);
         endpoint.slots.min(part / count(shards.len().max(1)))
     }
 
@@ -527,7 +528,7 @@
                     (0..shards).filter(|it| all[*it].contains(&index)).collect();
                 let count = u32::try_from(users.len()).unwrap_or(u32::MAX);
                 sharing_shards.insert(endpoint.key().short_key(), users);
-                let slots = (endpoint.slots * 3).div_ceil(count * 2).max(2);
+                let slots = endpoint.slots.saturating_mul(3).div_ceil(count * 2).max(2);
                 Arc::new(Endpoint {
                     slots: slots.min(endpoint.slots),
                     ..(**endpoint).clone()
--- a/crates/siskinyoke-dispatch/src/rejection_limits.rs
+++ b/crates/siskinyoke-dispatch/src/rejection_limits.rs
@@ -52,7 +52,7 @@
 /// position among them. The parts of all instances together make up the slots.
 pub fn part_of_slots(slots: u32, instances: u32, position: u32) -> u32 {
     let instances = instances.max(1);
-    (slots + instances - 1 - position.min(instances - 1)) / instances
+    slots.saturating_add(instances - 1 - position.min(instances - 1)) / instances
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/siskinyoke-dispatch/src/rollout.rs
+++ b/crates/siskinyoke-dispatch/src/rollout.rs
@@ -264,7 +264,8 @@
                 continue;
             }
             self.stable_seen |= !new;
-            self.slots[usize::from(!new)] += endpoint.slots;
+            let slots = &mut self.slots[usize::from(!new)];
+            *slots = slots.saturating_add(endpoint.slots);
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -167,8 +167,8 @@
         registry: &Registry,
         peers: &Peers,
     ) -> Result<Ticket, Refusal> {
-        let slots: u32 = registry.targets(&request).iter().map(|it| it.slots).sum();
-        if slots == 0 {
+        let targets = registry.targets(&request);
+        if targets.iter().all(|it| it.slots == 0) {
             return Err(Refusal {
                 reason: RefusalReason::NoEndpoint,
                 retry_after: NO_ENDPOINT_RETRY_AFTER,
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -138,10 +138,10 @@
         waiting: usize,
     ) -> OpenEndpoints {
         let mut free = self.candidates(view, view.registry.eligible(service));
-        let slots: u32 = free
+        let slots = free
             .iter()
             .map(|it| it.free_slots.saturating_sub(it.queue_slots))
-            .sum();
+            .fold(0, u32::saturating_add);
         // The queues of fast endpoints are used only if more requests wait than there are free
         // slots.
         if waiting <= slots as usize {
@@ -205,7 +205,8 @@
                     .get(&key)
                     .map_or((0, 0), |row| (u32::from(row.count), row.prefill_tokens));
                 let (slots, queue_slots) = self.slot_limits(endpoint);
-                let open_slots = (slots + queue_slots).saturating_sub(count + peer_count);
+                let open_slots = slots.saturating_add(queue_slots);
+                let open_slots = open_slots.saturating_sub(count.saturating_add(peer_count));
                 let tokens = self.rate_limits.tokens(key);
                 let own_slots = self.own_free_slots(view, &others, endpoint, unknown_use);
                 let limits = [tokens, self.half_open_slots(key), own_slots];
@@ -331,7 +332,8 @@
 // Counts the free slots that peers use as well: not those of slow endpoints or under a rate limit.
 pub(super) fn shared_slots(candidates: &[Candidate]) -> u32 {
     let shared = candidates.iter().filter(|it| !it.slow && !it.reserved);
-    shared.map(|candidate| candidate.free_slots).sum()
+    let slots = shared.map(|candidate| candidate.free_slots);
+    slots.fold(0, u32::saturating_add)
 }
 
 // Counts the peers' waiting requests that go before a request of this instance.
--- a/crates/siskinyoke-dispatch/src/scheduler/lending.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/lending.rs
@@ -129,7 +129,8 @@
         }
         let candidates = self.free_endpoints(view, &service);
         let available = self.available(view.now, view.registry.eligible(&service));
-        let slots: u32 = available.iter().map(|it| it.slots).sum();
+        let slots = available.iter().map(|it| it.slots);
+        let slots = slots.fold(0, u32::saturating_add);
         if shared_slots(&candidates) <= slots / RESERVED_SLOTS_DIVISOR + 1 {
             return None;
         }
--- a/crates/siskinyoke-dispatch/tests/scheduler.rs
+++ b/crates/siskinyoke-dispatch/tests/scheduler.rs
@@ -370,3 +370,15 @@
         12
     );
 }
+
+// Guards against a sum of slots that overflows.
+#[test]
+fn endpoints_with_any_number_of_slots_serve_requests() {
+    let registry = registry(&[("a", u32::MAX), ("b", u32::MAX), ("c", 2)]);
+    let peers = Peers::default();
+    let mut scheduler = Scheduler::new("me", "a");
+    let request = scheduled_request(RouteKind::Safe, 0, 0);
+    let ticket = scheduler.admit(Millis(0), request, &registry, &peers);
+    let decisions = scheduler.decide(Millis(1), &registry, &peers);
+    assert_eq!(started(&decisions), [ticket.unwrap()]);
+}
--- a/crates/siskinyoke-gateway/src/cluster_view.rs
+++ b/crates/siskinyoke-gateway/src/cluster_view.rs
@@ -12,11 +12,14 @@
 use crate::stream_writer;
 use siskinyoke_base::Revision;
 use siskinyoke_dispatch::StoreUpdate;
+use siskinyoke_dispatch::report::InstanceLocation;
 use siskinyoke_dispatch::rollout::Order;
 use siskinyoke_dispatch::rollout::Status;
 use siskinyoke_dispatch::version_history::VersionNote;
+use siskinyoke_interface::FormatError;
 use siskinyoke_interface::Item;
 use siskinyoke_interface::ItemKind;
+use siskinyoke_interface::endpoint::parse_address;
 
 /// Maximum number of organisations listed in the log line of a new configuration.
 const MAX_LOGGED_ORGANISATIONS: usize = 8;
@@ -222,11 +225,17 @@
 }
 
 fn decode_instance(shell: &Shell, name: &str, value: &[u8]) -> Option<StoreUpdate> {
-    let decoded = serde_json::from_slice(value);
+    let decoded = decode_location(value);
     let location = readable(shell, decoded, "instance_unreadable", ("instance", name))?;
     Some(StoreUpdate::Instance(name.to_owned(), location))
 }
 
+fn decode_location(value: &[u8]) -> Result<InstanceLocation, FormatError> {
+    let location: InstanceLocation = serde_json::from_slice(value)?;
+    parse_address("inner", &location.peer_address)?;
+    Ok(location)
+}
+
 // Returns a decoded value, or logs why it cannot be read; `subject` names the item in the log line.
 fn readable<T, E: Display>(
     shell: &Shell,
--- /dev/null
+++ b/crates/siskinyoke-gateway/tests/odd_documents.rs
@@ -0,0 +1,81 @@
+//! Entries of other writers in the store that cannot be read, or state extreme values.
+
+use std::path::Path;
+
+use siskinyoke_soak::Endpoint;
+use siskinyoke_soak::Instance;
+use siskinyoke_soak::Store;
+use siskinyoke_soak::configuration;
+use siskinyoke_soak::instance::wait_until;
+
+struct Site {
+    store: Store,
+    endpoint: Endpoint,
+    version: u64,
+}
+
+impl Site {
+    fn start() -> Self {
+        let store = Store::start();
+        store.put("op/config", &configuration::text(3, "k1"));
+        let endpoint = Endpoint::start("sound");
+        store.put("servers/sound", &endpoint.entry("ready"));
+        Self {
+            store,
+            endpoint,
+            version: 3,
+        }
+    }
+
+    fn start_instance(&self, name: &str) -> Instance {
+        let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
+        Instance::start(program, name, self.store.address).wait_until_ready()
+    }
+
+    // Checks that an instance learns of a configuration without the key, and of one with it.
+    fn check_follows(&mut self, instance: &Instance, case: &str) {
+        for (key, serves) in [("k2", false), ("k1", true)] {
+            self.version += 1;
+            let text = configuration::text(self.version, key);
+            self.store.put("op/config", &text);
+            wait_until(&format!("the instance follows the store: {case}"), || {
+                instance.serves_requests() == serves
+            });
+        }
+    }
+
+    // Returns the entry of the sound endpoint with another text.
+    fn entry_with(&self, from: &str, to: &str) -> String {
+        let entry = self.endpoint.entry("ready");
+        assert!(entry.contains(from), "{entry}");
+        entry.replace(from, to)
+    }
+}
+
+// Guards against sums that overflow, and against requests to endpoints that cannot be reached.
+#[test]
+fn entries_with_extreme_values_name_no_endpoint() {
+    let mut site = Site::start();
+    let instance = site.start_instance("watching");
+    let slots = "\"Slots\":4";
+    let address = site.endpoint.address.to_string();
+    let entries = [
+        site.entry_with(slots, "\"Slots\":4294967295"),
+        site.entry_with(slots, "\"Slots\":4294967295"),
+        site.entry_with(slots, "\"Slots\":2147483648"),
+        site.entry_with(slots, "\"Slots\":0"),
+        site.entry_with(&address, "127.0.0.1:0"),
+        site.entry_with(&address, "127.0.0.1:65536"),
+        site.entry_with(&address, "endpoint.example:80"),
+        site.entry_with("\"lm\"", &format!("\"{}\"", "l".repeat(60_000))),
+        site.entry_with("\"Zone\":\"a\"", "\"Zone\":\"\\u0000\\n\\\"{}\""),
+        site.entry_with("}", ",\"Extra\":1e999}"),
+        site.entry_with("\"born\":", "\"born\":18446744073709551615,\"boot\":"),
+    ];
+    for (number, entry) in entries.iter().enumerate() {
+        site.store.put(&format!("servers/odd{number}"), entry);
+    }
+    site.check_follows(&instance, "extreme values");
+    let joined = site.start_instance("reading");
+    wait_until("the new instance serves", || joined.serves_requests());
+}
--- a/crates/siskinyoke-interface/src/lib.rs
+++ b/crates/siskinyoke-interface/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod directory;
 pub mod documents;
+pub mod endpoint;
 pub mod error;
 pub mod exchange;
 pub mod headers;
@@ -19,6 +20,7 @@
 pub use documents::ItemKind;
 pub use documents::RolloutSpec;
 pub use documents::StoreKeys;
+pub use endpoint::check_endpoint;
 pub use error::FormatError;
 pub use exchange::Exchange;
 pub use exchange::RequestHead;
--- a/crates/siskinyoke-native/src/documents.rs
+++ b/crates/siskinyoke-native/src/documents.rs
@@ -16,6 +16,7 @@
 use siskinyoke_interface::FormatError;
 use siskinyoke_interface::RolloutSpec;
 use siskinyoke_interface::StoreKeys;
+use siskinyoke_interface::check_endpoint;
 
 /// The native documents in the store.
 #[derive(Debug, Clone, Copy)]
@@ -65,10 +66,7 @@
 
     fn decode_endpoint(&self, id: &str, bytes: &[u8]) -> Result<Endpoint, FormatError> {
         let entry: EndpointEntry = serde_json::from_slice(bytes)?;
-        if entry.slots == 0 {
-            return Err(FormatError::InvalidValue("slots".into(), "give 1 or more"));
-        }
-        Ok(Endpoint {
+        check_endpoint(Endpoint {
             id: id.into(),
             started_ms: entry.started_ms,
             service: entry.service,
--- a/crates/siskinyoke-native/tests/documents.rs
+++ b/crates/siskinyoke-native/tests/documents.rs
@@ -160,3 +160,35 @@
         br#"{ "service": "qalam", "address": "10.0.0.1:8000", "slots": 8, "drain": true }"#;
     assert!(NativeDocuments.decode_endpoint("e", unknown_field).is_err());
 }
+
+// Guards against documents that end the process, and against endpoints that cannot be used.
+#[test]
+fn extreme_documents_are_errors() {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    for text in [
+        &*nested,
+        r#"{"revision":1e999}"#,
+        "{\"revision\":\"\\ud83d\"}",
+        "\"",
+        "/*",
+        "-",
+    ] {
+        assert!(
+            NativeDocuments
+                .decode_configuration(text.as_bytes())
+                .is_err()
+        );
+    }
+    for (address, slots) in [
+        ("e.example:80", 8),
+        ("10.0.0.1:0", 8),
+        ("10.0.0.1:80", u32::MAX),
+    ] {
+        let text = format!(r#"{{ "service": "q", "address": "{address}", "slots": {slots} }}"#);
+        assert!(
+            NativeDocuments
+                .decode_endpoint("e", text.as_bytes())
+                .is_err()
+        );
+    }
+}
