Store pages: the next page begins after any key

Pages of the platform's store continue after the last key, which stood in the query as it is. After `a#b` the same page came again without end: a new instance of a debug build grew from 9.3 to 11.3 MB in 24 s with pages of one item, read nothing else and did not become ready. After a key with a space or a control character the call had no path at all (404). In etcd, a key that is no UTF-8 was changed before the next page was asked for.

Keys and prefixes are encoded in queries, and etcd's pages continue after the key's bytes: a page says where the next one begins (`Batch::next`), which only its interface interprets. A store that gives the same place twice is not read on.

`keys_of_any_characters_are_read_in_pages` (pages of one item) failed before. Existing tests: `Batch::has_more` has become `next`; the checks compare the place itself or ask for the page that it names.

--- a/crates/siskinyoke-cli/src/operate/mod.rs
+++ b/crates/siskinyoke-cli/src/operate/mod.rs
@@ -216,19 +216,19 @@
 // Returns all items whose keys start with a prefix.
 fn list_items(context: &Context, prefix: &str) -> Result<Vec<Item>, OperateError> {
     let mut items = Vec::new();
-    let mut after = String::new();
+    let mut next: Option<String> = None;
     loop {
-        let body = context.call_store(&Etcd.range(&after, Consistency::Linearizable))?;
+        let call = Etcd.range(next.as_deref(), Consistency::Linearizable);
+        let body = context.call_store(&call)?;
         let page = Etcd
             .decode_range(&body, SINGLE_ERA)
             .map_err(invalid_response)?;
-        let last = page.items.last();
-        after = last.map(|item| item.key.clone()).unwrap_or_default();
         let matches = |item: &Item| item.key.starts_with(prefix);
         items.extend(page.items.into_iter().filter(matches));
-        if !page.has_more || after.is_empty() {
+        if page.next.is_none() {
             return Ok(items);
         }
+        next = page.next;
     }
 }
 
--- a/crates/siskinyoke-gateway/src/replica.rs
+++ b/crates/siskinyoke-gateway/src/replica.rs
@@ -79,7 +79,7 @@
         let batch = Batch {
             items: update.items,
             revision: update.revision,
-            has_more: false,
+            ..Batch::default()
         };
         if update.full {
             self.replace_all(batch)
@@ -191,7 +191,7 @@
         let before = revisions[revisions.len() - MAX_TOMBSTONES];
         self.entries
             .retain(|_, it| it.item.value.is_some() || it.applied_revision >= before);
-        let pruned = Revision::new(before.era, before.number - 1);
+        let pruned = Revision::new(before.era, before.number.saturating_sub(1));
         self.complete_since = self.complete_since.max(pruned);
     }
 }
--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -127,24 +127,23 @@
     // Reads the full state, and returns whether it has a configuration; a stale one may not.
     async fn read_all(&mut self, consistency: Consistency) -> Result<bool, StoreError> {
         let mut items = Vec::new();
-        let mut after = String::new();
+        let mut next: Option<String> = None;
         let mut revision: Option<Revision> = None;
         loop {
-            let page = self.read_page(&after, consistency).await?;
+            let page = self.read_page(next.as_deref(), consistency).await?;
             if revision.is_some_and(|it| it.era != page.revision.era) {
                 return Err(StoreError::WrongEra);
             }
             // Pages are no snapshot, so the watch starts at the lowest revision among them.
             revision = Some(revision.map_or(page.revision, |it| it.min(page.revision)));
-            after = page
-                .items
-                .last()
-                .map(|item| item.key.clone())
-                .unwrap_or_default();
             items.extend(page.items);
-            if !page.has_more || after.is_empty() {
+            if page.next.is_none() {
                 break;
             }
+            if page.next == next {
+                return Err(FormatError::NoNextPage.into());
+            }
+            next = page.next;
         }
         let documents = &self.shell.interface.documents;
         let configured = |item: &Item| documents.item_kind(&item.key) == ItemKind::Configuration;
@@ -183,15 +182,15 @@
 
     async fn read_page(
         &mut self,
-        after: &str,
+        next: Option<&str>,
         consistency: Consistency,
     ) -> Result<Batch, StoreError> {
         let shell = self.shell.clone();
         let address = shell.settings().store;
         let store = &shell.interface.store;
-        let call = store.range(after, consistency);
+        let call = store.range(next, consistency);
         // Only serializable reads are cheap enough for the store to be hedged.
-        let body = if consistency == Consistency::Serializable && after.is_empty() {
+        let body = if consistency == Consistency::Serializable && next.is_none() {
             self.read_first_page(address, &call).await?
         } else {
             let result = self.client.call(address, &call, READ_TIMEOUT).await;
--- a/crates/siskinyoke-gateway/tests/odd_documents.rs
+++ b/crates/siskinyoke-gateway/tests/odd_documents.rs
@@ -52,6 +52,32 @@
     }
 }
 
+// Guards against keys that cut the query of a page short, or end the reading of the list.
+#[test]
+fn keys_of_any_characters_are_read_in_pages() {
+    let site = Site::start();
+    for key in [
+        "a b",
+        "a#b",
+        "a&After=",
+        "a%zz",
+        "a+b",
+        "\u{1}",
+        "é\u{1f426}",
+        "a\"\\",
+        "~~~~",
+    ] {
+        site.store.put(&format!("instances/{key}"), "odd");
+        site.store.put(&format!("servers/{key}"), "odd");
+    }
+    site.store
+        .put(&format!("servers/{}", "x".repeat(192)), "odd");
+    site.store.put("\u{10ffff}", "odd");
+    site.store.set_page_size(1);
+    let instance = site.start_instance("reading");
+    wait_until("the instance serves", || instance.serves_requests());
+}
+
 // Guards against sums that overflow, and against requests to endpoints that cannot be reached.
 #[test]
 fn entries_with_extreme_values_name_no_endpoint() {
--- a/crates/siskinyoke-gateway/tests/replica.rs
+++ b/crates/siskinyoke-gateway/tests/replica.rs
@@ -40,7 +40,7 @@
         Batch {
             items: self.history.iter().skip(skip).cloned().collect(),
             revision: self.revision().into(),
-            has_more: false,
+            ..Batch::default()
         }
     }
 }
@@ -145,7 +145,7 @@
             let batch = Batch {
                 items,
                 revision: revision.into(),
-                has_more: false,
+                ..Batch::default()
             };
             let changes = replicas[index].0.replace_all(batch);
             apply_to_view(&mut replicas[index].1, changes);
@@ -205,7 +205,7 @@
         replica.apply_changes(Batch {
             items: vec![removed],
             revision: (number + 2).into(),
-            has_more: false,
+            ..Batch::default()
         });
     }
     assert!(replica.changes_since(2_900.into()).unwrap().items.len() <= 1_024);
--- a/crates/siskinyoke-gateway/tests/replica_eras.rs
+++ b/crates/siskinyoke-gateway/tests/replica_eras.rs
@@ -55,14 +55,14 @@
             return replica.replace_all(Batch {
                 items: self.items.values().cloned().collect(),
                 revision: self.revision(),
-                has_more: false,
+                ..Batch::default()
             });
         }
         let skip = usize::try_from(known.number).unwrap();
         replica.apply_changes(Batch {
             items: self.history.iter().skip(skip).cloned().collect(),
             revision: self.revision(),
-            has_more: false,
+            ..Batch::default()
         })
     }
 }
--- a/crates/siskinyoke-interface/src/error.rs
+++ b/crates/siskinyoke-interface/src/error.rs
@@ -26,6 +26,10 @@
         Compacted {
             display("the store has compacted the requested revision; a full read is needed")
         }
+        /// Another page follows, but it is not known where it begins.
+        NoNextPage {
+            display("the store does not say where the next page begins")
+        }
         /// The value of a field is invalid.
         InvalidValue(field: String, hint: &'static str) {
             display("'{field}' cannot be used: {hint}")
--- a/crates/siskinyoke-interface/src/store.rs
+++ b/crates/siskinyoke-interface/src/store.rs
@@ -59,8 +59,8 @@
     pub items: Vec<Item>,
     /// The store revision up to which changes are included.
     pub revision: Revision,
-    /// Whether another page follows.
-    pub has_more: bool,
+    /// Where the next page begins, if another one follows.
+    pub next: Option<String>,
 }
 
 /// Consistency of a read.
@@ -74,8 +74,8 @@
 
 /// Builds calls to a store and decodes its responses.
 pub trait Store: Debug {
-    /// Reads the page of items that follows a key; an empty key gives the first page.
-    fn range(&self, after: &str, consistency: Consistency) -> Call;
+    /// Reads the first page of items, or the one that begins where [`Batch::next`] says.
+    fn range(&self, next: Option<&str>, consistency: Consistency) -> Call;
 
     /// Decodes the era that a response states, if it states one.
     ///
@@ -90,7 +90,7 @@
     ///
     /// # Errors
     ///
-    /// The response is malformed.
+    /// The response is malformed, or does not say where the next page begins.
     fn decode_range(&self, bytes: &[u8], era: u64) -> Result<Batch, FormatError>;
 
     /// Reads the store's latest revision, linearizably and with few items.
--- a/crates/siskinyoke-native/src/etcd.rs
+++ b/crates/siskinyoke-native/src/etcd.rs
@@ -32,15 +32,10 @@
 pub struct Etcd;
 
 impl Store for Etcd {
-    fn range(&self, after: &str, consistency: Consistency) -> Call {
-        // The smallest key greater than another is that key followed by a zero byte.
-        let from = if after.is_empty() {
-            names::KEY_PREFIX.to_owned()
-        } else {
-            format!("{after}\0")
-        };
+    fn range(&self, next: Option<&str>, consistency: Consistency) -> Call {
+        let first = || encode_key(names::KEY_PREFIX);
         let body = json!({
-            "key": encode_key(&from),
+            "key": next.map_or_else(first, str::to_owned),
             "range_end": encode_key(RANGE_END),
             "limit": MAX_PAGE_ITEMS.to_string(),
             "serializable": consistency == Consistency::Serializable,
@@ -50,13 +45,19 @@
 
     fn decode_range(&self, bytes: &[u8], era: u64) -> Result<Batch, FormatError> {
         let page: Page = serde_json::from_slice(bytes)?;
+        let next = if page.more {
+            let last = page.kvs.last().ok_or(FormatError::NoNextPage)?;
+            Some(last.following_key()?)
+        } else {
+            None
+        };
         let rows = page.kvs.into_iter();
         Ok(Batch {
             items: rows
                 .map(|row| row.decode(false, era))
                 .collect::<Result<_, _>>()?,
             revision: Revision::new(era, parse_number(&page.header.revision)?),
-            has_more: page.more,
+            next,
         })
     }
 
@@ -241,6 +242,14 @@
 }
 
 impl Row {
+    // Returns the encoded smallest key greater than that of the row, which is that key followed by a
+    // zero byte. The keys of other writers may be any bytes.
+    fn following_key(&self) -> Result<String, FormatError> {
+        let mut key = STANDARD.decode(&self.key)?;
+        key.push(0);
+        Ok(STANDARD.encode(key))
+    }
+
     fn decode(self, removed: bool, era: u64) -> Result<Item, FormatError> {
         let key = STANDARD.decode(self.key)?;
         let value = STANDARD.decode(self.value)?;
--- a/crates/siskinyoke-native/tests/etcd.rs
+++ b/crates/siskinyoke-native/tests/etcd.rs
@@ -13,11 +13,11 @@
         "kvs": [{ "key": "c2lza2lueW9rZS9h", "value": "eA==", "mod_revision": "7" }] }"#;
     let batch = Etcd.decode_range(response, 0).unwrap();
     assert_eq!(batch.revision, 12.into());
-    assert!(batch.has_more);
     assert_eq!(batch.items[0].key, "siskinyoke/a");
     assert_eq!(batch.items[0].value.as_deref(), Some(&b"x"[..]));
-    let body =
-        String::from_utf8(Etcd.range("siskinyoke/a", Consistency::Linearizable).body).unwrap();
+    assert!(batch.next.is_some());
+    let call = Etcd.range(batch.next.as_deref(), Consistency::Linearizable);
+    let body = String::from_utf8(call.body).unwrap();
     assert!(body.contains("c2lza2lueW9rZS9hAA=="), "{body}");
 }
 
--- a/crates/siskinyoke-standin/tests/etcd.rs
+++ b/crates/siskinyoke-standin/tests/etcd.rs
@@ -36,7 +36,7 @@
 }
 
 fn read_all(etcd: &Etcd) -> Batch {
-    let body = send_call(etcd, &Calls.range("", Consistency::Linearizable)).expect("a response");
+    let body = send_call(etcd, &Calls.range(None, Consistency::Linearizable)).expect("a response");
     Calls.decode_range(&body, 0).expect("a page")
 }
 
@@ -189,10 +189,10 @@
         etcd.put(&format!("siskinyoke/endpoints/{number:04}"), "{}");
     }
     let first = read_all(&etcd);
-    assert!(first.has_more);
-    let after = &first.items.last().unwrap().key;
-    let body = send_call(&etcd, &Calls.range(after, Consistency::Linearizable)).unwrap();
+    assert!(first.next.is_some());
+    let next = first.next.as_deref();
+    let body = send_call(&etcd, &Calls.range(next, Consistency::Linearizable)).unwrap();
     let second = Calls.decode_range(&body, 0).unwrap();
-    assert!(!second.has_more);
+    assert_eq!(second.next, None);
     assert_eq!(first.items.len() + second.items.len(), 1_500);
 }
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -11,6 +11,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use percent_encoding::percent_decode_str;
 use serde_json::Value;
 use serde_json::json;
 use tiny_http::Header;
@@ -50,7 +51,9 @@
 pub struct Copy {
     // The revision and the Base64-encoded value of each key.
     items: BTreeMap<String, (u64, String)>,
-    changes: Vec<Value>,
+    // Rows that stand for items as they are, by key.
+    odd_rows: BTreeMap<String, Value>,
+    changes: Vec<Change>,
     revision: u64,
     leases: BTreeSet<u64>,
 }
@@ -62,9 +65,18 @@
     }
 }
 
+#[derive(Debug, Clone)]
+struct Change {
+    key: String,
+    revision: u64,
+    row: Value,
+}
+
 #[derive(Debug)]
 struct State {
     contents: Copy,
+    // The maximum number of items in a page.
+    page_size: usize,
     // The value of the header that names the history, which each return from a copy raises.
     era: String,
     era_count: u64,
@@ -95,10 +107,12 @@
         let state = State {
             contents: Copy {
                 items: BTreeMap::new(),
+                odd_rows: BTreeMap::new(),
                 changes: Vec::new(),
                 revision: 10,
                 leases: BTreeSet::new(),
             },
+            page_size: usize::MAX,
             era: "1".to_owned(),
             era_count: 1,
             lease_count: 0,
@@ -143,13 +157,24 @@
         state.contents.revision += 1;
         let revision = state.contents.revision;
         state.contents.items.remove(key);
-        state
-            .contents
-            .changes
-            .push(json!({ "Key": key, "Revision": revision, "Deleted": true }));
+        state.contents.odd_rows.remove(key);
+        state.contents.changes.push(Change {
+            key: key.to_owned(),
+            revision,
+            row: json!({ "Key": key, "Revision": revision, "Deleted": true }),
+        });
         changed.notify_all();
     }
 
+    /// Sets the maximum number of items in a page.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn set_page_size(&self, items: usize) {
+        self.shared.0.lock().unwrap().page_size = items;
+    }
+
     /// Sets how it responds to calls from now on.
     ///
     /// # Panics
@@ -278,7 +303,7 @@
         body: &str,
     ) -> (u16, Value) {
         match path {
-            "/api/kv-range" => (200, self.range(&query["Prefix"])),
+            "/api/kv-range" => (200, self.range(query)),
             "/api/kv-watch" => self.watch(query),
             "/api/kv-lease" => (200, json!({ "Lease": self.grant_lease(), "TtlMs": 6000 })),
             WRITE_PATH => self.conditional_put(body),
@@ -312,17 +337,22 @@
         }
     }
 
-    // Returns the items whose keys have a prefix.
-    fn range(&self, prefix: &str) -> Value {
+    // Returns a page of the items whose keys have a prefix, after a key.
+    fn range(&self, query: &BTreeMap<String, String>) -> Value {
         let state = self.shared.0.lock().unwrap();
-        let items: Vec<_> = state
-            .contents
-            .items
-            .iter()
-            .filter(|(key, _)| key.starts_with(prefix))
-            .map(|(key, (revision, value))| item_json(key, *revision, value))
-            .collect();
-        json!({ "Items": items, "HasMore": false, "At": state.contents.revision })
+        let prefix = &query["Prefix"];
+        let after = query.get("After").map_or("", String::as_str);
+        let contents = &state.contents;
+        let rows = contents.items.iter().filter(|(key, _)| {
+            key.starts_with(prefix) && (after.is_empty() || key.as_str() > after)
+        });
+        let mut rows = rows.map(|(key, (revision, value))| {
+            let odd = contents.odd_rows.get(key).cloned();
+            odd.unwrap_or_else(|| item_json(key, *revision, value))
+        });
+        let items: Vec<_> = rows.by_ref().take(state.page_size).collect();
+        let has_more = rows.next().is_some();
+        json!({ "Items": items, "HasMore": has_more, "At": contents.revision })
     }
 
     // Waits for changes after a revision, and returns them.
@@ -345,11 +375,12 @@
         if state.compacted_revision > after || state.contents.revision < after {
             return (410, json!({}));
         }
-        let is_newer = |change: &&Value| change["Revision"].as_u64().unwrap() > after;
+        let is_newer = |change: &&Change| change.revision > after;
         let prefix = &query["Prefix"];
-        let is_under = |change: &&Value| change["Key"].as_str().unwrap().starts_with(prefix);
+        let is_under = |change: &&Change| change.key.starts_with(prefix);
         let history = state.contents.changes.iter();
-        let events: Vec<_> = history.filter(is_newer).filter(is_under).cloned().collect();
+        let events = history.filter(is_newer).filter(is_under);
+        let events: Vec<_> = events.map(|change| &change.row).collect();
         (
             200,
             json!({ "events": events, "At": state.contents.revision }),
@@ -398,8 +429,12 @@
         self.contents
             .items
             .insert(key.to_owned(), (revision, value.to_owned()));
-        let change = item_json(key, revision, value);
-        self.contents.changes.push(change);
+        self.contents.odd_rows.remove(key);
+        self.contents.changes.push(Change {
+            key: key.to_owned(),
+            revision,
+            row: item_json(key, revision, value),
+        });
     }
 }
 
@@ -413,7 +448,10 @@
     (
         path.to_owned(),
         pairs
-            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .map(|(name, value)| {
+                let value = percent_decode_str(value).decode_utf8_lossy();
+                (name.to_owned(), value.into_owned())
+            })
             .collect(),
     )
 }
