Store pages: an item that cannot be decoded does not hide the others

One item with a value that is no base64, without a revision, or with one that is no number of 64 bits made the whole page or message unreadable: after the first such item the instance of the test had 136 failed watches and did not learn of the next configuration in 30 s.

A row with a readable key and no readable rest is an item with an empty value, which each kind of document handles as unreadable: an endpoint's entry names no endpoint any more. A row without a readable key is left out and counted in the log (`store_items_unreadable`). The revision of an item is at most that of its page: by reading, a greater one would hide later changes of its key in whole reads.

--- a/crates/siskinyoke-gateway/src/watcher.rs
+++ b/crates/siskinyoke-gateway/src/watcher.rs
@@ -128,6 +128,7 @@
     async fn read_all(&mut self, consistency: Consistency) -> Result<bool, StoreError> {
         let mut items = Vec::new();
         let mut next: Option<String> = None;
+        let mut unreadable = 0;
         let mut revision: Option<Revision> = None;
         loop {
             let page = self.read_page(next.as_deref(), consistency).await?;
@@ -137,6 +138,7 @@
             // Pages are no snapshot, so the watch starts at the lowest revision among them.
             revision = Some(revision.map_or(page.revision, |it| it.min(page.revision)));
             items.extend(page.items);
+            unreadable += page.unreadable;
             if page.next.is_none() {
                 break;
             }
@@ -145,6 +147,7 @@
             }
             next = page.next;
         }
+        self.log_unreadable(unreadable);
         let documents = &self.shell.interface.documents;
         let configured = |item: &Item| documents.item_kind(&item.key) == ItemKind::Configuration;
         let configured = items.iter().any(configured);
@@ -268,6 +271,7 @@
         }
         let batch = result?;
         self.call_succeeded();
+        self.log_unreadable(batch.unreadable);
         let changed = !batch.items.is_empty();
         let update = Update {
             revision: batch.revision,
@@ -349,6 +353,14 @@
         Ok(response)
     }
 
+    // Logs the number of items that cannot be applied, as their keys cannot be read.
+    fn log_unreadable(&self, count: usize) {
+        if count > 0 {
+            self.shell
+                .log("store_items_unreadable", json!({ "count": count }));
+        }
+    }
+
     fn call_succeeded(&mut self) {
         self.shell.store_contact.set(self.shell.now());
         self.shell.core.borrow_mut().store_call_succeeded();
--- a/crates/siskinyoke-gateway/tests/odd_documents.rs
+++ b/crates/siskinyoke-gateway/tests/odd_documents.rs
@@ -2,6 +2,9 @@
 
 use std::path::Path;
 
+use serde_json::Value;
+use serde_json::json;
+
 use siskinyoke_soak::Endpoint;
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Store;
@@ -52,6 +55,68 @@
     }
 }
 
+fn nested(depth: usize) -> Value {
+    (0..depth).fold(json!(0), |inner, _| json!([inner]))
+}
+
+fn odd_rows() -> Vec<(&'static str, Value)> {
+    let key = "servers/odd";
+    vec![
+        (
+            key,
+            json!({ "Key": key, "Revision": 12, "Value": "no base64!" }),
+        ),
+        (key, json!({ "Key": key, "Revision": 12, "Value": 7 })),
+        (
+            key,
+            json!({ "Key": key, "Revision": 1e30, "Value": "e30=" }),
+        ),
+        (
+            key,
+            json!({ "Key": key, "Revision": u64::MAX, "Value": "e30=" }),
+        ),
+        (key, json!({ "Key": key, "Revision": -1, "Value": "e30=" })),
+        (key, json!({ "Key": key, "Value": "e30=" })),
+        (
+            key,
+            json!({ "Key": key, "Revision": nested(200), "Value": "e30=" }),
+        ),
+        (
+            key,
+            json!({ "Key": key, "Revision": 12, "Value": nested(200) }),
+        ),
+        (
+            key,
+            json!({ "Key": key, "Revision": 12, "Value": "e30=", "Extra": nested(200) }),
+        ),
+        (
+            key,
+            json!({ "Key": nested(200), "Revision": 12, "Value": "e30=" }),
+        ),
+        (key, json!({ "Key": key, "Revision": 12, "Deleted": "yes" })),
+        (key, json!(nested(200))),
+        (key, Value::Null),
+        (
+            "status/rollout/odd",
+            json!({ "Key": "status/rollout/odd", "Value": [] }),
+        ),
+    ]
+}
+
+// Guards against a whole page or message that is given up for one item.
+#[test]
+fn an_item_that_cannot_be_decoded_hides_no_other() {
+    let mut site = Site::start();
+    let instance = site.start_instance("watching");
+    for (key, row) in odd_rows() {
+        let case = format!("{:.80}", row.to_string());
+        site.store.put_row(key, row);
+        site.check_follows(&instance, &case);
+        let joined = site.start_instance("reading");
+        wait_until("the new instance serves", || joined.serves_requests());
+    }
+}
+
 // Guards against keys that cut the query of a page short, or end the reading of the list.
 #[test]
 fn keys_of_any_characters_are_read_in_pages() {
--- a/crates/siskinyoke-interface/src/store.rs
+++ b/crates/siskinyoke-interface/src/store.rs
@@ -52,6 +52,17 @@
     pub value: Option<Vec<u8>>,
 }
 
+impl Item {
+    /// Creates an item whose value cannot be decoded: it is empty, which no document can be.
+    pub fn unreadable(key: String, revision: Revision) -> Self {
+        Self {
+            key,
+            revision,
+            value: Some(Vec::new()),
+        }
+    }
+}
+
 /// A page of items, or a batch of changes.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Batch {
@@ -61,6 +72,32 @@
     pub revision: Revision,
     /// Where the next page begins, if another one follows.
     pub next: Option<String>,
+    /// The number of rows without a readable key, which are left out.
+    pub unreadable: usize,
+}
+
+impl Batch {
+    /// Collects decoded rows, `None` for one without a readable key.
+    ///
+    /// No change is later than the batch, so the revision of an item is limited to that of the batch:
+    /// a greater one would hide all later changes of the key.
+    pub fn collect(rows: impl IntoIterator<Item = Option<Item>>, revision: Revision) -> Self {
+        let mut batch = Self {
+            revision,
+            ..Self::default()
+        };
+        for row in rows {
+            let Some(item) = row else {
+                batch.unreadable += 1;
+                continue;
+            };
+            batch.items.push(Item {
+                revision: item.revision.min(revision),
+                ..item
+            });
+        }
+        batch
+    }
 }
 
 /// Consistency of a read.
@@ -88,6 +125,8 @@
 
     /// Decodes a page of items, whose revisions belong to an era.
     ///
+    /// An item that cannot be decoded does not affect the others.
+    ///
     /// # Errors
     ///
     /// The response is malformed, or does not say where the next page begins.
--- a/crates/siskinyoke-native/src/etcd.rs
+++ b/crates/siskinyoke-native/src/etcd.rs
@@ -4,6 +4,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde::Deserialize;
 use serde_json::json;
+use serde_json::value::RawValue;
 
 use crate::names;
 use siskinyoke_base::Millis;
@@ -45,20 +46,14 @@
 
     fn decode_range(&self, bytes: &[u8], era: u64) -> Result<Batch, FormatError> {
         let page: Page = serde_json::from_slice(bytes)?;
-        let next = if page.more {
-            let last = page.kvs.last().ok_or(FormatError::NoNextPage)?;
-            Some(last.following_key()?)
-        } else {
-            None
-        };
-        let rows = page.kvs.into_iter();
-        Ok(Batch {
-            items: rows
-                .map(|row| row.decode(false, era))
-                .collect::<Result<_, _>>()?,
-            revision: Revision::new(era, parse_number(&page.header.revision)?),
-            next,
-        })
+        let revision = Revision::new(era, parse_number(&page.header.revision)?);
+        let rows = page.kvs.iter().map(|row| decode_row(row, false, revision));
+        let mut batch = Batch::collect(rows, revision);
+        if page.more {
+            let last = page.kvs.iter().rev().find_map(|row| following_key(row));
+            batch.next = Some(last.ok_or(FormatError::NoNextPage)?);
+        }
+        Ok(batch)
     }
 
     // The revision of the last write under the prefix: that of etcd as a whole also counts other
@@ -86,7 +81,7 @@
             "create_request": {
                 "key": encode_key(names::KEY_PREFIX),
                 "range_end": encode_key(RANGE_END),
-                "start_revision": (revision.number + 1).to_string(),
+                "start_revision": revision.number.saturating_add(1).to_string(),
             }
         });
         Call::post(WATCH_PATH, &body)
@@ -108,13 +103,21 @@
             if message.result.canceled {
                 return Err(FormatError::Compacted);
             }
-            for event in message.result.events {
-                let item = event.kv.decode(event.kind == "DELETE", era)?;
-                batch.revision = batch.revision.max(item.revision);
-                batch.items.push(item);
-            }
+            let result = message.result;
+            let latest = Revision::new(era, parse_number(&result.header.revision)?);
+            let rows = result.events.iter().map(|event| {
+                let event: Event = serde_json::from_str(event.get()).ok()?;
+                decode_row(event.kv, event.kind == "DELETE", latest)
+            });
+            let changes = Batch::collect(rows, latest);
+            // etcd may send changes in parts, each with its latest revision.
+            let reached = changes.items.iter().map(|it| it.revision).max();
+            let skipped = (changes.unreadable > 0).then_some(latest);
+            batch.revision = batch.revision.max(reached.or(skipped).unwrap_or_default());
+            batch.items.extend(changes.items);
+            batch.unreadable += changes.unreadable;
         }
-        if batch.items.is_empty() && !ended {
+        if batch.items.is_empty() && batch.unreadable == 0 && !ended {
             return Ok(None);
         }
         Ok(Some(batch))
@@ -224,11 +227,11 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct Page {
+struct Page<'a> {
     #[serde(default)]
     header: Header,
-    #[serde(default)]
-    kvs: Vec<Row>,
+    #[serde(default, borrow)]
+    kvs: Vec<&'a RawValue>,
     #[serde(default)]
     more: bool,
 }
@@ -242,44 +245,69 @@
 }
 
 impl Row {
-    // Returns the encoded smallest key greater than that of the row, which is that key followed by a
-    // zero byte. The keys of other writers may be any bytes.
-    fn following_key(&self) -> Result<String, FormatError> {
-        let mut key = STANDARD.decode(&self.key)?;
-        key.push(0);
-        Ok(STANDARD.encode(key))
-    }
-
     fn decode(self, removed: bool, era: u64) -> Result<Item, FormatError> {
-        let key = STANDARD.decode(self.key)?;
+        let key = String::from_utf8(STANDARD.decode(self.key)?);
+        let key = key.map_err(|_| FormatError::InvalidValue("key".to_owned(), "expected UTF-8"))?;
         let value = STANDARD.decode(self.value)?;
         Ok(Item {
-            key: String::from_utf8_lossy(&key).into_owned(),
+            key,
             revision: Revision::new(era, parse_number(&self.mod_revision)?),
             value: (!removed).then_some(value),
         })
     }
 }
 
+// Returns `None` if the row has no readable key.
+fn decode_row(row: &RawValue, removed: bool, latest: Revision) -> Option<Item> {
+    let decoded = serde_json::from_str::<Row>(row.get());
+    let decoded = decoded.map_err(FormatError::from);
+    if let Ok(item) = decoded.and_then(|row| row.decode(removed, latest.era)) {
+        return Some(item);
+    }
+    let key = String::from_utf8(key_bytes(row)?).ok()?;
+    Some(Item::unreadable(key, latest))
+}
+
+// Returns the encoded smallest key greater than that of a row, which is that key followed by a zero
+// byte. The keys of other writers may be any bytes.
+fn following_key(row: &RawValue) -> Option<String> {
+    let mut key = key_bytes(row)?;
+    key.push(0);
+    Some(STANDARD.encode(key))
+}
+
+fn key_bytes(row: &RawValue) -> Option<Vec<u8>> {
+    let row: RowKey = serde_json::from_str(row.get()).ok()?;
+    STANDARD.decode(row.key).ok()
+}
+
+#[derive(Debug, Deserialize)]
+struct RowKey {
+    key: String,
+}
+
 #[derive(Debug, Deserialize)]
-struct WatchMessage {
-    result: WatchResult,
+struct WatchMessage<'a> {
+    #[serde(borrow)]
+    result: WatchResult<'a>,
 }
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
-struct WatchResult {
+struct WatchResult<'a> {
+    header: Header,
     canceled: bool,
-    events: Vec<Event>,
+    #[serde(borrow)]
+    events: Vec<&'a RawValue>,
 }
 
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-struct Event {
+#[derive(Debug, Deserialize)]
+struct Event<'a> {
     // Absent for a write.
-    #[serde(rename = "type")]
+    #[serde(rename = "type", default)]
     kind: String,
-    kv: Row,
+    #[serde(borrow)]
+    kv: &'a RawValue,
 }
 
 #[derive(Debug, Default, Deserialize)]
--- a/crates/siskinyoke-native/tests/etcd.rs
+++ b/crates/siskinyoke-native/tests/etcd.rs
@@ -95,3 +95,47 @@
     assert!(etcd::decode_txn(br#"{ "succeeded": true }"#).unwrap());
     assert!(!etcd::decode_txn(b"{}").unwrap());
 }
+
+// Guards against a page or message that is given up, or repeated, for one key of another writer.
+#[test]
+fn a_row_that_cannot_be_decoded_hides_no_other() {
+    let sound = r#"{"key":"YQ==","value":"eA==","mod_revision":"7"}"#;
+    for (row, unreadable) in [
+        (r#"{"key":"/w==","value":"eA==","mod_revision":"8"}"#, 1),
+        (r#"{"key":"Yg==","value":"?","mod_revision":"8"}"#, 0),
+        (r#"{"key":"Yg==","value":"eA==","mod_revision":8}"#, 0),
+        (r#"{"value":[]}"#, 1),
+    ] {
+        let header = r#""header":{"revision":"9"}"#;
+        let page = format!(r#"{{{header},"kvs":[{sound},{row}],"more":true}}"#);
+        let page = Etcd.decode_range(page.as_bytes(), 0).unwrap();
+        assert_eq!(
+            (page.items[0].key.as_str(), page.unreadable),
+            ("a", unreadable)
+        );
+        let next = if row.contains("/w==") {
+            "/wA="
+        } else if unreadable == 0 {
+            "YgA="
+        } else {
+            "YQA="
+        };
+        assert_eq!(page.next.as_deref(), Some(next));
+        let message = |rows: &[&str]| {
+            let events = rows.iter().map(|row| format!(r#"{{"kv":{row}}}"#));
+            let events = events.collect::<Vec<_>>().join(",");
+            format!(r#"{{"result":{{{header},"events":[{events}]}}}}"#)
+        };
+        let batch = Etcd.decode_watch(message(&[row, sound]).as_bytes(), true, 0);
+        let batch = batch.unwrap().unwrap();
+        assert_eq!(
+            (batch.items.len(), batch.unreadable),
+            (2 - unreadable, unreadable)
+        );
+        let alone = Etcd
+            .decode_watch(message(&[row]).as_bytes(), true, 0)
+            .unwrap()
+            .unwrap();
+        assert!(alone.revision > 7.into());
+    }
+}
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -146,6 +146,21 @@
         changed.notify_all();
     }
 
+    /// Writes an item that pages and watches give as this row, which may be malformed.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn put_row(&self, key: &str, row: Value) {
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().unwrap();
+        state.put(key, "");
+        let change = state.contents.changes.last_mut().unwrap();
+        change.row = row.clone();
+        state.contents.odd_rows.insert(key.to_owned(), row);
+        changed.notify_all();
+    }
+
     /// Removes a key.
     ///
     /// # Panics
