--- a/crates/siskinyoke-gateway/tests/odd_documents.rs
+++ b/crates/siskinyoke-gateway/tests/odd_documents.rs
@@ -170,3 +170,51 @@
     let joined = site.start_instance("reading");
     wait_until("the new instance serves", || joined.serves_requests());
 }
+
+// Guards against a kind of document that ends a process or keeps it from following the store.
+#[test]
+fn odd_documents_of_each_kind_disturb_nothing() {
+    let mut site = Site::start();
+    let instance = site.start_instance("watching");
+    let values = [
+        format!("{}{}", "[".repeat(50_000), "]".repeat(50_000)),
+        format!("{}1{}", "{\"Service\":".repeat(50_000), "}".repeat(50_000)),
+        r#"{"front":"x","inner":"255.255.255.255:1","centre":"a"}"#.to_owned(),
+        r#"{"front":"x","inner":"[::1]:1","centre":"\u0000"}"#.to_owned(),
+        r#"{"front":"","inner":"127.0.0.1:0","centre":""}"#.to_owned(),
+        r#"{"Versions":["","\ud83d\ude00",""]}"#.to_owned(),
+        r#"{"Versions":["\ud83d"]}"#.to_owned(),
+        r#"{"Service":"lm","To":"","DurationS":1e999}"#.to_owned(),
+        r#"{"State":"running","To":"\u0000"}"#.to_owned(),
+        "[[18446744073709551615,18446744073709551615],[0,0]]".to_owned(),
+        "[[18446744073709551616,0]]".to_owned(),
+        String::new(),
+    ];
+    let prefixes = [
+        "servers/odd",
+        "instances/odd",
+        "versions/odd",
+        "versions/lm",
+        "streams/odd/1/",
+        "op/rollout/lm",
+        "op/rollout/odd #",
+        "status/rollout/lm",
+        "op/config",
+    ];
+    for prefix in prefixes {
+        for (number, value) in values.iter().enumerate() {
+            let key = match prefix.strip_suffix("odd") {
+                Some(start) => format!("{start}odd{number}"),
+                None => prefix.to_owned(),
+            };
+            site.store.put(&key, value);
+        }
+        site.check_follows(&instance, prefix);
+    }
+    for number in 0..3_000 {
+        site.store.put(&format!("servers/many{number}"), "odd");
+    }
+    site.check_follows(&instance, "thousands of odd entries");
+    let joined = site.start_instance("reading");
+    wait_until("the new instance serves", || joined.serves_requests());
+}
