--- a/crates/siskinyoke-interface/src/store.rs
+++ b/crates/siskinyoke-interface/src/store.rs
@@ -52,6 +52,17 @@
     pub value: Option<Vec<u8>>,
 }
 
+impl Item {
+    /// Creates an item whose value cannot be decoded: it is empty, which no document can be.
+    pub fn unreadable(key: String, revision: Revision) -> Self {
+        Self {
+            key,
+            revision,
+            value: Some(Vec::new()),
+        }
+    }
+}
+
 /// A page of items, or a batch of changes.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Batch {
@@ -59,8 +70,34 @@
     pub items: Vec<Item>,
     /// The store revision up to which changes are included.
     pub revision: Revision,
-    /// Whether another page follows.
-    pub has_more: bool,
+    /// Where the next page begins, if another one follows.
+    pub next: Option<String>,
+    /// The number of rows without a readable key, which are left out.
+    pub unreadable: usize,
+}
+
+impl Batch {
+    /// Collects decoded rows, `None` for one without a readable key.
+    ///
+    /// No change is later than the batch, so the revision of an item is limited to that of the batch:
+    /// a greater one would hide all later changes of the key.
+    pub fn collect(rows: impl IntoIterator<Item = Option<Item>>, revision: Revision) -> Self {
+        let mut batch = Self {
+            revision,
+            ..Self::default()
+        };
+        for row in rows {
+            let Some(item) = row else {
+                batch.unreadable += 1;
+                continue;
+            };
+            batch.items.push(Item {
+                revision: item.revision.min(revision),
+                ..item
+            });
+        }
+        batch
+    }
 }
 
 /// Consistency of a read.
@@ -74,8 +111,8 @@
 
 /// Builds calls to a store and decodes its responses.
 pub trait Store: Debug {
-    /// Reads the page of items that follows a key; an empty key gives the first page.
-    fn range(&self, after: &str, consistency: Consistency) -> Call;
+    /// Reads the first page of items, or the one that begins where [`Batch::next`] says.
+    fn range(&self, next: Option<&str>, consistency: Consistency) -> Call;
 
     /// Decodes the era that a response states, if it states one.
     ///
@@ -88,9 +125,11 @@
 
     /// Decodes a page of items, whose revisions belong to an era.
     ///
+    /// An item that cannot be decoded does not affect the others.
+    ///
     /// # Errors
     ///
-    /// The response is malformed.
+    /// The response is malformed, or does not say where the next page begins.
     fn decode_range(&self, bytes: &[u8], era: u64) -> Result<Batch, FormatError>;
 
     /// Reads the store's latest revision, linearizably and with few items.
