Streams: an unmarked end after the head alone does not complete a resumed stream

Seen in a test: a stream breaks off after two events, and the endpoint that resumes it sends its head, without a length or chunks, and closes the connection. The caller receives two events and the final chunk, or the regular end where the first endpoint sent no chunks.

Cause: whether a body ends before its first event was asked of all events of the stream, those of earlier endpoints included. The end counted as one between two events, which is unconfirmed, and was passed on. Without an earlier endpoint it has counted as broken off all along.

Now the first event is that of the current endpoint's response. The attempt has broken off, and is retried where that is allowed.

--- a/crates/siskinyoke-gateway/src/body_end.rs
+++ b/crates/siskinyoke-gateway/src/body_end.rs
@@ -17,6 +17,9 @@
 /// | of a stream, between two events | complete | unconfirmed |
 /// | of any other response | complete | unconfirmed |
 ///
+/// The first event is that of the response: one that goes on with a stream and has none looks like
+/// an endpoint that stopped after its head.
+///
 /// Not every protocol has an event that ends every stream. A body that ends with an error, such as
 /// a reset or fewer bytes than stated, has broken off.
 ///
--- a/crates/siskinyoke-gateway/src/events.rs
+++ b/crates/siskinyoke-gateway/src/events.rs
@@ -25,6 +25,8 @@
     unfinished: usize,
     last_id: Option<String>,
     event_count: u32,
+    // The number of events before the response of the current endpoint.
+    earlier_events: u32,
     // The data of the event that ends every stream, if there is one.
     last_data: Option<&'static str>,
     // Whether that event is complete.
@@ -50,7 +52,8 @@
         Some(complete)
     }
 
-    /// Returns where in the stream the bytes so far end.
+    /// Returns where in the stream the bytes so far end. The first event is that of the current
+    /// endpoint's response.
     pub fn position(&self) -> StreamPosition {
         let partial = &self.partial[..];
         let mut lines = partial.split(|byte| *byte == b'\n').map(content);
@@ -62,7 +65,7 @@
             StreamPosition::BeforeLastEvent
         } else if self.partial.last().is_some_and(|byte| *byte != b'\n') {
             StreamPosition::InsideComment
-        } else if self.event_count == 0 {
+        } else if self.event_count == self.earlier_events {
             StreamPosition::Start
         } else {
             StreamPosition::BetweenEvents
@@ -76,8 +79,9 @@
         self.partial.split().freeze()
     }
 
-    /// Discards the partial event of a failed endpoint.
+    /// Discards the partial event of a failed endpoint. What follows is another one's response.
     pub fn discard_partial(&mut self) {
+        self.earlier_events = self.event_count;
         self.scanned = 0;
         self.unfinished = 0;
         self.partial.clear();
--- a/crates/siskinyoke-gateway/src/stream_position.rs
+++ b/crates/siskinyoke-gateway/src/stream_position.rs
@@ -3,7 +3,7 @@
 /// Where in an event stream a body ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamPosition {
-    /// Before the first event.
+    /// Before the first event of the response, which may go on with a stream.
     Start,
     /// After an event, of a stream whose last event looks like any other.
     BetweenEvents,
--- a/crates/siskinyoke-gateway/tests/events.rs
+++ b/crates/siskinyoke-gateway/tests/events.rs
@@ -70,6 +70,27 @@
     }
 }
 
+// The endpoint that resumes a stream stops after its head. Guards against taking the events of the
+// endpoint before for its own.
+#[test]
+fn a_response_without_events_completes_a_resumed_stream_only_if_its_end_is_marked() {
+    for (rest, end) in [
+        ("", BodyEnd::BrokenOff),
+        (": comment\n\n", BodyEnd::BrokenOff),
+        ("data: 2\n\n", BodyEnd::Unconfirmed),
+    ] {
+        let mut events = EventBuffer::default();
+        drop(events.push(b"data: 1\n\ndata: 2"));
+        events.discard_partial();
+        drop(events.push(rest.as_bytes()));
+        let position = events.position();
+        let unmarked = BodyEnd::of_stream(Framing::Connection, position);
+        assert_eq!(unmarked, end, "{rest:?}");
+        let marked = BodyEnd::of_stream(Framing::Chunked, position);
+        assert_eq!(marked, BodyEnd::Complete, "{rest:?}");
+    }
+}
+
 // Guards against taking a stream that broke off between two events for a complete one.
 #[test]
 fn a_stream_with_a_last_event_is_complete_after_it_and_broken_off_before() {
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -3,6 +3,7 @@
 pub mod crash;
 mod endless;
 mod joined;
+pub mod scripted;
 pub mod silent;
 mod unmarked;
 pub mod versioned;
@@ -27,6 +28,7 @@
 use crate::admission::Verdict;
 use crate::announcements::Announcements;
 use crate::endpoint::crash::Crashes;
+use crate::endpoint::scripted::Script;
 
 /// The number of slots that an endpoint states.
 pub const SLOT_COUNT: usize = 4;
@@ -95,6 +97,8 @@
     starts: Arc<AtomicU64>,
     crashes: Arc<Mutex<Crashes>>,
     endless_bytes: Arc<AtomicUsize>,
+    // The responses to requests for a whole response, and to those that go on with a stream.
+    scripts: Arc<Mutex<Option<(Script, Script)>>>,
 }
 
 impl Endpoint {
@@ -125,6 +129,7 @@
             starts: Arc::new(AtomicU64::new(1)),
             crashes: Arc::default(),
             endless_bytes: Arc::default(),
+            scripts: Arc::default(),
         };
         let serving = endpoint.clone();
         thread::spawn(move || serving.listen(listener));
@@ -290,6 +295,9 @@
 
     // Responds as selected by the path, and returns whether the connection is kept open.
     fn respond(&self, request: &ReceivedRequest, out: &mut TcpStream) -> std::io::Result<bool> {
+        if request.line_contains("scripted") {
+            return self.write_script(request, out);
+        }
         if request.line_contains("cut") || self.write_endless(request, out) {
             return Ok(false);
         }
