Responses: a success with an unknown transfer coding is not passed on

Seen in a test: a head states `Transfer-Encoding: chunke`, an empty coding or `gzip, chunked`. The caller receives a 200 with the endpoint's signature whose body holds the coded bytes, the sizes of the chunks among them.

Cause: hyper decodes chunks only. A body with another last coding ends with its connection, and one with chunks last stays coded otherwise. The header that says so is hop-by-hop and is not forwarded, so that nothing tells the caller.

--- a/crates/siskinyoke-gateway/tests/cut_heads.rs
+++ b/crates/siskinyoke-gateway/tests/cut_heads.rs
@@ -314,7 +314,7 @@
     }
 }
 
-// Guards against heads that state no valid length, and chunks without an end.
+// Guards against heads that state no valid length or a coding that is not removed.
 #[test]
 fn a_malformed_head_is_not_passed_on_as_a_success() {
     for (lines, body) in [
@@ -329,6 +329,15 @@
             "Transfer-Encoding: chunked\r\n\r\n",
             "5\r\nwhole\r\n0\r\nX: 1\r\n",
         ),
+        (
+            "Transfer-Encoding: chunke\r\n\r\n",
+            "5\r\nwhole\r\n0\r\n\r\n",
+        ),
+        ("Transfer-Encoding: \r\n\r\n", "5\r\nwhole\r\n0\r\n\r\n"),
+        (
+            "Transfer-Encoding: gzip, chunked\r\n\r\n",
+            "5\r\nwhole\r\n0\r\n\r\n",
+        ),
     ] {
         let setup = Setup::start(1);
         let script = whole(format!("{SIGNED_LINES}{lines}{body}"));
--- a/crates/siskinyoke-interface/src/headers.rs
+++ b/crates/siskinyoke-interface/src/headers.rs
@@ -33,6 +33,15 @@
     Some(media_type.eq_ignore_ascii_case("text/event-stream"))
 }
 
+/// Returns whether a body has a transfer coding other than chunks, which the HTTP client does not
+/// decode.
+///
+/// Such a header is not forwarded, so that the recipient would take the coded bytes for the body.
+pub fn has_unknown_coding(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    codings.any(|it| !it.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// Returns the end-to-end headers, without those in `dropped`.
 pub fn end_to_end(headers: &HeaderMap, dropped: &[HeaderName]) -> HeaderMap {
     let connection_options: Vec<String> = headers
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -167,6 +167,9 @@
         match status {
             StatusCode::MISDIRECTED_REQUEST => ResponseClass::Misdirected,
             StatusCode::TOO_MANY_REQUESTS => ResponseClass::Rejected,
+            _ if status.is_success() && headers::has_unknown_coding(headers) => {
+                ResponseClass::Mismatched
+            }
             _ => ResponseClass::Valid,
         }
     }
--- a/crates/siskinyoke-native/tests/exchange.rs
+++ b/crates/siskinyoke-native/tests/exchange.rs
@@ -209,3 +209,18 @@
     let backoff = NativeExchange.requested_backoff(StatusCode::OK, &headers);
     assert!(matches!(backoff, Ok(None)));
 }
+
+// The header of the coding is not forwarded. Guards against coded bytes in place of the body.
+#[test]
+fn a_success_with_another_transfer_coding_than_chunks_is_mismatched() {
+    for (coding, class) in [
+        ("chunked", ResponseClass::Valid),
+        ("chunke", ResponseClass::Mismatched),
+        ("gzip, chunked", ResponseClass::Mismatched),
+    ] {
+        let mut head = HeaderMap::new();
+        head.insert("transfer-encoding", coding.parse().unwrap());
+        let actual = NativeExchange.classify_response(StatusCode::OK, &head, Some("r1"));
+        assert_eq!(actual, class, "{coding}");
+    }
+}
