Tests: a cut page of the store is never decoded

The connection ends after each prefix of a page, with a length, with chunks and with neither. No fault was found: a part of a page is an error of the connection or of the format, however its end is marked.

--- a/crates/siskinyoke-gateway/tests/cut_heads.rs
+++ b/crates/siskinyoke-gateway/tests/cut_heads.rs
@@ -2,11 +2,22 @@
 //! but state something else than their endpoint sent.
 
 use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+use siskinyoke_base::Millis;
+use siskinyoke_gateway::store::Client;
+use siskinyoke_gateway::store::StoreError;
+use siskinyoke_interface::Call;
+use siskinyoke_platform::interface;
 use siskinyoke_soak::Endpoint;
 use siskinyoke_soak::Instance;
 use siskinyoke_soak::Proxy;
@@ -368,3 +379,41 @@
         assert!(received.body.contains("whole"), "{lines:?}: {received:?}");
     }
 }
+
+// Makes a call of a store that sends a response and closes the connection.
+fn call_store(response: &str) -> Result<Bytes, StoreError> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut head = [0; 1024];
+            assert!(stream.read(&mut head).unwrap() > 0);
+            stream.write_all(response.as_bytes()).unwrap();
+        });
+        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let mut client = Client::default();
+            let limit = Millis::from_secs(5);
+            client.call(address, &Call::get("/"), limit).await
+        })
+    })
+}
+
+// Guards against a part of the store that is taken for all of it.
+#[test]
+fn a_cut_page_of_the_store_is_never_decoded() {
+    let page = r#"{"Items":[{"Key":"a","Value":"YQ==","Revision":1}],"HasMore":true,"At":5}"#;
+    for framing in FRAMINGS {
+        let whole = Encoded::new(framing, "application/json", page).text;
+        for length in 0..=whole.len() {
+            let decoded = call_store(&whole[..length]).ok();
+            let decoded = decoded.and_then(|it| interface().store.decode_range(&it, 0).ok());
+            assert_eq!(
+                decoded.is_some(),
+                length == whole.len(),
+                "{framing} {length}"
+            );
+        }
+    }
+}
