Client: a reset is never the end of a response

Seen in a test: a response without a length is reset inside its body. The client returns what has arrived with the instance's code, and the outcome `done`.

Cause: ureq takes a reset for the regular end of a body that ends with its connection. An instance resets such a connection to say that the response broke off.

The connections of the client turn a reset into another error. This uses ureq's interface for transports, which is not yet under semantic versioning.

Evidence: a_response_without_a_length_that_is_reset_has_an_unknown_outcome failed before.

--- a/crates/siskinyoke-client/src/client.rs
+++ b/crates/siskinyoke-client/src/client.rs
@@ -7,6 +7,9 @@
 use ureq::Agent;
 use ureq::Body;
 use ureq::http;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::Connector;
+use ureq::unversioned::transport::DefaultConnector;
 
 use crate::ClientError;
 use crate::Events;
@@ -17,6 +20,7 @@
 use crate::attempt::AttemptError;
 use crate::attempt::generate_id;
 use crate::delivered::Delivered;
+use crate::reset_connector::ResetConnector;
 use siskinyoke_base::Millis;
 use siskinyoke_base::OutcomeKind;
 
@@ -60,8 +64,9 @@
             // broke off inside its head.
             .max_redirects(0)
             .build();
+        let connector = DefaultConnector::default().chain(ResetConnector);
         Self {
-            agent: config.into(),
+            agent: Agent::with_parts(config, connector, DefaultResolver::default()),
             settings,
             cached_location: None,
         }
--- a/crates/siskinyoke-client/src/lib.rs
+++ b/crates/siskinyoke-client/src/lib.rs
@@ -9,6 +9,7 @@
 mod location;
 mod outcome;
 mod request;
+mod reset_connector;
 
 pub use client::Client;
 pub use client::ClientSettings;
--- a/crates/siskinyoke-client/tests/cut_responses.rs
+++ b/crates/siskinyoke-client/tests/cut_responses.rs
@@ -6,6 +6,9 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::thread;
+use std::time::Duration;
+
+use rustix::net::sockopt::set_socket_linger;
 
 use siskinyoke_base::Millis;
 use siskinyoke_base::OutcomeKind;
@@ -17,16 +20,19 @@
 /// The first lines of a whole response.
 const HEAD: &str = "HTTP/1.1 200 OK\r\nsiskinyoke-code: 200\r\nsiskinyoke-kind: done\r\n";
 
+/// Time within which a client has received what precedes a reset.
+const RESET_DELAY: Duration = Duration::from_millis(50);
+
 // Returns the outcome of a request for which these bytes are received, and the connection is closed
-// after them.
-fn outcome(response: &str) -> Outcome {
+// after them or reset after a delay.
+fn outcome(response: &str, reset_delay: Duration) -> Outcome {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let response = response.to_owned();
     let own_address = address.clone();
     let server = thread::spawn(move || {
         for stream in listener.incoming().map(Result::unwrap).take(2) {
-            serve(stream, &own_address, &response);
+            serve(stream, &own_address, &response, reset_delay);
         }
     });
     let mut client = Client::new(ClientSettings {
@@ -46,7 +52,7 @@
     outcome
 }
 
-fn serve(mut stream: TcpStream, address: &str, response: &str) {
+fn serve(mut stream: TcpStream, address: &str, response: &str, reset_delay: Duration) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     let mut line = String::new();
     reader.read_line(&mut line).unwrap();
@@ -65,6 +71,10 @@
         .unwrap();
     } else {
         stream.write_all(response.as_bytes()).unwrap();
+        if !reset_delay.is_zero() {
+            thread::sleep(reset_delay);
+            set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+        }
     }
 }
 
@@ -86,10 +96,13 @@
     let bodies = bodies.map(|it| format!("{HEAD}{it}"));
     cuts.extend(bodies.iter().map(String::as_str));
     for cut in cuts {
-        let outcome = outcome(cut);
+        let outcome = outcome(cut, Duration::ZERO);
         assert_eq!(outcome.kind, OutcomeKind::Unknown, "{cut:?}: {outcome:?}");
     }
-    let whole = outcome(&format!("{HEAD}content-length: 5\r\n\r\nwhole"));
+    let whole = outcome(
+        &format!("{HEAD}content-length: 5\r\n\r\nwhole"),
+        Duration::ZERO,
+    );
     assert_eq!(whole.kind, OutcomeKind::Done, "{whole:?}");
 }
 
@@ -97,9 +110,16 @@
 #[test]
 fn a_redirect_that_broke_off_has_an_unknown_outcome() {
     let cut = HEAD.replace("200 OK", "302 Found") + "location: /b\r\n";
-    let broken = outcome(&cut);
+    let broken = outcome(&cut, Duration::ZERO);
     assert_eq!(broken.kind, OutcomeKind::Unknown, "{broken:?}");
     let whole = cut + "content-length: 0\r\n\r\n";
-    let whole = outcome(&whole);
+    let whole = outcome(&whole, Duration::ZERO);
     assert_eq!((whole.status, whole.kind), (302, OutcomeKind::Done));
 }
+
+// Guards against a response that its instance marked as broken off by a reset.
+#[test]
+fn a_response_without_a_length_that_is_reset_has_an_unknown_outcome() {
+    let outcome = outcome(&format!("{HEAD}\r\nwho"), RESET_DELAY);
+    assert_eq!(outcome.kind, OutcomeKind::Unknown, "{outcome:?}");
+}
