--- a/crates/siskinyoke-gateway/tests/cut_heads.rs
+++ b/crates/siskinyoke-gateway/tests/cut_heads.rs
@@ -325,12 +325,16 @@
     }
 }
 
-// Guards against heads that state no valid length or a coding that is not removed.
+// Guards against heads that state no valid length, a coding that is not removed or two IDs.
 #[test]
 fn a_malformed_head_is_not_passed_on_as_a_success() {
     for (lines, body) in [
         ("Content-Length: 5\r\nContent-Length: 3\r\n\r\n", "whole"),
         ("Content-Length: \r\n\r\n", "whole"),
+        (
+            "Siskinyoke-Request-Id: other\r\nContent-Length: 5\r\n\r\n",
+            "whole",
+        ),
         ("Content-Length : 5\r\n\r\n", "whole"),
         ("Content-Length: 5\r\n\r", "whole"),
         ("Content-Length: 5\n", ""),
