--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod joined;
 pub mod report;
+pub mod scripted;
 pub mod silent;
 mod unmarked;
 pub mod versioned;
@@ -29,6 +30,7 @@
 use crate::announcements::Announcements;
 use crate::endpoint::crash::Crashes;
 use crate::endpoint::report::Report;
+use crate::endpoint::scripted::Script;
 
 /// The number of slots that an endpoint states.
 pub const SLOT_COUNT: usize = 4;
@@ -99,6 +101,8 @@
     report_count: Arc<AtomicUsize>,
     crashes: Arc<Mutex<Crashes>>,
     endless_bytes: Arc<AtomicUsize>,
+    // The responses to requests for a whole response, and to those that go on with a stream.
+    scripts: Arc<Mutex<Option<(Script, Script)>>>,
 }
 
 impl Endpoint {
@@ -131,6 +135,7 @@
             report_count: Arc::default(),
             crashes: Arc::default(),
             endless_bytes: Arc::default(),
+            scripts: Arc::default(),
         };
         let serving = endpoint.clone();
         thread::spawn(move || serving.listen(listener));
@@ -306,6 +311,9 @@
 
     // Responds as selected by the path, and returns whether the connection is kept open.
     fn respond(&self, request: &ReceivedRequest, out: &mut TcpStream) -> std::io::Result<bool> {
+        if request.line_contains("scripted") {
+            return self.write_script(request, out);
+        }
         if request.line_contains("cut") || self.write_endless(request, out) {
             return Ok(false);
         }
