Soak: no second responses beside the check of streams with a pause

Cause: the check states that no endpoint fails, while callers still request /once/extra, for which the stand-in sends a second response. Beside load it arrives later than the 2 ms for which a connection is not reused, and the next request on it receives it. The instance finds that it is to another request (`mismatched`) and ends the attempt; the retry is refused, as the other requests have used up the retry budget or as the shard has no endpoint that was not tried. 502 is then the honest answer.

Change: callers request no second responses while these streams run. All other phases keep them, and the check requires as before that every stream is complete.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -20,14 +20,18 @@
 use crate::poison::FIRST_PART;
 use crate::poison::parts_header;
 
+/// The path of a non-idempotent request with one response, and of one with two.
+const WHOLE_PATH: &str = "/once/a";
+const EXTRA_PATH: &str = "/once/extra";
+
 /// The requests that callers choose from: the kind of each, and its path, which selects how the
 /// endpoint behaves.
 const REQUEST_CHOICES: [(RequestKind, &str); 6] = [
     (RequestKind::Safe, "/safe/a"),
     (RequestKind::Safe, "/safe/cut"),
-    (RequestKind::Unsafe, "/once/a"),
+    (RequestKind::Unsafe, WHOLE_PATH),
     (RequestKind::Unsafe, "/once/cut"),
-    (RequestKind::Unsafe, "/once/extra"),
+    (RequestKind::Unsafe, EXTRA_PATH),
     (RequestKind::Stream, "/stream/events"),
 ];
 
@@ -39,12 +43,14 @@
 ];
 const ENDLESS_INTERVAL: usize = 40;
 
-/// Sends one request after another to random instances until `stop` is set.
+/// Sends one request after another to random instances until `stop` is set. While
+/// `extra_responses` is not set, no request makes an endpoint send a second response.
 pub fn run_caller(
     seed: u64,
     caller: u64,
     instances: &[SocketAddr],
     checker: &Arc<Checker>,
+    extra_responses: &Arc<AtomicBool>,
     stop: &Arc<AtomicBool>,
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + caller);
@@ -58,6 +64,11 @@
         } else {
             *usual.unwrap_or(&REQUEST_CHOICES[0])
         };
+        let path = if path == EXTRA_PATH && !extra_responses.load(Ordering::Relaxed) {
+            WHOLE_PATH
+        } else {
+            path
+        };
         let id = format!("s{seed}c{caller}n{request_number}");
         let close = rng.random_bool(0.3) || kind == RequestKind::Stream;
         let address = instances.choose(&mut rng).copied();
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -126,6 +126,8 @@
     configuration_version: u64,
     // Whether callers send requests with a part that crashes endpoints.
     poisoned: Arc<AtomicBool>,
+    // Whether callers send requests to which endpoints respond twice.
+    extra_responses: Arc<AtomicBool>,
     // When a process last started, as of the last wait for all of them.
     stable_since: Instant,
 }
@@ -147,7 +149,10 @@
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|caller| {
             let (checker, stop, addresses) = (checker.clone(), stop.clone(), addresses.clone());
-            thread::spawn(move || client::run_caller(seed, caller, &addresses, &checker, &stop))
+            let extra = fleet.extra_responses.clone();
+            thread::spawn(move || {
+                client::run_caller(seed, caller, &addresses, &checker, &extra, &stop);
+            })
         })
         .collect();
     let stream_callers = (0..STREAM_CALLER_COUNT).map(|caller| {
@@ -263,6 +268,7 @@
             instances,
             configuration_version: 3,
             poisoned: Arc::default(),
+            extra_responses: Arc::new(AtomicBool::new(true)),
             stable_since: Instant::now(),
         }
     }
