Soak: versions that come and go while an instance is out of step

The soak had endpoints of two versions from the start, so an instance whose view was outdated never took one version for the only one, and no caller left its stream unnamed.

A further service, `chat`, has one version to which others are added: at random beside the other faults, and once where there is no other fault. Meanwhile an instance is suspended, its link to the store passes no byte, or both, for 0.5 to 2.2 s, and it comes back before or after the version left. Twelve callers take streams up, half of them without naming them, and StreamHistory::violations judges them. The steps have a random stream of their own, the service is one that no other check uses, and its callers are idle otherwise.

The version without other faults allows no exemption. Callers give up after the route's timeout, which is the life of a stream that the design states.

The callers of a run move from run.rs to run/callers.rs.

--- a/crates/siskinyoke-gateway/tests/soak.rs
+++ b/crates/siskinyoke-gateway/tests/soak.rs
@@ -40,6 +40,7 @@
             endpoint_steps: false,
             store_steps: false,
             link_steps: false,
+            chat_endpoints: 0,
             ..size
         };
         check_seeds(&REGRESSION_SEEDS, size);
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::time::Instant;
 
 use crate::Endpoint;
 use crate::stream::StreamHistory;
@@ -90,12 +91,17 @@
         (served, outcomes.len() - served)
     }
 
-    /// Returns a description of each violated guarantee.
+    /// Returns a description of each violated guarantee; `removals` tells when the last endpoint
+    /// left of each version that instances may not have seen.
     ///
     /// # Panics
     ///
     /// If a caller thread has panicked.
-    pub fn violations(&self, endpoints: &[Endpoint]) -> Vec<String> {
+    pub fn violations(
+        &self,
+        endpoints: &[Endpoint],
+        removals: &BTreeMap<String, Instant>,
+    ) -> Vec<String> {
         let mut run_counts: BTreeMap<String, usize> = BTreeMap::new();
         let requests = endpoints.iter().flat_map(Endpoint::requests);
         for request in requests.filter(|it| !it.rejected) {
@@ -109,7 +115,7 @@
             .flat_map(|it| check_outcome(it, run_counts.get(&it.id).copied().unwrap_or(0)));
         let streams = self.streams.lock().unwrap();
         violations
-            .chain(streams.iter().flat_map(StreamHistory::violations))
+            .chain(streams.iter().flat_map(|it| it.violations(removals)))
             .collect()
     }
 }
--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -16,6 +16,12 @@
   "IdleTimeoutMs":15000},
  "Tenants":[{"Name":"school","ApiKeys":["KEY"]}]}"#;
 
+const CHAT_ROUTE: &str = r#"
+ {"Name":"chat","Host":"h.example","Prefix":"/chat/","Kind":"stream","TimeoutMs":4000,
+  "TargetLatencyMs":2000,"Priority":0,"Service":"chat","MaxAttempts":2,"Resumable":true},"#;
+
+const CHAT_SERVICE: &str = r#"{"Name":"chat","MaxConns":100},"#;
+
 /// Returns the configuration with the given version and a single API key.
 pub fn text(version: u64, key: &str) -> String {
     CONFIGURATION_TEMPLATE
@@ -23,6 +29,17 @@
         .replace("KEY", key)
 }
 
+/// Returns the configuration with a route of resumable streams to a further service, `chat`.
+pub fn text_with_chat(version: u64, key: &str) -> String {
+    text(version, key)
+        .replacen("\"Routes\":[", &format!("\"Routes\":[{CHAT_ROUTE}"), 1)
+        .replacen(
+            "\"Services\":[",
+            &format!("\"Services\":[{CHAT_SERVICE}"),
+            1,
+        )
+}
+
 /// Returns the configuration with another limit on the size of request bodies, in bytes.
 pub fn text_with_body_limit(version: u64, key: &str, bytes: usize) -> String {
     let limit = format!("\"MaxBodyBytes\":{bytes}");
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -138,12 +138,17 @@
 
     /// Returns its entry in the store with another address, such as that of a proxy.
     pub fn entry_at(&self, address: SocketAddr, state: &str) -> String {
+        self.entry_of("lm", address, state)
+    }
+
+    /// Returns its entry in the store as an endpoint of a service.
+    pub fn entry_of(&self, service: &str, address: SocketAddr, state: &str) -> String {
         let version = self.version.as_ref();
         let version =
             version.map_or_else(String::new, |version| format!(r#""Version":"{version}","#));
         let start = self.starts.load(Ordering::Relaxed);
         format!(
-            r#"{{"Service":"lm",{version}"Address":"{address}","Zone":"a","Slots":{SLOT_COUNT},"State":"{state}","born":{start}}}"#
+            r#"{{"Service":"{service}",{version}"Address":"{address}","Zone":"a","Slots":{SLOT_COUNT},"State":"{state}","born":{start}}}"#
         )
     }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,10 +1,12 @@
 //! A seeded run of gateway processes and callers under overlapping faults.
 
+mod callers;
+mod chat_service;
 mod checks;
 mod prompt_parts;
+mod versions;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -24,26 +26,15 @@
 use crate::Proxy;
 use crate::Store;
 use crate::checker::Checker;
-use crate::client;
 use crate::configuration;
 use crate::endpoint::crash::CrashResponse;
 use crate::poison;
 use crate::proxy::Cut;
 use crate::proxy::Fault;
+use crate::run::chat_service::ChatService;
 use crate::run::checks::check_rollout_statuses;
 use crate::store::Availability;
 use crate::store::Copy;
-use crate::stream;
-use crate::unmarked;
-
-/// The number of caller threads.
-const CALLER_COUNT: u64 = 6;
-
-/// The number of threads of callers that break streams off and take them up.
-const STREAM_CALLER_COUNT: u64 = 2;
-
-/// The number of threads of callers whose requests crash endpoints.
-const POISONED_CALLER_COUNT: u64 = 2;
 
 /// The size of a run's fleet, and what its endpoints do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,6 +50,9 @@
     /// Whether instances lose their links to endpoints, endpoints bear few rejections, and requests
     /// with a part that crashes endpoints come for a while, at random.
     pub link_steps: bool,
+    /// The number of endpoints of the first version of a service whose further versions join and leave
+    /// while an instance does not see it, at random; 0 if there is no such service.
+    pub chat_endpoints: usize,
 }
 
 impl FleetSize {
@@ -69,6 +63,7 @@
         endpoint_steps: true,
         store_steps: true,
         link_steps: true,
+        chat_endpoints: 1,
     };
 
     /// A fleet of two shards, in each of which one instance watches the store for the others.
@@ -78,6 +73,7 @@
         endpoint_steps: true,
         store_steps: true,
         link_steps: true,
+        chat_endpoints: 2,
     };
 }
 
@@ -128,6 +124,8 @@
     poisoned: Arc<AtomicBool>,
     // Whether callers send requests to which endpoints respond twice.
     extra_responses: Arc<AtomicBool>,
+    // The service whose versions come and go.
+    chat: ChatService,
     // When a process last started, as of the last wait for all of them.
     stable_since: Instant,
 }
@@ -141,35 +139,7 @@
     let mut fleet = Fleet::start(program, size);
     let checker = Arc::new(Checker::default());
     let stop = Arc::new(AtomicBool::new(false));
-    let addresses: Vec<SocketAddr> = fleet
-        .instances
-        .iter()
-        .map(|instance| instance.caller_address)
-        .collect();
-    let callers: Vec<_> = (0..CALLER_COUNT)
-        .map(|caller| {
-            let (checker, stop, addresses) = (checker.clone(), stop.clone(), addresses.clone());
-            let extra = fleet.extra_responses.clone();
-            thread::spawn(move || {
-                client::run_caller(seed, caller, &addresses, &checker, &extra, &stop);
-            })
-        })
-        .collect();
-    let stream_callers = (0..STREAM_CALLER_COUNT).map(|caller| {
-        let (checker, stop, addresses) = (checker.clone(), stop.clone(), addresses.clone());
-        thread::spawn(move || stream::run_caller(seed, caller, &addresses, &checker, &stop))
-    });
-    let poisoned_callers = (0..POISONED_CALLER_COUNT).map(|caller| {
-        let (poisoned, stop, addresses) = (fleet.poisoned.clone(), stop.clone(), addresses.clone());
-        thread::spawn(move || poison::run_caller(seed, caller, &addresses, &poisoned, &stop))
-    });
-    let unmarked_caller = {
-        let (checker, stop, addresses) = (checker.clone(), stop.clone(), addresses.clone());
-        thread::spawn(move || unmarked::run_caller(seed, &addresses, &checker, &stop))
-    };
-    let callers = callers.into_iter().chain(stream_callers);
-    let callers = callers.chain([unmarked_caller]);
-    let callers: Vec<_> = callers.chain(poisoned_callers).collect();
+    let callers = fleet.start_callers(seed, &checker, &stop);
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     // The steps of endpoints have a stream of their own, so that seeds keep their other steps.
     let mut endpoint_rng = ChaCha8Rng::seed_from_u64(seed);
@@ -180,6 +150,8 @@
     link_rng.set_stream(3);
     let mut poison_rng = ChaCha8Rng::seed_from_u64(seed);
     poison_rng.set_stream(4);
+    let mut version_rng = ChaCha8Rng::seed_from_u64(seed);
+    version_rng.set_stream(5);
     for _ in 0..STEP_COUNT {
         fleet.run_random_step(&mut rng);
         if size.endpoint_steps {
@@ -192,17 +164,21 @@
             fleet.run_link_step(&mut link_rng);
             fleet.run_poison_step(&mut poison_rng);
         }
+        if size.chat_endpoints > 0 {
+            fleet.run_version_step(&mut version_rng);
+        }
         thread::sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
     }
     fleet.clear_faults();
-    let mut violations = fleet.check_recovery();
+    let mut violations = fleet.check_recovery(&mut version_rng);
     stop.store(true, Ordering::Relaxed);
     for caller in callers {
         if caller.join().is_err() {
             violations.push("a caller thread panicked".to_owned());
         }
     }
-    violations.extend(checker.violations(&fleet.endpoints));
+    let removals = fleet.chat.removals();
+    violations.extend(checker.violations(&fleet.endpoints, removals));
     violations.extend(check_rollout_statuses(&fleet.store.rollout_statuses()));
     let (served, unserved) = checker.result_counts();
     let (resumed, went_on) = checker.stream_counts();
@@ -224,7 +200,16 @@
 impl Fleet {
     fn start(program: &Path, size: FleetSize) -> Self {
         let store = Store::start();
-        store.put("op/config", &configuration::text(3, "k1"));
+        let mut chat = ChatService::default();
+        if size.chat_endpoints > 0 {
+            chat.join(size.chat_endpoints);
+            store.put("op/config", &configuration::text_with_chat(3, "k1"));
+        } else {
+            store.put("op/config", &configuration::text(3, "k1"));
+        }
+        for (key, entry) in chat.entries("ready") {
+            store.put(&key, &entry);
+        }
         let endpoints: Vec<Endpoint> = (0..size.endpoints)
             .map(|i| Endpoint::start_with_version(&format!("e{i}"), Some(SERVICE_VERSIONS[i % 2])))
             .collect();
@@ -248,8 +233,10 @@
             .zip(&endpoint_proxies)
             .map(|(endpoint, proxy)| {
                 let key = format!("servers/{}", endpoint.id);
-                (key, Some(endpoint.entry_at(proxy.address, "ready")))
+                (key, endpoint.entry_at(proxy.address, "ready"))
             })
+            .chain(chat.entries("ready"))
+            .map(|(key, entry)| (key, Some(entry)))
             .collect();
         let instances = store_proxies
             .iter()
@@ -269,6 +256,7 @@
             configuration_version: 3,
             poisoned: Arc::default(),
             extra_responses: Arc::new(AtomicBool::new(true)),
+            chat,
             stable_since: Instant::now(),
         }
     }
@@ -430,7 +418,11 @@
     // Writes the next version of the configuration.
     fn write_configuration(&mut self) {
         self.configuration_version += 1;
-        let text = configuration::text(self.configuration_version, "k1");
+        let text = if self.chat.is_used() {
+            configuration::text_with_chat(self.configuration_version, "k1")
+        } else {
+            configuration::text(self.configuration_version, "k1")
+        };
         self.write("op/config", Some(text));
     }
 
--- a/soak/src/run/checks.rs
+++ b/soak/src/run/checks.rs
@@ -1,5 +1,6 @@
 //! What has to hold once all faults of a run have ended.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::atomic::Ordering;
@@ -7,6 +8,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand_chacha::ChaCha8Rng;
+
 use crate::Endpoint;
 use crate::Instance;
 use crate::endpoint::SLOT_COUNT;
@@ -69,7 +72,7 @@
 impl Fleet {
     // Checks that every instance serves requests again within 200 probes, and that updates
     // propagate.
-    pub(super) fn check_recovery(&mut self) -> Vec<String> {
+    pub(super) fn check_recovery(&mut self, rng: &mut ChaCha8Rng) -> Vec<String> {
         let mut violations = Vec::new();
         for index in 0..self.instances.len() {
             let served = (0..200).any(|_| {
@@ -93,6 +96,7 @@
         self.restore_store();
         violations.extend(self.check_propagation());
         violations.extend(self.check_announcements());
+        self.run_last_version(rng);
         violations.extend(self.check_lost_links());
         violations.extend(self.check_streams());
         violations
@@ -149,7 +153,9 @@
         }
         self.instances[0].restart();
         let went_on = streams.iter().filter(|it| it.went_on()).count();
-        let mut violations: Vec<_> = streams.iter().flat_map(StreamHistory::violations).collect();
+        let removals = BTreeMap::new();
+        let mixed = streams.iter().flat_map(|it| it.violations(&removals));
+        let mut violations: Vec<_> = mixed.collect();
         if went_on < STREAM_PROBE_COUNT / 2 {
             violations.push(format!(
                 "{went_on} of {STREAM_PROBE_COUNT} streams go on after their instance was killed: \
@@ -234,7 +240,7 @@
     }
 
     // Waits, and writes the entries of endpoints that come back from a crash.
-    fn pause(&mut self, duration: Duration) {
+    pub(super) fn pause(&mut self, duration: Duration) {
         let end = Instant::now() + duration;
         while Instant::now() < end {
             thread::sleep(POLL_INTERVAL);
@@ -311,6 +317,8 @@
         StreamHistory {
             id,
             parts: vec![part],
+            named: true,
+            ended_at: Instant::now(),
         }
     }
 }
--- a/soak/src/stream.rs
+++ b/soak/src/stream.rs
@@ -1,5 +1,6 @@
 //! Callers that break streams off and take them up elsewhere.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::io::Read;
 use std::io::Write;
@@ -10,6 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -21,13 +23,45 @@
 use crate::poison::FIRST_PART;
 use crate::poison::parts_header;
 
-/// The paths of streams whose events name the version of their endpoint; the second breaks off once
-/// at its endpoint.
-const STREAM_PATHS: [&str; 2] = ["/stream/versioned", "/stream/versioned/broken"];
+/// What callers that take streams up request.
+#[derive(Debug, Clone, Copy)]
+pub struct StreamCallers {
+    /// The paths of streams whose events name the version of their endpoint; the second breaks off
+    /// once at its endpoint.
+    paths: [&'static str; 2],
+    /// The parts of the prompts that all requests share.
+    shared_parts: &'static [&'static str],
+    /// The share of the streams whose callers do not name them when they take them up.
+    unnamed_share: f64,
+    /// The age from which on a stream is not taken up; nor is one that is refused for longer.
+    max_age: Duration,
+}
+
+impl StreamCallers {
+    /// Callers of the service that all other callers use.
+    pub const SHARED_SERVICE: Self = Self {
+        paths: ["/stream/versioned", "/stream/versioned/broken"],
+        shared_parts: &[FIRST_PART],
+        unnamed_share: 0.0,
+        max_age: Duration::MAX,
+    };
+
+    /// Callers of the service whose versions come and go. They take a stream up within the route's
+    /// timeout, as a version that has been gone for longer than a stream can last is forgotten.
+    pub const CHAT: Self = Self {
+        paths: ["/chat/versioned", "/chat/versioned/broken"],
+        shared_parts: &[],
+        unnamed_share: 0.5,
+        max_age: Duration::from_secs(4),
+    };
+}
 
 /// The maximum number of requests for one stream.
 const MAX_PARTS: usize = 5;
 
+/// How often callers that send no requests check whether they may.
+const ACTIVITY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The longest pause before a caller comes back.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 
@@ -136,16 +170,25 @@
     pub id: String,
     /// The parts, in order.
     pub parts: Vec<Part>,
+    /// Whether its caller names it when it takes it up.
+    pub named: bool,
+    /// When the caller received the last part.
+    pub ended_at: Instant,
 }
 
 impl StreamHistory {
     /// Returns a description of each violated guarantee.
-    pub fn violations(&self) -> Vec<String> {
+    ///
+    /// `removals` tells when the last endpoint left of each version that instances may not have
+    /// seen. A stream of such a version that its caller does not name may go on at another one.
+    pub fn violations(&self, removals: &BTreeMap<String, Instant>) -> Vec<String> {
         let events = self.parts.iter().flat_map(|it| &it.events);
         let versions: BTreeSet<&str> = events.clone().map(|it| &*it.1).collect();
+        let mut removed = versions.iter().filter_map(|it| removals.get(*it));
+        let is_bound = self.named || removed.all(|it| *it > self.ended_at);
         let numbers: Vec<u32> = events.map(|it| it.0).collect();
         let mut violations = Vec::new();
-        if versions.len() > 1 {
+        if is_bound && versions.len() > 1 {
             violations.push(format!(
                 "{}: a stream of several versions: {:?}",
                 self.id, self.parts
@@ -170,55 +213,78 @@
     }
 }
 
-/// Begins streams at random instances, breaks them off and takes them up at others until `stop` is
-/// set.
+/// Begins streams at random instances while `active` is set, breaks them off and takes them up at
+/// others, until `stop` is set.
 pub fn run_caller(
     seed: u64,
     caller: u64,
+    callers: StreamCallers,
     instances: &[SocketAddr],
     checker: &Arc<Checker>,
+    active: &Arc<AtomicBool>,
     stop: &Arc<AtomicBool>,
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + caller);
+    // Whether a stream is named is drawn apart, so that seeds keep the other choices.
+    let mut name_rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + caller);
+    name_rng.set_stream(1);
     let mut number = 0;
     while !stop.load(Ordering::Relaxed) {
+        if !active.load(Ordering::Relaxed) {
+            thread::sleep(ACTIVITY_POLL_INTERVAL);
+            continue;
+        }
         number += 1;
         let name = format!("s{seed}v{caller}n{number}");
-        let history = receive_stream(&mut rng, &name, instances);
+        let named = !name_rng.random_bool(callers.unnamed_share);
+        let history = receive_stream(&mut rng, &name, &callers, named, instances);
         checker.add_stream(history);
     }
 }
 
-fn receive_stream(rng: &mut ChaCha8Rng, name: &str, instances: &[SocketAddr]) -> StreamHistory {
-    let path = STREAM_PATHS.choose(rng).unwrap_or(&STREAM_PATHS[0]);
+fn receive_stream(
+    rng: &mut ChaCha8Rng,
+    name: &str,
+    callers: &StreamCallers,
+    named: bool,
+    instances: &[SocketAddr],
+) -> StreamHistory {
+    let path = callers.paths.choose(rng).unwrap_or(&callers.paths[0]);
     let mut history = StreamHistory {
         id: name.to_owned(),
         parts: Vec::new(),
+        named,
+        ended_at: Instant::now(),
     };
     let mut last_event = 0;
+    let mut begun_at = Instant::now();
     for number in 0..MAX_PARTS {
         let id = format!("{name}p{number}");
         if last_event == 0 {
             history.id.clone_from(&id);
+            begun_at = Instant::now();
         }
+        let resumed_id = if named { &*history.id } else { "" };
         let request = StreamRequest {
             id: &id,
             path,
-            shared_parts: &[FIRST_PART],
-            resumes: (last_event > 0).then_some((&*history.id, last_event)),
+            shared_parts: callers.shared_parts,
+            resumes: (last_event > 0).then_some((resumed_id, last_event)),
             max_events: rng.random_range(1..12),
         };
         let Some(instance) = instances.choose(rng) else {
             break;
         };
         let part = request.send(*instance);
+        history.ended_at = Instant::now();
         last_event = part.events.last().map_or(last_event, |it| it.0);
         let pause = part
             .retry_after
             .map_or(Duration::ZERO, Duration::from_secs_f64);
         let is_last = part.is_last();
         history.parts.push(part);
-        if is_last {
+        let expires = last_event > 0 && begun_at.elapsed() + pause >= callers.max_age;
+        if is_last || expires {
             break;
         }
         thread::sleep(pause.min(MAX_PAUSE));
