Soak: callers make no endpoint fail beside the check of streams with a pause

Cause: the check states that no endpoint fails, while a third of the callers' requests break their connections.

Change: the callers send requests to which endpoints respond in whole while these streams run, in place of only leaving out second responses. The check requires every stream as before, and all other phases keep the failures.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -20,18 +20,17 @@
 use crate::poison::FIRST_PART;
 use crate::poison::parts_header;
 
-/// The path of a non-idempotent request with one response, and of one with two.
-const WHOLE_PATH: &str = "/once/a";
-const EXTRA_PATH: &str = "/once/extra";
+/// The request to which every endpoint responds once and in whole.
+const WHOLE_REQUEST: (RequestKind, &str) = (RequestKind::Unsafe, "/once/a");
 
 /// The requests that callers choose from: the kind of each, and its path, which selects how the
 /// endpoint behaves.
 const REQUEST_CHOICES: [(RequestKind, &str); 6] = [
     (RequestKind::Safe, "/safe/a"),
     (RequestKind::Safe, "/safe/cut"),
-    (RequestKind::Unsafe, WHOLE_PATH),
+    WHOLE_REQUEST,
     (RequestKind::Unsafe, "/once/cut"),
-    (RequestKind::Unsafe, EXTRA_PATH),
+    (RequestKind::Unsafe, "/once/extra"),
     (RequestKind::Stream, "/stream/events"),
 ];
 
@@ -44,13 +43,13 @@
 const ENDLESS_INTERVAL: usize = 40;
 
 /// Sends one request after another to random instances until `stop` is set. While
-/// `extra_responses` is not set, no request makes an endpoint send a second response.
+/// `endpoint_failures` is not set, endpoints respond to all of them in whole.
 pub fn run_caller(
     seed: u64,
     caller: u64,
     instances: &[SocketAddr],
     checker: &Arc<Checker>,
-    extra_responses: &Arc<AtomicBool>,
+    endpoint_failures: &Arc<AtomicBool>,
     stop: &Arc<AtomicBool>,
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + caller);
@@ -64,10 +63,10 @@
         } else {
             *usual.unwrap_or(&REQUEST_CHOICES[0])
         };
-        let path = if path == EXTRA_PATH && !extra_responses.load(Ordering::Relaxed) {
-            WHOLE_PATH
+        let (kind, path) = if endpoint_failures.load(Ordering::Relaxed) {
+            (kind, path)
         } else {
-            path
+            WHOLE_REQUEST
         };
         let id = format!("s{seed}c{caller}n{request_number}");
         let close = rng.random_bool(0.3) || kind == RequestKind::Stream;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -122,8 +122,8 @@
     configuration_version: u64,
     // Whether callers send requests with a part that crashes endpoints.
     poisoned: Arc<AtomicBool>,
-    // Whether callers send requests to which endpoints respond twice.
-    extra_responses: Arc<AtomicBool>,
+    // Whether callers send requests that make endpoints fail.
+    endpoint_failures: Arc<AtomicBool>,
     // The service whose versions come and go.
     chat: ChatService,
     // When a process last started, as of the last wait for all of them.
@@ -254,7 +254,7 @@
             instances,
             configuration_version: 3,
             poisoned: Arc::default(),
-            extra_responses: Arc::new(AtomicBool::new(true)),
+            endpoint_failures: Arc::new(AtomicBool::new(true)),
             chat,
             stable_since: Instant::now(),
         }
--- a/soak/src/run/callers.rs
+++ b/soak/src/run/callers.rs
@@ -45,9 +45,9 @@
         };
         let callers = (0..CALLER_COUNT).map(|caller| {
             let (checker, stop, addresses) = (checker.clone(), stop.clone(), addresses.clone());
-            let extra = self.extra_responses.clone();
+            let failures = self.endpoint_failures.clone();
             thread::spawn(move || {
-                client::run_caller(seed, caller, &addresses, &checker, &extra, &stop);
+                client::run_caller(seed, caller, &addresses, &checker, &failures, &stop);
             })
         });
         let stream_callers = (0..STREAM_CALLER_COUNT).map(|caller| {
--- a/soak/src/run/checks.rs
+++ b/soak/src/run/checks.rs
@@ -198,11 +198,11 @@
         violations
     }
 
-    // Checks that streams with a pause end complete, although no endpoint fails. An endpoint's second
-    // response to a request may be received as that to a stream on the same connection, which ends the
-    // stream's attempt, so callers request no such responses meanwhile.
+    // Checks that streams with a pause end complete, although no endpoint fails. So callers make none
+    // fail meanwhile: that puts endpoints into back-off, and a second response to a request may be
+    // received as that to a stream on the same connection.
     fn check_silent_streams(&self) -> Vec<String> {
-        self.extra_responses.store(false, Ordering::Relaxed);
+        self.endpoint_failures.store(false, Ordering::Relaxed);
         thread::sleep(PAUSED_STREAM_DELAY);
         let responses: Vec<_> = thread::scope(|scope| {
             let calls = (0..PAUSED_STREAM_COUNT).map(|number| {
@@ -215,7 +215,7 @@
             let calls: Vec<_> = calls.collect();
             calls.into_iter().filter_map(|it| it.join().ok()).collect()
         });
-        self.extra_responses.store(true, Ordering::Relaxed);
+        self.endpoint_failures.store(true, Ordering::Relaxed);
         let broken = responses.iter().filter(|it| !silent::is_complete(it));
         broken
             .map(|it| format!("a stream with a pause broke off: {it:?}"))
