Stream lookup: rank the instances only where there is no record

The ranking of all instances moved before the check for an own record, so every stream that is taken up hashed them.

--- a/crates/siskinyoke-dispatch/src/core/store.rs
+++ b/crates/siskinyoke-dispatch/src/core/store.rs
@@ -277,7 +277,7 @@
         } else if view.reachable {
             let exceeds = |since: Option<Millis>, span| since.is_some() && !within(since, span);
             view.read_requested
-                || exceeds(view.behind_since, MAX_PEER_LAG)
+                || self.lags_behind_peers(now)
                 || exceeds(view.outdated_since, MAX_CONFIGURATION_LAG)
         } else {
             self.is_store_unreachable(now) && !within(view.last_failure, STORE_RETRY_INTERVAL)
--- a/crates/siskinyoke-gateway/src/stream_lookup.rs
+++ b/crates/siskinyoke-gateway/src/stream_lookup.rs
@@ -132,7 +132,11 @@
             replies: 0,
             view_current: None,
         };
-        let [first, others] = self.rounds(question.key);
+        let [first, others] = if lookup.origin.is_recorded() {
+            Default::default()
+        } else {
+            self.rounds(question.key)
+        };
         let is_named = question.key != StreamKey::UNNAMED_STREAM;
         if is_named && !lookup.origin.is_recorded() {
             self.ask_round(&first, question, &mut lookup).await;
