Responses: one memory budget, from the endpoint to the client's socket

Cause: only request bodies were counted. Buffered responses, chunks and events had limits of their own, for one response or by number, and nothing limited their sum. A connection that was being written had no time limit.

Change: MemoryBudget has parts; client_memory is the whole. Buffered responses are counted until they have been written to the socket; where there is no memory they are passed on instead. The channel to the client is limited by bytes. Reads are limited to 16 KiB, as the HTTP library's buffers grow with what arrives at once. Where the budget is used up, the connection is closed whose client has left a response unread for the longest time, 3 s at least; in calm one that takes less than 64 KiB in 10 s (clients.unread_s).

Ruled out: a limit for each response alone (its sum grows with the clients), and the deadline as the limit (a client on a narrow line reads 900 kB for 14 s).

--- a/crates/siskinyoke-gateway/src/admin.rs
+++ b/crates/siskinyoke-gateway/src/admin.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
+use crate::connection_group::ConnectionGroup;
 use crate::response;
 use crate::response::ResponseBody;
 use crate::shell::Shell;
@@ -111,6 +112,10 @@
     shell
         .metrics
         .set_state("organisations_above_share", to_f64(above));
+    let client_bytes = shell.client_memory.held();
+    (shell.metrics).set_state("client_bytes", to_f64(client_bytes));
+    let callers = shell.connections.count(ConnectionGroup::Callers);
+    (shell.metrics).set_state("caller_connections", to_f64(callers));
     let relayed = shell.relay.in_flight();
     shell.metrics.set_state("relayed", to_f64(relayed));
     let age = shell.now().since(shell.store_contact.get());
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -11,14 +11,15 @@
 use http::request::Parts;
 use hyper::body::Incoming;
 use serde_json::json;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::yield_now;
 
 use crate::attempt::EndpointRequest;
+use crate::chunk_channel;
 use crate::events::EventBuffer;
 use crate::job::CallerChannel;
 use crate::job::Job;
+use crate::job::REQUEST_BYTES;
 use crate::job::ResponseStart;
 use crate::job::progress::Progress;
 use crate::lending;
@@ -46,11 +47,7 @@
 use siskinyoke_interface::FormatError;
 use siskinyoke_interface::Resumption;
 
-/// Maximum number of response chunks buffered for a slow caller before reading from the endpoint
-/// pauses.
-const MAX_BUFFERED_CHUNKS: usize = 8;
-
-/// Retry delay sent when the memory for request bodies is used up.
+/// Retry delay sent when the memory for clients is used up.
 const MEMORY_RETRY_AFTER: Millis = Millis(500);
 
 /// A request that was routed, and the IDs that its caller gave.
@@ -337,6 +334,10 @@
     outgoing: EndpointRequest,
     arrival: Arrival,
 ) -> Response<ResponseBody> {
+    let Ok(memory) = shell.client_memory.reserve(REQUEST_BYTES) else {
+        shell.core.borrow_mut().refund(&accepted.routed);
+        return reject_body(shell, accepted.id.as_deref(), BodyError::OutOfMemory);
+    };
     let stream_key = accepted.stream_key();
     let fingerprint = outgoing.fingerprint;
     let takes_up = accepted.takes_up();
@@ -367,7 +368,8 @@
     }
     shell.decide();
     let (start_sender, start) = oneshot::channel();
-    let (chunk_sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let (chunk_sender, chunks) =
+        chunk_channel::channel(&shell.client_memory, &shell.response_memory);
     let job = Job {
         shell: shell.clone(),
         routed,
@@ -385,6 +387,7 @@
         last_endpoint: None,
         progress: Progress::default(),
         response: None,
+        memory,
     };
     tokio::task::spawn_local(job.run(permit, decision));
     match start.await {
--- a/crates/siskinyoke-gateway/src/connection.rs
+++ b/crates/siskinyoke-gateway/src/connection.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use rustix::net::sockopt::set_socket_send_buffer_size;
@@ -40,6 +40,9 @@
 /// What is in the buffer counts as sent, although the endpoint may not have read it.
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Size up to which the read buffer grows, which bounds the heads of responses.
+const MAX_READ_BUFFER_BYTES: usize = 128 * 1024;
+
 quick_error! {
     /// Failure to establish a connection.
     #[derive(Debug)]
@@ -124,7 +127,9 @@
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
         state: StreamState,
     ) -> Result<Self, ConnectError> {
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_READ_BUFFER_BYTES);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
         let task = tokio::task::spawn_local(async move {
             // An error also fails the request in flight; idle connections are dropped by the pool.
             drop(connection.await);
--- a/crates/siskinyoke-gateway/src/connection_activity.rs
+++ b/crates/siskinyoke-gateway/src/connection_activity.rs
@@ -1,9 +1,37 @@
 //! What has been received and sent over a connection of a client.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 
+use tokio::sync::Notify;
+
+use crate::memory_reservation::MemoryReservation;
 use siskinyoke_base::Millis;
 
+/// How much of a response a client must take for its connection not to count as blocked from the
+/// beginning.
+const PROGRESS_BYTES: usize = 64 * 1024;
+
+/// What a connection waits for its client to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Waiting {
+    /// To read a response.
+    Reading,
+    /// To complete the head of a request.
+    Sending,
+    /// To send a request.
+    Idle,
+}
+
+/// A response that the operating system does not take more of.
+#[derive(Debug, Clone, Copy)]
+struct Blocked {
+    // When the client had last taken `PROGRESS_BYTES`; at first, when the socket was full.
+    since: Millis,
+    // What it has taken since then.
+    taken: usize,
+}
+
 /// What has been received and sent over a connection of a client.
 #[derive(Debug)]
 pub struct ConnectionActivity {
@@ -18,6 +46,11 @@
     head_confirmed: Cell<bool>,
     // Whether the last response ends with its connection.
     ends_unmarked: Cell<bool>,
+    blocked: Cell<Option<Blocked>>,
+    close_requested: Cell<bool>,
+    closing: Notify,
+    // Covers the connection, if memory is limited.
+    memory: RefCell<Option<MemoryReservation>>,
 }
 
 impl ConnectionActivity {
@@ -31,9 +64,20 @@
             head_since: Cell::new(None),
             head_confirmed: Cell::new(false),
             ends_unmarked: Cell::new(false),
+            blocked: Cell::new(None),
+            close_requested: Cell::new(false),
+            closing: Notify::new(),
+            memory: RefCell::new(None),
         }
     }
 
+    /// Sets the memory that is reserved for the connection.
+    #[must_use]
+    pub fn with_memory(self, memory: MemoryReservation) -> Self {
+        self.memory.replace(Some(memory));
+        self
+    }
+
     /// Returns whether a request is being served, or its response being sent.
     pub fn is_busy(&self) -> bool {
         self.open_requests.get() > 0 || self.unflushed.get()
@@ -66,6 +110,48 @@
         self.ends_unmarked.get()
     }
 
+    /// Returns since when the client has not taken enough of a response that waits for it.
+    pub fn blocked_since(&self) -> Option<Millis> {
+        self.blocked.get().map(|it| it.since)
+    }
+
+    /// Returns what the connection waits for its client to do, and since when, unless it is to be
+    /// closed already.
+    pub fn waiting(&self) -> Option<(Waiting, Millis)> {
+        if self.close_requested.get() {
+            None
+        } else if let Some(since) = self.blocked_since() {
+            Some((Waiting::Reading, since))
+        } else if self.is_busy() {
+            None
+        } else if let Some(since) = self.head_since.get() {
+            Some((Waiting::Sending, since))
+        } else {
+            Some((Waiting::Idle, self.idle_since.get()))
+        }
+    }
+
+    /// Requests that the connection is closed unless its client completes what it waits for.
+    pub fn request_close(&self) {
+        self.close_requested.set(true);
+        self.closing.notify_one();
+    }
+
+    /// Completes when it is requested that the connection is closed.
+    pub async fn close_requested(&self) {
+        self.closing.notified().await;
+    }
+
+    /// Records that the connection is not closed although it was requested.
+    pub fn withdraw_close(&self) {
+        self.close_requested.set(false);
+    }
+
+    /// Releases the memory that is reserved for the connection.
+    pub fn release_memory(&self) {
+        self.memory.replace(None);
+    }
+
     /// Records that a whole head was received.
     pub fn request_started(&self) {
         self.open_requests.set(self.open_requests.get() + 1);
@@ -108,8 +194,35 @@
         self.unflushed.set(true);
     }
 
+    /// Records that the operating system takes no more bytes now.
+    pub fn write_blocked(&self, now: Millis) {
+        if self.blocked.get().is_none() {
+            let blocked = Blocked {
+                since: now,
+                taken: 0,
+            };
+            self.blocked.set(Some(blocked));
+        }
+    }
+
+    /// Records that the operating system has taken bytes.
+    pub fn written(&self, bytes: usize, now: impl FnOnce() -> Millis) {
+        let Some(mut blocked) = self.blocked.get() else {
+            return;
+        };
+        blocked.taken += bytes;
+        if blocked.taken >= PROGRESS_BYTES {
+            blocked = Blocked {
+                since: now(),
+                taken: 0,
+            };
+        }
+        self.blocked.set(Some(blocked));
+    }
+
     /// Records that everything has been passed to the operating system.
     pub fn flushed(&self, now: Millis) {
+        self.blocked.set(None);
         if self.unflushed.replace(false) {
             self.idle_since.set(now);
             self.initial_limit.set(None);
--- a/crates/siskinyoke-gateway/src/connection_limits.rs
+++ b/crates/siskinyoke-gateway/src/connection_limits.rs
@@ -9,6 +9,8 @@
     pub idle: Millis,
     /// Longest time in which the head of a request may arrive.
     pub head: Millis,
+    /// Longest time in which the client may not read a response that waits for it.
+    pub unread: Millis,
     /// When idle connections end because this instance shuts down.
     pub drain_end: Option<Millis>,
 }
@@ -22,6 +24,10 @@
     Drain,
     /// The head of a request did not arrive in time.
     HeadTimeout,
+    /// The client did not read a response.
+    Unread,
+    /// There was no room for another connection or more memory.
+    NoRoom,
 }
 
 impl CloseReason {
@@ -31,6 +37,8 @@
             Self::Idle => "idle",
             Self::Drain => "drain",
             Self::HeadTimeout => "head_timeout",
+            Self::Unread => "unread",
+            Self::NoRoom => "no_room",
         }
     }
 }
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -10,12 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -25,10 +23,12 @@
 use crate::attempt;
 use crate::attempt::EndpointRequest;
 use crate::body_end::BodyEnd;
+use crate::chunk_channel::ChunkSender;
 use crate::endpoint_client::Reply;
 use crate::endpoint_client::Reuse;
 use crate::events::EventBuffer;
 use crate::framing::Framing;
+use crate::memory_reservation::MemoryReservation;
 use crate::permit::Permit;
 use crate::pool::PoolKey;
 use crate::response::ResponseBody;
@@ -42,13 +42,16 @@
 use siskinyoke_interface::ResponseClass;
 use siskinyoke_interface::headers;
 
+/// What is reserved for an admitted request beside its body and its response.
+pub const REQUEST_BYTES: usize = 16 * 1024;
+
 /// Channels for the response to the caller.
 #[derive(Debug)]
 pub struct CallerChannel {
     /// Takes the start of the response, once.
     pub start: Option<oneshot::Sender<ResponseStart>>,
     /// Takes the chunks of a streamed response; closed when the caller disconnects.
-    pub chunks: mpsc::Sender<Option<Bytes>>,
+    pub chunks: ChunkSender,
 }
 
 /// Start of a response.
@@ -90,6 +93,8 @@
     /// Buffered response of an endpoint; an error response is forwarded if no other endpoint
     /// succeeds.
     pub response: Option<Response<ResponseBody>>,
+    /// What is reserved for the request itself.
+    pub memory: MemoryReservation,
 }
 
 // The head of an endpoint's response.
@@ -168,7 +173,7 @@
                     self.log_retry_denial("attempt", denial.as_str());
                     return self.fail(outcome);
                 }
-                Err(_) => return self.finish().await,
+                Err(_) => return self.finish(),
             };
             let permit = Permit::new(&self.shell, ticket);
             let decision = self.shell.add_waiter(ticket);
--- a/crates/siskinyoke-gateway/src/job/completion.rs
+++ b/crates/siskinyoke-gateway/src/job/completion.rs
@@ -22,16 +22,14 @@
 use siskinyoke_dispatch::RefusalReason;
 
 impl Job {
-    pub(super) async fn finish(&mut self) -> &'static str {
+    pub(super) fn finish(&mut self) -> &'static str {
         if let Some(response) = self.response.take()
             && self.caller.start.is_some()
         {
             self.send_response(response);
             return "answered";
         }
-        // Waits for the chunks queued for a slow caller, because without the end mark the response
-        // would look truncated. Sending fails only if the caller has disconnected.
-        drop(self.caller.chunks.send(None).await);
+        self.caller.chunks.finish();
         "streamed"
     }
 
--- a/crates/siskinyoke-gateway/src/job/forwarding.rs
+++ b/crates/siskinyoke-gateway/src/job/forwarding.rs
@@ -3,18 +3,22 @@
 use std::pin::pin;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::AttemptEnd;
 use super::Job;
+use super::REQUEST_BYTES;
 use super::ResponseHead;
 use super::ResponseStart;
 use super::progress::Progress;
 use super::stall;
 use crate::body_end::BodyEnd;
+use crate::counted_buffer::CountedBuffer;
+use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::OutOfMemoryError;
 use crate::permit::Permit;
 use crate::pool::PooledConnection;
 use crate::response;
@@ -28,11 +32,22 @@
 /// A buffered response that breaks off can still be retried or replaced by an error response.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
 
+/// The size up to which a response may use all memory for clients, so that usual responses do not
+/// wait behind large ones.
+const SMALL_RESPONSE_BYTES: usize = 16 * 1024;
+
+/// What the connection to an endpoint holds while its response is passed on.
+const CONNECTION_BYTES: usize = 32 * 1024;
+
+/// How much memory a buffer that grows takes, as a multiple of its content.
+const BUFFER_RATIO: usize = 2;
+
 /// Maximum size of an event of a stream. Larger ones are taken for a fault of the endpoint.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 impl Job {
-    // Buffers a response without forwarding it; one that is too large is relayed instead.
+    // Buffers a response without forwarding it; one that is too large, or for which there is no
+    // memory, is relayed instead.
     pub(super) async fn buffer_response(
         &mut self,
         start: Millis,
@@ -40,7 +55,7 @@
         mut body: Incoming,
         connection: PooledConnection,
     ) -> AttemptEnd {
-        let mut buffered = BytesMut::new();
+        let mut buffered = self.response_buffer(&body);
         // After a stream has started, only the rest of its events can complete it.
         let resumes = self.caller.start.is_none();
         while let Some(frame) = body.frame().await {
@@ -49,19 +64,26 @@
             };
             let data = frame.into_data().unwrap_or_default();
             connection.connection.body_received(data.len());
-            buffered.extend_from_slice(&data);
-            if buffered.len() > MAX_BUFFERED_BYTES {
+            let added = match &mut buffered {
+                Ok(buffer) => buffer.extend(&data),
+                Err(err) => Err(*err),
+            };
+            let length = buffered.as_ref().map_or(0, CountedBuffer::len);
+            if added.is_err() || length > MAX_BUFFERED_BYTES {
                 if resumes {
                     return AttemptEnd::Retry(Outcome::Failed);
                 }
-                let buffered = buffered.freeze();
-                return self.relay(&head, buffered, body, &connection, start).await;
+                let rest = if added.is_err() { data } else { Bytes::new() };
+                let buffered = buffered.map_or_else(|_| Bytes::new(), CountedBuffer::freeze);
+                let parts = [buffered, rest];
+                return self.relay(&head, parts, body, &connection, start).await;
             }
         }
+        let buffered = buffered.map_or_else(|_| Bytes::new(), CountedBuffer::freeze);
         self.shell.pool.reuse(&head.parts.headers, connection);
         self.progress.body_end = Some(BodyEnd::of_plain(head.framing));
         let headers = self.response_headers(&head);
-        let body = ResponseBody::buffered(buffered.freeze(), head.framing);
+        let body = ResponseBody::buffered(buffered, head.framing);
         let response = response::forwarded(head.parts.status, headers, body, head.framing);
         self.response = Some(response);
         if head.parts.status.is_server_error() || resumes {
@@ -76,18 +98,41 @@
         })
     }
 
+    // Returns a buffer for a response whose memory is counted.
+    fn response_buffer(&self, body: &Incoming) -> Result<CountedBuffer, OutOfMemoryError> {
+        let size = body.size_hint();
+        let expected = usize::try_from(size.lower()).unwrap_or(usize::MAX);
+        let is_small = size.exact().is_some() && expected <= SMALL_RESPONSE_BYTES;
+        let budget: &MemoryBudget = if is_small {
+            &self.shell.client_memory
+        } else {
+            &self.shell.response_memory
+        };
+        let capacity = if expected > MAX_BUFFERED_BYTES {
+            0
+        } else {
+            expected
+        };
+        CountedBuffer::with_capacity(budget, capacity)
+    }
+
     // Forwards a response that is too large to buffer, chunk by chunk. Forwarded data cannot be
     // taken back, so the request is not retried if the connection breaks.
     async fn relay(
         &mut self,
         head: &ResponseHead,
-        buffered: Bytes,
+        [buffered, rest]: [Bytes; 2],
         mut body: Incoming,
         connection: &PooledConnection,
         start: Millis,
     ) -> AttemptEnd {
         let first = self.shell.now().since(start);
-        self.forward(head, buffered).await;
+        self.start_response(head);
+        self.hold_received(rest.len()).await;
+        if !buffered.is_empty() {
+            self.caller.chunks.send_counted(buffered).await;
+        }
+        self.forward(head, rest).await;
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
                 return AttemptEnd::Truncated;
@@ -144,7 +189,10 @@
                         None if self.events.partial_len() > MAX_EVENT_BYTES => {
                             return self.retry_stream(Outcome::Failed);
                         }
-                        None => continue,
+                        None => {
+                            self.hold_received(self.events.partial_len()).await;
+                            continue;
+                        }
                     }
                 }
                 Some(Err(_)) => return self.retry_stream(Outcome::ConnectionLost),
@@ -157,6 +205,8 @@
             }
             progress.record_parts(self.shell.now(), new_events);
             stall_timeout = STREAM_STALL_TIMEOUT;
+            let received = chunk.len() + self.events.partial_len();
+            self.hold_received(received).await;
             self.forward(&head, chunk).await;
         }
         let body_end = BodyEnd::of_stream(head.framing, self.events.position());
@@ -192,22 +242,39 @@
         AttemptEnd::Retry(outcome)
     }
 
+    // Waits for the memory that passing on takes, given the size of what has been received and not
+    // passed on.
+    async fn hold_received(&mut self, bytes: usize) {
+        let needed = REQUEST_BYTES + CONNECTION_BYTES + BUFFER_RATIO * bytes;
+        let missing = needed.saturating_sub(self.memory.bytes());
+        if missing > 0 {
+            let budget = &self.shell.client_memory;
+            let reserved = budget.reserve_when_available(missing).await;
+            self.memory.merge(reserved);
+        }
+    }
+
     fn discard_partial(&mut self) {
         self.progress.partial_bytes = self.events.partial_len();
         self.events.discard_partial();
     }
 
-    // Send errors are ignored: a caller that disconnects closes the channel, which ends the job.
-    async fn forward(&mut self, head: &ResponseHead, chunk: Bytes) {
+    // Sends the start of the response unless it was sent already.
+    fn start_response(&mut self, head: &ResponseHead) {
         if let Some(sender) = self.caller.start.take() {
             let headers = self.response_headers(head);
             let start = ResponseStart::Stream(head.parts.status, headers, head.framing);
             drop(sender.send(start));
         }
+    }
+
+    // A caller that disconnects closes the channel, which ends the job.
+    async fn forward(&mut self, head: &ResponseHead, chunk: Bytes) {
+        self.start_response(head);
         if !chunk.is_empty() {
             let new_parts = self.events.event_count() - self.progress.parts;
             self.progress.record_parts(self.shell.now(), new_parts);
-            drop(self.caller.chunks.send(Some(chunk)).await);
+            self.caller.chunks.send(&chunk).await;
         }
     }
 }
--- a/crates/siskinyoke-gateway/src/kept_connection.rs
+++ b/crates/siskinyoke-gateway/src/kept_connection.rs
@@ -31,6 +31,7 @@
 use crate::tracked_body::TrackedBody;
 use crate::tracked_stream::TrackedStream;
 use siskinyoke_base::Clock;
+use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
 
 /// Size of the read buffer, which bounds request heads whatever limit is configured.
@@ -39,7 +40,7 @@
 /// A connection of a client that is kept for further requests.
 pub struct KeptConnection<'a, L, R> {
     limits: L,
-    // Returns the response to a head that does not arrive in time.
+    // Returns the response to a head that is refused.
     refusal: R,
     // Wakes the connection when `drain_end` becomes known.
     shutdown: &'a Notify,
@@ -49,17 +50,22 @@
 impl<'a, L, R> KeptConnection<'a, L, R>
 where
     L: Fn() -> ConnectionLimits,
-    R: Fn() -> Response<Vec<u8>>,
+    R: Fn(Code) -> Response<Vec<u8>>,
 {
     /// Returns a connection that is bound by the limits in force at each time.
     ///
-    /// `refusal` builds the response to a head that does not arrive in time.
-    pub fn new(limits: L, refusal: R, shutdown: &'a Notify) -> Self {
+    /// `refusal` builds the response to a head that is refused.
+    pub fn new(
+        limits: L,
+        refusal: R,
+        shutdown: &'a Notify,
+        activity: Rc<ConnectionActivity>,
+    ) -> Self {
         Self {
             limits,
             refusal,
             shutdown,
-            activity: Rc::new(ConnectionActivity::new(BootClock.now())),
+            activity,
         }
     }
 
@@ -88,27 +94,50 @@
                 biased;
                 _ = &mut serving => return Ok(None),
                 reason = self.closing_due() => reason,
+                () = self.activity.close_requested() => CloseReason::NoRoom,
                 () = self.shutdown.notified() => continue,
             };
+            if self.activity.is_busy() && self.activity.blocked_since().is_none() {
+                self.activity.withdraw_close();
+                continue;
+            }
             let parts = serving.into_parts();
             let mut stream = parts.io.into_inner();
+            if self.activity.is_busy() {
+                stream.discard_unread()?;
+                return Ok(Some(reason));
+            }
             stream.unread(parts.read_buf);
             if self.may_close(&stream, reason).await? {
-                if reason == CloseReason::HeadTimeout {
-                    refuse(&stream, &(self.refusal)());
-                }
-                // The client may have closed it already.
-                drop(stream.shutdown().await);
+                self.close(stream, reason).await;
                 return Ok(Some(reason));
             }
+            self.activity.withdraw_close();
             serving = builder.serve_connection(TokioIo::new(stream), parts.service);
         }
     }
 
+    // Closes a connection without a whole request.
+    async fn close(&self, mut stream: TrackedStream, reason: CloseReason) {
+        let code = match reason {
+            CloseReason::HeadTimeout => Some(Code::SlowSender),
+            CloseReason::NoRoom => stream.has_unread_request().then_some(Code::SlowSender),
+            CloseReason::Idle | CloseReason::Drain | CloseReason::Unread => None,
+        };
+        if let Some(code) = code {
+            refuse(&stream, &(self.refusal)(code));
+        }
+        // The client may have closed it already.
+        drop(stream.shutdown().await);
+    }
+
     // Returns whether the connection may be closed, given what has been received. If not, bytes that
     // the operating system holds are ready to be read.
     async fn may_close(&self, stream: &TrackedStream, reason: CloseReason) -> Result<bool> {
         let head_begun = stream.has_unread_request();
+        if reason == CloseReason::NoRoom && head_begun {
+            return Ok(true);
+        }
         if stream.has_pending_bytes()? {
             stream.readable().await?;
             self.activity.confirm_head(BootClock.now());
@@ -153,7 +182,8 @@
     // Returns when the connection is to be closed if nothing more is received, and why.
     fn closing_time(&self) -> Option<(Millis, CloseReason)> {
         if self.activity.is_busy() {
-            return None;
+            let since = self.activity.blocked_since()?;
+            return Some((since + (self.limits)().unread, CloseReason::Unread));
         }
         let limits = (self.limits)();
         let idle_end = self.activity.idle_end(limits.idle);
--- a/crates/siskinyoke-gateway/src/limited_stream.rs
+++ b/crates/siskinyoke-gateway/src/limited_stream.rs
@@ -15,6 +15,8 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::bounded_read;
+
 /// The maximum number of bytes of a response that may arrive beside the body that was passed on:
 /// its head, the framing of the chunks, and what is buffered. It exceeds the HTTP client's buffer.
 const MAX_FRAMING_BYTES: usize = 2 * 1024 * 1024;
@@ -92,9 +94,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let this = self.get_mut();
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
-        Poll::Ready(this.state.framing.received(buffer.filled().len() - before))
+        let length = ready!(bounded_read::poll_read(&mut this.stream, context, buffer))?;
+        Poll::Ready(this.state.framing.received(length))
     }
 }
 
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -12,6 +12,7 @@
 use http::Response;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use rustix::net::sockopt::set_socket_send_buffer_size;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -20,14 +21,16 @@
 
 use crate::admin;
 use crate::callers;
+use crate::connection_group::ConnectionGroup;
+use crate::connection_limits::CloseReason;
 use crate::connection_limits::ConnectionLimits;
 use crate::kept_connection::KeptConnection;
+use crate::open_connections::OpenConnection;
 use crate::peer_api;
 use crate::relay::LinkLostError;
 use crate::relay::Relay;
 use crate::response::ResponseBody;
 use crate::shell::Shell;
-use siskinyoke_base::Code;
 use siskinyoke_base::Millis;
 
 /// How long callers' connections are accepted and kept open after this instance starts to shut
@@ -49,6 +52,9 @@
 /// let more transfers share the link than are meant to.
 const PEER_SEND_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Size of the buffers towards clients, which count towards no limit of this process.
+const CLIENT_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Delay before accepting again after the operating system reported an error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -78,6 +84,15 @@
             Self::PeerApi => "peers",
         }
     }
+
+    // Returns the connections with which those of this kind share a limit.
+    const fn group(self) -> ConnectionGroup {
+        match self {
+            Self::Callers => ConnectionGroup::Callers,
+            Self::Health | Self::Directory | Self::Metrics => ConnectionGroup::Pages,
+            Self::PeerApi => ConnectionGroup::Peers,
+        }
+    }
 }
 
 /// Accepts connections; a listener for callers stops at the end of the drain period.
@@ -92,7 +107,13 @@
             () = &mut drained => break,
         };
         match accepted {
-            Ok((stream, peer)) => start_connection(&shell, stream, peer.ip(), kind),
+            Ok((stream, peer)) => {
+                let open = tokio::select! {
+                    open = shell.connections.add(kind.group()) => open,
+                    () = &mut drained => break,
+                };
+                start_connection(&shell, open, stream, peer.ip(), kind);
+            }
             Err(err) => {
                 let fields = json!({
                     "error": err.to_string(),
@@ -109,7 +130,8 @@
     shell.accepting_callers.set(false);
 }
 
-// Accepts the connections that clients have opened already, which would be reset otherwise.
+// Accepts the connections that clients have opened already and for which there is room. The others
+// are reset.
 fn accept_waiting(shell: &Rc<Shell>, listener: TcpListener, kind: ListenerKind) -> Result<()> {
     let listener = listener.into_std()?;
     loop {
@@ -117,7 +139,10 @@
             Ok((stream, peer)) => {
                 stream.set_nonblocking(true)?;
                 let stream = TcpStream::from_std(stream)?;
-                start_connection(shell, stream, peer.ip(), kind);
+                let Some(open) = shell.connections.try_add(kind.group()) else {
+                    return Ok(());
+                };
+                start_connection(shell, open, stream, peer.ip(), kind);
             }
             Err(err) if err.kind() == ErrorKind::WouldBlock => return Ok(()),
             Err(err) => return Err(err),
@@ -136,41 +161,62 @@
     })
 }
 
-fn start_connection(shell: &Rc<Shell>, stream: TcpStream, peer: IpAddr, kind: ListenerKind) {
+fn start_connection(
+    shell: &Rc<Shell>,
+    open: OpenConnection,
+    stream: TcpStream,
+    peer: IpAddr,
+    kind: ListenerKind,
+) {
     if let Err(err) = set_options(&stream, kind) {
         shell.log("connection_option", json!({ "error": err.to_string() }));
     }
-    // Counted at once, so that the process does not end before the connection is served.
-    let guard = ConnectionGuard::new(shell, kind);
-    tokio::task::spawn_local(serve_connection(guard, stream, peer, kind));
+    tokio::task::spawn_local(serve_connection(shell.clone(), open, stream, peer, kind));
 }
 
 fn set_options(stream: &TcpStream, kind: ListenerKind) -> Result<()> {
     stream.set_nodelay(true)?;
-    if kind == ListenerKind::PeerApi {
-        set_socket_send_buffer_size(stream, PEER_SEND_BUFFER_BYTES)?;
-    }
+    let send_buffer = if kind == ListenerKind::PeerApi {
+        PEER_SEND_BUFFER_BYTES
+    } else {
+        CLIENT_BUFFER_BYTES
+    };
+    set_socket_send_buffer_size(stream, send_buffer)?;
+    set_socket_recv_buffer_size(stream, CLIENT_BUFFER_BYTES)?;
     Ok(())
 }
 
 async fn serve_connection(
-    guard: ConnectionGuard,
+    shell: Rc<Shell>,
+    open: OpenConnection,
     stream: TcpStream,
     peer: IpAddr,
     kind: ListenerKind,
 ) {
-    let shell = &guard.shell;
+    let shell = &shell;
     let service = service_fn(|request| {
         let shell = shell.clone();
         async move { handle(&shell, request, peer, kind).await }
     });
     let limits = || connection_limits(shell, kind);
-    let refusal = || shell.interface.exchange.error_response(Code::SlowSender);
-    let connection = KeptConnection::new(limits, refusal, &shell.shutdown_started);
+    let refusal = |code| shell.interface.exchange.error_response(code);
+    let activity = open.activity.clone();
+    let connection = KeptConnection::new(limits, refusal, &shell.shutdown_started, activity);
     match connection.serve(stream, service).await {
-        Ok(Some(reason)) => shell
-            .metrics
-            .record_closed_connection(kind.as_str(), reason.as_str()),
+        Ok(Some(reason)) => {
+            if matches!(reason, CloseReason::NoRoom | CloseReason::Unread) {
+                let fields = json!({
+                    "listener": kind.as_str(),
+                    "reason": reason.as_str(),
+                    "peer": peer.to_string(),
+                    "client_bytes": shell.client_memory.held(),
+                });
+                shell.log("connection_closed", fields);
+            }
+            shell
+                .metrics
+                .record_closed_connection(kind.as_str(), reason.as_str());
+        }
         Ok(None) => {}
         Err(err) => shell.log("connection_option", json!({ "error": err.to_string() })),
     }
@@ -183,6 +229,7 @@
     ConnectionLimits {
         idle: limits.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.keepalive_timeout),
         head: limits.map_or(DEFAULT_HEAD_TIMEOUT, |it| it.head_timeout),
+        unread: shell.settings.borrow().unread_timeout(),
         drain_end: drain_end.filter(|_| kind == ListenerKind::Callers),
     }
 }
@@ -218,30 +265,3 @@
         shell.shutdown_started.notified().await;
     }
 }
-
-/// Counts an open connection until it is dropped, if it is a caller's.
-struct ConnectionGuard {
-    shell: Rc<Shell>,
-    counted: bool,
-}
-
-impl ConnectionGuard {
-    fn new(shell: &Rc<Shell>, kind: ListenerKind) -> Self {
-        let counted = kind == ListenerKind::Callers;
-        shell
-            .caller_connections
-            .set(shell.caller_connections.get() + usize::from(counted));
-        Self {
-            shell: shell.clone(),
-            counted,
-        }
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.shell
-            .caller_connections
-            .set(self.shell.caller_connections.get() - usize::from(self.counted));
-    }
-}
--- a/crates/siskinyoke-gateway/src/memory_reservation.rs
+++ b/crates/siskinyoke-gateway/src/memory_reservation.rs
@@ -16,6 +16,11 @@
         Self { budget, bytes: 0 }
     }
 
+    /// Returns the number of bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Reserves a number of further bytes.
     ///
     /// # Errors
@@ -27,6 +32,11 @@
         Ok(())
     }
 
+    /// Adds another reservation in the same budget.
+    pub fn merge(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
     /// Releases all but a number of bytes.
     pub fn shrink_to(&mut self, bytes: usize) {
         let released = self.bytes.saturating_sub(bytes);
--- a/crates/siskinyoke-gateway/src/reload.rs
+++ b/crates/siskinyoke-gateway/src/reload.rs
@@ -31,9 +31,7 @@
                 json!({ "store": settings.store.to_string() }),
             );
             let previous = shell.settings.replace(Rc::new(settings));
-            shell
-                .body_memory
-                .set_limit(shell.settings().body_memory_bytes());
+            shell.apply_memory_limits();
             if previous.store != shell.settings().store {
                 shell.store_moved.notify_waiters();
             }
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -45,6 +45,15 @@
 /// responses.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
+/// The memory of a process without clients.
+const BASE_MEMORY_MB: u64 = 16;
+
+/// The part of the memory for clients that large responses may use. The rest keeps the usual ones
+/// from waiting for it.
+const LARGE_RESPONSE_RATIO: f64 = 0.75;
+
+const BYTES_PER_MB: u64 = 1024 * 1024;
+
 /// The addresses on which an instance listens.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -85,6 +94,25 @@
     pub settle_ms: u64,
 }
 
+/// Limits on what clients may make an instance hold.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ClientBounds {
+    /// Fraction of the memory beyond that of a process without clients.
+    pub memory_ratio: f64,
+    /// Longest time for which a client may leave a response unread, in seconds.
+    pub unread_s: f64,
+}
+
+impl Default for ClientBounds {
+    fn default() -> Self {
+        Self {
+            memory_ratio: 0.5,
+            unread_s: 10.0,
+        }
+    }
+}
+
 /// The protocols spoken with callers, endpoints, operators and the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -134,6 +162,9 @@
     /// `equal`, or `off`; read only at startup.
     #[serde(default)]
     pub shares: WeightSource,
+    /// Limits on what clients may make this instance hold.
+    #[serde(default)]
+    pub clients: ClientBounds,
     /// Limits that apply to the instances as a whole.
     pub bounds: Bounds,
 }
@@ -172,10 +203,29 @@
 
     /// Returns the memory that request bodies may use, in bytes.
     pub fn body_memory_bytes(&self) -> usize {
-        let bytes = self.memory_mb.saturating_mul(1024 * 1024) / BODY_MEMORY_DIVISOR;
+        let bytes = self.memory_mb.saturating_mul(BYTES_PER_MB) / BODY_MEMORY_DIVISOR;
         usize::try_from(bytes).unwrap_or(usize::MAX)
     }
 
+    /// Returns the memory that clients may make this instance hold, in bytes: at least that for
+    /// request bodies.
+    pub fn client_memory_bytes(&self) -> usize {
+        let megabytes = self.memory_mb.saturating_sub(BASE_MEMORY_MB);
+        let bytes = megabytes.saturating_mul(BYTES_PER_MB);
+        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        fraction_of(bytes, self.clients.memory_ratio).max(self.body_memory_bytes())
+    }
+
+    /// Returns the part of it that responses may use that are larger than the usual ones, in bytes.
+    pub fn response_memory_bytes(&self) -> usize {
+        fraction_of(self.client_memory_bytes(), LARGE_RESPONSE_RATIO)
+    }
+
+    /// Returns the longest time for which a client may leave a response unread.
+    pub fn unread_timeout(&self) -> Millis {
+        millis_from_seconds(self.clients.unread_s)
+    }
+
     /// Returns the time from the signal to stop to the kill.
     pub fn grace_period(&self) -> Millis {
         millis_from_seconds(self.bounds.grace_s)
@@ -205,6 +255,16 @@
                 "memory_mb",
                 "an instance needs 16 MB or more",
             ),
+            (
+                (0.1..=0.9).contains(&self.clients.memory_ratio),
+                "clients.memory_ratio",
+                "give a fraction from 0.1 to 0.9",
+            ),
+            (
+                (1.0..=3600.0).contains(&self.clients.unread_s),
+                "clients.unread_s",
+                "give 1 to 3600 seconds",
+            ),
             (
                 (1.0..=3600.0).contains(&bounds.grace_s),
                 "bounds.grace_s",
@@ -276,6 +336,16 @@
     descriptions.join("; ")
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "a fraction of a number of bytes, which need not be exact"
+)]
+fn fraction_of(bytes: usize, ratio: f64) -> usize {
+    (bytes as f64 * ratio) as usize
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     reason = "validated to be at most an hour"
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -24,6 +24,7 @@
 use crate::log_writer::LogWriter;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
+use crate::open_connections::OpenConnections;
 use crate::part_quarantine;
 use crate::peer_socket::PeerSocket;
 use crate::pool::Pool;
@@ -158,14 +159,18 @@
     pub catching_up: Cell<bool>,
     /// Whether statuses of rollouts or notes of versions are being written to the store.
     pub writing: Cell<bool>,
-    /// The memory for request bodies.
+    /// The memory for what clients make this process hold.
+    pub client_memory: MemoryBudget,
+    /// The part of it for request bodies.
     pub body_memory: MemoryBudget,
+    /// The part of it for responses that are larger than the usual ones.
+    pub response_memory: MemoryBudget,
     /// When the drain period ends, once this instance shuts down.
     pub drain_end: Cell<Option<Millis>>,
     /// Whether connections of callers are accepted.
     pub accepting_callers: Cell<bool>,
-    /// The number of open connections of callers.
-    pub caller_connections: Cell<usize>,
+    /// The open connections of clients.
+    pub connections: Rc<OpenConnections>,
     /// When the last request arrived.
     pub last_arrival: Cell<Millis>,
     // Whether the era of the last response of the store could not be read.
@@ -198,6 +203,11 @@
             settings.ip,
         );
         let client = Rc::new(client);
+        let client_memory = MemoryBudget::new(settings.client_memory_bytes());
+        let body_memory = client_memory.part(settings.body_memory_bytes());
+        let response_memory = client_memory.part(settings.response_memory_bytes());
+        let connections = OpenConnections::new(client_memory.clone(), response_memory.clone());
+        let connections = Rc::new(connections);
         let relay = Relay::new(
             core.clone(),
             interface.exchange.clone(),
@@ -211,7 +221,6 @@
         let stream_lookup =
             StreamLookup::new(core.clone(), peer_socket.clone(), view_confirmation.clone());
         let stream_lookup = Rc::new(stream_lookup);
-        let body_memory = MemoryBudget::new(settings.body_memory_bytes());
         Ok(Self {
             interface: Rc::new(interface),
             core,
@@ -249,10 +258,12 @@
             shutdown_started: Notify::new(),
             catching_up: Cell::new(false),
             writing: Cell::new(false),
+            client_memory,
             body_memory,
+            response_memory,
             drain_end: Cell::new(None),
             accepting_callers: Cell::new(false),
-            caller_connections: Cell::new(0),
+            connections,
             last_arrival: Cell::new(Millis::ZERO),
             waiters: RefCell::default(),
             event_log,
@@ -270,6 +281,15 @@
         self.settings.borrow().clone()
     }
 
+    /// Sets the memory limits to those of the current settings.
+    pub fn apply_memory_limits(&self) {
+        let settings = self.settings.borrow();
+        self.client_memory.set_limit(settings.client_memory_bytes());
+        self.body_memory.set_limit(settings.body_memory_bytes());
+        self.response_memory
+            .set_limit(settings.response_memory_bytes());
+    }
+
     /// Writes a log line.
     pub fn log(&self, event: &str, fields: Value) {
         self.event_log.log(event, fields);
--- a/crates/siskinyoke-gateway/src/signals.rs
+++ b/crates/siskinyoke-gateway/src/signals.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::signal;
 use tokio::time::sleep;
 
+use crate::connection_group::ConnectionGroup;
 use crate::listener::DRAIN_PERIOD;
 use crate::reload;
 use crate::shell::Shell;
@@ -50,19 +51,26 @@
     let drain_end = start + DRAIN_PERIOD;
     shell.drain_end.set(Some(drain_end));
     shell.shutdown_started.notify_waiters();
-    shell.log("leaving", json!({ "open": shell.caller_connections.get() }));
+    shell.log(
+        "leaving",
+        json!({ "open": shell.connections.count(ConnectionGroup::Callers) }),
+    );
     let end = start + shell.settings().grace_period().since(LOG_FLUSH_TIME);
     loop {
         sleep(DRAIN_POLL_INTERVAL.into()).await;
         let now = shell.now();
         // Connections that wait to be accepted count only once they are.
         let drain_over = now >= drain_end && !shell.accepting_callers.get();
-        let idle = shell.caller_connections.get() == 0 && shell.relay.in_flight() == 0;
+        let idle =
+            shell.connections.count(ConnectionGroup::Callers) == 0 && shell.relay.in_flight() == 0;
         if now >= end || (drain_over && idle) {
             break;
         }
     }
-    shell.log("stop", json!({ "open": shell.caller_connections.get() }));
+    shell.log(
+        "stop",
+        json!({ "open": shell.connections.count(ConnectionGroup::Callers) }),
+    );
     shell.flush_log();
     sleep(DRAIN_POLL_INTERVAL.into()).await;
     Ok(())
--- a/crates/siskinyoke-gateway/src/tracked_stream.rs
+++ b/crates/siskinyoke-gateway/src/tracked_stream.rs
@@ -80,6 +80,15 @@
         self.stream.readable().await
     }
 
+    /// Makes the connection be reset once it is closed, which discards what its client has not read.
+    ///
+    /// # Errors
+    ///
+    /// The error of the system call.
+    pub fn discard_unread(&mut self) -> Result<()> {
+        self.set_reset(true)
+    }
+
     /// Sends bytes if there is room in the socket's buffer, without waiting for it.
     ///
     /// # Errors
@@ -89,6 +98,16 @@
         self.stream.try_write(bytes)
     }
 
+    // Records whether the operating system takes what is written.
+    fn record_write(&self, result: Poll<Result<usize>>) -> Poll<Result<usize>> {
+        match &result {
+            Poll::Pending => self.activity.write_blocked(BootClock.now()),
+            Poll::Ready(Ok(length)) => self.activity.written(*length, || BootClock.now()),
+            Poll::Ready(Err(_)) => {}
+        }
+        result
+    }
+
     // Selects how the connection ends if the socket is closed now.
     fn set_reset(&mut self, resets: bool) -> Result<()> {
         if self.resets != resets {
@@ -130,7 +149,8 @@
         let this = self.get_mut();
         this.activity.sending();
         this.set_reset(this.activity.ends_unmarked())?;
-        Pin::new(&mut this.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut this.stream).poll_write(context, bytes);
+        this.record_write(result)
     }
 
     fn poll_write_vectored(
@@ -141,7 +161,8 @@
         let this = self.get_mut();
         this.activity.sending();
         this.set_reset(this.activity.ends_unmarked())?;
-        Pin::new(&mut this.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut this.stream).poll_write_vectored(context, slices);
+        this.record_write(result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -6,6 +6,7 @@
 pub mod report;
 pub mod scripted;
 pub mod silent;
+pub mod sized;
 mod unmarked;
 pub mod versioned;
 
@@ -374,6 +375,9 @@
             self.write_unmarked(request, out)?;
             return Ok(false);
         }
+        if self.write_sized(request, out)? {
+            return Ok(true);
+        }
         if request.line_contains("silent") {
             return self.write_silent_stream(request, out);
         }
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -116,6 +116,20 @@
         exited
     }
 
+    /// Returns whether the process is running.
+    ///
+    /// # Panics
+    ///
+    /// If the operating system does not tell.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Returns the ID of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Replaces a text in its settings file.
     ///
     /// # Panics
