Relays: reserve what a relayed response holds

Seen: clients of an instance that reaches endpoints through a peer do not read. Debug build, memory_mb 64, KiB of 65,536, on: 86,868 for answers of 900 kB, 95,148 for streams.

Change: a relayed request reserves its body and 192 KiB for its response in the budget. Where there is none the relay refuses it, and the sender tries another peer.

--- a/crates/siskinyoke-gateway/src/relay.rs
+++ b/crates/siskinyoke-gateway/src/relay.rs
@@ -20,6 +20,7 @@
 
 use crate::endpoint_client::EndpointClient;
 use crate::event_log::EventLog;
+use crate::memory_budget::MemoryBudget;
 use crate::pool::Pool;
 use siskinyoke_dispatch::Core;
 use siskinyoke_interface::Exchange;
@@ -68,6 +69,7 @@
     in_flight: Rc<Cell<usize>>,
     // Bodies of these requests, in bytes.
     held_bytes: Rc<Cell<usize>>,
+    memory: MemoryBudget,
 }
 
 impl Relay {
@@ -79,6 +81,7 @@
         client: Rc<EndpointClient>,
         log: EventLog,
         source: IpAddr,
+        memory: MemoryBudget,
     ) -> Self {
         Self {
             core,
@@ -89,6 +92,7 @@
             source,
             in_flight: Rc::default(),
             held_bytes: Rc::default(),
+            memory,
         }
     }
 
--- a/crates/siskinyoke-gateway/src/relay/body.rs
+++ b/crates/siskinyoke-gateway/src/relay/body.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
+use crate::memory_reservation::MemoryReservation;
 use crate::pool::Pool;
 use crate::pool::PooledConnection;
 
@@ -50,6 +51,8 @@
     pub(super) headers: HeaderMap,
     pub(super) pool: Rc<Pool>,
     pub(super) _in_flight: Counted,
+    // Covers what is held for the response.
+    pub(super) _memory: MemoryReservation,
 }
 
 impl RelayedBody {
--- a/crates/siskinyoke-gateway/src/relay/server.rs
+++ b/crates/siskinyoke-gateway/src/relay/server.rs
@@ -36,6 +36,7 @@
 use crate::endpoint_client::Reply;
 use crate::endpoint_client::Reuse;
 use crate::framing::Framing;
+use crate::memory_reservation::MemoryReservation;
 use crate::pool::PooledConnection;
 use crate::response;
 use crate::response::ResponseBody;
@@ -52,6 +53,9 @@
 /// Maximum size of the request bodies held for relaying.
 const MAX_HELD_BYTES: usize = 8 * 1024 * 1024;
 
+/// What is reserved for each relayed request beside its body: the buffers of its response.
+const RELAYED_BYTES: usize = 192 * 1024;
+
 /// How long the links may be in doubt before a lost connection is put down to the endpoint.
 ///
 /// A probe takes 400 ms at most and begins within 200 ms.
@@ -77,7 +81,7 @@
         peer: IpAddr,
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, LinkLostError> {
-        let (endpoint, body_size) = match self.admit(peer, &request) {
+        let (endpoint, body_size, memory) = match self.admit(peer, &request) {
             Ok(admitted) => admitted,
             Err(reason) => {
                 let refusal = self.refuse(peer, reason);
@@ -98,6 +102,8 @@
             Err(request) => self.client.send_new(&endpoint, request, reuse).await,
         };
         drop(held_bytes);
+        let mut memory = memory;
+        memory.shrink_to(RELAYED_BYTES);
         let now = BootClock.now();
         match reply {
             Reply::Head(response, connection) => {
@@ -105,7 +111,7 @@
                 if self.is_mismatched(&response, id.as_deref()) {
                     return Ok(self.state_mismatch(&endpoint, id.as_deref()));
                 }
-                Ok(self.relayed(response, connection, in_flight))
+                Ok(self.relayed(response, connection, in_flight, memory))
             }
             Reply::ConnectionLost | Reply::LinkLost | Reply::Mismatched => {
                 self.core
@@ -160,12 +166,13 @@
         response
     }
 
-    // Returns the endpoint and the size of the body of a request that is relayed, or why it is not.
+    // Returns the endpoint, the size of the body and the memory of a request that is relayed, or why
+    // it is not.
     fn admit(
         &self,
         peer: IpAddr,
         request: &Request<Incoming>,
-    ) -> Result<(Arc<Endpoint>, usize), &'static str> {
+    ) -> Result<(Arc<Endpoint>, usize, MemoryReservation), &'static str> {
         let mut core = self.core.borrow_mut();
         if !core.is_instance_address(peer) {
             return Err("not_a_peer");
@@ -186,7 +193,8 @@
         if full {
             return Err("full");
         }
-        Ok((endpoint, size))
+        let memory = self.memory.reserve(size + RELAYED_BYTES);
+        Ok((endpoint, size, memory.map_err(|_| "memory")?))
     }
 
     fn relayed(
@@ -194,6 +202,7 @@
         response: Response<Incoming>,
         connection: PooledConnection,
         in_flight: Counted,
+        memory: MemoryReservation,
     ) -> Response<ResponseBody> {
         let framing = Framing::of(&response);
         let (parts, incoming) = response.into_parts();
@@ -206,6 +215,7 @@
             headers: parts.headers,
             pool: self.pool.clone(),
             _in_flight: in_flight,
+            _memory: memory,
         };
         let body = ResponseBody::Relayed(Box::new(body));
         response::forwarded(parts.status, headers, body, framing)
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -215,6 +215,7 @@
             client.clone(),
             event_log.clone(),
             settings.ip,
+            client_memory.clone(),
         );
         let peer_socket = PeerSocket::new(event_log.clone());
         let view_confirmation = Rc::new(ViewConfirmation::new(core.clone()));
--- a/crates/siskinyoke-gateway/tests/slow_clients/main.rs
+++ b/crates/siskinyoke-gateway/tests/slow_clients/main.rs
@@ -6,4 +6,5 @@
 
 mod fixture;
 mod ordinary;
+mod relayed;
 mod responses;
