Connections: each group of listeners has a part of the descriptors

Seen: 300 clients at a process with 200 descriptors take all of them: idle connections, the same opened again when closed, unfinished heads at the callers' port, the directory, the readiness check and the port for peers, bodies that stop (187 to 201 open), unread responses (164 with four slots an endpoint). New clients wait, and nothing is left for endpoints and the store.

Cause: connections were accepted without a limit.

Change: callers may take a quarter of the descriptors, pages an eighth, peers an eighth. Beyond that the connection is closed that has been without a whole request for the longest time; one on which bytes of a request wait is kept. The limit is read each time, as it may be changed from outside.

Ruled out: half of the descriptors for callers.

--- a/crates/siskinyoke-gateway/src/open_connections.rs
+++ b/crates/siskinyoke-gateway/src/open_connections.rs
@@ -1,10 +1,12 @@
-//! The open connections of clients, limited by memory.
+//! The open connections of clients, limited by memory and descriptors.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use rustix::process::Resource;
+use rustix::process::getrlimit;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -29,13 +31,15 @@
 
 #[derive(Debug)]
 struct Entry {
+    group: ConnectionGroup,
     activity: Rc<ConnectionActivity>,
 }
 
 /// The open connections of clients.
 ///
 /// Where there is no room, those are closed whose clients have kept this process waiting for the
-/// longest time, first those that do not read their responses.
+/// longest time. Where memory is short these are first the clients that do not read their responses;
+/// where descriptors are, first those without a whole request.
 #[derive(Debug)]
 pub struct OpenConnections {
     entries: RefCell<Map<u64, Entry>>,
@@ -68,11 +72,16 @@
 
     /// Adds a connection if there is room for it.
     pub fn try_add(self: &Rc<Self>, group: ConnectionGroup) -> Option<OpenConnection> {
+        if self.count(group) >= group.max_connections(descriptor_limit()) {
+            self.close_waiting(|it| it.group == group, descriptor_order);
+            return None;
+        }
         let memory = self.memory.reserve(CONNECTION_BYTES).ok()?;
         let activity = Rc::new(ConnectionActivity::new(BootClock.now()).with_memory(memory));
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         let entry = Entry {
+            group,
             activity: activity.clone(),
         };
         self.entries.borrow_mut().insert(id, entry);
@@ -134,6 +143,19 @@
     }
 }
 
+fn descriptor_order(waiting: Waiting) -> u8 {
+    match waiting {
+        Waiting::Sending | Waiting::Idle => 0,
+        Waiting::Reading => 1,
+    }
+}
+
+// Returns how many descriptors this process may open. The limit may be changed from outside.
+fn descriptor_limit() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.map_or(usize::MAX, |it| usize::try_from(it).unwrap_or(usize::MAX))
+}
+
 /// An open connection, counted until it is dropped.
 #[derive(Debug)]
 pub struct OpenConnection {
--- a/crates/siskinyoke-gateway/tests/slow_clients/fixture.rs
+++ b/crates/siskinyoke-gateway/tests/slow_clients/fixture.rs
@@ -19,11 +19,18 @@
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
 use siskinyoke_soak::instance::wait_until;
+use siskinyoke_soak::process_usage::limit_descriptors;
 use siskinyoke_soak::proxy::Cut;
 
 /// The memory limit in the settings.
 pub const MEMORY_MB: u64 = 64;
 
+/// How many descriptors a process may open where they are limited.
+pub const DESCRIPTOR_LIMIT: u64 = 200;
+
+/// How many of these clients may take. The others are for endpoints, the store, peers and files.
+pub const MAX_DESCRIPTORS: usize = 150;
+
 /// How long the slow clients stay connected before anything is checked.
 pub const HOLD_TIME: Duration = Duration::from_secs(8);
 
@@ -35,6 +42,9 @@
 /// As many slots that no request waits for another one's.
 const SLOT_COUNT: usize = 64;
 
+/// How often descriptors are counted.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
+
 static TURN: Mutex<()> = Mutex::new(());
 
 /// One or two instances and their endpoints. Only one test has them at a time.
@@ -95,6 +105,13 @@
         &self.instances[0]
     }
 
+    /// Limits the descriptors of each instance.
+    pub fn limit_descriptors(&self) {
+        for instance in &self.instances {
+            limit_descriptors(instance.process_id(), DESCRIPTOR_LIMIT);
+        }
+    }
+
     /// Cuts the first of several instances off from all endpoints, and waits until it has noticed.
     pub fn lose_links(&self) {
         let instance = self.instance();
@@ -107,6 +124,22 @@
         });
     }
 
+    /// Waits, and checks that no instance opens more descriptors than clients may take.
+    pub fn hold_within_descriptors(&self, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            self.check_descriptors();
+            thread::sleep(SAMPLE_INTERVAL);
+        }
+    }
+
+    pub fn check_descriptors(&self) {
+        for instance in &self.instances {
+            let count = usage(instance).descriptors;
+            assert!(count <= MAX_DESCRIPTORS, "{count} descriptors are open");
+        }
+    }
+
     /// Checks that each instance lives and has stayed within its memory, and that the first one
     /// answers an ordinary request.
     pub fn check(&mut self) {
--- a/crates/siskinyoke-gateway/tests/slow_clients/main.rs
+++ b/crates/siskinyoke-gateway/tests/slow_clients/main.rs
@@ -6,5 +6,7 @@
 
 mod fixture;
 mod ordinary;
+mod pages;
 mod relayed;
+mod requests;
 mod responses;
