Heads: count them while they arrive, and refuse those over the limit

Seen: 1,200 clients send 62 kB of a head each, where MaxHeaderBytes is 16,384: 90,756 KiB of 65,536 on.

Cause: the read buffer for heads is 64 KiB whatever is configured; a head over the limit was refused only once it was whole, and its bytes were not counted.

Change: bytes of a head beyond 8 KiB are reserved in the budget while they arrive. A head that is not complete 1 KiB over the configured limit is answered 431 and its connection closed; the rest is received for 0.1 s, so that a reset does not overtake the response.

--- a/crates/siskinyoke-gateway/src/connection_activity.rs
+++ b/crates/siskinyoke-gateway/src/connection_activity.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::Notify;
 
+use crate::memory_budget::OutOfMemoryError;
 use crate::memory_reservation::MemoryReservation;
 use siskinyoke_base::Millis;
 
@@ -12,6 +13,9 @@
 /// beginning.
 const PROGRESS_BYTES: usize = 64 * 1024;
 
+/// The part of a head that the reservation of a new connection covers.
+const COVERED_HEAD_BYTES: usize = 8 * 1024;
+
 /// What a connection waits for its client to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Waiting {
@@ -44,13 +48,16 @@
     head_since: Cell<Option<Millis>>,
     // Whether a part of a head was found when the connection was about to be closed.
     head_confirmed: Cell<bool>,
+    // The number of bytes that were received of a head.
+    head_bytes: Cell<usize>,
     // Whether the last response ends with its connection.
     ends_unmarked: Cell<bool>,
     blocked: Cell<Option<Blocked>>,
     close_requested: Cell<bool>,
     closing: Notify,
-    // Covers the connection, if memory is limited.
+    // Covers the connection and the head that is received, if memory is limited.
     memory: RefCell<Option<MemoryReservation>>,
+    base_bytes: Cell<usize>,
 }
 
 impl ConnectionActivity {
@@ -63,17 +70,20 @@
             initial_limit: Cell::new(None),
             head_since: Cell::new(None),
             head_confirmed: Cell::new(false),
+            head_bytes: Cell::new(0),
             ends_unmarked: Cell::new(false),
             blocked: Cell::new(None),
             close_requested: Cell::new(false),
             closing: Notify::new(),
             memory: RefCell::new(None),
+            base_bytes: Cell::new(0),
         }
     }
 
-    /// Sets the memory that is reserved for the connection.
+    /// Sets the memory that is reserved for the connection, which grows with heads.
     #[must_use]
     pub fn with_memory(self, memory: MemoryReservation) -> Self {
+        self.base_bytes.set(memory.bytes());
         self.memory.replace(Some(memory));
         self
     }
@@ -147,6 +157,33 @@
         self.close_requested.set(false);
     }
 
+    /// Returns how many bytes of a head have been received, as far as is known.
+    pub fn head_bytes(&self) -> usize {
+        self.head_bytes.get()
+    }
+
+    /// Returns whether a head may be arriving.
+    pub fn awaits_head(&self) -> bool {
+        self.open_requests.get() == 0
+    }
+
+    /// Counts bytes that may be a part of a head.
+    ///
+    /// # Errors
+    ///
+    /// The memory for them is used up.
+    pub fn head_received(&self, bytes: usize) -> Result<(), OutOfMemoryError> {
+        if !self.awaits_head() {
+            return Ok(());
+        }
+        self.head_bytes.set(self.head_bytes.get() + bytes);
+        let uncovered = self.head_bytes.get().saturating_sub(COVERED_HEAD_BYTES);
+        match &mut *self.memory.borrow_mut() {
+            Some(memory) => memory.resize(self.base_bytes.get() + uncovered),
+            None => Ok(()),
+        }
+    }
+
     /// Releases the memory that is reserved for the connection.
     pub fn release_memory(&self) {
         self.memory.replace(None);
@@ -167,6 +204,10 @@
     /// Records that the last part of a response was passed to the connection.
     pub fn response_ended(&self) {
         self.open_requests.set(self.open_requests.get() - 1);
+        self.head_bytes.set(0);
+        if let Some(memory) = &mut *self.memory.borrow_mut() {
+            memory.shrink_to(self.base_bytes.get());
+        }
     }
 
     /// Records that bytes other than empty lines were received.
--- a/crates/siskinyoke-gateway/src/connection_limits.rs
+++ b/crates/siskinyoke-gateway/src/connection_limits.rs
@@ -9,6 +9,8 @@
     pub idle: Millis,
     /// Longest time in which the head of a request may arrive.
     pub head: Millis,
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
     /// Longest time in which the client may not read a response that waits for it.
     pub unread: Millis,
     /// When idle connections end because this instance shuts down.
@@ -24,6 +26,8 @@
     Drain,
     /// The head of a request did not arrive in time.
     HeadTimeout,
+    /// The head of a request is too large.
+    HeadTooLarge,
     /// The client did not read a response.
     Unread,
     /// There was no room for another connection or more memory.
@@ -37,6 +41,7 @@
             Self::Idle => "idle",
             Self::Drain => "drain",
             Self::HeadTimeout => "head_timeout",
+            Self::HeadTooLarge => "head_too_large",
             Self::Unread => "unread",
             Self::NoRoom => "no_room",
         }
--- a/crates/siskinyoke-gateway/src/kept_connection.rs
+++ b/crates/siskinyoke-gateway/src/kept_connection.rs
@@ -7,6 +7,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -22,6 +23,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 
 use crate::clock::BootClock;
 use crate::connection_activity::ConnectionActivity;
@@ -37,6 +39,13 @@
 /// Size of the read buffer, which bounds request heads whatever limit is configured.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// By how much a head may be larger than is configured until it is known to be too large, as spaces
+/// around its values do not count.
+const HEAD_TOLERANCE_BYTES: usize = 1024;
+
+/// How long the rest of a head that is too large is received, so that its client gets the response.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A connection of a client that is kept for further requests.
 pub struct KeptConnection<'a, L, R> {
     limits: L,
@@ -120,6 +129,7 @@
     // Closes a connection without a whole request.
     async fn close(&self, mut stream: TrackedStream, reason: CloseReason) {
         let code = match reason {
+            CloseReason::HeadTooLarge => Some(Code::HeadTooLarge),
             CloseReason::HeadTimeout => Some(Code::SlowSender),
             CloseReason::NoRoom => stream.has_unread_request().then_some(Code::SlowSender),
             CloseReason::Idle | CloseReason::Drain | CloseReason::Unread => None,
@@ -129,13 +139,25 @@
         }
         // The client may have closed it already.
         drop(stream.shutdown().await);
+        if reason == CloseReason::HeadTooLarge {
+            // Bytes that are not received would reset the connection before the client has read the
+            // response.
+            let mut sink = tokio::io::sink();
+            let discarded = tokio::io::copy(&mut stream, &mut sink);
+            drop(timeout(DISCARD_TIMEOUT, discarded).await);
+        }
     }
 
     // Returns whether the connection may be closed, given what has been received. If not, bytes that
     // the operating system holds are ready to be read.
     async fn may_close(&self, stream: &TrackedStream, reason: CloseReason) -> Result<bool> {
         let head_begun = stream.has_unread_request();
-        if reason == CloseReason::NoRoom && head_begun {
+        let refuses = match reason {
+            CloseReason::HeadTooLarge => true,
+            CloseReason::NoRoom => head_begun,
+            _ => false,
+        };
+        if refuses {
             return Ok(true);
         }
         if stream.has_pending_bytes()? {
@@ -186,6 +208,9 @@
             return Some((since + (self.limits)().unread, CloseReason::Unread));
         }
         let limits = (self.limits)();
+        if self.activity.head_bytes() > limits.head_bytes + HEAD_TOLERANCE_BYTES {
+            return Some((Millis::ZERO, CloseReason::HeadTooLarge));
+        }
         let idle_end = self.activity.idle_end(limits.idle);
         let head_since = self.activity.head_since();
         let head = head_since.map(|it| (it + limits.head, CloseReason::HeadTimeout));
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -52,6 +52,9 @@
 /// let more transfers share the link than are meant to.
 const PEER_SEND_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Largest head of a request before a configuration is known.
+const DEFAULT_HEAD_BYTES: usize = 64 * 1024;
+
 /// Size of the buffers towards clients, which count towards no limit of this process.
 const CLIENT_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -229,6 +232,7 @@
     ConnectionLimits {
         idle: limits.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.keepalive_timeout),
         head: limits.map_or(DEFAULT_HEAD_TIMEOUT, |it| it.head_timeout),
+        head_bytes: limits.map_or(DEFAULT_HEAD_BYTES, |it| it.max_head),
         unread: shell.settings.borrow().unread_timeout(),
         drain_end: drain_end.filter(|_| kind == ListenerKind::Callers),
     }
--- a/crates/siskinyoke-gateway/src/memory_reservation.rs
+++ b/crates/siskinyoke-gateway/src/memory_reservation.rs
@@ -32,6 +32,19 @@
         Ok(())
     }
 
+    /// Reserves as much as is missing to a number of bytes, or releases what is beyond it.
+    ///
+    /// # Errors
+    ///
+    /// The limit would be exceeded; the reservation is as before then.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), OutOfMemoryError> {
+        if bytes > self.bytes {
+            return self.grow(bytes - self.bytes);
+        }
+        self.shrink_to(bytes);
+        Ok(())
+    }
+
     /// Adds another reservation in the same budget.
     pub fn merge(&mut self, mut other: Self) {
         self.bytes += std::mem::take(&mut other.bytes);
--- a/crates/siskinyoke-gateway/src/tracked_stream.rs
+++ b/crates/siskinyoke-gateway/src/tracked_stream.rs
@@ -19,6 +19,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::bounded_read;
 use crate::clock::BootClock;
 use crate::connection_activity::ConnectionActivity;
 use siskinyoke_base::Clock;
@@ -127,7 +128,9 @@
         let this = self.get_mut();
         let start = buffer.filled().len();
         if this.unread.is_empty() {
-            ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
+            let length = ready!(bounded_read::poll_read(&mut this.stream, context, buffer))?;
+            let counted = this.activity.head_received(length);
+            counted.map_err(std::io::Error::other)?;
         } else {
             let length = this.unread.len().min(buffer.remaining());
             buffer.put_slice(&this.unread[..length]);
--- a/crates/siskinyoke-gateway/tests/slow_clients/requests.rs
+++ b/crates/siskinyoke-gateway/tests/slow_clients/requests.rs
@@ -7,6 +7,12 @@
 
 const CLIENT_COUNT: usize = 300;
 
+/// The number of clients that send large heads.
+const HEAD_CLIENT_COUNT: usize = 1_200;
+
+/// Size of the part of a head that is sent; the configuration allows 16 KiB.
+const HEAD_BYTES: usize = 62_000;
+
 /// How long clients open each closed connection again.
 const RECONNECT_TIME: std::time::Duration = std::time::Duration::from_secs(25);
 
@@ -20,6 +26,17 @@
     fixture.check();
 }
 
+// Guards against heads that are held beyond the configured size, and without being counted.
+#[test]
+fn unfinished_heads_stay_within_the_memory() {
+    let mut fixture = Fixture::start();
+    let mut clients = SlowClients::connect(fixture.instance().caller_address, HEAD_CLIENT_COUNT);
+    let head = format!("GET /safe/a HTTP/1.1\r\nx: {}", "x".repeat(HEAD_BYTES));
+    clients.send(|_| head.clone().into_bytes());
+    std::thread::sleep(HOLD_TIME);
+    fixture.check();
+}
+
 // Guards against idle connections that take all descriptors.
 #[test]
 fn idle_connections_leave_descriptors() {
