Pages: count what waits for clients of the other listeners

Seen: 300 clients ask the port for peers for the store's content 20 times each and read nothing; 2,000 entries: 69,468 KiB of 65,536 on.

Cause: each response was a copy of the content, counted nowhere. Metrics pages (20,664 KiB) and configurations (25,540) are the same case and stay below the limit there.

Change: buffered responses of all listeners but the callers', whose responses are counted already, reserve their size until they have been written; without memory the page is a 503.

--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -29,6 +29,7 @@
 use crate::peer_api;
 use crate::relay::LinkLostError;
 use crate::relay::Relay;
+use crate::response;
 use crate::response::ResponseBody;
 use crate::shell::Shell;
 use siskinyoke_base::Millis;
@@ -245,7 +246,7 @@
     kind: ListenerKind,
 ) -> std::result::Result<Response<ResponseBody>, LinkLostError> {
     let response = match kind {
-        ListenerKind::Callers => callers::serve(shell.clone(), request).await,
+        ListenerKind::Callers => return Ok(callers::serve(shell.clone(), request).await),
         ListenerKind::Health => admin::health(shell, &request),
         ListenerKind::Directory => admin::directory(shell, &request),
         ListenerKind::Metrics => admin::operators_page(shell, &request),
@@ -254,7 +255,7 @@
         }
         ListenerKind::PeerApi => peer_api::serve(shell, &request).await,
     };
-    Ok(response)
+    Ok(response::counted(response, &shell.client_memory))
 }
 
 // Completes when connections of this kind are no longer accepted because this instance shuts down.
--- a/crates/siskinyoke-gateway/src/response.rs
+++ b/crates/siskinyoke-gateway/src/response.rs
@@ -20,6 +20,8 @@
 use tokio::sync::oneshot::Sender;
 
 use crate::framing::Framing;
+use crate::held_bytes;
+use crate::memory_budget::MemoryBudget;
 use crate::relay::RelayedBody;
 
 /// Size of the parts in which a body is passed on.
@@ -187,6 +189,20 @@
     response
 }
 
+/// Counts the buffered body of a response towards a budget until it has been written to the client's
+/// connection. Where there is no memory for it, the response is an error.
+pub fn counted(response: Response<ResponseBody>, memory: &MemoryBudget) -> Response<ResponseBody> {
+    let (parts, body) = response.into_parts();
+    let body = match body {
+        ResponseBody::Full(Some(bytes)) => match memory.reserve(bytes.len()) {
+            Ok(reserved) => ResponseBody::Full(Some(held_bytes::hold(bytes, reserved))),
+            Err(err) => return text(StatusCode::SERVICE_UNAVAILABLE, &err.to_string()),
+        },
+        other => other,
+    };
+    Response::from_parts(parts, body)
+}
+
 /// Converts a response with a buffered body.
 pub fn from_buffered(response: Response<Vec<u8>>) -> Response<ResponseBody> {
     response.map(|body| ResponseBody::Full(Some(body.into())))
