--- a/crates/siskinyoke-gateway/tests/slow_clients/fixture.rs
+++ b/crates/siskinyoke-gateway/tests/slow_clients/fixture.rs
@@ -20,6 +20,7 @@
 use siskinyoke_soak::configuration;
 use siskinyoke_soak::instance::wait_until;
 use siskinyoke_soak::process_usage::limit_descriptors;
+use siskinyoke_soak::process_usage::raise_descriptor_limit;
 use siskinyoke_soak::proxy::Cut;
 
 /// The memory limit in the settings.
@@ -64,6 +65,7 @@
     /// Starts a number of instances with a number of routes that no request uses.
     pub fn start_with(instances: usize, routes: usize) -> Self {
         let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+        raise_descriptor_limit();
         let store = Store::start();
         store.put(
             "op/config",
--- a/soak/src/process_usage.rs
+++ b/soak/src/process_usage.rs
@@ -5,7 +5,9 @@
 use rustix::process::Pid;
 use rustix::process::Resource;
 use rustix::process::Rlimit;
+use rustix::process::getrlimit;
 use rustix::process::prlimit;
+use rustix::process::setrlimit;
 
 /// What a process holds, as the operating system counts it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +36,20 @@
     }
 }
 
+/// Lets this process, and those that it starts, open as many descriptors as it may allow itself.
+///
+/// # Panics
+///
+/// If the operating system refuses it.
+pub fn raise_descriptor_limit() {
+    let maximum = getrlimit(Resource::Nofile).maximum;
+    let limit = Rlimit {
+        current: maximum,
+        maximum,
+    };
+    setrlimit(Resource::Nofile, limit).unwrap();
+}
+
 /// Sets how many descriptors a process may open.
 ///
 /// # Panics
