Client resources: one type for the memory and connections that clients use

Shell had three budgets and the connections beside each other, and knew how they belong together. The test of held bodies names the field by its new name. No behaviour changed.

--- a/crates/siskinyoke-gateway/src/admin.rs
+++ b/crates/siskinyoke-gateway/src/admin.rs
@@ -112,9 +112,9 @@
     shell
         .metrics
         .set_state("organisations_above_share", to_f64(above));
-    let client_bytes = shell.client_memory.held();
+    let client_bytes = shell.clients.memory.held();
     (shell.metrics).set_state("client_bytes", to_f64(client_bytes));
-    let callers = shell.connections.count(ConnectionGroup::Callers);
+    let callers = shell.clients.connections.count(ConnectionGroup::Callers);
     (shell.metrics).set_state("caller_connections", to_f64(callers));
     let relayed = shell.relay.in_flight();
     shell.metrics.set_state("relayed", to_f64(relayed));
--- a/crates/siskinyoke-gateway/src/callers.rs
+++ b/crates/siskinyoke-gateway/src/callers.rs
@@ -175,7 +175,7 @@
         Err(refused) => return unread_body::respond_before(*refused, body).await,
     };
     let remaining = accepted.routed.deadline.since(shell.now());
-    match request_body::read(&shell.body_memory, limits.max_body, remaining, body).await {
+    match request_body::read(&shell.clients.bodies, limits.max_body, remaining, body).await {
         Ok(body) => {
             let outgoing = endpoint_request(shell, parts, &accepted.routed, body);
             admit(shell, accepted, outgoing, arrival).await
@@ -198,11 +198,11 @@
     arrival: Arrival,
 ) -> Response<ResponseBody> {
     let time_limit = limits.head_timeout;
-    let body = match request_body::read(&shell.body_memory, limits.max_body, time_limit, body).await
-    {
-        Ok(body) => body,
-        Err(error) => return unread_body::closing(reject_body(shell, None, error)),
-    };
+    let body =
+        match request_body::read(&shell.clients.bodies, limits.max_body, time_limit, body).await {
+            Ok(body) => body,
+            Err(error) => return unread_body::closing(reject_body(shell, None, error)),
+        };
     handle_buffered(shell, parts, body, arrival).await
 }
 
@@ -334,7 +334,7 @@
     outgoing: EndpointRequest,
     arrival: Arrival,
 ) -> Response<ResponseBody> {
-    let Ok(memory) = shell.client_memory.reserve(REQUEST_BYTES) else {
+    let Ok(memory) = shell.clients.memory.reserve(REQUEST_BYTES) else {
         shell.core.borrow_mut().refund(&accepted.routed);
         return reject_body(shell, accepted.id.as_deref(), BodyError::OutOfMemory);
     };
@@ -369,7 +369,7 @@
     shell.decide();
     let (start_sender, start) = oneshot::channel();
     let (chunk_sender, chunks) =
-        chunk_channel::channel(&shell.client_memory, &shell.response_memory);
+        chunk_channel::channel(&shell.clients.memory, &shell.clients.responses);
     let job = Job {
         shell: shell.clone(),
         routed,
--- a/crates/siskinyoke-gateway/src/callers/hold.rs
+++ b/crates/siskinyoke-gateway/src/callers/hold.rs
@@ -42,7 +42,7 @@
     let arrived = shell.now();
     let deadline =
         arrived + cold_start::hold_timeout(shell.interface.exchange.caller_timeout(parts));
-    let memory = &shell.body_memory;
+    let memory = &shell.clients.bodies;
     let overhead = memory.reserve(HELD_REQUEST_OVERHEAD_BYTES);
     let overhead = overhead.map_err(|_| out_of_memory())?;
     let remaining = deadline.since(shell.now());
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -112,7 +112,7 @@
     spawn_local(signals::reload_on_signal(shell.clone(), path));
     spawn_local(write_streams(shell.clone()));
     spawn_local(confirm_views(shell.clone()));
-    let connections = shell.connections.clone();
+    let connections = shell.clients.connections.clone();
     spawn_local(async move { connections.make_room().await });
     spawn_local(poll_queue(shell.clone()));
     spawn_local(run_periodic_tasks(shell.clone()));
--- a/crates/siskinyoke-gateway/src/job/forwarding.rs
+++ b/crates/siskinyoke-gateway/src/job/forwarding.rs
@@ -37,7 +37,7 @@
 const SMALL_RESPONSE_BYTES: usize = 16 * 1024;
 
 /// What the connection to an endpoint holds while its response is passed on.
-const CONNECTION_BYTES: usize = 32 * 1024;
+const ENDPOINT_CONNECTION_BYTES: usize = 32 * 1024;
 
 /// How much memory a buffer that grows takes, as a multiple of its content.
 const BUFFER_RATIO: usize = 2;
@@ -104,9 +104,9 @@
         let expected = usize::try_from(size.lower()).unwrap_or(usize::MAX);
         let is_small = size.exact().is_some() && expected <= SMALL_RESPONSE_BYTES;
         let budget: &MemoryBudget = if is_small {
-            &self.shell.client_memory
+            &self.shell.clients.memory
         } else {
-            &self.shell.response_memory
+            &self.shell.clients.responses
         };
         let capacity = if expected > MAX_BUFFERED_BYTES {
             0
@@ -245,10 +245,10 @@
     // Waits for the memory that passing on takes, given the size of what has been received and not
     // passed on.
     async fn hold_received(&mut self, bytes: usize) {
-        let needed = REQUEST_BYTES + CONNECTION_BYTES + BUFFER_RATIO * bytes;
+        let needed = REQUEST_BYTES + ENDPOINT_CONNECTION_BYTES + BUFFER_RATIO * bytes;
         let missing = needed.saturating_sub(self.memory.bytes());
         if missing > 0 {
-            let budget = &self.shell.client_memory;
+            let budget = &self.shell.clients.memory;
             let reserved = budget.reserve_when_available(missing).await;
             self.memory.merge(reserved);
         }
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod bounded_read;
 pub mod callers;
 pub mod chunk_channel;
+pub mod client_resources;
 pub mod clock;
 pub mod cluster_view;
 pub mod conditional_write;
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -113,7 +113,7 @@
         match accepted {
             Ok((stream, peer)) => {
                 let open = tokio::select! {
-                    open = shell.connections.add(kind.group()) => open,
+                    open = shell.clients.connections.add(kind.group()) => open,
                     () = &mut drained => break,
                 };
                 start_connection(&shell, open, stream, peer.ip(), kind);
@@ -143,7 +143,7 @@
             Ok((stream, peer)) => {
                 stream.set_nonblocking(true)?;
                 let stream = TcpStream::from_std(stream)?;
-                let Some(open) = shell.connections.try_add(kind.group()) else {
+                let Some(open) = shell.clients.connections.try_add(kind.group()) else {
                     return Ok(());
                 };
                 start_connection(shell, open, stream, peer.ip(), kind);
@@ -213,7 +213,7 @@
                     "listener": kind.as_str(),
                     "reason": reason.as_str(),
                     "peer": peer.to_string(),
-                    "client_bytes": shell.client_memory.held(),
+                    "client_bytes": shell.clients.memory.held(),
                 });
                 shell.log("connection_closed", fields);
             }
@@ -255,7 +255,7 @@
         }
         ListenerKind::PeerApi => peer_api::serve(shell, &request).await,
     };
-    Ok(response::counted(response, &shell.client_memory))
+    Ok(response::counted(response, &shell.clients.memory))
 }
 
 // Completes when connections of this kind are no longer accepted because this instance shuts down.
--- a/crates/siskinyoke-gateway/src/relay/server.rs
+++ b/crates/siskinyoke-gateway/src/relay/server.rs
@@ -81,7 +81,7 @@
         peer: IpAddr,
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, LinkLostError> {
-        let (endpoint, body_size, memory) = match self.admit(peer, &request) {
+        let (endpoint, body_size, mut memory) = match self.admit(peer, &request) {
             Ok(admitted) => admitted,
             Err(reason) => {
                 let refusal = self.refuse(peer, reason);
@@ -102,7 +102,6 @@
             Err(request) => self.client.send_new(&endpoint, request, reuse).await,
         };
         drop(held_bytes);
-        let mut memory = memory;
         memory.shrink_to(RELAYED_BYTES);
         let now = BootClock.now();
         match reply {
--- a/crates/siskinyoke-gateway/src/reload.rs
+++ b/crates/siskinyoke-gateway/src/reload.rs
@@ -31,7 +31,7 @@
                 json!({ "store": settings.store.to_string() }),
             );
             let previous = shell.settings.replace(Rc::new(settings));
-            shell.apply_memory_limits();
+            shell.clients.apply(&shell.settings());
             if previous.store != shell.settings().store {
                 shell.store_moved.notify_waiters();
             }
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
 
+use crate::client_resources::ClientResources;
 use crate::clock::BootClock;
 use crate::configuration_copy::ConfigurationCopy;
 use crate::configuration_transfer;
@@ -22,9 +23,7 @@
 use crate::lending;
 use crate::lending::Lending;
 use crate::log_writer::LogWriter;
-use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
-use crate::open_connections::OpenConnections;
 use crate::part_quarantine;
 use crate::peer_socket::PeerSocket;
 use crate::pool::Pool;
@@ -159,18 +158,12 @@
     pub catching_up: Cell<bool>,
     /// Whether statuses of rollouts or notes of versions are being written to the store.
     pub writing: Cell<bool>,
-    /// The memory for what clients make this process hold.
-    pub client_memory: MemoryBudget,
-    /// The part of it for request bodies.
-    pub body_memory: MemoryBudget,
-    /// The part of it for responses that are larger than the usual ones.
-    pub response_memory: MemoryBudget,
+    /// The memory and the connections that clients may make this process hold.
+    pub clients: ClientResources,
     /// When the drain period ends, once this instance shuts down.
     pub drain_end: Cell<Option<Millis>>,
     /// Whether connections of callers are accepted.
     pub accepting_callers: Cell<bool>,
-    /// The open connections of clients.
-    pub connections: Rc<OpenConnections>,
     /// When the last request arrived.
     pub last_arrival: Cell<Millis>,
     // Whether the era of the last response of the store could not be read.
@@ -203,11 +196,7 @@
             settings.ip,
         );
         let client = Rc::new(client);
-        let client_memory = MemoryBudget::new(settings.client_memory_bytes());
-        let body_memory = client_memory.part(settings.body_memory_bytes());
-        let response_memory = client_memory.part(settings.response_memory_bytes());
-        let connections = OpenConnections::new(client_memory.clone(), response_memory.clone());
-        let connections = Rc::new(connections);
+        let clients = ClientResources::new(&settings);
         let relay = Relay::new(
             core.clone(),
             interface.exchange.clone(),
@@ -215,7 +204,7 @@
             client.clone(),
             event_log.clone(),
             settings.ip,
-            client_memory.clone(),
+            clients.memory.clone(),
         );
         let peer_socket = PeerSocket::new(event_log.clone());
         let view_confirmation = Rc::new(ViewConfirmation::new(core.clone()));
@@ -259,12 +248,9 @@
             shutdown_started: Notify::new(),
             catching_up: Cell::new(false),
             writing: Cell::new(false),
-            client_memory,
-            body_memory,
-            response_memory,
+            clients,
             drain_end: Cell::new(None),
             accepting_callers: Cell::new(false),
-            connections,
             last_arrival: Cell::new(Millis::ZERO),
             waiters: RefCell::default(),
             event_log,
@@ -282,15 +268,6 @@
         self.settings.borrow().clone()
     }
 
-    /// Sets the memory limits to those of the current settings.
-    pub fn apply_memory_limits(&self) {
-        let settings = self.settings.borrow();
-        self.client_memory.set_limit(settings.client_memory_bytes());
-        self.body_memory.set_limit(settings.body_memory_bytes());
-        self.response_memory
-            .set_limit(settings.response_memory_bytes());
-    }
-
     /// Writes a log line.
     pub fn log(&self, event: &str, fields: Value) {
         self.event_log.log(event, fields);
--- a/crates/siskinyoke-gateway/src/signals.rs
+++ b/crates/siskinyoke-gateway/src/signals.rs
@@ -53,7 +53,7 @@
     shell.shutdown_started.notify_waiters();
     shell.log(
         "leaving",
-        json!({ "open": shell.connections.count(ConnectionGroup::Callers) }),
+        json!({ "open": shell.clients.connections.count(ConnectionGroup::Callers) }),
     );
     let end = start + shell.settings().grace_period().since(LOG_FLUSH_TIME);
     loop {
@@ -61,15 +61,15 @@
         let now = shell.now();
         // Connections that wait to be accepted count only once they are.
         let drain_over = now >= drain_end && !shell.accepting_callers.get();
-        let idle =
-            shell.connections.count(ConnectionGroup::Callers) == 0 && shell.relay.in_flight() == 0;
+        let idle = shell.clients.connections.count(ConnectionGroup::Callers) == 0
+            && shell.relay.in_flight() == 0;
         if now >= end || (drain_over && idle) {
             break;
         }
     }
     shell.log(
         "stop",
-        json!({ "open": shell.connections.count(ConnectionGroup::Callers) }),
+        json!({ "open": shell.clients.connections.count(ConnectionGroup::Callers) }),
     );
     shell.flush_log();
     sleep(DRAIN_POLL_INTERVAL.into()).await;
--- a/crates/siskinyoke-gateway/tests/held.rs
+++ b/crates/siskinyoke-gateway/tests/held.rs
@@ -16,9 +16,9 @@
 #[test]
 fn queued_bodies_use_at_most_a_quarter_of_the_memory() {
     let shell = common::shell(SETTINGS_JSON);
-    let first = shell.body_memory.reserve(3 * MIB);
+    let first = shell.clients.bodies.reserve(3 * MIB);
     assert!(first.is_ok());
-    assert!(shell.body_memory.reserve(2 * MIB).is_err());
+    assert!(shell.clients.bodies.reserve(2 * MIB).is_err());
     drop(first);
-    assert!(shell.body_memory.reserve(2 * MIB).is_ok());
+    assert!(shell.clients.bodies.reserve(2 * MIB).is_ok());
 }
