--- a/crates/siskinyoke-gateway/src/connection_group.rs
+++ b/crates/siskinyoke-gateway/src/connection_group.rs
@@ -16,7 +16,7 @@
 
 impl ConnectionGroup {
     /// The number of groups.
-    pub const COUNT: usize = 3;
+    pub const GROUP_COUNT: usize = 3;
 
     /// Returns how many connections may be open, given how many descriptors the process may open.
     pub const fn max_connections(self, descriptors: usize) -> usize {
--- a/crates/siskinyoke-gateway/src/open_connections.rs
+++ b/crates/siskinyoke-gateway/src/open_connections.rs
@@ -44,7 +44,7 @@
 pub struct OpenConnections {
     entries: RefCell<Map<u64, Entry>>,
     next_id: Cell<u64>,
-    counts: [Cell<usize>; ConnectionGroup::COUNT],
+    counts: [Cell<usize>; ConnectionGroup::GROUP_COUNT],
     closed: Notify,
     memory: MemoryBudget,
     // The part of the memory for large responses.
