Shutdown: count the callers' connections in one place; a check inlined

The same expression stood three times in stop_on_signal. awaits_head had one caller in its own file. No behaviour changed.

Run on it: formatter, imports, names, Clippy of the gateway, its tests kept_connections and start, and two of slow_clients (unfinished heads).

--- a/crates/siskinyoke-gateway/src/connection_activity.rs
+++ b/crates/siskinyoke-gateway/src/connection_activity.rs
@@ -162,18 +162,13 @@
         self.head_bytes.get()
     }
 
-    /// Returns whether a head may be arriving.
-    pub fn awaits_head(&self) -> bool {
-        self.open_requests.get() == 0
-    }
-
     /// Counts bytes that may be a part of a head.
     ///
     /// # Errors
     ///
     /// The memory for them is used up.
     pub fn head_received(&self, bytes: usize) -> Result<(), OutOfMemoryError> {
-        if !self.awaits_head() {
+        if self.open_requests.get() > 0 {
             return Ok(());
         }
         self.head_bytes.set(self.head_bytes.get() + bytes);
--- a/crates/siskinyoke-gateway/src/signals.rs
+++ b/crates/siskinyoke-gateway/src/signals.rs
@@ -51,26 +51,20 @@
     let drain_end = start + DRAIN_PERIOD;
     shell.drain_end.set(Some(drain_end));
     shell.shutdown_started.notify_waiters();
-    shell.log(
-        "leaving",
-        json!({ "open": shell.clients.connections.count(ConnectionGroup::Callers) }),
-    );
+    let open_callers = || shell.clients.connections.count(ConnectionGroup::Callers);
+    shell.log("leaving", json!({ "open": open_callers() }));
     let end = start + shell.settings().grace_period().since(LOG_FLUSH_TIME);
     loop {
         sleep(DRAIN_POLL_INTERVAL.into()).await;
         let now = shell.now();
         // Connections that wait to be accepted count only once they are.
         let drain_over = now >= drain_end && !shell.accepting_callers.get();
-        let idle = shell.clients.connections.count(ConnectionGroup::Callers) == 0
-            && shell.relay.in_flight() == 0;
+        let idle = open_callers() == 0 && shell.relay.in_flight() == 0;
         if now >= end || (drain_over && idle) {
             break;
         }
     }
-    shell.log(
-        "stop",
-        json!({ "open": shell.clients.connections.count(ConnectionGroup::Callers) }),
-    );
+    shell.log("stop", json!({ "open": open_callers() }));
     shell.flush_log();
     sleep(DRAIN_POLL_INTERVAL.into()).await;
     Ok(())
