Drain period: serve a connection that was accepted as the period ended

Cause: since connections are counted, an accepted one waits for room beside the end of the drain period, in a `select!` that polls its branches in random order. A process that was paused across the end finds both ready, and in half of the cases it dropped the connection that it had just accepted.

Change: room is polled first. Where there is none, the connection is still reset at the end of the period.

Ruled out: load, as the test also failed alone.

--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -113,6 +113,8 @@
         match accepted {
             Ok((stream, peer)) => {
                 let open = tokio::select! {
+                    // Where there is room, it is served even if the period has elapsed.
+                    biased;
                     open = shell.clients.connections.add(kind.group()) => open,
                     () = &mut drained => break,
                 };
