Client limits: one form of waiting for memory, no twins of constants and conversions

Cause: a last reading of the change. The wait for memory tried once before its loop and enabled its notification, which `notify_waiters` needs neither; the default limit of heads repeated the read buffer's size; the conversion of megabytes, the type of the chunks' receiver and a count in the soak's clients were written twice or in a roundabout way.

Change: these only, no behaviour.

Measured: Clippy of the workspace; client_memory, settings, kept_connections, held, response, request_memory and request_body pass.

--- a/crates/siskinyoke-gateway/src/admin.rs
+++ b/crates/siskinyoke-gateway/src/admin.rs
@@ -113,9 +113,13 @@
         .metrics
         .set_state("organisations_above_share", to_f64(above));
     let client_bytes = shell.clients.memory.held();
-    (shell.metrics).set_state("client_bytes", to_f64(client_bytes));
+    shell
+        .metrics
+        .set_state("client_bytes", to_f64(client_bytes));
     let callers = shell.clients.connections.count(ConnectionGroup::Callers);
-    (shell.metrics).set_state("caller_connections", to_f64(callers));
+    shell
+        .metrics
+        .set_state("caller_connections", to_f64(callers));
     let relayed = shell.relay.in_flight();
     shell.metrics.set_state("relayed", to_f64(relayed));
     let age = shell.now().since(shell.store_contact.get());
--- a/crates/siskinyoke-gateway/src/kept_connection.rs
+++ b/crates/siskinyoke-gateway/src/kept_connection.rs
@@ -37,7 +37,7 @@
 use siskinyoke_base::Millis;
 
 /// Size of the read buffer, which bounds request heads whatever limit is configured.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// By how much a head may be larger than is configured until it is known to be too large, as spaces
 /// around its values do not count.
@@ -152,12 +152,7 @@
     // the operating system holds are ready to be read.
     async fn may_close(&self, stream: &TrackedStream, reason: CloseReason) -> Result<bool> {
         let head_begun = stream.has_unread_request();
-        let refuses = match reason {
-            CloseReason::HeadTooLarge => true,
-            CloseReason::NoRoom => head_begun,
-            _ => false,
-        };
-        if refuses {
+        if reason == CloseReason::HeadTooLarge || (reason == CloseReason::NoRoom && head_begun) {
             return Ok(true);
         }
         if stream.has_pending_bytes()? {
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -25,6 +25,7 @@
 use crate::connection_limits::CloseReason;
 use crate::connection_limits::ConnectionLimits;
 use crate::kept_connection::KeptConnection;
+use crate::kept_connection::MAX_HEAD_BYTES;
 use crate::open_connections::OpenConnection;
 use crate::peer_api;
 use crate::relay::LinkLostError;
@@ -53,9 +54,6 @@
 /// let more transfers share the link than are meant to.
 const PEER_SEND_BUFFER_BYTES: usize = 32 * 1024;
 
-/// Largest head of a request before a configuration is known.
-const DEFAULT_HEAD_BYTES: usize = 64 * 1024;
-
 /// Size of the buffers towards clients, which count towards no limit of this process.
 const CLIENT_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -235,7 +233,7 @@
     ConnectionLimits {
         idle: limits.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.keepalive_timeout),
         head: limits.map_or(DEFAULT_HEAD_TIMEOUT, |it| it.head_timeout),
-        head_bytes: limits.map_or(DEFAULT_HEAD_BYTES, |it| it.max_head),
+        head_bytes: limits.map_or(MAX_HEAD_BYTES, |it| it.max_head),
         unread: shell.settings.borrow().unread_timeout(),
         drain_end: drain_end.filter(|_| kind == ListenerKind::Callers),
     }
--- a/crates/siskinyoke-gateway/src/memory_budget.rs
+++ b/crates/siskinyoke-gateway/src/memory_budget.rs
@@ -1,6 +1,5 @@
 //! A limit on the memory that a kind of data uses in the whole process.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -88,12 +87,8 @@
 
     /// Reserves a number of bytes as soon as they are available.
     pub async fn reserve_when_available(&self, bytes: usize) -> MemoryReservation {
-        if let Ok(reservation) = self.reserve(bytes) {
-            return reservation;
-        }
         loop {
-            let mut released = pin!(self.0.released.notified());
-            released.as_mut().enable();
+            let released = self.0.released.notified();
             if let Ok(reservation) = self.reserve(bytes) {
                 return reservation;
             }
--- a/crates/siskinyoke-gateway/src/response.rs
+++ b/crates/siskinyoke-gateway/src/response.rs
@@ -16,9 +16,9 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use quick_error::quick_error;
-use tokio::sync::mpsc::Receiver;
 use tokio::sync::oneshot::Sender;
 
+use crate::chunk_channel::ChunkReceiver;
 use crate::framing::Framing;
 use crate::held_bytes;
 use crate::memory_budget::MemoryBudget;
@@ -47,14 +47,14 @@
 /// the caller.
 #[derive(Debug)]
 pub struct ChunkStream {
-    receiver: Receiver<Option<Bytes>>,
+    receiver: ChunkReceiver,
     // Whether the chunks before a missing mark have been written.
     flushed: bool,
 }
 
 impl ChunkStream {
     /// Returns the chunks of a receiver.
-    pub fn new(receiver: Receiver<Option<Bytes>>) -> Self {
+    pub fn new(receiver: ChunkReceiver) -> Self {
         Self {
             receiver,
             flushed: false,
--- a/crates/siskinyoke-gateway/src/settings.rs
+++ b/crates/siskinyoke-gateway/src/settings.rs
@@ -43,7 +43,7 @@
 
 /// Request bodies may use the memory limit divided by this; the rest is for connections and
 /// responses.
-const BODY_MEMORY_DIVISOR: u64 = 4;
+const BODY_MEMORY_DIVISOR: usize = 4;
 
 /// The memory of a process without clients.
 const BASE_MEMORY_MB: u64 = 16;
@@ -52,8 +52,6 @@
 /// from waiting for it.
 const LARGE_RESPONSE_RATIO: f64 = 0.75;
 
-const BYTES_PER_MB: u64 = 1024 * 1024;
-
 /// The addresses on which an instance listens.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -203,16 +201,13 @@
 
     /// Returns the memory that request bodies may use, in bytes.
     pub fn body_memory_bytes(&self) -> usize {
-        let bytes = self.memory_mb.saturating_mul(BYTES_PER_MB) / BODY_MEMORY_DIVISOR;
-        usize::try_from(bytes).unwrap_or(usize::MAX)
+        bytes_of(self.memory_mb) / BODY_MEMORY_DIVISOR
     }
 
     /// Returns the memory that clients may make this instance hold, in bytes: at least that for
     /// request bodies.
     pub fn client_memory_bytes(&self) -> usize {
-        let megabytes = self.memory_mb.saturating_sub(BASE_MEMORY_MB);
-        let bytes = megabytes.saturating_mul(BYTES_PER_MB);
-        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        let bytes = bytes_of(self.memory_mb.saturating_sub(BASE_MEMORY_MB));
         fraction_of(bytes, self.clients.memory_ratio).max(self.body_memory_bytes())
     }
 
@@ -336,6 +331,10 @@
     descriptions.join("; ")
 }
 
+fn bytes_of(megabytes: u64) -> usize {
+    usize::try_from(megabytes.saturating_mul(1024 * 1024)).unwrap_or(usize::MAX)
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_precision_loss,
--- a/soak/src/slow_clients.rs
+++ b/soak/src/slow_clients.rs
@@ -81,9 +81,7 @@
     /// Returns how many connections are still open.
     pub fn open_count(&mut self) -> usize {
         let streams = self.streams.iter_mut();
-        streams
-            .filter_map(|it| (!is_closed(it)).then_some(()))
-            .count()
+        streams.map(is_closed).filter(|closed| !closed).count()
     }
 }
 
