Endpoints: two events without end in a row cause a back-off

An endpoint that sends events without end fails after some 20 ms, its outcome `failed` causes no back-off, and so it is free before the other endpoint wherever that one is late. It then gets the next two requests, and four retries exceed the retry budget of 3.5 (`retry_denied`, `retry_budget`).

Change: outcome `invalid`, for an event over the limit. The second in a row causes a back-off, as for lost connections, which is what heads and chunk sizes without end already count as. It counts for no crash. A test in which the other endpoint is slower; bounds of the test that failed are unchanged.

--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -121,7 +121,7 @@
                     .record_sound(now, &request.prompt_parts);
                 self.record_endpoint_response(attempt);
             }
-            Outcome::Completed { .. } | Outcome::Failed => {
+            Outcome::Completed { .. } | Outcome::Failed | Outcome::Invalid => {
                 self.record_endpoint_response(attempt);
                 let endpoint = attempt.endpoint.short_key();
                 let run = run(now, request, attempt);
--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -179,9 +179,11 @@
     latencies: LatencyModel,
 ) -> Option<bool> {
     match outcome {
-        Outcome::Failed | Outcome::ConnectionLost | Outcome::Mismatched | Outcome::Stalled => {
-            Some(true)
-        }
+        Outcome::Failed
+        | Outcome::Invalid
+        | Outcome::ConnectionLost
+        | Outcome::Mismatched
+        | Outcome::Stalled => Some(true),
         Outcome::Completed {
             total, parts: 0, ..
         } => Some(is_slow(total, latencies.mean_service_time())),
--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -72,7 +72,7 @@
             Outcome::Full => self.back_off_until(now + FULL_BACKOFF),
             Outcome::Misdirected => self.back_off_until(now + MISDIRECTED_BACKOFF),
             Outcome::ConnectFailed | Outcome::Stalled => self.record_unresponsive(now),
-            Outcome::ConnectionLost => self.record_connection_lost(now),
+            Outcome::ConnectionLost | Outcome::Invalid => self.record_broken_response(now),
             // An endpoint that started again serves all but the streams that began before.
             Outcome::Cancelled | Outcome::RelayFailed | Outcome::LinkLost | Outcome::Unverified => {
             }
@@ -174,9 +174,9 @@
         self.failure_ratio += (1.0 - self.failure_ratio) * SMOOTHING_RATIO;
     }
 
-    // A single lost connection is often a fault of that one response. Only a second one in a row
+    // A single broken response is often a fault of that one alone. Only a second one in a row
     // indicates that the endpoint is down; backing off from a healthy endpoint wastes its slots.
-    fn record_connection_lost(&mut self, now: Millis) {
+    fn record_broken_response(&mut self, now: Millis) {
         self.record_failure();
         self.failure_streak += 1;
         if self.failure_streak >= 2 {
--- a/crates/siskinyoke-dispatch/src/outcome.rs
+++ b/crates/siskinyoke-dispatch/src/outcome.rs
@@ -18,6 +18,9 @@
     },
     /// The endpoint ran the request and responded with an error.
     Failed,
+    /// The endpoint sent what cannot be a response, such as an event without end; the request may
+    /// have run.
+    Invalid,
     /// The endpoint was at capacity and did not run the request.
     Full,
     /// The address now belongs to another endpoint; the request did not run.
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -260,7 +260,10 @@
         if !self.linger(now, endpoint, outcome) {
             self.decrement_usage(endpoint);
         }
-        if matches!(outcome, Outcome::Completed { .. } | Outcome::Failed) {
+        if matches!(
+            outcome,
+            Outcome::Completed { .. } | Outcome::Failed | Outcome::Invalid
+        ) {
             self.selector.record_accepted(endpoint, sent_at);
         }
         if outcome == Outcome::Stalled && responded_at.is_some() {
--- a/crates/siskinyoke-dispatch/src/scheduler/rejection_limits.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/rejection_limits.rs
@@ -151,6 +151,7 @@
             Outcome::Cancelled
                 | Outcome::Stalled
                 | Outcome::ConnectionLost
+                | Outcome::Invalid
                 | Outcome::Mismatched
                 | Outcome::LinkLost
         );
--- a/crates/siskinyoke-gateway/src/job/forwarding.rs
+++ b/crates/siskinyoke-gateway/src/job/forwarding.rs
@@ -187,7 +187,7 @@
                     match self.events.push(&data) {
                         Some(complete) => complete,
                         None if self.events.partial_len() > MAX_EVENT_BYTES => {
-                            return self.retry_stream(Outcome::Failed);
+                            return self.retry_stream(Outcome::Invalid);
                         }
                         None => {
                             self.hold_received(self.events.partial_len()).await;
--- a/crates/siskinyoke-gateway/src/permit.rs
+++ b/crates/siskinyoke-gateway/src/permit.rs
@@ -115,6 +115,7 @@
     match outcome {
         Outcome::Completed { .. } => "done",
         Outcome::Failed => "failed",
+        Outcome::Invalid => "invalid",
         Outcome::Full => "full",
         Outcome::Misdirected => "moved",
         Outcome::ConnectFailed => "unreached",
--- a/crates/siskinyoke-gateway/tests/endless_responses.rs
+++ b/crates/siskinyoke-gateway/tests/endless_responses.rs
@@ -83,3 +83,15 @@
         check(path);
     }
 }
+
+// Guards against an endpoint that gets one request after another as it fails before others respond,
+// which uses up the retry budget.
+#[test]
+fn an_endpoint_whose_events_have_no_end_gets_few_requests() {
+    for path in [
+        "/stream/endless-event-behind",
+        "/stream/endless-open-behind",
+    ] {
+        check(path);
+    }
+}
--- a/soak/src/endpoint/endless.rs
+++ b/soak/src/endpoint/endless.rs
@@ -3,6 +3,8 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
 
 use super::Endpoint;
 use super::ReceivedRequest;
@@ -13,6 +15,9 @@
 /// The number of bytes that are sent at once.
 const BLOCK_BYTES: usize = 4 * 1024;
 
+/// How long other endpoints take for a request whose path contains `behind`.
+const BEHIND_TIME: Duration = Duration::from_millis(60);
+
 impl Endpoint {
     /// Returns how many bytes of responses that never end it has sent.
     pub fn endless_bytes(&self) -> usize {
@@ -24,12 +29,19 @@
     ///
     /// The path names what never ends: `line` of the head, `head`, `interim` responses, `bytes` that
     /// are no response, the `size` of a chunk, or an `event` of a stream in chunks or, with
-    /// `open`, without.
+    /// `open`, without. With `behind`, other endpoints respond after some time, so that the one
+    /// whose responses never end is free first.
     pub(super) fn write_endless(&self, request: &ReceivedRequest, out: &mut TcpStream) -> bool {
-        if self.id != ENDLESS_ENDPOINT || !request.line_contains("endless") {
+        let has = |text| request.line_contains(text);
+        if !has("endless") {
+            return false;
+        }
+        if self.id != ENDLESS_ENDPOINT {
+            if has("behind") {
+                thread::sleep(BEHIND_TIME);
+            }
             return false;
         }
-        let has = |text| request.line_contains(text);
         let head = self.signed_head(request);
         let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n");
         let events = format!("{head}content-type: text/event-stream\r\n");
