Forecast: endpoints in a back-off count from its end on

Cause: where all endpoints of a service were in a back-off after failures (0.2 to 2 s), the forecast of the wait counted no capacity, so all requests but the first were refused with `overload` for seconds, while nothing ran. Back-offs that all endpoints request were taken into account already.

Change: the time until the first back-off ends, of either kind, is a part of the wait, and the capacity is that from then on. A refusal lasts at least until then. Endpoints that are left alone because they bear few rejections are counted as before: with them counted too, `a_rejection_keeps_all_instances_away_for_a_second` fails (a trial), as late requests wait for them.

Measured: two tests, both fail before.

--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -100,7 +100,13 @@
 
     /// Returns whether the endpoint gets no new requests for the time of its back-off.
     pub fn in_backoff(&self, now: Millis) -> bool {
-        now < self.backoff_until || self.requested_remaining(now) > Millis::ZERO
+        self.backoff_remaining(now) > Millis::ZERO
+    }
+
+    /// Returns the time until its back-off ends, whether after failures or as it requested.
+    pub fn backoff_remaining(&self, now: Millis) -> Millis {
+        let after_failures = self.backoff_until.since(now);
+        after_failures.max(self.requested_remaining(now))
     }
 
     /// Applies a back-off that the endpoint requests, and returns whether none was in progress.
--- a/crates/siskinyoke-dispatch/src/placement.rs
+++ b/crates/siskinyoke-dispatch/src/placement.rs
@@ -214,6 +214,12 @@
         health.is_some_and(|health| health.in_backoff(now))
     }
 
+    /// Returns the time until an endpoint's back-off ends.
+    pub fn backoff_remaining(&self, now: Millis, key: EndpointKey) -> Millis {
+        let health = self.health.get(&key);
+        health.map_or(Millis::ZERO, |health| health.backoff_remaining(now))
+    }
+
     /// Applies a back-off that an endpoint requests, and returns whether none was in progress.
     pub fn request_backoff(&mut self, now: Millis, key: EndpointKey, duration: Millis) -> bool {
         let health = self.health.entry(key).or_default();
--- a/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
@@ -63,7 +63,7 @@
         if wait <= timeout && request.share_class != ShareClass::Above {
             return Ok(request);
         }
-        let backoff = self.requested_wait(view, &request.service);
+        let backoff = self.backoff_wait(view, &request.service);
         let delay = wait.since(timeout).max(backoff);
         Err(Refusal {
             reason: RefusalReason::Overload,
@@ -78,10 +78,18 @@
         request: &ScheduledRequest,
     ) -> Millis {
         let ahead = self.work_ahead(view, request);
-        let backoff = self.requested_wait(view, &request.service);
+        let backoff = self.backoff_wait(view, &request.service);
         backoff + self.forecast(view, request, backoff).wait(ahead)
     }
 
+    // Returns the time until the first endpoint of a service gets requests again if all of them are
+    // in a back-off after failures or at their own request, and 0 otherwise.
+    fn backoff_wait(&self, view: &ClusterView<'_>, service: &str) -> Millis {
+        let endpoints = view.registry.eligible(service).iter();
+        let remaining = endpoints.map(|it| self.selector.backoff_remaining(view.now, it.key()));
+        remaining.min().unwrap_or(Millis::ZERO)
+    }
+
     // Returns the total service time, in ms, of the requests ahead of a request, here and at peers.
     fn work_ahead(&self, view: &ClusterView<'_>, request: &ScheduledRequest) -> f64 {
         let latency = self.latency_model(&request.service);
@@ -104,7 +112,7 @@
             .sum::<f64>()
     }
 
-    // Returns the forecast for the time at which the back-off of all endpoints has ended.
+    // Returns the forecast for the time at which the first back-off has ended.
     fn forecast(
         &self,
         view: &ClusterView<'_>,
--- a/crates/siskinyoke-dispatch/tests/scheduler.rs
+++ b/crates/siskinyoke-dispatch/tests/scheduler.rs
@@ -14,8 +14,10 @@
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Decision;
 use siskinyoke_dispatch::Outcome;
+use siskinyoke_dispatch::Refusal;
 use siskinyoke_dispatch::RefusalReason;
 use siskinyoke_dispatch::RouteKind;
+use siskinyoke_dispatch::ScheduledRequest;
 use siskinyoke_dispatch::Scheduler;
 use siskinyoke_dispatch::Ticket;
 use siskinyoke_dispatch::peers::Peers;
@@ -277,6 +279,64 @@
     assert_eq!(sent, 2);
 }
 
+// Guards against a forecast that takes endpoints in a back-off for no capacity at all: all requests
+// but the first are refused for seconds, though the back-off ends sooner.
+#[test]
+fn requests_wait_for_the_end_of_a_short_back_off_of_all_endpoints() {
+    let registry = registry(&[("e", 4)]);
+    let mut scheduler = Scheduler::new("me", "a");
+    let now = back_off(&mut scheduler, &registry, 2);
+    assert_eq!(refusals(&mut scheduler, &registry, now + 10, 4), []);
+    let peers = Peers::default();
+    let mut starts_at = |at| count_starts(&scheduler.decide(Millis(at), &registry, &peers));
+    assert_eq!(starts_at(now + 20), 0);
+    assert!(starts_at(now + 1_000) > 0);
+}
+
+// Guards against requests that wait for a back-off that ends too late for them, and against
+// refusals that end before it.
+#[test]
+fn requests_that_cannot_wait_for_the_end_of_a_back_off_are_refused_until_then() {
+    let registry = registry(&[("e", 4)]);
+    let mut scheduler = Scheduler::new("me", "a");
+    let now = back_off(&mut scheduler, &registry, 5);
+    let refusals = refusals(&mut scheduler, &registry, now + 10, 4);
+    assert_eq!(refusals.len(), 4);
+    for refusal in refusals {
+        assert_eq!(refusal.reason, RefusalReason::Overload);
+        assert!(refusal.retry_after >= Millis(1_900), "{refusal:?}");
+    }
+}
+
+// Lets a number of requests in a row break at the only endpoint, and returns when the last one did.
+fn back_off(scheduler: &mut Scheduler, registry: &Registry, count: u64) -> u64 {
+    let peers = Peers::default();
+    let mut now = 0;
+    for number in 0..count {
+        now = number * 2_500;
+        let request = scheduled_request(RouteKind::Safe, 0, now);
+        let ticket = scheduler.admit(Millis(now), request, registry, &peers);
+        let ticket = ticket.unwrap();
+        assert_eq!(
+            started(&scheduler.decide(Millis(now), registry, &peers)),
+            [ticket]
+        );
+        scheduler.attempt_ended(Millis(now), ticket, Outcome::ConnectionLost);
+    }
+    now
+}
+
+// Admits a number of requests with a short deadline, and returns the refusals.
+fn refusals(scheduler: &mut Scheduler, registry: &Registry, at: u64, count: u64) -> Vec<Refusal> {
+    let peers = Peers::default();
+    let requests = (0..count).map(|_| ScheduledRequest {
+        deadline: Millis(at + 2_000),
+        ..scheduled_request(RouteKind::Safe, 0, at)
+    });
+    let admitted = requests.map(|it| scheduler.admit(Millis(at), it, registry, &peers));
+    admitted.filter_map(Result::err).collect()
+}
+
 // A failing service responds to all requests with errors. Guards against unlimited retries, which
 // double the load when the service has the least capacity.
 #[test]
