Streams taken up: queued like retries, whatever the forecast of the wait

Cause: the forecast counts the slots of all versions and expects at each instance as much demand as here.

Change: such a stream is queued for as long as its caller waits, like a retry. Where its version has no slot for so long, it is refused at its deadline and no longer at once.

--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -192,12 +192,13 @@
             registry,
             peers,
         };
-        if self.expected_on_time(&view, &request) {
+        // A stream that its caller takes up is queued like a retry, whatever the forecast.
+        if wait::is_taken_up(&request) || self.expected_on_time(&view, &request) {
             return Ok(self.enqueue(request));
         }
         self.shares.record_shortage(now, &request);
         // Another shard may lend a slot; the request waits for its reply before it is refused.
-        if request.version.is_none() && self.should_ask_shards(now, registry, &request.service) {
+        if self.should_ask_shards(now, registry, &request.service) {
             return Ok(self.enqueue(ScheduledRequest {
                 needs_loan: true,
                 ..request
--- a/crates/siskinyoke-dispatch/src/wait.rs
+++ b/crates/siskinyoke-dispatch/src/wait.rs
@@ -103,7 +103,7 @@
 }
 
 // Returns whether it goes on with a stream that began before.
-fn is_taken_up(request: &ScheduledRequest) -> bool {
+pub(crate) fn is_taken_up(request: &ScheduledRequest) -> bool {
     request.version.is_some()
 }
 
--- a/crates/siskinyoke-dispatch/tests/streams.rs
+++ b/crates/siskinyoke-dispatch/tests/streams.rs
@@ -830,3 +830,26 @@
     core.cancel(Millis(9_300), *at_second);
     assert_eq!(starts(&mut core, 9_300), [(waiting[0], "e2".to_owned())]);
 }
+
+// After most instances were killed, their callers return to a few at once. Guards against a forecast
+// that refuses streams that are taken up for longer than their callers wait, as it expects the same
+// demand at all instances, though the streams go before what is still to arrive.
+#[test]
+fn streams_that_are_taken_up_by_many_callers_are_queued() {
+    let mut core = core(&[("e1", "1"), ("e2", "2")]);
+    for number in 1..8 {
+        let peer = report(&format!("i{number}"), 1);
+        core.receive_report(Millis(9_000), peer);
+    }
+    let streams: Vec<Ticket> = (0..20)
+        .map(|number| admit(&mut core, 9_000 + number, version("1")).unwrap())
+        .collect();
+    let mut served = Vec::new();
+    for now in (9_050..12_000).step_by(100) {
+        for (ticket, _) in starts(&mut core, now) {
+            core.cancel(Millis(now + 50), ticket);
+            served.push(ticket);
+        }
+    }
+    assert_eq!(served, streams);
+}
