Forecast: one loop for the shortest wait of a service's endpoints

`backoff_wait` repeated the search of `requested_wait` for the shortest wait, without its end at the first endpoint that is open, and it runs up to three times for a request that is refused. Both now call `shortest_wait`, side by side in `scheduler/requested_backoff.rs`. No behaviour is meant to change.

--- a/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
@@ -1,4 +1,4 @@
-//! Back-offs that endpoints request, in the scheduling of requests.
+//! Back-offs of endpoints, mostly those that they request, in the scheduling of requests.
 
 use std::sync::Arc;
 
@@ -43,15 +43,17 @@
     // Returns the time until the first endpoint of a service accepts requests again if all of them
     // requested a back-off, and 0 otherwise.
     pub(super) fn requested_wait(&self, view: &ClusterView<'_>, service: &str) -> Millis {
-        let mut shortest: Option<Millis> = None;
-        for endpoint in view.registry.eligible(service) {
-            let remaining = self.selector.requested_remaining(view.now, endpoint.key());
-            if remaining == Millis::ZERO {
-                return Millis::ZERO;
-            }
-            shortest = Some(shortest.map_or(remaining, |it| it.min(remaining)));
-        }
-        shortest.unwrap_or(Millis::ZERO)
+        shortest_wait(view, service, |key| {
+            self.selector.requested_remaining(view.now, key)
+        })
+    }
+
+    // Returns the time until the first endpoint of a service gets requests again if all of them are
+    // in a back-off after failures or at their own request, and 0 otherwise.
+    pub(super) fn backoff_wait(&self, view: &ClusterView<'_>, service: &str) -> Millis {
+        shortest_wait(view, service, |key| {
+            self.selector.backoff_remaining(view.now, key)
+        })
     }
 
     // Returns how many requests this instance may send to an endpoint now if the endpoint is
@@ -100,3 +102,20 @@
         })
     }
 }
+
+// Returns the shortest of the waits for the endpoints of a service, 0 if there is none.
+fn shortest_wait(
+    view: &ClusterView<'_>,
+    service: &str,
+    wait_for: impl Fn(EndpointKey) -> Millis,
+) -> Millis {
+    let mut shortest: Option<Millis> = None;
+    for endpoint in view.registry.eligible(service) {
+        let wait = wait_for(endpoint.key());
+        if wait == Millis::ZERO {
+            return Millis::ZERO;
+        }
+        shortest = Some(shortest.map_or(wait, |it| it.min(wait)));
+    }
+    shortest.unwrap_or(Millis::ZERO)
+}
--- a/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
@@ -82,14 +82,6 @@
         backoff + self.forecast(view, request, backoff).wait(ahead)
     }
 
-    // Returns the time until the first endpoint of a service gets requests again if all of them are
-    // in a back-off after failures or at their own request, and 0 otherwise.
-    fn backoff_wait(&self, view: &ClusterView<'_>, service: &str) -> Millis {
-        let endpoints = view.registry.eligible(service).iter();
-        let remaining = endpoints.map(|it| self.selector.backoff_remaining(view.now, it.key()));
-        remaining.min().unwrap_or(Millis::ZERO)
-    }
-
     // Returns the total service time, in ms, of the requests ahead of a request, here and at peers.
     fn work_ahead(&self, view: &ClusterView<'_>, request: &ScheduledRequest) -> f64 {
         let latency = self.latency_model(&request.service);
