--- /dev/null
+++ b/review/standins-2/src/server.rs
@@ -0,0 +1,291 @@
+//! A stand-in for a server, which crashes and starts again as a whole.
+
+use std::collections::BTreeMap;
+use std::io::BufReader;
+use std::io::Result;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use crate::http;
+use crate::http::Message;
+use crate::record::Record;
+use crate::store::Store;
+
+/// The interval of a server's writes to the store, `HeartbeatMs` in the settings of a deployment.
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// The number of intervals without a write after which an entry is removed.
+const SILENT_BEATS: u32 = 3;
+
+/// How long a server closes no idle channel, as its answers state it.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
+/// How long a request that crashes its server has run by then.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
+/// What a server is given when it is created.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Its name, with which the ids of its boots begin.
+    pub name: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Its zone.
+    pub zone: String,
+    /// The number of requests that it processes at once.
+    pub slots: u32,
+    /// How long it works on a request.
+    pub work: Duration,
+    /// How long it is down after a crash.
+    pub down: Duration,
+    /// The text with which the paths of requests begin that crash it.
+    pub crash_path: String,
+}
+
+// An entry in the store whose boot has ended.
+#[derive(Debug)]
+struct LapsingEntry {
+    key: String,
+    last_beat: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    up: bool,
+    // The id of this boot.
+    id: String,
+    boots: u32,
+    born_ms: u64,
+    // The open channels.
+    channels: BTreeMap<u64, TcpStream>,
+    channel_count: u64,
+    last_beat: Option<Instant>,
+    lapsing: Vec<LapsingEntry>,
+}
+
+/// A run of a request.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// The id of the request.
+    pub id: String,
+    /// Its path.
+    pub path: String,
+    /// When it began.
+    pub at: Instant,
+    /// Whether its server crashed under it.
+    pub crashed: bool,
+}
+
+/// A stand-in for a server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    plan: Plan,
+    address: SocketAddr,
+    store: Store,
+    record: Record,
+    state: Arc<Mutex<State>>,
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+impl Server {
+    /// Starts a server, which writes its entry at the start of each boot. Its further writes follow
+    /// each other in a fixed rhythm.
+    pub fn start(plan: Plan, store: &Store, record: &Record) -> Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let server = Self {
+            plan,
+            address: listener.local_addr()?,
+            store: store.clone(),
+            record: record.clone(),
+            state: Arc::default(),
+            runs: Arc::default(),
+        };
+        server.begin_boot();
+        let listening = server.clone();
+        thread::spawn(move || listening.listen(listener));
+        let beating = server.clone();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(HEARTBEAT);
+                beating.beat();
+            }
+        });
+        Ok(server)
+    }
+
+    /// Returns the requests that it ran.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().expect("no thread panics").clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics")
+    }
+
+    // Begins a boot under a new id and writes its entry.
+    fn begin_boot(&self) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let now = now.expect("the clock is set").as_millis();
+        let mut state = self.lock();
+        state.up = true;
+        state.boots += 1;
+        state.id = format!("{}-{}", self.plan.name, state.boots);
+        state.born_ms = u64::try_from(now).expect("the time fits");
+        state.last_beat = Some(Instant::now());
+        let key = format!("servers/{}", state.id);
+        let entry = format!(
+            r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":{},"State":"ready","ColdRemainingMs":0,"SeqNo":0,"born":{}}}"#,
+            self.plan.service, self.address, self.plan.zone, self.plan.slots, state.born_ms,
+        );
+        drop(state);
+        self.record.add(&format!("{key} written"));
+        self.store.put(&key, &entry);
+    }
+
+    // Keeps the entry, and removes those of ended boots after some intervals of silence.
+    fn beat(&self) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        if state.up {
+            state.last_beat = Some(now);
+        }
+        let silence = HEARTBEAT * SILENT_BEATS;
+        let lapsed: Vec<_> = state
+            .lapsing
+            .extract_if(.., |it| now - it.last_beat >= silence)
+            .collect();
+        drop(state);
+        for entry in lapsed {
+            self.record
+                .add(&format!("{} removed after silence", entry.key));
+            self.store.remove(&entry.key);
+        }
+    }
+
+    fn listen(&self, mut listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept() else {
+                continue;
+            };
+            if self.lock().up {
+                self.open_channel(stream);
+                continue;
+            }
+            drop((stream, listener));
+            thread::sleep(self.plan.down);
+            listener = self.listen_again();
+            self.begin_boot();
+        }
+    }
+
+    fn listen_again(&self) -> TcpListener {
+        loop {
+            if let Ok(listener) = TcpListener::bind(self.address) {
+                return listener;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn open_channel(&self, stream: TcpStream) {
+        let Ok(copy) = stream.try_clone() else {
+            return;
+        };
+        let number = {
+            let mut state = self.lock();
+            state.channel_count += 1;
+            let number = state.channel_count;
+            state.channels.insert(number, copy);
+            number
+        };
+        let server = self.clone();
+        thread::spawn(move || {
+            // The peer may close the channel at any time.
+            drop(server.serve(stream));
+            server.lock().channels.remove(&number);
+        });
+    }
+
+    fn crash(&self) {
+        let mut state = self.lock();
+        if !state.up {
+            return;
+        }
+        state.up = false;
+        let entry = LapsingEntry {
+            key: format!("servers/{}", state.id),
+            last_beat: state.last_beat.expect("a boot begins with a write"),
+        };
+        state.lapsing.push(entry);
+        let id = state.id.clone();
+        for channel in std::mem::take(&mut state.channels).into_values() {
+            drop(channel.shutdown(Shutdown::Both));
+        }
+        drop(state);
+        self.record.add(&format!("{id} crashes"));
+        // Lets the thread that accepts channels close its socket.
+        drop(TcpStream::connect(self.address));
+    }
+
+    fn serve(&self, stream: TcpStream) -> Result<()> {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(KEEP_ALIVE + Duration::from_secs(1)))?;
+        let mut out = stream.try_clone()?;
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = http::read(&mut reader)? {
+            self.answer(&request, &mut out)?;
+        }
+        Ok(())
+    }
+
+    fn answer(&self, request: &Message, out: &mut TcpStream) -> Result<()> {
+        let state = self.lock();
+        let (own_id, born) = (state.id.clone(), state.born_ms);
+        drop(state);
+        if request.second_word() == "/api/report" {
+            let body = format!(r#"{{"born":{born},"SeqNo":0,"Queued":0,"Active":0}}"#);
+            return http::respond(out, "200 OK", "", body.as_bytes());
+        }
+        let id = request.header("siskinyoke-request-id").unwrap_or("");
+        let echo = format!("Siskinyoke-Request-Id: {id}\r\n");
+        let target = request.header("siskinyoke-target-instance");
+        if target.is_some_and(|it| it != own_id) {
+            let headers = format!("{echo}Siskinyoke-Not-Executed: 1\r\n");
+            return http::respond(out, "421 Misdirected Request", &headers, b"");
+        }
+        let path = request.second_word();
+        let crashes = path.starts_with(&self.plan.crash_path);
+        let run = Run {
+            id: id.to_owned(),
+            path: path.to_owned(),
+            at: Instant::now(),
+            crashed: crashes,
+        };
+        self.runs.lock().expect("no thread panics").push(run);
+        self.record.add(&format!("{own_id} runs {id} {path}"));
+        if crashes {
+            thread::sleep(CRASH_DELAY);
+            self.crash();
+            return Ok(());
+        }
+        thread::sleep(self.plan.work);
+        let headers = format!(
+            "{echo}Siskinyoke-Response-Seal: {}.{id}\r\nKeep-Alive: timeout={}\r\n",
+            own_id,
+            KEEP_ALIVE.as_secs(),
+        );
+        http::respond(out, "200 OK", &headers, &[b'x'; 800])?;
+        out.flush()
+    }
+}
