--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -18,15 +18,30 @@
 /// The key of the only tenant.
 pub const KEY: &str = "i9n73hh2b9wu3fexd9dn";
 
+/// A request.
+#[derive(Debug, Clone, Copy)]
+pub struct Request<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The path.
+    pub path: &'a str,
+    /// The id of this attempt.
+    pub id: &'a str,
+    /// Further headers, each a whole line.
+    pub headers: &'a str,
+    /// The body.
+    pub body: &'a str,
+}
+
 /// Sends a request over a new channel and returns the answer, if it is whole.
-pub fn send(
-    front: SocketAddr,
-    method: &str,
-    path: &str,
-    id: &str,
-    deadline: Duration,
-    body: &str,
-) -> Option<Message> {
+pub fn send(front: SocketAddr, request: Request<'_>, deadline: Duration) -> Option<Message> {
+    let Request {
+        method,
+        path,
+        id,
+        headers,
+        body,
+    } = request;
     let mut stream = TcpStream::connect_timeout(&front, CONNECT_TIMEOUT).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(deadline)).ok()?;
@@ -35,7 +50,7 @@
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nSiskinyoke-Request-Id: {id}\r\n\
          Siskinyoke-Deadline-Ms: {millis}\r\nAuthorization: Bearer {KEY}\r\n\
-         Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+         Content-Length: {length}\r\n{headers}Connection: close\r\n\r\n{body}"
     );
     stream.write_all(text.as_bytes()).ok()?;
     http::read(&mut BufReader::new(stream)).ok()?
--- a/review/standins-2/src/crash_requests.rs
+++ b/review/standins-2/src/crash_requests.rs
@@ -16,6 +16,7 @@
 use crate::client;
 use crate::client::HOST;
 use crate::client::KEY;
+use crate::client::Request;
 use crate::gateway::Gateway;
 use crate::random::Random;
 use crate::record::Record;
@@ -35,6 +36,9 @@
 const WORK: Duration = Duration::from_millis(30);
 const DEADLINE: Duration = Duration::from_millis(1_500);
 
+/// How long after the arrival of a request a server crashes under it.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
 /// How long a server is down after a crash.
 const DOWN: Duration = Duration::from_secs(2);
 
@@ -98,8 +102,9 @@
             zone: format!("zone-{}", number % 3),
             slots: 6,
             work: WORK,
+            crash_delay: CRASH_DELAY,
             down: DOWN,
-            crash_path: CRASH_PATH.to_owned(),
+            crash_texts: vec![CRASH_PATH.to_owned()],
         };
         servers.push(Server::start(plan, &store, record)?);
     }
@@ -198,14 +203,15 @@
             let front = self.fronts[random.index(self.fronts.len())];
             let id = self.next_id("u");
             if random.below(UNSAFE_SHARE.1) < UNSAFE_SHARE.0 {
-                let answer = client::send(front, "POST", "/unsafe/1", &id, DEADLINE, "book");
+                let answer =
+                    client::send(front, request("POST", "/unsafe/1", &id, "book"), DEADLINE);
                 let status = answer.map_or(0, |it| it.status());
                 self.record
                     .add(&format!("unsafe {id} to {front} answered {status}"));
                 let mut answers = self.unsafe_answers.lock().expect("no thread panics");
                 answers.insert(id, status);
             } else {
-                let answer = client::send(front, "GET", "/safe/1", &id, DEADLINE, "");
+                let answer = client::send(front, request("GET", "/safe/1", &id, ""), DEADLINE);
                 let status = answer.map_or(0, |it| it.status());
                 self.record
                     .add(&format!("safe {id} to {front} answered {status}"));
@@ -222,7 +228,7 @@
             let front = self.fronts[(first + step) % self.fronts.len()];
             let id = self.next_id("crash");
             let path = format!("{CRASH_PATH}{number}");
-            let answer = client::send(front, "GET", &path, &id, DEADLINE, "");
+            let answer = client::send(front, request("GET", &path, &id, ""), DEADLINE);
             let status = answer.as_ref().map_or(0, |it| it.status());
             self.record
                 .add(&format!("{id} {path} to {front} answered {status}"));
@@ -276,6 +282,16 @@
     }
 }
 
+fn request<'a>(method: &'a str, path: &'a str, id: &'a str, body: &'a str) -> Request<'a> {
+    Request {
+        method,
+        path,
+        id,
+        headers: "",
+        body,
+    }
+}
+
 fn configuration() -> String {
     let route = |name: &str| {
         format!(
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -31,8 +31,12 @@
 /// How long a server closes no idle channel, as its answers state it.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
 
-/// How long a request that crashes its server has run by then.
-const CRASH_DELAY: Duration = Duration::from_millis(20);
+/// The paths of requests for streams begin with this.
+const STREAM_PATH: &str = "/stream/";
+
+/// The number of events of a stream, and the pause after each.
+const STREAM_EVENTS: usize = 6;
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
 
 /// What a server is given when it is created.
 #[derive(Debug, Clone)]
@@ -47,10 +51,12 @@
     pub slots: u32,
     /// How long it works on a request.
     pub work: Duration,
+    /// How long after the arrival of a request it crashes under it.
+    pub crash_delay: Duration,
     /// How long it is down after a crash.
     pub down: Duration,
-    /// The text with which the paths of requests begin that crash it.
-    pub crash_path: String,
+    /// The texts with which the paths or the bodies of requests begin that crash it.
+    pub crash_texts: Vec<String>,
 }
 
 // An entry in the store whose boot has ended.
@@ -81,6 +87,8 @@
     pub id: String,
     /// Its path.
     pub path: String,
+    /// Its body.
+    pub body: String,
     /// When it began.
     pub at: Instant,
     /// Whether its server crashed under it.
@@ -265,21 +273,28 @@
             return http::respond(out, "421 Misdirected Request", &headers, b"");
         }
         let path = request.second_word();
-        let crashes = path.starts_with(&self.plan.crash_path);
+        let body = String::from_utf8_lossy(&request.body);
+        let crash_texts = self.plan.crash_texts.iter();
+        let mut crash_texts = crash_texts.map(|it| &**it);
+        let crashes = crash_texts.any(|it| path.starts_with(it) || body.starts_with(it));
         let run = Run {
             id: id.to_owned(),
             path: path.to_owned(),
+            body: body.clone().into_owned(),
             at: Instant::now(),
             crashed: crashes,
         };
         self.runs.lock().expect("no thread panics").push(run);
         self.record.add(&format!("{own_id} runs {id} {path}"));
         if crashes {
-            thread::sleep(CRASH_DELAY);
+            thread::sleep(self.plan.crash_delay);
             self.crash();
             return Ok(());
         }
         thread::sleep(self.plan.work);
+        if path.starts_with(STREAM_PATH) {
+            return self.answer_stream(out, &echo, &own_id);
+        }
         let headers = format!(
             "{echo}Siskinyoke-Response-Seal: {}.{id}\r\nKeep-Alive: timeout={}\r\n",
             own_id,
@@ -288,4 +303,21 @@
         http::respond(out, "200 OK", &headers, &[b'x'; 800])?;
         out.flush()
     }
+
+    // Answers with a series of events.
+    fn answer_stream(&self, out: &mut TcpStream, echo: &str, own_id: &str) -> Result<()> {
+        write!(
+            out,
+            "HTTP/1.1 200 OK\r\n{echo}Siskinyoke-Response-Seal: {own_id}\r\n\
+             Keep-Alive: timeout={}\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            KEEP_ALIVE.as_secs(),
+        )?;
+        for number in 1..=STREAM_EVENTS {
+            let event = format!("id: {number}\ndata: piece {number}\n\n");
+            write!(out, "{:x}\r\n{event}\r\n", event.len())?;
+            thread::sleep(EVENT_PAUSE);
+        }
+        out.write_all(b"0\r\n\r\n")
+    }
 }
