--- a/review/standins-2/src/crash_document.rs
+++ b/review/standins-2/src/crash_document.rs
@@ -55,7 +55,7 @@
 const SECOND_BODY: &str = "crash second";
 
 /// How often the first of them comes again, and for how long.
-const RESOUND_PAUSE: Duration = Duration::from_millis(300);
+const RETURN_PAUSE: Duration = Duration::from_millis(300);
 const RETURN_TIME: Duration = Duration::from_secs(85);
 
 /// The rule: the number of crashes, the time after the last of them, and the retries after that.
@@ -98,6 +98,7 @@
             slots: 7,
             work: WORK,
             crash_delay: CRASH_DELAY,
+            dark: false,
             down: DOWN,
             crash_texts: crash_texts.iter().map(|it| (*it).to_owned()).collect(),
         };
@@ -153,7 +154,7 @@
         let end = Instant::now() + RETURN_TIME;
         while Instant::now() < end {
             self.send_with_retry(&mut random, FIRST_BODY);
-            thread::sleep(RESOUND_PAUSE);
+            thread::sleep(RETURN_PAUSE);
         }
     }
 
--- a/review/standins-2/src/crash_requests.rs
+++ b/review/standins-2/src/crash_requests.rs
@@ -103,6 +103,7 @@
             slots: 6,
             work: WORK,
             crash_delay: CRASH_DELAY,
+            dark: false,
             down: DOWN,
             crash_texts: vec![CRASH_PATH.to_owned()],
         };
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays the cases of the second review that are scripts.
 
 mod client;
+mod crash_dark;
 mod crash_document;
 mod crash_requests;
 mod gateway;
@@ -29,6 +30,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
         "kill-all" => crash_requests::play(folder, Restart::KillAll, trouble),
+        "dark" => crash_dark::play(folder, trouble),
         "document" => crash_document::play(folder, trouble),
         "roll" => crash_requests::play(folder, Restart::Roll, trouble),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -53,6 +53,9 @@
     pub work: Duration,
     /// How long after the arrival of a request it crashes under it.
     pub crash_delay: Duration,
+    /// Whether it goes dark as it crashes: its channels are not closed, and nothing more comes over
+    /// them.
+    pub dark: bool,
     /// How long it is down after a crash.
     pub down: Duration,
     /// The texts with which the paths or the bodies of requests begin that crash it.
@@ -237,8 +240,14 @@
         };
         state.lapsing.push(entry);
         let id = state.id.clone();
-        for channel in std::mem::take(&mut state.channels).into_values() {
-            drop(channel.shutdown(Shutdown::Both));
+        let channels = std::mem::take(&mut state.channels);
+        if self.plan.dark {
+            // The threads that serve them stay silent.
+            std::mem::forget(channels);
+        } else {
+            for channel in channels.into_values() {
+                drop(channel.shutdown(Shutdown::Both));
+            }
         }
         drop(state);
         self.record.add(&format!("{id} crashes"));
@@ -251,7 +260,9 @@
         stream.set_read_timeout(Some(KEEP_ALIVE + Duration::from_secs(1)))?;
         let mut out = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
+        let boot = self.lock().id.clone();
         while let Some(request) = http::read(&mut reader)? {
+            self.stay_silent_after(&boot);
             self.answer(&request, &mut out)?;
         }
         Ok(())
@@ -289,9 +300,11 @@
         if crashes {
             thread::sleep(self.plan.crash_delay);
             self.crash();
+            self.stay_silent_after(&own_id);
             return Ok(());
         }
         thread::sleep(self.plan.work);
+        self.stay_silent_after(&own_id);
         if path.starts_with(STREAM_PATH) {
             return self.answer_stream(out, &echo, &own_id);
         }
@@ -304,6 +317,18 @@
         out.flush()
     }
 
+    // Never returns where a boot has ended without a word.
+    fn stay_silent_after(&self, own_id: &str) {
+        let state = self.lock();
+        let ended = !state.up || state.id != own_id;
+        drop(state);
+        if self.plan.dark && ended {
+            loop {
+                thread::park();
+            }
+        }
+    }
+
     // Answers with a series of events.
     fn answer_stream(&self, out: &mut TcpStream, echo: &str, own_id: &str) -> Result<()> {
         write!(
@@ -317,6 +342,7 @@
             let event = format!("id: {number}\ndata: piece {number}\n\n");
             write!(out, "{:x}\r\n{event}\r\n", event.len())?;
             thread::sleep(EVENT_PAUSE);
+            self.stay_silent_after(own_id);
         }
         out.write_all(b"0\r\n\r\n")
     }
