--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -80,8 +80,9 @@
 
     /// Sends SIGTERM to the process and waits until it has ended, or kills it after `GraceS`.
     pub fn terminate(&mut self) -> Result<()> {
-        let id = self.child.id().to_string();
-        Command::new("kill").args(["-TERM", &id]).status()?;
+        // The shell has this command in any case.
+        let command = format!("kill -TERM {}", self.child.id());
+        Command::new("sh").args(["-c", &command]).status()?;
         let deadline = Instant::now() + GRACE;
         while self.runs() && Instant::now() < deadline {
             thread::sleep(Duration::from_millis(20));
