Quarantine: requests under which endpoints fall silent are refused once these are gone

Cause: an attempt told something of its request only where the connection broke or a response came. Attempts that stalled, ended at their deadline, were ended by their callers or broke on the way never reached the quarantine, and moves and cancelled requests did not even come by `record_evidence`.

Every end of an attempt that may have run is now kept as an uncleared run. One without a response counts once the endpoint start is gone without notice: not listed, replaced, outdated by a later start, or refusing connections. When the endpoint crashed is known as a span; spans that overlap count as one crash, so that endpoints which lose their power together accuse no request that was moved between them, and three are too many for a coincidence. Timed out connections are no evidence. Parts of prompts, streams and lost links use the same evidence, and full reports carry it to peers in turn.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -42,6 +42,7 @@
 use crate::relays::Relays;
 use crate::report::InstanceLocation;
 use crate::scheduler::Decision;
+use crate::silent_attempts::SilentAttempts;
 use crate::stream_records::StreamRecords;
 use crate::uncleared_runs::UnclearedRuns;
 use crate::unsaved_streams::UnsavedStreams;
@@ -77,6 +78,7 @@
     quarantine: Quarantine,
     part_quarantine: PartQuarantine,
     uncleared_runs: UnclearedRuns,
+    silent_attempts: SilentAttempts,
     // The generation of the registry up to which crashes were confirmed.
     confirmed_generation: u64,
     links: LinkMonitor,
@@ -116,6 +118,7 @@
             quarantine: Quarantine::default(),
             part_quarantine: PartQuarantine::default(),
             uncleared_runs: UnclearedRuns::default(),
+            silent_attempts: SilentAttempts::default(),
             confirmed_generation: 0,
             links: LinkMonitor::default(),
             relays: Relays::default(),
@@ -367,8 +370,7 @@
     /// Cancels a queued or running request.
     pub fn cancel(&mut self, now: Millis, ticket: Ticket) {
         self.scheduler.cancel(ticket);
-        self.scheduler
-            .attempt_ended(now, ticket, Outcome::Cancelled);
+        self.attempt_ended(now, ticket, Outcome::Cancelled, false);
     }
 
     /// Removes expired endpoints, instances, peers and lent slots.
@@ -383,7 +385,9 @@
         self.scheduler.prune_shares(now);
         self.relays.sweep(now);
         self.part_quarantine.prune(now);
+        self.record_silences(now);
         self.uncleared_runs.prune(now);
+        self.silent_attempts.prune(now);
         self.links.retain_services(&self.registry.services());
     }
 
--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -19,6 +19,12 @@
         self.record_endpoint_failure(now, endpoint.key());
     }
 
+    /// Records that an endpoint refused a connection, so that its process has ended.
+    pub fn record_refused(&mut self, now: Millis, endpoint: &Endpoint) {
+        self.record_unreachable(now, endpoint);
+        self.record_endpoint_end(now, endpoint.key());
+    }
+
     /// Records that an endpoint did not respond over this instance's own link to a request sent at
     /// `sent_at`, or that the connection broke.
     pub fn record_no_response(&mut self, now: Millis, endpoint: &Endpoint, sent_at: Millis) {
--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -10,11 +10,16 @@
 use crate::Ticket;
 use crate::core::Core;
 use crate::core::RoutedRequest;
+use crate::crash_list::Crash;
+use crate::crash_list::CrashState;
 use crate::part_quarantine::PartChange;
 use crate::report::PartRow;
+use crate::report::SilentAttemptRow;
 use crate::scheduler::Decision;
 use crate::scheduler::RunningAttempt;
+use crate::silent_attempts::SilentAttempt;
 use crate::stable_hash;
+use crate::stall_timeout::STREAM_STALL_TIMEOUT;
 use crate::uncleared_runs::Run;
 use siskinyoke_base::Millis;
 
@@ -25,6 +30,10 @@
 /// off later. A part that crashes endpoints does so as the response begins.
 const SOUND_RESPONSE_PERIOD: Millis = Millis(1_000);
 
+/// How long an endpoint that has ended may be listed: a request that is sent to a listed endpoint
+/// shows that it was alive that long before.
+const MAX_LISTED_TIME: Millis = Millis::from_secs(5);
+
 impl Core {
     /// Returns the prompt parts that were quarantined or released since the last call.
     pub fn take_part_changes(&mut self) -> Vec<PartChange> {
@@ -108,7 +117,7 @@
     ) {
         match outcome {
             Outcome::ConnectionLost => {
-                self.record_crash(now, &run(now, request, attempt), attempt.endpoint);
+                self.record_crash(now, &self.run(now, request, attempt), attempt.endpoint);
                 if is_sound(now, attempt) {
                     self.part_quarantine
                         .record_sound(now, &request.prompt_parts);
@@ -123,15 +132,28 @@
             }
             Outcome::Completed { .. } | Outcome::Failed | Outcome::Invalid => {
                 self.record_endpoint_response(attempt);
-                let endpoint = attempt.endpoint.short_key();
-                let run = run(now, request, attempt);
-                self.uncleared_runs.record(endpoint, run);
+                self.record_uncleared(self.run(now, request, attempt), attempt);
             }
             Outcome::Full => self.record_endpoint_response(attempt),
-            _ => {}
+            Outcome::Mismatched | Outcome::LinkLost | Outcome::Stalled | Outcome::Cancelled => {
+                let run = Run {
+                    silent: true,
+                    ..self.run(now, request, attempt)
+                };
+                self.record_uncleared(run, attempt);
+            }
+            Outcome::Misdirected
+            | Outcome::ConnectFailed
+            | Outcome::RelayFailed
+            | Outcome::Unverified => {}
         }
     }
 
+    fn record_uncleared(&mut self, run: Run, attempt: RunningAttempt) {
+        let endpoint = attempt.endpoint.short_key();
+        self.uncleared_runs.record(endpoint, run);
+    }
+
     // Records that an endpoint responded to a request, and so has not crashed since.
     pub(super) fn record_endpoint_response(&mut self, attempt: RunningAttempt) {
         let endpoint = attempt.endpoint.short_key();
@@ -150,6 +172,49 @@
         }
     }
 
+    // Records that the process of an endpoint has ended. Requests that ended there shortly before may
+    // have crashed it, also those without a response.
+    pub(super) fn record_endpoint_end(&mut self, now: Millis, key: EndpointKey) {
+        for run in self.uncleared_runs.take_refused(now, key.short_key()) {
+            self.record_silence(now, &run, key.short_key());
+        }
+    }
+
+    /// Takes the attempts under which endpoints fell silent that were found gone since the last call.
+    pub fn take_silent_attempts(&mut self) -> Vec<SilentAttempt> {
+        self.silent_attempts.take_new()
+    }
+
+    // Blames the endpoints that are gone on requests that were silent there, and on those that still
+    // wait for a response.
+    pub(super) fn record_silences(&mut self, now: Millis) {
+        let waiting = self.scheduler.unanswered(now.since(STREAM_STALL_TIMEOUT));
+        if waiting.is_empty() && self.uncleared_runs.is_empty() {
+            return;
+        }
+        let known = self.registry.unfailed_starts();
+        let is_gone = |endpoint| !known.contains(&endpoint);
+        self.record_gone(now, is_gone);
+        for (request, attempt) in waiting {
+            let endpoint = attempt.endpoint.short_key();
+            if is_gone(endpoint) {
+                self.record_silence(now, &self.run(now, &request, attempt), endpoint);
+            }
+        }
+    }
+
+    // Adds the attempts that a peer reports, except at endpoints that have responded since.
+    pub(super) fn merge_silences(&mut self, now: Millis, rows: &[SilentAttemptRow]) {
+        for row in rows {
+            let crash = crash_from_row(now, row);
+            let responded = self.part_quarantine.last_response(row.endpoint);
+            if responded.is_none_or(|sent_at| sent_at <= crash.at) {
+                self.quarantine.record_silence(now, row.fingerprint, crash);
+                self.part_quarantine.record_silence(now, &row.parts, crash);
+            }
+        }
+    }
+
     pub(super) fn part_rows(&self, now: Millis) -> Vec<PartRow> {
         self.part_quarantine
             .report_rows(now, self.links.earliest_doubt())
@@ -182,17 +247,50 @@
         let known = self.registry.unfailed_starts();
         let is_gone = |endpoint| !known.contains(&endpoint);
         if confirms {
-            for (endpoint, run) in self.uncleared_runs.take_gone(now, is_gone) {
-                let at = run.ended_at;
-                self.quarantine.record_crash(at, run.fingerprint, endpoint);
-                self.part_quarantine.record_crash(at, &run.parts, endpoint);
-            }
+            self.record_gone(now, is_gone);
             self.quarantine.confirm(is_gone);
         }
         let doubt = self.links.earliest_doubt();
         self.part_quarantine.update(now, doubt, is_gone);
     }
 
+    // Blames endpoints that are gone on the requests that ended there last.
+    fn record_gone(&mut self, now: Millis, is_gone: impl Fn(u32) -> bool) {
+        for (endpoint, run) in self.uncleared_runs.take_gone(now, is_gone) {
+            if run.silent {
+                self.record_silence(now, &run, endpoint);
+                continue;
+            }
+            let at = run.ended_at;
+            self.quarantine.record_crash(at, run.fingerprint, endpoint);
+            self.part_quarantine.record_crash(at, &run.parts, endpoint);
+        }
+    }
+
+    // Records that an endpoint fell silent under a request and is gone.
+    fn record_silence(&mut self, now: Millis, run: &Run, endpoint: u32) {
+        let responded = self.part_quarantine.last_response(endpoint);
+        let listed = run.sent_at.since(MAX_LISTED_TIME);
+        let crash = Crash {
+            endpoint,
+            alive_at: responded.unwrap_or(Millis::ZERO).max(listed),
+            at: run.silent_at,
+            alone: true,
+            state: CrashState::Silent,
+        };
+        let attempt = SilentAttempt {
+            fingerprint: run.fingerprint,
+            parts: run.parts.clone(),
+            crash,
+        };
+        if !self.silent_attempts.insert(attempt) {
+            return;
+        }
+        self.quarantine.record_silence(now, run.fingerprint, crash);
+        self.part_quarantine.record_failed_trials(&run.parts);
+        self.part_quarantine.record_silence(now, &run.parts, crash);
+    }
+
     // Counts the crashes of endpoints that no instance has links to.
     fn confirm_failures(&mut self, now: Millis, endpoints: &[EndpointKey]) {
         for key in endpoints {
@@ -203,6 +301,28 @@
         self.part_quarantine.confirm(failed);
     }
 
+    // Returns what is kept of a request that ended at an endpoint.
+    fn run(&self, now: Millis, request: &ScheduledRequest, attempt: RunningAttempt) -> Run {
+        let parts = if is_sound(now, attempt) {
+            PromptParts::default()
+        } else {
+            request.prompt_parts.clone()
+        };
+        let silent_at = match attempt.responded_at {
+            Some(_) => now,
+            None => now.min(attempt.sent_at + self.scheduler.usual_stall_timeout(request)),
+        };
+        Run {
+            fingerprint: request.fingerprint,
+            service: request.service.clone(),
+            parts,
+            sent_at: attempt.responded_at.unwrap_or(attempt.sent_at),
+            ended_at: now,
+            silent_at,
+            silent: false,
+        }
+    }
+
     // Returns whether this instance, of all that are listed, tries requests with a quarantined part:
     // several trials at the same time would crash several endpoints.
     fn is_trial_instance(&self, part: PromptPart) -> bool {
@@ -212,18 +332,13 @@
     }
 }
 
-// Returns what is kept of a request that ended at an endpoint.
-fn run(now: Millis, request: &ScheduledRequest, attempt: RunningAttempt) -> Run {
-    let parts = if is_sound(now, attempt) {
-        PromptParts::default()
-    } else {
-        request.prompt_parts.clone()
-    };
-    Run {
-        fingerprint: request.fingerprint,
-        service: request.service.clone(),
-        parts,
-        ended_at: now,
+fn crash_from_row(now: Millis, row: &SilentAttemptRow) -> Crash {
+    Crash {
+        endpoint: row.endpoint,
+        alive_at: now.since(Millis(row.alive_age.into())),
+        at: now.since(Millis(row.age.into())),
+        alone: true,
+        state: CrashState::Silent,
     }
 }
 
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -84,6 +84,7 @@
         self.record_peer_rejection_limits(now, report);
         self.part_quarantine.merge(now, &report.prompt_parts);
         self.quarantine.merge_sound(now, &report.sound_requests);
+        self.merge_silences(now, &report.silent_attempts);
     }
 
     /// Records that an endpoint's response to a request sent at `sent_at` said that the endpoint is
@@ -166,6 +167,11 @@
             } else {
                 Vec::new()
             },
+            silent_attempts: if full {
+                self.silent_attempts.next_rows(now)
+            } else {
+                Vec::new()
+            },
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/core/retry.rs
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -49,10 +49,12 @@
         if !budget.try_take(now, min_retries) {
             return None;
         }
+        let attempt = self.scheduler.running_attempt(ticket)?;
         let request = self
             .scheduler
             .attempt_ended(now, ticket, Outcome::Stalled)?;
         self.record_sample(now, &request, Outcome::Stalled);
+        self.record_evidence(now, &request, attempt, Outcome::Stalled);
         let started = self.scheduler.start_at(now, request, &candidate);
         Some(started)
     }
--- a/crates/siskinyoke-dispatch/src/crash_list.rs
+++ b/crates/siskinyoke-dispatch/src/crash_list.rs
@@ -20,6 +20,8 @@
     LinksLost,
     /// The endpoint is gone, no instance has a link to it, or a peer reports the crash.
     Confirmed,
+    /// The endpoint fell silent under the request and is gone. When it crashed is not known.
+    Silent,
 }
 
 /// The crash of an endpoint while it ran a request.
@@ -27,6 +29,9 @@
 pub(crate) struct Crash {
     /// The endpoint start, by its short key.
     pub(crate) endpoint: u32,
+    /// When the endpoint is last known to have been alive; the time of the crash if that was observed.
+    pub(crate) alive_at: Millis,
+    /// The time of the crash, or the latest possible one.
     pub(crate) at: Millis,
     /// Whether one of the requests had no part after the suspected one that other requests may share.
     pub(crate) alone: bool,
@@ -36,14 +41,25 @@
 impl Crash {
     /// Returns a crash that a peer reports.
     pub(crate) fn from_row(now: Millis, row: PartCrashRow) -> Self {
+        let at = now.since(Millis(row.age.into()));
+        Self::new(row.endpoint, at, row.alone, CrashState::Observed)
+    }
+
+    /// Returns a crash whose time is known.
+    pub(crate) fn new(endpoint: u32, at: Millis, alone: bool, state: CrashState) -> Self {
         Self {
-            endpoint: row.endpoint,
-            at: now.since(Millis(row.age.into())),
-            alone: row.alone,
-            state: CrashState::Observed,
+            endpoint,
+            alive_at: at,
+            at,
+            alone,
+            state,
         }
     }
 
+    fn is_silent(&self) -> bool {
+        self.state == CrashState::Silent
+    }
+
     // Returns whether it may be the fault of lost links.
     fn is_unconfirmed(&self) -> bool {
         self.state == CrashState::LinksLost
@@ -54,7 +70,7 @@
         match self.state {
             CrashState::Observed => doubt.is_none_or(|since| self.at < since),
             CrashState::LinksLost => false,
-            CrashState::Confirmed => true,
+            CrashState::Confirmed | CrashState::Silent => true,
         }
     }
 
@@ -77,11 +93,12 @@
     pub(crate) fn add(&mut self, crash: Crash) {
         let mut known = self.0.iter_mut();
         if let Some(known) = known.find(|it| it.endpoint == crash.endpoint) {
-            known.alone |= crash.alone;
-            // A peer reports it, whose links were not in doubt.
-            if known.state == CrashState::LinksLost {
-                known.state = crash.state;
+            let alone = known.alone | crash.alone;
+            // It was observed by a peer, whose links were not in doubt, or at another connection.
+            if known.state == CrashState::LinksLost || (known.is_silent() && !crash.is_silent()) {
+                *known = crash;
             }
+            known.alone = alone;
             return;
         }
         if self.0.len() >= MAX_CRASHES {
@@ -116,7 +133,8 @@
 
     /// Marks the crashes of endpoints that failed.
     pub(crate) fn confirm(&mut self, has_failed: &impl Fn(u32) -> bool) {
-        for crash in self.0.iter_mut().filter(|it| has_failed(it.endpoint)) {
+        let observed = self.0.iter_mut().filter(|it| !it.is_silent());
+        for crash in observed.filter(|it| has_failed(it.endpoint)) {
             crash.state = CrashState::Confirmed;
         }
     }
@@ -136,6 +154,13 @@
         Self(rows.collect())
     }
 
+    /// Returns the crashes that were observed here or by peers, without those that are concluded from
+    /// a silence.
+    pub(crate) fn observed(&self) -> Self {
+        let rows = self.iter().filter(|it| !it.is_silent());
+        Self(rows.collect())
+    }
+
     /// Returns the crashes before `end`.
     pub(crate) fn before(&self, end: Millis) -> Self {
         let rows = self.iter().filter(|it| it.at < end);
@@ -166,9 +191,16 @@
         self.0.len()
     }
 
+    /// Returns the number of crashes, of which silent ones that may have happened at the same moment
+    /// count as one.
+    pub(crate) fn weight(&self) -> usize {
+        self.observed().len() + self.distinct_silences()
+    }
+
     /// Returns the number of crashes, of which those at the same moment count as one.
     pub(crate) fn distinct_count(&self) -> usize {
-        let mut times: Vec<Millis> = self.iter().map(|it| it.at).collect();
+        let observed = self.observed();
+        let mut times: Vec<Millis> = observed.iter().map(|it| it.at).collect();
         times.sort_unstable();
         let mut last: Option<Millis> = None;
         times.retain(|at| {
@@ -178,7 +210,24 @@
             }
             counts
         });
-        times.len()
+        times.len() + self.distinct_silences()
+    }
+
+    // Returns the highest number of silent crashes of which no two can have happened at the same
+    // moment: endpoints that lose their power or their network together fall silent at once.
+    fn distinct_silences(&self) -> usize {
+        let silent = self.iter().filter(Crash::is_silent);
+        let mut spans: Vec<(Millis, Millis)> = silent.map(|it| (it.at, it.alive_at)).collect();
+        spans.sort_unstable();
+        let mut last_end = None;
+        let distinct = spans.into_iter().filter(|(at, alive_at)| {
+            let is_distinct = last_end.is_none_or(|end| *alive_at >= end);
+            if is_distinct {
+                last_end = Some(*at);
+            }
+            is_distinct
+        });
+        distinct.count()
     }
 
     /// Returns the time of the latest crash.
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod scheduled_request;
 pub mod scheduler;
 pub mod shards;
+pub mod silent_attempts;
 pub mod stall_timeout;
 pub mod store_era;
 pub mod store_update;
--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -130,20 +130,41 @@
     /// Records that an endpoint crashed, or broke the connection, while it ran a request with these
     /// parts.
     pub fn record_crash(&mut self, now: Millis, parts: &PromptParts, endpoint: u32) {
+        self.record_failed_trials(parts);
         let last = parts.iter().last();
         for (position, part) in parts.positions() {
+            let alone = Some(part) == last;
+            let crash = Crash::new(endpoint, now, alone, CrashState::Observed);
+            self.record_mut(now, part, position).crashes.add(crash);
+        }
+        self.evict(now);
+    }
+
+    /// Records that a request with these parts ended with a failure of its endpoint.
+    pub fn record_failed_trials(&mut self, parts: &PromptParts) {
+        for part in parts.iter() {
+            if let Some(record) = self.records.get_mut(&part) {
+                record.failed_trials += u32::from(record.trial.take().is_some());
+            }
+        }
+    }
+
+    /// Records that an endpoint fell silent while it ran a request with these parts, and is gone.
+    pub(crate) fn record_silence(&mut self, now: Millis, parts: &PromptParts, crash: Crash) {
+        let last = parts.iter().last();
+        for (position, part) in parts.positions() {
+            let alone = Some(part) == last;
             let record = self.record_mut(now, part, position);
-            record.failed_trials += u32::from(record.trial.take().is_some());
-            record.crashes.add(Crash {
-                endpoint,
-                at: now,
-                alone: Some(part) == last,
-                state: CrashState::Observed,
-            });
+            record.add_reported(Crash { alone, ..crash });
         }
         self.evict(now);
     }
 
+    /// Returns when the latest request was sent to which an endpoint has responded.
+    pub(crate) fn last_response(&self, endpoint: u32) -> Option<Millis> {
+        self.responses.get(&endpoint).copied()
+    }
+
     /// Records a response that shows that endpoints bear these parts.
     pub fn record_sound(&mut self, now: Millis, parts: &PromptParts) {
         for part in parts.iter() {
--- a/crates/siskinyoke-dispatch/src/part_quarantine/candidate.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/candidate.rs
@@ -35,7 +35,7 @@
         if self.was_sound {
             crashes.distinct_count()
         } else {
-            crashes.len()
+            crashes.weight()
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/part_quarantine/part_record.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/part_record.rs
@@ -73,7 +73,7 @@
         part: PromptPart,
         doubt: Option<Millis>,
     ) -> PartRow {
-        let crashes = self.crashes.counted(doubt);
+        let crashes = self.crashes.counted(doubt).observed();
         PartRow {
             part,
             position: self.position,
--- a/crates/siskinyoke-dispatch/src/prompt_part.rs
+++ b/crates/siskinyoke-dispatch/src/prompt_part.rs
@@ -31,7 +31,7 @@
 }
 
 /// The parts of a request's prompt that other requests may share, in the order of the prompt.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptParts(Arc<[PromptPart]>);
 
 impl PromptParts {
@@ -54,6 +54,11 @@
         self.0.iter().copied()
     }
 
+    /// Returns the number of parts.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Returns whether there are none.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -8,6 +8,7 @@
 use std::cmp::Reverse;
 
 use self::request_record::RequestRecord;
+use crate::crash_list::Crash;
 use crate::crash_list::CrashList;
 use crate::recent_successes::RecentSuccesses;
 use crate::report::SoundRequestRow;
@@ -22,6 +23,10 @@
 /// limit of two leaves a margin for retries that start before a crash is reported to all instances.
 const CRASHES_TO_QUARANTINE: usize = 2;
 
+/// The number of crashes after which a request is quarantined even if all endpoints may have failed
+/// at the same moment. The attempts of one caller seldom reach that many of them.
+const CRASHES_AT_ONCE: usize = 3;
+
 /// The number of crashes after which a request is quarantined that an endpoint has completed before.
 ///
 /// A poison request completes nowhere, so the cause is likelier another one.
@@ -61,6 +66,12 @@
         suspected
     }
 
+    /// Records that an endpoint fell silent under a request and is gone.
+    pub fn record_silence(&mut self, now: Millis, fingerprint: u64, crash: Crash) {
+        self.record_mut(now, fingerprint).add_silent(crash);
+        self.evict_oldest();
+    }
+
     /// Adds the crashes that a peer reports.
     pub fn merge_crashes(&mut self, now: Millis, rows: &[(u64, Vec<u32>)]) {
         for (fingerprint, endpoints) in rows {
@@ -147,7 +158,7 @@
         let records = self.latest_records().into_iter();
         let recent = records.filter(|it| !it.1.is_expired(now, RECORD_TTL));
         let rows = recent.map(|(fingerprint, record)| {
-            let crashes = record.crashes.counted(doubt);
+            let crashes = record.crashes.counted(doubt).observed();
             (fingerprint, crashes.iter().map(|it| it.endpoint).collect())
         });
         let rows = rows.filter(|row: &(u64, Vec<u32>)| !row.1.is_empty());
--- a/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
@@ -1,5 +1,6 @@
 //! What is known of one request that ran beside crashes.
 
+use super::CRASHES_AT_ONCE;
 use super::CRASHES_OF_SOUND_REQUEST;
 use super::CRASHES_TO_QUARANTINE;
 use crate::crash_list::Crash;
@@ -41,12 +42,15 @@
         if !self.crashes.contains(endpoint) {
             self.last_crash = self.last_crash.max(now);
         }
-        self.crashes.add(Crash {
-            endpoint,
-            at: now,
-            alone: true,
-            state,
-        });
+        self.crashes.add(Crash::new(endpoint, now, true, state));
+    }
+
+    /// Adds the crash of an endpoint that fell silent, unless the request was completed since.
+    pub(super) fn add_silent(&mut self, crash: Crash) {
+        if self.sound_at.is_none_or(|sound_at| sound_at < crash.at) {
+            self.last_crash = self.last_crash.max(crash.at);
+            self.crashes.add(crash);
+        }
     }
 
     /// Dismisses all crashes.
@@ -80,7 +84,7 @@
         if self.sound_at.is_some() {
             crashes.distinct_count() >= CRASHES_OF_SOUND_REQUEST
         } else {
-            crashes.len() >= CRASHES_TO_QUARANTINE
+            crashes.weight() >= CRASHES_TO_QUARANTINE || crashes.len() >= CRASHES_AT_ONCE
         }
     }
 
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -386,8 +386,8 @@
     }
 
     /// Returns the endpoint starts, by short key, of which nothing shows that they ended without
-    /// having announced it: those that are listed, unless a later start has taken over their address,
-    /// and those that are leaving or have left.
+    /// having announced it: those that are listed, unless a later start has taken over their address
+    /// or has responded there, and those that are leaving or have left.
     pub(crate) fn unfailed_starts(&self) -> BTreeSet<u32> {
         let first_seen = |key| self.first_seen.get(&key).copied();
         let mut latest: Map<&str, Option<Millis>> = Map::default();
@@ -397,6 +397,7 @@
         }
         let is_current = |it: &&Arc<Endpoint>| {
             latest.get(&*it.address).copied().flatten() == first_seen(it.key())
+                && !self.outdated.contains(&it.key())
         };
         let listed = self.all().filter(is_current).map(|it| it.key());
         let starts = listed.chain(self.departures.keys().copied());
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -7,6 +7,7 @@
 
 use crate::EndpointKey;
 use crate::PromptPart;
+use crate::PromptParts;
 use crate::scheduled_request::QueueOrder;
 use crate::stable_hash;
 use siskinyoke_base::Millis;
@@ -71,6 +72,9 @@
     /// Requests that were completed although they ran beside crashes, included in a few reports a
     /// second. Reports of earlier versions end before it.
     pub sound_requests: Vec<SoundRequestRow>,
+    /// Attempts under which endpoints fell silent that are gone, in turn, included in a few reports a
+    /// second. Reports of earlier versions end before it.
+    pub silent_attempts: Vec<SilentAttemptRow>,
 }
 
 impl Report {
@@ -209,6 +213,21 @@
     pub age: u32,
 }
 
+/// An attempt under which an endpoint fell silent that is gone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilentAttemptRow {
+    /// The fingerprint of the request.
+    pub fingerprint: u64,
+    /// The parts of its prompt that no response has cleared.
+    pub parts: PromptParts,
+    /// The endpoint's short key.
+    pub endpoint: u32,
+    /// The time since the endpoint is last known to have been alive, in ms.
+    pub alive_age: u32,
+    /// The time since the endpoint has crashed at the latest, in ms.
+    pub age: u32,
+}
+
 /// Slot time of organisations at one service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceShareRows {
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -311,6 +311,13 @@
         self.record_first_part(endpoint, &request, first_latency);
     }
 
+    /// Returns how long to wait for the first part of the response to a request at an endpoint that
+    /// is idle and of usual speed.
+    pub(crate) fn usual_stall_timeout(&self, request: &ScheduledRequest) -> Millis {
+        let latency = self.latency_model(&request.service);
+        stall_timeout::first_part_timeout(latency.first_part_time(&request.tokens))
+    }
+
     /// Returns how long to wait for the first part of a running request's response.
     pub fn stall_timeout(&self, ticket: Ticket) -> Millis {
         let Some(running) = self.running.get(&ticket) else {
@@ -356,6 +363,14 @@
         self.running.get(&ticket).map(|running| running.attempt)
     }
 
+    /// Returns the running requests that were sent before `end` and have no response yet.
+    pub(crate) fn unanswered(&self, end: Millis) -> Vec<(ScheduledRequest, RunningAttempt)> {
+        let running = self.running.values();
+        let waiting =
+            running.filter(|it| it.attempt.responded_at.is_none() && it.attempt.sent_at < end);
+        waiting.map(|it| (it.request.clone(), it.attempt)).collect()
+    }
+
     /// Records that the end of a running request's response does not say whether it is complete.
     pub(crate) fn response_unconfirmed(&mut self, ticket: Ticket) {
         if let Some(running) = self.running.get_mut(&ticket) {
--- a/crates/siskinyoke-dispatch/src/uncleared_runs.rs
+++ b/crates/siskinyoke-dispatch/src/uncleared_runs.rs
@@ -1,8 +1,9 @@
-//! Requests that ended with a response which does not show that the endpoint bears them.
+//! Requests that may have run at an endpoint without a response which shows that it bears them.
 //!
 //! An endpoint may respond with an error, or with a body whose end nobody marks, and crash a moment
 //! later. The connection broke under no request then, so the crash is blamed on those that ended
-//! there shortly before.
+//! there shortly before. An endpoint may also fall silent: an attempt that stalls, or that its caller
+//! ends, says nothing of the request until the endpoint is known to be gone.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -22,7 +23,7 @@
 const GONE_PERIOD: Millis = Millis::from_secs(10);
 
 /// The maximum number of runs kept for each endpoint; the earliest is dropped first.
-const MAX_RUNS: usize = 16;
+const MAX_RUNS: usize = 64;
 
 /// A request that ended at an endpoint.
 #[derive(Debug, Clone)]
@@ -31,11 +32,24 @@
     pub(crate) service: Arc<str>,
     /// The parts of its prompt that the response has not cleared.
     pub(crate) parts: PromptParts,
+    pub(crate) sent_at: Millis,
     pub(crate) ended_at: Millis,
+    /// The time by which an endpoint that has not responded had crashed, if it has.
+    pub(crate) silent_at: Millis,
+    /// Whether the attempt ended without a response. A broken connection to the endpoint is no
+    /// evidence then, as the link may be at fault for both.
+    pub(crate) silent: bool,
 }
 
-/// Requests that ended with a response which does not show that the endpoint bears them, by the
-/// short key of the endpoint.
+impl Run {
+    // Returns whether a crash that is noticed now may be the fault of this run.
+    fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.ended_at) < FAILURE_PERIOD
+    }
+}
+
+/// Requests that may have run at an endpoint without a response which shows that it bears them, by
+/// the short key of the endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct UnclearedRuns {
     endpoints: Map<u32, VecDeque<Run>>,
@@ -68,15 +82,33 @@
         }
     }
 
-    /// Removes the runs at an endpoint to which a connection failed, and returns those that ended
-    /// shortly before.
+    /// Removes the runs with a response at an endpoint to which a connection failed, and returns those
+    /// that ended shortly before.
     pub(crate) fn take_failed(&mut self, now: Millis, endpoint: u32) -> Vec<Run> {
+        let Some(runs) = self.endpoints.get_mut(&endpoint) else {
+            return Vec::new();
+        };
+        let all = std::mem::take(runs).into_iter();
+        let (silent, answered): (VecDeque<Run>, VecDeque<Run>) = all.partition(|it| it.silent);
+        if silent.is_empty() {
+            self.endpoints.remove(&endpoint);
+        } else {
+            *runs = silent;
+        }
+        answered
+            .into_iter()
+            .filter(|it| it.is_recent(now))
+            .collect()
+    }
+
+    /// Removes the runs at an endpoint that refuses connections, so that its process has ended, and
+    /// returns those that ended shortly before.
+    pub(crate) fn take_refused(&mut self, now: Millis, endpoint: u32) -> Vec<Run> {
         let runs = self.endpoints.remove(&endpoint).unwrap_or_default();
-        let recent = |it: &Run| now.since(it.ended_at) < FAILURE_PERIOD;
-        runs.into_iter().filter(recent).collect()
+        runs.into_iter().filter(|it| it.is_recent(now)).collect()
     }
 
-    /// Removes and returns the requests that were the last ones at endpoints that are gone by now,
+    /// Removes the requests that were the last ones at endpoints that are gone by now, and returns them
     /// with the short keys of these.
     pub(crate) fn take_gone(
         &mut self,
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -248,6 +248,7 @@
         canary_slices: Vec::new(),
         prompt_parts: Vec::new(),
         sound_requests: Vec::new(),
+        silent_attempts: Vec::new(),
     }
 }
 
--- a/crates/siskinyoke-dispatch/tests/peers.rs
+++ b/crates/siskinyoke-dispatch/tests/peers.rs
@@ -12,6 +12,7 @@
 use siskinyoke_dispatch::Core;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::PromptPart;
+use siskinyoke_dispatch::PromptParts;
 use siskinyoke_dispatch::Report;
 use siskinyoke_dispatch::StoreUpdate;
 use siskinyoke_dispatch::directory::select_instances;
@@ -26,6 +27,7 @@
 use siskinyoke_dispatch::report::RunningRow;
 use siskinyoke_dispatch::report::ServiceShareRows;
 use siskinyoke_dispatch::report::ShareRow;
+use siskinyoke_dispatch::report::SilentAttemptRow;
 use siskinyoke_dispatch::report::SoundRequestRow;
 use siskinyoke_dispatch::report::short_hash;
 use siskinyoke_dispatch::rollout::Order;
@@ -74,7 +76,7 @@
 }
 
 // Guards against outdated reports that replace what a later one has said: shares of slots, speeds of
-// endpoints, limits, prompt parts, sound requests and the responses of a canary version.
+// endpoints, limits, prompt parts, sound requests, silent attempts and the responses of a canary version.
 #[test]
 fn an_outdated_report_replaces_nothing() {
     let mut replaced = Vec::new();
@@ -202,6 +204,7 @@
         canary_slices: vec![canary_slices(8)],
         prompt_parts: vec![part_row(None)],
         sound_requests: vec![sound_request(30)],
+        silent_attempts: vec![silent_attempt(1)],
         quota_used: vec![(short_hash("school"), 500)],
         ..report
     }
@@ -209,7 +212,7 @@
 
 // Returns reports that each say something else in one field.
 fn with_one_field(late: &Report) -> Vec<(&'static str, Report)> {
-    let fields: [(&'static str, SetField); 8] = [
+    let fields: [(&'static str, SetField); 9] = [
         ("running", |it| it.running = vec![slow_row()]),
         ("limits", |it| it.limits = vec![limit(0)]),
         ("rejection_limits", |it| {
@@ -225,6 +228,9 @@
         ("sound_requests", |it| {
             it.sound_requests = vec![sound_request(0)];
         }),
+        ("silent_attempts", |it| {
+            it.silent_attempts = vec![silent_attempt(2)];
+        }),
         ("quota_used", |it| {
             it.quota_used = vec![(short_hash("school"), 90_000)];
         }),
@@ -237,6 +243,7 @@
         canary_slices: Vec::new(),
         prompt_parts: Vec::new(),
         sound_requests: Vec::new(),
+        silent_attempts: Vec::new(),
         quota_used: Vec::new(),
         ..late.clone()
     };
@@ -338,6 +345,16 @@
     }
 }
 
+fn silent_attempt(endpoint: u32) -> SilentAttemptRow {
+    SilentAttemptRow {
+        fingerprint: 78,
+        parts: PromptParts::default(),
+        endpoint,
+        alive_age: 900,
+        age: 500,
+    }
+}
+
 fn sound_request(age: u32) -> SoundRequestRow {
     SoundRequestRow {
         fingerprint: 77,
--- a/crates/siskinyoke-gateway/src/attempt.rs
+++ b/crates/siskinyoke-gateway/src/attempt.rs
@@ -151,6 +151,7 @@
         }
         Reply::Unverified(err) => record_unverified(&mut core, now, endpoint, sent_at, *err),
         Reply::ConnectFailed => core.record_unreachable(now, endpoint),
+        Reply::ConnectRefused => core.record_refused(now, endpoint),
         Reply::ConnectionLost => core.record_no_response(now, endpoint, sent_at),
         _ => {}
     }
--- a/crates/siskinyoke-gateway/src/connection.rs
+++ b/crates/siskinyoke-gateway/src/connection.rs
@@ -66,6 +66,13 @@
     }
 }
 
+impl ConnectError {
+    /// Returns whether the host responded that nothing listens at the address.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Io(err) if err.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// A client connection, closed on drop.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/siskinyoke-gateway/src/endpoint_client.rs
+++ b/crates/siskinyoke-gateway/src/endpoint_client.rs
@@ -32,6 +32,8 @@
     Head(Response<Incoming>, PooledConnection),
     /// No connection could be established; nothing was sent.
     ConnectFailed,
+    /// The endpoint's address refused the connection; nothing was sent.
+    ConnectRefused,
     /// No relay took the request; nothing was sent.
     RelayFailed,
     /// It was not confirmed that the endpoint is the start that its entry names; nothing was sent.
@@ -124,17 +126,14 @@
         reuse: Reuse,
     ) -> Reply {
         let connection = match self.connect_verified(endpoint, reuse).await {
-            Ok(connection) => connection,
-            Err(reply) => return reply,
+            Ok(Some(connection)) => Ok(connection),
+            Ok(None) => self.connect(endpoint).await,
+            Err(reply) => Err(reply),
         };
-        let connection = match connection {
-            Some(connection) => Some(connection),
-            None => self.connect(endpoint).await,
-        };
-        let Some(connection) = connection else {
-            return Reply::ConnectFailed;
-        };
-        self.send_over(endpoint, request, connection).await
+        match connection {
+            Ok(connection) => self.send_over(endpoint, request, connection).await,
+            Err(reply) => reply,
+        }
     }
 
     /// Opens a connection on which the endpoint has confirmed its start; returns `None` if the
@@ -153,9 +152,7 @@
             return Ok(None);
         };
         for _ in 0..MAX_VERIFIED_CONNECTIONS {
-            let Some(mut pooled) = self.connect(endpoint).await else {
-                return Err(Reply::ConnectFailed);
-            };
+            let mut pooled = self.connect(endpoint).await?;
             match check.run(&mut pooled.connection).await {
                 Ok(()) => return Ok(Some(pooled)),
                 Err(StartError::ConnectionClosed) => {}
@@ -179,7 +176,7 @@
         }
     }
 
-    async fn connect(&self, endpoint: &Endpoint) -> Option<PooledConnection> {
+    async fn connect(&self, endpoint: &Endpoint) -> Result<PooledConnection, Reply> {
         let Ok(address) = endpoint.address.parse::<SocketAddr>() else {
             let fields = json!({
                 "endpoint": &*endpoint.id,
@@ -187,17 +184,21 @@
                 "hint": "an endpoint's address must be IP:PORT"
             });
             self.log.log("endpoint_address", fields);
-            return None;
+            return Err(Reply::ConnectFailed);
         };
         match Connection::open_from(self.source, address).await {
-            Ok(connection) => Some(PooledConnection {
+            Ok(connection) => Ok(PooledConnection {
                 connection,
                 key: PoolKey::Endpoint(endpoint.key()),
             }),
             Err(err) => {
                 let fields = json!({ "endpoint": &*endpoint.id, "error": err.to_string() });
                 self.log.log("endpoint_unreached", fields);
-                None
+                Err(if err.is_refusal() {
+                    Reply::ConnectRefused
+                } else {
+                    Reply::ConnectFailed
+                })
             }
         }
     }
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -218,7 +218,7 @@
         };
         let (response, connection) = match reply {
             Reply::Head(response, connection) => (response, connection),
-            Reply::ConnectFailed => {
+            Reply::ConnectFailed | Reply::ConnectRefused => {
                 self.maybe_executed = executed_before;
                 return AttemptEnd::Retry(Outcome::ConnectFailed);
             }
--- a/crates/siskinyoke-gateway/src/relay/server.rs
+++ b/crates/siskinyoke-gateway/src/relay/server.rs
@@ -123,7 +123,7 @@
                 attempt::record_unverified(&mut core, now, &endpoint, sent_at, err);
                 Ok(status_only(RelayStatus::Unverified))
             }
-            Reply::ConnectFailed | Reply::RelayFailed => {
+            Reply::ConnectFailed | Reply::ConnectRefused | Reply::RelayFailed => {
                 self.core.borrow_mut().record_unreachable(now, &endpoint);
                 Ok(status_only(RelayStatus::Unreachable))
             }
--- a/crates/siskinyoke-gateway/tests/messages.rs
+++ b/crates/siskinyoke-gateway/tests/messages.rs
@@ -32,14 +32,18 @@
         let message = Message::Report(Box::new(report.clone()));
         let bytes = postcard::to_allocvec(&message).unwrap();
         assert_eq!(gossip::decode(&bytes).unwrap(), message);
-        // What earlier versions neither send nor read comes last: sound requests, parts of prompts,
-        // responses of versions under evaluation, shares, rejections, what a sender relays, and the
+        // What earlier versions neither send nor read comes last: silent attempts, sound requests, parts of
+        // prompts, responses of versions under evaluation, shares, rejections, what a sender relays, and the
         // era.
-        let [without_parts @ .., 0, 0] = &*bytes else {
+        let [without_silences @ .., 0] = &*bytes else {
+            panic!("does not end with an instance that knows no silent attempts");
+        };
+        assert_eq!(gossip::decode(without_silences).unwrap(), message);
+        let [without_parts @ .., 0, 0] = without_silences else {
             panic!("does not end with an instance that knows no parts and sound requests");
         };
         assert_eq!(gossip::decode(without_parts).unwrap(), message);
-        let [rest @ .., 1, 0, 0, 0, 0, 0, 0, 0] = &*bytes else {
+        let [rest @ .., 1, 0, 0, 0, 0, 0, 0, 0, 0] = &*bytes else {
             panic!("does not end with an instance that relays nothing and knows no more");
         };
         let Message::Report(received) = gossip::decode(rest).unwrap() else {
--- a/crates/siskinyoke-gateway/tests/poison_requests.rs
+++ b/crates/siskinyoke-gateway/tests/poison_requests.rs
@@ -17,15 +17,23 @@
 const INSTANCE_COUNT: usize = 3;
 const ENDPOINT_COUNT: usize = 3;
 
-/// The path of the request that crashes endpoints, a tenth of a second after they begin to run it.
+/// The path of a request that may be repeated and crashes endpoints, a tenth of a second after they
+/// begin to run it.
 const POISON_PATH: &str = "/safe/poison-brief";
 
+/// The paths of such requests of other kinds: a stream, and one that is sent to one endpoint only.
+const POISON_STREAM_PATH: &str = "/stream/poison-brief";
+const POISON_UNSAFE_PATH: &str = "/once/poison-brief";
+
 /// How long only sound requests are sent.
 const SOUND_TIME: Duration = Duration::from_secs(2);
 
 /// How long the request that crashes endpoints is sent after that.
 const POISON_TIME: Duration = Duration::from_secs(14);
 
+/// How long it is sent if its callers learn of the crashes by their timeout only.
+const SILENT_POISON_TIME: Duration = Duration::from_secs(40);
+
 /// The pause of a caller after each request.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -49,13 +57,14 @@
     store: Store,
     endpoints: Vec<Endpoint>,
     instances: Vec<Instance>,
+    poison_path: &'static str,
     stop: AtomicBool,
     // When each sound request was sent, and whether it was served.
     sound: Mutex<Vec<(Instant, bool)>>,
 }
 
 impl Setup {
-    fn start(response: CrashResponse) -> Self {
+    fn start(response: CrashResponse, poison_path: &'static str) -> Self {
         let store = Store::start();
         store.put("op/config", &configuration::text(3, "k1"));
         let endpoints = (0..ENDPOINT_COUNT).map(|it| Endpoint::start(&format!("e{it}")));
@@ -74,12 +83,13 @@
             store,
             endpoints,
             instances,
+            poison_path,
             stop: AtomicBool::new(false),
             sound: Mutex::default(),
         }
     }
 
-    fn run(&self, poison_callers: usize, sound_callers: usize) {
+    fn run(&self, poison_callers: usize, sound_callers: usize, poison_time: Duration) {
         thread::scope(|scope| {
             for endpoint in &self.endpoints {
                 scope.spawn(|| self.register_restarts(endpoint));
@@ -91,7 +101,7 @@
             for caller in 0..poison_callers {
                 scope.spawn(move || self.send_poison(caller));
             }
-            thread::sleep(POISON_TIME);
+            thread::sleep(poison_time);
             self.stop.store(true, Ordering::Relaxed);
         });
     }
@@ -137,7 +147,7 @@
             }
             let id = format!("poison{caller}n{number}");
             let instance = &self.instances[(caller + number) % self.instances.len()];
-            instance.call(&id, POISON_PATH, "", "same");
+            instance.call(&id, self.poison_path, "", "same");
             thread::sleep(POISON_PAUSE);
         }
     }
@@ -152,7 +162,7 @@
     // Returns how many poison requests reached endpoints after a time.
     fn poison_count(&self, since: Instant) -> usize {
         let requests = self.endpoints.iter().flat_map(Endpoint::requests);
-        let poison = requests.filter(|it| it.request_line.contains(POISON_PATH));
+        let poison = requests.filter(|it| it.request_line.contains(self.poison_path));
         poison
             .filter(|it| it.received_at.is_some_and(|at| at > since))
             .count()
@@ -173,8 +183,22 @@
 }
 
 fn check(response: CrashResponse, poison_callers: usize, sound_callers: usize) {
-    let setup = Setup::start(response);
-    setup.run(poison_callers, sound_callers);
+    check_path(response, POISON_PATH, poison_callers, sound_callers);
+}
+
+fn check_path(
+    response: CrashResponse,
+    poison_path: &'static str,
+    poison_callers: usize,
+    sound_callers: usize,
+) {
+    let setup = Setup::start(response, poison_path);
+    let poison_time = if response == CrashResponse::Silence {
+        SILENT_POISON_TIME
+    } else {
+        POISON_TIME
+    };
+    setup.run(poison_callers, sound_callers, poison_time);
     let crashes = setup.crash_times();
     let Some(last) = crashes.get(KNOWN_CRASHES - 1).or(crashes.last()) else {
         panic!("no endpoint crashed");
@@ -186,7 +210,7 @@
         .iter()
         .map(|it| it.duration_since(crashes[0]).as_millis());
     let text = format!(
-        "{response:?}, {poison_callers} and {sound_callers} callers: {late} late requests, crashes at {:?} ms, \
+        "{response:?}, {poison_path}, {poison_callers} and {sound_callers} callers: {late} late requests, crashes at {:?} ms, \
          sound requests served later: {sound:?}",
         times.collect::<Vec<_>>()
     );
@@ -218,3 +242,18 @@
     check(CrashResponse::ServerError, 1, 6);
     check(CrashResponse::ServerError, 4, 6);
 }
+
+// Guards against endpoints that fall silent under a request and blame none.
+#[test]
+fn a_request_under_which_endpoints_fall_silent_is_quarantined() {
+    thread::scope(|scope| {
+        for (path, poison_callers) in [
+            (POISON_PATH, 1),
+            (POISON_PATH, 4),
+            (POISON_STREAM_PATH, 1),
+            (POISON_UNSAFE_PATH, 1),
+        ] {
+            scope.spawn(move || check_path(CrashResponse::Silence, path, poison_callers, 6));
+        }
+    });
+}
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -254,7 +254,7 @@
         *self.disconnects.lock().unwrap()
     }
 
-    fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
+    fn serve(&self, number: u64, stream: TcpStream) -> std::io::Result<()> {
         // A reset discards what waits for the acknowledgement of earlier bytes.
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
@@ -281,7 +281,8 @@
                 continue;
             }
             request.received_at = Some(Instant::now());
-            if self.crash_on(&request, &mut out)? {
+            self.stay_silent_after(number);
+            if self.crash_on(number, &request, &mut out)? {
                 return Ok(());
             }
             let rejected_for = self.announce();
@@ -307,6 +308,7 @@
                 }
                 None => work(&request),
             }
+            self.stay_silent_after(number);
             if let Some(remaining) = rejected_for {
                 write_rejection(&mut out, remaining)?;
             } else if !responds_early && !self.respond(&request, &mut out)? {
--- a/soak/src/endpoint/crash.rs
+++ b/soak/src/endpoint/crash.rs
@@ -41,6 +41,8 @@
     ServerError,
     /// Nothing.
     Nothing,
+    /// Nothing, and nothing afterwards: its connections stay open without a word.
+    Silence,
 }
 
 /// When an endpoint crashes, and how often it did.
@@ -53,6 +55,8 @@
     // The open connections, by their order.
     connections: BTreeMap<u64, TcpStream>,
     connection_count: u64,
+    // The number of the last connection that the endpoint has left open without a word.
+    last_silent: Option<u64>,
     down_until: Option<Instant>,
     // Whether the endpoint has come back and is not registered yet.
     returned: bool,
@@ -67,6 +71,7 @@
             down_time: DOWN_TIME,
             connections: BTreeMap::new(),
             connection_count: 0,
+            last_silent: None,
             down_until: None,
             returned: false,
             crashed_at: Vec::new(),
@@ -148,6 +153,7 @@
     // Crashes if a request has a poisoned part or path, and returns whether it did.
     pub(super) fn crash_on(
         &self,
+        number: u64,
         request: &ReceivedRequest,
         out: &mut TcpStream,
     ) -> std::io::Result<bool> {
@@ -163,9 +169,18 @@
         self.write_last_response(response, request, out)?;
         thread::sleep(CRASH_DELAY);
         self.crash();
+        self.stay_silent_after(number);
         Ok(true)
     }
 
+    // Never returns if the endpoint has gone silent since a connection was opened.
+    pub(super) fn stay_silent_after(&self, number: u64) {
+        let last = self.crashes.lock().unwrap().last_silent;
+        while last.is_some_and(|it| number <= it) {
+            thread::park();
+        }
+    }
+
     fn write_last_response(
         &self,
         response: CrashResponse,
@@ -184,7 +199,7 @@
                 let head = head.replace("200 OK", "500 Failed");
                 write!(out, "{head}content-length: 6\r\n\r\nfailed")
             }
-            CrashResponse::Nothing => Ok(()),
+            CrashResponse::Nothing | CrashResponse::Silence => Ok(()),
         }
     }
 
@@ -196,7 +211,11 @@
         let now = Instant::now();
         crashes.crashed_at.push(now);
         crashes.down_until = Some(now + crashes.down_time);
-        crashes.close_connections();
+        if crashes.response == CrashResponse::Silence {
+            crashes.keep_connections();
+        } else {
+            crashes.close_connections();
+        }
         drop(crashes);
         // Lets the thread that accepts connections close its socket.
         drop(TcpStream::connect(self.address));
@@ -216,7 +235,7 @@
         let endpoint = self.clone();
         thread::spawn(move || {
             // Some tests close the connection during a request, so errors are expected.
-            drop(endpoint.serve(stream));
+            drop(endpoint.serve(number, stream));
             endpoint.crashes.lock().unwrap().connections.remove(&number);
         });
     }
@@ -232,6 +251,12 @@
 }
 
 impl Crashes {
+    // Leaves all connections open, over which nothing is sent any more.
+    fn keep_connections(&mut self) {
+        self.last_silent = Some(self.connection_count);
+        std::mem::forget(std::mem::take(&mut self.connections));
+    }
+
     /// Closes all connections, as the end of the process does.
     pub(super) fn close_connections(&mut self) {
         for stream in std::mem::take(&mut self.connections).into_values() {
