Shutdown: only requests whose response can be expected before the end are sent on

Callers saw connections that ended without a response: requests that became whole late in the grace period of a planned stop were taken, passed on, and cut as the process ended, among them requests that may run only once (LOST).

Cause: the end of the process bounded connections and heads, and nothing asked again once a request was whole, waited for a slot or was retried.

`Shutdown` holds the end of the drain period and that of the instance, and `may_begin` decides for admission, waiting requests, retries and moves. In the drain period the mean duration counts, after it the longest one of late; a service whose responses were not seen may take until the deadline. Others get 503 with a short Retry-After, and have not run. Requests that still run at the end get 504 in place of a cut. `drain_end` leaves `Shell`.

--- a/crates/siskinyoke-base/src/code.rs
+++ b/crates/siskinyoke-base/src/code.rs
@@ -105,6 +105,8 @@
     VersionUnknown = 3013, NotRun, 503, "It is not known which version began the stream; come back later.";
     /// No endpoint is left of the version at which the stream began.
     VersionGone = 3014, NotRun, 503, "No endpoint of the version that began the stream is left; begin anew.";
+    /// The instance is shutting down, and the response might not arrive in time.
+    ShuttingDown = 3015, NotRun, 503, "This instance is shutting down; use another.";
 
     /// The connection to the endpoint was lost; the request may have run.
     Broken = 4000, Unknown, 502, "The endpoint broke off; the request may have run.";
--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -13,6 +13,7 @@
 mod rollouts;
 mod routing;
 mod shares;
+mod shutdown;
 mod store;
 mod streams;
 
@@ -27,6 +28,7 @@
 use crate::RefusalReason;
 use crate::RetryDenial;
 use crate::Scheduler;
+use crate::Shutdown;
 use crate::Ticket;
 use crate::budget::RetryBudget;
 use crate::cold_start;
@@ -93,7 +95,7 @@
     versions: VersionHistory,
     // When the endpoints' versions were last observed.
     observed_at: Option<Millis>,
-    shutting_down: bool,
+    shutdown: Option<Shutdown>,
     report_number: u64,
     configured_at: Option<Millis>,
 }
@@ -129,7 +131,7 @@
             unsaved_streams: UnsavedStreams::default(),
             versions: VersionHistory::default(),
             observed_at: None,
-            shutting_down: false,
+            shutdown: None,
             report_number: 0,
             configured_at: None,
             identity,
@@ -202,21 +204,11 @@
     /// Returns whether this instance accepts callers.
     pub fn ready(&self, now: Millis) -> bool {
         self.configuration.is_some()
-            && !self.shutting_down
+            && !self.is_shutting_down()
             && self.registry.all().next().is_some()
             && !self.is_isolated(now)
     }
 
-    /// Begins the shutdown of this instance: no new callers are directed here.
-    pub fn begin_shutdown(&mut self) {
-        self.shutting_down = true;
-    }
-
-    /// Returns whether this instance is shutting down.
-    pub fn is_shutting_down(&self) -> bool {
-        self.shutting_down
-    }
-
     /// Routes and authenticates a request by its head and charges its organisation's quota.
     ///
     /// # Errors
@@ -286,10 +278,12 @@
         fingerprint: u64,
         version: Option<VersionKey>,
     ) -> Result<Ticket, Refusal> {
+        let mut scheduled = routing::scheduled_request(request, fingerprint);
         let result = if self.may_crash_endpoints(now, request, fingerprint) {
             Err(quarantine::refusal())
+        } else if !self.may_begin(now, &scheduled) {
+            Err(shutdown::refusal())
         } else {
-            let mut scheduled = routing::scheduled_request(request, fingerprint);
             let max_exposure = self.identity.max_exposure;
             let rollout = self.registry.rollout(&scheduled.service);
             scheduled.version = version;
@@ -314,6 +308,7 @@
     /// Starts or refuses queued requests where that is possible now.
     pub fn decide(&mut self, now: Millis) -> Vec<Decision> {
         let mut decisions = self.refuse_quarantined(now);
+        decisions.extend(self.refuse_unfinishable(now));
         decisions.extend(self.scheduler.decide(now, &self.registry, &self.peers));
         decisions
     }
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -142,7 +142,7 @@
             age: self.age(now).0,
             number: self.report_number,
             ready: self.ready(now),
-            shutting_down: self.shutting_down,
+            shutting_down: self.is_shutting_down(),
             configuration: self.configuration_version(),
             revision_number: self.store_view.revision.number,
             store_reachable: self.store_view.reachable,
--- a/crates/siskinyoke-dispatch/src/core/retry.rs
+++ b/crates/siskinyoke-dispatch/src/core/retry.rs
@@ -63,9 +63,10 @@
     // response has to end there in time, as the first endpoint may go on at any moment.
     fn may_move(&mut self, now: Millis, request: &ScheduledRequest) -> bool {
         let latency = self.scheduler.latency_model(&request.service);
+        let end = self.shutdown().map_or(request.deadline, |it| it.end);
         request.route.idempotent()
             && request.attempts + 1 < request.route.max_attempts
-            && now + time_elsewhere(request, latency) < request.deadline
+            && now + time_elsewhere(request, latency) < request.deadline.min(end)
             && !self.is_retry_quarantined(now, request)
     }
 
@@ -100,6 +101,9 @@
         if now >= request.deadline {
             return Err(RetryDenial::DeadlinePassed);
         }
+        if !self.may_begin(now, request) {
+            return Err(RetryDenial::ShuttingDown);
+        }
         if !self.has_untried_endpoint(request) {
             return Err(RetryDenial::NoUntriedEndpoint);
         }
--- a/crates/siskinyoke-dispatch/src/core/rollouts.rs
+++ b/crates/siskinyoke-dispatch/src/core/rollouts.rs
@@ -88,7 +88,7 @@
         });
         let due: Vec<_> = due.collect();
         let writes =
-            !due.is_empty() && !self.shutting_down && self.watcher(now) == self.identity.name;
+            !due.is_empty() && !self.is_shutting_down() && self.watcher(now) == self.identity.name;
         if writes { due } else { Vec::new() }
     }
 
--- a/crates/siskinyoke-dispatch/src/core/streams.rs
+++ b/crates/siskinyoke-dispatch/src/core/streams.rs
@@ -168,7 +168,7 @@
     /// They are written for services with streams that callers may take up, by the instance that
     /// watches the store for the first shard; every instance may read them.
     pub fn due_version_notes(&self, now: Millis) -> Vec<VersionNote> {
-        let writes = self.shard == 0 && !self.shutting_down && self.reaches_store();
+        let writes = self.shard == 0 && !self.is_shutting_down() && self.reaches_store();
         if !writes || self.watcher(now) != self.identity.name {
             return Vec::new();
         }
--- a/crates/siskinyoke-dispatch/src/latency_model.rs
+++ b/crates/siskinyoke-dispatch/src/latency_model.rs
@@ -29,6 +29,9 @@
 /// How far the long pause falls with an observation below it, as a share of itself.
 const PAUSE_FALL_RATIO: f64 = 0.005;
 
+/// What is left of the longest service time with each further response.
+const LONG_SERVICE_TIME_DECAY: f64 = 0.995;
+
 /// The number of parts per output token that is assumed before the first observation: engines send
 /// several tokens in one part.
 const INITIAL_PARTS_PER_TOKEN: f64 = 0.2;
@@ -48,6 +51,8 @@
     // Means of the parts per response, and of the output tokens that had been expected.
     mean_parts: f64,
     mean_tokens: f64,
+    // The longest of the last service times, if there was one.
+    long_service_time: Option<f64>,
 }
 
 impl Default for LatencyModel {
@@ -62,6 +67,7 @@
             long_pause: INITIAL_PART_INTERVAL_MS,
             mean_parts: INITIAL_PARTS_PER_TOKEN,
             mean_tokens: 1.0,
+            long_service_time: None,
         }
     }
 }
@@ -80,6 +86,9 @@
         total: Millis,
         parts: u32,
     ) {
+        let total_ms = millis_to_f64(total);
+        let before = self.long_service_time.unwrap_or(0.0) * LONG_SERVICE_TIME_DECAY;
+        self.long_service_time = Some(total_ms.max(before));
         self.service_time += (millis_to_f64(total) - self.service_time) * MEAN_WEIGHT;
         if parts > 1 {
             let interval = millis_to_f64(total.since(first_latency)) / f64::from(parts - 1);
@@ -109,6 +118,11 @@
         (self.part_interval + self.first_part.slope() * prompt_tokens).min(self.long_pause)
     }
 
+    /// Returns the service time that few of the last responses exceeded, if there were any.
+    pub fn long_service_time(&self) -> Option<Millis> {
+        self.long_service_time.map(millis_from_f64)
+    }
+
     /// Returns the mean service time.
     pub fn mean_service_time(&self) -> Millis {
         millis_from_f64(self.service_time)
--- a/crates/siskinyoke-dispatch/src/refusal.rs
+++ b/crates/siskinyoke-dispatch/src/refusal.rs
@@ -21,6 +21,8 @@
     Displaced,
     /// No endpoint of its service is known or eligible.
     NoEndpoint,
+    /// This instance is shutting down, and the response might not arrive before it ends.
+    ShuttingDown,
     /// The same request crashed endpoints before.
     Quarantined,
     /// An endpoint rejected it without running it, and it may not be retried at another one.
@@ -48,6 +50,7 @@
             Self::QueueTimeout => "waited",
             Self::Displaced => "displaced",
             Self::NoEndpoint => "no_endpoint",
+            Self::ShuttingDown => "shutting_down",
             Self::Quarantined => "suspect",
             Self::EndpointRejected => "rejected",
             Self::VersionUnknown => "version_unknown",
--- a/crates/siskinyoke-dispatch/src/retry_denial.rs
+++ b/crates/siskinyoke-dispatch/src/retry_denial.rs
@@ -9,6 +9,8 @@
     NotIdempotent,
     /// It crashed endpoints before.
     Quarantined,
+    /// This instance is shutting down, and the response might not arrive before it ends.
+    ShuttingDown,
     /// Its deadline has passed.
     DeadlinePassed,
     /// It is bound to a version of which it was sent to every endpoint.
@@ -28,6 +30,7 @@
             Self::NotRequested => "not_requested",
             Self::NotIdempotent => "not_idempotent",
             Self::Quarantined => "quarantined",
+            Self::ShuttingDown => "shutting_down",
             Self::DeadlinePassed => "deadline_passed",
             Self::NoUntriedEndpoint => "no_untried_endpoint",
             Self::ConnectAttempts => "connect_attempts",
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -348,10 +348,15 @@
         }
     }
 
+    /// Returns the tickets of all matching waiting requests.
+    pub fn waiting_tickets(&self, matches: impl Fn(&ScheduledRequest) -> bool) -> Vec<Ticket> {
+        let found = self.waiting.iter().filter(|row| matches(row.1));
+        found.map(|row| *row.0).collect()
+    }
+
     /// Removes all matching waiting requests and returns their tickets.
     pub fn cancel_matching(&mut self, matches: impl Fn(&ScheduledRequest) -> bool) -> Vec<Ticket> {
-        let found = self.waiting.iter().filter(|row| matches(row.1));
-        let tickets: Vec<Ticket> = found.map(|row| *row.0).collect();
+        let tickets = self.waiting_tickets(matches);
         for ticket in &tickets {
             self.cancel(*ticket);
         }
--- a/crates/siskinyoke-dispatch/tests/peers.rs
+++ b/crates/siskinyoke-dispatch/tests/peers.rs
@@ -14,6 +14,7 @@
 use siskinyoke_dispatch::PromptPart;
 use siskinyoke_dispatch::PromptParts;
 use siskinyoke_dispatch::Report;
+use siskinyoke_dispatch::Shutdown;
 use siskinyoke_dispatch::StoreUpdate;
 use siskinyoke_dispatch::directory::select_instances;
 use siskinyoke_dispatch::peers::Peers;
@@ -157,7 +158,10 @@
         core.receive_report(Millis(0), report);
     }
     assert_eq!(core.caller_addresses(Millis(0), "a"), ["i:1", "sound:1"]);
-    core.begin_shutdown();
+    core.begin_shutdown(Shutdown {
+        drain_end: Millis(2_500),
+        end: Millis(7_000),
+    });
     assert_eq!(core.caller_addresses(Millis(0), "a"), ["sound:1"]);
     assert!(!core.ready(Millis(1)));
 }
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -15,6 +15,7 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use self::progress::Progress;
@@ -34,6 +35,7 @@
 use crate::response::ResponseBody;
 use crate::shell::SchedulingResult;
 use crate::shell::Shell;
+use crate::signals;
 use siskinyoke_base::Millis;
 use siskinyoke_dispatch::Endpoint;
 use siskinyoke_dispatch::Outcome;
@@ -119,11 +121,13 @@
     /// disconnects.
     pub async fn run(mut self, permit: Permit, decision: oneshot::Receiver<SchedulingResult>) {
         let chunks = self.caller.chunks.clone();
+        let shell = self.shell.clone();
         let remaining = Duration::from(self.routed.deadline.since(self.shell.now()));
         let outcome = tokio::select! {
             biased;
             () = chunks.closed() => "caller_left",
             result = timeout(remaining, self.serve(permit, decision)) => result.unwrap_or("late"),
+            () = shutdown_ended(&shell) => "late",
         };
         if outcome == "late" {
             self.time_out();
@@ -335,3 +339,9 @@
         exchange.response_headers(head.parts.status, &head.parts.headers)
     }
 }
+
+// Completes when this instance shuts down and ends the requests that still run.
+async fn shutdown_ended(shell: &Shell) {
+    let shutdown = signals::shutdown(shell).await;
+    sleep(shutdown.end.since(shell.now()).into()).await;
+}
--- a/crates/siskinyoke-gateway/src/listener.rs
+++ b/crates/siskinyoke-gateway/src/listener.rs
@@ -33,6 +33,7 @@
 use crate::response;
 use crate::response::ResponseBody;
 use crate::shell::Shell;
+use crate::signals;
 use siskinyoke_base::Millis;
 
 /// How long callers' connections are accepted and kept open after this instance starts to shut
@@ -229,7 +230,7 @@
 fn connection_limits(shell: &Shell, kind: ListenerKind) -> ConnectionLimits {
     let core = shell.core.borrow();
     let limits = core.configuration().map(|it| it.limits);
-    let drain_end = shell.drain_end.get();
+    let drain_end = core.shutdown().map(|it| it.drain_end);
     ConnectionLimits {
         idle: limits.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.keepalive_timeout),
         head: limits.map_or(DEFAULT_HEAD_TIMEOUT, |it| it.head_timeout),
@@ -263,10 +264,6 @@
     if kind != ListenerKind::Callers {
         return std::future::pending().await;
     }
-    loop {
-        if let Some(end) = shell.drain_end.get() {
-            return sleep(end.since(shell.now()).into()).await;
-        }
-        shell.shutdown_started.notified().await;
-    }
+    let shutdown = signals::shutdown(shell).await;
+    sleep(shutdown.drain_end.since(shell.now()).into()).await;
 }
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -160,8 +160,6 @@
     pub writing: Cell<bool>,
     /// The memory and the connections that clients may make this process hold.
     pub clients: ClientResources,
-    /// When the drain period ends, once this instance shuts down.
-    pub drain_end: Cell<Option<Millis>>,
     /// Whether connections of callers are accepted.
     pub accepting_callers: Cell<bool>,
     /// When the last request arrived.
@@ -249,7 +247,6 @@
             catching_up: Cell::new(false),
             writing: Cell::new(false),
             clients,
-            drain_end: Cell::new(None),
             accepting_callers: Cell::new(false),
             last_arrival: Cell::new(Millis::ZERO),
             waiters: RefCell::default(),
--- a/crates/siskinyoke-native/src/exchange.rs
+++ b/crates/siskinyoke-native/src/exchange.rs
@@ -249,6 +249,7 @@
         RefusalReason::EndpointRejected => Code::Rejected,
         RefusalReason::VersionUnknown => Code::VersionUnknown,
         RefusalReason::VersionGone => Code::VersionGone,
+        RefusalReason::ShuttingDown => Code::ShuttingDown,
     }
 }
 
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -527,6 +527,11 @@
     if request.line_contains("nap") {
         thread::sleep(Duration::from_millis(1_500));
     }
+    if let Some((_, rest)) = request.request_line.split_once("work-") {
+        let digits = rest.split(|it: char| !it.is_ascii_digit()).next();
+        let time = digits.and_then(|it| it.parse().ok());
+        thread::sleep(Duration::from_millis(time.unwrap_or(0)));
+    }
 }
 
 // Writes a rejection that requests a back-off.
