Responses: a status outside 200 to 599 is an invalid response

Callers got 600 and 999 as answers of endpoints in trouble, with the endpoint's signature (MIXED).

Cause: the HTTP client accepts every number of three digits from 100 on, and nothing asked whether it may be the status of a response. 000 and 099 were broken responses already.

--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -238,6 +238,9 @@
             Reply::LinkLost => return AttemptEnd::Retry(Outcome::LinkLost),
             Reply::ConnectionLost => return AttemptEnd::Retry(Outcome::ConnectionLost),
         };
+        if !is_final(response.status()) {
+            return AttemptEnd::Retry(Outcome::Invalid);
+        }
         let framing = Framing::of(&response);
         self.progress.framing = Some(framing);
         let class = shell.interface.exchange.classify_response(
@@ -340,6 +343,12 @@
     }
 }
 
+// Returns whether a status may be that of a response to a request. The HTTP client accepts all numbers
+// of three digits.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 // Completes when this instance shuts down and ends the requests that still run.
 async fn shutdown_ended(shell: &Shell) {
     let shutdown = signals::shutdown(shell).await;
--- a/crates/siskinyoke-gateway/tests/cut_heads.rs
+++ b/crates/siskinyoke-gateway/tests/cut_heads.rs
@@ -421,3 +421,32 @@
         }
     }
 }
+
+// Guards against statuses outside the standard that callers get as responses.
+#[test]
+fn a_status_that_no_response_may_have_is_not_passed_on() {
+    let mut passed_on = Vec::new();
+    for instances in [1, 2] {
+        let setup = Setup::start(instances);
+        if instances > 1 {
+            setup.lose_links();
+        }
+        for status in ["000", "099", "600", "999"] {
+            for path in ["/safe/scripted", "/once/scripted", "/stream/scripted"] {
+                let head = SIGNED_LINES.replace("200 OK", &format!("{status} X"));
+                let script = Script {
+                    text: format!("{head}content-length: 5\r\n\r\nwhole"),
+                    end: ScriptEnd::Keep,
+                };
+                setup.set_scripts(&script, &script);
+                // A request that breaks connections is refused when it comes again.
+                let path = format!("{path}/{status}");
+                let head = setup.call(&path, "").head;
+                if !head.starts_with("HTTP/1.1 502") {
+                    passed_on.push(format!("{path}, {instances} instances: {head}"));
+                }
+            }
+        }
+    }
+    assert!(passed_on.is_empty(), "{passed_on:#?}");
+}
