Store client: a response without end is given up after 16 MiB

A store, or a peer, that sends the body of a response without end took all memory of the instance that had called it, and with it the requests of all its clients.

Cause: `store::Client` gives up no response that keeps arriving, so that a large configuration crosses a narrow link, and nothing bounded its size.

--- a/crates/siskinyoke-gateway/src/store.rs
+++ b/crates/siskinyoke-gateway/src/store.rs
@@ -30,6 +30,9 @@
 /// A narrow link that carries other traffic too delivers bytes every few milliseconds.
 const MAX_BODY_GAP: Millis = Millis(700);
 
+/// Maximum size of the body of a response. The longest in use hold a value of about 1 MiB.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 quick_error! {
     /// Why a call failed.
     #[derive(Debug)]
@@ -50,6 +53,10 @@
         NoReply {
             display("no complete response within the time limit")
         }
+        /// The response is longer than any that the store may send.
+        TooLarge {
+            display("response has more than {MAX_RESPONSE_BYTES} bytes")
+        }
         /// The response has an error status.
         Status(status: StatusCode) {
             display("response has error status {status}")
@@ -188,12 +195,12 @@
 
     /// Receives the rest of a response.
     ///
-    /// A response that keeps arriving is never given up for the time that it takes: it would only be
-    /// requested again, over the same link.
+    /// A response that keeps arriving is never given up for the time that it takes, as it would only be
+    /// requested again over the same link, but for its size.
     ///
     /// # Errors
     ///
-    /// If the connection is lost or nothing arrives for a while.
+    /// If the connection is lost, nothing arrives for a while, or the response is too large.
     pub async fn read(&mut self, mut response: OpenResponse) -> Result<Bytes, StoreError> {
         while self.receive(&mut response, MAX_BODY_GAP).await? {}
         Ok(self.complete(response).await)
@@ -245,6 +252,9 @@
             return Ok(false);
         };
         if let Some(data) = frame?.data_ref() {
+            if response.bytes.len() + data.len() > MAX_RESPONSE_BYTES {
+                return Err(StoreError::TooLarge);
+            }
             response.bytes.extend_from_slice(data);
         }
         response.transfer.record(response.bytes.len());
--- a/crates/siskinyoke-gateway/tests/cut_links/main.rs
+++ b/crates/siskinyoke-gateway/tests/cut_links/main.rs
@@ -20,6 +20,7 @@
 use siskinyoke_soak::instance::read_events;
 use siskinyoke_soak::instance::send_request;
 use siskinyoke_soak::instance::wait_until;
+use siskinyoke_soak::process_usage::ProcessUsage;
 use siskinyoke_soak::proxy::Cut;
 use siskinyoke_soak::stream::Part;
 use siskinyoke_soak::stream::StreamRequest;
@@ -43,6 +44,9 @@
 /// The size of an upload, which no buffer on the way holds.
 const UPLOAD_BYTES: usize = 4_000_000;
 
+/// The memory of an instance, `memory_mb` in its settings.
+const MAX_PEAK_KIB: u64 = 110 * 1024;
+
 struct Fleet {
     _store: Store,
     endpoints: Vec<Endpoint>,
@@ -476,3 +480,42 @@
     }
     assert_eq!(partial, 0);
 }
+
+// Guards against a relay, or the instance behind it, that holds bytes without end in place of a
+// response until its memory is used up.
+#[test]
+fn bytes_without_end_are_bounded_over_a_relay() {
+    let fleet = Fleet::start(2);
+    fleet.lose_links(0..1);
+    thread::scope(|scope| {
+        for path in [
+            "/safe/endless-line",
+            "/safe/endless-head",
+            "/safe/endless-interim",
+            "/safe/endless-bytes",
+            "/safe/endless-size",
+            "/stream/endless-event",
+            "/stream/endless-open",
+        ] {
+            for number in 0..3 {
+                let fleet = &fleet;
+                scope.spawn(move || {
+                    let mut stream = fleet.instances[0].connect();
+                    let id = format!("{path}{number}");
+                    send_request(&mut stream, &id, path, "connection: close\r\n", &id);
+                    let mut response = Vec::new();
+                    // A response may end in a reset.
+                    drop(stream.read_to_end(&mut response));
+                });
+            }
+        }
+    });
+    assert!(fleet.endpoints[1].endless_bytes() > 0);
+    for instance in &fleet.instances {
+        let usage = ProcessUsage::of(instance.process_id()).expect("the process runs");
+        println!("{usage:?}");
+        assert!(usage.peak_kib < MAX_PEAK_KIB, "{usage:?}");
+    }
+    let unserved = fleet.unserved("later");
+    assert!(unserved.is_empty(), "{unserved:#?}");
+}
