--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -350,6 +350,7 @@
         let fields = json!({
             "id": request.id,
             "admitted": request.admitted,
+            "route": request.route.map(|it| &*it.route.name),
             "rank": request.route.map(|it| it.priority.0),
             "organisation": request.organisation,
             "prompt": request.route.map(|it| it.tokens.prompt),
