Quarantine: a part in quarantine excuses no request that has it

Cause: crashes under a part in quarantine were taken off every request that ran beside them, so that the first request was admitted as the part's trial. They are taken off requests without such a part only: one that has it has crashed these endpoints whichever of both is at fault. With the first request alone it stays refused, which rules out that its crashes are forgotten.

`a_part_in_quarantine_excuses_no_request_with_that_part` fails before: the request is admitted after 6 s.

--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -55,13 +55,13 @@
         fingerprint: u64,
     ) -> bool {
         self.update_evidence(now);
-        let explained = self.part_quarantine.explained_crashes();
+        let parts = &request.prompt_parts;
+        let explained = self.part_quarantine.explained_crashes(parts);
         let doubt = self.links.doubted_since(&request.service);
         let quarantine = &self.quarantine;
         if quarantine.is_quarantined(now, fingerprint, doubt, explained) {
             return true;
         }
-        let parts = &request.prompt_parts;
         let found: Vec<PromptPart> = self.part_quarantine.quarantined_parts(parts).collect();
         match found[..] {
             [] => false,
@@ -76,7 +76,8 @@
     // Returns whether a request that has run must not be sent to another endpoint.
     pub(super) fn is_retry_quarantined(&mut self, now: Millis, request: &ScheduledRequest) -> bool {
         self.update_evidence(now);
-        let explained = self.part_quarantine.explained_crashes();
+        let parts = &self.part_quarantine;
+        let explained = parts.explained_crashes(&request.prompt_parts);
         let doubt = self.links.doubted_since(&request.service);
         self.quarantine
             .is_quarantined(now, request.fingerprint, doubt, explained)
@@ -100,7 +101,8 @@
         } = self;
         let refused = scheduler.cancel_matching(|it| {
             let doubt = links.doubted_since(&it.service);
-            quarantine.is_quarantined(now, it.fingerprint, doubt, parts.explained_crashes())
+            let explained = parts.explained_crashes(&it.prompt_parts);
+            quarantine.is_quarantined(now, it.fingerprint, doubt, explained)
                 || parts.is_refused(&it.prompt_parts, it.fingerprint)
         });
         let refused = refused.into_iter();
--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -270,9 +270,11 @@
         self.record_changes(&before);
     }
 
-    /// Returns the crashes that parts in quarantine explain.
-    pub(crate) fn explained_crashes(&self) -> &CrashList {
-        &self.explained
+    /// Returns the crashes that parts in quarantine explain for a request with these parts, unless it
+    /// has such a part itself: then it has crashed these endpoints, whichever of both is at fault.
+    pub(crate) fn explained_crashes(&self, parts: &PromptParts) -> Option<&CrashList> {
+        let quarantined = self.quarantined_parts(parts).next();
+        quarantined.is_none().then_some(&self.explained)
     }
 
     /// Forgets what is too old to matter.
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -134,7 +134,7 @@
         now: Millis,
         fingerprint: u64,
         doubt: Option<Millis>,
-        explained: &CrashList,
+        explained: Option<&CrashList>,
     ) -> bool {
         self.records
             .get(&fingerprint)
--- a/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
@@ -79,8 +79,12 @@
 
     /// Returns whether the crashes suffice for a quarantine. If links are in doubt, those recorded
     /// since then do not count, and those that parts of prompts explain never do.
-    pub(super) fn is_unsound(&self, doubt: Option<Millis>, explained: &CrashList) -> bool {
-        let crashes = self.crashes.counted(doubt).without(explained);
+    pub(super) fn is_unsound(&self, doubt: Option<Millis>, explained: Option<&CrashList>) -> bool {
+        let counted = self.crashes.counted(doubt);
+        let crashes = match explained {
+            Some(explained) => counted.without(explained),
+            None => counted,
+        };
         if self.sound_at.is_some() {
             crashes.distinct_count() >= CRASHES_OF_SOUND_REQUEST
         } else {
--- a/crates/siskinyoke-dispatch/tests/quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/quarantine.rs
@@ -300,3 +300,39 @@
     report(300, &mut one, &mut other);
     assert!(is_quarantined(&mut other, 300));
 }
+
+// Guards against a request that is sent to endpoints as the trial of a part it shares, although it has
+// crashed endpoints itself.
+#[test]
+fn a_part_in_quarantine_excuses_no_request_with_that_part() {
+    let mut core = instance("i1", &["e9"]);
+    let shared = ["shared", "own"];
+    for number in 0..3 {
+        let sound = start_with(&mut core, Millis(number), 50 + number, &shared);
+        core.attempt_ended(Millis(10 + number), sound, completed(), false);
+    }
+    core.registry().remove(Millis(20), "e9");
+    let crashes = [(FINGERPRINT, 100), (FINGERPRINT, 600)];
+    let others = [(8, 1_100), (8, 1_600), (9, 2_100)];
+    for (fingerprint, at) in crashes.into_iter().chain(others) {
+        let id = format!("x{at}");
+        core.registry().put(Millis(at), endpoint(&id, 10));
+        let ticket = start_with(&mut core, Millis(at), fingerprint, &shared);
+        core.attempt_ended(Millis(at + 60), ticket, Outcome::ConnectionLost, false);
+        confirm_links(&mut core, Millis(at + 70));
+        core.registry().remove(Millis(at + 80), &id);
+        core.decide(Millis(at + 500));
+    }
+    core.registry().put(Millis(4_000), endpoint("e9", 10));
+    core.decide(Millis(4_000));
+    for seconds in 4..60 {
+        let now = Millis::from_secs(seconds);
+        let mut routed = core.route(now, request("/safe/x")).unwrap();
+        routed.prompt_parts = PromptParts::from_ids(shared);
+        let admitted = core.admit(now, &routed, FINGERPRINT);
+        assert!(admitted.is_err(), "after {seconds} s");
+    }
+    let now = Millis::from_secs(61);
+    let trial = start_with(&mut core, now, 100, &shared);
+    core.attempt_ended(now, trial, completed(), false);
+}
