Reports: requests in quarantine are named in turn

Cause: reports named the eight latest requests, always the same ones, so that processes which started learned no others. The same held for the requests that were completed beside crashes, which stayed refused at peers. Half of the rows are selected by what matters most now, and the others in turn.

--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -191,8 +191,8 @@
 
     // Returns the latest crashes for reports. While links are in doubt, broken connections may be
     // the fault of this instance, so that only confirmed crashes are reported.
-    pub(super) fn reported_crashes(&self, now: Millis, limit: usize) -> Vec<(u64, Vec<u32>)> {
+    pub(super) fn reported_crashes(&mut self, now: Millis, limit: usize) -> Vec<(u64, Vec<u32>)> {
         let doubt = self.links.any_in_doubt().then_some(Millis::ZERO);
-        self.quarantine.recent_crashes(now, limit, doubt)
+        self.quarantine.next_crash_rows(now, limit, doubt)
     }
 }
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -11,7 +11,8 @@
 use crate::report::ServiceShareRows;
 use siskinyoke_base::Millis;
 
-/// Maximum number of quarantined requests in one report, so that it fits into a datagram.
+/// Maximum number of quarantined requests in one report, so that it fits into a datagram. Where there
+/// are more, they are reported in turn.
 const MAX_REPORTED_QUARANTINE: usize = 8;
 
 /// How long a changed quota use or rate limit is included in every report.
@@ -151,7 +152,7 @@
             quota_used: self.quotas.usage(since),
             limits: self.scheduler.rate_limits().report_rows(now, since),
             canaries: self.canary_reports(now),
-            info: full.then(|| self.instance_info(now)),
+            info: full.then(|| self.reported_info(now)),
             era: self.store_view.revision.era,
             relay: Some(self.relay_report()),
             rejection_limits: self.scheduler.rejection_limits().report_rows(now, since),
@@ -163,7 +164,8 @@
                 Vec::new()
             },
             sound_requests: if full {
-                self.quarantine.sound_rows(now, MAX_REPORTED_QUARANTINE)
+                self.quarantine
+                    .next_sound_rows(now, MAX_REPORTED_QUARANTINE)
             } else {
                 Vec::new()
             },
@@ -175,12 +177,20 @@
         }
     }
 
+    fn reported_info(&mut self, now: Millis) -> InstanceInfo {
+        InstanceInfo {
+            quarantine: self.reported_crashes(now, MAX_REPORTED_QUARANTINE),
+            ..self.instance_info(now)
+        }
+    }
+
+    // Returns what this instance says of itself, without requests in quarantine.
     pub(super) fn instance_info(&self, now: Millis) -> InstanceInfo {
         InstanceInfo {
             name: self.identity.name.clone(),
             location: self.identity.location.clone(),
             leaving_endpoints: self.registry.recent_departures(now),
-            quarantine: self.reported_crashes(now, MAX_REPORTED_QUARANTINE),
+            quarantine: Vec::new(),
             peers: self.reported_peers(now),
         }
     }
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod rejection_limits;
 pub mod relays;
 pub mod report;
+mod report_turns;
 pub mod requested_backoff;
 pub mod retry_denial;
 pub mod rollout;
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -13,6 +13,7 @@
 use crate::recent_successes::RecentSuccesses;
 use crate::report::SoundRequestRow;
 use crate::report::age;
+use crate::report_turns::ReportTurns;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
 
@@ -44,6 +45,8 @@
     records: Map<u64, RequestRecord>,
     // The requests that were completed, here or as far as peers report it.
     sound: RecentSuccesses<u64>,
+    crash_turns: ReportTurns,
+    sound_turns: ReportTurns,
 }
 
 impl Default for Quarantine {
@@ -51,6 +54,8 @@
         Self {
             records: Map::default(),
             sound: RecentSuccesses::new(RECORD_TTL),
+            crash_turns: ReportTurns::default(),
+            sound_turns: ReportTurns::default(),
         }
     }
 }
@@ -147,10 +152,10 @@
         records.all(|it| it.is_expired(now, RECORD_TTL) || !it.is_suspected())
     }
 
-    /// Returns the most recent crashes, which are reported to peers, latest first. If links of this
-    /// instance are in doubt, those recorded since then are left out.
-    pub fn recent_crashes(
-        &self,
+    /// Returns the crashes for a report to peers: the latest ones, and the others in turn. If links of
+    /// this instance are in doubt, those recorded since then are left out.
+    pub fn next_crash_rows(
+        &mut self,
         now: Millis,
         limit: usize,
         doubt: Option<Millis>,
@@ -162,12 +167,13 @@
             (fingerprint, crashes.iter().map(|it| it.endpoint).collect())
         });
         let rows = rows.filter(|row: &(u64, Vec<u32>)| !row.1.is_empty());
-        rows.take(limit).collect()
+        let rows = rows.collect();
+        self.crash_turns.select(rows, limit)
     }
 
-    /// Returns the requests that were completed although they ran beside crashes, the latest crashes
-    /// first.
-    pub fn sound_rows(&self, now: Millis, limit: usize) -> Vec<SoundRequestRow> {
+    /// Returns the requests for a report to peers that were completed although they ran beside crashes:
+    /// those with the latest crashes, and the others in turn.
+    pub fn next_sound_rows(&mut self, now: Millis, limit: usize) -> Vec<SoundRequestRow> {
         let records = self.latest_records().into_iter();
         let rows = records.filter_map(|(fingerprint, record)| {
             Some(SoundRequestRow {
@@ -175,7 +181,8 @@
                 age: age(now, record.sound_at?),
             })
         });
-        rows.take(limit).collect()
+        let rows = rows.collect();
+        self.sound_turns.select(rows, limit)
     }
 
     /// Adds the requests that a peer reports as completed.
--- a/crates/siskinyoke-dispatch/tests/quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/quarantine.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::ops::Range;
 use std::sync::Arc;
 
 use crate::common::completed;
@@ -336,3 +337,75 @@
     let trial = start_with(&mut core, now, 100, &shared);
     core.attempt_ended(now, trial, completed(), false);
 }
+
+// Returns which requests are in quarantine.
+fn quarantined(core: &mut Core, now: Millis, fingerprints: Range<u64>) -> Vec<u64> {
+    let routed = core.route(now, request("/safe/x")).unwrap();
+    let is_quarantined = |it: &u64| {
+        let refusal = core.admit(now, &routed, *it).err();
+        refusal.is_some_and(|it| it.reason == RefusalReason::Quarantined)
+    };
+    fingerprints.filter(is_quarantined).collect()
+}
+
+// Guards against requests that a restart of all instances in turn lets through again, as reports never
+// name them.
+#[test]
+fn peers_learn_of_all_requests_in_quarantine() {
+    const REQUEST_COUNT: u64 = 40;
+    let mut one = instance("i1", &[]);
+    for fingerprint in 0..REQUEST_COUNT {
+        for start in 0..2 {
+            let now = 100 + 100 * fingerprint + 10 * start;
+            let id = format!("f{fingerprint}s{start}");
+            one.registry().put(Millis(now), endpoint(&id, 10));
+            let ticket = start_with(&mut one, Millis(now), fingerprint, &[]);
+            one.attempt_ended(Millis(now + 1), ticket, Outcome::ConnectionLost, false);
+            confirm_links(&mut one, Millis(now + 2));
+            one.registry().remove(Millis(now + 3), &id);
+        }
+    }
+    let mut other = instance("i2", &["e4"]);
+    for number in 0..30 {
+        report(10_000 + 250 * number, &mut one, &mut other);
+    }
+    let refused = quarantined(&mut other, Millis(20_000), 0..REQUEST_COUNT);
+    assert_eq!(refused, (0..REQUEST_COUNT).collect::<Vec<_>>());
+}
+
+// Guards against requests that are completed and stay in quarantine at peers, as reports never name
+// them.
+#[test]
+fn peers_learn_of_all_requests_that_were_completed() {
+    const REQUEST_COUNT: u64 = 40;
+    let mut one = instance("i1", &["e4"]);
+    let mut other = instance("i2", &["e4"]);
+    let crashes = |core: &mut Core, at: u64| {
+        for fingerprint in 0..REQUEST_COUNT {
+            let now = Millis(at + fingerprint);
+            let id = format!("x{at}f{fingerprint}");
+            core.registry().put(now, endpoint(&id, 10));
+            core.registry().remove(now, "e4");
+            let ticket = start_with(core, now, fingerprint, &[]);
+            core.attempt_ended(now, ticket, Outcome::ConnectionLost, false);
+            confirm_links(core, now);
+            core.registry().remove(now, &id);
+            core.registry().put(now, endpoint("e4", 10));
+        }
+    };
+    crashes(&mut one, 100);
+    crashes(&mut other, 10_000);
+    crashes(&mut other, 11_000);
+    for fingerprint in 0..REQUEST_COUNT {
+        let now = Millis(20_000 + 10 * fingerprint);
+        let ticket = start_with(&mut one, now, fingerprint, &[]);
+        one.attempt_ended(now, ticket, completed(), false);
+    }
+    for number in 0..30 {
+        report(21_000 + 250 * number, &mut one, &mut other);
+    }
+    assert_eq!(
+        quarantined(&mut other, Millis(30_000), 0..REQUEST_COUNT),
+        []
+    );
+}
