Quarantine: silent crashes count by when the endpoint was known to be gone

- The span of a silent crash ended when the response was due, which is too soon under load, so endpoints that crash together could look as if they had crashed one after the other.
It ends when the endpoint is known to be gone.
- Crashes of endpoints that ran copies of a request at the same time now count each: a request that was moved is what may meet endpoints that failed together.
- Responses of the next start at an address clear nothing of the start before, and its 421 shows that the start is gone, like a refused connection of a request or a probe.
- Evidence is taken when the listed endpoints change and is in the next reports.

Each start has an ID of its own in tests/poison_requests now.

--- a/crates/siskinyoke-dispatch/src/core.rs
+++ b/crates/siskinyoke-dispatch/src/core.rs
@@ -380,7 +380,7 @@
         self.scheduler.prune_shares(now);
         self.relays.sweep(now);
         self.part_quarantine.prune(now);
-        self.record_silences(now);
+        self.record_late_silences(now);
         self.uncleared_runs.prune(now);
         self.silent_attempts.prune(now);
         self.links.retain_services(&self.registry.services());
--- a/crates/siskinyoke-dispatch/src/core/links.rs
+++ b/crates/siskinyoke-dispatch/src/core/links.rs
@@ -19,7 +19,7 @@
         self.record_endpoint_failure(now, endpoint.key());
     }
 
-    /// Records that an endpoint refused a connection, so that its process has ended.
+    /// Records that an endpoint refused the connection for a request.
     pub fn record_refused(&mut self, now: Millis, endpoint: &Endpoint) {
         self.record_unreachable(now, endpoint);
         self.record_endpoint_end(now, endpoint.key());
--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -1,5 +1,7 @@
 //! Quarantine of requests and prompt parts that crash the endpoints that run them.
 
+use std::collections::BTreeSet;
+
 use crate::EndpointKey;
 use crate::Outcome;
 use crate::PromptPart;
@@ -19,7 +21,6 @@
 use crate::scheduler::RunningAttempt;
 use crate::silent_attempts::SilentAttempt;
 use crate::stable_hash;
-use crate::stall_timeout::STREAM_STALL_TIMEOUT;
 use crate::uncleared_runs::Run;
 use siskinyoke_base::Millis;
 
@@ -119,7 +120,7 @@
     ) {
         match outcome {
             Outcome::ConnectionLost => {
-                self.record_crash(now, &self.run(now, request, attempt), attempt.endpoint);
+                self.record_crash(now, &Self::run(now, request, attempt), attempt.endpoint);
                 if is_sound(now, attempt) {
                     self.part_quarantine
                         .record_sound(now, &request.prompt_parts);
@@ -134,20 +135,19 @@
             }
             Outcome::Completed { .. } | Outcome::Failed | Outcome::Invalid => {
                 self.record_endpoint_response(attempt);
-                self.record_uncleared(self.run(now, request, attempt), attempt);
+                self.record_uncleared(Self::run(now, request, attempt), attempt);
             }
             Outcome::Full => self.record_endpoint_response(attempt),
             Outcome::Mismatched | Outcome::LinkLost | Outcome::Stalled | Outcome::Cancelled => {
                 let run = Run {
                     silent: true,
-                    ..self.run(now, request, attempt)
+                    ..Self::run(now, request, attempt)
                 };
                 self.record_uncleared(run, attempt);
             }
-            Outcome::Misdirected
-            | Outcome::ConnectFailed
-            | Outcome::RelayFailed
-            | Outcome::Unverified => {}
+            // The address belongs to a later start.
+            Outcome::Misdirected => self.record_endpoint_end(now, attempt.endpoint),
+            Outcome::ConnectFailed | Outcome::RelayFailed | Outcome::Unverified => {}
         }
     }
 
@@ -156,8 +156,13 @@
         self.uncleared_runs.record(endpoint, run);
     }
 
-    // Records that an endpoint responded to a request, and so has not crashed since.
+    // Records that an endpoint responded to a request, and so has not crashed since. At an address that
+    // a later start has taken over, that one responds.
     pub(super) fn record_endpoint_response(&mut self, attempt: RunningAttempt) {
+        let has_evidence = !self.quarantine.is_clear() || !self.uncleared_runs.is_empty();
+        if has_evidence && self.registry.is_superseded(attempt.endpoint) {
+            return;
+        }
         let endpoint = attempt.endpoint.short_key();
         self.quarantine.record_response(endpoint, attempt.sent_at);
         self.part_quarantine
@@ -174,10 +179,14 @@
         }
     }
 
-    // Records that the process of an endpoint has ended. Requests that ended there shortly before may
-    // have crashed it, also those without a response.
-    pub(super) fn record_endpoint_end(&mut self, now: Millis, key: EndpointKey) {
-        for run in self.uncleared_runs.take_refused(now, key.short_key()) {
+    /// Records that the process of an endpoint has ended, as its address refuses connections or belongs
+    /// to another one. Requests that ended there shortly before, or wait there, may have crashed it.
+    pub fn record_endpoint_end(&mut self, now: Millis, key: EndpointKey) {
+        let mut runs = self.uncleared_runs.take_refused(now, key.short_key());
+        let mut waiting = self.scheduler.unanswered(now);
+        waiting.retain(|it| it.1.endpoint == key);
+        runs.extend(waiting.iter().map(|it| Self::run(now, &it.0, it.1)));
+        for run in runs {
             self.record_silence(now, &run, key.short_key());
         }
     }
@@ -187,20 +196,24 @@
         self.silent_attempts.take_new()
     }
 
-    // Blames the endpoints that are gone on requests that were silent there, and on those that still
-    // wait for a response.
-    pub(super) fn record_silences(&mut self, now: Millis) {
-        let waiting = self.scheduler.unanswered(now.since(STREAM_STALL_TIMEOUT));
-        if waiting.is_empty() && self.uncleared_runs.is_empty() {
-            return;
+    /// Blames the endpoints that are gone by now on the requests that ended there since the last change
+    /// of the listed endpoints.
+    pub(super) fn record_late_silences(&mut self, now: Millis) {
+        if !self.uncleared_runs.is_empty() {
+            let known = self.registry.unfailed_starts();
+            self.record_gone(now, |endpoint| !known.contains(&endpoint));
         }
-        let known = self.registry.unfailed_starts();
+    }
+
+    // Blames the endpoints that are gone on requests that ended there, and on those that still wait
+    // for a response.
+    fn record_silences(&mut self, now: Millis, known: &BTreeSet<u32>) {
         let is_gone = |endpoint| !known.contains(&endpoint);
         self.record_gone(now, is_gone);
-        for (request, attempt) in waiting {
+        for (request, attempt) in self.scheduler.unanswered(now) {
             let endpoint = attempt.endpoint.short_key();
             if is_gone(endpoint) {
-                self.record_silence(now, &self.run(now, &request, attempt), endpoint);
+                self.record_silence(now, &Self::run(now, &request, attempt), endpoint);
             }
         }
     }
@@ -242,14 +255,17 @@
         }
         let generation = self.registry.generation();
         let changed = std::mem::replace(&mut self.confirmed_generation, generation) != generation;
-        let confirms = changed && !(self.quarantine.is_clear() && self.uncleared_runs.is_empty());
+        let (_, running) = self.scheduler.request_counts();
+        let may_confirm =
+            running > 0 || !(self.quarantine.is_clear() && self.uncleared_runs.is_empty());
+        let confirms = changed && may_confirm;
         if !confirms && !self.part_quarantine.is_due(now) {
             return;
         }
         let known = self.registry.unfailed_starts();
         let is_gone = |endpoint| !known.contains(&endpoint);
         if confirms {
-            self.record_gone(now, is_gone);
+            self.record_silences(now, &known);
             self.quarantine.confirm(is_gone);
         }
         let doubt = self.links.earliest_doubt();
@@ -276,7 +292,9 @@
         let crash = Crash {
             endpoint,
             alive_at: responded.unwrap_or(Millis::ZERO).max(listed),
-            at: run.silent_at,
+            sent_at: run.sent_at,
+            at: run.ended_at,
+            gone_at: now,
             alone: true,
             state: CrashState::Silent,
         };
@@ -304,23 +322,18 @@
     }
 
     // Returns what is kept of a request that ended at an endpoint.
-    fn run(&self, now: Millis, request: &ScheduledRequest, attempt: RunningAttempt) -> Run {
+    fn run(now: Millis, request: &ScheduledRequest, attempt: RunningAttempt) -> Run {
         let parts = if is_sound(now, attempt) {
             PromptParts::default()
         } else {
             request.prompt_parts.clone()
         };
-        let silent_at = match attempt.responded_at {
-            Some(_) => now,
-            None => now.min(attempt.sent_at + self.scheduler.usual_stall_timeout(request)),
-        };
         Run {
             fingerprint: request.fingerprint,
             service: request.service.clone(),
             parts,
             sent_at: attempt.responded_at.unwrap_or(attempt.sent_at),
             ended_at: now,
-            silent_at,
             silent: false,
         }
     }
@@ -338,7 +351,9 @@
     Crash {
         endpoint: row.endpoint,
         alive_at: now.since(Millis(row.alive_age.into())),
+        sent_at: now.since(Millis(row.sent_age.into())),
         at: now.since(Millis(row.age.into())),
+        gone_at: now.since(Millis(row.gone_age.into())),
         alone: true,
         state: CrashState::Silent,
     }
--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -169,7 +169,7 @@
             } else {
                 Vec::new()
             },
-            silent_attempts: if full {
+            silent_attempts: if full || self.silent_attempts.has_since(since) {
                 self.silent_attempts.next_rows(now)
             } else {
                 Vec::new()
--- a/crates/siskinyoke-dispatch/src/crash_list.rs
+++ b/crates/siskinyoke-dispatch/src/crash_list.rs
@@ -31,8 +31,12 @@
     pub(crate) endpoint: u32,
     /// When the endpoint is last known to have been alive; the time of the crash if that was observed.
     pub(crate) alive_at: Millis,
-    /// The time of the crash, or the latest possible one.
+    /// When the request was sent; the time of the crash if that was observed.
+    pub(crate) sent_at: Millis,
+    /// The time of the crash if that was observed; when the attempt ended otherwise.
     pub(crate) at: Millis,
+    /// When the endpoint was known to be gone; the time of the crash if that was observed.
+    pub(crate) gone_at: Millis,
     /// Whether one of the requests had no part after the suspected one that other requests may share.
     pub(crate) alone: bool,
     pub(crate) state: CrashState,
@@ -50,7 +54,9 @@
         Self {
             endpoint,
             alive_at: at,
+            sent_at: at,
             at,
+            gone_at: at,
             alone,
             state,
         }
@@ -60,6 +66,15 @@
         self.state == CrashState::Silent
     }
 
+    // Returns whether two silent crashes hardly share another cause: they cannot have happened at the
+    // same moment, or both endpoints ran the request at the same time. A request that was sent to one
+    // after the other may have met two that had failed together.
+    fn is_independent(&self, other: &Self) -> bool {
+        let at_once = self.alive_at < other.gone_at && other.alive_at < self.gone_at;
+        let in_turn = self.sent_at >= other.at || other.sent_at >= self.at;
+        !at_once || !in_turn
+    }
+
     // Returns whether it may be the fault of lost links.
     fn is_unconfirmed(&self) -> bool {
         self.state == CrashState::LinksLost
@@ -191,8 +206,7 @@
         self.0.len()
     }
 
-    /// Returns the number of crashes, of which silent ones that may have happened at the same moment
-    /// count as one.
+    /// Returns the number of crashes, of which silent ones that may share another cause count as one.
     pub(crate) fn weight(&self) -> usize {
         self.observed().len() + self.distinct_silences()
     }
@@ -213,21 +227,17 @@
         times.len() + self.distinct_silences()
     }
 
-    // Returns the highest number of silent crashes of which no two can have happened at the same
-    // moment: endpoints that lose their power or their network together fall silent at once.
+    // Returns the number of silent crashes that are independent of each other.
     fn distinct_silences(&self) -> usize {
-        let silent = self.iter().filter(Crash::is_silent);
-        let mut spans: Vec<(Millis, Millis)> = silent.map(|it| (it.at, it.alive_at)).collect();
-        spans.sort_unstable();
-        let mut last_end = None;
-        let distinct = spans.into_iter().filter(|(at, alive_at)| {
-            let is_distinct = last_end.is_none_or(|end| *alive_at >= end);
-            if is_distinct {
-                last_end = Some(*at);
+        let mut silent: Vec<Crash> = self.iter().filter(Crash::is_silent).collect();
+        silent.sort_unstable_by_key(|it| (it.gone_at, it.endpoint));
+        let mut distinct: Vec<Crash> = Vec::new();
+        for crash in silent {
+            if distinct.iter().all(|it| it.is_independent(&crash)) {
+                distinct.push(crash);
             }
-            is_distinct
-        });
-        distinct.count()
+        }
+        distinct.len()
     }
 
     /// Returns the time of the latest crash.
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -389,14 +389,13 @@
     /// having announced it: those that are listed, unless a later start has taken over their address
     /// or has responded there, and those that are leaving or have left.
     pub(crate) fn unfailed_starts(&self) -> BTreeSet<u32> {
-        let first_seen = |key| self.first_seen.get(&key).copied();
         let mut latest: Map<&str, Option<Millis>> = Map::default();
         for endpoint in self.all() {
             let seen = latest.entry(&endpoint.address).or_default();
-            *seen = first_seen(endpoint.key()).max(*seen);
+            *seen = self.first_seen(endpoint.key()).max(*seen);
         }
         let is_current = |it: &&Arc<Endpoint>| {
-            latest.get(&*it.address).copied().flatten() == first_seen(it.key())
+            latest.get(&*it.address).copied().flatten() == self.first_seen(it.key())
                 && !self.outdated.contains(&it.key())
         };
         let listed = self.all().filter(is_current).map(|it| it.key());
@@ -404,6 +403,19 @@
         starts.map(EndpointKey::short_key).collect()
     }
 
+    /// Returns whether a later start has taken over the address of a listed one.
+    pub(crate) fn is_superseded(&self, key: EndpointKey) -> bool {
+        let Some(endpoint) = self.find(key) else {
+            return false;
+        };
+        let mut others = self.all().filter(|it| it.address == endpoint.address);
+        others.any(|it| self.first_seen(it.key()) > self.first_seen(key))
+    }
+
+    fn first_seen(&self, key: EndpointKey) -> Option<Millis> {
+        self.first_seen.get(&key).copied()
+    }
+
     /// Returns all known endpoints.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.entries.iter().map(|row| row.1)
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -72,8 +72,8 @@
     /// Requests that were completed although they ran beside crashes, included in a few reports a
     /// second. Reports of earlier versions end before it.
     pub sound_requests: Vec<SoundRequestRow>,
-    /// Attempts under which endpoints fell silent that are gone, in turn, included in a few reports a
-    /// second. Reports of earlier versions end before it.
+    /// Attempts under which endpoints fell silent that are gone: the latest in several reports, and all
+    /// in turn in a few reports a second. Reports of earlier versions end before it.
     pub silent_attempts: Vec<SilentAttemptRow>,
 }
 
@@ -224,8 +224,12 @@
     pub endpoint: u32,
     /// The time since the endpoint is last known to have been alive, in ms.
     pub alive_age: u32,
-    /// The time since the endpoint has crashed at the latest, in ms.
+    /// The time since the request was sent, in ms.
+    pub sent_age: u32,
+    /// The time since the attempt ended, in ms.
     pub age: u32,
+    /// The time since the endpoint was known to be gone, in ms.
+    pub gone_age: u32,
 }
 
 /// Slot time of organisations at one service.
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -311,13 +311,6 @@
         self.record_first_part(endpoint, &request, first_latency);
     }
 
-    /// Returns how long to wait for the first part of the response to a request at an endpoint that
-    /// is idle and of usual speed.
-    pub(crate) fn usual_stall_timeout(&self, request: &ScheduledRequest) -> Millis {
-        let latency = self.latency_model(&request.service);
-        stall_timeout::first_part_timeout(latency.first_part_time(&request.tokens))
-    }
-
     /// Returns how long to wait for the first part of a running request's response.
     pub fn stall_timeout(&self, ticket: Ticket) -> Millis {
         let Some(running) = self.running.get(&ticket) else {
--- a/crates/siskinyoke-dispatch/src/silent_attempts.rs
+++ b/crates/siskinyoke-dispatch/src/silent_attempts.rs
@@ -38,9 +38,9 @@
         self.crash.endpoint
     }
 
-    /// Returns for how long the endpoint may have been dead when the attempt ended.
-    pub fn doubt(&self) -> Millis {
-        self.crash.at.since(self.crash.alive_at)
+    /// Returns the span within which the endpoint crashed.
+    pub fn span(&self) -> Millis {
+        self.crash.gone_at.since(self.crash.alive_at)
     }
 
     fn to_row(&self, now: Millis) -> SilentAttemptRow {
@@ -49,7 +49,9 @@
             parts: self.parts.clone(),
             endpoint: self.crash.endpoint,
             alive_age: age(now, self.crash.alive_at),
+            sent_age: age(now, self.crash.sent_at),
             age: age(now, self.crash.at),
+            gone_age: age(now, self.crash.gone_at),
         }
     }
 }
@@ -82,6 +84,11 @@
         std::mem::take(&mut self.new)
     }
 
+    /// Returns whether an attempt was added after a time.
+    pub fn has_since(&self, time: Millis) -> bool {
+        self.attempts.iter().any(|it| it.crash.gone_at > time)
+    }
+
     /// Returns the rows for the next report to peers. Each report continues where the last one ended,
     /// so that several together contain every attempt.
     pub fn next_rows(&mut self, now: Millis) -> Vec<SilentAttemptRow> {
--- a/crates/siskinyoke-dispatch/src/uncleared_runs.rs
+++ b/crates/siskinyoke-dispatch/src/uncleared_runs.rs
@@ -34,8 +34,6 @@
     pub(crate) parts: PromptParts,
     pub(crate) sent_at: Millis,
     pub(crate) ended_at: Millis,
-    /// The time by which an endpoint that has not responded had crashed, if it has.
-    pub(crate) silent_at: Millis,
     /// Whether the attempt ended without a response. A broken connection to the endpoint is no
     /// evidence then, as the link may be at fault for both.
     pub(crate) silent: bool,
--- a/crates/siskinyoke-dispatch/tests/peers.rs
+++ b/crates/siskinyoke-dispatch/tests/peers.rs
@@ -355,7 +355,9 @@
         parts: PromptParts::default(),
         endpoint,
         alive_age: 900,
+        sent_age: 900,
         age: 500,
+        gone_age: 200,
     }
 }
 
--- a/crates/siskinyoke-dispatch/tests/silent_endpoints.rs
+++ b/crates/siskinyoke-dispatch/tests/silent_endpoints.rs
@@ -24,7 +24,7 @@
 const LISTED: u64 = 3_600;
 
 /// The time between two attempts of a caller.
-const PAUSE: u64 = 6_000;
+const PAUSE: u64 = 12_000;
 
 /// What shows that an endpoint is gone.
 #[derive(Debug, Clone, Copy)]
@@ -100,10 +100,12 @@
                 ..gone.clone()
             };
             core.registry().put(at, next);
+            core.decide(at);
+            core.registry().remove(at, &gone.id);
         }
         Evidence::LaterStart => {
             core.record_start(gone, gone.started_ms + now);
-            core.sweep(at);
+            core.decide(at);
             core.registry().remove(at, &gone.id);
         }
         Evidence::Refused => {
@@ -112,6 +114,7 @@
             core.registry().remove(at, &gone.id);
         }
     }
+    core.decide(at);
     core.sweep(at);
 }
 
@@ -219,11 +222,11 @@
     for (incarnation, peer) in [(2, &mut one), (3, &mut other)] {
         let report = Report {
             incarnation,
-            ..peer.next_report(Millis(12_000), true)
+            ..peer.next_report(Millis(2 * PAUSE), true)
         };
-        third.receive_report(Millis(12_000), report);
+        third.receive_report(Millis(2 * PAUSE), report);
     }
-    assert!(is_quarantined(&mut third, 12_020));
+    assert!(is_quarantined(&mut third, 2 * PAUSE + 20));
 }
 
 // Guards against rows that are left out of every report where there are many.
@@ -244,16 +247,16 @@
         for endpoint in &endpoints {
             one.registry().remove(Millis(now + LISTED), &endpoint.id);
         }
-        one.sweep(Millis(now + LISTED));
+        one.decide(Millis(now + LISTED));
     }
     let mut third = instance("i3", &["e4"]);
     for number in 0..40 {
-        let now = Millis(12_000 + 250 * number);
+        let now = Millis(2 * PAUSE + 250 * number);
         let report = one.next_report(now, true);
         third.receive_report(now, report);
     }
     for fingerprint in 0..40 {
-        assert!(admit(&mut third, 23_000, fingerprint, &[]).is_none());
+        assert!(admit(&mut third, 3 * PAUSE, fingerprint, &[]).is_none());
     }
 }
 
@@ -362,3 +365,24 @@
         ..endpoint.clone()
     }
 }
+
+// Guards against responses of the next start at an address that clear a request of the crash before.
+#[test]
+fn a_response_of_the_next_start_clears_no_request() {
+    let mut core = instance("i1", &["e2", "e3", "e4"]);
+    for at in [100, PAUSE] {
+        let (ticket, endpoint) = start(&mut core, at);
+        core.cancel(Millis(at + 1_000), ticket);
+        let next = endpoint_after(&endpoint);
+        core.registry().put(Millis(at + 2_000), next.clone());
+        core.decide(Millis(at + 2_000));
+        core.sweep(Millis(at + 2_000));
+        for number in 0..9 {
+            let other = start_with(&mut core, at + 3_000, 100 + at + number, &[]).0;
+            core.attempt_ended(Millis(at + 3_050), other, completed(), false);
+        }
+        core.registry().remove(Millis(at + 4_000), &endpoint.id);
+        core.registry().remove(Millis(at + 4_000), &next.id);
+    }
+    assert!(is_quarantined(&mut core, 2 * PAUSE));
+}
--- a/crates/siskinyoke-gateway/src/part_quarantine.rs
+++ b/crates/siskinyoke-gateway/src/part_quarantine.rs
@@ -35,7 +35,7 @@
             "fingerprint": format!("{:016x}", attempt.fingerprint),
             "endpoint_key": attempt.endpoint(),
             "parts": attempt.parts.len(),
-            "doubt_ms": attempt.doubt().0,
+            "span_ms": attempt.span().0,
         });
         log.log("silent_attempt", fields);
     }
--- a/crates/siskinyoke-gateway/src/probes.rs
+++ b/crates/siskinyoke-gateway/src/probes.rs
@@ -40,14 +40,16 @@
     let reply = timeout(PROBE_TIMEOUT, sending).await;
     let responded = matches!(reply, Ok(Reply::Head(..)));
     // Any response shows that the link works, whatever it says.
+    let now = shell.now();
+    let mut core = shell.core.borrow_mut();
+    if matches!(reply, Ok(Reply::ConnectRefused)) {
+        core.record_endpoint_end(now, endpoint.key());
+    }
+    let change = core.probe_ended(now, &endpoint, responded);
+    drop(core);
     if let Ok(Reply::Head(response, connection)) = reply {
         shell.pool.drain_body(response, connection);
     }
-    let now = shell.now();
-    let change = shell
-        .core
-        .borrow_mut()
-        .probe_ended(now, &endpoint, responded);
     if let Some(change) = change {
         apply(&shell, &endpoint.service, change);
     }
--- a/crates/siskinyoke-gateway/tests/poison_requests.rs
+++ b/crates/siskinyoke-gateway/tests/poison_requests.rs
@@ -72,6 +72,7 @@
         for endpoint in &endpoints {
             endpoint.set_poisoned_parts(&[], response);
             endpoint.set_down_time(DOWN_TIME);
+            endpoint.use_start_ids();
             store.put(&entry_key(endpoint, 0), &endpoint.entry("ready"));
         }
         let program = Path::new(env!("CARGO_BIN_EXE_siskinyoke-gateway"));
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -286,6 +286,9 @@
             }
             request.received_at = Some(Instant::now());
             self.stay_silent_after(number);
+            if self.reject_misdirected(&request, &mut out)? {
+                continue;
+            }
             if self.crash_on(number, &request, &mut out)? {
                 return Ok(());
             }
--- a/soak/src/endpoint/crash.rs
+++ b/soak/src/endpoint/crash.rs
@@ -52,6 +52,9 @@
     parts: BTreeSet<String>,
     response: CrashResponse,
     down_time: Duration,
+    // Whether each start has an ID of its own.
+    start_ids: bool,
+    restart_count: u32,
     // The open connections, by their order.
     connections: BTreeMap<u64, TcpStream>,
     connection_count: u64,
@@ -69,6 +72,8 @@
             parts: BTreeSet::new(),
             response: CrashResponse::default(),
             down_time: DOWN_TIME,
+            start_ids: false,
+            restart_count: 0,
             connections: BTreeMap::new(),
             connection_count: 0,
             last_silent: None,
@@ -89,6 +94,40 @@
         self.crashes.lock().unwrap().down_time = time;
     }
 
+    /// Gives each start an ID of its own, of the endpoint's and the number of restarts after crashes.
+    /// Requests for another start are not run.
+    ///
+    /// # Panics
+    ///
+    /// If one of its threads has panicked.
+    pub fn use_start_ids(&self) {
+        self.crashes.lock().unwrap().start_ids = true;
+    }
+
+    // Responds to a request for another start of the endpoint, and returns whether it is one.
+    pub(super) fn reject_misdirected(
+        &self,
+        request: &ReceivedRequest,
+        out: &mut TcpStream,
+    ) -> std::io::Result<bool> {
+        let (start_ids, restarts) = {
+            let crashes = self.crashes.lock().unwrap();
+            (crashes.start_ids, crashes.restart_count)
+        };
+        let own = format!("{}-{restarts}", self.id);
+        let target = request.header("siskinyoke-target-instance");
+        if !start_ids || target.is_none_or(|it| it == own) {
+            return Ok(false);
+        }
+        let id = request.header("siskinyoke-request-id").unwrap_or("");
+        write!(
+            out,
+            "HTTP/1.1 421 Misdirected\r\nSiskinyoke-Request-Id: {id}\r\n\
+             Siskinyoke-Not-Executed: 1\r\ncontent-length: 0\r\n\r\n"
+        )?;
+        Ok(true)
+    }
+
     /// Sets the parts under which the endpoint crashes, by their IDs in the header, and what it
     /// sends before that.
     ///
@@ -146,6 +185,7 @@
             self.restart();
             let mut crashes = self.crashes.lock().unwrap();
             crashes.down_until = None;
+            crashes.restart_count += 1;
             crashes.returned = true;
         }
     }
