Quarantine: requests in quarantine are kept in the store

Cause: the quarantine lived in the memory of the processes and in their reports. The instance that watches the store for its shard now writes each request in quarantine there, with the endpoints that it crashed and a lease of two minutes; who reads the store restores it, and reports tell the others. `record_call` serves this writer and that of streams.

`a_request_stays_in_quarantine_after_a_kill_of_all_instances` fails before and passes in 12 plays. Two calls of the store for a second in which requests come into quarantine, none otherwise.

--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -179,6 +179,22 @@
         }
     }
 
+    /// Takes the requests in quarantine that this instance has to write to the store, from which
+    /// processes learn them after all instances have been killed. The instance that watches the store
+    /// writes them.
+    pub fn take_unsaved_quarantine(&mut self, now: Millis) -> Vec<(u64, Vec<u32>)> {
+        let writes = !self.is_shutting_down() && self.reaches_store();
+        if !writes || self.watcher(now) != self.identity.name {
+            return Vec::new();
+        }
+        self.quarantine.take_unsaved(now)
+    }
+
+    /// Records requests in quarantine that the store holds.
+    pub fn restore_quarantine(&mut self, now: Millis, requests: &[(u64, Vec<u32>)]) {
+        self.quarantine.merge_crashes(now, requests);
+    }
+
     /// Records that the process of an endpoint has ended, as its address refuses connections or belongs
     /// to another one. Requests that ended there shortly before, or wait there, may have crashed it.
     pub fn record_endpoint_end(&mut self, now: Millis, key: EndpointKey) {
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -120,6 +120,23 @@
         }
     }
 
+    /// Returns the requests in quarantine that were not returned since their last crash, each with the
+    /// endpoints that it crashed.
+    pub fn take_unsaved(&mut self, now: Millis) -> Vec<(u64, Vec<u32>)> {
+        let records = self.records.iter_mut();
+        let unsaved = records.filter_map(|(fingerprint, record)| {
+            let is_due = !record.is_expired(now, RECORD_TTL)
+                && record.saved_crashes != record.crashes.len()
+                && record.is_unsound(None, None);
+            is_due.then(|| {
+                record.saved_crashes = record.crashes.len();
+                let endpoints = record.crashes.iter().map(|it| it.endpoint);
+                (*fingerprint, endpoints.collect())
+            })
+        });
+        unsaved.collect()
+    }
+
     /// Returns whether no crash is known.
     pub fn is_clear(&self) -> bool {
         self.records.values().all(|it| it.crashes.len() == 0)
--- a/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine/request_record.rs
@@ -19,6 +19,8 @@
     pub(super) last_crash: Millis,
     /// When an endpoint last completed the request.
     pub(super) sound_at: Option<Millis>,
+    /// The number of crashes when the record was last written to the store.
+    pub(super) saved_crashes: usize,
     // Endpoint starts whose crash no longer counts against the request. Peers report crashes without
     // a time, and may report these again.
     dismissed: Vec<u32>,
--- a/crates/siskinyoke-dispatch/tests/quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/quarantine.rs
@@ -409,3 +409,21 @@
         []
     );
 }
+
+// Guards against requests in quarantine that are never written to the store, or again and again, and
+// against sound ones that are.
+#[test]
+fn a_request_in_quarantine_is_written_once_and_restored() {
+    let mut one = instance("i1", &["e2", "e3", "e4"]);
+    one.store_call_succeeded();
+    crash(&mut one, 100);
+    assert_eq!(one.take_unsaved_quarantine(Millis(200)), []);
+    crash(&mut one, 1_000);
+    let unsaved = one.take_unsaved_quarantine(Millis(1_100));
+    assert_eq!(unsaved.len(), 1);
+    assert_eq!(one.take_unsaved_quarantine(Millis(1_200)), []);
+    let mut restarted = instance("i1", &["e2", "e3", "e4"]);
+    restarted.restore_quarantine(Millis(5_000), &unsaved);
+    assert!(is_quarantined(&mut restarted, 5_000));
+    assert!(!is_quarantined(&mut restarted, 130_000));
+}
--- a/crates/siskinyoke-gateway/src/cluster_view.rs
+++ b/crates/siskinyoke-gateway/src/cluster_view.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::configuration_copy::ConfigurationCopy;
+use crate::quarantine_writer;
 use crate::replica::Update;
 use crate::rollouts;
 use crate::shell::Shell;
@@ -47,7 +48,7 @@
 /// Applies changes or a full state other than the configuration; an update that is not newer than
 /// the replica has no effect.
 pub fn apply(shell: &Shell, mut update: Update, source: &str) {
-    restore_streams(shell, &mut update);
+    restore_records(shell, &mut update);
     let before = shell.replica.borrow().revision();
     let full = update.full;
     let stated = update.revision;
@@ -98,19 +99,30 @@
     shell.decide();
 }
 
-// Records what the store holds of streams. It is not passed on to peers, which ask for a stream
-// when they need to know it.
-fn restore_streams(shell: &Shell, update: &mut Update) {
+// Records what the store holds of streams and of requests in quarantine. It is not passed on to peers,
+// which ask for a stream when they need to know it, and learn of requests by reports.
+fn restore_records(shell: &Shell, update: &mut Update) {
     let documents = &shell.interface.documents;
-    let is_record = |item: &mut Item| documents.item_kind(&item.key) == ItemKind::StreamRecords;
+    let is_record = |item: &mut Item| {
+        let kind = documents.item_kind(&item.key);
+        matches!(kind, ItemKind::StreamRecords | ItemKind::Quarantines)
+    };
     let items: Vec<_> = update.items.extract_if(.., is_record).collect();
     for item in items {
         let Some(value) = item.value else { continue };
-        let decoded = stream_writer::decode(&value);
-        let event = "stream_records_unreadable";
-        if let Some(records) = readable(shell, decoded, event, ("key", &item.key)) {
-            let mut core = shell.core.borrow_mut();
-            core.restore_streams(shell.now(), &records);
+        let key = ("key", &*item.key);
+        if documents.item_kind(&item.key) == ItemKind::StreamRecords {
+            let decoded = stream_writer::decode(&value);
+            if let Some(records) = readable(shell, decoded, "stream_records_unreadable", key) {
+                let mut core = shell.core.borrow_mut();
+                core.restore_streams(shell.now(), &records);
+            }
+        } else {
+            let decoded = quarantine_writer::decode(&value);
+            if let Some(requests) = readable(shell, decoded, "quarantine_unreadable", key) {
+                let mut core = shell.core.borrow_mut();
+                core.restore_quarantine(shell.now(), &requests);
+            }
         }
     }
 }
@@ -163,7 +175,10 @@
             };
             decode_version_note(shell, service, &value, item.revision).map(StoreUpdate::VersionNote)
         }
-        ItemKind::Configuration | ItemKind::StreamRecords | ItemKind::Other => None,
+        ItemKind::Configuration
+        | ItemKind::StreamRecords
+        | ItemKind::Quarantines
+        | ItemKind::Other => None,
     }
 }
 
--- a/crates/siskinyoke-gateway/src/gateway.rs
+++ b/crates/siskinyoke-gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use serde_json::json;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
@@ -15,6 +16,7 @@
 use crate::listener::ListenerKind;
 use crate::log_writer::LogWriter;
 use crate::probes;
+use crate::quarantine_writer::QuarantineWriter;
 use crate::registration;
 use crate::reload;
 use crate::rollouts;
@@ -38,8 +40,8 @@
 /// How often expired state is removed and buffered log lines are passed to the writer thread.
 const SWEEP_INTERVAL: Millis = Millis(200);
 
-/// Time limit for a write of streams' versions.
-const STREAM_WRITE_TIMEOUT: Millis = Millis(1_000);
+/// Time limit for a write of records: of streams' versions, or of requests in quarantine.
+const RECORD_WRITE_TIMEOUT: Millis = Millis(1_000);
 
 /// Time limit for a read of the store's revision.
 const REVISION_READ_TIMEOUT: Millis = Millis(300);
@@ -111,6 +113,7 @@
     spawn_local(reload::poll_file(shell.clone(), path.clone()));
     spawn_local(signals::reload_on_signal(shell.clone(), path));
     spawn_local(write_streams(shell.clone()));
+    spawn_local(write_quarantine(shell.clone()));
     spawn_local(confirm_views(shell.clone()));
     let connections = shell.clients.connections.clone();
     spawn_local(async move { connections.make_room().await });
@@ -147,14 +150,32 @@
         shell.event_log.clone(),
         &shell.settings().instance,
     );
+    writer.run(record_call(shell, "streams")).await;
+}
+
+// Writes the requests in quarantine to the store.
+async fn write_quarantine(shell: Rc<Shell>) {
+    let writer = QuarantineWriter::new(
+        shell.core.clone(),
+        shell.interface.clone(),
+        shell.event_log.clone(),
+        &shell.settings().instance,
+    );
+    writer.run(record_call(shell, "quarantine")).await;
+}
+
+// Returns a function that makes calls to write records; `kind` names them in metrics.
+fn record_call(
+    shell: Rc<Shell>,
+    kind: &'static str,
+) -> impl AsyncFnMut(&Call) -> Result<Bytes, StoreError> {
     let mut client = Client::default();
-    let call = async move |call: &Call| {
+    async move |call: &Call| {
         let address = shell.settings().store;
-        let result = client.call(address, call, STREAM_WRITE_TIMEOUT).await;
-        shell.metrics.record_store_call("streams", result.is_ok());
+        let result = client.call(address, call, RECORD_WRITE_TIMEOUT).await;
+        shell.metrics.record_store_call(kind, result.is_ok());
         result
-    };
-    writer.run(call).await;
+    }
 }
 
 // Reads the store's revision when the view has to be confirmed.
--- a/crates/siskinyoke-gateway/src/lib.rs
+++ b/crates/siskinyoke-gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod permit;
 pub mod pool;
 pub mod probes;
+pub mod quarantine_writer;
 pub mod rate_limits;
 pub mod read_ahead;
 pub mod registration;
--- a/crates/siskinyoke-gateway/tests/poison_requests.rs
+++ b/crates/siskinyoke-gateway/tests/poison_requests.rs
@@ -13,6 +13,7 @@
 use siskinyoke_soak::Store;
 use siskinyoke_soak::configuration;
 use siskinyoke_soak::endpoint::crash::CrashResponse;
+use siskinyoke_soak::instance::wait_until;
 
 const INSTANCE_COUNT: usize = 3;
 const ENDPOINT_COUNT: usize = 3;
@@ -258,3 +259,30 @@
         }
     });
 }
+
+// Guards against a kill of all instances that lets a request in quarantine through again.
+#[test]
+fn a_request_stays_in_quarantine_after_a_kill_of_all_instances() {
+    let mut setup = Setup::start(CrashResponse::Nothing, POISON_PATH);
+    setup.run(1, 6, SETTLING_TIME);
+    let before = setup.crash_times().len();
+    assert!(before > 1, "{before} crashes");
+    for instance in &mut setup.instances {
+        instance.kill();
+    }
+    thread::sleep(DOWN_TIME);
+    for instance in &mut setup.instances {
+        instance.restart();
+    }
+    for instance in &setup.instances {
+        wait_until("the instance serves", || instance.serves_requests());
+    }
+    setup.stop.store(false, Ordering::Relaxed);
+    let killed_at = Instant::now();
+    setup.run(1, 6, SETTLING_TIME);
+    let late = setup.poison_count(killed_at);
+    let sound = setup.sound_count(killed_at + SETTLING_TIME);
+    println!("{before} crashes before, {late} requests after, sound {sound:?}");
+    assert_eq!(late, 0);
+    assert!(2 * sound.0 >= sound.1, "{sound:?}");
+}
--- a/crates/siskinyoke-interface/src/documents.rs
+++ b/crates/siskinyoke-interface/src/documents.rs
@@ -26,6 +26,8 @@
     VersionNote(&'a str),
     /// Records of the versions at which streams began.
     StreamRecords,
+    /// Records of requests in quarantine.
+    Quarantines,
     /// Any other item; it is ignored.
     Other,
 }
@@ -47,6 +49,9 @@
     pub version_notes: &'static str,
     /// The prefix of records of streams, followed by the name, process and write of an instance.
     pub stream_records: &'static str,
+    /// The prefix of records of requests in quarantine, followed by the name, process and write of an
+    /// instance.
+    pub quarantines: &'static str,
 }
 
 /// A rollout as an operator ordered it.
@@ -84,6 +89,9 @@
         if key.starts_with(keys.stream_records) {
             return ItemKind::StreamRecords;
         }
+        if key.starts_with(keys.quarantines) {
+            return ItemKind::Quarantines;
+        }
         let service = key.strip_prefix(keys.version_notes);
         service.map_or(ItemKind::Other, ItemKind::VersionNote)
     }
--- a/crates/siskinyoke-native/src/documents.rs
+++ b/crates/siskinyoke-native/src/documents.rs
@@ -57,6 +57,7 @@
             rollout_statuses: names::ROLLOUT_STATUS_PREFIX,
             version_notes: names::VERSION_NOTE_PREFIX,
             stream_records: names::STREAM_RECORD_PREFIX,
+            quarantines: names::QUARANTINE_PREFIX,
         }
     }
 
--- a/crates/siskinyoke-native/src/names.rs
+++ b/crates/siskinyoke-native/src/names.rs
@@ -58,6 +58,8 @@
 pub const VERSION_NOTE_PREFIX: &str = "siskinyoke/versions/";
 /// The key prefix of records of streams, which instances write.
 pub const STREAM_RECORD_PREFIX: &str = "siskinyoke/streams/";
+/// The key prefix of records of requests in quarantine, which instances write.
+pub const QUARANTINE_PREFIX: &str = "siskinyoke/quarantine/";
 
 /// Returns the hexadecimal digest of an API key, as stored in the configuration.
 pub fn key_digest(key: &str) -> String {
