Quarantine: endpoints that leave, or go on after their removal, accuse nobody

Found when the change was read: a refused connection counted although the endpoint had announced that it leaves; every request at an endpoint without a response counted at the moment of its removal, though some are removed before they have served their last requests; and requests beside crashes that a part in quarantine explains were written to the store as if in quarantine.

A start that has announced its departure is no evidence, requests count at a removal only after a second of silence (sooner once they end), and what is written is judged like what is refused. Two tests of silent endpoints guard the first two.

--- a/crates/siskinyoke-dispatch/src/core/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/core/quarantine.rs
@@ -21,6 +21,7 @@
 use crate::scheduler::RunningAttempt;
 use crate::silent_attempts::SilentAttempt;
 use crate::stable_hash;
+use crate::stall_timeout::STREAM_STALL_TIMEOUT;
 use crate::uncleared_runs::Run;
 use siskinyoke_base::Millis;
 
@@ -187,7 +188,9 @@
         if !writes || self.watcher(now) != self.identity.name {
             return Vec::new();
         }
-        self.quarantine.take_unsaved(now)
+        let doubt = self.links.earliest_doubt();
+        let explained = self.part_quarantine.all_explained_crashes();
+        self.quarantine.take_unsaved(now, doubt, explained)
     }
 
     /// Records requests in quarantine that the store holds.
@@ -196,8 +199,12 @@
     }
 
     /// Records that the process of an endpoint has ended, as its address refuses connections or belongs
-    /// to another one. Requests that ended there shortly before, or wait there, may have crashed it.
+    /// to another one. Requests that ended there shortly before, or wait there, may have crashed it,
+    /// unless it has announced that it leaves.
     pub fn record_endpoint_end(&mut self, now: Millis, key: EndpointKey) {
+        if self.registry.has_departed(key) {
+            return;
+        }
         let mut runs = self.uncleared_runs.take_refused(now, key.short_key());
         let mut waiting = self.scheduler.unanswered(now);
         waiting.retain(|it| it.1.endpoint == key);
@@ -221,12 +228,12 @@
         }
     }
 
-    // Blames the endpoints that are gone on requests that ended there, and on those that still wait
-    // for a response.
+    // Blames the endpoints that are gone on requests that ended there, and on those that have waited
+    // for a response for long: some endpoints are removed before they have served their last requests.
     fn record_silences(&mut self, now: Millis, known: &BTreeSet<u32>) {
         let is_gone = |endpoint| !known.contains(&endpoint);
         self.record_gone(now, is_gone);
-        for (request, attempt) in self.scheduler.unanswered(now) {
+        for (request, attempt) in self.scheduler.unanswered(now.since(STREAM_STALL_TIMEOUT)) {
             let endpoint = attempt.endpoint.short_key();
             if is_gone(endpoint) {
                 self.record_silence(now, &Self::run(now, &request, attempt), endpoint);
--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -270,6 +270,11 @@
         self.record_changes(&before);
     }
 
+    /// Returns the crashes under the parts in quarantine.
+    pub(crate) fn all_explained_crashes(&self) -> &CrashList {
+        &self.explained
+    }
+
     /// Returns the crashes that parts in quarantine explain for a request with these parts, unless it
     /// has such a part itself: then it has crashed these endpoints, whichever of both is at fault.
     pub(crate) fn explained_crashes(&self, parts: &PromptParts) -> Option<&CrashList> {
--- a/crates/siskinyoke-dispatch/src/quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/quarantine.rs
@@ -121,13 +121,19 @@
     }
 
     /// Returns the requests in quarantine that were not returned since their last crash, each with the
-    /// endpoints that it crashed.
-    pub fn take_unsaved(&mut self, now: Millis) -> Vec<(u64, Vec<u32>)> {
+    /// endpoints that it crashed. Crashes since `doubt`, and those that parts of prompts explain, do
+    /// not count.
+    pub fn take_unsaved(
+        &mut self,
+        now: Millis,
+        doubt: Option<Millis>,
+        explained: &CrashList,
+    ) -> Vec<(u64, Vec<u32>)> {
         let records = self.records.iter_mut();
         let unsaved = records.filter_map(|(fingerprint, record)| {
             let is_due = !record.is_expired(now, RECORD_TTL)
                 && record.saved_crashes != record.crashes.len()
-                && record.is_unsound(None, None);
+                && record.is_unsound(doubt, Some(explained));
             is_due.then(|| {
                 record.saved_crashes = record.crashes.len();
                 let endpoints = record.crashes.iter().map(|it| it.endpoint);
--- a/crates/siskinyoke-dispatch/src/registry.rs
+++ b/crates/siskinyoke-dispatch/src/registry.rs
@@ -403,6 +403,11 @@
         starts.map(EndpointKey::short_key).collect()
     }
 
+    /// Returns whether an endpoint is leaving or has left.
+    pub(crate) fn has_departed(&self, key: EndpointKey) -> bool {
+        self.departures.contains_key(&key)
+    }
+
     /// Returns whether a later start has taken over the address of a listed one.
     pub(crate) fn is_superseded(&self, key: EndpointKey) -> bool {
         let Some(endpoint) = self.find(key) else {
--- a/crates/siskinyoke-dispatch/tests/silent_endpoints.rs
+++ b/crates/siskinyoke-dispatch/tests/silent_endpoints.rs
@@ -336,11 +336,31 @@
             ..(*endpoint).clone()
         };
         core.registry().put(Millis(at + 2_000), leaving);
+        core.record_refused(Millis(at + 2_100), &endpoint);
         show_gone(&mut core, at + LISTED, &endpoint, Evidence::Removed);
     }
     assert!(!is_quarantined(&mut core, 2 * PAUSE));
 }
 
+// Guards against the refusal of requests at endpoints that are removed before they have served their
+// last requests.
+#[test]
+fn endpoints_that_are_removed_and_go_on_accuse_no_request() {
+    let mut core = instance("i1", &[]);
+    for id in ["e2", "e3", "e4", "e5"] {
+        core.registry().put(Millis(0), endpoint(id, 1));
+    }
+    let started = [0, 1, 2].map(|it| start(&mut core, 100 + it));
+    for (_, endpoint) in &started {
+        show_gone(&mut core, 500, endpoint, Evidence::Removed);
+    }
+    assert!(!is_quarantined(&mut core, 600));
+    for (ticket, _) in started {
+        core.attempt_ended(Millis(900), ticket, completed(), false);
+    }
+    assert!(!is_quarantined(&mut core, 20_000));
+}
+
 // Guards against the refusal of requests that are completed between the silences of endpoints that
 // start again.
 #[test]
