Body ends: an upload is not blamed for a response that ends too soon

Found when the change was read: since responses that end before their request was sent have broken off, a sound upload that may run only once was refused as `suspect` after two endpoints had responded so, as if it had crashed them. Such an endpoint has responded and is no crash; the outcome is that of an invalid response.

--- a/crates/siskinyoke-gateway/src/job/forwarding.rs
+++ b/crates/siskinyoke-gateway/src/job/forwarding.rs
@@ -80,7 +80,7 @@
             }
         }
         if self.end_plain(&head, &connection) == BodyEnd::BrokenOff {
-            return AttemptEnd::Retry(Outcome::ConnectionLost);
+            return AttemptEnd::Retry(Outcome::Invalid);
         }
         let buffered = buffered.map_or_else(|_| Bytes::new(), CountedBuffer::freeze);
         self.shell.pool.reuse(&head.parts.headers, connection);
@@ -225,7 +225,13 @@
         let body_end = BodyEnd::of_stream(head.framing, self.events.position(), sent);
         self.progress.body_end = Some(body_end);
         if body_end == BodyEnd::BrokenOff {
-            return self.retry_stream(Outcome::ConnectionLost);
+            // An endpoint that responds before it has read the request has not crashed under it.
+            let outcome = if sent {
+                Outcome::ConnectionLost
+            } else {
+                Outcome::Invalid
+            };
+            return self.retry_stream(outcome);
         }
         let rest = self.events.take_rest();
         self.forward(&head, rest).await;
--- a/crates/siskinyoke-gateway/tests/early_responses.rs
+++ b/crates/siskinyoke-gateway/tests/early_responses.rs
@@ -116,3 +116,25 @@
         assert_eq!(partial.len(), 0, "{path}: {partial:#?}");
     }
 }
+
+// Guards against the refusal of an upload as if it had crashed endpoints, because endpoints end their
+// responses too soon.
+#[test]
+fn an_upload_is_not_blamed_for_a_response_that_ends_too_soon() {
+    let setup = Setup::start(3);
+    let body = "x".repeat(BODY_BYTES);
+    let responses = (0..UPLOAD_COUNT).map(|it| {
+        // An endpoint is left alone for a while after failures.
+        thread::sleep(Duration::from_millis(400));
+        upload(
+            &setup.instance,
+            &format!("u{it}"),
+            "/once/aborted/both",
+            &body,
+        )
+    });
+    let refused: Vec<_> = responses
+        .filter(|it| it.starts_with("HTTP/1.1 503"))
+        .collect();
+    assert!(refused.is_empty(), "{refused:#?}");
+}
--- a/soak/src/endpoint/aborted.rs
+++ b/soak/src/endpoint/aborted.rs
@@ -15,6 +15,9 @@
 /// The text in the path of a request whose body the endpoint `e1` does not read.
 const ABORTED_PATH: &str = "aborted";
 
+/// The text in such a path if the endpoint `e2` does not read the body either.
+const BOTH_PATH: &str = "both";
+
 /// The time from the end of the response to the reset of the connection.
 const RESET_DELAY: Duration = Duration::from_millis(100);
 
@@ -28,7 +31,8 @@
     /// The path also selects whether the part is one event of a stream (`events`), and whether the
     /// response ends later (`paused`).
     pub(super) fn abort(&self, request: &ReceivedRequest, out: &mut TcpStream) -> Result<bool> {
-        if !request.line_contains(ABORTED_PATH) || self.id != "e1" {
+        let is_selected = self.id == "e1" || self.id == "e2" && request.line_contains(BOTH_PATH);
+        if !request.line_contains(ABORTED_PATH) || !is_selected {
             return Ok(false);
         }
         let head = self.signed_head(request);
