Prompt parts: instances tell each other that a part was sound

Cause: when a response was last completed with a part is known where it was seen, and a record, which begins with the first crash, did not take it over, so that reports did not state it. What peers did report cleared crashes and did not count for later ones.

`peers_learn_that_a_part_was_sound_before_it_ran_beside_crashes` fails before.

--- a/crates/siskinyoke-dispatch/src/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine.rs
@@ -318,7 +318,7 @@
         for row in rows {
             let record = self.record_mut(now, row.part, row.position);
             if let Some(age) = row.sound_age {
-                record.clear(now.since(Millis(age.into())));
+                record.clear_reported(now.since(Millis(age.into())));
             }
             for crash in &row.crashes {
                 let crash = Crash::from_row(now, *crash);
@@ -385,7 +385,7 @@
                 part: *part,
                 position: record.position,
                 crashes: record.crashes.counted(doubt).before(end),
-                was_sound: self.sound.get(*part).is_some(),
+                was_sound: record.sound_at.is_some() || self.sound.get(*part).is_some(),
             })
             .filter(|it| it.is_unsound(&it.crashes))
             .collect();
@@ -400,7 +400,8 @@
     }
 
     fn record_mut(&mut self, now: Millis, part: PromptPart, position: u8) -> &mut PartRecord {
-        let new = || PartRecord::new(now, position);
+        let sound_at = self.sound.get(part);
+        let new = || PartRecord::new(now, position, sound_at);
         self.records.entry(part).or_insert_with(new)
     }
 
--- a/crates/siskinyoke-dispatch/src/part_quarantine/part_record.rs
+++ b/crates/siskinyoke-dispatch/src/part_quarantine/part_record.rs
@@ -7,6 +7,10 @@
 use crate::report::age;
 use siskinyoke_base::Millis;
 
+/// By how much later a response may seem that a peer reports again. It dates it by its age, so that
+/// the delay of each report is added.
+const MAX_REPORT_DELAY: Millis = Millis(500);
+
 /// What is known of one part.
 #[derive(Debug)]
 pub(super) struct PartRecord {
@@ -23,11 +27,11 @@
 }
 
 impl PartRecord {
-    pub(super) fn new(now: Millis, position: u8) -> Self {
+    pub(super) fn new(now: Millis, position: u8, sound_at: Option<Millis>) -> Self {
         Self {
             crashes: CrashList::default(),
             position,
-            sound_at: None,
+            sound_at,
             trial: None,
             failed_trials: 0,
             created_at: now,
@@ -42,6 +46,14 @@
         self.failed_trials = 0;
     }
 
+    /// Records a response at `at` that a peer reports, unless it is one that is known already.
+    pub(super) fn clear_reported(&mut self, at: Millis) {
+        let known = self.sound_at;
+        if known.is_none_or(|sound_at| at > sound_at + MAX_REPORT_DELAY) {
+            self.clear(at);
+        }
+    }
+
     /// Adds a crash that a peer reports, unless the part was cleared since.
     pub(super) fn add_reported(&mut self, crash: Crash) {
         if self.sound_at.is_none_or(|sound_at| sound_at < crash.at) {
--- a/crates/siskinyoke-dispatch/tests/part_quarantine.rs
+++ b/crates/siskinyoke-dispatch/tests/part_quarantine.rs
@@ -183,3 +183,45 @@
     assert_eq!(rows[0].part, part("b"));
     assert_eq!(quarantined(&mut quarantine, now + 1_000), [part("b")]);
 }
+
+// Guards against a quarantine, after many endpoints have failed at once, at instances that have seen no
+// response with a part which others have completed.
+#[test]
+fn peers_learn_that_a_part_was_sound_before_it_ran_beside_crashes() {
+    let crash_all = |quarantine: &mut PartQuarantine| {
+        for endpoint in 1..=4 {
+            quarantine.record_crash(Millis(1_000), &parts(&["b"]), endpoint);
+        }
+    };
+    let mut peer = PartQuarantine::default();
+    peer.record_sound(Millis(500), &parts(&["b"]));
+    crash_all(&mut peer);
+    let mut quarantine = PartQuarantine::default();
+    crash_all(&mut quarantine);
+    quarantine.merge(Millis(1_100), &peer.report_rows(Millis(1_100), None));
+    assert!(quarantined(&mut quarantine, 2_000).is_empty());
+}
+
+// Guards against an old response that clears later crashes, or ends a trial, as peers report it again
+// and again, a little later each time.
+#[test]
+fn a_response_that_peers_report_again_changes_nothing() {
+    let mut one = PartQuarantine::default();
+    let mut other = PartQuarantine::default();
+    one.record_sound(Millis(500), &parts(&["b"]));
+    for endpoint in 1..=6 {
+        let now = 500 + CRASH_INTERVAL_MS * u64::from(endpoint);
+        one.record_crash(Millis(now), &parts(&["b"]), endpoint);
+    }
+    assert_eq!(quarantined(&mut one, 5_000), [part("b")]);
+    assert!(one.try_start_trial(Millis(20_000), part("b"), 7));
+    for number in 0..100 {
+        // Each report takes 10 ms.
+        let now = 20_000 + 20 * number;
+        other.merge(Millis(now + 10), &one.report_rows(Millis(now), None));
+        one.merge(Millis(now + 20), &other.report_rows(Millis(now + 10), None));
+    }
+    assert_eq!(quarantined(&mut one, 22_100), [part("b")]);
+    assert!(!one.is_refused(&parts(&["b"]), 7));
+    assert!(one.is_refused(&parts(&["b"]), 8));
+}
