Soak: addresses of instances do not repeat within a test process

A test process that starts more than 255 instances, as tests/cut_heads does, gave out addresses again, and a test that was added there keeps two instances for 20 s. Further instances have other ports now.

--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -12,7 +12,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -367,12 +367,16 @@
 }
 
 // Returns the addresses of a new instance. Each instance has its own loopback IP address, so that
-// the fixed ports do not collide, also with those of other test processes.
+// the ports do not collide, also with those of other test processes. Where a process has used all its
+// addresses, the next instances have other ports.
 fn unique_addresses() -> [SocketAddr; 5] {
-    static NEXT_OCTET: AtomicU8 = AtomicU8::new(1);
+    static NEXT_NUMBER: AtomicU16 = AtomicU16::new(0);
     let [low, middle, ..] = std::process::id().to_le_bytes();
     let process_octet = middle % 100 + 20;
-    let own_octet = NEXT_OCTET.fetch_add(1, Ordering::Relaxed);
+    let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+    let [own_octet, round] = [number % 250, number / 250];
+    let own_octet = u8::try_from(own_octet + 1).unwrap();
     let ip = Ipv4Addr::new(127, process_octet, low, own_octet);
-    [8221, 8224, 8220, 8229, 9464].map(|port| SocketAddr::new(ip.into(), port))
+    let ports = [8221, 8224, 8220, 8229, 9464];
+    ports.map(|port| SocketAddr::new(ip.into(), port + 10 * round))
 }
