--- a/crates/siskinyoke-dispatch/tests/load/main.rs
+++ b/crates/siskinyoke-dispatch/tests/load/main.rs
@@ -43,6 +43,34 @@
 /// The multiple of the usual request rate in a peak: more than all slots can serve.
 const PEAK_LOAD_FACTOR: f64 = 3.5;
 
+/// A third of the engines three times as fast as the others, as where two generations of hardware
+/// serve side by side.
+const MIXED_SLOWDOWN_FACTORS: [f64; 6] = [1.0, 1.0, 3.0, 3.0, 3.0, 3.0];
+
+/// Short drafts, and chats of lower priority that need up to the whole of their callers' time at the
+/// slower engines.
+const MIXED_REQUEST_CLASSES: [RequestClass; 2] = [
+    RequestClass {
+        priority: 0,
+        rate: 10.0,
+        prompt: (1_500.0, 0.8),
+        output: (60.0, 0.8),
+    },
+    RequestClass {
+        priority: 1,
+        rate: 10.0,
+        prompt: (500.0, 0.8),
+        output: (220.0, 1.0),
+    },
+];
+
+/// The multiple of the usual request rate in a sustained overload.
+const SUSTAINED_LOAD_FACTOR: f64 = 2.5;
+
+/// The smallest share of the long requests that is served, as a multiple of that of all requests of
+/// their class.
+const MIN_LONG_RATIO: f64 = 0.8;
+
 fn served(job: &Job) -> bool {
     matches!(
         job.outcome,
@@ -161,3 +189,25 @@
         );
     }
 }
+
+// Guards against losses of long requests in queue order, admission, placement and retries that add
+// up: refused more often than others, and sent where they cannot complete before their deadline.
+#[test]
+fn long_requests_are_served_like_others_under_sustained_overload() {
+    for seed in 0..4 {
+        let mut world = World::new(seed, &MIXED_REQUEST_CLASSES, &MIXED_SLOWDOWN_FACTORS)
+            .with_caller_retries(1);
+        world.simulate(5_000, 1.0);
+        world.simulate(60_000, SUSTAINED_LOAD_FACTOR);
+        world.simulate(15_000, 0.0);
+        for class in 0..MIXED_REQUEST_CLASSES.len() {
+            let all = world.fraction(class, served);
+            let bands = [(0.7, 0.9), (0.9, 1.0)];
+            let ratios = bands.map(|band| world.band_fraction(class, band, served) / all);
+            assert!(
+                ratios.iter().all(|ratio| *ratio >= MIN_LONG_RATIO),
+                "seed {seed}, class {class}: {all} served, long requests {ratios:?} as often"
+            );
+        }
+    }
+}
--- a/crates/siskinyoke-dispatch/tests/load/world.rs
+++ b/crates/siskinyoke-dispatch/tests/load/world.rs
@@ -1,6 +1,7 @@
 //! Simulation of callers, two instances and several engines in virtual time.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -55,6 +56,7 @@
     InTime,
     LateFirstPart,
     LongPause,
+    TimedOut,
     Refused,
 }
 
@@ -70,11 +72,26 @@
     pub outcome: JobOutcome,
     /// The number of attempts abandoned because the endpoint stalled.
     pub abandoned: usize,
+    estimate: u64,
+    // How often its caller was refused.
+    refusals: usize,
     instance: usize,
     ticket: Option<Ticket>,
     first_part_seen: bool,
 }
 
+impl Job {
+    // Returns its prompt tokens and output tokens, weighted by their processing times.
+    fn size(&self) -> f64 {
+        self.prompt + 50.0 * f64::from(self.output)
+    }
+
+    // Returns when its caller stops waiting.
+    fn deadline(&self) -> u64 {
+        self.arrived + TIMEOUT_MS
+    }
+}
+
 /// A simulation of callers, instances and engines.
 pub struct World {
     pub jobs: Vec<Job>,
@@ -86,6 +103,9 @@
     rng: ChaCha8Rng,
     now: u64,
     tickets: BTreeMap<(usize, Ticket), usize>,
+    // How often a refused caller tries again, and the jobs that do so with the times at which they do.
+    caller_retries: usize,
+    retries: BTreeSet<(u64, usize)>,
 }
 
 impl World {
@@ -115,6 +135,16 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 1_000,
             tickets: BTreeMap::new(),
+            caller_retries: 0,
+            retries: BTreeSet::new(),
+        }
+    }
+
+    /// Sets how often a refused caller tries again.
+    pub fn with_caller_retries(self, caller_retries: usize) -> Self {
+        Self {
+            caller_retries,
+            ..self
         }
     }
 
@@ -124,7 +154,9 @@
         while self.now < end {
             self.now += STEP_MS;
             self.generate_arrivals(load_factor);
+            self.retry_refused();
             self.advance_engines();
+            self.end_timed_out();
             if self.now.is_multiple_of(REPORT_INTERVAL_MS) {
                 self.exchange_reports();
             }
@@ -141,6 +173,24 @@
         ratio(matching, all.len())
     }
 
+    /// Returns the fraction of the decided jobs of a class that match, among those in a band of sizes:
+    /// a range of shares of the class, from the smallest job to the largest.
+    pub fn band_fraction(
+        &self,
+        class: usize,
+        band: (f64, f64),
+        matches: impl Fn(&Job) -> bool,
+    ) -> f64 {
+        let jobs = self.jobs.iter();
+        let mut jobs: Vec<&Job> = jobs
+            .filter(|job| job.class == class && job.outcome != JobOutcome::Open)
+            .collect();
+        jobs.sort_by(|one, other| one.size().total_cmp(&other.size()));
+        let index = |share: f64| (jobs.len() as f64 * share).round() as usize;
+        let jobs = &jobs[index(band.0)..index(band.1)];
+        ratio(jobs.iter().filter(|job| matches(job)).count(), jobs.len())
+    }
+
     fn generate_arrivals(&mut self, load_factor: f64) {
         for class in 0..self.classes.len() {
             let RequestClass {
@@ -168,41 +218,90 @@
 
     fn submit(&mut self, class: usize, prompt: f64, output: u32, estimate: u64) {
         let number = self.jobs.len();
-        let instance = number % INSTANCE_COUNT;
-        let path = format!("/{class}/");
+        self.jobs.push(Job {
+            class,
+            prompt,
+            output,
+            arrived: self.now,
+            queued: 0,
+            outcome: JobOutcome::Open,
+            abandoned: 0,
+            estimate,
+            refusals: 0,
+            instance: number % INSTANCE_COUNT,
+            ticket: None,
+            first_part_seen: false,
+        });
+        self.send(number);
+    }
+
+    fn send(&mut self, number: usize) {
+        let job = &self.jobs[number];
+        let instance = job.instance;
+        let path = format!("/{}/", job.class);
         let request = IncomingRequest {
             host: "host",
             path: &path,
             hold_time: Millis::ZERO,
             key: None,
-            timeout: Some(Millis(TIMEOUT_MS)),
-            tokens: Some((prompt as u64, 3_800)),
-            output_estimate: Some(estimate),
+            timeout: Some(Millis(job.deadline() - self.now)),
+            tokens: Some((job.prompt as u64, 3_800)),
+            output_estimate: Some(job.estimate),
             id_hash: 0,
         };
         let now = Millis(self.now);
         let core = &mut self.cores[instance];
         let pass = core.route(now, request).expect("a route");
-        let ticket = core.admit(now, &pass, number as u64).ok();
-        if let Some(ticket) = ticket {
-            self.tickets.insert((instance, ticket), number);
+        match core.admit(now, &pass, number as u64) {
+            Ok(ticket) => {
+                self.jobs[number].ticket = Some(ticket);
+                self.tickets.insert((instance, ticket), number);
+            }
+            Err(refusal) => self.refused(number, refusal.retry_after),
+        }
+    }
+
+    // Ends a job whose caller was refused, or lets the caller try again at the next instance.
+    fn refused(&mut self, number: usize, retry_after: Millis) {
+        let job = &mut self.jobs[number];
+        job.ticket = None;
+        job.refusals += 1;
+        let retry_at = self.now + retry_after.0;
+        if job.refusals > self.caller_retries || retry_at >= job.deadline() {
+            job.outcome = JobOutcome::Refused;
+            return;
+        }
+        job.instance = (job.instance + 1) % INSTANCE_COUNT;
+        self.retries.insert((retry_at, number));
+    }
+
+    fn retry_refused(&mut self) {
+        while let Some((at, number)) = self.retries.pop_first() {
+            if at > self.now {
+                self.retries.insert((at, number));
+                return;
+            }
+            self.send(number);
+        }
+    }
+
+    // Ends the running jobs whose callers have stopped waiting.
+    fn end_timed_out(&mut self) {
+        for engine in &mut self.engines {
+            let jobs = &mut self.jobs;
+            let ended = engine
+                .runs
+                .extract_if(.., |run| jobs[run.job].deadline() <= self.now);
+            for run in ended.collect::<Vec<Run>>() {
+                let job = &mut jobs[run.job];
+                let Some(ticket) = job.ticket.take() else {
+                    continue;
+                };
+                job.outcome = JobOutcome::TimedOut;
+                self.tickets.remove(&(job.instance, ticket));
+                self.cores[job.instance].cancel(Millis(self.now), ticket);
+            }
         }
-        self.jobs.push(Job {
-            class,
-            prompt,
-            output,
-            arrived: self.now,
-            queued: 0,
-            outcome: if ticket.is_some() {
-                JobOutcome::Open
-            } else {
-                JobOutcome::Refused
-            },
-            abandoned: 0,
-            instance,
-            ticket,
-            first_part_seen: false,
-        });
     }
 
     fn advance_engines(&mut self) {
@@ -272,12 +371,10 @@
                 let number = self.tickets[&(instance, *ticket)];
                 match decision {
                     Decision::Start(_, endpoint) => self.start(number, &endpoint),
-                    Decision::Refuse(ticket, _) => {
-                        let job = &mut self.jobs[number];
-                        job.outcome = JobOutcome::Refused;
-                        job.queued = self.now - job.arrived;
-                        job.ticket = None;
+                    Decision::Refuse(ticket, refusal) => {
+                        self.jobs[number].queued = self.now - self.jobs[number].arrived;
                         self.tickets.remove(&(instance, ticket));
+                        self.refused(number, refusal.retry_after);
                     }
                 }
             }
