--- a/crates/siskinyoke-dispatch/src/core/reporting.rs
+++ b/crates/siskinyoke-dispatch/src/core/reporting.rs
@@ -63,8 +63,8 @@
         self.merge_observations(now, &report);
         self.receive_canary_slices(now, &report);
         self.scheduler.record_peer_speeds(&report.running);
-        self.scheduler
-            .receive_shares(now, incarnation, &report.shares);
+        self.scheduler.record_peer_intervals(&report.part_intervals);
+        self.scheduler.receive_shares(now, incarnation, &report);
         let quota_used = report.quota_used.clone();
         let age = Millis(report.age);
         let no_older = age <= self.age(now) + START_SKEW;
@@ -169,6 +169,16 @@
             } else {
                 Vec::new()
             },
+            part_intervals: if full {
+                self.scheduler.interval_rows()
+            } else {
+                Vec::new()
+            },
+            size_shares: if full {
+                self.scheduler.size_shares().rows(now)
+            } else {
+                Vec::new()
+            },
             silent_attempts: if full || self.silent_attempts.has_since(since) {
                 self.silent_attempts.next_rows(now)
             } else {
--- a/crates/siskinyoke-dispatch/src/core/shares.rs
+++ b/crates/siskinyoke-dispatch/src/core/shares.rs
@@ -33,6 +33,12 @@
         shares.state(now, &request.service, request.priority, organisation)
     }
 
+    /// Returns how often long requests of a request's route are served, as a multiple of all.
+    pub fn long_ratio(&self, now: Millis, request: &RoutedRequest) -> f64 {
+        let work = self.scheduler.size_shares().work(now, &request.route);
+        work.long_ratio()
+    }
+
     /// Returns the organisations with the most use of each service whose slots are short.
     pub fn share_listings(&self, now: Millis) -> Vec<ShareListing> {
         let top = self.scheduler.shares().top_users(now, MAX_LISTED);
--- a/crates/siskinyoke-dispatch/src/health.rs
+++ b/crates/siskinyoke-dispatch/src/health.rs
@@ -45,6 +45,8 @@
     failure_ratio: f64,
     speed_factor: f64,
     observations: f64,
+    // The mean time between two parts of a response, in ms, if that was observed.
+    part_interval: Option<f64>,
     stall_ratio: f64,
 }
 
@@ -58,6 +60,7 @@
             failure_ratio: 0.0,
             speed_factor: 1.0,
             observations: 0.0,
+            part_interval: None,
             stall_ratio: 0.0,
         }
     }
@@ -171,6 +174,17 @@
         self.speed_factor += (factor - self.speed_factor) * weight;
     }
 
+    /// Returns the mean time between two parts of its responses, in ms, if that was observed.
+    pub fn part_interval(&self) -> Option<f64> {
+        self.part_interval
+    }
+
+    /// Records the mean time between two parts of a response, in ms.
+    pub fn record_part_interval(&mut self, interval: f64) {
+        let mean = self.part_interval.unwrap_or(interval);
+        self.part_interval = Some(mean + (interval - mean) * SMOOTHING_RATIO);
+    }
+
     fn record_success(&mut self) {
         self.failure_streak = 0;
         self.failure_ratio -= self.failure_ratio * SMOOTHING_RATIO;
--- a/crates/siskinyoke-dispatch/src/latency_model.rs
+++ b/crates/siskinyoke-dispatch/src/latency_model.rs
@@ -3,6 +3,7 @@
 //! A streamed response arrives in parts, each of which holds one or more output tokens.
 
 use crate::TokenCounts;
+use crate::endpoint_speed::EndpointSpeed;
 use crate::regression::LinearRegression;
 use siskinyoke_base::Millis;
 
@@ -32,6 +33,10 @@
 /// What is left of the longest service time with each further response.
 const LONG_SERVICE_TIME_DECAY: f64 = 0.995;
 
+/// The weight of a new observation in the mean of the parts per output token, which is a property of
+/// the service and hardly changes.
+const RATIO_WEIGHT: f64 = 0.02;
+
 /// The number of parts per output token that is assumed before the first observation: engines send
 /// several tokens in one part.
 const INITIAL_PARTS_PER_TOKEN: f64 = 0.2;
@@ -48,9 +53,8 @@
     part_interval: f64,
     // The pause between two parts that one response in thirty exceeds.
     long_pause: f64,
-    // Means of the parts per response, and of the output tokens that had been expected.
-    mean_parts: f64,
-    mean_tokens: f64,
+    // The mean logarithm of the parts per output token that had been expected.
+    log_parts_per_token: f64,
     // The longest of the last service times, if there was one.
     long_service_time: Option<f64>,
 }
@@ -65,8 +69,7 @@
             ),
             part_interval: INITIAL_PART_INTERVAL_MS,
             long_pause: INITIAL_PART_INTERVAL_MS,
-            mean_parts: INITIAL_PARTS_PER_TOKEN,
-            mean_tokens: 1.0,
+            log_parts_per_token: INITIAL_PARTS_PER_TOKEN.ln(),
             long_service_time: None,
         }
     }
@@ -95,8 +98,8 @@
             self.part_interval += (interval - self.part_interval) * MEAN_WEIGHT;
         }
         if tokens.output > 0.0 && parts > 0 {
-            self.mean_parts += (f64::from(parts) - self.mean_parts) * MEAN_WEIGHT;
-            self.mean_tokens += (tokens.output - self.mean_tokens) * MEAN_WEIGHT;
+            let log_ratio = (f64::from(parts) / tokens.output).ln();
+            self.log_parts_per_token += (log_ratio - self.log_parts_per_token) * RATIO_WEIGHT;
         }
     }
 
@@ -143,9 +146,22 @@
         self.first_part_time(tokens) + self.remaining_time(self.expected_parts(tokens))
     }
 
-    /// Returns the expected number of parts of a request's response.
+    /// Returns the expected service time of a request at an endpoint, in ms.
+    pub fn service_time_at(&self, tokens: &TokenCounts, speed: EndpointSpeed) -> f64 {
+        let interval = speed
+            .part_interval
+            .unwrap_or(self.part_interval * speed.factor);
+        let further_parts = (self.expected_parts(tokens) - 1.0).max(0.0);
+        self.first_part.predict(tokens.prompt) * speed.factor + interval * further_parts
+    }
+
+    /// Returns the expected number of parts of a request's response: as many as half of such responses
+    /// have.
+    ///
+    /// The ratio of parts to expected tokens is averaged by its logarithm. In a ratio of means, a single
+    /// response of a hundred times the usual length would outweigh all others.
     pub fn expected_parts(&self, tokens: &TokenCounts) -> f64 {
-        tokens.output * self.mean_parts / self.mean_tokens
+        tokens.output * self.log_parts_per_token.exp()
     }
 }
 
--- a/crates/siskinyoke-dispatch/src/placement.rs
+++ b/crates/siskinyoke-dispatch/src/placement.rs
@@ -8,9 +8,11 @@
 use crate::RouteKind;
 use crate::ScheduledRequest;
 use crate::cost::Cost;
+use crate::endpoint_speed::EndpointSpeed;
 use crate::health::Health;
 use crate::latency_model::LatencyModel;
 use crate::latency_model::millis_to_f64;
+use crate::report::PartIntervalRow;
 use crate::report::RunningRow;
 use crate::stable_hash;
 use siskinyoke_base::Map;
@@ -39,9 +41,12 @@
 /// The safety margin on the expected service time: with the margin, a request that can wait for
 /// another endpoint must still complete before its deadline.
 ///
-/// Callers' output estimates are right at the median, but one response in five is half as long
-/// again.
-const TIMEOUT_MARGIN_RATIO: f64 = 1.5;
+/// Callers' output estimates are right at the median, but one response in ten is twice as long.
+pub const TIMEOUT_MARGIN_RATIO: f64 = 2.0;
+
+/// The ratio to the service time at the fastest endpoint up to which there is nothing better to wait
+/// for.
+const SIMILAR_RATIO: f64 = 1.5;
 
 /// The ratio to the fastest endpoint's speed factor, or to 1 if that is higher, above which an
 /// endpoint counts as slow.
@@ -97,8 +102,8 @@
     /// Whether its free slots are reserved for this instance: by its share of a rate limit, or of
     /// the slots of an endpoint that bears few rejections.
     pub reserved: bool,
-    /// The lowest speed factor among the endpoints of its service, whether free or full.
-    pub fastest_factor: f64,
+    /// The speed of the fastest endpoint of its service, whether free or full.
+    pub fastest: EndpointSpeed,
 }
 
 impl Candidate {
@@ -121,6 +126,8 @@
     health: Map<EndpointKey, Health>,
     // Speed factors reported by peers, by short key.
     peer_speeds: Map<u32, f64>,
+    // Part intervals reported by peers, in ms, by short key.
+    peer_intervals: Map<u32, f64>,
 }
 
 impl EndpointSelector {
@@ -131,6 +138,7 @@
             instance: name.into(),
             health: Map::default(),
             peer_speeds: Map::default(),
+            peer_intervals: Map::default(),
         }
     }
 
@@ -179,6 +187,39 @@
         }
     }
 
+    /// Records the mean time between two parts of a response, in ms.
+    pub fn record_part_interval(&mut self, key: EndpointKey, interval: f64) {
+        let health = self.health.entry(key).or_default();
+        health.record_part_interval(interval);
+    }
+
+    /// Returns the speed of an endpoint, as observed by this instance or else as reported by peers.
+    pub fn speed(&self, key: EndpointKey) -> EndpointSpeed {
+        let own = self.health.get(&key).and_then(Health::part_interval);
+        let reported = self.peer_intervals.get(&key.short_key()).copied();
+        EndpointSpeed {
+            factor: self.speed_factor(key),
+            part_interval: own.or(reported),
+        }
+    }
+
+    /// Returns the part intervals that this instance observed, for its report.
+    pub fn interval_rows(&self) -> Vec<PartIntervalRow> {
+        let intervals = self.health.iter();
+        let mut rows: Vec<PartIntervalRow> = intervals
+            .filter_map(|(key, health)| Some(PartIntervalRow::new(*key, health.part_interval()?)))
+            .collect();
+        rows.sort_by_key(|row| row.endpoint);
+        rows
+    }
+
+    /// Records the part intervals that a peer reports.
+    pub fn record_peer_intervals(&mut self, rows: &[PartIntervalRow]) {
+        for row in rows {
+            self.peer_intervals.insert(row.endpoint, row.interval_ms());
+        }
+    }
+
     /// Returns whether neither this instance nor a peer has observed an endpoint's speed.
     pub fn is_unobserved(&self, key: EndpointKey) -> bool {
         let observations = self.health.get(&key).map_or(0.0, Health::observations);
@@ -262,8 +303,8 @@
     ///
     /// Endpoints that are neither slow nor reserved are used by peers as well, and considered only
     /// if `use_shared` is set. No slow endpoint is selected if the request would miss its deadline
-    /// or stall other streams there, or would be late although it can wait. A request that can wait
-    /// is also not sent where it would miss its deadline if the fastest endpoint would meet it.
+    /// or stall other streams there, or would be late although it can wait. No request is sent where
+    /// it would miss its deadline if a much faster endpoint exists.
     pub fn select(
         &self,
         query: &PlacementQuery<'_>,
@@ -274,13 +315,29 @@
             candidate.free_slots > 0
                 && (use_shared || candidate.slow || candidate.reserved)
                 && !query.request.tried.contains(&candidate.endpoint.key())
+                && self.suits(query, candidate)
         });
         let costs = eligible.map(|(index, candidate)| (index, self.cost(query, candidate)));
         let (index, cost) = costs.min_by(|one, other| one.1.total().total_cmp(&other.1.total()))?;
         let unacceptable = candidates[index].slow && cost.is_unacceptable(query.can_wait);
-        let should_wait =
-            query.can_wait && cost.times_out && !times_out(query, candidates[index].fastest_factor);
-        (!unacceptable && !should_wait).then_some(index)
+        (!unacceptable).then_some(index)
+    }
+
+    /// Returns whether a request is not sent to any of the endpoints with free slots because it would
+    /// not be complete there before its deadline.
+    pub fn holds_back(&self, query: &PlacementQuery<'_>, candidates: &[Candidate]) -> bool {
+        let mut free = candidates.iter().filter(|it| it.free_slots > 0).peekable();
+        free.peek().is_some() && !free.any(|it| self.suits(query, it))
+    }
+
+    // Returns whether a request may be sent to a candidate, by the time at which its response is
+    // expected to be complete there and at other endpoints.
+    fn suits(&self, query: &PlacementQuery<'_>, candidate: &Candidate) -> bool {
+        if query.request.route.kind != RouteKind::Stream {
+            return true;
+        }
+        let speed = self.speed(candidate.endpoint.key());
+        completes(query, speed, candidate.fastest)
     }
 
     /// Returns whether an endpoint is much slower than expected.
@@ -296,6 +353,8 @@
         self.health.retain(|key, _| known.contains(key));
         self.peer_speeds
             .retain(|short_key, _| known.iter().any(|key| key.short_key() == *short_key));
+        self.peer_intervals
+            .retain(|short_key, _| known.iter().any(|key| key.short_key() == *short_key));
     }
 
     // Returns this instance's preference for an endpoint, between 0 and 1. It differs between
@@ -321,7 +380,8 @@
         } else {
             REMOTE_PENALTY_RATIO
         };
-        let speed_factor = self.speed_factor(endpoint.key());
+        let speed = self.speed(endpoint.key());
+        let speed_factor = speed.factor;
         let preference = self.preference(endpoint.key()) * PREFERENCE_SPREAD_RATIO;
         let time = speed_factor
             * (1.0
@@ -351,16 +411,33 @@
         Cost {
             relative_time: time,
             late: first_part_at > millis_to_f64(request.route.latency_target) || likely_stall,
-            times_out: times_out(query, speed_factor),
+            times_out: times_out(query, speed),
             stalled_ratio: if stalls_others { occupancy } else { 0.0 },
         }
     }
 }
 
+// Returns whether a response is expected to be complete before its deadline at an endpoint of this
+// speed, or no endpoint is much faster.
+fn completes(query: &PlacementQuery<'_>, speed: EndpointSpeed, fastest: EndpointSpeed) -> bool {
+    !times_out(query, speed) || is_similar(query, speed, fastest)
+}
+
+// Returns whether a request takes hardly longer at an endpoint of this speed than at the fastest one.
+fn is_similar(query: &PlacementQuery<'_>, speed: EndpointSpeed, fastest: EndpointSpeed) -> bool {
+    let time = |speed| {
+        query
+            .latency_model
+            .service_time_at(&query.request.tokens, speed)
+    };
+    time(speed) <= time(fastest) * SIMILAR_RATIO
+}
+
 // Returns whether a response at an endpoint of this speed would not complete before its deadline.
-fn times_out(query: &PlacementQuery<'_>, speed_factor: f64) -> bool {
-    let service_time =
-        millis_to_f64(query.latency_model.service_time_of(&query.request.tokens)) * speed_factor;
+fn times_out(query: &PlacementQuery<'_>, speed: EndpointSpeed) -> bool {
+    let service_time = query
+        .latency_model
+        .service_time_at(&query.request.tokens, speed);
     let margin = if query.can_wait {
         TIMEOUT_MARGIN_RATIO
     } else {
--- a/crates/siskinyoke-dispatch/src/queue.rs
+++ b/crates/siskinyoke-dispatch/src/queue.rs
@@ -37,17 +37,20 @@
         self.keys.is_empty()
     }
 
-    /// Returns a summary of the waiting requests: a row for each queue order, with the sum of their
-    /// service times.
+    /// Returns a summary of the waiting requests that have a service time: a row for each queue order,
+    /// with the sum of these times.
     pub fn summary(
         &self,
         now: Millis,
         service: u32,
-        service_time: impl Fn(Ticket) -> Millis,
+        service_time: impl Fn(Ticket) -> Option<Millis>,
     ) -> Vec<WaitingRow> {
         let mut rows: Vec<WaitingRow> = Vec::new();
         for (order, virtual_arrival, ticket) in &self.keys {
-            let time_ms = u32::try_from(service_time(*ticket).0).unwrap_or(u32::MAX);
+            let Some(time) = service_time(*ticket) else {
+                continue;
+            };
+            let time_ms = u32::try_from(time.0).unwrap_or(u32::MAX);
             match rows.last_mut() {
                 Some(row) if row.order == *order => {
                     row.count = row.count.saturating_add(1);
--- a/crates/siskinyoke-dispatch/src/report.rs
+++ b/crates/siskinyoke-dispatch/src/report.rs
@@ -13,6 +13,9 @@
 use siskinyoke_base::Millis;
 use siskinyoke_base::Revision;
 
+/// Steps per ms of a reported part interval.
+const INTERVAL_STEPS_PER_MS: f64 = 10.0;
+
 /// The current state of one instance, sent to its peers many times a second.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -75,6 +78,12 @@
     /// Attempts under which endpoints fell silent that are gone: the latest in several reports, and all
     /// in turn in a few reports a second. Reports of earlier versions end before it.
     pub silent_attempts: Vec<SilentAttemptRow>,
+    /// How fast endpoints generate responses, included in a few reports a second. Reports of earlier
+    /// versions end before it.
+    pub part_intervals: Vec<PartIntervalRow>,
+    /// What became of the requests of each route, included in a few reports a second. Reports of
+    /// earlier versions end before it.
+    pub size_shares: Vec<SizeShareRow>,
 }
 
 impl Report {
@@ -146,6 +155,50 @@
     pub service_time: u32,
 }
 
+/// How fast an endpoint generates responses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartIntervalRow {
+    /// The endpoint's short key.
+    pub endpoint: u32,
+    /// The mean time between two parts of a response, in tenths of a ms.
+    pub interval: u32,
+}
+
+impl PartIntervalRow {
+    /// Creates the row of an endpoint from the mean time between two parts, in ms.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "not negative, and larger values saturate"
+    )]
+    pub fn new(endpoint: EndpointKey, interval_ms: f64) -> Self {
+        Self {
+            endpoint: endpoint.short_key(),
+            interval: (interval_ms * INTERVAL_STEPS_PER_MS).round() as u32,
+        }
+    }
+
+    /// Returns the mean time between two parts of a response, in ms.
+    pub fn interval_ms(&self) -> f64 {
+        f64::from(self.interval) / INTERVAL_STEPS_PER_MS
+    }
+}
+
+/// How many requests of one route arrived and were served, decaying with age.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct SizeShareRow {
+    /// The hash of the route's name.
+    pub route: u32,
+    /// The number of requests that arrived.
+    pub offered: f32,
+    /// The number of requests that were sent to endpoints and not cut off there.
+    pub served: f32,
+    /// The expected service time of those that arrived, in ms.
+    pub offered_time: f32,
+    /// The expected service time of those that were served, in ms.
+    pub served_time: f32,
+}
+
 /// The rate limit that an endpoint has announced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitRow {
--- a/crates/siskinyoke-dispatch/src/scheduler.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler.rs
@@ -30,6 +30,7 @@
 use crate::Ticket;
 use crate::VersionKey;
 use crate::demand::Demand;
+use crate::expected_time::ExpectedTime;
 use crate::latency_model::LatencyModel;
 use crate::latency_model::millis_from_f64;
 use crate::latency_model::millis_to_f64;
@@ -44,13 +45,16 @@
 use crate::rate_limits::RateLimits;
 use crate::registry::Registry;
 use crate::rejection_limits::RejectionLimits;
+use crate::report::PartIntervalRow;
 use crate::report::RunningRow;
 use crate::report::WaitingRow;
 use crate::report::short_hash;
+use crate::size_shares::SizeShares;
 use crate::stall_timeout;
 use crate::wait;
 use siskinyoke_base::Map;
 use siskinyoke_base::Millis;
+use siskinyoke_base::Set;
 
 /// The retry delay for services without endpoints: new endpoints become known within that time.
 const NO_ENDPOINT_RETRY_AFTER: Millis = Millis(500);
@@ -71,8 +75,9 @@
     attempt: RunningAttempt,
     // The version of the endpoint.
     version: VersionKey,
-    // The work ahead of it at the endpoint when it was sent.
+    // The work ahead of it at the endpoint when it was sent, and its service time expected then.
     backlog: Backlog,
+    expected: Option<ExpectedTime>,
     // The slot time that its organisation was charged, in ms.
     charged: f64,
 }
@@ -113,12 +118,15 @@
     selector: EndpointSelector,
     queues: BTreeMap<Arc<str>, Queue>,
     waiting: Map<Ticket, ScheduledRequest>,
+    // Waiting requests that no endpoint with free slots would complete before their deadlines.
+    held_back: Set<Ticket>,
     running: Map<Ticket, RunningRequest>,
     in_flight: BTreeMap<EndpointKey, RunningRow>,
     latencies: Map<Arc<str>, LatencyModel>,
     demands: Map<Arc<str>, Demand>,
     overloads: Map<(Arc<str>, Priority, ShareClass), OverloadWindow>,
     shares: OrganisationShares,
+    size_shares: SizeShares,
     rate_limits: RateLimits,
     rejection_limits: RejectionLimits,
     // Slots of requests that were given up, each with the time at which it counts as free.
@@ -178,8 +186,14 @@
         let service_time = latency.service_time_of(&request.tokens);
         self.shares
             .record_offered(now, &request, millis_to_f64(service_time));
+        self.size_shares
+            .record_offered(now, &request.route, millis_to_f64(service_time));
         let request = ScheduledRequest {
-            virtual_arrival: wait::virtual_arrival(&request, latency),
+            virtual_arrival: wait::virtual_arrival(
+                &request,
+                latency,
+                self.size_shares.penalty_ratio(now, &request.route),
+            ),
             share_class: self
                 .shares
                 .classify(now, &request, millis_to_f64(service_time)),
@@ -193,10 +207,15 @@
             peers,
         };
         // A stream that its caller takes up is queued like a retry, whatever the forecast.
-        if wait::is_taken_up(&request) || self.expected_on_time(&view, &request) {
+        let may_complete = self.may_complete(&view, &request);
+        if wait::is_taken_up(&request) || may_complete && self.expected_on_time(&view, &request) {
             return Ok(self.enqueue(request));
         }
         self.shares.record_shortage(now, &request);
+        if !may_complete {
+            let request = self.admit_late(&view, request)?;
+            return Ok(self.enqueue(request));
+        }
         // Another shard may lend a slot; the request waits for its reply before it is refused.
         if self.should_ask_shards(now, registry, &request.service) {
             return Ok(self.enqueue(ScheduledRequest {
@@ -272,6 +291,9 @@
         } else {
             self.selector.record_outcome(now, endpoint, outcome);
         }
+        if !matches!(outcome, Outcome::Completed { .. }) {
+            self.size_shares.record_lost(now, &request.route, charged);
+        }
         if let Outcome::Completed {
             first_latency,
             total,
@@ -333,6 +355,7 @@
 
     /// Removes a waiting request.
     pub fn cancel(&mut self, ticket: Ticket) {
+        self.held_back.remove(&ticket);
         let Some(request) = self.waiting.remove(&ticket) else {
             return;
         };
@@ -376,6 +399,12 @@
         }
     }
 
+    /// Returns the service time that was expected of a running request when it was sent, unless its
+    /// endpoint belongs to another shard.
+    pub fn expected_time(&self, ticket: Ticket) -> Option<ExpectedTime> {
+        self.running.get(&ticket)?.expected
+    }
+
     /// Returns the running request with a ticket.
     pub fn running(&self, ticket: Ticket) -> Option<&ScheduledRequest> {
         self.running.get(&ticket).map(|running| &running.request)
@@ -393,6 +422,16 @@
         }
     }
 
+    /// Records the part intervals that a peer reports for endpoints.
+    pub fn record_peer_intervals(&mut self, rows: &[PartIntervalRow]) {
+        self.selector.record_peer_intervals(rows);
+    }
+
+    /// Returns how fast endpoints generate responses, as observed by this instance, for its report.
+    pub fn interval_rows(&self) -> Vec<PartIntervalRow> {
+        self.selector.interval_rows()
+    }
+
     /// Returns the requests that this instance runs at each endpoint, for its report.
     pub fn endpoint_usage(&self) -> Vec<RunningRow> {
         let counts = self.in_flight.iter().map(|(key, row)| RunningRow {
@@ -408,7 +447,11 @@
             .iter()
             .flat_map(|(service, queue)| {
                 let latency = self.latency_model(service);
-                let service_time = |ticket| latency.service_time_of(&self.waiting[&ticket].tokens);
+                let service_time = |ticket| {
+                    let tokens = &self.waiting[&ticket].tokens;
+                    let held_back = self.held_back.contains(&ticket);
+                    (!held_back).then(|| latency.service_time_of(tokens))
+                };
                 queue.summary(now, short_hash(service), service_time)
             })
             .collect()
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -13,7 +13,11 @@
 use crate::EndpointKey;
 use crate::ScheduledRequest;
 use crate::Ticket;
+use crate::TokenCounts;
+use crate::endpoint_speed::EndpointSpeed;
+use crate::expected_time::ExpectedTime;
 use crate::latency_model::LatencyModel;
+use crate::latency_model::millis_from_f64;
 use crate::latency_model::millis_to_f64;
 use crate::placement::Candidate;
 use crate::placement::EndpointSelector;
@@ -120,13 +124,20 @@
                 None => open.pick(&self.selector, &query, use_shared),
             };
             let Some((candidate, canary)) = picked else {
+                if use_shared && self.selector.holds_back(&query, &open.free) {
+                    self.held_back.insert(ticket);
+                } else {
+                    self.held_back.remove(&ticket);
+                }
                 continue;
             };
             let endpoint = candidate.endpoint.clone();
             let backlog = backlog(&candidate, latency);
             open.occupy(endpoint.key(), request.tokens.prompt);
             self.rate_limits.take_token(endpoint.key());
+            let expected = self.expected_at(&candidate, &request.tokens, latency);
             self.send_to(now, ticket, &endpoint, backlog, canary);
+            self.record_expected(ticket, expected);
             decisions.push(Decision::Start(ticket, endpoint));
         }
     }
@@ -184,16 +195,13 @@
     // Returns the endpoints that have free slots or, if they are fast, room in their queues.
     fn candidates(&self, view: &ClusterView<'_>, endpoints: &[Arc<Endpoint>]) -> Vec<Candidate> {
         let available = self.available(view.now, endpoints);
-        if available.is_empty() {
-            return Vec::new();
-        }
         let running = view.peers.running_by_endpoint(view.now);
         let others = self.sharing_instances(view);
         let unknown_use = self.unknown_use(view, &others, &available);
-        let factors = available
-            .iter()
-            .map(|it| self.selector.speed_factor(it.key()));
-        let fastest = factors.fold(f64::INFINITY, f64::min);
+        let speeds = available.iter().map(|it| self.selector.speed(it.key()));
+        let Some(fastest) = EndpointSpeed::fastest_of(speeds) else {
+            return Vec::new();
+        };
         available
             .into_iter()
             .filter_map(|endpoint| {
@@ -217,14 +225,46 @@
                     open_slots,
                     queue_slots,
                     prefill_tokens: f64::from(own_tokens) + f64::from(peer_tokens),
-                    slow: self.selector.is_slow(key, fastest),
+                    slow: self.selector.is_slow(key, fastest.factor),
                     reserved: tokens.is_some() || own_slots.is_some(),
-                    fastest_factor: fastest,
+                    fastest,
                 })
             })
             .collect()
     }
 
+    // Returns the speed of the fastest endpoint of a service that is not backing off.
+    pub(super) fn fastest_speed(
+        &self,
+        view: &ClusterView<'_>,
+        service: &str,
+    ) -> Option<EndpointSpeed> {
+        let available = self.available(view.now, view.registry.eligible(service));
+        EndpointSpeed::fastest_of(available.iter().map(|it| self.selector.speed(it.key())))
+    }
+
+    // Returns the service time that is expected of a request at a candidate.
+    pub(super) fn expected_at(
+        &self,
+        candidate: &Candidate,
+        tokens: &TokenCounts,
+        latency: LatencyModel,
+    ) -> ExpectedTime {
+        let speed = self.selector.speed(candidate.endpoint.key());
+        let time = |speed| millis_from_f64(latency.service_time_at(tokens, speed));
+        ExpectedTime {
+            chosen: time(speed),
+            fastest: time(candidate.fastest),
+        }
+    }
+
+    // Records the service time that is expected of a request that was sent now.
+    pub(super) fn record_expected(&mut self, ticket: Ticket, expected: ExpectedTime) {
+        if let Some(running) = self.running.get_mut(&ticket) {
+            running.expected = Some(expected);
+        }
+    }
+
     // Returns how many slots of an endpoint may be used, and how many more requests may queue
     // there.
     fn slot_limits(&self, endpoint: &Endpoint) -> (u32, u32) {
@@ -265,6 +305,7 @@
         let Some(mut request) = self.waiting.remove(&ticket) else {
             return;
         };
+        self.held_back.remove(&ticket);
         if let Some(queue) = self.queues.get_mut(&request.service) {
             queue.remove(queue_key(ticket, &request));
         }
@@ -289,6 +330,7 @@
         let latency = self.latency_model(&request.service);
         let charged = millis_to_f64(latency.service_time_of(&request.tokens));
         self.shares.record_used(now, &request, charged);
+        self.size_shares.record_served(now, &request.route, charged);
         let running = RunningRequest {
             request,
             attempt: RunningAttempt {
@@ -299,6 +341,7 @@
             },
             version: endpoint.version_key(),
             backlog,
+            expected: None,
             charged,
         };
         self.running.insert(ticket, running);
--- a/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
@@ -75,14 +75,14 @@
         };
         let wait = self.expected_wait(view, &late);
         let may_be_late = !uses_late_timeout && request.share_class != ShareClass::Above;
-        if may_be_late && waited + wait <= late_timeout {
+        if may_be_late && waited + self.weighed_wait(view, &late) <= late_timeout {
             self.mark_late(ticket);
             return None;
         }
         self.shares.record_shortage(view.now, &late);
         Some(Refusal {
             reason: RefusalReason::QueueTimeout,
-            retry_after: self.retry_after(view.now, &late, wait),
+            retry_after: self.retry_after(view, &late, wait),
         })
     }
 
--- a/crates/siskinyoke-dispatch/src/scheduler/moves.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/moves.rs
@@ -56,10 +56,13 @@
         candidate: &Candidate,
     ) -> (Ticket, Arc<Endpoint>) {
         let endpoint = candidate.endpoint.clone();
-        let backlog = backlog(candidate, self.latency_model(&request.service));
+        let latency = self.latency_model(&request.service);
+        let backlog = backlog(candidate, latency);
+        let expected = self.expected_at(candidate, &request.tokens, latency);
         let ticket = self.next_ticket();
         self.rate_limits.take_token(endpoint.key());
         self.record_start(now, ticket, request.requeued(now), &endpoint, backlog);
+        self.record_expected(ticket, expected);
         (ticket, endpoint)
     }
 }
--- a/crates/siskinyoke-dispatch/src/scheduler/observations.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/observations.rs
@@ -41,6 +41,8 @@
         let latency = self.latencies.entry(request.service.clone()).or_default();
         self.selector
             .record_speed(key, remaining, latency.remaining_time(f64::from(parts)));
+        self.selector
+            .record_part_interval(key, millis_to_f64(remaining) / f64::from(parts - 1));
         let pause_ms = millis_to_f64(longest_pause);
         self.selector
             .record_stall(key, request.route.misses_gap_target(pause_ms));
--- a/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/requested_backoff.rs
@@ -98,7 +98,7 @@
         let wait = self.expected_wait(view, &request);
         Some(Refusal {
             reason: RefusalReason::Overload,
-            retry_after: self.retry_after(view.now, &request, wait),
+            retry_after: self.retry_after(view, &request, wait),
         })
     }
 }
--- a/crates/siskinyoke-dispatch/src/scheduler/shares.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/shares.rs
@@ -5,11 +5,13 @@
 use super::Scheduler;
 use super::queue_key;
 use crate::Organisation;
+use crate::Report;
 use crate::ScheduledRequest;
 use crate::Ticket;
 use crate::organisation_shares::OrganisationShares;
 use crate::organisation_shares::share_class::ShareClass;
 use crate::report::ServiceShareRows;
+use crate::size_shares::SizeShares;
 use siskinyoke_base::Millis;
 
 impl Scheduler {
@@ -18,24 +20,27 @@
         &self.shares
     }
 
+    /// Returns how often long requests are served, compared with all requests of their route.
+    pub fn size_shares(&self) -> &SizeShares {
+        &self.size_shares
+    }
+
     /// Sets the organisations between which slots are divided.
     pub(crate) fn configure_shares(&mut self, organisations: &[Arc<Organisation>]) {
         self.shares.configure(organisations);
     }
 
     /// Records the slot time that a peer reports.
-    pub(crate) fn receive_shares(
-        &mut self,
-        now: Millis,
-        incarnation: u64,
-        services: &[ServiceShareRows],
-    ) {
-        self.shares.receive(now, incarnation, services);
+    pub(crate) fn receive_shares(&mut self, now: Millis, incarnation: u64, report: &Report) {
+        self.shares.receive(now, incarnation, &report.shares);
+        self.size_shares
+            .receive(now, incarnation, &report.size_shares);
     }
 
     /// Forgets the slot time reported by a peer's process that has been replaced.
     pub(crate) fn forget_peer_shares(&mut self, incarnation: u64) {
         self.shares.forget_peer(incarnation);
+        self.size_shares.forget_peer(incarnation);
     }
 
     /// Returns the slot time of organisations for the next report.
@@ -46,6 +51,7 @@
     /// Drops slot time that has decayed.
     pub(crate) fn prune_shares(&mut self, now: Millis) {
         self.shares.prune(now);
+        self.size_shares.prune(now);
     }
 
     // Updates the shares if that is due, and the order of requests whose organisations no longer ask
--- a/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
@@ -8,8 +8,10 @@
 use crate::RefusalReason;
 use crate::ScheduledRequest;
 use crate::forecast::WaitForecast;
+use crate::latency_model::millis_from_f64;
 use crate::latency_model::millis_to_f64;
 use crate::organisation_shares::share_class::ShareClass;
+use crate::placement::TIMEOUT_MARGIN_RATIO;
 use crate::queue::Queue;
 use crate::report::WaitingRow;
 use crate::report::short_hash;
@@ -19,21 +21,49 @@
 /// The shortest retry delay.
 const MIN_RETRY_AFTER: Millis = Millis(50);
 
+/// The part of the time to its deadline after which a request returns that may need all of that time.
+const LONG_RETURN_DIVISOR: u64 = 8;
+
+/// The share of its expected service time that a response takes at least, in most cases.
+const LIKELY_TIME_RATIO: f64 = 0.75;
+
 impl Scheduler {
     // Returns the retry delay of a refused request that could get a slot after `wait`.
+    //
+    // To long requests it leaves enough time for the response: a caller that returns later is cut off
+    // at its deadline. Short ones lose nothing by returning late.
     pub(super) fn retry_after(
         &mut self,
-        now: Millis,
+        view: &ClusterView<'_>,
         request: &ScheduledRequest,
         wait: Millis,
     ) -> Millis {
+        let now = view.now;
         let overload = self.overloads.entry((
             request.service.clone(),
             request.priority,
             request.share_class,
         ));
         let duration = overload.or_default().record_refusal(now);
-        wait::with_jitter(wait.max(duration).max(MIN_RETRY_AFTER), request.fingerprint)
+        let delay = wait::with_jitter(wait.max(duration), request.fingerprint);
+        let backoff = self.backoff_wait(view, &request.service);
+        let latest = self.latest_return(view, request);
+        let delay = latest.map_or(delay, |it| delay.min(it));
+        delay.max(backoff).max(MIN_RETRY_AFTER)
+    }
+
+    // Returns the longest retry delay after which a request that takes longer than most can still be
+    // served: half of the time that its response leaves, and for one that takes all of it a small part.
+    fn latest_return(&self, view: &ClusterView<'_>, request: &ScheduledRequest) -> Option<Millis> {
+        let latency = self.latency_model(&request.service);
+        if latency.service_time_of(&request.tokens) <= latency.mean_service_time() {
+            return None;
+        }
+        let fastest = self.fastest_speed(view, &request.service)?;
+        let time = latency.service_time_at(&request.tokens, fastest);
+        let remaining = request.deadline.since(view.now);
+        let spare = remaining.since(millis_from_f64(time * TIMEOUT_MARGIN_RATIO));
+        Some(Millis((spare.0 / 2).max(remaining.0 / LONG_RETURN_DIVISOR)))
     }
 
     // Returns whether a request would be on time if it were queued now.
@@ -42,10 +72,21 @@
         view: &ClusterView<'_>,
         request: &ScheduledRequest,
     ) -> bool {
-        self.expected_wait(view, request)
+        self.weighed_wait(view, request)
             <= wait::queue_timeout(request, self.latency_model(&request.service))
     }
 
+    // Returns whether the response to a request may be complete before its deadline at the fastest
+    // endpoint.
+    pub(super) fn may_complete(&self, view: &ClusterView<'_>, request: &ScheduledRequest) -> bool {
+        let Some(fastest) = self.fastest_speed(view, &request.service) else {
+            return true;
+        };
+        let latency = self.latency_model(&request.service);
+        let time = latency.service_time_at(&request.tokens, fastest);
+        time * LIKELY_TIME_RATIO <= millis_to_f64(request.deadline.since(view.now))
+    }
+
     // Marks a request late, or refuses it if it would wait too long even then. Requests above their
     // organisation's share do not wait once they are late: long waits would give them the slots that
     // become free between other requests.
@@ -60,17 +101,33 @@
         };
         let wait = self.expected_wait(view, &request);
         let timeout = wait::late_timeout(&request, self.latency_model(&request.service));
-        if wait <= timeout && request.share_class != ShareClass::Above {
+        if self.weighed_wait(view, &request) <= timeout && request.share_class != ShareClass::Above
+        {
             return Ok(request);
         }
         let backoff = self.backoff_wait(view, &request.service);
         let delay = wait.since(timeout).max(backoff);
         Err(Refusal {
             reason: RefusalReason::Overload,
-            retry_after: self.retry_after(view.now, &request, delay),
+            retry_after: self.retry_after(view, &request, delay),
         })
     }
 
+    // Returns the wait of a request by which it is decided whether to queue it: less than expected if
+    // requests of its size are served less often than others.
+    pub(super) fn weighed_wait(
+        &self,
+        view: &ClusterView<'_>,
+        request: &ScheduledRequest,
+    ) -> Millis {
+        let latency = self.latency_model(&request.service);
+        let service_time = millis_to_f64(latency.service_time_of(&request.tokens));
+        let tolerance = self
+            .size_shares
+            .wait_tolerance(view.now, &request.route, service_time);
+        millis_from_f64(millis_to_f64(self.expected_wait(view, request)) / tolerance)
+    }
+
     // Returns how long a request would wait if it were queued now.
     pub(super) fn expected_wait(
         &self,
@@ -90,8 +147,10 @@
         let own = own.flat_map(Queue::iter);
         let own = own
             .take_while(|key| (key.0, key.1) <= (request.queue_order(), request.virtual_arrival));
-        // A request that all available endpoints have rejected takes none of their slots.
+        // A request that all available endpoints have rejected takes none of their slots, and neither
+        // does one that waits for a faster endpoint.
         let own = own
+            .filter(|key| !self.held_back.contains(&key.2))
             .map(|key| &self.waiting[&key.2])
             .filter(|it| available.is_empty() || !wait::all_tried(it, available.iter().copied()));
         let own: f64 = own
--- a/crates/siskinyoke-dispatch/src/wait.rs
+++ b/crates/siskinyoke-dispatch/src/wait.rs
@@ -17,30 +17,33 @@
 /// to be on time. The remaining tenth covers the variance of the response time.
 const ON_TIME_RATIO: f64 = 0.9;
 
-/// The penalty for long requests in the queue order, as a share of the service time.
+/// The largest penalty for long requests in the queue order, as a share of the latency target.
 ///
-/// With a fifth, a request of two seconds goes behind short ones that arrive up to 0.4 seconds
-/// later.
-const LENGTH_PENALTY_RATIO: f64 = 0.2;
-
-/// The largest penalty, as a share of the latency target.
-///
-/// A long request that has waited for that time goes before any short one that arrives now, so that
-/// long requests do not starve.
+/// A long request that has waited for that time goes before any short one that arrives now.
 const MAX_PENALTY_RATIO: f64 = 0.4;
 
+/// The largest precedence of long requests in the queue order, as a share of the latency target.
+const MAX_PRECEDENCE_RATIO: f64 = 1.0;
+
 /// Returns the arrival time that determines a request's position among those of the same order.
 ///
 /// Under overload, more callers are served in time if short requests go first: service times differ
-/// a hundredfold. A stream that its caller takes up goes before new requests: its first events would
-/// be of no use without the others, and only endpoints of its version can send these.
-pub(crate) fn virtual_arrival(request: &ScheduledRequest, latency: LatencyModel) -> Millis {
+/// a hundredfold. `penalty_ratio` is the penalty for long ones as a share of their service time; if it
+/// is negative, they take precedence. A stream that its caller takes up goes before new requests: its
+/// first events would be of no use without the others, and only endpoints of its version can send
+/// these.
+pub(crate) fn virtual_arrival(
+    request: &ScheduledRequest,
+    latency: LatencyModel,
+    penalty_ratio: f64,
+) -> Millis {
     if is_taken_up(request) {
         return request.arrived.since(request.route.latency_target);
     }
-    let max_penalty = millis_to_f64(request.route.latency_target) * MAX_PENALTY_RATIO;
-    let penalty = (millis_to_f64(latency.service_time_of(&request.tokens)) * LENGTH_PENALTY_RATIO)
-        .min(max_penalty);
+    let target = millis_to_f64(request.route.latency_target);
+    let max_penalty = target * MAX_PENALTY_RATIO;
+    let penalty = millis_to_f64(latency.service_time_of(&request.tokens)) * penalty_ratio;
+    let penalty = penalty.clamp(-target * MAX_PRECEDENCE_RATIO, max_penalty);
     request
         .arrived
         .since(millis_from_f64(max_penalty - penalty))
--- a/crates/siskinyoke-dispatch/tests/common/mod.rs
+++ b/crates/siskinyoke-dispatch/tests/common/mod.rs
@@ -249,6 +249,8 @@
         prompt_parts: Vec::new(),
         sound_requests: Vec::new(),
         silent_attempts: Vec::new(),
+        part_intervals: Vec::new(),
+        size_shares: Vec::new(),
     }
 }
 
--- a/crates/siskinyoke-dispatch/tests/peers.rs
+++ b/crates/siskinyoke-dispatch/tests/peers.rs
@@ -23,6 +23,7 @@
 use siskinyoke_dispatch::report::CanarySlices;
 use siskinyoke_dispatch::report::LimitRow;
 use siskinyoke_dispatch::report::PartCrashRow;
+use siskinyoke_dispatch::report::PartIntervalRow;
 use siskinyoke_dispatch::report::PartRow;
 use siskinyoke_dispatch::report::RejectionRow;
 use siskinyoke_dispatch::report::RunningRow;
@@ -209,6 +210,8 @@
         prompt_parts: vec![part_row(None)],
         sound_requests: vec![sound_request(30)],
         silent_attempts: vec![silent_attempt(1)],
+        part_intervals: vec![part_interval(20.0)],
+        size_shares: Vec::new(),
         quota_used: vec![(short_hash("school"), 500)],
         ..report
     }
@@ -216,7 +219,7 @@
 
 // Returns reports that each say something else in one field.
 fn with_one_field(late: &Report) -> Vec<(&'static str, Report)> {
-    let fields: [(&'static str, SetField); 9] = [
+    let fields: [(&'static str, SetField); 10] = [
         ("running", |it| it.running = vec![slow_row()]),
         ("limits", |it| it.limits = vec![limit(0)]),
         ("rejection_limits", |it| {
@@ -235,6 +238,9 @@
         ("silent_attempts", |it| {
             it.silent_attempts = vec![silent_attempt(2)];
         }),
+        ("part_intervals", |it| {
+            it.part_intervals = vec![part_interval(80.0)];
+        }),
         ("quota_used", |it| {
             it.quota_used = vec![(short_hash("school"), 90_000)];
         }),
@@ -248,6 +254,8 @@
         prompt_parts: Vec::new(),
         sound_requests: Vec::new(),
         silent_attempts: Vec::new(),
+        part_intervals: Vec::new(),
+        size_shares: Vec::new(),
         quota_used: Vec::new(),
         ..late.clone()
     };
@@ -282,6 +290,10 @@
     core
 }
 
+fn part_interval(interval_ms: f64) -> PartIntervalRow {
+    PartIntervalRow::new(endpoint("e1", 1).key(), interval_ms)
+}
+
 fn slow_row() -> RunningRow {
     RunningRow {
         speed_factor: 36,
--- a/crates/siskinyoke-dispatch/tests/placing.rs
+++ b/crates/siskinyoke-dispatch/tests/placing.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::common::completed;
@@ -17,12 +18,14 @@
 use siskinyoke_dispatch::Scheduler;
 use siskinyoke_dispatch::Ticket;
 use siskinyoke_dispatch::TokenCounts;
+use siskinyoke_dispatch::endpoint_speed::EndpointSpeed;
 use siskinyoke_dispatch::latency_model::LatencyModel;
 use siskinyoke_dispatch::peers::Peers;
 use siskinyoke_dispatch::placement::Candidate;
 use siskinyoke_dispatch::placement::EndpointSelector;
 use siskinyoke_dispatch::placement::PlacementQuery;
 use siskinyoke_dispatch::registry::Registry;
+use siskinyoke_dispatch::report::PartIntervalRow;
 use siskinyoke_dispatch::report::RunningRow;
 
 /// Reported speed factors: four and a half times the usual service time, and the usual one.
@@ -325,7 +328,7 @@
         prefill_tokens: 0.0,
         slow: true,
         reserved: false,
-        fastest_factor: 1.0,
+        fastest: EndpointSpeed::from_factor(1.0),
     }];
     let mut selector = EndpointSelector::new("me", "a");
     assert_eq!(selector.select(&query, &candidates, true), Some(0));
@@ -378,7 +381,7 @@
             prefill_tokens: 0.0,
             slow: true,
             reserved: false,
-            fastest_factor: 1.0,
+            fastest: EndpointSpeed::from_factor(1.0),
         }]
     };
     assert_eq!(selector.select(&query, &candidate(4), true), None);
@@ -413,7 +416,7 @@
             prefill_tokens: 0.0,
             slow: false,
             reserved: false,
-            fastest_factor,
+            fastest: EndpointSpeed::from_factor(fastest_factor),
         }]
     };
     assert_eq!(
@@ -445,3 +448,80 @@
         "the request cannot wait"
     );
 }
+
+// Guards against a speed that is measured by the first parts alone: two endpoints begin responses at
+// the same time, and one of them needs four times as long to generate them.
+#[test]
+fn a_long_response_waits_for_an_endpoint_that_generates_fast_enough() {
+    let latency_model = LatencyModel::default();
+    let request = stream(0, 100.0, 1_000.0);
+    let query = PlacementQuery {
+        now: Millis(0),
+        request: &request,
+        latency_model: &latency_model,
+        can_wait: true,
+    };
+    let mut selector = EndpointSelector::new("me", "a");
+    let slow = Arc::new(endpoint("slow", 6));
+    selector.record_peer_intervals(&[PartIntervalRow::new(slow.key(), 40.0)]);
+    let candidates = |part_interval| {
+        [Candidate {
+            endpoint: slow.clone(),
+            free_slots: 6,
+            open_slots: 6,
+            queue_slots: 0,
+            prefill_tokens: 0.0,
+            slow: false,
+            reserved: false,
+            fastest: EndpointSpeed {
+                factor: 1.0,
+                part_interval: Some(part_interval),
+            },
+        }]
+    };
+    assert_eq!(selector.select(&query, &candidates(10.0), true), None);
+    assert!(selector.holds_back(&query, &candidates(10.0)));
+    assert_eq!(
+        selector.select(&query, &candidates(35.0), true),
+        Some(0),
+        "no endpoint is much faster"
+    );
+}
+
+// The only slot is taken for a long time. Guards against a retry delay after which a long response
+// can no longer be complete before its deadline.
+#[test]
+fn callers_of_long_requests_return_while_these_can_complete() {
+    let mut fixture = Fixture::new(&[("e", 1, USUAL_FACTOR)]);
+    let mut waiting = BTreeMap::new();
+    let mut refused = Vec::new();
+    for now in (START_MS..START_MS + 10_000).step_by(10) {
+        let urgent = (now % 300 == 0).then(|| scheduled_request(RouteKind::Safe, 0, now));
+        let long = (now % 500 == 0).then(|| stream(now, 100.0, 700.0));
+        for request in urgent.into_iter().chain(long) {
+            let row = request.clone();
+            match fixture
+                .scheduler
+                .admit(Millis(now), request, &fixture.registry, &fixture.peers)
+            {
+                Ok(ticket) => drop(waiting.insert(ticket, row)),
+                Err(refusal) => refused.push((now, row, refusal)),
+            }
+        }
+        let decisions = fixture
+            .scheduler
+            .decide(Millis(now), &fixture.registry, &fixture.peers);
+        refused.extend(decisions.into_iter().filter_map(|it| match it {
+            Decision::Refuse(ticket, refusal) => Some((now, waiting.remove(&ticket)?, refusal)),
+            Decision::Start(..) => None,
+        }));
+    }
+    let latency = fixture.scheduler.latency_model("lm");
+    refused.retain(|row| row.1.route.kind == RouteKind::Stream);
+    assert!(refused.len() > 5, "{} long requests refused", refused.len());
+    for (now, request, refusal) in refused {
+        let service_time = latency.service_time_of(&request.tokens);
+        let latest = request.deadline.since(Millis(now)).since(service_time);
+        assert!(refusal.retry_after <= latest, "{refusal:?} at {now}");
+    }
+}
--- /dev/null
+++ b/crates/siskinyoke-dispatch/tests/size_shares.rs
@@ -0,0 +1,84 @@
+//! Counts of what becomes of the requests of a route, by their service times.
+
+mod common;
+
+use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Route;
+use siskinyoke_dispatch::RouteKind;
+use siskinyoke_dispatch::size_shares::SizeShares;
+
+use crate::common::route;
+
+const NOW: Millis = Millis(5_000);
+const SHORT_TIME: f64 = 500.0;
+const LONG_TIME: f64 = 8_000.0;
+
+// Records forty short requests, all served, and ten long ones of which as many are served.
+fn shares(route: &Route, served_long: usize) -> SizeShares {
+    let mut shares = SizeShares::default();
+    for _ in 0..40 {
+        shares.record_offered(NOW, route, SHORT_TIME);
+        shares.record_served(NOW, route, SHORT_TIME);
+    }
+    for index in 0..10 {
+        shares.record_offered(NOW, route, LONG_TIME);
+        if index < served_long {
+            shares.record_served(NOW, route, LONG_TIME);
+        }
+    }
+    shares
+}
+
+#[test]
+fn short_requests_go_first_while_long_ones_are_served_alike() {
+    let route = route(RouteKind::Stream, 0);
+    let alike = shares(&route, 10);
+    assert!(alike.penalty_ratio(NOW, &route) > 0.1);
+    assert!((alike.wait_tolerance(NOW, &route, LONG_TIME) - 1.0).abs() < 1e-9);
+    let unlike = shares(&route, 4);
+    assert!(unlike.penalty_ratio(NOW, &route) < 0.0);
+    assert!(unlike.wait_tolerance(NOW, &route, LONG_TIME) > 1.5);
+    assert!((unlike.wait_tolerance(NOW, &route, SHORT_TIME) - 1.0).abs() < 1e-9);
+}
+
+// Guards against long requests that count as served although they were cut off.
+#[test]
+fn a_response_that_was_cut_off_does_not_count_as_served() {
+    let route = route(RouteKind::Stream, 0);
+    let mut shares = shares(&route, 10);
+    for _ in 0..6 {
+        shares.record_lost(NOW, &route, LONG_TIME);
+    }
+    assert!(shares.penalty_ratio(NOW, &route) < 0.0);
+}
+
+// Guards against a fleet none of whose instances sees enough long requests to notice their losses,
+// and against counts of a process that are added to those of its successor.
+#[test]
+fn the_counts_of_peers_are_added_and_replaced() {
+    let route = route(RouteKind::Stream, 0);
+    let peer = shares(&route, 4);
+    let mut own = SizeShares::default();
+    own.receive(NOW, 1, &peer.rows(NOW));
+    assert!(own.penalty_ratio(NOW, &route) < 0.0);
+    own.receive(NOW, 1, &shares(&route, 10).rows(NOW));
+    assert!(own.penalty_ratio(NOW, &route) > 0.1);
+    own.receive(NOW, 2, &peer.rows(NOW));
+    own.forget_peer(1);
+    assert!(own.penalty_ratio(NOW, &route) < 0.0);
+    own.prune(NOW + Millis(5_000));
+    assert!(own.work(NOW, &route).offered() < 1.0);
+}
+
+#[test]
+fn few_requests_show_nothing() {
+    let route = route(RouteKind::Stream, 0);
+    let mut shares = SizeShares::default();
+    for _ in 0..4 {
+        shares.record_offered(NOW, &route, SHORT_TIME);
+        shares.record_served(NOW, &route, SHORT_TIME);
+        shares.record_offered(NOW, &route, LONG_TIME);
+    }
+    assert!(shares.penalty_ratio(NOW, &route) > 0.1);
+    assert!((shares.wait_tolerance(NOW, &route, LONG_TIME) - 1.0).abs() < 1e-9);
+}
--- a/crates/siskinyoke-gateway/src/gossip.rs
+++ b/crates/siskinyoke-gateway/src/gossip.rs
@@ -46,7 +46,8 @@
 /// A report of an earlier version of this program ends before the era of its revision, which is
 /// then that of a store that names none, or before what its sender relays, what it knows of
 /// rejections, of the shares of organisations, of versions under evaluation, of prompt parts, of
-/// sound requests and of silent attempts, which is then nothing.
+/// sound requests, of silent attempts, of part intervals and of the sizes served, which is then
+/// nothing.
 ///
 /// # Errors
 ///
@@ -54,7 +55,7 @@
 pub fn decode(bytes: &[u8]) -> postcard::Result<Message> {
     match postcard::from_bytes(bytes) {
         Err(postcard::Error::DeserializeUnexpectedEnd) => {
-            postcard::from_bytes(&[bytes, &[0; 8]].concat())
+            postcard::from_bytes(&[bytes, &[0; 10]].concat())
         }
         result => result,
     }
--- a/crates/siskinyoke-gateway/src/job.rs
+++ b/crates/siskinyoke-gateway/src/job.rs
@@ -149,6 +149,7 @@
         loop {
             let AssignedSlot { permit, endpoint } = slot;
             self.progress.queue_time = self.shell.now().since(self.routed.arrived);
+            self.progress.expected = permit.expected_time();
             self.shell
                 .metrics
                 .record_queue_wait(self.progress.queue_time);
--- a/crates/siskinyoke-gateway/src/job/completion.rs
+++ b/crates/siskinyoke-gateway/src/job/completion.rs
@@ -176,6 +176,8 @@
             "first_ms": progress.first_part.map(|it| it.since(self.routed.arrived).0),
             "pause_ms": progress.longest_pause.0,
             "parts": progress.parts,
+            "expected_ms": progress.expected.map(|it| it.chosen.0),
+            "fastest_ms": progress.expected.map(|it| it.fastest.0),
             "took_ms": took.0,
             "aim_ms": self.routed.route.latency_target.0,
             "gap_ms": self.routed.route.gap_target.0,
--- a/crates/siskinyoke-gateway/src/job/progress.rs
+++ b/crates/siskinyoke-gateway/src/job/progress.rs
@@ -5,6 +5,7 @@
 use crate::body_end::BodyEnd;
 use crate::framing::Framing;
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::expected_time::ExpectedTime;
 
 /// Progress of a response, for the log.
 ///
@@ -14,6 +15,8 @@
 pub struct Progress {
     /// Time from arrival until the request was last sent.
     pub queue_time: Millis,
+    /// The service time that was expected when the request was last sent.
+    pub expected: Option<ExpectedTime>,
     /// When the first part of the stream was forwarded.
     pub first_part: Option<Millis>,
     /// Longest pause between two parts.
--- a/crates/siskinyoke-gateway/src/permit.rs
+++ b/crates/siskinyoke-gateway/src/permit.rs
@@ -10,6 +10,7 @@
 use siskinyoke_dispatch::Outcome;
 use siskinyoke_dispatch::RetryDenial;
 use siskinyoke_dispatch::Ticket;
+use siskinyoke_dispatch::expected_time::ExpectedTime;
 use siskinyoke_dispatch::stall_timeout::STREAM_STALL_TIMEOUT;
 
 /// Guards the slot or queue entry of a request; dropping it cancels the request.
@@ -83,6 +84,12 @@
         })
     }
 
+    /// Returns the service time that was expected when the request was sent.
+    pub fn expected_time(&self) -> Option<ExpectedTime> {
+        let core = self.shell.core.borrow();
+        core.scheduler().expected_time(self.ticket?)
+    }
+
     /// Ends a stalled attempt if there is a slot for the request at another endpoint, and returns
     /// that slot. This guard then has to be disarmed.
     pub fn try_abandon(&self) -> Option<AssignedSlot> {
--- a/crates/siskinyoke-gateway/src/shell.rs
+++ b/crates/siskinyoke-gateway/src/shell.rs
@@ -358,6 +358,7 @@
             "units": request.route.map(|it| it.quota_cost),
             "reason": refusal.reason.as_str(),
             "share": request.route.and_then(|it| share_fields(&core, now, it)),
+            "long_ratio": request.route.map(|it| core.long_ratio(now, it)),
             "after_ms": refusal.retry_after.0,
             "waiting": waiting,
             "running": running,
--- a/crates/siskinyoke-gateway/tests/messages.rs
+++ b/crates/siskinyoke-gateway/tests/messages.rs
@@ -32,10 +32,14 @@
         let message = Message::Report(Box::new(report.clone()));
         let bytes = postcard::to_allocvec(&message).unwrap();
         assert_eq!(gossip::decode(&bytes).unwrap(), message);
-        // What earlier versions neither send nor read comes last: silent attempts, sound requests, parts of
-        // prompts, responses of versions under evaluation, shares, rejections, what a sender relays, and the
+        // What earlier versions neither send nor read comes last: sizes served, part intervals, silent
+        // attempts, sound requests, parts of prompts, responses of versions under evaluation, shares, rejections, what a sender relays, and the
         // era.
-        let [without_silences @ .., 0] = &*bytes else {
+        let [without_sizes @ .., 0, 0] = &*bytes else {
+            panic!("does not end with an instance that knows no speeds and sizes");
+        };
+        assert_eq!(gossip::decode(without_sizes).unwrap(), message);
+        let [without_silences @ .., 0] = without_sizes else {
             panic!("does not end with an instance that knows no silent attempts");
         };
         assert_eq!(gossip::decode(without_silences).unwrap(), message);
@@ -43,7 +47,7 @@
             panic!("does not end with an instance that knows no parts and sound requests");
         };
         assert_eq!(gossip::decode(without_parts).unwrap(), message);
-        let [rest @ .., 1, 0, 0, 0, 0, 0, 0, 0, 0] = &*bytes else {
+        let [rest @ .., 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0] = &*bytes else {
             panic!("does not end with an instance that relays nothing and knows no more");
         };
         let Message::Report(received) = gossip::decode(rest).unwrap() else {
