--- a/crates/siskinyoke-dispatch/tests/placing.rs
+++ b/crates/siskinyoke-dispatch/tests/placing.rs
@@ -454,7 +454,7 @@
 #[test]
 fn a_long_response_waits_for_an_endpoint_that_generates_fast_enough() {
     let latency_model = LatencyModel::default();
-    let request = stream(0, 100.0, 1_000.0);
+    let request = stream(0, 100.0, 400.0);
     let query = PlacementQuery {
         now: Millis(0),
         request: &request,
--- a/crates/siskinyoke-dispatch/tests/size_shares.rs
+++ b/crates/siskinyoke-dispatch/tests/size_shares.rs
@@ -2,13 +2,19 @@
 
 mod common;
 
+use crate::common::core;
+use crate::common::report;
+use crate::common::request;
+use crate::common::route;
+use crate::common::waiting_report;
 use siskinyoke_base::Millis;
+use siskinyoke_dispatch::Report;
 use siskinyoke_dispatch::Route;
 use siskinyoke_dispatch::RouteKind;
+use siskinyoke_dispatch::core::IncomingRequest;
+use siskinyoke_dispatch::report::SizeShareRow;
 use siskinyoke_dispatch::size_shares::SizeShares;
 
-use crate::common::route;
-
 const NOW: Millis = Millis(5_000);
 const SHORT_TIME: f64 = 500.0;
 const LONG_TIME: f64 = 8_000.0;
@@ -82,3 +88,35 @@
     assert!(shares.penalty_ratio(NOW, &route) > 0.1);
     assert!((shares.wait_tolerance(NOW, &route, LONG_TIME) - 1.0).abs() < 1e-9);
 }
+
+// Guards against long requests that are refused for a long wait like short ones although these have
+// been served more often.
+#[test]
+fn long_requests_are_queued_for_longer_waits_while_they_are_served_less_often() {
+    let route = Route {
+        name: "stream".into(),
+        ..route(RouteKind::Stream, 1)
+    };
+    let is_admitted = |rows: &[SizeShareRow], output| {
+        let mut core = core("i", 1);
+        core.receive_report(
+            NOW,
+            Report {
+                size_shares: rows.to_vec(),
+                ..report("p", 1)
+            },
+        );
+        let mut busy = waiting_report("p", 2);
+        busy.waiting[0].service_time = 1_500;
+        core.receive_report(NOW, busy);
+        let request = IncomingRequest {
+            tokens: Some((900, output)),
+            ..request("/stream/x")
+        };
+        let routed = core.route(NOW, request).expect("a route");
+        core.admit(NOW, &routed, output).is_ok()
+    };
+    assert!(!is_admitted(&shares(&route, 10).rows(NOW), 1_000));
+    assert!(is_admitted(&shares(&route, 4).rows(NOW), 1_000));
+    assert!(!is_admitted(&shares(&route, 4).rows(NOW), 100));
+}
