Reports: part intervals and sizes served are limited to what fits into a datagram

A process lists 16 routes with the most requests and 32 endpoints it observed most. With requests on very many routes a report would have exceeded the limit of a message, and none would have been sent. Found by reading; the new test fails without the limit (100 rows).

--- a/crates/siskinyoke-dispatch/src/placement.rs
+++ b/crates/siskinyoke-dispatch/src/placement.rs
@@ -62,6 +62,10 @@
 /// than the variation of a single endpoint.
 const SPEED_STEPS_PER_UNIT: f64 = 8.0;
 
+/// The maximum number of endpoints whose part intervals are in a report, so that it fits into a
+/// datagram: those observed most.
+const MAX_REPORTED_INTERVALS: usize = 32;
+
 /// The share of stalled streams above which the next stream is expected to stall.
 ///
 /// It is below one half, so that an endpoint is avoided before most of its streams stall.
@@ -205,12 +209,15 @@
 
     /// Returns the part intervals that this instance observed, for its report.
     pub fn interval_rows(&self) -> Vec<PartIntervalRow> {
-        let intervals = self.health.iter();
-        let mut rows: Vec<PartIntervalRow> = intervals
-            .filter_map(|(key, health)| Some(PartIntervalRow::new(*key, health.part_interval()?)))
+        let health = self.health.iter();
+        let mut observed: Vec<_> = health
+            .filter_map(|(key, it)| Some((it.observations(), key, it.part_interval()?)))
             .collect();
-        rows.sort_by_key(|row| row.endpoint);
-        rows
+        observed.sort_by(|one, other| other.0.total_cmp(&one.0).then(one.1.cmp(other.1)));
+        let listed = observed.into_iter().take(MAX_REPORTED_INTERVALS);
+        listed
+            .map(|(_, key, interval)| PartIntervalRow::new(*key, interval))
+            .collect()
     }
 
     /// Records the part intervals that a peer reports.
--- a/crates/siskinyoke-dispatch/src/size_shares.rs
+++ b/crates/siskinyoke-dispatch/src/size_shares.rs
@@ -45,6 +45,10 @@
 /// The number of requests of a route below which its counts are dropped.
 const MIN_KEPT_REQUESTS: f64 = 0.05;
 
+/// The maximum number of routes in a report, so that it fits into a datagram: those with the most
+/// requests.
+const MAX_REPORTED_ROUTES: usize = 16;
+
 /// How long the rows of a peer that sends none any more are used.
 const PEER_ROWS_TTL: Millis = Millis::from_secs(4);
 
@@ -116,11 +120,12 @@
 
     /// Returns the rows for a report.
     pub fn rows(&self, now: Millis) -> Vec<SizeShareRow> {
-        let rows = self
-            .own
-            .iter()
-            .map(|(route, work)| work.at(now).row(*route));
-        rows.collect()
+        let own = self.own.iter();
+        let mut rows: Vec<SizeShareRow> =
+            own.map(|(route, work)| work.at(now).row(*route)).collect();
+        rows.sort_by(|one, other| other.offered.total_cmp(&one.offered));
+        rows.truncate(MAX_REPORTED_ROUTES);
+        rows
     }
 
     /// Records the rows of a peer's report.
--- a/crates/siskinyoke-dispatch/tests/size_shares.rs
+++ b/crates/siskinyoke-dispatch/tests/size_shares.rs
@@ -76,6 +76,24 @@
     assert!(own.work(NOW, &route).offered() < 1.0);
 }
 
+// Guards against reports that fit into no datagram where requests arrive on many routes.
+#[test]
+fn the_routes_with_the_most_requests_are_reported() {
+    let mut shares = SizeShares::default();
+    for index in 0..100_u8 {
+        let route = Route {
+            name: format!("r{index}").into(),
+            ..route(RouteKind::Stream, 0)
+        };
+        for _ in 0..=index {
+            shares.record_offered(NOW, &route, SHORT_TIME);
+        }
+    }
+    let rows = shares.rows(NOW);
+    assert!(rows.len() <= 16, "{} rows", rows.len());
+    assert!(rows.iter().all(|row| row.offered > 80.0), "{rows:?}");
+}
+
 #[test]
 fn few_requests_show_nothing() {
     let route = route(RouteKind::Stream, 0);
