--- a/crates/siskinyoke-dispatch/src/demand.rs
+++ b/crates/siskinyoke-dispatch/src/demand.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::decay::remaining_ratio;
 use crate::latency_model::millis_to_f64;
 use crate::scheduled_request::QueueOrder;
 use siskinyoke_base::Millis;
@@ -38,5 +39,5 @@
 }
 
 fn decayed((updated_at, slots): (Millis, f64), now: Millis) -> f64 {
-    slots * (-millis_to_f64(now.since(updated_at)) / millis_to_f64(DECAY_TIME)).exp()
+    slots * remaining_ratio(now.since(updated_at), DECAY_TIME)
 }
--- a/crates/siskinyoke-dispatch/src/endpoint_speed.rs
+++ b/crates/siskinyoke-dispatch/src/endpoint_speed.rs
@@ -14,14 +14,6 @@
 }
 
 impl EndpointSpeed {
-    /// Returns the speed of an endpoint of which only the factor is known.
-    pub fn from_factor(factor: f64) -> Self {
-        Self {
-            factor,
-            part_interval: None,
-        }
-    }
-
     /// Returns the lowest factor and the lowest part interval among these speeds.
     pub fn fastest_of(speeds: impl IntoIterator<Item = Self>) -> Option<Self> {
         speeds.into_iter().reduce(|one, other| {
--- a/crates/siskinyoke-dispatch/src/lib.rs
+++ b/crates/siskinyoke-dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod core;
 mod cost;
 mod crash_list;
+mod decay;
 mod demand;
 pub mod directory;
 pub mod endpoint;
--- a/crates/siskinyoke-dispatch/src/organisation_shares/usage.rs
+++ b/crates/siskinyoke-dispatch/src/organisation_shares/usage.rs
@@ -1,5 +1,6 @@
 //! Slot time of one organisation at one service, decaying with age.
 
+use crate::decay;
 use crate::latency_model::millis_to_f64;
 use siskinyoke_base::Millis;
 
@@ -50,7 +51,7 @@
 
 /// Returns the part of slot time that is left at this age.
 pub fn remaining_ratio(age: Millis) -> f64 {
-    (-millis_to_f64(age) / millis_to_f64(DECAY_TIME)).exp()
+    decay::remaining_ratio(age, DECAY_TIME)
 }
 
 /// Returns the number of slots that were busy on average if this slot time is left of them.
--- a/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/dispatch.rs
@@ -233,16 +233,6 @@
             .collect()
     }
 
-    // Returns the speed of the fastest endpoint of a service that is not backing off.
-    pub(super) fn fastest_speed(
-        &self,
-        view: &ClusterView<'_>,
-        service: &str,
-    ) -> Option<EndpointSpeed> {
-        let available = self.available(view.now, view.registry.eligible(service));
-        EndpointSpeed::fastest_of(available.iter().map(|it| self.selector.speed(it.key())))
-    }
-
     // Returns the service time that is expected of a request at a candidate.
     pub(super) fn expected_at(
         &self,
--- a/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/expiry.rs
@@ -75,7 +75,7 @@
         };
         let wait = self.expected_wait(view, &late);
         let may_be_late = !uses_late_timeout && request.share_class != ShareClass::Above;
-        if may_be_late && waited + self.weighed_wait(view, &late) <= late_timeout {
+        if may_be_late && waited + self.weigh_wait(view.now, &late, wait) <= late_timeout {
             self.mark_late(ticket);
             return None;
         }
--- a/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
+++ b/crates/siskinyoke-dispatch/src/scheduler/wait_estimate.rs
@@ -7,6 +7,7 @@
 use crate::Refusal;
 use crate::RefusalReason;
 use crate::ScheduledRequest;
+use crate::endpoint_speed::EndpointSpeed;
 use crate::forecast::WaitForecast;
 use crate::latency_model::millis_from_f64;
 use crate::latency_model::millis_to_f64;
@@ -59,8 +60,7 @@
         if latency.service_time_of(&request.tokens) <= latency.mean_service_time() {
             return None;
         }
-        let fastest = self.fastest_speed(view, &request.service)?;
-        let time = latency.service_time_at(&request.tokens, fastest);
+        let time = self.fastest_time(view, request)?;
         let remaining = request.deadline.since(view.now);
         let spare = remaining.since(millis_from_f64(time * TIMEOUT_MARGIN_RATIO));
         Some(Millis((spare.0 / 2).max(remaining.0 / LONG_RETURN_DIVISOR)))
@@ -72,19 +72,26 @@
         view: &ClusterView<'_>,
         request: &ScheduledRequest,
     ) -> bool {
-        self.weighed_wait(view, request)
+        let wait = self.expected_wait(view, request);
+        self.weigh_wait(view.now, request, wait)
             <= wait::queue_timeout(request, self.latency_model(&request.service))
     }
 
     // Returns whether the response to a request may be complete before its deadline at the fastest
     // endpoint.
     pub(super) fn may_complete(&self, view: &ClusterView<'_>, request: &ScheduledRequest) -> bool {
-        let Some(fastest) = self.fastest_speed(view, &request.service) else {
-            return true;
-        };
+        let remaining = millis_to_f64(request.deadline.since(view.now));
+        let time = self.fastest_time(view, request);
+        time.is_none_or(|it| it * LIKELY_TIME_RATIO <= remaining)
+    }
+
+    // Returns the expected service time of a request at the fastest endpoint that is not backing off,
+    // in ms.
+    fn fastest_time(&self, view: &ClusterView<'_>, request: &ScheduledRequest) -> Option<f64> {
+        let available = self.available(view.now, view.registry.eligible(&request.service));
+        let speeds = available.iter().map(|it| self.selector.speed(it.key()));
         let latency = self.latency_model(&request.service);
-        let time = latency.service_time_at(&request.tokens, fastest);
-        time * LIKELY_TIME_RATIO <= millis_to_f64(request.deadline.since(view.now))
+        Some(latency.service_time_at(&request.tokens, EndpointSpeed::fastest_of(speeds)?))
     }
 
     // Marks a request late, or refuses it if it would wait too long even then. Requests above their
@@ -101,8 +108,8 @@
         };
         let wait = self.expected_wait(view, &request);
         let timeout = wait::late_timeout(&request, self.latency_model(&request.service));
-        if self.weighed_wait(view, &request) <= timeout && request.share_class != ShareClass::Above
-        {
+        let weighed = self.weigh_wait(view.now, &request, wait);
+        if weighed <= timeout && request.share_class != ShareClass::Above {
             return Ok(request);
         }
         let backoff = self.backoff_wait(view, &request.service);
@@ -113,19 +120,20 @@
         })
     }
 
-    // Returns the wait of a request by which it is decided whether to queue it: less than expected if
-    // requests of its size are served less often than others.
-    pub(super) fn weighed_wait(
+    // Returns the wait by which it is decided whether to queue a request: less than the expected one
+    // if requests of its size are served less often than others.
+    pub(super) fn weigh_wait(
         &self,
-        view: &ClusterView<'_>,
+        now: Millis,
         request: &ScheduledRequest,
+        expected: Millis,
     ) -> Millis {
         let latency = self.latency_model(&request.service);
         let service_time = millis_to_f64(latency.service_time_of(&request.tokens));
         let tolerance = self
             .size_shares
-            .wait_tolerance(view.now, &request.route, service_time);
-        millis_from_f64(millis_to_f64(self.expected_wait(view, request)) / tolerance)
+            .wait_tolerance(now, &request.route, service_time);
+        millis_from_f64(millis_to_f64(expected) / tolerance)
     }
 
     // Returns how long a request would wait if it were queued now.
--- a/crates/siskinyoke-dispatch/src/size_shares.rs
+++ b/crates/siskinyoke-dispatch/src/size_shares.rs
@@ -3,8 +3,9 @@
 //! Answers this load: slots are short for longer than a queue lasts. Shortest first serves the most
 //! callers, but what goes before a long request then never ends. Queue order, forecasts, choice of
 //! endpoints, deadlines and retries may each serve long requests less often, and the losses add up.
-//! Here instances count what becomes of the requests of a route, whatever the reason, and give long
-//! requests that precedence in the queue by which they are served like the others.
+//! Here instances count what becomes of the requests of a route, whatever the reason. By that they set
+//! the precedence of long requests in the queue and the waits for which these are queued, so that they
+//! are served like the others.
 
 pub mod served_work;
 
--- a/crates/siskinyoke-dispatch/src/size_shares/served_work.rs
+++ b/crates/siskinyoke-dispatch/src/size_shares/served_work.rs
@@ -1,6 +1,6 @@
 //! How many requests of one route arrived and were served, and their service time.
 
-use crate::latency_model::millis_to_f64;
+use crate::decay::remaining_ratio;
 use crate::report::SizeShareRow;
 use siskinyoke_base::Millis;
 
@@ -24,8 +24,7 @@
     /// Returns the counts at a time.
     #[must_use]
     pub fn at(self, now: Millis) -> Self {
-        let age = millis_to_f64(now.since(self.updated_at));
-        let factor = (-age / millis_to_f64(DECAY_TIME)).exp();
+        let factor = remaining_ratio(now.since(self.updated_at), DECAY_TIME);
         Self {
             updated_at: now,
             offered: self.offered * factor,
--- a/crates/siskinyoke-dispatch/tests/placing.rs
+++ b/crates/siskinyoke-dispatch/tests/placing.rs
@@ -307,6 +307,28 @@
     assert_eq!(local.count(), 8, "{started:?}");
 }
 
+// Returns the speed of an endpoint of which only the factor is known.
+fn speed(factor: f64) -> EndpointSpeed {
+    EndpointSpeed {
+        factor,
+        part_interval: None,
+    }
+}
+
+// Returns an endpoint of usual speed with free slots.
+fn candidate(endpoint: &Arc<Endpoint>, free_slots: u32, fastest: EndpointSpeed) -> Candidate {
+    Candidate {
+        endpoint: endpoint.clone(),
+        free_slots,
+        open_slots: free_slots,
+        queue_slots: 0,
+        prefill_tokens: 0.0,
+        slow: false,
+        reserved: false,
+        fastest,
+    }
+}
+
 // Several prompts, none of them too long by itself, meet at one slow endpoint and make its streams
 // exceed their gap target. Guards against sending further streams there.
 #[test]
@@ -321,14 +343,8 @@
     };
     let slow = Arc::new(endpoint("slow", 12));
     let candidates = [Candidate {
-        endpoint: slow.clone(),
-        free_slots: 12,
-        open_slots: 12,
-        queue_slots: 0,
-        prefill_tokens: 0.0,
         slow: true,
-        reserved: false,
-        fastest: EndpointSpeed::from_factor(1.0),
+        ..candidate(&slow, 12, speed(1.0))
     }];
     let mut selector = EndpointSelector::new("me", "a");
     assert_eq!(selector.select(&query, &candidates, true), Some(0));
@@ -374,14 +390,8 @@
     }]);
     let candidate = |free_slots| {
         [Candidate {
-            endpoint: slow.clone(),
-            free_slots,
-            open_slots: free_slots,
-            queue_slots: 0,
-            prefill_tokens: 0.0,
             slow: true,
-            reserved: false,
-            fastest: EndpointSpeed::from_factor(1.0),
+            ..candidate(&slow, free_slots, speed(1.0))
         }]
     };
     assert_eq!(selector.select(&query, &candidate(4), true), None);
@@ -407,18 +417,8 @@
         can_wait: true,
     };
     let selector = EndpointSelector::new("me", "a");
-    let candidates = |fastest_factor| {
-        [Candidate {
-            endpoint: Arc::new(endpoint("usual", 6)),
-            free_slots: 6,
-            open_slots: 6,
-            queue_slots: 0,
-            prefill_tokens: 0.0,
-            slow: false,
-            reserved: false,
-            fastest: EndpointSpeed::from_factor(fastest_factor),
-        }]
-    };
+    let usual = Arc::new(endpoint("usual", 6));
+    let candidates = |fastest_factor| [candidate(&usual, 6, speed(fastest_factor))];
     assert_eq!(
         selector.select(&query, &candidates(1.0), true),
         Some(0),
@@ -465,19 +465,11 @@
     let slow = Arc::new(endpoint("slow", 6));
     selector.record_peer_intervals(&[PartIntervalRow::new(slow.key(), 40.0)]);
     let candidates = |part_interval| {
-        [Candidate {
-            endpoint: slow.clone(),
-            free_slots: 6,
-            open_slots: 6,
-            queue_slots: 0,
-            prefill_tokens: 0.0,
-            slow: false,
-            reserved: false,
-            fastest: EndpointSpeed {
-                factor: 1.0,
-                part_interval: Some(part_interval),
-            },
-        }]
+        let fastest = EndpointSpeed {
+            part_interval: Some(part_interval),
+            ..speed(1.0)
+        };
+        [candidate(&slow, 6, fastest)]
     };
     assert_eq!(selector.select(&query, &candidates(10.0), true), None);
     assert!(selector.holds_back(&query, &candidates(10.0)));
--- a/crates/siskinyoke-gateway/tests/messages.rs
+++ b/crates/siskinyoke-gateway/tests/messages.rs
@@ -33,8 +33,8 @@
         let bytes = postcard::to_allocvec(&message).unwrap();
         assert_eq!(gossip::decode(&bytes).unwrap(), message);
         // What earlier versions neither send nor read comes last: sizes served, part intervals, silent
-        // attempts, sound requests, parts of prompts, responses of versions under evaluation, shares, rejections, what a sender relays, and the
-        // era.
+        // attempts, sound requests, parts of prompts, responses of versions under evaluation, shares,
+        // rejections, what a sender relays, and the era.
         let [without_sizes @ .., 0, 0] = &*bytes else {
             panic!("does not end with an instance that knows no speeds and sizes");
         };
